Set the shared types and the events and actions of the decision cores

Cause: the parts are built side by side, so identifiers, requests, verdicts, coded errors, orders, ledgers, the offer, each core's events and actions and the key-value interface are agreed before any of them. Weighed: letting each part define its own types and adapting at the seams; ruled out, since every seam would then hold the same mapping twice. Conclusion: parts may start against these modules.

--- /dev/null
+++ b/mangoway/__init__.py
@@ -0,0 +1,1 @@
+"""A serving system that runs many models on fewer accelerators."""
--- /dev/null
+++ b/mangoway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface towards callers."""
--- /dev/null
+++ b/mangoway/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/mangoway/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The processes of the system."""
--- /dev/null
+++ b/mangoway/engines/__init__.py
@@ -0,0 +1,1 @@
+"""The client side of model engines."""
--- /dev/null
+++ b/mangoway/host_list/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's list of live and leaving hosts."""
--- /dev/null
+++ b/mangoway/key_value/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service."""
--- /dev/null
+++ b/mangoway/models/__init__.py
@@ -0,0 +1,1 @@
+"""Typed data shared by all packages."""
--- /dev/null
+++ b/mangoway/models/member.py
@@ -0,0 +1,67 @@
+"""Processes of the system as others see them."""
+
+from enum import Enum
+
+from attrs import frozen
+
+from .identifiers import ConfigVersion, DataCentreId, HostId, IncarnationId
+
+
+class ProcessRole(Enum):
+    """Role of a process."""
+
+    GATEWAY = "gateway"
+    CONTROLLER = "controller"
+
+
+class MemberState(Enum):
+    """State of a process; a later one of the same incarnation wins."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@frozen(kw_only=True)
+class Member:
+    """One process of the system."""
+
+    host: HostId
+    role: ProcessRole
+    incarnation: IncarnationId
+    started_at: float
+    """Wall-clock start time; a later incarnation of a host replaces an earlier."""
+
+    data_centre: DataCentreId
+    peer_address: str
+    """IP address and port for other processes."""
+
+    caller_address: str | None
+    """IP address and port for callers; None for a controller."""
+
+    state: MemberState = MemberState.LIVE
+    beat: int = 0
+    """Heartbeat counter of the process; only it raises the value."""
+
+    config_version: ConfigVersion = ConfigVersion(0)
+    ready: bool = False
+    successor: IncarnationId | None = None
+    """Incarnation that answers for this one's idempotency keys after it left."""
+
+
+@frozen(kw_only=True)
+class GatewayAddress:
+    """One entry of an address answer."""
+
+    host: HostId
+    address: str
+    incarnation: IncarnationId
+    data_centre: DataCentreId
+
+
+@frozen(kw_only=True)
+class AddressAnswer:
+    """Which gateways callers should use, and for how long."""
+
+    gateways: tuple[GatewayAddress, ...]
+    valid_for_s: float
--- /dev/null
+++ b/mangoway/models/verdict.py
@@ -0,0 +1,24 @@
+"""Whether a failed request may have run at an upstream."""
+
+from enum import Enum
+
+
+class Verdict(Enum):
+    """What is known about the execution of a request that got no answer."""
+
+    NOT_RUN = "not_run"
+    """It certainly did not run and will not run later."""
+
+    MAY_HAVE_RUN = "may_have_run"
+    """It may have run, in part or whole."""
+
+    RAN = "ran"
+    """It certainly ran, but its answer could not be delivered."""
+
+    def merge(self, other: "Verdict") -> "Verdict":
+        """Return the verdict of a request with attempts of both verdicts."""
+        if Verdict.RAN in (self, other):
+            return Verdict.RAN
+        if Verdict.MAY_HAVE_RUN in (self, other):
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.NOT_RUN
--- /dev/null
+++ b/mangoway/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Events, metrics and traces."""
--- /dev/null
+++ b/mangoway/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Documents and commands of the operators."""
--- /dev/null
+++ b/mangoway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes."""
--- /dev/null
+++ b/mangoway/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decision cores without I/O."""
--- /dev/null
+++ b/mangoway/policy/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about which configuration version is in force."""
--- /dev/null
+++ b/mangoway/policy/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests: admission, queues, choice, retries."""
--- /dev/null
+++ b/mangoway/policy/dispatch/actions.py
@@ -0,0 +1,153 @@
+"""Actions that the dispatch core returns."""
+
+from attrs import frozen
+
+from ...models.errors import Failure
+from ...models.identifiers import (
+    AttemptId,
+    IdempotencyKey,
+    IncarnationId,
+    RequestId,
+    UpstreamId,
+)
+from .events import ArtifactDemand
+
+
+@frozen(kw_only=True)
+class StartAttempt:
+    """Send a request to an upstream."""
+
+    attempt_id: AttemptId
+    request_id: RequestId
+    upstream_id: UpstreamId
+    priority: int
+    """Engine priority; higher goes first."""
+
+    resume_from: int = 0
+    """Tokens already delivered; the engine continues behind them."""
+
+    timeout_s: float
+    """Seconds until the deadline of the request."""
+
+    silence_s: float
+    """Seconds without any progress after which the connection is given up."""
+
+
+@frozen(kw_only=True)
+class CancelAttempt:
+    """Cancel an attempt at its upstream; `AttemptCancelled` follows."""
+
+    attempt_id: AttemptId
+
+
+@frozen(kw_only=True)
+class Refuse:
+    """Answer a request with a failure; it is forgotten after this."""
+
+    request_id: RequestId
+    failure: Failure
+
+
+@frozen(kw_only=True)
+class Finish:
+    """A request's answer is whole; the shell ends it.
+
+    Where `keep_answer` is set the shell stores the answer under the request's id
+    until `ForgetAnswer`.
+    """
+
+    request_id: RequestId
+    keep_answer: bool = False
+
+
+@frozen(kw_only=True)
+class ReplayAnswer:
+    """Answer a resubmission with the stored answer of an earlier request."""
+
+    request_id: RequestId
+    answer_id: RequestId
+
+
+@frozen(kw_only=True)
+class JoinRequest:
+    """Let a resubmission share the answer of a request in progress.
+
+    The shell copies the answer or the failure of `leader_id` to `request_id`.
+    """
+
+    request_id: RequestId
+    leader_id: RequestId
+
+
+@frozen(kw_only=True)
+class ForgetAnswer:
+    """Drop a stored answer."""
+
+    answer_id: RequestId
+
+
+@frozen(kw_only=True)
+class ClaimKey:
+    """Claim a plain idempotency key in the key-value service; `KeyClaimed` follows."""
+
+    request_id: RequestId
+    key: IdempotencyKey
+
+
+@frozen(kw_only=True)
+class ForwardToHome:
+    """Forward a request to the gateway incarnation that its key names."""
+
+    request_id: RequestId
+    home: IncarnationId
+
+
+@frozen(kw_only=True)
+class ForwardToPeer:
+    """Hand a new arrival to any other live gateway, since this one leaves."""
+
+    request_id: RequestId
+
+
+@frozen(kw_only=True)
+class ReportDemand:
+    """Demand of the last period, for the controller."""
+
+    period_s: float
+    demands: tuple[ArtifactDemand, ...]
+
+
+@frozen(kw_only=True)
+class Explain:
+    """Why a request was decided as it was; kept in bounded memory."""
+
+    request_id: RequestId
+    reason: str
+    """Stable reason code, lower case with underscores."""
+
+    upstream_id: UpstreamId | None = None
+    detail: str = ""
+
+
+@frozen(kw_only=True)
+class WakeAt:
+    """Send `Ticked` at this time (replaces any earlier one)."""
+
+    time: float
+
+
+DispatchAction = (
+    StartAttempt
+    | CancelAttempt
+    | Refuse
+    | Finish
+    | ReplayAnswer
+    | JoinRequest
+    | ForgetAnswer
+    | ClaimKey
+    | ForwardToHome
+    | ForwardToPeer
+    | ReportDemand
+    | Explain
+    | WakeAt
+)
--- /dev/null
+++ b/mangoway/policy/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about which hosts are live, leaving or gone."""
--- /dev/null
+++ b/mangoway/policy/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about memory: ledgers, copies, load orders."""
--- /dev/null
+++ b/mangoway/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process, from flags and environment variables."""
--- /dev/null
+++ b/mangoway/weight_store/__init__.py
@@ -0,0 +1,1 @@
+"""The limits of the platform's weight store."""
--- /dev/null
+++ b/tests/test_artifact.py
@@ -0,0 +1,21 @@
+"""Tests of artifact names."""
+
+import pytest
+
+from mangoway.models.artifact import Artifact
+
+
+class TestArtifact:
+    """Parsing and printing of artifact names."""
+
+    @pytest.mark.parametrize("text", ["chat@3", "chat@3+mn"])
+    def test_parse_reverses_str(self, text: str) -> None:
+        assert str(Artifact.parse(text)) == text
+
+    @pytest.mark.parametrize("text", ["", "chat", "@3", "chat@", "chat@3+"])
+    def test_parse_refuses_incomplete_names(self, text: str) -> None:
+        with pytest.raises(ValueError, match="not an artifact"):
+            Artifact.parse(text)
+
+    def test_base_of_adapter_is_its_model_version(self) -> None:
+        assert Artifact.parse("chat@3+mn").base == Artifact.parse("chat@3")
