--- /dev/null
+++ b/mangoway/observability/metrics.py
@@ -0,0 +1,239 @@
+"""Metrics of a process, rendered for Prometheus."""
+
+from collections import defaultdict
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats import text
+
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+
+BUCKETS_REQUEST_S: Final = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+    300.0,
+    float("inf"),
+)
+BUCKETS_CALL_S: Final = (0.001, 0.002, 0.005, 0.01, 0.05, 0.2, 1.0, 5.0, float("inf"))
+
+LabelValues = tuple[str, ...]
+
+
+class CounterFamily:
+    """A counter with fixed label names.
+
+    Counts are kept in a plain map, since a collector encodes its labels at each
+    access, and reach the collector when it is rendered.
+    """
+
+    def __init__(
+        self, registry: Registry, name: str, doc: str, labels: tuple[str, ...] = ()
+    ) -> None:
+        self._collector = Counter(name, doc, registry=registry)
+        self._labels = labels
+        self._counts: defaultdict[LabelValues, float] = defaultdict(float)
+
+    def add(self, *values: str, amount: float = 1) -> None:
+        """Add to the count of these label values, given in the family's order."""
+        self._counts[values] += amount
+
+    def get(self, *values: str) -> float:
+        """Return the count of these label values."""
+        return self._counts.get(values, 0)
+
+    def flush(self) -> None:
+        """Hand the counts to the collector."""
+        for values, count in self._counts.items():
+            self._collector.set(dict(zip(self._labels, values, strict=True)), count)
+
+
+class GaugeFamily:
+    """A gauge with fixed label names."""
+
+    def __init__(
+        self, registry: Registry, name: str, doc: str, labels: tuple[str, ...] = ()
+    ) -> None:
+        self._collector = Gauge(name, doc, registry=registry)
+        self._labels = labels
+        self._levels: dict[LabelValues, float] = {}
+
+    def set(self, *values: str, level: float) -> None:
+        """Set the level of these label values."""
+        self._levels[values] = level
+
+    def get(self, *values: str) -> float:
+        """Return the level of these label values; 0 if it was never set."""
+        return self._levels.get(values, 0)
+
+    def drop(self, *values: str) -> None:
+        """Forget these label values, whose subject is gone."""
+        self._levels.pop(values, None)
+
+    def flush(self) -> None:
+        """Hand the levels to the collector, and only those that still stand."""
+        self._collector.values.clear()
+        for values, level in self._levels.items():
+            self._collector.set(dict(zip(self._labels, values, strict=True)), level)
+
+
+class HistogramFamily:
+    """A histogram with fixed label names; values are in seconds."""
+
+    def __init__(
+        self,
+        registry: Registry,
+        name: str,
+        doc: str,
+        labels: tuple[str, ...] = (),
+        buckets: tuple[float, ...] = BUCKETS_REQUEST_S,
+    ) -> None:
+        self._collector = Histogram(name, doc, registry=registry, buckets=buckets)
+        self._labels = labels
+
+    def observe(self, *values: str, seconds: float) -> None:
+        """Record one observation under these label values."""
+        labels = dict(zip(self._labels, values, strict=True))
+        self._collector.observe(labels, float(seconds))
+
+
+class Metrics:
+    """All metrics of one process; label values are given in the stated order."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._families: list[CounterFamily | GaugeFamily] = []
+        self._add_request_metrics()
+        self._add_upstream_metrics()
+        self._add_platform_metrics()
+        self._add_process_metrics()
+
+    def _add_request_metrics(self) -> None:
+        self.requests = self._counter(
+            "mangoway_requests_total",
+            "Requests answered, by class, outcome (whole, refused, failed) and code.",
+            ("work_class", "outcome", "code"),
+        )
+        self.request_seconds = self._histogram(
+            "mangoway_request_seconds",
+            "Time from arrival to the whole answer.",
+            ("work_class",),
+        )
+        self.first_token_seconds = self._histogram(
+            "mangoway_first_token_seconds",
+            "Time from arrival to the first token.",
+            ("work_class",),
+        )
+        self.tokens = self._counter(
+            "mangoway_tokens_total", "Tokens passed on to callers.", ("work_class",)
+        )
+        self.attempts = self._counter(
+            "mangoway_attempts_total",
+            "Attempts at upstreams, by kind of upstream and outcome.",
+            ("kind", "outcome"),
+        )
+        self.retries = self._counter(
+            "mangoway_retries_total", "Attempts that followed a failed one.", ("code",)
+        )
+        self.forwards = self._counter(
+            "mangoway_forwards_total", "Requests handed to a peer.", ("reason",)
+        )
+        self.queue_length = self._gauge(
+            "mangoway_queue_length", "Requests that wait for an upstream.", ("target",)
+        )
+        self.in_progress = self._gauge(
+            "mangoway_requests_in_progress", "Requests not yet answered."
+        )
+        self.key_records = self._gauge(
+            "mangoway_key_records", "Records of idempotency keys that are kept."
+        )
+
+    def _add_upstream_metrics(self) -> None:
+        self.upstreams = self._gauge(
+            "mangoway_upstreams",
+            "Known upstreams, by kind and state.",
+            ("kind", "state"),
+        )
+        self.orders = self._counter(
+            "mangoway_orders_total",
+            "Orders to engines, by kind and outcome.",
+            ("kind", "outcome"),
+        )
+        self.moves = self._counter(
+            "mangoway_moves_total", "Loads and unloads that took effect.", ("kind",)
+        )
+        self.memory_committed = self._gauge(
+            "mangoway_memory_committed_mb",
+            "Memory that the ledger of a runner commits.",
+            ("upstream",),
+        )
+
+    def _add_platform_metrics(self) -> None:
+        self.key_value_calls = self._counter(
+            "mangoway_key_value_calls_total",
+            "Calls of the key-value service, by call, rank and result.",
+            ("call", "rank", "result"),
+        )
+        self.key_value_seconds = self._histogram(
+            "mangoway_key_value_seconds",
+            "Time of calls of the key-value service.",
+            ("call",),
+            BUCKETS_CALL_S,
+        )
+        self.host_list_age = self._gauge(
+            "mangoway_host_list_age_seconds", "Age of the host list in use."
+        )
+
+    def _add_process_metrics(self) -> None:
+        self.config_version = self._gauge(
+            "mangoway_config_version", "Version of the configuration in force."
+        )
+        self.members = self._gauge(
+            "mangoway_members", "Known processes, by role and state.", ("role", "state")
+        )
+        self.lease_held = self._gauge(
+            "mangoway_lease_held", "1 while this controller plans its cell."
+        )
+        self.loop_lag_seconds = self._histogram(
+            "mangoway_loop_lag_seconds",
+            "Lateness of the event loop.",
+            (),
+            BUCKETS_CALL_S,
+        )
+
+    def _counter(
+        self, name: str, doc: str, labels: tuple[str, ...] = ()
+    ) -> CounterFamily:
+        family = CounterFamily(self._registry, name, doc, labels)
+        self._families.append(family)
+        return family
+
+    def _gauge(self, name: str, doc: str, labels: tuple[str, ...] = ()) -> GaugeFamily:
+        family = GaugeFamily(self._registry, name, doc, labels)
+        self._families.append(family)
+        return family
+
+    def _histogram(
+        self,
+        name: str,
+        doc: str,
+        labels: tuple[str, ...] = (),
+        buckets: tuple[float, ...] = BUCKETS_REQUEST_S,
+    ) -> HistogramFamily:
+        return HistogramFamily(self._registry, name, doc, labels, buckets)
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format (`CONTENT_TYPE`)."""
+        for family in self._families:
+            family.flush()
+        return bytes(text.TextFormatter().marshall(self._registry))
--- /dev/null
+++ b/mangoway/settings/parsers.py
@@ -0,0 +1,101 @@
+"""Parsers of single settings; each raises `ValueError` saying what is expected."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Callable
+from typing import Final
+from urllib.parse import urlsplit
+
+from ..observability.event_log import LogLevel
+
+MAX_PORT: Final = 65535
+NAME_PATTERN: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+TRUE_WORDS: Final = ("1", "true", "yes", "on")
+FALSE_WORDS: Final = ("0", "false", "no", "off")
+
+
+def parse_name(text: str) -> str:
+    """Parse a name of a host, data centre, cell or site."""
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError(
+            "expected a name of up to 63 letters, digits, dots, dashes, underscores"
+        )
+    return text
+
+
+def parse_address(text: str) -> str:
+    """Parse `ip:port` (IPv6 as `[ip]:port`) and return it in its usual form."""
+    host, found, port = text.rpartition(":")
+    if not found:
+        raise ValueError("expected IP number and port, a.b.c.d:port")
+    bare = host.removeprefix("[").removesuffix("]")
+    try:
+        ip = ipaddress.ip_address(bare)
+    except ValueError:
+        raise ValueError("expected an IP number before the port") from None
+    if not port.isascii() or not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"expected a port from 1 to {MAX_PORT}")
+    if ip.version == 6:
+        return f"[{ip}]:{int(port)}"
+    return f"{ip}:{int(port)}"
+
+
+def parse_addresses(text: str) -> tuple[str, ...]:
+    """Parse a comma-separated list of addresses."""
+    return tuple(parse_address(part.strip()) for part in text.split(","))
+
+
+def parse_url(text: str) -> str:
+    """Parse an http or https URL."""
+    parts = urlsplit(text)
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError("expected an http:// or https:// URL")
+    # Reading the port checks it; the library raises ValueError if it is out of range.
+    _ = parts.port
+    return text
+
+
+def parse_flag(text: str) -> bool:
+    """Parse a yes-or-no setting."""
+    word = text.lower()
+    if word in TRUE_WORDS:
+        return True
+    if word in FALSE_WORDS:
+        return False
+    raise ValueError("expected true or false")
+
+
+def parse_level(text: str) -> LogLevel:
+    """Parse a log level."""
+    try:
+        return LogLevel[text.upper()]
+    except KeyError:
+        names = ", ".join(level.name.lower() for level in LogLevel)
+        raise ValueError(f"expected one of {names}") from None
+
+
+def float_between(low: float, high: float) -> Callable[[str], float]:
+    """Return a parser of numbers in a closed range."""
+
+    def parse(text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError:
+            value = math.nan
+        if not low <= value <= high:
+            raise ValueError(f"expected a number from {low:g} to {high:g}")
+        return value
+
+    return parse
+
+
+def int_between(low: int, high: int) -> Callable[[str], int]:
+    """Return a parser of whole numbers in a closed range."""
+
+    def parse(text: str) -> int:
+        if not re.fullmatch(r"[0-9]{1,18}", text) or not low <= int(text) <= high:
+            raise ValueError(f"expected a whole number from {low} to {high}")
+        return int(text)
+
+    return parse
