Add the command line with the commands gateway and controller

The daemons are imported when the settings have passed, and only the module of the command that is asked for, so that a controller does not load the HTTP server. A bad flag or setting ends with exit code 2 and one line; typer's own boxed message was ruled out because it takes several lines.

--- a/mangoway/cli/__init__.py
+++ b/mangoway/cli/__init__.py
@@ -1,1 +1,5 @@
 """The command line."""
+
+from .application import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/mangoway/cli/gateway.py
@@ -0,0 +1,17 @@
+"""The command `mangoway gateway`."""
+
+from importlib import import_module
+
+from ..settings.options import make_command
+from ..settings.process import GatewaySettings
+from .commands import register_command
+
+
+def _run(settings: GatewaySettings) -> None:
+    # Imported only here: settings are checked before the servers are loaded.
+    import_module("mangoway.daemons.gateway").run(settings)
+
+
+register_command(
+    "gateway", make_command(GatewaySettings, _run, "Run a gateway until it is stopped.")
+)
--- /dev/null
+++ b/tests/cli/test_application.py
@@ -0,0 +1,71 @@
+"""Tests of the command line."""
+
+import subprocess
+import sys
+
+import pytest
+
+from mangoway.cli.application import main
+
+GOOD = [
+    "--key-value=127.0.0.1:2379",
+    "--host=g1",
+    "--data-centre=ub1",
+    "--site=khangai",
+    "--peer-listen=127.0.0.1:7000",
+    "--caller-listen=127.0.0.1:8000",
+]
+
+
+class TestMain:
+    """How the program ends."""
+
+    @pytest.mark.parametrize(
+        ("arguments", "named"),
+        [
+            (["gateway", *GOOD, "--caller-listen=127.0.0.1:x"], "--caller-listen"),
+            (["gateway", *GOOD[1:]], "--key-value"),
+            (["gateway", *GOOD, "--prot=1"], "--prot"),
+            (["controller", "--host"], "--host"),
+            (["gatway"], "gatway"),
+            ([], "command"),
+        ],
+    )
+    def test_bad_use_ends_with_code_2_and_one_line(
+        self,
+        arguments: list[str],
+        named: str,
+        capsys: pytest.CaptureFixture[str],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.delenv("MANGOWAY_KEY_VALUE", raising=False)
+        with pytest.raises(SystemExit) as caught:
+            main(arguments)
+        captured = capsys.readouterr()
+        assert caught.value.code == 2
+        assert captured.out == ""
+        assert captured.err.count("\n") == 1
+        assert named in captured.err
+
+    def test_help_lists_the_commands(self, capsys: pytest.CaptureFixture[str]) -> None:
+        with pytest.raises(SystemExit) as caught:
+            main(["--help"])
+        assert caught.value.code == 0
+        assert {"gateway", "controller"} <= set(capsys.readouterr().out.split())
+
+
+@pytest.mark.process
+class TestProcess:
+    """The program as a process."""
+
+    def test_bad_setting_ends_the_process_with_code_2(self) -> None:
+        done = subprocess.run(
+            [sys.executable, "-m", "mangoway", "controller", "--peer-listen=here"],
+            capture_output=True,
+            env={"MANGOWAY_KEY_VALUE": "127.0.0.1:1", "MANGOWAY_HOST": "c d"},
+            timeout=30,
+        )
+        assert done.returncode == 2
+        assert done.stderr.count(b"\n") == 1
+        assert b"MANGOWAY_HOST" in done.stderr
+        assert done.stdout == b""
