--- /dev/null
+++ b/mangoway/operators/documents.py
@@ -0,0 +1,115 @@
+"""The operators' documents: a base file shared by all sites, an overlay for each."""
+
+from collections.abc import Mapping
+
+from attrs import field, frozen
+
+from ..models.identifiers import (
+    AdapterName,
+    CallerId,
+    ModelName,
+    ServiceName,
+    VersionName,
+)
+from ..models.offer import (
+    CallerOffer,
+    ClassOffer,
+    ModelOffer,
+    RunnerGroup,
+    ServiceOffer,
+    SitePolicy,
+)
+from ..models.request import WorkClass
+
+
+@frozen(kw_only=True)
+class BaseDocument:
+    """What all sites offer, and the defaults of how a site runs it."""
+
+    models: Mapping[ModelName, ModelOffer] = field(factory=dict)
+    """Models with their versions and adapters."""
+
+    services: Mapping[ServiceName, ServiceOffer] = field(factory=dict)
+    """Plain services with their calls."""
+
+    callers: Mapping[CallerId, CallerOffer] = field(factory=dict)
+    """Callers with weights and limits; any other caller is refused."""
+
+    classes: Mapping[WorkClass, ClassOffer] = field(factory=dict)
+    """Targets of the classes of work; a class left out has its defaults."""
+
+    runner_groups: tuple[RunnerGroup, ...] = ()
+    """Runners against which floors are checked."""
+
+    site: SitePolicy = field(factory=SitePolicy)
+    """Policy of every site whose overlay does not override it."""
+
+
+@frozen(kw_only=True)
+class FloorPatch:
+    """Override of the ready copies of one version or adapter."""
+
+    floor: int
+
+
+@frozen(kw_only=True)
+class ModelPatch:
+    """Override of the floors of one model."""
+
+    floor_data_centres: int | None = None
+    versions: Mapping[VersionName, FloorPatch] = field(factory=dict)
+    adapters: Mapping[AdapterName, FloorPatch] = field(factory=dict)
+
+
+@frozen(kw_only=True)
+class CallerPatch:
+    """Override of a caller's weight and limits."""
+
+    weight: float | None = None
+    requests_per_second: float | None = None
+    burst: int | None = None
+
+
+@frozen(kw_only=True)
+class ClassPatch:
+    """Override of the targets of a class of work."""
+
+    deadline_s: float | None = None
+    first_token_s: float | None = None
+    weight: float | None = None
+
+
+@frozen(kw_only=True)
+class SitePatch:
+    """Override of the site policy."""
+
+    move_price: float | None = None
+    loads_per_second: float | None = None
+    loads_at_full_speed: int | None = None
+    kv_cache_floor_mb: int | None = None
+    order_lateness_bound_s: float | None = None
+    key_retention_s: float | None = None
+    key_capacity: int | None = None
+    address_validity_s: float | None = None
+    stop_deadline_s: float | None = None
+    claim_writes_per_second: float | None = None
+
+
+@frozen(kw_only=True)
+class OverlayDocument:
+    """What one site does otherwise than the base; a key left out changes nothing."""
+
+    models: Mapping[ModelName, ModelPatch] = field(factory=dict)
+    """Floors of models that the base offers."""
+
+    callers: Mapping[CallerId, CallerPatch] = field(factory=dict)
+    """Weights and limits; a caller that the base lacks is added."""
+
+    classes: Mapping[WorkClass, ClassPatch] = field(factory=dict)
+    """Targets of the classes of work."""
+
+    runner_groups: tuple[RunnerGroup, ...] | None = None
+    """Runners of the site; they replace all of the base's."""
+
+    site: SitePatch = field(factory=SitePatch)
+    """Site policy."""
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces."""
