--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,26 @@
+"""Profiles of hypothesis: bounded and repeatable by default, long and random on call."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=40,
+    stateful_step_count=40,
+    suppress_health_check=list(HealthCheck),
+)
+settings.register_profile(
+    "fuzz",
+    derandomize=False,
+    database=None,
+    deadline=None,
+    max_examples=int(os.environ.get("MANGOWAY_FUZZ_EXAMPLES", "500")),
+    stateful_step_count=80,
+    print_blob=True,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile(os.environ.get("MANGOWAY_HYPOTHESIS_PROFILE", "ci"))
