--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Profiles of hypothesis: bounded and repeatable by default, long and random on call."""
+"""Profiles of hypothesis: bounded and repeatable by default, long on call."""
 
 import os
 
