--- /dev/null
+++ b/tests/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the system's peers, startable as processes."""
--- /dev/null
+++ b/tests/stand_ins/relay.py
@@ -0,0 +1,118 @@
+"""TCP relay that cuts, or makes silent, open connections while new ones work."""
+
+import argparse
+import asyncio
+from typing import Any
+
+from aiohttp import web
+from attrs import define
+
+from .serving import StandIn, run_stand_in
+
+CHUNK_BYTES = 65536
+
+
+@define
+class RelaySwitches:
+    """Failures of the network between two ends."""
+
+    refuse_new: bool = False
+    """New connections are closed at once."""
+
+    delay_s: float = 0.0
+
+
+class Relay(StandIn):
+    """Forwards connections to one target; `address` is for control."""
+
+    switches: RelaySwitches
+
+    def __init__(self, target: str) -> None:
+        super().__init__(RelaySwitches())
+        self.target = target
+        self.relay_address = ""
+        self._open: set[asyncio.StreamWriter] = set()
+        self._muted: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self.app.router.add_post("/admin/cut", self._async_cut)
+        self.app.router.add_post("/admin/mute", self._async_mute)
+
+    def truth(self) -> dict[str, Any]:
+        """Return the relaying address and how many ends are open or muted."""
+        return {
+            "relay_address": self.relay_address,
+            "open": len(self._open),
+            "muted": len(self._muted),
+        }
+
+    async def async_start(self, listen: str = "127.0.0.1:0") -> str:
+        """Listen for connections to relay, and for control."""
+        self._server = await asyncio.start_server(self._async_accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.relay_address = f"{host}:{port}"
+        return await super().async_start(listen)
+
+    async def async_stop(self) -> None:
+        """Cut everything and stop."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+        await super().async_stop()
+
+    def cut(self) -> None:
+        """Close every open connection at both ends."""
+        for writer in tuple(self._open):
+            writer.transport.abort()
+
+    def mute(self) -> None:
+        """Let every open connection go silent for good, without closing it."""
+        self._muted.update(self._open)
+
+    async def _async_cut(self, request: web.Request) -> web.Response:
+        self.cut()
+        return web.json_response({})
+
+    async def _async_mute(self, request: web.Request) -> web.Response:
+        self.mute()
+        return web.json_response({})
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self.target.rpartition(":")
+        if self.switches.refuse_new:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._open.update((writer, far_writer))
+        await asyncio.gather(
+            self._async_copy(reader, far_writer), self._async_copy(far_reader, writer)
+        )
+        self._open -= {writer, far_writer}
+        self._muted -= {writer, far_writer}
+
+    async def _async_copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Copy one direction until either end closes."""
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                await asyncio.sleep(self.switches.delay_s)
+                if writer in self._muted:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        if writer not in self._muted:
+            writer.close()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--target", required=True)
+    run_stand_in(lambda options: Relay(options.target), parser)
--- /dev/null
+++ b/tests/stand_ins/service.py
@@ -0,0 +1,95 @@
+"""Stand-in for one host of a plain service; counts each run by request body id."""
+
+import argparse
+import asyncio
+import os
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+from attrs import define
+
+from .serving import StandIn, async_drop, run_stand_in
+
+
+@define
+class ServiceSwitches:
+    """Failures of a plain service; counts are of requests yet to come."""
+
+    slow_s: float = 0.0
+    die_before_run: int = 0
+    """The whole process dies at the next request, before it runs."""
+
+    die_after_run: int = 0
+    drop_before_run: int = 0
+    """The connection is closed before this many requests run."""
+
+    drop_after_run: int = 0
+    silent_after_run: int = 0
+    refuse: int = 0
+    """Refused as certainly not run."""
+
+    leaving: bool = False
+
+
+class ServiceStandIn(StandIn):
+    """Plain service whose calls each have a side effect."""
+
+    switches: ServiceSwitches
+
+    def __init__(self, name: str) -> None:
+        super().__init__(ServiceSwitches())
+        self.name = name
+        self.runs: Counter[str] = Counter()
+        self.attempts: Counter[str] = Counter()
+        self.after_leaving = 0
+        self.app.router.add_post("/{call}", self._async_call)
+
+    def truth(self) -> dict[str, Any]:
+        """Return the runs by call and body id, and the runs by attempt."""
+        return {
+            "upstream": self.name,
+            "runs": dict(self.runs),
+            "attempts": dict(self.attempts),
+            "after_leaving": self.after_leaving,
+        }
+
+    def _take(self, switch: str) -> bool:
+        """Use up one of a counted switch."""
+        left = getattr(self.switches, switch)
+        setattr(self.switches, switch, max(0, left - 1))
+        return bool(left)
+
+    async def _async_call(self, request: web.Request) -> web.Response:
+        call = request.match_info["call"]
+        body = await request.json()
+        if self.switches.leaving or self._take("refuse"):
+            self.after_leaving += self.switches.leaving
+            return web.json_response({}, status=503, headers={"X-Verdict": "not_run"})
+        if self._take("die_before_run"):
+            os._exit(1)
+        if self._take("drop_before_run"):
+            return await async_drop(request)
+        run = self._run(call, body, request.headers.get("X-Request-Id", ""))
+        if self._take("die_after_run"):
+            os._exit(1)
+        if self._take("drop_after_run"):
+            return await async_drop(request)
+        if self._take("silent_after_run"):
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.switches.slow_s)
+        await self.async_pass(request)
+        return web.json_response({"call": call, "echo": body, "run": run})
+
+    def _run(self, call: str, body: Any, attempt: str) -> int:
+        """Have the side effect, and return how many times this one ran."""
+        key = f"{call}/{body.get('id')}"
+        self.runs[key] += 1
+        self.attempts[attempt] += 1
+        return self.runs[key]
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--name", default="service-1")
+    run_stand_in(lambda options: ServiceStandIn(options.name), parser)
