--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces, in virtual time."""
--- /dev/null
+++ b/tests/fakes/weight_store.py
@@ -0,0 +1,98 @@
+"""The weight store: limited in loads per second and in loads at full speed."""
+
+import math
+
+from attrs import define, field, frozen
+
+_DONE_MB = 1e-6
+
+
+@frozen(kw_only=True)
+class WeightStoreSettings:
+    """Limits of a weight store."""
+
+    loads_per_second: float = 2.0
+    loads_at_full_speed: int = 2
+    mb_per_second: float = 4000.0
+    """Speed of one load while no more than `loads_at_full_speed` run."""
+
+
+@define
+class _Transfer:
+    """One load on its way."""
+
+    starts_at: float
+    left_mb: float
+
+
+@define
+class WeightStoreModel:
+    """Share the store's bandwidth among the loads of all engines.
+
+    Loads start no faster than the rate limit. More loads at once than run at full
+    speed share the bandwidth of that many.
+    """
+
+    settings: WeightStoreSettings = field(factory=WeightStoreSettings)
+    loads_begun: int = 0
+    _now: float = 0.0
+    _next_start: float = 0.0
+    _transfers: dict[str, _Transfer] = field(factory=dict)
+
+    def begin(self, now: float, key: str, size_mb: float) -> None:
+        """Begin a load under a key that the caller chose."""
+        self.advance(now)
+        starts_at = max(now, self._next_start)
+        self._next_start = starts_at + 1.0 / self.settings.loads_per_second
+        self._transfers[key] = _Transfer(starts_at, size_mb)
+        self.loads_begun += 1
+
+    def abandon(self, now: float, key: str) -> None:
+        """Forget a load whose engine no longer wants it."""
+        self.advance(now)
+        self._transfers.pop(key, None)
+
+    def is_done(self, key: str) -> bool:
+        """Return whether a load has ended (also if it was never begun)."""
+        transfer = self._transfers.get(key)
+        return transfer is None or transfer.left_mb <= _DONE_MB
+
+    def advance(self, now: float) -> None:
+        """Let time pass up to `now`."""
+        while self._now < now:
+            step_end = min(now, self.next_event_time())
+            self._transfer_until(max(step_end, self._now))
+            if step_end >= now:
+                break
+        self._now = max(self._now, now)
+
+    def next_event_time(self) -> float:
+        """Return when the next load starts or ends if nothing else happens."""
+        running = self._list_running()
+        times = [t.starts_at for t in self._transfers.values()]
+        times = [time for time in times if time > self._now]
+        if running:
+            shortest = min(transfer.left_mb for transfer in running)
+            times.append(self._now + shortest / self._speed(len(running)))
+        return min(times, default=math.inf)
+
+    def _list_running(self) -> list[_Transfer]:
+        return [
+            transfer
+            for transfer in self._transfers.values()
+            if transfer.starts_at <= self._now and transfer.left_mb > _DONE_MB
+        ]
+
+    def _speed(self, running: int) -> float:
+        share = min(1.0, self.settings.loads_at_full_speed / running)
+        return self.settings.mb_per_second * share
+
+    def _transfer_until(self, time: float) -> None:
+        running = self._list_running()
+        if running:
+            moved = (time - self._now) * self._speed(len(running))
+            for transfer in running:
+                transfer.left_mb = max(0.0, transfer.left_mb - moved)
+                if transfer.left_mb <= _DONE_MB * 10:
+                    transfer.left_mb = 0.0
+        self._now = time
