--- /dev/null
+++ b/tests/stand_ins/launcher.py
@@ -0,0 +1,122 @@
+"""Start and stop processes on loopback; each is ended by its own id, always."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+from attrs import define, field
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 10.0
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def find_free_address() -> str:
+    """Return a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@define(eq=False)
+class Process:
+    """One process that this launcher started."""
+
+    name: str
+    child: asyncio.subprocess.Process
+    log: Path
+    address: str = ""
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether it has not ended."""
+        return self.child.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to it, if it still runs."""
+        if self.is_running:
+            os.kill(self.child.pid, number)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.send(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        """Ask it to stop."""
+        self.send(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Freeze it."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on."""
+        self.send(signal.SIGCONT)
+
+    async def async_wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait until it has ended, and return its exit code."""
+        return await asyncio.wait_for(self.child.wait(), timeout_s)
+
+
+@define
+class Launcher:
+    """Starts processes, and ends them all when its block is left."""
+
+    folder: Path
+    """Where the processes' standard errors are written."""
+
+    processes: list[Process] = field(factory=list)
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.async_end_all()
+
+    async def async_start(self, name: str, module: str, *flags: str) -> Process:
+        """Start a Python module as a process."""
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as errors:
+            child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *flags,
+                cwd=ROOT,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+            )
+        process = Process(name, child, log)
+        self.processes.append(process)
+        return process
+
+    async def async_start_stand_in(
+        self, name: str, module: str, *flags: str
+    ) -> Process:
+        """Start a stand-in, and read its address from the line that it prints."""
+        process = await self.async_start(name, f"tests.stand_ins.{module}", *flags)
+        assert process.child.stdout is not None
+        line = await asyncio.wait_for(process.child.stdout.readline(), START_TIMEOUT_S)
+        if not line:
+            raise RuntimeError(f"{name} did not start: {process.log.read_text()}")
+        process.address = json.loads(line)["address"]
+        return process
+
+    async def async_end_all(self) -> None:
+        """End every process that still runs."""
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            await process.async_wait()
