--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,4 +1,4 @@
-"""A pytest plugin that passes over the tests listed in KNOWN-RED.txt and prints them."""
+"""A pytest plugin that passes over the tests in KNOWN-RED.txt and prints them."""
 
 from pathlib import Path
 
