Add a stand-in of the key-value service; let a store be closed

It speaks the published etcd v3 calls with revisions and history, counts calls by kind, and has switches: down, slow, answer lost after the write, write lost, watch stalled or blind, connections silent, leases lapsed. The in-memory fake was not reused as its storage: it keeps neither past versions of a key nor lease numbers. Shared files: KeyValueStore gets close(), and the fake too; a stand-in may print the address of its switches, which the launcher keeps.

--- a/mangoway/key_value/store.py
+++ b/mangoway/key_value/store.py
@@ -75,7 +75,11 @@
     async def async_acquire_lease(
         self, key: str, owner: str, ttl_s: float, rank: CallRank
     ) -> bool:
-        """Take or renew a lease key; False while another owner holds it."""
+        """Take or renew a lease key; False while another owner holds it.
+
+        The holder may count on it for `ttl_s` from before the call was made, not
+        from its answer. An owner's name must never be used by two processes.
+        """
         ...
 
     async def async_release_lease(self, key: str, owner: str, rank: CallRank) -> None:
@@ -85,3 +89,7 @@
     def watch(self, prefix: str) -> AsyncIterator[StoredValue]:
         """Yield changes under a prefix; it may stall or end without notice."""
         ...
+
+    def close(self) -> None:
+        """Close the connections; calls under way may end without an answer."""
+        ...
--- a/tests/fakes/key_value.py
+++ b/tests/fakes/key_value.py
@@ -114,6 +114,9 @@
                     yield change
             await asyncio.sleep(WATCH_POLL_S)
 
+    def close(self) -> None:
+        """Hold no connections."""
+
     def lapse_lease(self, key: str) -> None:
         """Let a lease run out now, as when its holder was paused."""
         self._leases.pop(key, None)
--- /dev/null
+++ b/tests/stand_ins/key_value.py
@@ -0,0 +1,296 @@
+"""Stand-in for the key-value service: a part of the published etcd v3 interface."""
+
+import argparse
+import asyncio
+import weakref
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+from attrs import define
+from grpclib import GRPCError, Status
+from grpclib.protocol import H2Protocol
+from grpclib.server import Server, Stream
+
+from mangoway.key_value import rpc_grpc, rpc_pb2
+
+from .etcd_storage import EtcdStorage
+from .serving import StandIn, run_stand_in
+
+WATCH_POLL_S = 0.01
+
+
+@define
+class KeyValueSwitches:
+    """Failures of the key-value service; counts are of calls yet to come."""
+
+    down: bool = False
+    slow_s: float = 0.0
+    """Time before each call is looked at."""
+
+    lose_answers: int = 0
+    """Writes that take effect, but whose answer never comes."""
+
+    lose_writes: int = 0
+    """Writes that never take effect, and whose answer never comes."""
+
+    watch_stalled: bool = False
+    """Watches stay open, and neither events nor progress come."""
+
+    blind_watches: int = 0
+    """The first so many watches answer progress where they stand, but no events."""
+
+
+class CuttingServer(Server):
+    """A gRPC server whose connections can be cut, as when its process dies."""
+
+    def __init__(self, services: list[Any]) -> None:
+        super().__init__(services)
+        self._protocols: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+    def cut(self) -> None:
+        """Close every connection."""
+        for protocol in self._protocols:
+            if getattr(protocol, "connection", None):
+                protocol.connection.close()
+
+
+class KeyValueStandIn(StandIn):
+    """The gRPC server, with the switches and the truth on an HTTP port of its own."""
+
+    switches: KeyValueSwitches
+
+    def __init__(self, storage: EtcdStorage | None = None) -> None:
+        super().__init__(KeyValueSwitches())
+        self.storage = storage or EtcdStorage()
+        self.calls: Counter[str] = Counter()
+        self.admin = ""
+        self._peers: set[Any] = set()
+        self._silent_peers: set[Any] = set()
+        self._server = CuttingServer(
+            [KeyValueCalls(self), LeaseCalls(self), WatchCalls(self)]
+        )
+        self.app.router.add_post("/admin/lapse", self._async_lapse)
+
+    def truth(self) -> dict[str, Any]:
+        """Return the calls by kind, and the keys."""
+        kvs = self.storage.range(b"\0", b"\xff")
+        return {
+            "calls": dict(self.calls),
+            "revision": self.storage.revision,
+            "keys": {kv.key.decode(): kv.mod_revision for kv in kvs},
+        }
+
+    def addresses(self) -> dict[str, str]:
+        """Return the addresses of the service and of its switches."""
+        return {"address": self.address, "admin": self.admin}
+
+    async def async_start(self, listen: str = "127.0.0.1:0") -> str:
+        """Listen, and return the address of the service."""
+        self.admin = await super().async_start()
+        host, _, port = listen.rpartition(":")
+        await self._server.start(host, int(port))
+        server: Any = self._server
+        name = server._server.sockets[0].getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        return self.address
+
+    async def async_stop(self) -> None:
+        """Stop both servers."""
+        self._server.close()
+        self._server.cut()
+        await self._server.wait_closed()
+        await super().async_stop()
+
+    def silence(self) -> None:
+        """Let every connection that was used so far go silent for good."""
+        self._silent_peers |= self._peers
+
+    def lapse(self) -> None:
+        """Let every lease end now."""
+        for number in tuple(self.storage.leases):
+            self.storage.revoke(number)
+
+    async def async_enter(self, stream: Stream[Any, Any], kind: str) -> None:
+        """Count a call; hang, wait or fail as the switches say."""
+        peer = stream.peer.addr()
+        self._peers.add(peer)
+        await self.async_hang_if_silent(stream)
+        self.calls[kind] += 1
+        await asyncio.sleep(self.switches.slow_s)
+        if self.switches.down:
+            raise GRPCError(Status.UNAVAILABLE, "down")
+
+    async def async_hang_if_silent(self, stream: Stream[Any, Any]) -> None:
+        """Return while the connection of a call works; hang once it is silent."""
+        if stream.peer.addr() in self._silent_peers:
+            await asyncio.Event().wait()
+
+    def header(self) -> rpc_pb2.ResponseHeader:
+        """Return the header of an answer."""
+        return rpc_pb2.ResponseHeader(revision=self.storage.revision)
+
+    async def _async_silence(self, request: web.Request) -> web.Response:
+        self.silence()
+        return web.json_response({"silent": len(self._silent_peers)})
+
+    async def _async_lapse(self, request: web.Request) -> web.Response:
+        self.lapse()
+        return web.json_response({})
+
+
+class KeyValueCalls(rpc_grpc.KVBase):
+    """Reads and transactions."""
+
+    def __init__(self, owner: KeyValueStandIn) -> None:
+        self._owner = owner
+
+    async def Range(self, stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        await self._owner.async_enter(stream, "range")
+        await stream.send_message(self._read(request))
+
+    async def Txn(self, stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        owner, switches = self._owner, self._owner.switches
+        await owner.async_enter(stream, "txn")
+        if switches.lose_writes:
+            switches.lose_writes -= 1
+            await asyncio.Event().wait()
+        succeeded = owner.storage.compare(request.compare)
+        if succeeded:
+            owner.storage.write(request)
+            if switches.lose_answers:
+                switches.lose_answers -= 1
+                await asyncio.Event().wait()
+        reads = (
+            ()
+            if succeeded
+            else (self._read(op.request_range) for op in request.failure)
+        )
+        await stream.send_message(
+            rpc_pb2.TxnResponse(
+                header=owner.header(),
+                succeeded=succeeded,
+                responses=[rpc_pb2.ResponseOp(response_range=read) for read in reads],
+            )
+        )
+
+    def _read(self, request: rpc_pb2.RangeRequest) -> rpc_pb2.RangeResponse:
+        kvs = self._owner.storage.range(
+            request.key, request.range_end, request.revision
+        )
+        return rpc_pb2.RangeResponse(
+            header=self._owner.header(), kvs=kvs, count=len(kvs)
+        )
+
+
+class LeaseCalls(rpc_grpc.LeaseBase):
+    """Leases."""
+
+    def __init__(self, owner: KeyValueStandIn) -> None:
+        self._owner = owner
+
+    async def LeaseGrant(self, stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        await self._owner.async_enter(stream, "lease_grant")
+        self._owner.storage.grant(request.ID, request.TTL)
+        await stream.send_message(
+            rpc_pb2.LeaseGrantResponse(
+                header=self._owner.header(), ID=request.ID, TTL=request.TTL
+            )
+        )
+
+    async def LeaseRevoke(self, stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        await self._owner.async_enter(stream, "lease_revoke")
+        self._owner.storage.revoke(request.ID)
+        await stream.send_message(
+            rpc_pb2.LeaseRevokeResponse(header=self._owner.header())
+        )
+
+    async def LeaseKeepAlive(self, stream: Stream[Any, Any]) -> None:
+        async for request in stream:
+            await self._owner.async_enter(stream, "lease_keep_alive")
+            ttl_s = self._owner.storage.keep_alive(request.ID)
+            await stream.send_message(
+                rpc_pb2.LeaseKeepAliveResponse(
+                    header=self._owner.header(), ID=request.ID, TTL=ttl_s
+                )
+            )
+
+
+class WatchCalls(rpc_grpc.WatchBase):
+    """Watches of one range each."""
+
+    def __init__(self, owner: KeyValueStandIn) -> None:
+        self._owner = owner
+
+    async def Watch(self, stream: Stream[Any, Any]) -> None:
+        first = await stream.recv_message()
+        await self._owner.async_enter(stream, "watch")
+        number = self._owner.calls["watch"]
+        create = first.create_request
+        storage = self._owner.storage
+        start = create.start_revision or storage.revision + 1
+        position = sum(each.kv.mod_revision < start for each in storage.events)
+        await self._async_send(stream, created=True)
+        asking = asyncio.ensure_future(stream.recv_message())
+        try:
+            while not self._owner.switches.down:
+                if self._owner.switches.watch_stalled:
+                    await asyncio.sleep(WATCH_POLL_S)
+                    continue
+                if number > self._owner.switches.blind_watches:
+                    position = await self._async_send_events(stream, create, position)
+                if asking.done():
+                    if asking.result() is None:
+                        return
+                    self._owner.calls["watch_progress"] += 1
+                    await self._async_send(stream, at=self._find_revision(position))
+                    asking = asyncio.ensure_future(stream.recv_message())
+                await asyncio.wait({asking}, timeout=WATCH_POLL_S)
+        finally:
+            asking.cancel()
+        raise GRPCError(Status.UNAVAILABLE, "down")
+
+    def _find_revision(self, position: int) -> int:
+        storage = self._owner.storage
+        if position == len(storage.events):
+            return storage.revision
+        return storage.events[position].kv.mod_revision - 1
+
+    async def _async_send_events(
+        self,
+        stream: Stream[Any, Any],
+        create: rpc_pb2.WatchCreateRequest,
+        position: int,
+    ) -> int:
+        events = self._owner.storage.events
+        end = len(events)
+        wanted = [
+            each
+            for each in events[position:end]
+            if create.key <= each.kv.key < create.range_end
+        ]
+        if wanted:
+            await self._async_send(stream, events=wanted)
+        return end
+
+    async def _async_send(
+        self, stream: Stream[Any, Any], at: int | None = None, **fields: Any
+    ) -> None:
+        await self._owner.async_hang_if_silent(stream)
+        header = self._owner.header()
+        if at is not None:
+            header.revision = at
+        await stream.send_message(rpc_pb2.WatchResponse(header=header, **fields))
+
+
+if __name__ == "__main__":
+    run_stand_in(lambda options: KeyValueStandIn(), argparse.ArgumentParser())
--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -32,6 +32,8 @@
     child: asyncio.subprocess.Process
     log: Path
     address: str = ""
+    admin: str = ""
+    """Address of its switches; its own address where they share it."""
 
     @property
     def is_running(self) -> bool:
@@ -111,7 +113,9 @@
         line = await asyncio.wait_for(process.child.stdout.readline(), START_TIMEOUT_S)
         if not line:
             raise RuntimeError(f"{name} did not start: {process.log.read_text()}")
-        process.address = json.loads(line)["address"]
+        addresses = json.loads(line)
+        process.address = addresses["address"]
+        process.admin = addresses.get("admin", process.address)
         return process
 
     async def async_end_all(self) -> None:
--- a/tests/stand_ins/serving.py
+++ b/tests/stand_ins/serving.py
@@ -42,6 +42,10 @@
         """Return what really happened here."""
         raise NotImplementedError
 
+    def addresses(self) -> dict[str, str]:
+        """Return the addresses that are printed at the start."""
+        return {"address": self.address}
+
     async def async_start(self, listen: str = "127.0.0.1:0") -> str:
         """Listen, and return the address."""
         host, _, port = listen.rpartition(":")
@@ -108,7 +112,7 @@
     set_switches(stand_in.switches, options.switches)
     stopped = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
-    address = await stand_in.async_start(options.listen)
-    print(json.dumps({"address": address}), flush=True)
+    await stand_in.async_start(options.listen)
+    print(json.dumps(stand_in.addresses()), flush=True)
     await stopped.wait()
     await stand_in.async_stop()
