Reach the key-value service through the etcd v3 interface

A write whose answer is lost is sent again with the same comparisons and nonce; the nonce, in the value or in the key's past versions, tells whose write stands. Ruled out: comparing values alone, since two writers may write equal values. A connection on which a call runs out of time is replaced; calls under way on it go on. A quiet watch is asked for its progress and compared with revisions seen by other calls, so that one that stays open but delivers nothing is noticed.

--- /dev/null
+++ b/mangoway/key_value/endpoints.py
@@ -0,0 +1,162 @@
+"""Connections to the endpoints of the key-value service."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from attrs import define
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from h2.exceptions import H2Error
+
+from ..models.verdict import Verdict
+from ..observability.event_log import log_event
+from ..observability.events import KeyValueReconnected
+
+ReplyT = TypeVar("ReplyT")
+
+CONNECTION_ERRORS = (OSError, StreamTerminatedError, ProtocolError, H2Error)
+"""What the library raises when a connection breaks under a call."""
+
+REJECTED = frozenset(
+    {
+        Status.INVALID_ARGUMENT,
+        Status.NOT_FOUND,
+        Status.PERMISSION_DENIED,
+        Status.UNAUTHENTICATED,
+        Status.RESOURCE_EXHAUSTED,
+        Status.FAILED_PRECONDITION,
+        Status.OUT_OF_RANGE,
+        Status.UNIMPLEMENTED,
+    }
+)
+"""Statuses with which the service says that it did not carry out a call."""
+
+
+class CallFailed(Exception):
+    """One try of a call failed; the verdict says whether it may have taken effect."""
+
+    def __init__(
+        self, reason: str, verdict: Verdict, status: Status | None = None
+    ) -> None:
+        super().__init__(reason)
+        self.verdict = verdict
+        self.status = status
+
+
+@define(eq=False)
+class Connection:
+    """One connection; it closes when it is retired and its last call has ended."""
+
+    address: str
+    channel: Channel
+    calls: int = 0
+    retired: bool = False
+
+    def retire(self) -> None:
+        """Take no further calls."""
+        self.retired = True
+        self._close_if_idle()
+
+    def end_call(self) -> None:
+        """Count a call as ended."""
+        self.calls -= 1
+        self._close_if_idle()
+
+    def _close_if_idle(self) -> None:
+        if self.retired and not self.calls:
+            self.channel.close()
+
+
+class Endpoints:
+    """Sends each call over the connection in use, and replaces one that fails.
+
+    A connection may go silent for good while new ones work, so a call that runs
+    out of time costs the connection its place; calls under way on it go on.
+    """
+
+    def __init__(
+        self, addresses: tuple[str, ...], timeout_s: float, source: random.Random
+    ) -> None:
+        # Clients start at different endpoints, so that these share the load.
+        self._addresses = tuple(source.sample(addresses, len(addresses)))
+        self._timeout_s = timeout_s
+        self._next = 0
+        self._connection: Connection | None = None
+
+    async def async_call(self, send: Callable[[Channel], Awaitable[ReplyT]]) -> ReplyT:
+        """Try one call once.
+
+        Raises:
+            CallFailed: If no good answer came in time.
+        """
+        connection = self._find_connection()
+        connection.calls += 1
+        try:
+            await self.async_connect(connection)
+            return await self._async_send(connection, send)
+        except CallFailed as error:
+            if error.status not in REJECTED:
+                self._replace(connection, str(error))
+            raise
+        finally:
+            connection.end_call()
+
+    def open_connection(self) -> Connection:
+        """Make a connection to the next endpoint, for the use of one watch."""
+        address = self._addresses[self._next % len(self._addresses)]
+        self._next += 1
+        host, _, port = address.rpartition(":")
+        return Connection(address, Channel(host.strip("[]"), int(port)))
+
+    async def async_connect(self, connection: Connection) -> None:
+        """Connect if that has not been done.
+
+        Raises:
+            CallFailed: If it fails; nothing was sent.
+        """
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                await connection.channel.__connect__()
+        except (OSError, TimeoutError) as error:
+            reason = f"cannot connect to {connection.address}: {error!r}"
+            raise CallFailed(reason, Verdict.NOT_RUN) from error
+
+    def close(self) -> None:
+        """Close the connection in use."""
+        if self._connection is not None:
+            self._connection.retire()
+            self._connection = None
+
+    def _find_connection(self) -> Connection:
+        if self._connection is None:
+            self._connection = self.open_connection()
+        return self._connection
+
+    async def _async_send(
+        self, connection: Connection, send: Callable[[Channel], Awaitable[ReplyT]]
+    ) -> ReplyT:
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                return await send(connection.channel)
+        except GRPCError as error:
+            verdict = Verdict.MAY_HAVE_RUN
+            if error.status in REJECTED:
+                verdict = Verdict.NOT_RUN
+            reason = f"{connection.address}: {error.status.name} {error.message or ''}"
+            raise CallFailed(reason, verdict, error.status) from error
+        except TimeoutError as error:
+            reason = f"{connection.address}: no answer in {self._timeout_s:g} s"
+            raise CallFailed(reason, Verdict.MAY_HAVE_RUN) from error
+        except CONNECTION_ERRORS as error:
+            reason = f"{connection.address}: {error!r}"
+            raise CallFailed(reason, Verdict.MAY_HAVE_RUN) from error
+
+    def _replace(self, connection: Connection, reason: str) -> None:
+        if self._connection is not connection:
+            return
+        log_event(KeyValueReconnected(endpoint=connection.address, reason=reason))
+        self._connection = None
+        connection.retire()
--- /dev/null
+++ b/mangoway/key_value/etcd_client.py
@@ -0,0 +1,145 @@
+"""Single calls of the etcd interface: budget, tries, metrics."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from grpclib.client import Channel
+
+from ..models.errors import ErrorCode, MangowayError
+from ..models.verdict import Verdict
+from ..observability.event_log import log_event
+from ..observability.events import BudgetExhausted, KeyValueUnavailable
+from ..observability.metrics import Metrics
+from ..settings.process import KeyValueSettings
+from . import rpc_grpc, rpc_pb2
+from .backoff import pick_backoff_s
+from .budget import CallBudget
+from .const import BUDGET_WAIT_S, READ_TRIES
+from .endpoints import CallFailed, Endpoints
+from .store import CallRank
+
+ReplyT = TypeVar("ReplyT")
+Send = Callable[[Channel], Awaitable[ReplyT]]
+
+RESULT_OK = "ok"
+RESULT_FAILED = "failed"
+RESULT_REFUSED = "refused"
+
+
+class EtcdClient:
+    """Makes calls within the budget, and remembers the newest revision it saw."""
+
+    def __init__(
+        self,
+        settings: KeyValueSettings,
+        metrics: Metrics,
+        source: random.Random | None = None,
+    ) -> None:
+        self.source = source or random.SystemRandom()
+        self.metrics = metrics
+        self.revision = 0
+        """Newest revision of the service that any answer showed."""
+
+        self.endpoints = Endpoints(
+            settings.key_value, settings.key_value_timeout_s, self.source
+        )
+        now = asyncio.get_running_loop().time()
+        self.budget = CallBudget(settings.key_value_calls_per_second, now)
+
+    async def async_read(self, call: str, rank: CallRank, send: Send[ReplyT]) -> ReplyT:
+        """Make a call that may be repeated, and repeat it until it is answered.
+
+        Raises:
+            MangowayError: PLATFORM_UNAVAILABLE or PLATFORM_BUDGET, NOT_RUN.
+        """
+        for failures in range(READ_TRIES):
+            await self.async_back_off(failures)
+            try:
+                return await self.async_try(call, rank, send)
+            except CallFailed as error:
+                last = error
+        raise make_unavailable(call, "", last, Verdict.NOT_RUN) from last
+
+    async def async_range(
+        self, request: rpc_pb2.RangeRequest, rank: CallRank
+    ) -> rpc_pb2.RangeResponse:
+        """Read a key or a range of keys.
+
+        Raises:
+            MangowayError: See `async_read`.
+        """
+
+        async def send(channel: Channel) -> rpc_pb2.RangeResponse:
+            reply: rpc_pb2.RangeResponse = await rpc_grpc.KVStub(channel).Range(request)
+            return reply
+
+        return await self.async_read("range", rank, send)
+
+    async def async_try(self, call: str, rank: CallRank, send: Send[ReplyT]) -> ReplyT:
+        """Make a call once.
+
+        Raises:
+            CallFailed: If no good answer came in time.
+            MangowayError: PLATFORM_BUDGET; the call was not made.
+        """
+        await self.async_take(call, rank)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        result = RESULT_FAILED
+        try:
+            reply = await self.endpoints.async_call(send)
+            result = RESULT_OK
+        finally:
+            self.metrics.key_value_calls.add(call, rank.name.lower(), result)
+            self.metrics.key_value_seconds.observe(call, seconds=loop.time() - started)
+        self.note_revision(reply)
+        return reply
+
+    async def async_take(self, call: str, rank: CallRank) -> None:
+        """Take a call from the budget, waiting a little if it is short.
+
+        Raises:
+            MangowayError: PLATFORM_BUDGET if it stays short.
+        """
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + BUDGET_WAIT_S
+        while wait_s := self.budget.take(rank, loop.time()):
+            if loop.time() + wait_s > give_up_at:
+                self._refuse(call, rank, wait_s)
+            await asyncio.sleep(wait_s)
+
+    def _refuse(self, call: str, rank: CallRank, wait_s: float) -> None:
+        self.metrics.key_value_calls.add(call, rank.name.lower(), RESULT_REFUSED)
+        log_event(BudgetExhausted(rank=rank.name.lower()))
+        raise MangowayError(
+            ErrorCode.PLATFORM_BUDGET,
+            f"the budget of key-value calls is spent for rank {rank.name.lower()}",
+            Verdict.NOT_RUN,
+            retry_after=wait_s,
+        )
+
+    async def async_back_off(self, failures: int) -> None:
+        """Wait as long as is due after so many failures in a row."""
+        if failures:
+            await asyncio.sleep(pick_backoff_s(failures, self.source))
+
+    def note_revision(self, reply: Any) -> None:
+        """Remember the revision in the header of an answer."""
+        self.revision = max(self.revision, reply.header.revision)
+
+
+def make_unavailable(
+    call: str, key: str, cause: CallFailed, verdict: Verdict
+) -> MangowayError:
+    """Log and return the error of a call that no try got through."""
+    log_event(
+        KeyValueUnavailable(call=call, key=key, error=str(cause), verdict=verdict.value)
+    )
+    return MangowayError(
+        ErrorCode.PLATFORM_UNAVAILABLE,
+        f"{call} {key}: {cause}",
+        verdict,
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/mangoway/key_value/etcd_lease.py
@@ -0,0 +1,130 @@
+"""Lease keys on the etcd interface: a key bound to a lease that must be renewed."""
+
+import math
+
+from attrs import frozen
+from grpclib.client import Channel
+
+from ..models.errors import ErrorCode, MangowayError
+from ..models.identifiers import Revision
+from ..models.verdict import Verdict
+from . import rpc_grpc, rpc_pb2
+from .endpoints import CallFailed
+from .envelope import Envelope
+from .etcd_client import EtcdClient, make_unavailable
+from .etcd_write import TransactionWriter
+from .store import CallRank, Put
+
+LEASE_ID_BITS = 62
+
+
+@frozen
+class HeldLease:
+    """A lease that this process holds a key with."""
+
+    id: int
+    owner: str
+
+
+class LeaseKeeper:
+    """Takes, renews and releases lease keys.
+
+    Calls: 1 for a renewal, 1 for a try while another owner holds the key, 3 for
+    taking a free key. The lease's time at the service starts after the call was
+    sent, so for its holder it is safe to count it from before the call.
+    """
+
+    def __init__(self, client: EtcdClient, writer: TransactionWriter) -> None:
+        self._client = client
+        self._writer = writer
+        self._held: dict[str, HeldLease] = {}
+
+    async def async_acquire(
+        self, key: str, owner: str, ttl_s: float, rank: CallRank
+    ) -> bool:
+        """Take or renew a key; False while another owner holds it."""
+        held = self._held.get(key)
+        if held is None or held.owner != owner:
+            held = None
+        if held and await self._async_renew(held, rank):
+            return True
+        self._held.pop(key, None)
+        current = await self._async_read(key, rank)
+        if current is None:
+            return await self._async_take(key, owner, ttl_s, rank)
+        if Envelope.decode(current.value).value != owner.encode():
+            return False
+        # An earlier take got through although its answer was lost.
+        held = HeldLease(current.lease, owner)
+        self._held[key] = held
+        return await self._async_renew(held, rank)
+
+    async def async_release(self, key: str, owner: str, rank: CallRank) -> None:
+        """Give up a key; its lease is revoked, which deletes the key."""
+        held = self._held.get(key)
+        if held is None or held.owner != owner:
+            return
+        request = rpc_pb2.LeaseRevokeRequest(ID=held.id)
+
+        async def send(channel: Channel) -> rpc_pb2.LeaseRevokeResponse:
+            stub = rpc_grpc.LeaseStub(channel)
+            reply: rpc_pb2.LeaseRevokeResponse = await stub.LeaseRevoke(request)
+            return reply
+
+        await self._client.async_read("lease_revoke", rank, send)
+        self._held.pop(key, None)
+
+    async def _async_renew(self, held: HeldLease, rank: CallRank) -> bool:
+        request = rpc_pb2.LeaseKeepAliveRequest(ID=held.id)
+
+        async def send(channel: Channel) -> rpc_pb2.LeaseKeepAliveResponse:
+            method = rpc_grpc.LeaseStub(channel).LeaseKeepAlive
+            async with method.open() as stream:
+                await stream.send_message(request, end=True)
+                reply = await stream.recv_message()
+            if reply is None:
+                raise CallFailed("no renewal", Verdict.MAY_HAVE_RUN)
+            return reply
+
+        reply = await self._client.async_read("lease_keep_alive", rank, send)
+        return reply.TTL > 0
+
+    async def _async_take(
+        self, key: str, owner: str, ttl_s: float, rank: CallRank
+    ) -> bool:
+        lease = await self._async_grant(key, math.ceil(ttl_s), rank)
+        put = Put(key=key, value=owner.encode(), expected=Revision(0))
+        result = await self._writer.async_commit((put,), rank, lease)
+        if result.succeeded:
+            self._held[key] = HeldLease(lease, owner)
+        # A lease that lost the race has no key; it ends by itself.
+        return result.succeeded
+
+    async def _async_grant(self, key: str, ttl_s: int, rank: CallRank) -> int:
+        lease = self._client.source.getrandbits(LEASE_ID_BITS) + 1
+        request = rpc_pb2.LeaseGrantRequest(TTL=ttl_s, ID=lease)
+
+        async def send(channel: Channel) -> rpc_pb2.LeaseGrantResponse:
+            stub = rpc_grpc.LeaseStub(channel)
+            reply: rpc_pb2.LeaseGrantResponse = await stub.LeaseGrant(request)
+            return reply
+
+        try:
+            reply = await self._client.async_try("lease_grant", rank, send)
+        except CallFailed as error:
+            # Whether granted or not, no key is bound to it.
+            raise make_unavailable(
+                "lease_grant", key, error, Verdict.NOT_RUN
+            ) from error
+        if reply.TTL < ttl_s:
+            raise MangowayError(
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                f"the service granted a lease of {reply.TTL} s, not {ttl_s} s",
+            )
+        return lease
+
+    async def _async_read(self, key: str, rank: CallRank) -> rpc_pb2.KeyValue | None:
+        request = rpc_pb2.RangeRequest(key=key.encode())
+
+        reply = await self._client.async_range(request, rank)
+        return reply.kvs[0] if reply.kvs else None
--- /dev/null
+++ b/mangoway/key_value/etcd_watch.py
@@ -0,0 +1,213 @@
+"""Watches on the etcd interface that notice when they stall, and resume."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from grpclib.client import Channel, Stream
+from grpclib.exceptions import GRPCError
+
+from ..models.errors import MangowayError
+from ..models.identifiers import Revision
+from ..observability.event_log import log_event
+from ..observability.events import WatchResumed
+from . import rpc_grpc, rpc_pb2
+from .const import WATCH_PROGRESS_S, WATCH_SILENCE_S
+from .endpoints import CONNECTION_ERRORS, CallFailed
+from .etcd_client import EtcdClient
+from .etcd_write import make_stored_value
+from .prefix import find_prefix_end
+from .store import CallRank, StoredValue
+
+WatchStream = Stream[rpc_pb2.WatchRequest, rpc_pb2.WatchResponse]
+
+
+class WatchFailed(Exception):
+    """A watch ended or stalled."""
+
+
+class WatchCompacted(WatchFailed):
+    """The service no longer has the changes behind the watch's position."""
+
+
+async def watch_prefix(
+    client: EtcdClient, prefix: str, position: int
+) -> AsyncIterator[StoredValue]:
+    """Yield changes under a prefix behind a revision, over many watches if need be."""
+    failures = 0
+    while True:
+        session = WatchSession(client, prefix, position)
+        try:
+            await session.async_open()
+            while True:
+                changes = await session.async_receive()
+                failures = 0
+                for change in changes:
+                    yield change
+        except (WatchFailed, CallFailed, MangowayError) as error:
+            reason = str(error)
+            compacted = isinstance(error, WatchCompacted)
+        finally:
+            await session.async_close()
+        position = session.position
+        log_event(WatchResumed(prefix=prefix, revision=position, reason=reason))
+        failures += 1
+        await client.async_back_off(failures)
+        if compacted:
+            try:
+                values, position = await _async_list(client, prefix)
+            except MangowayError:
+                continue
+            for value in values:
+                yield value
+
+
+class WatchSession:
+    """One watch on a connection of its own.
+
+    It asks for progress when it is quiet. The service's answer says up to which
+    revision all changes were sent; if that is older than what other calls had seen
+    before the question, the watch has stalled.
+    """
+
+    def __init__(self, client: EtcdClient, prefix: str, position: int) -> None:
+        self.position = position
+        """Revision up to which every change was received; 0 if not known."""
+
+        self._client = client
+        self._prefix = prefix.encode()
+        self._connection = client.endpoints.open_connection()
+        self._stream: WatchStream | None = None
+        self._receiving: asyncio.Task[rpc_pb2.WatchResponse | None] | None = None
+        self._asked_at_revision: int | None = None
+        self._heard_at = 0.0
+
+    async def async_open(self) -> None:
+        """Connect and start the watch; it counts as one call.
+
+        Raises:
+            CallFailed, MangowayError, WatchFailed: If it cannot be started.
+        """
+        await self._client.async_take("watch", CallRank.CONFIGURATION)
+        await self._client.endpoints.async_connect(self._connection)
+        self._count("watch", "ok")
+        channel: Channel = self._connection.channel
+        stream = rpc_grpc.WatchStub(channel).Watch.open()
+        await stream.__aenter__()
+        self._stream = stream
+        self._heard_at = asyncio.get_running_loop().time()
+        await self._async_send(
+            rpc_pb2.WatchRequest(
+                create_request=rpc_pb2.WatchCreateRequest(
+                    key=self._prefix,
+                    range_end=find_prefix_end(self._prefix),
+                    start_revision=self.position + 1 if self.position else 0,
+                    progress_notify=True,
+                )
+            )
+        )
+
+    async def async_receive(self) -> list[StoredValue]:
+        """Wait for changes; the list is empty if only progress was heard.
+
+        Raises:
+            WatchFailed: If the watch ended or stalled.
+        """
+        response = await self._async_wait()
+        self._client.note_revision(response)
+        if response.compact_revision:
+            raise WatchCompacted(f"compacted at {response.compact_revision}")
+        if response.canceled:
+            raise WatchFailed(f"canceled: {response.cancel_reason}")
+        if response.events:
+            return self._take_events(response)
+        if not response.created:
+            self._take_progress(response.header.revision)
+        elif not self.position:
+            self.position = response.header.revision
+        return []
+
+    async def async_close(self) -> None:
+        """End the watch and its connection."""
+        if self._receiving is not None:
+            self._receiving.cancel()
+            await asyncio.wait({self._receiving})
+        self._connection.channel.close()
+        if self._stream is not None:
+            try:
+                await self._stream.__aexit__(None, None, None)
+            except (GRPCError, *CONNECTION_ERRORS):
+                # It is over in any case.
+                pass
+
+    def _take_events(self, response: rpc_pb2.WatchResponse) -> list[StoredValue]:
+        last = response.events[-1].kv.mod_revision
+        self.position = max(self.position, last)
+        return [_make_change(event) for event in response.events]
+
+    def _take_progress(self, revision: int) -> None:
+        asked_at, self._asked_at_revision = self._asked_at_revision, None
+        self.position = max(self.position, revision)
+        if asked_at is not None and revision < asked_at:
+            raise WatchFailed(f"stalled at {revision}, others saw {asked_at}")
+
+    async def _async_wait(self) -> rpc_pb2.WatchResponse:
+        loop = asyncio.get_running_loop()
+        while True:
+            if self._receiving is None:
+                self._receiving = asyncio.ensure_future(self._async_read())
+            # A task that is waited for, not cancelled: a read cut off in the middle
+            # of a message would spoil the stream.
+            await asyncio.wait({self._receiving}, timeout=WATCH_PROGRESS_S)
+            if self._receiving.done():
+                response = self._receiving.result()
+                self._receiving = None
+                if response is None:
+                    raise WatchFailed("ended by the service")
+                self._heard_at = loop.time()
+                return response
+            if loop.time() - self._heard_at > WATCH_SILENCE_S:
+                raise WatchFailed("silent")
+            await self._async_ask_progress()
+
+    async def _async_ask_progress(self) -> None:
+        self._client.budget.charge(asyncio.get_running_loop().time())
+        self._count("watch_progress", "ok")
+        self._asked_at_revision = self._client.revision
+        await self._async_send(
+            rpc_pb2.WatchRequest(progress_request=rpc_pb2.WatchProgressRequest())
+        )
+
+    async def _async_read(self) -> rpc_pb2.WatchResponse | None:
+        assert self._stream is not None
+        try:
+            return await self._stream.recv_message()
+        except (GRPCError, *CONNECTION_ERRORS) as error:
+            raise WatchFailed(repr(error)) from error
+
+    async def _async_send(self, request: rpc_pb2.WatchRequest) -> None:
+        assert self._stream is not None
+        try:
+            async with asyncio.timeout(WATCH_SILENCE_S):
+                await self._stream.send_message(request)
+        except (GRPCError, *CONNECTION_ERRORS, TimeoutError) as error:
+            raise WatchFailed(repr(error)) from error
+
+    def _count(self, call: str, result: str) -> None:
+        rank = CallRank.CONFIGURATION.name.lower()
+        self._client.metrics.key_value_calls.add(call, rank, result)
+
+
+async def _async_list(client: EtcdClient, prefix: str) -> tuple[list[StoredValue], int]:
+    start = prefix.encode()
+    request = rpc_pb2.RangeRequest(key=start, range_end=find_prefix_end(start))
+
+    reply = await client.async_range(request, CallRank.CONFIGURATION)
+    values = [make_stored_value(kv.key.decode(), kv) for kv in reply.kvs]
+    return values, reply.header.revision
+
+
+def _make_change(event: rpc_pb2.Event) -> StoredValue:
+    key = event.kv.key.decode()
+    if event.type == rpc_pb2.Event.DELETE:
+        return StoredValue(key=key, value=None, revision=Revision(0))
+    return make_stored_value(key, event.kv)
--- /dev/null
+++ b/mangoway/key_value/etcd_write.py
@@ -0,0 +1,204 @@
+"""Transactions of the etcd interface, and how one without an answer is settled.
+
+A transaction is sent again with the same comparisons and the same nonce. If the
+first one had taken effect, the second fails its comparisons, and the nonce, in the
+value or in the key's past versions, tells whose write it was.
+"""
+
+from collections.abc import Sequence
+
+from attrs import frozen
+from grpclib.client import Channel
+
+from ..models.errors import ErrorCode, MangowayError
+from ..models.identifiers import Revision
+from ..models.verdict import Verdict
+from ..observability.event_log import log_event
+from ..observability.events import WriteSettled, WriteUnsettled
+from . import rpc_grpc, rpc_pb2
+from .const import HISTORY_STEPS, NONCE_BYTES, WRITE_TRIES
+from .endpoints import CallFailed
+from .envelope import Envelope
+from .etcd_client import EtcdClient, make_unavailable
+from .store import CallRank, Put, StoredValue, TransactionResult
+
+
+@frozen(kw_only=True)
+class Write:
+    """One transaction with the nonce that marks it."""
+
+    puts: tuple[Put, ...]
+    nonce: bytes
+    lease: int = 0
+
+    def make_request(self) -> rpc_pb2.TxnRequest:
+        """Return the message: compare all, then put all or read all."""
+        return rpc_pb2.TxnRequest(
+            compare=[_make_compare(put) for put in self.puts],
+            success=[self._make_op(put) for put in self.puts],
+            failure=[
+                rpc_pb2.RequestOp(
+                    request_range=rpc_pb2.RangeRequest(key=put.key.encode())
+                )
+                for put in self.puts
+            ],
+        )
+
+    def _make_op(self, put: Put) -> rpc_pb2.RequestOp:
+        key = put.key.encode()
+        if put.value is None:
+            return rpc_pb2.RequestOp(
+                request_delete_range=rpc_pb2.DeleteRangeRequest(key=key)
+            )
+        value = Envelope(self.nonce, put.value).encode()
+        return rpc_pb2.RequestOp(
+            request_put=rpc_pb2.PutRequest(key=key, value=value, lease=self.lease)
+        )
+
+
+class TransactionWriter:
+    """Commits transactions until their result is settled."""
+
+    def __init__(self, client: EtcdClient) -> None:
+        self._client = client
+
+    async def async_commit(
+        self, puts: tuple[Put, ...], rank: CallRank, lease: int = 0
+    ) -> TransactionResult:
+        """Commit one transaction, its keys bound to a lease if one is given.
+
+        Raises:
+            MangowayError: See `KeyValueStore`.
+        """
+        nonce = self._client.source.randbytes(NONCE_BYTES)
+        write = Write(puts=puts, nonce=nonce, lease=lease)
+        verdict = Verdict.NOT_RUN
+        for failures in range(WRITE_TRIES):
+            await self._client.async_back_off(failures)
+            try:
+                reply = await self._async_send(write, rank, verdict)
+            except CallFailed as error:
+                verdict = verdict.merge(error.verdict)
+                last = error
+                continue
+            return await self._async_settle(write, reply, rank, verdict)
+        key = puts[0].key
+        if verdict is not Verdict.NOT_RUN:
+            log_event(WriteUnsettled(key=key))
+        raise make_unavailable("txn", key, last, verdict) from last
+
+    async def _async_send(
+        self, write: Write, rank: CallRank, verdict: Verdict
+    ) -> rpc_pb2.TxnResponse:
+        request = write.make_request()
+
+        async def send(channel: Channel) -> rpc_pb2.TxnResponse:
+            reply: rpc_pb2.TxnResponse = await rpc_grpc.KVStub(channel).Txn(request)
+            return reply
+
+        try:
+            return await self._client.async_try("txn", rank, send)
+        except MangowayError as error:
+            # The budget refused this try, but an earlier one may have got through.
+            raise _change_verdict(error, verdict) from error
+
+    async def _async_settle(
+        self,
+        write: Write,
+        reply: rpc_pb2.TxnResponse,
+        rank: CallRank,
+        verdict: Verdict,
+    ) -> TransactionResult:
+        key = write.puts[0].key
+        if reply.succeeded:
+            return _succeed(reply.header.revision)
+        reads = [response.response_range for response in reply.responses]
+        kvs = [read.kvs[0] if read.kvs else None for read in reads]
+        if verdict is not Verdict.NOT_RUN:
+            revision = await self._async_find_own(write, kvs, rank)
+            log_event(WriteSettled(key=key, succeeded=revision is not None))
+            if revision is not None:
+                return _succeed(revision)
+        current = tuple(
+            make_stored_value(put.key, kv)
+            for put, kv in zip(write.puts, kvs, strict=True)
+        )
+        return TransactionResult(succeeded=False, revision=Revision(0), current=current)
+
+    async def _async_find_own(
+        self, write: Write, kvs: Sequence[rpc_pb2.KeyValue | None], rank: CallRank
+    ) -> int | None:
+        """Return the revision at which a write took effect; None if it never did."""
+        pairs = list(zip(write.puts, kvs, strict=True))
+        valued = [pair for pair in pairs if pair[0].value is not None]
+        if not valued:
+            # A delete leaves no nonce; the keys' absence is what was asked for.
+            gone = all(kv is None for kv in kvs)
+            return self._client.revision if gone else None
+        for put, kv in valued:
+            if (kv.mod_revision if kv else 0) == put.expected:
+                return None
+        for put, kv in valued:
+            if kv is not None:
+                return await self._async_search(put, kv, write.nonce, rank)
+        raise self._make_unsettled(write.puts[0].key)
+
+    async def _async_search(
+        self, put: Put, latest: rpc_pb2.KeyValue, nonce: bytes, rank: CallRank
+    ) -> int | None:
+        """Look for a nonce in a key's versions, from the latest to the expected."""
+        kv: rpc_pb2.KeyValue | None = latest
+        for _ in range(HISTORY_STEPS):
+            if kv is None or kv.mod_revision <= put.expected:
+                return None
+            if Envelope.decode(kv.value).nonce == nonce:
+                return kv.mod_revision
+            kv = await self._async_read_before(kv, rank)
+        raise self._make_unsettled(put.key)
+
+    async def _async_read_before(
+        self, kv: rpc_pb2.KeyValue, rank: CallRank
+    ) -> rpc_pb2.KeyValue | None:
+        request = rpc_pb2.RangeRequest(key=kv.key, revision=kv.mod_revision - 1)
+
+        try:
+            reply = await self._client.async_range(request, rank)
+        except MangowayError as error:
+            raise _change_verdict(error, Verdict.MAY_HAVE_RUN) from error
+        return reply.kvs[0] if reply.kvs else None
+
+    def _make_unsettled(self, key: str) -> MangowayError:
+        log_event(WriteUnsettled(key=key))
+        return MangowayError(
+            ErrorCode.PLATFORM_UNAVAILABLE,
+            f"{key}: the write's answer was lost and the key has changed since",
+            Verdict.MAY_HAVE_RUN,
+        )
+
+
+def make_stored_value(key: str, kv: rpc_pb2.KeyValue | None) -> StoredValue:
+    """Turn a key of the interface, or its absence, into the typed value."""
+    if kv is None:
+        return StoredValue(key=key, value=None, revision=Revision(0))
+    value = Envelope.decode(kv.value).value
+    return StoredValue(key=key, value=value, revision=Revision(kv.mod_revision))
+
+
+def _make_compare(put: Put) -> rpc_pb2.Compare:
+    return rpc_pb2.Compare(
+        target=rpc_pb2.Compare.MOD,
+        result=rpc_pb2.Compare.EQUAL,
+        key=put.key.encode(),
+        mod_revision=put.expected,
+    )
+
+
+def _succeed(revision: int) -> TransactionResult:
+    return TransactionResult(succeeded=True, revision=Revision(revision))
+
+
+def _change_verdict(error: MangowayError, verdict: Verdict) -> MangowayError:
+    failure = error.failure
+    return MangowayError(
+        failure.code, failure.detail, verdict, retry_after=failure.retry_after
+    )
--- /dev/null
+++ b/tests/key_value/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package key_value."""
--- /dev/null
+++ b/tests/key_value/test_etcd_lease.py
@@ -0,0 +1,101 @@
+"""Tests of lease keys."""
+
+import pytest
+
+from mangoway.key_value.etcd import EtcdStore
+from mangoway.key_value.store import CallRank
+from mangoway.models.errors import MangowayError
+from tests.stand_ins.key_value import KeyValueStandIn
+
+from .conftest import MakeStore
+
+RANK = CallRank.SAFETY
+TTL_S = 10.0
+
+
+async def async_acquire(store: EtcdStore, owner: str) -> bool:
+    return await store.async_acquire_lease("/lease", owner, TTL_S, RANK)
+
+
+class TestLease:
+    """Taking, renewing, losing and releasing."""
+
+    async def test_one_owner_at_a_time(self, make_store: MakeStore) -> None:
+        first, second = make_store(), make_store()
+        assert await async_acquire(first, "a")
+        assert not await async_acquire(second, "b")
+        assert await async_acquire(first, "a")
+
+    async def test_lapsed_lease_passes_to_another(
+        self, stand_in: KeyValueStandIn, make_store: MakeStore
+    ) -> None:
+        first, second = make_store(), make_store()
+        assert await async_acquire(first, "a")
+        stand_in.lapse()
+        assert await async_acquire(second, "b")
+        assert not await async_acquire(first, "a")
+
+    async def test_lease_ends_by_time_without_renewal(
+        self, stand_in: KeyValueStandIn, make_store: MakeStore
+    ) -> None:
+        now = [0.0]
+        stand_in.storage.clock = lambda: now[0]
+        first, second = make_store(), make_store()
+        await async_acquire(first, "a")
+        now[0] = TTL_S - 1
+        await async_acquire(first, "a")
+        now[0] += TTL_S - 1
+        assert not await async_acquire(second, "b")
+        now[0] += 1
+        assert await async_acquire(second, "b")
+
+    async def test_release_frees_the_key(self, make_store: MakeStore) -> None:
+        first, second = make_store(), make_store()
+        await async_acquire(first, "a")
+        await first.async_release_lease("/lease", "a", RANK)
+        assert await async_acquire(second, "b")
+
+    async def test_release_by_another_does_nothing(self, make_store: MakeStore) -> None:
+        first, second = make_store(), make_store()
+        await async_acquire(first, "a")
+        await second.async_release_lease("/lease", "a", RANK)
+        await first.async_release_lease("/lease", "b", RANK)
+        assert not await async_acquire(second, "b")
+
+    async def test_lost_answer_of_the_take_is_settled(
+        self, stand_in: KeyValueStandIn, store: EtcdStore
+    ) -> None:
+        stand_in.switches.lose_answers = 1
+        assert await async_acquire(store, "a")
+        assert await async_acquire(store, "a")
+
+    async def test_take_that_was_never_settled_is_found_later(
+        self, stand_in: KeyValueStandIn, store: EtcdStore
+    ) -> None:
+        stand_in.switches.lose_answers = 1
+        stand_in.switches.lose_writes = 0
+        await async_acquire(store, "a")
+        store._leases._held.clear()
+        assert await async_acquire(store, "a")
+        assert await async_acquire(store, "a")
+
+    async def test_outage_is_an_error_not_a_loss(
+        self, stand_in: KeyValueStandIn, store: EtcdStore
+    ) -> None:
+        await async_acquire(store, "a")
+        stand_in.switches.down = True
+        with pytest.raises(MangowayError):
+            await async_acquire(store, "a")
+        stand_in.switches.down = False
+        assert await async_acquire(store, "a")
+
+    async def test_calls_per_lease(
+        self, stand_in: KeyValueStandIn, make_store: MakeStore
+    ) -> None:
+        holder, standby = make_store(), make_store()
+        await async_acquire(holder, "a")
+        assert sum(stand_in.calls.values()) == 3
+        stand_in.calls.clear()
+        await async_acquire(holder, "a")
+        await async_acquire(standby, "b")
+        assert stand_in.calls == {"lease_keep_alive": 1, "range": 1}
--- /dev/null
+++ b/tests/key_value/test_etcd_watch.py
@@ -0,0 +1,100 @@
+"""Tests of watches."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from mangoway.key_value.etcd import EtcdStore
+from mangoway.key_value.store import CallRank, Put, StoredValue
+from tests.stand_ins.key_value import KeyValueStandIn
+
+from .conftest import MakeStore
+
+RANK = CallRank.CONFIGURATION
+LIMIT_S = 10.0
+
+
+async def async_write(store: EtcdStore, key: str, value: bytes) -> None:
+    found = await store.async_get(key, RANK)
+    put = Put(key=key, value=value, expected=found.revision)
+    assert (await store.async_commit((put,), RANK)).succeeded
+
+
+async def async_next(watch: AsyncIterator[StoredValue]) -> tuple[str, bytes | None]:
+    change = await asyncio.wait_for(anext(watch), LIMIT_S)
+    return change.key, change.value
+
+
+async def async_end(watch: AsyncIterator[StoredValue]) -> None:
+    await watch.aclose()  # type: ignore[attr-defined]
+
+
+async def async_fail(stand_in: KeyValueStandIn, failure: str) -> None:
+    """Bring about a failure of the open watch; new ones work afterwards."""
+    if failure == "silent":
+        stand_in.silence()
+    elif failure == "blind":
+        stand_in.switches.blind_watches = stand_in.calls["watch"]
+    else:
+        switch = {"down": "down", "stalled": "watch_stalled"}[failure]
+        setattr(stand_in.switches, switch, True)
+        await asyncio.sleep(0.3)
+        setattr(stand_in.switches, switch, False)
+
+
+@pytest.mark.usefixtures("quick_watch")
+class TestWatch:
+    """Changes arrive once and in order, whatever happens to the watch."""
+
+    async def test_changes_under_the_prefix(self, store: EtcdStore) -> None:
+        await async_write(store, "/w/a", b"0")
+        watch = store.watch("/w/")
+        await async_write(store, "/v/a", b"x")
+        await async_write(store, "/w/a", b"1")
+        found = await store.async_get("/w/a", RANK)
+        delete = Put(key="/w/a", value=None, expected=found.revision)
+        await store.async_commit((delete,), RANK)
+        assert await async_next(watch) == ("/w/a", b"1")
+        assert await async_next(watch) == ("/w/a", None)
+        await async_end(watch)
+
+    async def test_change_between_a_read_and_the_watch_is_not_lost(
+        self, store: EtcdStore, make_store: MakeStore
+    ) -> None:
+        other = make_store()
+        await store.async_get("/w/a", RANK)
+        await async_write(other, "/w/a", b"1")
+        watch = store.watch("/w/")
+        assert await async_next(watch) == ("/w/a", b"1")
+        await async_end(watch)
+
+    @pytest.mark.parametrize("failure", ["silent", "blind", "down", "stalled"])
+    async def test_watch_resumes_without_loss(
+        self, stand_in: KeyValueStandIn, store: EtcdStore, failure: str
+    ) -> None:
+        await async_write(store, "/w/a", b"0")
+        watch = store.watch("/w/")
+        await async_write(store, "/w/a", b"1")
+        assert await async_next(watch) == ("/w/a", b"1")
+        coming = asyncio.create_task(async_next(watch))
+        await async_fail(stand_in, failure)
+        await async_write(store, "/w/a", b"2")
+        assert await coming == ("/w/a", b"2")
+        await async_write(store, "/w/a", b"3")
+        assert await async_next(watch) == ("/w/a", b"3")
+        assert stand_in.calls["watch"] > 1
+        await async_end(watch)
+
+    async def test_quiet_watch_is_one_call_and_stays(
+        self, stand_in: KeyValueStandIn, store: EtcdStore
+    ) -> None:
+        await async_write(store, "/w/a", b"0")
+        watch = store.watch("/w/")
+        coming = asyncio.create_task(async_next(watch))
+        await asyncio.sleep(0.5)
+        await async_write(store, "/w/a", b"1")
+        assert await coming == ("/w/a", b"1")
+        assert stand_in.calls["watch"] == 1
+        assert stand_in.calls["watch_progress"] > 1
+        await async_end(watch)
