--- /dev/null
+++ b/mangoway/host_list/const.py
@@ -0,0 +1,20 @@
+"""Constants of the host list: labels and their values."""
+
+from typing import Final
+
+LABEL_ROLE: Final = "role"
+LABEL_DATA_CENTRE: Final = "data_centre"
+LABEL_HOST: Final = "host"
+LABEL_STATE: Final = "state"
+LABEL_SERVICE: Final = "service"
+
+ROLE_RUNNER: Final = "runner"
+ROLE_SERVICE: Final = "service"
+
+STATE_LIVE: Final = "live"
+STATE_LEAVING: Final = "leaving"
+
+READ_TIMEOUT_S: Final = 2.0
+MAX_LISTING_BYTES: Final = 1 << 24
+PERIOD_JITTER: Final = 0.2
+"""Share by which the period between two reads varies."""
--- a/mangoway/observability/events.py
+++ b/mangoway/observability/events.py
@@ -432,6 +432,13 @@
     leaving: int
 
 
+@numbered(708, LogLevel.WARNING)
+class HostEntrySkipped:
+    """An entry of the host list cannot be used and was left out."""
+
+    reason: str
+
+
 # 8xx: traces.
 
 
--- /dev/null
+++ b/tests/host_list/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package host_list."""
--- a/tests/observability/test_event_log.py
+++ b/tests/observability/test_event_log.py
@@ -25,6 +25,9 @@
 def log() -> Iterator[io.StringIO]:
     stream = io.StringIO()
     stop = start_log(LogLevel.INFO, host="g1", role="gateway", stream=stream)
+    # What was logged before any log was started comes first.
+    stream.truncate(0)
+    stream.seek(0)
     yield stream
     stop()
 
