Plan floors and demand copies over memory ledgers

Cause: the controller needs a decision core for what is loaded where. A load is sent only after the compare-and-swap write that reserved its memory; an unload is marked first and the ledgers of the copies that are relied on are read again.

Ruled out: freeing memory on the answer of an unload alone, since an engine that ignores fences may still take a late or doubled load of the same artifact.

--- a/mangoway/policy/placement/actions.py
+++ b/mangoway/policy/placement/actions.py
@@ -1,5 +1,7 @@
 """Actions that the placement core returns."""
 
+from math import inf
+
 from attrs import frozen
 
 from ...models.artifact import Artifact
@@ -27,9 +29,15 @@
 
 @frozen(kw_only=True)
 class SendOrder:
-    """Send an order; `OrderAnswered` or `OrderFailed` follows."""
+    """Send an order; `OrderAnswered` or `OrderFailed` follows.
+
+    The shell closes the connection of an order that has no answer after
+    `ORDER_TIMEOUT_S`. An order that it does not get to send before `send_before`
+    must not be sent; `OrderFailed` with NOT_RUN follows then.
+    """
 
     order: Order
+    send_before: float = inf
 
 
 @frozen(kw_only=True)
--- /dev/null
+++ b/mangoway/policy/placement/reservations.py
@@ -0,0 +1,454 @@
+"""Steps of an order: ledger write, checks, sending, answer.
+
+A load is sent only once the write that reserved its memory took effect. An unload is
+marked in the ledger first; then the ledgers of the runners whose copies are relied on
+are read again. Of two controllers that rely on each other's victim, at least one sees
+the other's mark, so the last copy stays even if both believe they are active.
+"""
+
+from itertools import count
+
+from attrs import define, evolve, field
+
+from ...models.artifact import Artifact
+from ...models.identifiers import IncarnationId, OrderId, UpstreamId
+from ...models.order import Ledger, Order, OrderKind, OrderOutcome
+from ...models.verdict import Verdict
+from .actions import Explain, PlacementAction, ReadLedger, SendOrder, WriteLedger
+from .const import (
+    LEDGER_RETRY_S,
+    MAX_RETRY_S,
+    ORDER_SEND_WINDOW_S,
+    ORDER_TIMEOUT_S,
+    REPORT_LAG_S,
+)
+from .events import (
+    LedgerConflicted,
+    LedgerRead,
+    LedgerUnavailable,
+    LedgerWritten,
+    OrderAnswered,
+    OrderFailed,
+)
+from .ledgers import (
+    clear_mark,
+    create_ledger,
+    mark_unload,
+    reserve_load,
+    settle_ledger,
+)
+from .runners import CopyState, PendingOrder, PendingWrite, Retry, Runner
+from .state import PlacementState
+
+
+@define
+class UnloadCheck:
+    """A marked unload that waits until other holders' ledgers were read."""
+
+    runner: Runner
+    order: PendingOrder
+    waiting: dict[UpstreamId, int]
+    """Reads that must come back, by runner."""
+
+    guards: tuple[UpstreamId, ...]
+
+
+@define
+class Reservations:
+    """Writes ledgers, sends orders and takes their results."""
+
+    state: PlacementState
+    incarnation: IncarnationId
+    actions: list[PlacementAction] = field(factory=list)
+    dirty: set[UpstreamId] = field(factory=set)
+    """Runners whose copies have to be looked at again."""
+
+    changed: set[Artifact] = field(factory=set)
+    """Artifacts whose copies changed since the planner looked."""
+
+    is_active: bool = False
+    _checks: dict[OrderId, UnloadCheck] = field(factory=dict)
+    _numbers: "count[int]" = field(factory=lambda: count(1))
+
+    # Leases and reads.
+
+    def activate(self, now: float) -> None:
+        """Read all ledgers anew; nothing is believed from before."""
+        self.is_active = True
+        self._forget_ledgers()
+        self.read_ledgers(now)
+
+    def deactivate(self) -> None:
+        """Send nothing more; orders already sent are still followed."""
+        self.is_active = False
+        self._checks.clear()
+        self._forget_ledgers()
+
+    def _forget_ledgers(self) -> None:
+        for runner in self.state.runners.values():
+            runner.is_ledger_known = False
+            runner.read_after = 0.0
+            self.dirty.add(runner.id)
+
+    def read_ledgers(self, now: float) -> None:
+        """Read the ledgers that are not known."""
+        if not self.is_active:
+            return
+        for runner in self.state.runners.values():
+            if runner.is_ledger_known or runner.reads or runner.write is not None:
+                continue
+            if runner.listed and runner.read_after <= now:
+                self._read(runner)
+
+    def _read(self, runner: Runner) -> None:
+        runner.reads += 1
+        self.actions.append(ReadLedger(upstream_id=runner.id))
+
+    def take_read(self, event: LedgerRead, now: float) -> None:
+        """Take a ledger that was read, and go on with unloads that waited for it."""
+        runner = self.state.runners.get(event.upstream_id)
+        if runner is None:
+            return
+        runner.reads = max(runner.reads - 1, 0)
+        if not runner.is_ledger_known or event.revision >= runner.revision:
+            self._take_ledger(runner, event.ledger, event, now)
+        self._count_read(runner, now)
+
+    def _take_ledger(
+        self,
+        runner: Runner,
+        ledger: Ledger | None,
+        event: LedgerRead | LedgerConflicted,
+        now: float,
+    ) -> None:
+        runner.ledger = ledger
+        runner.revision = event.revision
+        runner.is_ledger_known = True
+        self.dirty.add(runner.id)
+        if ledger is not None:
+            quiet_at = now + ORDER_SEND_WINDOW_S + ORDER_TIMEOUT_S + self._bound_s()
+            runner.evidence.note_read(ledger, f"{self.incarnation}-", quiet_at)
+
+    def _bound_s(self) -> float:
+        """Return how long copies of an order may arrive after its connection closed."""
+        if self.state.configuration is None:
+            return MAX_RETRY_S
+        return self.state.configuration.site.order_lateness_bound_s + REPORT_LAG_S
+
+    # Writes.
+
+    def settle(self, runner: Runner) -> Ledger | None:
+        """Return the ledger with all that the evidence allows; None if unknown."""
+        if runner.description is None or runner.report is None:
+            return None
+        if self.state.configuration is None:
+            return None
+        floor_mb = self.state.configuration.site.kv_cache_floor_mb
+        ledger = runner.ledger or create_ledger(runner.description, floor_mb)
+        for artifact, order in runner.unsent.items():
+            if order not in self._checks:
+                ledger = clear_mark(ledger, artifact, order)
+        settled = settle_ledger(
+            ledger, runner.description, runner.report, runner.evidence
+        )
+        return evolve(settled, kv_cache_floor_mb=floor_mb)
+
+    def settle_runner(self, runner: Runner) -> bool:
+        """Write a runner's ledger if the evidence changes it."""
+        if not runner.is_free or runner.reads or not self.is_active:
+            return False
+        ledger = self.settle(runner)
+        if ledger is None or ledger == runner.ledger:
+            return False
+        self._write(runner, ledger, None)
+        return True
+
+    def reserve(self, runner: Runner, artifact: Artifact, now: float) -> bool:
+        """Ask for the ledger write that reserves a load."""
+        ledger = self.settle(runner)
+        if ledger is None or not runner.is_free or runner.reads:
+            return False
+        memory_mb = self.state.find_memory_mb(artifact)
+        order_id = self._make_id()
+        reserved = reserve_load(ledger, artifact, memory_mb, order_id)
+        if reserved is None:
+            return False
+        order = PendingOrder(
+            id=order_id,
+            kind=OrderKind.LOAD,
+            artifact=artifact,
+            memory_mb=memory_mb,
+            asked_at=now,
+            fence=reserved.fence,
+        )
+        self._write(runner, reserved, order)
+        return True
+
+    def mark(self, runner: Runner, artifact: Artifact, now: float) -> bool:
+        """Ask for the ledger write that marks an unload."""
+        ledger = self.settle(runner)
+        if ledger is None or not runner.is_free or runner.reads:
+            return False
+        order_id = self._make_id()
+        marked = mark_unload(ledger, artifact, order_id)
+        if marked is None:
+            return False
+        order = PendingOrder(
+            id=order_id,
+            kind=OrderKind.UNLOAD,
+            artifact=artifact,
+            memory_mb=0,
+            asked_at=now,
+            fence=marked.fence,
+        )
+        self._write(runner, marked, order)
+        return True
+
+    def _make_id(self) -> OrderId:
+        return OrderId(f"{self.incarnation}-{next(self._numbers)}")
+
+    def _write(
+        self, runner: Runner, ledger: Ledger, order: PendingOrder | None
+    ) -> None:
+        ledger = evolve(ledger, writer=self.incarnation)
+        runner.write = PendingWrite(ledger=ledger, order=order)
+        self.actions.append(WriteLedger(ledger=ledger, expected=runner.revision))
+
+    def take_written(self, event: LedgerWritten, now: float) -> None:
+        """Take a write that took effect, and go on with its order."""
+        runner = self.state.runners.get(event.upstream_id)
+        if runner is None or runner.write is None:
+            return
+        write = runner.write
+        runner.write = None
+        runner.ledger = event.ledger
+        runner.revision = event.revision
+        runner.is_ledger_known = self.is_active
+        runner.evidence.note_written(event.ledger)
+        self._keep_unsent(runner, event.ledger)
+        self.dirty.add(runner.id)
+        if write.order is None:
+            return
+        if write.order.kind is OrderKind.LOAD:
+            self._send(runner, write.order, now)
+        else:
+            runner.unsent[write.order.artifact] = write.order.id
+            self._check_unload(runner, write.order, now)
+
+    def _keep_unsent(self, runner: Runner, ledger: Ledger) -> None:
+        """Forget unsent unloads whose mark the ledger no longer holds."""
+        marks = {entry.order for entry in ledger.resident}
+        runner.unsent = {
+            artifact: order
+            for artifact, order in runner.unsent.items()
+            if order in marks
+        }
+
+    def take_conflict(self, event: LedgerConflicted, now: float) -> None:
+        """Take over what another controller wrote; the step is planned again."""
+        runner = self.state.runners.get(event.upstream_id)
+        if runner is None:
+            return
+        runner.write = None
+        self._take_ledger(runner, event.ledger, event, now)
+        runner.is_ledger_known = self.is_active
+        self.explain(None, runner, "ledger_conflict")
+
+    def take_unavailable(self, event: LedgerUnavailable, now: float) -> None:
+        """Doubt a ledger whose write has no settled result; read it again later."""
+        runner = self.state.runners.get(event.upstream_id)
+        if runner is None:
+            return
+        runner.read_after = now + LEDGER_RETRY_S
+        if runner.write is not None:
+            order = runner.write.order
+            if order is not None and order.kind is OrderKind.UNLOAD:
+                runner.unsent[order.artifact] = order.id
+            runner.write = None
+            runner.is_ledger_known = False
+        else:
+            runner.reads = max(runner.reads - 1, 0)
+            self._abandon_checks(runner)
+        self.dirty.add(runner.id)
+        self.explain(None, runner, "ledger_unavailable")
+
+    # Checks before an unload.
+
+    def _check_unload(self, runner: Runner, order: PendingOrder, now: float) -> None:
+        artifact = order.artifact
+        if artifact not in self.state.offered:
+            self._send(runner, order, now)
+            return
+        guards = self._list_guards(runner, artifact, now)
+        if not self._suffice(artifact, guards) or not self.is_active:
+            self.explain(artifact, runner, "unload_abandoned_last_copy")
+            return
+        for guard in guards:
+            self._read(self.state.runners[guard])
+        self._checks[order.id] = UnloadCheck(
+            runner=runner,
+            order=order,
+            waiting={guard: self.state.runners[guard].reads for guard in guards},
+            guards=tuple(guards),
+        )
+
+    def _list_guards(
+        self, runner: Runner, artifact: Artifact, now: float
+    ) -> list[UpstreamId]:
+        ready = self.state.list_lasting(artifact, CopyState.READY)
+        return [
+            one
+            for one in ready
+            if one != runner.id
+            and self.state.runners[one].is_fresh(now)
+            and self.state.runners[one].write is None
+        ]
+
+    def _suffice(self, artifact: Artifact, guards: list[UpstreamId]) -> bool:
+        floor = max(1, self.state.offered.get(artifact, 0))
+        spread = self.state.find_spread(artifact)
+        return (
+            len(guards) >= floor and len(self.state.list_data_centres(guards)) >= spread
+        )
+
+    def _count_read(self, guard: Runner, now: float) -> None:
+        for order_id, check in list(self._checks.items()):
+            left = check.waiting.get(guard.id)
+            if left is None:
+                continue
+            check.waiting[guard.id] = left - 1
+            if left > 1:
+                continue
+            del check.waiting[guard.id]
+            if not check.waiting:
+                del self._checks[order_id]
+                self._finish_check(check, now)
+
+    def _finish_check(self, check: UnloadCheck, now: float) -> None:
+        artifact = check.order.artifact
+        self.refresh_copies(now)
+        current = self._list_guards(check.runner, artifact, now)
+        guards = [guard for guard in current if guard in check.guards]
+        if self._suffice(artifact, guards):
+            self._send(check.runner, check.order, now)
+        else:
+            self.explain(artifact, check.runner, "unload_abandoned_last_copy")
+
+    def _abandon_checks(self, guard: Runner) -> None:
+        for order_id, check in list(self._checks.items()):
+            if guard.id in check.waiting:
+                del self._checks[order_id]
+                self.explain(
+                    check.order.artifact, check.runner, "unload_abandoned_no_ledger"
+                )
+
+    def refresh_copies(self, now: float) -> set[Artifact]:
+        """Bring the copies of changed runners up to date."""
+        changed: set[Artifact] = set()
+        for upstream_id in self.dirty:
+            runner = self.state.runners.get(upstream_id)
+            if runner is not None:
+                changed |= self.state.copies.update(runner, now)
+        self.changed |= changed
+        return changed
+
+    # Orders.
+
+    def _send(self, runner: Runner, pending: PendingOrder, now: float) -> None:
+        description = runner.description
+        ledger = runner.ledger
+        send_before = pending.asked_at + ORDER_SEND_WINDOW_S
+        if not self._may_send(runner, now, send_before):
+            self.explain(pending.artifact, runner, "order_dropped")
+            return
+        if description is None or ledger is None:
+            return
+        runner.unsent.pop(pending.artifact, None)
+        runner.sent[pending.id] = pending
+        if pending.kind is OrderKind.LOAD:
+            runner.evidence.loads.open(pending.artifact, pending.id)
+            self.explain(pending.artifact, runner, "load_ordered")
+        else:
+            runner.evidence.unloads.open(pending.artifact, pending.id)
+            self.explain(pending.artifact, runner, "unload_ordered")
+        self.dirty.add(runner.id)
+        order = Order(
+            id=pending.id,
+            upstream=runner.id,
+            incarnation=description.incarnation,
+            fence=pending.fence,
+            kind=pending.kind,
+            artifact=pending.artifact,
+            memory_mb=pending.memory_mb,
+        )
+        self.actions.append(SendOrder(order=order, send_before=send_before))
+
+    def _may_send(self, runner: Runner, now: float, send_before: float) -> bool:
+        """Return whether the ledger still speaks for the order, and it is in time."""
+        if not self.is_active or now > send_before:
+            return False
+        if runner.description is None or runner.report is None:
+            return False
+        return (
+            runner.ledger is not None
+            and runner.ledger.incarnation == runner.description.incarnation
+        )
+
+    def take_answer(self, event: OrderAnswered, now: float) -> None:
+        """Take an engine's answer to an order."""
+        runner = self.state.runners.get(event.upstream_id)
+        pending = None if runner is None else runner.sent.pop(event.order_id, None)
+        if runner is None or pending is None:
+            return
+        self._close(runner, pending, now + self._bound_s())
+        if event.outcome is OrderOutcome.ACCEPTED:
+            runner.retries.pop(pending.artifact, None)
+            if pending.kind is OrderKind.LOAD:
+                runner.expect(pending.artifact, now)
+            return
+        least_s = {OrderOutcome.REFUSED_UNKNOWN: MAX_RETRY_S}.get(event.outcome, 1.0)
+        self._fail(runner, pending, now, least_s)
+        if event.outcome is OrderOutcome.REFUSED_STALE_FENCE:
+            runner.is_ledger_known = False
+        self.explain(pending.artifact, runner, event.outcome.value)
+
+    def take_failure(self, event: OrderFailed, now: float) -> None:
+        """Take the failure of an order that got no answer."""
+        runner = self.state.runners.get(event.upstream_id)
+        pending = None if runner is None else runner.sent.pop(event.order_id, None)
+        if runner is None or pending is None:
+            return
+        if event.verdict is Verdict.NOT_RUN:
+            self._close(runner, pending, now)
+        else:
+            self._close(runner, pending, now + self._bound_s())
+            if pending.kind is OrderKind.LOAD:
+                runner.expect(pending.artifact, now)
+        self._fail(runner, pending, now, 1.0)
+        self.explain(pending.artifact, runner, "order_failed", event.verdict.value)
+
+    def _close(self, runner: Runner, pending: PendingOrder, quiet_at: float) -> None:
+        loads = pending.kind is OrderKind.LOAD
+        times = runner.evidence.loads if loads else runner.evidence.unloads
+        times.close(pending.artifact, pending.id, quiet_at)
+        self.dirty.add(runner.id)
+
+    def _fail(
+        self, runner: Runner, pending: PendingOrder, now: float, least_s: float
+    ) -> None:
+        retry = runner.retries.setdefault(pending.artifact, Retry())
+        retry.fail(now, least_s)
+
+    def explain(
+        self,
+        artifact: Artifact | None,
+        runner: Runner | None,
+        reason: str,
+        detail: str = "",
+    ) -> None:
+        """Say why something was or was not done."""
+        upstream_id = None if runner is None else runner.id
+        action = Explain(
+            artifact=artifact, upstream_id=upstream_id, reason=reason, detail=detail
+        )
+        self.actions.append(action)
--- /dev/null
+++ b/mangoway/policy/placement/state.py
@@ -0,0 +1,91 @@
+"""What the planner decides on: runners, copies, offers and demand."""
+
+from attrs import define, field
+
+from ...models.artifact import Artifact
+from ...models.identifiers import DataCentreId, UpstreamId
+from ...models.offer import Configuration
+from .copies import CopyIndex
+from .demand import DemandEstimator
+from .load_queue import LoadQueue
+from .options import PlacementOptions
+from .runners import CopyState, Runner
+
+
+@define
+class RoomClaim:
+    """Room that is being made on a runner for one artifact."""
+
+    artifact: Artifact
+    victims: list[Artifact]
+    until: float
+
+
+@define
+class PlacementState:
+    """Shared state of the placement core's parts."""
+
+    options: PlacementOptions
+    configuration: Configuration | None = None
+    offered: dict[Artifact, int] = field(factory=dict)
+    """Floor of each offered artifact."""
+
+    runners: dict[UpstreamId, Runner] = field(factory=dict)
+    copies: CopyIndex = field(factory=CopyIndex)
+    demand: DemandEstimator = field(factory=DemandEstimator)
+    queue: LoadQueue = field(factory=LoadQueue)
+    claims: dict[UpstreamId, RoomClaim] = field(factory=dict)
+
+    def find_memory_mb(self, artifact: Artifact) -> int:
+        """Return the memory of an offered artifact; 0 if it is not offered."""
+        if self.configuration is None:
+            return 0
+        return self.configuration.find_memory_mb(artifact)
+
+    def find_spread(self, artifact: Artifact) -> int:
+        """Return in how many data centres the floor copies have to be."""
+        if self.configuration is None:
+            return 1
+        offer = self.configuration.models.get(artifact.model)
+        floor = self.offered.get(artifact, 0)
+        if offer is None or artifact.version != offer.default_version:
+            return min(floor, 1)
+        return min(floor, offer.floor_data_centres)
+
+    def list_lasting(self, artifact: Artifact, *states: CopyState) -> list[UpstreamId]:
+        """Return runners that do not leave with a copy in one of the states."""
+        return [
+            upstream_id
+            for upstream_id in self.copies.list_in(artifact, *states)
+            if not self.runners[upstream_id].is_leaving
+        ]
+
+    def list_data_centres(self, upstream_ids: list[UpstreamId]) -> set[DataCentreId]:
+        """Return the data centres of some runners."""
+        return {self.runners[upstream_id].data_centre for upstream_id in upstream_ids}
+
+    def is_surplus(self, artifact: Artifact, upstream_id: UpstreamId) -> bool:
+        """Return whether the floor holds without the copy on a runner."""
+        ready = self.list_lasting(artifact, CopyState.READY)
+        others = [one for one in ready if one != upstream_id]
+        if len(others) < max(1, self.offered.get(artifact, 0)):
+            return False
+        spread = min(self.find_spread(artifact), len(self.list_data_centres(ready)))
+        return len(self.list_data_centres(others)) >= spread
+
+    def may_withdraw(self, artifact: Artifact) -> bool:
+        """Return whether an artifact that is no longer offered may be unloaded.
+
+        While its model is offered, callers are served by the old version until the
+        default version (or the same adapter on it) is ready.
+        """
+        if artifact in self.offered or self.configuration is None:
+            return False
+        offer = self.configuration.models.get(artifact.model)
+        if offer is None:
+            return True
+        successor = Artifact(artifact.model, offer.default_version, artifact.adapter)
+        if successor not in self.offered:
+            successor = successor.base
+        floor = max(1, self.offered.get(successor, 0))
+        return len(self.list_lasting(successor, CopyState.READY)) >= floor
--- /dev/null
+++ b/tests/policy/placement/world.py
@@ -0,0 +1,448 @@
+"""Small fakes around placement cores: engines, ledger store, time and faults."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from attrs import define, field
+
+from mangoway.models.artifact import Artifact
+from mangoway.models.identifiers import (
+    ConfigVersion,
+    DataCentreId,
+    FenceNumber,
+    IncarnationId,
+    ModelName,
+    Revision,
+    UpstreamId,
+    VersionName,
+)
+from mangoway.models.offer import Configuration, ModelOffer, SitePolicy, VersionOffer
+from mangoway.models.order import Ledger, Order, OrderKind, OrderOutcome
+from mangoway.models.upstream import (
+    EngineDescription,
+    EngineReport,
+    Residency,
+    ResidentArtifact,
+    UpstreamAddress,
+    UpstreamKind,
+)
+from mangoway.models.verdict import Verdict
+from mangoway.policy.placement import actions, events
+from mangoway.policy.placement.core import PlacementCore
+from mangoway.policy.placement.options import PlacementOptions
+
+KV_FLOOR_MB = 10
+BOUND_S = 20.0
+LOAD_S = 3.0
+DC1 = DataCentreId("dc1")
+
+
+def offer_models(
+    version: int = 1,
+    versions: tuple[str, ...] = ("1",),
+    floor: int = 1,
+    data_centres: int = 1,
+    price: float = 1.0,
+    **models_mb: int,
+) -> Configuration:
+    """Return a configuration of plain models of the given sizes."""
+    return Configuration(
+        version=ConfigVersion(version),
+        models={
+            ModelName(name): ModelOffer(
+                default_version=VersionName(versions[-1]),
+                versions={
+                    VersionName(one): VersionOffer(memory_mb=memory_mb, floor=floor)
+                    for one in versions
+                },
+                floor_data_centres=data_centres,
+            )
+            for name, memory_mb in models_mb.items()
+        },
+        site=SitePolicy(
+            kv_cache_floor_mb=KV_FLOOR_MB,
+            order_lateness_bound_s=BOUND_S,
+            loads_per_second=10.0,
+            loads_at_full_speed=8,
+            move_price=price,
+        ),
+    )
+
+
+@define
+class Engine:
+    """An engine that counts its memory and notes when it was ever over."""
+
+    id: UpstreamId
+    data_centre: DataCentreId = DC1
+    size_mb: int = 100
+    checks: bool = True
+    life: int = 1
+    up: bool = True
+    leaving: bool = False
+    fence: int = 0
+    memory: dict[Artifact, int] = field(factory=dict)
+    ready: set[Artifact] = field(factory=set)
+    orders: list[Order] = field(factory=list)
+    overruns: list[str] = field(factory=list)
+    restarted_at: float = -1e9
+
+    @property
+    def incarnation(self) -> IncarnationId:
+        return IncarnationId(f"{self.id}.{self.life}")
+
+    @property
+    def used_mb(self) -> int:
+        return KV_FLOOR_MB + sum(self.memory.values())
+
+    def restart(self, now: float) -> None:
+        self.life += 1
+        self.fence = 0
+        self.memory.clear()
+        self.ready.clear()
+        self.restarted_at = now
+
+    def describe(self) -> EngineDescription:
+        return EngineDescription(
+            upstream=self.id,
+            incarnation=self.incarnation,
+            memory_mb=self.size_mb,
+            checks_fences=self.checks,
+            max_running=8,
+            tokens_per_second=1000.0,
+        )
+
+    def report(self, now: float) -> EngineReport:
+        return EngineReport(
+            upstream=self.id,
+            incarnation=self.incarnation,
+            reported_at=now,
+            running=0,
+            waiting=0,
+            fence=FenceNumber(self.fence if self.checks else 0),
+            residents=tuple(
+                ResidentArtifact(
+                    artifact=artifact,
+                    memory_mb=memory_mb,
+                    state=Residency.READY
+                    if artifact in self.ready
+                    else Residency.LOADING,
+                )
+                for artifact, memory_mb in self.memory.items()
+            ),
+            leaving=self.leaving,
+        )
+
+    def take(self, order: Order) -> OrderOutcome:
+        self.orders.append(order)
+        if self.checks:
+            if order.incarnation != self.incarnation:
+                return OrderOutcome.REFUSED_INCARNATION
+            if order.fence < self.fence:
+                return OrderOutcome.REFUSED_STALE_FENCE
+            self.fence = order.fence
+        if order.kind is OrderKind.UNLOAD:
+            self.ready.discard(order.artifact)
+            if self.memory.pop(order.artifact, None) is None:
+                return OrderOutcome.REFUSED_UNKNOWN
+            return OrderOutcome.ACCEPTED
+        self.memory[order.artifact] = order.memory_mb
+        if self.used_mb > self.size_mb:
+            self.overruns.append(f"{self.id} {self.used_mb} MB after {order}")
+        return OrderOutcome.ACCEPTED
+
+
+@define
+class Controller:
+    """One core with its mailbox; a paused one handles its events when it wakes."""
+
+    core: PlacementCore
+    alive: bool = True
+    paused: bool = False
+    mailbox: list[events.PlacementEvent] = field(factory=list)
+    wake: int = 0
+
+
+@define
+class World:
+    """Engines, a ledger store and controllers on one virtual clock."""
+
+    engines: dict[UpstreamId, Engine] = field(factory=dict)
+    controllers: list[Controller] = field(factory=list)
+    configuration: Configuration = field(factory=offer_models)
+    rng: Random = field(factory=lambda: Random(1))
+    now: float = 0.0
+    ledgers: dict[UpstreamId, Ledger] = field(factory=dict)
+    revisions: dict[UpstreamId, int] = field(factory=dict)
+    reasons: list[actions.Explain] = field(factory=list)
+    sent: list[tuple[float, Order]] = field(factory=list)
+    writes: int = 0
+    reads: int = 0
+    store_up: bool = True
+    lose_answers: int = 0
+    """Next writes whose answer is lost after they took effect."""
+
+    order_faults: list[str] = field(factory=list)
+    """What happens to the next orders: lose, late, double, drop_answer."""
+
+    report_lag_s: float = 0.0
+    last_copy_losses: list[str] = field(factory=list)
+    _heap: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
+    _numbers: count[int] = field(factory=count)
+
+    # Set-up.
+
+    def add_engine(self, name: str, **changes: object) -> Engine:
+        engine = Engine(UpstreamId(name), **changes)  # type: ignore[arg-type]
+        self.engines[engine.id] = engine
+        return engine
+
+    def add_controller(self, options: PlacementOptions | None = None) -> Controller:
+        name = IncarnationId(f"c{len(self.controllers)}")
+        controller = Controller(PlacementCore(name, options))
+        self.controllers.append(controller)
+        self.give(
+            controller, events.ConfigurationChanged(configuration=self.configuration)
+        )
+        self.list_runners()
+        self.give(controller, events.LeaseGained())
+        return controller
+
+    def start(self, *sizes: int, checks: bool = True) -> Controller:
+        """Add engines r0, r1, ... in alternating data centres, and a controller."""
+        for number, size_mb in enumerate(sizes):
+            self.add_engine(
+                f"r{number}",
+                size_mb=size_mb,
+                checks=checks,
+                data_centre=DataCentreId(f"dc{number % 2 + 1}"),
+            )
+        self.later(0.0, self._poll)
+        return self.add_controller()
+
+    def configure(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        event = events.ConfigurationChanged(configuration=configuration)
+        for controller in self.controllers:
+            self.give(controller, event)
+
+    def list_runners(self) -> None:
+        runners = tuple(
+            UpstreamAddress(
+                id=engine.id,
+                kind=UpstreamKind.ENGINE,
+                address="127.0.0.1:1",
+                data_centre=engine.data_centre,
+                leaving=engine.leaving,
+            )
+            for engine in self.engines.values()
+        )
+        for controller in self.controllers:
+            self.give(controller, events.RunnersListed(runners=runners))
+
+    # Time.
+
+    def later(self, delay_s: float, call: Callable[[], None]) -> None:
+        heappush(self._heap, (self.now + delay_s, next(self._numbers), call))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, call = heappop(self._heap)
+            call()
+        self.now = end
+
+    def _poll(self) -> None:
+        """Read every engine's description and report, once a second."""
+        for engine in self.engines.values():
+            if not engine.up:
+                for controller in self.controllers:
+                    self.give(controller, events.EngineSilent(upstream_id=engine.id))
+                continue
+            met = events.EngineMet(description=engine.describe())
+            reported = events.EngineReported(report=engine.report(self.now))
+            for controller in self.controllers:
+                self._deliver(controller, met, self.report_lag_s)
+                self._deliver(controller, reported, self.report_lag_s)
+        self.later(1.0, self._poll)
+
+    # Controllers.
+
+    def _deliver(
+        self, controller: Controller, event: events.PlacementEvent, delay_s: float
+    ) -> None:
+        self.later(delay_s, lambda: self.give(controller, event))
+
+    def give(self, controller: Controller, event: events.PlacementEvent) -> None:
+        if not controller.alive:
+            return
+        if controller.paused:
+            controller.mailbox.append(event)
+            return
+        for action in controller.core.handle(event, self.now):
+            self._act(controller, action)
+
+    def resume(self, controller: Controller) -> None:
+        controller.paused = False
+        mailbox, controller.mailbox = controller.mailbox, []
+        for event in mailbox:
+            self.give(controller, event)
+
+    def _act(self, controller: Controller, action: actions.PlacementAction) -> None:
+        match action:
+            case actions.ReadLedger(upstream_id=upstream_id):
+                self.later(0.01, lambda: self._read(controller, upstream_id))
+            case actions.WriteLedger():
+                self.later(0.01, lambda: self._write(controller, action))
+            case actions.SendOrder(order=order):
+                self.sent.append((self.now, order))
+                self.later(0.01, lambda: self._carry(controller, order))
+            case actions.Explain():
+                self.reasons.append(action)
+            case actions.WakeAt(time=time):
+                controller.wake += 1
+                wake = controller.wake
+                self.later(
+                    max(time - self.now, 0.0), lambda: self._tick(controller, wake)
+                )
+
+    def _tick(self, controller: Controller, wake: int) -> None:
+        if controller.wake == wake:
+            self.give(controller, events.Ticked())
+
+    # Ledger store.
+
+    def _read(self, controller: Controller, upstream_id: UpstreamId) -> None:
+        self.reads += 1
+        event: events.PlacementEvent = events.LedgerUnavailable(upstream_id=upstream_id)
+        if self.store_up:
+            event = events.LedgerRead(
+                upstream_id=upstream_id,
+                ledger=self.ledgers.get(upstream_id),
+                revision=Revision(self.revisions.get(upstream_id, 0)),
+            )
+        self._deliver(controller, event, 0.01)
+
+    def _write(self, controller: Controller, action: actions.WriteLedger) -> None:
+        self.writes += 1
+        upstream_id = action.ledger.upstream
+        unavailable = events.LedgerUnavailable(upstream_id=upstream_id)
+        if not self.store_up:
+            self._deliver(controller, unavailable, 0.01)
+            return
+        revision = Revision(self.revisions.get(upstream_id, 0))
+        event: events.PlacementEvent
+        if revision != action.expected:
+            event = events.LedgerConflicted(
+                upstream_id=upstream_id,
+                ledger=self.ledgers.get(upstream_id),
+                revision=revision,
+            )
+        else:
+            revision = Revision(revision + 1)
+            self.ledgers[upstream_id] = action.ledger
+            self.revisions[upstream_id] = revision
+            event = events.LedgerWritten(
+                upstream_id=upstream_id, ledger=action.ledger, revision=revision
+            )
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            event = unavailable
+        self._deliver(controller, event, 0.01)
+
+    # Orders.
+
+    def _carry(self, controller: Controller, order: Order) -> None:
+        fault = self.order_faults.pop(0) if self.order_faults else ""
+        engine = self.engines[order.upstream]
+        failed = events.OrderFailed(
+            order_id=order.id,
+            upstream_id=order.upstream,
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+        if fault == "lose" or not engine.up:
+            self._deliver(controller, failed, 1.0)
+            return
+        if fault == "late":
+            self._deliver(controller, failed, 1.0)
+            # The connection closes after one second; the bound runs from there.
+            delay_s = self.rng.uniform(0.0, BOUND_S)
+            self.later(1.0 + delay_s, lambda: self._reach(order))
+            return
+        outcome = self._reach(order)
+        if fault == "double":
+            self.later(self.rng.uniform(0.0, BOUND_S), lambda: self._reach(order))
+        answer: events.PlacementEvent = events.OrderAnswered(
+            order_id=order.id,
+            upstream_id=order.upstream,
+            outcome=outcome,
+            fence=FenceNumber(engine.fence),
+        )
+        self._deliver(controller, failed if fault == "drop_answer" else answer, 0.05)
+
+    def _reach(self, order: Order) -> OrderOutcome:
+        engine = self.engines[order.upstream]
+        if not engine.up:
+            return OrderOutcome.REFUSED_UNKNOWN
+        artifact = order.artifact
+        was_ready = artifact in engine.ready
+        outcome = engine.take(order)
+        if was_ready and artifact not in engine.ready:
+            self._check_last_copy(engine, artifact, order)
+        life = engine.life
+        if order.kind is OrderKind.LOAD and outcome is OrderOutcome.ACCEPTED:
+            self.later(LOAD_S, lambda: self._get_ready(engine, artifact, life))
+        return outcome
+
+    def _get_ready(self, engine: Engine, artifact: Artifact, life: int) -> None:
+        if engine.life == life and artifact in engine.memory:
+            engine.ready.add(artifact)
+
+    def _check_last_copy(
+        self, engine: Engine, artifact: Artifact, order: Order
+    ) -> None:
+        """Note an unload of the last ready copy, unless another copy just crashed."""
+        if artifact not in self.configuration.list_artifacts():
+            return
+        others = [one for one in self.engines.values() if one is not engine]
+        if any(artifact in one.ready for one in others):
+            return
+        if any(self.now - one.restarted_at < 2 * BOUND_S for one in others):
+            return
+        self.last_copy_losses.append(f"{self.now}: {order}")
+
+    # Oracle.
+
+    def list_ready(self, name: str) -> list[str]:
+        """Return the engines with a ready copy."""
+        artifact = Artifact.parse(name)
+        return [one.id for one in self.engines.values() if artifact in one.ready]
+
+    def list_missing(self) -> list[str]:
+        """Return the offered artifacts whose floors are not met."""
+        missing = []
+        for artifact in self.configuration.list_artifacts():
+            holders = [
+                engine
+                for engine in self.engines.values()
+                if engine.up
+                and not engine.leaving
+                and artifact in engine.ready
+                and artifact.base in engine.ready
+            ]
+            if len(holders) < self.configuration.find_floor(artifact):
+                missing.append(str(artifact))
+        return missing
+
+    def check(self) -> None:
+        """Assert what must hold at any time."""
+        for engine in self.engines.values():
+            assert not engine.overruns, engine.overruns
+        assert not self.last_copy_losses, self.last_copy_losses
+
+    def count_moves(self) -> int:
+        return len(self.sent)
