--- a/mangoway/policy/placement/const.py
+++ b/mangoway/policy/placement/const.py
@@ -88,3 +88,6 @@
 """Copies above the floors that may be proposed in one look."""
 
 MB_PER_GB: Final = 1024.0
+
+REASONS_KEPT: Final = 1000
+"""Explanations kept for operators."""
--- a/mangoway/policy/placement/core.py
+++ b/mangoway/policy/placement/core.py
@@ -1,5 +1,6 @@
 """The placement core: takes events, keeps the state, returns the next steps."""
 
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -7,14 +8,15 @@
 from ...models.identifiers import IncarnationId, UpstreamId
 from ...models.upstream import UpstreamAddress, UpstreamKind
 from . import events
-from .actions import PlacementAction, WakeAt
-from .const import IDLE_PERIOD_S, PLAN_PERIOD_S
+from .actions import Explain, PlacementAction, WakeAt
+from .const import IDLE_PERIOD_S, PLAN_PERIOD_S, REASONS_KEPT
 from .options import PlacementOptions
 from .planner import Planner
 from .registry import register_placement
 from .reservations import Reservations
 from .runners import Runner
 from .state import PlacementState
+from .status import PlacementStatus, Reason, make_reason, take_status
 
 
 class PlacementCore:
@@ -40,6 +42,7 @@
         self.state = PlacementState(options or PlacementOptions())
         self.reservations = Reservations(self.state, incarnation)
         self._planner = Planner(self.state, self.reservations)
+        self._reasons: deque[Reason] = deque(maxlen=REASONS_KEPT)
         self._plan_at = 0.0
         self._wake_at: float | None = None
         self._handlers: dict[type, Callable[[Any, float], None]] = {
@@ -69,8 +72,18 @@
         self._set_alarm(now)
         actions = list(self.reservations.actions)
         self.reservations.actions.clear()
+        self._reasons.extend(
+            make_reason(action, now)
+            for action in actions
+            if isinstance(action, Explain)
+        )
         return actions
 
+    def take_status(self, now: float) -> PlacementStatus:
+        """Return a snapshot for operators; it changes nothing."""
+        is_active = self.reservations.is_active
+        return take_status(self.state, is_active, self._reasons, now)
+
     def _set_alarm(self, now: float) -> None:
         is_due = bool(self.reservations.dirty or self.reservations.changed)
         wake_at = self._plan_at if is_due else now + IDLE_PERIOD_S
