--- a/mangoway/policy/dispatch/events.py
+++ b/mangoway/policy/dispatch/events.py
@@ -6,6 +6,7 @@
 from ...models.errors import Failure
 from ...models.identifiers import (
     AttemptId,
+    CallerId,
     IdempotencyKey,
     IncarnationId,
     RequestId,
@@ -147,8 +148,13 @@
     """What a home knows of one idempotency key, as it is handed over."""
 
     key: IdempotencyKey
+    caller: CallerId
+    """Caller that the key belongs to; callers' keys never meet."""
+
     fingerprint: int
     expires_at: float
+    """Unix seconds until which the record must be kept."""
+
     verdict: Verdict | None
     """None: it ran and the answer is kept; else the verdict of its failure."""
 
