Add the dispatch core: admission, queues, choice, retries, keys

Cause: gateways need the decisions about requests before their shell can run. Each mechanism is a module of its own; the core routes events to them. Ruled out: one virtual time for all targets in the queues. Targets on a busy runner would move it on, and a target new to a slow runner would wait for the others there to catch up; recent work per runner, decaying, has no such wait. Not measured yet.

--- /dev/null
+++ b/mangoway/policy/dispatch/demand.py
@@ -0,0 +1,52 @@
+"""Demand by artifact, counted for the controller."""
+
+from attrs import define, field
+
+from ...models.artifact import Artifact
+from ...models.request import Request
+from .events import ArtifactDemand
+
+
+@define(eq=False)
+class DemandCount:
+    """Counts of one artifact since the last digest."""
+
+    arrived: int = 0
+    tokens: int = 0
+    refused: int = 0
+
+
+@define(eq=False)
+class DemandMeter:
+    """Counts demand; a digest costs as much as there were artifacts asked for."""
+
+    _counts: dict[Artifact, DemandCount] = field(factory=dict)
+
+    def count_arrival(self, request: Request) -> None:
+        """Count a request and the tokens that it may generate."""
+        if isinstance(request.target, Artifact):
+            count = self._counts.setdefault(request.target, DemandCount())
+            count.arrived += 1
+            count.tokens += request.max_tokens
+
+    def count_refusal(self, request: Request) -> None:
+        """Count a request that got no answer for want of capacity."""
+        if isinstance(request.target, Artifact):
+            self._counts.setdefault(request.target, DemandCount()).refused += 1
+
+    def take_digest(self, queued: dict[Artifact, int]) -> tuple[ArtifactDemand, ...]:
+        """Return the counts with the queue lengths of now, and start anew."""
+        counts = self._counts
+        self._counts = {}
+        for artifact in queued:
+            counts.setdefault(artifact, DemandCount())
+        return tuple(
+            ArtifactDemand(
+                artifact=artifact,
+                arrived=count.arrived,
+                queued=queued.get(artifact, 0),
+                tokens=count.tokens,
+                refused=count.refused,
+            )
+            for artifact, count in counts.items()
+        )
--- /dev/null
+++ b/mangoway/policy/dispatch/entries.py
@@ -0,0 +1,91 @@
+"""Requests in progress and their attempts."""
+
+from enum import Enum
+
+from attrs import define, field
+
+from ...models.identifiers import AttemptId, CallerId, RequestId, UpstreamId
+from ...models.request import Request, WorkClass
+from ...models.verdict import Verdict
+from .const import PROMPT_TOKEN_COST
+from .held_keys import HeldKey
+from .timers import Timer
+
+
+class EntryState(Enum):
+    """Where a request is."""
+
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    DELAYED = "delayed"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@define(eq=False)
+class Entry:
+    """One request in progress."""
+
+    request: Request
+    weight: float
+    """Weight of its caller."""
+
+    state: EntryState = EntryState.QUEUED
+    verdict: Verdict = Verdict.NOT_RUN
+    """Verdict of all attempts that ended."""
+
+    tokens: int = 0
+    """Tokens of the answer that were delivered."""
+
+    attempts: int = 0
+    preemptions: int = 0
+    attempt: "Attempt | None" = None
+    tried: set[UpstreamId] = field(factory=set)
+    timer: Timer | None = None
+    queued_at: float = 0.0
+    latest_start: float = 0.0
+    critical_at: float = 0.0
+    sequence: int = 0
+    """Place in the queue, unique there."""
+
+    held: HeldKey | None = None
+    """Record of its idempotency key."""
+
+    free_retry: bool = False
+    """Whether its next retry costs no budget, since no upstream was at fault."""
+
+    detached: bool = False
+    """Its caller hung up, but it goes on since its key is kept."""
+
+    @property
+    def urgent(self) -> bool:
+        """Return whether somebody waits for the answer."""
+        return self.request.work_class is WorkClass.URGENT
+
+    @property
+    def caller(self) -> CallerId:
+        """Return the caller."""
+        return self.request.caller
+
+    @property
+    def cost(self) -> float:
+        """Return the work that the request may need, in generated tokens."""
+        request = self.request
+        return max(1.0, request.max_tokens + request.prompt_tokens * PROMPT_TOKEN_COST)
+
+
+@define(eq=False)
+class Attempt:
+    """One try of a request at one upstream."""
+
+    id: AttemptId
+    upstream_id: UpstreamId
+    request_id: RequestId
+    started_at: float
+    entry: Entry | None
+    """None once the request no longer waits for this attempt."""
+
+    resumed_from: int = 0
+    first_token_at: float | None = None
+    preempting: bool = False
+    timer: Timer | None = None
--- /dev/null
+++ b/mangoway/policy/dispatch/limits.py
@@ -0,0 +1,69 @@
+"""Rate limits of callers."""
+
+from collections.abc import Mapping
+
+from attrs import define, field
+
+from ...models.identifiers import CallerId
+from ...models.offer import CallerOffer
+
+
+@define(eq=False)
+class TokenBucket:
+    """A token bucket that starts full."""
+
+    rate: float
+    burst: float
+    updated_at: float
+    tokens: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.tokens = self.burst
+
+    def take(self, now: float) -> float:
+        """Take a token; return 0, or the seconds until there is one."""
+        self._refill(now)
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return 0.0
+        return (1.0 - self.tokens) / self.rate
+
+    def change(self, rate: float, burst: float, now: float) -> None:
+        """Change the limits and keep what is left within them."""
+        self._refill(now)
+        self.rate = rate
+        self.burst = burst
+        self.tokens = min(self.tokens, burst)
+
+    def _refill(self, now: float) -> None:
+        earned = (now - self.updated_at) * self.rate
+        self.tokens = min(self.burst, self.tokens + max(0.0, earned))
+        self.updated_at = max(now, self.updated_at)
+
+
+@define(eq=False)
+class CallerLimits:
+    """The buckets of all callers that have a limit."""
+
+    _buckets: dict[CallerId, TokenBucket] = field(factory=dict)
+
+    def configure(self, callers: Mapping[CallerId, CallerOffer], now: float) -> None:
+        """Follow a new configuration; what callers have used is kept."""
+        old = self._buckets
+        self._buckets = {}
+        for caller, offer in callers.items():
+            rate = offer.requests_per_second
+            if rate is None or rate <= 0:
+                continue
+            burst = float(max(1.0, rate if offer.burst is None else offer.burst))
+            bucket = old.get(caller)
+            if bucket is None:
+                bucket = TokenBucket(rate, burst, now)
+            else:
+                bucket.change(rate, burst, now)
+            self._buckets[caller] = bucket
+
+    def take(self, caller: CallerId, now: float) -> float:
+        """Count a request; return 0, or the seconds until it would be let in."""
+        bucket = self._buckets.get(caller)
+        return 0.0 if bucket is None else bucket.take(now)
--- /dev/null
+++ b/mangoway/policy/dispatch/status.py
@@ -0,0 +1,78 @@
+"""A snapshot of the dispatch core for operators."""
+
+from attrs import frozen
+
+from ...models.identifiers import UpstreamId
+from ...models.request import Target
+from .breakers import BreakerState
+from .core import DispatchCore
+
+
+@frozen(kw_only=True)
+class QueueStatus:
+    """Waiting requests of one target."""
+
+    target: Target
+    urgent: int
+    patient: int
+
+
+@frozen(kw_only=True)
+class UpstreamStatus:
+    """One upstream as this gateway sees it."""
+
+    upstream_id: UpstreamId
+    in_flight: int
+    window: int
+    breaker: BreakerState
+    leaving: bool
+    listed: bool
+    reported_at: float | None
+
+
+@frozen(kw_only=True)
+class DispatchStatus:
+    """Queues, upstreams and keys at one moment."""
+
+    queues: tuple[QueueStatus, ...]
+    upstreams: tuple[UpstreamStatus, ...]
+    requests: int
+    """Requests in progress, waiting ones included."""
+
+    attempts: int
+    key_records: int
+    retry_tokens: float
+
+
+def describe_dispatch(core: DispatchCore) -> DispatchStatus:
+    """Return a snapshot; it costs as much as there are upstreams and queues."""
+    fleet = core.context.fleet
+    queues = tuple(
+        QueueStatus(
+            target=queue.target,
+            urgent=queue.urgent.length,
+            patient=queue.patient.length,
+        )
+        for queue in core.context.queues.list_queues()
+    )
+    upstreams = tuple(
+        UpstreamStatus(
+            upstream_id=upstream.id,
+            in_flight=upstream.in_flight,
+            window=upstream.window.compute(fleet.gateways),
+            breaker=upstream.breaker.state,
+            leaving=upstream.leaving
+            or (upstream.address is not None and upstream.address.leaving),
+            listed=upstream.address is not None,
+            reported_at=upstream.reported_at,
+        )
+        for upstream in fleet.upstreams.values()
+    )
+    return DispatchStatus(
+        queues=queues,
+        upstreams=upstreams,
+        requests=len(core.requests.entries),
+        attempts=len(core.attempts),
+        key_records=len(core.keys),
+        retry_tokens=core.scheduler.budget.tokens,
+    )
--- /dev/null
+++ b/mangoway/policy/dispatch/windows.py
@@ -0,0 +1,47 @@
+"""How many requests one gateway may have at an upstream at once."""
+
+from attrs import define
+
+from .const import WINDOW_DECREASE, WINDOW_INCREASE, WINDOW_MIN_SCALE
+
+
+@define(eq=False)
+class Window:
+    """The window of one gateway on one upstream.
+
+    Every gateway has an even share of what the upstream runs at once. What others
+    left free at the last report may be borrowed, each gateway an even part of it,
+    so that all of them acting on the same old report can't overfill the upstream.
+    A busy upstream shrinks the window; each success lets it grow a little.
+    """
+
+    size: int
+    """Requests that the upstream runs at once."""
+
+    scale: float = 1.0
+    borrowed: float = 0.0
+    """Requests above the share, from the last report."""
+
+    def compute(self, gateways: int) -> int:
+        """Return the window, at least one request."""
+        share = self.size / gateways
+        window = min(float(self.size), max(share, self.borrowed)) * self.scale
+        return max(1, int(window))
+
+    def follow_report(self, load: int, own: int, gateways: int) -> None:
+        """Set what may be borrowed from a load report that counts `own` requests."""
+        free = max(0, self.size - load)
+        self.borrowed = own + free / gateways
+
+    def forget_report(self) -> None:
+        """Fall back to the even share."""
+        self.borrowed = 0.0
+
+    def decrease(self) -> None:
+        """React to a refusal as busy."""
+        self.scale = max(WINDOW_MIN_SCALE, self.scale * WINDOW_DECREASE)
+
+    def increase(self) -> None:
+        """React to a success."""
+        if self.scale < 1.0:
+            self.scale = min(1.0, self.scale + WINDOW_INCREASE)
