Check waiting requests again each period, and let averages fade

Cause: an average of a bad time would refuse all requests of a target, and then no sample could mend it; and a request whose wait had grown past its deadline was told so only at its latest start. Ruled out: clearing averages on a timer (the estimate jumps for everyone at once).

--- a/mangoway/policy/dispatch/admission.py
+++ b/mangoway/policy/dispatch/admission.py
@@ -21,7 +21,7 @@
 from .estimates import Estimates
 from .fleet import Fleet
 from .options import DispatchOptions
-from .queues import Queues
+from .queues import Queues, TargetQueue
 from .upstreams import find_resource
 
 
@@ -98,7 +98,7 @@
             ahead = queue.urgent.count_ahead(entry)
         else:
             ahead += queue.patient.count_ahead(entry)
-        rate = self._find_rate(entry, queue.backlog_since, now)
+        rate = self._find_rate(entry, queue, now)
         return 0.0 if rate is None else ahead / rate
 
     def compute_retry_after(self, seconds: float) -> float:
@@ -106,12 +106,20 @@
         bounded = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, seconds))
         return round(bounded * (1.0 + RETRY_AFTER_JITTER * self.rng.random()), 2)
 
-    def _find_rate(self, entry: Entry, since: float, now: float) -> float | None:
+    def find_settled_rate(self, queue: TargetQueue, now: float) -> float | None:
+        """Return the measured starts per second of a backlog; None if it is new."""
+        measured = self.estimates.get(queue.target).starts.get(now)
+        if now - queue.backlog_since < BACKLOG_SETTLED_S or measured <= 0.0:
+            return None
+        return measured
+
+    def _find_rate(self, entry: Entry, queue: TargetQueue, now: float) -> float | None:
+        settled = self.find_settled_rate(queue, now)
+        if settled is not None:
+            return settled
         estimate = self.estimates.get(entry.request.target)
         measured = estimate.starts.get(now)
-        if now - since >= BACKLOG_SETTLED_S and measured > 0.0:
-            return measured
-        duration = estimate.duration_s.value
+        duration = estimate.duration_s.get(now)
         if not duration:
             return None
         resource = find_resource(entry.request.target)
--- a/mangoway/policy/dispatch/arrivals.py
+++ b/mangoway/policy/dispatch/arrivals.py
@@ -84,11 +84,14 @@
     def _redirect(self, request: Request) -> bool:
         """Send a new request elsewhere if this gateway leaves."""
         configuration = self.context.configuration
+        homed = not request.idempotent and request.key_home is not None
+        if homed and self.keys.closed:
+            self._refuse(request, ErrorCode.LEAVING, "the keys were handed over", 0.0)
+            return True
         if self.stopped_at is None or configuration is None:
             return False
         age = self.context.now - self.stopped_at
-        homed = not request.idempotent and request.key_home is not None
-        if age > configuration.site.address_validity_s or (homed and self.keys.closed):
+        if age > configuration.site.address_validity_s:
             self._refuse(request, ErrorCode.LEAVING, "this gateway leaves", 0.0)
             return True
         if homed:
--- a/mangoway/policy/dispatch/breakers.py
+++ b/mangoway/policy/dispatch/breakers.py
@@ -27,6 +27,8 @@
     state: BreakerState = BreakerState.CLOSED
     failures: int = 0
     open_s: float = BREAKER_OPEN_MIN_S
+    probing: bool = False
+    """Whether a probe is out."""
 
     def record_success(self) -> None:
         """Close the breaker."""
@@ -34,11 +36,14 @@
         self.failures = 0
         self.open_s = BREAKER_OPEN_MIN_S
 
-    def record_failure(self) -> bool:
-        """Count a failure; return whether the breaker should trip now."""
-        self.failures += 1
+    def record_failure(self, probe: bool) -> bool:
+        """Count a failure; return whether the breaker should trip now.
+
+        While it is half open only the probe counts, not what was sent before.
+        """
         if self.state is BreakerState.HALF_OPEN:
-            return True
+            return probe
+        self.failures += 1
         return self.state is BreakerState.CLOSED and self.failures >= BREAKER_FAILURES
 
     def trip(self) -> float:
--- a/mangoway/policy/dispatch/const.py
+++ b/mangoway/policy/dispatch/const.py
@@ -29,12 +29,17 @@
 # Estimates.
 ESTIMATE_WEIGHT: Final = 0.1
 """Weight of a new sample in a moving average."""
+ESTIMATE_HALF_TIME_S: Final = 30.0
+"""Time without samples after which an average counts half.
+
+Otherwise a bad average would refuse all requests, and no sample could mend it."""
 RATE_HALF_TIME_S: Final = 4.0
 BACKLOG_SETTLED_S: Final = 4.0
 """Age of a backlog after which its measured drain rate is believed."""
 DURATION_OPTIMISM: Final = 0.7
 """Share of the mean duration that a request is taken to need at least."""
 LOAD_ESTIMATE_S: Final = 20.0
+LOAD_ESTIMATE_WEIGHT: Final = 0.3
 LOAD_REACTION_S: Final = 3.0
 """Time until a load begins for an artifact that nobody loads yet."""
 
@@ -63,7 +68,7 @@
 """Upstreams that left the list and are remembered."""
 
 # Windows.
-SERVICE_MAX_RUNNING: Final = 64
+SERVICE_MAX_RUNNING: Final = 128
 WINDOW_DECREASE: Final = 0.7
 WINDOW_INCREASE: Final = 0.02
 WINDOW_MIN_SCALE: Final = 0.05
--- a/mangoway/policy/dispatch/core.py
+++ b/mangoway/policy/dispatch/core.py
@@ -42,6 +42,7 @@
 from .options import DispatchOptions
 from .outcomes import Outcomes
 from .queues import Queues
+from .recheck import Recheck
 from .requests import Requests
 from .retries import RetryBudget
 from .scheduler import Scheduler
@@ -93,6 +94,7 @@
             self.sickness,
         )
         self._wake_at: float | None = None
+        self._recheck = Recheck(self.context, self.admission, self.scheduler)
         self._started = False
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
             RequestArrived: self._on_arrived,
@@ -209,9 +211,16 @@
     def _on_ticked(self, event: Ticked) -> None:
         self._wake_at = None
 
+    def _run_period(self) -> None:
+        context = self.context
+        context.timers.schedule(context.now + DEMAND_PERIOD_S, self._run_period)
+        context.fleet.forget_old_reports(context.now)
+        self._report_demand()
+        if context.options.early_refusal:
+            self._recheck.run()
+
     def _report_demand(self) -> None:
         context = self.context
-        context.timers.schedule(context.now + DEMAND_PERIOD_S, self._report_demand)
         queued = {
             target: length
             for target, length in context.queues.list_lengths().items()
@@ -224,7 +233,7 @@
         if not self._started:
             self._started = True
             first = self.context.now + DEMAND_PERIOD_S
-            self.context.timers.schedule(first, self._report_demand)
+            self.context.timers.schedule(first, self._run_period)
         at = self.context.timers.find_next()
         if at is None:
             return
--- a/mangoway/policy/dispatch/entries.py
+++ b/mangoway/policy/dispatch/entries.py
@@ -88,4 +88,7 @@
     resumed_from: int = 0
     first_token_at: float | None = None
     preempting: bool = False
+    probe: bool = False
+    """Whether it probes an upstream whose breaker is half open."""
+
     timer: Timer | None = None
--- a/mangoway/policy/dispatch/fleet.py
+++ b/mangoway/policy/dispatch/fleet.py
@@ -13,7 +13,7 @@
     UpstreamAddress,
 )
 from .breakers import Breaker, BreakerState
-from .const import BREAKER_MAX_OPEN_SHARE, RETIRED_MAX, UNLISTED_MAX
+from .const import BREAKER_MAX_OPEN_SHARE, REPORT_STALE_S, RETIRED_MAX, UNLISTED_MAX
 from .entries import Attempt
 from .options import DispatchOptions
 from .pools import Pool
@@ -134,17 +134,29 @@
         upstream.denied[resource] = now
         self._index(upstream, resource)
 
+    def forget_old_reports(self, now: float) -> None:
+        """Fall back to even shares where reports have stopped."""
+        for upstream in self.upstreams.values():
+            at = upstream.reported_at
+            if at is not None and now - at > REPORT_STALE_S:
+                upstream.window.forget_report()
+                self.refresh(upstream)
+
     # Attempts.
 
     def begin(self, attempt: Attempt, upstream: Upstream) -> None:
         """Count an attempt at an upstream."""
         upstream.attempts[attempt.id] = attempt
+        if upstream.breaker.state is BreakerState.HALF_OPEN:
+            attempt.probe = upstream.breaker.probing = True
         self.refresh(upstream)
 
     def end(self, attempt: Attempt) -> Upstream:
         """Count an attempt no longer."""
         upstream = self.upstreams[attempt.upstream_id]
         upstream.attempts.pop(attempt.id, None)
+        if attempt.probe:
+            upstream.breaker.probing = False
         self.refresh(upstream)
         return upstream
 
@@ -190,7 +202,10 @@
     def _set_resources(self, upstream: Upstream, ready: dict[Resource, None]) -> None:
         old = upstream.ready
         upstream.ready = ready
-        for resource in old.keys() ^ ready.keys():
+        # In a stable order, so that the same seed gives the same draws.
+        changed = [item for item in old if item not in ready]
+        changed += [item for item in ready if item not in old]
+        for resource in changed:
             self._index(upstream, resource)
 
     def _set_loading(self, upstream: Upstream, loading: dict[Artifact, None]) -> None:
@@ -258,6 +273,7 @@
         upstream.address = address
         self._listed.setdefault(upstream.kind, set()).add(upstream.id)
         if address.service is not None:
+            upstream.window.shared = False
             self._set_resources(upstream, {address.service: None})
         self.refresh(upstream)
 
--- a/mangoway/policy/dispatch/queues.py
+++ b/mangoway/policy/dispatch/queues.py
@@ -112,6 +112,16 @@
         weight = self._weight if own else self._weight + entry.weight
         return min(float(self.length), (own + 1) * weight / entry.weight - 1)
 
+    def list_positions(self) -> list[tuple[Entry, float]]:
+        """Return all entries, each with about how many go before it."""
+        positions = []
+        for flow in self._flows.values():
+            share = flow.weight / self._weight if self._weight else 1.0
+            for place, (_, _, entry) in enumerate(flow.items):
+                ahead = min(float(self.length), (place + 1) / share - 1)
+                positions.append((entry, ahead))
+        return positions
+
     def find_first_start(self) -> float:
         """Return the earliest latest start of the next request of any caller."""
         waiting = (flow for _, _, flow in self._heap if flow.items)
@@ -182,6 +192,11 @@
         """Return the earliest latest start of all that wait."""
         return min(self.urgent.find_first_start(), self.patient.find_first_start())
 
+    def list_entries(self) -> list[Entry]:
+        """Return all entries."""
+        parts = (self.urgent, self.patient)
+        return [entry for part in parts for entry, _ in part.list_positions()]
+
     def pop_patient(self) -> Entry:
         """Take the next patient entry."""
         entry = self.patient.pop()
--- /dev/null
+++ b/mangoway/policy/dispatch/recheck.py
@@ -0,0 +1,65 @@
+"""Requests that wait, checked again as time passes."""
+
+from attrs import define
+
+from ...models.artifact import Artifact
+from ...models.errors import ErrorCode
+from .admission import Admission
+from .const import DURATION_OPTIMISM
+from .context import Context
+from .entries import Entry
+from .queues import TargetQueue
+from .scheduler import Scheduler
+from .upstreams import find_resource
+
+
+@define(eq=False)
+class Recheck:
+    """Ends waiting requests as soon as they can't be met any more.
+
+    Only clear cases end early; the rest ends at its latest start. One pass costs as
+    much as there are requests waiting, and is made once a period.
+    """
+
+    context: Context
+    admission: Admission
+    scheduler: Scheduler
+
+    def run(self) -> None:
+        """Check all queues."""
+        for queue in self.context.queues.list_queues():
+            if not self.context.fleet.count_ready(find_resource(queue.target)):
+                self._check_copies(queue)
+            else:
+                self._check_wait(queue)
+
+    def _check_copies(self, queue: TargetQueue) -> None:
+        now = self.context.now
+        wait = 0.0
+        code = ErrorCode.NO_UPSTREAM
+        if isinstance(queue.target, Artifact):
+            wait = self.context.estimates.find_load_s(queue.target, now)
+            code = ErrorCode.MODEL_LOADING
+        for entry in queue.list_entries():
+            late = now + wait * DURATION_OPTIMISM > entry.latest_start
+            if late or code is ErrorCode.NO_UPSTREAM:
+                self.scheduler.give_up(entry, code, wait)
+
+    def _check_wait(self, queue: TargetQueue) -> None:
+        rate = self.admission.find_settled_rate(queue, self.context.now)
+        if rate is None:
+            return
+        ahead_of_patient = float(queue.urgent.length)
+        unreachable: list[tuple[Entry, float]] = []
+        for entry, ahead in queue.urgent.list_positions():
+            self._collect(unreachable, entry, ahead / rate)
+        for entry, ahead in queue.patient.list_positions():
+            self._collect(unreachable, entry, (ahead_of_patient + ahead) / rate)
+        for entry, wait in unreachable:
+            self.scheduler.give_up(entry, ErrorCode.DEADLINE_UNREACHABLE, wait)
+
+    def _collect(
+        self, unreachable: list[tuple[Entry, float]], entry: Entry, wait: float
+    ) -> None:
+        if self.context.now + wait * DURATION_OPTIMISM > entry.latest_start:
+            unreachable.append((entry, wait))
--- a/mangoway/policy/dispatch/scheduler.py
+++ b/mangoway/policy/dispatch/scheduler.py
@@ -40,7 +40,7 @@
 
     def update_times(self, entry: Entry) -> None:
         """Set the times that follow from an entry's deadlines."""
-        latest = self.context.estimates.find_latest_start(entry)
+        latest = self.context.estimates.find_latest_start(entry, self.context.now)
         entry.latest_start = latest
         horizon = entry.request.deadline - entry.request.arrived_at
         slack = max(CRITICAL_MIN_SLACK_S, horizon * CRITICAL_SLACK_SHARE)
@@ -66,7 +66,10 @@
                 return
             entry.state = EntryState.DELAYED
             # A process that was paused must not start what is too late by now.
-            if self.context.estimates.find_latest_start(entry) < self.context.now:
+            if (
+                self.context.estimates.find_latest_start(entry, self.context.now)
+                < self.context.now
+            ):
                 self._refuse_late(entry)
                 continue
             self._start(entry, upstream)
@@ -78,7 +81,7 @@
         if obstacle is None and self._delayed >= DELAYED_MAX:
             obstacle = "too_many_retries"
         delay = self._find_delay(entry, failure)
-        latest = self.context.estimates.find_latest_start(entry)
+        latest = self.context.estimates.find_latest_start(entry, self.context.now)
         if obstacle is None and self.context.now + delay > latest:
             obstacle = "deadline"
         if obstacle is not None:
@@ -102,12 +105,23 @@
         if entry.state is EntryState.RUNNING or now >= entry.request.deadline:
             self._refuse_late(entry)
             return
-        latest = self.context.estimates.find_latest_start(entry)
+        latest = self.context.estimates.find_latest_start(entry, self.context.now)
         if latest > now:
             self.set_timer(entry, latest)
             return
         self._refuse_late(entry)
 
+    def give_up(self, entry: Entry, code: ErrorCode, wait: float) -> None:
+        """End a waiting request that can't be met, before its time has run out."""
+        failure = Failure(
+            code=code,
+            verdict=Verdict.NOT_RUN,
+            detail=f"the wait is about {wait:.1f} s",
+            retry_after=self.admission.compute_retry_after(wait),
+        )
+        self.context.demand.count_refusal(entry.request)
+        self.requests.refuse(entry, failure)
+
     def set_timer(self, entry: Entry, at: float) -> None:
         """Check an entry again at a time."""
         self.context.timers.cancel(entry.timer)
@@ -201,16 +215,9 @@
 
     def _refuse_overload(self, entry: Entry) -> None:
         wait = self.admission.find_wait_s(entry, self.context.now)
-        failure = Failure(
-            code=ErrorCode.OVERLOADED,
-            verdict=Verdict.NOT_RUN,
-            detail="the queue is full",
-            retry_after=self.admission.compute_retry_after(wait),
-        )
         if entry.state is EntryState.QUEUED:
             self.context.explain(entry.request.id, REASON_EVICTED)
-        self.context.demand.count_refusal(entry.request)
-        self.requests.refuse(entry, failure)
+        self.give_up(entry, ErrorCode.OVERLOADED, wait)
 
     def _preempt_for(self, entry: Entry) -> None:
         queue = self.context.queues.find(entry.request.target)
--- a/mangoway/policy/dispatch/sickness.py
+++ b/mangoway/policy/dispatch/sickness.py
@@ -31,6 +31,9 @@
     def record_success(self, upstream: Upstream) -> None:
         """Take a whole answer."""
         upstream.window.increase()
+        self._note_answer(upstream)
+
+    def _note_answer(self, upstream: Upstream) -> None:
         was_closed = upstream.breaker.state is BreakerState.CLOSED
         upstream.breaker.record_success()
         if was_closed:
@@ -44,7 +47,7 @@
         """Take a failure."""
         if failure.code is ErrorCode.UPSTREAM_BUSY:
             upstream.window.decrease()
-            self.context.fleet.refresh(upstream)
+            self._note_answer(upstream)
         elif failure.code is ErrorCode.LEAVING:
             self.context.fleet.mark_leaving(upstream.id)
         elif failure.code in ABSENT and attempt.entry is not None:
@@ -54,7 +57,7 @@
             self._count_failure(upstream, attempt)
 
     def _count_failure(self, upstream: Upstream, attempt: Attempt) -> None:
-        if not upstream.breaker.record_failure():
+        if not upstream.breaker.record_failure(attempt.probe):
             return
         probing = upstream.breaker.state is BreakerState.HALF_OPEN
         if not probing and not self.context.fleet.may_trip(upstream):
--- a/mangoway/policy/dispatch/upstreams.py
+++ b/mangoway/policy/dispatch/upstreams.py
@@ -108,7 +108,7 @@
         if self.breaker.state is BreakerState.OPEN:
             return False
         if self.breaker.state is BreakerState.HALF_OPEN:
-            return self.in_flight == 0
+            return not self.breaker.probing
         return not windows or self.in_flight < self.window.compute(gateways)
 
     def find_use(self, target: Target, now: float) -> float:
--- a/mangoway/policy/dispatch/windows.py
+++ b/mangoway/policy/dispatch/windows.py
@@ -18,13 +18,17 @@
     size: int
     """Requests that the upstream runs at once."""
 
+    shared: bool = True
+    """Whether gateways share it; services say nothing of what they can take, so
+    there each gateway finds its own limit."""
+
     scale: float = 1.0
     borrowed: float = 0.0
     """Requests above the share, from the last report."""
 
     def compute(self, gateways: int) -> int:
         """Return the window, at least one request."""
-        share = self.size / gateways
+        share = self.size / gateways if self.shared else float(self.size)
         window = min(float(self.size), max(share, self.borrowed)) * self.scale
         return max(1, int(window))
 
