Call peers and serve their calls, with a precise verdict on failures

Forwarded answers carry pings each second; the pings of HTTP/2 were ruled out, since they show that the connection lives, not that the answer does.

--- a/mangoway/peers/client.py
+++ b/mangoway/peers/client.py
@@ -1,7 +1,7 @@
 """Calls to one peer, with a precise verdict on every failure."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncGenerator, Callable, Iterable
 from typing import TypeVar
 
 from attrs import define, field
@@ -91,7 +91,7 @@
 
     async def async_forward(
         self, request: pb.ForwardedRequest
-    ) -> AsyncIterator[pb.ForwardedFrame]:
+    ) -> AsyncGenerator[pb.ForwardedFrame, None]:
         """Send a caller's request and yield the frames of its answer, pings too.
 
         Ends after the peer's last frame. Silence for `SILENCE_S` raises PEER_SILENT.
--- /dev/null
+++ b/mangoway/peers/server.py
@@ -0,0 +1,259 @@
+"""The listener for other processes."""
+
+import asyncio
+import socket
+from collections.abc import AsyncGenerator, Callable, Iterable
+from contextlib import aclosing
+from typing import Protocol, TypeVar
+
+from attrs import define, field
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server, Stream
+
+from ..models.errors import MangowayError
+from . import peers_pb2 as pb
+from .const import PING_PERIOD_S
+from .forward_codec import decode_request, encode_failure, encode_frame
+from .messages import ForwardedFrame, ForwardedRequest
+from .peers_grpc import PeersBase
+
+RequestT = TypeVar("RequestT")
+ReplyT = TypeVar("ReplyT")
+
+
+class ForwardReceiver(Protocol):
+    """Answers requests that other gateways forward."""
+
+    def async_receive(
+        self, request: ForwardedRequest
+    ) -> AsyncGenerator[ForwardedFrame, None]:
+        """Yield the parts of the answer; it is closed if the forwarder hangs up.
+
+        Raises:
+            MangowayError: If the request fails; it is passed on as it is.
+        """
+        ...
+
+
+class HeartbeatReceiver(Protocol):
+    """Answers heartbeats."""
+
+    def async_receive_heartbeat(self, heartbeat: pb.Heartbeat) -> pb.Heartbeat:
+        """Take a heartbeat and return this process's own."""
+        ...
+
+
+class ConfigurationReceiver(Protocol):
+    """Answers calls about the configuration."""
+
+    def async_read_document(
+        self, request: pb.FetchConfigurationRequest
+    ) -> pb.ConfigurationDocument:
+        """Return the configuration in force if it is newer than the asker's."""
+        ...
+
+    def async_receive_document(
+        self, document: pb.ConfigurationDocument
+    ) -> pb.PushConfigurationReply:
+        """Take a configuration and return the version in force."""
+        ...
+
+
+class DemandReceiver(Protocol):
+    """Takes reports of demand."""
+
+    def async_receive_demand(self, report: pb.DemandReport) -> pb.DemandReply:
+        """Take a gateway's report."""
+        ...
+
+
+class KeyReceiver(Protocol):
+    """Takes over idempotency keys of a home that leaves."""
+
+    def async_receive_keys(self, chunks: Iterable[pb.KeyChunk]) -> pb.HandOverReply:
+        """Take a whole hand-over."""
+        ...
+
+
+class StatusReader(Protocol):
+    """Answers operators."""
+
+    def async_read_status(self) -> pb.StatusReply:
+        """Return what this process knows."""
+        ...
+
+    def async_explain(self, request: pb.ExplainRequest) -> pb.ExplainReply:
+        """Return why this process did something."""
+        ...
+
+
+@define(kw_only=True)
+class PeerReceivers:
+    """Who answers which calls; None: not served by this process."""
+
+    heartbeats: HeartbeatReceiver | None = None
+    configuration: ConfigurationReceiver | None = None
+    forwards: ForwardReceiver | None = None
+    keys: KeyReceiver | None = None
+    demand: DemandReceiver | None = None
+    status: StatusReader | None = None
+
+
+@define(eq=False)
+class PeerServer:
+    """Listens for other processes until it is stopped."""
+
+    receivers: PeerReceivers
+    port: int = field(default=0, init=False)
+    """Port it listens on; 0 before the start."""
+
+    _server: Server | None = field(default=None, init=False)
+
+    async def async_start(self, host: str, port: int) -> None:
+        """Listen on an address.
+
+        Raises:
+            OSError: If the address can't be used.
+        """
+        listener = socket.create_server((host, port))
+        self.port = listener.getsockname()[1]
+        self._server = Server([PeerService(self.receivers)])
+        await self._server.start(sock=listener)
+
+    async def async_stop(self) -> None:
+        """Stop listening and cancel what still runs."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+            self._server = None
+
+
+class PeerService(PeersBase):
+    """Hands each call to its receiver; a missing one answers UNIMPLEMENTED."""
+
+    def __init__(self, receivers: PeerReceivers) -> None:
+        self._receivers = receivers
+
+    async def Exchange(self, stream: Stream[pb.Heartbeat, pb.Heartbeat]) -> None:
+        """Answer a heartbeat."""
+        receiver = _require(self._receivers.heartbeats)
+        await _async_answer(stream, receiver.async_receive_heartbeat)
+
+    async def Forward(
+        self, stream: Stream[pb.ForwardedRequest, pb.ForwardedFrame]
+    ) -> None:
+        """Stream the answer to a forwarded request, with pings while it waits."""
+        receiver = _require(self._receivers.forwards)
+        message = await _async_read(stream)
+        sender = _FrameSender(stream)
+        pings = asyncio.get_running_loop().create_task(sender.async_ping())
+        try:
+            await _async_forward(receiver, decode_request(message), sender)
+        finally:
+            pings.cancel()
+
+    async def FetchConfiguration(
+        self, stream: Stream[pb.FetchConfigurationRequest, pb.ConfigurationDocument]
+    ) -> None:
+        """Answer with the configuration in force."""
+        receiver = _require(self._receivers.configuration)
+        await _async_answer(stream, receiver.async_read_document)
+
+    async def PushConfiguration(
+        self, stream: Stream[pb.ConfigurationDocument, pb.PushConfigurationReply]
+    ) -> None:
+        """Take a configuration."""
+        receiver = _require(self._receivers.configuration)
+        await _async_answer(stream, receiver.async_receive_document)
+
+    async def HandOverKeys(self, stream: Stream[pb.KeyChunk, pb.HandOverReply]) -> None:
+        """Take over a home's idempotency keys, all or none."""
+        receiver = _require(self._receivers.keys)
+        chunks = [chunk async for chunk in stream]
+        if not chunks or not chunks[-1].last:
+            raise GRPCError(Status.DATA_LOSS, "the hand-over is not whole")
+        await stream.send_message(_guard(receiver.async_receive_keys, chunks))
+
+    async def ReportDemand(
+        self, stream: Stream[pb.DemandReport, pb.DemandReply]
+    ) -> None:
+        """Take a report of demand."""
+        receiver = _require(self._receivers.demand)
+        await _async_answer(stream, receiver.async_receive_demand)
+
+    async def ReadStatus(
+        self, stream: Stream[pb.StatusRequest, pb.StatusReply]
+    ) -> None:
+        """Answer with what this process knows."""
+        receiver = _require(self._receivers.status)
+        await _async_answer(stream, lambda _: receiver.async_read_status())
+
+    async def Explain(self, stream: Stream[pb.ExplainRequest, pb.ExplainReply]) -> None:
+        """Answer why this process did something."""
+        receiver = _require(self._receivers.status)
+        await _async_answer(stream, receiver.async_explain)
+
+
+@define(eq=False)
+class _FrameSender:
+    """Sends frames one at a time, and pings where nothing was sent for long."""
+
+    _stream: Stream[pb.ForwardedRequest, pb.ForwardedFrame]
+    _lock: asyncio.Lock = field(factory=asyncio.Lock, init=False)
+    _sent: int = field(default=0, init=False)
+
+    async def async_send(self, frame: pb.ForwardedFrame) -> None:
+        """Send one frame."""
+        async with self._lock:
+            await self._stream.send_message(frame)
+        self._sent += 1
+
+    async def async_ping(self) -> None:
+        """Send a ping in each period in which nothing else was sent."""
+        while True:
+            sent = self._sent
+            await asyncio.sleep(PING_PERIOD_S)
+            if sent == self._sent:
+                await self.async_send(pb.ForwardedFrame(ping=pb.ForwardedPing()))
+
+
+async def _async_forward(
+    receiver: ForwardReceiver, request: ForwardedRequest, sender: _FrameSender
+) -> None:
+    try:
+        async with aclosing(receiver.async_receive(request)) as frames:
+            async for frame in frames:
+                await sender.async_send(encode_frame(frame))
+    except MangowayError as error:
+        failure = encode_failure(error.failure)
+        await sender.async_send(pb.ForwardedFrame(failure=failure))
+    else:
+        await sender.async_send(pb.ForwardedFrame(end=pb.ForwardedEnd()))
+
+
+async def _async_answer(
+    stream: Stream[RequestT, ReplyT], answer: Callable[[RequestT], ReplyT]
+) -> None:
+    request = await _async_read(stream)
+    await stream.send_message(_guard(answer, request))
+
+
+async def _async_read(stream: Stream[RequestT, ReplyT]) -> RequestT:
+    request = await stream.recv_message()
+    if request is None:
+        raise GRPCError(Status.INVALID_ARGUMENT, "the message is missing")
+    return request
+
+
+def _guard(answer: Callable[[RequestT], ReplyT], request: RequestT) -> ReplyT:
+    try:
+        return answer(request)
+    except MangowayError as error:
+        raise GRPCError(Status.FAILED_PRECONDITION, str(error)) from error
+
+
+def _require(receiver: RequestT | None) -> RequestT:
+    if receiver is None:
+        raise GRPCError(Status.UNIMPLEMENTED, "not served by this process")
+    return receiver
--- /dev/null
+++ b/tests/peers/test_forwarding.py
@@ -0,0 +1,89 @@
+"""Tests of the hand-over of idempotency keys."""
+
+import pytest
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mangoway.models.errors import MangowayError
+from mangoway.models.identifiers import IdempotencyKey, IncarnationId, RequestId
+from mangoway.models.verdict import Verdict
+from mangoway.peers import forwarding
+from mangoway.peers import peers_pb2 as pb
+from mangoway.peers.client import PeerClient
+from mangoway.peers.forwarding import (
+    KeyHandOver,
+    StoredAnswer,
+    join_chunks,
+    make_chunks,
+)
+from mangoway.peers.messages import ForwardedHeader
+from mangoway.peers.server import PeerReceivers
+from mangoway.policy.dispatch.events import KeyRecord
+
+from .conftest import Relay
+
+TEXTS = st.text(min_size=1, max_size=8)
+RECORDS = st.builds(
+    KeyRecord,
+    key=TEXTS.map(IdempotencyKey),
+    fingerprint=st.integers(0, 2**64 - 1),
+    expires_at=st.integers(0, 1000).map(float),
+    verdict=st.none() | st.sampled_from(Verdict),
+    answer_id=st.none() | TEXTS.map(RequestId),
+)
+ANSWERS = st.builds(
+    StoredAnswer,
+    id=TEXTS.map(RequestId),
+    status=st.integers(100, 599),
+    headers=st.lists(st.builds(ForwardedHeader, TEXTS, TEXTS), max_size=2).map(tuple),
+    body=st.binary(max_size=40),
+)
+HAND_OVERS = st.builds(
+    KeyHandOver,
+    home=TEXTS.map(IncarnationId),
+    records=st.lists(RECORDS, max_size=9).map(tuple),
+    answers=st.lists(ANSWERS, max_size=4, unique_by=lambda each: each.id).map(tuple),
+)
+
+
+class TestHandOver:
+    """Records and kept answers survive the way to the successor."""
+
+    @given(keys=HAND_OVERS)
+    def test_chunks_join_to_what_was_handed_over(self, keys: KeyHandOver) -> None:
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(forwarding, "HAND_OVER_CHUNK_RECORDS", 2)
+            patch.setattr(forwarding, "HAND_OVER_CHUNK_BYTES", 7)
+            chunks = list(make_chunks(keys, 100.0))
+        expected = [
+            evolve(record, expires_at=record.expires_at + 400)
+            for record in keys.records
+        ]
+        joined = join_chunks(chunks, 500.0)
+        assert joined == evolve(keys, records=tuple(expected))
+
+    def test_missing_part_of_an_answer_is_refused(self) -> None:
+        part = pb.AnswerPart(answer_id="r-1", body=b"half")
+        chunk = pb.KeyChunk(home="home.1", answers=[part], last=True)
+        with pytest.raises(MangowayError):
+            join_chunks([chunk], 0.0)
+
+    async def test_hand_over_that_is_not_whole_is_not_taken(
+        self, relay: Relay, receivers: PeerReceivers
+    ) -> None:
+        taken: list[pb.KeyChunk] = []
+
+        class Successor:
+            def async_receive_keys(self, chunks: list[pb.KeyChunk]) -> pb.HandOverReply:
+                taken.extend(chunks)
+                return pb.HandOverReply(records=len(chunks))
+
+        receivers.keys = Successor()
+        client = PeerClient(relay.address)
+        with pytest.raises(MangowayError):
+            await client.async_hand_over([pb.KeyChunk(home="home.1")])
+        assert taken == []
+        whole = [pb.KeyChunk(home="home.1"), pb.KeyChunk(home="home.1", last=True)]
+        assert (await client.async_hand_over(whole)).records == 2
+        client.close()
