--- /dev/null
+++ b/mangoway/daemons/ledger_store.py
@@ -0,0 +1,144 @@
+"""Memory ledgers in the key-value service."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from attrs import define, field, frozen
+
+from ..key_value.store import CallRank, KeyValueStore, Put, StoredValue
+from ..models.errors import ErrorCode, MangowayError
+from ..models.identifiers import CellId, Revision, UpstreamId
+from ..models.order import Ledger
+from ..policy.placement.events import (
+    LedgerConflicted,
+    LedgerRead,
+    LedgerUnavailable,
+    LedgerWritten,
+)
+from ..util.tasks import Tasks
+from .const import CELLS_PREFIX, LEDGER_LIST_THRESHOLD, LEDGERS_NAME
+from .ledger_codec import decode_ledger, encode_ledger
+
+ABSENT: Revision = Revision(0)
+
+LedgerEvent = LedgerRead | LedgerWritten | LedgerConflicted | LedgerUnavailable
+
+
+@frozen(kw_only=True)
+class LedgerFailure:
+    """Why a ledger could not be read or written."""
+
+    upstream: UpstreamId
+    error: MangowayError
+
+
+@define(eq=False, kw_only=True)
+class LedgerStore:
+    """Reads and writes the ledgers of one cell.
+
+    Every read or write ends in exactly one event. Reads that are asked for together
+    become one listing.
+    """
+
+    store: KeyValueStore
+    cell: CellId
+    tasks: Tasks
+    on_event: Callable[[LedgerEvent], None]
+    on_failure: Callable[[LedgerFailure], None]
+    _wanted: set[UpstreamId] = field(factory=set, init=False)
+
+    def async_read(self, upstream: UpstreamId) -> None:
+        """Read a ledger soon, together with others that are asked for now."""
+        if not self._wanted:
+            asyncio.get_running_loop().call_soon(self._start_reads)
+        self._wanted.add(upstream)
+
+    def async_write(self, ledger: Ledger, expected: Revision) -> None:
+        """Write a ledger if its key still has a revision."""
+        self.tasks.async_start(self._async_write(ledger, expected))
+
+    def _start_reads(self) -> None:
+        wanted = sorted(self._wanted)
+        self._wanted.clear()
+        if len(wanted) >= LEDGER_LIST_THRESHOLD:
+            self.tasks.async_start(self._async_list(wanted))
+            return
+        for upstream in wanted:
+            self.tasks.async_start(self._async_get(upstream))
+
+    async def _async_get(self, upstream: UpstreamId) -> None:
+        try:
+            stored = await self.store.async_get(self._name(upstream), CallRank.SAFETY)
+        except MangowayError as error:
+            self._fail(upstream, error)
+        else:
+            self._report_read(upstream, stored)
+
+    async def _async_list(self, wanted: Iterable[UpstreamId]) -> None:
+        try:
+            values = await self.store.async_list(self._prefix, CallRank.SAFETY)
+        except MangowayError as error:
+            for upstream in wanted:
+                self._fail(upstream, error)
+            return
+        found = {stored.key: stored for stored in values}
+        for upstream in wanted:
+            key = self._name(upstream)
+            absent = StoredValue(key=key, value=None, revision=ABSENT)
+            self._report_read(upstream, found.get(key, absent))
+
+    async def _async_write(self, ledger: Ledger, expected: Revision) -> None:
+        upstream = ledger.upstream
+        put = Put(
+            key=self._name(upstream), value=encode_ledger(ledger), expected=expected
+        )
+        try:
+            result = await self.store.async_commit((put,), CallRank.SAFETY)
+            current = None if result.succeeded else _decode(result.current[0])
+        except MangowayError as error:
+            self._fail(upstream, error)
+            return
+        if result.succeeded:
+            written = LedgerWritten(
+                upstream_id=upstream, ledger=ledger, revision=result.revision
+            )
+            self.on_event(written)
+        else:
+            conflicted = LedgerConflicted(
+                upstream_id=upstream,
+                ledger=current,
+                revision=result.current[0].revision,
+            )
+            self.on_event(conflicted)
+
+    def _report_read(self, upstream: UpstreamId, stored: StoredValue) -> None:
+        try:
+            ledger = _decode(stored)
+            _check_owner(ledger, upstream)
+        except MangowayError as error:
+            self._fail(upstream, error)
+            return
+        self.on_event(
+            LedgerRead(upstream_id=upstream, ledger=ledger, revision=stored.revision)
+        )
+
+    def _fail(self, upstream: UpstreamId, error: MangowayError) -> None:
+        self.on_failure(LedgerFailure(upstream=upstream, error=error))
+        self.on_event(LedgerUnavailable(upstream_id=upstream))
+
+    @property
+    def _prefix(self) -> str:
+        return f"{CELLS_PREFIX}{self.cell}/{LEDGERS_NAME}/"
+
+    def _name(self, upstream: UpstreamId) -> str:
+        return f"{self._prefix}{upstream}"
+
+
+def _decode(stored: StoredValue) -> Ledger | None:
+    return None if stored.value is None else decode_ledger(stored.value)
+
+
+def _check_owner(ledger: Ledger | None, upstream: UpstreamId) -> None:
+    if ledger is not None and ledger.upstream != upstream:
+        detail = f"the ledger of {upstream} speaks of {ledger.upstream}"
+        raise MangowayError(ErrorCode.LEDGER_UNREADABLE, detail)
