Add the clients of engines and plain services

Both share one HTTP session (aiohttp). Ruled out: blacksheep's client session, which repeats a POST on a closed pooled connection and has no read timeout between parts of a body (docs/DESIGN.md).

Tried and dropped: closing the response on any error in the block. At the end of a body aiohttp has already given the connection back, so it changed nothing; before the end the release closes it anyway (test kept for that).

--- /dev/null
+++ b/mangoway/engines/client.py
@@ -0,0 +1,132 @@
+"""Client of the model engines."""
+
+from collections.abc import AsyncIterator, Callable
+
+import orjson
+
+from ..models.identifiers import AttemptId
+from ..models.order import Order
+from ..models.upstream import EngineDescription, EngineReport
+from ..upstreams.session import UpstreamCall, UpstreamSession, read_refusal
+from .codec import (
+    decode_description,
+    decode_order_answer,
+    decode_report,
+    encode_attempt,
+    encode_order,
+    fail_malformed,
+)
+from .const import (
+    CONTENT_TYPE_JSON,
+    CONTROL_TIMEOUT_S,
+    ORDER_TIMEOUT_S,
+    PATH_CANCEL,
+    PATH_COMPLETIONS,
+    PATH_DESCRIPTION,
+    PATH_ORDERS,
+    PATH_REPORT,
+)
+from .messages import CompletionAttempt, CompletionChunk, OrderAnswer
+from .stream import StreamDecoder
+
+
+class EngineClient:
+    """Talks to engines by address (`a.b.c.d:port`).
+
+    Every method raises `MangowayError`; the verdict is NOT_RUN only if the engine
+    certainly did not act.
+    """
+
+    def __init__(self, session: UpstreamSession, clock: Callable[[], float]) -> None:
+        self._session = session
+        self._clock = clock
+
+    async def async_describe(self, address: str) -> EngineDescription:
+        """Read what an engine says of itself."""
+        return decode_description(await self._async_get(address, PATH_DESCRIPTION))
+
+    async def async_read_report(self, address: str) -> EngineReport:
+        """Read an engine's load, memory and cache report."""
+        body = await self._async_get(address, PATH_REPORT)
+        return decode_report(body, self._clock())
+
+    async def async_send_order(
+        self, address: str, order: Order, timeout_s: float = ORDER_TIMEOUT_S
+    ) -> OrderAnswer:
+        """Send an order on a connection of its own and return the answer.
+
+        Raises:
+            MangowayError: NOT_RUN if it never reached the engine; otherwise it
+                may still take effect. The connection is closed by then.
+        """
+        body = encode_order(order)
+        answer = decode_order_answer(
+            await self._async_post(address, PATH_ORDERS, body, timeout_s, fresh=True)
+        )
+        if answer.order_id != order.id:
+            raise fail_malformed(f"answer of order {answer.order_id} to {order.id}")
+        return answer
+
+    async def async_cancel(self, address: str, attempt_id: AttemptId) -> None:
+        """Cancel an attempt at its engine."""
+        body = orjson.dumps({"request_id": attempt_id})
+        await self._async_post(address, PATH_CANCEL, body, CONTROL_TIMEOUT_S)
+
+    async def async_complete(
+        self, address: str, attempt: CompletionAttempt
+    ) -> AsyncIterator[list[CompletionChunk]]:
+        """Stream a completion, yielding the chunks of each read as one list.
+
+        It ends only after the engine ended the stream itself.
+        """
+        call = UpstreamCall(
+            method="POST",
+            address=address,
+            path=PATH_COMPLETIONS,
+            body=encode_attempt(attempt),
+            headers=CONTENT_TYPE_JSON,
+            timeout_s=attempt.timeout_s,
+            silence_s=attempt.silence_s,
+        )
+        decoder = StreamDecoder(attempt.id, attempt.resume_from)
+        async with self._session.async_open(call) as response:
+            if not response.ok:
+                raise read_refusal(response)
+            async for data in response.content.iter_any():
+                chunks = decoder.feed(data)
+                if chunks:
+                    yield chunks
+            if not decoder.done:
+                raise fail_malformed("the stream ended before its end mark")
+
+    async def _async_get(self, address: str, path: str) -> bytes:
+        return await self._session.async_fetch(
+            UpstreamCall(
+                method="GET",
+                address=address,
+                path=path,
+                timeout_s=CONTROL_TIMEOUT_S,
+                silence_s=CONTROL_TIMEOUT_S,
+            )
+        )
+
+    async def _async_post(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        fresh: bool = False,
+    ) -> bytes:
+        return await self._session.async_fetch(
+            UpstreamCall(
+                method="POST",
+                address=address,
+                path=path,
+                body=body,
+                headers=CONTENT_TYPE_JSON,
+                timeout_s=timeout_s,
+                silence_s=timeout_s,
+                fresh=fresh,
+            )
+        )
--- /dev/null
+++ b/mangoway/engines/stream.py
@@ -0,0 +1,84 @@
+"""Decoder of an engine's stream of completion events."""
+
+from typing import Any
+
+import orjson
+
+from ..models.identifiers import AttemptId
+from .codec import fail_malformed
+from .const import EVENT_DONE, EVENT_END, EVENT_LIMIT_BYTES, EVENT_PREFIX
+from .messages import CompletionChunk
+
+
+class StreamDecoder:
+    """Turns bytes of one attempt's stream into chunks.
+
+    An event that carries another attempt's id is an error: the connection mixed
+    up answers, and nothing on it can be believed. An event whose tokens were
+    delivered before is a duplicate and is dropped.
+    """
+
+    def __init__(self, attempt_id: AttemptId, resume_from: int) -> None:
+        self._attempt_id = attempt_id
+        self._offset = resume_from
+        self._rest = b""
+        self.done = False
+
+    def feed(self, data: bytes) -> list[CompletionChunk]:
+        """Take bytes and return the chunks that they complete.
+
+        Raises:
+            MangowayError: UPSTREAM_FAILED if the stream breaks the protocol.
+        """
+        if b"\r" in data:
+            data = data.replace(b"\r", b"")
+        *events, self._rest = (self._rest + data).split(EVENT_END)
+        if len(self._rest) > EVENT_LIMIT_BYTES:
+            raise fail_malformed(f"an event is larger than {EVENT_LIMIT_BYTES} bytes")
+        chunks: list[CompletionChunk] = []
+        for event in events:
+            chunk = self._decode(event)
+            if chunk is not None:
+                chunks.append(chunk)
+        return chunks
+
+    def _decode(self, event: bytes) -> CompletionChunk | None:
+        payload = _read_payload(event)
+        if payload is None or self.done:
+            return None
+        if payload == EVENT_DONE:
+            self.done = True
+            return None
+        try:
+            chunk = self._read_chunk(orjson.loads(payload))
+        except (ValueError, LookupError, TypeError, AttributeError) as error:
+            raise fail_malformed(f"malformed event: {error!r}") from error
+        return self._drop_duplicate(chunk)
+
+    def _read_chunk(self, fields: dict[str, Any]) -> CompletionChunk:
+        if fields["request_id"] != self._attempt_id:
+            raise fail_malformed(
+                f"answer of attempt {fields['request_id']} on the connection of "
+                f"{self._attempt_id}"
+            )
+        choice = fields["choices"][0]
+        return CompletionChunk(
+            choice["text"], int(fields["offset"]), choice.get("finish_reason")
+        )
+
+    def _drop_duplicate(self, chunk: CompletionChunk) -> CompletionChunk | None:
+        if chunk.offset > self._offset:
+            self._offset = chunk.offset
+            return chunk
+        if chunk.finish_reason is None:
+            return None
+        return CompletionChunk("", self._offset, chunk.finish_reason)
+
+
+def _read_payload(event: bytes) -> bytes | None:
+    if event.startswith(EVENT_PREFIX) and b"\n" not in event:
+        return event[len(EVENT_PREFIX) :].strip()
+    for line in event.split(b"\n"):
+        if line.startswith(EVENT_PREFIX):
+            return line[len(EVENT_PREFIX) :].strip()
+    return None
--- /dev/null
+++ b/mangoway/services/const.py
@@ -0,0 +1,6 @@
+"""Constants of the plain services' protocol."""
+
+from typing import Final
+
+HEADER_CONTENT_TYPE: Final = "Content-Type"
+CONTENT_TYPE_JSON: Final = "application/json"
--- /dev/null
+++ b/mangoway/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""What the clients of engines and plain services share: the HTTP session."""
--- /dev/null
+++ b/tests/engines/test_stream.py
@@ -0,0 +1,75 @@
+"""Tests of the decoder of engines' streams."""
+
+import orjson
+import pytest
+
+from mangoway.engines.messages import CompletionChunk
+from mangoway.engines.stream import StreamDecoder
+from mangoway.models.errors import MangowayError
+from mangoway.models.identifiers import AttemptId
+from mangoway.models.verdict import Verdict
+
+ATTEMPT = AttemptId("a-1")
+DONE = b"data: [DONE]\n\n"
+
+
+def make_event(
+    text: str, offset: int, attempt: str = ATTEMPT, finish: str | None = None
+) -> bytes:
+    fields = {
+        "request_id": attempt,
+        "offset": offset,
+        "choices": [{"text": text, "finish_reason": finish}],
+    }
+    return b"data: " + orjson.dumps(fields) + b"\n\n"
+
+
+class TestStreamDecoder:
+    """Bytes to chunks."""
+
+    def test_any_split_gives_the_same_chunks(self) -> None:
+        stream = make_event("å", 1) + make_event("b", 2, finish="stop") + DONE
+        expected = [CompletionChunk("å", 1), CompletionChunk("b", 2, "stop")]
+        for split in range(len(stream) + 1):
+            decoder = StreamDecoder(ATTEMPT, 0)
+            chunks = decoder.feed(stream[:split]) + decoder.feed(stream[split:])
+            assert chunks == expected
+            assert decoder.done
+
+    def test_carriage_returns_and_comments_are_read_over(self) -> None:
+        decoder = StreamDecoder(ATTEMPT, 0)
+        event = b": ping\r\n\r\nevent: x\r\n" + make_event("a", 1)
+        assert decoder.feed(event) == [CompletionChunk("a", 1)]
+
+    def test_answer_of_another_attempt_is_an_error(self) -> None:
+        decoder = StreamDecoder(ATTEMPT, 0)
+        with pytest.raises(MangowayError) as caught:
+            decoder.feed(make_event("a", 1, attempt="a-0"))
+        assert caught.value.failure.verdict is Verdict.MAY_HAVE_RUN
+
+    def test_doubled_event_is_dropped(self) -> None:
+        decoder = StreamDecoder(ATTEMPT, 0)
+        chunks = decoder.feed(make_event("a", 1) * 2 + make_event("b", 2))
+        assert [chunk.text for chunk in chunks] == ["a", "b"]
+
+    def test_resumed_stream_drops_what_was_delivered(self) -> None:
+        decoder = StreamDecoder(ATTEMPT, 2)
+        chunks = decoder.feed(make_event("b", 2) + make_event("c", 3))
+        assert [chunk.text for chunk in chunks] == ["c"]
+
+    def test_nothing_counts_after_the_end_mark(self) -> None:
+        decoder = StreamDecoder(ATTEMPT, 0)
+        assert decoder.feed(DONE + make_event("a", 1)) == []
+
+    @pytest.mark.parametrize(
+        "event",
+        [
+            b"data: {\n\n",
+            b"data: []\n\n",
+            b'data: {"request_id": "a-1", "offset": 1, "choices": []}\n\n',
+            b'data: {"request_id": "a-1", "choices": [{"text": "x"}]}\n\n',
+        ],
+    )
+    def test_malformed_event_is_an_error(self, event: bytes) -> None:
+        with pytest.raises(MangowayError):
+            StreamDecoder(ATTEMPT, 0).feed(event)
