Add a light client for reports and orders of engines

Cause: the streaming client of the engines needs aiohttp, which takes 11.6 MB of resident memory on top of grpclib and the generated protocol (26.2 -> 37.8 MB, one run of imports); the budget of a controller is 32 MB. h11 takes 0.4 MB (28.7 -> 29.1 MB). Each exchange has a connection of its own: no pooled connection can be silent, and 308 idle streams would need memory too.

--- /dev/null
+++ b/mangoway/upstreams/exchange.py
@@ -0,0 +1,128 @@
+"""One short HTTP exchange on a connection of its own, with few imports.
+
+A controller has to stay small, and the full client takes several megabytes.
+"""
+
+import asyncio
+from collections.abc import Mapping
+
+import h11
+from attrs import define, field, frozen
+
+from ..models.errors import ErrorCode, MangowayError
+from ..models.verdict import Verdict
+from .const import (
+    ANSWER_LIMIT_BYTES,
+    BUSY_STATUSES,
+    CONNECT_TIMEOUT_S,
+    HEADER_VERDICT,
+    READ_BUFFER_BYTES,
+    STATUS_OK,
+    VERDICT_NOT_RUN,
+)
+
+
+@frozen(kw_only=True)
+class ExchangeRequest:
+    """A request whose answer is read whole."""
+
+    method: str
+    address: str
+    """IP address and port, `a.b.c.d:port`."""
+
+    path: str
+    body: bytes = b""
+    headers: Mapping[str, str] = {}
+    timeout_s: float
+    """Seconds for the whole exchange."""
+
+
+async def async_exchange(request: ExchangeRequest) -> bytes:
+    """Send a request on a new connection and return the body of its answer.
+
+    Raises:
+        MangowayError: UPSTREAM_SILENT, UPSTREAM_FAILED or UPSTREAM_BUSY; the verdict
+            is NOT_RUN only if nothing was sent, or the upstream says so.
+    """
+    exchange = _Exchange(request)
+    try:
+        async with asyncio.timeout(request.timeout_s):
+            return await exchange.async_run()
+    except TimeoutError as error:
+        raise exchange.fail(ErrorCode.UPSTREAM_SILENT, "no answer in time") from error
+    except (OSError, h11.RemoteProtocolError) as error:
+        raise exchange.fail(ErrorCode.UPSTREAM_FAILED, str(error)) from error
+    finally:
+        exchange.close()
+
+
+@define(eq=False)
+class _Exchange:
+    request: ExchangeRequest
+    _http: h11.Connection = field(init=False)
+    _sent: bool = field(default=False, init=False)
+    _writer: asyncio.StreamWriter | None = field(default=None, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def async_run(self) -> bytes:
+        host, _, port = self.request.address.rpartition(":")
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, self._writer = await asyncio.open_connection(host, int(port))
+        self._sent = True
+        self._writer.write(self._encode())
+        await self._writer.drain()
+        return await self._async_read(reader)
+
+    def fail(self, code: ErrorCode, detail: str) -> MangowayError:
+        """Return the error of this exchange."""
+        verdict = Verdict.MAY_HAVE_RUN if self._sent else Verdict.NOT_RUN
+        return MangowayError(code, f"{self.request.address}: {detail}", verdict)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+
+    def _encode(self) -> bytes:
+        request = self.request
+        headers = [
+            ("Host", request.address),
+            ("Connection", "close"),
+            ("Content-Length", str(len(request.body))),
+            *request.headers.items(),
+        ]
+        events = (
+            h11.Request(method=request.method, target=request.path, headers=headers),
+            h11.Data(data=request.body),
+            h11.EndOfMessage(),
+        )
+        return b"".join(self._http.send(event) or b"" for event in events)
+
+    async def _async_read(self, reader: asyncio.StreamReader) -> bytes:
+        body = bytearray()
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await reader.read(READ_BUFFER_BYTES))
+            elif isinstance(event, h11.Response):
+                self._check(event)
+            elif isinstance(event, h11.Data):
+                body.extend(event.data)
+                if len(body) > ANSWER_LIMIT_BYTES:
+                    raise self.fail(ErrorCode.UPSTREAM_FAILED, "answer too large")
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+
+    def _check(self, response: h11.Response) -> None:
+        status = response.status_code
+        if status == STATUS_OK:
+            return
+        busy = status in BUSY_STATUSES
+        code = ErrorCode.UPSTREAM_BUSY if busy else ErrorCode.UPSTREAM_FAILED
+        if (HEADER_VERDICT.lower().encode(), VERDICT_NOT_RUN.encode()) in [
+            (name, value) for name, value in response.headers
+        ]:
+            self._sent = False
+        raise self.fail(code, f"status {status}")
