--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -35,3 +35,6 @@
 
 SESSION_BITS: Final = 63
 """Bits of a heartbeat session number."""
+
+ORDER_WATCH_S: Final = 30.0
+"""Time for which a runner is asked often after an order was sent to it."""
--- a/mangoway/engines/control.py
+++ b/mangoway/engines/control.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from math import inf
 
 from attrs import define
 
@@ -53,8 +54,10 @@
         body = await self._async_get(address, PATH_REPORT)
         return decode_report(body, asked_at)
 
-    async def async_send_order(self, address: str, order: Order) -> OrderAnswer:
-        """Send an order and return the answer.
+    async def async_send_order(
+        self, address: str, order: Order, send_before: float = inf
+    ) -> OrderAnswer:
+        """Send an order, unless the loop time is past `send_before`.
 
         Raises:
             MangowayError: NOT_RUN if it never reached the engine; otherwise it may
@@ -67,6 +70,7 @@
             body=encode_order(order),
             headers=CONTENT_TYPE_JSON,
             timeout_s=ORDER_TIMEOUT_S,
+            send_before=send_before,
         )
         answer = decode_order_answer(await async_exchange(request))
         if answer.order_id != order.id:
--- a/mangoway/peers/const.py
+++ b/mangoway/peers/const.py
@@ -51,5 +51,6 @@
 OWN_SLOT: Final = 0
 """Slot of the sender's own entry."""
 
-MAX_CONFIGURATION_BYTES: Final = 16 * 1024 * 1024
-"""Largest configuration document after decompression."""
+
+WATCH_PAUSE_S: Final = 1.0
+"""Pause before an ended watch of the head key is begun again."""
--- a/mangoway/upstreams/exchange.py
+++ b/mangoway/upstreams/exchange.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from math import inf
 
 import h11
 from attrs import define, field, frozen
@@ -36,13 +37,17 @@
     timeout_s: float
     """Seconds for the whole exchange."""
 
+    send_before: float = inf
+    """Loop time after which it must not be sent any more."""
+
 
 async def async_exchange(request: ExchangeRequest) -> bytes:
     """Send a request on a new connection and return the body of its answer.
 
     Raises:
-        MangowayError: UPSTREAM_SILENT, UPSTREAM_FAILED or UPSTREAM_BUSY; the verdict
-            is NOT_RUN only if nothing was sent, or the upstream says so.
+        MangowayError: UPSTREAM_SILENT, UPSTREAM_FAILED, UPSTREAM_BUSY, or
+            DEADLINE_EXCEEDED if it was too late to be sent; the verdict is NOT_RUN
+            only if nothing was sent, or the upstream says so.
     """
     exchange = _Exchange(request)
     try:
@@ -70,8 +75,11 @@
         host, _, port = self.request.address.rpartition(":")
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, self._writer = await asyncio.open_connection(host, int(port))
+        data = self._encode()
+        if asyncio.get_running_loop().time() > self.request.send_before:
+            raise self.fail(ErrorCode.DEADLINE_EXCEEDED, "too late to be sent")
         self._sent = True
-        self._writer.write(self._encode())
+        self._writer.write(data)
         await self._writer.drain()
         return await self._async_read(reader)
 
