--- a/mangoway/callers/__init__.py
+++ b/mangoway/callers/__init__.py
@@ -1,1 +1,1 @@
-"""The HTTP interface towards callers."""
+"""The callers of the system and the HTTP interface for them."""
--- /dev/null
+++ b/mangoway/callers/const.py
@@ -0,0 +1,58 @@
+"""Constants of the callers' interface."""
+
+from typing import Final
+
+HEADER_CALLER: Final = "x-caller"
+HEADER_WORK_CLASS: Final = "x-work-class"
+HEADER_DEADLINE: Final = "x-deadline-seconds"
+HEADER_IDEMPOTENCY_KEY: Final = "idempotency-key"
+HEADER_IDEMPOTENT: Final = "x-idempotent"
+HEADER_TRACEPARENT: Final = "traceparent"
+
+HEADER_REQUEST_ID: Final = "x-request-id"
+HEADER_RETRY_AFTER: Final = "retry-after"
+HEADER_CONTENT_TYPE: Final = "content-type"
+
+FORWARDED_HEADERS: Final = frozenset(
+    {
+        HEADER_CALLER,
+        HEADER_WORK_CLASS,
+        HEADER_DEADLINE,
+        HEADER_IDEMPOTENCY_KEY,
+        HEADER_IDEMPOTENT,
+        HEADER_TRACEPARENT,
+    }
+)
+"""Headers that go along with a request to another gateway."""
+
+CONTENT_TYPE_JSON: Final = "application/json"
+CONTENT_TYPE_PROBLEM: Final = "application/problem+json"
+CONTENT_TYPE_EVENTS: Final = "text/event-stream"
+
+PATH_ADDRESSES: Final = "/v1/addresses"
+PATH_COMPLETIONS: Final = "/v1/completions"
+PATH_SERVICES: Final = "/v1/services/"
+PATH_STATUS: Final = "/v1/status"
+PATH_EXPLAIN: Final = "/v1/explain/"
+PATH_HEALTH: Final = "/healthz"
+PATH_READY: Final = "/readyz"
+PATH_METRICS: Final = "/metrics"
+
+PROBLEM_TYPE_PREFIX: Final = "urn:mangoway:error:"
+
+BODY_TIMEOUT_S: Final = 10.0
+"""Longest time in which a caller may send its body."""
+
+DEADLINE_MAX_S: Final = 7 * 86_400.0
+DEFAULT_MAX_TOKENS: Final = 16
+"""The default of the published completions shape."""
+
+MAX_TOKENS_LIMIT: Final = 1 << 20
+CHARACTERS_PER_TOKEN: Final = 4
+"""Rough length of a token, for estimates of a prompt's size."""
+
+PREFIX_BLOCK_CHARACTERS: Final = 256
+PREFIX_BLOCKS_MAX: Final = 32
+
+TRUE_WORDS: Final = frozenset({"1", "true", "yes"})
+FALSE_WORDS: Final = frozenset({"0", "false", "no"})
--- /dev/null
+++ b/mangoway/callers/gate.py
@@ -0,0 +1,262 @@
+"""The way of one request from its arrival to its answer."""
+
+import time
+from collections.abc import AsyncGenerator
+from typing import Protocol
+
+from attrs import define, field
+
+from ..models.artifact import Artifact
+from ..models.errors import ErrorCode, Failure, MangowayError
+from ..models.identifiers import IncarnationId, RequestId
+from ..models.offer import Configuration
+from ..models.verdict import Verdict
+from ..observability.event_log import log_event
+from ..observability.events import CallerGone, RequestFinished, RequestRefused
+from ..observability.metrics import Metrics
+from ..observability.tracing import Hop, HopSpan, Tracing
+from .answer import Answer, AnswerReader
+from .const import HEADER_TRACEPARENT
+from .messages import IncomingRequest, OutgoingAnswer, Submission
+from .parser import Arrival, parse_request
+from .render import CompletionHead, render_plain, render_stream, render_whole
+
+OUTCOME_WHOLE = "whole"
+OUTCOME_REFUSED = "refused"
+
+
+class RequestTaker(Protocol):
+    """Decides about requests and fills their answers."""
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        ...
+
+    def now(self) -> float:
+        """Return the time on the clock of the decisions."""
+        ...
+
+    def submit(self, submission: Submission, span: HopSpan) -> Answer:
+        """Take a checked request and return its answer, which then grows."""
+        ...
+
+    def hang_up(self, request_id: RequestId) -> None:
+        """Note that nobody waits for a request's answer any more."""
+        ...
+
+
+@define(eq=False)
+class Gate:
+    """Takes requests of callers and of other gateways alike."""
+
+    _taker: RequestTaker
+    _incarnation: IncarnationId
+    _metrics: Metrics
+    _tracing: Tracing
+    _arrivals: int = field(default=0, init=False)
+    open_count: int = field(default=0, init=False)
+    """Requests whose answer is not yet whole."""
+
+    def make_id(self) -> RequestId:
+        """Return a new request id, unique in the whole system."""
+        self._arrivals += 1
+        return RequestId(f"{self._incarnation}-{self._arrivals:x}")
+
+    def open(self, incoming: IncomingRequest) -> "Exchange":
+        """Begin the exchange of one request."""
+        parent = incoming.headers.get(HEADER_TRACEPARENT)
+        span = self._tracing.start(Hop.CALLER, incoming.path, parent)
+        self.open_count += 1
+        self._metrics.in_progress.set(level=self.open_count)
+        return Exchange(self, incoming, self.make_id(), span)
+
+    def submit(self, exchange: "Exchange") -> Submission:
+        """Check and submit a request.
+
+        Raises:
+            MangowayError: If it was refused before any decision.
+        """
+        configuration = self._taker.configuration
+        if configuration is None:
+            raise MangowayError(
+                ErrorCode.NOT_READY, "no configuration is in force yet", retry_after=1.0
+            )
+        arrival = Arrival(
+            id=exchange.id, now=self._taker.now(), configuration=configuration
+        )
+        submission = parse_request(exchange.incoming, arrival)
+        exchange.reader = AnswerReader(self._taker.submit(submission, exchange.span))
+        return submission
+
+    def close(self, exchange: "Exchange") -> None:
+        """Settle the accounts of an exchange that ended."""
+        self.open_count -= 1
+        self._metrics.in_progress.set(level=self.open_count)
+        reader, submission = exchange.reader, exchange.submission
+        if reader is not None:
+            reader.close()
+            if not exchange.ended:
+                log_event(CallerGone(request_id=exchange.id))
+                self._taker.hang_up(exchange.id)
+        if exchange.failure is not None:
+            self._note_failure(exchange, exchange.failure)
+        elif exchange.ended and submission is not None:
+            self._note_success(exchange, submission)
+        exchange.span.end()
+
+    def _note_success(self, exchange: "Exchange", submission: Submission) -> None:
+        request = submission.request
+        work_class = request.work_class.value
+        seconds = self._taker.now() - request.arrived_at
+        self._metrics.requests.add(work_class, OUTCOME_WHOLE, "")
+        self._metrics.request_seconds.observe(work_class, seconds=seconds)
+        log_event(
+            RequestFinished(
+                request_id=exchange.id,
+                caller=request.caller,
+                target=str(request.target),
+                work_class=work_class,
+                seconds=seconds,
+                attempts=exchange.attempts,
+            )
+        )
+
+    def _note_failure(self, exchange: "Exchange", failure: Failure) -> None:
+        request = None if exchange.submission is None else exchange.submission.request
+        work_class = "" if request is None else request.work_class.value
+        self._metrics.requests.add(work_class, OUTCOME_REFUSED, failure.code.value)
+        exchange.span.fail(failure.code.value)
+        log_event(
+            RequestRefused(
+                request_id=exchange.id,
+                caller="" if request is None else request.caller,
+                target=exchange.incoming.path
+                if request is None
+                else str(request.target),
+                code=failure.code.value,
+                verdict=failure.verdict.value,
+                retry_after_s=failure.retry_after,
+                detail=failure.detail,
+            )
+        )
+
+
+@define(eq=False)
+class Exchange:
+    """One request and its answer; close it in every case."""
+
+    _gate: Gate
+    incoming: IncomingRequest
+    id: RequestId
+    span: HopSpan
+    submission: Submission | None = None
+    reader: AnswerReader | None = None
+    failure: Failure | None = None
+    attempts: int = 0
+    ended: bool = False
+    """Whether the answer was delivered to its end, or failed."""
+
+    closed: bool = False
+
+    async def async_answer(self) -> OutgoingAnswer | None:
+        """Return the answer once it can begin; None if the caller hung up.
+
+        Raises:
+            MangowayError: If the request fails before its answer began.
+        """
+        try:
+            return await self._async_answer()
+        except MangowayError as error:
+            self.note_failure(error.failure)
+            raise
+
+    def note_failure(self, failure: Failure) -> None:
+        """End the exchange with a failure."""
+        self.failure = failure
+        self.ended = True
+
+    def hang_up(self) -> None:
+        """Note that the caller is gone; whoever waits for the answer goes on."""
+        if self.reader is not None:
+            self.reader.close()
+
+    def close(self) -> None:
+        """End the exchange; an answer that is not whole is cancelled."""
+        if not self.closed:
+            self.closed = True
+            self._gate.close(self)
+
+    async def _async_answer(self) -> OutgoingAnswer | None:
+        submission = self.submission = self._gate.submit(self)
+        reader = self.reader
+        assert reader is not None
+        streamed = submission.request.streamed
+        await (reader.async_wait_start() if streamed else reader.async_wait_end())
+        answer = reader.answer
+        if reader.closed:
+            return None
+        if answer.relayed is not None:
+            return self._relay(answer)
+        if answer.failure is not None and not (streamed and answer.pieces):
+            raise _make_error(answer.failure)
+        return self._render(submission, reader)
+
+    def _render(self, submission: Submission, reader: AnswerReader) -> OutgoingAnswer:
+        answer = reader.answer
+        if not isinstance(submission.request.target, Artifact):
+            self.ended = True
+            return render_plain(answer, self.id)
+        head = CompletionHead(
+            request_id=self.id, created=int(time.time()), submission=submission
+        )
+        if submission.request.streamed:
+            return self._watch_end(render_stream(reader, head))
+        self.ended = True
+        return render_whole(answer, head)
+
+    def _relay(self, answer: Answer) -> OutgoingAnswer:
+        relayed = answer.relayed
+        assert relayed is not None
+        return self._watch_end(
+            OutgoingAnswer(
+                status=relayed.status, headers=relayed.headers, body=relayed.parts
+            )
+        )
+
+    def _watch_end(self, outgoing: OutgoingAnswer) -> OutgoingAnswer:
+        assert not isinstance(outgoing.body, bytes)
+        return OutgoingAnswer(
+            status=outgoing.status,
+            headers=outgoing.headers,
+            body=self._async_watch(outgoing.body),
+        )
+
+    async def _async_watch(
+        self, parts: AsyncGenerator[bytes, None]
+    ) -> AsyncGenerator[bytes, None]:
+        reader = self.reader
+        assert reader is not None
+        try:
+            async for part in parts:
+                yield part
+        finally:
+            await parts.aclose()
+        if not reader.closed:
+            self.failure = reader.answer.failure
+            self.ended = True
+
+
+def _make_error(failure: Failure) -> MangowayError:
+    return MangowayError(
+        failure.code, failure.detail, failure.verdict, failure.retry_after
+    )
+
+
+def make_internal(error: Exception) -> Failure:
+    """Return the failure of an unexpected error; what ran is unknown."""
+    return Failure(
+        code=ErrorCode.INTERNAL,
+        verdict=Verdict.MAY_HAVE_RUN,
+        detail=f"unexpected error: {type(error).__name__}",
+    )
--- /dev/null
+++ b/mangoway/callers/parser.py
@@ -0,0 +1,196 @@
+"""Checks a caller's request against the configuration in force."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+from attrs import frozen
+from xxhash import xxh64_intdigest
+
+from ..models.artifact import Artifact
+from ..models.errors import ErrorCode, MangowayError
+from ..models.identifiers import (
+    CallerId,
+    CallName,
+    IdempotencyKey,
+    IncarnationId,
+    RequestId,
+    ServiceName,
+)
+from ..models.offer import CallOffer, Configuration
+from ..models.request import Request, ServiceCall, Target, WorkClass
+from .completions import CompletionBody, parse_completion
+from .const import CHARACTERS_PER_TOKEN, PATH_COMPLETIONS, PATH_SERVICES
+from .fields import RequestFields, fail_malformed, read_fields
+from .keys import find_home
+from .messages import IncomingRequest, Submission
+from .names import resolve_model
+from .prefixes import hash_prefixes
+
+METHOD_POST = "POST"
+
+
+@frozen(kw_only=True)
+class Arrival:
+    """What the gateway knows of an arrival besides the request itself."""
+
+    id: RequestId
+    now: float
+    configuration: Configuration
+
+
+def parse_request(incoming: IncomingRequest, arrival: Arrival) -> Submission:
+    """Return the checked request.
+
+    Raises:
+        MangowayError: A fault of the request; it did not run.
+    """
+    if incoming.path == PATH_COMPLETIONS:
+        _require_post(incoming)
+        return _parse_completion(incoming, arrival)
+    service, separator, call = incoming.path.removeprefix(PATH_SERVICES).partition("/")
+    if not incoming.path.startswith(PATH_SERVICES) or not separator:
+        raise MangowayError(ErrorCode.NOT_FOUND, f"no such path: {incoming.path}")
+    _require_post(incoming)
+    target = ServiceCall(ServiceName(service), CallName(call))
+    return _parse_service_call(incoming, arrival, target)
+
+
+def _require_post(incoming: IncomingRequest) -> None:
+    if incoming.method != METHOD_POST:
+        raise MangowayError(
+            ErrorCode.METHOD_NOT_ALLOWED, f"{incoming.path} takes {METHOD_POST} only"
+        )
+
+
+def _parse_completion(incoming: IncomingRequest, arrival: Arrival) -> Submission:
+    body = parse_completion(_load_object(incoming.body))
+    fields = read_fields(incoming.headers, body.fields)
+    _check_caller(fields, arrival.configuration)
+    artifact = resolve_model(body.model, arrival.configuration)
+    work_class = fields.work_class or WorkClass.URGENT
+    offer = arrival.configuration.classes.get(work_class)
+    if offer is None:
+        detail = f"{work_class.value}: the configuration has no such class"
+        raise MangowayError(ErrorCode.UNKNOWN_CLASS, detail)
+    first = offer.first_token_s
+    request = _make_request(
+        fields,
+        arrival,
+        target=artifact,
+        work_class=work_class,
+        deadline_s=incoming.deadline_s or fields.deadline_s or offer.deadline_s,
+        first_token_deadline=None if first is None else arrival.now + first,
+        idempotent=fields.idempotent is not False,
+        fingerprint=_hash_completion(fields, artifact, body),
+        prompt_tokens=len(body.prompt) // CHARACTERS_PER_TOKEN + 1,
+        max_tokens=body.max_tokens,
+        prefix_hashes=hash_prefixes(str(artifact), body.prompt),
+        streamed=body.stream,
+    )
+    return Submission(
+        request=request,
+        incoming=incoming,
+        prompt=body.prompt,
+        parameters=body.parameters,
+        model_name=body.model,
+    )
+
+
+def _parse_service_call(
+    incoming: IncomingRequest, arrival: Arrival, target: ServiceCall
+) -> Submission:
+    fields = read_fields(incoming.headers, {})
+    _check_caller(fields, arrival.configuration)
+    offer = _find_call(target, arrival.configuration)
+    _load_json(incoming.body)
+    request = _make_request(
+        fields,
+        arrival,
+        target=target,
+        work_class=fields.work_class or offer.work_class,
+        deadline_s=incoming.deadline_s or fields.deadline_s or offer.timeout_s,
+        # A caller may forbid repeats of a call, but not allow them.
+        idempotent=offer.idempotent and fields.idempotent is not False,
+        fingerprint=_hash_call(fields, target, incoming.body),
+    )
+    return Submission(request=request, incoming=incoming)
+
+
+def _make_request(
+    fields: RequestFields,
+    arrival: Arrival,
+    *,
+    target: Target,
+    work_class: WorkClass,
+    deadline_s: float,
+    idempotent: bool,
+    fingerprint: int,
+    **details: Any,
+) -> Request:
+    return Request(
+        id=arrival.id,
+        caller=CallerId(fields.caller or ""),
+        work_class=work_class,
+        target=target,
+        arrived_at=arrival.now,
+        deadline=arrival.now + deadline_s,
+        idempotent=idempotent,
+        key=None if fields.key is None else IdempotencyKey(fields.key),
+        key_home=_find_home(fields.key),
+        fingerprint=fingerprint,
+        **details,
+    )
+
+
+def _find_home(key: str | None) -> IncarnationId | None:
+    return None if key is None else find_home(key)
+
+
+def _check_caller(fields: RequestFields, configuration: Configuration) -> None:
+    if fields.caller is None:
+        raise MangowayError(ErrorCode.UNKNOWN_CALLER, "X-Caller: is missing")
+    if CallerId(fields.caller) not in configuration.callers:
+        raise MangowayError(
+            ErrorCode.UNKNOWN_CALLER, f"X-Caller: {fields.caller!r} is not known"
+        )
+
+
+def _find_call(target: ServiceCall, configuration: Configuration) -> CallOffer:
+    service = configuration.services.get(target.service)
+    offer = None if service is None else service.calls.get(target.call)
+    if offer is None:
+        raise MangowayError(ErrorCode.UNKNOWN_SERVICE, f"{target} is not offered")
+    return offer
+
+
+def _load_json(body: bytes) -> Any:
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise fail_malformed(f"the body is not JSON: {error}") from error
+
+
+def _load_object(body: bytes) -> Mapping[str, Any]:
+    fields = _load_json(body)
+    if not isinstance(fields, dict):
+        raise fail_malformed("the body is not a JSON object")
+    return fields
+
+
+def _hash_completion(
+    fields: RequestFields, artifact: Artifact, body: CompletionBody
+) -> int:
+    content = (body.prompt, body.max_tokens, dict(body.parameters))
+    return _hash_parts(
+        fields, artifact, orjson.dumps(content, option=orjson.OPT_SORT_KEYS)
+    )
+
+
+def _hash_call(fields: RequestFields, target: ServiceCall, body: bytes) -> int:
+    return _hash_parts(fields, target, body)
+
+
+def _hash_parts(fields: RequestFields, target: Target, content: bytes) -> int:
+    parts = orjson.dumps((fields.caller, str(target)))
+    return xxh64_intdigest(parts + content)
--- /dev/null
+++ b/mangoway/callers/render.py
@@ -0,0 +1,135 @@
+"""Answers in the published completions shape, whole and streamed."""
+
+from collections.abc import AsyncGenerator
+
+import orjson
+from attrs import frozen
+
+from ..models.identifiers import RequestId
+from .answer import Answer, AnswerReader
+from .const import (
+    CHARACTERS_PER_TOKEN,
+    CONTENT_TYPE_EVENTS,
+    CONTENT_TYPE_JSON,
+    HEADER_CONTENT_TYPE,
+    HEADER_REQUEST_ID,
+)
+from .messages import OutgoingAnswer, Submission
+from .problems import make_error_event
+
+EVENT_DONE = b"data: [DONE]\n\n"
+STATUS_OK = 200
+OBJECT_KIND = "text_completion"
+
+
+@frozen(kw_only=True)
+class CompletionHead:
+    """What all parts of one completion's answer have in common."""
+
+    request_id: RequestId
+    created: int
+    """Unix seconds."""
+
+    submission: Submission
+
+
+def render_whole(answer: Answer, head: CompletionHead) -> OutgoingAnswer:
+    """Return a completion that ended whole."""
+    prompt_tokens = len(head.submission.prompt) // CHARACTERS_PER_TOKEN + 1
+    choice = {
+        "index": 0,
+        "text": answer.text,
+        "logprobs": None,
+        "finish_reason": answer.finish_reason,
+    }
+    body = {
+        "id": head.request_id,
+        "object": OBJECT_KIND,
+        "created": head.created,
+        "model": head.submission.model_name,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": answer.tokens,
+            "total_tokens": prompt_tokens + answer.tokens,
+        },
+    }
+    return OutgoingAnswer(
+        status=STATUS_OK,
+        headers=_make_headers(CONTENT_TYPE_JSON, head.request_id),
+        body=orjson.dumps(body),
+    )
+
+
+def render_stream(reader: AnswerReader, head: CompletionHead) -> OutgoingAnswer:
+    """Return a completion as server-sent events."""
+    return OutgoingAnswer(
+        status=STATUS_OK,
+        headers=_make_headers(CONTENT_TYPE_EVENTS, head.request_id),
+        body=_async_stream(reader, head),
+    )
+
+
+def render_plain(answer: Answer, request_id: RequestId) -> OutgoingAnswer:
+    """Return the answer of a service call."""
+    plain = answer.plain
+    assert plain is not None
+    return OutgoingAnswer(
+        status=plain.status,
+        headers=_make_headers(plain.content_type, request_id),
+        body=plain.body,
+    )
+
+
+async def _async_stream(
+    reader: AnswerReader, head: CompletionHead
+) -> AsyncGenerator[bytes, None]:
+    frame = _make_frame(head)
+    while pieces := await reader.async_read():
+        yield b"".join([frame.wrap(piece, None) for piece in pieces])
+    answer = reader.answer
+    if reader.closed:
+        return
+    if answer.failure is not None:
+        yield make_error_event(answer.failure, head.request_id)
+        return
+    yield frame.wrap("", answer.finish_reason) + EVENT_DONE
+
+
+@frozen
+class _Frame:
+    """The bytes around the text of each event; only the text is encoded anew."""
+
+    before: bytes
+    between: bytes = b',"logprobs":null,"finish_reason":'
+    after: bytes = b"}]}\n\n"
+
+    def wrap(self, text: str, finish_reason: str | None) -> bytes:
+        """Return one event."""
+        return b"".join(
+            (
+                self.before,
+                orjson.dumps(text),
+                self.between,
+                orjson.dumps(finish_reason),
+                self.after,
+            )
+        )
+
+
+def _make_frame(head: CompletionHead) -> _Frame:
+    shared = orjson.dumps(
+        {
+            "id": head.request_id,
+            "object": OBJECT_KIND,
+            "created": head.created,
+            "model": head.submission.model_name,
+        }
+    )
+    return _Frame(b"data: " + shared[:-1] + b',"choices":[{"index":0,"text":')
+
+
+def _make_headers(
+    content_type: str, request_id: RequestId
+) -> tuple[tuple[str, str], ...]:
+    return (HEADER_CONTENT_TYPE, content_type), (HEADER_REQUEST_ID, request_id)
--- /dev/null
+++ b/mangoway/callers/server.py
@@ -0,0 +1,67 @@
+"""The HTTP server for callers."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import uvicorn
+from blacksheep import Application
+
+KEEP_ALIVE_S = 30
+START_POLL_S = 0.01
+
+
+class CallerServer:
+    """Serves an application on the running loop; signals are the daemon's to handle."""
+
+    def __init__(self, app: Application) -> None:
+        config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="on",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+        )
+        self._server = _Server(config)
+        self._serving: asyncio.Task[None] | None = None
+        self.port = 0
+
+    async def async_start(self, host: str, port: int) -> None:
+        """Listen and serve.
+
+        Raises:
+            OSError: If the address can't be used.
+        """
+        listener = socket.create_server((host, port), backlog=1024)
+        self.port = listener.getsockname()[1]
+        self._serving = asyncio.get_running_loop().create_task(
+            self._server.serve([listener])
+        )
+        while not self._server.started:
+            if self._serving.done():
+                self._serving.result()
+                raise RuntimeError("the server for callers ended while starting")
+            await asyncio.sleep(START_POLL_S)
+
+    async def async_stop(self, force: bool = False) -> None:
+        """Stop listening; wait for open responses unless forced."""
+        if self._serving is None:
+            return
+        self._server.should_exit = True
+        self._server.force_exit = force
+        await self._serving
+
+
+class _Server(uvicorn.Server):
+    """Leaves the process's signal handlers alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture nothing."""
+        yield
--- /dev/null
+++ b/mangoway/daemons/dispatcher.py
@@ -0,0 +1,286 @@
+"""Turns the decisions about requests into I/O, and I/O into their events."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol, TypeVar
+
+from attrs import define, field
+
+from ..callers.answer import Answer
+from ..callers.messages import Submission
+from ..models.errors import ErrorCode, Failure
+from ..models.identifiers import IncarnationId, RequestId, UpstreamId
+from ..models.offer import Configuration
+from ..models.upstream import UpstreamAddress
+from ..models.verdict import Verdict
+from ..observability.journal import DecisionKind, Journal, JournalEntry
+from ..observability.tracing import HopSpan
+from ..policy.core import Core
+from ..policy.dispatch.actions import (
+    CancelAttempt,
+    ClaimKey,
+    DispatchAction,
+    Explain,
+    Finish,
+    ForgetAnswer,
+    ForwardToHome,
+    ForwardToPeer,
+    JoinRequest,
+    Refuse,
+    ReplayAnswer,
+    ReportDemand,
+    StartAttempt,
+    WakeAt,
+)
+from ..policy.dispatch.events import (
+    AttemptFailed,
+    ConfigurationChanged,
+    DispatchEvent,
+    RequestArrived,
+    RequestCancelled,
+    Ticked,
+    UpstreamsListed,
+)
+from .attempts import AttemptRunner
+from .records import Records, RequestRecord
+
+ActionT = TypeVar("ActionT")
+ActionHandler = Callable[["Dispatcher", Any], None]
+
+_handlers: dict[type, ActionHandler] = {}
+
+
+def _handles(
+    kind: type[ActionT],
+) -> Callable[
+    [Callable[["Dispatcher", ActionT], None]], Callable[["Dispatcher", ActionT], None]
+]:
+    """Register the handler of one kind of action."""
+
+    def register(
+        handler: Callable[["Dispatcher", ActionT], None],
+    ) -> Callable[["Dispatcher", ActionT], None]:
+        _handlers[kind] = handler
+        return handler
+
+    return register
+
+
+class KeyClaimer(Protocol):
+    """Claims plain idempotency keys; the outcome comes back as an event."""
+
+    def async_claim(self, action: ClaimKey, submission: Submission) -> None:
+        """Start a claim."""
+        ...
+
+
+class PeerRouter(Protocol):
+    """Sends requests to other gateways and fills their answers."""
+
+    def async_forward_home(self, record: RequestRecord, home: IncarnationId) -> None:
+        """Forward a request to the home of its key."""
+        ...
+
+    def async_forward_any(self, record: RequestRecord) -> None:
+        """Forward a request to any other live gateway."""
+        ...
+
+
+class DemandSink(Protocol):
+    """Takes the demand that a gateway saw."""
+
+    def async_report_demand(self, action: ReportDemand) -> None:
+        """Pass it on to the controller."""
+        ...
+
+
+@define(eq=False, kw_only=True)
+class Dispatcher:
+    """Owns the dispatch core: one event at a time, actions in their order."""
+
+    core: Core[DispatchEvent, DispatchAction]
+    journal: Journal
+    runner: AttemptRunner
+    claimer: KeyClaimer
+    router: PeerRouter
+    demand: DemandSink
+    records: Records = field(factory=Records, init=False)
+    configuration: Configuration | None = field(default=None, init=False)
+    upstreams: dict[UpstreamId, UpstreamAddress] = field(factory=dict, init=False)
+    _events: deque[DispatchEvent] = field(factory=deque, init=False)
+    _handling: bool = field(default=False, init=False)
+    _timer: asyncio.TimerHandle | None = field(default=None, init=False)
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing is in progress, at upstreams included."""
+        return not self.records and not self.runner
+
+    def now(self) -> float:
+        """Return the time on the clock of the decisions."""
+        return asyncio.get_running_loop().time()
+
+    def submit(self, submission: Submission, span: HopSpan) -> Answer:
+        """Take a checked request and return its answer, which then grows."""
+        answer = Answer()
+        self.records.add(RequestRecord(submission, answer, span))
+        self.send(RequestArrived(request=submission.request))
+        return answer
+
+    def hang_up(self, request_id: RequestId) -> None:
+        """Note that nobody waits for a request's answer any more."""
+        if self.records.get(request_id) is not None:
+            self.send(RequestCancelled(request_id=request_id))
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self.configuration = configuration
+        self.send(ConfigurationChanged(configuration=configuration))
+
+    def set_upstreams(self, upstreams: Iterable[UpstreamAddress]) -> None:
+        """Set the whole list of known upstreams."""
+        self.upstreams = {each.id: each for each in upstreams}
+        self.send(UpstreamsListed(upstreams=tuple(self.upstreams.values())))
+
+    def send(self, event: DispatchEvent) -> None:
+        """Give the core an event and do what it decides.
+
+        An event that comes up while actions are done waits for its turn.
+        """
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._decide(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def close(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _decide(self, event: DispatchEvent) -> None:
+        for action in self.core.handle(event, self.now()):
+            _handlers[type(action)](self, action)
+
+    @_handles(StartAttempt)
+    def _start_attempt(self, action: StartAttempt) -> None:
+        record = self.records.get(action.request_id)
+        upstream = self.upstreams.get(action.upstream_id)
+        if record is None or upstream is None:
+            self.send(_make_unstartable(action))
+            return
+        self.runner.async_start(action, record, upstream.address)
+
+    @_handles(CancelAttempt)
+    def _cancel_attempt(self, action: CancelAttempt) -> None:
+        self.runner.async_cancel(action.attempt_id)
+
+    @_handles(Refuse)
+    def _refuse(self, action: Refuse) -> None:
+        record = self.records.pop(action.request_id)
+        if record is not None:
+            record.attempt = None
+            record.answer.fail(action.failure)
+
+    @_handles(Finish)
+    def _finish(self, action: Finish) -> None:
+        record = self.records.pop(action.request_id)
+        if record is None:
+            return
+        record.attempt = None
+        record.answer.finish()
+        if action.keep_answer:
+            self.records.keep(action.request_id, record.answer)
+
+    @_handles(ReplayAnswer)
+    def _replay(self, action: ReplayAnswer) -> None:
+        record = self.records.pop(action.request_id)
+        if record is None:
+            return
+        kept = self.records.find_kept(action.answer_id)
+        if kept is None:
+            record.answer.fail(_make_lost_answer())
+            return
+        record.answer.follow(kept)
+
+    @_handles(JoinRequest)
+    def _join(self, action: JoinRequest) -> None:
+        record = self.records.get(action.request_id)
+        leader = self.records.get(action.leader_id)
+        if record is not None and leader is not None:
+            leader.followers.append(record.id)
+            record.answer.follow(leader.answer)
+
+    @_handles(ForgetAnswer)
+    def _forget(self, action: ForgetAnswer) -> None:
+        self.records.forget(action.answer_id)
+
+    @_handles(ClaimKey)
+    def _claim(self, action: ClaimKey) -> None:
+        record = self.records.get(action.request_id)
+        if record is not None:
+            self.claimer.async_claim(action, record.submission)
+
+    @_handles(ForwardToHome)
+    def _forward_home(self, action: ForwardToHome) -> None:
+        record = self.records.pop(action.request_id)
+        if record is not None:
+            self.router.async_forward_home(record, action.home)
+
+    @_handles(ForwardToPeer)
+    def _forward_any(self, action: ForwardToPeer) -> None:
+        record = self.records.pop(action.request_id)
+        if record is not None:
+            self.router.async_forward_any(record)
+
+    @_handles(ReportDemand)
+    def _report_demand(self, action: ReportDemand) -> None:
+        self.demand.async_report_demand(action)
+
+    @_handles(Explain)
+    def _explain(self, action: Explain) -> None:
+        record = self.records.get(action.request_id)
+        self.journal.add(
+            JournalEntry(
+                at=time.time(),
+                kind=DecisionKind.REQUEST,
+                reason=action.reason,
+                detail=action.detail,
+                request=action.request_id,
+                upstream=action.upstream_id,
+                trace_id=None if record is None else record.span.trace_id,
+            )
+        )
+
+    @_handles(WakeAt)
+    def _wake_at(self, action: WakeAt) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_at(
+            action.time, self.send, Ticked()
+        )
+
+
+def _make_unstartable(action: StartAttempt) -> AttemptFailed:
+    failure = Failure(
+        code=ErrorCode.NO_UPSTREAM,
+        verdict=Verdict.NOT_RUN,
+        detail=f"{action.upstream_id} is no longer listed",
+    )
+    return AttemptFailed(
+        attempt_id=action.attempt_id, verdict=failure.verdict, failure=failure
+    )
+
+
+def _make_lost_answer() -> Failure:
+    return Failure(
+        code=ErrorCode.KEY_EXPIRED,
+        verdict=Verdict.RAN,
+        detail="the request ran, but its answer is no longer kept",
+    )
--- a/mangoway/engines/client.py
+++ b/mangoway/engines/client.py
@@ -1,6 +1,6 @@
 """Client of the model engines."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 
 import orjson
 
@@ -74,7 +74,7 @@
 
     async def async_complete(
         self, address: str, attempt: CompletionAttempt
-    ) -> AsyncIterator[list[CompletionChunk]]:
+    ) -> AsyncGenerator[list[CompletionChunk], None]:
         """Stream a completion, yielding the chunks of each read as one list.
 
         It ends only after the engine ended the stream itself.
--- a/mangoway/engines/codec.py
+++ b/mangoway/engines/codec.py
@@ -64,6 +64,7 @@
             "request_id": attempt.id,
             "resume_from": attempt.resume_from,
             "resume_text": attempt.resume_text,
+            "prefix_hashes": attempt.prefix_hashes,
         }
     )
 
--- a/mangoway/engines/messages.py
+++ b/mangoway/engines/messages.py
@@ -27,6 +27,9 @@
     resume_text: str = ""
     """Text of those tokens."""
 
+    prefix_hashes: tuple[int, ...] = ()
+    """Hashes of the prompt's leading blocks, as the engine's cache events name them."""
+
     parameters: Mapping[str, Any] = field(factory=dict)
     """Further fields of the caller's body, passed on as they are."""
 
--- a/tests/engines/test_client.py
+++ b/tests/engines/test_client.py
@@ -87,6 +87,7 @@
             "request_id": "a-1",
             "resume_from": 1,
             "resume_text": "x",
+            "prefix_hashes": [],
             "temperature": 0.5,
         }
 
