Serve completions end to end in one process

The callers' application, the shell around the dispatch core and the runner of attempts. Answers are one growing object per request that callers read at their own pace: streaming, resuming, joining and replaying all read the same pieces.

Shown: a whole and a streamed completion, adapters and versions, concurrent callers, and a stream that was cut and resumed, against the engine stand-in (7 tests).

--- /dev/null
+++ b/mangoway/daemons/claims.py
@@ -0,0 +1,61 @@
+"""Claims of plain idempotency keys in the key-value service."""
+
+import time
+from collections.abc import Callable
+
+import orjson
+from attrs import define
+from xxhash import xxh3_128_hexdigest
+
+from ..callers.messages import Submission
+from ..key_value.store import CallRank, KeyValueStore, Put
+from ..models.errors import MangowayError
+from ..models.identifiers import IncarnationId, Revision
+from ..models.verdict import Verdict
+from ..policy.dispatch.actions import ClaimKey
+from ..policy.dispatch.events import ClaimOutcome, DispatchEvent, KeyClaimed
+from ..util.tasks import Tasks
+from .const import CLAIMS_PREFIX
+
+
+@define(eq=False, kw_only=True)
+class KeyClaims:
+    """Claims keys by creating their entry, which only one gateway can."""
+
+    store: KeyValueStore
+    incarnation: IncarnationId
+    tasks: Tasks
+    send: Callable[[DispatchEvent], None]
+    """Takes the outcomes."""
+
+    def async_claim(self, action: ClaimKey, submission: Submission) -> None:
+        """Start a claim; `KeyClaimed` follows."""
+        self.tasks.async_start(self._async_claim(action, submission))
+
+    async def _async_claim(self, action: ClaimKey, submission: Submission) -> None:
+        outcome = await self._async_write(action, submission)
+        self.send(KeyClaimed(request_id=action.request_id, outcome=outcome))
+
+    async def _async_write(self, action: ClaimKey, submission: Submission) -> str:
+        value = orjson.dumps(
+            {
+                "incarnation": self.incarnation,
+                "request_id": action.request_id,
+                "claimed_at": int(time.time()),
+            }
+        )
+        put = Put(key=name_claim(submission, action), value=value, expected=Revision(0))
+        try:
+            result = await self.store.async_commit((put,), CallRank.CLAIM)
+        except MangowayError as error:
+            # What may have been written counts as taken: it is never run twice.
+            if error.failure.verdict is Verdict.NOT_RUN:
+                return ClaimOutcome.UNAVAILABLE
+            return ClaimOutcome.TAKEN
+        return ClaimOutcome.CLAIMED if result.succeeded else ClaimOutcome.TAKEN
+
+
+def name_claim(submission: Submission, action: ClaimKey) -> str:
+    """Return the entry of a key; keys of different callers never meet."""
+    owner = orjson.dumps((submission.request.caller, action.key))
+    return CLAIMS_PREFIX + xxh3_128_hexdigest(owner)
--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -38,3 +38,16 @@
 
 ORDER_WATCH_S: Final = 30.0
 """Time for which a runner is asked often after an order was sent to it."""
+
+# The gateway process.
+
+CLAIMS_PREFIX: Final = "/mangoway/claims/"
+
+REPORTERS_PER_ENGINE: Final = 3
+"""Gateways of a cell that ask one engine for reports; the others hear of them."""
+
+STOP_POLL_S: Final = 0.1
+"""Pause between two looks whether a stopping gateway is idle."""
+
+ADDRESS_RETRY_S: Final = 1.0
+"""Time after which a caller may ask again when no gateway is ready."""
--- a/mangoway/daemons/dispatcher.py
+++ b/mangoway/daemons/dispatcher.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol, TypeVar
 
@@ -43,6 +42,7 @@
     Ticked,
     UpstreamsListed,
 )
+from ..util.core_driver import CoreDriver
 from .attempts import AttemptRunner
 from .records import Records, RequestRecord
 
@@ -109,9 +109,10 @@
     records: Records = field(factory=Records, init=False)
     configuration: Configuration | None = field(default=None, init=False)
     upstreams: dict[UpstreamId, UpstreamAddress] = field(factory=dict, init=False)
-    _events: deque[DispatchEvent] = field(factory=deque, init=False)
-    _handling: bool = field(default=False, init=False)
-    _timer: asyncio.TimerHandle | None = field(default=None, init=False)
+    _driver: CoreDriver[DispatchEvent, DispatchAction] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._driver = CoreDriver(self.core, self._carry_out, Ticked)
 
     @property
     def idle(self) -> bool:
@@ -145,28 +146,15 @@
         self.send(UpstreamsListed(upstreams=tuple(self.upstreams.values())))
 
     def send(self, event: DispatchEvent) -> None:
-        """Give the core an event and do what it decides.
-
-        An event that comes up while actions are done waits for its turn.
-        """
-        self._events.append(event)
-        if self._handling:
-            return
-        self._handling = True
-        try:
-            while self._events:
-                self._decide(self._events.popleft())
-        finally:
-            self._handling = False
+        """Give the core an event and do what it decides."""
+        self._driver.async_handle(event)
 
     def close(self) -> None:
-        """Stop the timer."""
-        if self._timer is not None:
-            self._timer.cancel()
+        """Take no further event."""
+        self._driver.async_stop()
 
-    def _decide(self, event: DispatchEvent) -> None:
-        for action in self.core.handle(event, self.now()):
-            _handlers[type(action)](self, action)
+    def _carry_out(self, action: DispatchAction) -> None:
+        _handlers[type(action)](self, action)
 
     @_handles(StartAttempt)
     def _start_attempt(self, action: StartAttempt) -> None:
@@ -260,11 +248,7 @@
 
     @_handles(WakeAt)
     def _wake_at(self, action: WakeAt) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = asyncio.get_running_loop().call_at(
-            action.time, self.send, Ticked()
-        )
+        self._driver.async_wake_at(action.time)
 
 
 def _make_unstartable(action: StartAttempt) -> AttemptFailed:
--- /dev/null
+++ b/mangoway/daemons/gateway_node.py
@@ -0,0 +1,295 @@
+"""One gateway: its parts, put together, without process and platform around it."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Iterable
+from random import Random
+
+from attrs import define, field
+
+from ..callers.application import ApplicationParts, make_application
+from ..callers.gate import Gate
+from ..callers.server import CallerServer
+from ..engines.client import EngineClient
+from ..key_value.store import KeyValueStore
+from ..models.errors import MangowayError
+from ..models.identifiers import DataCentreId, HostId, IncarnationId, UpstreamId
+from ..models.member import Member, MemberState, ProcessRole
+from ..models.offer import Configuration
+from ..models.upstream import (
+    EngineDescription,
+    EngineReport,
+    UpstreamAddress,
+    UpstreamKind,
+)
+from ..observability.event_log import log_event
+from ..observability.events import (
+    ReportFailed,
+    TaskFailed,
+    UpstreamMet,
+    UpstreamRestarted,
+)
+from ..observability.journal import Journal
+from ..observability.metrics import Metrics
+from ..observability.tracing import Tracing
+from ..peers.client import PeerClients
+from ..peers.demand import DemandSender
+from ..peers.directory import Directory
+from ..peers.forwarding import Forwarder
+from ..peers.reports import ReportBook
+from ..policy.dispatch.actions import ReportDemand
+from ..policy.dispatch.core import DispatchCore
+from ..policy.dispatch.events import (
+    DispatchEvent,
+    EngineMet,
+    EngineReported,
+    GatewaysCounted,
+    HomesChanged,
+    Successor,
+)
+from ..policy.dispatch.options import DispatchOptions
+from ..services.client import ServiceClient
+from ..upstreams.session import UpstreamSession
+from ..util.tasks import Tasks
+from .attempts import AttemptRunner
+from .claims import KeyClaims
+from .const import REPORTERS_PER_ENGINE
+from .dispatcher import Dispatcher
+from .engine_poller import EnginePoller
+from .gateway_view import GatewaySelfView
+from .peer_router import ForwardedRequests, GatewayRouter
+from .rendezvous import is_chosen
+
+
+def make_incarnation() -> IncarnationId:
+    """Return an identifier that no process ever had."""
+    return IncarnationId(secrets.token_hex(16))
+
+
+@define(kw_only=True)
+class NodeSettings:
+    """What a gateway must know of itself."""
+
+    host: HostId
+    data_centre: DataCentreId
+    incarnation: IncarnationId = field(factory=make_incarnation)
+    max_body_bytes: int = 1 << 20
+    trace_sample_ratio: float = 1.0
+    log_spans: bool = False
+
+
+class GatewayNode:
+    """Parts of a gateway; make it on the loop that runs it."""
+
+    def __init__(self, settings: NodeSettings, store: KeyValueStore) -> None:
+        self.settings = settings
+        loop = asyncio.get_running_loop()
+        self.metrics = Metrics()
+        self.journal = Journal()
+        self.tracing = Tracing(
+            host=settings.host,
+            role=ProcessRole.GATEWAY.value,
+            sample_ratio=settings.trace_sample_ratio,
+            log_spans=settings.log_spans,
+        )
+        self.tasks = Tasks(_log_failed_task)
+        self.directory = Directory(settings.incarnation)
+        self.book = ReportBook()
+        self.clients = PeerClients()
+        self.forwarder = Forwarder(self.clients)
+        self.session = UpstreamSession()
+        self.engines = EngineClient(self.session, loop.time)
+        self.core = DispatchCore(
+            settings.incarnation,
+            Random(secrets.randbits(64)),
+            DispatchOptions(
+                data_centre=settings.data_centre,
+                clock_offset_s=time.time() - loop.time(),
+            ),
+        )
+        self.dispatcher = self._make_dispatcher(store)
+        self.gate = Gate(
+            self.dispatcher, settings.incarnation, self.metrics, self.tracing
+        )
+        self.forwarded = ForwardedRequests(self.gate)
+        self.view = GatewaySelfView(
+            dispatcher=self.dispatcher,
+            core=self.core,
+            directory=self.directory,
+            journal=self.journal,
+        )
+        self.poller = EnginePoller(reader=self.engines, listener=self, tasks=self.tasks)
+        self.server = CallerServer(
+            make_application(
+                ApplicationParts(
+                    gate=self.gate,
+                    view=self.view,
+                    metrics=self.metrics,
+                    max_body_bytes=settings.max_body_bytes,
+                )
+            )
+        )
+        self._incarnations: dict[UpstreamId, IncarnationId] = {}
+        self.book.listen(self._take_peer_report)
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is in progress."""
+        return self.dispatcher.idle and not self.gate.open_count
+
+    async def async_start(self, host: str, port: int) -> None:
+        """Listen for callers and ask engines for reports.
+
+        Raises:
+            OSError: If the address can't be used.
+        """
+        await self.server.async_start(host, port)
+        self.tasks.async_start(self.poller.async_run())
+
+    async def async_stop(self, force: bool = False) -> None:
+        """Stop serving; what is still in progress is cut off."""
+        await self.server.async_stop(force)
+        self.dispatcher.close()
+        await self.dispatcher.runner.async_close()
+        await self.tasks.async_cancel()
+        self.clients.close()
+        await self.session.async_close()
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self.metrics.config_version.set(level=configuration.version)
+        self.dispatcher.set_configuration(configuration)
+
+    def set_upstreams(self, upstreams: Iterable[UpstreamAddress]) -> None:
+        """Set the whole list of known upstreams."""
+        self.dispatcher.set_upstreams(upstreams)
+        self._share_engines()
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Set the processes of the system, this one included."""
+        known = tuple(members)
+        self.directory.set_members(known)
+        gateways = [each for each in known if each.role is ProcessRole.GATEWAY]
+        # A leaving home still answers for its keys; a gone one does not.
+        homes = [each for each in gateways if each.state is not MemberState.GONE]
+        successors = tuple(
+            Successor(home=each.incarnation, successor=each.successor)
+            for each in gateways
+            if each.successor is not None
+        )
+        self.dispatcher.send(
+            HomesChanged(
+                live=frozenset(each.incarnation for each in homes),
+                successors=successors,
+            )
+        )
+        live = self.directory.list_live(ProcessRole.GATEWAY)
+        self.dispatcher.send(GatewaysCounted(count=max(1, len(live))))
+        self._share_engines()
+
+    def async_meet(self, description: EngineDescription) -> None:
+        """Take the description of an engine met first, or after a restart."""
+        known = self._incarnations.get(description.upstream)
+        self._incarnations[description.upstream] = description.incarnation
+        if known is not None and known != description.incarnation:
+            log_event(
+                UpstreamRestarted(
+                    upstream_id=description.upstream,
+                    incarnation=description.incarnation,
+                )
+            )
+        log_event(
+            UpstreamMet(
+                upstream_id=description.upstream,
+                incarnation=description.incarnation,
+                memory_mb=description.memory_mb,
+                checks_fences=description.checks_fences,
+            )
+        )
+        self.dispatcher.send(EngineMet(description=description))
+
+    def async_take_report(self, report: EngineReport) -> None:
+        """Take a report that this gateway asked for; peers hear of it."""
+        if self.book.offer(report):
+            self.dispatcher.send(EngineReported(report=report))
+
+    def async_note_silent(self, upstream: UpstreamId, error: MangowayError) -> None:
+        """Take note that an engine has not answered for long."""
+        log_event(ReportFailed(upstream_id=upstream, error=str(error)))
+
+    def async_report_demand(self, action: ReportDemand) -> None:
+        """Pass the demand of a period on to the active controller."""
+        self.tasks.async_start(
+            self.demand.async_report(action.period_s, action.demands)
+        )
+
+    def _make_dispatcher(self, store: KeyValueStore) -> Dispatcher:
+        settings = self.settings
+        self.demand = DemandSender(
+            gateway=settings.host,
+            incarnation=settings.incarnation,
+            clients=self.clients,
+            directory=self.directory,
+        )
+        runner = AttemptRunner(
+            engines=self.engines,
+            services=ServiceClient(self.session),
+            metrics=self.metrics,
+            tracing=self.tracing,
+            send=self._send,
+        )
+        return Dispatcher(
+            core=self.core,
+            journal=self.journal,
+            runner=runner,
+            claimer=KeyClaims(
+                store=store,
+                incarnation=settings.incarnation,
+                tasks=self.tasks,
+                send=self._send,
+            ),
+            router=GatewayRouter(
+                forwarder=self.forwarder,
+                directory=self.directory,
+                rng=Random(secrets.randbits(64)),
+                tasks=self.tasks,
+                metrics=self.metrics,
+                tracing=self.tracing,
+                now=asyncio.get_running_loop().time,
+            ),
+            demand=self,
+        )
+
+    def _send(self, event: DispatchEvent) -> None:
+        self.dispatcher.send(event)
+
+    def _take_peer_report(self, report: EngineReport) -> None:
+        self.dispatcher.send(EngineReported(report=report))
+        if self._incarnations.get(report.upstream) != report.incarnation:
+            self.tasks.async_start(self._async_describe(report.upstream))
+
+    async def _async_describe(self, upstream: UpstreamId) -> None:
+        address = self.dispatcher.upstreams.get(upstream)
+        if address is None:
+            return
+        try:
+            self.async_meet(await self.engines.async_describe(address.address))
+        except MangowayError as error:
+            log_event(ReportFailed(upstream_id=upstream, error=str(error)))
+
+    def _share_engines(self) -> None:
+        """Poll only this gateway's share of the engines."""
+        live = self.directory.list_live(ProcessRole.GATEWAY)
+        names = [each.incarnation for each in live]
+        own = self.settings.incarnation
+        self.poller.async_set_engines(
+            each
+            for each in self.dispatcher.upstreams.values()
+            if each.kind is UpstreamKind.ENGINE
+            and is_chosen(own, names, each.id, REPORTERS_PER_ENGINE)
+        )
+
+
+def _log_failed_task(error: BaseException) -> None:
+    log_event(TaskFailed(task="gateway", error=repr(error)))
--- /dev/null
+++ b/mangoway/daemons/gateway_view.py
@@ -0,0 +1,166 @@
+"""What a gateway shows of itself: addresses, readiness, status, explanations."""
+
+import time
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import define, field
+
+from ..models.errors import ErrorCode, MangowayError
+from ..models.identifiers import RequestId
+from ..models.member import (
+    AddressAnswer,
+    GatewayAddress,
+    Member,
+    MemberState,
+    ProcessRole,
+)
+from ..observability.journal import Journal, JournalEntry, JournalQuery
+from ..peers.directory import Directory
+from ..policy.dispatch.core import DispatchCore
+from ..policy.dispatch.status import (
+    DispatchStatus,
+    QueueStatus,
+    UpstreamStatus,
+    describe_dispatch,
+)
+from .const import ADDRESS_RETRY_S
+from .dispatcher import Dispatcher
+
+DEFAULT_VALIDITY_S = 5.0
+
+
+@define(eq=False, kw_only=True)
+class GatewaySelfView:
+    """Reads the state of the other parts; changes nothing."""
+
+    dispatcher: Dispatcher
+    core: DispatchCore
+    directory: Directory
+    journal: Journal
+    stopping: bool = field(default=False, init=False)
+
+    def list_addresses(self) -> AddressAnswer:
+        """Return the gateways that callers should use.
+
+        Raises:
+            MangowayError: NOT_READY if no gateway is known to be ready.
+        """
+        gateways = tuple(
+            GatewayAddress(
+                host=member.host,
+                address=member.caller_address or "",
+                incarnation=member.incarnation,
+                data_centre=member.data_centre,
+            )
+            for member in self.directory.list_live(ProcessRole.GATEWAY)
+            if member.ready and member.caller_address and not self._is_stopping(member)
+        )
+        if not gateways:
+            raise MangowayError(
+                ErrorCode.NOT_READY,
+                "no gateway is ready",
+                retry_after=ADDRESS_RETRY_S,
+            )
+        return AddressAnswer(gateways=gateways, valid_for_s=self._find_validity_s())
+
+    def check_ready(self) -> None:
+        """Raise `MangowayError` unless this gateway takes new requests."""
+        if self.stopping:
+            raise MangowayError(ErrorCode.LEAVING, "this gateway leaves")
+        if self.dispatcher.configuration is None:
+            raise MangowayError(
+                ErrorCode.NOT_READY,
+                "no configuration is in force yet",
+                retry_after=ADDRESS_RETRY_S,
+            )
+
+    def read_status(self) -> Mapping[str, Any]:
+        """Return a snapshot that can be written as JSON."""
+        configuration = self.dispatcher.configuration
+        status = describe_dispatch(self.core)
+        members = (
+            *self.directory.list_live(ProcessRole.GATEWAY),
+            *self.directory.list_live(ProcessRole.CONTROLLER),
+        )
+        return {
+            "incarnation": self.directory.own,
+            "state": MemberState.LEAVING.value
+            if self.stopping
+            else MemberState.LIVE.value,
+            "config_version": 0 if configuration is None else configuration.version,
+            "members": [_list_member(member) for member in members],
+            **self._list_dispatch(status),
+        }
+
+    def explain(self, request_id: RequestId) -> list[Mapping[str, Any]]:
+        """Return the kept decisions about a request, oldest first."""
+        entries = self.journal.find(JournalQuery(request=request_id))
+        return [_list_decision(entry) for entry in entries]
+
+    def _is_stopping(self, member: Member) -> bool:
+        return self.stopping and member.incarnation == self.directory.own
+
+    def _find_validity_s(self) -> float:
+        configuration = self.dispatcher.configuration
+        if configuration is None:
+            return DEFAULT_VALIDITY_S
+        return configuration.site.address_validity_s
+
+    def _list_dispatch(self, status: DispatchStatus) -> dict[str, Any]:
+        now = self.dispatcher.now()
+        return {
+            "requests": status.requests,
+            "attempts": status.attempts,
+            "key_records": status.key_records,
+            "queues": [_list_queue(queue) for queue in status.queues],
+            "upstreams": [
+                self._list_upstream(upstream, now) for upstream in status.upstreams
+            ],
+        }
+
+    def _list_upstream(self, upstream: UpstreamStatus, now: float) -> dict[str, Any]:
+        known = self.dispatcher.upstreams.get(upstream.upstream_id)
+        reported_at = upstream.reported_at
+        return {
+            "upstream": upstream.upstream_id,
+            "address": None if known is None else known.address,
+            "in_flight": upstream.in_flight,
+            "window": upstream.window,
+            "breaker": upstream.breaker.value,
+            "leaving": upstream.leaving,
+            "listed": upstream.listed,
+            "report_age_s": None if reported_at is None else now - reported_at,
+        }
+
+
+def _list_member(member: Member) -> dict[str, Any]:
+    return {
+        "host": member.host,
+        "role": member.role.value,
+        "incarnation": member.incarnation,
+        "data_centre": member.data_centre,
+        "address": member.caller_address,
+        "state": member.state.value,
+        "ready": member.ready,
+        "config_version": member.config_version,
+    }
+
+
+def _list_queue(queue: QueueStatus) -> dict[str, Any]:
+    return {
+        "target": str(queue.target),
+        "urgent": queue.urgent,
+        "patient": queue.patient,
+    }
+
+
+def _list_decision(entry: JournalEntry) -> Mapping[str, Any]:
+    return {
+        "at": entry.at,
+        "age_s": time.time() - entry.at,
+        "reason": entry.reason,
+        "detail": entry.detail,
+        "upstream": entry.upstream,
+        "trace_id": entry.trace_id,
+    }
--- /dev/null
+++ b/mangoway/daemons/peer_router.py
@@ -0,0 +1,207 @@
+"""Forwards requests to other gateways, and answers those that they forward."""
+
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
+from random import Random
+from typing import Protocol
+
+from attrs import define
+
+from ..callers.answer import RelayedAnswer
+from ..callers.const import FORWARDED_HEADERS
+from ..callers.gate import Gate
+from ..callers.messages import IncomingRequest
+from ..models.errors import ErrorCode, MangowayError
+from ..models.identifiers import IncarnationId
+from ..models.member import Member, MemberState, ProcessRole
+from ..models.verdict import Verdict
+from ..observability.event_log import log_event
+from ..observability.events import KeyHomeLost, RequestForwarded
+from ..observability.metrics import Metrics
+from ..observability.tracing import Hop, Tracing
+from ..peers.directory import Directory
+from ..peers.messages import (
+    ForwardedFrame,
+    ForwardedHead,
+    ForwardedHeader,
+    ForwardedRequest,
+)
+from ..util.tasks import Tasks
+from .records import RequestRecord
+
+REASON_HOME = "home"
+REASON_LEAVING = "leaving"
+HEADER_TRACEPARENT = "traceparent"
+
+
+class PeerForwarder(Protocol):
+    """Sends a request to another gateway."""
+
+    def async_forward(
+        self, address: str, request: ForwardedRequest
+    ) -> AsyncGenerator[ForwardedFrame, None]:
+        """Yield the parts of the answer until it is whole.
+
+        Raises:
+            MangowayError: NOT_RUN only if the peer certainly did not run it.
+        """
+        ...
+
+
+@define(eq=False, kw_only=True)
+class GatewayRouter:
+    """Sends requests where the decisions say."""
+
+    forwarder: PeerForwarder
+    directory: Directory
+    rng: Random
+    tasks: Tasks
+    metrics: Metrics
+    tracing: Tracing
+    now: Callable[[], float]
+
+    def async_forward_home(self, record: RequestRecord, home: IncarnationId) -> None:
+        """Forward a request to the home of its key."""
+        member = self.directory.find_incarnation(home)
+        if member is None:
+            log_event(KeyHomeLost(request_id=record.id, home=home))
+            failure = MangowayError(
+                ErrorCode.KEY_HOME_GONE,
+                f"the home {home} of the key is gone",
+                Verdict.MAY_HAVE_RUN,
+            )
+            record.answer.fail(failure.failure)
+            return
+        self._start(record, member, home, REASON_HOME)
+
+    def async_forward_any(self, record: RequestRecord) -> None:
+        """Forward a request to any other gateway that is ready."""
+        members = [
+            member
+            for member in self.directory.list_others()
+            if member.role is ProcessRole.GATEWAY
+            and member.state is MemberState.LIVE
+            and member.ready
+        ]
+        if not members:
+            leaving = MangowayError(ErrorCode.LEAVING, "no other gateway is ready")
+            record.answer.fail(leaving.failure)
+            return
+        self._start(record, self.rng.choice(members), None, REASON_LEAVING)
+
+    def _start(
+        self,
+        record: RequestRecord,
+        member: Member,
+        home: IncarnationId | None,
+        reason: str,
+    ) -> None:
+        log_event(
+            RequestForwarded(request_id=record.id, peer=member.host, reason=reason)
+        )
+        self.metrics.forwards.add(reason)
+        self.tasks.async_start(self._async_forward(record, member, home))
+
+    async def _async_forward(
+        self, record: RequestRecord, member: Member, home: IncarnationId | None
+    ) -> None:
+        """Relay the head; whoever reads the answer then takes the parts."""
+        span = self.tracing.start(Hop.PEER, member.host, record.span)
+        request = self._make_request(record, home, span.traceparent)
+        frames = self.forwarder.async_forward(member.peer_address, request)
+        try:
+            head = await anext(frames, None)
+            if not isinstance(head, ForwardedHead):
+                raise MangowayError(
+                    ErrorCode.PEER_FAILED,
+                    f"{member.host} sent no head of an answer",
+                    Verdict.MAY_HAVE_RUN,
+                )
+        except MangowayError as error:
+            await frames.aclose()
+            span.fail(error.code.value)
+            record.answer.fail(error.failure)
+            return
+        finally:
+            span.end()
+        headers = tuple((each.name, each.value) for each in head.headers)
+        if not record.answer.has_readers:
+            await frames.aclose()
+            return
+        record.answer.relay(
+            RelayedAnswer(
+                status=head.status, headers=headers, parts=_async_read_parts(frames)
+            )
+        )
+
+    def _make_request(
+        self, record: RequestRecord, home: IncarnationId | None, traceparent: str
+    ) -> ForwardedRequest:
+        incoming = record.submission.incoming
+        headers = {
+            name: value
+            for name, value in incoming.headers.items()
+            if name in FORWARDED_HEADERS
+        }
+        headers[HEADER_TRACEPARENT] = traceparent
+        return ForwardedRequest(
+            request_id=record.id,
+            home=home,
+            method=incoming.method,
+            path=incoming.path,
+            headers=tuple(ForwardedHeader(*each) for each in headers.items()),
+            body=incoming.body,
+            timeout_s=max(0.0, record.submission.request.deadline - self.now()),
+            hops=incoming.hops + 1,
+        )
+
+
+async def _async_read_parts(
+    frames: AsyncGenerator[ForwardedFrame, None],
+) -> AsyncGenerator[bytes, None]:
+    async with aclosing(frames):
+        async for frame in frames:
+            if isinstance(frame, bytes):
+                yield frame
+
+
+@define(eq=False)
+class ForwardedRequests:
+    """Answers requests that other gateways forward, as if a caller had come."""
+
+    _gate: Gate
+
+    async def async_receive(
+        self, request: ForwardedRequest
+    ) -> AsyncGenerator[ForwardedFrame, None]:
+        """Yield the head and the parts of the answer.
+
+        Raises:
+            MangowayError: If the request fails before its answer began.
+        """
+        exchange = self._gate.open(_make_incoming(request))
+        try:
+            outgoing = await exchange.async_answer()
+            if outgoing is None:
+                return
+            headers = tuple(ForwardedHeader(*each) for each in outgoing.headers)
+            yield ForwardedHead(status=outgoing.status, headers=headers)
+            if isinstance(outgoing.body, bytes):
+                yield outgoing.body
+                return
+            async with aclosing(outgoing.body):
+                async for part in outgoing.body:
+                    yield part
+        finally:
+            exchange.close()
+
+
+def _make_incoming(request: ForwardedRequest) -> IncomingRequest:
+    return IncomingRequest(
+        method=request.method,
+        path=request.path,
+        headers={each.name.lower(): each.value for each in request.headers},
+        body=request.body,
+        hops=request.hops,
+        deadline_s=request.timeout_s or None,
+    )
--- /dev/null
+++ b/tests/daemons/gateway_world.py
@@ -0,0 +1,219 @@
+"""A gateway with stand-in upstreams, all in one process on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
+
+import aiohttp
+from attrs import define, evolve, field
+
+from mangoway.daemons.gateway_node import GatewayNode, NodeSettings
+from mangoway.models.artifact import Artifact
+from mangoway.models.identifiers import (
+    AdapterName,
+    CallerId,
+    CallName,
+    ConfigVersion,
+    DataCentreId,
+    FenceNumber,
+    HostId,
+    ModelName,
+    OrderId,
+    ServiceName,
+    UpstreamId,
+    VersionName,
+)
+from mangoway.models.member import Member, ProcessRole
+from mangoway.models.offer import (
+    AdapterOffer,
+    CallerOffer,
+    CallOffer,
+    ClassOffer,
+    Configuration,
+    ModelOffer,
+    ServiceOffer,
+    SitePolicy,
+    VersionOffer,
+)
+from mangoway.models.order import Order, OrderKind
+from mangoway.models.request import WorkClass
+from mangoway.models.upstream import UpstreamAddress, UpstreamKind
+from tests.fakes.engine import EngineSettings
+from tests.fakes.key_value import FakeKeyValueStore
+from tests.stand_ins.engine import EngineStandIn
+from tests.stand_ins.service import ServiceStandIn
+
+MODEL = Artifact(ModelName("m"), VersionName("1"))
+ADAPTED = Artifact(ModelName("m"), VersionName("1"), AdapterName("a"))
+HEADERS = {"X-Caller": "desk"}
+SERVICE = ServiceName("records")
+DATA_CENTRE = DataCentreId("dc")
+WAIT_STEPS = 1000
+WAIT_STEP_S = 0.01
+
+CONFIGURATION = Configuration(
+    version=ConfigVersion(1),
+    models={
+        MODEL.model: ModelOffer(
+            default_version=MODEL.version,
+            versions={MODEL.version: VersionOffer(memory_mb=100)},
+            adapters={AdapterName("a"): AdapterOffer(memory_mb=10)},
+        )
+    },
+    services={
+        SERVICE: ServiceOffer(
+            calls={
+                CallName("confirm"): CallOffer(idempotent=False),
+                CallName("read"): CallOffer(idempotent=True),
+            }
+        )
+    },
+    callers={CallerId("desk"): CallerOffer(), CallerId("lab"): CallerOffer()},
+    classes={
+        WorkClass.URGENT: ClassOffer(deadline_s=20.0, first_token_s=5.0),
+        WorkClass.PATIENT: ClassOffer(deadline_s=60.0),
+    },
+    site=SitePolicy(address_validity_s=0.3),
+)
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; fail if it never does."""
+    for _ in range(WAIT_STEPS):
+        if condition():
+            return
+        await asyncio.sleep(WAIT_STEP_S)
+    raise AssertionError("the condition never held")
+
+
+@define
+class GatewayWorld:
+    """One gateway, one engine, one service, and a client."""
+
+    node: GatewayNode
+    store: FakeKeyValueStore
+    client: aiohttp.ClientSession
+    engine: EngineStandIn
+    service: ServiceStandIn
+    url: str = ""
+    members: list[Member] = field(factory=list)
+
+    async def complete(
+        self, headers: dict[str, str] = HEADERS, **body: Any
+    ) -> aiohttp.ClientResponse:
+        """Post a completion; fields go over the defaults."""
+        fields = {"model": "m", "prompt": "hi", "max_tokens": 3} | body
+        return await self.client.post(
+            f"{self.url}/v1/completions", json=fields, headers=headers
+        )
+
+    async def call(
+        self, call: str, body: Any, **headers: str
+    ) -> aiohttp.ClientResponse:
+        """Post a service call; `Idempotency_Key` stands for its header."""
+        given = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await self.client.post(
+            f"{self.url}/v1/services/{SERVICE}/{call}",
+            json=body,
+            headers=HEADERS | given,
+        )
+
+    async def get(self, path: str) -> tuple[int, Any]:
+        """Return status and JSON of a page."""
+        async with self.client.get(self.url + path) as response:
+            return response.status, await response.json(content_type=None)
+
+    async def until_idle(self) -> None:
+        """Wait until the gateway has nothing in progress."""
+        await wait_until(lambda: self.node.idle)
+
+
+@asynccontextmanager
+async def open_world(tokens_per_second: float = 1000.0) -> AsyncIterator[GatewayWorld]:
+    """Start a gateway whose engine has the model and its adapter."""
+    settings = EngineSettings(
+        upstream=UpstreamId("e1"),
+        stream_tokens_per_second=tokens_per_second,
+        tokens_per_second=tokens_per_second * 8,
+    )
+    engine = EngineStandIn(settings, store_mb_per_second=1e6)
+    service = ServiceStandIn("s1")
+    async with AsyncExitStack() as stack:
+        for stand_in in (engine, service):
+            await stand_in.async_start()
+            stack.push_async_callback(stand_in.async_stop)
+        client = await stack.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        )
+        store = FakeKeyValueStore()
+        node = await _start_node(store, stack)
+        world = GatewayWorld(node, store, client, engine, service)
+        world.url = f"http://127.0.0.1:{node.server.port}"
+        await _load(node, engine, MODEL, ADAPTED)
+        node.set_upstreams(
+            [
+                make_upstream("e1", engine.address),
+                make_upstream("s1", service.address, SERVICE),
+            ]
+        )
+        await _await_ready(world)
+        yield world
+
+
+async def _start_node(store: FakeKeyValueStore, stack: AsyncExitStack) -> GatewayNode:
+    node = GatewayNode(NodeSettings(host=HostId("g1"), data_centre=DATA_CENTRE), store)
+    await node.async_start("127.0.0.1", 0)
+    stack.push_async_callback(node.async_stop, True)
+    node.set_configuration(CONFIGURATION)
+    node.set_members([make_member(node)])
+    return node
+
+
+def make_member(node: GatewayNode, **changes: Any) -> Member:
+    """Return the entry of a gateway."""
+    member = Member(
+        host=node.settings.host,
+        role=ProcessRole.GATEWAY,
+        incarnation=node.settings.incarnation,
+        started_at=0.0,
+        data_centre=DATA_CENTRE,
+        peer_address="127.0.0.1:1",
+        caller_address=f"127.0.0.1:{node.server.port}",
+        ready=True,
+    )
+    return evolve(member, **changes)
+
+
+def make_upstream(
+    name: str, address: str, service: ServiceName | None = None
+) -> UpstreamAddress:
+    """Return the entry of an upstream."""
+    kind = UpstreamKind.ENGINE if service is None else UpstreamKind.SERVICE
+    return UpstreamAddress(
+        id=UpstreamId(name),
+        kind=kind,
+        address=address,
+        data_centre=DATA_CENTRE,
+        service=service,
+    )
+
+
+async def _load(node: GatewayNode, engine: EngineStandIn, *artifacts: Artifact) -> None:
+    description = await node.engines.async_describe(engine.address)
+    for number, artifact in enumerate(artifacts):
+        order = Order(
+            id=OrderId(f"o{number}"),
+            upstream=description.upstream,
+            incarnation=description.incarnation,
+            fence=FenceNumber(number + 1),
+            kind=OrderKind.LOAD,
+            artifact=artifact,
+            memory_mb=10,
+        )
+        await node.engines.async_send_order(engine.address, order)
+
+
+async def _await_ready(world: GatewayWorld) -> None:
+    """Wait until the gateway knows what the engine holds."""
+    await wait_until(lambda: world.node.book.updates > 0)
--- /dev/null
+++ b/tests/daemons/test_gateway_node.py
@@ -0,0 +1,71 @@
+"""Tests of a gateway from its callers' side, with stand-in upstreams."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import orjson
+import pytest
+import pytest_asyncio
+
+from tests.stand_ins.answers import make_answer
+
+from .gateway_world import GatewayWorld, open_world
+
+
+@pytest_asyncio.fixture
+async def world() -> AsyncIterator[GatewayWorld]:
+    async with open_world() as opened:
+        yield opened
+
+
+def read_events(body: bytes) -> list[bytes]:
+    return [part.removeprefix(b"data: ") for part in body.split(b"\n\n") if part]
+
+
+class TestCompletions:
+    """Completions, whole and streamed."""
+
+    @pytest.mark.parametrize(
+        ("name", "artifact"),
+        [("m", "m@1"), ("m@1", "m@1"), ("m+a", "m@1+a"), ("m@1+a", "m@1+a")],
+    )
+    async def test_whole(self, world: GatewayWorld, name: str, artifact: str) -> None:
+        response = await world.complete(model=name, max_tokens=5)
+        body = await response.json()
+        assert response.status == 200, body
+        assert body["choices"][0]["text"] == make_answer(artifact, "hi", 5)
+        assert body["choices"][0]["finish_reason"] == "length"
+        assert body["model"] == name
+        assert body["usage"]["completion_tokens"] == 5
+        assert body["id"] == response.headers["X-Request-Id"]
+
+    async def test_streamed(self, world: GatewayWorld) -> None:
+        response = await world.complete(stream=True, max_tokens=20)
+        *events, done = read_events(await response.read())
+        assert response.headers["Content-Type"] == "text/event-stream"
+        choices = [orjson.loads(event)["choices"][0] for event in events]
+        assert "".join(each["text"] for each in choices) == make_answer("m@1", "hi", 20)
+        assert choices[-1]["finish_reason"] == "length"
+        assert done == b"[DONE]"
+
+    async def test_concurrent_callers_get_their_own_answers(
+        self, world: GatewayWorld
+    ) -> None:
+        async def ask(number: int) -> str:
+            prompt = f"prompt {number}"
+            headers = {"X-Caller": "desk" if number % 2 else "lab"}
+            response = await world.complete(
+                headers, prompt=prompt, max_tokens=number + 1
+            )
+            return (await response.json())["choices"][0]["text"]
+
+        texts = await asyncio.gather(*(ask(number) for number in range(12)))
+        assert texts == [make_answer("m@1", f"prompt {n}", n + 1) for n in range(12)]
+
+    async def test_cut_stream_is_resumed_and_whole(self, world: GatewayWorld) -> None:
+        world.engine.switches.cut_streams = 1
+        response = await world.complete(stream=True, max_tokens=20)
+        events = read_events(await response.read())
+        texts = [orjson.loads(event)["choices"][0]["text"] for event in events[:-1]]
+        assert "".join(texts) == make_answer("m@1", "hi", 20)
+        assert len(world.engine.truth()["runs"]) == 2
