--- a/mangoway/callers/server.py
+++ b/mangoway/callers/server.py
@@ -21,13 +21,14 @@
             loop="asyncio",
             http="httptools",
             ws="none",
-            lifespan="on",
+            lifespan="off",
             log_config=None,
             access_log=False,
             server_header=False,
             date_header=False,
             timeout_keep_alive=KEEP_ALIVE_S,
         )
+        self._app = app
         self._server = _Server(config)
         self._serving: asyncio.Task[None] | None = None
         self.port = 0
@@ -38,6 +39,7 @@
         Raises:
             OSError: If the address can't be used.
         """
+        await self._app.start()
         listener = socket.create_server((host, port), backlog=1024)
         self.port = listener.getsockname()[1]
         self._serving = asyncio.get_running_loop().create_task(
@@ -56,6 +58,7 @@
         self._server.should_exit = True
         self._server.force_exit = force
         await self._serving
+        await self._app.stop()
 
 
 class _Server(uvicorn.Server):
--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -51,3 +51,6 @@
 
 ADDRESS_RETRY_S: Final = 1.0
 """Time after which a caller may ask again when no gateway is ready."""
+
+LEAVE_SPREAD_S: Final = 2.0
+"""Time that a leaving gateway stays for the news of its successor to spread."""
--- a/mangoway/daemons/gateway_view.py
+++ b/mangoway/daemons/gateway_view.py
@@ -62,7 +62,7 @@
                 "no gateway is ready",
                 retry_after=ADDRESS_RETRY_S,
             )
-        return AddressAnswer(gateways=gateways, valid_for_s=self._find_validity_s())
+        return AddressAnswer(gateways=gateways, valid_for_s=self.find_validity_s())
 
     def check_ready(self) -> None:
         """Raise `MangowayError` unless this gateway takes new requests."""
@@ -101,7 +101,8 @@
     def _is_stopping(self, member: Member) -> bool:
         return self.stopping and member.incarnation == self.directory.own
 
-    def _find_validity_s(self) -> float:
+    def find_validity_s(self) -> float:
+        """Return the seconds for which callers may keep an address answer."""
         configuration = self.dispatcher.configuration
         if configuration is None:
             return DEFAULT_VALIDITY_S
--- /dev/null
+++ b/mangoway/daemons/key_hand_over.py
@@ -0,0 +1,84 @@
+"""Hands the records of idempotency keys from a leaving gateway to a successor."""
+
+import time
+from collections.abc import Callable, Iterable
+
+from attrs import define
+
+from ..models.errors import MangowayError
+from ..models.identifiers import IncarnationId
+from ..models.member import Member, ProcessRole
+from ..observability.event_log import log_event
+from ..observability.events import KeyHandoverFailed, KeysHandedOver
+from ..peers import peers_pb2 as pb
+from ..peers.directory import Directory
+from ..peers.forwarding import Forwarder, KeyHandOver, join_chunks
+from ..policy.dispatch.core import DispatchCore
+from ..policy.dispatch.events import DispatchEvent, PeerKeysReceived
+from .records import Records
+from .stored_answers import decode_answer, encode_answer
+
+
+@define(eq=False, kw_only=True)
+class KeyGiver:
+    """Gives all records to the first gateway that takes them."""
+
+    core: DispatchCore
+    records: Records
+    directory: Directory
+    forwarder: Forwarder
+
+    async def async_give(self) -> IncarnationId | None:
+        """Return the successor; None if there is none, or nothing to give.
+
+        No key is run here any more once this was called.
+        """
+        keys = self.core.export_keys()
+        if not keys:
+            return None
+        answers = self.records.list_kept()
+        hand_over = KeyHandOver(
+            home=self.directory.own,
+            records=keys,
+            answers=tuple(encode_answer(*each) for each in answers),
+        )
+        error = "no other gateway is ready"
+        for member in self._rank_successors():
+            try:
+                await self.forwarder.async_hand_over(
+                    member.peer_address, hand_over, time.time()
+                )
+            except MangowayError as failure:
+                error = str(failure)
+                continue
+            log_event(KeysHandedOver(successor=member.incarnation, records=len(keys)))
+            return member.incarnation
+        log_event(KeyHandoverFailed(records=len(keys), error=error))
+        return None
+
+    def _rank_successors(self) -> list[Member]:
+        """Return the ready gateways, those of this data centre first."""
+        own = self.directory.find_incarnation(self.directory.own)
+        here = None if own is None else own.data_centre
+        others = [
+            member
+            for member in self.directory.list_live(ProcessRole.GATEWAY)
+            if member.incarnation != self.directory.own and member.ready
+        ]
+        return sorted(others, key=lambda member: member.data_centre != here)
+
+
+@define(eq=False, kw_only=True)
+class KeyTaker:
+    """Takes over the records of a gateway that leaves, all or none."""
+
+    records: Records
+    send: Callable[[DispatchEvent], None]
+
+    def async_receive_keys(self, chunks: Iterable[pb.KeyChunk]) -> pb.HandOverReply:
+        """Take a whole hand-over."""
+        hand_over = join_chunks(tuple(chunks), time.time())
+        for stored in hand_over.answers:
+            self.records.keep(stored.id, decode_answer(stored))
+        self.send(PeerKeysReceived(home=hand_over.home, keys=hand_over.records))
+        return pb.HandOverReply(records=len(hand_over.records))
