--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system on loopback, with failures on the way."""
--- a/tests/stand_ins/engine.py
+++ b/tests/stand_ins/engine.py
@@ -13,6 +13,8 @@
 from aiohttp import web
 from attrs import define
 
+from mangoway.callers.const import CHARACTERS_PER_TOKEN
+from mangoway.callers.prefixes import hash_prefixes
 from mangoway.models.artifact import Artifact
 from mangoway.models.identifiers import (
     AttemptId,
@@ -171,11 +173,13 @@
         if switches.refuse:
             switches.refuse -= 1
             return "refused"
+        prompt = body["prompt"]
         outcome = self.model.submit(
             self._advance(),
             attempt,
             Artifact.parse(body["model"]),
-            prompt_tokens=len(body["prompt"].split()),
+            prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN + 1,
+            prefix_hashes=hash_prefixes(body["model"], prompt),
             max_tokens=body["max_tokens"],
             priority=body.get("priority", 0),
             resume_from=body.get("resume_from", 0),
