--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that operators can read."""
--- /dev/null
+++ b/tests/scenarios/memory.feature
@@ -0,0 +1,83 @@
+Feature: Memory
+  No runner's memory is ever committed beyond its size, whoever plans, and whatever
+  happens to orders and to the key-value service. What counts is the runners' own
+  account of what they hold.
+
+  Background:
+    Given the models
+      | model    | memory_mb | floor |
+      | escort   | 40        | 1     |
+      | slips    | 40        | 1     |
+      | policy   | 30        | 1     |
+      | handover | 20        | 1     |
+
+  Scenario Outline: A controller that was paused past its lease wakes and goes on
+    Given 3 runners of 110 MB that <manner> fences
+    And a controller in charge
+    When the demand for model escort is high
+    And controller 0 is paused
+    And a second controller takes over
+    And 30 seconds pass
+    And the demand for model policy is high
+    And controller 0 goes on
+    And 60 seconds pass
+    Then no runner was ever over its size
+    And every model has its floor
+
+    Examples:
+      | manner |
+      | check  |
+      | ignore |
+
+  Scenario Outline: Orders go wrong while models move
+    Given 3 runners of 110 MB that <manner> fences
+    And a controller in charge
+    When the next 6 orders are <fault>
+    And the demand for model escort is high
+    And 20 seconds pass
+    And the next 6 orders are <fault>
+    And the demand for model policy is high
+    And 200 seconds pass
+    Then no runner was ever over its size
+    And every model has its floor
+
+    Examples:
+      | manner | fault      |
+      | check  | lost       |
+      | check  | late       |
+      | check  | doubled    |
+      | check  | unanswered |
+      | ignore | lost       |
+      | ignore | late       |
+      | ignore | doubled    |
+      | ignore | unanswered |
+
+  Scenario: The answers of ledger writes are lost
+    Given 3 runners of 110 MB that ignore fences
+    And a controller in charge
+    When the answers of the next 5 writes are lost
+    And the demand for model escort is high
+    And 90 seconds pass
+    Then no runner was ever over its size
+    And every model has its floor
+
+  Scenario: The key-value service is out while demand moves
+    Given 3 runners of 110 MB that ignore fences
+    And a controller in charge
+    When the key-value service is down
+    And the demand for model escort is high
+    And 60 seconds pass
+    Then no order was sent in the last 50 seconds
+    When the key-value service is up
+    And 60 seconds pass
+    Then no runner was ever over its size
+    And every model has its floor
+
+  Scenario: A version is replaced on full runners
+    Given 2 runners of 110 MB that check fences
+    And a controller in charge
+    When model escort changes to version 2
+    And 120 seconds pass
+    Then no runner was ever over its size
+    And every model has its floor
+    And version 1 of model escort is nowhere
