Hand over the caller of each idempotency record

The key records got a caller (keys of different callers never meet); the protocol between processes did not carry it, so a hand-over would have lost it.

--- a/mangoway/callers/server.py
+++ b/mangoway/callers/server.py
@@ -39,7 +39,7 @@
         Raises:
             OSError: If the address can't be used.
         """
-        await self._app.start()
+        await self._app.start()  # type: ignore[no-untyped-call]
         listener = socket.create_server((host, port), backlog=1024)
         self.port = listener.getsockname()[1]
         self._serving = asyncio.get_running_loop().create_task(
@@ -58,7 +58,7 @@
         self._server.should_exit = True
         self._server.force_exit = force
         await self._serving
-        await self._app.stop()
+        await self._app.stop()  # type: ignore[no-untyped-call]
 
 
 class _Server(uvicorn.Server):
--- a/mangoway/peers/forwarding.py
+++ b/mangoway/peers/forwarding.py
@@ -7,7 +7,7 @@
 from attrs import define, frozen
 
 from ..models.errors import ErrorCode, MangowayError
-from ..models.identifiers import IdempotencyKey, IncarnationId, RequestId
+from ..models.identifiers import CallerId, IdempotencyKey, IncarnationId, RequestId
 from ..models.verdict import Verdict
 from ..policy.dispatch.events import KeyRecord
 from . import peers_pb2 as pb
@@ -156,6 +156,7 @@
     verdict = record.verdict
     return pb.KeyRecord(
         key=record.key,
+        caller=record.caller,
         fingerprint=record.fingerprint,
         expires_in_s=record.expires_at - now,
         verdict=None if verdict is None else encode_verdict(verdict),
@@ -167,6 +168,7 @@
     known = message.HasField("verdict")
     return KeyRecord(
         key=IdempotencyKey(message.key),
+        caller=CallerId(message.caller),
         fingerprint=message.fingerprint,
         expires_at=now + message.expires_in_s,
         verdict=decode_verdict(message.verdict) if known else None,
