--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -38,6 +38,7 @@
 from ..peers.directory import Directory
 from ..peers.forwarding import Forwarder
 from ..peers.reports import ReportBook
+from ..peers.server import PeerReceivers, PeerServer
 from ..policy.dispatch.actions import ReportDemand
 from ..policy.dispatch.core import DispatchCore
 from ..policy.dispatch.events import (
@@ -58,6 +59,7 @@
 from .dispatcher import Dispatcher
 from .engine_poller import EnginePoller
 from .gateway_view import GatewaySelfView
+from .key_hand_over import KeyGiver, KeyTaker
 from .peer_router import ForwardedRequests, GatewayRouter
 from .rendezvous import is_chosen
 
@@ -112,7 +114,11 @@
         self.gate = Gate(
             self.dispatcher, settings.incarnation, self.metrics, self.tracing
         )
-        self.forwarded = ForwardedRequests(self.gate)
+        self.receivers = PeerReceivers(
+            forwards=ForwardedRequests(self.gate),
+            keys=KeyTaker(records=self.dispatcher.records, send=self._send),
+        )
+        self.peer_server = PeerServer(self.receivers)
         self.view = GatewaySelfView(
             dispatcher=self.dispatcher,
             core=self.core,
@@ -138,24 +144,35 @@
         """Tell whether no request is in progress."""
         return self.dispatcher.idle and not self.gate.open_count
 
-    async def async_start(self, host: str, port: int) -> None:
-        """Listen for callers and ask engines for reports.
+    async def async_start(self, caller_listen: str, peer_listen: str) -> None:
+        """Listen for peers and callers, and ask engines for reports.
 
         Raises:
-            OSError: If the address can't be used.
+            OSError: If an address can't be used.
         """
-        await self.server.async_start(host, port)
+        await self.peer_server.async_start(*split_address(peer_listen))
+        await self.server.async_start(*split_address(caller_listen))
         self.tasks.async_start(self.poller.async_run())
 
     async def async_stop(self, force: bool = False) -> None:
         """Stop serving; what is still in progress is cut off."""
         await self.server.async_stop(force)
+        await self.peer_server.async_stop()
         self.dispatcher.close()
         await self.dispatcher.runner.async_close()
         await self.tasks.async_cancel()
         self.clients.close()
         await self.session.async_close()
 
+    def make_giver(self) -> KeyGiver:
+        """Return what hands the idempotency records to a successor."""
+        return KeyGiver(
+            core=self.core,
+            records=self.dispatcher.records,
+            directory=self.directory,
+            forwarder=self.forwarder,
+        )
+
     def set_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         self.metrics.config_version.set(level=configuration.version)
@@ -291,5 +308,11 @@
         )
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of `ip:port`, without the brackets of an IPv6 number."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
 def _log_failed_task(error: BaseException) -> None:
     log_event(TaskFailed(task="gateway", error=repr(error)))
--- a/mangoway/daemons/gateway_stop.py
+++ b/mangoway/daemons/gateway_stop.py
@@ -1,7 +1,6 @@
 """The planned stop of a gateway."""
 
 import asyncio
-from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -13,7 +12,6 @@
 from ..policy.dispatch.events import StopRequested
 from .const import LEAVE_SPREAD_S, STOP_POLL_S
 from .gateway_node import GatewayNode
-from .key_hand_over import KeyGiver
 
 
 class StopOutcome(Enum):
@@ -45,7 +43,6 @@
     node: GatewayNode
     announcer: LeaveAnnouncer
     deadline_s: float
-    make_giver: Callable[[GatewayNode], KeyGiver]
     _forced: asyncio.Event = field(factory=asyncio.Event, init=False)
 
     def force(self) -> None:
@@ -93,7 +90,7 @@
         return StopOutcome.IDLE
 
     async def _async_hand_over(self) -> StopOutcome:
-        successor = await self.make_giver(self.node).async_give()
+        successor = await self.node.make_giver().async_give()
         if successor is not None:
             self.announcer.async_announce(successor)
             # The other gateways must hear of the successor from this process.
--- a/tests/daemons/gateway_world.py
+++ b/tests/daemons/gateway_world.py
@@ -1,12 +1,12 @@
 """A gateway with stand-in upstreams, all in one process on loopback."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
 
 import aiohttp
-from attrs import define, evolve, field
+from attrs import define, evolve
 
 from mangoway.daemons.gateway_node import GatewayNode, NodeSettings
 from mangoway.models.artifact import Artifact
@@ -89,15 +89,36 @@
 
 @define
 class GatewayWorld:
-    """One gateway, one engine, one service, and a client."""
+    """Gateways, one engine, one service, and a client of the first gateway."""
 
-    node: GatewayNode
+    nodes: list[GatewayNode]
     store: FakeKeyValueStore
     client: aiohttp.ClientSession
     engine: EngineStandIn
     service: ServiceStandIn
-    url: str = ""
-    members: list[Member] = field(factory=list)
+
+    @property
+    def node(self) -> GatewayNode:
+        """Return the first gateway."""
+        return self.nodes[0]
+
+    @property
+    def url(self) -> str:
+        """Return where the first gateway is."""
+        return self.find_url(0)
+
+    def find_url(self, number: int) -> str:
+        """Return where a gateway is."""
+        return f"http://127.0.0.1:{self.nodes[number].server.port}"
+
+    def set_members(self, changes: Mapping[int, Mapping[str, Any]] = {}) -> None:
+        """Tell every gateway of all, with changes to some entries by number."""
+        members = [
+            make_member(node, **changes.get(number, {}))
+            for number, node in enumerate(self.nodes)
+        ]
+        for node in self.nodes:
+            node.set_members(members)
 
     async def complete(
         self, headers: dict[str, str] = HEADERS, **body: Any
@@ -109,12 +130,12 @@
         )
 
     async def call(
-        self, call: str, body: Any, **headers: str
+        self, call: str, body: Any, gateway: int = 0, **headers: str
     ) -> aiohttp.ClientResponse:
         """Post a service call; `Idempotency_Key` stands for its header."""
         given = {name.replace("_", "-"): value for name, value in headers.items()}
         return await self.client.post(
-            f"{self.url}/v1/services/{SERVICE}/{call}",
+            f"{self.find_url(gateway)}/v1/services/{SERVICE}/{call}",
             json=body,
             headers=HEADERS | given,
         )
@@ -130,8 +151,10 @@
 
 
 @asynccontextmanager
-async def open_world(tokens_per_second: float = 1000.0) -> AsyncIterator[GatewayWorld]:
-    """Start a gateway whose engine has the model and its adapter."""
+async def open_world(
+    tokens_per_second: float = 1000.0, gateways: int = 1
+) -> AsyncIterator[GatewayWorld]:
+    """Start gateways whose engine has the model and its adapter."""
     settings = EngineSettings(
         upstream=UpstreamId("e1"),
         stream_tokens_per_second=tokens_per_second,
@@ -147,26 +170,29 @@
             aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         )
         store = FakeKeyValueStore()
-        node = await _start_node(store, stack)
-        world = GatewayWorld(node, store, client, engine, service)
-        world.url = f"http://127.0.0.1:{node.server.port}"
-        await _load(node, engine, MODEL, ADAPTED)
-        node.set_upstreams(
-            [
-                make_upstream("e1", engine.address),
-                make_upstream("s1", service.address, SERVICE),
-            ]
-        )
-        await _await_ready(world)
+        nodes = [await _start_node(n, store, stack) for n in range(gateways)]
+        await _load(nodes[0], engine, MODEL, ADAPTED)
+        world = GatewayWorld(nodes, store, client, engine, service)
+        world.set_members()
+        for node in nodes:
+            node.set_upstreams(
+                [
+                    make_upstream("e1", engine.address),
+                    make_upstream("s1", service.address, SERVICE),
+                ]
+            )
+            await wait_until(lambda node=node: node.book.updates > 0)
         yield world
 
 
-async def _start_node(store: FakeKeyValueStore, stack: AsyncExitStack) -> GatewayNode:
-    node = GatewayNode(NodeSettings(host=HostId("g1"), data_centre=DATA_CENTRE), store)
-    await node.async_start("127.0.0.1", 0)
+async def _start_node(
+    number: int, store: FakeKeyValueStore, stack: AsyncExitStack
+) -> GatewayNode:
+    settings = NodeSettings(host=HostId(f"g{number}"), data_centre=DATA_CENTRE)
+    node = GatewayNode(settings, store)
+    await node.async_start("127.0.0.1:0", "127.0.0.1:0")
     stack.push_async_callback(node.async_stop, True)
     node.set_configuration(CONFIGURATION)
-    node.set_members([make_member(node)])
     return node
 
 
@@ -178,7 +204,7 @@
         incarnation=node.settings.incarnation,
         started_at=0.0,
         data_centre=DATA_CENTRE,
-        peer_address="127.0.0.1:1",
+        peer_address=f"127.0.0.1:{node.peer_server.port}",
         caller_address=f"127.0.0.1:{node.server.port}",
         ready=True,
     )
@@ -212,8 +238,3 @@
             memory_mb=10,
         )
         await node.engines.async_send_order(engine.address, order)
-
-
-async def _await_ready(world: GatewayWorld) -> None:
-    """Wait until the gateway knows what the engine holds."""
-    await wait_until(lambda: world.node.book.updates > 0)
