--- /dev/null
+++ b/tests/daemons/test_gateway_stop.py
@@ -0,0 +1,107 @@
+"""Tests of the planned stop of a gateway."""
+
+import asyncio
+from typing import Any
+
+from mangoway.daemons.gateway_stop import PlannedStop, StopOutcome
+from mangoway.models.identifiers import IncarnationId
+from mangoway.models.member import MemberState
+
+from .gateway_world import GatewayWorld, open_world, wait_until
+from .test_gateway_faults import check_problem
+from .test_gateway_keys import confirm, make_key
+
+
+class WorldAnnouncer:
+    """Tells the gateways of a world at once."""
+
+    def __init__(self, world: GatewayWorld) -> None:
+        self._world = world
+
+    def async_announce(self, successor: IncarnationId | None) -> None:
+        changes = {"state": MemberState.LEAVING, "successor": successor}
+        self._world.set_members({0: changes})
+
+
+def make_stop(world: GatewayWorld, deadline_s: float = 30.0) -> PlannedStop:
+    return PlannedStop(
+        node=world.node, announcer=WorldAnnouncer(world), deadline_s=deadline_s
+    )
+
+
+async def begin(stop: PlannedStop, world: GatewayWorld) -> Any:
+    """Return the running stop once the gateway leaves."""
+    task = asyncio.ensure_future(stop.async_run("SIGTERM"))
+    await wait_until(lambda: world.node.view.stopping)
+    return task
+
+
+class TestPlannedStop:
+    """What goes on, and what ends, when a gateway leaves."""
+
+    async def test_stream_in_progress_is_not_cut(self) -> None:
+        async with open_world(tokens_per_second=50.0, gateways=2) as world:
+            response = await world.complete(stream=True, max_tokens=60)
+            first = await response.content.readany()
+            task = await begin(make_stop(world), world)
+            rest = await response.read()
+            assert (first + rest).endswith(b"data: [DONE]\n\n")
+            assert await task is StopOutcome.IDLE
+
+    async def test_it_is_not_ready_and_no_address_names_it(self) -> None:
+        async with open_world(gateways=2) as world:
+            task = await begin(make_stop(world), world)
+            status, problem = await world.get("/readyz")
+            assert (status, problem["code"]) == (503, "leaving")
+            assert (await world.get("/healthz"))[0] == 200
+            _, answer = await world.get("/v1/addresses")
+            assert [each["host"] for each in answer["gateways"]] == ["g1"]
+            await task
+
+    async def test_new_requests_go_to_a_peer_and_are_refused_later(self) -> None:
+        async with open_world(gateways=2) as world:
+            task = await begin(make_stop(world), world)
+            response = await world.complete(stream=True)
+            assert (await response.read()).endswith(b"data: [DONE]\n\n")
+            assert world.nodes[1].gate.make_id().endswith("-2")
+            assert await task is StopOutcome.IDLE
+            late = await world.complete()
+            await check_problem(late, 503, "leaving", "not_run")
+
+    async def test_without_peers_new_requests_are_refused_as_not_run(self) -> None:
+        async with open_world() as world:
+            task = await begin(make_stop(world), world)
+            response = await world.complete()
+            await check_problem(response, 503, "leaving", "not_run")
+            await task
+
+    async def test_successor_answers_for_its_keys(self) -> None:
+        async with open_world(gateways=2) as world:
+            key = make_key(world.node)
+            first = await confirm(world, key, {"id": 1})
+            assert await make_stop(world).async_run("SIGTERM") is StopOutcome.IDLE
+            successor = world.nodes[1].settings.incarnation
+            gone = {"state": MemberState.GONE, "successor": successor}
+            world.set_members({0: gone})
+            again = await confirm(world, key, {"id": 1}, gateway=1)
+            assert again.status == 200
+            assert await again.read() == await first.read()
+            assert world.service.runs["confirm/1"] == 1
+
+    async def test_deadline_ends_it_with_requests_in_progress(self) -> None:
+        async with open_world(tokens_per_second=20.0) as world:
+            response = await world.complete(stream=True, max_tokens=1000)
+            await response.content.readany()
+            outcome = await make_stop(world, deadline_s=0.5).async_run("SIGTERM")
+            assert outcome is StopOutcome.DEADLINE
+            response.close()
+
+    async def test_second_signal_ends_it_at_once(self) -> None:
+        async with open_world(tokens_per_second=20.0) as world:
+            response = await world.complete(stream=True, max_tokens=1000)
+            await response.content.readany()
+            stop = make_stop(world)
+            task = await begin(stop, world)
+            stop.force()
+            assert await task is StopOutcome.FORCED
+            response.close()
