Turn Nagle's algorithm off on accepted connections; measure the data path

Cause: asyncio sets TCP_NODELAY only on sockets whose protocol says TCP, and socket.create_server() leaves it 0; accepted sockets take after their listener. A streamed answer in small parts waited for delayed acknowledgements. The listener for peers had the same fault.

Fails first: without the protocol number the new test shows 'assert 0 != 0'.

--- a/mangoway/callers/server.py
+++ b/mangoway/callers/server.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import Iterator
 
 import uvicorn
 from blacksheep import Application
 
+from ..util.listener import open_listener
+
 KEEP_ALIVE_S = 30
 START_POLL_S = 0.01
 
@@ -40,7 +41,7 @@
             OSError: If the address can't be used.
         """
         await self._app.start()  # type: ignore[no-untyped-call]
-        listener = socket.create_server((host, port), backlog=1024)
+        listener = open_listener(host, port)
         self.port = listener.getsockname()[1]
         self._serving = asyncio.get_running_loop().create_task(
             self._server.serve([listener])
--- a/mangoway/peers/server.py
+++ b/mangoway/peers/server.py
@@ -1,7 +1,6 @@
 """The listener for other processes."""
 
 import asyncio
-import socket
 from collections.abc import AsyncGenerator, Callable, Iterable
 from contextlib import aclosing
 from typing import Protocol, TypeVar
@@ -12,6 +11,7 @@
 from grpclib.server import Server, Stream
 
 from ..models.errors import MangowayError
+from ..util.listener import open_listener
 from . import peers_pb2 as pb
 from .const import PING_PERIOD_S
 from .forward_codec import decode_request, encode_failure, encode_frame
@@ -116,7 +116,7 @@
         Raises:
             OSError: If the address can't be used.
         """
-        listener = socket.create_server((host, port))
+        listener = open_listener(host, port)
         self.port = listener.getsockname()[1]
         self._server = Server([PeerService(self.receivers)])
         await self._server.start(sock=listener)
--- /dev/null
+++ b/measure/path/__main__.py
@@ -0,0 +1,148 @@
+"""Runs the measurement of the data path and prints a table.
+
+Every figure comes from one run with the same engine process; calls through the
+gateway and calls of the engine alternate, so that both meet the same machine.
+"""
+
+import asyncio
+import statistics
+import time
+
+import aiohttp
+from attrs import frozen
+
+from .child import Child, start_child
+from .engine import MODEL, PACE_FIELD
+
+WARM_UP = 200
+REQUESTS = 2000
+LANES = 4
+STREAMS = 200
+STREAM_TOKENS = 300
+STREAM_PACE_S = 0.06
+BURST_TOKENS = 2000
+BURST_STREAMS = 8
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+
+
+@frozen
+class Caller:
+    """Sends completions to one address."""
+
+    session: aiohttp.ClientSession
+    address: str
+    direct: bool
+
+    async def complete(self, number: int, tokens: int, pace_s: float = 0.0) -> int:
+        """Stream one completion; return the events that came."""
+        body = {
+            "model": MODEL,
+            "prompt": "a prompt of some words",
+            "max_tokens": tokens,
+            "stream": True,
+            PACE_FIELD: pace_s,
+        }
+        if self.direct:
+            body["request_id"] = str(number)
+        url = f"http://{self.address}/v1/completions"
+        async with self.session.post(
+            url, json=body, headers={"X-Caller": "c"}
+        ) as response:
+            received = await response.read()
+            if response.status != 200 or not received.endswith(b"[DONE]\n\n"):
+                raise RuntimeError(f"{response.status}: {received[:200]!r}")
+            return received.count(b"data: ") - 1
+
+
+async def time_request(caller: Caller, number: int) -> float:
+    """Return the seconds that one completion of one token took."""
+    began_at = time.perf_counter()
+    await caller.complete(number, 1)
+    return time.perf_counter() - began_at
+
+
+async def measure_latency(direct: Caller, through: Caller) -> list[list[float]]:
+    """Return the times of direct and of forwarded requests, taken in turn."""
+    times: list[list[float]] = [[], []]
+
+    async def run_lane(lane: int) -> None:
+        for number in range(REQUESTS // LANES):
+            for kind, caller in enumerate((direct, through)):
+                times[kind].append(await time_request(caller, lane * REQUESTS + number))
+
+    await asyncio.gather(*(run_lane(lane) for lane in range(LANES)))
+    return times
+
+
+async def measure_streams(
+    caller: Caller, streams: int, tokens: int, pace_s: float
+) -> tuple[int, float]:
+    """Return the events of concurrent streams and the seconds they took."""
+    began_at = time.perf_counter()
+    events = await asyncio.gather(
+        *(caller.complete(number, tokens, pace_s) for number in range(streams))
+    )
+    return sum(events), time.perf_counter() - began_at
+
+
+def print_latency(times: list[list[float]]) -> None:
+    """Print the quantiles side by side."""
+    print("| request of one token | p50 ms | p99 ms |\n|---|---|---|")
+    quantiles = []
+    for name, values in zip(("engine", "gateway"), times, strict=True):
+        cuts = statistics.quantiles(values, n=100)
+        quantiles.append((cuts[49] * MS_PER_S, cuts[98] * MS_PER_S))
+        print(f"| {name} | {quantiles[-1][0]:.2f} | {quantiles[-1][1]:.2f} |")
+    added = [quantiles[1][i] - quantiles[0][i] for i in range(2)]
+    print(f"| added | {added[0]:.2f} | {added[1]:.2f} |\n")
+
+
+async def report_streams(
+    name: str, caller: Caller, gateway: Child, load: tuple[int, int, float]
+) -> None:
+    """Run streams and print what the gateway used for each event."""
+    before = gateway.read_cpu_s()
+    events, seconds = await measure_streams(caller, *load)
+    used_s = gateway.read_cpu_s() - before
+    print(
+        f"| {name} | {events} | {events / seconds:.0f} | {used_s / seconds:.2f} "
+        f"| {used_s / events * US_PER_S:.1f} | {gateway.read_memory_mb():.1f} |"
+    )
+
+
+async def measure(engine: Child, gateway: Child) -> None:
+    """Take and print all figures."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        direct = Caller(session, engine.address, True)
+        through = Caller(session, gateway.address, False)
+        print(f"resident memory at rest: {gateway.read_memory_mb():.1f} MB")
+        for number in range(WARM_UP):
+            await through.complete(number, 1)
+            await direct.complete(number, 1)
+        before = gateway.read_cpu_s()
+        times = await measure_latency(direct, through)
+        used_s = gateway.read_cpu_s() - before
+        print_latency(times)
+        each_us = used_s / len(times[1]) * US_PER_S
+        print(f"processor time per request of one token: {each_us:.0f} us\n")
+        print("| streams | events | events/s | cores | us per event | memory MB |")
+        print("|---|---|---|---|---|---|")
+        paced = (STREAMS, STREAM_TOKENS, STREAM_PACE_S)
+        await report_streams("one event a read", through, gateway, paced)
+        burst = (BURST_STREAMS, BURST_TOKENS, 0.0)
+        await report_streams("as fast as it goes", through, gateway, burst)
+
+
+async def main() -> None:
+    """Start the engine and the gateway, and measure."""
+    async with (
+        start_child("measure.path.engine") as engine,
+        start_child("measure.path.gateway", engine.address) as gateway,
+    ):
+        await measure(engine, gateway)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
