--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -24,15 +24,15 @@
 POLL_BUSY_PERIOD_S: Final = 0.5
 """Time between two reports of a runner with an order under way."""
 
+POLL_SLACK_S: Final = 0.001
+"""Time by which a turn may come early, since timers are no more exact than that."""
+
 POLL_CONCURRENCY: Final = 16
 """Engines that are asked at once."""
 
 SILENT_AFTER_S: Final = 6.0
 """Time without an answer after which an engine counts as silent."""
 
-MAX_EXPLANATIONS: Final = 200
-"""Entries in one answer to an operator's question."""
-
 SESSION_BITS: Final = 63
 """Bits of a heartbeat session number."""
 
--- a/mangoway/daemons/engine_poller.py
+++ b/mangoway/daemons/engine_poller.py
@@ -16,6 +16,7 @@
     POLL_BUSY_PERIOD_S,
     POLL_CONCURRENCY,
     POLL_PERIOD_S,
+    POLL_SLACK_S,
     SILENT_AFTER_S,
 )
 
@@ -125,8 +126,8 @@
         """Poll until cancelled."""
         while True:
             await self._async_wait()
-            now = _now()
-            while self._turns and self._turns[0][0] <= now:
+            soon = _now() + POLL_SLACK_S
+            while self._turns and self._turns[0][0] <= soon:
                 due, upstream = heapq.heappop(self._turns)
                 engine = self._engines.get(upstream)
                 if engine is not None and engine.due == due:
@@ -137,7 +138,7 @@
     async def _async_wait(self) -> None:
         self._changed.clear()
         timeout_s = self._turns[0][0] - _now() if self._turns else None
-        if timeout_s is not None and timeout_s <= 0:
+        if timeout_s is not None and timeout_s <= POLL_SLACK_S:
             return
         try:
             async with asyncio.timeout(timeout_s):
--- a/mangoway/peers/const.py
+++ b/mangoway/peers/const.py
@@ -54,3 +54,6 @@
 
 WATCH_PAUSE_S: Final = 1.0
 """Pause before an ended watch of the head key is begun again."""
+
+MAX_EXPLANATIONS: Final = 200
+"""Entries in one answer to an operator's question."""
--- a/mangoway/peers/directory.py
+++ b/mangoway/peers/directory.py
@@ -37,6 +37,10 @@
         """Return a process by its incarnation."""
         return self._incarnations.get(incarnation)
 
+    def list_all(self) -> tuple[Member, ...]:
+        """Return all processes, in the order of their names."""
+        return tuple(member for _, member in sorted(self._members.items()))
+
     def list_others(self) -> tuple[Member, ...]:
         """Return all processes but this one."""
         return tuple(
--- a/mangoway/peers/member_codec.py
+++ b/mangoway/peers/member_codec.py
@@ -63,6 +63,11 @@
     return tuple(members)
 
 
+def encode_role(role: ProcessRole) -> pb.Role.ValueType:
+    """Return the number of a role."""
+    return _ROLES[role]
+
+
 def _needs_identity(slot: int, member: Member, view: PeerView) -> bool:
     if slot not in view.successors:
         return True
--- a/mangoway/util/core_driver.py
+++ b/mangoway/util/core_driver.py
@@ -30,6 +30,7 @@
         self._events: deque[EventT] = deque()
         self._handling = False
         self._stopped = False
+        self._now = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     def async_handle(self, event: EventT) -> None:
@@ -45,7 +46,7 @@
         self._cancel_timer()
         if not self._stopped:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_at(time, self._tick)
+            self._timer = loop.call_at(time, self._tick, time)
 
     def async_stop(self) -> None:
         """Feed nothing further."""
@@ -59,13 +60,17 @@
         try:
             while self._events:
                 event = self._events.popleft()
-                for action in self._core.handle(event, loop.time()):
+                self._now = max(self._now, loop.time())
+                for action in self._core.handle(event, self._now):
                     self._carry_out(action)
         finally:
             self._handling = False
 
-    def _tick(self) -> None:
+    def _tick(self, due: float) -> None:
         self._timer = None
+        # A loop may run a timer early by its clock's resolution; a core that is
+        # ticked before the time it asked for would ask for the same time for ever.
+        self._now = max(self._now, due)
         self.async_handle(self._make_tick())
 
     def _cancel_timer(self) -> None:
