--- a/tests/fakes/__init__.py
+++ b/tests/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Small fakes at the interfaces, in virtual time."""
+"""Small fakes at the interfaces."""
