--- a/mangoway/peers/heartbeat.py
+++ b/mangoway/peers/heartbeat.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from ..models.errors import ErrorCode, MangowayError
-from ..models.identifiers import HostId, IncarnationId
+from ..models.identifiers import IncarnationId
 from ..models.member import Member
 from . import peers_pb2 as pb
 from .const import MAX_REPORTS_PER_HEARTBEAT, MAX_SESSIONS, OWN_SLOT
@@ -14,7 +14,7 @@
 from .messages import ReceivedHeartbeat
 from .report_codec import ReportDecoder, ReportEncoder
 from .reports import ReportBook
-from .slots import PeerView, SenderView, SenderViews, SlotsExhausted, SlotTable
+from .slots import PeerView, SenderViews, SlotsExhausted, SlotTable
 
 
 @define(eq=False)
@@ -127,8 +127,12 @@
         newer = tuple(
             report for _, report in reports if self.book.offer(report, source=session)
         )
+        own = sender.members.get(OWN_SLOT)
         return ReceivedHeartbeat(
-            sender=_find_host(sender), members=members, reports=newer
+            sender=None if own is None else own.host,
+            sender_address=None if own is None else own.peer_address,
+            members=members,
+            reports=newer,
         )
 
     def _send_again(self, heartbeat: pb.Heartbeat) -> None:
@@ -144,8 +148,3 @@
             view.residencies.clear()
         if heartbeat.unknown_names or heartbeat.unknown_residencies:
             view.reports_up_to = 0
-
-
-def _find_host(view: SenderView) -> HostId | None:
-    own = view.members.get(OWN_SLOT)
-    return None if own is None else own.host
--- a/mangoway/peers/messages.py
+++ b/mangoway/peers/messages.py
@@ -65,6 +65,9 @@
     sender: HostId | None
     """None if the sender's own entry could not be resolved."""
 
+    sender_address: str | None
+    """Peer address of the sender; None as above."""
+
     members: tuple[Member, ...]
     reports: tuple[EngineReport, ...]
 
