Add the commands status and explain

They ask any process for those that it knows, then all of them at once; a process that does not answer is named and costs nothing else. Ledgers, copies and reasons come from the controller that plans; queues are added up over the gateways.

--- /dev/null
+++ b/mangoway/cli/inquiry.py
@@ -0,0 +1,133 @@
+"""Asks processes of the system on behalf of an operator."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
+
+from attrs import frozen
+
+from ..models.errors import ErrorCode, MangowayError
+from ..models.member import MemberState
+from ..peers import peers_pb2 as pb
+from ..peers.client import PeerClient, PeerClients
+from ..settings.options import setting
+from ..settings.parsers import parse_addresses
+
+ReplyT = TypeVar("ReplyT")
+
+
+@frozen(kw_only=True)
+class InquirySettings:
+    """Where an operator's question goes first."""
+
+    peers: tuple[str, ...] = setting(
+        parse_addresses, "Peer addresses of any processes, separated by commas."
+    )
+
+
+@frozen(kw_only=True)
+class FleetStatus:
+    """What the processes of a cell know together."""
+
+    replies: tuple[pb.StatusReply, ...]
+    unreachable: tuple[str, ...]
+    """Peer addresses of known processes that did not answer."""
+
+    @property
+    def hosts(self) -> tuple[pb.HostStatus, ...]:
+        """Return every known process once, by host."""
+        found = {
+            host.incarnation: host for reply in self.replies for host in reply.hosts
+        }
+        # What a process says of itself goes before what others say of it.
+        found.update({reply.self.incarnation: reply.self for reply in self.replies})
+        return tuple(sorted(found.values(), key=lambda host: (host.host, host.role)))
+
+    @property
+    def planner(self) -> pb.StatusReply | None:
+        """Return the answer of the controller that plans; None if none does."""
+        return next((reply for reply in self.replies if reply.active), None)
+
+    @property
+    def queues(self) -> tuple[pb.QueueStatus, ...]:
+        """Return the queues of all gateways, added up by target."""
+        sums: dict[str, pb.QueueStatus] = {}
+        for queue in (queue for reply in self.replies for queue in reply.queues):
+            entry = sums.setdefault(queue.target, pb.QueueStatus(target=queue.target))
+            entry.urgent += queue.urgent
+            entry.patient += queue.patient
+        return tuple(sums[target] for target in sorted(sums))
+
+
+async def async_read_fleet(peers: Iterable[str]) -> FleetStatus:
+    """Ask the first peer that answers, and then every process that it knows.
+
+    Raises:
+        MangowayError: PEER_UNREACHABLE if none of the peers answers.
+    """
+    clients = PeerClients()
+    try:
+        first = await _async_ask_first(clients, peers)
+        addresses = {
+            host.peer_address
+            for host in first.hosts
+            if host.state != MemberState.GONE.value
+        }
+        addresses.discard(first.self.peer_address)
+        replies = await async_ask_all(
+            clients, addresses, lambda client: client.async_read_status()
+        )
+        unreachable = tuple(sorted(addresses - replies.keys()))
+        return FleetStatus(replies=(first, *replies.values()), unreachable=unreachable)
+    finally:
+        clients.close()
+
+
+async def async_explain(
+    peers: Iterable[str], request: pb.ExplainRequest
+) -> tuple[pb.ExplainEntry, ...]:
+    """Ask every known process why it did something; oldest entry first."""
+    fleet = await async_read_fleet(peers)
+    addresses = {host.peer_address for host in fleet.hosts}
+    clients = PeerClients()
+    try:
+        replies = await async_ask_all(
+            clients, addresses, lambda client: client.async_explain(request)
+        )
+    finally:
+        clients.close()
+    entries = [entry for reply in replies.values() for entry in reply.entries]
+    return tuple(sorted(entries, key=lambda entry: entry.time))
+
+
+async def async_ask_all(
+    clients: PeerClients,
+    addresses: Iterable[str],
+    ask: Callable[[PeerClient], Awaitable[ReplyT]],
+) -> dict[str, ReplyT]:
+    """Ask all addresses at once; those that do not answer are left out."""
+    wanted = sorted(addresses)
+    answers = await asyncio.gather(
+        *(ask(clients.get(address)) for address in wanted), return_exceptions=True
+    )
+    replies: dict[str, ReplyT] = {}
+    for address, answer in zip(wanted, answers, strict=True):
+        if isinstance(answer, MangowayError):
+            continue
+        if isinstance(answer, BaseException):
+            raise answer
+        replies[address] = answer
+    return replies
+
+
+async def _async_ask_first(
+    clients: PeerClients, peers: Iterable[str]
+) -> pb.StatusReply:
+    failures: list[str] = []
+    for peer in peers:
+        try:
+            return await clients.get(peer).async_read_status()
+        except MangowayError as error:
+            failures.append(error.failure.detail)
+    detail = "; ".join(failures) or "no peer was named"
+    raise MangowayError(ErrorCode.PEER_UNREACHABLE, detail)
--- /dev/null
+++ b/mangoway/cli/tables.py
@@ -0,0 +1,25 @@
+"""Plain tables for the terminal."""
+
+from collections.abc import Iterable, Sequence
+
+GAP = "  "
+
+
+def format_table(
+    title: str, heads: Sequence[str], rows: Iterable[Sequence[str]]
+) -> str:
+    """Return a titled table with aligned columns; a note if it has no rows."""
+    lines = [tuple(row) for row in rows]
+    if not lines:
+        return f"{title}: none\n"
+    widths = [
+        max(len(line[column]) for line in (heads, *lines))
+        for column in range(len(heads))
+    ]
+    body = [_format_line(line, widths) for line in (heads, *lines)]
+    return "\n".join((title, *body)) + "\n"
+
+
+def _format_line(cells: Sequence[str], widths: Sequence[int]) -> str:
+    padded = (cell.ljust(width) for cell, width in zip(cells, widths, strict=True))
+    return GAP + GAP.join(padded).rstrip()
--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -6,6 +6,9 @@
 LEASE_NAME: Final = "lease"
 LEDGERS_NAME: Final = "ledgers"
 
+INCARNATION_BYTES: Final = 16
+"""Random bytes in the identifier of one life of a process."""
+
 LEDGER_FORMAT: Final = 1
 """Format of a stored ledger; a reader refuses any other."""
 
@@ -33,9 +36,6 @@
 SILENT_AFTER_S: Final = 6.0
 """Time without an answer after which an engine counts as silent."""
 
-SESSION_BITS: Final = 63
-"""Bits of a heartbeat session number."""
-
 ORDER_WATCH_S: Final = 30.0
 """Time for which a runner is asked often after an order was sent to it."""
 
--- a/mangoway/daemons/placement_driver.py
+++ b/mangoway/daemons/placement_driver.py
@@ -77,6 +77,9 @@
     metrics: Metrics
     tasks: Tasks
     active: bool = field(default=False, init=False)
+    orders_under_way: int = field(default=0, init=False)
+    """Orders that were sent and have no answer so far."""
+
     poller: EnginePoller = field(init=False)
     _driver: CoreDriver[PlacementEvent, PlacementAction] = field(init=False)
     _ledgers: LedgerStore = field(init=False)
@@ -182,6 +185,7 @@
             return
         _log_order(order)
         self.poller.async_hurry(order.upstream, ORDER_WATCH_S)
+        self.orders_under_way += 1
         try:
             answer = await self.engines.async_send_order(
                 address, order, action.send_before
@@ -189,6 +193,8 @@
         except MangowayError as error:
             self._fail_order(order, error.failure.verdict)
             return
+        finally:
+            self.orders_under_way -= 1
         self._answer_order(order, answer)
 
     def _answer_order(self, order: Order, answer: OrderAnswer) -> None:
--- a/mangoway/peers/const.py
+++ b/mangoway/peers/const.py
@@ -57,3 +57,9 @@
 
 MAX_EXPLANATIONS: Final = 200
 """Entries in one answer to an operator's question."""
+
+CLOSE_IDLE_PERIOD_S: Final = 10.0
+"""Time between two looks for connections that are not used."""
+
+SESSION_BITS: Final = 63
+"""Bits of a heartbeat session number."""
--- /dev/null
+++ b/mangoway/peers/member_log.py
@@ -0,0 +1,49 @@
+"""Logs which processes of the system come, leave and go."""
+
+from attrs import define, field
+
+from ..models.identifiers import IncarnationId
+from ..models.member import Member, MemberState
+from ..observability import events as log
+from ..observability.event_log import log_event
+
+
+@define(eq=False)
+class MemberLog:
+    """Compares the entries with those before."""
+
+    _known: dict[IncarnationId, Member] = field(factory=dict, init=False)
+
+    def note(self, members: tuple[Member, ...]) -> None:
+        """Log what changed since the last call."""
+        previous = self._known
+        self._known = {member.incarnation: member for member in members}
+        for member in members:
+            old = previous.get(member.incarnation)
+            if old is None or old.state is not member.state:
+                _log_state(member)
+        for incarnation, member in previous.items():
+            if incarnation not in self._known and member.state is not MemberState.GONE:
+                _log_gone(member)
+
+
+def _log_state(member: Member) -> None:
+    match member.state:
+        case MemberState.LIVE:
+            log_event(
+                log.MemberJoined(
+                    peer=member.host,
+                    incarnation=member.incarnation,
+                    peer_role=member.role.value,
+                )
+            )
+        case MemberState.LEAVING:
+            log_event(
+                log.MemberLeaving(peer=member.host, incarnation=member.incarnation)
+            )
+        case MemberState.GONE:
+            _log_gone(member)
+
+
+def _log_gone(member: Member) -> None:
+    log_event(log.MemberGone(peer=member.host, incarnation=member.incarnation))
