--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -6,6 +6,9 @@
 LEASE_NAME: Final = "lease"
 LEDGERS_NAME: Final = "ledgers"
 
+INCARNATION_BYTES: Final = 16
+"""Random bytes in the identifier of one life of a process."""
+
 LEDGER_FORMAT: Final = 1
 """Format of a stored ledger; a reader refuses any other."""
 
@@ -24,17 +27,30 @@
 POLL_BUSY_PERIOD_S: Final = 0.5
 """Time between two reports of a runner with an order under way."""
 
+POLL_SLACK_S: Final = 0.001
+"""Time by which a turn may come early, since timers are no more exact than that."""
+
 POLL_CONCURRENCY: Final = 16
 """Engines that are asked at once."""
 
 SILENT_AFTER_S: Final = 6.0
 """Time without an answer after which an engine counts as silent."""
 
-MAX_EXPLANATIONS: Final = 200
-"""Entries in one answer to an operator's question."""
-
-SESSION_BITS: Final = 63
-"""Bits of a heartbeat session number."""
-
 ORDER_WATCH_S: Final = 30.0
 """Time for which a runner is asked often after an order was sent to it."""
+
+# The gateway process.
+
+CLAIMS_PREFIX: Final = "/mangoway/claims/"
+
+REPORTERS_PER_ENGINE: Final = 3
+"""Gateways of a cell that ask one engine for reports; the others hear of them."""
+
+STOP_POLL_S: Final = 0.1
+"""Pause between two looks whether a stopping gateway is idle."""
+
+ADDRESS_RETRY_S: Final = 1.0
+"""Time after which a caller may ask again when no gateway is ready."""
+
+LEAVE_SPREAD_S: Final = 2.0
+"""Time that a leaving gateway stays for the news of its successor to spread."""
