--- a/mangoway/callers/server.py
+++ b/mangoway/callers/server.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import Iterator
 
 import uvicorn
 from blacksheep import Application
 
+from ..util.listener import open_listener
+
 KEEP_ALIVE_S = 30
 START_POLL_S = 0.01
 
@@ -21,13 +22,14 @@
             loop="asyncio",
             http="httptools",
             ws="none",
-            lifespan="on",
+            lifespan="off",
             log_config=None,
             access_log=False,
             server_header=False,
             date_header=False,
             timeout_keep_alive=KEEP_ALIVE_S,
         )
+        self._app = app
         self._server = _Server(config)
         self._serving: asyncio.Task[None] | None = None
         self.port = 0
@@ -38,7 +40,8 @@
         Raises:
             OSError: If the address can't be used.
         """
-        listener = socket.create_server((host, port), backlog=1024)
+        await self._app.start()  # type: ignore[no-untyped-call]
+        listener = open_listener(host, port)
         self.port = listener.getsockname()[1]
         self._serving = asyncio.get_running_loop().create_task(
             self._server.serve([listener])
@@ -56,6 +59,7 @@
         self._server.should_exit = True
         self._server.force_exit = force
         await self._serving
+        await self._app.stop()  # type: ignore[no-untyped-call]
 
 
 class _Server(uvicorn.Server):
