--- a/tests/stand_ins/engine.py
+++ b/tests/stand_ins/engine.py
@@ -24,7 +24,7 @@
     UpstreamId,
 )
 from mangoway.models.order import Order, OrderKind, OrderOutcome
-from mangoway.models.upstream import EngineReport
+from mangoway.models.upstream import EngineReport, Residency
 from tests.fakes.engine import (
     AttemptFinished,
     EngineModel,
@@ -108,6 +108,7 @@
     def truth(self) -> dict[str, Any]:
         """Return memory, runs by attempt, and orders, as they really were."""
         model = self.model
+        residents = self._report().residents
         return {
             "upstream": model.settings.upstream,
             "incarnation": model.incarnation,
@@ -117,7 +118,12 @@
             "over_size": model.over_size,
             "loads": model.loads,
             "unloads": model.unloads,
-            "loaded": sorted(str(r.artifact) for r in self._report().residents),
+            "loaded": sorted(str(each.artifact) for each in residents),
+            "ready": sorted(
+                str(each.artifact)
+                for each in residents
+                if each.state is Residency.READY
+            ),
             "runs": dict(model.runs),
             "orders": self.orders,
             "after_leaving": self.after_leaving,
--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -35,6 +35,9 @@
     admin: str = ""
     """Address of its switches; its own address where they share it."""
 
+    peer_address: str = ""
+    """Address for other processes of the system; empty for a stand-in."""
+
     @property
     def is_running(self) -> bool:
         """Return whether it has not ended."""
@@ -118,6 +121,15 @@
         process.admin = addresses.get("admin", process.address)
         return process
 
+    def list_ended(self) -> list[str]:
+        """Return the processes that have ended, each with its last line of errors."""
+        return [
+            f"{process.name} ended with {process.child.returncode}: "
+            + process.log.read_text().strip().rpartition("\n")[2]
+            for process in self.processes
+            if not process.is_running
+        ]
+
     async def async_end_all(self) -> None:
         """End every process that still runs."""
         for process in self.processes:
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -37,13 +37,13 @@
         self.app.router.add_post("/admin/cut", self._async_cut)
         self.app.router.add_post("/admin/mute", self._async_mute)
 
+    def addresses(self) -> dict[str, str]:
+        """Return the address that is relayed, and that for control."""
+        return {"address": self.relay_address, "admin": self.address}
+
     def truth(self) -> dict[str, Any]:
-        """Return the relaying address and how many ends are open or muted."""
-        return {
-            "relay_address": self.relay_address,
-            "open": len(self._open),
-            "muted": len(self._muted),
-        }
+        """Return how many ends are open, and how many are muted."""
+        return {"open": len(self._open), "muted": len(self._muted)}
 
     async def async_start(self, listen: str = "127.0.0.1:0") -> str:
         """Listen for connections to relay, and for control."""
