--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the policy and of the processes."""
--- /dev/null
+++ b/measure/baselines/placement.py
@@ -0,0 +1,307 @@
+"""Placement as simple systems do it: floors, and loads on demand if asked for.
+
+With `on_demand` a copy is loaded whenever demand exceeds half the speed of the
+copies there are, and the least recently used copies above the floors make room.
+There is no ledger: one controller plans and counts what it has ordered.
+"""
+
+import math
+
+from attrs import define, field, frozen
+
+from mangoway.models.artifact import Artifact
+from mangoway.models.identifiers import (
+    FenceNumber,
+    IncarnationId,
+    OrderId,
+    UpstreamId,
+)
+from mangoway.models.offer import Configuration
+from mangoway.models.order import Order, OrderKind, OrderOutcome
+from mangoway.models.upstream import (
+    EngineDescription,
+    EngineReport,
+    Residency,
+    ResidentArtifact,
+)
+from mangoway.policy.placement.actions import PlacementAction, SendOrder, WakeAt
+from mangoway.policy.placement.events import (
+    ConfigurationChanged,
+    DemandReported,
+    EngineMet,
+    EngineReported,
+    EngineSilent,
+    LeaseGained,
+    LeaseLost,
+    OrderAnswered,
+    OrderFailed,
+    PlacementEvent,
+    RunnersListed,
+    Ticked,
+)
+
+_PLAN_PERIOD_S = 1.0
+_PENDING_S = 30.0
+_RATE_DECAY = 0.5
+_USED_SHARE = 0.5
+"""Share of a copy's speed that demand may take before another copy is loaded."""
+
+
+@define
+class _Runner:
+    """What is known of a runner."""
+
+    description: EngineDescription
+    residents: dict[Artifact, ResidentArtifact] = field(factory=dict)
+    is_listed: bool = True
+    is_silent: bool = False
+
+
+@frozen
+class _Pending:
+    """An order whose effect no report has shown yet."""
+
+    order: Order
+    sent_at: float
+
+
+@define
+class SimplePlacement:
+    """A placement core for comparison."""
+
+    incarnation: IncarnationId
+    on_demand: bool
+    _configuration: Configuration | None = None
+    _runners: dict[UpstreamId, _Runner] = field(factory=dict)
+    _pending: dict[OrderId, _Pending] = field(factory=dict)
+    _rates: dict[Artifact, float] = field(factory=dict)
+    _used_at: dict[Artifact, float] = field(factory=dict)
+    _arrived_tokens: dict[Artifact, int] = field(factory=dict)
+    _is_active: bool = False
+    _planned_at: float = -math.inf
+    _number: int = 0
+
+    def handle(self, event: PlacementEvent, now: float) -> list[PlacementAction]:
+        """Take one event; return what to do."""
+        match event:
+            case LeaseGained():
+                self._is_active = True
+            case LeaseLost():
+                self._is_active = False
+            case ConfigurationChanged(configuration=configuration):
+                self._configuration = configuration
+            case EngineMet(description=description):
+                self._runners[description.upstream] = _Runner(description)
+            case RunnersListed(runners=runners):
+                listed = {runner.id for runner in runners}
+                for upstream, runner in self._runners.items():
+                    runner.is_listed = upstream in listed
+            case EngineSilent(upstream_id=upstream):
+                self._runners[upstream].is_silent = True
+                self._runners[upstream].residents = {}
+            case EngineReported(report=report):
+                self._learn(report)
+            case DemandReported():
+                self._count_demand(event, now)
+            case OrderAnswered(order_id=order_id, outcome=outcome):
+                if outcome is not OrderOutcome.ACCEPTED:
+                    self._pending.pop(order_id, None)
+            case OrderFailed(order_id=order_id):
+                self._pending.pop(order_id, None)
+            case Ticked():
+                return self._tick(now)
+        return []
+
+    def _learn(self, report: EngineReport) -> None:
+        runner = self._runners.get(report.upstream)
+        if runner is None:
+            return
+        runner.is_silent = False
+        runner.residents = {one.artifact: one for one in report.residents}
+        for order_id, pending in list(self._pending.items()):
+            order = pending.order
+            if order.upstream != report.upstream:
+                continue
+            is_there = order.artifact in runner.residents
+            if is_there == (order.kind is OrderKind.LOAD):
+                del self._pending[order_id]
+
+    def _count_demand(self, event: DemandReported, now: float) -> None:
+        for rate in event.rates:
+            artifact = rate.artifact
+            tokens = self._arrived_tokens.get(artifact, 0) + rate.tokens
+            self._arrived_tokens[artifact] = tokens
+            if rate.arrived:
+                self._used_at[artifact] = now
+                self._used_at[artifact.base] = now
+
+    def _tick(self, now: float) -> list[PlacementAction]:
+        actions: list[PlacementAction] = []
+        if now >= self._planned_at + _PLAN_PERIOD_S:
+            self._update_rates(now)
+            self._planned_at = now
+            if self._is_active and self._configuration is not None:
+                self._forget_pending(now)
+                actions.extend(self._plan(now))
+        actions.append(WakeAt(time=now + _PLAN_PERIOD_S))
+        return actions
+
+    def _update_rates(self, now: float) -> None:
+        elapsed = min(now - self._planned_at, 10.0)
+        for artifact in {*self._rates, *self._arrived_tokens}:
+            rate = self._arrived_tokens.get(artifact, 0) / elapsed
+            old = self._rates.get(artifact, 0.0)
+            self._rates[artifact] = old * _RATE_DECAY + rate * (1 - _RATE_DECAY)
+        self._arrived_tokens = {}
+
+    def _forget_pending(self, now: float) -> None:
+        for order_id, pending in list(self._pending.items()):
+            if now - pending.sent_at > _PENDING_S:
+                del self._pending[order_id]
+
+    def _plan(self, now: float) -> list[PlacementAction]:
+        assert self._configuration is not None
+        actions: list[PlacementAction] = []
+        for artifact in self._configuration.list_artifacts():
+            wanted = self._configuration.find_floor(artifact)
+            actions.extend(self._raise_copies(artifact, wanted, False, now))
+        if self.on_demand:
+            for artifact in sorted(self._rates, key=lambda a: -self._rates[a]):
+                wanted = self._count_wanted(artifact)
+                actions.extend(self._raise_copies(artifact, wanted, True, now))
+        return actions
+
+    def _count_wanted(self, artifact: Artifact) -> int:
+        live = self._list_live()
+        if not live:
+            return 0
+        speed = max(runner.description.tokens_per_second for runner in live.values())
+        wanted = math.ceil(self._rates[artifact] / (_USED_SHARE * speed))
+        return min(wanted, len(live))
+
+    def _list_live(self) -> dict[UpstreamId, _Runner]:
+        return {
+            upstream: runner
+            for upstream, runner in self._runners.items()
+            if runner.is_listed and not runner.is_silent
+        }
+
+    def _raise_copies(
+        self, artifact: Artifact, wanted: int, may_evict: bool, now: float
+    ) -> list[PlacementAction]:
+        """Order one more copy if there are fewer than wanted."""
+        holders = self._find_holders(artifact)
+        if len(holders) >= wanted:
+            return []
+        others = {u: r for u, r in self._list_live().items() if u not in holders}
+        if artifact.adapter is not None:
+            with_base = {
+                upstream: runner
+                for upstream, runner in others.items()
+                if self._has_ready(runner, artifact.base)
+            }
+            if not with_base and may_evict:
+                bases = len(self._find_holders(artifact.base))
+                return self._raise_copies(artifact.base, bases + 1, True, now)
+            others = with_base
+        return self._order_copy(artifact, others, may_evict, now)
+
+    def _order_copy(
+        self,
+        artifact: Artifact,
+        runners: dict[UpstreamId, _Runner],
+        may_evict: bool,
+        now: float,
+    ) -> list[PlacementAction]:
+        assert self._configuration is not None
+        memory_mb = self._configuration.find_memory_mb(artifact)
+        roomy = sorted(runners, key=lambda upstream: -self._find_free_mb(upstream))
+        if roomy and self._find_free_mb(roomy[0]) >= memory_mb:
+            return [self._build_order(roomy[0], OrderKind.LOAD, artifact, now)]
+        if not may_evict or not roomy or self._has_pending_unload():
+            return []
+        return self._evict(roomy, memory_mb, now)
+
+    def _has_pending_unload(self) -> bool:
+        kinds = (pending.order.kind for pending in self._pending.values())
+        return any(kind is OrderKind.UNLOAD for kind in kinds)
+
+    def _evict(
+        self, upstreams: list[UpstreamId], memory_mb: int, now: float
+    ) -> list[PlacementAction]:
+        """Unload the least recently used copies of the first runner that suffices."""
+        for upstream in upstreams:
+            free = self._find_free_mb(upstream)
+            victims: list[Artifact] = []
+            for artifact in self._list_evictable(upstream):
+                if free >= memory_mb:
+                    break
+                victims.append(artifact)
+                free += self._runners[upstream].residents[artifact].memory_mb
+            if free >= memory_mb:
+                return [
+                    self._build_order(upstream, OrderKind.UNLOAD, victim, now)
+                    for victim in victims
+                ]
+        return []
+
+    def _list_evictable(self, upstream: UpstreamId) -> list[Artifact]:
+        assert self._configuration is not None
+        residents = self._runners[upstream].residents
+        found = [
+            artifact
+            for artifact, resident in residents.items()
+            if resident.state is Residency.READY
+            and self._count_ready(artifact) > self._configuration.find_floor(artifact)
+            and not any(a.base == artifact and a != artifact for a in residents)
+        ]
+        return sorted(found, key=lambda a: self._used_at.get(a, 0.0))
+
+    def _find_holders(self, artifact: Artifact) -> set[UpstreamId]:
+        holders = {
+            upstream
+            for upstream, runner in self._list_live().items()
+            if artifact in runner.residents
+            and runner.residents[artifact].state is not Residency.UNLOADING
+        }
+        for pending in self._pending.values():
+            order = pending.order
+            if order.artifact == artifact and order.kind is OrderKind.LOAD:
+                holders.add(order.upstream)
+        return holders
+
+    def _count_ready(self, artifact: Artifact) -> int:
+        return sum(self._has_ready(r, artifact) for r in self._list_live().values())
+
+    def _has_ready(self, runner: _Runner, artifact: Artifact) -> bool:
+        resident = runner.residents.get(artifact)
+        return resident is not None and resident.state is Residency.READY
+
+    def _find_free_mb(self, upstream: UpstreamId) -> int:
+        assert self._configuration is not None
+        runner = self._runners[upstream]
+        taken = sum(one.memory_mb for one in runner.residents.values())
+        for pending in self._pending.values():
+            order = pending.order
+            is_new = order.artifact not in runner.residents
+            if order.upstream == upstream and order.kind is OrderKind.LOAD and is_new:
+                taken += order.memory_mb
+        floor_mb = self._configuration.site.kv_cache_floor_mb
+        return runner.description.memory_mb - floor_mb - taken
+
+    def _build_order(
+        self, upstream: UpstreamId, kind: OrderKind, artifact: Artifact, now: float
+    ) -> SendOrder:
+        assert self._configuration is not None
+        self._number += 1
+        order = Order(
+            id=OrderId(f"{self.incarnation}-{self._number}"),
+            upstream=upstream,
+            incarnation=self._runners[upstream].description.incarnation,
+            fence=FenceNumber(0),
+            kind=kind,
+            artifact=artifact,
+            memory_mb=self._configuration.find_memory_mb(artifact),
+        )
+        self._pending[order.id] = _Pending(order, now)
+        return SendOrder(order=order)
--- /dev/null
+++ b/measure/clock.py
@@ -0,0 +1,37 @@
+"""Virtual time: a heap of things to do."""
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+Callback = Callable[..., None]
+
+
+class Clock:
+    """Run callbacks in the order of their virtual time.
+
+    Callbacks of the same time run in the order in which they were scheduled, so a
+    run depends on its seed only.
+    """
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._heap: list[tuple[float, int, Callback, tuple[Any, ...]]] = []
+        self._numbers = count()
+
+    def call_at(self, time: float, callback: Callback, *args: Any) -> None:
+        """Run a callback at a time, or now if that time has passed."""
+        entry = (max(time, self.now), next(self._numbers), callback, args)
+        heapq.heappush(self._heap, entry)
+
+    def call_later(self, delay_s: float, callback: Callback, *args: Any) -> None:
+        """Run a callback after a delay."""
+        self.call_at(self.now + delay_s, callback, *args)
+
+    def run(self, until: float) -> None:
+        """Run everything that is due up to a time."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, callback, args = heapq.heappop(self._heap)
+            callback(*args)
+        self.now = until
--- /dev/null
+++ b/measure/faults.py
@@ -0,0 +1,35 @@
+"""Faults that are brought about in the middle of a run."""
+
+from enum import Enum
+
+from attrs import frozen
+
+
+class Fault(Enum):
+    """What goes wrong, always while the news surge is on."""
+
+    NONE = "none"
+    RUNNER_LOST = "runner lost"
+    ENTRY_HOST_LOST = "entry host lost"
+    DATA_CENTRE_LOST = "data centre lost"
+    KEY_VALUE_OUT = "key-value service out"
+    CONTROLLER_FROZEN = "active controller frozen"
+    REPORTS_STOPPED = "load reports stopped"
+
+
+@frozen(kw_only=True)
+class FaultTimes:
+    """When a fault begins and ends, in seconds since the start of the traffic."""
+
+    start_s: float
+    end_s: float
+
+
+FAULT_TIMES = {
+    Fault.RUNNER_LOST: FaultTimes(start_s=150.0, end_s=210.0),
+    Fault.ENTRY_HOST_LOST: FaultTimes(start_s=150.0, end_s=210.0),
+    Fault.DATA_CENTRE_LOST: FaultTimes(start_s=150.0, end_s=210.0),
+    Fault.KEY_VALUE_OUT: FaultTimes(start_s=115.0, end_s=260.0),
+    Fault.CONTROLLER_FROZEN: FaultTimes(start_s=118.0, end_s=160.0),
+    Fault.REPORTS_STOPPED: FaultTimes(start_s=125.0, end_s=185.0),
+}
--- /dev/null
+++ b/measure/outcomes.py
@@ -0,0 +1,46 @@
+"""What became of each request of a run."""
+
+from attrs import define, field
+
+from mangoway.models.errors import ErrorCode
+from mangoway.models.request import ServiceCall, WorkClass
+
+from .demand import Arrival
+
+
+@define(kw_only=True)
+class Outcome:
+    """The course of one arrival as its caller saw it."""
+
+    arrival: Arrival
+    first_token_at: float | None = None
+    finished_at: float | None = None
+    refusals: list[ErrorCode] = field(factory=list)
+    tries: int = 0
+
+    @property
+    def is_met(self) -> bool:
+        """Return whether the request met all its targets."""
+        if self.finished_at is None or self.finished_at > self.arrival.deadline:
+            return False
+        due = self.arrival.first_token_deadline
+        if due is None:
+            return True
+        return self.first_token_at is not None and self.first_token_at <= due
+
+    @property
+    def is_call(self) -> bool:
+        """Return whether it is a call of a plain service."""
+        return isinstance(self.arrival.target, ServiceCall)
+
+    @property
+    def is_urgent(self) -> bool:
+        """Return whether somebody waits for it."""
+        return self.arrival.work_class is WorkClass.URGENT
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Return the time to the first token; None if there was none."""
+        if self.first_token_at is None:
+            return None
+        return self.first_token_at - self.arrival.time
--- /dev/null
+++ b/measure/upstreams.py
@@ -0,0 +1,245 @@
+"""Engines and plain services of a run, as the gateways reach them."""
+
+import math
+from random import Random
+from typing import Protocol
+
+from attrs import define, frozen
+
+from mangoway.models.artifact import Artifact
+from mangoway.models.identifiers import (
+    AttemptId,
+    DataCentreId,
+    IncarnationId,
+    UpstreamId,
+)
+from mangoway.models.request import ServiceCall
+from tests.fakes.engine import AttemptFinished, EngineModel, SubmitOutcome
+
+from .clock import Clock
+from .const import (
+    CONNECT_TIMEOUT_S,
+    LATENCY_BETWEEN_S,
+    LATENCY_INSIDE_S,
+    PROGRESS_PERIOD_S,
+)
+from .demand import Arrival
+
+_SERVICE_TIME_S = (0.02, 0.08)
+_SERVICE_CONCURRENCY = 8
+
+
+class AttemptClient(Protocol):
+    """The gateway's end of an attempt."""
+
+    data_centre: DataCentreId
+
+    def receive_progress(self, attempt_id: AttemptId, tokens: int) -> None:
+        """Take the tokens so far."""
+        ...
+
+    def receive_success(self, attempt_id: AttemptId) -> None:
+        """Take the end of an answer."""
+        ...
+
+    def receive_refusal(self, attempt_id: AttemptId) -> None:
+        """Take a refusal: it certainly did not run."""
+        ...
+
+    def receive_break(self, attempt_id: AttemptId) -> None:
+        """Take a connection that broke: it may have run."""
+        ...
+
+    def receive_cancelled(self, attempt_id: AttemptId, tokens: int) -> None:
+        """Take the end of a cancelled attempt."""
+        ...
+
+
+@frozen(kw_only=True)
+class Attempt:
+    """One try of an arrival at one upstream."""
+
+    id: AttemptId
+    arrival: Arrival
+    priority: int = 0
+    resume_from: int = 0
+
+
+def find_latency(one: DataCentreId, other: DataCentreId) -> float:
+    """Return the one-way time between two data centres in seconds."""
+    return LATENCY_INSIDE_S if one == other else LATENCY_BETWEEN_S
+
+
+@define
+class _Connection:
+    """One attempt at an engine and who waits for it."""
+
+    client: AttemptClient
+    told_at: float = -math.inf
+
+
+class EngineHost:
+    """An engine on the network; wakes its model when something ends in it."""
+
+    def __init__(
+        self, clock: Clock, model: EngineModel, data_centre: DataCentreId
+    ) -> None:
+        self.clock = clock
+        self.model = model
+        self.data_centre = data_centre
+        self.is_silent = False
+        """Down without a sign, so that connections hang instead of breaking."""
+
+        self.down_s = 0.0
+        self._down_since = 0.0
+        self._connections: dict[AttemptId, _Connection] = {}
+        self._wake_at = math.inf
+        self._wake_number = 0
+
+    @property
+    def id(self) -> UpstreamId:
+        """Return the upstream's name."""
+        return self.model.settings.upstream
+
+    def submit(self, attempt: Attempt, client: AttemptClient) -> None:
+        """Take an attempt that has just arrived over the network."""
+        self.advance()
+        arrival = attempt.arrival
+        assert isinstance(arrival.target, Artifact)
+        outcome = self.model.submit(
+            self.clock.now,
+            attempt.id,
+            arrival.target,
+            prompt_tokens=arrival.prompt_tokens,
+            max_tokens=arrival.output_tokens,
+            priority=attempt.priority,
+            prefix_hashes=arrival.prefix_hashes,
+            resume_from=attempt.resume_from,
+        )
+        if outcome is SubmitOutcome.ACCEPTED:
+            self._connections[attempt.id] = _Connection(client)
+        else:
+            delay = CONNECT_TIMEOUT_S if self.is_silent else self._latency(client)
+            self.clock.call_later(delay, client.receive_refusal, attempt.id)
+        self._schedule_wake()
+
+    def cancel(self, attempt_id: AttemptId, client: AttemptClient) -> None:
+        """End an attempt on behalf of its client."""
+        self.advance()
+        connection = self._connections.pop(attempt_id, None)
+        if connection is None or self.model.is_down:
+            return
+        tokens = self.model.cancel(self.clock.now, attempt_id) or 0
+        self.clock.call_later(
+            self._latency(client), client.receive_cancelled, attempt_id, tokens
+        )
+        self._schedule_wake()
+
+    def drop_client(self, client: AttemptClient) -> None:
+        """End all attempts of a client that is gone."""
+        self.advance()
+        for attempt_id, connection in list(self._connections.items()):
+            if connection.client is client:
+                del self._connections[attempt_id]
+                self.model.cancel(self.clock.now, attempt_id)
+        self._schedule_wake()
+
+    def crash(self, silent: bool) -> None:
+        """Lose everything, with connections that break or hang."""
+        self.advance()
+        self.model.crash(self.clock.now)
+        self.is_silent = silent
+        self._down_since = self.clock.now
+        for attempt_id, connection in self._connections.items():
+            if not silent:
+                client = connection.client
+                self.clock.call_later(
+                    self._latency(client), client.receive_break, attempt_id
+                )
+        self._connections.clear()
+
+    def restart(self, incarnation: IncarnationId) -> None:
+        """Come back empty."""
+        self.model.restart(self.clock.now, incarnation)
+        self.is_silent = False
+        self.down_s += self.clock.now - self._down_since
+        self._schedule_wake()
+
+    def advance(self) -> None:
+        """Bring the model up to now and tell the clients what came out."""
+        now = self.clock.now
+        for output in self.model.advance(now):
+            connection = self._connections.get(output.attempt_id)
+            if connection is None:
+                continue
+            client = connection.client
+            if isinstance(output, AttemptFinished):
+                del self._connections[output.attempt_id]
+                self.clock.call_later(
+                    self._latency(client), client.receive_success, output.attempt_id
+                )
+            elif now - connection.told_at >= PROGRESS_PERIOD_S:
+                connection.told_at = now
+                self.clock.call_later(
+                    self._latency(client),
+                    client.receive_progress,
+                    output.attempt_id,
+                    output.tokens,
+                )
+
+    def touch(self) -> None:
+        """Bring the model up to now and wake at its next event."""
+        self.advance()
+        self._schedule_wake()
+
+    def _schedule_wake(self) -> None:
+        time = self.model.next_event_time()
+        if time == self._wake_at:
+            return
+        self._wake_at = time
+        self._wake_number += 1
+        if time < math.inf:
+            self.clock.call_at(time, self._wake, self._wake_number)
+
+    def _wake(self, number: int) -> None:
+        if number == self._wake_number:
+            self._wake_at = math.inf
+            self.touch()
+
+    def _latency(self, client: AttemptClient) -> float:
+        return find_latency(self.data_centre, client.data_centre)
+
+
+class ServiceHost:
+    """One host of a plain service; counts how often each arrival really ran."""
+
+    def __init__(
+        self, clock: Clock, upstream: UpstreamId, data_centre: DataCentreId, seed: str
+    ) -> None:
+        self.id = upstream
+        self.data_centre = data_centre
+        self.runs: dict[int, int] = {}
+        self.is_down = False
+        self._clock = clock
+        self._random = Random(seed)
+        self._free_at = [0.0] * _SERVICE_CONCURRENCY
+
+    def submit(self, attempt: Attempt, client: AttemptClient) -> None:
+        """Run a call that has just arrived over the network."""
+        if self.is_down:
+            self._clock.call_later(
+                CONNECT_TIMEOUT_S, client.receive_refusal, attempt.id
+            )
+            return
+        assert isinstance(attempt.arrival.target, ServiceCall)
+        number = attempt.arrival.number
+        self.runs[number] = self.runs.get(number, 0) + 1
+        slot = min(range(len(self._free_at)), key=self._free_at.__getitem__)
+        begin = max(self._clock.now, self._free_at[slot])
+        self._free_at[slot] = begin + self._random.uniform(*_SERVICE_TIME_S)
+        self._clock.call_at(self._free_at[slot], self._answer, attempt.id, client)
+
+    def _answer(self, attempt_id: AttemptId, client: AttemptClient) -> None:
+        if not self.is_down:
+            latency = find_latency(self.data_centre, client.data_centre)
+            self._clock.call_later(latency, client.receive_success, attempt_id)
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -194,6 +194,11 @@
         found = [self._residents.get(one) for one in needed]
         return all(one is not None and one.state is Residency.READY for one in found)
 
+    def holds(self, artifact: Artifact) -> bool:
+        """Return whether the artifact is in memory or on its way there."""
+        resident = self._residents.get(artifact)
+        return resident is not None and resident.state is not Residency.UNLOADING
+
     def submit(
         self,
         now: float,
