--- a/mangoway/models/artifact.py
+++ b/mangoway/models/artifact.py
@@ -10,7 +10,7 @@
 ADAPTER_SEPARATOR = "+"
 
 
-@frozen(order=True)
+@frozen(order=True, cache_hash=True)
 class Artifact:
     """A loadable unit: the weights of a model version, or one adapter for them.
 
--- a/measure/baselines/placement.py
+++ b/measure/baselines/placement.py
@@ -1,5 +1,8 @@
 """Placement as simple systems do it: floors, and loads on demand if asked for.
 
+Without `on_demand` every artifact gets one copy above its floor where memory allows,
+once and for all.
+
 With `on_demand` a copy is loaded whenever demand exceeds half the speed of the
 copies there are, and the least recently used copies above the floors make room.
 There is no ledger: one controller plans and counts what it has ordered.
@@ -165,6 +168,10 @@
         for artifact in self._configuration.list_artifacts():
             wanted = self._configuration.find_floor(artifact)
             actions.extend(self._raise_copies(artifact, wanted, False, now))
+        if not self.on_demand and not actions:
+            for artifact in self._configuration.list_artifacts():
+                wanted = self._configuration.find_floor(artifact) + 1
+                actions.extend(self._raise_copies(artifact, wanted, False, now))
         if self.on_demand:
             for artifact in sorted(self._rates, key=lambda a: -self._rates[a]):
                 wanted = self._count_wanted(artifact)
--- a/tests/fakes/weight_store.py
+++ b/tests/fakes/weight_store.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-_DONE_MB = 1e-6
+_DONE_MB = 1e-5
 
 
 @frozen(kw_only=True)
@@ -54,8 +54,7 @@
 
     def is_done(self, key: str) -> bool:
         """Return whether a load has ended (also if it was never begun)."""
-        transfer = self._transfers.get(key)
-        return transfer is None or transfer.left_mb <= _DONE_MB
+        return key not in self._transfers
 
     def advance(self, now: float) -> None:
         """Let time pass up to `now`."""
@@ -80,7 +79,7 @@
         return [
             transfer
             for transfer in self._transfers.values()
-            if transfer.starts_at <= self._now and transfer.left_mb > _DONE_MB
+            if transfer.starts_at <= self._now
         ]
 
     def _speed(self, running: int) -> float:
@@ -92,7 +91,13 @@
         if running:
             moved = (time - self._now) * self._speed(len(running))
             for transfer in running:
-                transfer.left_mb = max(0.0, transfer.left_mb - moved)
-                if transfer.left_mb <= _DONE_MB * 10:
-                    transfer.left_mb = 0.0
+                transfer.left_mb -= moved
+            self._drop_done()
         self._now = time
+
+    def _drop_done(self) -> None:
+        self._transfers = {
+            key: transfer
+            for key, transfer in self._transfers.items()
+            if transfer.left_mb > _DONE_MB
+        }
