--- a/tests/test_artifact.py
+++ b/tests/test_artifact.py
@@ -19,3 +19,8 @@
 
     def test_base_of_adapter_is_its_model_version(self) -> None:
         assert Artifact.parse("chat@3+mn").base == Artifact.parse("chat@3")
+
+    def test_base_sorts_before_its_adapters(self) -> None:
+        names = ["chat@3+mn", "chat@3", "chat@2+mn"]
+        artifacts = sorted(Artifact.parse(name) for name in names)
+        assert [str(one) for one in artifacts] == ["chat@2+mn", "chat@3", "chat@3+mn"]
