--- a/measure/baselines/placement.py
+++ b/measure/baselines/placement.py
@@ -151,7 +151,7 @@
 
     def _update_rates(self, now: float) -> None:
         elapsed = min(now - self._planned_at, 10.0)
-        for artifact in {*self._rates, *self._arrived_tokens}:
+        for artifact in sorted({*self._rates, *self._arrived_tokens}):
             rate = self._arrived_tokens.get(artifact, 0) / elapsed
             old = self._rates.get(artifact, 0.0)
             self._rates[artifact] = old * _RATE_DECAY + rate * (1 - _RATE_DECAY)
@@ -173,7 +173,7 @@
                 wanted = self._configuration.find_floor(artifact) + 1
                 actions.extend(self._raise_copies(artifact, wanted, False, now))
         if self.on_demand:
-            for artifact in sorted(self._rates, key=lambda a: -self._rates[a]):
+            for artifact in sorted(self._rates, key=lambda a: (-self._rates[a], a)):
                 wanted = self._count_wanted(artifact)
                 actions.extend(self._raise_copies(artifact, wanted, True, now))
         return actions
--- a/measure/const.py
+++ b/measure/const.py
@@ -23,7 +23,6 @@
 """Time after which the others notice that a gateway or an engine is gone."""
 
 CONNECT_TIMEOUT_S: Final = 1.0
-ORDER_TIMEOUT_S: Final = 2.0
 KEY_VALUE_LATENCY_S: Final = 0.004
 KEY_VALUE_TIMEOUT_S: Final = 1.0
 LEASE_TTL_S: Final = 6.0
--- a/measure/controllers.py
+++ b/measure/controllers.py
@@ -17,6 +17,7 @@
     WakeAt,
     WriteLedger,
 )
+from mangoway.policy.placement.const import ORDER_TIMEOUT_S
 from mangoway.policy.placement.events import (
     LeaseGained,
     LeaseLost,
@@ -36,7 +37,6 @@
     KEY_VALUE_LATENCY_S,
     KEY_VALUE_TIMEOUT_S,
     LEASE_TTL_S,
-    ORDER_TIMEOUT_S,
 )
 from .ledgers import LedgerStore
 from .milestones import Milestones, Step
@@ -170,6 +170,9 @@
 
     def _send(self, action: SendOrder) -> None:
         order = action.order
+        if self._clock.now > action.send_before:
+            self._fail_order(order, Verdict.NOT_RUN)
+            return
         if order.kind is OrderKind.LOAD:
             self._milestones.note(Step.ORDER_SENT, order.artifact)
         for delivery in self._link.send(self._clock.now, order):
--- a/measure/gateways.py
+++ b/measure/gateways.py
@@ -6,6 +6,7 @@
 from attrs import define, frozen
 
 from mangoway.models.errors import ErrorCode, Failure
+from mangoway.models.idempotency import HomedKey
 from mangoway.models.identifiers import (
     AttemptId,
     DataCentreId,
@@ -156,7 +157,7 @@
             deadline=arrival.deadline,
             first_token_deadline=arrival.first_token_deadline,
             idempotent=arrival.idempotent,
-            key=IdempotencyKey(f"{arrival.number}") if keyed else None,
+            key=self._make_key(arrival) if keyed else None,
             key_home=incarnation if keyed else None,
             fingerprint=arrival.number,
             prompt_tokens=arrival.prompt_tokens,
@@ -166,6 +167,13 @@
         )
         self.handle(RequestArrived(request=request))
 
+    def _make_key(self, arrival: Arrival) -> IdempotencyKey:
+        return HomedKey(
+            home=self.identity.incarnation,
+            issued_at=int(self.clock.now),
+            own_id=str(arrival.number),
+        ).format()
+
     def crash(self) -> list[GatewayCaller]:
         """Stop at once; return the callers whose requests were cut off."""
         self.is_down = True
--- a/measure/policies.py
+++ b/measure/policies.py
@@ -1,14 +1,25 @@
 """The policies that are compared."""
 
 from collections.abc import Callable
+from random import Random
 
-from attrs import frozen
+from attrs import evolve, frozen
+
+from mangoway.policy.dispatch.options import DispatchOptions
+from mangoway.policy.dispatch.registry import POLICY_DEADLINE_AWARE, create_dispatch
+from mangoway.policy.placement import core as placement_core
+from mangoway.policy.placement.options import PlacementOptions
+from mangoway.policy.placement.registry import find_placement
 
 from .baselines import SimpleDispatch, SimplePlacement
 from .baselines.dispatch import Choice
 from .controllers import ControllerIdentity, PlacementCoreType
 from .gateways import DispatchCoreType, GatewayIdentity
 
+# Importing the core registers its policy.
+assert placement_core
+_PLACEMENT_NAME = "marginal_gain"
+
 DispatchFactory = Callable[[GatewayIdentity, int], DispatchCoreType]
 """Builds a dispatch core for a gateway and a seed."""
 
@@ -50,3 +61,47 @@
         placement=_place_simply(on_demand=True),
     ),
 )
+
+
+def _build_ours(
+    name: str,
+    dispatch: DispatchOptions | None = None,
+    placement: PlacementOptions | None = None,
+) -> Policy:
+    def create_gateway_core(identity: GatewayIdentity, seed: int) -> DispatchCoreType:
+        options = evolve(
+            dispatch or DispatchOptions(), data_centre=identity.data_centre
+        )
+        rng = Random(f"{identity.incarnation} {seed}")
+        return create_dispatch(
+            POLICY_DEADLINE_AWARE, identity.incarnation, rng, options
+        )
+
+    def create_controller_core(
+        identity: ControllerIdentity, seed: int
+    ) -> PlacementCoreType:
+        rng = Random(f"{identity.incarnation} {seed}")
+        create = find_placement(_PLACEMENT_NAME)
+        return create(identity.incarnation, placement or PlacementOptions(), rng)
+
+    return Policy(
+        name=name, dispatch=create_gateway_core, placement=create_controller_core
+    )
+
+
+OURS = _build_ours("ours")
+
+ABLATIONS = (
+    _build_ours("ours, no prefix affinity", DispatchOptions(prefix_affinity=False)),
+    _build_ours("ours, no windows", DispatchOptions(windows=False)),
+    _build_ours("ours, no retry budget", DispatchOptions(retry_budget=False)),
+    _build_ours("ours, no breakers", DispatchOptions(breakers=False)),
+    _build_ours("ours, no fair share", DispatchOptions(fair_share=False)),
+    _build_ours("ours, no patient reserve", DispatchOptions(patient_reserve=False)),
+    _build_ours("ours, no early refusal", DispatchOptions(early_refusal=False)),
+    _build_ours("ours, with preemption", DispatchOptions(preemption=True)),
+    _build_ours("ours, no hysteresis", None, PlacementOptions(hysteresis=False)),
+    _build_ours("ours, no demand copies", None, PlacementOptions(demand_copies=False)),
+    _build_ours("ours, no evictions", None, PlacementOptions(make_room=False)),
+    _build_ours("ours, no move price", None, PlacementOptions(move_price=False)),
+)
