--- a/tests/stand_ins/engine.py
+++ b/tests/stand_ins/engine.py
@@ -13,6 +13,8 @@
 from aiohttp import web
 from attrs import define
 
+from mangoway.callers.const import CHARACTERS_PER_TOKEN
+from mangoway.callers.prefixes import hash_prefixes
 from mangoway.models.artifact import Artifact
 from mangoway.models.identifiers import (
     AttemptId,
@@ -22,7 +24,7 @@
     UpstreamId,
 )
 from mangoway.models.order import Order, OrderKind, OrderOutcome
-from mangoway.models.upstream import EngineReport
+from mangoway.models.upstream import EngineReport, Residency
 from tests.fakes.engine import (
     AttemptFinished,
     EngineModel,
@@ -106,6 +108,7 @@
     def truth(self) -> dict[str, Any]:
         """Return memory, runs by attempt, and orders, as they really were."""
         model = self.model
+        residents = self._report().residents
         return {
             "upstream": model.settings.upstream,
             "incarnation": model.incarnation,
@@ -115,7 +118,12 @@
             "over_size": model.over_size,
             "loads": model.loads,
             "unloads": model.unloads,
-            "loaded": sorted(str(r.artifact) for r in self._report().residents),
+            "loaded": sorted(str(each.artifact) for each in residents),
+            "ready": sorted(
+                str(each.artifact)
+                for each in residents
+                if each.state is Residency.READY
+            ),
             "runs": dict(model.runs),
             "orders": self.orders,
             "after_leaving": self.after_leaving,
@@ -171,11 +179,13 @@
         if switches.refuse:
             switches.refuse -= 1
             return "refused"
+        prompt = body["prompt"]
         outcome = self.model.submit(
             self._advance(),
             attempt,
             Artifact.parse(body["model"]),
-            prompt_tokens=len(body["prompt"].split()),
+            prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN + 1,
+            prefix_hashes=hash_prefixes(body["model"], prompt),
             max_tokens=body["max_tokens"],
             priority=body.get("priority", 0),
             resume_from=body.get("resume_from", 0),
