--- /dev/null
+++ b/tests/daemons/test_claims.py
@@ -0,0 +1,80 @@
+"""Tests of claims of plain idempotency keys."""
+
+import pytest
+
+from mangoway.callers.messages import IncomingRequest, Submission
+from mangoway.daemons.claims import KeyClaims, name_claim
+from mangoway.models.identifiers import (
+    CallerId,
+    IdempotencyKey,
+    IncarnationId,
+    RequestId,
+)
+from mangoway.models.request import Request, WorkClass
+from mangoway.policy.dispatch.actions import ClaimKey
+from mangoway.policy.dispatch.events import DispatchEvent, KeyClaimed
+from mangoway.util.tasks import Tasks
+from tests.fakes.key_value import FakeKeyValueStore
+
+from .gateway_world import MODEL, wait_until
+
+ACTION = ClaimKey(request_id=RequestId("r"), key=IdempotencyKey("k"))
+
+
+def make_submission(caller: str = "c") -> Submission:
+    request = Request(
+        id=RequestId("r"),
+        caller=CallerId(caller),
+        work_class=WorkClass.URGENT,
+        target=MODEL,
+        arrived_at=0.0,
+        deadline=10.0,
+    )
+    incoming = IncomingRequest(method="POST", path="/", headers={}, body=b"")
+    return Submission(request=request, incoming=incoming)
+
+
+async def claim(store: FakeKeyValueStore, caller: str = "c") -> str:
+    """Claim the key for a new gateway and return the outcome."""
+    events: list[DispatchEvent] = []
+    claims = KeyClaims(
+        store=store,
+        incarnation=IncarnationId("i"),
+        tasks=Tasks(lambda error: None),
+        send=events.append,
+    )
+    claims.async_claim(ACTION, make_submission(caller))
+    await wait_until(lambda: bool(events))
+    event = events[0]
+    assert isinstance(event, KeyClaimed)
+    return event.outcome
+
+
+class TestKeyClaims:
+    """Outcomes of a claim."""
+
+    async def test_only_the_first_claims(self) -> None:
+        store = FakeKeyValueStore()
+        assert await claim(store) == "claimed"
+        assert await claim(store) == "taken"
+        assert await claim(store, caller="other") == "claimed"
+
+    async def test_outage_before_the_write_is_unavailable(self) -> None:
+        assert await claim(FakeKeyValueStore(down=True)) == "unavailable"
+
+    @pytest.mark.parametrize("switch", ["lost_answers", "failed_commits"])
+    async def test_write_that_may_have_happened_counts_as_taken(
+        self, switch: str
+    ) -> None:
+        store = FakeKeyValueStore(**{switch: 1})
+        assert await claim(store) == "taken"
+
+    def test_names_do_not_run_into_each_other(self) -> None:
+        names = {
+            name_claim(
+                make_submission(caller),
+                ClaimKey(request_id=RequestId("r"), key=IdempotencyKey(key)),
+            )
+            for caller, key in (("a", "bc"), ("ab", "c"), ("a", 'b","c'))
+        }
+        assert len(names) == 3
