Add the state machine of the dispatch core and its oracle

Cause: at most one run, true verdicts and one end per request must hold under faults in any order, which chosen examples don't show. Failed try: the first drain waited 100 s, less than the longest deadline (200 s), and took a request that still waited for a copy for one that was lost.

--- a/mangoway/policy/dispatch/arrivals.py
+++ b/mangoway/policy/dispatch/arrivals.py
@@ -44,15 +44,15 @@
 
     def take(self, request: Request) -> None:
         """Take a request in, or end it at once."""
-        configuration = self.context.configuration
         if self.requests.is_known(request.id):
             return
-        if configuration is None:
-            self._refuse(request, ErrorCode.NOT_READY, "no configuration yet", 1.0)
-            return
         run = self._resolve_key(request)
         if run is None:
             return
+        configuration = self.context.configuration
+        if configuration is None:
+            self._refuse(request, ErrorCode.NOT_READY, "no configuration yet", 1.0)
+            return
         if self._redirect(request):
             return
         fault = find_fault(request, configuration)
--- /dev/null
+++ b/tests/policy/dispatch/world.py
@@ -0,0 +1,403 @@
+"""A small world of gateway cores, upstreams that count runs, and a claim store."""
+
+from collections import Counter
+from random import Random
+
+from attrs import define, field
+
+from mangoway.models.errors import ErrorCode, Failure
+from mangoway.models.idempotency import HomedKey
+from mangoway.models.identifiers import (
+    AttemptId,
+    CallerId,
+    IdempotencyKey,
+    IncarnationId,
+    RequestId,
+    UpstreamId,
+)
+from mangoway.models.request import Request
+from mangoway.models.verdict import Verdict
+from mangoway.policy.dispatch.actions import (
+    CancelAttempt,
+    ClaimKey,
+    DispatchAction,
+    Finish,
+    ForwardToHome,
+    ForwardToPeer,
+    JoinRequest,
+    Refuse,
+    ReplayAnswer,
+    StartAttempt,
+)
+from mangoway.policy.dispatch.core import DispatchCore
+from mangoway.policy.dispatch.events import (
+    AttemptCancelled,
+    AttemptFailed,
+    AttemptProgressed,
+    AttemptSucceeded,
+    ClaimOutcome,
+    ConfigurationChanged,
+    DispatchEvent,
+    HomesChanged,
+    KeyClaimed,
+    PeerKeysReceived,
+    RequestArrived,
+    RequestCancelled,
+    StopRequested,
+    Successor,
+    Ticked,
+    UpstreamLeaving,
+    UpstreamsListed,
+)
+from mangoway.policy.dispatch.options import DispatchOptions
+
+from .builders import (
+    CALL,
+    CHAT,
+    make_configuration,
+    make_engine,
+    make_host,
+    make_met,
+    make_report,
+    make_request,
+)
+
+ENGINES = ("engine0", "engine1")
+HOSTS = ("host0", "host1")
+RETENTION_S = 150.0
+
+
+@define(eq=False)
+class Operation:
+    """What a caller wants done, however often it submits it."""
+
+    number: int
+    idempotent: bool
+    key: IdempotencyKey | None
+    home: IncarnationId | None
+    submissions: list[RequestId] = field(factory=list)
+
+
+@define(eq=False)
+class Submission:
+    """One arrival at one gateway."""
+
+    request: Request
+    operation: Operation
+    gateway: IncarnationId
+    runs: int = 0
+    endings: int = 0
+    leader: RequestId | None = None
+    not_run: bool = False
+
+
+@define(eq=False)
+class Flight:
+    """An attempt that was sent to an upstream."""
+
+    action: StartAttempt
+    gateway: IncarnationId
+    ran: bool = False
+    answered: bool = False
+    refused: bool = False
+    """Whether the upstream said that it did not run and won't."""
+
+
+@define(eq=False)
+class Gateway:
+    """One incarnation of a gateway."""
+
+    core: DispatchCore
+    frozen: bool = False
+    stopping: bool = False
+    told_leaving: set[UpstreamId] = field(factory=set)
+    inbox: list[DispatchEvent] = field(factory=list)
+
+
+@define(eq=False)
+class World:
+    """Drives the cores and holds the truth that the oracle compares with."""
+
+    options: DispatchOptions
+    now: float = 0.0
+    gateways: dict[IncarnationId, Gateway] = field(factory=dict)
+    successors: list[Successor] = field(factory=list)
+    operations: list[Operation] = field(factory=list)
+    submissions: dict[RequestId, Submission] = field(factory=dict)
+    flights: dict[AttemptId, Flight] = field(factory=dict)
+    forwards: list[tuple[Operation, IncarnationId]] = field(factory=list)
+    claims: dict[tuple[CallerId, IdempotencyKey], RequestId] = field(factory=dict)
+    claiming: list[tuple[IncarnationId, ClaimKey]] = field(factory=list)
+    runs: Counter[int] = field(factory=Counter)
+    leaving: set[UpstreamId] = field(factory=set)
+    incarnations: int = 0
+
+    # Gateways.
+
+    def start_gateway(self) -> IncarnationId:
+        self.incarnations += 1
+        identity = IncarnationId(f"gateway.{self.incarnations}")
+        core = DispatchCore(identity, Random(self.incarnations), self.options)
+        self.gateways[identity] = Gateway(core)
+        configuration = make_configuration(
+            key_retention_s=RETENTION_S, key_capacity=6, address_validity_s=5.0
+        )
+        self.send(identity, ConfigurationChanged(configuration=configuration))
+        addresses = [make_engine(name) for name in ENGINES]
+        addresses += [make_host(name) for name in HOSTS]
+        self.send(identity, UpstreamsListed(upstreams=tuple(addresses)))
+        for name in ENGINES:
+            self.send(identity, make_met(name))
+            self.send(identity, make_report(name, self.now))
+        for upstream in self.leaving:
+            self.tell_leaving(identity, upstream)
+        return identity
+
+    def send(self, identity: IncarnationId, event: DispatchEvent) -> None:
+        gateway = self.gateways.get(identity)
+        if gateway is None:
+            return
+        if gateway.frozen:
+            gateway.inbox.append(event)
+            return
+        for action in gateway.core.handle(event, self.now):
+            self.take(identity, action)
+
+    def kill(self, identity: IncarnationId) -> None:
+        del self.gateways[identity]
+
+    def thaw(self, identity: IncarnationId) -> None:
+        gateway = self.gateways[identity]
+        gateway.frozen = False
+        inbox, gateway.inbox = gateway.inbox, []
+        for event in inbox:
+            self.send(identity, event)
+
+    def stop(self, identity: IncarnationId) -> None:
+        self.gateways[identity].stopping = True
+        self.send(identity, StopRequested())
+
+    def retire(self, identity: IncarnationId, heir: IncarnationId, lost: bool) -> None:
+        """Hand the keys over; then the process ends."""
+        keys = self.gateways[identity].core.export_keys()
+        if not lost:
+            self.send(heir, PeerKeysReceived(home=identity, keys=keys))
+        self.successors.append(Successor(home=identity, successor=heir))
+        del self.gateways[identity]
+
+    def spread_homes(self, identity: IncarnationId) -> None:
+        live = frozenset(self.gateways)
+        successors = tuple(self.successors)
+        self.send(identity, HomesChanged(live=live, successors=successors))
+
+    def tell_leaving(self, identity: IncarnationId, upstream: UpstreamId) -> None:
+        gateway = self.gateways[identity]
+        if gateway.frozen:
+            return
+        gateway.told_leaving.add(upstream)
+        self.send(identity, UpstreamLeaving(upstream_id=upstream))
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        for identity in list(self.gateways):
+            self.send(identity, Ticked())
+
+    # Callers.
+
+    def plan(
+        self, idempotent: bool, key_kind: str, home: IncarnationId, skew: float
+    ) -> Operation:
+        number = len(self.operations)
+        key = None
+        key_home = None
+        if key_kind == "plain":
+            key = IdempotencyKey(f"own-{number}")
+        if key_kind == "homed":
+            key_home = home
+            issued_at = max(0, int(self.now + skew))
+            homed = HomedKey(home=home, issued_at=issued_at, own_id=str(number))
+            key = homed.format()
+        operation = Operation(number, idempotent, key, key_home)
+        self.operations.append(operation)
+        return operation
+
+    def submit(
+        self, operation: Operation, identity: IncarnationId, within: float
+    ) -> Submission:
+        request_id = RequestId(f"{identity}-{len(self.submissions)}")
+        target = CHAT if operation.number % 2 else CALL
+        request = make_request(
+            request_id,
+            self.now,
+            within,
+            target,
+            idempotent=operation.idempotent,
+            key=operation.key,
+            key_home=operation.home,
+            fingerprint=operation.number,
+            urgent=operation.number % 3 != 0,
+        )
+        submission = Submission(request, operation, identity)
+        self.submissions[request_id] = submission
+        operation.submissions.append(request_id)
+        self.send(identity, RequestArrived(request=request))
+        return submission
+
+    def cancel(self, submission: Submission) -> None:
+        event = RequestCancelled(request_id=submission.request.id)
+        self.send(submission.gateway, event)
+
+    # Upstreams.
+
+    def run(self, flight: Flight) -> None:
+        """Run an attempt at its upstream, which counts it."""
+        if flight.ran or flight.refused:
+            return
+        flight.ran = True
+        submission = self.submissions[flight.action.request_id]
+        submission.runs += 1
+        self.runs[submission.operation.number] += 1
+
+    def answer(self, flight: Flight, outcome: str) -> None:
+        """End an attempt as `outcome` says."""
+        attempt_id = flight.action.attempt_id
+        first = not flight.answered
+        flight.answered = True
+        event: DispatchEvent = AttemptSucceeded(attempt_id=attempt_id)
+        if outcome == "succeed":
+            self.run(flight)
+        elif outcome == "busy" and first and not flight.ran:
+            flight.refused = True
+            event = _make_failed(attempt_id, ErrorCode.UPSTREAM_BUSY, Verdict.NOT_RUN)
+        elif outcome == "die":
+            self.run(flight)
+            event = _make_failed(attempt_id, ErrorCode.UPSTREAM_FAILED)
+        elif outcome == "progress":
+            flight.answered = not first
+            self.run(flight)
+            event = AttemptProgressed(attempt_id=attempt_id, tokens=3)
+        elif outcome == "cancelled":
+            event = AttemptCancelled(attempt_id=attempt_id, tokens=3)
+        else:
+            event = _make_failed(attempt_id, ErrorCode.UPSTREAM_SILENT)
+        self.send(flight.gateway, event)
+
+    def deliver_forward(self, place: int) -> None:
+        operation, home = self.forwards.pop(place % len(self.forwards))
+        if home in self.gateways:
+            self.submit(operation, home, 10.0)
+
+    def settle_claim(self, place: int, outcome: str) -> None:
+        identity, action = self.claiming.pop(place % len(self.claiming))
+        submission = self.submissions[action.request_id]
+        result = ClaimOutcome.UNAVAILABLE
+        if outcome != "down":
+            claim = (submission.request.caller, action.key)
+            free = claim not in self.claims
+            self.claims.setdefault(claim, action.request_id)
+            known = free and outcome == "up"
+            result = ClaimOutcome.CLAIMED if known else ClaimOutcome.TAKEN
+        event = KeyClaimed(request_id=action.request_id, outcome=result)
+        self.send(identity, event)
+
+    # What the cores decided.
+
+    def take(self, identity: IncarnationId, action: DispatchAction) -> None:
+        match action:
+            case StartAttempt():
+                self._take_start(identity, action)
+            case CancelAttempt(attempt_id=attempt_id):
+                assert self.flights[attempt_id].gateway == identity
+            case ClaimKey():
+                self.claiming.append((identity, action))
+            case Refuse(request_id=request_id, failure=failure):
+                self._end(request_id)
+                self._check_refusal(self.submissions[request_id], failure)
+            case Finish(request_id=request_id):
+                self._end(request_id)
+                assert self.submissions[request_id].runs > 0
+            case ReplayAnswer(request_id=request_id, answer_id=answer_id):
+                self._end(request_id)
+                self._check_same(request_id, answer_id)
+            case JoinRequest(request_id=request_id, leader_id=leader_id):
+                self._check_same(request_id, leader_id)
+                self.submissions[request_id].leader = leader_id
+            case ForwardToHome(request_id=request_id, home=home):
+                self._end(request_id)
+                assert home != identity, "forwarded to itself"
+                operation = self.submissions[request_id].operation
+                self.forwards.append((operation, home))
+            case ForwardToPeer(request_id=request_id):
+                assert self.gateways[identity].stopping
+                self._end(request_id)
+
+    def _take_start(self, identity: IncarnationId, action: StartAttempt) -> None:
+        assert action.attempt_id not in self.flights, "attempt id used twice"
+        gateway = self.gateways[identity]
+        assert action.upstream_id not in gateway.told_leaving, "sent to one that leaves"
+        submission = self.submissions[action.request_id]
+        assert submission.gateway == identity
+        assert not submission.endings, "started after its end"
+        assert self.now <= submission.request.deadline, "started too late"
+        self.flights[action.attempt_id] = Flight(action, identity)
+
+    def _end(self, request_id: RequestId) -> None:
+        submission = self.submissions[request_id]
+        submission.endings += 1
+        assert submission.endings == 1, "ended twice"
+
+    def _check_refusal(self, submission: Submission, failure: Failure) -> None:
+        if failure.verdict is not Verdict.NOT_RUN:
+            return
+        submission.not_run = True
+        operation = submission.operation
+        if operation.home is not None and not operation.idempotent:
+            assert not self.runs[operation.number], "not run, but its key ran"
+
+    def _check_same(self, request_id: RequestId, other_id: RequestId) -> None:
+        mine = self.submissions[request_id].operation
+        assert mine is self.submissions[other_id].operation, "somebody else's answer"
+
+    # The oracle.
+
+    def check(self) -> None:
+        for submission in self.submissions.values():
+            if submission.not_run:
+                assert not submission.runs, "refused as not run, but it ran"
+            if not submission.operation.idempotent:
+                assert submission.runs <= 1, "ran twice"
+        for operation in self.operations:
+            if operation.key is not None and not operation.idempotent:
+                assert self.runs[operation.number] <= 1, "the key ran twice"
+
+    def drain(self) -> None:
+        """End all faults; then every request at a live gateway has to end."""
+        for identity in list(self.gateways):
+            self.thaw(identity)
+        while self.forwards:
+            self.deliver_forward(0)
+        while self.claiming:
+            self.settle_claim(0, "up")
+        for _ in range(20):
+            for flight in list(self.flights.values()):
+                if not flight.answered:
+                    self.answer(flight, "succeed")
+            self.advance(15.0)
+        self.check()
+        for submission in self.submissions.values():
+            if submission.gateway in self.gateways:
+                assert self._has_ended(submission), submission
+        for gateway in self.gateways.values():
+            assert gateway.core.idle
+
+    def _has_ended(self, submission: Submission) -> bool:
+        if submission.endings == 0 and submission.leader is not None:
+            return self.submissions[submission.leader].endings == 1
+        return submission.endings == 1
+
+
+def _make_failed(
+    attempt_id: AttemptId, code: ErrorCode, verdict: Verdict = Verdict.MAY_HAVE_RUN
+) -> AttemptFailed:
+    failure = Failure(code=code, verdict=verdict, detail="")
+    return AttemptFailed(attempt_id=attempt_id, verdict=verdict, failure=failure)
