Read at most 30 reports a second; count silence from the first failure

With 30 a second 308 runners at rest are read every 10.3 s, longer than the 6 s after which an engine counted as silent; silence now counts from the first unanswered question, and an engine that fails is asked again every 0.5 s.

--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -18,8 +18,11 @@
 LEASE_RENEWALS: Final = 3
 """Renewals in the time for which a lease is taken."""
 
-MAX_POLLS_PER_SECOND: Final = 60.0
-"""Reports that a controller reads in a second at most."""
+MAX_POLLS_PER_SECOND: Final = 30.0
+"""Reports of runners at rest that a process reads in a second at most.
+
+One costs some 0.6 ms of processor time, and a controller may spend 3% of a core.
+"""
 
 POLL_PERIOD_S: Final = 2.0
 """Time between two reports of a runner at rest."""
@@ -34,7 +37,7 @@
 """Engines that are asked at once."""
 
 SILENT_AFTER_S: Final = 6.0
-"""Time without an answer after which an engine counts as silent."""
+"""Time of unanswered questions after which an engine counts as silent."""
 
 ORDER_WATCH_S: Final = 30.0
 """Time for which a runner is asked often after an order was sent to it."""
--- a/mangoway/daemons/engine_poller.py
+++ b/mangoway/daemons/engine_poller.py
@@ -58,7 +58,9 @@
     """One engine as the poller knows it."""
 
     address: UpstreamAddress
-    heard_at: float
+    failing_since: float | None = None
+    """Time of the first failure since the last answer."""
+
     incarnation: IncarnationId | None = None
     silent: bool = False
     busy_until: float = 0.0
@@ -109,7 +111,7 @@
         for upstream, address in listed.items():
             engine = self._engines.get(upstream)
             if engine is None:
-                engine = PolledEngine(address, heard_at=now)
+                engine = PolledEngine(address)
                 self._engines[upstream] = engine
                 self._plan(engine, now)
             engine.address = address
@@ -162,7 +164,7 @@
         except MangowayError as error:
             self._note_failure(engine, error)
             return
-        engine.heard_at = _now()
+        engine.failing_since = None
         engine.silent = False
         if report.incarnation != engine.incarnation:
             # It restarted between the two answers: describe it before it is used.
@@ -175,7 +177,9 @@
         self.listener.async_meet(description)
 
     def _note_failure(self, engine: PolledEngine, error: MangowayError) -> None:
-        if engine.silent or _now() - engine.heard_at < SILENT_AFTER_S:
+        if engine.failing_since is None:
+            engine.failing_since = _now()
+        if engine.silent or _now() - engine.failing_since < SILENT_AFTER_S:
             return
         engine.silent = True
         engine.incarnation = None
@@ -183,8 +187,7 @@
 
     def _plan_next(self, engine: PolledEngine) -> None:
         now = _now()
-        busy = now < engine.busy_until or engine.incarnation is None
-        period_s = POLL_BUSY_PERIOD_S if busy else self._find_period()
+        period_s = POLL_BUSY_PERIOD_S if _is_busy(engine, now) else self._find_period()
         self._plan(engine, now + period_s)
 
     def _find_period(self) -> float:
@@ -196,5 +199,12 @@
         self._changed.set()
 
 
+def _is_busy(engine: PolledEngine, now: float) -> bool:
+    if engine.silent:
+        return False
+    is_failing = engine.failing_since is not None
+    return is_failing or engine.incarnation is None or now < engine.busy_until
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
