--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -3,12 +3,13 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import aiohttp
 from attrs import define, field
 
-from .launcher import Launcher, Process
+from .launcher import Launcher, Process, find_free_address
 
 SITE = "demo"
 CELL = "demo"
