--- a/tests/policy/placement/test_machine.py
+++ b/tests/policy/placement/test_machine.py
@@ -122,6 +122,4 @@
 
 
 TestPlacementMachine = PlacementMachine.TestCase
-TestPlacementMachine.settings = settings(
-    max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
-)
+TestPlacementMachine.settings = settings(max_examples=40, stateful_step_count=25)
