Release a lease key whose take was cut off

Cause: a stopping controller cancels a renewal and then releases; the store released only what it knew that it held, so a take that got through while its caller was cancelled stayed until it lapsed. It now reads the key where it does not know. A release without a known lease costs one read more.

--- a/mangoway/key_value/etcd_lease.py
+++ b/mangoway/key_value/etcd_lease.py
@@ -49,19 +49,24 @@
         if held and await self._async_renew(held, rank):
             return True
         self._held.pop(key, None)
-        current = await self._async_read(key, rank)
-        if current is None:
+        holder = await self._async_find_holder(key, rank)
+        if holder is None:
             return await self._async_take(key, owner, ttl_s, rank)
-        if Envelope.decode(current.value).value != owner.encode():
+        if holder.owner != owner:
             return False
         # An earlier take got through although its answer was lost.
-        held = HeldLease(current.lease, owner)
-        self._held[key] = held
-        return await self._async_renew(held, rank)
+        self._held[key] = holder
+        return await self._async_renew(holder, rank)
 
     async def async_release(self, key: str, owner: str, rank: CallRank) -> None:
-        """Give up a key; its lease is revoked, which deletes the key."""
+        """Give up a key; its lease is revoked, which deletes the key.
+
+        Where this process does not know that it holds the key, the key is read: a
+        take that was cut off may have taken effect.
+        """
         held = self._held.get(key)
+        if held is None or held.owner != owner:
+            held = await self._async_find_holder(key, rank)
         if held is None or held.owner != owner:
             return
         request = rpc_pb2.LeaseRevokeRequest(ID=held.id)
@@ -123,8 +128,10 @@
             )
         return lease
 
-    async def _async_read(self, key: str, rank: CallRank) -> rpc_pb2.KeyValue | None:
+    async def _async_find_holder(self, key: str, rank: CallRank) -> HeldLease | None:
         request = rpc_pb2.RangeRequest(key=key.encode())
-
         reply = await self._client.async_range(request, rank)
-        return reply.kvs[0] if reply.kvs else None
+        if not reply.kvs:
+            return None
+        owner = Envelope.decode(reply.kvs[0].value).value
+        return HeldLease(reply.kvs[0].lease, owner.decode(errors="replace"))
