--- a/mangoway/observability/catalogue.py
+++ b/mangoway/observability/catalogue.py
@@ -8,7 +8,9 @@
 
 Each line on standard error is one JSON object with `event` (the number),
 `message_type` (the name), `level`, `host`, `role`, `timestamp` (seconds since the
-epoch) and the fields below. This page is written by `script/generate` from
+epoch) and the fields below. Of one kind of event, at most 20 lines a second are
+written after a burst of 200; the next line says in `suppressed` how many were left
+out. This page is written by `script/generate` from
 `mangoway/observability/events.py`; a test holds it against the code. Numbers are
 never given to another event.
 
--- a/mangoway/observability/event_log.py
+++ b/mangoway/observability/event_log.py
@@ -1,9 +1,10 @@
 """Numbered events: their registry, and the log they are written to."""
 
 import sys
+import time
 from collections.abc import Callable
 from enum import IntEnum
-from typing import IO, Any, TypeVar, dataclass_transform
+from typing import IO, Any, Final, TypeVar, dataclass_transform
 
 import attrs
 import eliot
@@ -11,6 +12,10 @@
 EventT = TypeVar("EventT", bound=type)
 
 
+LINES_PER_SECOND: Final = 20.0
+LINES_BURST: Final = 200.0
+
+
 class LogLevel(IntEnum):
     """Importance of an event; a log shows its own level and all above."""
 
@@ -31,10 +36,37 @@
     fields: tuple[str, ...]
 
 
+@attrs.define
+class LineBudget:
+    """Bounds the lines of one kind of event, so that a flood does not stall a loop."""
+
+    left: float = LINES_BURST
+    filled_at: float = 0.0
+    suppressed: int = 0
+    """Events left out since the last line."""
+
+    def take(self, now: float) -> bool:
+        """Return whether a line may be written at this time in seconds."""
+        earned = (now - self.filled_at) * LINES_PER_SECOND
+        self.left = min(LINES_BURST, self.left + earned)
+        self.filled_at = now
+        if self.left < 1:
+            self.suppressed += 1
+            return False
+        self.left -= 1
+        return True
+
+    def take_suppressed(self) -> int:
+        """Return the number of events left out, and start counting anew."""
+        suppressed, self.suppressed = self.suppressed, 0
+        return suppressed
+
+
 # The library has no annotations.
 _eliot: Any = eliot
 
 _specs: dict[type, EventSpec] = {}
+_budgets: dict[type, LineBudget] = {}
 _minimum = LogLevel.INFO
 
 
@@ -80,11 +112,21 @@
 
 
 def log_event(event: Any) -> None:
-    """Write one event to the log, unless its level is below the log's."""
-    spec = _specs[type(event)]
+    """Write one event to the log, unless its level is below the log's.
+
+    Of one kind, at most `LINES_PER_SECOND` are written in the long run; the next
+    line then says in `suppressed` how many were left out.
+    """
+    kind = type(event)
+    spec = _specs[kind]
     if spec.level < _minimum:
         return
+    budget = _budgets.setdefault(kind, LineBudget())
+    if not budget.take(time.monotonic()):
+        return
     fields = {name: _to_plain(getattr(event, name)) for name in spec.fields}
+    if suppressed := budget.take_suppressed():
+        fields["suppressed"] = suppressed
     _eliot.log_message(
         message_type=spec.name, event=spec.number, level=spec.level.name, **fields
     )
--- a/tests/observability/test_event_log.py
+++ b/tests/observability/test_event_log.py
@@ -8,9 +8,12 @@
 import pytest
 
 from mangoway.models.identifiers import ConfigVersion, RequestId
-from mangoway.observability import events
+from mangoway.observability import event_log, events
 from mangoway.observability.catalogue import render_catalogue
 from mangoway.observability.event_log import (
+    LINES_BURST,
+    LINES_PER_SECOND,
+    LineBudget,
     LogLevel,
     list_specs,
     log_event,
@@ -67,3 +70,31 @@
             )
         )
         assert log.getvalue() == ""
+
+
+class TestLineBudget:
+    """A flood of one kind of event."""
+
+    def test_flood_is_bounded_and_counted(self) -> None:
+        budget = LineBudget()
+        written = sum(budget.take(0.0) for _ in range(1000))
+        assert written == LINES_BURST
+        assert budget.take_suppressed() == 1000 - LINES_BURST
+        assert budget.take_suppressed() == 0
+
+    def test_lines_come_back_with_time(self) -> None:
+        budget = LineBudget()
+        for _ in range(1000):
+            budget.take(0.0)
+        assert sum(budget.take(2.0) for _ in range(1000)) == 2 * LINES_PER_SECOND
+
+    def test_line_after_a_flood_says_what_was_left_out(self, log: io.StringIO) -> None:
+        event = events.BudgetExhausted(rank="claim")
+        for _ in range(int(LINES_BURST) + 100):
+            log_event(event)
+        written = log.getvalue().count("\n")
+        assert written < LINES_BURST + 100
+        event_log._budgets[events.BudgetExhausted].left = 1
+        log_event(event)
+        last = json.loads(log.getvalue().splitlines()[-1])
+        assert last["suppressed"] == LINES_BURST + 100 - written
