--- a/mangoway/weight_store/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The limits of the platform's weight store."""
