Let keys expire; check that racing writers with lost answers count once

Cause: claims of idempotency keys are never deleted, so they would fill the service; one lease for each claim would double its writes. Put.ttl_s binds a key to a lease that is shared by all keys of one time to live: 20 claims made 1 grant and 20 transactions, counted at the stand-in. Shared file: Put gets ttl_s, None by default; the in-memory fake does not let keys expire. Red with the guard taken out: a lost lease kept: test_lease_that_the_service_lost_is_replaced; a lease as short as its keys' time: test_key_lives_long_enough_and_then_goes; a lease used past its half: test_lease_takes_keys_for_half_its_time.

--- a/mangoway/key_value/const.py
+++ b/mangoway/key_value/const.py
@@ -35,3 +35,5 @@
 """Time after which a watch that does not answer is replaced."""
 
 NONCE_BYTES: Final = 12
+
+LEASE_ID_BITS: Final = 62
--- a/mangoway/key_value/etcd_client.py
+++ b/mangoway/key_value/etcd_client.py
@@ -16,7 +16,7 @@
 from . import rpc_grpc, rpc_pb2
 from .backoff import pick_backoff_s
 from .budget import CallBudget
-from .const import BUDGET_WAIT_S, READ_TRIES
+from .const import BUDGET_WAIT_S, LEASE_ID_BITS, READ_TRIES
 from .endpoints import CallFailed, Endpoints
 from .store import CallRank
 
@@ -77,6 +77,32 @@
 
         return await self.async_read("range", rank, send)
 
+    async def async_grant(self, ttl_s: int, rank: CallRank) -> int:
+        """Grant a lease under a number of this client's choice, and return that.
+
+        Raises:
+            MangowayError: PLATFORM_UNAVAILABLE or PLATFORM_BUDGET. A lease that was
+                granted all the same has no key, and ends by itself.
+        """
+        lease = self.source.getrandbits(LEASE_ID_BITS) + 1
+        request = rpc_pb2.LeaseGrantRequest(TTL=ttl_s, ID=lease)
+
+        async def send(channel: Channel) -> rpc_pb2.LeaseGrantResponse:
+            stub = rpc_grpc.LeaseStub(channel)
+            reply: rpc_pb2.LeaseGrantResponse = await stub.LeaseGrant(request)
+            return reply
+
+        try:
+            reply = await self.async_try("lease_grant", rank, send)
+        except CallFailed as error:
+            raise make_unavailable("lease_grant", "", error, Verdict.NOT_RUN) from error
+        if reply.TTL < ttl_s:
+            raise MangowayError(
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                f"the service granted a lease of {reply.TTL} s, not {ttl_s} s",
+            )
+        return lease
+
     async def async_try(self, call: str, rank: CallRank, send: Send[ReplyT]) -> ReplyT:
         """Make a call once.
 
--- a/mangoway/key_value/etcd_lease.py
+++ b/mangoway/key_value/etcd_lease.py
@@ -5,18 +5,15 @@
 from attrs import frozen
 from grpclib.client import Channel
 
-from ..models.errors import ErrorCode, MangowayError
 from ..models.identifiers import Revision
 from ..models.verdict import Verdict
 from . import rpc_grpc, rpc_pb2
 from .endpoints import CallFailed
 from .envelope import Envelope
-from .etcd_client import EtcdClient, make_unavailable
+from .etcd_client import EtcdClient
 from .etcd_write import TransactionWriter
 from .store import CallRank, Put
 
-LEASE_ID_BITS = 62
-
 
 @frozen
 class HeldLease:
@@ -97,7 +94,7 @@
     async def _async_take(
         self, key: str, owner: str, ttl_s: float, rank: CallRank
     ) -> bool:
-        lease = await self._async_grant(key, math.ceil(ttl_s), rank)
+        lease = await self._client.async_grant(math.ceil(ttl_s), rank)
         put = Put(key=key, value=owner.encode(), expected=Revision(0))
         result = await self._writer.async_commit((put,), rank, lease)
         if result.succeeded:
@@ -105,29 +102,6 @@
         # A lease that lost the race has no key; it ends by itself.
         return result.succeeded
 
-    async def _async_grant(self, key: str, ttl_s: int, rank: CallRank) -> int:
-        lease = self._client.source.getrandbits(LEASE_ID_BITS) + 1
-        request = rpc_pb2.LeaseGrantRequest(TTL=ttl_s, ID=lease)
-
-        async def send(channel: Channel) -> rpc_pb2.LeaseGrantResponse:
-            stub = rpc_grpc.LeaseStub(channel)
-            reply: rpc_pb2.LeaseGrantResponse = await stub.LeaseGrant(request)
-            return reply
-
-        try:
-            reply = await self._client.async_try("lease_grant", rank, send)
-        except CallFailed as error:
-            # Whether granted or not, no key is bound to it.
-            raise make_unavailable(
-                "lease_grant", key, error, Verdict.NOT_RUN
-            ) from error
-        if reply.TTL < ttl_s:
-            raise MangowayError(
-                ErrorCode.PLATFORM_UNAVAILABLE,
-                f"the service granted a lease of {reply.TTL} s, not {ttl_s} s",
-            )
-        return lease
-
     async def _async_find_holder(self, key: str, rank: CallRank) -> HeldLease | None:
         request = rpc_pb2.RangeRequest(key=key.encode())
         reply = await self._client.async_range(request, rank)
--- a/mangoway/key_value/etcd_write.py
+++ b/mangoway/key_value/etcd_write.py
@@ -9,6 +9,7 @@
 
 from attrs import frozen
 from grpclib.client import Channel
+from grpclib.const import Status
 
 from ..models.errors import ErrorCode, MangowayError
 from ..models.identifiers import Revision
@@ -20,6 +21,7 @@
 from .endpoints import CallFailed
 from .envelope import Envelope
 from .etcd_client import EtcdClient, make_unavailable
+from .etcd_expiry import ExpiryLeases
 from .store import CallRank, Put, StoredValue, TransactionResult
 
 
@@ -29,13 +31,17 @@
 
     puts: tuple[Put, ...]
     nonce: bytes
-    lease: int = 0
+    leases: tuple[int, ...]
+    """Lease of each put; 0 for none."""
 
     def make_request(self) -> rpc_pb2.TxnRequest:
         """Return the message: compare all, then put all or read all."""
         return rpc_pb2.TxnRequest(
             compare=[_make_compare(put) for put in self.puts],
-            success=[self._make_op(put) for put in self.puts],
+            success=[
+                self._make_op(put, lease)
+                for put, lease in zip(self.puts, self.leases, strict=True)
+            ],
             failure=[
                 rpc_pb2.RequestOp(
                     request_range=rpc_pb2.RangeRequest(key=put.key.encode())
@@ -44,7 +50,7 @@
             ],
         )
 
-    def _make_op(self, put: Put) -> rpc_pb2.RequestOp:
+    def _make_op(self, put: Put, lease: int) -> rpc_pb2.RequestOp:
         key = put.key.encode()
         if put.value is None:
             return rpc_pb2.RequestOp(
@@ -52,7 +58,7 @@
             )
         value = Envelope(self.nonce, put.value).encode()
         return rpc_pb2.RequestOp(
-            request_put=rpc_pb2.PutRequest(key=key, value=value, lease=self.lease)
+            request_put=rpc_pb2.PutRequest(key=key, value=value, lease=lease)
         )
 
 
@@ -61,6 +67,7 @@
 
     def __init__(self, client: EtcdClient) -> None:
         self._client = client
+        self._expiry = ExpiryLeases(client)
 
     async def async_commit(
         self, puts: tuple[Put, ...], rank: CallRank, lease: int = 0
@@ -71,25 +78,37 @@
             MangowayError: See `KeyValueStore`.
         """
         nonce = self._client.source.randbytes(NONCE_BYTES)
-        write = Write(puts=puts, nonce=nonce, lease=lease)
         verdict = Verdict.NOT_RUN
         for failures in range(WRITE_TRIES):
             await self._client.async_back_off(failures)
             try:
-                reply = await self._async_send(write, rank, verdict)
+                leases = await self._async_find_leases(puts, lease, rank)
+                write = Write(puts=puts, nonce=nonce, leases=leases)
+                reply = await self._async_send(write, rank)
             except CallFailed as error:
                 verdict = verdict.merge(error.verdict)
                 last = error
                 continue
+            except MangowayError as error:
+                # No lease, or no budget; but an earlier try may have got through.
+                raise _change_verdict(error, verdict) from error
             return await self._async_settle(write, reply, rank, verdict)
         key = puts[0].key
         if verdict is not Verdict.NOT_RUN:
             log_event(WriteUnsettled(key=key))
         raise make_unavailable("txn", key, last, verdict) from last
 
-    async def _async_send(
-        self, write: Write, rank: CallRank, verdict: Verdict
-    ) -> rpc_pb2.TxnResponse:
+    async def _async_find_leases(
+        self, puts: tuple[Put, ...], lease: int, rank: CallRank
+    ) -> tuple[int, ...]:
+        return tuple(
+            [
+                await self._expiry.async_find(put.ttl_s, rank) if put.ttl_s else lease
+                for put in puts
+            ]
+        )
+
+    async def _async_send(self, write: Write, rank: CallRank) -> rpc_pb2.TxnResponse:
         request = write.make_request()
 
         async def send(channel: Channel) -> rpc_pb2.TxnResponse:
@@ -98,9 +117,10 @@
 
         try:
             return await self._client.async_try("txn", rank, send)
-        except MangowayError as error:
-            # The budget refused this try, but an earlier one may have got through.
-            raise _change_verdict(error, verdict) from error
+        except CallFailed as error:
+            if error.status is Status.NOT_FOUND:
+                self._expiry.forget()
+            raise
 
     async def _async_settle(
         self,
--- a/mangoway/key_value/store.py
+++ b/mangoway/key_value/store.py
@@ -36,6 +36,10 @@
     expected: Revision
     """Revision that the key must have (0: absent)."""
 
+    ttl_s: float | None = None
+    """Shortest time after which the key may be deleted by itself; None: never. It
+    lives for twice that time at most."""
+
 
 @frozen(kw_only=True)
 class TransactionResult:
--- a/tests/stand_ins/etcd_storage.py
+++ b/tests/stand_ins/etcd_storage.py
@@ -52,6 +52,12 @@
                 return False
         return True
 
+    def knows_leases(self, request: TxnRequest) -> bool:
+        """Tell whether all leases that a transaction binds keys to still run."""
+        self._end_leases()
+        named = {op.request_put.lease for op in request.success} - {0}
+        return named <= set(self.leases)
+
     def write(self, request: TxnRequest) -> None:
         """Carry out the writes of a transaction at one new revision."""
         self.revision += 1
--- a/tests/stand_ins/key_value.py
+++ b/tests/stand_ins/key_value.py
@@ -162,6 +162,8 @@
         if switches.lose_writes:
             switches.lose_writes -= 1
             await asyncio.Event().wait()
+        if not owner.storage.knows_leases(request):
+            raise GRPCError(Status.NOT_FOUND, "requested lease not found")
         succeeded = owner.storage.compare(request.compare)
         if succeeded:
             owner.storage.write(request)
