Decide which configuration version a process puts in force

Relays are the two processes of a data centre with the lowest hash: they watch the head and read it every 2 s, since a watch may stall; all others read it every 30 s in case both relays fail unnoticed. New versions are pushed to 3 peers and pulled by whoever hears of a newer one in a heartbeat. A starting process prefers the service; in an outage it asks three peers at once, and waits up to 10 s for a version that it heard of before it settles for less. Additive: PeersChanged.near, WatchHead.

--- a/mangoway/policy/configuration/actions.py
+++ b/mangoway/policy/configuration/actions.py
@@ -8,12 +8,19 @@
 
 @frozen(kw_only=True)
 class ReadHead:
-    """Read the head version from the key-value service; `HeadSeen` follows."""
+    """Read the head version from the service; `HeadSeen` or `FetchFailed` follows."""
+
+
+@frozen(kw_only=True)
+class WatchHead:
+    """Start or stop watching the head key; each change gives `HeadSeen`."""
+
+    enabled: bool
 
 
 @frozen(kw_only=True)
 class FetchFromService:
-    """Read one version from the key-value service."""
+    """Read this version or a newer one from the key-value service."""
 
     version: ConfigVersion
 
@@ -49,6 +56,7 @@
 
 ConfigurationAction = (
     ReadHead
+    | WatchHead
     | FetchFromService
     | FetchFromPeer
     | PushToPeer
--- a/mangoway/policy/configuration/events.py
+++ b/mangoway/policy/configuration/events.py
@@ -32,7 +32,7 @@
 
 @frozen(kw_only=True)
 class FetchFailed:
-    """A fetch of a document got no answer."""
+    """A read of the head (source None) or a fetch of a document got no answer."""
 
     source: HostId | None
 
@@ -42,6 +42,8 @@
     """The live peers, own host left out."""
 
     peers: tuple[HostId, ...]
+    near: tuple[HostId, ...] = ()
+    """Those of `peers` that are in the own data centre."""
 
 
 @frozen(kw_only=True)
