--- /dev/null
+++ b/mangoway/peers/configuration.py
@@ -0,0 +1,241 @@
+"""The loop side of the configuration core: reads, pushes and pulls of versions."""
+
+import asyncio
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from attrs import define, field
+
+from ..key_value.store import KeyValueStore
+from ..models.errors import ErrorCode, MangowayError
+from ..models.identifiers import ConfigVersion, DataCentreId, HostId
+from ..models.offer import Configuration
+from ..operators.const import HEAD_KEY
+from ..operators.follower import ConfigurationFollower
+from ..operators.records import HeadRecord, decode_record
+from ..operators.repository import ConfigurationRepository
+from ..policy.configuration.actions import (
+    ApplyConfiguration,
+    ConfigurationAction,
+    FetchFromPeer,
+    FetchFromService,
+    PushToPeer,
+    ReadHead,
+    WakeAt,
+    WatchHead,
+)
+from ..policy.configuration.core import ConfigurationCore
+from ..policy.configuration.events import (
+    ConfigurationEvent,
+    DocumentReceived,
+    FetchFailed,
+    HeadSeen,
+    PeerAdvertised,
+    PeersChanged,
+    Ticked,
+)
+from ..util.core_driver import CoreDriver
+from ..util.tasks import Tasks
+from . import peers_pb2 as pb
+from .client import PeerClients
+from .const import WATCH_PAUSE_S
+from .directory import Directory, name_process
+
+
+@define(eq=False, kw_only=True)
+class ConfigurationDriver:
+    """Keeps this process at the newest configuration version.
+
+    `on_applied` is called with each version that comes in force here, in order.
+    `on_refused` is told of documents that could not be read or used.
+    """
+
+    core: ConfigurationCore
+    store: KeyValueStore
+    follower: ConfigurationFollower
+    clients: PeerClients
+    directory: Directory
+    data_centre: DataCentreId
+    tasks: Tasks
+    on_applied: Callable[[Configuration], None]
+    on_refused: Callable[[HostId | None, MangowayError], None]
+    _driver: CoreDriver[ConfigurationEvent, ConfigurationAction] = field(init=False)
+    _repository: ConfigurationRepository = field(init=False)
+    _watch: "asyncio.Task[None] | None" = field(default=None, init=False)
+    _advertised: dict[HostId, ConfigVersion] = field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._driver = CoreDriver(self.core, self._carry_out, Ticked)
+        self._repository = ConfigurationRepository(self.store)
+
+    def async_start(self) -> None:
+        """Begin to follow the configuration."""
+        self._driver.async_handle(Ticked())
+
+    def async_stop(self) -> None:
+        """Follow it no longer."""
+        self._driver.async_stop()
+        self._stop_watch()
+
+    def async_set_members(self) -> None:
+        """Take the processes that the directory knows now."""
+        others = self.directory.list_others()
+        near = self.directory.list_near(self.data_centre)
+        changed = PeersChanged(
+            peers=tuple(sorted(map(name_process, others))),
+            near=tuple(sorted(map(name_process, near))),
+        )
+        self._driver.async_handle(changed)
+        seen = {name_process(member): member.config_version for member in others}
+        previous, self._advertised = self._advertised, seen
+        for peer, version in seen.items():
+            if previous.get(peer) != version:
+                self._driver.async_handle(PeerAdvertised(peer=peer, version=version))
+
+    def async_read_document(
+        self, request: pb.FetchConfigurationRequest
+    ) -> pb.ConfigurationDocument:
+        """Return what a peer needs to come to this process's version."""
+        known = ConfigVersion(request.known_version)
+        return pb.ConfigurationDocument(
+            version=self.follower.version, document=self.follower.make_update(known)
+        )
+
+    def async_receive_document(
+        self, document: pb.ConfigurationDocument
+    ) -> pb.PushConfigurationReply:
+        """Take a version that a peer pushed."""
+        if document.version > self.follower.version:
+            self._accept(document, HostId(document.source))
+        return pb.PushConfigurationReply(version=self.core.version)
+
+    @singledispatchmethod
+    def _carry_out(self, action: ConfigurationAction) -> None:
+        raise TypeError(f"unknown action {action!r}")
+
+    @_carry_out.register
+    def _(self, action: ReadHead) -> None:
+        self.tasks.async_start(self._async_read_head())
+
+    @_carry_out.register
+    def _(self, action: WatchHead) -> None:
+        self._stop_watch()
+        if action.enabled:
+            self._watch = self.tasks.async_start(self._async_watch())
+
+    @_carry_out.register
+    def _(self, action: FetchFromService) -> None:
+        self.tasks.async_start(self._async_fetch_from_service(action.version))
+
+    @_carry_out.register
+    def _(self, action: FetchFromPeer) -> None:
+        self.tasks.async_start(self._async_fetch_from_peer(action.peer))
+
+    @_carry_out.register
+    def _(self, action: PushToPeer) -> None:
+        self.tasks.async_start(self._async_push(action.peer))
+
+    @_carry_out.register
+    def _(self, action: ApplyConfiguration) -> None:
+        self.on_applied(action.configuration)
+
+    @_carry_out.register
+    def _(self, action: WakeAt) -> None:
+        self._driver.async_wake_at(action.time)
+
+    async def _async_read_head(self) -> None:
+        try:
+            head = await self._repository.async_read_head()
+        except MangowayError as error:
+            self._fail(None, error)
+        else:
+            self._driver.async_handle(HeadSeen(version=head.version))
+
+    async def _async_watch(self) -> None:
+        """Follow the head key; the core's slow reads cover a watch that stalls."""
+        while True:
+            try:
+                async for stored in self.store.watch(HEAD_KEY):
+                    self._see_head(stored.value)
+            except MangowayError as error:
+                self.on_refused(None, error)
+            await asyncio.sleep(WATCH_PAUSE_S)
+
+    def _see_head(self, value: bytes | None) -> None:
+        if value is None:
+            return
+        head = decode_record(value, HeadRecord)
+        self._driver.async_handle(HeadSeen(version=head.version))
+
+    def _stop_watch(self) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    async def _async_fetch_from_service(self, version: ConfigVersion) -> None:
+        try:
+            configuration = await self.follower.async_fetch(self._repository, version)
+        except MangowayError as error:
+            self._fail(None, error)
+        else:
+            self._receive(configuration, None)
+
+    async def _async_fetch_from_peer(self, peer: HostId) -> None:
+        request = pb.FetchConfigurationRequest(known_version=self.follower.version)
+        try:
+            client = self.clients.get(self._find_address(peer))
+            document = await client.async_fetch_configuration(request)
+        except MangowayError as error:
+            self._fail(peer, error)
+            return
+        if document.document:
+            self._accept(document, peer)
+        elif document.version and self.follower.version:
+            # It is not ahead: what is held here is as new.
+            self._receive(self.follower.load(), peer)
+        else:
+            self._driver.async_handle(FetchFailed(source=peer))
+
+    async def _async_push(self, peer: HostId) -> None:
+        known = self._advertised.get(peer, ConfigVersion(0))
+        document = pb.ConfigurationDocument(
+            version=self.follower.version,
+            document=self.follower.make_update(known),
+            source=self.core.host,
+        )
+        if not document.document:
+            return
+        try:
+            client = self.clients.get(self._find_address(peer))
+            reply = await client.async_push_configuration(document)
+        except MangowayError:
+            # The peer hears of the version by heartbeats and asks for it.
+            return
+        version = ConfigVersion(reply.version)
+        self._driver.async_handle(PeerAdvertised(peer=peer, version=version))
+
+    def _accept(self, document: pb.ConfigurationDocument, source: HostId) -> None:
+        try:
+            configuration = self.follower.accept_update(document.document)
+        except MangowayError as error:
+            self._fail(source, error)
+            self._driver.async_handle(
+                PeerAdvertised(peer=source, version=ConfigVersion(document.version))
+            )
+        else:
+            self._receive(configuration, source)
+
+    def _receive(self, configuration: Configuration, source: HostId | None) -> None:
+        received = DocumentReceived(configuration=configuration, source=source)
+        self._driver.async_handle(received)
+
+    def _fail(self, source: HostId | None, error: MangowayError) -> None:
+        self.on_refused(source, error)
+        self._driver.async_handle(FetchFailed(source=source))
+
+    def _find_address(self, peer: HostId) -> str:
+        member = self.directory.find(peer)
+        if member is None:
+            detail = f"{peer} is not known any more"
+            raise MangowayError(ErrorCode.PEER_UNREACHABLE, detail)
+        return member.peer_address
--- /dev/null
+++ b/mangoway/peers/network.py
@@ -0,0 +1,131 @@
+"""What every process does with its peers: heartbeats and the configuration."""
+
+import asyncio
+import secrets
+from collections.abc import Callable, Iterable
+from random import Random
+
+from attrs import define, field
+
+from ..key_value.store import KeyValueStore
+from ..models.errors import MangowayError
+from ..models.identifiers import HostId, IncarnationId
+from ..models.member import Member
+from ..models.offer import Configuration
+from ..observability import events as log
+from ..observability.event_log import log_event
+from ..operators.follower import ConfigurationFollower
+from ..policy.configuration.core import ConfigurationCore
+from ..policy.core import Core
+from ..policy.membership.actions import MembershipAction
+from ..policy.membership.events import HostListed, MembershipEvent
+from ..util.tasks import Tasks
+from .client import PeerClients
+from .configuration import ConfigurationDriver
+from .const import CLOSE_IDLE_PERIOD_S, SESSION_BITS
+from .directory import Directory, name_process
+from .heartbeat import HeartbeatCodec
+from .member_log import MemberLog
+from .membership import MembershipDriver
+from .reports import ReportBook
+from .server import PeerReceivers
+
+SOURCE_SERVICE = "key_value"
+
+
+@define(eq=False, kw_only=True)
+class PeerNetwork:
+    """Keeps one process in touch with the others and at the newest configuration.
+
+    `on_members` and `on_configuration` are called with each change, in order.
+    """
+
+    own: Member
+    site: str
+    membership_core: Core[MembershipEvent, MembershipAction]
+    store: KeyValueStore
+    clients: PeerClients
+    directory: Directory
+    book: ReportBook
+    tasks: Tasks
+    rng: Random
+    on_members: Callable[[tuple[Member, ...]], None]
+    on_configuration: Callable[[Configuration], None]
+    membership: MembershipDriver = field(init=False)
+    configuration: ConfigurationDriver = field(init=False)
+    _log: MemberLog = field(factory=MemberLog, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.membership = MembershipDriver(
+            core=self.membership_core,
+            own=self.own,
+            codec=HeartbeatCodec(self.own.incarnation, self.book, make_session),
+            clients=self.clients,
+            tasks=self.tasks,
+            on_members=self._take_members,
+        )
+        self.configuration = ConfigurationDriver(
+            core=ConfigurationCore(name_process(self.own), self.rng),
+            store=self.store,
+            follower=ConfigurationFollower(self.site),
+            clients=self.clients,
+            directory=self.directory,
+            data_centre=self.own.data_centre,
+            tasks=self.tasks,
+            on_applied=self._apply,
+            on_refused=_log_refusal,
+        )
+
+    def add_to(self, receivers: PeerReceivers) -> None:
+        """Answer heartbeats and calls about the configuration."""
+        receivers.heartbeats = self.membership
+        receivers.configuration = self.configuration
+
+    def async_start(self, seeds: Iterable[str]) -> None:
+        """Begin with the peer addresses that the settings name."""
+        self.directory.set_members((self.own,))
+        self.membership.async_start(seeds)
+        self.configuration.async_start()
+        self.tasks.async_start(self._async_close_idle())
+
+    def async_stop(self) -> None:
+        """Exchange nothing further."""
+        self.membership.async_stop()
+        self.configuration.async_stop()
+
+    def async_list_hosts(self, hosts: Iterable[HostListed]) -> None:
+        """Take the processes that the host list names."""
+        self.membership.async_list_hosts(hosts)
+
+    def async_announce(self, successor: IncarnationId | None) -> None:
+        """Tell the peers that this process leaves, and who has its keys."""
+        self.membership.async_announce(successor)
+
+    def _take_members(self, members: tuple[Member, ...]) -> None:
+        self._log.note(members)
+        self.directory.set_members(members)
+        self.configuration.async_set_members()
+        self.on_members(members)
+
+    def _apply(self, configuration: Configuration) -> None:
+        version = configuration.version
+        log_event(log.ConfigurationApplied(config_version=version, source="peers"))
+        self.on_configuration(configuration)
+        self.membership.async_set_self(version, ready=True)
+
+    async def _async_close_idle(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CLOSE_IDLE_PERIOD_S)
+            self.clients.close_idle(loop.time())
+
+
+def make_session() -> int:
+    """Return a session number that no process ever had, and not 0."""
+    return secrets.randbits(SESSION_BITS) or 1
+
+
+def _log_refusal(source: HostId | None, error: MangowayError) -> None:
+    log_event(
+        log.ConfigurationFetchFailed(source=source or SOURCE_SERVICE, error=str(error))
+    )
