--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -4,11 +4,15 @@
 import time
 from collections.abc import Awaitable, Callable
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import aiohttp
 from attrs import define, field
 
+from mangoway.cli.inquiry import async_read_fleet
+from mangoway.models.errors import MangowayError
+
 from .launcher import Launcher, Process, find_free_address
 
 SITE = "demo"
@@ -18,18 +22,21 @@
 COMMAND_TIMEOUT_S = 60.0
 DATA_CENTRES = ("centre-1", "centre-2", "centre-3")
 SERVICE = "booking-records"
+PROGRAM = "mangoway"
+LEASE_S = 2
+HOST_LIST_PERIOD_S = 0.5
 
 
 async def async_wait_for(
     what: str, check: Callable[[], Awaitable[bool]], timeout_s: float = READY_TIMEOUT_S
 ) -> None:
-    """Wait until a check holds; a refused connection counts as not yet."""
+    """Wait until a check holds; a broken connection counts as not yet."""
     end = time.monotonic() + timeout_s
     while time.monotonic() < end:
         try:
             if await check():
                 return
-        except (aiohttp.ClientError, TimeoutError):
+        except (aiohttp.ClientError, MangowayError, TimeoutError):
             pass
         await asyncio.sleep(POLL_S)
     raise TimeoutError(f"not within {timeout_s:g} s: {what}")
@@ -41,45 +48,43 @@
 
     launcher: Launcher
     session: aiohttp.ClientSession
-    key_value: Process | None = None
-    host_list: Process | None = None
+    _key_value: Process | None = None
+    _host_list: Process | None = None
     engines: list[Process] = field(factory=list)
     services: list[Process] = field(factory=list)
     gateways: list[Process] = field(factory=list)
     controllers: list[Process] = field(factory=list)
+    _groups: dict[str, dict[str, Any]] = field(factory=dict)
 
-    async def async_get(self, address: str, path: str) -> Any:
-        """Get JSON from a process."""
-        timeout = aiohttp.ClientTimeout(total=5)
-        url = f"http://{address}{path}"
-        async with self.session.get(url, timeout=timeout) as response:
-            response.raise_for_status()
-            return await response.json(content_type=None)
+    @property
+    def key_value(self) -> Process:
+        """Return the key-value service."""
+        assert self._key_value is not None
+        return self._key_value
 
-    async def async_post(self, address: str, path: str, **body: Any) -> Any:
-        """Post JSON to a process."""
-        url = f"http://{address}{path}"
-        async with self.session.post(url, json=body) as response:
-            response.raise_for_status()
-            return await response.json(content_type=None)
+    @property
+    def host_list(self) -> Process:
+        """Return the host list."""
+        assert self._host_list is not None
+        return self._host_list
 
-    async def async_switch(self, process: Process, **switches: Any) -> None:
-        """Set switches of a stand-in."""
-        await self.async_post(process.admin, "/admin/switches", **switches)
+    # Stand-ins.
 
-    async def async_get_truths(self, processes: list[Process]) -> list[dict[str, Any]]:
-        """Return the truths of stand-ins."""
-        return [
-            await self.async_get(process.admin, "/admin/truth") for process in processes
-        ]
+    async def async_start_platform(self) -> None:
+        """Start the key-value service and the host list."""
+        start = self.launcher.async_start_stand_in
+        self._key_value = await start("key-value", "key_value")
+        self._host_list = await start("host-list", "host_list")
 
-    async def async_start_engines(self, count: int, memory_mb: int) -> None:
+    async def async_start_engines(
+        self, count: int, memory_mb: int, *flags: str
+    ) -> None:
         """Start model engines, spread over the data centres."""
         for number in range(count):
-            flags = ("--name", f"engine-{number}", "--memory-mb", str(memory_mb))
+            name = f"engine-{number}"
             self.engines.append(
                 await self.launcher.async_start_stand_in(
-                    f"engine-{number}", "engine", *flags
+                    name, "engine", f"--name={name}", f"--memory-mb={memory_mb}", *flags
                 )
             )
 
@@ -89,70 +94,103 @@
             name = f"{SERVICE}-{number}"
             self.services.append(
                 await self.launcher.async_start_stand_in(
-                    name, "service", "--name", name
+                    name, "service", f"--name={name}"
                 )
             )
 
-    async def async_start_platform(self) -> None:
-        """Start the key-value service and the host list."""
-        start = self.launcher.async_start_stand_in
-        self.key_value = await start("key-value", "key_value")
-        self.host_list = await start("host-list", "host_list")
+    async def async_switch(self, process: Process, **switches: Any) -> None:
+        """Set switches of a stand-in."""
+        await self.async_post(process.admin, "/admin/switches", switches)
 
-    async def async_list_hosts(self) -> None:
-        """Tell the host list every process that runs."""
-        assert self.host_list is not None
-        await self.async_post(self.host_list.admin, "/admin/hosts", hosts=self._hosts)
+    async def async_get_truths(self, processes: list[Process]) -> list[dict[str, Any]]:
+        """Return the truths of stand-ins."""
+        gets = (self.async_get(each.admin, "/admin/truth") for each in processes)
+        return list(await asyncio.gather(*gets))
 
-    def _make_flags(self, name: str, number: int) -> list[str]:
-        assert self.key_value is not None
-        assert self.host_list is not None
-        return [
-            f"--host={name}",
-            f"--data-centre={DATA_CENTRES[number % len(DATA_CENTRES)]}",
-            f"--site={SITE}",
-            f"--cell={CELL}",
-            f"--key-value={self.key_value.address}",
-            f"--host-list-url=http://{self.host_list.address}/hosts",
-        ]
+    async def async_list_hosts(self) -> None:
+        """Write every process that was started into the host list."""
+        for number, engine in enumerate(self.engines):
+            self.list_host(engine.name, engine.address, "runner", number)
+        for number, service in enumerate(self.services):
+            self.list_host(service.name, service.address, "service", number)
+        for number, gateway in enumerate(self.gateways):
+            self.list_host(gateway.name, gateway.peer_address, "gateway", number)
+        for number, controller in enumerate(self.controllers):
+            address = controller.peer_address
+            self.list_host(controller.name, address, "controller", number)
+        await self.async_publish_hosts()
+
+    def list_host(self, name: str, address: str, role: str, number: int) -> None:
+        """Put one host into the list, or change its entry."""
+        labels = {
+            "host": name,
+            "role": role,
+            "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
+        }
+        if role == "service":
+            labels["service"] = SERVICE
+        self._groups[name] = {"targets": [address], "labels": labels}
+
+    async def async_publish_hosts(self) -> None:
+        """Publish the host list as it is now."""
+        groups = list(self._groups.values())
+        await self.async_post(self.host_list.admin, "/admin/hosts", groups)
+
+    # The system's own processes.
 
     async def async_start_gateway(self) -> Process:
         """Start one more gateway."""
         number = len(self.gateways)
-        name = f"gateway-{number}"
-        caller_address, peer_address = find_free_address(), find_free_address()
-        process = await self.launcher.async_start(
-            name,
-            "mangoway",
+        flags = self._make_flags(f"gateway-{number}", number)
+        address = find_free_address()
+        process = await self._async_start(
+            f"gateway-{number}",
             "gateway",
-            *self._make_flags(name, number),
-            f"--caller-listen={caller_address}",
-            f"--peer-listen={peer_address}",
+            address,
+            *flags,
+            f"--caller-listen={address}",
         )
-        process.address = caller_address
-        process.peer_address = peer_address
         self.gateways.append(process)
         return process
 
     async def async_start_controller(self) -> Process:
         """Start one more controller."""
         number = len(self.controllers)
-        name = f"controller-{number}"
-        metrics_address, peer_address = find_free_address(), find_free_address()
-        process = await self.launcher.async_start(
-            name,
-            "mangoway",
+        flags = self._make_flags(f"controller-{number}", number)
+        address = find_free_address()
+        process = await self._async_start(
+            f"controller-{number}",
             "controller",
-            *self._make_flags(name, number),
-            f"--metrics-listen={metrics_address}",
-            f"--peer-listen={peer_address}",
-            "--lease-s=2",
+            address,
+            *flags,
+            f"--metrics-listen={address}",
+            f"--lease-s={LEASE_S}",
         )
-        process.address = metrics_address
-        process.peer_address = peer_address
         self.controllers.append(process)
         return process
 
+    async def _async_start(
+        self, name: str, command: str, address: str, *flags: str
+    ) -> Process:
+        peer_address = find_free_address()
+        process = await self.launcher.async_start(
+            name, PROGRAM, command, *flags, f"--peer-listen={peer_address}"
+        )
+        process.address = address
+        process.peer_address = peer_address
+        return process
+
+    def _make_flags(self, name: str, number: int) -> list[str]:
+        return [
+            f"--host={name}",
+            f"--data-centre={DATA_CENTRES[number % len(DATA_CENTRES)]}",
+            f"--site={SITE}",
+            f"--cell={CELL}",
+            f"--key-value={self.key_value.address}",
+            f"--host-list-url=http://{self.host_list.address}/",
+            f"--host-list-period-s={HOST_LIST_PERIOD_S}",
+        ]
+
     async def async_wait_ready(self) -> None:
         """Wait until every running gateway takes requests."""
         for process in self.gateways:
@@ -165,3 +203,53 @@
         url = f"http://{process.address}/readyz"
         async with self.session.get(url) as response:
             return response.status == 200
+
+    async def async_find_active_controller(self) -> Process:
+        """Wait until one controller says that it plans, and return it."""
+        found: list[Process] = []
+
+        async def async_find() -> bool:
+            peers = (each for each in self.controllers if each.is_running)
+            status = await async_read_fleet([each.peer_address for each in peers])
+            planner = "" if status.planner is None else status.planner.self.host
+            found[:] = [each for each in self.controllers if each.name == planner]
+            return bool(found) and found[0].is_running
+
+        await async_wait_for("a controller plans", async_find)
+        return found[0]
+
+    # Operators.
+
+    async def async_apply_base(self, file: Path) -> None:
+        """Apply a base file, and wait until it is in force everywhere."""
+        await self.async_run_command("config", "apply", str(file), "--wait")
+
+    async def async_apply_overlay(self, file: Path) -> None:
+        """Apply the site's overlay, and wait until it is in force everywhere."""
+        await self.async_run_command(
+            "config", "apply", str(file), f"--site={SITE}", "--wait"
+        )
+
+    async def async_run_command(self, *arguments: str) -> str:
+        """Run a command of the program to its end, and return its output."""
+        process = await self.launcher.async_start("command", PROGRAM, *arguments)
+        output, _ = await asyncio.wait_for(
+            process.child.communicate(), COMMAND_TIMEOUT_S
+        )
+        if process.child.returncode:
+            raise RuntimeError(f"{arguments}: {process.log.read_text()}")
+        return output.decode()
+
+    # HTTP.
+
+    async def async_get(self, address: str, path: str) -> Any:
+        """Get JSON from a process."""
+        async with self.session.get(f"http://{address}{path}") as response:
+            response.raise_for_status()
+            return await response.json(content_type=None)
+
+    async def async_post(self, address: str, path: str, body: Any) -> Any:
+        """Post JSON to a process."""
+        async with self.session.post(f"http://{address}{path}", json=body) as response:
+            response.raise_for_status()
+            return await response.json(content_type=None)
