Judge which processes are live, leaving or gone

Only a process itself says that it leaves; silence is each process's own judgement and is not spread, so a false one heals with the next beat. A process that wakes late leaves its frozen time out of account. Gone entries are kept 900 s with their successor and are not sent on: two tables could otherwise teach each other for ever. The host list marks the life that is known when a host is first listed as leaving, so a restarted process is not held back by a lagging list. Additive: ReplyHeartbeat, HeartbeatReceived.wants_reply.

--- a/mangoway/policy/membership/actions.py
+++ b/mangoway/policy/membership/actions.py
@@ -13,6 +13,13 @@
     members: tuple[Member, ...]
 
 
+@frozen(kw_only=True)
+class ReplyHeartbeat:
+    """Answer the heartbeat that was just received with these entries."""
+
+    members: tuple[Member, ...]
+
+
 @frozen(kw_only=True)
 class MembersChanged:
     """The set of members, or a member's state, readiness or version changed."""
@@ -27,4 +34,4 @@
     time: float
 
 
-MembershipAction = SendHeartbeat | MembersChanged | WakeAt
+MembershipAction = SendHeartbeat | ReplyHeartbeat | MembersChanged | WakeAt
--- /dev/null
+++ b/mangoway/policy/membership/addresses.py
@@ -0,0 +1,59 @@
+"""Answers to callers that ask which gateways to use."""
+
+from collections.abc import Iterable
+
+from ...models.identifiers import DataCentreId
+from ...models.member import (
+    AddressAnswer,
+    GatewayAddress,
+    Member,
+    MemberState,
+    ProcessRole,
+)
+
+
+def build_address_answer(
+    members: Iterable[Member],
+    data_centre: DataCentreId,
+    valid_for_s: float,
+    rotation: int = 0,
+) -> AddressAnswer:
+    """Return the ready, live gateways, those of the own data centre first.
+
+    Args:
+        members: All members as this process judges them.
+        data_centre: Data centre of the process that answers.
+        valid_for_s: Seconds for which callers may keep the answer.
+        rotation: Number of the answer; each starts with another gateway, so that
+            callers that take the first are spread evenly.
+    """
+    usable = sorted(filter(_is_usable, members), key=lambda member: member.host)
+    near = [member for member in usable if member.data_centre == data_centre]
+    far = [member for member in usable if member.data_centre != data_centre]
+    ordered = _rotate(near, rotation) + _rotate(far, rotation)
+    gateways = tuple(_make_address(member) for member in ordered)
+    return AddressAnswer(gateways=gateways, valid_for_s=valid_for_s)
+
+
+def _is_usable(member: Member) -> bool:
+    is_live_gateway = (
+        member.role is ProcessRole.GATEWAY and member.state is MemberState.LIVE
+    )
+    return is_live_gateway and member.ready and member.caller_address is not None
+
+
+def _rotate(members: list[Member], rotation: int) -> list[Member]:
+    if not members:
+        return []
+    start = rotation % len(members)
+    return members[start:] + members[:start]
+
+
+def _make_address(member: Member) -> GatewayAddress:
+    assert member.caller_address is not None
+    return GatewayAddress(
+        host=member.host,
+        address=member.caller_address,
+        incarnation=member.incarnation,
+        data_centre=member.data_centre,
+    )
--- a/mangoway/policy/membership/events.py
+++ b/mangoway/policy/membership/events.py
@@ -8,10 +8,12 @@
 
 @frozen(kw_only=True)
 class HeartbeatReceived:
-    """A peer sent its own entry and news of others."""
+    """A peer sent its own entry and news of others, or replied with them."""
 
     sender: HostId
     members: tuple[Member, ...]
+    wants_reply: bool = False
+    """Whether `ReplyHeartbeat` must follow."""
 
 
 @frozen(kw_only=True)
--- /dev/null
+++ b/tests/policy/membership/test_core.py
@@ -0,0 +1,223 @@
+"""Tests of the membership core: fixed cases and a state machine."""
+
+from random import Random
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from mangoway.models.identifiers import DataCentreId, HostId, IncarnationId
+from mangoway.models.member import MemberState, ProcessRole
+from mangoway.policy.membership.addresses import build_address_answer
+from mangoway.policy.membership.const import GONE_KEPT_S, SILENCE_S
+from mangoway.policy.membership.core import MembershipCore
+from mangoway.policy.membership.events import (
+    HeartbeatReceived,
+    HostListed,
+    HostsListed,
+    Ticked,
+)
+
+from .cell import Cell, make_member
+
+HOSTS = [f"host-{number}" for number in range(6)]
+LEAVE_S = 3.0
+"""Time after a leave, or the last fault, until no answer names a leaving host."""
+
+SETTLE_S = 25.0
+"""Time after the end of all faults within which all processes agree."""
+
+
+def make_cell(size: int, seed: int = 0) -> Cell:
+    cell = Cell([f"host-{number}" for number in range(size)], Random(seed))
+    cell.run(10)
+    return cell
+
+
+class TestAddresses:
+    """Which gateways an address answer names, and in which order."""
+
+    def test_only_ready_live_gateways_and_near_ones_first(self) -> None:
+        far = DataCentreId("dc-2")
+        members = [
+            make_member("a", data_centre=far),
+            make_member("b"),
+            make_member("c", ready=False),
+            make_member("d", state=MemberState.LEAVING),
+            make_member("e", role=ProcessRole.CONTROLLER, caller_address=None),
+            make_member("f"),
+        ]
+        for rotation, expected in enumerate(["bfa", "fba", "bfa"]):
+            answer = build_address_answer(members, DataCentreId("dc-1"), 5, rotation)
+            assert "".join(gateway.host for gateway in answer.gateways) == expected
+
+
+class TestMembershipCore:
+    """Fixed cases of one process."""
+
+    def receive(self, core: MembershipCore, now: float, **changes: object) -> None:
+        member = make_member("b", **changes)  # type: ignore[arg-type]
+        core.handle(HeartbeatReceived(sender=HostId("b"), members=(member,)), now)
+
+    def find_state(self, core: MembershipCore) -> MemberState:
+        (found,) = [member for member in core.members if member.host == "b"]
+        return found.state
+
+    def test_leaving_is_not_taken_back_by_an_older_entry(self) -> None:
+        core = MembershipCore(make_member("a"), Random(0))
+        self.receive(core, 0, beat=5, state=MemberState.LEAVING)
+        self.receive(core, 0, beat=4)
+        self.receive(core, 0, beat=6)
+        assert self.find_state(core) is MemberState.LEAVING
+
+    def test_later_life_replaces_an_earlier_one(self) -> None:
+        core = MembershipCore(make_member("a"), Random(0))
+        self.receive(core, 0, life=1, beat=5, state=MemberState.LEAVING)
+        self.receive(core, 0, life=2)
+        self.receive(core, 0, life=1, beat=9, state=MemberState.LEAVING)
+        assert self.find_state(core) is MemberState.LIVE
+
+    def test_frozen_process_does_not_judge_the_others_at_once(self) -> None:
+        core = MembershipCore(make_member("a"), Random(0))
+        self.receive(core, 0, beat=1)
+        core.handle(Ticked(), 100)
+        assert self.find_state(core) is MemberState.LIVE
+        for second in range(101, 110):
+            core.handle(Ticked(), second)
+        assert self.find_state(core) is MemberState.GONE
+
+    def test_gone_process_is_kept_for_its_successor_then_dropped(self) -> None:
+        core = MembershipCore(make_member("a"), Random(0))
+        heir = IncarnationId("a.0")
+        self.receive(core, 0, state=MemberState.LEAVING, successor=heir)
+        for second in range(int(GONE_KEPT_S)):
+            core.handle(Ticked(), float(second))
+        (gone,) = [member for member in core.members if member.host == "b"]
+        assert (gone.state, gone.successor) == (MemberState.GONE, heir)
+        core.handle(Ticked(), GONE_KEPT_S + 1)
+        assert len(core.members) == 1
+
+    def test_listed_as_leaving_until_restarted(self) -> None:
+        core = MembershipCore(make_member("a"), Random(0))
+        self.receive(core, 0, life=1)
+        listing = HostsListed(hosts=(HostListed(peer_address="b:1", leaving=True),))
+        core.handle(listing, 0)
+        assert self.find_state(core) is MemberState.LEAVING
+        self.receive(core, 0, life=2)
+        core.handle(listing, 0)
+        assert self.find_state(core) is MemberState.LIVE
+
+    def test_replaced_process_knows_it(self) -> None:
+        core = MembershipCore(make_member("b", life=1), Random(0))
+        core.handle(Ticked(), 0)
+        assert not core.is_replaced
+        self.receive(core, 0, life=2)
+        assert core.is_replaced
+
+
+class TestCell:
+    """Many cores together."""
+
+    @pytest.mark.parametrize("seed", range(2))
+    def test_no_false_alarm_at_full_size(self, seed: int) -> None:
+        cell = make_cell(62, seed)
+        for _ in range(30):
+            cell.run(1)
+            assert all(len(cell.list_live(host)) == 62 for host in cell.hosts)
+
+    def test_leaving_host_is_not_answered_though_the_list_lags(self) -> None:
+        cell = make_cell(62)
+        cell.list_lags = True
+        cell.leave("host-7")
+        cell.run(0.1)
+        assert not any("host-7" in cell.list_answered(host) for host in cell.hosts)
+
+    def test_killed_host_is_found(self) -> None:
+        cell = make_cell(62)
+        cell.stop("host-7")
+        cell.run(SILENCE_S + 6)
+        assert not any("host-7" in cell.list_answered(host) for host in cell.processes)
+
+    def test_thawed_host_raises_no_alarm(self) -> None:
+        cell = make_cell(20)
+        cell.processes["host-3"].frozen = True
+        cell.run(60)
+        cell.thaw("host-3")
+        for _ in range(10):
+            cell.run(0.5)
+            assert len(cell.list_live("host-3")) == 20
+
+
+class CellMachine(RuleBasedStateMachine):
+    """Faults in any order; at the end all live processes agree."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cell = make_cell(len(HOSTS))
+        self.disturbed_at = self.cell.now
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 4.0, 20.0]))
+    def run(self, seconds: float) -> None:
+        self.cell.run(seconds)
+
+    @rule(loss=st.sampled_from([0.0, 0.2, 0.8]), lags=st.booleans())
+    def disturb(self, loss: float, lags: bool) -> None:
+        self.disturbed_at = self.cell.now
+        self.cell.loss = loss
+        self.cell.list_lags = lags
+
+    @rule(host=st.sampled_from(HOSTS))
+    def cut(self, host: str) -> None:
+        self.disturbed_at = self.cell.now
+        self.cell.cut ^= {host}
+
+    @rule(host=st.sampled_from(HOSTS))
+    def kill_or_start(self, host: str) -> None:
+        self.disturbed_at = self.cell.now
+        if host in self.cell.processes:
+            self.cell.stop(host)
+        else:
+            self.cell.start(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def restart(self, host: str) -> None:
+        self.disturbed_at = self.cell.now
+        self.cell.stop(host)
+        self.cell.start(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def leave(self, host: str) -> None:
+        self.cell.leave(host)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def freeze_or_thaw(self, host: str) -> None:
+        self.disturbed_at = self.cell.now
+        process = self.cell.processes.get(host)
+        if process is None:
+            return
+        if process.frozen:
+            self.cell.thaw(host)
+        else:
+            process.frozen = True
+
+    @invariant()
+    def leaving_hosts_are_not_answered(self) -> None:
+        cell = self.cell
+        if cell.loss or cell.now - self.disturbed_at < LEAVE_S:
+            return
+        left = {host for host, at in cell.left_at.items() if cell.now - at >= LEAVE_S}
+        for host, process in cell.processes.items():
+            if not process.frozen and not {host, *left} & cell.cut:
+                assert not left & cell.list_answered(host), host
+
+    def teardown(self) -> None:
+        cell = self.cell
+        cell.heal()
+        cell.run(SETTLE_S)
+        expected = set(cell.processes) - set(cell.left_at)
+        for host, process in cell.processes.items():
+            assert cell.list_answered(host) == expected, host
+            assert not process.core.is_replaced
+
+
+TestCellMachine = CellMachine.TestCase
