Read the host list without the full HTTP client

An https URL is refused at the start with exit code 2; it was read by aiohttp before. Ran: pytest tests/host_list tests/upstreams, all passed.

--- a/mangoway/host_list/const.py
+++ b/mangoway/host_list/const.py
@@ -14,6 +14,8 @@
 STATE_LIVE: Final = "live"
 STATE_LEAVING: Final = "leaving"
 
+SCHEME: Final = "http"
+DEFAULT_PORT: Final = 80
 READ_TIMEOUT_S: Final = 2.0
 MAX_LISTING_BYTES: Final = 1 << 24
 PERIOD_JITTER: Final = 0.2
--- a/mangoway/host_list/http.py
+++ b/mangoway/host_list/http.py
@@ -1,9 +1,11 @@
 """The host list through the HTTP service-discovery format of Prometheus."""
 
-import aiohttp
+from urllib.parse import urlsplit
 
 from ..models.errors import ErrorCode, MangowayError
-from .const import MAX_LISTING_BYTES, READ_TIMEOUT_S
+from ..settings.errors import SettingError
+from ..upstreams.exchange import ExchangeRequest, async_exchange
+from .const import DEFAULT_PORT, MAX_LISTING_BYTES, READ_TIMEOUT_S, SCHEME
 from .listing import HostListing
 from .parser import parse_listing
 from .registry import register_host_list
@@ -11,12 +13,27 @@
 
 @register_host_list("http")
 class HttpHostList:
-    """Reads the list with a GET; a connection that fails is not used again."""
+    """Reads the list with a GET, each time on a connection of its own.
+
+    A connection can't go silent between two reads, and a controller is spared the
+    imports of a full client.
+
+    Raises:
+        SettingError: If the URL is not of plain HTTP.
+    """
 
     def __init__(self, url: str, timeout_s: float = READ_TIMEOUT_S) -> None:
-        self._url = url
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
-        self._session: aiohttp.ClientSession | None = None
+        parts = urlsplit(url)
+        if parts.scheme != SCHEME:
+            raise SettingError("--host-list-url", f"expected an {SCHEME}:// URL")
+        path = parts.path or "/"
+        self._request = ExchangeRequest(
+            method="GET",
+            address=f"{parts.hostname}:{parts.port or DEFAULT_PORT}",
+            path=f"{path}?{parts.query}" if parts.query else path,
+            timeout_s=timeout_s,
+            limit_bytes=MAX_LISTING_BYTES,
+        )
 
     async def async_read(self) -> HostListing:
         """Read the list once.
@@ -25,25 +42,11 @@
             MangowayError: PLATFORM_UNAVAILABLE if there is no whole list to be had.
         """
         try:
-            return parse_listing(await self._async_get())
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            return parse_listing(await async_exchange(self._request))
+        except (MangowayError, ValueError) as error:
             raise MangowayError(
-                ErrorCode.PLATFORM_UNAVAILABLE, f"host list: {error!r}"
+                ErrorCode.PLATFORM_UNAVAILABLE, f"host list: {error}"
             ) from error
 
     async def async_close(self) -> None:
-        """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
-
-    async def _async_get(self) -> bytes:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=self._timeout)
-        async with self._session.get(self._url) as response:
-            response.raise_for_status()
-            body = await response.content.read(MAX_LISTING_BYTES + 1)
-            while not response.content.at_eof() and len(body) <= MAX_LISTING_BYTES:
-                body += await response.content.read(MAX_LISTING_BYTES + 1)
-        if len(body) > MAX_LISTING_BYTES:
-            raise ValueError(f"longer than {MAX_LISTING_BYTES} bytes")
-        return body
+        """Do nothing: no connection is kept."""
--- a/mangoway/upstreams/exchange.py
+++ b/mangoway/upstreams/exchange.py
@@ -37,6 +37,9 @@
     timeout_s: float
     """Seconds for the whole exchange."""
 
+    limit_bytes: int = ANSWER_LIMIT_BYTES
+    """Largest answer that is read."""
+
     send_before: float = inf
     """Loop time after which it must not be sent any more."""
 
@@ -118,7 +121,7 @@
                 self._check(event)
             elif isinstance(event, h11.Data):
                 body.extend(event.data)
-                if len(body) > ANSWER_LIMIT_BYTES:
+                if len(body) > self.request.limit_bytes:
                     raise self.fail(ErrorCode.UPSTREAM_FAILED, "answer too large")
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
--- a/tests/upstreams/test_exchange.py
+++ b/tests/upstreams/test_exchange.py
@@ -6,7 +6,6 @@
 
 from mangoway.models.errors import ErrorCode, MangowayError
 from mangoway.models.verdict import Verdict
-from mangoway.upstreams import exchange
 from mangoway.upstreams.exchange import ExchangeRequest, async_exchange
 
 from .raw_server import RawServer, Script, answer, cut, frame
@@ -78,12 +77,18 @@
         assert error.code is ErrorCode.UPSTREAM_BUSY
         assert error.failure.verdict is verdict
 
-    async def test_answer_over_the_limit_is_refused(
-        self, monkeypatch: pytest.MonkeyPatch
-    ) -> None:
-        monkeypatch.setattr(exchange, "ANSWER_LIMIT_BYTES", 3)
-        error = await fail(answer(frame(200, b"four")))
-        assert error.code is ErrorCode.UPSTREAM_FAILED
+    async def test_answer_over_the_limit_is_refused(self) -> None:
+        async with RawServer(answer(frame(200, b"four"))) as server:
+            request = ExchangeRequest(
+                method="GET",
+                address=server.address,
+                path="/",
+                timeout_s=5.0,
+                limit_bytes=3,
+            )
+            with pytest.raises(MangowayError) as raised:
+                await async_exchange(request)
+        assert raised.value.code is ErrorCode.UPSTREAM_FAILED
 
     async def test_late_request_is_not_sent(self) -> None:
         async with RawServer(answer(frame(200))) as server:
