Run a controller as a process

One shared PeerNetwork puts heartbeats and the configuration together for gateways and controllers. On SIGTERM a controller gives the lease up, says that it leaves and waits for the answers of orders that it sent, since their memory would else stay reserved for long; a second signal or the deadline ends it at once. A heartbeat that is skipped because one is under way, fails, or is complained about counts as not sent, so that the core sends its news again.

--- /dev/null
+++ b/mangoway/daemons/controller.py
@@ -0,0 +1,115 @@
+"""The process `mangoway controller`."""
+
+import asyncio
+
+from ..host_list.listing import HostListing
+from ..host_list.poller import HostListPoller
+from ..host_list.registry import make_host_list
+from ..key_value.registry import make_key_value_store
+from ..models.member import ProcessRole
+from ..observability import events as log
+from ..observability.event_log import log_event, start_log
+from ..observability.metrics import Metrics
+from ..policy.membership.events import HostListed
+from ..settings.process import ControllerSettings
+from ..util.signals import StopSignals
+from .controller_node import ControllerNode
+from .metrics_server import MetricsServer
+
+REASON_DEADLINE = "deadline"
+REASON_SECOND_SIGNAL = "second signal"
+
+
+def run(settings: ControllerSettings) -> None:
+    """Run a controller until a signal stops it."""
+    stop_log = start_log(
+        settings.log_level, host=settings.host, role=ProcessRole.CONTROLLER.value
+    )
+    try:
+        asyncio.run(async_run(settings))
+    finally:
+        stop_log()
+
+
+async def async_run(settings: ControllerSettings) -> None:
+    """Run a controller on the running loop until a signal stops it.
+
+    Raises:
+        SettingError: If a setting names an adapter that is not there.
+        OSError: If an address can't be listened on.
+    """
+    forced = asyncio.Event()
+    signals = StopSignals(forced.set)
+    signals.async_listen()
+    metrics = Metrics()
+    store = make_key_value_store(settings, metrics)
+    node = ControllerNode(settings, store, metrics)
+    metrics_server = MetricsServer(metrics)
+    try:
+        await _async_start(node, metrics_server)
+        signal_name = await signals.async_wait()
+        await _async_leave(node, signal_name, forced)
+    finally:
+        metrics_server.stop()
+        await node.async_stop()
+        store.close()
+
+
+async def _async_start(node: ControllerNode, metrics_server: MetricsServer) -> None:
+    settings = node.settings
+    await node.async_start()
+    if settings.metrics_listen is not None:
+        host, _, port = settings.metrics_listen.rpartition(":")
+        await metrics_server.async_start(host.strip("[]"), int(port))
+    host_list = make_host_list(settings)
+    if host_list is not None:
+        poller = HostListPoller(
+            host_list,
+            period_s=settings.host_list_period_s,
+            metrics=node.metrics,
+            on_change=lambda listing: _list_hosts(node, listing),
+        )
+        node.tasks.async_start(poller.async_run())
+    log_event(
+        log.ProcessStarted(
+            incarnation=node.own.incarnation,
+            data_centre=settings.data_centre,
+            peer_address=settings.peer_address,
+            caller_address=None,
+        )
+    )
+
+
+def _list_hosts(node: ControllerNode, listing: HostListing) -> None:
+    hosts = (
+        HostListed(peer_address=each.peer_address, leaving=each.leaving)
+        for each in listing.processes
+    )
+    node.async_list_hosts(listing.upstreams, hosts)
+
+
+async def _async_leave(
+    node: ControllerNode, signal_name: str, forced: asyncio.Event
+) -> None:
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    deadline_s = node.settings.stop_deadline_s
+    under_way = node.placement.orders_under_way
+    log_event(
+        log.StopRequested(
+            signal=signal_name, in_progress=under_way, deadline_s=deadline_s
+        )
+    )
+    leaving = loop.create_task(node.async_leave(deadline_s))
+    forcing = loop.create_task(forced.wait())
+    done, pending = await asyncio.wait(
+        (leaving, forcing), return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in pending:
+        task.cancel()
+    if leaving in done and leaving.result():
+        log_event(log.ProcessStopped(seconds=loop.time() - began_at))
+        return
+    reason = REASON_SECOND_SIGNAL if forcing in done else REASON_DEADLINE
+    cut_off = node.placement.orders_under_way
+    log_event(log.StopForced(reason=reason, cut_off=cut_off))
--- /dev/null
+++ b/mangoway/daemons/controller_node.py
@@ -0,0 +1,176 @@
+"""One controller: its parts, put together, without process around it."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Iterable
+from random import Random
+
+from attrs import define, field
+
+from ..engines.control import EngineControl
+from ..key_value.store import KeyValueStore
+from ..models.identifiers import IncarnationId
+from ..models.member import Member, ProcessRole
+from ..models.upstream import UpstreamAddress, UpstreamKind
+from ..observability.event_log import log_event
+from ..observability.events import TaskFailed
+from ..observability.journal import Journal
+from ..observability.metrics import Metrics
+from ..peers.client import PeerClients
+from ..peers.directory import Directory
+from ..peers.network import PeerNetwork
+from ..peers.reports import ReportBook
+from ..peers.server import PeerReceivers, PeerServer
+from ..policy.membership.core import MembershipCore
+from ..policy.membership.events import HostListed
+from ..policy.placement.core import PlacementCore
+from ..settings.process import ControllerSettings
+from ..util.tasks import Tasks
+from .const import INCARNATION_BYTES, LEAVE_SPREAD_S, STOP_POLL_S
+from .controller_status import ControllerStatus
+from .lease import LeaseHolder
+from .placement_driver import PlacementDriver
+
+
+@define(eq=False)
+class ControllerNode:
+    """Parts of a controller; make it on the loop that runs it."""
+
+    settings: ControllerSettings
+    store: KeyValueStore
+    metrics: Metrics
+    own: Member = field(init=False)
+    tasks: Tasks = field(init=False)
+    clients: PeerClients = field(init=False)
+    directory: Directory = field(init=False)
+    placement: PlacementDriver = field(init=False)
+    lease: LeaseHolder = field(init=False)
+    network: PeerNetwork = field(init=False)
+    server: PeerServer = field(init=False)
+    _journal: Journal = field(factory=Journal, init=False)
+    _lease_task: "asyncio.Task[None] | None" = field(default=None, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.own = make_member(self.settings)
+        self.tasks = Tasks(_log_failed_task)
+        self.clients = PeerClients()
+        self.directory = Directory(self.own.incarnation)
+        self.placement = self._make_placement()
+        self.lease = LeaseHolder(
+            store=self.store,
+            cell=self.settings.cell,
+            owner=self.own.incarnation,
+            ttl_s=self.settings.lease_s,
+            on_gained=self.placement.async_gain_lease,
+            on_lost=self.placement.async_lose_lease,
+        )
+        self.network = self._make_network()
+        self.server = PeerServer(self._make_receivers())
+
+    async def async_start(self) -> None:
+        """Listen for peers, follow the configuration and ask for the lease.
+
+        Raises:
+            OSError: If the address can't be used.
+        """
+        host, _, port = self.settings.peer_listen.rpartition(":")
+        await self.server.async_start(host.strip("[]"), int(port))
+        self.network.async_start(self.settings.seeds)
+        self.placement.async_start()
+        self._lease_task = self.tasks.async_start(self.lease.async_run())
+
+    def async_list_hosts(
+        self, upstreams: Iterable[UpstreamAddress], hosts: Iterable[HostListed]
+    ) -> None:
+        """Take the runners and processes that the host list names."""
+        runners = tuple(
+            upstream for upstream in upstreams if upstream.kind is UpstreamKind.ENGINE
+        )
+        self.placement.async_list_runners(runners)
+        self.network.async_list_hosts(hosts)
+
+    async def async_leave(self, deadline_s: float) -> bool:
+        """Let another controller plan, and end what is under way.
+
+        Orders that were sent are waited for, since their answers free memory that
+        would else stay reserved for long. False if the deadline came first.
+        """
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + deadline_s
+        if self._lease_task is not None:
+            self._lease_task.cancel()
+        await self.lease.async_release()
+        self.network.async_announce(None)
+        spread_at = min(loop.time() + LEAVE_SPREAD_S, ends_at)
+        while loop.time() < spread_at or self.placement.orders_under_way:
+            if loop.time() >= ends_at:
+                return False
+            await asyncio.sleep(STOP_POLL_S)
+        return True
+
+    async def async_stop(self) -> None:
+        """Stop everything; what is still under way is cut off."""
+        self.placement.async_stop()
+        self.network.async_stop()
+        await self.tasks.async_cancel()
+        await self.server.async_stop()
+        self.clients.close()
+
+    def _make_placement(self) -> PlacementDriver:
+        return PlacementDriver(
+            core=PlacementCore(self.own.incarnation),
+            cell=self.settings.cell,
+            store=self.store,
+            engines=EngineControl(asyncio.get_running_loop().time),
+            journal=self._journal,
+            metrics=self.metrics,
+            tasks=self.tasks,
+        )
+
+    def _make_network(self) -> PeerNetwork:
+        rng = Random(secrets.randbits(64))
+        return PeerNetwork(
+            own=self.own,
+            site=self.settings.site,
+            membership_core=MembershipCore(self.own, rng),
+            store=self.store,
+            clients=self.clients,
+            directory=self.directory,
+            book=ReportBook(),
+            tasks=self.tasks,
+            rng=rng,
+            on_members=lambda _: None,
+            on_configuration=self.placement.async_apply_configuration,
+        )
+
+    def _make_receivers(self) -> PeerReceivers:
+        receivers = PeerReceivers(demand=self.placement)
+        receivers.status = ControllerStatus(
+            cell=self.settings.cell,
+            host=self.own.host,
+            own=self.own.incarnation,
+            directory=self.directory,
+            placement=self.placement,
+            journal=self._journal,
+            clock=asyncio.get_running_loop().time,
+        )
+        self.network.add_to(receivers)
+        return receivers
+
+
+def make_member(settings: ControllerSettings) -> Member:
+    """Return this process's entry as it starts."""
+    return Member(
+        host=settings.host,
+        role=ProcessRole.CONTROLLER,
+        incarnation=IncarnationId(secrets.token_hex(INCARNATION_BYTES)),
+        started_at=time.time(),
+        data_centre=settings.data_centre,
+        peer_address=settings.peer_address,
+        caller_address=None,
+    )
+
+
+def _log_failed_task(error: BaseException) -> None:
+    log_event(TaskFailed(task="controller", error=repr(error)))
--- a/mangoway/peers/membership.py
+++ b/mangoway/peers/membership.py
@@ -13,6 +13,7 @@
 from ..policy.membership.actions import (
     MembersChanged,
     MembershipAction,
+    ReplyHeartbeat,
     SendHeartbeat,
     WakeAt,
 )
@@ -41,7 +42,6 @@
     """What is known of the process at one address."""
 
     session: int = UNKNOWN_SESSION
-    host: HostId | None = None
     exchanging: bool = False
 
 
@@ -62,10 +62,11 @@
     on_unreachable: Callable[[str, MangowayError], None] = lambda _address, _error: None
     _driver: CoreDriver[MembershipEvent, MembershipAction] = field(init=False)
     _peers: dict[str, PeerRecord] = field(factory=dict, init=False)
-    _answering: str | None = field(default=None, init=False)
-    """Address of the peer whose heartbeat is being answered."""
+    _hosts: dict[str, HostId] = field(factory=dict, init=False)
+    """Hosts by peer address."""
 
-    _answer: tuple[Member, ...] | None = field(default=None, init=False)
+    _answer: tuple[Member, ...] = field(default=(), init=False)
+    """Entries for the reply to the heartbeat that is being received."""
 
     def __attrs_post_init__(self) -> None:
         self._driver = CoreDriver(self.core, self._carry_out, Ticked)
@@ -93,13 +94,11 @@
         self._driver.async_handle(LeaveRequested(successor=successor))
 
     def async_receive_heartbeat(self, heartbeat: pb.Heartbeat) -> pb.Heartbeat:
-        """Take a peer's heartbeat and return this process's own.
-
-        What the core sends to that peer in answer travels in the reply.
-        """
+        """Take a peer's heartbeat and return this process's own."""
         received = self.codec.decode(heartbeat, _now())
-        answer = self._feed(received)
-        return self.codec.encode(heartbeat.session, answer or (self.own,), _now())
+        self._answer = (self.own,)
+        self._feed(received, heartbeat, wants_reply=True)
+        return self.codec.encode(heartbeat.session, self._answer, _now())
 
     @singledispatchmethod
     def _carry_out(self, action: MembershipAction) -> None:
@@ -108,20 +107,23 @@
     @_carry_out.register
     def _(self, action: SendHeartbeat) -> None:
         self._note_own(action.members)
-        if action.peer_address == self._answering:
-            self._answer = action.members
-            return
         record = self._peers.setdefault(action.peer_address, PeerRecord())
         if record.exchanging:
-            # The one under way fails within its timeout; the next tick sends anew.
+            # The core took these entries for sent.
+            self._note_lost(action.peer_address)
             return
         record.exchanging = True
         self.tasks.async_start(self._async_exchange(record, action))
 
+    @_carry_out.register
+    def _(self, action: ReplyHeartbeat) -> None:
+        self._note_own(action.members)
+        self._answer = action.members
+
     @_carry_out.register
     def _(self, action: MembersChanged) -> None:
         self._note_own(action.members)
-        self._forget_others(action.members)
+        self._note_addresses(action.members)
         self.on_members(action.members)
 
     @_carry_out.register
@@ -140,22 +142,19 @@
         finally:
             record.exchanging = False
         record.session = reply.session
-        record.host = received.sender or record.host
-        self._feed(received)
-
-    def _feed(self, received: ReceivedHeartbeat) -> tuple[Member, ...] | None:
-        """Feed a heartbeat; return what the core sends to its sender at once."""
-        if received.sender is None:
-            return None
-        self._answering = received.sender_address
-        self._answer = None
-        try:
-            self._driver.async_handle(
-                HeartbeatReceived(sender=received.sender, members=received.members)
-            )
-            return self._answer
-        finally:
-            self._answering = None
+        self._feed(received, reply, wants_reply=False)
+
+    def _feed(
+        self, received: ReceivedHeartbeat, heartbeat: pb.Heartbeat, wants_reply: bool
+    ) -> None:
+        if received.sender is None or received.sender_address is None:
+            return
+        if heartbeat.unknown_members:
+            self._note_lost(received.sender_address)
+        event = HeartbeatReceived(
+            sender=received.sender, members=received.members, wants_reply=wants_reply
+        )
+        self._driver.async_handle(event)
 
     def _note_failure(
         self, record: PeerRecord, address: str, error: MangowayError
@@ -163,18 +162,23 @@
         self.codec.forget(record.session)
         record.session = UNKNOWN_SESSION
         self.on_unreachable(address, error)
-        if record.host is not None:
-            self._driver.async_handle(SendFailed(peer=record.host))
+        self._note_lost(address)
+
+    def _note_lost(self, address: str) -> None:
+        """Let the core send again what a peer did not get."""
+        host = self._hosts.get(address)
+        if host is not None:
+            self._driver.async_handle(SendFailed(peer=host))
 
     def _note_own(self, members: tuple[Member, ...]) -> None:
         for member in members:
             if member.incarnation == self.own.incarnation:
                 self.own = member
 
-    def _forget_others(self, members: tuple[Member, ...]) -> None:
-        known = {member.peer_address for member in members}
+    def _note_addresses(self, members: tuple[Member, ...]) -> None:
+        self._hosts = {member.peer_address: member.host for member in members}
         for address, record in tuple(self._peers.items()):
-            if address not in known and not record.exchanging:
+            if address not in self._hosts and not record.exchanging:
                 del self._peers[address]
 
 
