--- a/mangoway/callers/application.py
+++ b/mangoway/callers/application.py
@@ -15,7 +15,7 @@
 from ..models.member import AddressAnswer
 from ..observability.event_log import log_event
 from ..observability.events import TaskFailed
-from ..observability.metrics import CONTENT_TYPE, Metrics
+from ..observability.metrics import CONTENT_TYPE
 from .body import async_read_body
 from .const import (
     BODY_TIMEOUT_S,
@@ -51,6 +51,10 @@
         """Raise `MangowayError` (NOT_READY or LEAVING) unless it serves."""
         ...
 
+    def render_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        ...
+
     def read_status(self) -> Mapping[str, Any]:
         """Return a snapshot that can be written as JSON."""
         ...
@@ -66,7 +70,6 @@
 
     gate: Gate
     view: GatewayView
-    metrics: Metrics
     max_body_bytes: int
     body_timeout_s: float = BODY_TIMEOUT_S
 
@@ -167,7 +170,7 @@
 
     async def async_read_metrics(self, _: Request) -> Response:
         """Answer with the metrics."""
-        content = Content(CONTENT_TYPE.encode(), self._parts.metrics.render())
+        content = Content(CONTENT_TYPE.encode(), self._parts.view.render_metrics())
         return Response(STATUS_OK, content=content)
 
 
--- a/mangoway/daemons/attempts.py
+++ b/mangoway/daemons/attempts.py
@@ -12,9 +12,15 @@
 from ..models.artifact import Artifact
 from ..models.errors import ErrorCode, Failure, MangowayError
 from ..models.identifiers import AttemptId
+from ..models.request import Request
 from ..models.verdict import Verdict
 from ..observability.event_log import log_event
-from ..observability.events import AnswerDropped, TaskFailed, UpstreamSilent
+from ..observability.events import (
+    AnswerDropped,
+    AttemptRetried,
+    TaskFailed,
+    UpstreamSilent,
+)
 from ..observability.metrics import Metrics
 from ..observability.tracing import Hop, HopSpan, Tracing
 from ..policy.dispatch.actions import StartAttempt
@@ -61,6 +67,7 @@
         record.attempt = attempt.id
         record.attempts += 1
         self._running[attempt.id] = attempt
+        self._note_retry(action, record)
         attempt.task = asyncio.get_running_loop().create_task(
             self._async_run(attempt, action)
         )
@@ -145,6 +152,8 @@
                     )
                     return
                 before = record.answer.tokens
+                if not before:
+                    self._note_first_token(request)
                 for chunk in chunks:
                     if chunk.finish_reason == FINISH_REASON_CANCELLED:
                         raise MangowayError(
@@ -199,7 +208,27 @@
         tokens = attempt.record.answer.tokens
         self.send(AttemptCancelled(attempt_id=attempt.id, tokens=tokens))
 
+    def _note_retry(self, action: StartAttempt, record: RequestRecord) -> None:
+        failure, record.last_failure = record.last_failure, None
+        if failure is None:
+            return
+        self.metrics.retries.add(failure.code.value)
+        log_event(
+            AttemptRetried(
+                request_id=record.id,
+                upstream_id=action.upstream_id,
+                code=failure.code.value,
+                verdict=failure.verdict.value,
+            )
+        )
+
+    def _note_first_token(self, request: Request) -> None:
+        seconds = asyncio.get_running_loop().time() - request.arrived_at
+        work_class = request.work_class.value
+        self.metrics.first_token_seconds.observe(work_class, seconds=seconds)
+
     def _make_failed(self, attempt: RunningAttempt, failure: Failure) -> AttemptFailed:
+        attempt.record.last_failure = failure
         return AttemptFailed(
             attempt_id=attempt.id,
             verdict=failure.verdict,
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -58,6 +58,7 @@
 from .const import REPORTERS_PER_ENGINE
 from .dispatcher import Dispatcher
 from .engine_poller import EnginePoller
+from .gateway_metrics import GatewayGauges
 from .gateway_view import GatewaySelfView
 from .key_hand_over import KeyGiver, KeyTaker
 from .peer_router import ForwardedRequests, GatewayRouter
@@ -84,10 +85,15 @@
 class GatewayNode:
     """Parts of a gateway; make it on the loop that runs it."""
 
-    def __init__(self, settings: NodeSettings, store: KeyValueStore) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: KeyValueStore,
+        metrics: Metrics | None = None,
+    ) -> None:
         self.settings = settings
         loop = asyncio.get_running_loop()
-        self.metrics = Metrics()
+        self.metrics = metrics or Metrics()
         self.journal = Journal()
         self.tracing = Tracing(
             host=settings.host,
@@ -124,6 +130,12 @@
             core=self.core,
             directory=self.directory,
             journal=self.journal,
+            gauges=GatewayGauges(
+                metrics=self.metrics,
+                core=self.core,
+                dispatcher=self.dispatcher,
+                directory=self.directory,
+            ),
         )
         self.poller = EnginePoller(reader=self.engines, listener=self, tasks=self.tasks)
         self.server = CallerServer(
@@ -131,7 +143,6 @@
                 ApplicationParts(
                     gate=self.gate,
                     view=self.view,
-                    metrics=self.metrics,
                     max_body_bytes=settings.max_body_bytes,
                 )
             )
--- a/mangoway/daemons/gateway_view.py
+++ b/mangoway/daemons/gateway_view.py
@@ -26,6 +26,7 @@
 )
 from .const import ADDRESS_RETRY_S
 from .dispatcher import Dispatcher
+from .gateway_metrics import GatewayGauges
 
 DEFAULT_VALIDITY_S = 5.0
 
@@ -38,6 +39,7 @@
     core: DispatchCore
     directory: Directory
     journal: Journal
+    gauges: GatewayGauges
     stopping: bool = field(default=False, init=False)
 
     def list_addresses(self) -> AddressAnswer:
@@ -75,6 +77,10 @@
                 retry_after=ADDRESS_RETRY_S,
             )
 
+    def render_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return self.gauges.render()
+
     def read_status(self) -> Mapping[str, Any]:
         """Return a snapshot that can be written as JSON."""
         configuration = self.dispatcher.configuration
--- a/mangoway/daemons/records.py
+++ b/mangoway/daemons/records.py
@@ -6,6 +6,7 @@
 
 from ..callers.answer import Answer
 from ..callers.messages import Submission
+from ..models.errors import Failure
 from ..models.identifiers import AttemptId, RequestId
 from ..observability.tracing import HopSpan
 
@@ -23,6 +24,9 @@
     """The attempt that may add to the answer; earlier ones are late."""
 
     attempts: int = 0
+    last_failure: Failure | None = None
+    """Failure of the attempt before, if it failed."""
+
     followers: list[RequestId] = field(factory=list)
     """Resubmissions that share the answer."""
 
--- a/tests/daemons/test_gateway_node.py
+++ b/tests/daemons/test_gateway_node.py
@@ -9,7 +9,7 @@
 
 from tests.stand_ins.answers import make_answer
 
-from .gateway_world import GatewayWorld, open_world
+from .gateway_world import CONFIGURATION, HEADERS, GatewayWorld, open_world
 
 
 @pytest_asyncio.fixture
@@ -69,3 +69,58 @@
         texts = [orjson.loads(event)["choices"][0]["text"] for event in events[:-1]]
         assert "".join(texts) == make_answer("m@1", "hi", 20)
         assert len(world.engine.truth()["runs"]) == 2
+
+
+class TestPages:
+    """What the gateway shows of itself."""
+
+    async def test_addresses(self, world: GatewayWorld) -> None:
+        status, answer = await world.get("/v1/addresses")
+        assert status == 200
+        assert answer["valid_for_s"] == CONFIGURATION.site.address_validity_s
+        assert answer["gateways"] == [
+            {
+                "host": "g0",
+                "address": world.url.removeprefix("http://"),
+                "incarnation": world.node.settings.incarnation,
+                "data_centre": "dc",
+            }
+        ]
+
+    async def test_no_ready_gateway_has_no_addresses(self, world: GatewayWorld) -> None:
+        world.set_members({0: {"ready": False}})
+        status, problem = await world.get("/v1/addresses")
+        assert (status, problem["code"]) == (503, "not_ready")
+
+    async def test_status(self, world: GatewayWorld) -> None:
+        _, status = await world.get("/v1/status")
+        assert status["config_version"] == 1
+        assert [each["host"] for each in status["members"]] == ["g0"]
+        upstreams = {each["upstream"]: each for each in status["upstreams"]}
+        assert upstreams["e1"]["report_age_s"] is not None
+        assert upstreams["s1"]["listed"]
+
+    async def test_metrics(self, world: GatewayWorld) -> None:
+        await world.complete(max_tokens=3)
+        await world.complete(model="x")
+        async with world.client.get(world.url + "/metrics") as response:
+            lines = (await response.text()).splitlines()
+        assert 'mangoway_tokens_total{work_class="urgent"} 3.0' in lines
+        assert (
+            'mangoway_requests_total{code="unknown_model",outcome="refused",'
+            'work_class=""} 1.0' in lines
+        )
+        assert 'mangoway_upstreams{kind="engine",state="listed"} 1' in lines
+
+    async def test_explanation(self, world: GatewayWorld) -> None:
+        body = await (await world.complete()).json()
+        _, answer = await world.get(f"/v1/explain/{body['id']}")
+        dispatched = answer["decisions"][0]
+        assert (dispatched["reason"], dispatched["upstream"]) == ("dispatched", "e1")
+
+    async def test_trace_goes_on_from_the_caller(self, world: GatewayWorld) -> None:
+        trace_id = "0af7651916cd43dd8448eb211c80319c"
+        parent = f"00-{trace_id}-b7ad6b7169203331-01"
+        await world.complete(HEADERS | {"traceparent": parent})
+        hops = [each.hop for each in world.node.tracing.list_spans(trace_id)]
+        assert hops == ["engine", "caller"]
