--- a/mangoway/daemons/gateway.py
+++ b/mangoway/daemons/gateway.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from ..host_list.listing import HostListing
+from ..host_list.listing import HostList, HostListing
 from ..host_list.poller import HostListPoller
 from ..host_list.registry import make_host_list
 from ..key_value.registry import make_key_value_store
@@ -16,6 +16,7 @@
 from ..models.member import Member, ProcessRole
 from ..observability import events as log
 from ..observability.event_log import log_event, start_log
+from ..observability.library_log import capture_library_logs
 from ..observability.metrics import Metrics
 from ..peers.network import PeerNetwork
 from ..policy.membership.core import MembershipCore
@@ -38,6 +39,7 @@
     stop_log = start_log(
         settings.log_level, host=settings.host, role=ProcessRole.GATEWAY.value
     )
+    capture_library_logs()
     try:
         outcome = asyncio.run(async_run(settings))
     finally:
@@ -77,6 +79,7 @@
     node: GatewayNode = field(init=False)
     network: PeerNetwork = field(init=False)
     stop: PlannedStop = field(init=False)
+    _host_list: HostList | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
@@ -112,10 +115,10 @@
         settings = self.settings
         await self.node.async_start(settings.caller_listen, settings.peer_listen)
         self.network.async_start(settings.seeds)
-        host_list = make_host_list(settings)
-        if host_list is not None:
+        self._host_list = make_host_list(settings)
+        if self._host_list is not None:
             poller = HostListPoller(
-                host_list,
+                self._host_list,
                 period_s=settings.host_list_period_s,
                 metrics=self.metrics,
                 on_change=self._list_hosts,
@@ -142,6 +145,8 @@
         """Stop everything."""
         self.network.async_stop()
         await self.node.async_stop(force)
+        if self._host_list is not None:
+            await self._host_list.async_close()
 
     def _make_network(self) -> PeerNetwork:
         rng = Random(secrets.randbits(64))
--- /dev/null
+++ b/tests/observability/test_library_log.py
@@ -0,0 +1,26 @@
+"""Tests of library logs as events."""
+
+import io
+import json
+import logging
+
+from mangoway.observability.event_log import LogLevel, start_log
+from mangoway.observability.library_log import EventHandler
+
+
+class TestEventHandler:
+    """Records of libraries."""
+
+    def test_record_and_its_exception_become_one_line(self) -> None:
+        stream = io.StringIO()
+        stop = start_log(LogLevel.INFO, host="h", role="gateway", stream=stream)
+        logger = logging.Logger("some.library")
+        logger.addHandler(EventHandler())
+        try:
+            logger.error("it failed\n", exc_info=ValueError("why"))
+        finally:
+            stop()
+        (line,) = stream.getvalue().splitlines()
+        event = json.loads(line)
+        assert (event["event"], event["library"]) == (107, "some.library")
+        assert event["text"] == "it failed: ValueError('why')"
