--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -32,6 +32,11 @@
     child: asyncio.subprocess.Process
     log: Path
     address: str = ""
+    admin: str = ""
+    """Address of its switches; its own address where they share it."""
+
+    peer_address: str = ""
+    """Address for other processes of the system; empty for a stand-in."""
 
     @property
     def is_running(self) -> bool:
@@ -111,9 +116,20 @@
         line = await asyncio.wait_for(process.child.stdout.readline(), START_TIMEOUT_S)
         if not line:
             raise RuntimeError(f"{name} did not start: {process.log.read_text()}")
-        process.address = json.loads(line)["address"]
+        addresses = json.loads(line)
+        process.address = addresses["address"]
+        process.admin = addresses.get("admin", process.address)
         return process
 
+    def list_ended(self) -> list[str]:
+        """Return the processes that have ended, each with its last line of errors."""
+        return [
+            f"{process.name} ended with {process.child.returncode}: "
+            + process.log.read_text().strip().rpartition("\n")[2]
+            for process in self.processes
+            if not process.is_running
+        ]
+
     async def async_end_all(self) -> None:
         """End every process that still runs."""
         for process in self.processes:
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -31,16 +31,21 @@
         super().__init__(RelaySwitches())
         self.target = target
         self.relay_address = ""
+        self._accepted = 0
         self._open: set[asyncio.StreamWriter] = set()
         self._muted: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self.app.router.add_post("/admin/cut", self._async_cut)
         self.app.router.add_post("/admin/mute", self._async_mute)
 
+    def addresses(self) -> dict[str, str]:
+        """Return the address that is relayed, and that for control."""
+        return {"address": self.relay_address, "admin": self.address}
+
     def truth(self) -> dict[str, Any]:
-        """Return the relaying address and how many ends are open or muted."""
+        """Return how many connections came, and how many ends are open or muted."""
         return {
-            "relay_address": self.relay_address,
+            "accepted": self._accepted,
             "open": len(self._open),
             "muted": len(self._muted),
         }
@@ -79,6 +84,7 @@
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._accepted += 1
         host, _, port = self.target.rpartition(":")
         if self.switches.refuse_new:
             writer.transport.abort()
