Report progress at each read again

User time is 80 of 93 us per event (system 13): what costs is the number of Python calls, not the system calls.

--- a/mangoway/daemons/attempts.py
+++ b/mangoway/daemons/attempts.py
@@ -38,8 +38,6 @@
 OUTCOME_WHOLE = "whole"
 OUTCOME_CANCELLED = "cancelled"
 FINISH_REASON_CANCELLED = "cancelled"
-PROGRESS_PERIOD_S = 0.5
-"""Shortest time between two events of progress of one attempt."""
 
 EventSink = Callable[[DispatchEvent], None]
 
@@ -144,8 +142,6 @@
             ),
         )
         work_class = request.work_class.value
-        now = asyncio.get_running_loop().time
-        progress_due = 0.0
         async with aclosing(stream):
             async for chunks in stream:
                 if record.attempt != attempt.id:
@@ -168,11 +164,7 @@
                     record.answer.append(chunk.text, chunk.offset, chunk.finish_reason)
                 tokens = record.answer.tokens
                 self.metrics.tokens.add(work_class, amount=tokens - before)
-                # The end of an attempt tells its tokens again, so that the events
-                # between need not come at each read.
-                if now() >= progress_due:
-                    progress_due = now() + PROGRESS_PERIOD_S
-                    self.send(AttemptProgressed(attempt_id=attempt.id, tokens=tokens))
+                self.send(AttemptProgressed(attempt_id=attempt.id, tokens=tokens))
 
     async def _async_call(self, attempt: RunningAttempt, action: StartAttempt) -> None:
         submission = attempt.record.submission
--- a/tests/daemons/test_attempts.py
+++ b/tests/daemons/test_attempts.py
@@ -115,9 +115,10 @@
         world = World()
         await world.start(FIRST)
         world.engine.feed("a1", CompletionChunk("x", 1), CompletionChunk("y", 2), None)
-        await world.until(2)
+        await world.until(3)
         assert world.events == [
             AttemptProgressed(attempt_id=FIRST.attempt_id, tokens=1),
+            AttemptProgressed(attempt_id=FIRST.attempt_id, tokens=2),
             AttemptSucceeded(attempt_id=FIRST.attempt_id),
         ]
         assert world.answer.text == "xy"
@@ -143,7 +144,7 @@
         world.engine.feed("a2", CompletionChunk("new", 1))
         await world.until(1)
         world.engine.feed("a1", CompletionChunk("old", 2))
-        await wait_until(lambda: len(world.runner) == 1)
+        await world.until(2)
         assert world.answer.text == "new"
 
     async def test_cancel_ends_at_the_engine_first(self) -> None:
