--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,6 +1,5 @@
 """A small system of real processes for each test."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -67,23 +66,8 @@
     return found
 
 
-async def async_wait_open(fleet: Fleet, process: Process, count: int = 1) -> None:
-    """Wait until an engine runs so many attempts."""
-
-    async def async_is_open() -> bool:
-        report = await fleet.async_get(process.address, "/v1/report")
-        return int(report["running"]) >= count
-
-    await async_wait_for(f"{process.name} runs {count}", async_is_open)
-
-
 async def async_count_runs(fleet: Fleet, key: str) -> int:
     """Return how often a call ran, over all hosts of the service that run."""
     running = [service for service in fleet.services if service.is_running]
     truths = await fleet.async_get_truths(running)
     return sum(truth["runs"].get(key, 0) for truth in truths)
-
-
-async def async_settle(tasks: list["asyncio.Task[object]"]) -> None:
-    """Wait for tasks to end."""
-    await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -54,6 +54,9 @@
     services: list[Process] = field(factory=list)
     gateways: list[Process] = field(factory=list)
     controllers: list[Process] = field(factory=list)
+    past_truths: list[dict[str, Any]] = field(factory=list)
+    """Truths of engines before they were restarted."""
+
     _groups: dict[str, dict[str, Any]] = field(factory=dict)
 
     @property
@@ -98,6 +101,16 @@
                 )
             )
 
+    async def async_restart_engine(self, engine: Process) -> None:
+        """Kill an engine, and start it anew, empty, at the same address."""
+        number = self.engines.index(engine)
+        self.past_truths += await self.async_get_truths([engine])
+        engine.kill()
+        await engine.async_wait()
+        self.engines[number] = await self.launcher.async_start_stand_in(
+            engine.name, "engine", f"--listen={engine.address}", *engine.flags
+        )
+
     async def async_switch(self, process: Process, **switches: Any) -> None:
         """Set switches of a stand-in."""
         await self.async_post(process.admin, "/admin/switches", switches)
--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -31,6 +31,7 @@
     name: str
     child: asyncio.subprocess.Process
     log: Path
+    flags: tuple[str, ...] = ()
     address: str = ""
     admin: str = ""
     """Address of its switches; its own address where they share it."""
@@ -103,7 +104,7 @@
                 stdout=asyncio.subprocess.PIPE,
                 stderr=errors,
             )
-        process = Process(name, child, log)
+        process = Process(name, child, log, flags)
         self.processes.append(process)
         return process
 
