--- a/mangoway/daemons/attempts.py
+++ b/mangoway/daemons/attempts.py
@@ -12,9 +12,15 @@
 from ..models.artifact import Artifact
 from ..models.errors import ErrorCode, Failure, MangowayError
 from ..models.identifiers import AttemptId
+from ..models.request import Request
 from ..models.verdict import Verdict
 from ..observability.event_log import log_event
-from ..observability.events import AnswerDropped, TaskFailed, UpstreamSilent
+from ..observability.events import (
+    AnswerDropped,
+    AttemptRetried,
+    TaskFailed,
+    UpstreamSilent,
+)
 from ..observability.metrics import Metrics
 from ..observability.tracing import Hop, HopSpan, Tracing
 from ..policy.dispatch.actions import StartAttempt
@@ -32,6 +38,8 @@
 OUTCOME_WHOLE = "whole"
 OUTCOME_CANCELLED = "cancelled"
 FINISH_REASON_CANCELLED = "cancelled"
+PROGRESS_PERIOD_S = 0.5
+"""Shortest time between two events of progress of one attempt."""
 
 EventSink = Callable[[DispatchEvent], None]
 
@@ -61,6 +69,7 @@
         record.attempt = attempt.id
         record.attempts += 1
         self._running[attempt.id] = attempt
+        self._note_retry(action, record)
         attempt.task = asyncio.get_running_loop().create_task(
             self._async_run(attempt, action)
         )
@@ -135,6 +144,8 @@
             ),
         )
         work_class = request.work_class.value
+        now = asyncio.get_running_loop().time
+        progress_due = 0.0
         async with aclosing(stream):
             async for chunks in stream:
                 if record.attempt != attempt.id:
@@ -145,6 +156,8 @@
                     )
                     return
                 before = record.answer.tokens
+                if not before:
+                    self._note_first_token(request)
                 for chunk in chunks:
                     if chunk.finish_reason == FINISH_REASON_CANCELLED:
                         raise MangowayError(
@@ -155,7 +168,11 @@
                     record.answer.append(chunk.text, chunk.offset, chunk.finish_reason)
                 tokens = record.answer.tokens
                 self.metrics.tokens.add(work_class, amount=tokens - before)
-                self.send(AttemptProgressed(attempt_id=attempt.id, tokens=tokens))
+                # The end of an attempt tells its tokens again, so that the events
+                # between need not come at each read.
+                if now() >= progress_due:
+                    progress_due = now() + PROGRESS_PERIOD_S
+                    self.send(AttemptProgressed(attempt_id=attempt.id, tokens=tokens))
 
     async def _async_call(self, attempt: RunningAttempt, action: StartAttempt) -> None:
         submission = attempt.record.submission
@@ -199,7 +216,27 @@
         tokens = attempt.record.answer.tokens
         self.send(AttemptCancelled(attempt_id=attempt.id, tokens=tokens))
 
+    def _note_retry(self, action: StartAttempt, record: RequestRecord) -> None:
+        failure, record.last_failure = record.last_failure, None
+        if failure is None:
+            return
+        self.metrics.retries.add(failure.code.value)
+        log_event(
+            AttemptRetried(
+                request_id=record.id,
+                upstream_id=action.upstream_id,
+                code=failure.code.value,
+                verdict=failure.verdict.value,
+            )
+        )
+
+    def _note_first_token(self, request: Request) -> None:
+        seconds = asyncio.get_running_loop().time() - request.arrived_at
+        work_class = request.work_class.value
+        self.metrics.first_token_seconds.observe(work_class, seconds=seconds)
+
     def _make_failed(self, attempt: RunningAttempt, failure: Failure) -> AttemptFailed:
+        attempt.record.last_failure = failure
         return AttemptFailed(
             attempt_id=attempt.id,
             verdict=failure.verdict,
