--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,5 @@
+"""Run the measurements."""
+
+from .cli import app
+
+app()
--- /dev/null
+++ b/measure/campaign.py
@@ -0,0 +1,99 @@
+"""All runs of the policy measurement, spread over a few processes."""
+
+from collections.abc import Iterable, Iterator
+from functools import lru_cache
+from multiprocessing import get_context
+
+from attrs import frozen
+
+from .bound import find_bound
+from .const import SEEDS
+from .demand import Demand, build_demand
+from .faults import Fault
+from .policies import ABLATIONS, BASELINES, OURS, Policy
+from .score import RunScore, Score, merge_runs, score_run
+from .simulation import Simulation
+from .sites import Site, build_cascadia, build_khangai
+
+_POLICIES: dict[str, Policy] = {
+    policy.name: policy for policy in (*BASELINES, OURS, *ABLATIONS)
+}
+FAULT_POLICIES = (*BASELINES[1:], OURS)
+"""Policies that are also measured with faults."""
+
+
+@frozen(kw_only=True)
+class Case:
+    """One policy on one site under one fault."""
+
+    site: str
+    policy: str
+    fault: Fault
+
+
+@frozen(kw_only=True)
+class Job:
+    """One run."""
+
+    case: Case
+    seed: int
+
+
+@lru_cache
+def find_site(name: str) -> Site:
+    """Return a site by its name."""
+    return {"khangai": build_khangai, "cascadia": build_cascadia}[name]()
+
+
+def list_cases(sites: Iterable[str], with_faults: bool) -> list[Case]:
+    """Return all cases, the slow policies first."""
+    names = [OURS.name, *(p.name for p in ABLATIONS), *(p.name for p in BASELINES)]
+    cases = [
+        Case(site=site, policy=name, fault=Fault.NONE)
+        for site in sites
+        for name in names
+    ]
+    if not with_faults:
+        return cases
+    faults = [fault for fault in Fault if fault is not Fault.NONE]
+    return cases + [
+        Case(site=site, policy=policy.name, fault=fault)
+        for site in sites
+        for policy in reversed(FAULT_POLICIES)
+        for fault in faults
+    ]
+
+
+def run_cases(
+    cases: list[Case], processes: int, seeds: tuple[int, ...] = SEEDS
+) -> Iterator[tuple[Job, RunScore]]:
+    """Run all cases with all seeds; yield each run as it ends."""
+    jobs = [Job(case=case, seed=seed) for case in cases for seed in seeds]
+    with get_context("fork").Pool(processes) as pool:
+        yield from pool.imap_unordered(_run_job, jobs)
+
+
+def merge_cases(runs: Iterable[tuple[Job, RunScore]]) -> dict[Case, Score]:
+    """Merge the runs of each case."""
+    by_case: dict[Case, list[tuple[int, RunScore]]] = {}
+    for job, score in runs:
+        by_case.setdefault(job.case, []).append((job.seed, score))
+    return {
+        case: merge_runs([score for _, score in sorted(found, key=lambda f: f[0])])
+        for case, found in by_case.items()
+    }
+
+
+@lru_cache(maxsize=4)
+def _find_demand(site: str, seed: int) -> Demand:
+    return build_demand(find_site(site), seed)
+
+
+def _run_job(job: Job) -> tuple[Job, RunScore]:
+    case = job.case
+    site = find_site(case.site)
+    demand = _find_demand(case.site, job.seed)
+    policy = _POLICIES[case.policy]
+    result = Simulation(site, demand, policy, case.fault, job.seed).run()
+    capacity = site.tokens_per_second * result.up_share
+    return job, score_run(result, find_bound(demand.arrivals, capacity))
--- /dev/null
+++ b/measure/cli.py
@@ -0,0 +1,56 @@
+"""The command line of the measurements."""
+
+import sys
+import time
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from .campaign import Job, list_cases, merge_cases, run_cases
+from .const import SEEDS
+from .plot import draw_scores
+from .report import build_tables, write_section
+from .score import RunScore
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+_MAX_PROCESSES = 4
+_SITES = ("khangai", "cascadia")
+
+
+@app.callback()
+def main() -> None:
+    """Measure the policy and write the figures into the pages."""
+
+
+@app.command()
+def policy(
+    pages: Annotated[Path, typer.Option(help="Folder of the pages.")] = Path("docs"),
+    processes: Annotated[
+        int, typer.Option(min=1, max=_MAX_PROCESSES, help="Processes to run in.")
+    ] = _MAX_PROCESSES,
+    faults: Annotated[bool, typer.Option(help="Also measure with faults.")] = True,
+    only: Annotated[
+        list[str] | None, typer.Option(help="Measure only this policy (repeatable).")
+    ] = None,
+    seeds: Annotated[
+        int, typer.Option(min=1, max=len(SEEDS), help="Number of seeds.")
+    ] = len(SEEDS),
+    write: Annotated[bool, typer.Option(help="Write the pages.")] = True,
+) -> None:
+    """Replay both deployments' demand with every policy, with and without faults."""
+    began = time.monotonic()
+    cases = list_cases(_SITES, faults)
+    if only:
+        cases = [case for case in cases if case.policy in only]
+    runs: list[tuple[Job, RunScore]] = []
+    for run in run_cases(cases, processes, SEEDS[:seeds]):
+        runs.append(run)
+        print(f"\r{len(runs)}/{len(cases) * seeds} runs", end="", file=sys.stderr)
+    print(f" in {time.monotonic() - began:.0f} s", file=sys.stderr)
+    scores = merge_cases(runs)
+    tables = build_tables(scores, runs)
+    print(tables)
+    if write and not only:
+        write_section(pages / "POLICY.md", tables)
+        draw_scores(pages / "policy.png", scores)
--- a/measure/simulation.py
+++ b/measure/simulation.py
@@ -60,7 +60,7 @@
     """Service calls that may not be repeated but ran more than once."""
 
     steps: dict[str, dict[Step, float]]
-    up_capacity: float
+    up_share: float
     """Share of the engines' time in which they were up."""
 
     store_calls: int
@@ -137,7 +137,7 @@
                 surge.name: self._milestones.list_steps(surge.name)
                 for surge in self.demand.surges
             },
-            up_capacity=1.0 - self._down_s() / length,
+            up_share=1.0 - self._down_s() / length,
             store_calls=self.ledgers.calls,
         )
 
