--- a/mangoway/policy/placement/const.py
+++ b/mangoway/policy/placement/const.py
@@ -50,11 +50,17 @@
 DEMAND_PERIOD_S: Final = 1.0
 """Time between two looks at copies above the floors."""
 
-DEMAND_RISE_S: Final = 2.0
+DEMAND_RISE_S: Final = 3.0
 """Time constant with which the demand estimate rises."""
 
-DEMAND_FALL_S: Final = 300.0
-"""Time constant with which the demand estimate falls."""
+DEMAND_DEVIATIONS: Final = 2.0
+"""Standard deviations by which the recent rate must be more than chance."""
+
+DEMAND_MEAN_S: Final = 60.0
+"""Time constant of the mean that trickles are judged by."""
+
+DEMAND_FALL_S: Final = 60.0
+"""Time constant with which the demand estimate falls after a peak."""
 
 DEMAND_EXPIRY_PERIODS: Final = 3.0
 """Periods after which a gateway's digest no longer counts."""
@@ -75,8 +81,12 @@
 KNEE_UTILISATION: Final = 0.9
 """Utilisation above which waiting is taken from the growth of the backlog."""
 
-MIN_SHARE: Final = 0.05
-"""Smallest share of a runner that a copy is credited with."""
+MIN_SHARE: Final = 0.25
+"""Smallest share of a runner that a copy is credited with.
+
+Gateways share a runner fairly among targets, so a hot model beside it takes less
+from a copy with little demand than the runner's whole load says.
+"""
 
 HYSTERESIS: Final = 1.5
 """Factor by which the gain of a copy must exceed the loss of those it evicts."""
--- a/mangoway/policy/placement/gains.py
+++ b/mangoway/policy/placement/gains.py
@@ -55,7 +55,7 @@
 
     _state: PlacementState
     _families: dict[Artifact, Demand] = field(factory=dict)
-    """Demand for each model version with all its adapters."""
+    """Demand for each model version with the adapters that lack bases."""
 
     loads: dict[UpstreamId, float] = field(factory=dict)
     """Tokens per second that the demand puts on each runner."""
@@ -65,17 +65,30 @@
         self._families = {}
         self.loads = {}
         for artifact, demand in self._state.demand.list_all().items():
-            old = self._families.get(artifact.base, Demand())
-            self._families[artifact.base] = Demand(
-                requests_per_second=old.requests_per_second
-                + demand.requests_per_second,
-                tokens_per_second=old.tokens_per_second + demand.tokens_per_second,
-            )
+            if self._needs_base(artifact):
+                self._add_to_family(artifact.base, demand)
             ready = self._list_ready(artifact)
             for upstream_id in ready:
                 share = demand.tokens_per_second / len(ready)
                 self.loads[upstream_id] = self.loads.get(upstream_id, 0.0) + share
 
+    def _needs_base(self, artifact: Artifact) -> bool:
+        """Return whether only a further base lets an artifact have more copies.
+
+        As long as an adapter can go beside a base that is there, further bases do
+        nothing for its demand.
+        """
+        if artifact.adapter is None:
+            return True
+        return len(self._list_held(artifact)) >= len(self._list_held(artifact.base))
+
+    def _add_to_family(self, base: Artifact, demand: Demand) -> None:
+        old = self._families.get(base, Demand())
+        self._families[base] = Demand(
+            requests_per_second=old.requests_per_second + demand.requests_per_second,
+            tokens_per_second=old.tokens_per_second + demand.tokens_per_second,
+        )
+
     def list_demanded(self) -> list[Artifact]:
         """Return all artifacts with demand, their own or their adapters'."""
         own = self._state.demand.list_all()
--- a/mangoway/policy/placement/load_queue.py
+++ b/mangoway/policy/placement/load_queue.py
@@ -38,9 +38,14 @@
 
     @property
     def order_key(self) -> tuple[int, bool, float, int, Artifact]:
-        """Return the place in the queue: rank, bases first, score, size."""
+        """Return the place in the queue: rank, bases first, score, size.
+
+        Copies for demand go by score alone: with bases first, adapters would wait
+        until no base had any demand left.
+        """
         is_adapter = self.artifact.adapter is not None
-        return (self.rank, is_adapter, -self.score, -self.memory_mb, self.artifact)
+        goes_later = is_adapter and self.rank is not NeedRank.DEMAND
+        return (self.rank, goes_later, -self.score, -self.memory_mb, self.artifact)
 
 
 @define
--- a/measure/plot.py
+++ b/measure/plot.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import matplotlib
+from matplotlib.axes import Axes
 
 from .campaign import Case
 from .faults import Fault
