--- a/mangoway/policy/placement/planner.py
+++ b/mangoway/policy/placement/planner.py
@@ -127,9 +127,6 @@
             return None
         if self._state.queue.find(artifact) is not None:
             return None
-        copies = self._state.copies.find(artifact)
-        if any(state is CopyState.LOADING for state in copies.values()):
-            return None
         memory_mb = self._state.find_memory_mb(artifact)
         need = Need(artifact=artifact, rank=NeedRank.DEMAND, memory_mb=memory_mb)
         bound = self._gains.find_most(artifact)
