--- a/measure/sites.py
+++ b/measure/sites.py
@@ -99,7 +99,7 @@
 def build_khangai() -> Site:
     """Build the site that weighs moves more: chat with families."""
     policy = SitePolicy(
-        move_price=8.0,
+        move_price=300.0,
         loads_per_second=2.0,
         loads_at_full_speed=2,
         kv_cache_floor_mb=KV_CACHE_FLOOR_MB,
@@ -116,7 +116,7 @@
 def build_cascadia() -> Site:
     """Build the site that weighs attainment more: drafts and floor calls."""
     policy = SitePolicy(
-        move_price=1.0,
+        move_price=100.0,
         loads_per_second=2.0,
         loads_at_full_speed=9,
         kv_cache_floor_mb=KV_CACHE_FLOOR_MB,
