Mend queue bounds, shares, claim records; test keys, queues and choice

The machine reached no replay, no expiry and no hand-over at first (counted: 0 ReplayAnswer, 0 key_expired); rules that resubmit after an answer and after a hand-over were added.

--- a/mangoway/policy/dispatch/arrivals.py
+++ b/mangoway/policy/dispatch/arrivals.py
@@ -165,19 +165,24 @@
         if held.claimed:
             self.scheduler.submit(entry)
             return
-        failure = Failure(
+        self.requests.refuse(entry, self._make_claim_failure(event.outcome))
+        # The claim is the authority; a record here would only take room.
+        if not held.claiming:
+            self.keys.drop(held)
+
+    def _make_claim_failure(self, outcome: str) -> Failure:
+        if outcome == ClaimOutcome.TAKEN:
+            return Failure(
+                code=ErrorCode.KEY_ALREADY_CLAIMED,
+                verdict=Verdict.MAY_HAVE_RUN,
+                detail="another gateway claimed the key",
+            )
+        return Failure(
             code=ErrorCode.KEY_CLAIM_UNAVAILABLE,
             verdict=Verdict.NOT_RUN,
             detail="the key could not be claimed",
             retry_after=self.admission.compute_retry_after(1.0),
         )
-        if event.outcome == ClaimOutcome.TAKEN:
-            failure = Failure(
-                code=ErrorCode.KEY_ALREADY_CLAIMED,
-                verdict=Verdict.MAY_HAVE_RUN,
-                detail="another gateway claimed the key",
-            )
-        self.requests.refuse(entry, failure)
 
     def _find_weight(self, request: Request) -> float:
         configuration = self.context.configuration
--- a/mangoway/policy/dispatch/entries.py
+++ b/mangoway/policy/dispatch/entries.py
@@ -15,6 +15,7 @@
 class EntryState(Enum):
     """Where a request is."""
 
+    NEW = "new"
     CLAIMING = "claiming"
     QUEUED = "queued"
     DELAYED = "delayed"
@@ -30,7 +31,7 @@
     weight: float
     """Weight of its caller."""
 
-    state: EntryState = EntryState.QUEUED
+    state: EntryState = EntryState.NEW
     verdict: Verdict = Verdict.NOT_RUN
     """Verdict of all attempts that ended."""
 
--- a/mangoway/policy/dispatch/fleet.py
+++ b/mangoway/policy/dispatch/fleet.py
@@ -222,7 +222,7 @@
         attempts = upstream.attempts.values()
         own = sum(item.started_at <= report.reported_at for item in attempts)
         upstream.others_load = max(0, load - own)
-        upstream.window.follow_report(load, own, self.gateways)
+        upstream.window.follow_report(load, own)
 
     def _follow_residents(self, upstream: Upstream, report: EngineReport) -> None:
         for resource, denied_at in list(upstream.denied.items()):
--- a/mangoway/policy/dispatch/limits.py
+++ b/mangoway/policy/dispatch/limits.py
@@ -29,11 +29,12 @@
         return (1.0 - self.tokens) / self.rate
 
     def change(self, rate: float, burst: float, now: float) -> None:
-        """Change the limits and keep what is left within them."""
+        """Change the limits; what was used stays used."""
         self._refill(now)
+        used = self.burst - self.tokens
         self.rate = rate
         self.burst = burst
-        self.tokens = min(self.tokens, burst)
+        self.tokens = max(0.0, burst - used)
 
     def _refill(self, now: float) -> None:
         earned = (now - self.updated_at) * self.rate
--- a/mangoway/policy/dispatch/scheduler.py
+++ b/mangoway/policy/dispatch/scheduler.py
@@ -66,10 +66,8 @@
                 return
             entry.state = EntryState.DELAYED
             # A process that was paused must not start what is too late by now.
-            if (
-                self.context.estimates.find_latest_start(entry, self.context.now)
-                < self.context.now
-            ):
+            self.update_times(entry)
+            if entry.latest_start < self.context.now:
                 self._refuse_late(entry)
                 continue
             self._start(entry, upstream)
--- a/mangoway/policy/dispatch/windows.py
+++ b/mangoway/policy/dispatch/windows.py
@@ -23,23 +23,26 @@
     there each gateway finds its own limit."""
 
     scale: float = 1.0
-    borrowed: float = 0.0
-    """Requests above the share, from the last report."""
+    reported_own: int = 0
+    reported_free: int = 0
+    """Own requests and free slots at the last report."""
 
     def compute(self, gateways: int) -> int:
         """Return the window, at least one request."""
         share = self.size / gateways if self.shared else float(self.size)
-        window = min(float(self.size), max(share, self.borrowed)) * self.scale
+        borrowed = self.reported_own + self.reported_free / gateways
+        window = min(float(self.size), max(share, borrowed)) * self.scale
         return max(1, int(window))
 
-    def follow_report(self, load: int, own: int, gateways: int) -> None:
-        """Set what may be borrowed from a load report that counts `own` requests."""
-        free = max(0, self.size - load)
-        self.borrowed = own + free / gateways
+    def follow_report(self, load: int, own: int) -> None:
+        """Take a load report, `own` requests of which are this gateway's."""
+        self.reported_own = own
+        self.reported_free = max(0, self.size - load)
 
     def forget_report(self) -> None:
         """Fall back to the even share."""
-        self.borrowed = 0.0
+        self.reported_own = 0
+        self.reported_free = 0
 
     def decrease(self) -> None:
         """React to a refusal as busy."""
--- /dev/null
+++ b/tests/policy/dispatch/test_keys.py
@@ -0,0 +1,258 @@
+"""Idempotency keys at one gateway."""
+
+from typing import Any
+
+import pytest
+
+from mangoway.models.errors import ErrorCode
+from mangoway.models.identifiers import CallerId, IdempotencyKey, IncarnationId
+from mangoway.models.request import Request
+from mangoway.models.verdict import Verdict
+from mangoway.policy.dispatch.actions import (
+    ClaimKey,
+    DispatchAction,
+    Finish,
+    ForgetAnswer,
+    ForwardToHome,
+    JoinRequest,
+    Refuse,
+    ReplayAnswer,
+    StartAttempt,
+)
+from mangoway.policy.dispatch.core import DispatchCore
+from mangoway.policy.dispatch.events import (
+    AttemptSucceeded,
+    ClaimOutcome,
+    ConfigurationChanged,
+    HomesChanged,
+    KeyClaimed,
+    KeyRecord,
+    PeerKeysReceived,
+    RequestCancelled,
+    Successor,
+    Ticked,
+)
+
+from .builders import CALL, arrive, make_configuration, make_core, make_request, pick
+
+OTHER = IncarnationId("other")
+
+
+def make_keyed(
+    name: str, at: float, own_id: str = "a", home: str = "home", **kwargs: Any
+) -> Request:
+    issued_at = kwargs.pop("issued_at", int(at))
+    return make_request(
+        name,
+        at,
+        target=CALL,
+        idempotent=False,
+        key=IdempotencyKey(f"{home}:{issued_at}:{own_id}"),
+        key_home=IncarnationId(home),
+        **kwargs,
+    )
+
+
+def make_plain(name: str, at: float) -> Request:
+    key = IdempotencyKey("mine")
+    return make_request(name, at, target=CALL, idempotent=False, key=key)
+
+
+def find_refusal(actions: list[DispatchAction]) -> tuple[ErrorCode, Verdict]:
+    (refusal,) = pick(actions, Refuse)
+    return refusal.failure.code, refusal.failure.verdict
+
+
+def finish(core: DispatchCore, actions: list[DispatchAction], at: float) -> None:
+    (started,) = pick(actions, StartAttempt)
+    ended = core.handle(AttemptSucceeded(attempt_id=started.attempt_id), at)
+    (finished,) = pick(ended, Finish)
+    assert finished.keep_answer
+
+
+class TestHomedKey:
+    """Keys whose home is this gateway."""
+
+    def test_in_progress_is_joined_and_done_is_replayed(self) -> None:
+        core = make_core()
+        first = arrive(core, make_keyed("a", 1.0), 1.0)
+        second = arrive(core, make_keyed("b", 1.0), 2.0)
+        assert pick(second, JoinRequest)[0].leader_id == "a"
+        assert not pick(second, StartAttempt)
+        finish(core, first, 3.0)
+        third = arrive(core, make_keyed("c", 1.0), 4.0)
+        assert pick(third, ReplayAnswer)[0].answer_id == "a"
+
+    def test_running_request_is_carried_on_after_a_hang_up(self) -> None:
+        core = make_core()
+        first = arrive(core, make_keyed("a", 1.0), 1.0)
+        assert not pick(core.handle(RequestCancelled(request_id="a"), 2.0), Refuse)
+        finish(core, first, 3.0)
+        again = arrive(core, make_keyed("b", 1.0), 4.0)
+        assert pick(again, ReplayAnswer)
+
+    def test_other_body_is_refused(self) -> None:
+        core = make_core()
+        arrive(core, make_keyed("a", 1.0, fingerprint=1), 1.0)
+        other = arrive(core, make_keyed("b", 1.0, fingerprint=2), 1.0)
+        assert find_refusal(other) == (ErrorCode.KEY_REUSED, Verdict.NOT_RUN)
+
+    def test_callers_keys_never_meet(self) -> None:
+        core = make_core()
+        arrive(core, make_keyed("a", 1.0, caller="one"), 1.0)
+        other = arrive(core, make_keyed("b", 1.0, caller="two"), 1.0)
+        assert pick(other, StartAttempt)
+
+    def test_old_key_is_expired_when_its_record_is_dropped(self) -> None:
+        core = make_core()
+        finish(core, arrive(core, make_keyed("a", 1.0), 1.0), 2.0)
+        kept = arrive(core, make_keyed("b", 1.0, within=900.0), 620.0)
+        assert pick(kept, ReplayAnswer)
+        assert pick(core.handle(Ticked(), 640.0), ForgetAnswer)
+        late = make_keyed("c", 641.0, issued_at=1)
+        expired = (ErrorCode.KEY_EXPIRED, Verdict.MAY_HAVE_RUN)
+        assert find_refusal(arrive(core, late, 641.0)) == expired
+
+    def test_longer_retention_revives_no_dropped_key(self) -> None:
+        core = make_core()
+        finish(core, arrive(core, make_keyed("a", 1.0), 1.0), 2.0)
+        core.handle(Ticked(), 640.0)
+        longer = make_configuration(version=2, key_retention_s=3600.0)
+        core.handle(ConfigurationChanged(configuration=longer), 641.0)
+        late = make_keyed("b", 642.0, issued_at=1)
+        assert find_refusal(arrive(core, late, 642.0))[0] is ErrorCode.KEY_EXPIRED
+
+    @pytest.mark.parametrize("issued_at", ["400", "x", ""])
+    def test_impossible_issue_time_is_refused(self, issued_at: str) -> None:
+        request = make_keyed("a", 1.0, issued_at=issued_at)
+        refusal = find_refusal(arrive(make_core(), request, 1.0))
+        assert refusal == (ErrorCode.MALFORMED_REQUEST, Verdict.NOT_RUN)
+
+    def test_full_table_refuses_new_keys_and_keeps_the_old(self) -> None:
+        core = make_core(configuration=make_configuration(key_capacity=1))
+        finish(core, arrive(core, make_keyed("a", 1.0), 1.0), 2.0)
+        new = arrive(core, make_keyed("b", 3.0, own_id="b"), 3.0)
+        assert find_refusal(new) == (ErrorCode.OVERLOADED, Verdict.NOT_RUN)
+        assert pick(new, Refuse)[0].failure.retry_after > 600.0
+        assert pick(arrive(core, make_keyed("c", 1.0), 4.0), ReplayAnswer)
+
+
+class TestHomes:
+    """Keys whose home is another gateway."""
+
+    def test_live_home_gets_the_request(self) -> None:
+        core = make_core()
+        core.handle(HomesChanged(live=frozenset({OTHER})), 1.0)
+        actions = arrive(core, make_keyed("a", 1.0, home="other"), 1.0)
+        assert pick(actions, ForwardToHome)[0].home == OTHER
+
+    def test_gone_home_may_have_run_it(self) -> None:
+        actions = arrive(make_core(), make_keyed("a", 1.0, home="other"), 1.0)
+        gone = (ErrorCode.KEY_HOME_GONE, Verdict.MAY_HAVE_RUN)
+        assert find_refusal(actions) == gone
+
+    def test_successors_are_followed(self) -> None:
+        core = make_core()
+        heir = IncarnationId("heir")
+        middle = IncarnationId("middle")
+        successors = (
+            Successor(home=OTHER, successor=middle),
+            Successor(home=middle, successor=heir),
+        )
+        event = HomesChanged(live=frozenset({heir}), successors=successors)
+        core.handle(event, 1.0)
+        actions = arrive(core, make_keyed("a", 1.0, home="other"), 1.0)
+        assert pick(actions, ForwardToHome)[0].home == heir
+
+    def make_record(self, own_id: str, verdict: Verdict | None) -> KeyRecord:
+        return KeyRecord(
+            key=IdempotencyKey(f"other:900:{own_id}"),
+            caller=CallerId("office"),
+            fingerprint=0,
+            expires_at=1530.0,
+            verdict=verdict,
+            answer_id=None if verdict else "answer",
+        )
+
+    def test_successor_answers_from_records_and_runs_only_fresh_keys(self) -> None:
+        core = make_core()
+        keys = (
+            self.make_record("done", None),
+            self.make_record("failed", Verdict.MAY_HAVE_RUN),
+        )
+        core.handle(PeerKeysReceived(home=OTHER, keys=keys), 1000.0)
+
+        def submit(own_id: str, issued_at: int) -> list[DispatchAction]:
+            name = f"{own_id}-{issued_at}"
+            request = make_keyed(name, 1000.0, own_id, "other", issued_at=issued_at)
+            return arrive(core, request, 1001.0)
+
+        assert pick(submit("done", 900), ReplayAnswer)[0].answer_id == "answer"
+        assert find_refusal(submit("failed", 900))[1] is Verdict.MAY_HAVE_RUN
+        assert pick(submit("new", 990), StartAttempt)
+        # The home may have kept records for less time than this process does.
+        gone = (ErrorCode.KEY_HOME_GONE, Verdict.MAY_HAVE_RUN)
+        assert find_refusal(submit("old", 930)) == gone
+
+    def test_records_that_do_not_fit_make_the_home_unknown(self) -> None:
+        core = make_core(configuration=make_configuration(key_capacity=1))
+        keys = tuple(self.make_record(name, None) for name in "abc")
+        core.handle(PeerKeysReceived(home=OTHER, keys=keys), 1000.0)
+        request = make_keyed("c", 1000.0, "c", "other", issued_at=990)
+        refusal = find_refusal(arrive(core, request, 1001.0))
+        assert refusal == (ErrorCode.KEY_HOME_GONE, Verdict.MAY_HAVE_RUN)
+
+    def test_no_new_key_runs_after_the_hand_over(self) -> None:
+        core = make_core()
+        arrive(core, make_keyed("a", 1.0), 1.0)
+        (record,) = core.export_keys()
+        assert record.verdict is Verdict.MAY_HAVE_RUN
+        actions = arrive(core, make_keyed("b", 2.0, own_id="b"), 2.0)
+        assert find_refusal(actions) == (ErrorCode.LEAVING, Verdict.NOT_RUN)
+
+
+class TestPlainKey:
+    """Keys that are claimed."""
+
+    @pytest.mark.parametrize(
+        ("outcome", "code", "verdict"),
+        [
+            (
+                ClaimOutcome.TAKEN,
+                ErrorCode.KEY_ALREADY_CLAIMED,
+                Verdict.MAY_HAVE_RUN,
+            ),
+            (
+                ClaimOutcome.UNAVAILABLE,
+                ErrorCode.KEY_CLAIM_UNAVAILABLE,
+                Verdict.NOT_RUN,
+            ),
+        ],
+    )
+    def test_failed_claim_is_refused(
+        self, outcome: str, code: ErrorCode, verdict: Verdict
+    ) -> None:
+        core = make_core()
+        assert pick(arrive(core, make_plain("a", 1.0), 1.0), ClaimKey)
+        actions = core.handle(KeyClaimed(request_id="a", outcome=outcome), 2.0)
+        assert find_refusal(actions) == (code, verdict)
+        assert not len(core.keys)
+
+    def test_claim_that_comes_too_late_starts_nothing_but_is_kept(self) -> None:
+        core = make_core()
+        arrive(core, make_plain("a", 1.0), 1.0)
+        claimed = KeyClaimed(request_id="a", outcome=ClaimOutcome.CLAIMED)
+        late = core.handle(claimed, 20.0)
+        assert find_refusal(late)[1] is Verdict.NOT_RUN
+        again = arrive(core, make_plain("b", 21.0), 21.0)
+        assert pick(again, StartAttempt)
+        assert not pick(again, ClaimKey)
+
+    def test_claims_stay_in_their_write_budget(self) -> None:
+        site = make_configuration(claim_writes_per_second=1.0)
+        core = make_core(configuration=site)
+        assert pick(arrive(core, make_plain("a", 1.0), 1.0), ClaimKey)
+        key = IdempotencyKey("other")
+        request = make_request("b", 1.0, target=CALL, idempotent=False, key=key)
+        refusal = find_refusal(arrive(core, request, 1.1))
+        assert refusal == (ErrorCode.KEY_CLAIM_UNAVAILABLE, Verdict.NOT_RUN)
--- a/tests/policy/dispatch/test_machine.py
+++ b/tests/policy/dispatch/test_machine.py
@@ -16,6 +16,9 @@
 )
 
 
+RARE = st.integers(min_value=0, max_value=3)
+
+
 class DispatchMachine(RuleBasedStateMachine):
     """Gateways, callers and upstreams under faults."""
 
@@ -54,13 +57,27 @@
         operation = self.world.plan(idempotent, kind, self.find(home), skew)
         self.world.submit(operation, self.find(place), within)
 
+    @rule(
+        kind=st.sampled_from(["plain", "homed"]),
+        home=PLACE,
+        places=st.lists(PLACE, min_size=2, max_size=4),
+    )
+    def submit_often(self, kind: str, home: int, places: list[int]) -> None:
+        operation = self.world.plan(False, kind, self.find(home), 0.0)
+        for place in places:
+            self.world.submit(operation, self.find(place), 60.0)
+
     @rule(place=PLACE, at=PLACE)
     def resubmit(self, place: int, at: int) -> None:
-        operations = self.world.operations
+        operations = [item for item in self.world.operations if item.key is not None]
         if operations:
             operation = operations[-1 - place % len(operations)]
             self.world.submit(operation, self.find(at), 10.0)
 
+    @rule(at=PLACE)
+    def resubmit_last(self, at: int) -> None:
+        self.resubmit(0, at)
+
     @rule(place=PLACE)
     def cancel(self, place: int) -> None:
         submissions = list(self.world.submissions.values())
@@ -79,6 +96,15 @@
         if ended:
             self.world.answer(ended[-1 - place % len(ended)], outcome)
 
+    @rule(place=PLACE, outcome=OUTCOME, seconds=st.sampled_from([0.0, 100.0, 160.0]))
+    def answer_all_and_resubmit(self, place: int, outcome: str, seconds: float) -> None:
+        for flight in list(self.world.flights.values()):
+            if not flight.answered:
+                self.world.answer(flight, outcome)
+        self.world.advance(seconds)
+        self.resubmit(0, place)
+        self.resubmit(1, place)
+
     @rule(place=PLACE)
     def run_late(self, place: int) -> None:
         """Let an upstream run an attempt that was given up as possibly run."""
@@ -91,7 +117,7 @@
         if self.world.forwards:
             self.world.deliver_forward(place)
 
-    @rule(place=PLACE, outcome=st.sampled_from(["up", "down", "ambiguous"]))
+    @rule(place=PLACE, outcome=st.sampled_from(["up", "up", "down", "ambiguous"]))
     def settle_claim(self, place: int, outcome: str) -> None:
         if self.world.claiming:
             self.world.settle_claim(place, outcome)
@@ -100,8 +126,10 @@
     def advance(self, seconds: float) -> None:
         self.world.advance(seconds)
 
-    @rule(place=PLACE)
-    def kill_and_restart(self, place: int) -> None:
+    @rule(place=PLACE, rare=RARE)
+    def kill_and_restart(self, place: int, rare: int) -> None:
+        if rare:
+            return
         self.world.kill(self.find(place))
         self.world.start_gateway()
 
@@ -113,25 +141,41 @@
         else:
             self.world.gateways[identity].frozen = True
 
-    @rule(place=PLACE)
-    def stop(self, place: int) -> None:
+    @rule(place=PLACE, rare=RARE)
+    def stop(self, place: int, rare: int) -> None:
         identity = self.find(place)
-        if not self.world.gateways[identity].frozen:
+        if not rare and not self.world.gateways[identity].frozen:
             self.world.stop(identity)
 
-    @rule(place=PLACE, heir=PLACE, lost=st.booleans())
-    def retire(self, place: int, heir: int, lost: bool) -> None:
+    @rule(
+        place=PLACE,
+        rare=RARE,
+        lost=st.booleans(),
+        known=st.booleans(),
+        lingers=st.booleans(),
+    )
+    def retire(
+        self, place: int, rare: int, lost: bool, known: bool, lingers: bool
+    ) -> None:
+        """Stop a gateway, hand its keys over and resubmit what it may have run."""
         identity = self.find(place)
-        to = self.find(heir)
-        if self.world.gateways[identity].stopping and to != identity:
-            self.world.retire(identity, to, lost)
+        if rare or self.world.gateways[identity].frozen:
+            return
+        self.world.stop(identity)
+        self.world.retire(identity, self.find(place + 1), lost)
+        if not lingers:
+            self.world.kill(identity)
             self.world.start_gateway()
+        if known:
+            self.spread()
+        self.resubmit(0, place)
+        self.resubmit(1, place + 1)
 
     @rule(place=PLACE)
     def spread_homes(self, place: int) -> None:
         self.world.spread_homes(self.find(place))
 
-    @rule(place=PLACE, upstream=st.sampled_from([*ENGINES, *HOSTS]))
+    @rule(place=PLACE, upstream=st.sampled_from([ENGINES[0], HOSTS[0]]))
     def leave(self, place: int, upstream: str) -> None:
         self.world.tell_leaving(self.find(place), UpstreamId(upstream))
 
--- /dev/null
+++ b/tests/policy/dispatch/test_queues.py
@@ -0,0 +1,134 @@
+"""Order of waiting requests, and who is refused first."""
+
+from collections import Counter
+
+import pytest
+
+from mangoway.models.errors import ErrorCode
+from mangoway.models.offer import CallerOffer
+from mangoway.policy.dispatch import queues
+from mangoway.policy.dispatch.actions import Refuse, StartAttempt
+from mangoway.policy.dispatch.core import DispatchCore
+from mangoway.policy.dispatch.events import AttemptSucceeded
+
+from .builders import (
+    CHAT,
+    DRAFT,
+    arrive,
+    make_configuration,
+    make_core,
+    make_request,
+    pick,
+    start,
+)
+
+CALLERS = {"small": CallerOffer(weight=1.0), "large": CallerOffer(weight=3.0)}
+
+
+def make_busy(**kwargs: object) -> tuple[DispatchCore, str]:
+    """Return a core whose only slot is taken, and the attempt that took it."""
+    core = make_core(
+        engines=1,
+        max_running=1,
+        configuration=make_configuration(CALLERS),
+    )
+    request = make_request("first", 0.5, caller="small", within=900.0)
+    return core, start(core, request, 0.5).attempt_id
+
+
+def serve(core: DispatchCore, attempt: str, count: int, at: float) -> list[str]:
+    """Let the only slot serve requests one by one; return their ids in order."""
+    served = []
+    for step in range(count):
+        ended = AttemptSucceeded(attempt_id=attempt)
+        (started,) = pick(core.handle(ended, at + step / 100), StartAttempt)
+        served.append(started.request_id)
+        attempt = started.attempt_id
+    return served
+
+
+class TestOrder:
+    """Who is served next."""
+
+    def test_callers_share_by_weight(self) -> None:
+        core, attempt = make_busy()
+        for number in range(20):
+            for caller in CALLERS:
+                name = f"{caller}{number}"
+                request = make_request(name, 1.0, caller=caller, within=900.0)
+                arrive(core, request, 1.0)
+        served = serve(core, attempt, 16, 2.0)
+        counts = Counter(name.rstrip("0123456789") for name in served)
+        assert counts == {"large": 12, "small": 4}
+
+    def test_hot_model_does_not_starve_another_on_its_runner(self) -> None:
+        core, attempt = make_busy()
+        for number in range(30):
+            request = make_request(f"hot{number}", 1.0, caller="large", within=900.0)
+            arrive(core, request, 1.0)
+        for number in range(4):
+            name = f"cold{number}"
+            request = make_request(name, 1.5, 900.0, DRAFT, "small")
+            arrive(core, request, 1.5)
+        served = serve(core, attempt, 10, 2.0)
+        assert sum(name.startswith("cold") for name in served) == 4
+
+    def test_earliest_deadline_of_a_caller_goes_first(self) -> None:
+        core, attempt = make_busy()
+        for number, within in enumerate((300.0, 100.0, 200.0)):
+            request = make_request(str(number), 1.0, within, caller="small")
+            arrive(core, request, 1.0)
+        assert serve(core, attempt, 3, 2.0) == ["1", "2", "0"]
+
+    def test_critical_patient_work_gets_a_reserve(self) -> None:
+        core, attempt = make_busy()
+        for number in range(20):
+            request = make_request(f"urgent{number}", 1.0, 900.0, caller="large")
+            arrive(core, request, 1.0)
+        relaxed = make_request("relaxed", 1.0, 900.0, CHAT, "small", urgent=False)
+        critical = make_request("critical", 1.0, 19.0, CHAT, "small", urgent=False)
+        arrive(core, relaxed, 1.0)
+        arrive(core, critical, 1.0)
+        served = serve(core, attempt, 9, 2.0)
+        assert served.index("critical") == 4
+        assert "relaxed" not in served
+
+
+class TestFullQueue:
+    """Who is refused first."""
+
+    @pytest.fixture(autouse=True)
+    def bound(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(queues, "QUEUE_MAX_PER_TARGET", 3)
+
+    def fill(self, core: DispatchCore, *names: str) -> list[str]:
+        """Queue `<caller>-<class>-<deadline>`; return who was refused."""
+        refused = []
+        for name in names:
+            caller, work, within, *_ = name.split("-")
+            request = make_request(
+                name, 1.0, float(within), CHAT, caller, work == "urgent"
+            )
+            refusals = pick(arrive(core, request, 1.0), Refuse)
+            assert all(item.failure.code is ErrorCode.OVERLOADED for item in refusals)
+            refused += [item.request_id for item in refusals]
+        return refused
+
+    def test_patient_work_goes_before_urgent(self) -> None:
+        core, _ = make_busy()
+        waiting = ("small-urgent-90", "small-patient-90", "small-patient-95")
+        assert self.fill(core, *waiting) == []
+        assert self.fill(core, "large-urgent-99") == ["small-patient-95"]
+
+    def test_caller_over_its_share_goes_first(self) -> None:
+        core, _ = make_busy()
+        waiting = ("small-urgent-90", "small-urgent-91", "large-urgent-99")
+        assert self.fill(core, *waiting) == []
+        assert self.fill(core, "large-urgent-98") == ["small-urgent-91"]
+
+    def test_own_latest_deadline_goes_first(self) -> None:
+        core, _ = make_busy()
+        waiting = ("small-urgent-90", "small-urgent-99", "small-urgent-91")
+        assert self.fill(core, *waiting) == []
+        assert self.fill(core, "small-urgent-80") == ["small-urgent-99"]
+        assert self.fill(core, "small-urgent-99-b") == ["small-urgent-99-b"]
--- a/tests/policy/dispatch/world.py
+++ b/tests/policy/dispatch/world.py
@@ -178,12 +178,11 @@
         self.send(identity, StopRequested())
 
     def retire(self, identity: IncarnationId, heir: IncarnationId, lost: bool) -> None:
-        """Hand the keys over; then the process ends."""
+        """Hand the keys over."""
         keys = self.gateways[identity].core.export_keys()
         if not lost:
             self.send(heir, PeerKeysReceived(home=identity, keys=keys))
         self.successors.append(Successor(home=identity, successor=heir))
-        del self.gateways[identity]
 
     def spread_homes(self, identity: IncarnationId) -> None:
         live = frozenset(self.gateways)
