--- a/mangoway/policy/placement/floors.py
+++ b/mangoway/policy/placement/floors.py
@@ -74,12 +74,23 @@
     """
     if not configuration.runner_groups:
         return []
+    # Either order may fail where the other fits; one that fits is enough.
+    swing_last = _pack(configuration, swing_first=False)
+    if not swing_last:
+        return []
+    swing_first = _pack(configuration, swing_first=True)
+    return min(swing_last, swing_first, key=len)
+
+
+def _pack(configuration: Configuration, swing_first: bool) -> list[Shortage]:
     bins = _list_bins(configuration)
-    shortages = _reserve_swing(configuration, bins)
+    shortages = _reserve_swing(configuration, bins) if swing_first else []
     for item in _list_items(configuration):
         shortage = _place(configuration, bins, item)
         if shortage is not None:
             shortages.append(shortage)
+    if not swing_first:
+        shortages.extend(_reserve_swing(configuration, bins))
     return shortages
 
 
