--- a/mangoway/cli/commands.py
+++ b/mangoway/cli/commands.py
@@ -6,7 +6,7 @@
 
 import typer
 
-MODULES: Final = ("gateway", "controller", "status", "explain")
+MODULES: Final = ("gateway", "controller", "status", "explain", "config")
 """Modules of this package that hold commands, by the name of their command."""
 
 _registrations: dict[str, Callable[[typer.Typer], object]] = {}
--- /dev/null
+++ b/mangoway/operators/rollout.py
@@ -0,0 +1,69 @@
+"""Whether a configuration version is in force on every live host."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Final
+
+from attrs import frozen
+
+from ..models.errors import ErrorCode, MangowayError
+from ..models.identifiers import ConfigVersion
+
+POLL_S: Final = 0.25
+"""Pause between two reads of the hosts' versions."""
+
+
+@frozen(kw_only=True)
+class HostVersion:
+    """The version in force in one live process."""
+
+    process: str
+    """Host and role, for operators."""
+
+    version: ConfigVersion | None
+    """None if the process did not answer."""
+
+
+ReadVersions = Callable[[], Awaitable[tuple[HostVersion, ...]]]
+
+
+def list_lagging(
+    hosts: Iterable[HostVersion], version: ConfigVersion
+) -> tuple[HostVersion, ...]:
+    """Return the processes in which the version, or a newer one, is not in force."""
+    return tuple(
+        host for host in hosts if host.version is None or host.version < version
+    )
+
+
+def describe_lagging(hosts: Iterable[HostVersion]) -> str:
+    """Return the processes with their versions in one line."""
+    return ", ".join(
+        f"{host.process} "
+        + ("gave no answer" if host.version is None else f"has {host.version}")
+        for host in hosts
+    )
+
+
+async def async_wait_in_force(
+    read: ReadVersions, version: ConfigVersion, timeout_s: float
+) -> int:
+    """Wait until a version is in force everywhere; return the number of processes.
+
+    Raises:
+        MangowayError: CONFIG_NOT_IN_FORCE, naming who lags, after `timeout_s`; of
+            `read` if no process answers.
+    """
+    deadline = asyncio.get_running_loop().time() + timeout_s
+    while True:
+        hosts = await read()
+        lagging = list_lagging(hosts, version)
+        if hosts and not lagging:
+            return len(hosts)
+        if asyncio.get_running_loop().time() >= deadline:
+            who = describe_lagging(lagging) or "no live process is known"
+            detail = f"version {version} after {timeout_s:g} s: {who}"
+            raise MangowayError(
+                ErrorCode.CONFIG_NOT_IN_FORCE, detail, retry_after=timeout_s
+            )
+        await asyncio.sleep(POLL_S)
--- a/mangoway/operators/validator.py
+++ b/mangoway/operators/validator.py
@@ -4,6 +4,7 @@
 
 from ..models.errors import ErrorCode, MangowayError
 from ..models.offer import Configuration, ModelOffer
+from ..policy.placement.floors import check_floors_fit
 from .bundle import BASE, ConfigurationBundle, name_overlay
 from .converter import Fault
 
@@ -71,3 +72,16 @@
         if offer.first_token_s is not None and offer.first_token_s > offer.deadline_s:
             path = ("classes", name.value, "first_token_s")
             yield Fault(ErrorCode.CONFIG_INVALID, path, "later than deadline_s")
+
+
+@register_check
+def check_floors(configuration: Configuration) -> Iterator[Fault]:
+    """Yield floor copies for which the declared runners have no room."""
+    for shortage in check_floors_fit(configuration):
+        model = shortage.artifact.model
+        detail = (
+            f"{shortage.artifact} of {shortage.memory_mb} MB does not fit: "
+            f"{shortage.reason} {shortage.detail}"
+        )
+        path = ("models", model)
+        yield Fault(ErrorCode.CONFIG_DOES_NOT_FIT, path, detail.rstrip())
