Send to one peer a beat in large cells

At 62 members a heartbeat carries 52 to 55 entries whatever the period, since any two processes meet only every 15 s or more; so fewer messages are what saves bytes.

--- a/mangoway/policy/membership/const.py
+++ b/mangoway/policy/membership/const.py
@@ -5,10 +5,16 @@
 BEAT_S: Final = 1.0
 """Period of heartbeats."""
 
-FANOUT: Final = 2
-"""Peers to which a process sends at each beat."""
+SMALL_CELL: Final = 20
+"""Live peers up to which the fan-out is SMALL_CELL_FANOUT."""
 
-SILENCE_S: Final = 8.0
+SMALL_CELL_FANOUT: Final = 2
+"""Peers to which a process sends at each beat in a small cell."""
+
+FANOUT: Final = 1
+"""Peers to which it does so in a larger one, where bytes count; each replies."""
+
+SILENCE_S: Final = 10.0
 """Time without a new beat after which a process counts as gone."""
 
 FULL_SYNC_S: Final = 30.0
--- a/mangoway/policy/membership/core.py
+++ b/mangoway/policy/membership/core.py
@@ -13,7 +13,14 @@
     SendHeartbeat,
     WakeAt,
 )
-from .const import BEAT_S, FANOUT, FREEZE_S, FULL_SYNC_S
+from .const import (
+    BEAT_S,
+    FANOUT,
+    FREEZE_S,
+    FULL_SYNC_S,
+    SMALL_CELL,
+    SMALL_CELL_FANOUT,
+)
 from .events import (
     HeartbeatReceived,
     HostsListed,
@@ -159,7 +166,8 @@
             self._change_own(self._own, now)
         actions: list[MembershipAction] = [WakeAt(time=self._next_beat_at)]
         live = self._list_live()
-        chosen = self._random.sample(live, min(FANOUT, len(live)))
+        fanout = SMALL_CELL_FANOUT if len(live) <= SMALL_CELL else FANOUT
+        chosen = self._random.sample(live, min(fanout, len(live)))
         if chosen and now >= self._next_sync_at:
             self._next_sync_at = now + FULL_SYNC_S * self._random.uniform(0.5, 1.5)
             self._forget_gone(live)
