--- a/mangoway/models/offer.py
+++ b/mangoway/models/offer.py
@@ -23,6 +23,8 @@
     """An adapter of a model."""
 
     memory_mb: int
+    """Memory that it takes beside its model version."""
+
     floor: int = 1
     """Ready copies that are always kept."""
 
@@ -32,7 +34,10 @@
     """The weights of one version of a model."""
 
     memory_mb: int
+    """Memory that the weights take on a runner."""
+
     floor: int = 1
+    """Ready copies that are always kept."""
 
 
 @frozen(kw_only=True)
@@ -40,6 +45,8 @@
     """A model with its versions and adapters."""
 
     default_version: VersionName
+    """Version that requests get which name none."""
+
     versions: Mapping[VersionName, VersionOffer]
     adapters: Mapping[AdapterName, AdapterOffer] = field(factory=dict)
     """Adapters, each usable with the default version."""
@@ -53,8 +60,13 @@
     """One call of a plain service."""
 
     idempotent: bool = False
+    """Whether it may run more than once; if not, it is never retried blindly."""
+
     work_class: WorkClass = WorkClass.URGENT
+    """Class of work of requests that name none."""
+
     timeout_s: float = 5.0
+    """Time for the whole answer when the request names none."""
 
 
 @frozen(kw_only=True)
@@ -72,6 +84,8 @@
     """Share relative to other callers when there is not enough for all."""
 
     requests_per_second: float | None = None
+    """Rate above which requests are refused; None if there is no limit."""
+
     burst: int | None = None
     """Requests that may come at once above the rate; None means one second's."""
 
@@ -87,6 +101,7 @@
     """Target for the first token; None if only the deadline counts."""
 
     weight: float = 1.0
+    """Share relative to the other class when there is not enough for both."""
 
 
 @frozen(kw_only=True)
@@ -94,9 +109,16 @@
     """Runners that an operator declares for the check that floors fit."""
 
     data_centre: DataCentreId
+    """Data centre in which they are."""
+
     count: int
+    """Number of runners in the group."""
+
     memory_mb: int
+    """Accelerator memory of one runner."""
+
     accelerators: int = 1
+    """Accelerators of one runner."""
 
 
 @frozen(kw_only=True)
@@ -107,8 +129,13 @@
     """Price of one load in units of request-seconds saved; higher means fewer moves."""
 
     loads_per_second: float = 2.0
+    """Loads that the weight store allows to begin in a second."""
+
     loads_at_full_speed: int = 2
+    """Loads that the weight store serves at full speed at once."""
+
     kv_cache_floor_mb: int = 4096
+    """Memory of each runner that is kept for its KV cache."""
     order_lateness_bound_s: float = 60.0
     """Longest time an order may stay on its way after its connection died."""
 
--- a/mangoway/operators/documents.py
+++ b/mangoway/operators/documents.py
@@ -50,6 +50,7 @@
     """Override of the ready copies of one version or adapter."""
 
     floor: int
+    """Ready copies that are always kept."""
 
 
 @frozen(kw_only=True)
--- a/mangoway/operators/ranges.py
+++ b/mangoway/operators/ranges.py
@@ -14,7 +14,7 @@
     highest: float
 
     def __str__(self) -> str:
-        return f"{self.lowest:g} to {self.highest:g}"
+        return f"{self.lowest:.12g} to {self.highest:.12g}"
 
 
 RANGES: Final[Mapping[str, Range]] = {
