--- a/tests/policy/configuration/test_core.py
+++ b/tests/policy/configuration/test_core.py
@@ -201,4 +201,6 @@
 
 
 TestFleetMachine = FleetMachine.TestCase
-TestFleetMachine.settings = settings(max_examples=150, stateful_step_count=30)
+TestFleetMachine.settings = settings(
+    max_examples=4 * settings().max_examples, stateful_step_count=30
+)
