Ask for whole documents after a delta that did not fit

A process whose documents differ from its peers' (digest of the delta not as stated) would have asked for the same delta for ever in an outage of the service; it now asks from version 0. Found by reading the loop side; held by a test with two followers.

--- a/mangoway/operators/follower.py
+++ b/mangoway/operators/follower.py
@@ -22,6 +22,7 @@
 from .repository import ConfigurationRepository
 from .sections import SectionParser
 
+NO_VERSION: Final = ConfigVersion(0)
 PLAIN: Final = b"p"
 COMPRESSED: Final = b"z"
 MAX_UPDATE_BYTES: Final = 4 * MAX_DOCUMENT_BYTES
@@ -52,12 +53,19 @@
     _deltas: tuple[ConfigurationDelta, ...] = ()
     _parser: SectionParser = field(factory=SectionParser, eq=False)
     _loaded: Configuration | None = field(default=None, eq=False)
+    _is_doubtful: bool = field(default=False, eq=False)
+    """Whether a delta did not fit what is held; whole documents settle it."""
 
     @property
     def version(self) -> ConfigVersion:
         """Return the version of the documents held; 0 if there are none."""
         return self.bundle.version
 
+    @property
+    def known_version(self) -> ConfigVersion:
+        """Return the version to ask peers for changes from; 0 asks for all."""
+        return NO_VERSION if self._is_doubtful else self.version
+
     def load(self) -> Configuration:
         """Return the merged configuration of the documents held."""
         if self._loaded is None or self._loaded.version != self.version:
@@ -117,17 +125,20 @@
         self._loaded = self._parse(bundle)
         self.bundle = bundle
         self._deltas = ()
+        self._is_doubtful = False
 
     def _accept_deltas(self, deltas: tuple[ConfigurationDelta, ...]) -> None:
         bundle = self.bundle
         fresh = tuple(delta for delta in deltas if delta.version > bundle.version)
-        for delta in fresh:
-            bundle = apply_delta(bundle, delta, self.site)
         if not fresh:
             return
+        self._is_doubtful = True
+        for delta in fresh:
+            bundle = apply_delta(bundle, delta, self.site)
         self._loaded = self._parse(bundle)
         self.bundle = bundle
         self._deltas = (*self._deltas, *fresh)[-DELTAS_KEPT:]
+        self._is_doubtful = False
 
     def _parse(self, bundle: ConfigurationBundle) -> Configuration:
         overlay = name_overlay(self.site)
--- a/tests/operators/test_follower.py
+++ b/tests/operators/test_follower.py
@@ -86,6 +86,20 @@
         assert first.accept_update(old).version == 2
         assert first.make_update(ConfigVersion(2)) == b""
 
+    async def test_differing_documents_are_asked_for_whole(
+        self, first: ConfigurationFollower, repository: ConfigurationRepository
+    ) -> None:
+        peer = ConfigurationFollower("east")
+        peer.bundle = peer.bundle.replace_part(BASE, "", ConfigVersion(1))
+        await repository.async_apply(make_edit(make_base(2), "b"), "anna")
+        await first.async_fetch(repository, ConfigVersion(2))
+        assert peer.known_version == 1
+        with pytest.raises(MangowayError, match="digest"):
+            peer.accept_update(first.make_update(peer.known_version))
+        assert peer.known_version == 0
+        assert peer.accept_update(first.make_update(peer.known_version)) == first.load()
+        assert peer.known_version == 2
+
     async def test_differing_documents_are_read_whole(
         self, first: ConfigurationFollower, repository: ConfigurationRepository
     ) -> None:
