Close the key-value connection after each configuration command

Seen on a run against the stand-in of the service: 'Unclosed connection' on stderr after every command.

--- a/mangoway/cli/config.py
+++ b/mangoway/cli/config.py
@@ -209,7 +209,10 @@
 
     async def async_call() -> ResultT:
         store = make_key_value_store(settings, Metrics())
-        return await call(ConfigurationRepository(store))
+        try:
+            return await call(ConfigurationRepository(store))
+        finally:
+            store.close()
 
     return _end_on_error(lambda: asyncio.run(async_call()))
 
