Let only the named successor run unknown keys; test retries, time and stop

Cause: a hand-over whose answer was lost may be repeated to a second gateway. Both would take the home over, and each would run a key that neither had a record of. Taking the records is no longer enough: the home must have named this gateway as its successor (HomesChanged), and it names one only. Ruled out: leaving it to the shell to hand over once (it can't know whether the first one arrived, and would rather try again). The machine now hands over to several gateways of which one is named.

--- a/mangoway/policy/dispatch/core.py
+++ b/mangoway/policy/dispatch/core.py
@@ -67,7 +67,7 @@
         fleet = Fleet(options)
         queues = Queues(options.fair_share, options.patient_reserve)
         self.context = Context(identity, rng, options, fleet, queues)
-        self.homes = Homes()
+        self.homes = Homes(identity)
         self.keys = KeyTable(identity, self.homes, options.clock_offset_s)
         self.attempts = Attempts(self.context)
         self.requests = Requests(self.context, self.attempts, self.keys)
@@ -131,7 +131,7 @@
     def export_keys(self) -> tuple[KeyRecord, ...]:
         """Return all key records for the successor; no new key is run after this.
 
-        The records go to one successor only, however often they are exported.
+        Whoever gets the records, the home names one successor and keeps to it.
         """
         return self.keys.export()
 
--- a/mangoway/policy/dispatch/homes.py
+++ b/mangoway/policy/dispatch/homes.py
@@ -11,6 +11,7 @@
 class Homes:
     """Live homes, the successors of those that left, and homes taken over here."""
 
+    identity: IncarnationId
     _live: frozenset[IncarnationId] = frozenset()
     _successors: dict[IncarnationId, IncarnationId] = field(factory=dict)
     _adopted: dict[IncarnationId, float] = field(factory=dict)
@@ -34,7 +35,7 @@
         """Return who answers for a home: itself, or the last of its successors."""
         current = home
         for _ in range(SUCCESSORS_MAX_HOPS):
-            if current in self._live:
+            if current == self.identity or current in self._live:
                 return current
             successor = self._successors.get(current)
             if successor is None:
--- a/mangoway/policy/dispatch/keys.py
+++ b/mangoway/policy/dispatch/keys.py
@@ -167,9 +167,8 @@
     def export(self) -> tuple[KeyRecord, ...]:
         """Close the table and return all records for the successor.
 
-        There must be one successor only: if the hand-over to it may have arrived,
-        another one must not get the records. What is still in progress is handed over
-        as "may have run".
+        The home may name one successor only, and never another later. What is still
+        in progress is handed over as "may have run".
         """
         self.closed = True
         return tuple(self._export_one(held) for held in self._records.values())
@@ -214,7 +213,10 @@
             detail = "a homed key is <incarnation>:<unix seconds>:<own id>"
             return _refuse(ErrorCode.MALFORMED_REQUEST, detail)
         adopted_at = self.homes.find_adopted(home)
-        if home != self.identity and adopted_at is None:
+        # A hand-over whose answer was lost may have been repeated to another gateway,
+        # so taking the records is not enough: the home must have named this one.
+        named = self.homes.find_answering(home) == self.identity
+        if home != self.identity and (adopted_at is None or not named):
             return self._find_home(home)
         if self.closed:
             # The successor may have run it by now, so "not run" would be wrong.
--- a/tests/policy/dispatch/test_core.py
+++ b/tests/policy/dispatch/test_core.py
@@ -141,6 +141,14 @@
         assert not pick(actions, StartAttempt)
         assert pick(actions, Refuse)[0].request_id == "b"
 
+    def test_deadline_is_judged_again_before_a_start(self) -> None:
+        core = make_core(engines=1, max_running=1)
+        attempt = start(core, make_request("a", 1.0, 100.0), 1.0).attempt_id
+        arrive(core, make_request("b", 1.0, 100.0), 1.0)
+        actions = core.handle(AttemptSucceeded(attempt_id=attempt), 91.0)
+        assert not pick(actions, StartAttempt)
+        assert find_code(actions) is ErrorCode.DEADLINE_UNREACHABLE
+
     def test_running_request_ends_at_its_deadline(self) -> None:
         core = make_core()
         attempt = start(core, make_request("a", 1.0, 4.0), 1.0).attempt_id
--- a/tests/policy/dispatch/test_keys.py
+++ b/tests/policy/dispatch/test_keys.py
@@ -58,6 +58,13 @@
     return make_request(name, at, target=CALL, idempotent=False, key=key)
 
 
+def make_named(successor: str) -> HomesChanged:
+    """Return the news that a successor answers for `OTHER`, which has left."""
+    heir = IncarnationId(successor)
+    named = Successor(home=OTHER, successor=heir)
+    return HomesChanged(live=frozenset(), successors=(named,))
+
+
 def find_refusal(actions: list[DispatchAction]) -> tuple[ErrorCode, Verdict]:
     (refusal,) = pick(actions, Refuse)
     return refusal.failure.code, refusal.failure.verdict
@@ -181,6 +188,10 @@
             self.make_record("failed", Verdict.MAY_HAVE_RUN),
         )
         core.handle(PeerKeysReceived(home=OTHER, keys=keys), 1000.0)
+        unnamed = make_keyed("unnamed", 1000.0, "x", "other", issued_at=995)
+        gone = (ErrorCode.KEY_HOME_GONE, Verdict.MAY_HAVE_RUN)
+        assert find_refusal(arrive(core, unnamed, 1000.0)) == gone
+        core.handle(make_named("home"), 1000.0)
 
         def submit(own_id: str, issued_at: int) -> list[DispatchAction]:
             name = f"{own_id}-{issued_at}"
@@ -191,13 +202,13 @@
         assert find_refusal(submit("failed", 900))[1] is Verdict.MAY_HAVE_RUN
         assert pick(submit("new", 990), StartAttempt)
         # The home may have kept records for less time than this process does.
-        gone = (ErrorCode.KEY_HOME_GONE, Verdict.MAY_HAVE_RUN)
         assert find_refusal(submit("old", 930)) == gone
 
     def test_records_that_do_not_fit_make_the_home_unknown(self) -> None:
         core = make_core(configuration=make_configuration(key_capacity=1))
         keys = tuple(self.make_record(name, None) for name in "abc")
         core.handle(PeerKeysReceived(home=OTHER, keys=keys), 1000.0)
+        core.handle(make_named("home"), 1000.0)
         request = make_keyed("c", 1000.0, "c", "other", issued_at=990)
         refusal = find_refusal(arrive(core, request, 1001.0))
         assert refusal == (ErrorCode.KEY_HOME_GONE, Verdict.MAY_HAVE_RUN)
--- a/tests/policy/dispatch/test_retries.py
+++ b/tests/policy/dispatch/test_retries.py
@@ -73,6 +73,14 @@
         (refusal,) = pick(core.handle(event, 1.1), Refuse)
         assert refusal.failure.verdict is verdict
 
+    def test_cancel_that_nobody_asked_for_may_have_run(self) -> None:
+        core = make_core()
+        request = make_request("a", 1.0, target=CALL, idempotent=False)
+        event = AttemptCancelled(attempt_id=start(core, request, 1.0).attempt_id)
+        actions = core.handle(event, 1.1)
+        assert pick(actions, Refuse)[0].failure.verdict is Verdict.MAY_HAVE_RUN
+        assert not pick(core.handle(Ticked(), 2.0), StartAttempt)
+
     def test_not_run_is_tried_elsewhere_whatever_it_is(self) -> None:
         core = make_core()
         request = make_request("a", 1.0, target=CALL, idempotent=False)
--- a/tests/policy/dispatch/world.py
+++ b/tests/policy/dispatch/world.py
@@ -126,7 +126,7 @@
     submissions: dict[RequestId, Submission] = field(factory=dict)
     flights: dict[AttemptId, Flight] = field(factory=dict)
     forwards: list[tuple[Operation, IncarnationId]] = field(factory=list)
-    heirs: dict[IncarnationId, IncarnationId] = field(factory=dict)
+    named: set[IncarnationId] = field(factory=set)
     claims: dict[tuple[CallerId, IdempotencyKey], RequestId] = field(factory=dict)
     claiming: list[tuple[IncarnationId, ClaimKey]] = field(factory=list)
     runs: Counter[int] = field(factory=Counter)
@@ -179,14 +179,13 @@
         self.send(identity, StopRequested())
 
     def retire(self, identity: IncarnationId, heir: IncarnationId, lost: bool) -> None:
-        """Hand the keys over, always to the same gateway."""
-        heir = self.heirs.setdefault(identity, heir)
+        """Hand the keys over; name one successor, even if several got them."""
         keys = self.gateways[identity].core.export_keys()
         if not lost:
             self.send(heir, PeerKeysReceived(home=identity, keys=keys))
-        successor = Successor(home=identity, successor=heir)
-        if successor not in self.successors:
-            self.successors.append(successor)
+        if not lost and identity not in self.named:
+            self.named.add(identity)
+            self.successors.append(Successor(home=identity, successor=heir))
 
     def spread_homes(self, identity: IncarnationId) -> None:
         live = frozenset(self.gateways)
