Round windows at random, and judge patient work by what copies could do

Preemption and hedges were not tried. Ruled out: rounding up (62 gateways would overfill a runner of 64 slots twofold).

--- a/mangoway/policy/dispatch/admission.py
+++ b/mangoway/policy/dispatch/admission.py
@@ -7,7 +7,7 @@
 from ...models.artifact import Artifact
 from ...models.errors import ErrorCode, Failure
 from ...models.offer import Configuration
-from ...models.request import Request
+from ...models.request import Request, Target
 from ...models.verdict import Verdict
 from .const import (
     BACKLOG_SETTLED_S,
@@ -113,20 +113,26 @@
             return None
         return measured
 
-    def _find_rate(self, entry: Entry, queue: TargetQueue, now: float) -> float | None:
-        settled = self.find_settled_rate(queue, now)
-        if settled is not None:
-            return settled
-        estimate = self.estimates.get(entry.request.target)
-        measured = estimate.starts.get(now)
+    def find_capacity_rate(self, target: Target, now: float) -> float | None:
+        """Return the starts per second if all copies served one target only."""
+        estimate = self.estimates.get(target)
         duration = estimate.duration_s.get(now)
         if not duration:
             return None
-        resource = find_resource(entry.request.target)
+        resource = find_resource(target)
         copies = self.fleet.draw_ready(resource, CHOICE_CANDIDATES, self.rng)
         slots = sum(copy.window.compute(self.fleet.gateways) for copy in copies)
         mean = slots / max(1, len(copies))
-        return max(measured, mean * self.fleet.count_ready(resource) / duration)
+        capacity = mean * self.fleet.count_ready(resource) / duration
+        return max(estimate.starts.get(now), capacity)
+
+    def _find_rate(self, entry: Entry, queue: TargetQueue, now: float) -> float | None:
+        # Urgent work that presses on patient work now may be gone long before that
+        # is due, so patient work is judged by all that the copies could do.
+        settled = self.find_settled_rate(queue, now) if entry.urgent else None
+        if settled is not None:
+            return settled
+        return self.find_capacity_rate(entry.request.target, now)
 
     def _find_copy_obstacle(self, entry: Entry, now: float) -> Failure | None:
         target = entry.request.target
--- a/mangoway/policy/dispatch/core.py
+++ b/mangoway/policy/dispatch/core.py
@@ -64,7 +64,7 @@
         options: DispatchOptions | None = None,
     ) -> None:
         options = options or DispatchOptions()
-        fleet = Fleet(options)
+        fleet = Fleet(options, rng)
         queues = Queues(options.fair_share, options.patient_reserve)
         self.context = Context(identity, rng, options, fleet, queues)
         self.homes = Homes(identity)
--- a/mangoway/policy/dispatch/fleet.py
+++ b/mangoway/policy/dispatch/fleet.py
@@ -30,6 +30,7 @@
     """
 
     options: DispatchOptions
+    rng: Random
     prefixes: PrefixIndex = field(factory=PrefixIndex)
     gateways: int = 1
     upstreams: dict[UpstreamId, Upstream] = field(factory=dict)
@@ -222,6 +223,7 @@
         attempts = upstream.attempts.values()
         own = sum(item.started_at <= report.reported_at for item in attempts)
         upstream.others_load = max(0, load - own)
+        upstream.window.dither = self.rng.random()
         upstream.window.follow_report(load, own)
 
     def _follow_residents(self, upstream: Upstream, report: EngineReport) -> None:
--- a/mangoway/policy/dispatch/recheck.py
+++ b/mangoway/policy/dispatch/recheck.py
@@ -46,15 +46,17 @@
                 self.scheduler.give_up(entry, code, wait)
 
     def _check_wait(self, queue: TargetQueue) -> None:
-        rate = self.admission.find_settled_rate(queue, self.context.now)
-        if rate is None:
-            return
-        ahead_of_patient = float(queue.urgent.length)
+        now = self.context.now
         unreachable: list[tuple[Entry, float]] = []
-        for entry, ahead in queue.urgent.list_positions():
-            self._collect(unreachable, entry, ahead / rate)
-        for entry, ahead in queue.patient.list_positions():
-            self._collect(unreachable, entry, (ahead_of_patient + ahead) / rate)
+        rate = self.admission.find_settled_rate(queue, now)
+        if rate is not None:
+            for entry, ahead in queue.urgent.list_positions():
+                self._collect(unreachable, entry, ahead / rate)
+        rate = self.admission.find_capacity_rate(queue.target, now)
+        if rate is not None:
+            urgent = queue.urgent.length
+            for entry, ahead in queue.patient.list_positions():
+                self._collect(unreachable, entry, (urgent + ahead) / rate)
         for entry, wait in unreachable:
             self.scheduler.give_up(entry, ErrorCode.DEADLINE_UNREACHABLE, wait)
 
--- a/mangoway/policy/dispatch/windows.py
+++ b/mangoway/policy/dispatch/windows.py
@@ -23,6 +23,11 @@
     there each gateway finds its own limit."""
 
     scale: float = 1.0
+    dither: float = 0.0
+    """Drawn in [0, 1) and added before rounding down.
+
+    Without it the gateways together would leave up to one slot each unused."""
+
     reported_own: int = 0
     reported_free: int = 0
     """Own requests and free slots at the last report."""
@@ -32,7 +37,7 @@
         share = self.size / gateways if self.shared else float(self.size)
         borrowed = self.reported_own + self.reported_free / gateways
         window = min(float(self.size), max(share, borrowed)) * self.scale
-        return max(1, int(window))
+        return max(1, int(window + self.dither))
 
     def follow_report(self, load: int, own: int) -> None:
         """Take a load report, `own` requests of which are this gateway's."""
--- a/tests/policy/dispatch/test_choice.py
+++ b/tests/policy/dispatch/test_choice.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from mangoway.models.errors import ErrorCode, Failure
-from mangoway.models.identifiers import DataCentreId
+from mangoway.models.identifiers import DataCentreId, UpstreamId
 from mangoway.models.upstream import CacheChange, Residency
 from mangoway.models.verdict import Verdict
 from mangoway.policy.dispatch.actions import StartAttempt
@@ -118,6 +118,16 @@
                 window.follow_report(load=12, own=12 // gateways)
             assert sum(window.compute(gateways) for window in windows) <= 32
 
+    def test_rounding_leaves_no_slot_unused(self) -> None:
+        core = make_core(engines=1, max_running=8)
+        core.handle(GatewaysCounted(count=3), 1.0)
+        window = core.context.fleet.upstreams[UpstreamId("engine0")].window
+        total = 0
+        for number in range(300):
+            core.handle(make_report("engine0", 2.0 + number), 2.0 + number)
+            total += window.compute(3)
+        assert 7.7 <= total / 100 <= 8.3
+
     def test_alone_active_gateway_borrows_nearly_all(self) -> None:
         window = Window(size=30)
         for _ in range(12):
--- a/tests/policy/dispatch/test_core.py
+++ b/tests/policy/dispatch/test_core.py
@@ -32,6 +32,7 @@
 from .builders import (
     CALL,
     CHAT,
+    DRAFT,
     arrive,
     make_artifact,
     make_configuration,
@@ -92,6 +93,24 @@
         assert find_code(actions) is ErrorCode.DEADLINE_UNREACHABLE
         assert pick(actions, Refuse)[0].failure.retry_after >= 0.5
 
+    def test_urgent_pressure_refuses_no_patient_work_that_capacity_could_do(
+        self,
+    ) -> None:
+        core = make_core(engines=1, max_running=1)
+        attempt = start(core, make_request("warm", 1.0), 1.0).attempt_id
+        core.handle(AttemptSucceeded(attempt_id=attempt), 2.0)
+        attempt = start(core, make_request("first", 2.0, target=DRAFT), 2.0).attempt_id
+        for number in range(16):
+            at = 3.0 + number
+            patient = make_request(f"patient{number}", at, 60.0, urgent=False)
+            assert not pick(arrive(core, patient, at), Refuse)
+            arrive(core, make_request(f"urgent{number}", at, 5.0, DRAFT), at)
+            actions = core.handle(AttemptSucceeded(attempt_id=attempt), at)
+            assert not pick(actions, Refuse)
+            (started,) = pick(actions, StartAttempt)
+            assert started.request_id == f"urgent{number}"
+            attempt = started.attempt_id
+
     def test_no_copy_waits_only_where_a_load_may_finish(self) -> None:
         core = make_core(engines=1, artifacts=())
         actions = arrive(core, make_request("a", 1.0), 1.0)
