--- a/mangoway/policy/dispatch/keys.py
+++ b/mangoway/policy/dispatch/keys.py
@@ -167,7 +167,8 @@
     def export(self) -> tuple[KeyRecord, ...]:
         """Close the table and return all records for the successor.
 
-        What is still in progress is handed over as "may have run".
+        The home may name one successor only, and never another later. What is still
+        in progress is handed over as "may have run".
         """
         self.closed = True
         return tuple(self._export_one(held) for held in self._records.values())
@@ -212,8 +213,14 @@
             detail = "a homed key is <incarnation>:<unix seconds>:<own id>"
             return _refuse(ErrorCode.MALFORMED_REQUEST, detail)
         adopted_at = self.homes.find_adopted(home)
-        if home != self.identity and adopted_at is None:
+        # A hand-over whose answer was lost may have been repeated to another gateway,
+        # so taking the records is not enough: the home must have named this one.
+        named = self.homes.find_answering(home) == self.identity
+        if home != self.identity and (adopted_at is None or not named):
             return self._find_home(home)
+        if self.closed:
+            # The successor may have run it by now, so "not run" would be wrong.
+            return _refuse_gone(home)
         issued_at = key.issued_at - self.clock_offset_s
         if issued_at <= max(now - self.retention_s, self._expired_until):
             detail = "the key is older than records are kept"
@@ -312,5 +319,5 @@
 
 
 def _refuse_gone(home: IncarnationId) -> RefuseKey:
-    detail = f"the key's home {home} is gone and left no records"
+    detail = f"the key's home {home} is gone, or its record was not handed over"
     return _refuse(ErrorCode.KEY_HOME_GONE, detail, Verdict.MAY_HAVE_RUN)
