Sort model versions before their adapters

Cause: artifacts with and without an adapter could not be compared: sorting them raised TypeError: '<' not supported between instances of 'NoneType' and 'str'. Conclusion: the adapter is ordered by its name, none as the empty text.

--- a/mangoway/models/artifact.py
+++ b/mangoway/models/artifact.py
@@ -2,7 +2,7 @@
 
 from typing import Self
 
-from attrs import frozen
+from attrs import field, frozen
 
 from .identifiers import AdapterName, ModelName, VersionName
 
@@ -10,6 +10,11 @@
 ADAPTER_SEPARATOR = "+"
 
 
+def _order_adapter(adapter: AdapterName | None) -> str:
+    """Return a key that puts a model version before its adapters."""
+    return adapter or ""
+
+
 @frozen(order=True)
 class Artifact:
     """A loadable unit: the weights of a model version, or one adapter for them.
@@ -19,7 +24,7 @@
 
     model: ModelName
     version: VersionName
-    adapter: AdapterName | None = None
+    adapter: AdapterName | None = field(default=None, order=_order_adapter)
 
     @property
     def base(self) -> "Artifact":
--- a/tests/test_artifact.py
+++ b/tests/test_artifact.py
@@ -19,3 +19,8 @@
 
     def test_base_of_adapter_is_its_model_version(self) -> None:
         assert Artifact.parse("chat@3+mn").base == Artifact.parse("chat@3")
+
+    def test_model_versions_sort_before_their_adapters(self) -> None:
+        names = ["b@1", "a@1+x", "a@1", "a@1+b"]
+        artifacts = sorted(Artifact.parse(name) for name in names)
+        assert [str(one) for one in artifacts] == ["a@1", "a@1+b", "a@1+x", "b@1"]
