--- a/mangoway/models/artifact.py
+++ b/mangoway/models/artifact.py
@@ -11,11 +11,11 @@
 
 
 def _order_adapter(adapter: AdapterName | None) -> str:
-    """Return a key that puts a model version before its adapters."""
+    """Return what adapters are sorted by; a base comes before its adapters."""
     return adapter or ""
 
 
-@frozen(order=True)
+@frozen(order=True, cache_hash=True)
 class Artifact:
     """A loadable unit: the weights of a model version, or one adapter for them.
 
