Judge a late unload by whether its artifact was offered when it was sent

Cause: an unload sent at 129.82 while its artifact was withdrawn arrived at 135.84, after the artifact had been offered again. A sent order cannot be called back, and the copy is already counted as draining. The oracle took it for a fault of the core. Ruled out: an unload sent while the artifact was offered; the run that showed the failure was repeated with the send time and offer noted: withdrawn at sending. The check is as strict as before for every order that was sent while offered. Measured: tests/policy/placement passes (18 s, 40 examples of 40 steps).

--- a/tests/policy/placement/world.py
+++ b/tests/policy/placement/world.py
@@ -16,6 +16,7 @@
     FenceNumber,
     IncarnationId,
     ModelName,
+    OrderId,
     Revision,
     UpstreamId,
     VersionName,
@@ -190,6 +191,9 @@
     """What happens to the next orders: lose, late, double, drop_answer."""
 
     report_lag_s: float = 0.0
+    withdrawn_orders: set[OrderId] = field(factory=set)
+    """Orders sent while their artifact was not offered."""
+
     last_copy_losses: list[str] = field(factory=list)
     _heap: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
     _numbers: count[int] = field(factory=count)
@@ -305,6 +309,8 @@
                 self.later(0.01, lambda: self._write(controller, action))
             case actions.SendOrder(order=order):
                 self.sent.append((self.now, order))
+                if order.artifact not in self.configuration.list_artifacts():
+                    self.withdrawn_orders.add(order.id)
                 self.later(0.01, lambda: self._carry(controller, order))
             case actions.Explain():
                 self.reasons.append(action)
@@ -410,9 +416,15 @@
     def _check_last_copy(
         self, engine: Engine, artifact: Artifact, order: Order
     ) -> None:
-        """Note an unload of the last ready copy, unless another copy just crashed."""
+        """Note an unload of the last ready copy, unless another copy just crashed.
+
+        An order that was sent while the artifact was withdrawn cannot be called
+        back when it is offered again before the order arrives.
+        """
         if artifact not in self.configuration.list_artifacts():
             return
+        if order.id in self.withdrawn_orders:
+            return
         others = [one for one in self.engines.values() if one is not engine]
         if any(artifact in one.ready for one in others):
             return
