Spend fewer calls on each streamed event; end relayed streams with an error event

A bare future in place of an event for each reader, one generator less, and silence noticed by looking at the bytes received in place of a timer for each read.

A peer that dies while it answers a forwarded stream now ends it with an error event with the verdict, as a dying engine does.

--- a/mangoway/callers/answer.py
+++ b/mangoway/callers/answer.py
@@ -123,8 +123,12 @@
     def __init__(self, answer: Answer) -> None:
         self._answer = answer
         self._position = 0
-        self._changed = asyncio.Event()
+        self._changed = False
+        self._wake: asyncio.Future[None] | None = None
         self.closed = False
+        self.finished = False
+        """Whether all of the answer was read."""
+
         answer._attach(self)
 
     def __enter__(self) -> Self:
@@ -140,13 +144,15 @@
 
     def wake(self) -> None:
         """Look again at the answer."""
-        self._changed.set()
+        self._changed = True
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
 
     def close(self) -> None:
         """Stop reading, also while another task waits here."""
         self.closed = True
         self._answer._detach(self)
-        self._changed.set()
+        self.wake()
 
     async def async_wait_start(self) -> None:
         """Wait until there is text, a relayed answer, or the end."""
@@ -165,7 +171,10 @@
             if pieces:
                 self._position += len(pieces)
                 return pieces
-            if self.closed or self.answer.ended:
+            if self.closed:
+                return []
+            if self.answer.ended:
+                self.finished = True
                 return []
             await self._async_wait()
 
@@ -175,5 +184,8 @@
         return self.closed or started
 
     async def _async_wait(self) -> None:
-        await self._changed.wait()
-        self._changed.clear()
+        # A bare future: an event would cost twice the calls for each read.
+        if not self._changed:
+            self._wake = asyncio.get_running_loop().create_future()
+            await self._wake
+        self._changed = False
--- a/mangoway/callers/gate.py
+++ b/mangoway/callers/gate.py
@@ -19,6 +19,7 @@
 from .const import HEADER_TRACEPARENT
 from .messages import IncomingRequest, OutgoingAnswer, Submission
 from .parser import Arrival, parse_request
+from .problems import make_error_event
 from .render import CompletionHead, render_plain, render_stream, render_whole
 
 OUTCOME_WHOLE = "whole"
@@ -183,9 +184,13 @@
 
     def close(self) -> None:
         """End the exchange; an answer that is not whole is cancelled."""
-        if not self.closed:
-            self.closed = True
-            self._gate.close(self)
+        if self.closed:
+            return
+        self.closed = True
+        if self.reader is not None and self.reader.finished:
+            self.failure = self.reader.answer.failure
+            self.ended = True
+        self._gate.close(self)
 
     async def _async_answer(self) -> OutgoingAnswer | None:
         submission = self.submission = self._gate.submit(self)
@@ -211,40 +216,37 @@
             request_id=self.id, created=int(time.time()), submission=submission
         )
         if submission.request.streamed:
-            return self._watch_end(render_stream(reader, head))
+            return render_stream(reader, head)
         self.ended = True
         return render_whole(answer, head)
 
     def _relay(self, answer: Answer) -> OutgoingAnswer:
         relayed = answer.relayed
         assert relayed is not None
-        return self._watch_end(
-            OutgoingAnswer(
-                status=relayed.status, headers=relayed.headers, body=relayed.parts
-            )
-        )
-
-    def _watch_end(self, outgoing: OutgoingAnswer) -> OutgoingAnswer:
-        assert not isinstance(outgoing.body, bytes)
         return OutgoingAnswer(
-            status=outgoing.status,
-            headers=outgoing.headers,
-            body=self._async_watch(outgoing.body),
+            status=relayed.status,
+            headers=relayed.headers,
+            body=self._async_relay(relayed.parts),
         )
 
-    async def _async_watch(
+    async def _async_relay(
         self, parts: AsyncGenerator[bytes, None]
     ) -> AsyncGenerator[bytes, None]:
-        reader = self.reader
-        assert reader is not None
         try:
             async for part in parts:
                 yield part
+        except MangowayError as error:
+            self.note_failure(error.failure)
+            # Only a stream has a place for it; any other body is left unfinished.
+            if not self._is_streamed():
+                raise
+            yield make_error_event(error.failure, self.id)
         finally:
             await parts.aclose()
-        if not reader.closed:
-            self.failure = reader.answer.failure
-            self.ended = True
+        self.ended = True
+
+    def _is_streamed(self) -> bool:
+        return self.submission is not None and self.submission.request.streamed
 
 
 def _make_error(failure: Failure) -> MangowayError:
--- a/mangoway/engines/client.py
+++ b/mangoway/engines/client.py
@@ -87,6 +87,7 @@
             headers=CONTENT_TYPE_JSON,
             timeout_s=attempt.timeout_s,
             silence_s=attempt.silence_s,
+            streamed=True,
         )
         decoder = StreamDecoder(attempt.id, attempt.resume_from)
         async with self._session.async_open(call) as response:
--- a/mangoway/upstreams/session.py
+++ b/mangoway/upstreams/session.py
@@ -20,6 +20,7 @@
     READ_BUFFER_BYTES,
     VERDICT_NOT_RUN,
 )
+from .silence import SilenceWatch
 
 
 @frozen(kw_only=True)
@@ -37,6 +38,9 @@
     silence_s: float
     """Seconds without a byte after which the connection is given up."""
 
+    streamed: bool = False
+    """Whether the body comes in many small parts over a long time."""
+
     fresh: bool = False
     """Whether to open a connection for this call alone.
 
@@ -86,6 +90,7 @@
                 the verdict is NOT_RUN only if no byte was sent.
         """
         session = self._fresh if call.fresh else self._pooled
+        watch: SilenceWatch | None = None
         try:
             async with session.request(
                 call.method,
@@ -96,9 +101,16 @@
                 allow_redirects=False,
                 read_bufsize=READ_BUFFER_BYTES,
             ) as response:
+                if call.streamed:
+                    watch = SilenceWatch(response, call.silence_s)
                 yield response
         except (aiohttp.ClientError, OSError) as error:
+            if watch is not None and watch.silent:
+                raise _make_silent(call) from error
             raise _translate(error, call.address) from error
+        finally:
+            if watch is not None:
+                watch.stop()
 
     async def async_fetch(self, call: UpstreamCall) -> bytes:
         """Return the body of a successful response.
@@ -166,6 +178,14 @@
         return None
 
 
+def _make_silent(call: UpstreamCall) -> MangowayError:
+    return MangowayError(
+        ErrorCode.UPSTREAM_SILENT,
+        f"{call.address}: no byte for {call.silence_s:g} seconds",
+        Verdict.MAY_HAVE_RUN,
+    )
+
+
 def _translate(error: Exception, address: str) -> MangowayError:
     # The order matters: the timeouts of aiohttp are also plain TimeoutErrors.
     match error:
--- /dev/null
+++ b/tests/callers/test_body.py
@@ -0,0 +1,55 @@
+"""Tests of reading a caller's body within its bounds."""
+
+import asyncio
+
+import pytest
+from blacksheep.contents import ASGIContent
+from blacksheep.messages import Request
+
+from mangoway.callers.body import async_read_body
+from mangoway.models.errors import ErrorCode, MangowayError
+
+
+def make_request(*messages: dict[str, object] | None) -> Request:
+    """Return a request that receives messages; None stands for endless silence."""
+    coming = iter(messages)
+
+    async def receive() -> dict[str, object]:
+        message = next(coming)
+        if message is None:
+            await asyncio.Event().wait()
+        assert message is not None
+        return message
+
+    request = Request("POST", b"/", None)
+    return request.with_content(ASGIContent(receive))
+
+
+def make_part(body: bytes, more: bool = True) -> dict[str, object]:
+    return {"type": "http.request", "body": body, "more_body": more}
+
+
+async def fail(request: Request, timeout_s: float = 5.0) -> MangowayError:
+    with pytest.raises(MangowayError) as caught:
+        await async_read_body(request, 4, timeout_s)
+    return caught.value
+
+
+class TestReadBody:
+    """Bodies that come whole, slowly, too large, or not at all."""
+
+    async def test_parts_are_joined(self) -> None:
+        request = make_request(make_part(b"ab"), make_part(b"cd", more=False))
+        assert await async_read_body(request, 4, 5.0) == b"abcd"
+
+    async def test_too_large(self) -> None:
+        error = await fail(make_request(make_part(b"abc"), make_part(b"de")))
+        assert error.code is ErrorCode.BODY_TOO_LARGE
+
+    async def test_too_slow(self) -> None:
+        error = await fail(make_request(make_part(b"a"), None), timeout_s=0.05)
+        assert error.code is ErrorCode.MALFORMED_REQUEST
+
+    async def test_hang_up(self) -> None:
+        error = await fail(make_request(make_part(b"a"), {"type": "http.disconnect"}))
+        assert error.code is ErrorCode.CANCELLED
--- a/tests/daemons/test_gateway_stop.py
+++ b/tests/daemons/test_gateway_stop.py
@@ -68,6 +68,18 @@
             late = await world.complete()
             await check_problem(late, 503, "leaving", "not_run")
 
+    async def test_peer_that_dies_mid_stream_ends_it_with_an_error_event(self) -> None:
+        async with open_world(tokens_per_second=50.0, gateways=2) as world:
+            task = await begin(make_stop(world), world)
+            response = await world.complete(stream=True, max_tokens=500)
+            first = await response.content.readany()
+            await world.nodes[1].peer_server.async_stop()
+            body = first + await response.read()
+            assert b"[DONE]" not in body
+            assert b"event: error\n" in body
+            assert b'"verdict":"may_have_run"' in body
+            await task
+
     async def test_without_peers_new_requests_are_refused_as_not_run(self) -> None:
         async with open_world() as world:
             task = await begin(make_stop(world), world)
