Prove that lost heartbeats are sent again; refuse an unknown state with a code

Each of the three reactions (failed exchange, skipped heartbeat, peer that complains) taken out on a scratch edit gives 'assert [] == [SendFailed(peer=n1)]'. A heartbeat with state number 3 raised an IndexError in the handler; with the mend taken out: 'FAILED test_malformed_heartbeat_is_refused_with_a_code[state]'. A controller forgets the reports of runners that the host list no longer names.

--- a/mangoway/daemons/controller_node.py
+++ b/mangoway/daemons/controller_node.py
@@ -48,6 +48,7 @@
     lease: LeaseHolder = field(init=False)
     network: PeerNetwork = field(init=False)
     server: PeerServer = field(init=False)
+    _book: ReportBook = field(factory=ReportBook, init=False)
     _journal: Journal = field(factory=Journal, init=False)
     _lease_task: "asyncio.Task[None] | None" = field(default=None, init=False)
 
@@ -87,6 +88,7 @@
         runners = tuple(
             upstream for upstream in upstreams if upstream.kind is UpstreamKind.ENGINE
         )
+        self._book.forget(frozenset(runner.id for runner in runners))
         self.placement.async_list_runners(runners)
         self.network.async_list_hosts(hosts)
 
@@ -137,7 +139,7 @@
             store=self.store,
             clients=self.clients,
             directory=self.directory,
-            book=ReportBook(),
+            book=self._book,
             tasks=self.tasks,
             rng=rng,
             on_members=lambda _: None,
--- a/mangoway/peers/heartbeat.py
+++ b/mangoway/peers/heartbeat.py
@@ -63,7 +63,7 @@
         """
         try:
             return self._decode(heartbeat, now)
-        except (KeyError, ValueError) as error:
+        except (LookupError, ValueError) as error:
             detail = f"malformed heartbeat: {error!r}"
             raise MangowayError(ErrorCode.PEER_FAILED, detail) from error
 
--- a/tests/peers/test_heartbeat.py
+++ b/tests/peers/test_heartbeat.py
@@ -155,10 +155,20 @@
             heartbeat = sender.encode(100, members, 0.0)
             assert receiver.decode(heartbeat, 0.0).members == members
 
-    def test_uneven_columns_are_refused_with_a_code(self) -> None:
-        receiver = _make_codec("other", 100)
-        heartbeat = pb.Heartbeat(session=1)
-        heartbeat.members.slots.append(0)
+    @pytest.mark.parametrize("change", ["uneven", "state", "role", "artifact"])
+    def test_malformed_heartbeat_is_refused_with_a_code(self, change: str) -> None:
+        sender, receiver = _make_codec("host-0.1", 1), _make_codec("other", 100)
+        sender.book.offer(_make_report(1, 0.0))
+        heartbeat = sender.encode(100, (_make_member(0),), 0.0)
+        match change:
+            case "uneven":
+                heartbeat.members.slots.append(0)
+            case "state":
+                heartbeat.members.flags[0] = 3
+            case "role":
+                heartbeat.identities[0].role = pb.Role.ValueType(9)
+            case "artifact":
+                heartbeat.names[-1].text = "no-version"
         with pytest.raises(MangowayError) as raised:
             receiver.decode(heartbeat, 0.0)
         assert raised.value.code is ErrorCode.PEER_FAILED
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -24,7 +24,18 @@
 from mangoway.peers.heartbeat import HeartbeatCodec
 from mangoway.peers.membership import MembershipDriver
 from mangoway.peers.reports import ReportBook
+from mangoway.policy.membership.actions import (
+    MembersChanged,
+    MembershipAction,
+    SendHeartbeat,
+)
 from mangoway.policy.membership.core import MembershipCore
+from mangoway.policy.membership.events import (
+    HostsListed,
+    MembershipEvent,
+    SendFailed,
+    Ticked,
+)
 from mangoway.util.tasks import Tasks
 
 pytestmark = pytest.mark.looptime
@@ -81,6 +92,39 @@
         return pb.Heartbeat.FromString(reply.SerializeToString())
 
 
+class ScriptedCore:
+    """Sends one heartbeat to `n1` at each tick, and keeps what it was told."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self.told: list[MembershipEvent] = []
+
+    def handle(self, event: MembershipEvent, now: float) -> list[MembershipAction]:
+        self.told.append(event)
+        if isinstance(event, Ticked):
+            return [SendHeartbeat(peer_address="n1", members=(self.own,))]
+        if isinstance(event, HostsListed):
+            other = make_member("n1")
+            return [MembersChanged(members=(self.own, other))]
+        return []
+
+    @property
+    def lost(self) -> list[MembershipEvent]:
+        return [event for event in self.told if isinstance(event, SendFailed)]
+
+
+def make_member(name: str, life: int = 1) -> Member:
+    return Member(
+        host=HostId(name),
+        role=ProcessRole.GATEWAY,
+        incarnation=IncarnationId(f"{name}.{life}"),
+        started_at=float(life),
+        data_centre=DataCentreId("dc1"),
+        peer_address=name,
+        caller_address=None,
+    )
+
+
 class Node:
     """One process of the test."""
 
@@ -88,15 +132,7 @@
         self.members: tuple[Member, ...] = ()
         self.book = ReportBook()
         self.tasks = Tasks(net.errors.append)
-        own = Member(
-            host=HostId(name),
-            role=ProcessRole.GATEWAY,
-            incarnation=IncarnationId(f"{name}.{life}"),
-            started_at=float(life),
-            data_centre=DataCentreId("dc1"),
-            peer_address=name,
-            caller_address=None,
-        )
+        own = make_member(name, life)
         self.driver = MembershipDriver(
             core=MembershipCore(own, Random(name)),
             own=own,
@@ -189,3 +225,49 @@
                 assert entry is not None
                 assert entry.report.running == 3
                 assert entry.report.reported_at == pytest.approx(now, abs=0.1)
+
+
+class TestLostHeartbeats:
+    """The core is told of entries that a peer did not get."""
+
+    async def test_failed_exchange(self) -> None:
+        net = Net(cut={"n1"})
+        core, driver = _make_scripted(net)
+        driver.async_start([])
+        await asyncio.sleep(3)
+        assert core.lost == [SendFailed(peer=HostId("n1"))]
+
+    async def test_heartbeat_that_is_skipped_while_one_is_under_way(self) -> None:
+        net = Net()
+        net.nodes["n1"] = Node(net, "n1", 1)
+        core, driver = _make_scripted(net)
+        driver.async_start([])
+        driver._driver.async_handle(Ticked())
+        assert core.lost == [SendFailed(peer=HostId("n1"))]
+        await asyncio.sleep(1)
+        assert len(core.lost) == 1
+        await net.nodes["n1"].async_stop()
+
+    async def test_peer_that_does_not_know_a_slot(self) -> None:
+        net = Net()
+        core, driver = _make_scripted(net)
+        driver.async_start([])
+        heartbeat = pb.Heartbeat(session=77, unknown_members=[3])
+        identity = heartbeat.identities.add(host="n1", incarnation="n1.1")
+        identity.peer_address = "n1"
+        driver.async_receive_heartbeat(heartbeat)
+        assert core.lost == [SendFailed(peer=HostId("n1"))]
+
+
+def _make_scripted(net: Net) -> tuple[ScriptedCore, MembershipDriver]:
+    own = make_member("n0")
+    core = ScriptedCore(own)
+    driver = MembershipDriver(
+        core=core,
+        own=own,
+        codec=HeartbeatCodec(own.incarnation, ReportBook(), lambda: next(net.sessions)),
+        clients=net,  # type: ignore[arg-type]
+        tasks=Tasks(net.errors.append),
+        on_members=lambda _: None,
+    )
+    return core, driver
