Name the address that cannot be listened on

Cause: a taken address ended a process with "[Errno 98] Address already in use", which names no address. Shared file: mangoway/util/listener.py, the error's text only.

--- a/mangoway/util/listener.py
+++ b/mangoway/util/listener.py
@@ -14,7 +14,7 @@
     delayed acknowledgements.
 
     Raises:
-        OSError: If the address can't be used.
+        OSError: If the address can't be used; its text names the address.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
@@ -22,7 +22,8 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, port))
         listener.listen(BACKLOG)
-    except OSError:
+    except OSError as error:
         listener.close()
-        raise
+        reason = f"cannot listen on {host}:{port}: {error.strerror}"
+        raise OSError(error.errno, reason) from error
     return listener
