End with one line on an address that is taken; keep polling the host list

An OSError at the start left a traceback; the program now ends with code 1 and one line. Red without it: test_address_that_is_taken_ends_with_code_1_and_one_line. An error in whoever takes the listing ended the poller for good, since background tasks are not started again; it is logged and the polling goes on. Red without it: test_taker_that_fails_does_not_end_the_polling.

--- a/mangoway/cli/application.py
+++ b/mangoway/cli/application.py
@@ -28,6 +28,9 @@
         _exit(EXIT_BAD_SETTING, str(error))
     except MangowayError as error:
         _exit(EXIT_FAILED, str(error))
+    except OSError as error:
+        # Such as an address to listen on that is taken or not this host's.
+        _exit(EXIT_FAILED, error.strerror or str(error))
     except (typer.Abort, KeyboardInterrupt):
         _exit(EXIT_FAILED, "aborted")
     sys.exit(result if isinstance(result, int) else 0)
--- a/mangoway/cli/gateway.py
+++ b/mangoway/cli/gateway.py
@@ -1,7 +1,5 @@
 """The command `mangoway gateway`."""
 
-from importlib import import_module
-
 from ..settings.options import make_command
 from ..settings.process import GatewaySettings
 from .commands import register_command
@@ -9,7 +7,9 @@
 
 def _run(settings: GatewaySettings) -> None:
     # Imported only here: settings are checked before the servers are loaded.
-    import_module("mangoway.daemons.gateway").run(settings)
+    from ..daemons import gateway
+
+    gateway.run(settings)
 
 
 register_command(
--- a/mangoway/host_list/poller.py
+++ b/mangoway/host_list/poller.py
@@ -10,6 +10,7 @@
     HostEntrySkipped,
     HostListChanged,
     HostListUnavailable,
+    TaskFailed,
 )
 from ..observability.metrics import Metrics
 from .const import PERIOD_JITTER
@@ -43,9 +44,12 @@
         self._read_at = asyncio.get_running_loop().time()
 
     async def async_run(self) -> None:
-        """Read the list until cancelled."""
+        """Read the list until cancelled; what goes wrong once does not end it."""
         while True:
-            await self.async_poll()
+            try:
+                await self.async_poll()
+            except Exception as error:
+                log_event(TaskFailed(task="host list", error=repr(error)))
             jitter = self._source.uniform(-PERIOD_JITTER, PERIOD_JITTER)
             await asyncio.sleep(self._period_s * (1 + jitter))
 
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -1,5 +1,6 @@
 """Tests of the command line."""
 
+import socket
 import subprocess
 import sys
 
@@ -47,6 +48,20 @@
         assert captured.err.count("\n") == 1
         assert named in captured.err
 
+    def test_address_that_is_taken_ends_with_code_1_and_one_line(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            with pytest.raises(SystemExit) as caught:
+                main(["controller", *GOOD[:4], f"--peer-listen=127.0.0.1:{port}"])
+        assert caught.value.code == 1
+        errors = capsys.readouterr().err.splitlines()
+        assert [line for line in errors if not line.startswith("{")] == errors[-1:]
+        assert str(port) in errors[-1]
+
     def test_help_lists_the_commands(self, capsys: pytest.CaptureFixture[str]) -> None:
         with pytest.raises(SystemExit) as caught:
             main(["--help"])
--- a/tests/host_list/test_poller.py
+++ b/tests/host_list/test_poller.py
@@ -1,5 +1,6 @@
 """Tests of reading the host list again and again."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import pytest
@@ -11,6 +12,7 @@
 from mangoway.observability.metrics import Metrics
 from tests.stand_ins.host_list import HostListStandIn, make_group
 
+LIMIT_S = 10.0
 RUNNER = make_group("10.0.0.1:80", "runner", "r1")
 LEAVING = make_group("10.0.0.1:80", "runner", "r1", state="leaving")
 
@@ -74,6 +76,27 @@
         await setup.poller.async_poll()
         assert setup.poller.listing.count_leaving() == 1
 
+    async def test_taker_that_fails_does_not_end_the_polling(
+        self, setup: Setup, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        taken = asyncio.Event()
+        listings: list[HostListing] = []
+
+        def take(listing: HostListing) -> None:
+            listings.append(listing)
+            if len(listings) == 1:
+                setup.stand_in.set_groups([LEAVING])
+                raise RuntimeError("taker")
+            taken.set()
+
+        setup.stand_in.set_groups([RUNNER])
+        monkeypatch.setattr(setup.poller, "_on_change", take)
+        monkeypatch.setattr(setup.poller, "_period_s", 0.01)
+        polling = asyncio.create_task(setup.poller.async_run())
+        await asyncio.wait_for(taken.wait(), LIMIT_S)
+        polling.cancel()
+        assert listings[-1].count_leaving() == 1
+
     async def test_silent_connection_is_replaced(self, setup: Setup) -> None:
         setup.stand_in.set_groups([RUNNER])
         await setup.poller.async_poll()
