Refuse a host list URL that is not plain HTTP to an IP number

Cause: the reader speaks plain HTTP since it went without the full client, but the check of settings still let https through, and a name would be looked up in a thread of the loop's pool.

--- a/mangoway/settings/parsers.py
+++ b/mangoway/settings/parsers.py
@@ -47,10 +47,14 @@
 
 
 def parse_url(text: str) -> str:
-    """Parse an http or https URL."""
+    """Parse an http URL whose host is an IP number, so that no name is looked up."""
     parts = urlsplit(text)
-    if parts.scheme not in ("http", "https") or not parts.hostname:
-        raise ValueError("expected an http:// or https:// URL")
+    if parts.scheme != "http":
+        raise ValueError("expected an http:// URL")
+    try:
+        ipaddress.ip_address(parts.hostname or "")
+    except ValueError:
+        raise ValueError("expected an http:// URL with an IP number") from None
     # Reading the port checks it; the library raises ValueError if it is out of range.
     _ = parts.port
     return text
