Let a standby controller ask the engines rarely

Cause: every controller of a cell read every engine's report at the same pace, so that standby controllers cost the engines and themselves as much as the planner, and nothing is decided on it. A controller that takes over asks every engine at once. Worked out from 0.64 ms a report: at 308 runners a standby drops from 1.9% to 1.3% of a core (20.5 reports a second in place of 30).

--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -27,6 +27,9 @@
 POLL_PERIOD_S: Final = 2.0
 """Time between two reports of a runner at rest."""
 
+STANDBY_PERIOD_S: Final = 15.0
+"""Time between two reports of a runner that a standby controller reads."""
+
 POLL_BUSY_PERIOD_S: Final = 0.5
 """Time between two reports of a runner with an order under way."""
 
--- a/mangoway/daemons/engine_poller.py
+++ b/mangoway/daemons/engine_poller.py
@@ -18,6 +18,7 @@
     POLL_PERIOD_S,
     POLL_SLACK_S,
     SILENT_AFTER_S,
+    STANDBY_PERIOD_S,
 )
 
 
@@ -78,6 +79,9 @@
     reader: EngineReader
     listener: EngineListener
     tasks: Tasks
+    standby: bool = False
+    """Whether engines at rest are asked rarely, since nothing is decided on it."""
+
     _engines: dict[UpstreamId, PolledEngine] = field(factory=dict, init=False)
     _turns: list[tuple[float, UpstreamId]] = field(factory=list, init=False)
     _changed: asyncio.Event = field(factory=asyncio.Event, init=False)
@@ -116,6 +120,15 @@
                 self._plan(engine, now)
             engine.address = address
 
+    def async_set_standby(self, standby: bool) -> None:
+        """Ask rarely from now on; or as usual, and every engine at once."""
+        self.standby = standby
+        if standby:
+            return
+        for engine in self._engines.values():
+            if engine.due is not None:
+                self._plan(engine, _now())
+
     def async_hurry(self, upstream: UpstreamId, for_s: float) -> None:
         """Ask an engine now and often for a while, since an order is under way."""
         engine = self._engines.get(upstream)
@@ -191,7 +204,8 @@
         self._plan(engine, now + period_s)
 
     def _find_period(self) -> float:
-        return max(POLL_PERIOD_S, len(self._engines) / MAX_POLLS_PER_SECOND)
+        period_s = STANDBY_PERIOD_S if self.standby else POLL_PERIOD_S
+        return max(period_s, len(self._engines) / MAX_POLLS_PER_SECOND)
 
     def _plan(self, engine: PolledEngine, due: float) -> None:
         engine.due = due
--- a/mangoway/daemons/placement_driver.py
+++ b/mangoway/daemons/placement_driver.py
@@ -86,7 +86,9 @@
 
     def __attrs_post_init__(self) -> None:
         self._driver = CoreDriver(self.core, self._carry_out, Ticked)
-        self.poller = EnginePoller(reader=self.engines, listener=self, tasks=self.tasks)
+        self.poller = EnginePoller(
+            reader=self.engines, listener=self, tasks=self.tasks, standby=True
+        )
         self._ledgers = LedgerStore(
             store=self.store,
             cell=self.cell,
@@ -109,6 +111,7 @@
         self.active = True
         self.metrics.lease_held.set(level=1)
         log_event(log.LeaseGained(cell=self.cell))
+        self.poller.async_set_standby(False)
         self._driver.async_handle(LeaseGained())
 
     def async_lose_lease(self) -> None:
@@ -116,6 +119,7 @@
         self.active = False
         self.metrics.lease_held.set(level=0)
         log_event(log.LeaseLost(cell=self.cell))
+        self.poller.async_set_standby(True)
         self._driver.async_handle(LeaseLost())
 
     def async_apply_configuration(self, configuration: Configuration) -> None:
--- a/tests/daemons/test_placement_driver.py
+++ b/tests/daemons/test_placement_driver.py
@@ -154,6 +154,22 @@
 class TestPoller:
     """Turns of the engines."""
 
+    async def test_standby_asks_rarely_and_all_at_once_when_it_takes_over(
+        self,
+    ) -> None:
+        cell = Cell(runners=3)
+        driver = cell.start_controller("a")
+        await asyncio.sleep(1)
+        before = cell.engines.reports
+        await asyncio.sleep(10)
+        assert cell.engines.reports == before
+        driver.async_gain_lease()
+        await asyncio.sleep(0.1)
+        assert cell.engines.reports == before + 3
+        await asyncio.sleep(10)
+        assert cell.engines.reports >= before + 3 * 5
+        await async_stop(driver)
+
     async def test_hurried_engine_has_still_one_turn_at_a_time(self) -> None:
         cell = Cell(runners=1)
         driver = cell.start_controller("a")
--- a/tests/daemons/world.py
+++ b/tests/daemons/world.py
@@ -48,6 +48,7 @@
     hanging: set[str] = field(factory=set)
     """Addresses that never answer."""
 
+    reports: int = 0
     delay_s: float = 0.01
     lost_answers: int = 0
     """Orders to come that take effect but whose answers are lost."""
@@ -57,6 +58,7 @@
 
     async def async_read_report(self, address: str) -> EngineReport:
         model = await self._async_reach(address)
+        self.reports += 1
         now = asyncio.get_running_loop().time()
         model.advance(now)
         return model.report(now - self.delay_s)
