Let claims of plain keys expire after the retention

Cause: nothing ever deleted them, so they would fill the key-value service. A claim lives for the retention after the longest time its request may run. A stop takes the shorter deadline of the setting and the site's policy.

--- a/mangoway/daemons/claims.py
+++ b/mangoway/daemons/claims.py
@@ -11,6 +11,7 @@
 from ..key_value.store import CallRank, KeyValueStore, Put
 from ..models.errors import MangowayError
 from ..models.identifiers import IncarnationId, Revision
+from ..models.offer import SitePolicy
 from ..models.verdict import Verdict
 from ..policy.dispatch.actions import ClaimKey
 from ..policy.dispatch.events import ClaimOutcome, DispatchEvent, KeyClaimed
@@ -28,6 +29,9 @@
     send: Callable[[DispatchEvent], None]
     """Takes the outcomes."""
 
+    get_site: Callable[[], SitePolicy]
+    """Returns the policy in force."""
+
     def async_claim(self, action: ClaimKey, submission: Submission) -> None:
         """Start a claim; `KeyClaimed` follows."""
         self.tasks.async_start(self._async_claim(action, submission))
@@ -44,7 +48,12 @@
                 "claimed_at": int(time.time()),
             }
         )
-        put = Put(key=name_claim(submission, action), value=value, expected=Revision(0))
+        put = Put(
+            key=name_claim(submission, action),
+            value=value,
+            expected=Revision(0),
+            ttl_s=self._find_ttl_s(submission),
+        )
         try:
             result = await self.store.async_commit((put,), CallRank.CLAIM)
         except MangowayError as error:
@@ -54,6 +63,12 @@
             return ClaimOutcome.TAKEN
         return ClaimOutcome.CLAIMED if result.succeeded else ClaimOutcome.TAKEN
 
+    def _find_ttl_s(self, submission: Submission) -> float:
+        """Return how long the claim must live: the retention after the last run."""
+        request = submission.request
+        longest_run_s = request.deadline - request.arrived_at
+        return self.get_site().key_retention_s + longest_run_s
+
 
 def name_claim(submission: Submission, action: ClaimKey) -> str:
     """Return the entry of a key; keys of different callers never meet."""
--- a/mangoway/daemons/gateway.py
+++ b/mangoway/daemons/gateway.py
@@ -138,7 +138,11 @@
         self.stop.force()
 
     async def async_leave(self, signal_name: str) -> StopOutcome:
-        """Leave in a planned way."""
+        """Leave in a planned way; the site may set a shorter deadline."""
+        configuration = self.node.dispatcher.configuration
+        if configuration is not None:
+            site_s = configuration.site.stop_deadline_s
+            self.stop.deadline_s = min(self.stop.deadline_s, site_s)
         return await self.stop.async_run(signal_name)
 
     async def async_stop(self, force: bool) -> None:
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -16,7 +16,7 @@
 from ..models.errors import MangowayError
 from ..models.identifiers import DataCentreId, HostId, IncarnationId, UpstreamId
 from ..models.member import Member, MemberState, ProcessRole
-from ..models.offer import Configuration
+from ..models.offer import Configuration, SitePolicy
 from ..models.upstream import (
     EngineDescription,
     EngineReport,
@@ -276,6 +276,7 @@
                 incarnation=settings.incarnation,
                 tasks=self.tasks,
                 send=self._send,
+                get_site=self._get_site,
             ),
             router=GatewayRouter(
                 forwarder=self.forwarder,
@@ -289,6 +290,10 @@
             demand=self,
         )
 
+    def _get_site(self) -> SitePolicy:
+        configuration = self.dispatcher.configuration
+        return SitePolicy() if configuration is None else configuration.site
+
     def _send(self, event: DispatchEvent) -> None:
         self.dispatcher.send(event)
 
--- a/tests/daemons/test_claims.py
+++ b/tests/daemons/test_claims.py
@@ -4,12 +4,14 @@
 
 from mangoway.callers.messages import IncomingRequest, Submission
 from mangoway.daemons.claims import KeyClaims, name_claim
+from mangoway.key_value.store import CallRank, Put, TransactionResult
 from mangoway.models.identifiers import (
     CallerId,
     IdempotencyKey,
     IncarnationId,
     RequestId,
 )
+from mangoway.models.offer import SitePolicy
 from mangoway.models.request import Request, WorkClass
 from mangoway.policy.dispatch.actions import ClaimKey
 from mangoway.policy.dispatch.events import DispatchEvent, KeyClaimed
@@ -34,6 +36,20 @@
     return Submission(request=request, incoming=incoming)
 
 
+class RecordingStore(FakeKeyValueStore):
+    """Keeps the writes that it was given."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.puts: list[Put] = []
+
+    async def async_commit(
+        self, puts: tuple[Put, ...], rank: CallRank
+    ) -> TransactionResult:
+        self.puts.extend(puts)
+        return await super().async_commit(puts, rank)
+
+
 async def claim(store: FakeKeyValueStore, caller: str = "c") -> str:
     """Claim the key for a new gateway and return the outcome."""
     events: list[DispatchEvent] = []
@@ -42,6 +58,7 @@
         incarnation=IncarnationId("i"),
         tasks=Tasks(lambda error: None),
         send=events.append,
+        get_site=lambda: SitePolicy(key_retention_s=600.0),
     )
     claims.async_claim(ACTION, make_submission(caller))
     await wait_until(lambda: bool(events))
@@ -69,6 +86,12 @@
         store = FakeKeyValueStore(**{switch: 1})
         assert await claim(store) == "taken"
 
+    async def test_claim_outlives_the_longest_run_by_the_retention(self) -> None:
+        store = RecordingStore()
+        await claim(store)
+        (put,) = store.puts
+        assert put.ttl_s == 610.0
+
     def test_names_do_not_run_into_each_other(self) -> None:
         names = {
             name_claim(
