Name a successor also when there is no record to hand over

Cause: callers that still know this gateway's incarnation may make new keys with it after it left; with no successor they got 'may have run' for what never ran. Red first: 409 key_home_gone, may_have_run.

--- a/mangoway/daemons/key_hand_over.py
+++ b/mangoway/daemons/key_hand_over.py
@@ -29,13 +29,12 @@
     forwarder: Forwarder
 
     async def async_give(self) -> IncarnationId | None:
-        """Return the successor; None if there is none, or nothing to give.
+        """Return the successor; None if there is none.
 
-        No key is run here any more once this was called.
+        No key is run here any more once this was called. No records are handed over
+        too: only who took them may run a key that names this home and is new.
         """
         keys = self.core.export_keys()
-        if not keys:
-            return None
         answers = self.records.list_kept()
         hand_over = KeyHandOver(
             home=self.directory.own,
--- a/tests/daemons/test_gateway_stop.py
+++ b/tests/daemons/test_gateway_stop.py
@@ -100,6 +100,16 @@
             assert await again.read() == await first.read()
             assert world.service.runs["confirm/1"] == 1
 
+    async def test_successor_runs_new_keys_that_name_the_home(self) -> None:
+        async with open_world(gateways=2) as world:
+            key = make_key(world.node)
+            assert await make_stop(world).async_run("SIGTERM") is StopOutcome.IDLE
+            successor = world.nodes[1].settings.incarnation
+            world.set_members({0: {"state": MemberState.GONE, "successor": successor}})
+            response = await confirm(world, key, {"id": 1}, gateway=1)
+            assert response.status == 200, await response.text()
+            assert world.service.runs["confirm/1"] == 1
+
     async def test_deadline_ends_it_with_requests_in_progress(self) -> None:
         async with open_world(tokens_per_second=20.0) as world:
             response = await world.complete(stream=True, max_tokens=1000)
