--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -52,6 +52,7 @@
 from ..policy.dispatch.options import DispatchOptions
 from ..services.client import ServiceClient
 from ..upstreams.session import UpstreamSession
+from ..util.loop_watch import async_watch_loop
 from ..util.tasks import Tasks
 from .attempts import AttemptRunner
 from .claims import KeyClaims
@@ -164,6 +165,7 @@
         await self.peer_server.async_start(*split_address(peer_listen))
         await self.server.async_start(*split_address(caller_listen))
         self.tasks.async_start(self.poller.async_run())
+        self.tasks.async_start(async_watch_loop(self.metrics))
 
     async def async_stop(self, force: bool = False) -> None:
         """Stop serving; what is still in progress is cut off."""
