--- a/mangoway/operators/follower.py
+++ b/mangoway/operators/follower.py
@@ -8,7 +8,7 @@
 from ..models.errors import ErrorCode, MangowayError
 from ..models.identifiers import ConfigVersion
 from ..models.offer import Configuration
-from .bundle import ConfigurationBundle
+from .bundle import BASE, ConfigurationBundle, name_overlay
 from .const import (
     COMPRESS_FROM_BYTES,
     DELTAS_KEPT,
@@ -16,9 +16,13 @@
     MAX_DOCUMENT_BYTES,
 )
 from .delta import ConfigurationDelta, apply_delta
+from .merger import merge_documents
+from .parser import parse_overlay
 from .records import decode_record, encode_record
 from .repository import ConfigurationRepository
+from .sections import SectionParser
 
+NO_VERSION: Final = ConfigVersion(0)
 PLAIN: Final = b"p"
 COMPRESSED: Final = b"z"
 MAX_UPDATE_BYTES: Final = 4 * MAX_DOCUMENT_BYTES
@@ -47,15 +51,26 @@
     site: str
     bundle: ConfigurationBundle = field(factory=ConfigurationBundle)
     _deltas: tuple[ConfigurationDelta, ...] = ()
+    _parser: SectionParser = field(factory=SectionParser, eq=False)
+    _loaded: Configuration | None = field(default=None, eq=False)
+    _is_doubtful: bool = field(default=False, eq=False)
+    """Whether a delta did not fit what is held; whole documents settle it."""
 
     @property
     def version(self) -> ConfigVersion:
         """Return the version of the documents held; 0 if there are none."""
         return self.bundle.version
 
+    @property
+    def known_version(self) -> ConfigVersion:
+        """Return the version to ask peers for changes from; 0 asks for all."""
+        return NO_VERSION if self._is_doubtful else self.version
+
     def load(self) -> Configuration:
         """Return the merged configuration of the documents held."""
-        return self.bundle.load(self.site)
+        if self._loaded is None or self._loaded.version != self.version:
+            self._loaded = self._parse(self.bundle)
+        return self._loaded
 
     async def async_fetch(
         self, repository: ConfigurationRepository, version: ConfigVersion
@@ -107,20 +122,32 @@
         """Take whole documents; older ones change nothing."""
         if bundle.version <= self.version:
             return
-        bundle.load(self.site)
+        self._loaded = self._parse(bundle)
         self.bundle = bundle
         self._deltas = ()
+        self._is_doubtful = False
 
     def _accept_deltas(self, deltas: tuple[ConfigurationDelta, ...]) -> None:
         bundle = self.bundle
         fresh = tuple(delta for delta in deltas if delta.version > bundle.version)
-        for delta in fresh:
-            bundle = apply_delta(bundle, delta, self.site)
         if not fresh:
             return
-        bundle.load(self.site)
+        self._is_doubtful = True
+        for delta in fresh:
+            bundle = apply_delta(bundle, delta, self.site)
+        self._loaded = self._parse(bundle)
         self.bundle = bundle
         self._deltas = (*self._deltas, *fresh)[-DELTAS_KEPT:]
+        self._is_doubtful = False
+
+    def _parse(self, bundle: ConfigurationBundle) -> Configuration:
+        overlay = name_overlay(self.site)
+        return merge_documents(
+            self._parser.parse(bundle.find_text(BASE), BASE),
+            parse_overlay(bundle.find_text(overlay), overlay),
+            bundle.version,
+            overlay,
+        )
 
     async def _async_fetch_deltas(
         self, repository: ConfigurationRepository, version: ConfigVersion
