--- a/mangoway/policy/placement/const.py
+++ b/mangoway/policy/placement/const.py
@@ -27,7 +27,7 @@
 LEDGER_RETRY_S: Final = 1.0
 """Wait before a ledger is read again after the service was unavailable."""
 
-PLAN_PERIOD_S: Final = 0.2
+PLAN_PERIOD_S: Final = 0.5
 """Shortest time between two plans."""
 
 IDLE_PERIOD_S: Final = 1.0
--- a/mangoway/policy/placement/planner.py
+++ b/mangoway/policy/placement/planner.py
@@ -108,9 +108,11 @@
 
     def _look_at_demand(self, now: float) -> None:
         self._state.demand.update(now)
+        if not self._steps.is_active:
+            return
         self._gains.refresh()
         self._state.queue.drop_rank(NeedRank.DEMAND)
-        if not self._state.options.demand_copies or not self._steps.is_active:
+        if not self._state.options.demand_copies:
             return
         proposals = [
             need
