Run the demo through the config command; wait until processes listen

The fleet now waits until every process listens. Ruled out: a fault of the command, whose contract says that it fails if no peer answers.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -85,6 +85,7 @@
         for _ in range(CONTROLLERS):
             await fleet.async_start_controller()
         await fleet.async_list_hosts()
+        await fleet.async_wait_started()
         self.say("applying the base file and the overlay")
         await fleet.async_apply_base(BASE_FILE)
         await fleet.async_apply_overlay(OVERLAY_FILE)
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -34,6 +34,7 @@
             await fleet.async_start_gateway()
             await fleet.async_start_controller()
         await fleet.async_list_hosts()
+        await fleet.async_wait_started()
         await fleet.async_apply_base(BASE_FILE)
         await fleet.async_wait_ready()
         await async_wait_loaded(fleet)
--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -204,18 +203,23 @@
             f"--host-list-period-s={HOST_LIST_PERIOD_S}",
         ]
 
+    async def async_wait_started(self) -> None:
+        """Wait until every process of the system listens."""
+        for process in (*self.gateways, *self.controllers):
+            await self._async_wait_page(process, "/metrics")
+
     async def async_wait_ready(self) -> None:
         """Wait until every running gateway takes requests."""
         for process in self.gateways:
             if process.is_running:
-                await async_wait_for(
-                    f"{process.name} is ready", partial(self._async_is_ready, process)
-                )
+                await self._async_wait_page(process, "/readyz")
 
-    async def _async_is_ready(self, process: Process) -> bool:
-        url = f"http://{process.address}/readyz"
-        async with self.session.get(url) as response:
-            return response.status == 200
+    async def _async_wait_page(self, process: Process, path: str) -> None:
+        async def async_is_ok() -> bool:
+            async with self.session.get(f"http://{process.address}{path}") as response:
+                return response.status == 200
+
+        await async_wait_for(f"{process.name} answers {path}", async_is_ok)
 
     async def async_find_active_controller(self) -> Process:
         """Wait until one controller says that it plans, and return it."""
@@ -235,13 +239,20 @@
 
     async def async_apply_base(self, file: Path) -> None:
         """Apply a base file, and wait until it is in force everywhere."""
-        await self.async_run_command("config", "apply", str(file), "--wait")
+        await self._async_apply("base", file)
 
     async def async_apply_overlay(self, file: Path) -> None:
         """Apply the site's overlay, and wait until it is in force everywhere."""
-        await self.async_run_command(
-            "config", "apply", str(file), f"--site={SITE}", "--wait"
+        await self._async_apply(f"overlay/{SITE}", file)
+
+    async def _async_apply(self, part: str, file: Path) -> None:
+        peers = ",".join(
+            process.peer_address
+            for process in (*self.gateways, *self.controllers)
+            if process.is_running
         )
+        flags = (f"--key-value={self.key_value.address}", f"--peers={peers}", "--wait")
+        await self.async_run_command("config", "apply", part, str(file), *flags)
 
     async def async_run_command(self, *arguments: str) -> str:
         """Run a command of the program to its end, and return its output."""
