Count a connection that closes before the call as broken

Cause: grpclib drops the transport of a connection that its peer closes before it tells the channel of the loss. A call that begins in between raises AttributeError, which none of the clients expected: 'mangoway status' ended with a traceback after a gateway had been killed, and a forward would have ended as an internal error. Ruled out: a server that aborts each connection at once (300 tries, each a clean 'peer_unreachable'); the state after the library's own close of a connection shows it every time, and is what the new test sets up. Red without the mend: "AttributeError: 'Connection' object has no attribute '_transport'". After: the tests of peers' client and of key_value pass. The same error in the key-value client counts as 'may have run'; that path has no test of its own yet.

--- a/mangoway/key_value/endpoints.py
+++ b/mangoway/key_value/endpoints.py
@@ -17,8 +17,18 @@
 
 ReplyT = TypeVar("ReplyT")
 
-CONNECTION_ERRORS = (OSError, StreamTerminatedError, ProtocolError, H2Error)
-"""What the library raises when a connection breaks under a call."""
+CONNECTION_ERRORS = (
+    OSError,
+    StreamTerminatedError,
+    ProtocolError,
+    H2Error,
+    AttributeError,
+)
+"""What the library raises when a connection breaks under a call.
+
+An AttributeError comes where it uses a connection that its peer has just closed and
+that has no transport any more.
+"""
 
 REJECTED = frozenset(
     {
--- a/mangoway/peers/client.py
+++ b/mangoway/peers/client.py
@@ -5,7 +5,7 @@
 from typing import TypeVar
 
 from attrs import define, field
-from grpclib.client import ServiceMethod
+from grpclib.client import ServiceMethod, Stream
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from ..models.errors import ErrorCode, MangowayError
@@ -101,7 +101,7 @@
             try:
                 async with link.stub.Forward.open() as stream:
                     async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                        await stream.send_request()
+                        await _async_open(stream)
                     call.sent = True
                     async with asyncio.timeout(SILENCE_S):
                         await stream.send_message(request, end=True)
@@ -216,7 +216,7 @@
     call: _Call,
 ) -> ReplyT:
     async with choose(link.stub).open() as stream:
-        await stream.send_request()
+        await _async_open(stream)
         call.sent = True
         for message in messages:
             await stream.send_message(message)
@@ -226,3 +226,13 @@
         if reply is None:
             raise StreamTerminatedError("no reply")
         return reply
+
+
+async def _async_open(stream: Stream[RequestT, ReplyT]) -> None:
+    """Send the head of a call."""
+    try:
+        await stream.send_request()
+    except AttributeError as error:
+        # The library hands out a connection that its peer has just closed; it has
+        # no transport any more, so nothing was sent.
+        raise ConnectionResetError("closed before the call") from error
--- a/tests/peers/test_client.py
+++ b/tests/peers/test_client.py
@@ -147,6 +147,22 @@
         assert raised.value.code is ErrorCode.PEER_UNREACHABLE
         assert raised.value.failure.verdict is Verdict.NOT_RUN
 
+    async def test_connection_closed_before_the_call_is_not_run(
+        self, relay: Relay, receivers: PeerReceivers
+    ) -> None:
+        receivers.heartbeats = Echo()
+        client = PeerClient(relay.address)
+        await client.async_exchange(pb.Heartbeat(session=1))
+        async with client._holder.async_use() as link:
+            protocol = await link.channel.__connect__()
+        protocol.processor.connection.close()
+        with pytest.raises(MangowayError) as raised:
+            await client.async_exchange(pb.Heartbeat(session=1))
+        assert raised.value.code is ErrorCode.PEER_UNREACHABLE
+        assert raised.value.failure.verdict is Verdict.NOT_RUN
+        assert (await client.async_exchange(pb.Heartbeat(session=1))).session == 9
+        client.close()
+
     async def test_connection_lost_after_sending_may_have_run(
         self, relay: Relay, forwarded: Receiver
     ) -> None:
