--- a/mangoway/policy/dispatch/arrivals.py
+++ b/mangoway/policy/dispatch/arrivals.py
@@ -85,9 +85,6 @@
         """Send a new request elsewhere if this gateway leaves."""
         configuration = self.context.configuration
         homed = not request.idempotent and request.key_home is not None
-        if homed and self.keys.closed:
-            self._refuse(request, ErrorCode.LEAVING, "the keys were handed over", 0.0)
-            return True
         if self.stopped_at is None or configuration is None:
             return False
         age = self.context.now - self.stopped_at
@@ -165,19 +162,24 @@
         if held.claimed:
             self.scheduler.submit(entry)
             return
-        failure = Failure(
+        self.requests.refuse(entry, self._make_claim_failure(event.outcome))
+        # The claim is the authority; a record here would only take room.
+        if not held.claiming:
+            self.keys.drop(held)
+
+    def _make_claim_failure(self, outcome: str) -> Failure:
+        if outcome == ClaimOutcome.TAKEN:
+            return Failure(
+                code=ErrorCode.KEY_ALREADY_CLAIMED,
+                verdict=Verdict.MAY_HAVE_RUN,
+                detail="another gateway claimed the key",
+            )
+        return Failure(
             code=ErrorCode.KEY_CLAIM_UNAVAILABLE,
             verdict=Verdict.NOT_RUN,
             detail="the key could not be claimed",
             retry_after=self.admission.compute_retry_after(1.0),
         )
-        if event.outcome == ClaimOutcome.TAKEN:
-            failure = Failure(
-                code=ErrorCode.KEY_ALREADY_CLAIMED,
-                verdict=Verdict.MAY_HAVE_RUN,
-                detail="another gateway claimed the key",
-            )
-        self.requests.refuse(entry, failure)
 
     def _find_weight(self, request: Request) -> float:
         configuration = self.context.configuration
--- a/mangoway/policy/placement/planner.py
+++ b/mangoway/policy/placement/planner.py
@@ -108,9 +108,11 @@
 
     def _look_at_demand(self, now: float) -> None:
         self._state.demand.update(now)
+        if not self._steps.is_active:
+            return
         self._gains.refresh()
         self._state.queue.drop_rank(NeedRank.DEMAND)
-        if not self._state.options.demand_copies or not self._steps.is_active:
+        if not self._state.options.demand_copies:
             return
         proposals = [
             need
@@ -127,9 +129,6 @@
             return None
         if self._state.queue.find(artifact) is not None:
             return None
-        copies = self._state.copies.find(artifact)
-        if any(state is CopyState.LOADING for state in copies.values()):
-            return None
         memory_mb = self._state.find_memory_mb(artifact)
         need = Need(artifact=artifact, rank=NeedRank.DEMAND, memory_mb=memory_mb)
         bound = self._gains.find_most(artifact)
@@ -185,7 +184,7 @@
             if need.rank >= NeedRank.ROOM:
                 self._state.queue.drop(artifact)
             return True
-        if not self._is_claimed(artifact):
+        if not self._is_claimed(artifact) and not self._choice.has_room(need, now):
             self._find_room(need, now)
         return False
 
@@ -327,7 +326,7 @@
     def _withdraw(self, now: float) -> None:
         """Unload what is not offered, and raise fences past lost loads."""
         for runner in self._state.runners.values():
-            if not runner.is_free or runner.reads or runner.is_leaving:
+            if not runner.is_free or runner.is_leaving:
                 continue
             artifact = self._find_unwanted(runner, now)
             if artifact is not None and self._steps.mark(runner, artifact, now):
