--- a/mangoway/policy/dispatch/core.py
+++ b/mangoway/policy/dispatch/core.py
@@ -7,7 +7,7 @@
 from ...models.artifact import Artifact
 from ...models.identifiers import IncarnationId
 from ...models.offer import Configuration
-from ...models.request import WorkClass
+from ...models.request import ServiceCall, Target, WorkClass
 from .actions import DispatchAction, ReportDemand, WakeAt
 from .admission import Admission
 from .arrivals import Arrivals
@@ -67,7 +67,7 @@
         fleet = Fleet(options)
         queues = Queues(options.fair_share, options.patient_reserve)
         self.context = Context(identity, rng, options, fleet, queues)
-        self.homes = Homes()
+        self.homes = Homes(identity)
         self.keys = KeyTable(identity, self.homes, options.clock_offset_s)
         self.attempts = Attempts(self.context)
         self.requests = Requests(self.context, self.attempts, self.keys)
@@ -131,7 +131,7 @@
     def export_keys(self) -> tuple[KeyRecord, ...]:
         """Return all key records for the successor; no new key is run after this.
 
-        The records go to one successor only, however often they are exported.
+        Whoever gets the records, the home names one successor and keeps to it.
         """
         return self.keys.export()
 
@@ -206,6 +206,7 @@
         self.arrivals.limits.configure(configuration.callers, context.now)
         self.arrivals.claims.change(writes, max(1.0, writes), context.now)
         context.queues.credit_per_urgent = _find_credit(configuration)
+        context.estimates.forget_others(_list_targets(configuration))
 
     def _on_stop(self, event: StopRequested) -> None:
         if self.arrivals.stopped_at is None:
@@ -247,6 +248,13 @@
             self.context.emit(WakeAt(time=at))
 
 
+def _list_targets(configuration: Configuration) -> set[Target]:
+    targets: set[Target] = set(configuration.list_artifacts())
+    for name, service in configuration.services.items():
+        targets.update(ServiceCall(name, call) for call in service.calls)
+    return targets
+
+
 def _find_credit(configuration: Configuration) -> float:
     """Return what urgent starts earn for critical patient work, by class weights."""
     urgent = configuration.classes.get(WorkClass.URGENT)
