--- a/measure/path/gateway.py
+++ b/measure/path/gateway.py
@@ -58,6 +58,9 @@
         """Refuse."""
         raise _fail()
 
+    def close(self) -> None:
+        """Hold no connections."""
+
     def watch(self, prefix: str) -> AsyncIterator[StoredValue]:
         """Refuse."""
         raise _fail()
