--- a/mangoway/policy/placement/planner.py
+++ b/mangoway/policy/placement/planner.py
@@ -108,9 +108,11 @@
 
     def _look_at_demand(self, now: float) -> None:
         self._state.demand.update(now)
+        if not self._steps.is_active:
+            return
         self._gains.refresh()
         self._state.queue.drop_rank(NeedRank.DEMAND)
-        if not self._state.options.demand_copies or not self._steps.is_active:
+        if not self._state.options.demand_copies:
             return
         proposals = [
             need
@@ -182,7 +184,7 @@
             if need.rank >= NeedRank.ROOM:
                 self._state.queue.drop(artifact)
             return True
-        if not self._is_claimed(artifact):
+        if not self._is_claimed(artifact) and not self._choice.has_room(need, now):
             self._find_room(need, now)
         return False
 
@@ -324,7 +326,7 @@
     def _withdraw(self, now: float) -> None:
         """Unload what is not offered, and raise fences past lost loads."""
         for runner in self._state.runners.values():
-            if not runner.is_free or runner.reads or runner.is_leaving:
+            if not runner.is_free or runner.is_leaving:
                 continue
             artifact = self._find_unwanted(runner, now)
             if artifact is not None and self._steps.mark(runner, artifact, now):
