--- /dev/null
+++ b/mangoway/policy/placement/guards.py
@@ -0,0 +1,53 @@
+"""Copies that are relied on when another copy is unloaded."""
+
+from attrs import define
+
+from ...models.artifact import Artifact
+from ...models.identifiers import UpstreamId
+from .runners import CopyState, PendingOrder, Runner
+from .state import PlacementState
+
+
+@define
+class UnloadCheck:
+    """A marked unload that waits until its guards' ledgers were read."""
+
+    runner: Runner
+    order: PendingOrder
+    waiting: dict[UpstreamId, int]
+    """Reads that must come back, by runner."""
+
+    guards: tuple[UpstreamId, ...]
+    """Runners whose copies are relied on."""
+
+    def count_read(self, guard: UpstreamId) -> bool:
+        """Count a read of a guard's ledger; return whether it was the last one."""
+        left = self.waiting.get(guard)
+        if left is None:
+            return False
+        self.waiting[guard] = left - 1
+        if left == 1:
+            del self.waiting[guard]
+        return not self.waiting
+
+
+def list_guards(
+    state: PlacementState, runner: Runner, artifact: Artifact, now: float
+) -> list[UpstreamId]:
+    """Return other runners with a ready copy, a fresh report and no pending write."""
+    return [
+        one
+        for one in state.list_lasting(artifact, CopyState.READY)
+        if one != runner.id
+        and state.runners[one].is_fresh(now)
+        and state.runners[one].write is None
+    ]
+
+
+def do_guards_suffice(
+    state: PlacementState, artifact: Artifact, guards: list[UpstreamId]
+) -> bool:
+    """Return whether some runners hold the floor of an artifact by themselves."""
+    floor = max(1, state.offered.get(artifact, 0))
+    spread = state.find_spread(artifact)
+    return len(guards) >= floor and len(state.list_data_centres(guards)) >= spread
--- a/mangoway/policy/placement/reservations.py
+++ b/mangoway/policy/placement/reservations.py
@@ -31,6 +31,7 @@
     OrderAnswered,
     OrderFailed,
 )
+from .guards import UnloadCheck, do_guards_suffice, list_guards
 from .ledgers import (
     clear_mark,
     create_ledger,
@@ -38,22 +39,10 @@
     reserve_load,
     settle_ledger,
 )
-from .runners import CopyState, PendingOrder, PendingWrite, Retry, Runner
+from .runners import PendingOrder, PendingWrite, Retry, Runner
 from .state import PlacementState
 
 
-@define
-class UnloadCheck:
-    """A marked unload that waits until other holders' ledgers were read."""
-
-    runner: Runner
-    order: PendingOrder
-    waiting: dict[UpstreamId, int]
-    """Reads that must come back, by runner."""
-
-    guards: tuple[UpstreamId, ...]
-
-
 @define
 class Reservations:
     """Writes ledgers, sends orders and takes their results."""
@@ -280,8 +269,8 @@
         if artifact not in self.state.offered:
             self._send(runner, order, now)
             return
-        guards = self._list_guards(runner, artifact, now)
-        if not self._suffice(artifact, guards) or not self.is_active:
+        guards = list_guards(self.state, runner, artifact, now)
+        if not do_guards_suffice(self.state, artifact, guards) or not self.is_active:
             self.explain(artifact, runner, "unload_abandoned_last_copy")
             return
         for guard in guards:
@@ -293,44 +282,18 @@
             guards=tuple(guards),
         )
 
-    def _list_guards(
-        self, runner: Runner, artifact: Artifact, now: float
-    ) -> list[UpstreamId]:
-        ready = self.state.list_lasting(artifact, CopyState.READY)
-        return [
-            one
-            for one in ready
-            if one != runner.id
-            and self.state.runners[one].is_fresh(now)
-            and self.state.runners[one].write is None
-        ]
-
-    def _suffice(self, artifact: Artifact, guards: list[UpstreamId]) -> bool:
-        floor = max(1, self.state.offered.get(artifact, 0))
-        spread = self.state.find_spread(artifact)
-        return (
-            len(guards) >= floor and len(self.state.list_data_centres(guards)) >= spread
-        )
-
     def _count_read(self, guard: Runner, now: float) -> None:
         for order_id, check in list(self._checks.items()):
-            left = check.waiting.get(guard.id)
-            if left is None:
-                continue
-            check.waiting[guard.id] = left - 1
-            if left > 1:
-                continue
-            del check.waiting[guard.id]
-            if not check.waiting:
+            if check.count_read(guard.id):
                 del self._checks[order_id]
                 self._finish_check(check, now)
 
     def _finish_check(self, check: UnloadCheck, now: float) -> None:
         artifact = check.order.artifact
         self.refresh_copies(now)
-        current = self._list_guards(check.runner, artifact, now)
+        current = list_guards(self.state, check.runner, artifact, now)
         guards = [guard for guard in current if guard in check.guards]
-        if self._suffice(artifact, guards):
+        if do_guards_suffice(self.state, artifact, guards):
             self._send(check.runner, check.order, now)
         else:
             self.explain(artifact, check.runner, "unload_abandoned_last_copy")
