Read ledgers only once the bound on order lateness is known

Cause: a controller that got its lease before its configuration assumed 30 s for orders it found in ledgers; a site's bound may be longer (60 s by default). Fails first: 'assert not True' in test_ledgers_are_read_only_once_the_lateness_bound_is_known. After: tests/policy/placement passes (87 tests).

--- a/mangoway/policy/placement/reservations.py
+++ b/mangoway/policy/placement/reservations.py
@@ -7,6 +7,7 @@
 """
 
 from itertools import count
+from math import inf
 
 from attrs import define, evolve, field
 
@@ -81,8 +82,12 @@
             self.dirty.add(runner.id)
 
     def read_ledgers(self, now: float) -> None:
-        """Read the ledgers that are not known."""
-        if not self.is_active:
+        """Read the ledgers that are not known.
+
+        Without a configuration the bound on order lateness is not known, and so
+        neither how long orders found in a ledger have to be waited for.
+        """
+        if not self.is_active or self.state.configuration is None:
             return
         for runner in self.state.runners.values():
             if runner.is_ledger_known or runner.reads or runner.write is not None:
@@ -122,7 +127,7 @@
     def _bound_s(self) -> float:
         """Return how long copies of an order may arrive after its connection closed."""
         if self.state.configuration is None:
-            return MAX_RETRY_S
+            return inf
         return self.state.configuration.site.order_lateness_bound_s + REPORT_LAG_S
 
     # Writes.
--- a/tests/policy/placement/test_core.py
+++ b/tests/policy/placement/test_core.py
@@ -9,7 +9,9 @@
 from mangoway.models.identifiers import AdapterName, HostId, IncarnationId, ModelName
 from mangoway.models.offer import AdapterOffer
 from mangoway.models.order import OrderKind
+from mangoway.models.upstream import UpstreamAddress, UpstreamKind
 from mangoway.policy.placement import events
+from mangoway.policy.placement.actions import ReadLedger
 from mangoway.policy.placement.const import ORDER_SEND_WINDOW_S
 from mangoway.policy.placement.core import PlacementCore
 from mangoway.policy.placement.options import PlacementOptions
@@ -19,7 +21,7 @@
     register_placement,
 )
 
-from .world import BOUND_S, World, offer_models
+from .world import BOUND_S, DC1, World, offer_models
 
 
 def send_demand(world: World, name: str, rate: int, tokens_each: int = 50) -> None:
@@ -222,6 +224,24 @@
             world.check()
         assert world.list_missing() == []
 
+    def test_ledgers_are_read_only_once_the_lateness_bound_is_known(self) -> None:
+        world = World(configuration=offer_models(a=40))
+        world.start(100)
+        world.run(20.0)
+        core = PlacementCore(IncarnationId("late"))
+        core.handle(events.LeaseGained(), world.now)
+        address = UpstreamAddress(
+            id=next(iter(world.engines)),
+            kind=UpstreamKind.ENGINE,
+            address="127.0.0.1:1",
+            data_centre=DC1,
+        )
+        listed = core.handle(events.RunnersListed(runners=(address,)), world.now)
+        assert not any(isinstance(one, ReadLedger) for one in listed)
+        event = events.ConfigurationChanged(configuration=world.configuration)
+        configured = core.handle(event, world.now + 1.0)
+        assert any(isinstance(one, ReadLedger) for one in configured)
+
 
 class TestDemand:
     """Copies above the floors follow demand when it pays."""
