--- a/measure/path/gateway.py
+++ b/measure/path/gateway.py
@@ -59,7 +59,7 @@
         raise _fail()
 
     def close(self) -> None:
-        """Hold no connections."""
+        """Do nothing."""
 
     def watch(self, prefix: str) -> AsyncIterator[StoredValue]:
         """Refuse."""
