--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -75,30 +75,33 @@
     async def async_start_platform(self) -> None:
         """Start the key-value service and the host list."""
         start = self.launcher.async_start_stand_in
-        self._key_value = await start("key-value", "key_value")
-        self._host_list = await start("host-list", "host_list")
+        self._key_value, self._host_list = await asyncio.gather(
+            start("key-value", "key_value"), start("host-list", "host_list")
+        )
 
     async def async_start_engines(
         self, count: int, memory_mb: int, *flags: str
     ) -> None:
-        """Start model engines, spread over the data centres."""
-        for number in range(count):
-            name = f"engine-{number}"
-            self.engines.append(
-                await self.launcher.async_start_stand_in(
+        """Start model engines."""
+        names = [f"engine-{number}" for number in range(count)]
+        self.engines += await asyncio.gather(
+            *(
+                self.launcher.async_start_stand_in(
                     name, "engine", f"--name={name}", f"--memory-mb={memory_mb}", *flags
                 )
+                for name in names
             )
+        )
 
     async def async_start_services(self, count: int) -> None:
         """Start hosts of one plain service."""
-        for number in range(count):
-            name = f"{SERVICE}-{number}"
-            self.services.append(
-                await self.launcher.async_start_stand_in(
-                    name, "service", f"--name={name}"
-                )
+        names = [f"{SERVICE}-{number}" for number in range(count)]
+        self.services += await asyncio.gather(
+            *(
+                self.launcher.async_start_stand_in(name, "service", f"--name={name}")
+                for name in names
             )
+        )
 
     async def async_restart_engine(self, engine: Process) -> None:
         """Kill an engine, and start it anew, empty, at the same address."""
