Drop a claim of room whose evictions gave too little room

The replay's own part: engines that came back were met before they were listed, and the bound on order lateness was 60 s for a link that delivers within 15 s.

--- a/mangoway/policy/placement/planner.py
+++ b/mangoway/policy/placement/planner.py
@@ -265,9 +265,19 @@
                 del self._state.claims[upstream_id]
             elif not wanted and not self._is_demanded(claim):
                 del self._state.claims[upstream_id]
+            elif self._is_spent(claim, runner):
+                del self._state.claims[upstream_id]
             else:
                 self._evict_next(upstream_id, claim, now)
 
+    def _is_spent(self, claim: RoomClaim, runner: Runner) -> bool:
+        """Return whether all evictions are over and still left too little room."""
+        if claim.victims or not runner.is_free or runner.ledger is None:
+            return False
+        if any(entry.order is not None for entry in runner.ledger.resident):
+            return False
+        return runner.free_mb < self._state.find_memory_mb(claim.artifact)
+
     def _is_demanded(self, claim: RoomClaim) -> bool:
         return self._gains.find_demand(claim.artifact).requests_per_second > 0.0
 
--- a/measure/disruption.py
+++ b/measure/disruption.py
@@ -68,8 +68,11 @@
         for host in simulation.engines.values():
             if host.model.is_down:
                 host.restart(IncarnationId(f"{host.id}-1"))
-                simulation.meet_engine(host)
-        self._clock.call_later(PEER_SILENCE_S, simulation.note_upstreams)
+                self._clock.call_later(PEER_SILENCE_S, self._list_and_meet, host)
+
+    def _list_and_meet(self, host: EngineHost) -> None:
+        self._simulation.note_upstreams()
+        self._simulation.meet_engine(host)
 
     def _lose_entry_host(self) -> None:
         self._lose_gateway(sorted(self._simulation.gateways)[0])
--- a/measure/sites.py
+++ b/measure/sites.py
@@ -50,6 +50,9 @@
 KV_CACHE_FLOOR_MB = 16_384
 ADAPTER_MB = 400
 ACCELERATORS_PER_RUNNER = 4
+ORDER_LATENESS_BOUND_S = 15.0
+"""Above the latest order that the lossy link of the replay delivers."""
+
 SERVICE = ServiceName("application")
 CALL_TIMEOUT_S = 0.5
 
@@ -100,6 +103,7 @@
     """Build the site that weighs moves more: chat with families."""
     policy = SitePolicy(
         move_price=300.0,
+        order_lateness_bound_s=ORDER_LATENESS_BOUND_S,
         loads_per_second=2.0,
         loads_at_full_speed=2,
         kv_cache_floor_mb=KV_CACHE_FLOOR_MB,
@@ -117,6 +121,7 @@
     """Build the site that weighs attainment more: drafts and floor calls."""
     policy = SitePolicy(
         move_price=100.0,
+        order_lateness_bound_s=ORDER_LATENESS_BOUND_S,
         loads_per_second=2.0,
         loads_at_full_speed=9,
         kv_cache_floor_mb=KV_CACHE_FLOOR_MB,
