--- a/mangoway/policy/dispatch/arrivals.py
+++ b/mangoway/policy/dispatch/arrivals.py
@@ -44,15 +44,15 @@
 
     def take(self, request: Request) -> None:
         """Take a request in, or end it at once."""
-        configuration = self.context.configuration
         if self.requests.is_known(request.id):
             return
-        if configuration is None:
-            self._refuse(request, ErrorCode.NOT_READY, "no configuration yet", 1.0)
-            return
         run = self._resolve_key(request)
         if run is None:
             return
+        configuration = self.context.configuration
+        if configuration is None:
+            self._refuse(request, ErrorCode.NOT_READY, "no configuration yet", 1.0)
+            return
         if self._redirect(request):
             return
         fault = find_fault(request, configuration)
@@ -84,11 +84,14 @@
     def _redirect(self, request: Request) -> bool:
         """Send a new request elsewhere if this gateway leaves."""
         configuration = self.context.configuration
+        homed = not request.idempotent and request.key_home is not None
+        if homed and self.keys.closed:
+            self._refuse(request, ErrorCode.LEAVING, "the keys were handed over", 0.0)
+            return True
         if self.stopped_at is None or configuration is None:
             return False
         age = self.context.now - self.stopped_at
-        homed = not request.idempotent and request.key_home is not None
-        if age > configuration.site.address_validity_s or (homed and self.keys.closed):
+        if age > configuration.site.address_validity_s:
             self._refuse(request, ErrorCode.LEAVING, "this gateway leaves", 0.0)
             return True
         if homed:
--- a/mangoway/policy/placement/reservations.py
+++ b/mangoway/policy/placement/reservations.py
@@ -17,6 +17,7 @@
 from .actions import Explain, PlacementAction, ReadLedger, SendOrder, WriteLedger
 from .const import (
     LEDGER_RETRY_S,
+    LOAD_APPEAR_S,
     MAX_RETRY_S,
     ORDER_SEND_WINDOW_S,
     ORDER_TIMEOUT_S,
@@ -155,7 +156,7 @@
 
     def settle_runner(self, runner: Runner) -> bool:
         """Write a runner's ledger if the evidence changes it."""
-        if not runner.is_free or runner.reads or not self.is_active:
+        if not runner.is_free or not self.is_active:
             return False
         ledger = self.settle(runner)
         if ledger is None or ledger == runner.ledger:
@@ -166,7 +167,7 @@
     def reserve(self, runner: Runner, artifact: Artifact, now: float) -> bool:
         """Ask for the ledger write that reserves a load."""
         ledger = self.settle(runner)
-        if ledger is None or not runner.is_free or runner.reads:
+        if ledger is None or not runner.is_free:
             return False
         memory_mb = self.state.find_memory_mb(artifact)
         order_id = self._make_id()
@@ -187,7 +188,7 @@
     def mark(self, runner: Runner, artifact: Artifact, now: float) -> bool:
         """Ask for the ledger write that marks an unload."""
         ledger = self.settle(runner)
-        if ledger is None or not runner.is_free or runner.reads:
+        if ledger is None or not runner.is_free:
             return False
         order_id = self._make_id()
         marked = mark_unload(ledger, artifact, order_id)
@@ -405,6 +406,10 @@
             runner.retries.pop(pending.artifact, None)
             if pending.kind is OrderKind.LOAD:
                 runner.expect(pending.artifact, now)
+            else:
+                # Reports lag: the next ones may still show the artifact.
+                retry = Retry(until=now + LOAD_APPEAR_S)
+                runner.retries[pending.artifact] = retry
             return
         least_s = {OrderOutcome.REFUSED_UNKNOWN: MAX_RETRY_S}.get(event.outcome, 1.0)
         self._fail(runner, pending, now, least_s)
--- a/measure/cli.py
+++ b/measure/policy.py
@@ -1,4 +1,4 @@
-"""The command line of the measurements."""
+"""Measure the policy and write the figures into the pages."""
 
 import sys
 import time
@@ -13,18 +13,11 @@
 from .report import build_tables, write_section
 from .score import RunScore
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
 _MAX_PROCESSES = 4
 _SITES = ("khangai", "cascadia")
 
 
-@app.callback()
-def main() -> None:
-    """Measure the policy and write the figures into the pages."""
-
-
-@app.command()
-def policy(
+def main(
     pages: Annotated[Path, typer.Option(help="Folder of the pages.")] = Path("docs"),
     processes: Annotated[
         int, typer.Option(min=1, max=_MAX_PROCESSES, help="Processes to run in.")
@@ -54,3 +47,7 @@
     if write and not only:
         write_section(pages / "POLICY.md", tables)
         draw_scores(pages / "policy.png", scores)
+
+
+if __name__ == "__main__":
+    typer.run(main)
