--- a/measure/path/gateway.py
+++ b/measure/path/gateway.py
@@ -62,6 +62,9 @@
         """Refuse."""
         raise _fail()
 
+    def close(self) -> None:
+        """Do nothing; nothing is open."""
+
 
 def _fail() -> MangowayError:
     return MangowayError(ErrorCode.PLATFORM_UNAVAILABLE, "there is no service")
