--- a/mangoway/policy/dispatch/choice.py
+++ b/mangoway/policy/dispatch/choice.py
@@ -27,6 +27,8 @@
     def choose(self, entry: Entry, now: float) -> Upstream | None:
         """Return an upstream with room; None if there is none."""
         candidates = self._draw(entry)
+        if self.options.patient_headroom and entry.has_slack(now):
+            candidates = [item for item in candidates if item.takes_patient(now)]
         if not candidates:
             return None
         fresh = [item for item in candidates if self._suits(entry, item)]
--- a/mangoway/policy/dispatch/const.py
+++ b/mangoway/policy/dispatch/const.py
@@ -15,6 +15,10 @@
 """Patient work with less slack than this counts as critical."""
 CRITICAL_SLACK_SHARE: Final = 0.3
 """Share of the time between arrival and deadline with the same effect."""
+PATIENT_MAX_LOAD: Final = 0.6
+"""Load share of an upstream up to which patient work with slack is started there.
+
+The rest stays open for urgent work, whose first token can't wait for a slot."""
 PROMPT_TOKEN_COST: Final = 0.125
 """Work of a prompt token relative to a generated one."""
 
--- a/mangoway/policy/dispatch/core.py
+++ b/mangoway/policy/dispatch/core.py
@@ -65,7 +65,11 @@
     ) -> None:
         options = options or DispatchOptions()
         fleet = Fleet(options, rng)
-        queues = Queues(options.fair_share, options.patient_reserve)
+        queues = Queues(
+            options.fair_share,
+            options.patient_reserve,
+            options.patient_headroom and options.patient_reserve,
+        )
         self.context = Context(identity, rng, options, fleet, queues)
         self.homes = Homes(identity)
         self.keys = KeyTable(identity, self.homes, options.clock_offset_s)
--- a/mangoway/policy/dispatch/entries.py
+++ b/mangoway/policy/dispatch/entries.py
@@ -58,6 +58,10 @@
     detached: bool = False
     """Its caller hung up, but it goes on since its key is kept."""
 
+    def has_slack(self, now: float) -> bool:
+        """Return whether it is patient and not critical yet."""
+        return not self.urgent and self.critical_at > now
+
     @property
     def urgent(self) -> bool:
         """Return whether somebody waits for the answer."""
--- a/mangoway/policy/dispatch/options.py
+++ b/mangoway/policy/dispatch/options.py
@@ -25,6 +25,9 @@
     breakers: bool = True
     fair_share: bool = True
     patient_reserve: bool = True
+    patient_headroom: bool = True
+    """Leave part of each upstream open for urgent work while patient work has slack."""
+
     early_refusal: bool = True
     preemption: bool = False
     """Cancel patient streams, and resume them later, to let urgent work in."""
--- a/mangoway/policy/dispatch/queues.py
+++ b/mangoway/policy/dispatch/queues.py
@@ -222,6 +222,7 @@
 
     fair: bool
     reserve: bool
+    headroom: bool = False
     total: int = 0
     credit_per_urgent: float = 0.0
     _targets: dict[Target, TargetQueue] = field(factory=dict)
@@ -284,7 +285,10 @@
         queues = self._list_queues(upstream)
         if not queues:
             return None
-        queue, entry = self._pop_from(queues, upstream, now)
+        found = self._pop_from(queues, upstream, now)
+        if found is None:
+            return None
+        queue, entry = found
         if len(queues) > 1:
             upstream.charge(queue.target, entry.cost, now)
         self._note_removed(queue)
@@ -292,7 +296,7 @@
 
     def _pop_from(
         self, queues: list[TargetQueue], upstream: Upstream, now: float
-    ) -> tuple[TargetQueue, Entry]:
+    ) -> tuple[TargetQueue, Entry] | None:
         urgent = [queue for queue in queues if queue.urgent.length]
         critical = self._list_critical(queues, now)
         if critical and (not urgent or upstream.reserve_credit >= 1.0):
@@ -305,6 +309,8 @@
             upstream.reserve_credit = min(RESERVE_MAX_CREDIT, credit)
             queue = self._find_next(urgent, upstream, now)
             return queue, queue.urgent.pop()
+        if self.headroom and not upstream.takes_patient(now):
+            return None
         queue = self._find_next(queues, upstream, now)
         return queue, queue.pop_patient()
 
--- a/mangoway/policy/dispatch/upstreams.py
+++ b/mangoway/policy/dispatch/upstreams.py
@@ -10,6 +10,7 @@
 from ...models.upstream import EngineDescription, UpstreamAddress
 from .breakers import Breaker, BreakerState
 from .const import (
+    PATIENT_MAX_LOAD,
     REPORT_STALE_S,
     SERVICE_MAX_RUNNING,
     USE_HALF_TIME_S,
@@ -101,6 +102,10 @@
             others *= max(0.0, 1.0 - age / REPORT_STALE_S)
         return (self.in_flight + others) / self.window.size
 
+    def takes_patient(self, now: float) -> bool:
+        """Return whether patient work that has slack may be started."""
+        return self.find_load(now) < PATIENT_MAX_LOAD
+
     def has_room(self, gateways: int, windows: bool) -> bool:
         """Return whether one more attempt may be started."""
         if not self.takes_work:
--- a/measure/policies.py
+++ b/measure/policies.py
@@ -98,6 +98,7 @@
     _build_ours("ours, no breakers", DispatchOptions(breakers=False)),
     _build_ours("ours, no fair share", DispatchOptions(fair_share=False)),
     _build_ours("ours, no patient reserve", DispatchOptions(patient_reserve=False)),
+    _build_ours("ours, no patient headroom", DispatchOptions(patient_headroom=False)),
     _build_ours("ours, no early refusal", DispatchOptions(early_refusal=False)),
     _build_ours("ours, with preemption", DispatchOptions(preemption=True)),
     _build_ours("ours, no hysteresis", None, PlacementOptions(hysteresis=False)),
