--- a/tests/policy/dispatch/test_queues.py
+++ b/tests/policy/dispatch/test_queues.py
@@ -132,3 +132,33 @@
         assert self.fill(core, *waiting) == []
         assert self.fill(core, "small-urgent-80") == ["small-urgent-99"]
         assert self.fill(core, "small-urgent-99-b") == ["small-urgent-99-b"]
+
+
+class TestHeadroom:
+    """Patient work leaves room for urgent work while it has slack."""
+
+    def fill(self, core: DispatchCore) -> int:
+        """Let patient requests arrive until one waits; return how many started."""
+        for number in range(10):
+            request = make_request(f"p{number}", 1.0, within=900.0, urgent=False)
+            if not pick(arrive(core, request, 1.0), StartAttempt):
+                return number
+        return 10
+
+    def test_patient_work_leaves_slots_that_urgent_work_takes_at_once(self) -> None:
+        core = make_core(engines=1, max_running=10)
+        assert self.fill(core) == 6
+        for number in range(4):
+            start(core, make_request(f"u{number}", 1.0), 1.0)
+
+    def test_critical_patient_work_takes_any_slot(self) -> None:
+        core = make_core(engines=1, max_running=10)
+        self.fill(core)
+        start(core, make_request("due", 1.0, within=12.0, urgent=False), 1.0)
+
+    def test_end_of_an_answer_starts_waiting_patient_work(self) -> None:
+        core = make_core(engines=1, max_running=10)
+        attempt = start(core, make_request("p", 0.5, within=900.0, urgent=False), 0.5)
+        self.fill(core)
+        ended = AttemptSucceeded(attempt_id=attempt.attempt_id)
+        assert pick(core.handle(ended, 2.0), StartAttempt)
