--- a/tests/policy/placement/test_machine.py
+++ b/tests/policy/placement/test_machine.py
@@ -1,6 +1,6 @@
 """State machine: memory and reachability under faults, against the fakes' counts."""
 
-from hypothesis import Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
--- a/tests/util/test_loop_watch.py
+++ b/tests/util/test_loop_watch.py
@@ -9,7 +9,6 @@
 from mangoway.observability.metrics import Metrics
 from mangoway.util.loop_watch import LOG_FROM_S, PERIOD_S, async_watch_loop
 
-
 LAG_EVENT = 106
 
 
