Say that a claim is unsettled when the service did not answer

By hand: with the key-value service down, a plain key that nobody had used was answered with key_already_claimed, 'another gateway claimed the key'. Cause: a write that may have happened was passed on as TAKEN. It still counts as taken (the request isn't run, verdict may_have_run), but has an outcome, code key_claim_unavailable, and a text of its own. Ruled out: not_run, since another gateway may have run the key. The test of the two switches now asks for the new outcome; that the core starts nothing on it is a new row in test_keys.

--- a/mangoway/daemons/claims.py
+++ b/mangoway/daemons/claims.py
@@ -60,7 +60,7 @@
             # What may have been written counts as taken: it is never run twice.
             if error.failure.verdict is Verdict.NOT_RUN:
                 return ClaimOutcome.UNAVAILABLE
-            return ClaimOutcome.TAKEN
+            return ClaimOutcome.UNSETTLED
         return ClaimOutcome.CLAIMED if result.succeeded else ClaimOutcome.TAKEN
 
     def _find_ttl_s(self, submission: Submission) -> float:
--- a/mangoway/policy/dispatch/arrivals.py
+++ b/mangoway/policy/dispatch/arrivals.py
@@ -174,6 +174,12 @@
                 verdict=Verdict.MAY_HAVE_RUN,
                 detail="another gateway claimed the key",
             )
+        if outcome == ClaimOutcome.UNSETTLED:
+            return Failure(
+                code=ErrorCode.KEY_CLAIM_UNAVAILABLE,
+                verdict=Verdict.MAY_HAVE_RUN,
+                detail="the key-value service did not say who has the key",
+            )
         return Failure(
             code=ErrorCode.KEY_CLAIM_UNAVAILABLE,
             verdict=Verdict.NOT_RUN,
--- a/mangoway/policy/dispatch/events.py
+++ b/mangoway/policy/dispatch/events.py
@@ -72,7 +72,11 @@
 
     CLAIMED = "claimed"
     TAKEN = "taken"
+    UNSETTLED = "unsettled"
+    """Whether it was written is unknown; the key counts as taken."""
+
     UNAVAILABLE = "unavailable"
+    """It certainly was not written."""
 
 
 @frozen(kw_only=True)
@@ -81,7 +85,7 @@
 
     request_id: RequestId
     outcome: str
-    """One of `ClaimOutcome`; UNAVAILABLE only if it certainly was not written."""
+    """One of `ClaimOutcome`."""
 
 
 @frozen(kw_only=True)
--- a/tests/daemons/test_claims.py
+++ b/tests/daemons/test_claims.py
@@ -80,11 +80,9 @@
         assert await claim(FakeKeyValueStore(down=True)) == "unavailable"
 
     @pytest.mark.parametrize("switch", ["lost_answers", "failed_commits"])
-    async def test_write_that_may_have_happened_counts_as_taken(
-        self, switch: str
-    ) -> None:
+    async def test_write_that_may_have_happened_is_unsettled(self, switch: str) -> None:
         store = FakeKeyValueStore(**{switch: 1})
-        assert await claim(store) == "taken"
+        assert await claim(store) == "unsettled"
 
     async def test_claim_outlives_the_longest_run_by_the_retention(self) -> None:
         store = RecordingStore()
--- a/tests/policy/dispatch/test_keys.py
+++ b/tests/policy/dispatch/test_keys.py
@@ -235,6 +235,11 @@
                 ErrorCode.KEY_ALREADY_CLAIMED,
                 Verdict.MAY_HAVE_RUN,
             ),
+            (
+                ClaimOutcome.UNSETTLED,
+                ErrorCode.KEY_CLAIM_UNAVAILABLE,
+                Verdict.MAY_HAVE_RUN,
+            ),
             (
                 ClaimOutcome.UNAVAILABLE,
                 ErrorCode.KEY_CLAIM_UNAVAILABLE,
