Set every metric, log every event, and explain what could not be explained

- /metrics of a controller offered mangoway_moves_total, mangoway_members, mangoway_memory_committed_mb and mangoway_config_version and set none of them; no code set the first and third at all.
A controller's loop wasn't watched, so a paused one logged no LoopLagged.
- Seven events of the catalogue were logged by no code: ProcessReady, UpstreamLeaving, CircuitOpened, CircuitClosed, MemoryExceeded, ConfigurationRefused, ConfigurationPushed.
- 'explain version 1' knew nothing, 'explain request' knew nothing of a request refused before a decision or forwarded, spans could only be seen in the log, and 'explain foo x' ended with 1 and an unclear text.

A controller that took over says loaded_before in place of no reason.

Two tests hold each event and each family of metrics against the code.

--- a/mangoway/callers/gate.py
+++ b/mangoway/callers/gate.py
@@ -13,6 +13,7 @@
 from ..models.verdict import Verdict
 from ..observability.event_log import log_event
 from ..observability.events import CallerGone, RequestFinished, RequestRefused
+from ..observability.journal import DecisionKind, Journal, JournalEntry
 from ..observability.metrics import Metrics
 from ..observability.tracing import Hop, HopSpan, Tracing
 from .answer import Answer, AnswerReader
@@ -24,6 +25,8 @@
 
 OUTCOME_WHOLE = "whole"
 OUTCOME_REFUSED = "refused"
+REASON_FAILED_PREFIX = "answered_"
+"""Reason of a failure as the caller got it; the decision before has its own."""
 
 
 class RequestTaker(Protocol):
@@ -55,6 +58,7 @@
     _incarnation: IncarnationId
     _metrics: Metrics
     _tracing: Tracing
+    _journal: Journal
     _arrivals: int = field(default=0, init=False)
     open_count: int = field(default=0, init=False)
     """Requests whose answer is not yet whole."""
@@ -141,6 +145,16 @@
                 detail=failure.detail,
             )
         )
+        self._journal.add(
+            JournalEntry(
+                at=time.time(),
+                kind=DecisionKind.REQUEST,
+                reason=REASON_FAILED_PREFIX + failure.code.value,
+                detail=f"{failure.verdict.value}: {failure.detail}",
+                request=exchange.id,
+                trace_id=exchange.span.trace_id,
+            )
+        )
 
 
 @define(eq=False)
--- a/mangoway/cli/explain.py
+++ b/mangoway/cli/explain.py
@@ -7,8 +7,10 @@
 
 import typer
 
+from ..models.errors import MangowayError
 from ..peers import peers_pb2 as pb
-from ..peers.status import make_query
+from ..peers.status import KIND_TRACE, make_query
+from ..settings.errors import SettingError
 from ..settings.options import parse_settings
 from .commands import register_command
 from .inquiry import InquirySettings, async_explain
@@ -27,7 +29,9 @@
 
 
 def _explain(
-    kind: Annotated[str, typer.Argument(help="request, model, runner or version.")],
+    kind: Annotated[
+        str, typer.Argument(help="request, model, runner, version or trace.")
+    ],
     identifier: Annotated[str, typer.Argument(help="Its identifier.")],
     peers: Annotated[
         str | None,
@@ -37,12 +41,24 @@
         ),
     ] = None,
 ) -> None:
-    """Show why a request, model, runner or version was treated as it was."""
+    """Show why a request, model, runner or version was treated as it was.
+
+    Of a trace, its spans are shown.
+    """
     settings = parse_settings(InquirySettings, {"peers": peers})
-    make_query(kind, identifier)
+    _check_question(kind, identifier)
     request = pb.ExplainRequest(kind=kind, id=identifier)
     entries = asyncio.run(async_explain(settings.peers, request))
     typer.echo(format_entries(entries), nl=False)
 
 
+def _check_question(kind: str, identifier: str) -> None:
+    if kind == KIND_TRACE:
+        return
+    try:
+        make_query(kind, identifier)
+    except MangowayError as error:
+        raise SettingError("KIND ID", error.failure.detail) from None
+
+
 register_command("explain", _explain)
--- a/mangoway/daemons/controller.py
+++ b/mangoway/daemons/controller.py
@@ -44,7 +44,7 @@
     metrics = Metrics()
     store = make_key_value_store(settings, metrics)
     node = ControllerNode(settings, store, metrics)
-    metrics_server = MetricsServer(metrics)
+    metrics_server = MetricsServer(node.gauges.render)
     try:
         await _async_start(node, metrics_server)
         signal_name = await signals.async_wait()
--- a/mangoway/daemons/controller_node.py
+++ b/mangoway/daemons/controller_node.py
@@ -26,8 +26,10 @@
 from ..policy.membership.events import HostListed
 from ..policy.placement.core import PlacementCore
 from ..settings.process import ControllerSettings
+from ..util.loop_watch import async_watch_loop
 from ..util.tasks import Tasks
 from .const import INCARNATION_BYTES, LEAVE_SPREAD_S, STOP_POLL_S
+from .controller_metrics import ControllerGauges
 from .controller_status import ControllerStatus
 from .lease import LeaseHolder
 from .placement_driver import PlacementDriver
@@ -48,6 +50,7 @@
     lease: LeaseHolder = field(init=False)
     network: PeerNetwork = field(init=False)
     server: PeerServer = field(init=False)
+    gauges: ControllerGauges = field(init=False)
     _book: ReportBook = field(factory=ReportBook, init=False)
     _journal: Journal = field(factory=Journal, init=False)
     _lease_task: "asyncio.Task[None] | None" = field(default=None, init=False)
@@ -58,6 +61,12 @@
         self.clients = PeerClients()
         self.directory = Directory(self.own.incarnation)
         self.placement = self._make_placement()
+        self.gauges = ControllerGauges(
+            metrics=self.metrics,
+            core=self.placement.core,
+            directory=self.directory,
+            clock=asyncio.get_running_loop().time,
+        )
         self.lease = LeaseHolder(
             store=self.store,
             cell=self.settings.cell,
@@ -79,6 +88,7 @@
         await self.server.async_start(host.strip("[]"), int(port))
         self.network.async_start(self.settings.seeds)
         self.placement.async_start()
+        self.tasks.async_start(async_watch_loop(self.metrics))
         self._lease_task = self.tasks.async_start(self.lease.async_run())
 
     def async_list_hosts(
@@ -140,6 +150,7 @@
             clients=self.clients,
             directory=self.directory,
             book=self._book,
+            journal=self._journal,
             tasks=self.tasks,
             rng=rng,
             on_members=lambda _: None,
--- a/mangoway/daemons/controller_status.py
+++ b/mangoway/daemons/controller_status.py
@@ -20,6 +20,9 @@
 from .engine_poller import PolledEngine
 from .placement_driver import PlacementDriver
 
+REASON_FOUND = "loaded_before"
+"""The copies were there when this controller began to plan."""
+
 
 @define(eq=False, kw_only=True)
 class ControllerStatus:
@@ -114,7 +117,9 @@
         if need.artifact == artifact.artifact and need.blocked_s:
             return "no_room", f"no runner has had room for {need.blocked_s:.0f} s"
     last = next(reversed(tuple(reasons)), None)
-    return ("", "") if last is None else (last.code, last.detail)
+    if last is not None:
+        return last.code, last.detail
+    return (REASON_FOUND, "") if artifact.copies else ("", "")
 
 
 def _list_runners(artifact: ArtifactStatus, state: CopyState) -> list[str]:
--- a/mangoway/daemons/dispatcher.py
+++ b/mangoway/daemons/dispatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol, TypeVar
+from typing import Any, Final, Protocol, TypeVar
 
 from attrs import define, field
 
@@ -14,8 +14,10 @@
 from ..models.offer import Configuration
 from ..models.upstream import UpstreamAddress
 from ..models.verdict import Verdict
+from ..observability.event_log import log_event
+from ..observability.events import CircuitClosed, CircuitOpened
 from ..observability.journal import DecisionKind, Journal, JournalEntry
-from ..observability.tracing import HopSpan
+from ..observability.tracing import Hop, HopSpan, Tracing
 from ..policy.core import Core
 from ..policy.dispatch.actions import (
     CancelAttempt,
@@ -27,6 +29,7 @@
     ForwardToHome,
     ForwardToPeer,
     JoinRequest,
+    NoteBreaker,
     Refuse,
     ReplayAnswer,
     ReportDemand,
@@ -46,6 +49,10 @@
 from .attempts import AttemptRunner
 from .records import Records, RequestRecord
 
+DECISION_SPAN: Final = "decide"
+REASON_FORWARDED_HOME: Final = "forwarded_home"
+REASON_FORWARDED_LEAVING: Final = "forwarded_leaving"
+
 ActionT = TypeVar("ActionT")
 ActionHandler = Callable[["Dispatcher", Any], None]
 
@@ -102,6 +109,7 @@
 
     core: Core[DispatchEvent, DispatchAction]
     journal: Journal
+    tracing: Tracing
     runner: AttemptRunner
     claimer: KeyClaimer
     router: PeerRouter
@@ -126,7 +134,8 @@
     def submit(self, submission: Submission, span: HopSpan) -> Answer:
         """Take a checked request and return its answer, which then grows."""
         answer = Answer()
-        self.records.add(RequestRecord(submission, answer, span))
+        decision = self.tracing.start(Hop.GATEWAY, DECISION_SPAN, span)
+        self.records.add(RequestRecord(submission, answer, span, decision))
         self.send(RequestArrived(request=submission.request))
         return answer
 
@@ -163,6 +172,7 @@
         if record is None or upstream is None:
             self.send(_make_unstartable(action))
             return
+        record.end_decision()
         self.runner.async_start(action, record, upstream.address)
 
     @_handles(CancelAttempt)
@@ -219,12 +229,14 @@
     def _forward_home(self, action: ForwardToHome) -> None:
         record = self.records.pop(action.request_id)
         if record is not None:
+            self._keep(record, REASON_FORWARDED_HOME, f"home {action.home}")
             self.router.async_forward_home(record, action.home)
 
     @_handles(ForwardToPeer)
     def _forward_any(self, action: ForwardToPeer) -> None:
         record = self.records.pop(action.request_id)
         if record is not None:
+            self._keep(record, REASON_FORWARDED_LEAVING, "this gateway leaves")
             self.router.async_forward_any(record)
 
     @_handles(ReportDemand)
@@ -246,6 +258,26 @@
             )
         )
 
+    def _keep(self, record: RequestRecord, reason: str, detail: str) -> None:
+        self.journal.add(
+            JournalEntry(
+                at=time.time(),
+                kind=DecisionKind.REQUEST,
+                reason=reason,
+                detail=detail,
+                request=record.id,
+                trace_id=record.span.trace_id,
+            )
+        )
+
+    @_handles(NoteBreaker)
+    def _note_breaker(self, action: NoteBreaker) -> None:
+        upstream = action.upstream_id
+        if action.failures:
+            log_event(CircuitOpened(upstream_id=upstream, failures=action.failures))
+        else:
+            log_event(CircuitClosed(upstream_id=upstream))
+
     @_handles(WakeAt)
     def _wake_at(self, action: WakeAt) -> None:
         self._driver.async_wake_at(action.time)
--- a/mangoway/daemons/gateway.py
+++ b/mangoway/daemons/gateway.py
@@ -99,6 +99,7 @@
             directory=self.node.directory,
             core=self.node.core,
             journal=self.node.journal,
+            tracing=self.node.tracing,
         )
         self.stop = PlannedStop(
             node=self.node,
@@ -164,6 +165,7 @@
             clients=node.clients,
             directory=node.directory,
             book=node.book,
+            journal=node.journal,
             tasks=node.tasks,
             rng=rng,
             on_members=node.set_members,
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -24,12 +24,7 @@
     UpstreamKind,
 )
 from ..observability.event_log import log_event
-from ..observability.events import (
-    ReportFailed,
-    TaskFailed,
-    UpstreamMet,
-    UpstreamRestarted,
-)
+from ..observability.events import ReportFailed, TaskFailed
 from ..observability.journal import Journal
 from ..observability.metrics import Metrics
 from ..observability.tracing import Tracing
@@ -64,6 +59,7 @@
 from .key_hand_over import KeyGiver, KeyTaker
 from .peer_router import ForwardedRequests, GatewayRouter
 from .rendezvous import is_chosen
+from .upstream_log import UpstreamLog
 
 
 def make_incarnation() -> IncarnationId:
@@ -119,7 +115,11 @@
         )
         self.dispatcher = self._make_dispatcher(store)
         self.gate = Gate(
-            self.dispatcher, settings.incarnation, self.metrics, self.tracing
+            self.dispatcher,
+            settings.incarnation,
+            self.metrics,
+            self.tracing,
+            self.journal,
         )
         self.receivers = PeerReceivers(
             forwards=ForwardedRequests(self.gate),
@@ -148,7 +148,7 @@
                 )
             )
         )
-        self._incarnations: dict[UpstreamId, IncarnationId] = {}
+        self._upstream_log = UpstreamLog()
         self.book.listen(self._take_peer_report)
 
     @property
@@ -193,7 +193,9 @@
 
     def set_upstreams(self, upstreams: Iterable[UpstreamAddress]) -> None:
         """Set the whole list of known upstreams."""
-        self.dispatcher.set_upstreams(upstreams)
+        known = tuple(upstreams)
+        self._upstream_log.note_listed(known)
+        self.dispatcher.set_upstreams(known)
         self._share_engines()
 
     def set_members(self, members: Iterable[Member]) -> None:
@@ -220,27 +222,12 @@
 
     def async_meet(self, description: EngineDescription) -> None:
         """Take the description of an engine met first, or after a restart."""
-        known = self._incarnations.get(description.upstream)
-        self._incarnations[description.upstream] = description.incarnation
-        if known is not None and known != description.incarnation:
-            log_event(
-                UpstreamRestarted(
-                    upstream_id=description.upstream,
-                    incarnation=description.incarnation,
-                )
-            )
-        log_event(
-            UpstreamMet(
-                upstream_id=description.upstream,
-                incarnation=description.incarnation,
-                memory_mb=description.memory_mb,
-                checks_fences=description.checks_fences,
-            )
-        )
+        self._upstream_log.note_met(description)
         self.dispatcher.send(EngineMet(description=description))
 
     def async_take_report(self, report: EngineReport) -> None:
         """Take a report that this gateway asked for; peers hear of it."""
+        self._upstream_log.note_report(report)
         if self.book.offer(report):
             self.dispatcher.send(EngineReported(report=report))
 
@@ -272,6 +259,7 @@
         return Dispatcher(
             core=self.core,
             journal=self.journal,
+            tracing=self.tracing,
             runner=runner,
             claimer=KeyClaims(
                 store=store,
@@ -301,7 +289,7 @@
 
     def _take_peer_report(self, report: EngineReport) -> None:
         self.dispatcher.send(EngineReported(report=report))
-        if self._incarnations.get(report.upstream) != report.incarnation:
+        if self._upstream_log.find_incarnation(report.upstream) != report.incarnation:
             self.tasks.async_start(self._async_describe(report.upstream))
 
     async def _async_describe(self, upstream: UpstreamId) -> None:
--- a/mangoway/daemons/gateway_status.py
+++ b/mangoway/daemons/gateway_status.py
@@ -4,6 +4,7 @@
 
 from ..models.identifiers import HostId, IncarnationId
 from ..observability.journal import Journal
+from ..observability.tracing import Tracing
 from ..peers import peers_pb2 as pb
 from ..peers.directory import Directory
 from ..peers.status import encode_host, explain
@@ -20,6 +21,7 @@
     directory: Directory
     core: DispatchCore
     journal: Journal
+    tracing: Tracing
 
     def async_read_status(self) -> pb.StatusReply:
         """Return the processes and queues that this gateway knows."""
@@ -33,7 +35,7 @@
 
     def async_explain(self, request: pb.ExplainRequest) -> pb.ExplainReply:
         """Return why this gateway did something."""
-        return explain(self.journal, request, self.host)
+        return explain(self.journal, request, self.host, self.tracing)
 
 
 def _encode_queue(queue: QueueStatus) -> pb.QueueStatus:
--- /dev/null
+++ b/mangoway/daemons/gauge_levels.py
@@ -0,0 +1,31 @@
+"""Levels of gauges whose label values come and go."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from attrs import define, field
+
+from ..models.member import Member
+from ..observability.metrics import GaugeFamily
+
+LabelValues = tuple[str, ...]
+
+
+@define(eq=False)
+class GaugeLevels:
+    """Sets gauges, and drops those whose subject is gone."""
+
+    _shown: dict[int, set[LabelValues]] = field(factory=dict, init=False)
+
+    def set(self, family: GaugeFamily, levels: Mapping[LabelValues, int]) -> None:
+        """Set all levels of a family."""
+        for values in self._shown.get(id(family), set()) - set(levels):
+            family.drop(*values)
+        for values, level in levels.items():
+            family.set(*values, level=level)
+        self._shown[id(family)] = set(levels)
+
+
+def count_members(members: Iterable[Member]) -> Counter[LabelValues]:
+    """Return the number of processes by role and state."""
+    return Counter((member.role.value, member.state.value) for member in members)
--- a/mangoway/daemons/metrics_server.py
+++ b/mangoway/daemons/metrics_server.py
@@ -1,12 +1,12 @@
 """Serves the metrics of a controller over HTTP, with few imports."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import h11
 from attrs import define, field
 
-from ..observability.metrics import CONTENT_TYPE, Metrics
+from ..observability.metrics import CONTENT_TYPE
 
 PATH_METRICS = b"/metrics"
 READ_TIMEOUT_S = 5.0
@@ -17,7 +17,9 @@
 class MetricsServer:
     """Answers `GET /metrics`, one request per connection."""
 
-    metrics: Metrics
+    render: Callable[[], bytes]
+    """Returns the metrics."""
+
     _server: asyncio.Server | None = field(default=None, init=False)
 
     async def async_start(self, host: str, port: int) -> None:
@@ -59,7 +61,7 @@
 
     def _answer(self, request: h11.Request) -> Iterable[h11.Event]:
         found = request.target == PATH_METRICS and request.method == b"GET"
-        body = self.metrics.render() if found else b""
+        body = self.render() if found else b""
         headers = [
             ("Content-Type", CONTENT_TYPE),
             ("Content-Length", str(len(body))),
--- a/mangoway/daemons/placement_driver.py
+++ b/mangoway/daemons/placement_driver.py
@@ -11,7 +11,7 @@
 from ..models.errors import MangowayError
 from ..models.identifiers import CellId, UpstreamId
 from ..models.offer import Configuration
-from ..models.order import Order
+from ..models.order import Order, OrderOutcome
 from ..models.upstream import EngineDescription, EngineReport, UpstreamAddress
 from ..models.verdict import Verdict
 from ..observability import events as log
@@ -48,6 +48,7 @@
 from .const import ORDER_WATCH_S
 from .engine_poller import EnginePoller, EngineReader
 from .ledger_store import LedgerEvent, LedgerFailure, LedgerStore
+from .upstream_log import UpstreamLog
 
 
 class EngineOrders(EngineReader, Protocol):
@@ -83,6 +84,7 @@
     poller: EnginePoller = field(init=False)
     _driver: CoreDriver[PlacementEvent, PlacementAction] = field(init=False)
     _ledgers: LedgerStore = field(init=False)
+    _upstream_log: UpstreamLog = field(factory=UpstreamLog, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._driver = CoreDriver(self.core, self._carry_out, Ticked)
@@ -124,10 +126,12 @@
 
     def async_apply_configuration(self, configuration: Configuration) -> None:
         """Plan for a newer configuration."""
+        self.metrics.config_version.set(level=configuration.version)
         self._driver.async_handle(ConfigurationChanged(configuration=configuration))
 
     def async_list_runners(self, runners: tuple[UpstreamAddress, ...]) -> None:
         """Take the runners of the cell that are known now."""
+        self._upstream_log.note_listed(runners)
         self._driver.async_handle(RunnersListed(runners=runners))
         self.poller.async_set_engines(runners)
 
@@ -138,18 +142,12 @@
 
     def async_meet(self, description: EngineDescription) -> None:
         """Take the description of an engine met first, or after a restart."""
-        log_event(
-            log.UpstreamMet(
-                upstream_id=description.upstream,
-                incarnation=description.incarnation,
-                memory_mb=description.memory_mb,
-                checks_fences=description.checks_fences,
-            )
-        )
+        self._upstream_log.note_met(description)
         self._driver.async_handle(EngineMet(description=description))
 
     def async_take_report(self, report: EngineReport) -> None:
         """Take a report."""
+        self._upstream_log.note_report(report)
         self._driver.async_handle(EngineReported(report=report))
 
     def async_note_silent(self, upstream: UpstreamId, error: MangowayError) -> None:
@@ -204,6 +202,8 @@
     def _answer_order(self, order: Order, answer: OrderAnswer) -> None:
         outcome = answer.outcome
         self.metrics.orders.add(order.kind.value, outcome.value)
+        if outcome is OrderOutcome.ACCEPTED:
+            self.metrics.moves.add(order.kind.value)
         log_event(
             log.OrderAnswered(
                 order_id=order.id, upstream_id=order.upstream, outcome=outcome.value
--- a/mangoway/daemons/records.py
+++ b/mangoway/daemons/records.py
@@ -20,6 +20,9 @@
     span: HopSpan
     """Span of the exchange with the caller; attempts are its children."""
 
+    decision: HopSpan | None = None
+    """Span of admission, queue and choice; None once it has ended."""
+
     attempt: AttemptId | None = None
     """The attempt that may add to the answer; earlier ones are late."""
 
@@ -35,6 +38,12 @@
         """Return the request's id."""
         return self.submission.request.id
 
+    def end_decision(self) -> None:
+        """End the span of the decision, if it is open."""
+        if self.decision is not None:
+            self.decision.end()
+            self.decision = None
+
 
 @define(eq=False)
 class RunningAttempt:
@@ -68,8 +77,11 @@
     def pop(self, request_id: RequestId) -> RequestRecord | None:
         """Return a request and forget it, and those that share its answer."""
         record = self._open.pop(request_id, None)
-        for follower in record.followers if record is not None else ():
-            self._open.pop(follower, None)
+        if record is None:
+            return None
+        record.end_decision()
+        for follower in record.followers:
+            self.pop(follower)
         return record
 
     def keep(self, request_id: RequestId, answer: Answer) -> None:
--- a/mangoway/peers/configuration.py
+++ b/mangoway/peers/configuration.py
@@ -38,6 +38,7 @@
 from ..util.tasks import Tasks
 from . import peers_pb2 as pb
 from .client import PeerClients
+from .configuration_log import ConfigurationLog
 from .const import WATCH_PAUSE_S
 from .directory import Directory, name_process
 
@@ -47,7 +48,6 @@
     """Keeps this process at the newest configuration version.
 
     `on_applied` is called with each version that comes in force here, in order.
-    `on_refused` is told of documents that could not be read or used.
     """
 
     core: ConfigurationCore
@@ -57,12 +57,14 @@
     directory: Directory
     data_centre: DataCentreId
     tasks: Tasks
+    log: ConfigurationLog
     on_applied: Callable[[Configuration], None]
-    on_refused: Callable[[HostId | None, MangowayError], None]
     _driver: CoreDriver[ConfigurationEvent, ConfigurationAction] = field(init=False)
     _repository: ConfigurationRepository = field(init=False)
     _watch: "asyncio.Task[None] | None" = field(default=None, init=False)
     _advertised: dict[HostId, ConfigVersion] = field(factory=dict, init=False)
+    _source: HostId | None = field(default=None, init=False)
+    """Where the document that is looked at came from; None for the service."""
 
     def __attrs_post_init__(self) -> None:
         self._driver = CoreDriver(self.core, self._carry_out, Ticked)
@@ -138,6 +140,7 @@
     @_carry_out.register
     def _(self, action: ApplyConfiguration) -> None:
         self.on_applied(action.configuration)
+        self.log.note_applied(action.configuration.version, self._source)
 
     @_carry_out.register
     def _(self, action: WakeAt) -> None:
@@ -147,7 +150,7 @@
         try:
             head = await self._repository.async_read_head()
         except MangowayError as error:
-            self._fail(None, error)
+            self._fail(None, None, error)
         else:
             self._driver.async_handle(HeadSeen(version=head.version))
 
@@ -158,7 +161,7 @@
                 async for stored in self.store.watch(HEAD_KEY):
                     self._see_head(stored.value)
             except MangowayError as error:
-                self.on_refused(None, error)
+                self.log.note_failure(None, None, error)
             await asyncio.sleep(WATCH_PAUSE_S)
 
     def _see_head(self, value: bytes | None) -> None:
@@ -176,7 +179,7 @@
         try:
             configuration = await self.follower.async_fetch(self._repository, version)
         except MangowayError as error:
-            self._fail(None, error)
+            self._fail(None, version, error)
         else:
             self._receive(configuration, None)
 
@@ -186,7 +189,7 @@
             client = self.clients.get(self._find_address(peer))
             document = await client.async_fetch_configuration(request)
         except MangowayError as error:
-            self._fail(peer, error)
+            self._fail(peer, None, error)
             return
         if document.document:
             self._accept(document, peer)
@@ -211,6 +214,7 @@
         except MangowayError:
             # The peer hears of the version by heartbeats and asks for it.
             return
+        self.log.note_pushed(peer, self.follower.version)
         version = ConfigVersion(reply.version)
         self._driver.async_handle(PeerAdvertised(peer=peer, version=version))
 
@@ -218,19 +222,21 @@
         try:
             configuration = self.follower.accept_update(document.document)
         except MangowayError as error:
-            self._fail(source, error)
-            self._driver.async_handle(
-                PeerAdvertised(peer=source, version=ConfigVersion(document.version))
-            )
+            version = ConfigVersion(document.version)
+            self._fail(source, version, error)
+            self._driver.async_handle(PeerAdvertised(peer=source, version=version))
         else:
             self._receive(configuration, source)
 
     def _receive(self, configuration: Configuration, source: HostId | None) -> None:
+        self._source = source
         received = DocumentReceived(configuration=configuration, source=source)
         self._driver.async_handle(received)
 
-    def _fail(self, source: HostId | None, error: MangowayError) -> None:
-        self.on_refused(source, error)
+    def _fail(
+        self, source: HostId | None, version: ConfigVersion | None, error: MangowayError
+    ) -> None:
+        self.log.note_failure(source, version, error)
         self._driver.async_handle(FetchFailed(source=source))
 
     def _find_address(self, peer: HostId) -> str:
--- a/mangoway/peers/network.py
+++ b/mangoway/peers/network.py
@@ -8,12 +8,10 @@
 from attrs import define, field
 
 from ..key_value.store import KeyValueStore
-from ..models.errors import MangowayError
-from ..models.identifiers import HostId, IncarnationId
+from ..models.identifiers import IncarnationId
 from ..models.member import Member
 from ..models.offer import Configuration
-from ..observability import events as log
-from ..observability.event_log import log_event
+from ..observability.journal import Journal
 from ..operators.follower import ConfigurationFollower
 from ..policy.configuration.core import ConfigurationCore
 from ..policy.core import Core
@@ -22,6 +20,7 @@
 from ..util.tasks import Tasks
 from .client import PeerClients
 from .configuration import ConfigurationDriver
+from .configuration_log import ConfigurationLog
 from .const import CLOSE_IDLE_PERIOD_S, SESSION_BITS
 from .directory import Directory, name_process
 from .heartbeat import HeartbeatCodec
@@ -30,8 +29,6 @@
 from .reports import ReportBook
 from .server import PeerReceivers
 
-SOURCE_SERVICE = "key_value"
-
 
 @define(eq=False, kw_only=True)
 class PeerNetwork:
@@ -47,6 +44,7 @@
     clients: PeerClients
     directory: Directory
     book: ReportBook
+    journal: Journal
     tasks: Tasks
     rng: Random
     on_members: Callable[[tuple[Member, ...]], None]
@@ -72,8 +70,8 @@
             directory=self.directory,
             data_centre=self.own.data_centre,
             tasks=self.tasks,
+            log=ConfigurationLog(self.journal),
             on_applied=self._apply,
-            on_refused=_log_refusal,
         )
 
     def add_to(self, receivers: PeerReceivers) -> None:
@@ -108,10 +106,8 @@
         self.on_members(members)
 
     def _apply(self, configuration: Configuration) -> None:
-        version = configuration.version
-        log_event(log.ConfigurationApplied(config_version=version, source="peers"))
         self.on_configuration(configuration)
-        self.membership.async_set_self(version, ready=True)
+        self.membership.async_set_self(configuration.version, ready=True)
 
     async def _async_close_idle(self) -> None:
         loop = asyncio.get_running_loop()
@@ -123,9 +119,3 @@
 def make_session() -> int:
     """Return a session number that no process ever had, and not 0."""
     return secrets.randbits(SESSION_BITS) or 1
-
-
-def _log_refusal(source: HostId | None, error: MangowayError) -> None:
-    log_event(
-        log.ConfigurationFetchFailed(source=source or SOURCE_SERVICE, error=str(error))
-    )
--- a/mangoway/peers/status.py
+++ b/mangoway/peers/status.py
@@ -1,13 +1,19 @@
 """Answers to operators that gateways and controllers share."""
 
+from collections.abc import Mapping
+from typing import Final
+
 from ..models.errors import ErrorCode, MangowayError
 from ..models.identifiers import ConfigVersion, HostId, RequestId, UpstreamId
 from ..models.member import Member, ProcessRole
 from ..observability.journal import Journal, JournalEntry, JournalQuery
+from ..observability.tracing import SpanRecord, Tracing
 from . import peers_pb2 as pb
 from .const import MAX_EXPLANATIONS
 from .member_codec import encode_role
 
+KIND_TRACE: Final = "trace"
+
 
 def encode_host(member: Member) -> pb.HostStatus:
     """Return the message of one process."""
@@ -32,19 +38,25 @@
 
 
 def explain(
-    journal: Journal, request: pb.ExplainRequest, host: HostId
+    journal: Journal,
+    request: pb.ExplainRequest,
+    host: HostId,
+    tracing: Tracing | None = None,
 ) -> pb.ExplainReply:
-    """Return the entries of a journal that answer a question.
+    """Return the entries of a journal, or the spans, that answer a question.
 
     Raises:
         MangowayError: MALFORMED_REQUEST if the kind of question is not known.
     """
+    if request.kind == KIND_TRACE:
+        spans = tracing.list_spans(request.id) if tracing else ()
+        return pb.ExplainReply(entries=[_encode_span(span, host) for span in spans])
     entries = journal.find(make_query(request.kind, request.id))
     return pb.ExplainReply(entries=[_encode_entry(entry, host) for entry in entries])
 
 
 def make_query(kind: str, identifier: str) -> JournalQuery:
-    """Return the query of a question.
+    """Return the query of a question to a journal.
 
     Raises:
         MangowayError: MALFORMED_REQUEST if the kind is not known.
@@ -59,10 +71,37 @@
         case "version" if identifier.isdecimal():
             version = ConfigVersion(int(identifier))
             return JournalQuery(config_version=version, limit=MAX_EXPLANATIONS)
-    detail = f"nothing is known by {kind} {identifier!r}"
+        case "version":
+            detail = f"version: expected a whole number, not {identifier!r}"
+        case _:
+            detail = f"expected request, model, runner, version or trace, not {kind!r}"
     raise MangowayError(ErrorCode.MALFORMED_REQUEST, detail)
 
 
+def _encode_span(span: SpanRecord, host: HostId) -> pb.ExplainEntry:
+    fields = {
+        "name": span.name,
+        "seconds": f"{span.duration_s:.6f}",
+        "failure": span.failure,
+        "span": span.span_id,
+        "parent": span.parent_id,
+    }
+    return pb.ExplainEntry(
+        time=span.started_at,
+        host=host,
+        name=f"span.{span.hop}",
+        fields=_encode_fields(fields),
+    )
+
+
+def _encode_fields(fields: Mapping[str, object]) -> list[pb.Header]:
+    return [
+        pb.Header(name=name, value=str(value))
+        for name, value in fields.items()
+        if value not in (None, "")
+    ]
+
+
 def _encode_entry(entry: JournalEntry, host: HostId) -> pb.ExplainEntry:
     fields = {
         "detail": entry.detail,
@@ -76,9 +115,5 @@
         time=entry.at,
         host=host,
         name=f"{entry.kind.value}.{entry.reason}",
-        fields=[
-            pb.Header(name=name, value=str(value))
-            for name, value in fields.items()
-            if value not in (None, "")
-        ],
+        fields=_encode_fields(fields),
     )
--- a/mangoway/policy/dispatch/actions.py
+++ b/mangoway/policy/dispatch/actions.py
@@ -129,6 +129,15 @@
     detail: str = ""
 
 
+@frozen(kw_only=True)
+class NoteBreaker:
+    """Log that the circuit breaker of an upstream opened or closed."""
+
+    upstream_id: UpstreamId
+    failures: int
+    """Failures in a row that opened it; 0 if it closed."""
+
+
 @frozen(kw_only=True)
 class WakeAt:
     """Send `Ticked` at this time (replaces any earlier one)."""
@@ -149,5 +158,6 @@
     | ForwardToPeer
     | ReportDemand
     | Explain
+    | NoteBreaker
     | WakeAt
 )
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -29,6 +29,8 @@
             (["gateway", *GOOD, "--prot=1"], "--prot"),
             (["controller", "--host"], "--host"),
             (["gatway"], "gatway"),
+            (["explain", "cable", "1", "--peers=127.0.0.1:1"], "cable"),
+            (["explain", "version", "x", "--peers=127.0.0.1:1"], "version"),
             ([], "command"),
         ],
     )
--- a/tests/daemons/test_metrics_server.py
+++ b/tests/daemons/test_metrics_server.py
@@ -17,7 +17,7 @@
     async def test_answers(self, path: str, status: int, text: str) -> None:
         metrics = Metrics()
         metrics.lease_held.set(level=1)
-        server = MetricsServer(metrics)
+        server = MetricsServer(metrics.render)
         await server.async_start("127.0.0.1", 0)
         url = f"http://127.0.0.1:{server.port}{path}"
         async with aiohttp.ClientSession() as session, session.get(url) as response:
--- a/tests/observability/test_event_log.py
+++ b/tests/observability/test_event_log.py
@@ -1,5 +1,6 @@
 """Tests of the numbered events."""
 
+import ast
 import io
 import json
 from collections.abc import Iterator
@@ -21,7 +22,19 @@
     start_log,
 )
 
-PAGE = Path(__file__).parents[2] / "docs" / "EVENTS.md"
+ROOT = Path(__file__).parents[2]
+PAGE = ROOT / "docs" / "EVENTS.md"
+
+
+def list_calls(folder: Path) -> set[str]:
+    """Return the last names of all that the code in a folder calls."""
+    calls = (
+        node.func
+        for file in folder.rglob("*.py")
+        for node in ast.walk(ast.parse(file.read_text()))
+        if isinstance(node, ast.Call)
+    )
+    return {ast.unparse(call).rpartition(".")[2] for call in calls}
 
 
 @pytest.fixture
@@ -44,6 +57,10 @@
     def test_every_event_says_its_meaning(self) -> None:
         assert all(spec.meaning.endswith(".") for spec in list_specs())
 
+    def test_every_event_is_logged_somewhere(self) -> None:
+        used = list_calls(ROOT / "mangoway")
+        assert [spec.name for spec in list_specs() if spec.name not in used] == []
+
     def test_number_is_given_once(self) -> None:
         with pytest.raises(ValueError, match="100 is taken"):
             numbered(100, LogLevel.INFO)(type("Other", (), {}))
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -1,5 +1,8 @@
 """Tests of the metrics."""
 
+from pathlib import Path
+
+import mangoway
 from mangoway.observability.metrics import Metrics
 
 
@@ -34,3 +37,9 @@
         lines = metrics.render().decode().splitlines()
         assert 'mangoway_key_value_seconds_bucket{call="range",le="0.002"} 0.0' in lines
         assert 'mangoway_key_value_seconds_bucket{call="range",le="0.005"} 1.0' in lines
+
+    def test_every_family_is_set_somewhere(self) -> None:
+        files = Path(mangoway.__file__).parent.rglob("*.py")
+        code = "\n".join(file.read_text() for file in files)
+        families = [name for name in vars(Metrics()) if not name.startswith("_")]
+        assert [name for name in families if f"metrics.{name}" not in code] == []
--- a/tests/peers/test_configuration.py
+++ b/tests/peers/test_configuration.py
@@ -18,10 +18,12 @@
 from mangoway.models.member import Member, ProcessRole
 from mangoway.models.offer import Configuration
 from mangoway.models.verdict import Verdict
+from mangoway.observability.journal import Journal, JournalQuery
 from mangoway.operators.follower import ConfigurationFollower
 from mangoway.operators.repository import ConfigurationRepository
 from mangoway.peers import peers_pb2 as pb
 from mangoway.peers.configuration import ConfigurationDriver
+from mangoway.peers.configuration_log import ConfigurationLog
 from mangoway.peers.directory import Directory
 from mangoway.policy.configuration.core import ConfigurationCore
 from mangoway.util.tasks import Tasks
@@ -92,6 +94,7 @@
     def __init__(self, net: Net, name: str) -> None:
         self.applied: list[Configuration] = []
         self.name = name
+        self.journal = Journal()
         self.directory = Directory(IncarnationId(f"{name}.1"))
         self.tasks = Tasks(net.errors.append)
         self.driver = ConfigurationDriver(
@@ -103,7 +106,7 @@
             data_centre=DataCentreId("dc1"),
             tasks=self.tasks,
             on_applied=self.applied.append,
-            on_refused=lambda source, error: None,
+            log=ConfigurationLog(self.journal),
         )
         net.nodes[name] = self
 
@@ -160,6 +163,8 @@
             assert net.list_versions() == {3}
             for node in net.nodes.values():
                 assert [each.version for each in node.applied] == [1, 2, 3]
+                query = JournalQuery(config_version=ConfigVersion(3))
+                assert [each.reason for each in node.journal.find(query)] == ["applied"]
 
     async def test_process_that_missed_the_push_asks_a_peer(self) -> None:
         async with run_net() as net:
@@ -196,5 +201,9 @@
             document = pb.ConfigurationDocument(
                 version=9, document=b"z???", source="n1"
             )
-            driver = net.nodes["n0"].driver
-            assert driver.async_receive_document(document).version == 1
+            node = net.nodes["n0"]
+            assert node.driver.async_receive_document(document).version == 1
+            query = JournalQuery(config_version=ConfigVersion(9))
+            (entry,) = node.journal.find(query)
+            assert entry.reason == "refused"
+            assert entry.detail.startswith("source n1: config_malformed")
