Say that an artifact waits for its turn; name no empty key in an error

By hand: while floors were being loaded, mangoway status gave no reason for what had no copy yet; now it says queued with its rank. An outage read 'range : ...' where a call has no key.

--- a/mangoway/daemons/controller_status.py
+++ b/mangoway/daemons/controller_status.py
@@ -1,6 +1,7 @@
 """What a controller tells operators: hosts, ledgers, copies and reasons."""
 
 from collections.abc import Callable, Iterable
+from typing import Final
 
 from attrs import define
 
@@ -20,10 +21,14 @@
 from .engine_poller import PolledEngine
 from .placement_driver import PlacementDriver
 
-REASON_FOUND = "loaded_before"
+REASON_FOUND: Final = "loaded_before"
 """The copies were there when this controller began to plan."""
 
 
+REASON_QUEUED: Final = "queued"
+"""It has no copy, and waits for its turn to be loaded."""
+
+
 @define(eq=False, kw_only=True)
 class ControllerStatus:
     """Answers operators from the state of one controller."""
@@ -117,6 +122,8 @@
     for need in status.queue:
         if need.artifact == artifact.artifact and need.blocked_s:
             return "no_room", f"no runner has had room for {need.blocked_s:.0f} s"
+        if need.artifact == artifact.artifact and not artifact.copies:
+            return REASON_QUEUED, need.rank.name.lower()
     ready = sum(copy.state is CopyState.READY for copy in artifact.copies)
     settled = ready >= max(1, artifact.floor)
     # Once the floor stands, why nothing could be done before explains nothing.
--- a/mangoway/key_value/etcd_client.py
+++ b/mangoway/key_value/etcd_client.py
@@ -165,7 +165,7 @@
     )
     return MangowayError(
         ErrorCode.PLATFORM_UNAVAILABLE,
-        f"{call} {key}: {cause}",
+        f"{call} {key}".strip() + f": {cause}",
         verdict,
         retry_after=1.0,
     )
--- a/tests/daemons/test_controller_status.py
+++ b/tests/daemons/test_controller_status.py
@@ -1,15 +1,18 @@
 """Tests of what a controller tells operators."""
 
 import pytest
+from attrs import evolve
 
 from mangoway.daemons.controller_status import find_reason
 from mangoway.models.artifact import Artifact
 from mangoway.models.identifiers import UpstreamId
+from mangoway.policy.placement.load_queue import NeedRank
 from mangoway.policy.placement.runners import CopyState
 from mangoway.policy.placement.status import (
     ArtifactStatus,
     CopyStatus,
     PlacementStatus,
+    QueuedLoad,
     Reason,
 )
 
@@ -45,3 +48,13 @@
             artifact=CHAT, floor=1, copies=(copy,) * copies, requests_per_second=0.0
         )
         assert find_reason(artifact, IDLE, reasons)[0] == code
+
+    def test_artifact_that_waits_for_its_turn_is_queued(self) -> None:
+        artifact = ArtifactStatus(
+            artifact=CHAT, floor=1, copies=(), requests_per_second=0.0
+        )
+        need = QueuedLoad(
+            artifact=CHAT, rank=NeedRank.LAST_COPY, score=0.0, blocked_s=0.0
+        )
+        status = evolve(IDLE, queue=(need,))
+        assert find_reason(artifact, status, ()) == ("queued", "last_copy")
