End a controller with 1 when its planned stop is not waited for

By hand and by reading: a gateway exits with 1 after a second signal or the deadline, a controller exited with 0 and named the reason in other words; it also passed no library's warnings on to the event log.

--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -60,3 +60,9 @@
 
 LEAVE_SPREAD_S: Final = 2.0
 """Time that a leaving gateway stays for the news of its successor to spread."""
+
+EXIT_IDLE: Final = 0
+"""Exit code of a process that cut nothing off."""
+
+EXIT_CUT_OFF: Final = 1
+"""Exit code of a process whose planned stop was not waited for."""
--- a/mangoway/daemons/controller.py
+++ b/mangoway/daemons/controller.py
@@ -1,6 +1,7 @@
 """The process `mangoway controller`."""
 
 import asyncio
+import sys
 
 from ..host_list.listing import HostListing
 from ..host_list.poller import HostListPoller
@@ -9,31 +10,40 @@
 from ..models.member import ProcessRole
 from ..observability import events as log
 from ..observability.event_log import log_event, start_log
+from ..observability.library_log import capture_library_logs
 from ..observability.metrics import Metrics
 from ..policy.membership.events import HostListed
 from ..settings.process import ControllerSettings
 from ..util.signals import StopSignals
+from .const import EXIT_CUT_OFF, EXIT_IDLE
 from .controller_node import ControllerNode
 from .metrics_server import MetricsServer
 
 REASON_DEADLINE = "deadline"
-REASON_SECOND_SIGNAL = "second signal"
+REASON_FORCED = "forced"
 
 
 def run(settings: ControllerSettings) -> None:
-    """Run a controller until a signal stops it."""
+    """Run a controller until a signal stops it.
+
+    Exits with 0 after a planned stop, and with 1 if that was not waited for.
+    """
     stop_log = start_log(
         settings.log_level, host=settings.host, role=ProcessRole.CONTROLLER.value
     )
+    capture_library_logs()
     try:
-        asyncio.run(async_run(settings))
+        is_done = asyncio.run(async_run(settings))
     finally:
         stop_log()
+    sys.exit(EXIT_IDLE if is_done else EXIT_CUT_OFF)
 
 
-async def async_run(settings: ControllerSettings) -> None:
+async def async_run(settings: ControllerSettings) -> bool:
     """Run a controller on the running loop until a signal stops it.
 
+    Returns whether the stop ended by itself.
+
     Raises:
         SettingError: If a setting names an adapter that is not there.
         OSError: If an address can't be listened on.
@@ -48,7 +58,7 @@
     try:
         await _async_start(node, metrics_server)
         signal_name = await signals.async_wait()
-        await _async_leave(node, signal_name, forced)
+        return await _async_leave(node, signal_name, forced)
     finally:
         metrics_server.stop()
         await node.async_stop()
@@ -90,7 +100,7 @@
 
 async def _async_leave(
     node: ControllerNode, signal_name: str, forced: asyncio.Event
-) -> None:
+) -> bool:
     loop = asyncio.get_running_loop()
     began_at = loop.time()
     deadline_s = node.settings.stop_deadline_s
@@ -109,7 +119,8 @@
         task.cancel()
     if leaving in done and leaving.result():
         log_event(log.ProcessStopped(seconds=loop.time() - began_at))
-        return
-    reason = REASON_SECOND_SIGNAL if forcing in done else REASON_DEADLINE
+        return True
+    reason = REASON_FORCED if forcing in done else REASON_DEADLINE
     cut_off = node.placement.orders_under_way
     log_event(log.StopForced(reason=reason, cut_off=cut_off))
+    return False
--- a/mangoway/daemons/gateway.py
+++ b/mangoway/daemons/gateway.py
@@ -23,13 +23,11 @@
 from ..policy.membership.events import HostListed
 from ..settings.process import GatewaySettings
 from ..util.signals import StopSignals
+from .const import EXIT_CUT_OFF, EXIT_IDLE
 from .gateway_node import GatewayNode, NodeSettings
 from .gateway_status import GatewayStatus
 from .gateway_stop import PlannedStop, StopOutcome
 
-EXIT_IDLE = 0
-EXIT_CUT_OFF = 1
-
 
 def run(settings: GatewaySettings) -> None:
     """Run a gateway until a signal stops it.
--- a/tests/processes/test_controller.py
+++ b/tests/processes/test_controller.py
@@ -136,3 +136,17 @@
             assert await planner.async_wait() == 0
             other = site.find_other(planner)
             assert await site.async_find_planner(other) is other
+
+    async def test_second_signal_ends_the_stop_and_exits_with_1(
+        self, tmp_path: Path
+    ) -> None:
+        async with run_site(tmp_path) as site:
+            planner = await site.async_find_planner(*site.fleet.controllers)
+
+            async def is_stopping() -> bool:
+                return '"event":102' in planner.log.read_text()
+
+            planner.terminate()
+            await async_wait_for("the stop began", is_stopping)
+            planner.terminate()
+            assert await planner.async_wait() == 1
