Split addresses in one place; reach IPv6 peers and upstreams

The same split stood in six places; two of them (peers' links, short exchanges) kept the brackets of an IPv6 number, which the settings allow, so that the name '[fd00::1]' was looked up.

--- a/mangoway/daemons/controller.py
+++ b/mangoway/daemons/controller.py
@@ -14,6 +14,7 @@
 from ..observability.metrics import Metrics
 from ..policy.membership.events import HostListed
 from ..settings.process import ControllerSettings
+from ..util.address import split_address
 from ..util.signals import StopSignals
 from .const import EXIT_CUT_OFF, EXIT_IDLE
 from .controller_node import ControllerNode
@@ -69,8 +70,7 @@
     settings = node.settings
     await node.async_start()
     if settings.metrics_listen is not None:
-        host, _, port = settings.metrics_listen.rpartition(":")
-        await metrics_server.async_start(host.strip("[]"), int(port))
+        await metrics_server.async_start(*split_address(settings.metrics_listen))
     host_list = make_host_list(settings)
     if host_list is not None:
         poller = HostListPoller(
--- a/mangoway/daemons/controller_node.py
+++ b/mangoway/daemons/controller_node.py
@@ -26,6 +26,7 @@
 from ..policy.membership.events import HostListed
 from ..policy.placement.core import PlacementCore
 from ..settings.process import ControllerSettings
+from ..util.address import split_address
 from ..util.loop_watch import async_watch_loop
 from ..util.tasks import Tasks
 from .const import INCARNATION_BYTES, LEAVE_SPREAD_S, STOP_POLL_S
@@ -84,8 +85,7 @@
         Raises:
             OSError: If the address can't be used.
         """
-        host, _, port = self.settings.peer_listen.rpartition(":")
-        await self.server.async_start(host.strip("[]"), int(port))
+        await self.server.async_start(*split_address(self.settings.peer_listen))
         self.network.async_start(self.settings.seeds)
         self.placement.async_start()
         self.tasks.async_start(async_watch_loop(self.metrics))
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -47,6 +47,7 @@
 from ..policy.dispatch.options import DispatchOptions
 from ..services.client import ServiceClient
 from ..upstreams.session import UpstreamSession
+from ..util.address import split_address
 from ..util.loop_watch import async_watch_loop
 from ..util.tasks import Tasks
 from .attempts import AttemptRunner
@@ -314,11 +315,5 @@
         )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of `ip:port`, without the brackets of an IPv6 number."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def _log_failed_task(error: BaseException) -> None:
     log_event(TaskFailed(task="gateway", error=repr(error)))
--- a/mangoway/key_value/endpoints.py
+++ b/mangoway/key_value/endpoints.py
@@ -14,6 +14,7 @@
 from ..models.verdict import Verdict
 from ..observability.event_log import log_event
 from ..observability.events import KeyValueReconnected
+from ..util.address import split_address
 
 ReplyT = TypeVar("ReplyT")
 
@@ -118,8 +119,7 @@
         """Make a connection to the next endpoint, for the use of one watch."""
         address = self._addresses[self._next % len(self._addresses)]
         self._next += 1
-        host, _, port = address.rpartition(":")
-        return Connection(address, Channel(host.strip("[]"), int(port)))
+        return Connection(address, Channel(*split_address(address)))
 
     async def async_connect(self, connection: Connection) -> None:
         """Connect if that has not been done.
--- a/mangoway/peers/link.py
+++ b/mangoway/peers/link.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 from grpclib.client import Channel
 
+from ..util.address import split_address
 from .peers_grpc import PeersStub
 
 
@@ -76,7 +77,6 @@
 
     def _get(self) -> Link:
         if self._link is None:
-            host, _, port = self.address.rpartition(":")
-            channel = Channel(host, int(port))
+            channel = Channel(*split_address(self.address))
             self._link = Link(channel, PeersStub(channel))
         return self._link
--- a/mangoway/upstreams/exchange.py
+++ b/mangoway/upstreams/exchange.py
@@ -12,6 +12,7 @@
 
 from ..models.errors import ErrorCode, MangowayError
 from ..models.verdict import Verdict
+from ..util.address import split_address
 from .const import (
     ANSWER_LIMIT_BYTES,
     BUSY_STATUSES,
@@ -75,9 +76,9 @@
         self._http = h11.Connection(h11.CLIENT)
 
     async def async_run(self) -> bytes:
-        host, _, port = self.request.address.rpartition(":")
+        host, port = split_address(self.request.address)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, self._writer = await asyncio.open_connection(host, int(port))
+            reader, self._writer = await asyncio.open_connection(host, port)
         data = self._encode()
         if asyncio.get_running_loop().time() > self.request.send_before:
             raise self.fail(ErrorCode.DEADLINE_EXCEEDED, "too late to be sent")
