Log, count and explain requests whose body was refused

By hand: an oversized body left no log line, no count and no request id. Paths and methods that don't exist are still answered without an id: they reach no decision.

--- a/mangoway/callers/application.py
+++ b/mangoway/callers/application.py
@@ -182,10 +182,15 @@
 
     async def async_handle(self, request: Request) -> Response:
         """Answer one request, whole or streamed."""
-        body = await async_read_body(
-            request, self._parts.max_body_bytes, self._parts.body_timeout_s
-        )
-        exchange = self._parts.gate.open(_make_incoming(request, body))
+        gate = self._parts.gate
+        try:
+            body = await async_read_body(
+                request, self._parts.max_body_bytes, self._parts.body_timeout_s
+            )
+        except MangowayError as error:
+            refused = gate.refuse(_make_incoming(request, b""), error.failure)
+            return _make_response(make_problem(error.failure, refused))
+        exchange = gate.open(_make_incoming(request, body))
         watch = asyncio.get_running_loop().create_task(
             _async_watch_connection(request, exchange)
         )
--- a/mangoway/callers/gate.py
+++ b/mangoway/callers/gate.py
@@ -76,6 +76,13 @@
         self._metrics.in_progress.set(level=self.open_count)
         return Exchange(self, incoming, self.make_id(), span)
 
+    def refuse(self, incoming: IncomingRequest, failure: Failure) -> RequestId:
+        """Note a request that was refused before its body was whole."""
+        exchange = self.open(incoming)
+        exchange.note_failure(failure)
+        exchange.close()
+        return exchange.id
+
     def submit(self, exchange: "Exchange") -> Submission:
         """Check and submit a request.
 
--- a/tests/daemons/test_gateway_faults.py
+++ b/tests/daemons/test_gateway_faults.py
@@ -95,6 +95,9 @@
         url = f"{world.url}/v1/completions"
         response = await world.client.post(url, data=data, headers=HEADERS)
         await check_problem(response, 413, "body_too_large", "not_run")
+        request_id = response.headers["x-request-id"]
+        _, answer = await world.get(f"/v1/explain/{request_id}")
+        assert answer["decisions"][0]["reason"] == "answered_body_too_large"
 
     @pytest.mark.parametrize(
         ("method", "path", "status", "code"),
