--- a/mangoway/callers/application.py
+++ b/mangoway/callers/application.py
@@ -108,7 +108,7 @@
     except MangowayError as error:
         return _make_response(make_problem(error.failure, None))
     except Exception as error:
-        # A fault of ours must still be answered in the stated form.
+        # Callers get a problem document for unexpected errors as well.
         log_event(TaskFailed(task="callers", error=repr(error)))
         return _make_response(make_problem(make_internal(error), None))
 
--- a/mangoway/cli/application.py
+++ b/mangoway/cli/application.py
@@ -29,7 +29,7 @@
     except MangowayError as error:
         _exit(EXIT_FAILED, str(error))
     except OSError as error:
-        # Such as an address to listen on that is taken or not this host's.
+        # For example, an address to listen on that is in use or not this host's.
         _exit(EXIT_FAILED, error.strerror or str(error))
     except (typer.Abort, KeyboardInterrupt):
         _exit(EXIT_FAILED, "aborted")
--- a/mangoway/daemons/attempts.py
+++ b/mangoway/daemons/attempts.py
@@ -108,14 +108,14 @@
             event = self._make_failed(attempt, error.failure)
             _note_failure(action, span, error.failure)
         except Exception as error:
-            # A fault of ours must not leave the request without its end.
+            # The request must end after an unexpected error as well.
             log_event(TaskFailed(task="attempt", error=repr(error)))
             outcome = ErrorCode.INTERNAL.value
             event = self._make_failed(attempt, _make_internal(error))
         finally:
             span.end()
         self.metrics.attempts.add(hop.value, outcome)
-        # Also if a cancel is on its way: what ended before it has ended so.
+        # Reported also while a cancel is under way: the attempt ended before it.
         if self._running.pop(attempt.id, None) is not None:
             self.send(event)
 
@@ -132,7 +132,7 @@
                 prompt=record.submission.prompt,
                 max_tokens=request.max_tokens,
                 priority=action.priority,
-                # What was passed on to the caller is what the engine must go on from.
+                # The engine resumes behind the text that the caller already has.
                 resume_from=record.answer.tokens,
                 resume_text=record.answer.text,
                 prefix_hashes=request.prefix_hashes,
--- a/mangoway/daemons/controller_status.py
+++ b/mangoway/daemons/controller_status.py
@@ -126,7 +126,7 @@
             return REASON_QUEUED, need.rank.name.lower()
     ready = sum(copy.state is CopyState.READY for copy in artifact.copies)
     settled = ready >= max(1, artifact.floor)
-    # Once the floor stands, why nothing could be done before explains nothing.
+    # Reasons for inaction are out of date once the floor is met.
     telling = [each for each in reasons if each.upstream_id or not settled]
     if telling:
         return telling[-1].code, telling[-1].detail
--- a/mangoway/daemons/lease.py
+++ b/mangoway/daemons/lease.py
@@ -42,7 +42,7 @@
     async def async_release(self) -> None:
         """Give the lease up, so that another controller need not wait for its end."""
         self._lose()
-        # Also if it is not held: a renewal that was cut off may have taken effect.
+        # Released even if not held: a renewal that was cut off may have taken effect.
         try:
             await self.store.async_release_lease(
                 self._key, self.owner, CallRank.BACKGROUND
