--- a/measure/policy.py
+++ b/measure/policy.py
@@ -40,7 +40,7 @@
     jobs = list_jobs(cases, seeds)
     for run in run_jobs(jobs, processes):
         runs.append(run)
-        print(f"\r{len(runs)}/{len(jobs)} runs", end="", file=sys.stderr)
+        print(f"\r{len(runs)}/{len(jobs)} runs", end="", file=sys.stderr, flush=True)
     print(f" in {time.monotonic() - began:.0f} s", file=sys.stderr)
     scores = merge_cases(runs)
     tables = build_tables(scores, runs)
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from collections import OrderedDict, deque
 from collections.abc import Iterable
 from enum import Enum
 
@@ -20,13 +19,13 @@
 )
 from mangoway.models.order import Order, OrderKind, OrderOutcome
 from mangoway.models.upstream import (
-    CacheChange,
     EngineDescription,
     EngineReport,
     Residency,
     ResidentArtifact,
 )
 
+from .prefix_cache import PrefixCache
 from .weight_store import WeightStoreModel
 
 _EPSILON = 1e-9
@@ -153,11 +152,7 @@
         self._waiting: list[_Sequence] = []
         self._prefilling: list[_Sequence] = []
         self._decoding: list[_Sequence] = []
-        self._cache: OrderedDict[int, None] = OrderedDict()
-        self._cache_sequence = 0
-        self._cache_changes: deque[CacheChange] = deque(
-            maxlen=settings.reported_changes
-        )
+        self._cache = PrefixCache(settings.cache_blocks, settings.reported_changes)
 
     def describe(self) -> EngineDescription:
         """Return what the engine says of itself."""
@@ -282,7 +277,7 @@
                 )
                 for resident in self._residents.values()
             ),
-            cache_changes=tuple(self._cache_changes),
+            cache_changes=self._cache.list_changes(),
             leaving=self.is_leaving,
         )
 
@@ -296,7 +291,6 @@
             self._store.abandon(now, resident.load_key)
         self._residents.clear()
         self._cache.clear()
-        self._cache_changes.clear()
         self._fence = FenceNumber(0)
         self.is_down = True
         return lost
@@ -374,7 +368,7 @@
             return
         sequence = self._prefilling.pop(0)
         sequence.tokens = min(sequence.tokens + 1.0, float(sequence.max_tokens))
-        self._remember(sequence.prefix_hashes)
+        self._cache.add(sequence.prefix_hashes)
         self._decoding.append(sequence)
 
     def _admit(self) -> None:
@@ -382,7 +376,7 @@
             sequence = min(self._waiting, key=lambda waiting: waiting.rank)
             self._waiting.remove(sequence)
             self.runs[sequence.attempt_id] = self.runs.get(sequence.attempt_id, 0) + 1
-            cached = self._count_cached(sequence.prefix_hashes)
+            cached = self._cache.count(sequence.prefix_hashes)
             cached_tokens = cached * self.settings.block_tokens
             sequence.prefill_left = max(1.0, sequence.prompt_tokens - cached_tokens)
             self._insert_prefilling(sequence)
@@ -395,31 +389,6 @@
             place += 1
         self._prefilling.insert(place, sequence)
 
-    def _count_cached(self, hashes: Iterable[int]) -> int:
-        count = 0
-        for prefix_hash in hashes:
-            if prefix_hash not in self._cache:
-                break
-            self._cache.move_to_end(prefix_hash)
-            count += 1
-        return count
-
-    def _remember(self, hashes: tuple[int, ...]) -> None:
-        added = tuple(one for one in hashes if one not in self._cache)
-        for prefix_hash in hashes:
-            self._cache[prefix_hash] = None
-            self._cache.move_to_end(prefix_hash)
-        removed: list[int] = []
-        while len(self._cache) > self.settings.cache_blocks:
-            removed.append(self._cache.popitem(last=False)[0])
-        if added or removed:
-            self._cache_sequence += 1
-            self._cache_changes.append(
-                CacheChange(
-                    sequence=self._cache_sequence, added=added, removed=tuple(removed)
-                )
-            )
-
     def _tell_tokens(self) -> Iterable[EngineOutput]:
         for sequence in self._decoding:
             tokens = math.floor(sequence.tokens + _EPSILON)
