--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -16,7 +16,7 @@
 from ..models.errors import MangowayError
 from ..models.identifiers import DataCentreId, HostId, IncarnationId, UpstreamId
 from ..models.member import Member, MemberState, ProcessRole
-from ..models.offer import Configuration
+from ..models.offer import Configuration, SitePolicy
 from ..models.upstream import (
     EngineDescription,
     EngineReport,
@@ -52,12 +52,14 @@
 from ..policy.dispatch.options import DispatchOptions
 from ..services.client import ServiceClient
 from ..upstreams.session import UpstreamSession
+from ..util.loop_watch import async_watch_loop
 from ..util.tasks import Tasks
 from .attempts import AttemptRunner
 from .claims import KeyClaims
 from .const import REPORTERS_PER_ENGINE
 from .dispatcher import Dispatcher
 from .engine_poller import EnginePoller
+from .gateway_metrics import GatewayGauges
 from .gateway_view import GatewaySelfView
 from .key_hand_over import KeyGiver, KeyTaker
 from .peer_router import ForwardedRequests, GatewayRouter
@@ -84,10 +86,15 @@
 class GatewayNode:
     """Parts of a gateway; make it on the loop that runs it."""
 
-    def __init__(self, settings: NodeSettings, store: KeyValueStore) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: KeyValueStore,
+        metrics: Metrics | None = None,
+    ) -> None:
         self.settings = settings
         loop = asyncio.get_running_loop()
-        self.metrics = Metrics()
+        self.metrics = metrics or Metrics()
         self.journal = Journal()
         self.tracing = Tracing(
             host=settings.host,
@@ -124,6 +131,12 @@
             core=self.core,
             directory=self.directory,
             journal=self.journal,
+            gauges=GatewayGauges(
+                metrics=self.metrics,
+                core=self.core,
+                dispatcher=self.dispatcher,
+                directory=self.directory,
+            ),
         )
         self.poller = EnginePoller(reader=self.engines, listener=self, tasks=self.tasks)
         self.server = CallerServer(
@@ -131,7 +144,6 @@
                 ApplicationParts(
                     gate=self.gate,
                     view=self.view,
-                    metrics=self.metrics,
                     max_body_bytes=settings.max_body_bytes,
                 )
             )
@@ -153,6 +165,7 @@
         await self.peer_server.async_start(*split_address(peer_listen))
         await self.server.async_start(*split_address(caller_listen))
         self.tasks.async_start(self.poller.async_run())
+        self.tasks.async_start(async_watch_loop(self.metrics))
 
     async def async_stop(self, force: bool = False) -> None:
         """Stop serving; what is still in progress is cut off."""
@@ -265,6 +278,7 @@
                 incarnation=settings.incarnation,
                 tasks=self.tasks,
                 send=self._send,
+                get_site=self._get_site,
             ),
             router=GatewayRouter(
                 forwarder=self.forwarder,
@@ -278,6 +292,10 @@
             demand=self,
         )
 
+    def _get_site(self) -> SitePolicy:
+        configuration = self.dispatcher.configuration
+        return SitePolicy() if configuration is None else configuration.site
+
     def _send(self, event: DispatchEvent) -> None:
         self.dispatcher.send(event)
 
