Say "may have run" for another home's key before the first configuration

Cause: the same false 'not run' as with a home that can't be reached. A gateway that has just started refuses everything as not ready and not run, also the resubmission of a key that ran at another home; its caller might then give its own id a new home. Ruled out: the decision core, which looks at keys before anything else. Red without the mend: the case home=0 of the new test got 'not_run'. Not covered: a key in the body of a completion that must not be repeated.

--- a/mangoway/callers/gate.py
+++ b/mangoway/callers/gate.py
@@ -16,7 +16,8 @@
 from ..observability.metrics import Metrics
 from ..observability.tracing import Hop, HopSpan, Tracing
 from .answer import Answer, AnswerReader
-from .const import HEADER_TRACEPARENT
+from .const import HEADER_IDEMPOTENCY_KEY, HEADER_TRACEPARENT
+from .keys import find_home
 from .messages import IncomingRequest, OutgoingAnswer, Submission
 from .parser import Arrival, parse_request
 from .problems import make_error_event
@@ -80,9 +81,7 @@
         """
         configuration = self._taker.configuration
         if configuration is None:
-            raise MangowayError(
-                ErrorCode.NOT_READY, "no configuration is in force yet", retry_after=1.0
-            )
+            raise self._make_not_ready(exchange.incoming)
         arrival = Arrival(
             id=exchange.id, now=self._taker.now(), configuration=configuration
         )
@@ -90,6 +89,20 @@
         exchange.reader = AnswerReader(self._taker.submit(submission, exchange.span))
         return submission
 
+    def _make_not_ready(self, incoming: IncomingRequest) -> MangowayError:
+        """Return the refusal before the first configuration.
+
+        Another home may have run the key of an earlier submission.
+        """
+        home = find_home(incoming.headers.get(HEADER_IDEMPOTENCY_KEY, ""))
+        is_own = home is None or home == self._incarnation
+        return MangowayError(
+            ErrorCode.NOT_READY,
+            "no configuration is in force yet",
+            Verdict.NOT_RUN if is_own else Verdict.MAY_HAVE_RUN,
+            retry_after=1.0,
+        )
+
     def close(self, exchange: "Exchange") -> None:
         """Settle the accounts of an exchange that ended."""
         self.open_count -= 1
--- a/tests/daemons/test_gateway_keys.py
+++ b/tests/daemons/test_gateway_keys.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+import pytest
 import pytest_asyncio
 
 from mangoway.daemons.gateway_node import GatewayNode
@@ -105,6 +106,15 @@
         await check_problem(response, 502, "peer_unreachable", "may_have_run")
         assert world.service.runs["confirm/1"] == 1
 
+    @pytest.mark.parametrize(("home", "verdict"), [(0, "may_have_run"), (1, "not_run")])
+    async def test_gateway_without_configuration_knows_only_its_own_keys(
+        self, world: GatewayWorld, home: int, verdict: str
+    ) -> None:
+        world.nodes[1].dispatcher.configuration = None
+        key = make_key(world.nodes[home])
+        response = await confirm(world, key, {"id": 1}, gateway=1)
+        await check_problem(response, 503, "not_ready", verdict)
+
     async def test_keys_of_two_callers_never_meet(self, world: GatewayWorld) -> None:
         key = make_key(world.node)
         first = await confirm(world, key, {"id": 1}, X_Caller="desk")
