--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -23,6 +23,7 @@
 SERVICE = "booking-records"
 PROGRAM = "mangoway"
 LEASE_S = 2
+SWITCHES = ('{"checks_fences": true}', '{"checks_fences": false}')
 HOST_LIST_PERIOD_S = 0.5
 
 
@@ -82,14 +83,19 @@
     async def async_start_engines(
         self, count: int, memory_mb: int, *flags: str
     ) -> None:
-        """Start model engines."""
+        """Start model engines; every second one does not check fences."""
         names = [f"engine-{number}" for number in range(count)]
         self.engines += await asyncio.gather(
             *(
                 self.launcher.async_start_stand_in(
-                    name, "engine", f"--name={name}", f"--memory-mb={memory_mb}", *flags
+                    name,
+                    "engine",
+                    f"--name={name}",
+                    f"--memory-mb={memory_mb}",
+                    f"--switches={SWITCHES[number % len(SWITCHES)]}",
+                    *flags,
                 )
-                for name in names
+                for number, name in enumerate(names)
             )
         )
 
