Add scenarios in which several failures come together

Cause: the scenarios had one failure at a time, but for the paused controller. New: a pause, an outage, lost answers, bad orders and a crash together, for engines that check and that ignore fences; a crash in an outage; a crash while another runner leaves and orders get lost; racing operators with a lost answer; a relay that dies while watches stall; a frozen host that wakes in an outage; a claimed key whose gateway is killed after the answer was lost.

--- a/tests/scenarios/at_most_once.feature
+++ b/tests/scenarios/at_most_once.feature
@@ -114,3 +114,14 @@
     And the answer to its claim is lost
     Then the caller is told "may_have_run"
     And the call ran 0 times
+
+  Scenario: The gateway that claimed a plain key is killed after the answer was lost
+    Given a call with a plain key
+    When the caller submits it at A
+    And the key-value service settles its claim
+    And its host runs it and the answer is lost
+    And A is killed and C starts in its place
+    And the caller submits it at B
+    And the key-value service settles its claim
+    Then the caller is told "may_have_run"
+    And the call ran 1 time
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -64,3 +64,31 @@
     When the next answer of the key-value service is lost
     And one operator spreads them over 2 data centres in an overlay
     Then the edit is accepted, once
+
+  Scenario: Two operators race, and the answer to one of them is lost
+    Given a base file that offers 2 floor copies
+    When the next answer of the key-value service is lost
+    And one operator spreads them over 2 data centres in an overlay
+    And another lowers them to 1 in the base file, at the same time
+    Then one edit is accepted and one refused
+    And the base file and the overlay are valid together
+
+  Scenario: The watches have stalled, and a relay dies
+    Given 12 hosts in 3 data centres that follow the configuration
+    When the watches stall
+    And host 0 is killed
+    And an operator's change is accepted
+    And host 3 is killed
+    And 8 seconds pass
+    Then every host has the newest version
+
+  Scenario: A host that was frozen wakes in an outage of the key-value service
+    Given 12 hosts in 3 data centres that follow the configuration
+    When host 0 is frozen
+    And an operator's change is accepted
+    And 8 seconds pass
+    And the key-value service is out
+    And host 0 goes on
+    And 8 seconds pass
+    Then every host has the newest version
+    And no host ever went back
--- a/tests/scenarios/memory.feature
+++ b/tests/scenarios/memory.feature
@@ -123,3 +123,29 @@
       | manner |
       | check  |
       | ignore |
+
+  Scenario Outline: A pause, an outage, lost answers and bad orders come together
+    Given 3 runners of 110 MB that <manner> fences
+    And a controller in charge
+    When the next 4 orders are late
+    And the demand for model escort is high
+    And 2 seconds pass
+    And controller 0 is paused
+    And the key-value service is down
+    And 10 seconds pass
+    And the key-value service is up
+    And the answers of the next 3 writes are lost
+    And a second controller takes over
+    And the next 4 orders are doubled
+    And the demand for model policy is high
+    And 20 seconds pass
+    And controller 0 goes on
+    And runner 1 restarts empty
+    And 200 seconds pass
+    Then no runner was ever over its size
+    And every model has its floor
+
+    Examples:
+      | manner |
+      | check  |
+      | ignore |
--- a/tests/scenarios/reachability.feature
+++ b/tests/scenarios/reachability.feature
@@ -52,3 +52,21 @@
     Then model escort has 3 ready copies
     And every model has its floor
     And every model could be reached all the time
+
+  Scenario: A runner crashes in an outage of the key-value service
+    When the key-value service is down
+    And runner 0 restarts empty
+    And 30 seconds pass
+    And the key-value service is up
+    And 40 seconds pass
+    Then every model has its floor
+    And no runner was ever over its size
+
+  Scenario: A runner crashes while another leaves and orders get lost
+    When runner 0 leaves
+    And the next 4 orders are lost
+    And 2 seconds pass
+    And runner 1 restarts empty
+    And 120 seconds pass
+    Then every model has its floor without runner 0
+    And no runner was ever over its size
--- a/tests/scenarios/test_dispatch.py
+++ b/tests/scenarios/test_dispatch.py
@@ -151,7 +151,12 @@
 @when("the key-value service settles both claims")
 def settle_claims(stage: Stage) -> None:
     assert len(stage.claiming) == 2
-    stage.settle_claim(0, "up")
+    settle_claim(stage)
+    settle_claim(stage)
+
+
+@when("the key-value service settles its claim")
+def settle_claim(stage: Stage) -> None:
     stage.settle_claim(0, "up")
 
 
