Prove by processes what follows kills and freezes of homes and engines

Cause: only the cores showed that a home which restarts at its address runs no key again, that a frozen gateway is left out and comes back, that callers of a lost last copy wait or hear when to come back, and that a stop survives its successor's death; an engine that leaves while the host list never says so had no test with processes. The two submissions of a call share their steps, as strict as before. Shared: Fleet can restart a gateway, and start a killed engine again.

--- /dev/null
+++ b/tests/processes/test_engines.py
@@ -0,0 +1,60 @@
+"""Tests of engines that die with the last copies, or say themselves that they leave."""
+
+import asyncio
+
+import pytest
+
+from tests.stand_ins.caller import Ending
+from tests.stand_ins.fleet import Fleet
+
+from .conftest import ARTIFACTS, async_make_caller
+from .test_gateways import DEADLINE_S, async_stream
+
+pytestmark = pytest.mark.process
+
+TOKENS = 10
+LEAVING_KNOWN_S = 5.0
+"""Time within which every gateway has heard of a leaving engine."""
+
+
+class TestLastCopies:
+    """Callers of what was lost wait in their deadline, or hear when to come back."""
+
+    async def test_all_engines_die(self, fleet: Fleet) -> None:
+        caller = await async_make_caller(fleet, *fleet.gateways)
+        for engine in fleet.engines:
+            engine.kill()
+        url = f"http://{fleet.gateways[0].address}/v1/completions"
+        body = {"model": "policy-summary", "prompt": "hi", "max_tokens": TOKENS}
+        headers = {"X-Caller": "agents", "X-Deadline-Seconds": "1"}
+        async with fleet.session.post(url, json=body, headers=headers) as response:
+            problem = await response.json(content_type=None)
+        assert problem["verdict"] == "not_run"
+        assert problem["retry_after_s"] > 0
+        assert "Retry-After" in response.headers
+        waiting = [
+            asyncio.create_task(
+                caller.async_complete(name, "hi", TOKENS, DEADLINE_S, artifact=name)
+            )
+            for name in sorted(ARTIFACTS)
+        ]
+        for engine in tuple(fleet.engines):
+            await fleet.async_start_engine_again(engine)
+        results = await asyncio.gather(*waiting)
+        assert [result.ending for result in results] == [Ending.ANSWERED] * len(results)
+
+
+class TestLeavingEngine:
+    """An engine that says that it leaves gets no new work, whatever the list says."""
+
+    async def test_host_list_never_says_so(self, fleet: Fleet) -> None:
+        leaving, _ = fleet.engines
+        caller = await async_make_caller(fleet, *fleet.gateways)
+        await fleet.async_switch(leaving, leaving=True)
+        await asyncio.sleep(LEAVING_KNOWN_S)
+        (before,) = await fleet.async_get_truths([leaving])
+        streams = (async_stream(caller) for _ in range(8))
+        assert set(await asyncio.gather(*streams)) == {Ending.ANSWERED}
+        (after,) = await fleet.async_get_truths([leaving])
+        assert after["after_leaving"] == before["after_leaving"]
+        assert after["runs"] == before["runs"]
--- a/tests/processes/test_gateways.py
+++ b/tests/processes/test_gateways.py
@@ -4,9 +4,11 @@
 
 import aiohttp
 import pytest
+from attrs import frozen
 
 from tests.stand_ins.caller import KEY_HEADER, Caller, Ending, make_id, make_key
 from tests.stand_ins.fleet import SERVICE, Fleet, async_wait_for
+from tests.stand_ins.launcher import Process
 
 from .conftest import (
     async_count_runs,
@@ -43,6 +45,62 @@
     await async_wait_for(f"{count} streams are open", async_is_open)
 
 
+async def async_open_stream(fleet: Fleet, gateway: Process) -> asyncio.Task[Ending]:
+    """Open a stream at one gateway, and wait until it runs."""
+    caller = await async_make_caller(fleet, gateway)
+    caller.book.gateways = [find_gateway(caller, gateway)]
+    stream = asyncio.create_task(async_stream(caller))
+    await async_wait_streams(fleet, 1)
+    return stream
+
+
+async def async_wait_named(fleet: Fleet, gateway: Process, named: set[str]) -> None:
+    """Wait until a gateway tells callers to use just these addresses."""
+
+    async def async_is_named() -> bool:
+        answer = await fleet.async_get(gateway.address, "/v1/addresses")
+        return {each["address"] for each in answer["gateways"]} == named
+
+    await async_wait_for(f"{gateway.name} names {named}", async_is_named)
+
+
+@frozen
+class HomedCall:
+    """A call that may run only once, with the key of a home."""
+
+    fleet: Fleet
+    body_id: str
+    key: str
+
+    async def async_submit(self, gateway: Process) -> dict[str, object]:
+        """Submit it at a gateway, and return the answer or the problem."""
+        url = f"http://{gateway.address}/v1/services/{SERVICE}/{CALL}"
+        headers = {"X-Caller": "agents", KEY_HEADER: self.key}
+        body = {"id": self.body_id}
+        session = self.fleet.session
+        async with session.post(url, json=body, headers=headers) as response:
+            return dict(await response.json(content_type=None))
+
+    async def async_count_runs(self) -> int:
+        """Return how often it ran."""
+        return await async_count_runs(self.fleet, f"{CALL}/{self.body_id}")
+
+    async def async_wait_run(self) -> None:
+        """Wait until it ran."""
+
+        async def async_has_run() -> bool:
+            return await self.async_count_runs() == 1
+
+        await async_wait_for("the call ran", async_has_run)
+
+
+async def async_make_homed_call(fleet: Fleet, home: Process) -> HomedCall:
+    """Return a new call with a key of this home."""
+    caller = await async_make_caller(fleet, home)
+    body_id = make_id()
+    return HomedCall(fleet, body_id, make_key(find_gateway(caller, home), body_id))
+
+
 class TestKilledGateway:
     """SIGKILL loses no answer that may be repeated, and doubles no call."""
 
@@ -53,38 +111,41 @@
         fleet.gateways[0].kill()
         assert set(await asyncio.gather(*streams)) == {Ending.ANSWERED}
 
-    async def test_call_is_not_doubled(self, fleet: Fleet) -> None:
+    @pytest.mark.parametrize("restarts", [False, True])
+    async def test_call_is_not_doubled(self, fleet: Fleet, restarts: bool) -> None:
         for service in fleet.services:
             await fleet.async_switch(service, silent_after_run=1)
         home, other = fleet.gateways
-        caller = await async_make_caller(fleet, home, other)
-        body_id = make_id()
-        headers = {
-            "X-Caller": "agents",
-            KEY_HEADER: make_key(find_gateway(caller, home), body_id),
-        }
-        path = f"/v1/services/{SERVICE}/{CALL}"
-
-        async def async_submit(address: str) -> dict[str, object]:
-            url = f"http://{address}{path}"
-            async with fleet.session.post(
-                url, json={"id": body_id}, headers=headers
-            ) as response:
-                return dict(await response.json(content_type=None))
-
-        first = asyncio.create_task(async_submit(home.address))
-        key = f"{CALL}/{body_id}"
-
-        async def async_has_run() -> bool:
-            return await async_count_runs(fleet, key) == 1
-
-        await async_wait_for("the call ran", async_has_run)
+        call = await async_make_homed_call(fleet, home)
+        first = asyncio.create_task(call.async_submit(home))
+        await call.async_wait_run()
         home.kill()
         with pytest.raises(aiohttp.ClientError):
             await first
-        problem = await async_submit(other.address)
-        assert problem["verdict"] == "may_have_run"
-        assert await async_count_runs(fleet, key) == 1
+        gateways = [other]
+        if restarts:
+            gateways.append(await fleet.async_restart_gateway(home))
+        for gateway in gateways:
+            problem = await call.async_submit(gateway)
+            assert problem["verdict"] == "may_have_run"
+        assert await call.async_count_runs() == 1
+
+
+class TestFrozenGateway:
+    """SIGSTOP takes a gateway out of use; after SIGCONT it is used again."""
+
+    async def test_runs_nothing_twice_and_comes_back(self, fleet: Fleet) -> None:
+        home, other = fleet.gateways
+        call = await async_make_homed_call(fleet, home)
+        home.pause()
+        first = asyncio.create_task(call.async_submit(home))
+        await async_wait_named(fleet, other, {other.address})
+        assert (await call.async_submit(other))["verdict"] == "may_have_run"
+        home.resume()
+        await async_wait_named(fleet, other, {home.address, other.address})
+        assert (await first)["run"] == 1
+        assert await call.async_submit(other) == await first
+        assert await call.async_count_runs() == 1
 
 
 class TestPlannedStop:
@@ -92,19 +153,21 @@
 
     async def test_stream_in_progress_ends_whole(self, fleet: Fleet) -> None:
         leaving, staying = fleet.gateways
-        caller = await async_make_caller(fleet, leaving)
-        caller.book.gateways = [find_gateway(caller, leaving)]
-        stream = asyncio.create_task(async_stream(caller))
-        await async_wait_streams(fleet, 1)
+        stream = await async_open_stream(fleet, leaving)
         leaving.terminate()
-
-        async def async_is_left_out() -> bool:
-            answer = await fleet.async_get(staying.address, "/v1/addresses")
-            addresses = [each["address"] for each in answer["gateways"]]
-            return addresses == [staying.address]
-
-        await async_wait_for("it is no longer named to callers", async_is_left_out)
+        await async_wait_named(fleet, staying, {staying.address})
         assert await stream is Ending.ANSWERED
         assert await leaving.async_wait(60) == 0
         caller = await async_make_caller(fleet, staying)
         assert await async_stream(caller) is Ending.ANSWERED
+
+    async def test_stream_ends_whole_though_the_successor_is_killed(
+        self, fleet: Fleet
+    ) -> None:
+        leaving, successor = fleet.gateways
+        stream = await async_open_stream(fleet, leaving)
+        leaving.terminate()
+        await async_wait_named(fleet, successor, {successor.address})
+        successor.kill()
+        assert await stream is Ending.ANSWERED
+        assert await leaving.async_wait(60) == 0
--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -105,10 +105,14 @@
 
     async def async_restart_engine(self, engine: Process) -> None:
         """Kill an engine, and start it anew, empty, at the same address."""
-        number = self.engines.index(engine)
         self.past_truths += await self.async_get_truths([engine])
         engine.kill()
+        await self.async_start_engine_again(engine)
+
+    async def async_start_engine_again(self, engine: Process) -> None:
+        """Start an engine that was killed anew, empty, at the same address."""
         await engine.async_wait()
+        number = self.engines.index(engine)
         self.engines[number] = await self.launcher.async_start_stand_in(
             engine.name, "engine", f"--listen={engine.address}", *engine.flags
         )
@@ -168,6 +172,18 @@
         self.gateways.append(process)
         return process
 
+    async def async_restart_gateway(self, gateway: Process) -> Process:
+        """Kill a gateway, and start it anew at the same addresses."""
+        gateway.kill()
+        await gateway.async_wait()
+        start = self.launcher.async_start
+        process = await start(gateway.name, PROGRAM, *gateway.flags)
+        process.address = gateway.address
+        process.peer_address = gateway.peer_address
+        self.gateways[self.gateways.index(gateway)] = process
+        await self.async_wait_ready()
+        return process
+
     async def async_start_controller(self) -> Process:
         """Start one more controller."""
         number = len(self.controllers)
