Count the calls to the key-value service by their cause

Cause: no run showed what a move, a call and a change cost in the whole system. Failed try: an engine restart was to show the cost of a move, but its repair writes the ledger for the lost copies too (5 transactions for one load). The submission of a plain key moved to a function, unchanged.

--- /dev/null
+++ b/tests/processes/test_key_value_calls.py
@@ -0,0 +1,113 @@
+"""Count the calls to the key-value service, by what causes them; -s prints them."""
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+
+import pytest
+from attrs import define, field
+
+from tests.stand_ins.caller import Ending, make_id
+from tests.stand_ins.fleet import SERVICE, Fleet, async_wait_for
+
+from .conftest import BASE_FILE, async_make_caller
+from .test_gateways import CALL, DEADLINE_S
+from .test_outage import async_submit_plain
+
+pytestmark = pytest.mark.process
+
+IDLE_S = 10.0
+CALLS = 20
+WRITES = ("txn", "lease_grant", "lease_keep_alive", "lease_revoke")
+PROCESSES_TODAY = 12
+"""Nine gateways and three controllers, the most that one site has."""
+
+WRITES_PER_SECOND = 300.0
+READS_PER_SECOND = 2000.0
+
+
+MODELS = 4
+EXTRA_MODELS = "".join(
+    f"""
+[models.extra-{number}]
+default_version = "1"
+versions.1 = {{ memory_mb = 2000 }}
+"""
+    for number in range(MODELS)
+)
+
+
+async def async_wait_extra(fleet: Fleet, count: int) -> None:
+    """Wait until the engines hold so many of the extra models."""
+
+    async def async_is_held() -> bool:
+        truths = await fleet.async_get_truths(fleet.engines)
+        held = [name for truth in truths for name in truth["loaded"]]
+        return sum(name.startswith("extra") for name in held) == count
+
+    await async_wait_for(f"{count} extra models are held", async_is_held)
+
+
+@define
+class Meter:
+    """Counts the calls since it was last read."""
+
+    fleet: Fleet
+    _seen: Counter[str] = field(factory=Counter)
+
+    async def async_read(self, what: str) -> Counter[str]:
+        """Print and return the calls since the last reading."""
+        (truth,) = await self.fleet.async_get_truths([self.fleet.key_value])
+        now = Counter(truth["calls"])
+        spent = now - self._seen
+        self._seen = now
+        print(f"{what}: {dict(sorted(spent.items()))}")
+        return spent
+
+
+class TestKeyValueCalls:
+    """What is done often costs no call; the rest is within the service's rates."""
+
+    async def test_by_cause(self, fleet: Fleet, tmp_path: Path) -> None:
+        meter = Meter(fleet)
+        await asyncio.sleep(IDLE_S)
+        await meter.async_read("start, load, one configuration and 10 s at rest")
+        await asyncio.sleep(IDLE_S)
+        idle = await meter.async_read(f"{IDLE_S:g} s at rest, 4 processes")
+        assert idle["txn"] == idle["lease_grant"] == 0
+
+        caller = await async_make_caller(fleet, *fleet.gateways)
+        calls = (
+            caller.async_call(SERVICE, CALL, make_id(), DEADLINE_S)
+            for _ in range(CALLS)
+        )
+        assert {each.ending for each in await asyncio.gather(*calls)} == {
+            Ending.ANSWERED
+        }
+        homed = await meter.async_read(f"{CALLS} calls with homed keys")
+        assert homed["txn"] == homed["lease_grant"] == 0
+
+        for _ in range(CALLS):
+            assert (await async_submit_plain(fleet, make_id()))["run"] == 1
+        plain = await meter.async_read(f"{CALLS} calls with plain keys")
+        assert plain["txn"] == CALLS
+        assert plain["lease_grant"] <= 1
+
+        await fleet.async_apply_base(BASE_FILE)
+        change = await meter.async_read("one change, in force on 4 processes")
+        assert change["txn"] == 1
+
+        extended = tmp_path / "base.toml"
+        extended.write_text(BASE_FILE.read_text() + EXTRA_MODELS)
+        steps = (("loads", extended, MODELS), ("unloads", BASE_FILE, 0))
+        for what, file, count in steps:
+            await fleet.async_apply_base(file)
+            await async_wait_extra(fleet, count)
+            await asyncio.sleep(IDLE_S)
+            moved = await meter.async_read(f"{MODELS} {what}, one change, and 10 s")
+            assert MODELS < moved["txn"] <= 2 * MODELS + 1
+
+        writes = sum(idle[kind] for kind in WRITES) / IDLE_S / 4
+        reads = (sum(idle.values()) / IDLE_S / 4) - writes
+        assert writes * PROCESSES_TODAY < WRITES_PER_SECOND / 10
+        assert reads * PROCESSES_TODAY < READS_PER_SECOND / 10
--- a/tests/processes/test_outage.py
+++ b/tests/processes/test_outage.py
@@ -13,6 +13,14 @@
 pytestmark = pytest.mark.process
 
 
+async def async_submit_plain(fleet: Fleet, key: str) -> dict[str, Any]:
+    """Submit a call with a plain key, and return the answer or the problem."""
+    url = f"http://{fleet.gateways[0].address}/v1/services/{SERVICE}/{CALL}"
+    headers = {"X-Caller": "agents", KEY_HEADER: key}
+    async with fleet.session.post(url, json={"id": key}, headers=headers) as got:
+        return dict(await got.json(content_type=None))
+
+
 class TestOutage:
     """Traffic goes on; only what needs the service is refused, and truly not run."""
 
@@ -34,10 +42,10 @@
     async def test_answer_to_a_claim_is_lost(self, fleet: Fleet) -> None:
         await fleet.async_switch(fleet.key_value, lose_answers=1)
         key = make_id()
-        assert (await self._async_submit_plain(fleet, key))["run"] == 1
+        assert (await async_submit_plain(fleet, key))["run"] == 1
         (truth,) = await fleet.async_get_truths([fleet.key_value])
         assert truth["switches"]["lose_answers"] == 0
-        assert (await self._async_submit_plain(fleet, key))["run"] == 1
+        assert (await async_submit_plain(fleet, key))["run"] == 1
         assert await async_count_runs(fleet, f"{CALL}/{key}") == 1
 
     async def _async_check_traffic(self, fleet: Fleet) -> None:
@@ -49,12 +57,6 @@
     async def _async_check_plain(self, fleet: Fleet, verdict: str) -> None:
         """Submit a call with a plain key, which would have to be claimed."""
         key = make_id()
-        problem = await self._async_submit_plain(fleet, key)
+        problem = await async_submit_plain(fleet, key)
         assert problem["verdict"] == verdict
         assert await async_count_runs(fleet, f"{CALL}/{key}") == 0
-
-    async def _async_submit_plain(self, fleet: Fleet, key: str) -> dict[str, Any]:
-        url = f"http://{fleet.gateways[0].address}/v1/services/{SERVICE}/{CALL}"
-        headers = {"X-Caller": "agents", KEY_HEADER: key}
-        async with fleet.session.post(url, json={"id": key}, headers=headers) as got:
-            return dict(await got.json(content_type=None))
