Take a hand-over of idempotency keys in steps

Cause: the successor decoded and adopted a whole hand-over in one turn of the loop, and each kept answer was a message of its own. Standing still for 5 s delays urgent work and heartbeats. Keys without a record are still run only after the last step. Answers whose records find no room were kept for ever; now they are forgotten. The codec has a module of its own.

--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -60,3 +60,6 @@
 
 LEAVE_SPREAD_S: Final = 2.0
 """Time that a leaving gateway stays for the news of its successor to spread."""
+
+ADOPT_STEP_RECORDS: Final = 200
+"""Records of a leaving gateway that are taken over in one turn of the loop."""
--- a/mangoway/daemons/key_hand_over.py
+++ b/mangoway/daemons/key_hand_over.py
@@ -1,20 +1,24 @@
 """Hands the records of idempotency keys from a leaving gateway to a successor."""
 
+import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterable, Callable, Iterable, Mapping
+from itertools import islice
 
 from attrs import define
 
 from ..models.errors import MangowayError
-from ..models.identifiers import IncarnationId
+from ..models.identifiers import IncarnationId, RequestId
 from ..models.member import Member, ProcessRole
 from ..observability.event_log import log_event
 from ..observability.events import KeyHandoverFailed, KeysHandedOver
 from ..peers import peers_pb2 as pb
 from ..peers.directory import Directory
-from ..peers.forwarding import Forwarder, KeyHandOver, join_chunks
+from ..peers.forwarding import Forwarder
+from ..peers.hand_over import HandOverIntake, KeyHandOver, StoredAnswer
 from ..policy.dispatch.core import DispatchCore
-from ..policy.dispatch.events import DispatchEvent, PeerKeysReceived
+from ..policy.dispatch.events import DispatchEvent, KeyRecord, PeerKeysReceived
+from .const import ADOPT_STEP_RECORDS
 from .records import Records
 from .stored_answers import decode_answer, encode_answer
 
@@ -69,15 +73,42 @@
 
 @define(eq=False, kw_only=True)
 class KeyTaker:
-    """Takes over the records of a gateway that leaves, all or none."""
+    """Takes over the records of a gateway that leaves.
+
+    A full table is too much for one turn of the loop, so it is taken in steps. Only
+    with the last of them are keys without a record run here.
+    """
 
     records: Records
     send: Callable[[DispatchEvent], None]
 
-    def async_receive_keys(self, chunks: Iterable[pb.KeyChunk]) -> pb.HandOverReply:
+    async def async_receive_keys(
+        self, chunks: AsyncIterable[pb.KeyChunk]
+    ) -> pb.HandOverReply:
         """Take a whole hand-over."""
-        hand_over = join_chunks(tuple(chunks), time.time())
-        for stored in hand_over.answers:
-            self.records.keep(stored.id, decode_answer(stored))
-        self.send(PeerKeysReceived(home=hand_over.home, keys=hand_over.records))
+        intake = HandOverIntake(time.time())
+        async for chunk in chunks:
+            intake.add(chunk)
+            await asyncio.sleep(0)
+        hand_over = intake.finish()
+        answers = {stored.id: stored for stored in hand_over.answers}
+        records = iter(hand_over.records)
+        while group := tuple(islice(records, ADOPT_STEP_RECORDS)):
+            self._keep_answers(group, answers)
+            self._adopt(hand_over.home, group, last=False)
+            await asyncio.sleep(0)
+        self._adopt(hand_over.home, (), last=True)
         return pb.HandOverReply(records=len(hand_over.records))
+
+    def _keep_answers(
+        self, records: Iterable[KeyRecord], answers: Mapping[RequestId, StoredAnswer]
+    ) -> None:
+        for record in records:
+            stored = answers.get(record.answer_id or RequestId(""))
+            if stored is not None:
+                self.records.keep(stored.id, decode_answer(stored))
+
+    def _adopt(
+        self, home: IncarnationId, records: tuple[KeyRecord, ...], last: bool
+    ) -> None:
+        self.send(PeerKeysReceived(home=home, keys=records, last=last))
--- a/mangoway/daemons/stored_answers.py
+++ b/mangoway/daemons/stored_answers.py
@@ -5,7 +5,7 @@
 from ..callers.answer import Answer, PlainBody
 from ..callers.const import CONTENT_TYPE_JSON, HEADER_CONTENT_TYPE
 from ..models.identifiers import RequestId
-from ..peers.forwarding import StoredAnswer
+from ..peers.hand_over import StoredAnswer
 from ..peers.messages import ForwardedHeader
 
 HEADER_KIND = "x-answer-kind"
--- a/mangoway/peers/server.py
+++ b/mangoway/peers/server.py
@@ -1,7 +1,7 @@
 """The listener for other processes."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable, Iterable
+from collections.abc import AsyncGenerator, AsyncIterable, Callable
 from contextlib import aclosing
 from typing import Protocol, TypeVar
 
@@ -71,8 +71,10 @@
 class KeyReceiver(Protocol):
     """Takes over idempotency keys of a home that leaves."""
 
-    def async_receive_keys(self, chunks: Iterable[pb.KeyChunk]) -> pb.HandOverReply:
-        """Take a whole hand-over."""
+    async def async_receive_keys(
+        self, chunks: AsyncIterable[pb.KeyChunk]
+    ) -> pb.HandOverReply:
+        """Take a whole hand-over; nothing is taken if `chunks` raises."""
         ...
 
 
@@ -170,10 +172,11 @@
     async def HandOverKeys(self, stream: Stream[pb.KeyChunk, pb.HandOverReply]) -> None:
         """Take over a home's idempotency keys, all or none."""
         receiver = _require(self._receivers.keys)
-        chunks = [chunk async for chunk in stream]
-        if not chunks or not chunks[-1].last:
-            raise GRPCError(Status.DATA_LOSS, "the hand-over is not whole")
-        await stream.send_message(_guard(receiver.async_receive_keys, chunks))
+        try:
+            reply = await receiver.async_receive_keys(_async_read_whole(stream))
+        except MangowayError as error:
+            raise GRPCError(Status.FAILED_PRECONDITION, str(error)) from error
+        await stream.send_message(reply)
 
     async def ReportDemand(
         self, stream: Stream[pb.DemandReport, pb.DemandReply]
@@ -246,6 +249,17 @@
     return request
 
 
+async def _async_read_whole(
+    stream: Stream[pb.KeyChunk, pb.HandOverReply],
+) -> AsyncGenerator[pb.KeyChunk, None]:
+    last = False
+    async for chunk in stream:
+        last = chunk.last
+        yield chunk
+    if not last:
+        raise GRPCError(Status.DATA_LOSS, "the hand-over is not whole")
+
+
 def _guard(answer: Callable[[RequestT], ReplyT], request: RequestT) -> ReplyT:
     try:
         return answer(request)
--- a/mangoway/policy/dispatch/core.py
+++ b/mangoway/policy/dispatch/core.py
@@ -8,7 +8,7 @@
 from ...models.identifiers import IncarnationId
 from ...models.offer import Configuration
 from ...models.request import ServiceCall, Target, WorkClass
-from .actions import DispatchAction, ReportDemand, WakeAt
+from .actions import DispatchAction, ForgetAnswer, ReportDemand, WakeAt
 from .admission import Admission
 from .arrivals import Arrivals
 from .attempts import Attempts
@@ -153,8 +153,13 @@
         self.requests.cancel(event.request_id)
 
     def _on_peer_keys(self, event: PeerKeysReceived) -> None:
-        adopted = self.keys.adopt(event.home, event.keys, self.context.now)
+        adopted = self.keys.adopt(event.home, event.keys)
         self.requests.schedule_drops(adopted)
+        for record in event.keys:
+            if record.answer_id is not None and not self.keys.answers_from(record):
+                self.context.emit(ForgetAnswer(answer_id=record.answer_id))
+        if event.last:
+            self.keys.end_adoption(event.home, self.context.now)
 
     def _on_homes(self, event: HomesChanged) -> None:
         self.homes.follow(event)
--- a/mangoway/policy/dispatch/events.py
+++ b/mangoway/policy/dispatch/events.py
@@ -121,10 +121,11 @@
 
 @frozen(kw_only=True)
 class PeerKeysReceived:
-    """A leaving home handed over its records of idempotency keys."""
+    """A leaving home handed over its records of idempotency keys, or some of them."""
 
     home: IncarnationId
     keys: "tuple[KeyRecord, ...]"
+    last: bool = True
 
 
 @frozen(kw_only=True)
--- a/mangoway/policy/dispatch/keys.py
+++ b/mangoway/policy/dispatch/keys.py
@@ -87,6 +87,9 @@
     _expired_until: float = float("-inf")
     """Issue time up to which keys stay expired, whatever the retention becomes."""
 
+    _partly_adopted: set[IncarnationId] = field(factory=set)
+    """Homes that hand over more records than there is room for."""
+
     def __len__(self) -> int:
         return len(self._records)
 
@@ -173,20 +176,27 @@
         self.closed = True
         return tuple(self._export_one(held) for held in self._records.values())
 
-    def adopt(
-        self, home: IncarnationId, keys: tuple[KeyRecord, ...], now: float
-    ) -> list[HeldKey]:
-        """Take over the records of a home that left; return the new ones.
+    def adopt(self, home: IncarnationId, keys: tuple[KeyRecord, ...]) -> list[HeldKey]:
+        """Take over records of a home that leaves; return the new ones."""
+        new = [record for record in keys if self._is_news(record)]
+        room = max(0, 2 * self.capacity - len(self._records))
+        if len(new) > room:
+            self._partly_adopted.add(home)
+        return [self._adopt_one(record) for record in new[:room]]
+
+    def end_adoption(self, home: IncarnationId, now: float) -> None:
+        """Answer for a home from now on, if all its records were taken over.
 
-        Where they don't all fit, the home isn't answered for: keys without a record
-        are then never run.
+        Where they didn't fit, keys without a record are never run.
         """
-        new = [record for record in keys if self._is_news(record)]
-        room = 2 * self.capacity - len(self._records)
-        adopted = [self._adopt_one(record) for record in new[: max(0, room)]]
-        if len(adopted) == len(new):
+        if home not in self._partly_adopted:
             self.homes.adopt(home, now)
-        return adopted
+        self._partly_adopted.discard(home)
+
+    def answers_from(self, record: KeyRecord) -> bool:
+        """Return whether resubmissions get the answer that a record names."""
+        held = self._records.get((record.caller, record.key))
+        return held is not None and held.answer_id == record.answer_id
 
     @staticmethod
     def _is_droppable(held: HeldKey) -> bool:
--- /dev/null
+++ b/tests/daemons/test_key_hand_over.py
@@ -0,0 +1,100 @@
+"""Tests of taking over the records of a gateway that leaves."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from random import Random
+
+from attrs import define, field
+
+from mangoway.callers.answer import Answer, PlainBody
+from mangoway.daemons.const import ADOPT_STEP_RECORDS
+from mangoway.daemons.key_hand_over import KeyTaker
+from mangoway.daemons.records import Records
+from mangoway.daemons.stored_answers import encode_answer
+from mangoway.models.identifiers import (
+    CallerId,
+    IdempotencyKey,
+    IncarnationId,
+    RequestId,
+)
+from mangoway.peers import peers_pb2 as pb
+from mangoway.peers.hand_over import KeyHandOver, make_chunks
+from mangoway.policy.dispatch.actions import ForgetAnswer
+from mangoway.policy.dispatch.core import DispatchCore
+from mangoway.policy.dispatch.events import DispatchEvent, KeyRecord
+
+HOME = IncarnationId("home")
+STEPS = 5
+
+
+def make_hand_over(count: int) -> KeyHandOver:
+    records, answers = [], []
+    for number in range(count):
+        answer_id = RequestId(f"answer-{number}")
+        record = KeyRecord(
+            key=IdempotencyKey(f"home:100:{number}"),
+            caller=CallerId("desk"),
+            fingerprint=number,
+            expires_at=1000.0,
+            verdict=None,
+            answer_id=answer_id,
+        )
+        answer = Answer()
+        answer.set_plain(
+            PlainBody(status=200, content_type="application/json", body=b"{}")
+        )
+        answer.finish()
+        records.append(record)
+        answers.append(encode_answer(answer_id, answer))
+    return KeyHandOver(home=HOME, records=tuple(records), answers=tuple(answers))
+
+
+@define
+class Successor:
+    """A core with room for so many records of its own, and twice as many in all."""
+
+    capacity: int
+    records: Records = field(factory=Records)
+    core: DispatchCore = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.core = DispatchCore(IncarnationId("successor"), Random(1))
+        self.core.keys.configure(600.0, self.capacity, 0.0)
+
+    def send(self, event: DispatchEvent) -> None:
+        for action in self.core.handle(event, 200.0):
+            if isinstance(action, ForgetAnswer):
+                self.records.forget(action.answer_id)
+
+    async def async_take(self, hand_over: KeyHandOver) -> None:
+        async def async_read() -> AsyncGenerator[pb.KeyChunk, None]:
+            for chunk in make_chunks(hand_over, 0.0):
+                yield chunk
+
+        taker = KeyTaker(records=self.records, send=self.send)
+        await taker.async_receive_keys(async_read())
+
+
+class TestKeyTaker:
+    """A full table neither stops the loop nor leaves answers behind."""
+
+    async def test_loop_goes_on_meanwhile(self) -> None:
+        successor = Successor(capacity=ADOPT_STEP_RECORDS * STEPS)
+        hand_over = make_hand_over(ADOPT_STEP_RECORDS * STEPS)
+        taking = asyncio.create_task(successor.async_take(hand_over))
+        turns = 0
+        while not taking.done():
+            turns += 1
+            await asyncio.sleep(0)
+        assert turns > 2 * STEPS
+        assert len(successor.core.keys) == len(hand_over.records)
+        assert len(successor.records.list_kept()) == len(hand_over.records)
+        assert successor.core.homes.find_adopted(HOME) is not None
+
+    async def test_answers_without_room_are_not_kept(self) -> None:
+        capacity = ADOPT_STEP_RECORDS
+        successor = Successor(capacity)
+        await successor.async_take(make_hand_over(3 * capacity))
+        assert len(successor.core.keys) == 2 * capacity
+        assert len(successor.records.list_kept()) == 2 * capacity
+        assert successor.core.homes.find_adopted(HOME) is None
--- a/tests/peers/test_forwarding.py
+++ b/tests/peers/test_hand_over.py
@@ -1,5 +1,7 @@
 """Tests of the hand-over of idempotency keys."""
 
+from collections.abc import AsyncIterable
+
 import pytest
 from attrs import evolve
 from hypothesis import given
@@ -8,13 +10,13 @@
 from mangoway.models.errors import MangowayError
 from mangoway.models.identifiers import IdempotencyKey, IncarnationId, RequestId
 from mangoway.models.verdict import Verdict
-from mangoway.peers import forwarding
+from mangoway.peers import hand_over
 from mangoway.peers import peers_pb2 as pb
 from mangoway.peers.client import PeerClient
-from mangoway.peers.forwarding import (
+from mangoway.peers.hand_over import (
+    HandOverIntake,
     KeyHandOver,
     StoredAnswer,
-    join_chunks,
     make_chunks,
 )
 from mangoway.peers.messages import ForwardedHeader
@@ -53,21 +55,26 @@
     @given(keys=HAND_OVERS)
     def test_chunks_join_to_what_was_handed_over(self, keys: KeyHandOver) -> None:
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(forwarding, "HAND_OVER_CHUNK_RECORDS", 2)
-            patch.setattr(forwarding, "HAND_OVER_CHUNK_BYTES", 7)
+            patch.setattr(hand_over, "HAND_OVER_CHUNK_RECORDS", 2)
+            patch.setattr(hand_over, "HAND_OVER_CHUNK_BYTES", 7)
             chunks = list(make_chunks(keys, 100.0))
         expected = [
             evolve(record, expires_at=record.expires_at + 400)
             for record in keys.records
         ]
-        joined = join_chunks(chunks, 500.0)
-        assert joined == evolve(keys, records=tuple(expected))
+        intake = HandOverIntake(500.0)
+        for chunk in chunks:
+            assert len(chunk.records) <= 2
+            assert len(chunk.answers) <= 2
+            intake.add(chunk)
+        assert intake.finish() == evolve(keys, records=tuple(expected))
 
     def test_missing_part_of_an_answer_is_refused(self) -> None:
         part = pb.AnswerPart(answer_id="r-1", body=b"half")
-        chunk = pb.KeyChunk(home="home.1", answers=[part], last=True)
+        intake = HandOverIntake(0.0)
+        intake.add(pb.KeyChunk(home="home.1", answers=[part], last=True))
         with pytest.raises(MangowayError):
-            join_chunks([chunk], 0.0)
+            intake.finish()
 
     async def test_hand_over_that_is_not_whole_is_not_taken(
         self, relay: Relay, receivers: PeerReceivers
@@ -75,9 +82,12 @@
         taken: list[pb.KeyChunk] = []
 
         class Successor:
-            def async_receive_keys(self, chunks: list[pb.KeyChunk]) -> pb.HandOverReply:
-                taken.extend(chunks)
-                return pb.HandOverReply(records=len(chunks))
+            async def async_receive_keys(
+                self, chunks: AsyncIterable[pb.KeyChunk]
+            ) -> pb.HandOverReply:
+                whole = [chunk async for chunk in chunks]
+                taken.extend(whole)
+                return pb.HandOverReply(records=len(whole))
 
         receivers.keys = Successor()
         client = PeerClient(relay.address)
