Share the engines anew only when the live gateways change

Cause: every change of any member's entry, its configuration version included, made a gateway hash each engine with each gateway and look at each upstream.

The first is still paid when a gateway comes or goes.

The new test was red on the old code: "assert [None] == []".

--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -148,6 +148,9 @@
             )
         )
         self._incarnations: dict[UpstreamId, IncarnationId] = {}
+        self._live: frozenset[IncarnationId] | None = None
+        """Live gateways that the engines are shared among."""
+
         self.book.listen(self._take_peer_report)
 
     @property
@@ -213,8 +216,12 @@
             )
         )
         live = self.directory.list_live(ProcessRole.GATEWAY)
-        self.dispatcher.send(GatewaysCounted(count=max(1, len(live))))
-        self._share_engines()
+        incarnations = frozenset(each.incarnation for each in live)
+        # Most changes are other members' versions; these concern no engine.
+        if incarnations != self._live:
+            self._live = incarnations
+            self.dispatcher.send(GatewaysCounted(count=max(1, len(live))))
+            self._share_engines()
 
     def async_meet(self, description: EngineDescription) -> None:
         """Take the description of an engine met first, or after a restart."""
--- a/tests/daemons/test_gateway_node.py
+++ b/tests/daemons/test_gateway_node.py
@@ -7,6 +7,8 @@
 import pytest
 import pytest_asyncio
 
+from mangoway.models.identifiers import ConfigVersion
+from mangoway.models.member import MemberState
 from tests.stand_ins.answers import make_answer
 
 from .gateway_world import CONFIGURATION, HEADERS, GatewayWorld, open_world
@@ -92,6 +94,16 @@
         status, problem = await world.get("/v1/addresses")
         assert (status, problem["code"]) == (503, "not_ready")
 
+    async def test_only_a_change_of_the_live_shares_the_engines_anew(
+        self, world: GatewayWorld, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        shared: list[None] = []
+        monkeypatch.setattr(world.node, "_share_engines", lambda: shared.append(None))
+        world.set_members({0: {"config_version": ConfigVersion(9)}})
+        assert shared == []
+        world.set_members({0: {"state": MemberState.LEAVING}})
+        assert shared == [None]
+
     async def test_status(self, world: GatewayWorld) -> None:
         _, status = await world.get("/v1/status")
         assert status["config_version"] == 1
