Keep each text once that peers name in heartbeats

Cause: a process keeps for every peer what that peer's slots mean. Each kept its own copies of the names of all runners and artifacts, in maps.

Python's allocations for one peer more, with 10, 50, 150 and 308 runners of six models each: 9.3, 52.4, 150.7 and 268.0 KB before, 1.5, 3.9, 10.5 and 16.5 KB now. In a cell of 62 nodes that is 16.3 MB before, half of what control may take, and 1.0 MB.

Slots are dense, so a list and marks in bytes do; equal texts are interned. A slot that no session has is refused, or one message could ask for any amount of memory; its test was red without the check: "DID NOT RAISE MangowayError".

--- a/mangoway/peers/report_codec.py
+++ b/mangoway/peers/report_codec.py
@@ -137,7 +137,7 @@
 
     def _learn_names(self, names: Iterable[pb.Name]) -> None:
         for name in names:
-            self._view.names[name.slot] = name.text
+            self._view.names.learn(name.slot, name.text)
 
     def _find_base(
         self, runner: int, digest: int, residency: pb.Residency | None
--- a/mangoway/peers/slots.py
+++ b/mangoway/peers/slots.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
+from sys import intern
 
 from attrs import define, field
 
@@ -57,6 +58,55 @@
         return self._texts[slot]
 
 
+@define(eq=False)
+class SlotSet:
+    """Slots as marks in bytes; a process keeps one for each peer."""
+
+    _marks: bytearray = field(factory=bytearray, init=False)
+
+    def __contains__(self, slot: int) -> bool:
+        return slot < len(self._marks) and bool(self._marks[slot])
+
+    def add(self, slot: int) -> None:
+        """Mark a slot."""
+        missing = slot + 1 - len(self._marks)
+        if missing > 0:
+            self._marks.extend(bytes(missing))
+        self._marks[slot] = 1
+
+    def clear(self) -> None:
+        """Unmark all slots."""
+        self._marks.clear()
+
+
+@define(eq=False)
+class SlotTexts:
+    """Texts by slot, in a list, since slots are dense; equal texts are kept once.
+
+    Each peer sends the same names of runners and artifacts, so copies of them would
+    be most of what a process in a large cell holds.
+    """
+
+    _texts: list[str | None] = field(factory=list, init=False)
+
+    def get(self, slot: int) -> str | None:
+        """Return the text of a slot; None if it is unknown."""
+        return self._texts[slot] if slot < len(self._texts) else None
+
+    def learn(self, slot: int, text: str) -> None:
+        """Take what a slot means.
+
+        Raises:
+            ValueError: If no session has such a slot.
+        """
+        if slot >= MAX_SLOTS:
+            raise ValueError(f"slot {slot}")
+        missing = slot + 1 - len(self._texts)
+        if missing > 0:
+            self._texts.extend([None] * missing)
+        self._texts[slot] = intern(text)
+
+
 @define(eq=False)
 class PeerView:
     """What a peer was sent in this process's current session."""
@@ -67,7 +117,7 @@
     successors: dict[int, IncarnationId | None] = field(factory=dict)
     """Slots of members whose identity was sent, with the successor it named."""
 
-    names: set[int] = field(factory=set)
+    names: SlotSet = field(factory=SlotSet)
     reports_up_to: int = 0
     """Reports up to this update of the report book were sent."""
 
@@ -80,7 +130,7 @@
     """What a peer's slots mean, in one session of it."""
 
     members: dict[int, Member] = field(factory=dict)
-    names: dict[int, str] = field(factory=dict)
+    names: SlotTexts = field(factory=SlotTexts)
 
 
 @define(eq=False)
--- a/tests/peers/test_heartbeat.py
+++ b/tests/peers/test_heartbeat.py
@@ -242,3 +242,11 @@
         sender.decode(receiver.encode(1, (), 2.0), 2.0)
         received = receiver.decode(sender.encode(100, (), 2.0), 2.0)
         assert received.reports == (newer,)
+
+    def test_slot_that_no_session_has_is_refused(self) -> None:
+        sender, receiver = _make_codec("host-0.1", 1), _make_codec("other", 100)
+        heartbeat = sender.encode(100, (_make_member(0),), 0.0)
+        heartbeat.names.add(slot=2**31, text="runner-1")
+        with pytest.raises(MangowayError) as raised:
+            receiver.decode(heartbeat, 0.0)
+        assert raised.value.code is ErrorCode.PEER_FAILED
