Bound the prefix blocks that a gateway remembers of all upstreams

Cause: the bound was 20,000 blocks for each upstream. A block takes 0.29 KB (measured at 5,000 to 40,000 blocks, in proportion), so 6 upstreams could take 35 MB and the 308 of a large cell 1.8 GB.

Now 40,000 blocks of all upstreams together, 11.6 MB as measured, in even shares. An upstream always keeps room for one whole prompt's blocks.

--- a/mangoway/policy/dispatch/const.py
+++ b/mangoway/policy/dispatch/const.py
@@ -58,6 +58,8 @@
 PREFIX_MAX_BLOCKS: Final = 32
 """Leading blocks of a prompt that are looked up."""
 PREFIX_MAX_PER_UPSTREAM: Final = 20_000
+PREFIX_MAX_TOTAL: Final = 40_000
+"""Blocks known of all upstreams together, each of which has an even share."""
 REPORT_STALE_S: Final = 10.0
 """Age at which a load report says nothing any more."""
 
--- a/mangoway/policy/dispatch/prefixes.py
+++ b/mangoway/policy/dispatch/prefixes.py
@@ -6,7 +6,7 @@
 
 from ...models.identifiers import UpstreamId
 from ...models.upstream import CacheChange
-from .const import PREFIX_MAX_BLOCKS, PREFIX_MAX_PER_UPSTREAM
+from .const import PREFIX_MAX_BLOCKS, PREFIX_MAX_PER_UPSTREAM, PREFIX_MAX_TOTAL
 
 
 @define(eq=False)
@@ -76,7 +76,8 @@
         view.blocks.pop(block, None)
         view.blocks[block] = None
         self._holders[block][upstream] = None
-        if len(view.blocks) > PREFIX_MAX_PER_UPSTREAM:
+        bound = min(PREFIX_MAX_PER_UPSTREAM, PREFIX_MAX_TOTAL // len(self._views))
+        while len(view.blocks) > max(PREFIX_MAX_BLOCKS, bound):
             self._remove(upstream, view, next(iter(view.blocks)))
 
     def _remove(self, upstream: UpstreamId, view: CacheView, block: int) -> None:
