Keep an older unload's mark, and load nothing on a runner that is over

A lost entry is now reloaded only where the ledger is not over. test_runner_that_is_over_takes_only_what_it_holds allowed this, so it was wrong; test_runner_that_is_over_takes_nothing takes its place, with the edge. The test of filling empty runners is now a row of the weight store's test, which also holds both limits.

--- a/mangoway/policy/placement/choice.py
+++ b/mangoway/policy/placement/choice.py
@@ -124,9 +124,10 @@
         return need.artifact in self._state.copies.list_on(runner.id)
 
     def _find_missing_mb(self, need: Need, runner: Runner) -> int:
+        held_mb = 0
         if self._holds_lost(need, runner):
-            return 0
-        return need.memory_mb - runner.free_mb
+            held_mb = self._find_entry_mb(need.artifact, runner)
+        return max(need.memory_mb, held_mb) - held_mb - runner.free_mb
 
     def _find_headroom_mb(self, runner: Runner) -> int:
         """Return free memory less what adapters without a copy need beside bases."""
--- a/mangoway/policy/placement/ledgers.py
+++ b/mangoway/policy/placement/ledgers.py
@@ -51,12 +51,13 @@
 ) -> Ledger | None:
     """Return the ledger with a load reserved; None if it does not fit.
 
-    Memory of an entry that is there already is not taken twice.
+    Memory of an entry that is there already is not taken twice, but may be lent to
+    residents that nobody entered: a runner that is over takes no load at all.
     """
     old = find_entry(ledger, artifact)
     held_mb = 0 if old is None else old.memory_mb
     needed_mb = max(memory_mb, held_mb)
-    if needed_mb - held_mb > max(ledger.free_mb, 0):
+    if needed_mb - held_mb > ledger.free_mb:
         return None
     fence = FenceNumber(ledger.fence + 1)
     entry = LedgerEntry(
--- a/mangoway/policy/placement/reservations.py
+++ b/mangoway/policy/placement/reservations.py
@@ -36,6 +36,7 @@
 from .ledgers import (
     clear_mark,
     create_ledger,
+    is_marked,
     mark_unload,
     reserve_load,
     settle_ledger,
@@ -72,6 +73,8 @@
     def deactivate(self) -> None:
         """Send nothing more; orders already sent are still followed."""
         self.is_active = False
+        for check in self._checks.values():
+            self._drop_replacing(check.runner, check.order)
         self._checks.clear()
         self._forget_ledgers()
 
@@ -141,8 +144,8 @@
         floor_mb = self.state.configuration.site.kv_cache_floor_mb
         ledger = runner.ledger or create_ledger(runner.description, floor_mb)
         for artifact, order in runner.unsent.items():
-            if order not in self._checks:
-                ledger = clear_mark(ledger, artifact, order)
+            if order.id not in self._checks:
+                ledger = clear_mark(ledger, artifact, order.id)
         settled = settle_ledger(
             ledger, runner.description, runner.report, runner.evidence
         )
@@ -195,6 +198,7 @@
             memory_mb=0,
             asked_at=now,
             fence=marked.fence,
+            replaces=is_marked(ledger, artifact),
         )
         self._write(runner, marked, order)
         return True
@@ -227,7 +231,7 @@
         if write.order.kind is OrderKind.LOAD:
             self._send(runner, write.order, now)
         else:
-            runner.unsent[write.order.artifact] = write.order.id
+            runner.unsent[write.order.artifact] = write.order
             self._check_unload(runner, write.order, now)
 
     def _keep_unsent(self, runner: Runner, ledger: Ledger) -> None:
@@ -236,7 +240,7 @@
         runner.unsent = {
             artifact: order
             for artifact, order in runner.unsent.items()
-            if order in marks
+            if order.id in marks
         }
 
     def take_conflict(self, event: LedgerConflicted, now: float) -> None:
@@ -257,9 +261,10 @@
         runner.read_after = now + LEDGER_RETRY_S
         if runner.write is not None:
             order = runner.write.order
-            if order is not None and order.kind is OrderKind.UNLOAD:
-                runner.unsent[order.artifact] = order.id
             runner.write = None
+            if order is not None and order.kind is OrderKind.UNLOAD:
+                runner.unsent[order.artifact] = order
+                self._drop_replacing(runner, order)
             runner.is_ledger_known = False
         else:
             runner.reads = max(runner.reads - 1, 0)
@@ -276,7 +281,7 @@
             return
         guards = list_guards(self.state, runner, artifact, now)
         if not do_guards_suffice(self.state, artifact, guards) or not self.is_active:
-            self.explain(artifact, runner, "unload_abandoned_last_copy")
+            self._abandon(runner, order, "unload_abandoned_last_copy")
             return
         for guard in guards:
             self._read(self.state.runners[guard])
@@ -301,15 +306,25 @@
         if do_guards_suffice(self.state, artifact, guards):
             self._send(check.runner, check.order, now)
         else:
-            self.explain(artifact, check.runner, "unload_abandoned_last_copy")
+            self._abandon(check.runner, check.order, "unload_abandoned_last_copy")
 
     def _abandon_checks(self, guard: Runner) -> None:
         for order_id, check in list(self._checks.items()):
             if guard.id in check.waiting:
                 del self._checks[order_id]
-                self.explain(
-                    check.order.artifact, check.runner, "unload_abandoned_no_ledger"
-                )
+                self._abandon(check.runner, check.order, "unload_abandoned_no_ledger")
+
+    def _abandon(self, runner: Runner, order: PendingOrder, reason: str) -> None:
+        self._drop_replacing(runner, order)
+        self.explain(order.artifact, runner, reason)
+
+    def _drop_replacing(self, runner: Runner, order: PendingOrder) -> None:
+        """Leave the mark of an unsent unload to the evidence if it replaced one.
+
+        The unload that the earlier mark was for may still arrive.
+        """
+        if order.replaces and runner.unsent.get(order.artifact) == order:
+            del runner.unsent[order.artifact]
 
     def refresh_copies(self, now: float) -> set[Artifact]:
         """Bring the copies of changed runners up to date."""
@@ -328,6 +343,7 @@
         ledger = runner.ledger
         send_before = pending.asked_at + ORDER_SEND_WINDOW_S
         if not self._may_send(runner, now, send_before):
+            self._drop_replacing(runner, pending)
             self.explain(pending.artifact, runner, "order_dropped")
             return
         if description is None or ledger is None:
--- a/mangoway/policy/placement/runners.py
+++ b/mangoway/policy/placement/runners.py
@@ -48,6 +48,8 @@
     """Time at which its ledger write was asked for."""
 
     fence: FenceNumber
+    replaces: bool = False
+    """Whether it is an unload over the mark of an earlier one."""
 
 
 @frozen(kw_only=True)
@@ -106,7 +108,7 @@
     """Time at which a copy was first seen ready."""
 
     retries: dict[Artifact, Retry] = field(factory=dict)
-    unsent: dict[Artifact, OrderId] = field(factory=dict)
+    unsent: dict[Artifact, PendingOrder] = field(factory=dict)
     """Unloads of this controller that were marked, or may have been, but not sent."""
 
     @property
--- a/tests/policy/placement/test_core.py
+++ b/tests/policy/placement/test_core.py
@@ -6,14 +6,24 @@
 from attrs import evolve
 
 from mangoway.models.artifact import Artifact
-from mangoway.models.identifiers import AdapterName, HostId, IncarnationId, ModelName
-from mangoway.models.offer import AdapterOffer
+from mangoway.models.identifiers import (
+    AdapterName,
+    HostId,
+    IncarnationId,
+    ModelName,
+    UpstreamId,
+)
+from mangoway.models.offer import AdapterOffer, Configuration
 from mangoway.models.order import OrderKind
 from mangoway.models.upstream import UpstreamAddress, UpstreamKind
 from mangoway.policy.placement import events
 from mangoway.policy.placement.actions import ReadLedger
-from mangoway.policy.placement.const import ORDER_SEND_WINDOW_S
+from mangoway.policy.placement.const import (
+    BREAK_AFTER_S,
+    ORDER_SEND_WINDOW_S,
+)
 from mangoway.policy.placement.core import PlacementCore
+from mangoway.policy.placement.ledgers import find_entry, is_marked
 from mangoway.policy.placement.options import PlacementOptions
 from mangoway.policy.placement.registry import (
     find_placement,
@@ -21,7 +31,7 @@
     register_placement,
 )
 
-from .world import BOUND_S, DC1, World, offer_models
+from .world import BOUND_S, DC1, LOAD_S, World, offer_models
 
 
 def send_demand(world: World, name: str, rate: int, tokens_each: int = 50) -> None:
@@ -43,6 +53,13 @@
         world.give(controller, event)
 
 
+def limit_loads(limit: int, rate: float = 10.0, **models: int) -> Configuration:
+    """Return an offer with limits of the weight store."""
+    offer = offer_models(**models)
+    site = evolve(offer.site, loads_per_second=rate, loads_at_full_speed=limit)
+    return evolve(offer, site=site)
+
+
 def list_orders(world: World, kind: OrderKind) -> list[str]:
     return [str(order.artifact) for _, order in world.sent if order.kind is kind]
 
@@ -89,23 +106,59 @@
         assert not world.list_ready("a@1")
 
     def test_lost_last_copy_goes_before_other_loads(self) -> None:
-        world = World(configuration=offer_models(a=20, b=20, floor=2))
-        world.start(60, 60, 60)
-        world.run(30.0)
-        world.engines[world.list_ready("a@1")[0]].up = False
-        world.run(2.0)
-        reasons = [one.reason for one in world.reasons]
-        assert "engine_silent" in reasons
+        world = World(configuration=limit_loads(1, a=20, b=20, c=20, z=10, floor=2))
+        first = world.start(100, 100, 100, 100)
+        world.run(40.0)
+        for holder in world.list_ready("z@1"):
+            world.engines[UpstreamId(holder)].up = False
+        world.sent.clear()
+        # Both losses are seen by the same plan.
+        first.paused = True
+        world.run(1.5)
+        world.resume(first)
+        world.run(40.0)
+        loads = list_orders(world, OrderKind.LOAD)
+        assert loads[0] == "z@1"
+        assert len(set(loads)) > 1
+        assert world.list_missing() == []
+
+    def test_version_without_room_waits_before_it_replaces_the_old_one(self) -> None:
+        world = World(configuration=offer_models(a=60))
+        world.start(100)
+        world.run(20.0)
+        world.configure(offer_models(2, ("2",), a=60))
+        world.run(BREAK_AFTER_S - 2.0)
+        assert world.list_ready("a@1")
+        world.run(20.0)
+        assert "break_before_make" in world.list_reasons()
+        assert world.list_missing() == []
+
+    def test_copy_is_relocated_so_that_another_fits(self) -> None:
+        world = World(configuration=offer_models(a=40))
+        world.start(100, 55)
         world.run(20.0)
+        world.configure(offer_models(2, a=40, c=60))
+        for _ in range(150):
+            world.run(0.2)
+            assert world.list_ready("a@1")
+        assert "relocate_for_room" in world.list_reasons()
         assert world.list_missing() == []
 
+    def test_floors_are_not_evicted_for_floors(self) -> None:
+        world = World(configuration=offer_models(a=80, b=80, c=80))
+        world.start(100, 100)
+        world.run(60.0)
+        assert "no_room" in world.list_reasons()
+        assert "make_room" not in world.list_reasons()
+
     def test_restarted_engine_gets_its_artifacts_again(self) -> None:
-        world = World(configuration=offer_models(a=40, b=40))
+        world = World(configuration=limit_loads(1, a=40, b=40))
         world.start(100)
         world.run(20.0)
         world.engines[next(iter(world.engines))].restart(world.now)
         world.run(20.0)
         assert world.list_missing() == []
+        assert "unload_abandoned_last_copy" not in world.list_reasons()
         world.check()
 
 
@@ -152,6 +205,22 @@
         world.check()
         assert world.list_missing() == []
 
+    def test_order_planned_before_a_restart_is_not_sent_after_it(self) -> None:
+        world = World(configuration=offer_models(a=40))
+        world.start(100)
+        while not any(ledger.reserved for ledger in world.ledgers.values()):
+            world.run(0.005)
+        [engine] = world.engines.values()
+        engine.restart(world.now)
+        engine.memory[Artifact.parse("x@1")] = 60
+        met = events.EngineMet(description=engine.describe())
+        world.give(world.controllers[0], met)
+        reported = events.EngineReported(report=engine.report(world.now))
+        world.give(world.controllers[0], reported)
+        world.run(20.0)
+        world.check()
+        assert world.list_missing() == []
+
     def test_no_load_without_the_store(self) -> None:
         world = World(configuration=offer_models(a=40))
         world.store_up = False
@@ -171,6 +240,55 @@
         assert world.ledgers[next(iter(world.ledgers))].committed_mb == 50
 
 
+class TestUnloadInFlight:
+    """A copy that an unload may still reach does not count."""
+
+    def offer_again(self, fault: str, engines: int = 2) -> World:
+        """Withdraw a model, disturb its unload, offer it again before it arrives."""
+        world = World(configuration=offer_models(a=40, b=40))
+        world.start(*[100] * engines, checks=False)
+        world.run(10.0)
+        world.order_faults = [fault]
+        world.configure(offer_models(2, b=40))
+        while not list_orders(world, OrderKind.UNLOAD):
+            world.run(0.1)
+        world.configure(offer_models(3, a=40, b=40))
+        return world
+
+    @pytest.mark.parametrize("engines", [1, 2])
+    def test_copy_offered_again_is_loaded_elsewhere(self, engines: int) -> None:
+        world = self.offer_again("late", engines)
+        world.run(6.0)
+        orders = [o for _, o in world.sent if str(o.artifact) == "a@1"]
+        loads = [o.upstream for o in orders if o.kind is OrderKind.LOAD]
+        assert len(loads) == len(set(loads)) == engines
+        world.run(3 * BOUND_S)
+        world.check()
+        assert world.list_missing() == []
+
+    def test_unload_is_not_sent_again_while_the_copy_is_the_last(self) -> None:
+        world = self.offer_again("lose")
+        world.run(2.0)
+        assert "unload_abandoned_last_copy" not in world.list_reasons()
+
+    def test_abandoned_second_unload_leaves_the_mark_of_the_first(self) -> None:
+        world = self.offer_again("lose")
+        [name] = world.list_ready("a@1")
+        holder = UpstreamId(name)
+        artifact = Artifact.parse("a@1")
+        before = find_entry(world.ledgers[holder], artifact)
+        while find_entry(world.ledgers[holder], artifact) == before:
+            world.run(0.005)
+        world.store_up = False
+        world.run(1.0)
+        assert "unload_abandoned_no_ledger" in world.list_reasons()
+        world.store_up = True
+        for _ in range(40):
+            world.run(0.1)
+            ledger = world.ledgers[holder]
+            assert is_marked(ledger, artifact) or not find_entry(ledger, artifact)
+
+
 class TestTwoControllers:
     """Two controllers that both believe they are active are safe."""
 
@@ -189,10 +307,8 @@
         assert any(one.reason == "order_dropped" for one in world.reasons)
         assert world.sent == []
 
-    def test_no_two_controllers_unload_each_others_guard(self) -> None:
-        world = World(configuration=offer_models(a=40, b=40))
-        first = world.start(100, 100)
-        second = world.add_controller()
+    def copy_to_other(self, world: World) -> list[UpstreamId]:
+        """Put a second copy beside the only one; return both holders."""
         world.run(20.0)
         artifact = Artifact.parse("a@1")
         [holder] = world.list_ready("a@1")
@@ -201,16 +317,29 @@
         other.memory[artifact] = order.memory_mb
         other.ready.add(artifact)
         world.run(5.0)
-        for controller, name in ((first, holder), (second, other.id)):
-            runner = controller.core.state.runners[name]
-            assert controller.core.reservations.mark(runner, artifact, world.now)
-            for action in controller.core.reservations.actions:
-                world._act(controller, action)
-            controller.core.reservations.actions.clear()
+        return [UpstreamId(holder), other.id]
+
+    def test_no_two_controllers_unload_each_others_guard(self) -> None:
+        world = World(configuration=offer_models(a=40, b=40))
+        controllers = [world.start(100, 100), world.add_controller()]
+        holders = self.copy_to_other(world)
+        for controller, name in zip(controllers, holders, strict=True):
+            world.mark(controller, name, "a@1")
         world.run(20.0)
         assert world.list_ready("a@1")
         world.check()
 
+    def test_mark_stays_while_the_guards_ledger_is_read(self) -> None:
+        world = World(configuration=offer_models(a=40, b=40))
+        first = world.start(100, 100)
+        holder, _ = self.copy_to_other(world)
+        world.read_s = 3.0
+        world.mark(first, holder, "a@1")
+        world.run(2.5)
+        assert is_marked(world.ledgers[holder], Artifact.parse("a@1"))
+        world.run(10.0)
+        assert len(world.list_ready("a@1")) == 1
+
     def test_takeover_waits_for_foreign_orders(self) -> None:
         world = World(configuration=offer_models(a=60))
         first = world.start(100, checks=False)
@@ -287,33 +416,22 @@
         world.check()
 
 
-class TestCost:
-    """Plans stay cheap and loads go to many runners side by side."""
-
-    def test_empty_runners_fill_at_the_limit_of_the_weight_store(self) -> None:
-        configuration = offer_models(**{f"m{one}": 10 for one in range(60)})
-        site = evolve(
-            configuration.site, loads_per_second=50.0, loads_at_full_speed=100
-        )
-        world = World(configuration=evolve(configuration, site=site))
-        world.start(*[200] * 12)
-        world.run(8.0)
-        assert world.list_missing() == []
-
-
 class TestWeightStore:
-    """The limits of the weight store hold."""
+    """Loads go on side by side up to the limits of the weight store."""
 
-    def test_rate_and_loads_in_flight(self) -> None:
-        configuration = offer_models(**{f"m{one}": 10 for one in range(8)})
-        world = World(configuration=configuration)
-        world.start(200)
-        world.run(0.2)
-        world.run(60.0)
+    @pytest.mark.parametrize(("rate", "limit"), [(50.0, 3), (2.0, 100), (50.0, 100)])
+    def test_rate_and_loads_in_flight(self, rate: float, limit: int) -> None:
+        models_mb = {f"m{one}": 10 for one in range(60 if limit > 3 else 12)}
+        world = World(configuration=limit_loads(limit, rate, **models_mb))
+        world.start(*[200] * 12)
+        world.run(2.0 + len(models_mb) * max(LOAD_S * 1.5 / limit, 1.0 / rate) + 5.0)
         assert world.list_missing() == []
         starts = [at for at, _ in world.sent]
-        for at in starts:
-            assert sum(at <= one < at + 3.0 for one in starts) <= 8
+        for position, at in enumerate(starts):
+            assert sum(at <= one < at + LOAD_S for one in starts) <= limit
+            for count, later in enumerate(starts[position:], start=1):
+                allowed = max(rate, 1.0) + rate * (later - at)
+                assert count <= allowed + 1e-6
 
 
 class TestAdapters:
--- a/tests/policy/placement/test_ledgers.py
+++ b/tests/policy/placement/test_ledgers.py
@@ -76,9 +76,10 @@
         assert again.committed_mb == 50
         assert again.fence == 2
 
-    def test_runner_that_is_over_takes_only_what_it_holds(self) -> None:
-        over = evolve(reserve(), size_mb=30)
-        assert reserve_load(over, A, 40, UNLOAD) is not None
+    def test_runner_that_is_over_takes_nothing(self) -> None:
+        assert reserve_load(evolve(reserve(), size_mb=50), A, 40, UNLOAD) is not None
+        over = evolve(reserve(), size_mb=49)
+        assert reserve_load(over, A, 40, UNLOAD) is None
         assert reserve_load(over, Artifact.parse("b@1"), 1, UNLOAD) is None
 
 
