Cut a base file at its headers without a look at each line

Cause: following an edit cuts the base file into sections, line by line, and joining them made an empty document for every section to compare its site with the default.

--- a/mangoway/operators/sections.py
+++ b/mangoway/operators/sections.py
@@ -7,6 +7,8 @@
 """
 
 from collections.abc import Iterable, Iterator, Mapping
+from itertools import pairwise
+from re import MULTILINE
 from re import compile as compile_pattern
 from typing import Final, TypeVar
 
@@ -23,6 +25,9 @@
 HEADER: Final = compile_pattern(r"\[\[?\s*([A-Za-z0-9_-]+)(?:\.([A-Za-z0-9_-]+))?")
 """Start of a table header with its first two keys, where they are bare."""
 
+HEADER_LINE: Final = compile_pattern(r"^[ \t]*\[", MULTILINE)
+"""Start of a line that may be a table header."""
+
 MULTILINE_MARKS: Final = ('"""', "'''")
 """Texts of several lines may hold lines that look like headers."""
 
@@ -61,20 +66,19 @@
     """
     if any(mark in text for mark in MULTILINE_MARKS):
         raise NotSeparable
-    sections: dict[tuple[str, str | None], list[str]] = {}
-    current: list[str] | None = None
-    for line in text.split("\n"):
-        if line.lstrip().startswith("["):
-            current = sections.setdefault(_read_header(line), [])
-        if current is not None:
-            current.append(line)
-        elif line.strip() and not line.lstrip().startswith("#"):
+    starts = [match.start() for match in HEADER_LINE.finditer(text)]
+    head = text[: starts[0]] if starts else text
+    for line in head.split("\n"):
+        if line.strip() and not line.lstrip().startswith("#"):
             raise NotSeparable
-    return ["\n".join(lines) for lines in sections.values()]
+    sections: dict[tuple[str, str | None], list[str]] = {}
+    for start, end in pairwise([*starts, len(text)]):
+        sections.setdefault(_read_header(text, start), []).append(text[start:end])
+    return ["\n".join(tables) for tables in sections.values()]
 
 
-def _read_header(line: str) -> tuple[str, str | None]:
-    match = HEADER.match(line)
+def _read_header(text: str, start: int) -> tuple[str, str | None]:
+    match = HEADER.match(text, start)
     if match is None:
         raise NotSeparable
     return match[1], match[2]
@@ -82,9 +86,8 @@
 
 def _join(documents: Iterable[BaseDocument]) -> BaseDocument:
     found = list(documents)
-    sites = [
-        document.site for document in found if document.site != BaseDocument().site
-    ]
+    default = BaseDocument().site
+    sites = [document.site for document in found if document.site != default]
     if len(sites) > 1:
         raise NotSeparable
     return BaseDocument(
@@ -95,7 +98,7 @@
         runner_groups=tuple(
             group for document in found for group in document.runner_groups
         ),
-        site=sites[0] if sites else BaseDocument().site,
+        site=sites[0] if sites else default,
     )
 
 
