List copies once in a look at demand, and look first at what stays

Cause: a plan looked up the copies of each of 1,400 models three times a second, made a new frozen sum for each gateway's digest of each model, and asked five questions of each ledger entry before the one that settles nearly all of them.

Left: the look at demand is in proportion to the models and takes some 40 ms at once. Looking only at models whose demand changed was ruled out here, since the load of a runner by others changes a model's worth too, and the policy's measurements rest on it.

--- a/mangoway/policy/placement/copies.py
+++ b/mangoway/policy/placement/copies.py
@@ -74,11 +74,8 @@
 
     def list_in(self, artifact: Artifact, *states: CopyState) -> list[UpstreamId]:
         """Return the runners that hold a copy in one of the states, in order."""
-        return sorted(
-            upstream_id
-            for upstream_id, state in self.find(artifact).items()
-            if state in states
-        )
+        copies = self.find(artifact).items()
+        return sorted([upstream_id for upstream_id, state in copies if state in states])
 
     def list_on(self, upstream_id: UpstreamId) -> dict[Artifact, CopyState]:
         """Return the copies on a runner."""
--- a/mangoway/policy/placement/demand.py
+++ b/mangoway/policy/placement/demand.py
@@ -36,6 +36,17 @@
     rates: dict[Artifact, Demand]
 
 
+@define
+class _Total:
+    """Sum of the digests for one artifact."""
+
+    requests_per_second: float = 0.0
+    tokens_per_second: float = 0.0
+
+
+_NOTHING = _Total()
+
+
 @define
 class _Estimate:
     """What is known of the demand for one artifact; rates are requests per second."""
@@ -45,7 +56,7 @@
     held: float = 0.0
     tokens_each: float = DEFAULT_TOKENS_PER_REQUEST
 
-    def move(self, total: Demand, elapsed_s: float) -> None:
+    def move(self, total: "_Total", elapsed_s: float) -> None:
         """Move towards the total of the digests over some seconds."""
         requests = total.requests_per_second
         self.recent += _find_step(elapsed_s, DEMAND_RISE_S) * (requests - self.recent)
@@ -120,19 +131,18 @@
             one for one, digest in self._digests.items() if digest.expires_at < now
         ]:
             del self._digests[gateway]
-        totals: dict[Artifact, Demand] = {}
+        totals: dict[Artifact, _Total] = {}
         for digest in self._digests.values():
             for artifact, rate in digest.rates.items():
-                total = totals.get(artifact, NO_DEMAND)
-                totals[artifact] = Demand(
-                    requests_per_second=total.requests_per_second
-                    + rate.requests_per_second,
-                    tokens_per_second=total.tokens_per_second + rate.tokens_per_second,
-                )
+                total = totals.get(artifact)
+                if total is None:
+                    total = totals[artifact] = _Total()
+                total.requests_per_second += rate.requests_per_second
+                total.tokens_per_second += rate.tokens_per_second
         for artifact in totals.keys() | self._states.keys():
-            self._move(artifact, totals.get(artifact, NO_DEMAND), elapsed_s)
+            self._move(artifact, totals.get(artifact, _NOTHING), elapsed_s)
 
-    def _move(self, artifact: Artifact, total: Demand, elapsed_s: float) -> None:
+    def _move(self, artifact: Artifact, total: "_Total", elapsed_s: float) -> None:
         state = self._states.setdefault(artifact, _Estimate())
         state.move(total, elapsed_s)
         estimate = state.as_demand()
--- a/mangoway/policy/placement/gains.py
+++ b/mangoway/policy/placement/gains.py
@@ -57,6 +57,9 @@
     _families: dict[Artifact, Demand] = field(factory=dict)
     """Demand for each model version with the adapters that lack bases."""
 
+    _ready: dict[Artifact, list[UpstreamId]] = field(factory=dict)
+    """Runners with a ready copy as the last refresh found them."""
+
     loads: dict[UpstreamId, float] = field(factory=dict)
     """Tokens per second that the demand puts on each runner."""
 
@@ -64,10 +67,11 @@
         """Spread the demand over the ready copies."""
         self._families = {}
         self.loads = {}
+        self._ready = {}
         for artifact, demand in self._state.demand.list_all().items():
             if self._needs_base(artifact):
                 self._add_to_family(artifact.base, demand)
-            ready = self._list_ready(artifact)
+            ready = self._ready[artifact] = self._list_ready(artifact)
             for upstream_id in ready:
                 share = demand.tokens_per_second / len(ready)
                 self.loads[upstream_id] = self.loads.get(upstream_id, 0.0) + share
@@ -112,8 +116,15 @@
         return before - after
 
     def find_most(self, artifact: Artifact) -> float:
-        """Return what any number of further copies could save at most."""
-        return self._find_cost(artifact, self._list_held(artifact))
+        """Return what any number of further copies could save at most.
+
+        Only right between a refresh and the next change of a copy: it is asked of
+        every artifact, so the copies that the refresh listed are not listed again.
+        """
+        ready = self._ready.get(artifact)
+        if ready is None or self._state.copies.loading:
+            return self._find_cost(artifact, self._list_held(artifact))
+        return self._find_cost(artifact, ready, ready)
 
     def find_loss(self, artifact: Artifact, runner: Runner) -> float:
         """Return what unloading the copy on a runner costs."""
@@ -127,7 +138,12 @@
     def _list_held(self, artifact: Artifact) -> list[UpstreamId]:
         return self._state.list_lasting(artifact, CopyState.READY, CopyState.LOADING)
 
-    def _find_cost(self, artifact: Artifact, holders: list[UpstreamId]) -> float:
+    def _find_cost(
+        self,
+        artifact: Artifact,
+        holders: list[UpstreamId],
+        listed: list[UpstreamId] | None = None,
+    ) -> float:
         """Return the request-seconds waited over the horizon with some holders."""
         demand = self.find_demand(artifact)
         if demand.requests_per_second <= 0.0:
@@ -135,7 +151,7 @@
         if not holders:
             return demand.requests_per_second * GAIN_HORIZON_S * GAIN_HORIZON_S / 2.0
         runners = [self._state.runners[upstream_id] for upstream_id in holders]
-        ready = self._list_ready(artifact)
+        ready = self._list_ready(artifact) if listed is None else listed
         own = demand.tokens_per_second / max(len(ready), 1)
         capacity = 0.0
         for runner in runners:
--- a/mangoway/policy/placement/planner.py
+++ b/mangoway/policy/placement/planner.py
@@ -1,5 +1,7 @@
 """Plans: which copies to load, which to unload, and in which order."""
 
+from typing import Final
+
 from attrs import define, field
 
 from ...models.artifact import Artifact
@@ -20,6 +22,9 @@
 from .runners import CopyState, Runner
 from .state import PlacementState, RoomClaim
 
+WANTED: Final = (CopyState.READY, CopyState.LOADING)
+"""States of copies of offered artifacts that are never unloaded but for room."""
+
 
 @define
 class Planner:
@@ -339,6 +344,9 @@
         bases = {one.base for one in copies if one.adapter is not None}
         for entry in list_entries(runner.ledger):
             artifact = entry.artifact
+            # Nearly all entries are of this kind, so it is looked at first.
+            if copies.get(artifact) in WANTED and artifact in self._state.offered:
+                continue
             if artifact in bases and artifact.adapter is None:
                 continue
             if runner.is_busy_with(artifact) or not runner.may_try(artifact, now):
--- a/mangoway/policy/placement/state.py
+++ b/mangoway/policy/placement/state.py
@@ -54,11 +54,9 @@
 
     def list_lasting(self, artifact: Artifact, *states: CopyState) -> list[UpstreamId]:
         """Return runners that do not leave with a copy in one of the states."""
-        return [
-            upstream_id
-            for upstream_id in self.copies.list_in(artifact, *states)
-            if not self.runners[upstream_id].is_leaving
-        ]
+        found = self.copies.list_in(artifact, *states)
+        runners = self.runners
+        return [each for each in found if not runners[each].is_leaving]
 
     def list_data_centres(self, upstream_ids: list[UpstreamId]) -> set[DataCentreId]:
         """Return the data centres of some runners."""
