Cut a long changed region at lines that are once in both texts

Cause: where the lines between the first and the last change are more than 2,000, the delta replaced them all. Two floors changed at the two ends of a base file of 1,400 models gave 207,079 bytes, far over the 4,096 up to which a delta is kept, so every process was sent whole documents for it.

Ruled out: matching all lines one by one, which is quadratic in them.

--- a/mangoway/operators/delta.py
+++ b/mangoway/operators/delta.py
@@ -1,5 +1,7 @@
 """Compact changes of one document, so that edits spread without whole documents."""
 
+from bisect import bisect_left
+from collections import Counter
 from collections.abc import Iterator
 from difflib import SequenceMatcher
 
@@ -20,6 +22,14 @@
     inserted: tuple[str, ...] = ()
 
 
+@frozen
+class Anchor:
+    """A line that stands once in the old text and once in the new one."""
+
+    old: int
+    new: int
+
+
 @frozen(kw_only=True)
 class ConfigurationDelta:
     """The change of one part from the version before to `version`."""
@@ -35,7 +45,7 @@
     part: PartName, version: ConfigVersion, old: str, new: str
 ) -> ConfigurationDelta:
     """Return the change from one text of a part to another."""
-    hunks = tuple(_diff_lines(old.split("\n"), new.split("\n")))
+    hunks = tuple(_diff_lines(old.split("\n"), new.split("\n"), 0))
     return ConfigurationDelta(
         version=version, part=part, hunks=hunks, digest=digest_text(new)
     )
@@ -71,7 +81,7 @@
     return "\n".join(lines)
 
 
-def _diff_lines(old: list[str], new: list[str]) -> Iterator[Hunk]:
+def _diff_lines(old: list[str], new: list[str], offset: int) -> Iterator[Hunk]:
     start = _count_common(old, new)
     rest_old, rest_new = old[start:], new[start:]
     tail = _count_common(rest_old[::-1], rest_new[::-1])
@@ -79,8 +89,9 @@
     middle_new = rest_new[: len(rest_new) - tail]
     if not middle_old and not middle_new:
         return
+    start += offset
     if max(len(middle_old), len(middle_new)) > MAX_DIFF_LINES:
-        yield Hunk(start=start, removed=len(middle_old), inserted=tuple(middle_new))
+        yield from _diff_between_anchors(middle_old, middle_new, start)
         return
     matcher = SequenceMatcher(a=middle_old, b=middle_new, autojunk=False)
     for tag, from_old, to_old, from_new, to_new in matcher.get_opcodes():
@@ -92,6 +103,49 @@
             )
 
 
+def _diff_between_anchors(
+    old: list[str], new: list[str], offset: int
+) -> Iterator[Hunk]:
+    """Yield the changes of a long region, cut at lines that are once in both.
+
+    Table headers are such lines; without any the region is replaced.
+    """
+    anchors = _find_anchors(old, new)
+    if not anchors:
+        yield Hunk(start=offset, removed=len(old), inserted=tuple(new))
+        return
+    from_old = from_new = 0
+    for anchor in (*anchors, Anchor(len(old), len(new))):
+        part_old, part_new = old[from_old : anchor.old], new[from_new : anchor.new]
+        yield from _diff_lines(part_old, part_new, offset + from_old)
+        from_old, from_new = anchor.old + 1, anchor.new + 1
+
+
+def _find_anchors(old: list[str], new: list[str]) -> list[Anchor]:
+    """Return the longest run of unique common lines that is in order in both."""
+    old_counts, new_counts = Counter(old), Counter(new)
+    places = {line: place for place, line in enumerate(new) if new_counts[line] == 1}
+    common = [
+        Anchor(place, places[line])
+        for place, line in enumerate(old)
+        if old_counts[line] == 1 and line in places
+    ]
+    lasts: list[int] = []
+    ends: list[int] = []
+    before: list[int | None] = []
+    for index, anchor in enumerate(common):
+        length = bisect_left(lasts, anchor.new)
+        before.append(ends[length - 1] if length else None)
+        lasts[length : length + 1] = [anchor.new]
+        ends[length : length + 1] = [index]
+    run: list[Anchor] = []
+    at = ends[-1] if ends else None
+    while at is not None:
+        run.append(common[at])
+        at = before[at]
+    return run[::-1]
+
+
 def _count_common(left: list[str], right: list[str]) -> int:
     count = 0
     for one, other in zip(left, right, strict=False):
