Ask of each estimate whether it is offered, not of each offer

Cause: at each configuration change the dispatch core listed every offered artifact to drop the estimates of the others.

--- a/mangoway/policy/dispatch/admission.py
+++ b/mangoway/policy/dispatch/admission.py
@@ -33,11 +33,16 @@
     if classes and request.work_class not in classes:
         detail = f"no class {request.work_class.value}"
         return _fault(ErrorCode.UNKNOWN_CLASS, detail)
-    if isinstance(request.target, Artifact):
-        return _find_model_fault(request.target, configuration)
-    service = configuration.services.get(request.target.service)
-    if service is None or request.target.call not in service.calls:
-        return _fault(ErrorCode.UNKNOWN_SERVICE, f"no call {request.target}")
+    return find_target_fault(request.target, configuration)
+
+
+def find_target_fault(target: Target, configuration: Configuration) -> Failure | None:
+    """Return why a target is not offered."""
+    if isinstance(target, Artifact):
+        return _find_model_fault(target, configuration)
+    service = configuration.services.get(target.service)
+    if service is None or target.call not in service.calls:
+        return _fault(ErrorCode.UNKNOWN_SERVICE, f"no call {target}")
     return None
 
 
--- a/mangoway/policy/dispatch/core.py
+++ b/mangoway/policy/dispatch/core.py
@@ -7,9 +7,9 @@
 from ...models.artifact import Artifact
 from ...models.identifiers import IncarnationId
 from ...models.offer import Configuration
-from ...models.request import ServiceCall, Target, WorkClass
+from ...models.request import WorkClass
 from .actions import DispatchAction, ReportDemand, WakeAt
-from .admission import Admission
+from .admission import Admission, find_target_fault
 from .arrivals import Arrivals
 from .attempts import Attempts
 from .choice import Chooser
@@ -206,7 +206,9 @@
         self.arrivals.limits.configure(configuration.callers, context.now)
         self.arrivals.claims.change(writes, max(1.0, writes), context.now)
         context.queues.credit_per_urgent = _find_credit(configuration)
-        context.estimates.forget_others(_list_targets(configuration))
+        context.estimates.forget_others(
+            lambda target: find_target_fault(target, configuration) is None
+        )
 
     def _on_stop(self, event: StopRequested) -> None:
         if self.arrivals.stopped_at is None:
@@ -248,13 +250,6 @@
             self.context.emit(WakeAt(time=at))
 
 
-def _list_targets(configuration: Configuration) -> set[Target]:
-    targets: set[Target] = set(configuration.list_artifacts())
-    for name, service in configuration.services.items():
-        targets.update(ServiceCall(name, call) for call in service.calls)
-    return targets
-
-
 def _find_credit(configuration: Configuration) -> float:
     """Return what urgent starts earn for critical patient work, by class weights."""
     urgent = configuration.classes.get(WorkClass.URGENT)
--- a/mangoway/policy/dispatch/estimates.py
+++ b/mangoway/policy/dispatch/estimates.py
@@ -1,6 +1,7 @@
 """What requests have taken so far, per target."""
 
 import math
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -91,12 +92,12 @@
             estimate = self._targets[target] = TargetEstimate()
         return estimate
 
-    def forget_others(self, targets: set[Target]) -> None:
-        """Keep only the estimates of targets that are still offered."""
+    def forget_others(self, is_kept: Callable[[Target], bool]) -> None:
+        """Keep only the estimates of some targets, say of those still offered."""
         self._targets = {
             target: estimate
             for target, estimate in self._targets.items()
-            if target in targets
+            if is_kept(target)
         }
 
     def record_first_token(self, attempt: Attempt, target: Target, now: float) -> None:
