Measure how costs grow, and work out each role at the target size

Ruled out: slopes of heartbeats from small cells alone. They did not show that reports grew stale at 62 nodes; a whole cell is run instead. Byte rates count heartbeats of processes that have met; a first meeting is a figure of its own.

--- a/measure/cli.py
+++ b/measure/cli.py
@@ -64,3 +64,22 @@
     from .path.__main__ import main as measure_path
 
     asyncio.run(measure_path())
+
+
+@app.command()
+def capacity(
+    pages: Annotated[Path, typer.Option(help="Folder of the pages.")] = Path("docs"),
+    write: Annotated[bool, typer.Option(help="Write the page.")] = True,
+) -> None:
+    """Measure how costs grow by size, and work out each role at the target size."""
+    # Imported here, since the processes of the other measures must not load it.
+    from .capacity.figures import take_figures
+    from .capacity.page import build_page
+
+    began = time.monotonic()
+    figures = take_figures(lambda line: print(line, file=sys.stderr))
+    print(f"{time.monotonic() - began:.0f} s", file=sys.stderr)
+    tables = build_page(figures)
+    print(tables)
+    if write:
+        write_section(pages / "CAPACITY.md", tables)
--- /dev/null
+++ b/tests/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurements."""
