--- a/measure/capacity/page.py
+++ b/measure/capacity/page.py
@@ -6,7 +6,8 @@
 from .failures import list_failures
 from .figures import Figures
 from .registry import Series
-from .roles import KEYED_SHARE, Role, Row, list_roles
+from .roles import KEYED_SHARE, list_roles
+from .rows import Role, Row
 from .target import (
     STORE_READS_PER_S,
     STORE_WRITES_PER_S,
--- a/measure/capacity/roles.py
+++ b/measure/capacity/roles.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Sequence
 
-from attrs import field, frozen
-
 from mangoway.daemons.const import (
     MAX_POLLS_PER_SECOND,
     POLL_PERIOD_S,
@@ -15,7 +13,8 @@
 
 from .figures import Figures
 from .meter import US_PER_S
-from .target import BUDGET, TARGET, ControlBudget
+from .rows import Role, Row
+from .target import TARGET
 
 KB_PER_MB = 1024
 POLL_REQUEST_BYTES = 180
@@ -39,51 +38,6 @@
 TOKEN_INTERVAL_S = 0.059
 
 
-@frozen(kw_only=True)
-class Row:
-    """One part of what a role does."""
-
-    what: str
-    mechanism: str
-    """Modules that carry it."""
-
-    messages: float = 0.0
-    """Messages a second that the process sends or answers."""
-
-    sent: float = 0.0
-    received: float = 0.0
-    """Bytes a second."""
-
-    core_share: float = 0.0
-    memory_mb: float = 0.0
-
-
-@frozen(kw_only=True)
-class Role:
-    """A role with its rows."""
-
-    name: str
-    rows: tuple[Row, ...]
-    remedies: tuple[str, ...] = ()
-    """What would make it fit where it does not."""
-
-    is_control: bool = True
-    budget: ControlBudget = field(default=BUDGET)
-
-    @property
-    def total(self) -> Row:
-        """Return the sum of the rows."""
-        return Row(
-            what="all",
-            mechanism="",
-            messages=sum(row.messages for row in self.rows),
-            sent=sum(row.sent for row in self.rows),
-            received=sum(row.received for row in self.rows),
-            core_share=sum(row.core_share for row in self.rows),
-            memory_mb=sum(row.memory_mb for row in self.rows),
-        )
-
-
 def list_roles(figures: Figures) -> Sequence[Role]:
     """Return all roles at the target size."""
     member_rows = _list_member_rows(figures)
--- a/tests/measure/capacity/test_page.py
+++ b/tests/measure/capacity/test_page.py
@@ -5,7 +5,7 @@
 import pytest
 
 from measure.capacity.page import judge
-from measure.capacity.roles import Role, Row
+from measure.capacity.rows import Role, Row
 from measure.report import BEGIN, END, write_section
 
 PAGE = Path(__file__).resolve().parents[3] / "docs" / "CAPACITY.md"
