--- a/mangoway/policy/placement/reservations.py
+++ b/mangoway/policy/placement/reservations.py
@@ -7,6 +7,7 @@
 """
 
 from itertools import count
+from math import inf
 
 from attrs import define, evolve, field
 
@@ -31,29 +32,19 @@
     OrderAnswered,
     OrderFailed,
 )
+from .guards import UnloadCheck, do_guards_suffice, list_guards
 from .ledgers import (
     clear_mark,
     create_ledger,
+    is_marked,
     mark_unload,
     reserve_load,
     settle_ledger,
 )
-from .runners import CopyState, PendingOrder, PendingWrite, Retry, Runner
+from .runners import PendingOrder, PendingWrite, Retry, Runner
 from .state import PlacementState
 
 
-@define
-class UnloadCheck:
-    """A marked unload that waits until other holders' ledgers were read."""
-
-    runner: Runner
-    order: PendingOrder
-    waiting: dict[UpstreamId, int]
-    """Reads that must come back, by runner."""
-
-    guards: tuple[UpstreamId, ...]
-
-
 @define
 class Reservations:
     """Writes ledgers, sends orders and takes their results."""
@@ -82,6 +73,8 @@
     def deactivate(self) -> None:
         """Send nothing more; orders already sent are still followed."""
         self.is_active = False
+        for check in self._checks.values():
+            self._drop_replacing(check.runner, check.order)
         self._checks.clear()
         self._forget_ledgers()
 
@@ -92,8 +85,12 @@
             self.dirty.add(runner.id)
 
     def read_ledgers(self, now: float) -> None:
-        """Read the ledgers that are not known."""
-        if not self.is_active:
+        """Read the ledgers that are not known.
+
+        Without a configuration the bound on order lateness is not known, and so
+        neither how long orders found in a ledger have to be waited for.
+        """
+        if not self.is_active or self.state.configuration is None:
             return
         for runner in self.state.runners.values():
             if runner.is_ledger_known or runner.reads or runner.write is not None:
@@ -133,7 +130,7 @@
     def _bound_s(self) -> float:
         """Return how long copies of an order may arrive after its connection closed."""
         if self.state.configuration is None:
-            return MAX_RETRY_S
+            return inf
         return self.state.configuration.site.order_lateness_bound_s + REPORT_LAG_S
 
     # Writes.
@@ -147,8 +144,8 @@
         floor_mb = self.state.configuration.site.kv_cache_floor_mb
         ledger = runner.ledger or create_ledger(runner.description, floor_mb)
         for artifact, order in runner.unsent.items():
-            if order not in self._checks:
-                ledger = clear_mark(ledger, artifact, order)
+            if order.id not in self._checks:
+                ledger = clear_mark(ledger, artifact, order.id)
         settled = settle_ledger(
             ledger, runner.description, runner.report, runner.evidence
         )
@@ -201,6 +198,7 @@
             memory_mb=0,
             asked_at=now,
             fence=marked.fence,
+            replaces=is_marked(ledger, artifact),
         )
         self._write(runner, marked, order)
         return True
@@ -233,7 +231,7 @@
         if write.order.kind is OrderKind.LOAD:
             self._send(runner, write.order, now)
         else:
-            runner.unsent[write.order.artifact] = write.order.id
+            runner.unsent[write.order.artifact] = write.order
             self._check_unload(runner, write.order, now)
 
     def _keep_unsent(self, runner: Runner, ledger: Ledger) -> None:
@@ -242,7 +240,7 @@
         runner.unsent = {
             artifact: order
             for artifact, order in runner.unsent.items()
-            if order in marks
+            if order.id in marks
         }
 
     def take_conflict(self, event: LedgerConflicted, now: float) -> None:
@@ -263,9 +261,10 @@
         runner.read_after = now + LEDGER_RETRY_S
         if runner.write is not None:
             order = runner.write.order
-            if order is not None and order.kind is OrderKind.UNLOAD:
-                runner.unsent[order.artifact] = order.id
             runner.write = None
+            if order is not None and order.kind is OrderKind.UNLOAD:
+                runner.unsent[order.artifact] = order
+                self._drop_replacing(runner, order)
             runner.is_ledger_known = False
         else:
             runner.reads = max(runner.reads - 1, 0)
@@ -280,9 +279,9 @@
         if artifact not in self.state.offered:
             self._send(runner, order, now)
             return
-        guards = self._list_guards(runner, artifact, now)
-        if not self._suffice(artifact, guards) or not self.is_active:
-            self.explain(artifact, runner, "unload_abandoned_last_copy")
+        guards = list_guards(self.state, runner, artifact, now)
+        if not do_guards_suffice(self.state, artifact, guards) or not self.is_active:
+            self._abandon(runner, order, "unload_abandoned_last_copy")
             return
         for guard in guards:
             self._read(self.state.runners[guard])
@@ -293,55 +292,39 @@
             guards=tuple(guards),
         )
 
-    def _list_guards(
-        self, runner: Runner, artifact: Artifact, now: float
-    ) -> list[UpstreamId]:
-        ready = self.state.list_lasting(artifact, CopyState.READY)
-        return [
-            one
-            for one in ready
-            if one != runner.id
-            and self.state.runners[one].is_fresh(now)
-            and self.state.runners[one].write is None
-        ]
-
-    def _suffice(self, artifact: Artifact, guards: list[UpstreamId]) -> bool:
-        floor = max(1, self.state.offered.get(artifact, 0))
-        spread = self.state.find_spread(artifact)
-        return (
-            len(guards) >= floor and len(self.state.list_data_centres(guards)) >= spread
-        )
-
     def _count_read(self, guard: Runner, now: float) -> None:
         for order_id, check in list(self._checks.items()):
-            left = check.waiting.get(guard.id)
-            if left is None:
-                continue
-            check.waiting[guard.id] = left - 1
-            if left > 1:
-                continue
-            del check.waiting[guard.id]
-            if not check.waiting:
+            if check.count_read(guard.id):
                 del self._checks[order_id]
                 self._finish_check(check, now)
 
     def _finish_check(self, check: UnloadCheck, now: float) -> None:
         artifact = check.order.artifact
         self.refresh_copies(now)
-        current = self._list_guards(check.runner, artifact, now)
+        current = list_guards(self.state, check.runner, artifact, now)
         guards = [guard for guard in current if guard in check.guards]
-        if self._suffice(artifact, guards):
+        if do_guards_suffice(self.state, artifact, guards):
             self._send(check.runner, check.order, now)
         else:
-            self.explain(artifact, check.runner, "unload_abandoned_last_copy")
+            self._abandon(check.runner, check.order, "unload_abandoned_last_copy")
 
     def _abandon_checks(self, guard: Runner) -> None:
         for order_id, check in list(self._checks.items()):
             if guard.id in check.waiting:
                 del self._checks[order_id]
-                self.explain(
-                    check.order.artifact, check.runner, "unload_abandoned_no_ledger"
-                )
+                self._abandon(check.runner, check.order, "unload_abandoned_no_ledger")
+
+    def _abandon(self, runner: Runner, order: PendingOrder, reason: str) -> None:
+        self._drop_replacing(runner, order)
+        self.explain(order.artifact, runner, reason)
+
+    def _drop_replacing(self, runner: Runner, order: PendingOrder) -> None:
+        """Leave the mark of an unsent unload to the evidence if it replaced one.
+
+        The unload that the earlier mark was for may still arrive.
+        """
+        if order.replaces and runner.unsent.get(order.artifact) == order:
+            del runner.unsent[order.artifact]
 
     def refresh_copies(self, now: float) -> set[Artifact]:
         """Bring the copies of changed runners up to date."""
@@ -360,6 +343,7 @@
         ledger = runner.ledger
         send_before = pending.asked_at + ORDER_SEND_WINDOW_S
         if not self._may_send(runner, now, send_before):
+            self._drop_replacing(runner, pending)
             self.explain(pending.artifact, runner, "order_dropped")
             return
         if description is None or ledger is None:
--- a/measure/__main__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Run the measurements."""
-
-from .cli import app
-
-app()
--- a/measure/capacity/memory.py
+++ b/measure/capacity/memory.py
@@ -121,7 +121,7 @@
         )
         for number in range(keys)
     )
-    table.adopt(home, records, 0.0)
+    table.adopt(home, records)
     return table
 
 
--- a/tests/processes/test_outage.py
+++ b/tests/processes/test_outage.py
@@ -1,5 +1,7 @@
 """Tests of an outage of the key-value service."""
 
+from typing import Any
+
 import pytest
 
 from tests.stand_ins.caller import KEY_HEADER, Caller, Ending, make_id
@@ -11,14 +13,21 @@
 pytestmark = pytest.mark.process
 
 
+async def async_submit_plain(fleet: Fleet, key: str) -> dict[str, Any]:
+    """Submit a call with a plain key, and return the answer or the problem."""
+    url = f"http://{fleet.gateways[0].address}/v1/services/{SERVICE}/{CALL}"
+    headers = {"X-Caller": "agents", KEY_HEADER: key}
+    async with fleet.session.post(url, json={"id": key}, headers=headers) as got:
+        return dict(await got.json(content_type=None))
+
+
 class TestOutage:
     """Traffic goes on; only what needs the service is refused, and truly not run."""
 
     async def test_calls_fail(self, fleet: Fleet) -> None:
         await fleet.async_switch(fleet.key_value, down=True)
         await self._async_check_traffic(fleet)
-        # The failed answer leaves open whether the claim was written.
-        await self._async_check_plain(fleet, "may_have_run")
+        await self._async_check_plain(fleet, "not_run")
         with pytest.raises(RuntimeError, match="platform_unavailable"):
             await fleet.async_apply_base(BASE_FILE)
         await fleet.async_switch(fleet.key_value, down=False)
@@ -30,6 +39,15 @@
         await self._async_check_traffic(fleet)
         await self._async_check_plain(fleet, "not_run")
 
+    async def test_answer_to_a_claim_is_lost(self, fleet: Fleet) -> None:
+        await fleet.async_switch(fleet.key_value, lose_answers=1)
+        key = make_id()
+        assert (await async_submit_plain(fleet, key))["run"] == 1
+        (truth,) = await fleet.async_get_truths([fleet.key_value])
+        assert truth["switches"]["lose_answers"] == 0
+        assert (await async_submit_plain(fleet, key))["run"] == 1
+        assert await async_count_runs(fleet, f"{CALL}/{key}") == 1
+
     async def _async_check_traffic(self, fleet: Fleet) -> None:
         caller: Caller = await async_make_caller(fleet, *fleet.gateways)
         assert await async_stream(caller) is Ending.ANSWERED
@@ -39,9 +57,6 @@
     async def _async_check_plain(self, fleet: Fleet, verdict: str) -> None:
         """Submit a call with a plain key, which would have to be claimed."""
         key = make_id()
-        url = f"http://{fleet.gateways[0].address}/v1/services/{SERVICE}/{CALL}"
-        headers = {"X-Caller": "agents", KEY_HEADER: key}
-        async with fleet.session.post(url, json={"id": key}, headers=headers) as got:
-            problem = await got.json(content_type=None)
+        problem = await async_submit_plain(fleet, key)
         assert problem["verdict"] == verdict
         assert await async_count_runs(fleet, f"{CALL}/{key}") == 0
--- a/tests/scenarios/test_dispatch.py
+++ b/tests/scenarios/test_dispatch.py
@@ -139,6 +139,7 @@
 def retire(stage: Stage, name: str, heir: str, lost: bool) -> None:
     stage.stop(stage.names[name])
     stage.retire(stage.names[name], stage.names[heir], lost)
+    stage.kill(stage.names[name])
     stage.spread_homes(stage.names[heir])
 
 
@@ -150,7 +151,12 @@
 @when("the key-value service settles both claims")
 def settle_claims(stage: Stage) -> None:
     assert len(stage.claiming) == 2
-    stage.settle_claim(0, "up")
+    settle_claim(stage)
+    settle_claim(stage)
+
+
+@when("the key-value service settles its claim")
+def settle_claim(stage: Stage) -> None:
     stage.settle_claim(0, "up")
 
 
--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -23,6 +23,7 @@
 SERVICE = "booking-records"
 PROGRAM = "mangoway"
 LEASE_S = 2
+SWITCHES = ('{"checks_fences": true}', '{"checks_fences": false}')
 HOST_LIST_PERIOD_S = 0.5
 
 
@@ -75,37 +76,49 @@
     async def async_start_platform(self) -> None:
         """Start the key-value service and the host list."""
         start = self.launcher.async_start_stand_in
-        self._key_value = await start("key-value", "key_value")
-        self._host_list = await start("host-list", "host_list")
+        self._key_value, self._host_list = await asyncio.gather(
+            start("key-value", "key_value"), start("host-list", "host_list")
+        )
 
     async def async_start_engines(
         self, count: int, memory_mb: int, *flags: str
     ) -> None:
-        """Start model engines, spread over the data centres."""
-        for number in range(count):
-            name = f"engine-{number}"
-            self.engines.append(
-                await self.launcher.async_start_stand_in(
-                    name, "engine", f"--name={name}", f"--memory-mb={memory_mb}", *flags
+        """Start model engines; every second one does not check fences."""
+        names = [f"engine-{number}" for number in range(count)]
+        self.engines += await asyncio.gather(
+            *(
+                self.launcher.async_start_stand_in(
+                    name,
+                    "engine",
+                    f"--name={name}",
+                    f"--memory-mb={memory_mb}",
+                    f"--switches={SWITCHES[number % len(SWITCHES)]}",
+                    *flags,
                 )
+                for number, name in enumerate(names)
             )
+        )
 
     async def async_start_services(self, count: int) -> None:
         """Start hosts of one plain service."""
-        for number in range(count):
-            name = f"{SERVICE}-{number}"
-            self.services.append(
-                await self.launcher.async_start_stand_in(
-                    name, "service", f"--name={name}"
-                )
+        names = [f"{SERVICE}-{number}" for number in range(count)]
+        self.services += await asyncio.gather(
+            *(
+                self.launcher.async_start_stand_in(name, "service", f"--name={name}")
+                for name in names
             )
+        )
 
     async def async_restart_engine(self, engine: Process) -> None:
         """Kill an engine, and start it anew, empty, at the same address."""
-        number = self.engines.index(engine)
         self.past_truths += await self.async_get_truths([engine])
         engine.kill()
+        await self.async_start_engine_again(engine)
+
+    async def async_start_engine_again(self, engine: Process) -> None:
+        """Start an engine that was killed anew, empty, at the same address."""
         await engine.async_wait()
+        number = self.engines.index(engine)
         self.engines[number] = await self.launcher.async_start_stand_in(
             engine.name, "engine", f"--listen={engine.address}", *engine.flags
         )
@@ -165,6 +178,18 @@
         self.gateways.append(process)
         return process
 
+    async def async_restart_gateway(self, gateway: Process) -> Process:
+        """Kill a gateway, and start it anew at the same addresses."""
+        gateway.kill()
+        await gateway.async_wait()
+        start = self.launcher.async_start
+        process = await start(gateway.name, PROGRAM, *gateway.flags)
+        process.address = gateway.address
+        process.peer_address = gateway.peer_address
+        self.gateways[self.gateways.index(gateway)] = process
+        await self.async_wait_ready()
+        return process
+
     async def async_start_controller(self) -> Process:
         """Start one more controller."""
         number = len(self.controllers)
--- a/tests/stand_ins/serving.py
+++ b/tests/stand_ins/serving.py
@@ -86,7 +86,8 @@
         return web.json_response({"silent": len(self._silent)})
 
     async def _async_truth(self, request: web.Request) -> web.Response:
-        return web.json_response(self.truth())
+        switches = attrs.asdict(self.switches)
+        return web.json_response({**self.truth(), "switches": switches})
 
 
 async def async_drop(request: web.Request) -> web.Response:
