Look at demand in turns and settle only what changed

Cause: a plan looked at every artifact with demand once a second, scanned every ledger for withdrawn copies twice a second and settled each report. Now the runners with a ready or loading copy are kept by artifact until they change; a report that changes nothing about a runner whose ledger holds ready and offered copies only is not settled, and such runners are not scanned; of more than 400 artifacts with demand a look takes a part in turns, and at once those whose demand rose, whose copies changed or that were proposed. Up to 400 nothing changes.

--- a/mangoway/policy/placement/choice.py
+++ b/mangoway/policy/placement/choice.py
@@ -46,9 +46,7 @@
         ]
         if not candidates:
             return None
-        held = self._state.list_lasting(
-            need.artifact, CopyState.READY, CopyState.LOADING
-        )
+        held = self._state.copies.list_held(need.artifact)
         held_in = self._state.list_data_centres(held)
         if need.rank is NeedRank.DEMAND:
             return max(
@@ -87,9 +85,7 @@
 
     def list_possible(self, need: Need, now: float) -> list[Runner]:
         """Return the runners that could take a need if they had the room."""
-        held = self._state.list_lasting(
-            need.artifact, CopyState.READY, CopyState.LOADING
-        )
+        held = self._state.copies.list_held(need.artifact)
         barred = (
             self._state.list_data_centres(held)
             if need.rank is NeedRank.SPREAD
--- a/mangoway/policy/placement/const.py
+++ b/mangoway/policy/placement/const.py
@@ -50,6 +50,18 @@
 DEMAND_PERIOD_S: Final = 1.0
 """Time between two looks at copies above the floors."""
 
+DEMAND_LOOKS: Final = 400
+"""Artifacts with demand up to which each is looked at every time."""
+
+SURGE_FACTOR: Final = 1.5
+"""Factor by which demand has risen when an artifact does not wait for its turn."""
+
+SURGE_RPS: Final = 0.2
+"""Requests per second that it has risen by besides, so that chance is no surge."""
+
+DEMAND_REST_S: Final = 4.0
+"""Time between two updates of an estimate while no digest names its artifact."""
+
 DEMAND_RISE_S: Final = 3.0
 """Time constant with which the demand estimate rises."""
 
--- a/mangoway/policy/placement/core.py
+++ b/mangoway/policy/placement/core.py
@@ -123,10 +123,9 @@
         if runner is None:
             runner = Runner(id=upstream_id, data_centre=address.data_centre)
             self.state.runners[upstream_id] = runner
-        if runner.leaving != address.leaving:
-            self._mark_changed(runner)
         runner.listed = True
         runner.leaving = address.leaving
+        self._note_leaving(runner)
         runner.data_centre = address.data_centre
         self.reservations.dirty.add(upstream_id)
 
@@ -139,7 +138,10 @@
             return
         del self.state.runners[runner.id]
 
-    def _mark_changed(self, runner: Runner) -> None:
+    def _note_leaving(self, runner: Runner) -> None:
+        if self.state.copies.is_leaving(runner.id) == runner.is_leaving:
+            return
+        self.state.copies.set_leaving(runner.id, runner.is_leaving)
         self.reservations.changed |= set(self.state.copies.list_on(runner.id))
         self.reservations.dirty.add(runner.id)
 
@@ -154,9 +156,11 @@
             runner.appear_by.clear()
             runner.retries.clear()
             self.reservations.explain(None, runner, "engine_restarted")
+        if old != description or runner.silent:
+            self.reservations.dirty.add(runner.id)
         runner.description = description
         runner.silent = False
-        self.reservations.dirty.add(runner.id)
+        self._note_leaving(runner)
 
     def _take_report(self, event: events.EngineReported, now: float) -> None:
         report = event.report
@@ -168,12 +172,14 @@
         old = runner.report
         if old is not None and report.reported_at < old.reported_at:
             return
-        was_leaving = runner.is_leaving
+        is_same = runner.is_settled and not runner.silent and old is not None
+        if is_same and old is not None:
+            is_same = old.residents == report.residents and old.fence == report.fence
         runner.report = report
         runner.silent = False
-        if runner.is_leaving != was_leaving:
-            self._mark_changed(runner)
-        self.reservations.dirty.add(runner.id)
+        self._note_leaving(runner)
+        if not is_same:
+            self.reservations.dirty.add(runner.id)
 
     def _take_silence(self, event: events.EngineSilent, now: float) -> None:
         runner = self.state.runners.get(event.upstream_id)
--- a/mangoway/policy/placement/demand.py
+++ b/mangoway/policy/placement/demand.py
@@ -13,7 +13,9 @@
     DEMAND_EXPIRY_PERIODS,
     DEMAND_FALL_S,
     DEMAND_FORGET_RPS,
+    DEMAND_LOOKS,
     DEMAND_MEAN_S,
+    DEMAND_REST_S,
     DEMAND_RISE_S,
 )
 from .events import DemandReported
@@ -36,6 +38,23 @@
     rates: dict[Artifact, Demand]
 
 
+@frozen
+class _Steps:
+    """Parts of the way that the moving averages go in some seconds."""
+
+    rise: float
+    mean: float
+    fall: float
+
+
+def _find_steps(elapsed_s: float) -> _Steps:
+    return _Steps(
+        rise=1.0 - exp(-elapsed_s / DEMAND_RISE_S),
+        mean=1.0 - exp(-elapsed_s / DEMAND_MEAN_S),
+        fall=1.0 - exp(-elapsed_s / DEMAND_FALL_S),
+    )
+
+
 @define
 class _Estimate:
     """What is known of the demand for one artifact; rates are requests per second."""
@@ -44,18 +63,16 @@
     mean: float = 0.0
     held: float = 0.0
     tokens_each: float = DEFAULT_TOKENS_PER_REQUEST
+    moved_at: float = 0.0
 
-    def move(self, total: Demand, elapsed_s: float) -> None:
-        """Move towards the total of the digests over some seconds."""
-        requests = total.requests_per_second
-        self.recent += _find_step(elapsed_s, DEMAND_RISE_S) * (requests - self.recent)
-        self.mean += _find_step(elapsed_s, DEMAND_MEAN_S) * (requests - self.mean)
-        self.held *= 1.0 - _find_step(elapsed_s, DEMAND_FALL_S)
+    def move(self, requests: float, tokens: float, steps: _Steps) -> None:
+        """Move towards the total of the digests by some steps."""
+        self.recent += steps.rise * (requests - self.recent)
+        self.mean += steps.mean * (requests - self.mean)
+        self.held *= 1.0 - steps.fall
         self.held = max(self.held, self._find_certain())
         if requests > 0.0:
-            step = _find_step(elapsed_s, DEMAND_RISE_S)
-            tokens_each = total.tokens_per_second / requests
-            self.tokens_each += step * (tokens_each - self.tokens_each)
+            self.tokens_each += steps.rise * (tokens / requests - self.tokens_each)
 
     def _find_certain(self) -> float:
         """Return the recent rate less what chance may have added to it.
@@ -76,11 +93,6 @@
         )
 
 
-def _find_step(elapsed_s: float, constant_s: float) -> float:
-    """Return the part of the way that a moving average goes in some seconds."""
-    return 1.0 - exp(-elapsed_s / constant_s)
-
-
 @define
 class DemandEstimator:
     """Sums the gateways' digests; rises fast on clear evidence and falls slowly."""
@@ -112,29 +124,60 @@
             return DEFAULT_TOKENS_PER_REQUEST
         return estimate.tokens_per_second / estimate.requests_per_second
 
-    def update(self, now: float) -> None:
-        """Move the estimates towards the digests that still count."""
-        elapsed_s = now - self._updated_at
+    def update(self, now: float) -> list[Artifact]:
+        """Move the estimates towards the digests that still count.
+
+        Returns:
+            Artifacts that the digests name, whose estimates may have risen.
+        """
+        self._drop_expired(now)
+        totals = self._sum_digests()
+        steps: dict[float, _Steps] = {}
+        for artifact, (requests, tokens) in totals.items():
+            state = self._states.get(artifact)
+            if state is None:
+                state = _Estimate(moved_at=self._updated_at)
+                self._states[artifact] = state
+            self._move(artifact, state, requests, tokens, now, steps)
+        rest_s = DEMAND_REST_S if len(self._states) > DEMAND_LOOKS else 0.0
+        for artifact, state in list(self._states.items()):
+            if 0.0 < now - state.moved_at >= rest_s:
+                self._move(artifact, state, 0.0, 0.0, now, steps)
         self._updated_at = now
-        for gateway in [
-            one for one, digest in self._digests.items() if digest.expires_at < now
-        ]:
-            del self._digests[gateway]
-        totals: dict[Artifact, Demand] = {}
+        return list(totals)
+
+    def _move(
+        self,
+        artifact: Artifact,
+        state: _Estimate,
+        requests: float,
+        tokens: float,
+        now: float,
+        steps: dict[float, _Steps],
+    ) -> None:
+        elapsed_s = now - state.moved_at
+        if elapsed_s not in steps:
+            steps[elapsed_s] = _find_steps(elapsed_s)
+        state.move(requests, tokens, steps[elapsed_s])
+        state.moved_at = now
+        self._publish(artifact, state)
+
+    def _drop_expired(self, now: float) -> None:
+        digests = self._digests
+        for gateway in [one for one in digests if digests[one].expires_at < now]:
+            del digests[gateway]
+
+    def _sum_digests(self) -> dict[Artifact, tuple[float, float]]:
+        """Return the requests and tokens per second of each artifact."""
+        totals: dict[Artifact, tuple[float, float]] = {}
         for digest in self._digests.values():
             for artifact, rate in digest.rates.items():
-                total = totals.get(artifact, NO_DEMAND)
-                totals[artifact] = Demand(
-                    requests_per_second=total.requests_per_second
-                    + rate.requests_per_second,
-                    tokens_per_second=total.tokens_per_second + rate.tokens_per_second,
-                )
-        for artifact in totals.keys() | self._states.keys():
-            self._move(artifact, totals.get(artifact, NO_DEMAND), elapsed_s)
-
-    def _move(self, artifact: Artifact, total: Demand, elapsed_s: float) -> None:
-        state = self._states.setdefault(artifact, _Estimate())
-        state.move(total, elapsed_s)
+                requests, tokens = totals.get(artifact, (0.0, 0.0))
+                requests += rate.requests_per_second
+                totals[artifact] = (requests, tokens + rate.tokens_per_second)
+        return totals
+
+    def _publish(self, artifact: Artifact, state: _Estimate) -> None:
         estimate = state.as_demand()
         if estimate.requests_per_second < DEMAND_FORGET_RPS:
             del self._states[artifact]
--- a/mangoway/policy/placement/floors.py
+++ b/mangoway/policy/placement/floors.py
@@ -6,7 +6,6 @@
 from ...models.identifiers import DataCentreId
 from ...models.offer import Configuration, RunnerGroup
 from .load_queue import Need, NeedRank
-from .runners import CopyState
 from .state import PlacementState
 
 
@@ -16,8 +15,8 @@
     if floor is None:
         return None
     floor = max(floor, 1)
-    ready = state.list_lasting(artifact, CopyState.READY)
-    coming = state.list_lasting(artifact, CopyState.READY, CopyState.LOADING)
+    ready = state.copies.list_ready(artifact)
+    coming = state.copies.list_held(artifact)
     if len(coming) < floor:
         rank = NeedRank.FLOOR if ready else NeedRank.LAST_COPY
         if not ready and coming:
--- a/mangoway/policy/placement/gains.py
+++ b/mangoway/policy/placement/gains.py
@@ -1,20 +1,22 @@
 """What a copy is worth: waiting time saved, in request-seconds over the horizon."""
 
+from collections.abc import Iterable
 from math import sqrt
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ...models.artifact import Artifact
 from ...models.identifiers import UpstreamId
 from .const import (
     DEFAULT_MAX_RUNNING,
     DEFAULT_TOKENS_PER_SECOND,
+    DEMAND_FORGET_RPS,
     GAIN_HORIZON_S,
     KNEE_UTILISATION,
     MIN_SHARE,
 )
-from .demand import Demand
-from .runners import CopyState, Runner
+from .demand import NO_DEMAND, Demand
+from .runners import Runner
 from .state import PlacementState
 
 
@@ -49,6 +51,19 @@
     return description.max_running
 
 
+@frozen
+class _Share:
+    """What one artifact adds to families and loads."""
+
+    base: Artifact | None
+    """Model version that more copies of the artifact would need; None if none."""
+
+    demand: Demand
+    ready: list[UpstreamId]
+    tokens_each: float
+    """Tokens per second on each runner with a ready copy."""
+
+
 @define
 class GainModel:
     """Load of runners and worth of copies at one moment."""
@@ -60,34 +75,71 @@
     loads: dict[UpstreamId, float] = field(factory=dict)
     """Tokens per second that the demand puts on each runner."""
 
-    def refresh(self) -> None:
-        """Spread the demand over the ready copies."""
+    _shares: dict[Artifact, _Share] = field(factory=dict)
+    """What each artifact added to the families and loads."""
+
+    def refresh_all(self) -> None:
+        """Spread the demand over the ready copies anew."""
         self._families = {}
         self.loads = {}
+        self._shares = {}
         for artifact, demand in self._state.demand.list_all().items():
-            if self._needs_base(artifact):
-                self._add_to_family(artifact.base, demand)
-            ready = self._list_ready(artifact)
-            for upstream_id in ready:
-                share = demand.tokens_per_second / len(ready)
-                self.loads[upstream_id] = self.loads.get(upstream_id, 0.0) + share
+            self._add(artifact, demand)
+
+    def refresh(self, artifacts: Iterable[Artifact]) -> None:
+        """Spread the demand for some artifacts anew, and drop what has none."""
+        demands = self._state.demand.list_all()
+        for artifact in self._shares.keys() - demands.keys():
+            self._remove(artifact)
+        for artifact in artifacts:
+            self._remove(artifact)
+            demand = demands.get(artifact)
+            if demand is not None:
+                self._add(artifact, demand)
+
+    def _add(self, artifact: Artifact, demand: Demand) -> None:
+        base: Artifact | None = artifact.base
+        if base is not None and not self._needs_base(artifact, base):
+            base = None
+        ready = self._state.copies.list_ready(artifact)
+        share = _Share(
+            base, demand, ready, demand.tokens_per_second / (len(ready) or 1)
+        )
+        self._shares[artifact] = share
+        self._count(share, 1.0)
+
+    def _remove(self, artifact: Artifact) -> None:
+        share = self._shares.pop(artifact, None)
+        if share is not None:
+            self._count(share, -1.0)
+
+    def _count(self, share: _Share, sign: float) -> None:
+        for upstream_id in share.ready:
+            load = self.loads.get(upstream_id, 0.0) + sign * share.tokens_each
+            self.loads[upstream_id] = max(load, 0.0)
+        if share.base is None:
+            return
+        old = self._families.get(share.base, NO_DEMAND)
+        demand = share.demand
+        requests = old.requests_per_second + sign * demand.requests_per_second
+        if requests < DEMAND_FORGET_RPS and sign < 0.0:
+            self._families.pop(share.base, None)
+            return
+        tokens = old.tokens_per_second + sign * demand.tokens_per_second
+        self._families[share.base] = Demand(
+            requests_per_second=requests, tokens_per_second=max(tokens, 0.0)
+        )
 
-    def _needs_base(self, artifact: Artifact) -> bool:
-        """Return whether only a further base lets an artifact have more copies.
+    def _needs_base(self, artifact: Artifact, base: Artifact) -> bool:
+        """Return whether only a further base lets an adapter have more copies.
 
         As long as an adapter can go beside a base that is there, further bases do
         nothing for its demand.
         """
-        if artifact.adapter is None:
+        if base is artifact:
             return True
-        return len(self._list_held(artifact)) >= len(self._list_held(artifact.base))
-
-    def _add_to_family(self, base: Artifact, demand: Demand) -> None:
-        old = self._families.get(base, Demand())
-        self._families[base] = Demand(
-            requests_per_second=old.requests_per_second + demand.requests_per_second,
-            tokens_per_second=old.tokens_per_second + demand.tokens_per_second,
-        )
+        copies = self._state.copies
+        return len(copies.list_held(artifact)) >= len(copies.list_held(base))
 
     def list_demanded(self) -> list[Artifact]:
         """Return all artifacts with demand, their own or their adapters'."""
@@ -97,7 +149,7 @@
     def find_demand(self, artifact: Artifact) -> Demand:
         """Return the demand that copies of an artifact serve."""
         if artifact.adapter is None:
-            return self._families.get(artifact, Demand())
+            return self._families.get(artifact, NO_DEMAND)
         return self._state.demand.find(artifact)
 
     def find_utilisation(self, runner: Runner) -> float:
@@ -122,10 +174,10 @@
         return self._find_cost(artifact, others) - self._find_cost(artifact, holders)
 
     def _list_ready(self, artifact: Artifact) -> list[UpstreamId]:
-        return self._state.list_lasting(artifact, CopyState.READY)
+        return self._state.copies.list_ready(artifact)
 
     def _list_held(self, artifact: Artifact) -> list[UpstreamId]:
-        return self._state.list_lasting(artifact, CopyState.READY, CopyState.LOADING)
+        return self._state.copies.list_held(artifact)
 
     def _find_cost(self, artifact: Artifact, holders: list[UpstreamId]) -> float:
         """Return the request-seconds waited over the horizon with some holders."""
--- a/mangoway/policy/placement/guards.py
+++ b/mangoway/policy/placement/guards.py
@@ -4,7 +4,7 @@
 
 from ...models.artifact import Artifact
 from ...models.identifiers import UpstreamId
-from .runners import CopyState, PendingOrder, Runner
+from .runners import PendingOrder, Runner
 from .state import PlacementState
 
 
@@ -37,7 +37,7 @@
     """Return other runners with a ready copy, a fresh report and no pending write."""
     return [
         one
-        for one in state.list_lasting(artifact, CopyState.READY)
+        for one in state.copies.list_ready(artifact)
         if one != runner.id
         and state.runners[one].is_fresh(now)
         and state.runners[one].write is None
--- a/mangoway/policy/placement/planner.py
+++ b/mangoway/policy/placement/planner.py
@@ -12,6 +12,7 @@
     MB_PER_GB,
     ROOM_CLAIM_S,
 )
+from .demand_rounds import DemandRounds
 from .floors import find_floor_need
 from .gains import GainModel
 from .ledgers import list_entries
@@ -29,6 +30,7 @@
     _steps: Reservations
     _gains: GainModel = field(init=False)
     _choice: RunnerChoice = field(init=False)
+    _rounds: DemandRounds = field(init=False)
     _limiter: LoadLimiter = field(factory=LoadLimiter)
     _demand_at: float = 0.0
     _floors_stale: bool = True
@@ -36,6 +38,7 @@
     def __attrs_post_init__(self) -> None:
         self._gains = GainModel(self._state)
         self._choice = RunnerChoice(self._state, self._gains)
+        self._rounds = DemandRounds(self._state, self._gains)
 
     def restart_floors(self) -> None:
         """Look at the floors of all artifacts in the next plan."""
@@ -74,8 +77,21 @@
                 self._state.queue.unblock_all()
             self._forget_appeared(runner)
             runner.forget(now)
+            runner.is_settled = self._is_settled(runner)
         self._steps.dirty.clear()
 
+    def _is_settled(self, runner: Runner) -> bool:
+        """Return whether a ledger holds ready and offered copies only."""
+        if not runner.is_free or runner.ledger is None or runner.unsent:
+            return False
+        copies = self._state.copies.list_on(runner.id)
+        return all(
+            entry.order is None
+            and entry.artifact in self._state.offered
+            and copies.get(entry.artifact) is CopyState.READY
+            for entry in list_entries(runner.ledger)
+        )
+
     def _forget_appeared(self, runner: Runner) -> None:
         copies = self._state.copies.list_on(runner.id)
         for artifact in list(runner.appear_by):
@@ -89,6 +105,7 @@
         else:
             changed = set(self._steps.changed)
         self._steps.changed.clear()
+        self._rounds.hurry(changed)
         for artifact in sorted(changed):
             self._update_floor(artifact)
 
@@ -107,18 +124,19 @@
     # Copies above the floors.
 
     def _look_at_demand(self, now: float) -> None:
-        self._state.demand.update(now)
+        named = self._state.demand.update(now)
         if not self._steps.is_active:
             return
-        self._gains.refresh()
+        due = self._rounds.start(named)
         self._state.queue.drop_rank(NeedRank.DEMAND)
         if not self._state.options.demand_copies:
             return
         proposals = [
             need
-            for artifact in self._gains.list_demanded()
+            for artifact in due
             if (need := self._propose(artifact, now)) is not None
         ]
+        self._rounds.hurry(need.artifact for need in proposals)
         proposals.sort(key=lambda need: need.order_key)
         for need in proposals[:DEMAND_LOADS_IN_PLAN]:
             self._state.queue.put(need)
@@ -196,7 +214,7 @@
         base = need.artifact.base
         if base == need.artifact:
             return False
-        if self._state.list_lasting(base, CopyState.READY):
+        if self._state.copies.list_ready(base):
             return False
         return True
 
@@ -336,7 +354,7 @@
     def _withdraw(self, now: float) -> None:
         """Unload what is not offered, and raise fences past lost loads."""
         for runner in self._state.runners.values():
-            if not runner.is_free or runner.is_leaving:
+            if runner.is_settled or not runner.is_free or runner.is_leaving:
                 continue
             artifact = self._find_unwanted(runner, now)
             if artifact is not None and self._steps.mark(runner, artifact, now):
--- a/mangoway/policy/placement/runners.py
+++ b/mangoway/policy/placement/runners.py
@@ -107,6 +107,9 @@
     ready_at: dict[Artifact, float] = field(factory=dict)
     """Time at which a copy was first seen ready."""
 
+    is_settled: bool = False
+    """Whether only a change, but no time, can alter what is to be done here."""
+
     retries: dict[Artifact, Retry] = field(factory=dict)
     unsent: dict[Artifact, PendingOrder] = field(factory=dict)
     """Unloads of this controller that were marked, or may have been, but not sent."""
--- a/mangoway/policy/placement/state.py
+++ b/mangoway/policy/placement/state.py
@@ -9,7 +9,7 @@
 from .demand import DemandEstimator
 from .load_queue import LoadQueue
 from .options import PlacementOptions
-from .runners import CopyState, Runner
+from .runners import Runner
 
 
 @define
@@ -52,21 +52,13 @@
             return min(floor, 1)
         return min(floor, offer.floor_data_centres)
 
-    def list_lasting(self, artifact: Artifact, *states: CopyState) -> list[UpstreamId]:
-        """Return runners that do not leave with a copy in one of the states."""
-        return [
-            upstream_id
-            for upstream_id in self.copies.list_in(artifact, *states)
-            if not self.runners[upstream_id].is_leaving
-        ]
-
     def list_data_centres(self, upstream_ids: list[UpstreamId]) -> set[DataCentreId]:
         """Return the data centres of some runners."""
         return {self.runners[upstream_id].data_centre for upstream_id in upstream_ids}
 
     def is_surplus(self, artifact: Artifact, upstream_id: UpstreamId) -> bool:
         """Return whether the floor holds without the copy on a runner."""
-        ready = self.list_lasting(artifact, CopyState.READY)
+        ready = self.copies.list_ready(artifact)
         others = [one for one in ready if one != upstream_id]
         if len(others) < max(1, self.offered.get(artifact, 0)):
             return False
@@ -88,4 +80,4 @@
         if successor not in self.offered:
             successor = successor.base
         floor = max(1, self.offered.get(successor, 0))
-        return len(self.list_lasting(successor, CopyState.READY)) >= floor
+        return len(self.copies.list_ready(successor)) >= floor
--- a/tests/policy/placement/test_core.py
+++ b/tests/policy/placement/test_core.py
@@ -416,6 +416,20 @@
         world.check()
 
 
+class TestCost:
+    """What did not change is not looked at again."""
+
+    def test_only_a_changed_report_is_settled(self) -> None:
+        world = World(configuration=offer_models(a=40, b=40))
+        core = world.start(100).core
+        world.run(20.0)
+        [engine] = world.engines.values()
+        for fence, is_settled in ((0, True), (5, False)):
+            engine.fence += fence
+            core.handle(events.EngineReported(report=engine.report(20.0)), 20.0)
+            assert (not core.reservations.dirty) is is_settled
+
+
 class TestWeightStore:
     """Loads go on side by side up to the limits of the weight store."""
 
--- a/tests/policy/placement/world.py
+++ b/tests/policy/placement/world.py
@@ -444,7 +444,7 @@
         state = controller.core.state
         guards = {
             one: report.reported_at
-            for one in state.list_lasting(order.artifact, CopyState.READY)
+            for one in state.copies.list_ready(order.artifact)
             if (report := state.runners[one].report) is not None
             and report.reported_at >= self.now - REPORT_FRESH_S
         }
