Write a deleted ledger again as it was known, and back off after conflicts

Cause: a controller that met a deleted ledger key made an empty ledger, though its own orders might still arrive. Cause: two controllers that stay active for long spend writes on conflicts. From the second conflict in a row on a ledger on, no write to it for 1 s, doubled up to 8 s. Fails first: 'assert 59 <= 8' writes in 30 s on one ledger that always moves on. Ruled out: reading the ledger again later instead of holding back writes, since an unknown ledger counts as no copy and would start loads elsewhere.

--- a/mangoway/policy/placement/const.py
+++ b/mangoway/policy/placement/const.py
@@ -27,6 +27,11 @@
 LEDGER_RETRY_S: Final = 1.0
 """Wait before a ledger is read again after the service was unavailable."""
 
+CONFLICT_WAIT_S: Final = 1.0
+"""Wait after the second conflict in a row on a ledger, doubled each time."""
+
+MAX_CONFLICT_WAIT_S: Final = 8.0
+
 PLAN_PERIOD_S: Final = 0.5
 """Shortest time between two plans."""
 
--- a/mangoway/policy/placement/planner.py
+++ b/mangoway/policy/placement/planner.py
@@ -68,6 +68,9 @@
         for runner in self._state.runners.values():
             if runner.appear_by:
                 self._steps.dirty.add(runner.id)
+            if runner.holds_back and runner.write_after <= now:
+                runner.holds_back = False
+                self._steps.dirty.add(runner.id)
         self._steps.refresh_copies(now)
         for upstream_id in sorted(self._steps.dirty):
             if upstream_id not in self._state.runners:
--- a/mangoway/policy/placement/reservations.py
+++ b/mangoway/policy/placement/reservations.py
@@ -17,8 +17,10 @@
 from ...models.verdict import Verdict
 from .actions import Explain, PlacementAction, ReadLedger, SendOrder, WriteLedger
 from .const import (
+    CONFLICT_WAIT_S,
     LEDGER_RETRY_S,
     LOAD_APPEAR_S,
+    MAX_CONFLICT_WAIT_S,
     MAX_RETRY_S,
     ORDER_SEND_WINDOW_S,
     ORDER_TIMEOUT_S,
@@ -119,7 +121,9 @@
         event: LedgerRead | LedgerConflicted,
         now: float,
     ) -> None:
-        runner.ledger = ledger
+        # A key that was deleted is written again as it was last known here: orders
+        # that it speaks of may still be on their way.
+        runner.ledger = ledger or runner.ledger
         runner.revision = event.revision
         runner.is_ledger_known = True
         self.dirty.add(runner.id)
@@ -220,6 +224,7 @@
             return
         write = runner.write
         runner.write = None
+        runner.conflicts = 0
         runner.ledger = event.ledger
         runner.revision = event.revision
         runner.is_ledger_known = self.is_active
@@ -244,13 +249,22 @@
         }
 
     def take_conflict(self, event: LedgerConflicted, now: float) -> None:
-        """Take over what another controller wrote; the step is planned again."""
+        """Take over what another controller wrote; the step is planned again.
+
+        Two controllers that stay active for long would spend their writes on
+        conflicts; all but the first in a row make this one wait.
+        """
         runner = self.state.runners.get(event.upstream_id)
         if runner is None:
             return
         runner.write = None
         self._take_ledger(runner, event.ledger, event, now)
         runner.is_ledger_known = self.is_active
+        runner.conflicts += 1
+        if runner.conflicts > 1:
+            wait_s = CONFLICT_WAIT_S * 2.0 ** (runner.conflicts - 2)
+            runner.write_after = now + min(wait_s, MAX_CONFLICT_WAIT_S)
+            runner.holds_back = True
         self.explain(None, runner, "ledger_conflict")
 
     def take_unavailable(self, event: LedgerUnavailable, now: float) -> None:
--- a/mangoway/policy/placement/runners.py
+++ b/mangoway/policy/placement/runners.py
@@ -97,6 +97,13 @@
 
     read_after: float = 0.0
     write: PendingWrite | None = None
+    conflicts: int = 0
+    """Writes in a row that another controller's write came before."""
+
+    write_after: float = 0.0
+    holds_back: bool = False
+    """Whether no write is tried until `write_after`, after conflicts."""
+
     evidence: Evidence = field(factory=Evidence)
     sent: dict[OrderId, PendingOrder] = field(factory=dict)
     """Orders that were sent and have no answer."""
@@ -132,7 +139,9 @@
 
     @property
     def is_free(self) -> bool:
-        """Return whether neither a write nor a read of its ledger is pending."""
+        """Return whether its ledger may be written: nothing is pending, no conflict."""
+        if self.holds_back:
+            return False
         return self.is_steerable and self.write is None and self.reads == 0
 
     @property
--- a/tests/policy/placement/test_core.py
+++ b/tests/policy/placement/test_core.py
@@ -11,6 +11,7 @@
     HostId,
     IncarnationId,
     ModelName,
+    Revision,
     UpstreamId,
 )
 from mangoway.models.offer import AdapterOffer, Configuration
@@ -231,6 +232,20 @@
         world.run(20.0)
         assert world.list_missing() == []
 
+    def test_deleted_ledger_still_speaks_for_its_orders(self) -> None:
+        world = World(configuration=offer_models(a=60))
+        world.order_faults = ["late"]
+        world.start(100, checks=False)
+        while not world.sent:
+            world.run(0.01)
+        world.ledgers.clear()
+        world.revisions.clear()
+        world.configure(offer_models(2, b=60))
+        for _ in range(10):
+            world.run(BOUND_S / 2)
+            world.check()
+        assert world.list_missing() == []
+
     def test_lost_write_answer_sends_no_order_unseen(self) -> None:
         world = World(configuration=offer_models(a=40))
         world.lose_answers = 2
@@ -340,6 +355,17 @@
         world.run(10.0)
         assert len(world.list_ready("a@1")) == 1
 
+    def test_conflicts_in_a_row_make_writes_rare(self) -> None:
+        world = World(configuration=offer_models(a=40))
+        world.start(100)
+        [name] = world.engines
+        for step in range(3000):
+            world.revisions[name] = Revision(1000 + step)
+            world.run(0.01)
+        assert 3 <= world.writes <= 8
+        world.run(30.0)
+        assert world.list_missing() == []
+
     def test_takeover_waits_for_foreign_orders(self) -> None:
         world = World(configuration=offer_models(a=60))
         first = world.start(100, checks=False)
