--- a/mangoway/callers/gate.py
+++ b/mangoway/callers/gate.py
@@ -13,10 +13,12 @@
 from ..models.verdict import Verdict
 from ..observability.event_log import log_event
 from ..observability.events import CallerGone, RequestFinished, RequestRefused
+from ..observability.journal import DecisionKind, Journal, JournalEntry
 from ..observability.metrics import Metrics
 from ..observability.tracing import Hop, HopSpan, Tracing
 from .answer import Answer, AnswerReader
-from .const import HEADER_TRACEPARENT
+from .const import HEADER_IDEMPOTENCY_KEY, HEADER_TRACEPARENT
+from .keys import find_home
 from .messages import IncomingRequest, OutgoingAnswer, Submission
 from .parser import Arrival, parse_request
 from .problems import make_error_event
@@ -24,6 +26,8 @@
 
 OUTCOME_WHOLE = "whole"
 OUTCOME_REFUSED = "refused"
+REASON_FAILED_PREFIX = "answered_"
+"""Reason of a failure as the caller got it; the decision before has its own."""
 
 
 class RequestTaker(Protocol):
@@ -55,6 +59,7 @@
     _incarnation: IncarnationId
     _metrics: Metrics
     _tracing: Tracing
+    _journal: Journal
     _arrivals: int = field(default=0, init=False)
     open_count: int = field(default=0, init=False)
     """Requests whose answer is not yet whole."""
@@ -80,9 +85,7 @@
         """
         configuration = self._taker.configuration
         if configuration is None:
-            raise MangowayError(
-                ErrorCode.NOT_READY, "no configuration is in force yet", retry_after=1.0
-            )
+            raise self._make_not_ready(exchange.incoming)
         arrival = Arrival(
             id=exchange.id, now=self._taker.now(), configuration=configuration
         )
@@ -90,6 +93,20 @@
         exchange.reader = AnswerReader(self._taker.submit(submission, exchange.span))
         return submission
 
+    def _make_not_ready(self, incoming: IncomingRequest) -> MangowayError:
+        """Return the refusal before the first configuration.
+
+        Another home may have run the key of an earlier submission.
+        """
+        home = find_home(incoming.headers.get(HEADER_IDEMPOTENCY_KEY, ""))
+        is_own = home is None or home == self._incarnation
+        return MangowayError(
+            ErrorCode.NOT_READY,
+            "no configuration is in force yet",
+            Verdict.NOT_RUN if is_own else Verdict.MAY_HAVE_RUN,
+            retry_after=1.0,
+        )
+
     def close(self, exchange: "Exchange") -> None:
         """Settle the accounts of an exchange that ended."""
         self.open_count -= 1
@@ -141,6 +158,16 @@
                 detail=failure.detail,
             )
         )
+        self._journal.add(
+            JournalEntry(
+                at=time.time(),
+                kind=DecisionKind.REQUEST,
+                reason=REASON_FAILED_PREFIX + failure.code.value,
+                detail=f"{failure.verdict.value}: {failure.detail}",
+                request=exchange.id,
+                trace_id=exchange.span.trace_id,
+            )
+        )
 
 
 @define(eq=False)
--- a/tests/daemons/test_gateway_node.py
+++ b/tests/daemons/test_gateway_node.py
@@ -7,6 +7,8 @@
 import pytest
 import pytest_asyncio
 
+from mangoway.models.identifiers import ConfigVersion
+from mangoway.models.member import MemberState
 from tests.stand_ins.answers import make_answer
 
 from .gateway_world import CONFIGURATION, HEADERS, GatewayWorld, open_world
@@ -92,6 +94,16 @@
         status, problem = await world.get("/v1/addresses")
         assert (status, problem["code"]) == (503, "not_ready")
 
+    async def test_only_a_change_of_the_live_shares_the_engines_anew(
+        self, world: GatewayWorld, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        shared: list[None] = []
+        monkeypatch.setattr(world.node, "_share_engines", lambda: shared.append(None))
+        world.set_members({0: {"config_version": ConfigVersion(9)}})
+        assert shared == []
+        world.set_members({0: {"state": MemberState.LEAVING}})
+        assert shared == [None]
+
     async def test_status(self, world: GatewayWorld) -> None:
         _, status = await world.get("/v1/status")
         assert status["config_version"] == 1
@@ -118,9 +130,18 @@
         dispatched = answer["decisions"][0]
         assert (dispatched["reason"], dispatched["upstream"]) == ("dispatched", "e1")
 
+    async def test_refusal_before_any_decision_is_explained(
+        self, world: GatewayWorld
+    ) -> None:
+        body = await (await world.complete(model="x")).json()
+        _, answer = await world.get(f"/v1/explain/{body['request_id']}")
+        (refused,) = answer["decisions"]
+        assert refused["reason"] == "answered_unknown_model"
+        assert refused["detail"].startswith("not_run: ")
+
     async def test_trace_goes_on_from_the_caller(self, world: GatewayWorld) -> None:
         trace_id = "0af7651916cd43dd8448eb211c80319c"
         parent = f"00-{trace_id}-b7ad6b7169203331-01"
         await world.complete(HEADERS | {"traceparent": parent})
         hops = [each.hop for each in world.node.tracing.list_spans(trace_id)]
-        assert hops == ["engine", "caller"]
+        assert hops == ["gateway", "engine", "caller"]
--- a/tests/peers/test_heartbeat.py
+++ b/tests/peers/test_heartbeat.py
@@ -25,6 +25,7 @@
 from mangoway.models.upstream import EngineReport, Residency, ResidentArtifact
 from mangoway.peers import peers_pb2 as pb
 from mangoway.peers import slots
+from mangoway.peers.const import MAX_REPORTS_PER_HEARTBEAT
 from mangoway.peers.heartbeat import HeartbeatCodec
 from mangoway.peers.reports import ReportBook
 
@@ -201,6 +202,28 @@
         assert len(receiver.encode(1, (), 1.0).loads.runners) == 0
         assert len(receiver.encode(2, (), 1.0).loads.runners) == 1
 
+    def test_reply_leaves_out_what_the_peer_has_from_elsewhere(self) -> None:
+        one, other = _make_codec("host-0.1", 1), _make_codec("other", 100)
+        for number, time in ((1, 5.0), (2, 5.0), (3, 9.0)):
+            one.book.offer(_make_report(number, 5.0), source=7)
+            other.book.offer(_make_report(number, time), source=8)
+        other.decode(one.encode(100, (), 9.0), 9.0)
+        reply = other.encode(1, (), 9.0)
+        received = one.decode(reply, 9.0)
+        assert [report.upstream for report in received.reports] == ["runner-3"]
+        assert len(reply.loads.runners) == 1
+
+    def test_first_heartbeat_has_all_reports_and_later_ones_the_newest(self) -> None:
+        sender = _make_codec("host-0.1", 1)
+        count_all = MAX_REPORTS_PER_HEARTBEAT + 30
+        for number in range(count_all):
+            sender.book.offer(_make_report(number, 1.0))
+        assert len(sender.encode(100, (), 1.0).loads.runners) == count_all
+        for number in range(count_all):
+            sender.book.offer(_make_report(number, 2.0 + number))
+        ages = sender.encode(100, (), 2.0 + count_all).loads.ages
+        assert list(ages) == list(range(100 * MAX_REPORTS_PER_HEARTBEAT, 0, -100))
+
     def test_older_report_does_not_replace_a_newer_one(self) -> None:
         book = ReportBook()
         book.offer(_make_report(1, 5.0, running=8))
@@ -219,3 +242,11 @@
         sender.decode(receiver.encode(1, (), 2.0), 2.0)
         received = receiver.decode(sender.encode(100, (), 2.0), 2.0)
         assert received.reports == (newer,)
+
+    def test_slot_that_no_session_has_is_refused(self) -> None:
+        sender, receiver = _make_codec("host-0.1", 1), _make_codec("other", 100)
+        heartbeat = sender.encode(100, (_make_member(0),), 0.0)
+        heartbeat.names.add(slot=2**31, text="runner-1")
+        with pytest.raises(MangowayError) as raised:
+            receiver.decode(heartbeat, 0.0)
+        assert raised.value.code is ErrorCode.PEER_FAILED
