Split the planner and the reservations into modules with one job

Now settling, demand needs, room and withdrawals stand beside the planner; ledger access, orders, unload checks and the outbox beside the reservations. No change of behaviour: the tests of the package pass unchanged but for two names.

--- a/mangoway/policy/placement/core.py
+++ b/mangoway/policy/placement/core.py
@@ -52,8 +52,8 @@
             events.LedgerWritten: self.reservations.take_written,
             events.LedgerConflicted: self.reservations.take_conflict,
             events.LedgerUnavailable: self.reservations.take_unavailable,
-            events.OrderAnswered: self.reservations.take_answer,
-            events.OrderFailed: self.reservations.take_failure,
+            events.OrderAnswered: self.reservations.orders.take_answer,
+            events.OrderFailed: self.reservations.orders.take_failure,
             events.RunnersListed: self._take_runners,
             events.EngineMet: self._meet_engine,
             events.EngineReported: self._take_report,
@@ -70,8 +70,8 @@
             self._plan_at = now + PLAN_PERIOD_S
             self._planner.plan(now)
         self._set_alarm(now)
-        actions = list(self.reservations.actions)
-        self.reservations.actions.clear()
+        actions = list(self.reservations.outbox.actions)
+        self.reservations.outbox.actions.clear()
         self._reasons.extend(
             make_reason(action, now)
             for action in actions
@@ -81,24 +81,26 @@
 
     def take_status(self, now: float) -> PlacementStatus:
         """Return a snapshot for operators; it changes nothing."""
-        is_active = self.reservations.is_active
+        is_active = self.reservations.access.is_active
         return take_status(self.state, is_active, self._reasons, now)
 
     def _set_alarm(self, now: float) -> None:
-        is_due = bool(self.reservations.dirty or self.reservations.changed)
+        is_due = bool(
+            self.reservations.outbox.dirty or self.reservations.outbox.changed
+        )
         wake_at = self._plan_at if is_due else now + IDLE_PERIOD_S
         if self.state.claims or len(self.state.queue):
             wake_at = self._plan_at
         current = self._wake_at
         if current is None or current <= now or wake_at < current:
             self._wake_at = wake_at
-            self.reservations.actions.append(WakeAt(time=wake_at))
+            self.reservations.outbox.actions.append(WakeAt(time=wake_at))
 
     def _take_tick(self, event: events.Ticked, now: float) -> None:
         self._wake_at = None
 
     def _take_lease(self, event: events.LeaseGained, now: float) -> None:
-        if not self.reservations.is_active:
+        if not self.reservations.access.is_active:
             self.reservations.activate(now)
 
     def _lose_lease(self, event: events.LeaseLost, now: float) -> None:
@@ -116,7 +118,7 @@
         for runner in list(self.state.runners.values()):
             if runner.id not in listed:
                 self._unlist_runner(runner)
-        self.reservations.read_ledgers(now)
+        self.reservations.access.read_ledgers(now)
 
     def _list_runner(self, upstream_id: UpstreamId, address: UpstreamAddress) -> None:
         runner = self.state.runners.get(upstream_id)
@@ -127,12 +129,12 @@
         runner.leaving = address.leaving
         self._note_leaving(runner)
         runner.data_centre = address.data_centre
-        self.reservations.dirty.add(upstream_id)
+        self.reservations.outbox.dirty.add(upstream_id)
 
     def _unlist_runner(self, runner: Runner) -> None:
         """Stop using a runner; keep what is known of orders until they are over."""
         runner.listed = False
-        self.reservations.changed |= self.state.copies.remove(runner.id)
+        self.reservations.outbox.changed |= self.state.copies.remove(runner.id)
         self.state.claims.pop(runner.id, None)
         if runner.sent or runner.write is not None or runner.reads:
             return
@@ -142,8 +144,8 @@
         if self.state.copies.is_leaving(runner.id) == runner.is_leaving:
             return
         self.state.copies.set_leaving(runner.id, runner.is_leaving)
-        self.reservations.changed |= set(self.state.copies.list_on(runner.id))
-        self.reservations.dirty.add(runner.id)
+        self.reservations.outbox.changed |= set(self.state.copies.list_on(runner.id))
+        self.reservations.outbox.dirty.add(runner.id)
 
     def _meet_engine(self, event: events.EngineMet, now: float) -> None:
         description = event.description
@@ -155,9 +157,9 @@
             runner.report = None
             runner.appear_by.clear()
             runner.retries.clear()
-            self.reservations.explain(None, runner, "engine_restarted")
+            self.reservations.outbox.explain(None, runner, "engine_restarted")
         if old != description or runner.silent:
-            self.reservations.dirty.add(runner.id)
+            self.reservations.outbox.dirty.add(runner.id)
         runner.description = description
         runner.silent = False
         self._note_leaving(runner)
@@ -179,15 +181,15 @@
         runner.silent = False
         self._note_leaving(runner)
         if not is_same:
-            self.reservations.dirty.add(runner.id)
+            self.reservations.outbox.dirty.add(runner.id)
 
     def _take_silence(self, event: events.EngineSilent, now: float) -> None:
         runner = self.state.runners.get(event.upstream_id)
         if runner is None or runner.silent:
             return
         runner.silent = True
-        self.reservations.dirty.add(runner.id)
-        self.reservations.explain(None, runner, "engine_silent")
+        self.reservations.outbox.dirty.add(runner.id)
+        self.reservations.outbox.explain(None, runner, "engine_silent")
 
     def _take_demand(self, event: events.DemandReported, now: float) -> None:
         self.state.demand.take(event, now)
@@ -205,7 +207,7 @@
         }
         for need in self.state.queue.list_all():
             self.state.queue.drop(need.artifact)
-        self.reservations.dirty.update(self.state.runners)
+        self.reservations.outbox.dirty.update(self.state.runners)
         self._planner.restart_floors()
 
 
--- a/mangoway/policy/placement/guards.py
+++ b/mangoway/policy/placement/guards.py
@@ -51,3 +51,12 @@
     floor = max(1, state.offered.get(artifact, 0))
     spread = state.find_spread(artifact)
     return len(guards) >= floor and len(state.list_data_centres(guards)) >= spread
+
+
+def drop_replacing(runner: Runner, order: PendingOrder) -> None:
+    """Leave the mark of an unsent unload to the evidence if it replaced one.
+
+    The unload that the earlier mark was for may still arrive.
+    """
+    if order.replaces and runner.unsent.get(order.artifact) == order:
+        del runner.unsent[order.artifact]
--- a/tests/policy/placement/test_core.py
+++ b/tests/policy/placement/test_core.py
@@ -453,7 +453,7 @@
         for fence, is_settled in ((0, True), (5, False)):
             engine.fence += fence
             core.handle(events.EngineReported(report=engine.report(20.0)), 20.0)
-            assert (not core.reservations.dirty) is is_settled
+            assert (not core.reservations.outbox.dirty) is is_settled
 
 
 class TestWeightStore:
--- a/tests/policy/placement/world.py
+++ b/tests/policy/placement/world.py
@@ -348,9 +348,9 @@
         steps = controller.core.reservations
         runner = controller.core.state.runners[name]
         assert steps.mark(runner, Artifact.parse(artifact), self.now)
-        for action in steps.actions:
+        for action in steps.outbox.actions:
             self._act(controller, action)
-        steps.actions.clear()
+        steps.outbox.actions.clear()
 
     # Ledger store.
 
