Keep a mark while its unload waits for the guards' ledgers

Cause: on an engine that ignores fences an unload that was never sent counted as over at once, so a plan during the check cleared its mark; the order went out afterwards, and meanwhile the copy counted as ready. Fails first: 'assert False' where is_marked(... order=None ...) in test_mark_stays_while_the_guards_ledger_is_read[False]. Now the unload counts as open from its mark until it was sent and answered, or given up. Ruled out: skipping marked entries in the check only; evidence is the one place that says whether an order may still arrive.

--- a/mangoway/policy/placement/guards.py
+++ b/mangoway/policy/placement/guards.py
@@ -1,5 +1,7 @@
 """Copies that are relied on when another copy is unloaded."""
 
+from math import inf
+
 from attrs import define
 
 from ...models.artifact import Artifact
@@ -60,3 +62,9 @@
     """
     if order.replaces and runner.unsent.get(order.artifact) == order:
         del runner.unsent[order.artifact]
+
+
+def give_up(runner: Runner, order: PendingOrder) -> None:
+    """Note that a marked unload will not be sent."""
+    runner.evidence.unloads.close(order.artifact, order.id, -inf)
+    drop_replacing(runner, order)
--- a/mangoway/policy/placement/orders.py
+++ b/mangoway/policy/placement/orders.py
@@ -14,7 +14,7 @@
     OrderAnswered,
     OrderFailed,
 )
-from .guards import drop_replacing
+from .guards import give_up
 from .ledger_access import LedgerAccess
 from .outbox import Outbox
 from .runners import PendingOrder, Retry, Runner
@@ -35,7 +35,7 @@
         ledger = runner.ledger
         send_before = pending.asked_at + ORDER_SEND_WINDOW_S
         if not self._may_send(runner, now, send_before):
-            drop_replacing(runner, pending)
+            give_up(runner, pending)
             self.outbox.explain(pending.artifact, runner, "order_dropped")
             return
         if description is None or ledger is None:
--- a/mangoway/policy/placement/unload_checks.py
+++ b/mangoway/policy/placement/unload_checks.py
@@ -4,7 +4,7 @@
 
 from ...models.artifact import Artifact
 from ...models.identifiers import OrderId
-from .guards import UnloadCheck, do_guards_suffice, drop_replacing, list_guards
+from .guards import UnloadCheck, do_guards_suffice, give_up, list_guards
 from .ledger_access import LedgerAccess
 from .orders import Orders
 from .outbox import Outbox
@@ -29,7 +29,7 @@
     def clear(self) -> None:
         """Give up all unloads that wait."""
         for check in self._checks.values():
-            drop_replacing(check.runner, check.order)
+            give_up(check.runner, check.order)
         self._checks.clear()
 
     def start(self, runner: Runner, order: PendingOrder, now: float) -> None:
@@ -43,6 +43,8 @@
         if not suffice or not self.access.is_active:
             self._abandon(runner, order, "unload_abandoned_last_copy")
             return
+        # Until the order was sent or given up, no evidence may clear its mark.
+        runner.evidence.unloads.open(artifact, order.id)
         for guard in guards:
             self.access.read(self.state.runners[guard])
         self._checks[order.id] = UnloadCheck(
@@ -77,7 +79,7 @@
                 self._abandon(check.runner, check.order, "unload_abandoned_no_ledger")
 
     def _abandon(self, runner: Runner, order: PendingOrder, reason: str) -> None:
-        drop_replacing(runner, order)
+        give_up(runner, order)
         self.outbox.explain(order.artifact, runner, reason)
 
     def refresh_copies(self, now: float) -> set[Artifact]:
--- a/tests/policy/placement/test_core.py
+++ b/tests/policy/placement/test_core.py
@@ -344,9 +344,10 @@
         assert world.list_ready("a@1")
         world.check()
 
-    def test_mark_stays_while_the_guards_ledger_is_read(self) -> None:
+    @pytest.mark.parametrize("checks", [True, False])
+    def test_mark_stays_while_the_guards_ledger_is_read(self, checks: bool) -> None:
         world = World(configuration=offer_models(a=40, b=40))
-        first = world.start(100, 100)
+        first = world.start(100, 100, checks=checks)
         holder, _ = self.copy_to_other(world)
         world.read_s = 3.0
         world.mark(first, holder, "a@1")
