--- a/tests/policy/placement/test_core.py
+++ b/tests/policy/placement/test_core.py
@@ -11,6 +11,7 @@
     HostId,
     IncarnationId,
     ModelName,
+    Revision,
     UpstreamId,
 )
 from mangoway.models.offer import AdapterOffer, Configuration
@@ -231,6 +232,20 @@
         world.run(20.0)
         assert world.list_missing() == []
 
+    def test_deleted_ledger_still_speaks_for_its_orders(self) -> None:
+        world = World(configuration=offer_models(a=60))
+        world.order_faults = ["late"]
+        world.start(100, checks=False)
+        while not world.sent:
+            world.run(0.01)
+        world.ledgers.clear()
+        world.revisions.clear()
+        world.configure(offer_models(2, b=60))
+        for _ in range(10):
+            world.run(BOUND_S / 2)
+            world.check()
+        assert world.list_missing() == []
+
     def test_lost_write_answer_sends_no_order_unseen(self) -> None:
         world = World(configuration=offer_models(a=40))
         world.lose_answers = 2
@@ -329,9 +344,10 @@
         assert world.list_ready("a@1")
         world.check()
 
-    def test_mark_stays_while_the_guards_ledger_is_read(self) -> None:
+    @pytest.mark.parametrize("checks", [True, False])
+    def test_mark_stays_while_the_guards_ledger_is_read(self, checks: bool) -> None:
         world = World(configuration=offer_models(a=40, b=40))
-        first = world.start(100, 100)
+        first = world.start(100, 100, checks=checks)
         holder, _ = self.copy_to_other(world)
         world.read_s = 3.0
         world.mark(first, holder, "a@1")
@@ -340,6 +356,17 @@
         world.run(10.0)
         assert len(world.list_ready("a@1")) == 1
 
+    def test_conflicts_in_a_row_make_writes_rare(self) -> None:
+        world = World(configuration=offer_models(a=40))
+        world.start(100)
+        [name] = world.engines
+        for step in range(3000):
+            world.revisions[name] = Revision(1000 + step)
+            world.run(0.01)
+        assert 3 <= world.writes <= 8
+        world.run(30.0)
+        assert world.list_missing() == []
+
     def test_takeover_waits_for_foreign_orders(self) -> None:
         world = World(configuration=offer_models(a=60))
         first = world.start(100, checks=False)
@@ -416,6 +443,20 @@
         world.check()
 
 
+class TestCost:
+    """What did not change is not looked at again."""
+
+    def test_only_a_changed_report_is_settled(self) -> None:
+        world = World(configuration=offer_models(a=40, b=40))
+        core = world.start(100).core
+        world.run(20.0)
+        [engine] = world.engines.values()
+        for fence, is_settled in ((0, True), (5, False)):
+            engine.fence += fence
+            core.handle(events.EngineReported(report=engine.report(20.0)), 20.0)
+            assert (not core.reservations.outbox.dirty) is is_settled
+
+
 class TestWeightStore:
     """Loads go on side by side up to the limits of the weight store."""
 
--- a/tests/policy/placement/world.py
+++ b/tests/policy/placement/world.py
@@ -348,9 +348,9 @@
         steps = controller.core.reservations
         runner = controller.core.state.runners[name]
         assert steps.mark(runner, Artifact.parse(artifact), self.now)
-        for action in steps.actions:
+        for action in steps.outbox.actions:
             self._act(controller, action)
-        steps.actions.clear()
+        steps.outbox.actions.clear()
 
     # Ledger store.
 
@@ -444,7 +444,7 @@
         state = controller.core.state
         guards = {
             one: report.reported_at
-            for one in state.list_lasting(order.artifact, CopyState.READY)
+            for one in state.copies.list_ready(order.artifact)
             if (report := state.runners[one].report) is not None
             and report.reported_at >= self.now - REPORT_FRESH_S
         }
