Use no idle connection to an upstream after one went silent

Cause: each idle pooled connection that had gone silent cost one request its silence limit before it was dropped; an urgent request can't be retried after that, since its first-token target has passed. Ruled out: a shorter silence limit for urgent work (it would cut attempts that only wait in a busy engine, and trip breakers in a brown-out). Requests in flight at that moment are still lost so. The test fails without the new line: 'upstream_silent: Timeout on reading data from socket' at the second call.

--- a/mangoway/upstreams/session.py
+++ b/mangoway/upstreams/session.py
@@ -1,5 +1,6 @@
 """HTTP requests to upstreams with exact verdicts and no silent repeats."""
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from types import TracebackType
@@ -59,6 +60,7 @@
             aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
         self._fresh = _open_session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._distrusted_until: dict[str, float] = {}
 
     async def __aenter__(self) -> Self:
         return self
@@ -89,7 +91,7 @@
             MangowayError: UPSTREAM_SILENT, UPSTREAM_FAILED or DEADLINE_EXCEEDED;
                 the verdict is NOT_RUN only if no byte was sent.
         """
-        session = self._fresh if call.fresh else self._pooled
+        session = self._choose(call)
         watch: SilenceWatch | None = None
         try:
             async with session.request(
@@ -105,9 +107,11 @@
                     watch = SilenceWatch(response, call.silence_s)
                 yield response
         except (aiohttp.ClientError, OSError) as error:
-            if watch is not None and watch.silent:
-                raise _make_silent(call) from error
-            raise _translate(error, call.address) from error
+            silent = watch is not None and watch.silent
+            failed = _make_silent(call) if silent else _translate(error, call.address)
+            if failed.code is ErrorCode.UPSTREAM_SILENT:
+                self._distrust(call.address)
+            raise failed from error
         finally:
             if watch is not None:
                 watch.stop()
@@ -123,6 +127,22 @@
                 raise read_refusal(response)
             return await async_read_body(response)
 
+    def _choose(self, call: UpstreamCall) -> aiohttp.ClientSession:
+        distrusted_until = self._distrusted_until.get(call.address)
+        if distrusted_until is None:
+            return self._fresh if call.fresh else self._pooled
+        if _now() >= distrusted_until:
+            del self._distrusted_until[call.address]
+        return self._fresh
+
+    def _distrust(self, address: str) -> None:
+        """Use no pooled connection to an address until those idle now are closed.
+
+        What made one of them silent has most likely made the others so as well, and
+        each of them would cost a request.
+        """
+        self._distrusted_until[address] = _now() + IDLE_CONNECTION_S
+
     def _limit(self, call: UpstreamCall) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(
             total=call.timeout_s,
@@ -131,6 +151,10 @@
         )
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
--- a/tests/upstreams/raw_server.py
+++ b/tests/upstreams/raw_server.py
@@ -25,6 +25,7 @@
         self.connections = 0
         self.lost = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._silent: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Self:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -35,6 +36,10 @@
         for task in self._tasks:
             task.cancel()
 
+    def silence(self) -> None:
+        """Answer no more on the connections that are open now."""
+        self._silent |= self._tasks
+
     @property
     def address(self) -> str:
         host, port = self._server.sockets[0].getsockname()
@@ -50,6 +55,8 @@
         try:
             while request := await _read_request(reader):
                 self.requests.append(request)
+                if task in self._silent:
+                    continue
                 script = self._scripts[min(len(self.requests), len(self._scripts)) - 1]
                 await script(request, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
--- a/tests/upstreams/test_session.py
+++ b/tests/upstreams/test_session.py
@@ -109,6 +109,20 @@
             await session.async_fetch(call)
             assert server.connections == 2
 
+    async def test_silence_costs_one_call_not_one_for_each_idle_connection(
+        self,
+    ) -> None:
+        async with RawServer(answer(OK)) as server, UpstreamSession() as session:
+            call = make_call(server.address, silence_s=0.1)
+            await asyncio.gather(*(session.async_fetch(call) for _ in range(3)))
+            assert server.connections == 3
+            server.silence()
+            with pytest.raises(MangowayError):
+                await session.async_fetch(call)
+            for _ in range(3):
+                await session.async_fetch(call)
+            assert server.connections == 6
+
     async def test_stale_pooled_connection_never_repeats_a_post(self) -> None:
         async with (
             RawServer(answer(OK), cut(), answer(OK)) as server,
