Try another gateway when a leaving one forwards to a dead peer

Cause: a leaving gateway forwarded each new request to one random peer; one that was killed less than the silence limit ago still counts as live, and the request ended with peer_unreachable. Now up to three peers are tried, the next one only if the request can't have run or may be repeated, and only before there is a head. Ruled out: going on after the head (the parts are with the caller by then). The test fails without it: 'assert 502 == 200', for either dead peer.

--- a/mangoway/daemons/peer_router.py
+++ b/mangoway/daemons/peer_router.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from random import Random
-from typing import Protocol
+from typing import Final, Protocol
 
 from attrs import define, evolve
 
@@ -32,6 +32,18 @@
 REASON_HOME = "home"
 REASON_LEAVING = "leaving"
 HEADER_TRACEPARENT = "traceparent"
+FORWARD_TRIES: Final = 3
+"""Gateways that are tried, one after the other, for one request."""
+
+PEER_FAULTS: Final = frozenset(
+    {
+        ErrorCode.PEER_UNREACHABLE,
+        ErrorCode.PEER_SILENT,
+        ErrorCode.PEER_FAILED,
+        ErrorCode.LEAVING,
+    }
+)
+"""Failures of one gateway that another one may not have."""
 
 
 class PeerForwarder(Protocol):
@@ -72,7 +84,7 @@
             )
             record.answer.fail(failure.failure)
             return
-        self._start(record, member, home, REASON_HOME)
+        self._start(record, (member,), home, REASON_HOME)
 
     def async_forward_any(self, record: RequestRecord) -> None:
         """Forward a request to any other gateway that is ready."""
@@ -87,25 +99,50 @@
             leaving = MangowayError(ErrorCode.LEAVING, "no other gateway is ready")
             record.answer.fail(leaving.failure)
             return
-        self._start(record, self.rng.choice(members), None, REASON_LEAVING)
+        self.rng.shuffle(members)
+        self._start(record, tuple(members[:FORWARD_TRIES]), None, REASON_LEAVING)
 
     def _start(
         self,
         record: RequestRecord,
-        member: Member,
+        members: tuple[Member, ...],
         home: IncarnationId | None,
         reason: str,
     ) -> None:
-        log_event(
-            RequestForwarded(request_id=record.id, peer=member.host, reason=reason)
-        )
-        self.metrics.forwards.add(reason)
-        self.tasks.async_start(self._async_forward(record, member, home))
+        self.tasks.async_start(self._async_forward(record, members, home, reason))
 
     async def _async_forward(
+        self,
+        record: RequestRecord,
+        members: tuple[Member, ...],
+        home: IncarnationId | None,
+        reason: str,
+    ) -> None:
+        """Forward to the first member that can be reached."""
+        verdict = Verdict.NOT_RUN
+        for member in members:
+            log_event(
+                RequestForwarded(request_id=record.id, peer=member.host, reason=reason)
+            )
+            self.metrics.forwards.add(reason)
+            try:
+                await self._async_relay(record, member, home)
+                return
+            except MangowayError as error:
+                verdict = verdict.merge(error.failure.verdict)
+                failure = evolve(error.failure, verdict=verdict)
+            if not _may_try_next(record, failure):
+                break
+        record.answer.fail(_judge_failure(failure, home))
+
+    async def _async_relay(
         self, record: RequestRecord, member: Member, home: IncarnationId | None
     ) -> None:
-        """Relay the head; whoever reads the answer then takes the parts."""
+        """Relay the head; whoever reads the answer then takes the parts.
+
+        Raises:
+            MangowayError: If it failed before there was a head.
+        """
         span = self.tracing.start(Hop.PEER, member.host, record.span)
         request = self._make_request(record, home, span.traceparent)
         frames = self.forwarder.async_forward(member.peer_address, request)
@@ -120,8 +157,7 @@
         except MangowayError as error:
             await frames.aclose()
             span.fail(error.code.value)
-            record.answer.fail(_judge_failure(error.failure, home))
-            return
+            raise
         finally:
             span.end()
         headers = tuple((each.name, each.value) for each in head.headers)
@@ -156,6 +192,14 @@
         )
 
 
+def _may_try_next(record: RequestRecord, failure: Failure) -> bool:
+    """Tell whether another gateway may be asked after a failure."""
+    if failure.code not in PEER_FAULTS:
+        return False
+    repeatable = record.submission.request.idempotent
+    return repeatable or failure.verdict is Verdict.NOT_RUN
+
+
 def _judge_failure(failure: Failure, home: IncarnationId | None) -> Failure:
     """Return the failure of a forward as it speaks of the caller's request.
 
--- a/tests/daemons/test_gateway_stop.py
+++ b/tests/daemons/test_gateway_stop.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Any
 
+import pytest
+
 from mangoway.daemons.gateway_stop import PlannedStop, StopOutcome
 from mangoway.models.identifiers import IncarnationId
 from mangoway.models.member import MemberState
@@ -68,6 +70,16 @@
             late = await world.complete()
             await check_problem(late, 503, "leaving", "not_run")
 
+    @pytest.mark.parametrize("dead", [1, 2])
+    async def test_peer_that_died_unnoticed_costs_no_request(self, dead: int) -> None:
+        async with open_world(gateways=3) as world:
+            await world.nodes[dead].peer_server.async_stop()
+            task = await begin(make_stop(world), world)
+            for _ in range(4):
+                assert (await world.complete()).status == 200
+                assert (await world.call("confirm", {})).status == 200
+            await task
+
     async def test_peer_that_dies_mid_stream_ends_it_with_an_error_event(self) -> None:
         async with open_world(tokens_per_second=50.0, gateways=2) as world:
             task = await begin(make_stop(world), world)
