Open the breaker of a service host that refuses everything

Cause: a refusal as busy counted as a sign of health. A host of a plain service that leaves, and refuses all while the host list still calls it live, looks idle and was chosen the most. Three refusals in a row now open its breaker, as other failures do, so that it gets probes of repeatable calls only; at most half of a service's hosts may be open. Engines are left out: their reports say how busy they are and whether they leave. The test fails without it: 'assert <BreakerState.CLOSED> is <BreakerState.OPEN>'.

--- a/mangoway/policy/dispatch/sickness.py
+++ b/mangoway/policy/dispatch/sickness.py
@@ -47,7 +47,7 @@
         """Take a failure."""
         if failure.code is ErrorCode.UPSTREAM_BUSY:
             upstream.window.decrease()
-            self._note_answer(upstream)
+            self._note_refusal(upstream, attempt)
         elif failure.code is ErrorCode.LEAVING:
             self.context.fleet.mark_leaving(upstream.id)
         elif failure.code in ABSENT and attempt.entry is not None:
@@ -56,6 +56,17 @@
         elif failure.code in SICK and self.context.options.breakers:
             self._count_failure(upstream, attempt)
 
+    def _note_refusal(self, upstream: Upstream, attempt: Attempt) -> None:
+        """Take it that an upstream was busy.
+
+        An engine's reports say how busy it is, and whether it leaves. A host of a
+        service that refuses everything looks idle, so it would be chosen the most.
+        """
+        if upstream.kind is None:
+            self._note_answer(upstream)
+        elif self.context.options.breakers:
+            self._count_failure(upstream, attempt)
+
     def _count_failure(self, upstream: Upstream, attempt: Attempt) -> None:
         if not upstream.breaker.record_failure(attempt.probe):
             return
--- a/tests/policy/dispatch/test_retries.py
+++ b/tests/policy/dispatch/test_retries.py
@@ -138,7 +138,13 @@
 class TestBreaker:
     """Sick upstreams and the way back."""
 
-    def trip(self, core: DispatchCore, at: float) -> str:
+    def trip(
+        self,
+        core: DispatchCore,
+        at: float,
+        code: ErrorCode = ErrorCode.UPSTREAM_FAILED,
+        verdict: Verdict = Verdict.MAY_HAVE_RUN,
+    ) -> str:
         """Fail one host until it gets no work; return its name."""
         sick = ""
         for number in range(40):
@@ -146,19 +152,24 @@
             attempt = start(core, request, at)
             sick = sick or attempt.upstream_id
             if attempt.upstream_id == sick:
-                event = make_failed(
-                    attempt.attempt_id,
-                    ErrorCode.UPSTREAM_FAILED,
-                    Verdict.MAY_HAVE_RUN,
-                )
+                event = make_failed(attempt.attempt_id, code, verdict)
             else:
                 event = AttemptSucceeded(attempt_id=attempt.attempt_id)
             core.handle(event, at)
         return sick
 
-    def test_sick_host_gets_one_probe_and_comes_back(self) -> None:
+    @pytest.mark.parametrize(
+        ("code", "verdict"),
+        [
+            (ErrorCode.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN),
+            (ErrorCode.UPSTREAM_BUSY, Verdict.NOT_RUN),
+        ],
+    )
+    def test_sick_host_gets_one_probe_and_comes_back(
+        self, code: ErrorCode, verdict: Verdict
+    ) -> None:
         core = make_core(hosts=3)
-        sick = self.trip(core, 1.0)
+        sick = self.trip(core, 1.0, code, verdict)
         breaker = core.context.fleet.upstreams[sick].breaker
         assert breaker.state is BreakerState.OPEN
         core.handle(Ticked(), 3.0)
