End a hand-over at a second signal, and send a dead peer's requests at once

Cause: a planned stop waited for its hand-over of idempotency keys (up to 20 s for each frozen peer) whatever signal came. The test fails without the change: TimeoutError after 5 s. A hand-over that is cut off names no successor, so no key can run twice. The test of dead peers sent eight requests one after the other within the 0.3 s for which a leaving gateway forwards; it failed once in five runs on a busy machine. They go out together now; it still fails with the old router for either dead peer.

--- a/mangoway/daemons/gateway_stop.py
+++ b/mangoway/daemons/gateway_stop.py
@@ -90,7 +90,15 @@
         return StopOutcome.IDLE
 
     async def _async_hand_over(self) -> StopOutcome:
-        successor = await self.node.make_giver().async_give()
+        giving = asyncio.ensure_future(self.node.make_giver().async_give())
+        forced = asyncio.ensure_future(self._forced.wait())
+        try:
+            await asyncio.wait({giving, forced}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            forced.cancel()
+            # Without a successor that was named, no key is run elsewhere.
+            giving.cancel()
+        successor = giving.result() if giving.done() else None
         if successor is not None:
             self.announcer.async_announce(successor)
             # The other gateways must hear of the successor from this process.
--- a/tests/daemons/test_gateway_stop.py
+++ b/tests/daemons/test_gateway_stop.py
@@ -8,6 +8,7 @@
 from mangoway.daemons.gateway_stop import PlannedStop, StopOutcome
 from mangoway.models.identifiers import IncarnationId
 from mangoway.models.member import MemberState
+from mangoway.peers import peers_pb2 as pb
 
 from .gateway_world import GatewayWorld, open_world, wait_until
 from .test_gateway_faults import check_problem
@@ -75,9 +76,10 @@
         async with open_world(gateways=3) as world:
             await world.nodes[dead].peer_server.async_stop()
             task = await begin(make_stop(world), world)
-            for _ in range(4):
-                assert (await world.complete()).status == 200
-                assert (await world.call("confirm", {})).status == 200
+            requests = [world.complete() for _ in range(4)]
+            calls = [world.call("confirm", {}) for _ in range(4)]
+            answers = await asyncio.gather(*requests, *calls)
+            assert {answer.status for answer in answers} == {200}
             await task
 
     async def test_peer_that_dies_mid_stream_ends_it_with_an_error_event(self) -> None:
@@ -139,3 +141,20 @@
             stop.force()
             assert await task is StopOutcome.FORCED
             response.close()
+
+    async def test_second_signal_ends_a_hand_over_that_hangs(self) -> None:
+        async with open_world(gateways=2) as world:
+            begun = asyncio.Event()
+
+            class Frozen:
+                async def async_receive_keys(self, chunks: object) -> pb.HandOverReply:
+                    begun.set()
+                    return await asyncio.get_running_loop().create_future()
+
+            world.nodes[1].receivers.keys = Frozen()
+            stop = make_stop(world)
+            task = await begin(stop, world)
+            await begun.wait()
+            stop.force()
+            async with asyncio.timeout(5):
+                assert await task is StopOutcome.FORCED
