Don't say not run of a key whose home is elsewhere, while not ready

Cause: a gateway that started and had no configuration yet refused a resubmission with a homed key as not run, while its home had run it. Keys that name this gateway itself are still not run: it has run nothing before its first configuration. Plain keys are as before: their verdict speaks of this arrival only. The test fails without the change: (503, 503, 'not_ready', 'not_run').

--- a/mangoway/callers/gate.py
+++ b/mangoway/callers/gate.py
@@ -18,12 +18,13 @@
 from .answer import Answer, AnswerReader
 from .const import HEADER_TRACEPARENT
 from .messages import IncomingRequest, OutgoingAnswer, Submission
-from .parser import Arrival, parse_request
+from .parser import Arrival, parse_request, read_key_home
 from .problems import make_error_event
 from .render import CompletionHead, render_plain, render_stream, render_whole
 
 OUTCOME_WHOLE = "whole"
 OUTCOME_REFUSED = "refused"
+NOT_READY_RETRY_S = 1.0
 
 
 class RequestTaker(Protocol):
@@ -80,9 +81,7 @@
         """
         configuration = self._taker.configuration
         if configuration is None:
-            raise MangowayError(
-                ErrorCode.NOT_READY, "no configuration is in force yet", retry_after=1.0
-            )
+            raise self._make_not_ready(exchange.incoming)
         arrival = Arrival(
             id=exchange.id, now=self._taker.now(), configuration=configuration
         )
@@ -106,6 +105,17 @@
             self._note_success(exchange, submission)
         exchange.span.end()
 
+    def _make_not_ready(self, incoming: IncomingRequest) -> MangowayError:
+        home = read_key_home(incoming)
+        # What nobody knows here yet may have run at the home that the key names.
+        elsewhere = home is not None and home != self._incarnation
+        return MangowayError(
+            ErrorCode.NOT_READY,
+            "no configuration is in force yet",
+            Verdict.MAY_HAVE_RUN if elsewhere else Verdict.NOT_RUN,
+            retry_after=NOT_READY_RETRY_S,
+        )
+
     def _note_success(self, exchange: "Exchange", submission: Submission) -> None:
         request = submission.request
         work_class = request.work_class.value
--- a/mangoway/callers/parser.py
+++ b/mangoway/callers/parser.py
@@ -56,6 +56,17 @@
     return _parse_service_call(incoming, arrival, target)
 
 
+def read_key_home(incoming: IncomingRequest) -> IncarnationId | None:
+    """Return the home that a request's key names; None without one.
+
+    Raises:
+        MangowayError: A fault of the request; it did not run.
+    """
+    completion = incoming.path == PATH_COMPLETIONS
+    body = _load_object(incoming.body) if completion else {}
+    return _find_home(read_fields(incoming.headers, body).key)
+
+
 def _require_post(incoming: IncomingRequest) -> None:
     if incoming.method != METHOD_POST:
         raise MangowayError(
--- a/tests/daemons/test_gateway_keys.py
+++ b/tests/daemons/test_gateway_keys.py
@@ -47,6 +47,17 @@
         assert bodies[0] == bodies[1]
         assert world.service.runs["confirm/1"] == 1
 
+    async def test_gateway_without_configuration_cannot_say_not_run(
+        self, world: GatewayWorld
+    ) -> None:
+        key = make_key(world.node)
+        assert (await confirm(world, key, {"id": 1})).status == 200
+        world.nodes[1].dispatcher.configuration = None
+        again = await confirm(world, key, {"id": 1}, gateway=1)
+        await check_problem(again, 503, "not_ready", "may_have_run")
+        own = await confirm(world, make_key(world.nodes[1]), {"id": 2}, gateway=1)
+        await check_problem(own, 503, "not_ready", "not_run")
+
     async def test_resubmission_joins_the_request_in_progress(
         self, world: GatewayWorld
     ) -> None:
