Notice a silent pooled connection by the head that does not come

Cause: a silent connection was noticed after 5 s, and a request that waited for its first token (target 0.8 s) could not be tried again by then. Ruled out: the same limit on every connection, which would cut and repeat each attempt in a brown-out; TCP_USER_TIMEOUT (a path that swallows data but acknowledges it stays unnoticed). The test fails without the limit: TimeoutError after 5 s.

--- a/mangoway/upstreams/const.py
+++ b/mangoway/upstreams/const.py
@@ -11,6 +11,9 @@
 CONNECT_TIMEOUT_S: Final = 2.0
 """Longest time to open a connection; hosts are milliseconds apart."""
 
+HEAD_TIMEOUT_S: Final = 0.4
+"""Longest time to the head of a streamed answer on a pooled connection."""
+
 IDLE_CONNECTION_S: Final = 15.0
 """Time for which an idle connection is kept for the next request."""
 
--- a/mangoway/upstreams/session.py
+++ b/mangoway/upstreams/session.py
@@ -15,6 +15,7 @@
     ANSWER_LIMIT_BYTES,
     BUSY_STATUSES,
     CONNECT_TIMEOUT_S,
+    HEAD_TIMEOUT_S,
     HEADER_RETRY_AFTER,
     HEADER_VERDICT,
     IDLE_CONNECTION_S,
@@ -54,8 +55,13 @@
 class UpstreamSession:
     """A pool of connections to upstreams; close it on the loop that opened it."""
 
-    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        head_timeout_s: float = HEAD_TIMEOUT_S,
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
+        self._head_timeout_s = head_timeout_s
         self._pooled = _open_session(
             aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
@@ -99,7 +105,7 @@
                 f"http://{call.address}{call.path}",
                 data=call.body,
                 headers=call.headers,
-                timeout=self._limit(call),
+                timeout=self._limit(call, session),
                 allow_redirects=False,
                 read_bufsize=READ_BUFFER_BYTES,
             ) as response:
@@ -143,11 +149,19 @@
         """
         self._distrusted_until[address] = _now() + IDLE_CONNECTION_S
 
-    def _limit(self, call: UpstreamCall) -> aiohttp.ClientTimeout:
+    def _limit(
+        self, call: UpstreamCall, session: aiohttp.ClientSession
+    ) -> aiohttp.ClientTimeout:
+        silence_s = call.silence_s
+        if call.streamed and session is self._pooled:
+            # A streamed answer begins with its head long before its first token.
+            # Where that isn't so, this costs one try: the next connection to the
+            # address is not a pooled one.
+            silence_s = min(silence_s, self._head_timeout_s)
         return aiohttp.ClientTimeout(
             total=call.timeout_s,
             sock_connect=self._connect_timeout_s,
-            sock_read=call.silence_s,
+            sock_read=silence_s,
         )
 
 
--- a/tests/upstreams/test_session.py
+++ b/tests/upstreams/test_session.py
@@ -123,6 +123,25 @@
                 await session.async_fetch(call)
             assert server.connections == 6
 
+    async def test_head_that_does_not_come_is_noticed_on_pooled_connections_only(
+        self,
+    ) -> None:
+        async def slow(request: bytes, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.2)
+            writer.write(OK)
+
+        async with (
+            RawServer(answer(OK), answer(), slow) as server,
+            UpstreamSession(head_timeout_s=0.1) as session,
+        ):
+            call = make_call(server.address, silence_s=20.0, streamed=True)
+            await session.async_fetch(call)
+            async with asyncio.timeout(5):
+                with pytest.raises(MangowayError) as caught:
+                    await session.async_fetch(call)
+            assert caught.value.code is ErrorCode.UPSTREAM_SILENT
+            await session.async_fetch(call)
+
     async def test_stale_pooled_connection_never_repeats_a_post(self) -> None:
         async with (
             RawServer(answer(OK), cut(), answer(OK)) as server,
