--- a/mangoway/callers/gate.py
+++ b/mangoway/callers/gate.py
@@ -17,10 +17,9 @@
 from ..observability.metrics import Metrics
 from ..observability.tracing import Hop, HopSpan, Tracing
 from .answer import Answer, AnswerReader
-from .const import HEADER_IDEMPOTENCY_KEY, HEADER_TRACEPARENT
-from .keys import find_home
+from .const import HEADER_TRACEPARENT
 from .messages import IncomingRequest, OutgoingAnswer, Submission
-from .parser import Arrival, parse_request
+from .parser import Arrival, parse_request, read_key_home
 from .problems import make_error_event
 from .render import CompletionHead, render_plain, render_stream, render_whole
 
@@ -28,6 +27,7 @@
 OUTCOME_REFUSED = "refused"
 REASON_FAILED_PREFIX = "answered_"
 """Reason of a failure as the caller got it; the decision before has its own."""
+NOT_READY_RETRY_S = 1.0
 
 
 class RequestTaker(Protocol):
@@ -100,20 +100,6 @@
         exchange.reader = AnswerReader(self._taker.submit(submission, exchange.span))
         return submission
 
-    def _make_not_ready(self, incoming: IncomingRequest) -> MangowayError:
-        """Return the refusal before the first configuration.
-
-        Another home may have run the key of an earlier submission.
-        """
-        home = find_home(incoming.headers.get(HEADER_IDEMPOTENCY_KEY, ""))
-        is_own = home is None or home == self._incarnation
-        return MangowayError(
-            ErrorCode.NOT_READY,
-            "no configuration is in force yet",
-            Verdict.NOT_RUN if is_own else Verdict.MAY_HAVE_RUN,
-            retry_after=1.0,
-        )
-
     def close(self, exchange: "Exchange") -> None:
         """Settle the accounts of an exchange that ended."""
         self.open_count -= 1
@@ -130,6 +116,17 @@
             self._note_success(exchange, submission)
         exchange.span.end()
 
+    def _make_not_ready(self, incoming: IncomingRequest) -> MangowayError:
+        home = read_key_home(incoming)
+        # What nobody knows here yet may have run at the home that the key names.
+        elsewhere = home is not None and home != self._incarnation
+        return MangowayError(
+            ErrorCode.NOT_READY,
+            "no configuration is in force yet",
+            Verdict.MAY_HAVE_RUN if elsewhere else Verdict.NOT_RUN,
+            retry_after=NOT_READY_RETRY_S,
+        )
+
     def _note_success(self, exchange: "Exchange", submission: Submission) -> None:
         request = submission.request
         work_class = request.work_class.value
