Load less in a controller: no pydantic, no TLS

A controller held 53,144 kB; 32 MB is the budget.

It is not yet at the budget; what is left is 6 MB of code, 1.5 MB of docstrings, protobuf 2.7 MB, eliot with its libraries 1.8 MB. Ruled out: malloc trim settings, clearing linecache (no change of the resident size).

--- a/mangoway/daemons/controller_node.py
+++ b/mangoway/daemons/controller_node.py
@@ -1,10 +1,10 @@
 """One controller: its parts, put together, without process around it."""
 
 import asyncio
-import secrets
+import os
 import time
 from collections.abc import Iterable
-from random import Random
+from random import Random, SystemRandom
 
 from attrs import define, field
 
@@ -131,7 +131,7 @@
         )
 
     def _make_network(self) -> PeerNetwork:
-        rng = Random(secrets.randbits(64))
+        rng = Random(SystemRandom().getrandbits(64))
         return PeerNetwork(
             own=self.own,
             site=self.settings.site,
@@ -166,7 +166,7 @@
     return Member(
         host=settings.host,
         role=ProcessRole.CONTROLLER,
-        incarnation=IncarnationId(secrets.token_hex(INCARNATION_BYTES)),
+        incarnation=IncarnationId(os.urandom(INCARNATION_BYTES).hex()),
         started_at=time.time(),
         data_centre=settings.data_centre,
         peer_address=settings.peer_address,
--- a/mangoway/daemons/gateway.py
+++ b/mangoway/daemons/gateway.py
@@ -1,10 +1,9 @@
 """The process `mangoway gateway`."""
 
 import asyncio
-import secrets
 import sys
 import time
-from random import Random
+from random import Random, SystemRandom
 
 from attrs import define, field
 
@@ -153,7 +152,7 @@
             await self._host_list.async_close()
 
     def _make_network(self) -> PeerNetwork:
-        rng = Random(secrets.randbits(64))
+        rng = Random(SystemRandom().getrandbits(64))
         own = self._make_member()
         node = self.node
         return PeerNetwork(
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -1,10 +1,10 @@
 """One gateway: its parts, put together, without process and platform around it."""
 
 import asyncio
-import secrets
+import os
 import time
 from collections.abc import Iterable
-from random import Random
+from random import Random, SystemRandom
 
 from attrs import define, field
 
@@ -68,7 +68,7 @@
 
 def make_incarnation() -> IncarnationId:
     """Return an identifier that no process ever had."""
-    return IncarnationId(secrets.token_hex(16))
+    return IncarnationId(os.urandom(16).hex())
 
 
 @define(kw_only=True)
@@ -111,7 +111,7 @@
         self.engines = EngineClient(self.session, loop.time)
         self.core = DispatchCore(
             settings.incarnation,
-            Random(secrets.randbits(64)),
+            Random(SystemRandom().getrandbits(64)),
             DispatchOptions(
                 data_centre=settings.data_centre,
                 clock_offset_s=time.time() - loop.time(),
@@ -283,7 +283,7 @@
             router=GatewayRouter(
                 forwarder=self.forwarder,
                 directory=self.directory,
-                rng=Random(secrets.randbits(64)),
+                rng=Random(SystemRandom().getrandbits(64)),
                 tasks=self.tasks,
                 metrics=self.metrics,
                 tracing=self.tracing,
--- a/mangoway/peers/demand.py
+++ b/mangoway/peers/demand.py
@@ -1,6 +1,7 @@
 """Reports of demand from gateways to the controller that plans their cell."""
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 
@@ -8,18 +9,21 @@
 from ..models.errors import ErrorCode, MangowayError
 from ..models.identifiers import HostId, IncarnationId
 from ..models.member import Member, ProcessRole
-from ..policy.dispatch.events import ArtifactDemand
 from ..policy.placement.events import ArtifactRate, DemandReported
 from . import peers_pb2 as pb
 from .client import PeerClients
 from .directory import Directory
 
+if TYPE_CHECKING:
+    # A controller takes reports as well, and never decides about requests.
+    from ..policy.dispatch.events import ArtifactDemand
+
 
 def encode_demand(
     gateway: HostId,
     incarnation: IncarnationId,
     period_s: float,
-    demands: Iterable[ArtifactDemand],
+    demands: "Iterable[ArtifactDemand]",
 ) -> pb.DemandReport:
     """Return the message of one period's demand."""
     report = pb.DemandReport(
@@ -84,7 +88,7 @@
     _active: IncarnationId | None = field(default=None, init=False)
 
     async def async_report(
-        self, period_s: float, demands: tuple[ArtifactDemand, ...]
+        self, period_s: float, demands: "tuple[ArtifactDemand, ...]"
     ) -> bool:
         """Send one period's demand; False if no active controller took it."""
         report = encode_demand(self.gateway, self.incarnation, period_s, demands)
--- a/mangoway/peers/network.py
+++ b/mangoway/peers/network.py
@@ -1,9 +1,8 @@
 """What every process does with its peers: heartbeats and the configuration."""
 
 import asyncio
-import secrets
 from collections.abc import Callable, Iterable
-from random import Random
+from random import Random, SystemRandom
 
 from attrs import define, field
 
@@ -122,7 +121,7 @@
 
 def make_session() -> int:
     """Return a session number that no process ever had, and not 0."""
-    return secrets.randbits(SESSION_BITS) or 1
+    return SystemRandom().getrandbits(SESSION_BITS) or 1
 
 
 def _log_refusal(source: HostId | None, error: MangowayError) -> None:
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -16,6 +16,18 @@
     "--peer-listen=127.0.0.1:7000",
     "--caller-listen=127.0.0.1:8000",
 ]
+UNUSED_BY_CONTROLLER = {
+    "aiohttp",
+    "blacksheep",
+    "hashlib",
+    "mangoway.policy.dispatch.events",
+    "numpy",
+    "opentelemetry",
+    "pydantic",
+    "rich",
+    "ssl",
+    "uvicorn",
+}
 
 
 class TestMain:
@@ -84,3 +96,25 @@
         assert done.stderr.count(b"\n") == 1
         assert b"MANGOWAY_HOST" in done.stderr
         assert done.stdout == b""
+
+
+class TestFootprint:
+    """What a controller must not load, to stay small beside the engines."""
+
+    def test_a_controller_loads_nothing_it_does_not_use(self) -> None:
+        """The refused adapter ends it after all modules of a start are loaded."""
+        command = ["controller", *GOOD[:-1], "--key-value-kind=none"]
+        code = (
+            "import sys\n"
+            "from mangoway.cli import main\n"
+            "try:\n"
+            f"    main({command})\n"
+            "finally:\n"
+            "    print(*sorted(n for n in sys.modules if sys.modules[n]))\n"
+        )
+        ended = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True
+        )
+        loaded = set(ended.stdout.split())
+        assert {"mangoway.daemons.controller", "mangoway.key_value.etcd"} <= loaded
+        assert loaded.isdisjoint(UNUSED_BY_CONTROLLER)
