Cancel a superseded attempt instead of counting it a success

An attempt whose request had ended, or went on in another attempt, was reported to the decisions as succeeded: its upstream counted as well, its slot was free while the engine still ran it, and the cancel that was on its way found it gone and never reached the engine. Now it goes the way of every other cancel.

Before, the extended test ends with AssertionError: assert [AttemptSucceeded('a1')] == [AttemptCancelled('a1', 1)].

--- a/mangoway/daemons/attempts.py
+++ b/mangoway/daemons/attempts.py
@@ -42,6 +42,10 @@
 EventSink = Callable[[DispatchEvent], None]
 
 
+class _SupersededError(Exception):
+    """An attempt whose request has ended, or goes on in another attempt."""
+
+
 @define(eq=False, kw_only=True)
 class AttemptRunner:
     """Runs each attempt in a task of its own."""
@@ -107,6 +111,14 @@
             outcome = error.code.value
             event = self._make_failed(attempt, error.failure)
             _note_failure(action, span, error.failure)
+        except _SupersededError:
+            dropped = AnswerDropped(
+                upstream_id=action.upstream_id, attempt_id=attempt.id
+            )
+            log_event(dropped)
+            # It still runs at its upstream, so it has neither succeeded nor ended.
+            self.async_cancel(attempt.id)
+            return
         except Exception as error:
             # A fault of ours must not leave the request without its end.
             log_event(TaskFailed(task="attempt", error=repr(error)))
@@ -145,12 +157,7 @@
         async with aclosing(stream):
             async for chunks in stream:
                 if record.attempt != attempt.id:
-                    log_event(
-                        AnswerDropped(
-                            upstream_id=action.upstream_id, attempt_id=attempt.id
-                        )
-                    )
-                    return
+                    raise _SupersededError
                 before = record.answer.tokens
                 if not before:
                     self._note_first_token(request)
--- a/tests/daemons/test_attempts.py
+++ b/tests/daemons/test_attempts.py
@@ -146,6 +146,10 @@
         world.engine.feed("a1", CompletionChunk("old", 2))
         await world.until(2)
         assert world.answer.text == "new"
+        # Cancelled at the engine too: it has not succeeded, and still runs there.
+        cancelled = AttemptCancelled(attempt_id=FIRST.attempt_id, tokens=1)
+        assert world.events[1:] == [cancelled]
+        assert world.engine.cancelled == [FIRST.attempt_id]
 
     async def test_cancel_ends_at_the_engine_first(self) -> None:
         world = World()
