Bound the bytes of the hand-overs that a process receives at once

128 MiB over all hand-overs under way; more is refused with RESOURCE_EXHAUSTED, and the giver asks its next successor. One message can still be as large as gRPC's prefix allows: the library reads it whole before it can be counted.

With the check out, the test ends with: DID NOT RAISE MangowayError.

--- a/mangoway/peers/const.py
+++ b/mangoway/peers/const.py
@@ -29,6 +29,9 @@
 HAND_OVER_CHUNK_BYTES: Final = 262_144
 """Bytes of stored answers in one message."""
 
+HAND_OVER_LIMIT_BYTES: Final = 128 << 20
+"""Bytes of all hand-overs that a process receives at one time."""
+
 MAX_REPORTS_PER_HEARTBEAT: Final = 128
 """Runner reports in one heartbeat; the rest follow in the next."""
 
--- a/mangoway/peers/server.py
+++ b/mangoway/peers/server.py
@@ -13,7 +13,7 @@
 from ..models.errors import MangowayError
 from ..util.listener import open_listener
 from . import peers_pb2 as pb
-from .const import PING_PERIOD_S
+from .const import HAND_OVER_LIMIT_BYTES, PING_PERIOD_S
 from .forward_codec import decode_request, encode_failure, encode_frame
 from .messages import ForwardedFrame, ForwardedRequest
 from .peers_grpc import PeersBase
@@ -134,6 +134,7 @@
 
     def __init__(self, receivers: PeerReceivers) -> None:
         self._receivers = receivers
+        self._handed_over_bytes = 0
 
     async def Exchange(self, stream: Stream[pb.Heartbeat, pb.Heartbeat]) -> None:
         """Answer a heartbeat."""
@@ -170,10 +171,25 @@
     async def HandOverKeys(self, stream: Stream[pb.KeyChunk, pb.HandOverReply]) -> None:
         """Take over a home's idempotency keys, all or none."""
         receiver = _require(self._receivers.keys)
-        chunks = [chunk async for chunk in stream]
-        if not chunks or not chunks[-1].last:
-            raise GRPCError(Status.DATA_LOSS, "the hand-over is not whole")
-        await stream.send_message(_guard(receiver.async_receive_keys, chunks))
+        chunks: list[pb.KeyChunk] = []
+        try:
+            async for chunk in stream:
+                self._take_handed_over(chunk)
+                chunks.append(chunk)
+            if not chunks or not chunks[-1].last:
+                raise GRPCError(Status.DATA_LOSS, "the hand-over is not whole")
+            await stream.send_message(_guard(receiver.async_receive_keys, chunks))
+        finally:
+            self._handed_over_bytes -= sum(chunk.ByteSize() for chunk in chunks)
+
+    def _take_handed_over(self, chunk: pb.KeyChunk) -> None:
+        size = chunk.ByteSize()
+        if self._handed_over_bytes + size > HAND_OVER_LIMIT_BYTES:
+            raise GRPCError(
+                Status.RESOURCE_EXHAUSTED,
+                f"hand-overs of more than {HAND_OVER_LIMIT_BYTES} bytes at once",
+            )
+        self._handed_over_bytes += size
 
     async def ReportDemand(
         self, stream: Stream[pb.DemandReport, pb.DemandReply]
--- a/tests/peers/test_forwarding.py
+++ b/tests/peers/test_forwarding.py
@@ -8,7 +8,7 @@
 from mangoway.models.errors import MangowayError
 from mangoway.models.identifiers import IdempotencyKey, IncarnationId, RequestId
 from mangoway.models.verdict import Verdict
-from mangoway.peers import forwarding
+from mangoway.peers import forwarding, server
 from mangoway.peers import peers_pb2 as pb
 from mangoway.peers.client import PeerClient
 from mangoway.peers.forwarding import (
@@ -69,8 +69,11 @@
         with pytest.raises(MangowayError):
             join_chunks([chunk], 0.0)
 
-    async def test_hand_over_that_is_not_whole_is_not_taken(
-        self, relay: Relay, receivers: PeerReceivers
+    async def test_hand_over_that_is_not_whole_or_too_large_is_not_taken(
+        self,
+        relay: Relay,
+        receivers: PeerReceivers,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         taken: list[pb.KeyChunk] = []
 
@@ -86,4 +89,9 @@
         assert taken == []
         whole = [pb.KeyChunk(home="home.1"), pb.KeyChunk(home="home.1", last=True)]
         assert (await client.async_hand_over(whole)).records == 2
+        # The bound is on what is received at one time, so each of these may come.
+        monkeypatch.setattr(server, "HAND_OVER_LIMIT_BYTES", 30)
+        assert (await client.async_hand_over(whole)).records == 2
+        with pytest.raises(MangowayError, match="30 bytes"):
+            await client.async_hand_over([*whole, *whole])
         client.close()
