Do not log the tasks that a forced stop cancels as faults

The HTTP server logs each of them as an error of the application, event 107; the stop says in its own event how many requests it cut off. Shown on the handler alone, not on a forced stop of a process.

With the check out: ValueError: too many values to unpack (expected 1).

--- a/mangoway/observability/library_log.py
+++ b/mangoway/observability/library_log.py
@@ -1,6 +1,7 @@
 """What libraries log, as numbered events on the same stream."""
 
 import logging
+from asyncio import CancelledError
 
 from .event_log import log_event
 from .events import LibraryLogged
@@ -12,8 +13,12 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Log a record with the text of its exception, if it has one."""
         text = record.getMessage()
-        if record.exc_info is not None and record.exc_info[1] is not None:
-            text = f"{text.strip()}: {record.exc_info[1]!r}"
+        error = None if record.exc_info is None else record.exc_info[1]
+        if isinstance(error, CancelledError):
+            # A forced stop cancels what runs, and says so in an event of its own.
+            return
+        if error is not None:
+            text = f"{text.strip()}: {error!r}"
         log_event(
             LibraryLogged(library=record.name, severity=record.levelname, text=text)
         )
--- a/tests/observability/test_library_log.py
+++ b/tests/observability/test_library_log.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+from asyncio import CancelledError
 
 from mangoway.observability.event_log import LogLevel, start_log
 from mangoway.observability.library_log import EventHandler
@@ -11,13 +12,16 @@
 class TestEventHandler:
     """Records of libraries."""
 
-    def test_record_and_its_exception_become_one_line(self) -> None:
+    def test_record_becomes_one_line_unless_it_was_cancelled(
+        self,
+    ) -> None:
         stream = io.StringIO()
         stop = start_log(LogLevel.INFO, host="h", role="gateway", stream=stream)
         logger = logging.Logger("some.library")
         logger.addHandler(EventHandler())
         try:
             logger.error("it failed\n", exc_info=ValueError("why"))
+            logger.error("cut off", exc_info=CancelledError())
         finally:
             stop()
         (line,) = stream.getvalue().splitlines()
