Give up callers that stall their connections

The HTTP library bounds only the idle time between two requests, and only until the next byte; headers could trickle for ever, and an answer could be left unread for ever. Headers now have 10 s, a full buffer of an answer 60 s; a connection given up is logged as a warning. A first trial of the test with an endless answer hung: a response without an end goes on after its connection is lost, so the test's answer is long but bounded. With the timers out, all four cases end with TimeoutError.

--- a/mangoway/callers/const.py
+++ b/mangoway/callers/const.py
@@ -43,6 +43,12 @@
 BODY_TIMEOUT_S: Final = 10.0
 """Longest time in which a caller may send its body."""
 
+HEADERS_TIMEOUT_S: Final = 10.0
+"""Longest time in which a caller may send the headers of a request."""
+
+UNREAD_TIMEOUT_S: Final = 60.0
+"""Longest time for which a caller may leave a full buffer of its answer unread."""
+
 DEADLINE_MAX_S: Final = 7 * 86_400.0
 DEFAULT_MAX_TOKENS: Final = 16
 """The default of the published completions shape."""
--- a/mangoway/callers/server.py
+++ b/mangoway/callers/server.py
@@ -8,6 +8,7 @@
 from blacksheep import Application
 
 from ..util.listener import open_listener
+from .connection import CallerConnection
 
 KEEP_ALIVE_S = 30
 START_POLL_S = 0.01
@@ -20,7 +21,7 @@
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http="httptools",
+            http=CallerConnection,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -34,6 +35,11 @@
         self._serving: asyncio.Task[None] | None = None
         self.port = 0
 
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.server_state.connections)
+
     async def async_start(self, host: str, port: int) -> None:
         """Listen and serve.
 
