Forget the reports of runners that left the host list in a gateway too

Only controllers did; a gateway kept and relayed each until its end. With the line out, the test finds BookEntry(... upstream='e1' ...) is None false.

--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -194,6 +194,7 @@
     def set_upstreams(self, upstreams: Iterable[UpstreamAddress]) -> None:
         """Set the whole list of known upstreams."""
         self.dispatcher.set_upstreams(upstreams)
+        self.book.forget(frozenset(self.dispatcher.upstreams))
         self._share_engines()
 
     def set_members(self, members: Iterable[Member]) -> None:
--- a/tests/daemons/test_gateway_faults.py
+++ b/tests/daemons/test_gateway_faults.py
@@ -183,6 +183,12 @@
         assert error["verdict"] == Verdict.MAY_HAVE_RUN.value
         assert error["request_id"] == response.headers["X-Request-Id"]
 
+    async def test_runner_off_the_list_is_forgotten(self, world: GatewayWorld) -> None:
+        book = world.node.book
+        (upstream,) = (entry.report.upstream for entry in book.list_since(0, 9))
+        world.node.set_upstreams([])
+        assert book.get(upstream) is None
+
     async def test_refusal_has_when_to_come_back(self, world: GatewayWorld) -> None:
         world.node.set_upstreams([])
         response = await world.call("confirm", {"id": 1}, X_Deadline_Seconds="0.2")
