--- a/mangoway/daemons/controller.py
+++ b/mangoway/daemons/controller.py
@@ -12,6 +12,7 @@
 from ..observability.metrics import Metrics
 from ..policy.membership.events import HostListed
 from ..settings.process import ControllerSettings
+from ..util.collector import exempt_start
 from ..util.signals import StopSignals
 from .controller_node import ControllerNode
 from .metrics_server import MetricsServer
@@ -47,6 +48,7 @@
     metrics_server = MetricsServer(metrics)
     try:
         await _async_start(node, metrics_server)
+        exempt_start()
         signal_name = await signals.async_wait()
         await _async_leave(node, signal_name, forced)
     finally:
--- a/mangoway/daemons/gateway.py
+++ b/mangoway/daemons/gateway.py
@@ -21,6 +21,7 @@
 from ..policy.membership.core import MembershipCore
 from ..policy.membership.events import HostListed
 from ..settings.process import GatewaySettings
+from ..util.collector import exempt_start
 from ..util.signals import StopSignals
 from .gateway_node import GatewayNode, NodeSettings
 from .gateway_status import GatewayStatus
@@ -61,6 +62,7 @@
     outcome = StopOutcome.FORCED
     try:
         await process.async_start()
+        exempt_start()
         outcome = await process.async_leave(await signals.async_wait())
     finally:
         await process.async_stop(force=outcome is not StopOutcome.IDLE)
