--- a/mangoway/peers/server.py
+++ b/mangoway/peers/server.py
@@ -13,7 +13,7 @@
 from ..models.errors import MangowayError
 from ..util.listener import open_listener
 from . import peers_pb2 as pb
-from .const import PING_PERIOD_S
+from .const import HAND_OVER_LIMIT_BYTES, PING_PERIOD_S
 from .forward_codec import decode_request, encode_failure, encode_frame
 from .messages import ForwardedFrame, ForwardedRequest
 from .peers_grpc import PeersBase
@@ -136,6 +136,7 @@
 
     def __init__(self, receivers: PeerReceivers) -> None:
         self._receivers = receivers
+        self._handed_over_bytes = 0
 
     async def Exchange(self, stream: Stream[pb.Heartbeat, pb.Heartbeat]) -> None:
         """Answer a heartbeat."""
@@ -173,11 +174,36 @@
         """Take over a home's idempotency keys, all or none."""
         receiver = _require(self._receivers.keys)
         try:
-            reply = await receiver.async_receive_keys(_async_read_whole(stream))
+            reply = await receiver.async_receive_keys(self._async_read(stream))
         except MangowayError as error:
             raise GRPCError(Status.FAILED_PRECONDITION, str(error)) from error
         await stream.send_message(reply)
 
+    async def _async_read(
+        self, stream: Stream[pb.KeyChunk, pb.HandOverReply]
+    ) -> AsyncGenerator[pb.KeyChunk, None]:
+        """Yield the messages of a hand-over that is whole and not too large."""
+        size = 0
+        last = False
+        try:
+            async for chunk in stream:
+                size += chunk.ByteSize()
+                self._count_handed_over(chunk.ByteSize())
+                last = chunk.last
+                yield chunk
+        finally:
+            self._handed_over_bytes -= size
+        if not last:
+            raise GRPCError(Status.DATA_LOSS, "the hand-over is not whole")
+
+    def _count_handed_over(self, size: int) -> None:
+        self._handed_over_bytes += size
+        if self._handed_over_bytes > HAND_OVER_LIMIT_BYTES:
+            raise GRPCError(
+                Status.RESOURCE_EXHAUSTED,
+                f"hand-overs of more than {HAND_OVER_LIMIT_BYTES} bytes at once",
+            )
+
     async def ReportDemand(
         self, stream: Stream[pb.DemandReport, pb.DemandReply]
     ) -> None:
@@ -249,17 +275,6 @@
     return request
 
 
-async def _async_read_whole(
-    stream: Stream[pb.KeyChunk, pb.HandOverReply],
-) -> AsyncGenerator[pb.KeyChunk, None]:
-    last = False
-    async for chunk in stream:
-        last = chunk.last
-        yield chunk
-    if not last:
-        raise GRPCError(Status.DATA_LOSS, "the hand-over is not whole")
-
-
 def _guard(answer: Callable[[RequestT], ReplyT], request: RequestT) -> ReplyT:
     try:
         return answer(request)
