Give processes under test ports that nobody else is handed; lengthen the stop's stream

Cause: one run of a process test failed at its start ('not within 30 s: gateway-0 answers /metrics'). The log was gone, so the cause of that run is not shown. Suspected: a port was found by binding to any port, and was free again until the process bound it. Ports now come from below the kernel's range, each once a run. The stream of the stop tests lasted 3 s, less than the 5 s for which a stop waits for old address answers; it lasts 10 s now, so that the wait for what runs is tested.

--- a/tests/processes/test_gateways.py
+++ b/tests/processes/test_gateways.py
@@ -22,12 +22,15 @@
 MODEL = "escort-chat"
 ARTIFACT = "escort-chat@1"
 TOKENS = 60
+LONG_TOKENS = 200
+"""A stream that lasts longer than callers may keep an address answer."""
+
 DEADLINE_S = 30.0
 
 
-async def async_stream(caller: Caller) -> Ending:
+async def async_stream(caller: Caller, tokens: int = TOKENS) -> Ending:
     result = await caller.async_complete(
-        MODEL, f"prompt {make_id()}", TOKENS, DEADLINE_S, artifact=ARTIFACT
+        MODEL, f"prompt {make_id()}", tokens, DEADLINE_S, artifact=ARTIFACT
     )
     return result.ending
 
@@ -49,7 +52,7 @@
     """Open a stream at one gateway, and wait until it runs."""
     caller = await async_make_caller(fleet, gateway)
     caller.book.gateways = [find_gateway(caller, gateway)]
-    stream = asyncio.create_task(async_stream(caller))
+    stream = asyncio.create_task(async_stream(caller, LONG_TOKENS))
     await async_wait_streams(fleet, 1)
     return stream
 
--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -6,7 +6,9 @@
 import signal
 import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
+from random import SystemRandom
 from types import TracebackType
 from typing import Self
 
@@ -15,13 +17,22 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 ROOT = Path(__file__).resolve().parents[2]
+PORTS = range(10_000, 32_000)
+"""Below those that the kernel gives to whoever asks for any port."""
+
+_given_ports: set[int] = set()
 
 
 def find_free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address with a port that is free now, a new one each time."""
+    while True:
+        port = PORTS[SystemRandom().randrange(len(PORTS))]
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
 
 
 @define(eq=False)
