--- a/mangoway/peers/status.py
+++ b/mangoway/peers/status.py
@@ -1,17 +1,20 @@
 """Answers to operators that gateways and controllers share."""
 
 from collections.abc import Mapping
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from ..models.errors import ErrorCode, MangowayError
 from ..models.identifiers import ConfigVersion, HostId, RequestId, UpstreamId
 from ..models.member import Member, ProcessRole
 from ..observability.journal import Journal, JournalEntry, JournalQuery
-from ..observability.tracing import SpanRecord, Tracing
 from . import peers_pb2 as pb
 from .const import MAX_EXPLANATIONS
 from .member_codec import encode_role
 
+if TYPE_CHECKING:
+    # A controller keeps no spans, and the library of traces costs it memory.
+    from ..observability.tracing import SpanRecord, Tracing
+
 KIND_TRACE: Final = "trace"
 
 
@@ -41,7 +44,7 @@
     journal: Journal,
     request: pb.ExplainRequest,
     host: HostId,
-    tracing: Tracing | None = None,
+    tracing: "Tracing | None" = None,
 ) -> pb.ExplainReply:
     """Return the entries of a journal, or the spans, that answer a question.
 
@@ -78,7 +81,7 @@
     raise MangowayError(ErrorCode.MALFORMED_REQUEST, detail)
 
 
-def _encode_span(span: SpanRecord, host: HostId) -> pb.ExplainEntry:
+def _encode_span(span: "SpanRecord", host: HostId) -> pb.ExplainEntry:
     fields = {
         "name": span.name,
         "seconds": f"{span.duration_s:.6f}",
