Let lost loads of withdrawn versions make way

Cause: an engine that checks fences restarted with only withdrawn versions in its ledger. Their entries were kept until the new version was ready, and the new version had no room beside them: no load, for ever. Fails first: "assert ['a@3'] == []" in test_lost_withdrawn_versions_make_way. An entry that no report shows serves nobody, so its unload, which only raises the fence, need not wait for the successor.

--- a/mangoway/policy/placement/withdrawals.py
+++ b/mangoway/policy/placement/withdrawals.py
@@ -45,20 +45,31 @@
     ) -> bool:
         if state is CopyState.DRAINING or state is None:
             return self._is_stuck(artifact, runner)
+        if state is CopyState.LOST and self._is_idle(artifact, runner):
+            return True
         if artifact not in self._state.offered:
             return self._state.may_withdraw(artifact)
-        return state is CopyState.LOST and self._is_idle(artifact, runner)
+        return False
 
     def _is_idle(self, artifact: Artifact, runner: Runner) -> bool:
         """Return whether a lost load is not wanted, and only a new fence frees it."""
-        return runner.checks_fences and self._state.is_surplus(artifact, runner.id)
+        if not runner.checks_fences:
+            return False
+        if artifact in self._state.offered:
+            return self._state.is_surplus(artifact, runner.id)
+        return not self._is_shown(artifact, runner)
+
+    def _is_shown(self, artifact: Artifact, runner: Runner) -> bool:
+        report = runner.report
+        return report is not None and any(
+            found.artifact == artifact for found in report.residents
+        )
 
     def _is_stuck(self, artifact: Artifact, runner: Runner) -> bool:
         """Return whether an unload was lost and should be sent again."""
-        report = runner.report
-        if report is None or artifact in runner.unsent:
+        if runner.report is None or artifact in runner.unsent:
             return False
-        shown = any(found.artifact == artifact for found in report.residents)
+        shown = self._is_shown(artifact, runner)
         if shown and artifact in self._state.offered:
             return self._state.is_surplus(artifact, runner.id)
         return shown or runner.checks_fences
--- a/tests/policy/placement/test_core.py
+++ b/tests/policy/placement/test_core.py
@@ -145,6 +145,18 @@
         assert "relocate_for_room" in world.list_reasons()
         assert world.list_missing() == []
 
+    def test_lost_withdrawn_versions_make_way(self) -> None:
+        world = World(configuration=offer_models(a=50))
+        world.start(110)
+        world.run(20.0)
+        world.configure(offer_models(2, ("2",), a=50))
+        while list_orders(world, OrderKind.LOAD)[-1] != "a@2":
+            world.run(0.01)
+        next(iter(world.engines.values())).restart(world.now)
+        world.configure(offer_models(3, ("3",), a=50))
+        world.run(BREAK_AFTER_S)
+        assert world.list_missing() == []
+
     def test_floors_are_not_evicted_for_floors(self) -> None:
         world = World(configuration=offer_models(a=80, b=80, c=80))
         world.start(100, 100)
