--- a/mangoway/policy/placement/demand_needs.py
+++ b/mangoway/policy/placement/demand_needs.py
@@ -49,11 +49,11 @@
             return None
         if self._state.queue.find(artifact) is not None:
             return None
-        memory_mb = self._state.find_memory_mb(artifact)
-        need = Need(artifact=artifact, rank=NeedRank.DEMAND, memory_mb=memory_mb)
         bound = self._gains.find_most(artifact)
         if bound <= self.find_price():
             return None
+        memory_mb = self._state.find_memory_mb(artifact)
+        need = Need(artifact=artifact, rank=NeedRank.DEMAND, memory_mb=memory_mb)
         runner = self._choice.find_runner(need, now)
         gain = bound if runner is None else self._gains.find_gain(artifact, runner)
         if gain <= self.find_price():
--- a/mangoway/policy/placement/demand_rounds.py
+++ b/mangoway/policy/placement/demand_rounds.py
@@ -54,7 +54,12 @@
             looked = self._looked.items()
             self._looked = {one: rate for one, rate in looked if one in demands}
         self._gains.refresh(due)
-        return list(dict.fromkeys([*due, *(one.base for one in due)]))
+        bases = (one.base for one in due if one.adapter is not None)
+        return list(dict.fromkeys([*due, *filter(self._has_family, bases)]))
+
+    def _has_family(self, base: Artifact) -> bool:
+        """Return whether demand asks for further copies of a base."""
+        return self._gains.find_demand(base).requests_per_second > 0.0
 
     def _has_risen(self, artifact: Artifact) -> bool:
         rate = self._find_rate(artifact)
