--- a/mangoway/daemons/gateway.py
+++ b/mangoway/daemons/gateway.py
@@ -1,10 +1,9 @@
 """The process `mangoway gateway`."""
 
 import asyncio
-import secrets
 import sys
 import time
-from random import Random
+from random import Random, SystemRandom
 
 from attrs import define, field
 
@@ -22,6 +21,7 @@
 from ..policy.membership.core import MembershipCore
 from ..policy.membership.events import HostListed
 from ..settings.process import GatewaySettings
+from ..util.collector import exempt_start
 from ..util.signals import StopSignals
 from .const import EXIT_CUT_OFF, EXIT_IDLE
 from .gateway_node import GatewayNode, NodeSettings
@@ -60,6 +60,7 @@
     outcome = StopOutcome.FORCED
     try:
         await process.async_start()
+        exempt_start()
         outcome = await process.async_leave(await signals.async_wait())
     finally:
         await process.async_stop(force=outcome is not StopOutcome.IDLE)
@@ -152,7 +153,7 @@
             await self._host_list.async_close()
 
     def _make_network(self) -> PeerNetwork:
-        rng = Random(secrets.randbits(64))
+        rng = Random(SystemRandom().getrandbits(64))
         own = self._make_member()
         node = self.node
         return PeerNetwork(
--- a/mangoway/peers/server.py
+++ b/mangoway/peers/server.py
@@ -1,7 +1,7 @@
 """The listener for other processes."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable, Iterable
+from collections.abc import AsyncGenerator, AsyncIterable, Callable
 from contextlib import aclosing
 from typing import Protocol, TypeVar
 
@@ -13,7 +13,7 @@
 from ..models.errors import MangowayError
 from ..util.listener import open_listener
 from . import peers_pb2 as pb
-from .const import PING_PERIOD_S
+from .const import HAND_OVER_LIMIT_BYTES, PING_PERIOD_S
 from .forward_codec import decode_request, encode_failure, encode_frame
 from .messages import ForwardedFrame, ForwardedRequest
 from .peers_grpc import PeersBase
@@ -71,8 +71,10 @@
 class KeyReceiver(Protocol):
     """Takes over idempotency keys of a home that leaves."""
 
-    def async_receive_keys(self, chunks: Iterable[pb.KeyChunk]) -> pb.HandOverReply:
-        """Take a whole hand-over."""
+    async def async_receive_keys(
+        self, chunks: AsyncIterable[pb.KeyChunk]
+    ) -> pb.HandOverReply:
+        """Take a whole hand-over; nothing is taken if `chunks` raises."""
         ...
 
 
@@ -134,6 +136,7 @@
 
     def __init__(self, receivers: PeerReceivers) -> None:
         self._receivers = receivers
+        self._handed_over_bytes = 0
 
     async def Exchange(self, stream: Stream[pb.Heartbeat, pb.Heartbeat]) -> None:
         """Answer a heartbeat."""
@@ -170,10 +173,36 @@
     async def HandOverKeys(self, stream: Stream[pb.KeyChunk, pb.HandOverReply]) -> None:
         """Take over a home's idempotency keys, all or none."""
         receiver = _require(self._receivers.keys)
-        chunks = [chunk async for chunk in stream]
-        if not chunks or not chunks[-1].last:
+        try:
+            reply = await receiver.async_receive_keys(self._async_read(stream))
+        except MangowayError as error:
+            raise GRPCError(Status.FAILED_PRECONDITION, str(error)) from error
+        await stream.send_message(reply)
+
+    async def _async_read(
+        self, stream: Stream[pb.KeyChunk, pb.HandOverReply]
+    ) -> AsyncGenerator[pb.KeyChunk, None]:
+        """Yield the messages of a hand-over that is whole and not too large."""
+        size = 0
+        last = False
+        try:
+            async for chunk in stream:
+                size += chunk.ByteSize()
+                self._count_handed_over(chunk.ByteSize())
+                last = chunk.last
+                yield chunk
+        finally:
+            self._handed_over_bytes -= size
+        if not last:
             raise GRPCError(Status.DATA_LOSS, "the hand-over is not whole")
-        await stream.send_message(_guard(receiver.async_receive_keys, chunks))
+
+    def _count_handed_over(self, size: int) -> None:
+        self._handed_over_bytes += size
+        if self._handed_over_bytes > HAND_OVER_LIMIT_BYTES:
+            raise GRPCError(
+                Status.RESOURCE_EXHAUSTED,
+                f"hand-overs of more than {HAND_OVER_LIMIT_BYTES} bytes at once",
+            )
 
     async def ReportDemand(
         self, stream: Stream[pb.DemandReport, pb.DemandReply]
--- a/mangoway/policy/placement/runners.py
+++ b/mangoway/policy/placement/runners.py
@@ -48,6 +48,8 @@
     """Time at which its ledger write was asked for."""
 
     fence: FenceNumber
+    replaces: bool = False
+    """Whether it is an unload over the mark of an earlier one."""
 
 
 @frozen(kw_only=True)
@@ -95,6 +97,13 @@
 
     read_after: float = 0.0
     write: PendingWrite | None = None
+    conflicts: int = 0
+    """Writes in a row that another controller's write came before."""
+
+    write_after: float = 0.0
+    holds_back: bool = False
+    """Whether no write is tried until `write_after`, after conflicts."""
+
     evidence: Evidence = field(factory=Evidence)
     sent: dict[OrderId, PendingOrder] = field(factory=dict)
     """Orders that were sent and have no answer."""
@@ -105,8 +114,11 @@
     ready_at: dict[Artifact, float] = field(factory=dict)
     """Time at which a copy was first seen ready."""
 
+    is_settled: bool = False
+    """Whether only a change, but no time, can alter what is to be done here."""
+
     retries: dict[Artifact, Retry] = field(factory=dict)
-    unsent: dict[Artifact, OrderId] = field(factory=dict)
+    unsent: dict[Artifact, PendingOrder] = field(factory=dict)
     """Unloads of this controller that were marked, or may have been, but not sent."""
 
     @property
@@ -127,7 +139,9 @@
 
     @property
     def is_free(self) -> bool:
-        """Return whether neither a write nor a read of its ledger is pending."""
+        """Return whether its ledger may be written: nothing is pending, no conflict."""
+        if self.holds_back:
+            return False
         return self.is_steerable and self.write is None and self.reads == 0
 
     @property
