--- a/measure/const.py
+++ b/measure/const.py
@@ -8,6 +8,26 @@
 TRAFFIC_S: Final = 500.0
 """Length of the traffic: a working day and its night in compressed time."""
 
+FAULT_TRAFFIC_S: Final = 240.0
+"""Length of the traffic of runs with a fault: the day until its first surge is over."""
+
+FLOOD_CALLER: Final = 5
+"""Place of the caller that floods, in the order of names."""
+
+CALLER_LIMIT_RPS: Final = 1.5
+"""Limit of each caller at each gateway, where limits are measured."""
+
+FLOOD_START_S: Final = 100.0
+FLOOD_HOLD_S: Final = 60.0
+FLOOD_LOAD: Final = 1.2
+"""What the flooding caller alone asks for, in shares of all capacity."""
+
+BROWN_OUT_ERRORS: Final = 0.5
+BROWN_OUT_SLOW: Final = 0.25
+"""Shares of the requests to an engine in a brown-out that fail or hang at first."""
+
+BROWN_OUT_HANG_S: Final = 3.0
+
 COOL_DOWN_S: Final = 20.0
 
 SEEDS: Final = (1, 2, 3, 4, 5)
--- a/measure/faults.py
+++ b/measure/faults.py
@@ -15,6 +15,9 @@
     KEY_VALUE_OUT = "key-value service out"
     CONTROLLER_FROZEN = "active controller frozen"
     REPORTS_STOPPED = "load reports stopped"
+    BROWN_OUT = "two engines browned out"
+    FLOOD = "overload by one caller"
+    """More than all capacity for a minute; it is part of the demand."""
 
 
 @frozen(kw_only=True)
@@ -32,4 +35,5 @@
     Fault.KEY_VALUE_OUT: FaultTimes(start_s=55.0, end_s=200.0),
     Fault.CONTROLLER_FROZEN: FaultTimes(start_s=58.0, end_s=100.0),
     Fault.REPORTS_STOPPED: FaultTimes(start_s=65.0, end_s=125.0),
+    Fault.BROWN_OUT: FaultTimes(start_s=90.0, end_s=150.0),
 }
--- a/measure/gateways.py
+++ b/measure/gateways.py
@@ -25,6 +25,7 @@
     Explain,
     Finish,
     ForgetAnswer,
+    NoteBreaker,
     Refuse,
     ReportDemand,
     StartAttempt,
@@ -131,6 +132,7 @@
             WakeAt: self._set_wake,
             Explain: lambda _: None,
             ForgetAnswer: lambda _: None,
+            NoteBreaker: lambda _: None,
         }
 
     def handle(self, event: DispatchEvent) -> None:
--- a/measure/simulation.py
+++ b/measure/simulation.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from mangoway.models.artifact import Artifact
-from mangoway.models.identifiers import HostId, IncarnationId, UpstreamId
+from mangoway.models.identifiers import CallerId, HostId, IncarnationId, UpstreamId
 from mangoway.models.upstream import (
     EngineReport,
     Residency,
@@ -28,7 +28,6 @@
     LATENCY_BETWEEN_S,
     REPORT_LAG_S,
     REPORT_PERIOD_S,
-    TRAFFIC_S,
     WARM_UP_S,
 )
 from .controllers import ControllerIdentity, ControllerShell
@@ -40,7 +39,7 @@
 from .milestones import Milestones, Step
 from .outcomes import Outcome
 from .policies import Policy
-from .sites import SERVICE, Placed, Site
+from .sites import SERVICE, Placed, Site, limit_callers
 from .upstreams import EngineHost, ServiceHost
 
 _LINK_FAULTS = LinkFaults(lost=0.01, delayed=0.02, doubled=0.01, answer_lost=0.01)
@@ -52,6 +51,7 @@
     """What one run gave."""
 
     outcomes: tuple[Outcome, ...]
+    flooder: CallerId | None
     loads: int
     unloads: int
     over_size: int
@@ -71,7 +71,7 @@
     def __init__(
         self, site: Site, demand: Demand, policy: Policy, fault: Fault, seed: int
     ) -> None:
-        self._site = site
+        self._site = limit_callers(site, policy.caller_limit_rps)
         self.demand = demand
         self._policy = policy
         self._fault = fault
@@ -109,7 +109,7 @@
         self._clock.call_at(WARM_UP_S, self._begin_count)
         callers = [self._schedule_caller(arrival) for arrival in self.demand.arrivals]
         schedule_fault(self, self._clock, self._fault)
-        self._clock.run(WARM_UP_S + TRAFFIC_S + COOL_DOWN_S)
+        self._clock.run(WARM_UP_S + self.demand.length_s + COOL_DOWN_S)
         return self._collect([caller.outcome for caller in callers])
 
     def _collect(self, outcomes: list[Outcome]) -> RunResult:
@@ -127,6 +127,7 @@
                 runs[number] = runs.get(number, 0) + count
         return RunResult(
             outcomes=tuple(outcomes),
+            flooder=self.demand.flooder,
             loads=sum(model.loads for model in models) - self._moves_before[0],
             unloads=sum(model.unloads for model in models) - self._moves_before[1],
             over_size=sum(model.over_size for model in models),
--- a/measure/sites.py
+++ b/measure/sites.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import Generic, TypeVar
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from mangoway.models.identifiers import (
     AdapterName,
@@ -99,6 +99,17 @@
         return sum(placed.item.tokens_per_second for placed in self.runners)
 
 
+def limit_callers(site: Site, requests_per_second: float | None) -> Site:
+    """Return a site with one limit for every caller; None leaves it as it is."""
+    if requests_per_second is None:
+        return site
+    callers = {
+        name: evolve(offer, requests_per_second=requests_per_second)
+        for name, offer in site.configuration.callers.items()
+    }
+    return evolve(site, configuration=evolve(site.configuration, callers=callers))
+
+
 def build_khangai() -> Site:
     """Build the site that weighs moves more: chat with families."""
     policy = SitePolicy(
--- a/measure/upstreams.py
+++ b/measure/upstreams.py
@@ -18,6 +18,9 @@
 
 from .clock import Clock
 from .const import (
+    BROWN_OUT_ERRORS,
+    BROWN_OUT_HANG_S,
+    BROWN_OUT_SLOW,
     CONNECT_TIMEOUT_S,
     LATENCY_BETWEEN_S,
     LATENCY_INSIDE_S,
@@ -98,7 +101,12 @@
         self.is_silent = False
         """Down without a sign, so that connections hang instead of breaking."""
 
+        self.is_browned_out = False
+        """Fails some requests and lets some hang, while its reports look well."""
+
         self.outages: list[Outage] = []
+        self._random = Random(f"{model.settings.upstream}")
+        self._hanging: set[AttemptId] = set()
         self._connections: dict[AttemptId, _Connection] = {}
         self._wake_at = math.inf
         self._wake_number = 0
@@ -110,6 +118,26 @@
 
     def submit(self, attempt: Attempt, client: AttemptClient) -> None:
         """Take an attempt that has just arrived over the network."""
+        if not self.is_browned_out or self.model.is_down:
+            self._take(attempt, client)
+            return
+        drawn = self._random.random()
+        if drawn < BROWN_OUT_ERRORS:
+            self.clock.call_later(
+                self._latency(client), client.receive_break, attempt.id
+            )
+        elif drawn < BROWN_OUT_ERRORS + BROWN_OUT_SLOW:
+            self._hanging.add(attempt.id)
+            self.clock.call_later(BROWN_OUT_HANG_S, self._end_hang, attempt, client)
+        else:
+            self._take(attempt, client)
+
+    def _end_hang(self, attempt: Attempt, client: AttemptClient) -> None:
+        if attempt.id in self._hanging:
+            self._hanging.discard(attempt.id)
+            self._take(attempt, client)
+
+    def _take(self, attempt: Attempt, client: AttemptClient) -> None:
         self.advance()
         arrival = attempt.arrival
         assert isinstance(arrival.target, Artifact)
@@ -132,6 +160,7 @@
 
     def cancel(self, attempt_id: AttemptId, client: AttemptClient) -> None:
         """End an attempt on behalf of its client."""
+        self._hanging.discard(attempt_id)
         self.advance()
         connection = self._connections.pop(attempt_id, None)
         if connection is None or self.model.is_down:
