--- a/mangoway/models/offer.py
+++ b/mangoway/models/offer.py
@@ -125,7 +125,7 @@
 class SitePolicy:
     """How a site trades moves against attainment, and its platform limits."""
 
-    move_price: float = 1.0
+    move_price: float = 100.0
     """Price of one load in units of request-seconds saved; higher means fewer moves."""
 
     loads_per_second: float = 2.0
