End an answer of one token in the fake engine when its prompt was read

Loops in dispatch and placement were ruled out by a stack dump (next_event_time of the fake). Answers now end after prompts.

--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -345,8 +345,9 @@
             read = elapsed * self.settings.prefill_tokens_per_second
             self._prefilling[0].prefill_left -= read
         self._now = until
-        self._end_answers(outputs)
+        # An answer of one token ends as soon as its prompt was read.
         self._end_prompts()
+        self._end_answers(outputs)
         self._admit()
 
     def _end_answers(self, outputs: list[EngineOutput]) -> None:
--- a/tests/fakes/test_engine.py
+++ b/tests/fakes/test_engine.py
@@ -144,6 +144,15 @@
         outputs = engine.advance(now + 0.1)
         assert next(o for o in outputs if isinstance(o, TokensProduced)).tokens > 90
 
+    def test_answer_of_one_token_ends_with_its_prompt(self) -> None:
+        engine = build_engine()
+        now = load_chat(engine)
+        engine.submit(now, AttemptId("x"), CHAT, prompt_tokens=64, max_tokens=1)
+        prompt_read_at = engine.next_event_time()
+        outputs = engine.advance(prompt_read_at)
+        assert AttemptFinished(attempt_id=AttemptId("x"), tokens=1) in outputs
+        assert engine.next_event_time() > prompt_read_at
+
     def test_cached_prefix_shortens_the_prompt(self) -> None:
         engine = build_engine()
         now = load_chat(engine)
