--- a/mangoway/policy/placement/choice.py
+++ b/mangoway/policy/placement/choice.py
@@ -46,9 +46,7 @@
         ]
         if not candidates:
             return None
-        held = self._state.list_lasting(
-            need.artifact, CopyState.READY, CopyState.LOADING
-        )
+        held = self._state.copies.list_held(need.artifact)
         held_in = self._state.list_data_centres(held)
         if need.rank is NeedRank.DEMAND:
             return max(
@@ -87,9 +85,7 @@
 
     def list_possible(self, need: Need, now: float) -> list[Runner]:
         """Return the runners that could take a need if they had the room."""
-        held = self._state.list_lasting(
-            need.artifact, CopyState.READY, CopyState.LOADING
-        )
+        held = self._state.copies.list_held(need.artifact)
         barred = (
             self._state.list_data_centres(held)
             if need.rank is NeedRank.SPREAD
@@ -124,9 +120,10 @@
         return need.artifact in self._state.copies.list_on(runner.id)
 
     def _find_missing_mb(self, need: Need, runner: Runner) -> int:
+        held_mb = 0
         if self._holds_lost(need, runner):
-            return 0
-        return need.memory_mb - runner.free_mb
+            held_mb = self._find_entry_mb(need.artifact, runner)
+        return max(need.memory_mb, held_mb) - held_mb - runner.free_mb
 
     def _find_headroom_mb(self, runner: Runner) -> int:
         """Return free memory less what adapters without a copy need beside bases."""
--- a/mangoway/policy/placement/guards.py
+++ b/mangoway/policy/placement/guards.py
@@ -1,10 +1,12 @@
 """Copies that are relied on when another copy is unloaded."""
 
+from math import inf
+
 from attrs import define
 
 from ...models.artifact import Artifact
 from ...models.identifiers import UpstreamId
-from .runners import CopyState, PendingOrder, Runner
+from .runners import PendingOrder, Runner
 from .state import PlacementState
 
 
@@ -37,7 +39,7 @@
     """Return other runners with a ready copy, a fresh report and no pending write."""
     return [
         one
-        for one in state.list_lasting(artifact, CopyState.READY)
+        for one in state.copies.list_ready(artifact)
         if one != runner.id
         and state.runners[one].is_fresh(now)
         and state.runners[one].write is None
@@ -51,3 +53,18 @@
     floor = max(1, state.offered.get(artifact, 0))
     spread = state.find_spread(artifact)
     return len(guards) >= floor and len(state.list_data_centres(guards)) >= spread
+
+
+def drop_replacing(runner: Runner, order: PendingOrder) -> None:
+    """Leave the mark of an unsent unload to the evidence if it replaced one.
+
+    The unload that the earlier mark was for may still arrive.
+    """
+    if order.replaces and runner.unsent.get(order.artifact) == order:
+        del runner.unsent[order.artifact]
+
+
+def give_up(runner: Runner, order: PendingOrder) -> None:
+    """Note that a marked unload will not be sent."""
+    runner.evidence.unloads.close(order.artifact, order.id, -inf)
+    drop_replacing(runner, order)
