--- a/mangoway/daemons/const.py
+++ b/mangoway/daemons/const.py
@@ -63,3 +63,9 @@
 
 ADOPT_STEP_RECORDS: Final = 200
 """Records of a leaving gateway that are taken over in one turn of the loop."""
+
+EXIT_IDLE: Final = 0
+"""Exit code of a process that cut nothing off."""
+
+EXIT_CUT_OFF: Final = 1
+"""Exit code of a process whose planned stop was not waited for."""
--- a/mangoway/daemons/controller_node.py
+++ b/mangoway/daemons/controller_node.py
@@ -1,10 +1,10 @@
 """One controller: its parts, put together, without process around it."""
 
 import asyncio
-import secrets
+import os
 import time
 from collections.abc import Iterable
-from random import Random
+from random import Random, SystemRandom
 
 from attrs import define, field
 
@@ -26,6 +26,7 @@
 from ..policy.membership.events import HostListed
 from ..policy.placement.core import PlacementCore
 from ..settings.process import ControllerSettings
+from ..util.address import split_address
 from ..util.loop_watch import async_watch_loop
 from ..util.tasks import Tasks
 from .const import INCARNATION_BYTES, LEAVE_SPREAD_S, STOP_POLL_S
@@ -84,8 +85,7 @@
         Raises:
             OSError: If the address can't be used.
         """
-        host, _, port = self.settings.peer_listen.rpartition(":")
-        await self.server.async_start(host.strip("[]"), int(port))
+        await self.server.async_start(*split_address(self.settings.peer_listen))
         self.network.async_start(self.settings.seeds)
         self.placement.async_start()
         self.tasks.async_start(async_watch_loop(self.metrics))
@@ -141,7 +141,7 @@
         )
 
     def _make_network(self) -> PeerNetwork:
-        rng = Random(secrets.randbits(64))
+        rng = Random(SystemRandom().getrandbits(64))
         return PeerNetwork(
             own=self.own,
             site=self.settings.site,
@@ -177,7 +177,7 @@
     return Member(
         host=settings.host,
         role=ProcessRole.CONTROLLER,
-        incarnation=IncarnationId(secrets.token_hex(INCARNATION_BYTES)),
+        incarnation=IncarnationId(os.urandom(INCARNATION_BYTES).hex()),
         started_at=time.time(),
         data_centre=settings.data_centre,
         peer_address=settings.peer_address,
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -1,10 +1,10 @@
 """One gateway: its parts, put together, without process and platform around it."""
 
 import asyncio
-import secrets
+import os
 import time
 from collections.abc import Iterable
-from random import Random
+from random import Random, SystemRandom
 
 from attrs import define, field
 
@@ -47,6 +47,7 @@
 from ..policy.dispatch.options import DispatchOptions
 from ..services.client import ServiceClient
 from ..upstreams.session import UpstreamSession
+from ..util.address import split_address
 from ..util.loop_watch import async_watch_loop
 from ..util.tasks import Tasks
 from .attempts import AttemptRunner
@@ -64,7 +65,7 @@
 
 def make_incarnation() -> IncarnationId:
     """Return an identifier that no process ever had."""
-    return IncarnationId(secrets.token_hex(16))
+    return IncarnationId(os.urandom(16).hex())
 
 
 @define(kw_only=True)
@@ -107,7 +108,7 @@
         self.engines = EngineClient(self.session, loop.time)
         self.core = DispatchCore(
             settings.incarnation,
-            Random(secrets.randbits(64)),
+            Random(SystemRandom().getrandbits(64)),
             DispatchOptions(
                 data_centre=settings.data_centre,
                 clock_offset_s=time.time() - loop.time(),
@@ -198,6 +199,7 @@
         known = tuple(upstreams)
         self._upstream_log.note_listed(known)
         self.dispatcher.set_upstreams(known)
+        self.book.forget(frozenset(self.dispatcher.upstreams))
         self._share_engines()
 
     def set_members(self, members: Iterable[Member]) -> None:
@@ -277,7 +279,7 @@
             router=GatewayRouter(
                 forwarder=self.forwarder,
                 directory=self.directory,
-                rng=Random(secrets.randbits(64)),
+                rng=Random(SystemRandom().getrandbits(64)),
                 tasks=self.tasks,
                 metrics=self.metrics,
                 tracing=self.tracing,
@@ -320,11 +322,5 @@
         )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of `ip:port`, without the brackets of an IPv6 number."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def _log_failed_task(error: BaseException) -> None:
     log_event(TaskFailed(task="gateway", error=repr(error)))
