--- a/mangoway/callers/gate.py
+++ b/mangoway/callers/gate.py
@@ -30,7 +30,7 @@
 NOT_READY_RETRY_S = 1.0
 
 
-class RequestTaker(Protocol):
+class RequestHandler(Protocol):
     """Decides about requests and fills their answers."""
 
     @property
@@ -55,7 +55,7 @@
 class Gate:
     """Takes requests of callers and of other gateways alike."""
 
-    _taker: RequestTaker
+    _handler: RequestHandler
     _incarnation: IncarnationId
     _metrics: Metrics
     _tracing: Tracing
@@ -90,14 +90,14 @@
         Raises:
             MangowayError: If it was refused before any decision.
         """
-        configuration = self._taker.configuration
+        configuration = self._handler.configuration
         if configuration is None:
             raise self._make_not_ready(exchange.incoming)
         arrival = Arrival(
-            id=exchange.id, now=self._taker.now(), configuration=configuration
+            id=exchange.id, now=self._handler.now(), configuration=configuration
         )
         submission = parse_request(exchange.incoming, arrival)
-        exchange.reader = AnswerReader(self._taker.submit(submission, exchange.span))
+        exchange.reader = AnswerReader(self._handler.submit(submission, exchange.span))
         return submission
 
     def close(self, exchange: "Exchange") -> None:
@@ -109,7 +109,7 @@
             reader.close()
             if not exchange.ended:
                 log_event(CallerGone(request_id=exchange.id))
-                self._taker.hang_up(exchange.id)
+                self._handler.hang_up(exchange.id)
         if exchange.failure is not None:
             self._note_failure(exchange, exchange.failure)
         elif exchange.ended and submission is not None:
@@ -130,7 +130,7 @@
     def _note_success(self, exchange: "Exchange", submission: Submission) -> None:
         request = submission.request
         work_class = request.work_class.value
-        seconds = self._taker.now() - request.arrived_at
+        seconds = self._handler.now() - request.arrived_at
         self._metrics.requests.add(work_class, OUTCOME_WHOLE, "")
         self._metrics.request_seconds.observe(work_class, seconds=seconds)
         log_event(
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -57,7 +57,7 @@
 from .engine_poller import EnginePoller
 from .gateway_metrics import GatewayGauges
 from .gateway_view import GatewaySelfView
-from .key_hand_over import KeyGiver, KeyTaker
+from .key_hand_over import HandOverReceiver, HandOverSender
 from .peer_router import ForwardedRequests, GatewayRouter
 from .rendezvous import is_chosen
 from .upstream_log import UpstreamLog
@@ -124,7 +124,7 @@
         )
         self.receivers = PeerReceivers(
             forwards=ForwardedRequests(self.gate),
-            keys=KeyTaker(records=self.dispatcher.records, send=self._send),
+            keys=HandOverReceiver(records=self.dispatcher.records, send=self._send),
         )
         self.peer_server = PeerServer(self.receivers)
         self.view = GatewaySelfView(
@@ -180,9 +180,9 @@
         self.clients.close()
         await self.session.async_close()
 
-    def make_giver(self) -> KeyGiver:
+    def make_giver(self) -> HandOverSender:
         """Return what hands the idempotency records to a successor."""
-        return KeyGiver(
+        return HandOverSender(
             core=self.core,
             records=self.dispatcher.records,
             directory=self.directory,
--- a/mangoway/daemons/key_hand_over.py
+++ b/mangoway/daemons/key_hand_over.py
@@ -24,7 +24,7 @@
 
 
 @define(eq=False, kw_only=True)
-class KeyGiver:
+class HandOverSender:
     """Gives all records to the first gateway that takes them."""
 
     core: DispatchCore
@@ -72,7 +72,7 @@
 
 
 @define(eq=False, kw_only=True)
-class KeyTaker:
+class HandOverReceiver:
     """Takes over the records of a gateway that leaves.
 
     A full table is too much for one turn of the loop, so it is taken in steps. Only
--- a/tests/daemons/test_key_hand_over.py
+++ b/tests/daemons/test_key_hand_over.py
@@ -8,7 +8,7 @@
 
 from mangoway.callers.answer import Answer, PlainBody
 from mangoway.daemons.const import ADOPT_STEP_RECORDS
-from mangoway.daemons.key_hand_over import KeyTaker
+from mangoway.daemons.key_hand_over import HandOverReceiver
 from mangoway.daemons.records import Records
 from mangoway.daemons.stored_answers import encode_answer
 from mangoway.models.identifiers import (
@@ -71,11 +71,11 @@
             for chunk in make_chunks(hand_over, 0.0):
                 yield chunk
 
-        taker = KeyTaker(records=self.records, send=self.send)
-        await taker.async_receive_keys(async_read())
+        receiver = HandOverReceiver(records=self.records, send=self.send)
+        await receiver.async_receive_keys(async_read())
 
 
-class TestKeyTaker:
+class TestHandOverReceiver:
     """A full table neither stops the loop nor leaves answers behind."""
 
     async def test_loop_goes_on_meanwhile(self) -> None:
