Let a gateway answer addresses by the function that was proved

Cause: the gateway's view built the address answer with a copy of the logic, without the own data centre first and without rotation, so callers that take the first address all met the same gateway; build_address_answer, which the membership tests hold, was called by no process. Found by looking for names that stand only once. Ruled out: adding both to the copy, since the two would part again. Before: test_addresses_begin_near_and_in_turn red ('g2' == 'g1'). After: passes. Also drops the class Explanation, which nothing used. Conclusion: one function builds every address answer.

--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -131,6 +131,7 @@
             dispatcher=self.dispatcher,
             core=self.core,
             directory=self.directory,
+            data_centre=settings.data_centre,
             journal=self.journal,
             gauges=GatewayGauges(
                 metrics=self.metrics,
--- a/mangoway/daemons/gateway_view.py
+++ b/mangoway/daemons/gateway_view.py
@@ -7,10 +7,9 @@
 from attrs import define, field
 
 from ..models.errors import ErrorCode, MangowayError
-from ..models.identifiers import RequestId
+from ..models.identifiers import DataCentreId, RequestId
 from ..models.member import (
     AddressAnswer,
-    GatewayAddress,
     Member,
     MemberState,
     ProcessRole,
@@ -24,6 +23,7 @@
     UpstreamStatus,
     describe_dispatch,
 )
+from ..policy.membership.addresses import build_address_answer
 from .const import ADDRESS_RETRY_S
 from .dispatcher import Dispatcher
 from .gateway_metrics import GatewayGauges
@@ -33,14 +33,17 @@
 
 @define(eq=False, kw_only=True)
 class GatewaySelfView:
-    """Reads the state of the other parts; changes nothing."""
+    """Reads the state of the other parts and changes none of it."""
 
     dispatcher: Dispatcher
     core: DispatchCore
     directory: Directory
+    data_centre: DataCentreId
     journal: Journal
     gauges: GatewayGauges
     stopping: bool = field(default=False, init=False)
+    _answers: int = field(default=0, init=False)
+    """Address answers given; each begins with another gateway."""
 
     def list_addresses(self) -> AddressAnswer:
         """Return the gateways that callers should use.
@@ -48,23 +51,22 @@
         Raises:
             MangowayError: NOT_READY if no gateway is known to be ready.
         """
-        gateways = tuple(
-            GatewayAddress(
-                host=member.host,
-                address=member.caller_address or "",
-                incarnation=member.incarnation,
-                data_centre=member.data_centre,
-            )
+        members = [
+            member
             for member in self.directory.list_live(ProcessRole.GATEWAY)
-            if member.ready and member.caller_address and not self._is_stopping(member)
+            if not self._is_stopping(member)
+        ]
+        answer = build_address_answer(
+            members, self.data_centre, self.find_validity_s(), self._answers
         )
-        if not gateways:
+        self._answers += 1
+        if not answer.gateways:
             raise MangowayError(
                 ErrorCode.NOT_READY,
                 "no gateway is ready",
                 retry_after=ADDRESS_RETRY_S,
             )
-        return AddressAnswer(gateways=gateways, valid_for_s=self.find_validity_s())
+        return answer
 
     def check_ready(self) -> None:
         """Raise `MangowayError` unless this gateway takes new requests."""
--- a/mangoway/peers/messages.py
+++ b/mangoway/peers/messages.py
@@ -70,18 +70,3 @@
 
     members: tuple[Member, ...]
     reports: tuple[EngineReport, ...]
-
-
-@frozen(kw_only=True)
-class Explanation:
-    """One thing that a process did, as an operator reads it."""
-
-    time: float
-    """Seconds since 1970 UTC."""
-
-    host: HostId
-    event: int
-    """Number in the event catalogue; 0 if it has none."""
-
-    name: str
-    fields: tuple[ForwardedHeader, ...] = ()
--- a/tests/daemons/test_gateway_node.py
+++ b/tests/daemons/test_gateway_node.py
@@ -89,6 +89,17 @@
             }
         ]
 
+    async def test_addresses_begin_near_and_in_turn(self) -> None:
+        async with open_world(gateways=3) as world:
+            world.set_members({1: {"data_centre": "far"}})
+            firsts = []
+            for _ in range(4):
+                _, answer = await world.get("/v1/addresses")
+                hosts = [each["host"] for each in answer["gateways"]]
+                assert hosts[-1] == "g1"
+                firsts.append(hosts[0])
+        assert firsts == ["g0", "g2", "g0", "g2"]
+
     async def test_no_ready_gateway_has_no_addresses(self, world: GatewayWorld) -> None:
         world.set_members({0: {"ready": False}})
         status, problem = await world.get("/v1/addresses")
