Read a runner's count of orders from its report only

Cause: `seq` in a runner's entry counts its heartbeats; only the report's counts orders. Ruled out: orders that were lost or late; the refusals came within 4 ms. What is left meets runners that are changing models.

--- a/mangoway/models/runner.py
+++ b/mangoway/models/runner.py
@@ -28,8 +28,7 @@
     """Time until a runner that leaves at short notice is gone; None if unknown."""
 
     models: tuple[ResidentModel, ...]
-    order_count: int
-    """Number of orders that the runner had accepted when it wrote this."""
+    """What it held when it wrote this, up to a heartbeat ago."""
 
 
 @frozen(kw_only=True)
--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -67,8 +67,8 @@
             draining=fields.get("state") == DRAINING,
             seconds_left=None if left_ms is None else float(left_ms) / MS_PER_S,
             models=decode_models(fields.get("models") or []),
-            order_count=int(fields.get("seq") or 0),
         )
+        # `seq` counts the runner's heartbeats here; in its report it counts orders.
     except (KeyError, TypeError, ValueError) as error:
         raise DocumentError(f"entry {key} can't be read: {error!r}") from error
 
--- a/mangoway/policy/scheduling/orders.py
+++ b/mangoway/policy/scheduling/orders.py
@@ -14,6 +14,7 @@
     """Return whether a runner can be given an order now."""
     return (
         runner.open_order is None
+        and runner.order_count is not None
         and now >= runner.orders_from
         and now >= runner.changing_until
     )
@@ -30,6 +31,8 @@
     now: float,
 ) -> GiveOrder:
     """Note and return an order; what it takes away counts as gone at once."""
+    if runner.order_count is None:
+        raise ValueError(f"the orders of runner {runner.runner_id} are not known")
     order = GiveOrder(
         runner_id=runner.runner_id,
         load=load,
@@ -70,7 +73,7 @@
     set_aside, runner.set_aside = runner.set_aside, None
     runner.ordered_at = now
     if outcome is OrderOutcome.STARTED:
-        runner.order_count += 1
+        runner.order_count = order.order_count + 1
     if outcome in (OrderOutcome.STARTED, OrderOutcome.ALREADY_HOLDS):
         _apply(runner, order, duration_s, now)
         return
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -46,7 +46,9 @@
     prefixes: PrefixMemory
     running: dict[RequestKey, Running] = field(factory=dict)
     held: dict[str, HeldModel] = field(factory=dict)
-    order_count: int = 0
+    order_count: int | None = None
+    """Orders that the runner has accepted; None until a report was read."""
+
     unread_s: float = 0.0
     kv_tokens: int = 0
     ordered_at: float = -1e9
@@ -70,7 +72,7 @@
     in_host_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     refused: dict[str, float] = field(factory=dict)
-    """Artifacts that the runner didn't hold, with the time until which it is believed."""
+    """Artifacts that the runner didn't hold, and until when that is believed."""
 
     count_by_model: dict[str, int] = field(factory=dict)
 
@@ -80,10 +82,9 @@
         return self.entry.runner_id
 
     def take_entry(self, entry: RunnerEntry, now: float) -> None:
-        """Take the entry as it is now; older than what was ordered, it says nothing."""
+        """Take the entry as it is now; once reports are read they know more."""
         self.entry = entry
-        if entry.order_count > self.order_count or not self.held:
-            self.order_count = max(self.order_count, entry.order_count)
+        if self.order_count is None:
             self.take_models(entry.models, now)
 
     def take_report(self, report: RunnerReport, asked_at: float, now: float) -> None:
@@ -93,7 +94,8 @@
         if self.open_order or asked_at - REPORT_LAG_S < self.ordered_at:
             return
         fresh = asked_at - TRUSTED_REPORT_S >= self.ordered_at
-        if report.order_count < self.order_count and not fresh:
+        known = self.order_count
+        if known is not None and report.order_count < known and not fresh:
             return
         self.order_count = report.order_count
         if report.busy:
--- a/mangoway/scheduling/client.py
+++ b/mangoway/scheduling/client.py
@@ -1,4 +1,4 @@
-"""The edge's end: asks the scheduler for places, and chooses alone when it is silent."""
+"""The edge's end: asks the scheduler, and chooses alone when that is silent."""
 
 import asyncio
 from collections.abc import Callable
