Place copies by what a model lacks; keep ordering through an outage

Change: where runners check fences the holder orders on while the store answers nobody; grants need no lease. Wanted copies by reading time and rate, losses by what a reload costs, demand that rises in 3 s and falls in 10 s, a prior by offered adapters.

Ruled out: refusals for lack of runners (places were free).

--- a/mangoway/coordination/leadership.py
+++ b/mangoway/coordination/leadership.py
@@ -31,6 +31,10 @@
     The key's revision is the fence number, which grows with each holder. Whether the
     key is held is read from the view and the lease's own clock, so that a lost answer
     to the write needs no further call.
+
+    Where runners check fence numbers, the holder also goes on while the store answers
+    nobody's renewals: if another has taken the key meanwhile, runners that it ordered
+    refuse the lower number, and all others are still this holder's.
     """
 
     store: CoordinationStore
@@ -41,8 +45,12 @@
     """Time after a change of holder in which no orders are given: two holders must
     not take turns within it."""
 
+    runners_check_fences: bool = False
     clock: Callable[[], float] = read_boot_clock
     _held_fence: int | None = field(default=None, init=False)
+    _last_fence: int = field(default=0, init=False)
+    """The fence number under which the key was last held with a valid lease."""
+
     _orders_from: float = field(default=0.0, init=False)
     _refused_fence: int = field(default=0, init=False)
     _stopped: bool = field(default=False, init=False)
@@ -61,6 +69,20 @@
         self.update()
         return self._held_fence
 
+    @property
+    def is_granting(self) -> bool:
+        """Return whether edges are to ask this process for places.
+
+        Grants need no lease: two processes that grant overfill runners a little, and
+        the runners refuse what they have no room for.
+        """
+        if self._stopped:
+            return False
+        leader = self.view.leader
+        if leader is None:
+            return self._last_fence > 0
+        return leader.member.incarnation == self.presence.member.incarnation
+
     @property
     def may_order(self) -> bool:
         """Return whether orders may be given now."""
@@ -81,25 +103,28 @@
 
     def update(self) -> None:
         """Take over what the view and the lease say about the key."""
-        leader = self.view.leader
-        held = (
-            not self._stopped
-            and leader is not None
-            and leader.member.incarnation == self.presence.member.incarnation
-            and leader.lease_id == self.presence.lease_id
-            and self.presence.is_valid()
-        )
-        fence = leader.fence if held and leader is not None else None
+        fence = self._find_fence()
         if fence == self._held_fence:
             return
-        if fence is not None:
+        if fence is not None and fence != self._last_fence:
             self._begin(fence)
-        elif self._held_fence is not None:
+        elif fence is None and self._held_fence is not None:
             log_event(log.LeadershipLost(fence=self._held_fence))
         self._held_fence = fence
 
+    def _find_fence(self) -> int | None:
+        leader = self.view.leader
+        own = self.presence.member.incarnation
+        if self._stopped or leader is None or leader.member.incarnation != own:
+            return None
+        if leader.lease_id == self.presence.lease_id and self.presence.is_valid():
+            return leader.fence
+        unanswered = self.presence.failing and leader.fence == self._last_fence
+        return leader.fence if unanswered and self.runners_check_fences else None
+
     def _begin(self, fence: int) -> None:
         """Wait out the holder before, who may still order in good faith."""
+        self._last_fence = fence
         self._orders_from = self.clock() + self.order_delay_s
         log_event(log.LeadershipTaken(fence=fence, orders_after_s=self.order_delay_s))
 
--- a/mangoway/coordination/presence.py
+++ b/mangoway/coordination/presence.py
@@ -46,6 +46,9 @@
     announced: bool = field(default=False, init=False)
     """Whether the member's key was written with the lease."""
 
+    failing: bool = field(default=False, init=False)
+    """Whether the last call got no answer."""
+
     _leaving: bool = field(default=False, init=False)
     _backoff: Backoff = field(
         factory=lambda: Backoff(FIRST_RETRY_S, MOST_RETRY_S), init=False
@@ -57,11 +60,14 @@
             try:
                 await self._async_step()
             except LeaseEndedError:
+                self.failing = False
                 self.forget_lease("it has ended")
             except StoreUnavailableError:
                 # The mirror logs that the store is lost.
+                self.failing = True
                 await asyncio.sleep(self._backoff.next())
             else:
+                self.failing = False
                 self._backoff.reset()
                 await asyncio.sleep(RENEW_S)
 
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -95,11 +95,12 @@
             presence=process.presence,
             prefix=OWN_PREFIX,
             order_delay_s=settings.order_delay_s,
+            runners_check_fences=settings.runners_check_fences,
         )
         self.server = SchedulerServer(
             core=self._make_core(),
             clock=process.clock,
-            is_leading=lambda: self.leadership.fence is not None,
+            is_leading=lambda: self.leadership.is_granting,
             give_order=self._give_order,
         )
         process.view.on_change.append(self._note_view)
@@ -155,7 +156,7 @@
     async def _async_follow_lead(self) -> None:
         """Tell the core and the edges when this process begins or ceases to lead."""
         while True:
-            leading = self.leadership.fence is not None
+            leading = self.leadership.is_granting
             self.server.handle(OrdersAllowed(allowed=self.leadership.may_order))
             if leading != self._led:
                 self._led = leading
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -92,6 +92,7 @@
             log.RequestRejected(
                 request_id=fields.request_id,
                 route=route.name if route else None,
+                artifact=fields.artifact,
                 status=status,
                 reason=reason,
                 retry_after_s=retry_after,
@@ -294,6 +295,7 @@
             log.RequestRejected(
                 request_id=self.fields.request_id,
                 route=self.route.name,
+                artifact=self.fields.artifact,
                 status=STATUS_NOT_RUN,
                 reason=reason,
                 retry_after_s=retry_after_s,
@@ -373,6 +375,7 @@
             log.RequestServed(
                 request_id=self.fields.request_id,
                 route=self.route.name,
+                artifact=self.fields.artifact,
                 runner_id=runner.runner_id,
                 status=200,
                 attempts=self._tries,
--- a/mangoway/models/routing.py
+++ b/mangoway/models/routing.py
@@ -88,6 +88,9 @@
     disk_load_s: float
     """Time of a load from the runner's disk."""
 
+    adapters: int
+    """Number of adapters that are offered with it."""
+
     adapter_mb: float
 
 
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -75,6 +75,7 @@
 
     request_id: str
     route: str
+    artifact: str
     runner_id: str
     status: int
     attempts: int
@@ -91,6 +92,7 @@
 
     request_id: str
     route: str | None
+    artifact: str
     status: int
     reason: str
     retry_after_s: float | None
--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -146,6 +146,7 @@
         load_s=load_s,
         memory_load_s=float(fields.get("warm_s") or load_s),
         disk_load_s=float(fields.get("disk_s") or load_s),
+        adapters=int(fields.get("adapters") or 0),
         adapter_mb=float(fields.get("adapter_mb") or 0),
     )
 
--- a/mangoway/platform/requests.py
+++ b/mangoway/platform/requests.py
@@ -24,6 +24,11 @@
     prompt: Prompt
     last_event_id: str | None
 
+    @property
+    def artifact(self) -> str:
+        """Return the model, with the adapter after a slash."""
+        return f"{self.model}/{self.adapter}" if self.adapter else self.model
+
 
 def decode_request(request: Request) -> RequestFields:
     """Read the fields of a request; what is malformed counts as absent."""
--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -59,9 +59,11 @@
 
 # Placement.
 
-RATE_FALL_S: Final = 12.0
-"""Time in which a model's estimated demand falls to a third. Demand moves within 4 to 6
-seconds, and rare models are asked for each few seconds."""
+FAST_RATE_FALL_S: Final = 3.0
+SLOW_RATE_FALL_S: Final = 10.0
+"""Times in which a model's estimated demand falls to a third; the larger of the two
+estimates counts. Demand moves to other models within 4 to 6 seconds, and rare models
+are asked for each few seconds."""
 
 MIN_RESIDENCE_S: Final = 2.0
 """Time for which a loaded model stays: a little longer than the dearest common load."""
@@ -70,12 +72,25 @@
 """Time from the answer to an unload until the next order: on a calm day a runner
 without runs of the model was still busy 7 ms after it and no more after 48 ms."""
 
-BUSY_SHARE: Final = 0.45
-"""Part of a runner's time that reading prompts may take before its models get further
-copies: at half, prompts that arrive by chance together begin to wait for long."""
+COPY_WORK_S: Final = 0.35
+"""Seconds of reading a second that one copy of a model is to take: a runner has a few
+models, and at two thirds of its time prompts begin to wait for each other."""
 
-RELIEF_SHARE: Final = 0.2
-"""Part of a runner's time that a further copy must relieve it of."""
+POPULAR_REQUESTS: Final = 2.0
+"""Requests a second from which a model gets a second copy whatever they take, since the
+loss of its only runner would refuse as many until it is loaded again."""
+
+MISSING_COPY_S: Final = 0.3
+"""Time by which a request is held to be late, on average, for each copy that a model
+has too few: about the objective of those who wait."""
+
+HOLD_S: Final = 5.0
+"""Time for which a change of models is held to pay or cost: demand moves in about this
+time."""
+
+AHEAD_LOSS: Final = 0.5
+"""Requests that would wait during a load from which a model that nobody holds is loaded
+before one waits."""
 
 TICK_S: Final = 0.05
 """Time between two looks at the queue and the placement."""
@@ -86,13 +101,10 @@
 STORE_WINDOW_S: Final = 5.0
 """Window over which the weight store's rate of loads is counted."""
 
-RELOAD_S: Final = 1.5
-"""Time for which a request waits, on average, if its model has to be loaded: a load
-from the store with the wait for its turn."""
-
-IDLE_VALUE: Final = 0.01
-"""Requests a second that a model is held to get at least, so that one that nobody asked
-for lately still counts for something."""
+IDLE_VALUE: Final = 0.02
+"""Requests a second that a model is expected to get at least, and again for each of its
+adapters: a model with many is offered to many, and demand may move to it at any time.
+With 16 adapters it counts a little more than a rare model that is in use."""
 
 ADAPTER_RESERVE: Final = 1.0
 """Part of the adapter places whose memory is kept free of models."""
--- a/mangoway/policy/scheduling/orders.py
+++ b/mangoway/policy/scheduling/orders.py
@@ -72,7 +72,12 @@
         return
     set_aside, runner.set_aside = runner.set_aside, None
     runner.ordered_at = now
-    if outcome is OrderOutcome.STARTED:
+    # An adapter is unloaded at once, and the answer is that it already holds; the
+    # runner counts the order all the same.
+    unloaded = order.adapter and not order.load
+    if outcome is OrderOutcome.STARTED or (
+        unloaded and outcome is OrderOutcome.ALREADY_HOLDS
+    ):
         runner.order_count = order.order_count + 1
     if outcome in (OrderOutcome.STARTED, OrderOutcome.ALREADY_HOLDS):
         _apply(runner, order, duration_s, now)
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -2,20 +2,24 @@
 
 Answers the load of a long tail: few models get most requests, many get few, and which
 do so changes within seconds. A model that nobody holds is loaded when a request waits
-for it, in place of the copy that is missed least. Busy models get further copies where
-runners have time to spare.
+for it, in place of the copy that is missed least. Popular models get further copies, by
+the time that reading their prompts takes.
 """
 
+import math
+
 from attrs import define, field, frozen
 
 from ...models.routing import EngineProfile, ModelProfile
 from .const import (
     ADAPTER_RESERVE,
-    BUSY_SHARE,
+    AHEAD_LOSS,
+    COPY_WORK_S,
+    HOLD_S,
     IDLE_VALUE,
     MIN_RESIDENCE_S,
-    RELIEF_SHARE,
-    RELOAD_S,
+    MISSING_COPY_S,
+    POPULAR_REQUESTS,
 )
 from .events import GiveOrder
 from .orders import can_order, open_order
@@ -80,38 +84,51 @@
         return orders
 
     def _relieve(self) -> list[GiveOrder]:
-        """Add a copy of the model that keeps its holders busiest."""
-        busy = self._measure_runners()
-        for model in self._list_by_work():
-            holders = [each for each in self._list_runners() if model in each.held]
-            if not holders or any(each.goal == model for each in self._list_runners()):
+        """Add a copy of the model that lacks one most."""
+        runners = self._list_runners()
+        lacking = []
+        for model in self.engine.models:
+            copies = self._count_copies(model)
+            lack = self._count_wanted(model) - copies
+            if lack <= 0 or any(each.goal == model for each in runners):
                 continue
-            if any(each.held[model].ready_at > self.now for each in holders):
+            if any(
+                model in each.held and each.held[model].ready_at > self.now
+                for each in runners
+            ):
                 continue
-            least = min(busy[each.runner_id] for each in holders)
-            if least < BUSY_SHARE:
+            lacking.append((self._rate_gain(model, copies), model))
+        for gain, model in sorted(lacking, reverse=True):
+            site = self._find_site(self.engine.models[model], 0)
+            if site is None:
                 continue
-            order = self._add_copy(model, len(holders), least, busy)
-            if order is not None:
-                return [order]
+            loss = sum(self._rate_loss(each, site.runner) for each in site.victims)
+            if loss < gain:
+                site.runner.goal = model
+                order = self._step(site.runner, model, "it has too few copies")
+                return [] if order is None else [order]
         return []
 
-    def _add_copy(
-        self, model: str, copies: int, least: float, busy: dict[str, float]
-    ) -> GiveOrder | None:
+    def _rate_gain(self, model: str, copies: int) -> float:
+        """Return what one more copy brings, in request-seconds a second."""
+        requests = self._get_requests(model)
+        if copies == 0:
+            return requests * self.engine.models[model].load_s
+        return requests * MISSING_COPY_S
+
+    def _count_wanted(self, model: str) -> int:
+        """Return the copies that a model should have by what is asked of it."""
+        requests = self._get_requests(model)
         work = self.state.demand.get_work(self.service, model, self.now)
-        profile = self.engine.models[model]
-        moved = work / (copies + 1)
-        site = self._find_site(profile, 0)
-        if site is None:
-            return None
-        if busy[site.runner.runner_id] + moved > least - RELIEF_SHARE:
-            return None
-        loss = sum(self._rate_loss(each, site.runner) for each in site.victims)
-        if loss > moved:
-            return None
-        site.runner.goal = model
-        return self._step(site.runner, model, "its holders are busy")
+        wanted = math.ceil(work / COPY_WORK_S)
+        if requests > POPULAR_REQUESTS:
+            wanted = max(2, wanted)
+        if requests * self.engine.models[model].load_s > AHEAD_LOSS:
+            wanted = max(1, wanted)
+        return min(wanted, len(self._list_runners()))
+
+    def _get_requests(self, model: str) -> float:
+        return self.state.demand.get_requests(self.service, model, self.now)
 
     def _fill(self) -> list[GiveOrder]:
         """Use room that is free, as after a runner's restart, for what is missing."""
@@ -131,11 +148,11 @@
             if name in runner.held or not self._fits(runner, profile):
                 continue
             copies = self._count_copies(name)
-            requests = self.state.demand.get_requests(self.service, name, self.now)
-            work = self.state.demand.get_work(self.service, name, self.now)
-            value = work / (copies + 1) if copies else requests * RELOAD_S + IDLE_VALUE
-            if copies and value < IDLE_VALUE:
+            if copies and copies >= self._count_wanted(name):
                 continue
+            if any(each.goal == name for each in self._list_runners()):
+                continue
+            value = self._rate_gain(name, copies)
             if best is None or value > best[0]:
                 best = (value, name)
         return None if best is None else best[1]
@@ -194,7 +211,7 @@
                     continue
             loss = sum(self._rate_loss(each, runner) for each in victims)
             load_s = estimate_load(runner, profile)
-            cost_s = load_s * max(1, waiting) + loss * RELOAD_S * RELOAD_S
+            cost_s = load_s * max(1, waiting) + loss * HOLD_S
             if best is None or cost_s < best.cost_s:
                 best = Site(runner=runner, victims=victims, cost_s=cost_s)
         return best
@@ -224,13 +241,18 @@
         return self._count_waiting(name) == 0 or self._count_copies(name) > 1
 
     def _rate_loss(self, name: str, runner: RunnerState) -> float:
-        """Return what unloading a copy costs, in requests or busy time a second."""
-        others = self._count_copies(name) - 1
-        requests = self.state.demand.get_requests(self.service, name, self.now)
-        if others <= 0:
-            return requests + IDLE_VALUE
-        work = self.state.demand.get_work(self.service, name, self.now)
-        return work / others
+        """Return what unloading a copy costs, in request-seconds a second."""
+        requests = self._get_requests(name)
+        copies = self._count_copies(name)
+        if copies > 1:
+            missing = self._count_wanted(name) - (copies - 1)
+            return requests * MISSING_COPY_S if missing > 0 else requests / copies / 100
+        profile = self.engine.models.get(name)
+        if profile is None:
+            return 0.0
+        # An unloaded model's weights stay in the runner's memory or on its disk.
+        expected = max(requests, IDLE_VALUE * (1 + profile.adapters))
+        return expected * (profile.disk_load_s + MISSING_COPY_S)
 
     def _fits(self, runner: RunnerState, profile: ModelProfile) -> bool:
         return self._count_free(runner) >= profile.weights_mb
@@ -261,24 +283,6 @@
                 counts[model] = counts.get(model, 0) + 1
         return sorted(counts.items(), key=lambda each: -each[1])
 
-    def _list_by_work(self) -> list[str]:
-        demand = self.state.demand
-        return sorted(
-            self.engine.models,
-            key=lambda name: -demand.get_work(self.service, name, self.now),
-        )
-
-    def _measure_runners(self) -> dict[str, float]:
-        """Return the share of each runner's time that reading prompts takes."""
-        busy = {}
-        for runner in self._list_runners():
-            busy[runner.runner_id] = sum(
-                self.state.demand.get_work(self.service, name, self.now)
-                / max(1, self._count_copies(name))
-                for name in runner.held
-            )
-        return busy
-
     def _count_copies(self, model: str) -> int:
         return sum(1 for each in self._list_runners() if model in each.held)
 
--- a/mangoway/settings/fleet.py
+++ b/mangoway/settings/fleet.py
@@ -9,6 +9,7 @@
 from .parsers import (
     float_between,
     parse_address,
+    parse_flag,
     parse_level,
     parse_name,
 )
@@ -79,6 +80,11 @@
     peer_listen: str = setting(
         parse_address, "IP address and port to listen on for edges."
     )
+    runners_check_fences: bool = setting(
+        parse_flag,
+        "Whether all runners refuse orders with a lower fence number.",
+        False,
+    )
     order_delay_s: float = setting(
         float_between(0, 3600),
         "Seconds after a change of the leading scheduler in which it gives no orders.",
