Follow the store through the leading scheduler

Change: the leader reads the store with half-second watches and passes keys and changes on over the links that edges hold anyway; who hears nothing fresh for a second reads by itself from the same revision. Orders begin 0.5 s after a change of holder where runners check fences. Ruled out: longer watches; it is the changes that cost.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -1,4 +1,9 @@
-"""Follows all keys of the store with one reading and one watch."""
+"""Keeps a process's copy of the store's keys current.
+
+The leading scheduler reads the store and passes on what it reads; all others follow it,
+since each change that the store sends to a watcher is a call that is paid for. Who
+hears nothing fresh from the leader reads the store itself.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -10,23 +15,31 @@
 from ..observability.event_log import log_event
 from ..util.backoff import Backoff
 from .store import (
+    Change,
     Changes,
     CoordinationStore,
     HistoryLostError,
+    Item,
     Snapshot,
     StoreUnavailableError,
 )
 
-WATCH_S: Final = 2.5
-"""Time that one watch waits. Each costs a call; a watch that went silent is noticed
-after this time and a second, and must be before a drain's bound of two seconds has
-passed three times over. Nine watches of this length cost 0.007 of worth in a trial."""
+LEADER_WATCH_S: Final = 0.5
+"""Time that a watch of the leader waits. All others rely on it, so that it must notice
+soon that the store fell silent: a configuration has to be in force within two seconds,
+of which this and the margin of the call are one."""
+
+OWN_WATCH_S: Final = 2.5
+"""Time that a watch of any other process waits while it hears nothing of the leader."""
 
 FIRST_RETRY_S: Final = 0.1
 MOST_RETRY_S: Final = 1.0
 """Bounds of the wait after a failed call: with these a fleet of 83 makes under a tenth
 of the reads that its store allows."""
 
+FEED_CHECK_S: Final = 0.1
+"""Time between two looks at whether the leader still passes changes on."""
+
 
 class Receiver(Protocol):
     """Takes what the mirror reads."""
@@ -44,44 +57,115 @@
         ...
 
 
+class Feed(Protocol):
+    """Another process that passes on what it reads in the store."""
+
+    def is_fresh(self) -> bool:
+        """Return whether it has heard of the store lately."""
+        ...
+
+
+class Follower(Protocol):
+    """Is told what a mirror reads."""
+
+    def pass_snapshot(self, snapshot: Snapshot) -> None:
+        """Pass a full reading on."""
+        ...
+
+    def pass_changes(self, changes: Changes) -> None:
+        """Pass changes on."""
+        ...
+
+
 @define(eq=False)
 class Mirror:
     """Keeps a receiver current for as long as `async_run` runs."""
 
     store: CoordinationStore
     receiver: Receiver
+    clock: Callable[[], float]
     on_synced: Callable[[], None] = lambda: None
-    """Called after each reading or watch that was answered."""
+    """Called after each reading or change that was taken."""
+
+    feed: Feed | None = None
+    follower: Follower | None = None
+    answered_at: float = field(default=-1e9, init=False)
+    """When the store last answered this process."""
+
+    items: dict[str, Item] = field(factory=dict, init=False)
+    """All keys as they are known."""
+
+    revision: int | None = field(default=None, init=False)
+    """Revision up to which changes were taken; None before the first reading."""
 
     _backoff: Backoff = field(
         factory=lambda: Backoff(FIRST_RETRY_S, MOST_RETRY_S), init=False
     )
-    _revision: int | None = field(default=None, init=False)
     _failing: bool = field(default=False, init=False)
+    _relist: bool = field(default=False, init=False)
 
     async def async_run(self) -> None:
         """Follow the store until cancelled."""
         while True:
+            if self.feed is not None and self.feed.is_fresh():
+                await asyncio.sleep(FEED_CHECK_S)
+                continue
             try:
                 await self._async_step()
             except HistoryLostError as error:
                 log_event(log.StoreHistoryLost(reason=str(error)))
-                self._revision = None
+                self._relist = True
             except StoreUnavailableError as error:
                 self._note_failure(error)
                 await asyncio.sleep(self._backoff.next())
             else:
                 self._note_success()
 
+    def make_snapshot(self) -> Snapshot | None:
+        """Return all keys as they are known; None before the first reading."""
+        if self.revision is None:
+            return None
+        return Snapshot(items=tuple(self.items.values()), revision=self.revision)
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Take a full reading, unless newer changes were taken already."""
+        if self.revision is not None and snapshot.revision < self.revision:
+            return
+        self.items = {item.key: item for item in snapshot.items}
+        self.revision = snapshot.revision
+        self.receiver.take_snapshot(snapshot)
+        if self.follower is not None:
+            self.follower.pass_snapshot(snapshot)
+        self.on_synced()
+
+    def take_changes(self, changes: Changes) -> None:
+        """Take the changes that are new."""
+        known = self.revision or 0
+        new = tuple(each for each in changes.changes if each.revision > known)
+        for change in new:
+            self._store_change(change)
+        self.revision = max(known, changes.revision)
+        fresh = Changes(changes=new, revision=changes.revision)
+        self.receiver.take_changes(fresh)
+        if self.follower is not None and new:
+            self.follower.pass_changes(fresh)
+        self.on_synced()
+
+    def _store_change(self, change: Change) -> None:
+        if change.item is None:
+            self.items.pop(change.key, None)
+        else:
+            self.items[change.key] = change.item
+
     async def _async_step(self) -> None:
-        if self._revision is None:
+        if self.revision is None or self._relist:
             snapshot = await self.store.async_list("")
-            self.receiver.take_snapshot(snapshot)
-            self._revision = snapshot.revision
+            self._relist = False
+            self.take_snapshot(snapshot)
             return
-        changes = await self.store.async_watch("", self._revision, WATCH_S)
-        self.receiver.take_changes(changes)
-        self._revision = max(self._revision, changes.revision)
+        wait_s = OWN_WATCH_S if self.follower is None else LEADER_WATCH_S
+        changes = await self.store.async_watch("", self.revision, wait_s)
+        self.take_changes(changes)
 
     def _note_failure(self, error: StoreUnavailableError) -> None:
         self.receiver.note_trouble()
@@ -90,8 +174,8 @@
         self._failing = True
 
     def _note_success(self) -> None:
+        self.answered_at = self.clock()
         self._backoff.reset()
         if self._failing:
-            log_event(log.StoreRegained(revision=self._revision or 0))
+            log_event(log.StoreRegained(revision=self.revision or 0))
         self._failing = False
-        self.on_synced()
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -51,6 +51,10 @@
         """Note that the store failed to answer, so that keys may lapse in it."""
         self._trouble_until = now + TROUBLE_S
 
+    def is_troubled(self, now: float) -> bool:
+        """Return whether the store failed to answer lately."""
+        return now < self._trouble_until
+
     def take_table(self, table: RoutingTable) -> bool:
         """Put a newer configuration in force; an older one is ignored."""
         if self.table is not None and table.version <= self.table.version:
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -120,7 +120,6 @@
             settings.ready_listen,
         )
         await self.process.async_start(addresses)
-        self.process.keep_running(self.client.async_run)
         self.process.keep_running(self._async_sweep)
 
     @property
@@ -145,7 +144,6 @@
         for server in self._servers:
             server.close()
         self.callers.abort()
-        self.client.close()
         await self.process.async_stop()
         seconds = round(self.process.clock() - began, 3)
         log_event(log.NodeStopped(in_progress=left, after_s=seconds))
@@ -165,13 +163,7 @@
         core = SchedulingCore(SchedulingState(random=self._random, retry_limits=limits))
         process = self.process
         local = LocalPlacer(core, process.incarnation, process.clock)
-        return SchedulerClient(
-            host=self.settings.host,
-            incarnation=process.incarnation,
-            view=process.view,
-            local=local,
-            clock=process.clock,
-        )
+        return SchedulerClient(process.leader_link, local, process.incarnation)
 
     def _make_forwarder(self, limits: RetryLimits) -> Forwarder:
         process = self.process
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -21,6 +21,8 @@
 from ..platform.documents import OWN_PREFIX
 from ..platform.receiver import StoreReceiver
 from ..platform.store import PlatformStore
+from ..scheduling.codec import Hello
+from ..scheduling.leader import LeaderLink
 from ..settings.fleet import FleetSettings
 from ..util.address import split_address
 from ..util.clock import read_boot_clock
@@ -53,6 +55,7 @@
     store: PlatformStore = field(init=False)
     presence: Presence = field(init=False)
     mirror: Mirror = field(init=False)
+    leader_link: LeaderLink = field(init=False)
     tasks: Tasks = field(init=False)
     _metrics_server: MetricsServer | None = field(default=None, init=False)
 
@@ -68,7 +71,18 @@
         )
         self.presence = Presence(self.store, member, OWN_PREFIX)
         receiver = StoreReceiver(self.view, self.clock)
-        self.mirror = Mirror(self.store, receiver, self._check_presence)
+        self.mirror = Mirror(self.store, receiver, self.clock, self._check_presence)
+        self.leader_link = LeaderLink(
+            hello=Hello(
+                edge=self.incarnation,
+                host=self.settings.host,
+                asks=self.role is Role.EDGE,
+            ),
+            view=self.view,
+            clock=self.clock,
+            mirror=self.mirror,
+        )
+        self.mirror.feed = self.leader_link
         self.tasks = Tasks(_log_failure)
 
     @staticmethod
@@ -84,6 +98,7 @@
                 *split_address(self.settings.metrics_listen)
             )
         self.keep_running(self.mirror.async_run)
+        self.keep_running(self.leader_link.async_run)
         self.keep_running(self._async_expire)
         log_event(
             log.NodeStarted(
@@ -99,6 +114,7 @@
 
     async def async_stop(self) -> None:
         """Stop the tasks and close the connections."""
+        self.leader_link.close()
         await self.tasks.async_cancel()
         if self._metrics_server is not None:
             self._metrics_server.stop()
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -45,6 +45,11 @@
 URGENT_REPORT_S: Final = 0.1
 """The same for a runner that gets no orders until its state is known."""
 
+FENCED_ORDER_DELAY_S: Final = 0.5
+"""Time after a change of holder before it orders where runners check fence numbers:
+an order of the one before is refused by each runner that the new one has ordered, so
+that the wait only has to cover orders that are on their way."""
+
 LEAD_CHECK_S: Final = 0.05
 """Time between two looks at whether this process leads."""
 
@@ -94,7 +99,11 @@
             view=process.view,
             presence=process.presence,
             prefix=OWN_PREFIX,
-            order_delay_s=settings.order_delay_s,
+            order_delay_s=(
+                FENCED_ORDER_DELAY_S
+                if settings.runners_check_fences
+                else settings.order_delay_s
+            ),
             runners_check_fences=settings.runners_check_fences,
         )
         self.server = SchedulerServer(
@@ -102,7 +111,10 @@
             clock=process.clock,
             is_leading=lambda: self.leadership.is_granting,
             give_order=self._give_order,
+            mirror=process.mirror,
+            is_troubled=lambda: process.view.is_troubled(process.clock()),
         )
+        process.mirror.follower = self.server
         process.view.on_change.append(self._note_view)
 
     async def async_start(self) -> None:
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -5,6 +5,7 @@
 time a message than the decision that the message asks for.
 """
 
+import base64
 import struct
 from collections.abc import Callable
 from typing import Any, Final, TypeVar
@@ -12,6 +13,7 @@
 import orjson
 from attrs import frozen
 
+from ..coordination.store import Change, Changes, Item, Snapshot
 from ..models.prompt import Prompt, PromptPart
 from ..policy.scheduling.events import (
     Asked,
@@ -23,8 +25,9 @@
 )
 
 LENGTH: Final = struct.Struct(">I")
-MAX_FRAME_BYTES: Final = 1 << 20
-"""Largest frame; a message takes some hundred bytes, and a burst a few thousand."""
+MAX_FRAME_BYTES: Final = 1 << 24
+"""Largest frame. All keys of a store with 12,000 runners take some 10 MB; a message
+about a request takes some hundred bytes."""
 
 
 class CodecError(Exception):
@@ -33,20 +36,53 @@
 
 @frozen(kw_only=True)
 class Hello:
-    """The first message of an edge: which life of which host it is."""
+    """The first message of a process that follows: which life of which host it is."""
 
     edge: str
+    """Its incarnation."""
+
     host: str
+    asks: bool
+    """Whether it will ask for places; standby schedulers only follow the store."""
 
 
 @frozen(kw_only=True)
 class Heartbeat:
-    """Says that the sender lives; the scheduler adds whether it leads."""
+    """Says that the scheduler lives, whether it leads, and what its state is worth."""
 
     leading: bool
+    store_age_s: float
+    """Time since the store last answered the scheduler."""
+
+
+@frozen(kw_only=True)
+class StateRead:
+    """All keys of the store as the scheduler knows them."""
+
+    snapshot: Snapshot
+    trouble: bool
+    """Whether the store failed to answer lately, so that keys may have lapsed."""
 
 
-Message = Hello | Heartbeat | Asked | FirstEventSeen | Ended | Grant | Refuse
+@frozen(kw_only=True)
+class StateChanged:
+    """Changes of the store's keys, each after those before."""
+
+    changes: Changes
+    trouble: bool
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | StateRead
+    | StateChanged
+    | Asked
+    | FirstEventSeen
+    | Ended
+    | Grant
+    | Refuse
+)
 MessageT = TypeVar("MessageT", bound=Message)
 Decoder = Callable[[list[Any], str], Message]
 
@@ -128,22 +164,73 @@
 
 @encodes(Hello)
 def _encode_hello(message: Hello) -> list[Any]:
-    return ["hello", message.edge, message.host]
+    return ["hello", message.edge, message.host, message.asks]
 
 
 @decodes("hello")
 def _decode_hello(fields: list[Any], edge: str) -> Message:
-    return Hello(edge=fields[1], host=fields[2])
+    return Hello(edge=fields[1], host=fields[2], asks=fields[3])
 
 
 @encodes(Heartbeat)
 def _encode_heartbeat(message: Heartbeat) -> list[Any]:
-    return ["beat", message.leading]
+    return ["beat", message.leading, round(message.store_age_s, 3)]
 
 
 @decodes("beat")
 def _decode_heartbeat(fields: list[Any], edge: str) -> Message:
-    return Heartbeat(leading=fields[1])
+    return Heartbeat(leading=fields[1], store_age_s=fields[2])
+
+
+@encodes(StateRead)
+def _encode_state_read(message: StateRead) -> list[Any]:
+    items = [_encode_item(each) for each in message.snapshot.items]
+    return ["state", message.snapshot.revision, items, message.trouble]
+
+
+@decodes("state")
+def _decode_state_read(fields: list[Any], edge: str) -> Message:
+    items = tuple(_decode_item(each) for each in fields[2])
+    snapshot = Snapshot(items=items, revision=fields[1])
+    return StateRead(snapshot=snapshot, trouble=fields[3])
+
+
+@encodes(StateChanged)
+def _encode_state_changed(message: StateChanged) -> list[Any]:
+    rows = [
+        [
+            each.key,
+            each.revision,
+            None if each.item is None else _encode_item(each.item),
+        ]
+        for each in message.changes.changes
+    ]
+    return ["changes", message.changes.revision, rows, message.trouble]
+
+
+@decodes("changes")
+def _decode_state_changed(fields: list[Any], edge: str) -> Message:
+    changes = tuple(
+        Change(
+            key=row[0],
+            revision=row[1],
+            item=None if row[2] is None else _decode_item(row[2]),
+        )
+        for row in fields[2]
+    )
+    return StateChanged(
+        changes=Changes(changes=changes, revision=fields[1]), trouble=fields[3]
+    )
+
+
+def _encode_item(item: Item) -> list[Any]:
+    value = base64.b64encode(item.value).decode()
+    return [item.key, item.revision, item.lease_id, value]
+
+
+def _decode_item(row: list[Any]) -> Item:
+    value = base64.b64decode(row[3])
+    return Item(key=row[0], revision=row[1], lease_id=row[2], value=value)
 
 
 @encodes(Asked)
--- /dev/null
+++ b/mangoway/scheduling/leader.py
@@ -0,0 +1,128 @@
+"""A connection to the leading scheduler, which passes on what the store says."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field
+
+from ..coordination.mirror import Mirror
+from ..coordination.view import FleetView
+from ..observability import fleet_events as log
+from ..observability.event_log import log_event
+from ..util.address import split_address
+from .codec import Heartbeat, Hello, Message, StateChanged, StateRead
+from .link import Link
+
+CONNECT_TIMEOUT_S: Final = 0.3
+"""Time for a connection to the scheduler, which takes some 3 ms."""
+
+CHECK_S: Final = 0.1
+"""Time between two looks at the connection."""
+
+SILENCE_S: Final = 0.5
+"""Silence from which the scheduler counts as gone. It sends a heartbeat each 0.15 s;
+callers want the first event within 0.4 s, so that what waits can still be on time only
+if the loss is noticed before."""
+
+STORE_SILENCE_S: Final = 1.0
+"""Age of the leader's last answer from the store from which others read themselves.
+Its watch waits half a second; the rest is for a slow store."""
+
+
+@define(eq=False)
+class LeaderLink:
+    """Follows the leader, whoever it is."""
+
+    hello: Hello
+    view: FleetView
+    clock: Callable[[], float]
+    on_message: Callable[[Message], None] = lambda message: None
+    """Told of messages that are not about the store."""
+
+    on_lost: Callable[[Link], None] = lambda link: None
+    mirror: Mirror | None = None
+    """Gets what the leader reads in the store."""
+
+    link: Link | None = field(default=None, init=False)
+    leading: bool = field(default=False, init=False)
+    """Whether the other end says that it leads."""
+
+    _address: str = field(default="", init=False)
+    _store_age_s: float = field(default=1e9, init=False)
+    _has_state: bool = field(default=False, init=False)
+
+    async def async_run(self) -> None:
+        """Keep a connection to the leader until cancelled."""
+        while True:
+            await self._async_follow()
+            await asyncio.sleep(CHECK_S)
+
+    def close(self, reason: str = "this process stops") -> None:
+        """Close the connection."""
+        if self.link is not None:
+            self.link.close(reason)
+
+    def is_fresh(self) -> bool:
+        """Return whether the leader has passed on what the store said lately."""
+        link = self.link
+        if link is None or not self._has_state:
+            return False
+        return self._store_age_s + self.clock() - link.heard_at < STORE_SILENCE_S
+
+    async def _async_follow(self) -> None:
+        leader = self.view.leader
+        address = "" if leader is None else leader.member.peer_address
+        if leader is not None and leader.member.incarnation == self.hello.edge:
+            # This process leads itself.
+            self.close("this process leads")
+            return
+        if self.link is not None:
+            if address and address != self._address:
+                self.close("another scheduler leads")
+            elif self.clock() - self.link.heard_at > SILENCE_S:
+                self.close("it is silent")
+        if self.link is None and address:
+            await self._async_connect(address)
+
+    async def _async_connect(self, address: str) -> None:
+        loop = asyncio.get_running_loop()
+        host, port = split_address(address)
+        link = Link(self.hello.edge, self._take, self._lose)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: link, host, port)
+        except (OSError, TimeoutError):
+            # Tried again soon; that no scheduler answers was logged when it was lost.
+            return
+        self.link, self._address = link, address
+        self.leading, self._has_state, self._store_age_s = False, False, 1e9
+        link.send(self.hello)
+        log_event(log.LinkOpened(peer=address))
+
+    def _take(self, link: Link, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            self.leading = message.leading
+            self._store_age_s = message.store_age_s
+        elif isinstance(message, StateRead | StateChanged):
+            self._take_state(message)
+        else:
+            self.on_message(message)
+
+    def _take_state(self, message: StateRead | StateChanged) -> None:
+        if self.mirror is None:
+            return
+        if message.trouble:
+            self.mirror.receiver.note_trouble()
+        if isinstance(message, StateRead):
+            self.mirror.take_snapshot(message.snapshot)
+            self._has_state = True
+        elif self._has_state:
+            self.mirror.take_changes(message.changes)
+
+    def _lose(self, link: Link, reason: str) -> None:
+        if link is not self.link:
+            return
+        self.link, self.leading = None, False
+        log_event(log.LinkLost(peer=self._address, reason=reason))
+        self.on_lost(link)
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -6,6 +6,8 @@
 
 from attrs import define, field
 
+from ..coordination.mirror import Mirror
+from ..coordination.store import Changes, Snapshot
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.scheduling.core import SchedulingCore
@@ -18,7 +20,7 @@
     GiveOrder,
     Tick,
 )
-from .codec import Heartbeat, Hello, Message
+from .codec import Heartbeat, Hello, Message, StateChanged, StateRead
 from .link import Link
 
 HEARTBEAT_S: Final = 0.15
@@ -36,7 +38,16 @@
     clock: Callable[[], float]
     is_leading: Callable[[], bool]
     give_order: Callable[[GiveOrder], None]
+    mirror: Mirror
+    """What this process knows of the store, which it passes on."""
+
+    is_troubled: Callable[[], bool]
+    """Whether the store failed to answer lately."""
+
     _links: dict[str, Link] = field(factory=dict, init=False)
+    _asking: set[str] = field(factory=set, init=False)
+    """Incarnations of the edges among those that follow."""
+
     _server: asyncio.AbstractServer | None = field(default=None, init=False)
 
     async def async_start(self, listener: Any) -> None:
@@ -60,7 +71,7 @@
     @property
     def edge_count(self) -> int:
         """Return the number of edges that are connected."""
-        return len(self._links)
+        return len(self._asking)
 
     def stop(self) -> None:
         """Serve no more."""
@@ -71,10 +82,22 @@
 
     def send_heartbeats(self) -> None:
         """Tell all edges that this process lives, and whether it leads."""
-        beat = Heartbeat(leading=self.is_leading())
+        beat = self._make_heartbeat()
         for link in tuple(self._links.values()):
             link.send(beat)
 
+    def pass_snapshot(self, snapshot: Snapshot) -> None:
+        """Pass a full reading of the store on."""
+        message = StateRead(snapshot=snapshot, trouble=self.is_troubled())
+        for link in tuple(self._links.values()):
+            link.send(message)
+
+    def pass_changes(self, changes: Changes) -> None:
+        """Pass changes of the store on."""
+        message = StateChanged(changes=changes, trouble=self.is_troubled())
+        for link in tuple(self._links.values()):
+            link.send(message)
+
     def handle(self, event: Event) -> None:
         """Feed the core with an event and carry out its actions."""
         self._carry_out(self.core.handle(event, self.clock()))
@@ -109,11 +132,21 @@
             self.handle(EdgeGone(edge=hello.edge))
         link.edge = hello.edge
         self._links[hello.edge] = link
-        link.send(Heartbeat(leading=self.is_leading()))
+        if hello.asks:
+            self._asking.add(hello.edge)
+        link.send(self._make_heartbeat())
+        snapshot = self.mirror.make_snapshot()
+        if snapshot is not None:
+            link.send(StateRead(snapshot=snapshot, trouble=self.is_troubled()))
         log_event(log.LinkOpened(peer=hello.host))
 
+    def _make_heartbeat(self) -> Heartbeat:
+        age_s = self.clock() - self.mirror.answered_at
+        return Heartbeat(leading=self.is_leading(), store_age_s=age_s)
+
     def _lose(self, link: Link, reason: str) -> None:
         if link.edge and self._links.get(link.edge) is link:
             del self._links[link.edge]
+            self._asking.discard(link.edge)
             log_event(log.LinkLost(peer=link.edge, reason=reason))
             self.handle(EdgeGone(edge=link.edge))
