Adopt running requests, spread stalls, confirm loads before use

Change: a prompt's cost counts the streams that it stalls; edges tell a new leader what runs; a fresh model is tried by one request; swaps must bring twice what they take. Ruled out: too small a batch; runners had free slots throughout.

--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -37,8 +37,33 @@
 """Reading time that one running request at a runner is held to be worth: each makes
 a step longer by some 25 microseconds, over the few dozen steps of an answer."""
 
+STALL_WINDOW_S: Final = 0.3
+"""Time over which prompts that a runner reads add up to one stall of its streams: the
+longest pause between events that is still on time at both sites."""
+
+STALL_LIMIT_S: Final = 0.2
+"""Reading time within that window from which the streams beside it are late: the rest
+of the pause goes to the steps of an event, some 30 ms, and to the error of the
+estimate."""
+
+STALL_COST_S: Final = 0.02
+"""Reading time that the stall of one stream is held to be worth. A late stream loses
+two thirds of its worth, as much as some ten places in a queue of short prompts."""
+
+STALL_RISK_S: Final = 0.01
+"""Reading time that a runner must spare, to get a prompt, for each stall a second that
+it had lately."""
+
+STALL_FALL_S: Final = 8.0
+"""Time in which the count of a runner's stalls falls to a third: a long stream's."""
+
 # Queueing and refusing.
 
+LOAD_MARGIN: Final = 1.08
+LOAD_MARGIN_S: Final = 0.06
+"""Factor and time by which a load takes longer than announced, from its answer on; on
+a calm day runners were not ready 0.59 s after the answer to a load of 0.45 s."""
+
 ADAPTER_LOAD_S: Final = 0.015
 """Time from the answer to an adapter's order until it can be used: 5 to 10 ms, and
 longer while many are fetched."""
@@ -91,6 +116,10 @@
 """Time for which a change of models is held to pay or cost: demand moves in about this
 time."""
 
+SWAP_GAIN: Final = 2.0
+"""Factor by which what a copy brings must exceed what it takes away, so that two models
+that are asked for alike don't take each other's places."""
+
 AHEAD_LOSS: Final = 1.0
 """Requests that would wait during a load from which a model that nobody holds is loaded
 before one waits. At 0.5, which one chance pair of requests reached, rare models took
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -7,9 +7,10 @@
 
 from ..edge.const import RETRY_BUDGET_USED
 from .adapters import plan_adapters
-from .dispatch import dispatch
+from .dispatch import dispatch, place
 from .events import (
     Action,
+    Adopted,
     Asked,
     EdgeGone,
     Ended,
@@ -116,16 +117,24 @@
     engine = state.get_engine(event.service)
     if engine is not None and event.model not in engine.models:
         return [_refuse(event, RETRY_AFTER_BUDGET_S, "the model is not offered")]
-    waiting = Waiting(
-        asked=event,
-        arrived_at=now,
-        objective_at=now + event.objective_left_s,
-        leave_at=now + event.patience_left_s,
-    )
+    waiting = _make_waiting(event, now)
     state.waiting.setdefault(event.service, {})[waiting.key] = waiting
     return core.serve(event.service, now)
 
 
+@handles(Adopted)
+def _take_adopted(core: SchedulingCore, event: Adopted, now: float) -> list[Action]:
+    runner = core.state.runners.get(event.runner_id)
+    waiting = _make_waiting(event.asked, now)
+    if runner is None or waiting.key in core.state.granted:
+        return []
+    running = place(core.state, waiting, runner, now)
+    running.alone = False
+    if not event.reading:
+        runner.note_read(running)
+    return []
+
+
 @handles(FirstEventSeen)
 def _take_first(
     core: SchedulingCore, event: FirstEventSeen, now: float
@@ -235,6 +244,15 @@
     return list(refusals)
 
 
+def _make_waiting(asked: Asked, now: float) -> Waiting:
+    return Waiting(
+        asked=asked,
+        arrived_at=now,
+        objective_at=now + asked.objective_left_s,
+        leave_at=now + asked.patience_left_s,
+    )
+
+
 def _refuse(event: Asked, retry_after_s: float, reason: str) -> Refuse:
     return Refuse(
         edge=event.edge,
--- a/mangoway/policy/scheduling/dispatch.py
+++ b/mangoway/policy/scheduling/dispatch.py
@@ -6,7 +6,7 @@
 where a runner that is free first can take it.
 """
 
-from .const import RUNNING_S
+from .const import RUNNING_S, STALL_COST_S, STALL_LIMIT_S, STALL_RISK_S
 from .events import Action, Grant
 from .queue import allows, sort_waiting
 from .requests import Running, Waiting
@@ -43,7 +43,7 @@
     for runner in roomy:
         if not _can_take(waiting, runner, now):
             continue
-        cost = _rate(state, waiting, runner)
+        cost = _rate(state, waiting, runner, now)
         if best is None or cost < best_cost:
             best, best_cost = runner, cost
     return best
@@ -58,12 +58,22 @@
     )
 
 
-def _rate(state: SchedulingState, waiting: Waiting, runner: RunnerState) -> float:
-    """Return the reading time here, and what the choice costs others."""
+def _rate(
+    state: SchedulingState, waiting: Waiting, runner: RunnerState, now: float
+) -> float:
+    """Return the reading time here, and what the choice costs others, in seconds.
+
+    A long prompt is read in pieces between the steps of the streams beside it, and
+    stalls all of them; a stream that was stalled for too long before has no more to
+    lose. So long prompts go where few streams run, and streams where few long prompts
+    were sent lately.
+    """
     asked = waiting.asked
     reading_s = state.pace.estimate(asked.model, count_unread(waiting, runner))
     cost = runner.unread_s + reading_s + RUNNING_S * len(runner.running)
-    return cost
+    if runner.measure_stall(reading_s, now) > STALL_LIMIT_S:
+        cost += STALL_COST_S * runner.count_smooth()
+    return cost + STALL_RISK_S * runner.stalls.decay(now)
 
 
 def count_unread(waiting: Waiting, runner: RunnerState) -> int:
@@ -85,6 +95,19 @@
 ) -> Grant:
     """Move a waiting request to a runner."""
     asked = waiting.asked
+    place(state, waiting, runner, now)
+    del state.waiting[asked.service][waiting.key]
+    state.health.note_sent(runner.runner_id, now)
+    return Grant(
+        edge=asked.edge, request_id=asked.request_id, runner_id=runner.runner_id
+    )
+
+
+def place(
+    state: SchedulingState, waiting: Waiting, runner: RunnerState, now: float
+) -> Running:
+    """Count a request as running at a runner."""
+    asked = waiting.asked
     unread = count_unread(waiting, runner)
     running = Running(
         asked=asked,
@@ -95,14 +118,10 @@
         alone=runner.unread_s == 0.0,
         kv_tokens=count_kv_tokens(waiting),
     )
-    runner.add(waiting.key, running)
+    runner.add(waiting.key, running, now)
     runner.prefixes.note_read(asked.model, asked.adapter, asked.prompt)
     held = runner.held.get(asked.model)
     if held is not None and asked.adapter:
         held.used_at[asked.adapter] = now
-    state.health.note_sent(runner.runner_id, now)
     state.granted[waiting.key] = runner.runner_id
-    del state.waiting[asked.service][waiting.key]
-    return Grant(
-        edge=asked.edge, request_id=asked.request_id, runner_id=runner.runner_id
-    )
+    return running
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -57,6 +57,16 @@
     """Whether the request was sent to a runner before."""
 
 
+@frozen(kw_only=True)
+class Adopted:
+    """A request runs at a runner that another scheduler, or the edge itself, chose."""
+
+    asked: Asked
+    runner_id: str
+    reading: bool
+    """Whether it has got no event yet."""
+
+
 @frozen(kw_only=True)
 class FirstEventSeen:
     """A granted request has got its first event: its prompt was read."""
@@ -135,6 +145,7 @@
 
 Event = (
     Asked
+    | Adopted
     | FirstEventSeen
     | Ended
     | EdgeGone
--- a/mangoway/policy/scheduling/orders.py
+++ b/mangoway/policy/scheduling/orders.py
@@ -5,7 +5,7 @@
 late, twice or from a scheduler that was replaced can't overfill the runner's memory.
 """
 
-from .const import ADAPTER_LOAD_S, UNLOAD_S
+from .const import ADAPTER_LOAD_S, LOAD_MARGIN, LOAD_MARGIN_S, UNLOAD_S
 from .events import GiveOrder, OrderOutcome
 from .runners import HeldModel, RunnerState
 
@@ -96,7 +96,7 @@
             held.adapters[order.adapter] = now + ADAPTER_LOAD_S
         return
     if order.load:
-        ready_at = now + duration_s
+        ready_at = now + LOAD_MARGIN * duration_s + LOAD_MARGIN_S
         runner.held[order.model] = HeldModel(ready_at=ready_at, loaded_at=ready_at)
         runner.changing_until = ready_at
         runner.goal = ""
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -20,6 +20,7 @@
     MIN_RESIDENCE_S,
     MISSING_COPY_S,
     POPULAR_REQUESTS,
+    SWAP_GAIN,
 )
 from .events import GiveOrder
 from .orders import can_order, open_order
@@ -103,7 +104,7 @@
             if site is None:
                 continue
             loss = sum(self._rate_loss(each, site.runner) for each in site.victims)
-            if loss < gain:
+            if SWAP_GAIN * loss < gain:
                 site.runner.goal = model
                 order = self._step(site.runner, model, "it has too few copies")
                 return [] if order is None else [order]
@@ -113,7 +114,7 @@
         """Return what one more copy brings, in request-seconds a second."""
         requests = self._get_requests(model)
         if copies == 0:
-            return requests * self.engine.models[model].load_s
+            return requests * (self._find_load_time(model) + MISSING_COPY_S)
         return requests * MISSING_COPY_S
 
     def _count_wanted(self, model: str) -> int:
--- a/mangoway/policy/scheduling/requests.py
+++ b/mangoway/policy/scheduling/requests.py
@@ -43,5 +43,8 @@
     kv_tokens: int
     """KV memory that it will take."""
 
+    stalled: bool = False
+    """Whether a long prompt beside it has made it late already."""
+
     reading: bool = True
     """Whether no event has come yet."""
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -1,12 +1,23 @@
 """A runner as the scheduling core knows it."""
 
+from collections import deque
 from typing import Final
 
 from attrs import define, field
 
 from ...models.routing import EngineProfile
 from ...models.runner import ResidentModel, RunnerEntry, RunnerReport
-from .const import KV_USED, MAX_PAUSE_S, MIN_PAUSE_S, SLOTS_USED, UNREAD_LIMIT_S
+from .const import (
+    KV_USED,
+    MAX_PAUSE_S,
+    MIN_PAUSE_S,
+    SLOTS_USED,
+    STALL_FALL_S,
+    STALL_LIMIT_S,
+    STALL_WINDOW_S,
+    UNREAD_LIMIT_S,
+)
+from .demand import Rate
 from .events import GiveOrder
 from .prefixes import PrefixMemory
 from .requests import RequestKey, Running
@@ -35,6 +46,9 @@
     """Time from which requests may be sent for it."""
 
     loaded_at: float
+    confirmed: bool = False
+    """Whether a report or an answer has shown it; until then one request tries it."""
+
     adapters: dict[str, float] = field(factory=dict)
     """Adapters with the time from which they can be used."""
 
@@ -80,6 +94,12 @@
     pauses: dict[str, Pause] = field(factory=dict)
     """Artifacts that the runner refused requests for."""
 
+    reads: deque[tuple[float, float]] = field(factory=deque)
+    """Prompts of the last moments: when each was granted, and its reading time."""
+
+    stalls: Rate = field(factory=lambda: Rate(STALL_FALL_S))
+    """How often its streams were stalled lately."""
+
     count_by_model: dict[str, int] = field(factory=dict)
 
     @property
@@ -128,6 +148,7 @@
                 held = HeldModel(ready_at=now, loaded_at=now)
                 self.held[model.name] = held
             held.ready_at = min(held.ready_at, now)
+            held.confirmed = True
             for adapter in set(held.adapters) - model.adapters:
                 if f"{model.name}/{adapter}" not in pending:
                     del held.adapters[adapter]
@@ -139,14 +160,32 @@
         self.held.pop(name, None)
         self.prefixes.forget_model(name)
 
-    def add(self, key: RequestKey, running: Running) -> None:
+    def add(self, key: RequestKey, running: Running, now: float) -> None:
         """Count a request that was granted here."""
+        if self.measure_stall(running.unread_s, now) > STALL_LIMIT_S:
+            self._note_stall(now)
+        self.reads.append((now, running.unread_s))
         self.running[key] = running
         self.unread_s += running.unread_s
         self.kv_tokens += running.kv_tokens
         model = running.asked.model
         self.count_by_model[model] = self.count_by_model.get(model, 0) + 1
 
+    def measure_stall(self, reading_s: float, now: float) -> float:
+        """Return the reading time of one window if a prompt is added to it."""
+        while self.reads and self.reads[0][0] < now - STALL_WINDOW_S:
+            self.reads.popleft()
+        return reading_s + sum(each[1] for each in self.reads)
+
+    def count_smooth(self) -> int:
+        """Return the streams here that have not been stalled."""
+        return sum(1 for each in self.running.values() if not each.stalled)
+
+    def _note_stall(self, now: float) -> None:
+        self.stalls.add(1, now)
+        for each in self.running.values():
+            each.stalled = True
+
     def note_read(self, running: Running) -> None:
         """Count a prompt as read."""
         if running.reading:
@@ -188,6 +227,8 @@
         held = self.held.get(model)
         if held is None or now < held.ready_at:
             return False
+        if not held.confirmed and self.is_used(model):
+            return False
         pause = self.pauses.get(f"{model}/{adapter}")
         if pause is not None and now < pause.until:
             return False
@@ -202,6 +243,9 @@
     def note_accepted(self, model: str, adapter: str) -> None:
         """Forget the refusals of an artifact that was served."""
         self.pauses.pop(f"{model}/{adapter}", None)
+        held = self.held.get(model)
+        if held is not None:
+            held.confirmed = True
 
     def count_adapters(self) -> int:
         """Return the adapters that are held or on their way."""
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -16,6 +16,7 @@
 from ..coordination.store import Change, Changes, Item, Snapshot
 from ..models.prompt import Prompt, PromptPart
 from ..policy.scheduling.events import (
+    Adopted,
     Asked,
     Ended,
     EndKind,
@@ -78,6 +79,7 @@
     | StateRead
     | StateChanged
     | Asked
+    | Adopted
     | FirstEventSeen
     | Ended
     | Grant
@@ -255,8 +257,7 @@
     ]
 
 
-@decodes("ask")
-def _decode_asked(fields: list[Any], edge: str) -> Message:
+def _decode_asked(fields: list[Any], edge: str) -> Asked:
     return Asked(
         edge=edge,
         request_id=fields[1],
@@ -278,6 +279,22 @@
     )
 
 
+_decoders["ask"] = _decode_asked
+
+
+@encodes(Adopted)
+def _encode_adopted(message: Adopted) -> list[Any]:
+    asked = _encode_asked(message.asked)
+    return ["adopt", asked, message.runner_id, message.reading]
+
+
+@decodes("adopt")
+def _decode_adopted(fields: list[Any], edge: str) -> Message:
+    return Adopted(
+        asked=_decode_asked(fields[1], edge), runner_id=fields[2], reading=fields[3]
+    )
+
+
 @encodes(FirstEventSeen)
 def _encode_first(message: FirstEventSeen) -> list[Any]:
     return ["first", message.request_id]
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -40,6 +40,9 @@
     on_message: Callable[[Message], None] = lambda message: None
     """Told of messages that are not about the store."""
 
+    on_leading: Callable[[Link], None] = lambda link: None
+    """Told of a connection whose other end begins to lead."""
+
     on_lost: Callable[[Link], None] = lambda link: None
     mirror: Mirror | None = None
     """Gets what the leader reads in the store."""
@@ -102,8 +105,11 @@
 
     def _take(self, link: Link, message: Message) -> None:
         if isinstance(message, Heartbeat):
+            begins = message.leading and not self.leading
             self.leading = message.leading
             self._store_age_s = message.store_age_s
+            if begins:
+                self.on_leading(link)
         elif isinstance(message, StateRead | StateChanged):
             self._take_state(message)
         else:
--- a/mangoway/scheduling/local.py
+++ b/mangoway/scheduling/local.py
@@ -9,6 +9,7 @@
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import (
     Action,
+    Adopted,
     Asked,
     Ended,
     EndKind,
@@ -56,6 +57,15 @@
         self._asks.drop(request_id)
         self.handle(Ended(edge=self.edge, request_id=request_id, kind=kind))
 
+    def adopt(self, asked: Asked, runner_id: str, reading: bool) -> None:
+        """Count a request that runs at a runner which another chose."""
+        self.handle(Adopted(asked=asked, runner_id=runner_id, reading=reading))
+
+    def forget(self, request_id: str) -> None:
+        """Count a request no more, since a scheduler does."""
+        ended = Ended(edge=self.edge, request_id=request_id, kind=EndKind.LEFT)
+        self.handle(ended)
+
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Grant | Refuse) and not self._asks.resolve(action):
