--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -10,6 +10,15 @@
 forwarder paced so made 0.74 on a calm day, one paced at 1,500 tokens 0.70, and without
 pacing 0.58 (trials on the bench)."""
 
+PRESSED_UNREAD_LIMIT_S: Final = 0.025
+"""The same while requests wait for all runners: the ways of a first event and of a
+grant, some 12 ms, then cost more than the longer pauses. 0.012, 0.025 and 0.04 made
+0.474, 0.575 and 0.527 on cascadia's scale-1, but 0.860, 0.827 and 0.786 on khangai's
+calm day (single runs)."""
+
+PRESSED_WAITING: Final = 3.0
+"""Waiting requests for each runner from which the pressed limit holds in full."""
+
 READ_S_PER_TOKEN: Final = 1 / 29_000
 """First guess of a runner's reading speed, as the larger models of both sites have."""
 
--- a/mangoway/policy/scheduling/dispatch.py
+++ b/mangoway/policy/scheduling/dispatch.py
@@ -6,7 +6,16 @@
 where a runner that is free first can take it.
 """
 
-from .const import OTHER_ZONE_S, RUNNING_S, STALL_COST_S, STALL_LIMIT_S, STALL_RISK_S
+from .const import (
+    OTHER_ZONE_S,
+    PRESSED_UNREAD_LIMIT_S,
+    PRESSED_WAITING,
+    RUNNING_S,
+    STALL_COST_S,
+    STALL_LIMIT_S,
+    STALL_RISK_S,
+    UNREAD_LIMIT_S,
+)
 from .events import Action, Grant
 from .queue import allows, sort_waiting
 from .requests import Running, Waiting
@@ -19,7 +28,9 @@
     if not state.waiting.get(service):
         return []
     scale = state.limit_scale
-    roomy = [each for each in state.list_usable(service, now) if each.has_room(scale)]
+    usable = state.list_usable(service, now)
+    limit_s = limit_unread(len(state.waiting[service]), len(usable))
+    roomy = [each for each in usable if each.has_room(scale, limit_s)]
     actions: list[Action] = []
     if not roomy:
         return actions
@@ -28,13 +39,19 @@
         if runner is None:
             continue
         actions.append(grant(state, waiting, runner, now))
-        if not runner.has_room(scale):
+        if not runner.has_room(scale, limit_s):
             roomy.remove(runner)
             if not roomy:
                 break
     return actions
 
 
+def limit_unread(waiting: int, runners: int) -> float:
+    """Return the reading time of unread prompts that a runner may have."""
+    pressure = min(1.0, waiting / (PRESSED_WAITING * max(1, runners)))
+    return UNREAD_LIMIT_S + pressure * (PRESSED_UNREAD_LIMIT_S - UNREAD_LIMIT_S)
+
+
 def _choose(
     state: SchedulingState, waiting: Waiting, roomy: list[RunnerState], now: float
 ) -> RunnerState | None:
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -15,7 +15,6 @@
     STALL_FALL_S,
     STALL_LIMIT_S,
     STALL_WINDOW_S,
-    UNREAD_LIMIT_S,
 )
 from .demand import Rate
 from .events import GiveOrder
@@ -205,16 +204,17 @@
         self.count_by_model[model] -= 1
         return running
 
-    def has_room(self, limit_scale: float) -> bool:
+    def has_room(self, limit_scale: float, unread_limit_s: float) -> bool:
         """Return whether another prompt may be sent now.
 
         Args:
             limit_scale: Part of the limits that this process may use.
+            unread_limit_s: Reading time of unread prompts up to which it may.
         """
         slots = self.entry.slots if self.engine is None else self.engine.slots
         if len(self.running) >= max(1.0, slots * SLOTS_USED * limit_scale):
             return False
-        return self.unread_s <= UNREAD_LIMIT_S * limit_scale
+        return self.unread_s <= unread_limit_s * limit_scale
 
     def has_memory(self, tokens: int) -> bool:
         """Return whether a request of so many tokens fits the KV memory."""
