--- /dev/null
+++ b/tests/coordination/test_leadership.py
@@ -0,0 +1,236 @@
+"""Tests of who leads, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from mangoway.coordination.leadership import Leadership
+from mangoway.coordination.members import LEADER_KEY, Member, Role, decode_member
+from mangoway.coordination.mirror import Mirror
+from mangoway.coordination.presence import LEASE_S, Presence
+from mangoway.coordination.store import Changes, Item, Snapshot
+from mangoway.coordination.view import FleetView, Leader
+
+from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
+from ..fakes.fleet import make_table
+
+pytestmark = pytest.mark.looptime
+
+PREFIX = "own/"
+ORDER_DELAY_S = 3.0
+
+
+class Receiver:
+    """Decodes the leader's key into a view."""
+
+    def __init__(self, view: FleetView) -> None:
+        self.view = view
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        self.view.take_leader(None, 0.0)
+        for item in snapshot.items:
+            self._take(item)
+
+    def take_changes(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if change.item is not None:
+                self._take(change.item)
+            elif change.key == PREFIX + LEADER_KEY:
+                self.view.take_leader(None, 0.0)
+
+    def note_trouble(self) -> None:
+        """Nothing depends on it here."""
+
+    def _take(self, item: Item) -> None:
+        if item.key == PREFIX + LEADER_KEY:
+            self.view.take_leader(
+                Leader(
+                    member=decode_member(item.value),
+                    fence=item.revision,
+                    lease_id=item.lease_id,
+                ),
+                0.0,
+            )
+
+
+class Candidate:
+    """A process that would lead."""
+
+    def __init__(
+        self, store: FakeCoordinationStore, name: str, *, fences: bool = False
+    ) -> None:
+        self.clock_offset = 0.0
+        view = FleetView()
+        view.take_table(make_table())
+        member = Member(
+            host=name,
+            role=Role.SCHEDULER,
+            data_centre="dc1",
+            incarnation=f"inc-{name}",
+            peer_address="127.0.0.1:1",
+            caller_address="",
+        )
+        clock = loop_clock()
+        self.presence = Presence(
+            store, member, PREFIX, clock=lambda: clock() + self.clock_offset
+        )
+        self.leadership = Leadership(
+            store=store,
+            view=view,
+            presence=self.presence,
+            prefix=PREFIX,
+            order_delay_s=ORDER_DELAY_S,
+            runners_check_fences=fences,
+            clock=lambda: clock() + self.clock_offset,
+        )
+        mirror = Mirror(store, Receiver(view), clock)
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(each)
+            for each in (
+                mirror.async_run(),
+                self.presence.async_run(),
+                self.leadership.async_run(),
+            )
+        ]
+
+    def kill(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+class TestElection:
+    """One holder at a time."""
+
+    async def test_one_of_two_leads(self) -> None:
+        store = FakeCoordinationStore()
+        one, other = Candidate(store, "a"), Candidate(store, "b")
+        await asyncio.sleep(5)
+        fences = [one.leadership.fence, other.leadership.fence]
+        assert sum(fence is not None for fence in fences) == 1
+        one.kill()
+        other.kill()
+
+    async def test_another_takes_over_with_a_higher_fence(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(1)
+        other = Candidate(store, "b")
+        await asyncio.sleep(1)
+        first = one.leadership.fence
+        one.kill()
+        await asyncio.sleep(LEASE_S + 1)
+        second = other.leadership.fence
+        assert first is not None
+        assert second is not None
+        assert second > first
+        other.kill()
+
+    async def test_lost_answer_of_the_write_still_leads(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(0.1)
+        store.lose_answers = 1
+        await asyncio.sleep(2)
+        assert one.leadership.fence is not None
+        one.kill()
+
+    async def test_orders_wait_out_the_holder_before(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(1.0)
+        assert one.leadership.fence is not None
+        assert not one.leadership.may_order
+        await asyncio.sleep(ORDER_DELAY_S)
+        assert one.leadership.may_order
+        one.kill()
+
+
+class TestLoss:
+    """When a holder must stop."""
+
+    async def test_suspended_holder_gives_no_order_after_it_wakes(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a", fences=True)
+        await asyncio.sleep(5)
+        assert one.leadership.may_order
+        one.clock_offset += LEASE_S + 1
+        assert not one.leadership.may_order
+        one.kill()
+
+    async def test_outage_ends_orders_where_fences_are_not_checked(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(5)
+        store.down = True
+        await asyncio.sleep(LEASE_S + 2)
+        assert not one.leadership.may_order
+        assert one.leadership.is_granting
+        one.kill()
+
+    async def test_outage_is_outlasted_where_fences_are_checked(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a", fences=True)
+        await asyncio.sleep(5)
+        store.down = True
+        await asyncio.sleep(3 * LEASE_S)
+        assert one.leadership.may_order
+        one.kill()
+
+    async def test_holder_stops_once_another_is_seen(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a", fences=True)
+        await asyncio.sleep(5)
+        other = Candidate(store, "b", fences=True)
+        await asyncio.sleep(1)
+        store.end_lease(one.presence.lease_id)
+        await asyncio.sleep(2)
+        held = [one.leadership.fence, other.leadership.fence]
+        assert sum(fence is not None for fence in held) == 1
+        one.kill()
+        other.kill()
+
+    async def test_refused_fence_is_never_used_again(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a", fences=True)
+        await asyncio.sleep(5)
+        fence = one.leadership.fence
+        assert fence is not None
+        one.leadership.note_refused(fence)
+        assert not one.leadership.may_order
+        store.down = True
+        await asyncio.sleep(LEASE_S + 2)
+        assert not one.leadership.may_order
+        one.kill()
+
+    async def test_stopped_holder_does_not_lead(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(2)
+        one.leadership.stop()
+        assert one.leadership.fence is None
+        assert not one.leadership.is_granting
+        one.kill()
+
+
+class TestPresence:
+    """The announcement of a process."""
+
+    async def test_lapsed_lease_is_made_anew(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(2)
+        store.end_lease(one.presence.lease_id)
+        await asyncio.sleep(2)
+        assert PREFIX + one.presence.member.key in store.items
+        one.kill()
+
+    async def test_leaving_takes_the_key_away(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(2)
+        await one.presence.async_leave()
+        assert PREFIX + one.presence.member.key not in store.items
+        await asyncio.sleep(3)
+        assert PREFIX + one.presence.member.key not in store.items
+        one.kill()
--- /dev/null
+++ b/tests/coordination/test_mirror.py
@@ -0,0 +1,146 @@
+"""Tests of the copy of the store's keys, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from mangoway.coordination.mirror import OWN_WATCH_S, Mirror
+from mangoway.coordination.store import Changes, Item, Snapshot
+
+from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
+
+pytestmark = pytest.mark.looptime
+
+
+class Recorder:
+    """Takes what a mirror reads."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+        self.snapshots = 0
+        self.troubles = 0
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        self.snapshots += 1
+        self.values = {item.key: item.value for item in snapshot.items}
+
+    def take_changes(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if change.item is None:
+                self.values.pop(change.key, None)
+            else:
+                self.values[change.key] = change.item.value
+
+    def note_trouble(self) -> None:
+        self.troubles += 1
+
+
+class StubFeed:
+    """A leader that is fresh or not."""
+
+    def __init__(self, fresh: bool) -> None:
+        self.fresh = fresh
+
+    def is_fresh(self) -> bool:
+        return self.fresh
+
+
+def start(mirror: Mirror) -> "asyncio.Task[None]":
+    return asyncio.get_running_loop().create_task(mirror.async_run())
+
+
+class TestMirror:
+    """One reading and one watch."""
+
+    async def test_changes_arrive(self) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        store.put("a", b"1")
+        task = start(Mirror(store, recorder, loop_clock()))
+        await asyncio.sleep(0.1)
+        store.put("b", b"2")
+        store.remove("a")
+        await asyncio.sleep(0.1)
+        task.cancel()
+        assert recorder.values == {"b": b"2"}
+        assert recorder.snapshots == 1
+
+    async def test_forgotten_history_is_read_anew(self) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        task = start(Mirror(store, recorder, loop_clock()))
+        await asyncio.sleep(0.1)
+        store.down = True
+        store.put("a", b"1")
+        await asyncio.sleep(3)
+        store.put("b", b"2")
+        store.forget_history()
+        store.down = False
+        await asyncio.sleep(3)
+        task.cancel()
+        assert recorder.values == {"a": b"1", "b": b"2"}
+        assert recorder.troubles > 0
+
+    async def test_silent_watch_is_noticed(self) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        task = start(Mirror(store, recorder, loop_clock()))
+        await asyncio.sleep(0.1)
+        store.silent_watches = True
+        store.put("a", b"1")
+        await asyncio.sleep(0.1)
+        store.silent_watches = False
+        await asyncio.sleep(2 * OWN_WATCH_S)
+        task.cancel()
+        assert recorder.values == {"a": b"1"}
+
+    async def test_calls_in_an_outage_are_bounded(self) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        store.down = True
+        task = start(Mirror(store, recorder, loop_clock()))
+        await asyncio.sleep(20)
+        task.cancel()
+        assert len(store.calls) <= 45
+
+
+class TestFeed:
+    """Following the leader in place of the store."""
+
+    async def test_fresh_feed_spares_the_store(self) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        mirror = Mirror(store, recorder, loop_clock(), feed=StubFeed(True))
+        task = start(mirror)
+        await asyncio.sleep(10)
+        task.cancel()
+        assert store.calls == []
+
+    async def test_stale_feed_is_replaced_from_the_same_revision(self) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        store.put("a", b"1")
+        feed = StubFeed(True)
+        mirror = Mirror(store, recorder, loop_clock(), feed=feed)
+        task = start(mirror)
+        mirror.take_snapshot(await store.async_list(""))
+        store.calls.clear()
+        store.put("b", b"2")
+        feed.fresh = False
+        await asyncio.sleep(0.5)
+        task.cancel()
+        assert recorder.values == {"a": b"1", "b": b"2"}
+        assert "list" not in store.calls
+
+    def test_older_reading_is_ignored(self) -> None:
+        recorder = Recorder()
+        mirror = Mirror(FakeCoordinationStore(), recorder, lambda: 0.0)
+        new = Item(key="a", value=b"new", revision=9)
+        old = Item(key="a", value=b"old", revision=4)
+        mirror.take_snapshot(Snapshot(items=(new,), revision=9))
+        mirror.take_snapshot(Snapshot(items=(old,), revision=5))
+        assert recorder.values == {"a": b"new"}
+
+    def test_reading_without_known_items_is_completed(self) -> None:
+        recorder = Recorder()
+        mirror = Mirror(FakeCoordinationStore(), recorder, lambda: 0.0)
+        kept = Item(key="a", value=b"1", revision=2)
+        gone = Item(key="b", value=b"2", revision=3)
+        mirror.take_snapshot(Snapshot(items=(kept, gone), revision=3))
+        added = Item(key="c", value=b"3", revision=5)
+        mirror.take_reading(("a", "c"), (added,), 6)
+        assert recorder.values == {"a": b"1", "c": b"3"}
--- /dev/null
+++ b/tests/coordination/test_view.py
@@ -0,0 +1,75 @@
+"""Tests of what a process knows of the fleet."""
+
+from mangoway.coordination.view import RETURN_TIME_S, TROUBLE_S, FleetView
+
+from ..fakes.fleet import make_runner, make_table
+
+
+class TestTable:
+    """The configuration in force."""
+
+    def test_newer_version_is_taken(self) -> None:
+        view = FleetView()
+        assert view.take_table(make_table(version=3))
+        assert view.take_table(make_table(version=7))
+        assert view.table is not None
+        assert view.table.version == 7
+
+    def test_older_version_is_ignored(self) -> None:
+        view = FleetView()
+        view.take_table(make_table(version=7))
+        assert not view.take_table(make_table(version=3))
+        assert view.table is not None
+        assert view.table.version == 7
+
+
+class TestRunners:
+    """Runners that come, drain and go."""
+
+    def test_draining_runner_gets_nothing_more(self) -> None:
+        view = FleetView()
+        view.take_runner(make_runner("r1"))
+        view.take_runner(make_runner("r2"))
+        view.take_runner(make_runner("r1", draining=True))
+        assert [each.runner_id for each in view.list_runners("llm")] == ["r2"]
+        assert view.find_open_runner("r1") is None
+
+    def test_removed_runner_is_gone_at_once(self) -> None:
+        view = FleetView()
+        view.take_runner(make_runner("r1"))
+        view.remove_runner("r1", now=10.0)
+        assert view.list_runners("llm") == []
+
+    def test_entry_that_lapsed_in_an_outage_is_kept_until_it_can_be_back(self) -> None:
+        view = FleetView()
+        view.take_runner(make_runner("r1"))
+        view.note_trouble(now=10.0)
+        view.remove_runner("r1", now=10.0 + TROUBLE_S - 0.1)
+        view.expire_missing(now=10.0 + TROUBLE_S + RETURN_TIME_S - 0.2)
+        assert view.find_open_runner("r1") is not None
+        view.expire_missing(now=10.0 + TROUBLE_S + RETURN_TIME_S)
+        assert view.find_open_runner("r1") is None
+
+    def test_entry_that_comes_back_stays(self) -> None:
+        view = FleetView()
+        view.take_runner(make_runner("r1"))
+        view.note_trouble(now=10.0)
+        view.remove_runner("r1", now=11.0)
+        view.take_runner(make_runner("r1"))
+        view.expire_missing(now=60.0)
+        assert view.find_open_runner("r1") is not None
+
+    def test_full_reading_takes_away_what_it_does_not_show(self) -> None:
+        view = FleetView()
+        view.take_runner(make_runner("r1"))
+        view.take_runner(make_runner("r2"))
+        view.keep_only_runners(frozenset({"r2"}), now=10.0)
+        assert set(view.runners) == {"r2"}
+
+    def test_heartbeat_without_change_notifies_nobody(self) -> None:
+        view = FleetView()
+        told: list[int] = []
+        view.take_runner(make_runner("r1"))
+        view.on_change.append(lambda: told.append(1))
+        view.take_runner(make_runner("r1"))
+        assert told == []
--- /dev/null
+++ b/tests/fakes/coordination_store.py
@@ -0,0 +1,176 @@
+"""A coordination store in memory, in the time of the running loop."""
+
+import asyncio
+from collections.abc import Callable
+
+from mangoway.coordination.store import (
+    Change,
+    Changes,
+    CommitResult,
+    HistoryLostError,
+    Item,
+    LeaseEndedError,
+    Precondition,
+    Snapshot,
+    StoreUnavailableError,
+    Write,
+)
+
+ANSWER_S = 0.004
+
+
+class FakeCoordinationStore:
+    """Keys, leases and watches, with faults that a test switches on."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.leases: dict[int, float] = {}
+        """Time at which each lease ends."""
+
+        self.revision = 0
+        self.calls: list[str] = []
+        self.down = False
+        self.lose_answers = 0
+        """Commits that take effect and are not answered."""
+
+        self.silent_watches = False
+        self.forgotten = 0
+        """Revision before which changes are not kept."""
+
+        self._ttls: dict[int, float] = {}
+        self._history: list[Change] = []
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes, lease_id: int = 0) -> None:
+        """Write a key from outside."""
+        self.revision += 1
+        item = Item(key=key, value=value, revision=self.revision, lease_id=lease_id)
+        self.items[key] = item
+        self._note(Change(key=key, revision=self.revision, item=item))
+
+    def remove(self, key: str) -> None:
+        """Remove a key from outside."""
+        self.revision += 1
+        del self.items[key]
+        self._note(Change(key=key, revision=self.revision, item=None))
+
+    def forget_history(self) -> None:
+        """Drop all changes before now."""
+        self.forgotten = self.revision
+        self._history.clear()
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease from outside."""
+        self.leases.pop(lease_id, None)
+        bound = [each for each in self.items.values() if each.lease_id == lease_id]
+        for item in bound:
+            self.remove(item.key)
+
+    async def async_read(self, key: str) -> Item | None:
+        await self._async_begin("read")
+        return self.items.get(key)
+
+    async def async_list(self, prefix: str) -> Snapshot:
+        await self._async_begin("list")
+        items = tuple(
+            item for key, item in sorted(self.items.items()) if key.startswith(prefix)
+        )
+        return Snapshot(items=items, revision=self.revision)
+
+    async def async_watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
+        await self._async_begin("watch")
+        if revision < self.forgotten:
+            raise HistoryLostError(revision)
+        end = self._now() + wait_s
+        while True:
+            self._expire()
+            found = tuple(
+                each
+                for each in self._history
+                if each.revision > revision and each.key.startswith(prefix)
+            )
+            if self.silent_watches:
+                await asyncio.sleep(wait_s + 1)
+                raise StoreUnavailableError("no answer")
+            if found or self._now() >= end:
+                return Changes(changes=found, revision=self.revision)
+            await self._async_wait_change(end)
+            if self.down:
+                raise StoreUnavailableError("cut")
+
+    async def async_commit(
+        self,
+        preconditions: tuple[Precondition, ...],
+        writes: tuple[Write, ...],
+        deletes: tuple[str, ...] = (),
+    ) -> CommitResult:
+        await self._async_begin("commit")
+        for each in preconditions:
+            item = self.items.get(each.key)
+            if (item.revision if item else 0) != each.revision:
+                return CommitResult(committed=False, revision=0)
+        for write in writes:
+            if write.lease_id and write.lease_id not in self.leases:
+                raise LeaseEndedError(write.lease_id)
+            self.put(write.key, write.value, write.lease_id)
+        for key in deletes:
+            if key in self.items:
+                self.remove(key)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreUnavailableError("the answer was lost")
+        return CommitResult(committed=True, revision=self.revision)
+
+    async def async_grant_lease(self, ttl_s: float) -> int:
+        await self._async_begin("grant")
+        lease_id = 1000 + len(self._ttls)
+        self._ttls[lease_id] = ttl_s
+        self.leases[lease_id] = self._now() + ttl_s
+        return lease_id
+
+    async def async_renew_lease(self, lease_id: int) -> None:
+        await self._async_begin("renew")
+        if lease_id not in self.leases:
+            raise LeaseEndedError(lease_id)
+        self.leases[lease_id] = self._now() + self._ttls[lease_id]
+
+    async def async_end_lease(self, lease_id: int) -> None:
+        await self._async_begin("end")
+        self.end_lease(lease_id)
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+    async def _async_begin(self, call: str) -> None:
+        self.calls.append(call)
+        await asyncio.sleep(ANSWER_S)
+        if self.down:
+            raise StoreUnavailableError("down")
+        self._expire()
+
+    def _expire(self) -> None:
+        for lease_id, ends_at in list(self.leases.items()):
+            if self._now() >= ends_at:
+                self.end_lease(lease_id)
+
+    def _note(self, change: Change) -> None:
+        self._history.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _async_wait_change(self, end: float) -> None:
+        next_end = min([end, *self.leases.values()])
+        try:
+            async with asyncio.timeout_at(next_end + 0.001):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def loop_clock() -> Callable[[], float]:
+    """Return the clock of the running loop."""
+    return asyncio.get_running_loop().time
--- /dev/null
+++ b/tests/policy/scheduling/test_dispatch.py
@@ -0,0 +1,194 @@
+"""Tests of which runner gets which request."""
+
+from mangoway.policy.scheduling.const import (
+    PRESSED_UNREAD_LIMIT_S,
+    UNREAD_LIMIT_S,
+)
+from mangoway.policy.scheduling.dispatch import limit_unread
+from mangoway.policy.scheduling.events import (
+    Adopted,
+    EdgeGone,
+    Ended,
+    EndKind,
+    FirstEventSeen,
+    Grant,
+)
+
+from ...fakes.fleet import make_asked
+from .world import World
+
+
+def make_world(*held: list[str], models: str = "abcd") -> World:
+    return World(models=list(models), runner_models=list(held))
+
+
+def feed_asked(world: World, request_id: str, **fields: object) -> list[Grant]:
+    asked = make_asked(request_id, **fields)  # type: ignore[arg-type]
+    actions = world.core.handle(asked, world.now)
+    return [each for each in actions if isinstance(each, Grant)]
+
+
+class TestPacing:
+    """A runner reads one prompt at a time."""
+
+    def test_second_prompt_waits_for_the_first_event(self) -> None:
+        world = make_world(["a"])
+        assert len(feed_asked(world, "q1")) == 1
+        assert feed_asked(world, "q2") == []
+        actions = world.core.handle(FirstEventSeen(edge="e1", request_id="q1"), 0.03)
+        assert [each.request_id for each in actions if isinstance(each, Grant)] == [
+            "q2"
+        ]
+
+    def test_prompts_spread_over_the_copies(self) -> None:
+        world = make_world(["a"], ["a"])
+        grants = [*feed_asked(world, "q1"), *feed_asked(world, "q2")]
+        assert {each.runner_id for each in grants} == {"r0", "r1"}
+
+    def test_pressure_raises_the_limit(self) -> None:
+        assert limit_unread(0, 6) == UNREAD_LIMIT_S
+        assert limit_unread(100, 6) == PRESSED_UNREAD_LIMIT_S
+        assert UNREAD_LIMIT_S < limit_unread(9, 6) < PRESSED_UNREAD_LIMIT_S
+
+    def test_request_that_left_frees_its_place(self) -> None:
+        world = make_world(["a"])
+        feed_asked(world, "q1")
+        feed_asked(world, "q2")
+        ended = Ended(edge="e1", request_id="q1", kind=EndKind.LEFT)
+        actions = world.core.handle(ended, 0.01)
+        assert [each.request_id for each in actions if isinstance(each, Grant)] == [
+            "q2"
+        ]
+
+    def test_lost_edge_frees_its_places(self) -> None:
+        world = make_world(["a"])
+        feed_asked(world, "q1", edge="e1")
+        feed_asked(world, "q2", edge="e2")
+        actions = world.core.handle(EdgeGone(edge="e1"), 0.01)
+        assert [each.request_id for each in actions if isinstance(each, Grant)] == [
+            "q2"
+        ]
+
+    def test_adopted_request_counts(self) -> None:
+        world = make_world(["a"])
+        adopted = Adopted(asked=make_asked("q1"), runner_id="r0", reading=True)
+        world.core.handle(adopted, 0.0)
+        assert feed_asked(world, "q2") == []
+
+
+class TestChoice:
+    """Which of several runners."""
+
+    def test_model_must_be_held(self) -> None:
+        world = make_world(["b"], ["a"])
+        assert [each.runner_id for each in feed_asked(world, "q1")] == ["r1"]
+
+    def test_failed_runner_is_left_out(self) -> None:
+        world = make_world(["a"], ["a"])
+        grants = feed_asked(world, "q1", excluded=("r0",))
+        assert [each.runner_id for each in grants] == ["r1"]
+
+    def test_request_sent_often_enough_goes_only_where_it_was(self) -> None:
+        world = make_world(["a"], ["a"])
+        grants = feed_asked(world, "q1", only=("r1",), repeat=True)
+        assert [each.runner_id for each in grants] == ["r1"]
+
+    def test_kept_prompt_draws_its_like(self) -> None:
+        world = make_world(["a"], ["a"])
+        first = make_asked("q1", tokens=800)
+        [grant] = [
+            each for each in world.core.handle(first, 0.0) if isinstance(each, Grant)
+        ]
+        world.core.handle(FirstEventSeen(edge="e1", request_id="q1"), 0.03)
+        again = make_asked("q2", tokens=800)
+        same = type(again)(
+            **{
+                name: getattr(again, name)
+                for name in (each.name for each in type(again).__attrs_attrs__)
+                if name != "prompt"
+            },
+            prompt=first.prompt,
+        )
+        [second] = [
+            each for each in world.core.handle(same, 0.04) if isinstance(each, Grant)
+        ]
+        assert second.runner_id == grant.runner_id
+
+    def test_long_prompt_goes_where_few_streams_run(self) -> None:
+        world = make_world(["a"], ["a"])
+        for number in range(6):
+            adopted = Adopted(
+                asked=make_asked(f"s{number}"), runner_id="r0", reading=False
+            )
+            world.core.handle(adopted, 0.0)
+        grants = feed_asked(world, "long", tokens=7000)
+        assert [each.runner_id for each in grants] == ["r1"]
+
+
+class TestOrder:
+    """Who is first when requests wait."""
+
+    def test_request_that_can_be_on_time_goes_before_one_that_cannot(self) -> None:
+        world = make_world(["a"])
+        feed_asked(world, "running")
+        feed_asked(world, "late", objective_s=-0.1)
+        feed_asked(world, "fresh")
+        actions = world.core.handle(
+            FirstEventSeen(edge="e1", request_id="running"), 0.03
+        )
+        assert [each.request_id for each in actions if isinstance(each, Grant)] == [
+            "fresh"
+        ]
+
+    def test_urgent_goes_before_less_urgent(self) -> None:
+        world = make_world(["a"])
+        feed_asked(world, "running")
+        feed_asked(world, "patient", priority=2)
+        feed_asked(world, "urgent", priority=0)
+        actions = world.core.handle(
+            FirstEventSeen(edge="e1", request_id="running"), 0.03
+        )
+        assert [each.request_id for each in actions if isinstance(each, Grant)] == [
+            "urgent"
+        ]
+
+
+class TestRefusedArtifact:
+    """A runner that says it doesn't hold a model."""
+
+    def test_it_is_asked_again_only_after_a_pause(self) -> None:
+        world = make_world(["a"])
+        feed_asked(world, "q1")
+        ended = Ended(edge="e1", request_id="q1", kind=EndKind.NOT_HELD)
+        world.core.handle(ended, 0.01)
+        world.now = 0.02
+        assert feed_asked(world, "q2") == []
+        world.now = 0.2
+        assert len(feed_asked(world, "q3")) == 1
+
+    def test_failures_in_a_row_avoid_the_runner(self) -> None:
+        world = make_world(["a"], ["a"])
+        for number in range(8):
+            for grant in feed_asked(world, f"q{number}"):
+                kind = EndKind.FAILED if grant.runner_id == "r0" else EndKind.SERVED
+                world.core.handle(
+                    Ended(edge="e1", request_id=grant.request_id, kind=kind), 0.0
+                )
+        grants = [*feed_asked(world, "x1"), *feed_asked(world, "x2")]
+        assert "r0" not in {each.runner_id for each in grants}
+
+
+class TestBudget:
+    """Repeats are bounded over the fleet."""
+
+    def test_repeats_end_with_the_budget(self) -> None:
+        world = make_world(["a"])
+        refused = 0
+        for number in range(100):
+            asked = make_asked(f"q{number}", repeat=True)
+            actions = world.core.handle(asked, 0.0)
+            refused += any(
+                getattr(each, "reason", "") == "the retry budget is spent"
+                for each in actions
+            )
+        assert 0 < 100 - refused <= 50
--- /dev/null
+++ b/tests/policy/scheduling/test_load.py
@@ -0,0 +1,95 @@
+"""Plays heavy loads on the core and checks what callers get."""
+
+from ...fakes.fleet import make_asked
+from .world import World
+
+
+class TestClump:
+    """Requests for one model that come together."""
+
+    def test_most_of_what_can_be_on_time_is(self) -> None:
+        world = World(models=list("abcdef"), runner_models=[["a", "b"], ["a", "c"]])
+        world.run(0.5)
+        for number in range(20):
+            world.ask(make_asked(f"q{number}", "a"), at=1.0)
+        world.run(4.0)
+        # Two runners read 20 prompts of 27 ms with their ways in 0.4 s.
+        assert world.count_first_in(0.45) >= 18
+
+
+class TestOverload:
+    """Twice as many requests as the runners can read."""
+
+    def play(self) -> World:
+        world = World(models=list("abc"), runner_models=[["a", "b", "c"]])
+        world.run(0.5)
+        for number in range(400):
+            world.ask(make_asked(f"q{number}", "a"), at=1.0 + number / 80)
+        world.run(10.0)
+        return world
+
+    def test_useful_work_stays_near_what_the_runner_can_give(self) -> None:
+        world = self.play()
+        # In 5 s a runner reads at most 187 prompts of 27 ms.
+        assert world.count_first_in(0.45) >= 100
+
+    def test_nobody_is_held_until_he_leaves(self) -> None:
+        world = self.play()
+        for outcome in world.outcomes.values():
+            assert outcome.first_at is not None or outcome.refused_at is not None
+            if outcome.refused_at is not None:
+                assert outcome.refused_at - outcome.asked_at < 2.4
+
+    def test_times_to_come_back_are_spread(self) -> None:
+        world = self.play()
+        times = {
+            each.refusal.retry_after_s
+            for each in world.outcomes.values()
+            if each.refusal is not None
+        }
+        assert len(times) > 10
+
+
+class TestShift:
+    """Demand that moves to a model with one copy."""
+
+    def test_it_is_served_within_seconds(self) -> None:
+        world = World(
+            models=list("abcdefghi"),
+            runner_models=[["a", "b", "c"], ["a", "d", "e"], ["a", "f", "g"]],
+        )
+        world.run(0.5)
+        for number in range(200):
+            world.ask(make_asked(f"a{number}", "a"), at=1.0 + number / 40)
+            world.ask(make_asked(f"b{number}", "b"), at=6.0 + number / 40)
+        world.run(14.0)
+        late = [
+            key
+            for key, each in world.outcomes.items()
+            if key.startswith("b")
+            and each.asked_at > 8.5
+            and (each.first_at is None or each.first_at - each.asked_at > 0.45)
+        ]
+        assert len(late) <= 10
+
+
+class TestTail:
+    """More models than places, each asked for now and then."""
+
+    def test_no_model_goes_unserved(self) -> None:
+        names = list("abcdefghijkl")
+        world = World(
+            models=names,
+            runner_models=[["a", "b", "c"], ["d", "e", "f"], ["g", "h", "i"]],
+        )
+        world.run(0.5)
+        for turn in range(4):
+            for index, name in enumerate(names):
+                at = 1.0 + 8 * turn + 0.6 * index
+                world.ask(make_asked(f"{name}{turn}", name, patience_s=6.0), at=at)
+        world.run(45.0)
+        served = {
+            key[0] for key, each in world.outcomes.items() if each.first_at is not None
+        }
+        assert served == set(names)
+        assert all(each.overfilled == 0 for each in world.runners.values())
--- /dev/null
+++ b/tests/policy/scheduling/test_machine.py
@@ -0,0 +1,57 @@
+"""State machine: no runner is overfilled whatever becomes of orders and schedulers."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from ...fakes.fleet import make_asked
+from .world import World
+
+MODELS = list("abcdefgh")
+FAULTS = ["lose", "late", "no_answer", ""]
+
+
+class PlacementMachine(RuleBasedStateMachine):
+    """Requests for changing models, faulty orders, schedulers that are replaced."""
+
+    @initialize(seed=st.integers(0, 99))
+    def start(self, seed: int) -> None:
+        self.world = World(
+            models=MODELS, runner_models=[["a", "b", "c"], ["d", "e"]], seed=seed
+        )
+        self.asked = 0
+        self.world.run(0.5)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 4.0]))
+    def wait(self, seconds: float) -> None:
+        self.world.run(self.world.now + seconds)
+
+    @rule(model=st.sampled_from(MODELS), many=st.integers(1, 8), adapter=st.booleans())
+    def ask(self, model: str, many: int, adapter: bool) -> None:
+        for number in range(many):
+            self.asked += 1
+            asked = make_asked(
+                f"q{self.asked}",
+                model,
+                adapter=f"x{number}" if adapter else "",
+                patience_s=6.0,
+            )
+            self.world.ask(asked, at=self.world.now + number / 50)
+
+    @rule(faults=st.lists(st.sampled_from(FAULTS), min_size=1, max_size=5))
+    def disturb(self, faults: list[str]) -> None:
+        self.world.faults.extend(faults)
+
+    @rule()
+    def replace_scheduler(self) -> None:
+        self.world.run(self.world.now + 1.0)
+        self.world.replace_core()
+
+    @invariant()
+    def no_runner_is_overfilled(self) -> None:
+        if hasattr(self, "world"):
+            assert all(each.overfilled == 0 for each in self.world.runners.values())
+
+
+TestPlacementMachine = PlacementMachine.TestCase
+TestPlacementMachine.settings = settings(max_examples=30, stateful_step_count=25)
--- /dev/null
+++ b/tests/policy/scheduling/test_placement.py
@@ -0,0 +1,205 @@
+"""Tests of which models the runners hold."""
+
+from mangoway.models.runner import ResidentModel
+from mangoway.policy.scheduling.events import (
+    FleetSeen,
+    GiveOrder,
+    OrderEnded,
+    OrderOutcome,
+    OrdersAllowed,
+    ReportSeen,
+    Tick,
+)
+
+from ...fakes.fleet import make_asked, make_report, make_residents, make_runner
+from .world import Outcome, World
+
+
+def make_ready(*held: list[str], models: str = "abcdefg", load_s: float = 1.2) -> World:
+    world = World(models=list(models), runner_models=list(held), load_s=load_s)
+    world.run(0.5)
+    return world
+
+
+class TestOnDemand:
+    """A model that nobody holds."""
+
+    def test_waiting_request_gets_it_loaded_in_its_time(self) -> None:
+        world = make_ready(["a", "b", "c"], ["a", "d", "e"])
+        world.ask(make_asked("q1", "f", patience_s=5.0), at=1.0)
+        world.run(4.0)
+        outcome = world.outcomes["q1"]
+        assert outcome.first_at is not None
+        assert outcome.first_at - outcome.asked_at < 2.0
+
+    def test_wanted_copy_is_not_taken_away_for_it(self) -> None:
+        world = make_ready(["a", "b", "c"], ["d", "e", "g"])
+        for number in range(40):
+            world.ask(make_asked(f"a{number}", "a", patience_s=5.0), at=1 + number / 20)
+        world.ask(make_asked("q1", "f", patience_s=5.0), at=2.0)
+        world.run(6.0)
+        unloaded = {each.model for each in world.orders if not each.load}
+        assert "a" not in unloaded
+
+    def test_request_that_cannot_wait_for_the_load_is_refused_at_once(self) -> None:
+        world = make_ready(["a", "b", "c"], ["a", "d", "e"], load_s=6.0)
+        world.ask(make_asked("q1", "f", patience_s=2.4), at=1.0)
+        world.run(8.0)
+        outcome = world.outcomes["q1"]
+        assert outcome.refused_at is not None
+        assert outcome.refused_at - outcome.asked_at < 0.2
+        assert outcome.refusal is not None
+        assert outcome.refusal.retry_after_s > 1.0
+
+    def test_model_in_use_is_not_unloaded(self) -> None:
+        world = make_ready(["a", "b", "c"])
+        for name in "abc":
+            world.ask(make_asked(f"run-{name}", name), at=1.0)
+        world.ask(make_asked("q1", "f", patience_s=5.0), at=1.3)
+        world.run(1.6)
+        assert [each for each in world.orders if not each.load] == []
+
+    def test_two_rare_models_do_not_take_each_others_place_unasked(self) -> None:
+        world = make_ready(["a", "b", "c"])
+        for number in range(6):
+            model = "b" if number % 2 else "c"
+            world.ask(make_asked(f"q{number}", model), at=1.0 + 2 * number)
+        world.run(20.0)
+        assert world.orders == []
+
+
+class TestCopies:
+    """Popular models get more copies."""
+
+    def test_rising_demand_gets_further_copies(self) -> None:
+        world = make_ready(["a", "b", "c"], ["d", "e", "f"], ["d", "e", "g"])
+        for number in range(200):
+            world.ask(make_asked(f"q{number}", "a"), at=1.0 + number / 40)
+        world.run(8.0)
+        holders = [each for each in world.runners.values() if "a" in each.models]
+        assert len(holders) >= 2
+
+    def test_popular_model_goes_before_rare_ones_that_wait(self) -> None:
+        """Loads of 6 s: a rare request must not keep a popular model waiting."""
+        world = make_ready(["a", "b", "c"], ["d", "e", "f"], load_s=6.0)
+        for number in range(300):
+            world.ask(make_asked(f"q{number}", "a"), at=1.0 + number / 60)
+        for number in range(10):
+            at = 3.0 + number / 2
+            world.ask(make_asked(f"g{number}", "g", patience_s=16.0), at=at)
+        world.run(9.0)
+        loads = [each.model for each in world.orders if each.load]
+        assert loads[0] == "a"
+
+    def test_free_room_is_filled(self) -> None:
+        world = make_ready(["a", "b", "c"], [])
+        world.run(8.0)
+        assert len(world.runners["r1"].models) == 3
+
+    def test_lost_runner_has_its_models_loaded_elsewhere(self) -> None:
+        world = make_ready(["a", "b", "c"], ["d", "e", "f"])
+        for number in range(100):
+            world.ask(make_asked(f"q{number}", "a"), at=1.0 + number / 20)
+        world.run(3.0)
+        del world.runners["r0"]
+        world.see_fleet()
+        world.run(6.0)
+        assert "a" in world.runners["r1"].models
+
+
+class TestState:
+    """Orders rest on a state that is known."""
+
+    def order_for_waiting(self, world: World) -> list[GiveOrder]:
+        asked = make_asked("q1", "f", patience_s=30.0)
+        world.outcomes["q1"] = Outcome(asked, world.now)
+        world.feed(asked)
+        return world.orders
+
+    def test_no_order_before_a_report(self) -> None:
+        world = World(models=list("abcdefg"), runner_models=[["a", "b", "c"]])
+        assert self.order_for_waiting(world) == []
+
+    def test_no_order_on_a_report_that_says_busy(self) -> None:
+        world = World(models=list("abcdefg"), runner_models=[["a", "b"]])
+        report = make_report(make_residents(("a", "b")), 6, busy=True)
+        world.feed(ReportSeen(runner_id="r0", report=report, asked_at=0.0))
+        assert self.order_for_waiting(world) == []
+
+    def test_refused_order_waits_for_a_fresh_report(self) -> None:
+        world = World(models=list("abcdefg"), runner_models=[["a", "b"]])
+        report = make_report(make_residents(("a", "b")), 0)
+        world.feed(ReportSeen(runner_id="r0", report=report, asked_at=0.0))
+        first = len(self.order_for_waiting(world))
+        assert first == 1
+        world.now = 0.1
+        outcome = OrderOutcome.NOT_NOW
+        world.feed(OrderEnded(runner_id="r0", outcome=outcome))
+        world.feed(ReportSeen(runner_id="r0", report=report, asked_at=0.15))
+        world.feed(Tick())
+        assert len(world.orders) == 1
+        newer = make_report(make_residents(("a", "b")), 1)
+        world.now = 0.6
+        world.feed(ReportSeen(runner_id="r0", report=newer, asked_at=0.6))
+        world.feed(Tick())
+        assert [each.order_count for each in world.orders] == [0, 1]
+
+    def test_no_order_without_leave(self) -> None:
+        world = make_ready(["a", "b", "c"])
+        world.feed(OrdersAllowed(allowed=False))
+        world.ask(make_asked("q1", "f", patience_s=5.0), at=1.0)
+        world.run(3.0)
+        assert world.orders == []
+
+    def test_runner_that_left_the_fleet_gets_no_order(self) -> None:
+        world = make_ready(["a", "b", "c"], ["a", "d", "e"])
+        entries = (make_runner("r1", ("a", "d", "e")),)
+        world.feed(FleetSeen(table=world.table, runners=entries))
+        world.ask(make_asked("q1", "f", patience_s=5.0), at=1.0)
+        world.run(3.0)
+        assert {each.runner_id for each in world.orders} == {"r1"}
+
+
+class TestAdapters:
+    """Adapters on the first request."""
+
+    def test_waiting_request_gets_its_adapter(self) -> None:
+        world = make_ready(["a", "b", "c"])
+        world.ask(make_asked("q1", "a", adapter="a7"), at=1.0)
+        world.run(2.0)
+        outcome = world.outcomes["q1"]
+        assert outcome.first_at is not None
+        assert outcome.first_at - outcome.asked_at < 0.1
+
+    def test_full_places_give_up_the_adapter_unused_for_longest(self) -> None:
+        world = make_ready(["a", "b", "c"])
+        for number in range(9):
+            asked = make_asked(f"q{number}", "a", adapter=f"x{number}")
+            world.ask(asked, at=1.0 + 2 * number)
+        world.run(25.0)
+        unloaded = [each.adapter for each in world.orders if not each.load]
+        assert unloaded == ["x0"]
+        assert all(each.first_at is not None for each in world.outcomes.values())
+        assert world.runners["r0"].overfilled == 0
+
+    def test_unload_that_is_answered_as_done_counts(self) -> None:
+        """The runner answers 200 and counts it; the next order must not be stale."""
+        world = make_ready(["a", "b", "c"])
+        for number in range(9):
+            asked = make_asked(f"q{number}", "a", adapter=f"x{number}")
+            world.ask(asked, at=1.0 + 2 * number)
+        world.run(25.0)
+        last = world.outcomes["q8"]
+        assert last.first_at is not None
+        assert last.first_at - last.asked_at < 0.1
+
+    def test_pending_adapters_of_a_report_are_kept(self) -> None:
+        world = make_ready(["a", "b", "c"])
+        world.ask(make_asked("q1", "a", adapter="a7"), at=1.0)
+        world.run(1.2)
+        resident = ResidentModel(name="a", version=1, adapters=frozenset())
+        report = make_report((resident,), world.runners["r0"].order_count)
+        held = world.core.state.runners["r0"].held["a"]
+        assert "a7" in held.adapters
+        world.feed(ReportSeen(runner_id="r0", report=report, asked_at=1.2))
+        assert "a7" in held.adapters
--- /dev/null
+++ b/tests/policy/scheduling/world.py
@@ -0,0 +1,322 @@
+"""Fake runners in virtual time, and a core that serves requests with them.
+
+A runner reads prompts one after the other, and answers and carries out orders as the
+platform's runners do: one at a time, counted, with a precondition, at times late or
+without an answer. It counts what must never happen.
+"""
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from mangoway.models.routing import EngineProfile, RoutingTable
+from mangoway.models.runner import ResidentModel, RunnerEntry, RunnerReport
+from mangoway.policy.scheduling.core import SchedulingCore
+from mangoway.policy.scheduling.events import (
+    Action,
+    Asked,
+    Ended,
+    EndKind,
+    Event,
+    FirstEventSeen,
+    FleetSeen,
+    GiveOrder,
+    Grant,
+    OrderEnded,
+    OrderOutcome,
+    OrdersAllowed,
+    Refuse,
+    ReportSeen,
+    Tick,
+)
+from mangoway.policy.scheduling.state import RetryLimits, SchedulingState
+
+from ...fakes.fleet import make_runner, make_table
+
+READ_S_PER_TOKEN = 1 / 30_000
+ANSWER_S = 1.5
+WAY_S = 0.0014
+TICK_S = 0.05
+REPORT_S = 0.1
+REPORT_LAG_S = 0.2
+
+
+@define(eq=False)
+class FakeRunner:
+    """One life of a runner with an engine."""
+
+    runner_id: str
+    engine: EngineProfile
+    models: dict[str, set[str]]
+    order_count: int = 0
+    busy_until: float = 0.0
+    read_until: float = 0.0
+    running: dict[str, str] = field(factory=dict)
+    overfilled: int = 0
+    loading: str = ""
+    history: list[tuple[float, RunnerReport]] = field(factory=list)
+
+    def carry_out(self, order: GiveOrder, now: float) -> OrderOutcome:
+        """Carry out an order, or say why not."""
+        if now < self.busy_until or order.order_count != self.order_count:
+            return OrderOutcome.NOT_NOW
+        if order.adapter:
+            return self._change_adapter(order)
+        self.order_count += 1
+        if not order.load:
+            self.models.pop(order.model, None)
+            self.busy_until = now + 0.02
+            return OrderOutcome.STARTED
+        self.loading = order.model
+        self.busy_until = now + self.engine.models[order.model].load_s
+        self._check_memory()
+        return OrderOutcome.STARTED
+
+    def settle(self, now: float) -> None:
+        """End a load whose time is over."""
+        if self.loading and now >= self.busy_until:
+            self.models[self.loading] = set()
+            self.loading = ""
+
+    def note_state(self, now: float) -> None:
+        """Keep the state for reports, which are late."""
+        residents = tuple(
+            ResidentModel(name=name, version=1, adapters=frozenset(adapters))
+            for name, adapters in self.models.items()
+        )
+        report = RunnerReport(
+            models=residents,
+            pending_adapters=frozenset(),
+            busy=now < self.busy_until,
+            order_count=self.order_count,
+            queued=0,
+            active=len(self.running),
+            kv_used_tokens=0,
+            kv_capacity_tokens=self.engine.kv_capacity_tokens,
+            in_host_memory=frozenset(),
+            on_disk=frozenset(),
+        )
+        self.history.append((now, report))
+
+    def read_report(self, now: float) -> RunnerReport | None:
+        """Return the state of some time ago."""
+        older = [each for at, each in self.history if at <= now - REPORT_LAG_S]
+        return older[-1] if older else None
+
+    def _change_adapter(self, order: GiveOrder) -> OrderOutcome:
+        adapters = self.models.get(order.model)
+        if adapters is None:
+            return OrderOutcome.REFUSED
+        self.order_count += 1
+        if order.load:
+            adapters.add(order.adapter)
+            self._check_memory()
+            return OrderOutcome.STARTED
+        adapters.discard(order.adapter)
+        return OrderOutcome.ALREADY_HOLDS
+
+    def _check_memory(self) -> None:
+        names = [*self.models, *([self.loading] if self.loading else [])]
+        weights = sum(self.engine.models[name].weights_mb for name in names)
+        adapters = sum(len(each) for each in self.models.values())
+        if weights > self.engine.weights_mb or adapters > self.engine.adapter_slots:
+            self.overfilled += 1
+
+
+@define(eq=False)
+class Outcome:
+    """What a request's caller got."""
+
+    asked: Asked
+    asked_at: float
+    first_at: float | None = None
+    refused_at: float | None = None
+    refusal: Refuse | None = None
+    runner_id: str = ""
+
+
+@define(eq=False)
+class World:
+    """Runners, one core, and the requests of callers."""
+
+    models: list[str]
+    runner_models: list[list[str]]
+    load_s: float = 1.2
+    seed: int = 1
+    now: float = field(default=0.0, init=False)
+    outcomes: dict[str, Outcome] = field(factory=dict, init=False)
+    orders: list[GiveOrder] = field(factory=list, init=False)
+    faults: list[str] = field(factory=list, init=False)
+    """Fates of the next orders: `lose`, `late`, `no_answer` or empty."""
+
+    _queue: list[tuple[float, int, Callable[[], None]]] = field(
+        factory=list, init=False
+    )
+    _numbers: Any = field(factory=count, init=False)
+    rng: Random = field(init=False)
+    table: RoutingTable = field(init=False)
+    runners: dict[str, FakeRunner] = field(init=False)
+    core: SchedulingCore = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = Random(self.seed)
+        self.table = make_table(models=self.models)
+        engine = self.table.services["llm"].engine
+        assert engine is not None
+        for name in list(engine.models):
+            profile = engine.models[name]
+            engine.models[name] = type(profile)(
+                **{**_to_dict(profile), "load_s": self.load_s}
+            )
+        self.runners = {
+            f"r{index}": FakeRunner(f"r{index}", engine, {name: set() for name in held})
+            for index, held in enumerate(self.runner_models)
+        }
+        limits = RetryLimits(ratio=0.2, slack=50.0, window_s=10.0)
+        state = SchedulingState(random=self.rng, retry_limits=limits)
+        self.core = SchedulingCore(state)
+        self.see_fleet()
+        self.feed(OrdersAllowed(allowed=True))
+        self._at(0.0, self._tick)
+        self._at(0.0, self._report)
+
+    def see_fleet(self) -> None:
+        """Tell the core which runners there are."""
+        entries: list[RunnerEntry] = [
+            make_runner(each.runner_id, tuple(each.models))
+            for each in self.runners.values()
+        ]
+        self.feed(FleetSeen(table=self.table, runners=tuple(entries)))
+
+    def replace_core(self) -> None:
+        """Let a new scheduler begin with what the runners report."""
+        limits = RetryLimits(ratio=0.2, slack=50.0, window_s=10.0)
+        state = SchedulingState(random=self.rng, retry_limits=limits)
+        self.core = SchedulingCore(state)
+        self.see_fleet()
+        self.feed(OrdersAllowed(allowed=True))
+
+    def ask(self, asked: Asked, at: float) -> None:
+        """Let a request come at a time."""
+        self._at(at, lambda: self._arrive(asked))
+
+    def run(self, until: float) -> None:
+        """Play until a time."""
+        while self._queue and self._queue[0][0] <= until:
+            at, _, call = heapq.heappop(self._queue)
+            self.now = max(self.now, at)
+            for runner in self.runners.values():
+                runner.settle(self.now)
+            call()
+        self.now = until
+
+    def feed(self, event: Event) -> None:
+        """Feed the core and carry out its actions."""
+        for action in self.core.handle(event, self.now):
+            self._carry_out(action)
+
+    def count_first_in(self, seconds: float) -> int:
+        """Return the requests whose first event came in so many seconds."""
+        return sum(
+            1
+            for each in self.outcomes.values()
+            if each.first_at is not None and each.first_at - each.asked_at <= seconds
+        )
+
+    def _arrive(self, asked: Asked) -> None:
+        self.outcomes[asked.request_id] = Outcome(asked, self.now)
+        self.feed(asked)
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Grant):
+            self._at(self.now + WAY_S, lambda: self._send(action))
+        elif isinstance(action, Refuse):
+            outcome = self.outcomes[action.request_id]
+            outcome.refused_at, outcome.refusal = self.now, action
+        else:
+            self._order(action)
+
+    def _send(self, grant: Grant) -> None:
+        runner = self.runners.get(grant.runner_id)
+        asked = self.outcomes[grant.request_id].asked
+        if runner is None or asked.model not in runner.models:
+            self._end(grant, EndKind.NOT_HELD)
+            return
+        outcome = self.outcomes[grant.request_id]
+        outcome.runner_id = grant.runner_id
+        runner.running[grant.request_id] = asked.model
+        start = max(self.now, runner.read_until)
+        runner.read_until = start + asked.prompt.tokens * READ_S_PER_TOKEN
+        first_at = runner.read_until + 0.005
+
+        def show_first() -> None:
+            outcome.first_at = self.now
+            self.feed(FirstEventSeen(edge=grant.edge, request_id=grant.request_id))
+
+        self._at(first_at + WAY_S, show_first)
+        self._at(first_at + ANSWER_S, lambda: self._end(grant, EndKind.SERVED))
+
+    def _end(self, grant: Grant, kind: EndKind) -> None:
+        runner = self.runners.get(grant.runner_id)
+        if runner is not None:
+            runner.running.pop(grant.request_id, None)
+        self.feed(Ended(edge=grant.edge, request_id=grant.request_id, kind=kind))
+
+    def _order(self, order: GiveOrder) -> None:
+        self.orders.append(order)
+        fate = self.faults.pop(0) if self.faults else ""
+        runner = self.runners.get(order.runner_id)
+        if fate == "lose" or runner is None:
+            self._answer(order, OrderOutcome.IN_DOUBT, 0.8)
+        elif fate == "late":
+            delay = self.rng.uniform(2.0, 6.0)
+            self._at(self.now + delay, lambda: self._apply(runner, order))
+            self._answer(order, OrderOutcome.IN_DOUBT, 0.8)
+        elif fate == "no_answer":
+            self._at(self.now + WAY_S, lambda: self._apply(runner, order))
+            self._answer(order, OrderOutcome.IN_DOUBT, 0.8)
+        else:
+            self._at(
+                self.now + WAY_S,
+                lambda: self._answer(order, self._apply(runner, order), WAY_S),
+            )
+
+    def _apply(self, runner: FakeRunner, order: GiveOrder) -> OrderOutcome:
+        return runner.carry_out(order, self.now)
+
+    def _answer(self, order: GiveOrder, outcome: OrderOutcome, after: float) -> None:
+        core = self.core
+
+        def tell() -> None:
+            if self.core is core:
+                self.feed(OrderEnded(runner_id=order.runner_id, outcome=outcome))
+
+        self._at(self.now + after, tell)
+
+    def _tick(self) -> None:
+        self.feed(Tick())
+        self._at(self.now + TICK_S, self._tick)
+
+    def _report(self) -> None:
+        for runner in self.runners.values():
+            runner.note_state(self.now)
+            report = runner.read_report(self.now)
+            if report is not None:
+                self.feed(
+                    ReportSeen(
+                        runner_id=runner.runner_id, report=report, asked_at=self.now
+                    )
+                )
+        self._at(self.now + REPORT_S, self._report)
+
+    def _at(self, time: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (time, next(self._numbers), call))
+
+
+def _to_dict(profile: Any) -> dict[str, Any]:
+    names = [each.name for each in type(profile).__attrs_attrs__]
+    return {name: getattr(profile, name) for name in names}
