--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -3,7 +3,6 @@
 import asyncio
 import secrets
 import signal
-import sys
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
@@ -17,7 +16,6 @@
 from ..observability.event_log import log_event, start_log
 from ..observability.library_log import capture_library_logs
 from ..observability.metrics import Metrics
-from ..observability.output import BoundedOutput
 from ..platform.documents import OWN_PREFIX
 from ..platform.receiver import StoreReceiver
 from ..platform.store import PlatformStore
@@ -153,19 +151,11 @@
     settings: FleetSettings, role: Role, main: Coroutine[Any, Any, None]
 ) -> None:
     """Run a process with its log on standard output until it ends by itself."""
-    output = BoundedOutput(sys.stdout.fileno())
-    output.on_dropped = lambda count: log_event(log.LinesDropped(lines=count))
-    stop_log = start_log(
-        settings.log_level,
-        host=settings.host,
-        role=role.value,
-        stream=output,  # type: ignore[arg-type]
-    )
+    stop_log = start_log(settings.log_level, host=settings.host, role=role.value)
     capture_library_logs()
     try:
         asyncio.run(main)
     finally:
-        output.flush()
         stop_log()
 
 
--- a/mangoway/observability/catalogue.py
+++ b/mangoway/observability/catalogue.py
@@ -6,7 +6,7 @@
 HEADING = """\
 # Events
 
-Each line on standard error is one JSON object with `event` (the number),
+Each line on standard output is one JSON object with `event` (the number),
 `message_type` (the name), `level`, `host`, `role`, `timestamp` (seconds since the
 epoch) and the fields below. Of one kind of event, at most 20 lines a second are
 written after a burst of 200; the next line says in `suppressed` how many were left
--- a/mangoway/observability/event_log.py
+++ b/mangoway/observability/event_log.py
@@ -9,6 +9,8 @@
 import attrs
 import eliot
 
+from .output import BoundedOutput
+
 EventT = TypeVar("EventT", bound=type)
 
 
@@ -135,7 +137,10 @@
 def start_log(
     level: LogLevel, *, host: str, role: str, stream: IO[str] | None = None
 ) -> Callable[[], None]:
-    """Start writing JSON lines to a stream (standard error if none is given).
+    """Start writing JSON lines to a stream.
+
+    Without one they go to standard output, which is never waited for: lines that its
+    reader doesn't take in time are left out and counted.
 
     Every line carries the host and the role of the process.
 
@@ -144,16 +149,27 @@
     """
     global _minimum
     _minimum = level
-    destination = _eliot.FileDestination(file=stream or sys.stderr)
+    file: Any = stream or _open_output()
+    destination = _eliot.FileDestination(file=file)
     _eliot.add_global_fields(host=host, role=role)
     _eliot.add_destinations(destination)
 
     def stop() -> None:
+        file.flush()
         _eliot.remove_destination(destination)
 
     return stop
 
 
+def _open_output() -> BoundedOutput:
+    # Imported late: the events are registered by this module's functions.
+    from .fleet_events import LinesDropped
+
+    output = BoundedOutput(sys.stdout.fileno())
+    output.on_dropped = lambda count: log_event(LinesDropped(lines=count))
+    return output
+
+
 def _to_plain(value: Any) -> Any:
     if value is None or isinstance(value, str | int | float | bool):
         return getattr(value, "value", value)
--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -103,8 +103,14 @@
     ) -> None:
         await self.async_end_all()
 
-    async def async_start(self, name: str, module: str, *flags: str) -> Process:
-        """Start a Python module as a process."""
+    async def async_start(
+        self, name: str, module: str, *flags: str, reads_output: bool = False
+    ) -> Process:
+        """Start a Python module as a process.
+
+        Its log, on standard output, goes to the same file as its errors, unless the
+        caller reads the output.
+        """
         log = self.folder / f"{name}.log"
         with log.open("ab") as errors:
             child = await asyncio.create_subprocess_exec(
@@ -114,7 +120,7 @@
                 *flags,
                 cwd=ROOT,
                 stdin=asyncio.subprocess.DEVNULL,
-                stdout=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE if reads_output else errors,
                 stderr=errors,
             )
         process = Process(name, child, log, flags)
@@ -125,7 +131,9 @@
         self, name: str, module: str, *flags: str
     ) -> Process:
         """Start a stand-in, and read its address from the line that it prints."""
-        process = await self.async_start(name, f"tests.stand_ins.{module}", *flags)
+        process = await self.async_start(
+            name, f"tests.stand_ins.{module}", *flags, reads_output=True
+        )
         assert process.child.stdout is not None
         line = await asyncio.wait_for(process.child.stdout.readline(), START_TIMEOUT_S)
         if not line:
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -12,7 +12,7 @@
 
 from mangoway.callers.statuses import STATUSES
 from mangoway.cli.commands import add_commands
-from mangoway.observability import events  # noqa: F401  # It registers them.
+from mangoway.observability import events, fleet_events  # noqa: F401  # Registers all.
 from mangoway.observability.event_log import LogLevel, list_specs
 from mangoway.observability.metrics import Metrics
 
@@ -100,7 +100,7 @@
     """Lists on the pages for operators and callers leave nothing out."""
 
     def test_every_warning_has_an_answer(self) -> None:
-        text = (ROOT / "docs" / "OPERATING.md").read_text()
+        text = (ROOT / "docs" / "OPERATIONS.md").read_text()
         rows = {int(number) for number, _ in EVENT_ROW.findall(text)}
         alarms = {
             spec.number
@@ -110,7 +110,7 @@
         assert rows == alarms
 
     def test_every_metric_is_listed(self) -> None:
-        text = (ROOT / "docs" / "OPERATING.md").read_text()
+        text = (ROOT / "docs" / "OPERATIONS.md").read_text()
         offered = re.findall(r"# HELP (\w+) ", Metrics().render().decode())
         assert set(offered) - set(METRIC.findall(text)) == set()
 
