Keep lapsed entries by the outage's end; look for another runner before giving one up

(3) Hosts that restart in an outage refused all requests. Change: only an outage of 1.5 s keeps entries, until 2.2 s after its end; a silent runner is left when another place was found; at a start without the store, schedulers named as seeds are asked.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -24,13 +24,18 @@
     StoreUnavailableError,
 )
 
-LEADER_WATCH_S: Final = 0.5
+LEADER_WATCH_S: Final = 0.4
 """Time that a watch of the leader waits. All others rely on it, so that it must notice
-soon that the store fell silent: a configuration has to be in force within two seconds,
-of which this and the margin of the call are one."""
+soon that the store fell silent: a drain has to be obeyed and a configuration in force
+within two seconds. Others read themselves once its last answer is 0.8 s old."""
 
-OWN_WATCH_S: Final = 2.5
-"""Time that a watch of any other process waits while it hears nothing of the leader."""
+OWN_WATCH_S: Final = 0.5
+"""Time that a watch of any other process waits while it hears nothing of the leader:
+with its margin it must show a silent connection in the rest of the two seconds."""
+
+OUTAGE_S: Final = 1.5
+"""Time without an answer from which keys may have lapsed: a runner's entry does after
+three heartbeats, 3.6 s, and an outage is noticed late."""
 
 FIRST_RETRY_S: Final = 0.1
 MOST_RETRY_S: Final = 1.0
@@ -52,8 +57,12 @@
         """Take changes in order."""
         ...
 
-    def note_trouble(self) -> None:
-        """Note that a call failed."""
+    def note_outage_ended(self, kept_s: float | None = None) -> None:
+        """Note that the store answers again after an outage in which keys may lapse.
+
+        Args:
+            kept_s: Seconds for which keys that vanish are kept; None: the usual.
+        """
         ...
 
 
@@ -98,16 +107,20 @@
     revision: int | None = field(default=None, init=False)
     """Revision up to which changes were taken; None before the first reading."""
 
+    _fed_at: float = field(default=-1e9, init=False)
+    """When another process last passed on what the store said."""
+
     _backoff: Backoff = field(
         factory=lambda: Backoff(FIRST_RETRY_S, MOST_RETRY_S), init=False
     )
-    _failing: bool = field(default=False, init=False)
+    _failing_since: float | None = field(default=None, init=False)
     _relist: bool = field(default=False, init=False)
 
     async def async_run(self) -> None:
         """Follow the store until cancelled."""
         while True:
             if self.feed is not None and self.feed.is_fresh():
+                self._fed_at = self.clock()
                 await asyncio.sleep(FEED_CHECK_S)
                 continue
             try:
@@ -118,8 +131,6 @@
             except StoreUnavailableError as error:
                 self._note_failure(error)
                 await asyncio.sleep(self._backoff.next())
-            else:
-                self._note_success()
 
     def make_snapshot(self) -> Snapshot | None:
         """Return all keys as they are known; None before the first reading."""
@@ -175,21 +186,27 @@
         if self.revision is None or self._relist:
             snapshot = await self.store.async_list("")
             self._relist = False
+            self._note_answer()
             self.take_snapshot(snapshot)
             return
         wait_s = OWN_WATCH_S if self.follower is None else LEADER_WATCH_S
         changes = await self.store.async_watch("", self.revision, wait_s)
+        self._note_answer()
         self.take_changes(changes)
 
     def _note_failure(self, error: StoreUnavailableError) -> None:
-        self.receiver.note_trouble()
-        if not self._failing:
+        if self._failing_since is None:
+            self._failing_since = self.clock()
             log_event(log.StoreLost(reason=str(error)))
-        self._failing = True
 
-    def _note_success(self) -> None:
-        self.answered_at = self.clock()
-        self._backoff.reset()
-        if self._failing:
+    def _note_answer(self) -> None:
+        """Note that the store answers, before what it says is taken."""
+        now = self.clock()
+        since, self._failing_since = self._failing_since, None
+        if since is not None:
             log_event(log.StoreRegained(revision=self.revision or 0))
-        self._failing = False
+        last = max(self.answered_at, self._fed_at)
+        if since is not None and now - min(since, last) > OUTAGE_S:
+            self.receiver.note_outage_ended()
+        self.answered_at = now
+        self._backoff.reset()
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -12,12 +12,9 @@
 from .members import Member
 
 RETURN_TIME_S: Final = 2.2
-"""Time for which an entry that vanished beside trouble of the store is still kept: the
-platform says that entries of living runners are back about 2 s after an outage."""
-
-TROUBLE_S: Final = 3.0
-"""Time after a failed call of the store for which removals are not taken at once; the
-platform's own time of stability."""
+"""Time from the end of an outage for which an entry that vanished is still kept: the
+platform says that entries of living runners are back about 2 s after an outage. What
+the store removes 3 s after one counts at once again, so this must be less."""
 
 
 @frozen(kw_only=True)
@@ -43,17 +40,24 @@
 
     leader: Leader | None = field(default=None, init=False)
     last_leader_seen_at: float | None = field(default=None, init=False)
-    _trouble_until: float = field(default=0.0, init=False)
-    _missing: dict[str, float] = field(factory=dict, init=False)
-    """Runners whose entries vanished, with the time at which they count as gone."""
+    _kept_until: float = field(default=0.0, init=False)
+    """Time until which entries that vanish are kept, since they may come back."""
+
+    _missing: set[str] = field(factory=set, init=False)
+    """Runners whose entries vanished and are kept."""
 
-    def note_trouble(self, now: float) -> None:
-        """Note that the store failed to answer, so that keys may lapse in it."""
-        self._trouble_until = now + TROUBLE_S
+    def note_outage_ended(self, now: float, kept_s: float = RETURN_TIME_S) -> None:
+        """Note that the store answers again after an outage in which keys lapsed.
 
-    def is_troubled(self, now: float) -> bool:
-        """Return whether the store failed to answer lately."""
-        return now < self._trouble_until
+        Args:
+            now: Time in seconds.
+            kept_s: Seconds from now for which entries that vanish are kept.
+        """
+        self._kept_until = max(self._kept_until, now + kept_s)
+
+    def get_kept_s(self, now: float) -> float:
+        """Return for how much longer entries that vanish are kept."""
+        return max(0.0, self._kept_until - now)
 
     def take_table(self, table: RoutingTable) -> bool:
         """Put a newer configuration in force; an older one is ignored."""
@@ -66,7 +70,7 @@
 
     def take_runner(self, entry: RunnerEntry) -> None:
         """Take a runner's entry as it is now."""
-        self._missing.pop(entry.runner_id, None)
+        self._missing.discard(entry.runner_id)
         known = self.runners.get(entry.runner_id)
         if known == entry:
             return
@@ -84,19 +88,20 @@
         self._notify()
 
     def remove_runner(self, runner_id: str, now: float) -> None:
-        """Take a runner away, or hold it for a while if the store was in trouble."""
+        """Take a runner away, or keep it for a while just after an outage."""
         if runner_id not in self.runners:
             return
-        if now < self._trouble_until:
-            self._missing.setdefault(runner_id, now + RETURN_TIME_S)
+        if now < self._kept_until:
+            self._missing.add(runner_id)
             return
         self._drop_runner(runner_id, "its entry was removed")
 
     def expire_missing(self, now: float) -> None:
         """Take away the runners whose entries have not come back in time."""
-        for runner_id, gone_at in list(self._missing.items()):
-            if now >= gone_at:
-                self._drop_runner(runner_id, "its entry has not come back")
+        if now < self._kept_until:
+            return
+        for runner_id in list(self._missing):
+            self._drop_runner(runner_id, "its entry has not come back")
 
     def keep_only_runners(self, present: frozenset[str], now: float) -> None:
         """Take away the runners that a full reading did not show."""
@@ -141,7 +146,7 @@
         return None if entry is None or entry.draining else entry
 
     def _drop_runner(self, runner_id: str, reason: str) -> None:
-        self._missing.pop(runner_id, None)
+        self._missing.discard(runner_id)
         if self.runners.pop(runner_id, None) is not None:
             log_event(log.RunnerGone(runner_id=runner_id, reason=reason))
             self._notify()
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -81,10 +81,15 @@
             view=self.view,
             clock=self.clock,
             mirror=self.mirror,
+            seeds=self._list_seeds(),
         )
         self.mirror.feed = self.leader_link
         self.tasks = Tasks(_log_failure)
 
+    def _list_seeds(self) -> tuple[str, ...]:
+        """Return the schedulers to ask at a start, without this process itself."""
+        return tuple(each for each in self.settings.seeds if each != self.peer_address)
+
     @staticmethod
     def clock() -> float:
         """Return the steady time of the loop in seconds."""
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -115,7 +115,7 @@
             is_leading=lambda: self.leadership.is_granting,
             give_order=self._give_order,
             mirror=process.mirror,
-            is_troubled=lambda: process.view.is_troubled(process.clock()),
+            get_kept_s=lambda: process.view.get_kept_s(process.clock()),
         )
         process.mirror.follower = self.server
         process.view.on_change.append(self._note_view)
--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -1,7 +1,7 @@
 """One try of a request at one runner."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import define, field, frozen
 
@@ -55,12 +55,6 @@
     """A failure that the runner answered with."""
 
 
-class _RunnerAnsweredError(Exception):
-    def __init__(self, result: AttemptResult) -> None:
-        super().__init__(result.reason)
-        self.result = result
-
-
 @define(eq=False)
 class Attempt:
     """Sends a request to a runner and passes its answer on."""
@@ -74,7 +68,10 @@
     closes without an answer nothing proves that it did not run."""
 
     silence_s: float | None
-    """Silence after which the runner is given up; None: never."""
+    """Silence after which another runner is looked for; None: never."""
+
+    on_silence: Callable[[], Awaitable[bool]]
+    """Says whether there is another runner to go on at."""
 
     pool: ConnectionPool
     delivery: Delivery
@@ -90,26 +87,19 @@
         """
         complete = False
         try:
-            async with asyncio.timeout(None) as silence:
-                result = await self._async_exchange(silence)
-                complete = True
-                return result
-        except _RunnerAnsweredError as answered:
+            result = await self._async_exchange()
             complete = True
-            return answered.result
+            return result
         except ConnectFailedError as error:
             return AttemptResult(
                 verdict=Verdict.NOT_RUN, was_sent=False, reason=str(error)
             )
         except (ExchangeFailedError, StreamBrokenError) as error:
             return AttemptResult(verdict=Verdict.MAY_HAVE_RUN, reason=str(error))
-        except TimeoutError:
-            reason = f"silent for {self.silence_s} s"
-            return AttemptResult(verdict=Verdict.MAY_HAVE_RUN, reason=reason)
         finally:
             self._release(complete)
 
-    async def _async_exchange(self, silence: asyncio.Timeout) -> AttemptResult:
+    async def _async_exchange(self) -> AttemptResult:
         now = asyncio.get_running_loop().time
         connection = None
         if not self.fresh_connection:
@@ -118,13 +108,14 @@
             connection = await async_connect(self.runner.address, now())
         self._connection = connection
         self._sent = True
+        connection.silence_s = self.silence_s
+        connection.on_silence = self.on_silence
         await connection.async_send(self.request)
-        self._expect_bytes(silence)
         head = await self._async_read_own_head(connection)
         self._check_head(head)
         if self.streaming and _is_success(head.status):
-            return await self._async_pass_stream(connection, head, silence)
-        body = await self._async_read_body(connection, silence)
+            return await self._async_pass_stream(connection, head)
+        body = await self._async_read_body(connection)
         return self._judge_whole(head, body)
 
     async def _async_read_own_head(self, connection: Connection) -> ResponseHead:
@@ -152,7 +143,7 @@
             raise ExchangeFailedError("a success in another encoding")
 
     async def _async_pass_stream(
-        self, connection: Connection, head: ResponseHead, silence: asyncio.Timeout
+        self, connection: Connection, head: ResponseHead
     ) -> AttemptResult:
         now = asyncio.get_running_loop().time
         splitter = EventSplitter()
@@ -165,22 +156,18 @@
                     passed = True
                     self.on_first_event()
                 await self.delivery.async_pass_event(event, now())
-            self._expect_bytes(silence)
         if splitter.rest:
             raise ExchangeFailedError("the stream ended within an event")
         self.delivery.start(head, headers)
         self.delivery.finish()
         return AttemptResult(verdict=Verdict.RAN, delivered=True)
 
-    async def _async_read_body(
-        self, connection: Connection, silence: asyncio.Timeout
-    ) -> bytes:
+    async def _async_read_body(self, connection: Connection) -> bytes:
         body = bytearray()
         async for data in connection.async_iterate_body():
             body += data
             if len(body) > MAX_BUFFERED_BODY_BYTES:
                 raise ExchangeFailedError("the answer is too large")
-            self._expect_bytes(silence)
         return bytes(body)
 
     def _judge_whole(self, head: ResponseHead, body: bytes) -> AttemptResult:
@@ -204,11 +191,6 @@
         deliver_whole(self.delivery, whole)
         return AttemptResult(verdict=Verdict.RAN, delivered=True)
 
-    def _expect_bytes(self, silence: asyncio.Timeout) -> None:
-        if self.silence_s is not None:
-            now = asyncio.get_running_loop().time()
-            silence.reschedule(now + self.silence_s)
-
     def _release(self, complete: bool) -> None:
         connection = self._connection
         if connection is None:
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -5,9 +5,12 @@
 MIN_SILENCE_S: Final = 0.25
 MAX_SILENCE_S: Final = 1.0
 SILENT_OBJECTIVES: Final = 2.5
-"""A runner that sends nothing for this many objectives, within these bounds, is given
-up where the request may be repeated. Callers leave a stream after two seconds or more
-without an event, so that half of it must be left for another runner."""
+"""While a runner sends nothing for this many objectives, within these bounds, another
+is looked for where the request may be repeated. Callers leave a stream after two
+seconds or more without an event, so that half of it must be left for another runner."""
+
+OTHER_PLACE_S: Final = 0.4
+"""Time for which another runner is looked for while the present one is silent."""
 
 MAX_IDLE_PER_RUNNER: Final = 8
 """Idle connections kept to one runner. Runners accept some 100 to 600 from all callers
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -5,7 +5,7 @@
 from itertools import count
 from random import Random
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ..coordination.view import FleetView
 from ..http1.client import ConnectionPool
@@ -18,7 +18,11 @@
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
 from ..platform.requests import RequestFields, decode_request, encode_for_runner
-from ..policy.edge.const import RETRY_AFTER_OUTAGE_S, RETRY_AFTER_START_S
+from ..policy.edge.const import (
+    MIN_RETRY_TIME_S,
+    RETRY_AFTER_OUTAGE_S,
+    RETRY_AFTER_START_S,
+)
 from ..policy.edge.retries import FailedTry, Next, decide_next
 from ..policy.scheduling.events import Asked, EndKind, Refuse
 from ..scheduling.placing import Placer
@@ -30,7 +34,7 @@
     make_answer,
 )
 from .attempt import Attempt, AttemptResult, WholeResponse, deliver_whole
-from .const import MAX_SILENCE_S, MIN_SILENCE_S, SILENT_OBJECTIVES
+from .const import MAX_SILENCE_S, MIN_SILENCE_S, OTHER_PLACE_S, SILENT_OBJECTIVES
 from .delivery import Delivery
 from .plain import PlainPlacer
 
@@ -110,6 +114,16 @@
     return random.choices(shares, weights)[0].service
 
 
+@frozen
+class NextPlace:
+    """A place that was found while the runner before was silent."""
+
+    key: str | None
+    """Key under which it was asked for; None at a plain service."""
+
+    runner: RunnerEntry
+
+
 @define(eq=False)
 class Handling:
     """One request from its route to its answer."""
@@ -129,6 +143,7 @@
     _key: str | None = field(default=None, init=False)
     """Key of the place that is asked for or held."""
 
+    _next: NextPlace | None = field(default=None, init=False)
     _in_attempt: bool = field(default=False, init=False)
     _runner_id: str | None = field(default=None, init=False)
     _error: WholeResponse | None = field(default=None, init=False)
@@ -156,6 +171,7 @@
             raise
         finally:
             self._end_place(EndKind.FAILED)
+            self._end_next()
 
     async def _async_try_runners(self) -> None:
         if self.service.engine is None:
@@ -178,12 +194,16 @@
 
     async def _async_place(self) -> RunnerEntry | Refuse:
         """Return the runner to send to, or why there is none."""
+        if self._next is not None:
+            placed, self._next = self._next, None
+            self._key = placed.key
+            return placed.runner
         if self.service.engine is None:
             return self.edge.plain.place(
                 self.service.name, self._excluded, self._list_allowed()
             )
         asked_at = self._clock()
-        asked = self._make_ask(asked_at)
+        asked = self._make_ask(asked_at, self._excluded)
         self._key = asked.request_id
         answer = await self.edge.placer.ask(asked)
         self._queued_s += self._clock() - asked_at
@@ -196,7 +216,48 @@
             return self._make_refusal("the runner is leaving", RETRY_AFTER_OUTAGE_S)
         return entry
 
-    def _make_ask(self, now: float) -> Asked:
+    async def _async_find_other(self) -> bool:
+        """Look for another runner while the present one is silent.
+
+        The present one is given up only if there is another: its silence is no reason
+        to end an answer.
+        """
+        reached = {*self._reached, *([self._runner_id] if self._runner_id else [])}
+        time_left_s = self._deadline - self._clock()
+        if len(reached) >= self.route.max_attempts or time_left_s < MIN_RETRY_TIME_S:
+            return False
+        excluded = [*self._excluded, *reached]
+        if self.service.engine is None:
+            placed = self.edge.plain.place(self.service.name, excluded, ())
+            if isinstance(placed, Refuse) or placed.runner_id in excluded:
+                return False
+            self._next = NextPlace(None, placed)
+            return self.edge.plain.take_repeat(self.service.name)
+        return await self._async_ask_other(excluded)
+
+    async def _async_ask_other(self, excluded: list[str]) -> bool:
+        asked = self._make_ask(self._clock(), excluded, repeat=True)
+        placer = self.edge.placer
+        try:
+            async with asyncio.timeout(OTHER_PLACE_S):
+                answer = await placer.ask(asked)
+        except (TimeoutError, asyncio.CancelledError) as error:
+            placer.end(asked.request_id, EndKind.LEFT)
+            if isinstance(error, asyncio.CancelledError):
+                raise
+            return False
+        entry = None
+        if not isinstance(answer, Refuse):
+            entry = self.edge.view.find_open_runner(answer.runner_id)
+        if entry is None:
+            placer.end(asked.request_id, EndKind.LEFT)
+            return False
+        self._next = NextPlace(asked.request_id, entry)
+        return True
+
+    def _make_ask(
+        self, now: float, excluded: list[str], *, repeat: bool = False
+    ) -> Asked:
         elapsed = now - self.delivery.arrived_at
         patience = min(self._deadline - now, self.route.patience_s - elapsed)
         if self.delivery.events:
@@ -211,9 +272,9 @@
             priority=self.route.priority,
             objective_left_s=self.route.objective_s - elapsed,
             patience_left_s=max(0.0, patience),
-            excluded=tuple(self._excluded),
+            excluded=tuple(excluded),
             only=self._list_allowed(),
-            repeat=self._sent,
+            repeat=repeat or self._sent,
         )
 
     def _list_allowed(self) -> tuple[str, ...]:
@@ -239,6 +300,7 @@
             streaming=self.route.kind is RouteKind.STREAMING,
             fresh_connection=not idempotent,
             silence_s=self._choose_silence() if idempotent else None,
+            on_silence=self._async_find_other,
             pool=self.edge.pool,
             delivery=self.delivery,
             on_first_event=self._note_first_event,
@@ -284,7 +346,7 @@
             time_left_s=self._deadline - self._clock(),
         )
         budget_left = True
-        if self.service.engine is None and result.was_sent:
+        if self.service.engine is None and result.was_sent and self._next is None:
             budget_left = self.edge.plain.take_repeat(self.service.name)
         decision = decide_next(self.route, failed, budget_left=budget_left)
         if result.verdict is not Verdict.NOT_RUN:
@@ -364,6 +426,12 @@
         if key is not None:
             self.edge.placer.end(key, kind)
 
+    def _end_next(self) -> None:
+        """Give back a place that was found and not used."""
+        placed, self._next = self._next, None
+        if placed is not None and placed.key is not None:
+            self.edge.placer.end(placed.key, EndKind.LEFT)
+
     def _measure(self) -> float:
         return round(self._clock() - self.delivery.arrived_at, 4)
 
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, Final
 
 import h11
@@ -23,6 +23,9 @@
 NAGLE_OFF: Final = 1
 
 
+SilenceHandler = Callable[[], Awaitable[bool]]
+
+
 class ConnectFailedError(Exception):
     """No connection was made, so nothing was sent."""
 
@@ -43,8 +46,11 @@
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEADER_BYTES
         )
         self.usable_until = now + DEFAULT_KEEP_ALIVE_S
-        self.used = False
-        """Whether an exchange was completed on this connection."""
+        self.silence_s: float | None = None
+        """Silence after which `on_silence` is asked, once; None: never."""
+
+        self.on_silence: SilenceHandler | None = None
+        """Says whether the exchange is given up because of a silence."""
 
     async def async_send(self, request: Request) -> None:
         """Send a whole request.
@@ -96,7 +102,6 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                self.used = True
                 return
             else:
                 raise ExchangeFailedError("connection ended within the body")
@@ -164,11 +169,23 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self._reader.read(READ_BYTES)
+                data = await self._async_read()
             except OSError as error:
                 raise ExchangeFailedError(f"connection reset: {error}") from error
             self._http.receive_data(data)
 
+    async def _async_read(self) -> bytes:
+        if self.silence_s is None or self.on_silence is None:
+            return await self._reader.read(READ_BYTES)
+        try:
+            async with asyncio.timeout(self.silence_s):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            silent_s, self.silence_s = self.silence_s, None
+            if await self.on_silence():
+                raise ExchangeFailedError(f"silent for {silent_s} s") from None
+            return await self._reader.read(READ_BYTES)
+
     def _note_keep_alive(self, head: ResponseHead) -> None:
         connection = (head.find(b"connection") or "").lower()
         self._closes_after = "close" in connection
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -53,9 +53,16 @@
         for change in changes.changes:
             self._take_change(change, now)
 
-    def note_trouble(self) -> None:
-        """Note that the store failed to answer."""
-        self.view.note_trouble(self.clock())
+    def note_outage_ended(self, kept_s: float | None = None) -> None:
+        """Note that the store answers again after an outage.
+
+        Args:
+            kept_s: Seconds for which entries that vanish are kept; None: the usual.
+        """
+        if kept_s is None:
+            self.view.note_outage_ended(self.clock())
+        else:
+            self.view.note_outage_ended(self.clock(), kept_s)
 
     def _take_change(self, change: Change, now: float) -> None:
         if change.item is not None:
--- a/mangoway/platform/store.py
+++ b/mangoway/platform/store.py
@@ -25,8 +25,9 @@
 """The store answers in 4 ms, and in 0.25 s when it is slow by the factor of 60 that
 the platform's pages name; more than a second is silence."""
 
-WATCH_MARGIN_S: Final = 1.0
-"""Time that a watch may answer late before it counts as silent."""
+WATCH_MARGIN_S: Final = 0.6
+"""Time that a watch may answer late before it counts as silent: more than twice that
+of a slow store."""
 
 MS_PER_S: Final = 1000
 
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -78,8 +78,8 @@
     keys: tuple[str, ...]
     items: tuple[Item, ...]
     revision: int
-    trouble: bool
-    """Whether the store failed to answer lately, so that keys may have lapsed."""
+    kept_s: float
+    """Seconds for which keys that vanish are still kept, after an outage; 0 without."""
 
 
 @frozen(kw_only=True)
@@ -87,7 +87,7 @@
     """Changes of the store's keys, each after those before."""
 
     changes: Changes
-    trouble: bool
+    kept_s: float
 
 
 Message = (
@@ -223,7 +223,7 @@
 @encodes(StateRead)
 def _encode_state_read(message: StateRead) -> list[Any]:
     items = [_encode_item(each) for each in message.items]
-    return ["state", message.revision, message.keys, items, message.trouble]
+    return ["state", message.revision, message.keys, items, round(message.kept_s, 3)]
 
 
 @decodes("state")
@@ -232,7 +232,7 @@
         revision=fields[1],
         keys=tuple(fields[2]),
         items=tuple(_decode_item(each) for each in fields[3]),
-        trouble=fields[4],
+        kept_s=fields[4],
     )
 
 
@@ -246,7 +246,7 @@
         ]
         for each in message.changes.changes
     ]
-    return ["changes", message.changes.revision, rows, message.trouble]
+    return ["changes", message.changes.revision, rows, round(message.kept_s, 3)]
 
 
 @decodes("changes")
@@ -260,7 +260,7 @@
         for row in fields[2]
     )
     return StateChanged(
-        changes=Changes(changes=changes, revision=fields[1]), trouble=fields[3]
+        changes=Changes(changes=changes, revision=fields[1]), kept_s=fields[3]
     )
 
 
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from random import Random
 from typing import Final
 
 from attrs import define, evolve, field
@@ -25,9 +26,9 @@
 callers want the first event within 0.4 s, so that what waits can still be on time only
 if the loss is noticed before."""
 
-STORE_SILENCE_S: Final = 1.0
+STORE_SILENCE_S: Final = 0.8
 """Age of the leader's last answer from the store from which others read themselves.
-Its watch waits half a second; the rest is for a slow store."""
+Its watch waits 0.4 s, a heartbeat is up to 0.15 s old; the rest is for a slow store."""
 
 
 @define(eq=False)
@@ -47,6 +48,11 @@
     mirror: Mirror | None = None
     """Gets what the leader reads in the store."""
 
+    seeds: tuple[str, ...] = ()
+    """Addresses of schedulers to ask while neither store nor leader is known."""
+
+    random: Random = field(factory=Random)
+
     link: Link | None = field(default=None, init=False)
     leading: bool = field(default=False, init=False)
     """Whether the other end says that it leads."""
@@ -75,7 +81,7 @@
 
     async def _async_follow(self) -> None:
         leader = self.view.leader
-        address = "" if leader is None else leader.member.peer_address
+        address = self._choose_address()
         if leader is not None and leader.member.incarnation == self.hello.edge:
             # This process leads itself.
             self.close("this process leads")
@@ -88,6 +94,15 @@
         if self.link is None and address:
             await self._async_connect(address)
 
+    def _choose_address(self) -> str:
+        """Return the leader's address, or a seed's while nothing is known at all."""
+        leader = self.view.leader
+        if leader is not None:
+            return leader.member.peer_address
+        if self.view.table is None and self.seeds and self.link is None:
+            return self.random.choice(self.seeds)
+        return ""
+
     async def _async_connect(self, address: str) -> None:
         loop = asyncio.get_running_loop()
         host, port = split_address(address)
@@ -119,8 +134,8 @@
     def _take_state(self, message: StateRead | StateChanged) -> None:
         if self.mirror is None:
             return
-        if message.trouble:
-            self.mirror.receiver.note_trouble()
+        if message.kept_s > 0:
+            self.mirror.receiver.note_outage_ended(message.kept_s)
         if isinstance(message, StateRead):
             self.mirror.take_reading(message.keys, message.items, message.revision)
             self._has_state = True
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -41,8 +41,8 @@
     mirror: Mirror
     """What this process knows of the store, which it passes on."""
 
-    is_troubled: Callable[[], bool]
-    """Whether the store failed to answer lately."""
+    get_kept_s: Callable[[], float]
+    """Seconds for which keys that vanish are still kept, after an outage."""
 
     _links: dict[str, Link] = field(factory=dict, init=False)
     _asking: set[str] = field(factory=set, init=False)
@@ -94,7 +94,7 @@
 
     def pass_changes(self, changes: Changes) -> None:
         """Pass changes of the store on."""
-        message = StateChanged(changes=changes, trouble=self.is_troubled())
+        message = StateChanged(changes=changes, kept_s=self.get_kept_s())
         for link in tuple(self._links.values()):
             link.send(message)
 
@@ -147,7 +147,7 @@
             keys=tuple(item.key for item in snapshot.items),
             items=tuple(item for item in snapshot.items if item.revision > known),
             revision=snapshot.revision,
-            trouble=self.is_troubled(),
+            kept_s=self.get_kept_s(),
         )
 
     def _make_heartbeat(self) -> Heartbeat:
--- a/mangoway/settings/fleet.py
+++ b/mangoway/settings/fleet.py
@@ -12,6 +12,7 @@
     parse_flag,
     parse_level,
     parse_name,
+    parse_optional_addresses,
 )
 
 DEFAULT_GRACE_S: Final = 8.0
@@ -28,6 +29,12 @@
     host: str = setting(parse_name, "Name of this host.")
     data_centre: str = setting(parse_name, "Data centre of this host.")
     store: str = setting(parse_address, "Address of the platform's store.")
+    seeds: tuple[str, ...] = setting(
+        parse_optional_addresses,
+        "Addresses of schedulers, separated by commas, to ask for what they know if "
+        "the store does not answer at the start.",
+        (),
+    )
     metrics_listen: str | None = setting(
         parse_address,
         "IP address and port to serve metrics on; none if not given.",
--- a/mangoway/settings/parsers.py
+++ b/mangoway/settings/parsers.py
@@ -46,6 +46,11 @@
     return tuple(parse_address(part.strip()) for part in text.split(","))
 
 
+def parse_optional_addresses(text: str) -> tuple[str, ...]:
+    """Parse a comma-separated list of addresses that may be empty."""
+    return parse_addresses(text) if text.strip() else ()
+
+
 def parse_url(text: str) -> str:
     """Parse an http URL whose host is an IP number, so that no name is looked up."""
     parts = urlsplit(text)
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -38,7 +38,7 @@
             elif change.key == PREFIX + LEADER_KEY:
                 self.view.take_leader(None, 0.0)
 
-    def note_trouble(self) -> None:
+    def note_outage_ended(self, kept_s: float | None = None) -> None:
         """Nothing depends on it here."""
 
     def _take(self, item: Item) -> None:
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mangoway.coordination.mirror import OWN_WATCH_S, Mirror
+from mangoway.coordination.mirror import Mirror
 from mangoway.coordination.store import Changes, Item, Snapshot
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
@@ -18,7 +18,7 @@
     def __init__(self) -> None:
         self.values: dict[str, bytes] = {}
         self.snapshots = 0
-        self.troubles = 0
+        self.outages = 0
 
     def take_snapshot(self, snapshot: Snapshot) -> None:
         self.snapshots += 1
@@ -31,8 +31,8 @@
             else:
                 self.values[change.key] = change.item.value
 
-    def note_trouble(self) -> None:
-        self.troubles += 1
+    def note_outage_ended(self, kept_s: float | None = None) -> None:
+        self.outages += 1
 
 
 class StubFeed:
@@ -77,7 +77,19 @@
         await asyncio.sleep(3)
         task.cancel()
         assert recorder.values == {"a": b"1", "b": b"2"}
-        assert recorder.troubles > 0
+        assert recorder.outages == 1
+
+    async def test_reset_connection_is_no_outage(self) -> None:
+        """A removal just after it must count at once, not be kept as a lapse."""
+        store, recorder = FakeCoordinationStore(), Recorder()
+        task = start(Mirror(store, recorder, loop_clock()))
+        await asyncio.sleep(0.1)
+        store.down = True
+        await asyncio.sleep(0.5)
+        store.down = False
+        await asyncio.sleep(2)
+        task.cancel()
+        assert recorder.outages == 0
 
     async def test_silent_watch_is_noticed(self) -> None:
         store, recorder = FakeCoordinationStore(), Recorder()
@@ -87,7 +99,7 @@
         store.put("a", b"1")
         await asyncio.sleep(0.1)
         store.silent_watches = False
-        await asyncio.sleep(2 * OWN_WATCH_S)
+        await asyncio.sleep(2.0 - 0.1)
         task.cancel()
         assert recorder.values == {"a": b"1"}
 
--- a/tests/coordination/test_view.py
+++ b/tests/coordination/test_view.py
@@ -1,6 +1,6 @@
 """Tests of what a process knows of the fleet."""
 
-from mangoway.coordination.view import RETURN_TIME_S, TROUBLE_S, FleetView
+from mangoway.coordination.view import RETURN_TIME_S, FleetView
 
 from ..fakes.fleet import make_runner, make_table
 
@@ -43,17 +43,26 @@
     def test_entry_that_lapsed_in_an_outage_is_kept_until_it_can_be_back(self) -> None:
         view = FleetView()
         view.take_runner(make_runner("r1"))
-        view.note_trouble(now=10.0)
-        view.remove_runner("r1", now=10.0 + TROUBLE_S - 0.1)
-        view.expire_missing(now=10.0 + TROUBLE_S + RETURN_TIME_S - 0.2)
+        view.note_outage_ended(now=10.0)
+        view.remove_runner("r1", now=10.1)
+        view.expire_missing(now=10.0 + RETURN_TIME_S - 0.1)
         assert view.find_open_runner("r1") is not None
-        view.expire_missing(now=10.0 + TROUBLE_S + RETURN_TIME_S)
+        view.expire_missing(now=10.0 + RETURN_TIME_S)
+        assert view.find_open_runner("r1") is None
+
+    def test_entry_removed_late_after_an_outage_is_not_kept_longer(self) -> None:
+        """What goes 1.5 s after an outage must be obeyed within two seconds."""
+        view = FleetView()
+        view.take_runner(make_runner("r1"))
+        view.note_outage_ended(now=10.0)
+        view.remove_runner("r1", now=11.5)
+        view.expire_missing(now=10.0 + RETURN_TIME_S)
         assert view.find_open_runner("r1") is None
 
     def test_entry_that_comes_back_stays(self) -> None:
         view = FleetView()
         view.take_runner(make_runner("r1"))
-        view.note_trouble(now=10.0)
+        view.note_outage_ended(now=10.0)
         view.remove_runner("r1", now=11.0)
         view.take_runner(make_runner("r1"))
         view.expire_missing(now=60.0)
--- a/tests/edge/test_forwarder.py
+++ b/tests/edge/test_forwarder.py
@@ -120,6 +120,34 @@
             async with asyncio.timeout(0.5):
                 await silent.lost.wait()
 
+    async def test_silence_ends_no_answer_that_nobody_else_can_give(self) -> None:
+        async def late(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(1.3)
+            writer.write(make_ok(b"late"))
+
+        async with RawServer(late) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            reply = await edge.async_call("/safe/x")
+        assert (reply.status, reply.body) == (200, b"late")
+        assert len(runner.requests) == 1
+
+    async def test_silent_stream_goes_on_elsewhere_only_with_a_place(self) -> None:
+        first = make_stream(make_event(1), end=False)
+        rest = make_stream(make_event(2))[1:]
+
+        async def pause(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.writelines(first)
+            await asyncio.sleep(1.3)
+            writer.writelines(rest)
+
+        async with RawServer(pause) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm")
+            reply = await edge.async_call("/stream/x")
+        assert reply.body == make_event(1) + make_event(2)
+        assert reply.whole
+        assert len(edge.placer.asked) == 2
+        assert edge.placer.asked[1].excluded == ("r1",)
+
     async def test_unrepeatable_request_uses_a_connection_of_its_own(self) -> None:
         async with RawServer(answer(make_ok())) as runner, start_edge() as edge:
             edge.add("r1", runner, "plain")
--- a/tests/fakes/coordination_store.py
+++ b/tests/fakes/coordination_store.py
@@ -90,7 +90,7 @@
                 if each.revision > revision and each.key.startswith(prefix)
             )
             if self.silent_watches:
-                await asyncio.sleep(wait_s + 1)
+                await asyncio.sleep(wait_s + 0.6)
                 raise StoreUnavailableError("no answer")
             if found or self._now() >= end:
                 return Changes(changes=found, revision=self.revision)
--- a/tests/scheduling/test_client.py
+++ b/tests/scheduling/test_client.py
@@ -47,7 +47,7 @@
             if change.item is not None:
                 self.values[change.key] = change.item.value
 
-    def note_trouble(self) -> None:
+    def note_outage_ended(self, kept_s: float | None = None) -> None:
         """Nothing depends on it here."""
 
 
@@ -76,7 +76,7 @@
             is_leading=lambda: self.leading,
             give_order=self.orders.append,
             mirror=self.mirror,
-            is_troubled=lambda: False,
+            get_kept_s=lambda: 0.0,
         )
         self.mirror.follower = self.server
 
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -38,7 +38,7 @@
     Ended(edge="e1", request_id="q1", kind=EndKind.NOT_HELD),
     Grant(edge="e1", request_id="q1", runner_id="r1"),
     Refuse(edge="e1", request_id="q1", retry_after_s=0.5, reason="why"),
-    StateRead(keys=("k", "l"), items=(ITEM,), revision=5, trouble=False),
+    StateRead(keys=("k", "l"), items=(ITEM,), revision=5, kept_s=0.0),
     StateChanged(
         changes=Changes(
             changes=(
@@ -47,7 +47,7 @@
             ),
             revision=4,
         ),
-        trouble=True,
+        kept_s=1.5,
     ),
 ]
 
@@ -72,7 +72,7 @@
             keys=tuple(each.key for each in items),
             items=items,
             revision=100,
-            trouble=False,
+            kept_s=0.0,
         )
         data = encode_frame([state])
         assert COMPRESSED_FROM_BYTES < len(data) * 8 < 100 * 300
