Lead on while stopping if the store can't give the lead away

Change: a stopping leader leads on until the store answers, up to 1.8 s before the end of its grace. Ruled out: handing the lead to a standby without the store, which would need fence numbers of our own.

--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -53,6 +53,10 @@
 SUMMARY_S: Final = 2.0
 """Time between two summaries in the log: a line a second at two services."""
 
+STOP_MARGIN_S: Final = 1.8
+"""Time before the end of the grace at which a scheduler stops leading at the latest:
+the call that ends its lease takes up to 1.2 s."""
+
 LEAD_CHECK_S: Final = 0.05
 """Time between two looks at whether this process leads."""
 
@@ -143,6 +147,7 @@
         """Give the lead up and end."""
         began = self.process.clock()
         log_event(log.NodeStopping(signal=signal, in_progress=0))
+        await self._async_outlast_outage(began + self.settings.grace_s - STOP_MARGIN_S)
         self.leadership.stop()
         await self.process.presence.async_leave()
         self.server.stop()
@@ -151,6 +156,13 @@
         seconds = round(self.process.clock() - began, 3)
         log_event(log.NodeStopped(in_progress=0, after_s=seconds))
 
+    async def _async_outlast_outage(self, last: float) -> None:
+        """Lead on while the store can't give the lead to another, up to a time."""
+        while self.process.clock() < last:
+            if self.leadership.fence is None or not self.process.presence.failing:
+                return
+            await asyncio.sleep(LEAD_CHECK_S)
+
     def _make_core(self) -> SchedulingCore:
         settings = self.settings
         limits = RetryLimits(
