Load copies of a popular model beside each other; leave a silent scheduler alone

Edges connected to the frozen host again and again, which its kernel allows. Writes to connections that were closing logged 126 library warnings. Change: loads under way count as copies, so that what is still wanted begins beside them; a silent scheduler is left alone for a second; closing connections are not written to. Ruled out: the weight store's limits.

--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -217,7 +217,7 @@
         self._write(self._http.send(h11.EndOfMessage()))
 
     def _write(self, data: bytes | None) -> None:
-        if data and not self._lost:
+        if data and not self._lost and not self._transport.is_closing():
             self._transport.write(data)
 
     def _read_events(self) -> None:
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -119,27 +119,17 @@
 
     def _list_needs(self) -> list[Need]:
         """Return the models that lack a copy, those that lose most first."""
-        runners = self._list_runners()
         waiting = self._count_all_waiting()
-        coming = {each.goal for each in runners} | {
-            name
-            for each in runners
-            for name, held in each.held.items()
-            if held.ready_at > self.now
-        }
         needs = []
         for model, profile in self.engine.models.items():
-            if model in coming:
-                continue
-            copies = self._count_copies(model)
+            copies = self._count_copies(model) + self._count_goals(model)
             waits = waiting.get(model, 0) if copies == 0 else 0
-            wanted = self._count_wanted(model)
-            if copies >= wanted and not waits:
+            if copies >= self._count_wanted(model) and not waits:
                 continue
             gain = self._rate_served(model, copies + 1)
             gain += waits / HOLD_S - self._rate_served(model, copies)
             load_s = min(
-                (estimate_load(each, profile) for each in runners),
+                (estimate_load(each, profile) for each in self._list_runners()),
                 default=profile.load_s,
             )
             reason = "it has too few copies" if copies else "nobody holds it"
@@ -194,11 +184,9 @@
         for name, profile in self.engine.models.items():
             if name in runner.held or not self._fits(runner, profile):
                 continue
-            copies = self._count_copies(name)
+            copies = self._count_copies(name) + self._count_goals(name)
             if copies and copies >= self._count_wanted(name):
                 continue
-            if any(each.goal == name for each in self._list_runners()):
-                continue
             value = self._rate_served(name, copies + 1)
             value -= self._rate_served(name, copies)
             if best is None or value > best[0]:
@@ -336,6 +324,10 @@
     def _count_copies(self, model: str) -> int:
         return sum(1 for each in self._list_runners() if model in each.held)
 
+    def _count_goals(self, model: str) -> int:
+        """Return the runners that are making room for a model."""
+        return sum(1 for each in self._list_runners() if each.goal == model)
+
     def _count_waiting(self, model: str) -> int:
         waiting = self.state.waiting.get(self.service, {}).values()
         return sum(1 for each in waiting if each.asked.model == model)
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -26,6 +26,10 @@
 callers want the first event within 0.4 s, so that what waits can still be on time only
 if the loss is noticed before."""
 
+AVOID_S: Final = 1.0
+"""Time for which a scheduler that was silent is left alone: the kernel of a host whose
+processes are frozen still takes connections."""
+
 STORE_SILENCE_S: Final = 0.8
 """Age of the leader's last answer from the store from which others read themselves.
 Its watch waits 0.4 s, a heartbeat is up to 0.15 s old; the rest is for a slow store."""
@@ -58,6 +62,10 @@
     """Whether the other end says that it leads."""
 
     _address: str = field(default="", init=False)
+    _avoided: str = field(default="", init=False)
+    _avoided_until: float = field(default=0.0, init=False)
+    """Address that was silent, and until when it is left alone."""
+
     _store_age_s: float = field(default=1e9, init=False)
     _has_state: bool = field(default=False, init=False)
 
@@ -90,8 +98,13 @@
             if address and address != self._address:
                 self.close("another scheduler leads")
             elif self.clock() - self.link.heard_at > SILENCE_S:
+                self._avoided, self._avoided_until = (
+                    self._address,
+                    self.clock() + AVOID_S,
+                )
                 self.close("it is silent")
-        if self.link is None and address:
+        avoided = address == self._avoided and self.clock() < self._avoided_until
+        if self.link is None and address and not avoided:
             await self._async_connect(address)
 
     def _choose_address(self) -> str:
--- a/mangoway/scheduling/link.py
+++ b/mangoway/scheduling/link.py
@@ -74,6 +74,8 @@
         messages, self._outgoing = self._outgoing, []
         if not self.is_open or self._transport is None:
             return
+        if self._transport.is_closing():
+            return
         self._transport.write(encode_frame(messages))
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.close("the other end does not read")
--- a/tests/policy/scheduling/test_placement.py
+++ b/tests/policy/scheduling/test_placement.py
@@ -91,6 +91,17 @@
         loads = [each.model for each in world.orders if each.load]
         assert loads[0] == "a"
 
+    def test_copies_load_beside_each_other(self) -> None:
+        """Loads of 6 s: the second copy must not wait until the first is there."""
+        world = make_ready(
+            ["a", "b", "c"], ["a", "d", "e"], ["a", "f", "b"], load_s=6.0
+        )
+        for number in range(240):
+            world.ask(make_asked(f"q{number}", "g"), at=1.0 + number / 60)
+        world.run(5.0)
+        loads = [each.runner_id for each in world.orders if each.load]
+        assert len(set(loads)) >= 2
+
     def test_free_room_is_filled(self) -> None:
         world = make_ready(["a", "b", "c"], [])
         world.run(8.0)
