--- a/mangoway/policy/scheduling/queue.py
+++ b/mangoway/policy/scheduling/queue.py
@@ -87,7 +87,7 @@
     if not allowed:
         return None
     times = [
-        max(free_at[each.runner_id], each.held[model].ready_at)
+        max(free_at[each.runner_id], _expect_ready(waiting.asked, each))
         for each in allowed
         if model in each.held
     ]
@@ -96,6 +96,18 @@
     return max(ready_times.get(model, now), min(free_at.values()))
 
 
+def _expect_ready(asked: Asked, runner: RunnerState) -> float:
+    """Return when a holder of the model can serve a request, its adapter included."""
+    held = runner.held[asked.model]
+    if not asked.adapter:
+        return held.ready_at
+    known_at = held.adapters.get(asked.adapter)
+    if known_at is not None:
+        return max(held.ready_at, known_at)
+    # An adapter is ordered only once a load of a model is over.
+    return max(held.ready_at, runner.changing_until)
+
+
 def _occupy(
     state: SchedulingState,
     waiting: Waiting,
--- a/tests/policy/scheduling/test_placement.py
+++ b/tests/policy/scheduling/test_placement.py
@@ -204,6 +204,30 @@
         assert last.first_at is not None
         assert last.first_at - last.asked_at < 0.1
 
+    def test_model_is_loaded_where_adapters_are_not_asked_for(self) -> None:
+        """A runner that loads for 6 s refuses orders for adapters all the while."""
+        world = make_ready(["a", "b", "c"], ["d", "e", "f"], load_s=6.0)
+        for number in range(20):
+            asked = make_asked(f"q{number}", "a", adapter=f"x{number}")
+            world.ask(asked, at=1.0 + number / 5)
+            plain = make_asked(f"d{number}", "d", tokens=4000)
+            world.ask(plain, at=1.0 + number / 5)
+        world.ask(make_asked("g", "g", patience_s=16.0), at=3.0)
+        world.run(6.0)
+        loads = [each.runner_id for each in world.orders if each.model == "g"]
+        assert loads == ["r1"]
+
+    def test_adapter_that_cannot_come_in_time_is_refused_at_once(self) -> None:
+        world = make_ready(["a", "b", "c"], load_s=6.0)
+        for number in range(4):
+            world.ask(make_asked(f"a{number}", "a"), at=0.8 + number / 10)
+        world.ask(make_asked("g", "g", patience_s=16.0), at=1.0)
+        world.ask(make_asked("q1", "a", adapter="x1"), at=1.5)
+        world.run(6.0)
+        outcome = world.outcomes["q1"]
+        assert outcome.refused_at is not None
+        assert outcome.refused_at - outcome.asked_at < 0.2
+
     def test_pending_adapters_of_a_report_are_kept(self) -> None:
         world = make_ready(["a", "b", "c"])
         world.ask(make_asked("q1", "a", adapter="a7"), at=1.0)
