Take the adapters' part of a load's site out again

Cause: it was to keep loads off runners where adapters are asked for. Conclusion: out; refusing adapters that can't come in time stays. Its test of the site stays too, since it holds.

--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -138,8 +138,6 @@
     engine = state.get_engine(event.service)
     if engine is not None and event.model not in engine.models:
         return [_refuse(event, RETRY_AFTER_BUDGET_S, "the model is not offered")]
-    if event.adapter and not state.is_adapter_held(event):
-        state.demand.note_missing_adapter(event.service, event.model, now)
     waiting = _make_waiting(event, now)
     state.waiting.setdefault(event.service, {})[waiting.key] = waiting
     return core.serve(event.service, now)
--- a/mangoway/policy/scheduling/demand.py
+++ b/mangoway/policy/scheduling/demand.py
@@ -53,7 +53,6 @@
 
     _requests: dict[tuple[str, str], Demand] = field(factory=dict, init=False)
     _work: dict[tuple[str, str], Demand] = field(factory=dict, init=False)
-    _missing: dict[tuple[str, str], Demand] = field(factory=dict, init=False)
 
     def note(self, service: str, model: str, work_s: float, now: float) -> None:
         """Count a request that takes so many seconds to read."""
@@ -61,15 +60,6 @@
         self._requests.setdefault(key, Demand()).add(1, now)
         self._work.setdefault(key, Demand()).add(work_s, now)
 
-    def note_missing_adapter(self, service: str, model: str, now: float) -> None:
-        """Count a request for an adapter that no runner holds."""
-        self._missing.setdefault((service, model), Demand()).add(1, now)
-
-    def get_missing_adapters(self, service: str, model: str, now: float) -> float:
-        """Return the requests a second for adapters of a model that nobody held."""
-        demand = self._missing.get((service, model))
-        return 0.0 if demand is None else demand.get(now)
-
     def get_requests(self, service: str, model: str, now: float) -> float:
         """Return the requests a second for a model."""
         demand = self._requests.get((service, model))
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -273,7 +273,6 @@
             load_s = estimate_load(runner, profile)
             cost_s = load_s * max(1, waiting) + loss * HOLD_S
             cost_s += BUSY_SITE_S * self._measure_busy(runner)
-            cost_s += self._measure_blocked(runner) * load_s * load_s / 2
             if best is None or cost_s < best.cost_s:
                 best = Site(runner=runner, victims=victims, cost_s=cost_s)
         return best
@@ -333,18 +332,6 @@
             counts[model] = counts.get(model, 0) + 1
         return counts
 
-    def _measure_blocked(self, runner: RunnerState) -> float:
-        """Return the requests a second for adapters that a load here holds up.
-
-        A runner that loads a model refuses orders for adapters until it has it.
-        """
-        demand = self.state.demand
-        return sum(
-            demand.get_missing_adapters(self.service, name, self.now)
-            / max(1, self._count_copies(name))
-            for name in runner.held
-        )
-
     def _measure_busy(self, runner: RunnerState) -> float:
         """Return the share of a runner's time that reading prompts takes."""
         return sum(
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -11,7 +11,6 @@
 from ..edge.retry_budget import RetryBudget
 from .const import STORE_LOAD_SHARE, STORE_WINDOW_S
 from .demand import DemandBook
-from .events import Asked
 from .pace import PaceBook
 from .prefixes import PrefixMemory
 from .requests import RequestKey, Waiting
@@ -100,14 +99,6 @@
         engine = self.get_engine(service)
         return None if engine is None else engine.models.get(model)
 
-    def is_adapter_held(self, asked: Asked) -> bool:
-        """Return whether a runner holds the adapter of a request, or is getting it."""
-        return any(
-            asked.model in each.held
-            and asked.adapter in each.held[asked.model].adapters
-            for each in self.list_runners(asked.service)
-        )
-
     def list_runners(self, service: str) -> list[RunnerState]:
         """Return the runners of a service."""
         return [each for each in self.runners.values() if each.entry.service == service]
