--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -281,7 +281,9 @@
 
     async def async_run_command(self, *arguments: str) -> str:
         """Run a command of the program to its end, and return its output."""
-        process = await self.launcher.async_start("command", PROGRAM, *arguments)
+        process = await self.launcher.async_start(
+            "command", PROGRAM, *arguments, reads_output=True
+        )
         output, _ = await asyncio.wait_for(
             process.child.communicate(), COMMAND_TIMEOUT_S
         )
