--- a/mangoway/observability/event_log.py
+++ b/mangoway/observability/event_log.py
@@ -161,11 +161,16 @@
     return stop
 
 
-def _open_output() -> BoundedOutput:
+def _open_output() -> Any:
     # Imported late: the events are registered by this module's functions.
     from .fleet_events import LinesDropped
 
-    output = BoundedOutput(sys.stdout.fileno())
+    try:
+        descriptor = sys.stdout.fileno()
+    except OSError:
+        # A stream in memory, put there by who runs the program as a library.
+        return sys.stdout
+    output = BoundedOutput(descriptor)
     output.on_dropped = lambda count: log_event(LinesDropped(lines=count))
     return output
 
