Load models where a copy is near, and leave runners to rising ones

Change: a load waits for the runner where the model is there first, its present change included; rare models fetched from the store keep a third of the runners at most; while a service is idle, models without any copy near are fetched to a disk. Two unused members of the scheduling core are gone.

Both tests of TestSlowLoads fail without it.

--- a/mangoway/models/routing.py
+++ b/mangoway/models/routing.py
@@ -106,6 +106,8 @@
     """Loads from the weight store that all runners together may begin a second."""
 
     models: dict[str, ModelProfile]
+    disk_mb: float = 0.0
+    """Disk of a runner on which it keeps copies of weights, the latest used ones."""
 
 
 @frozen(kw_only=True)
--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -135,6 +135,7 @@
         adapter_slots=int(fields.get("adapter_slots") or 0),
         loads_per_s=float(fields.get("loads_per_s") or 0),
         models={each["name"]: _decode_model(each) for each in fields["models"]},
+        disk_mb=float(fields.get("disk_mb") or 0),
     )
 
 
--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -147,6 +147,11 @@
 STORE_WINDOW_S: Final = 5.0
 """Window over which the weight store's rate of loads is counted."""
 
+RARE_LOAD_SHARE: Final = 0.34
+"""Part of the runners that loads of rare models from the weight store may keep at once:
+on a day with loads of 5.8 s they kept all, and a model whose demand had risen to 16
+requests a second waited 5 s for its first load."""
+
 LEAST_REQUESTS: Final = 0.01
 """Requests a second below which a model counts as not asked for: one in some 40 s."""
 
@@ -157,3 +162,7 @@
 
 ADAPTER_RESERVE: Final = 1.0
 """Part of the adapter places whose memory is kept free of models."""
+
+WARMING_REST_S: Final = 10.0
+"""Time without a request after which a service counts as idle, so that its runners may
+fetch copies for later: the longest time in which demand is still remembered."""
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -18,7 +18,6 @@
     Event,
     FirstEventSeen,
     FleetSeen,
-    GiveOrder,
     OrderEnded,
     OrdersAllowed,
     Refuse,
@@ -30,6 +29,7 @@
 from .queue import list_hopeless
 from .requests import RequestKey, Running, Waiting
 from .state import SchedulingState
+from .warming import WarmingPlanner
 
 RETRY_AFTER_BUDGET_S: Final = 0.5
 """When to come back if the fleet's retry budget is spent: a twentieth of its window."""
@@ -67,17 +67,10 @@
     _planned_at: dict[str, float] = field(factory=dict, init=False)
     """When the models of each service were last planned."""
 
-    _last_tick: float = field(default=0.0, init=False)
-
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event at time `now` (seconds, never decreasing)."""
         return _handlers[type(event)](self, event, now)
 
-    @property
-    def waiting_count(self) -> int:
-        """Return the number of waiting requests."""
-        return sum(len(each) for each in self.state.waiting.values())
-
     def serve(self, service: str, now: float) -> list[Action]:
         """Return what can be done for the requests of a service now."""
         actions = dispatch(self.state, service, now)
@@ -93,7 +86,10 @@
         engine = self.state.get_engine(service)
         if engine is None or not self.state.orders_allowed:
             return []
-        return list(Planner(self.state, service, engine, now).plan())
+        orders = Planner(self.state, service, engine, now).plan()
+        if not orders:
+            orders = WarmingPlanner(self.state, service, engine, now).plan()
+        return list(orders)
 
     def describe(self, service: str, now: float) -> tuple[list[str], list[str]]:
         """Return lines on the models and on the runners of a service."""
@@ -281,6 +277,3 @@
         retry_after_s=retry_after_s,
         reason=reason,
     )
-
-
-__all__ = ["GiveOrder", "SchedulingCore"]
--- a/mangoway/policy/scheduling/demand.py
+++ b/mangoway/policy/scheduling/demand.py
@@ -53,13 +53,20 @@
 
     _requests: dict[tuple[str, str], Demand] = field(factory=dict, init=False)
     _work: dict[tuple[str, str], Demand] = field(factory=dict, init=False)
+    _asked_at: dict[str, float] = field(factory=dict, init=False)
+    """Time of the last request for each service."""
 
     def note(self, service: str, model: str, work_s: float, now: float) -> None:
         """Count a request that takes so many seconds to read."""
         key = (service, model)
+        self._asked_at[service] = now
         self._requests.setdefault(key, Demand()).add(1, now)
         self._work.setdefault(key, Demand()).add(work_s, now)
 
+    def get_last(self, service: str) -> float | None:
+        """Return when something was last asked of a service; None if never."""
+        return self._asked_at.get(service)
+
     def get_requests(self, service: str, model: str, now: float) -> float:
         """Return the requests a second for a model."""
         demand = self._requests.get((service, model))
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -22,22 +22,27 @@
     LEAST_REQUESTS,
     MIN_RESIDENCE_S,
     POPULAR_REQUESTS,
+    RARE_LOAD_SHARE,
     SWAP_GAIN,
+    UNLOAD_S,
 )
 from .events import GiveOrder
 from .orders import can_order, open_order
-from .runners import RunnerState
+from .runners import REPORT_LAG_S, RunnerState
 from .state import SchedulingState
 
 
-@frozen(kw_only=True)
+@frozen
 class Site:
     """A runner that could take a model, and what has to go for it."""
 
     runner: RunnerState
     victims: tuple[str, ...]
+    wait_s: float
+    """Time until it can be ordered."""
+
     cost_s: float
-    """Load time, and the loss of the victims in the same unit."""
+    """Time until the model is there, and the loss of the victims in the same unit."""
 
 
 @frozen
@@ -54,6 +59,9 @@
     urgency: float
     """The gain for each second that the load takes a runner."""
 
+    rare: bool
+    """Whether few requests come for it."""
+
     reason: str
 
 
@@ -78,10 +86,7 @@
     def __attrs_post_init__(self) -> None:
         self._runners = self.state.list_usable(self.service, self.now)
         self._waiting = self._count_all_waiting()
-        largest = max(
-            (each.adapter_mb for each in self.engine.models.values()), default=0.0
-        )
-        self._adapter_mb = ADAPTER_RESERVE * self.engine.adapter_slots * largest
+        self._adapter_mb = reserve_for_adapters(self.engine)
         self._count()
 
     def _count(self) -> None:
@@ -127,7 +132,10 @@
         orders = []
         for need in self._list_needs():
             site = self._find_site(self.engine.models[need.model], need.waiting)
-            if site is None:
+            if site is None or site.wait_s > 0:
+                # Waiting for a runner that has a copy beats a load from the store.
+                continue
+            if need.rare and not self._take_rare_load(need.model, site.runner):
                 continue
             loss = sum(self._rate_loss(each, site.runner) for each in site.victims)
             if not need.waiting and SWAP_GAIN * loss > need.gain:
@@ -141,22 +149,36 @@
     def _list_needs(self) -> list[Need]:
         """Return the models that lack a copy, those that lose most first."""
         needs = []
-        for model, profile in self.engine.models.items():
+        for model in self.engine.models:
             copies = self._count_copies(model) + self._count_goals(model)
             waits = self._count_waiting(model) if copies == 0 else 0
             if copies >= self._count_wanted(model) and not waits:
                 continue
             gain = self._rate_served(model, copies + 1)
             gain += waits / HOLD_S - self._rate_served(model, copies)
-            load_s = min(
-                (estimate_load(each, profile) for each in self._list_runners()),
-                default=profile.load_s,
-            )
+            urgency = gain / self._find_load_time(model)
             reason = "it has too few copies" if copies else "nobody holds it"
-            needs.append(Need(model, waits, gain, gain / load_s, reason))
+            rare = self._get_requests(model) < POPULAR_REQUESTS
+            needs.append(Need(model, waits, gain, urgency, rare, reason))
         needs.sort(key=lambda each: -each.urgency)
         return needs
 
+    def _take_rare_load(self, model: str, runner: RunnerState) -> bool:
+        """Return whether a runner may be kept by the load of a rare model.
+
+        A runner takes one order at a time: if rare models kept all of them, a popular
+        one would have to wait for the end of a load.
+        """
+        profile = self.engine.models[model]
+        if estimate_load(runner, profile) < profile.load_s:
+            return True
+        loads = self.state.get_store_loads(self.service)
+        limit = max(1, int(RARE_LOAD_SHARE * len(self._list_runners())))
+        if loads.count_rare(self.now) >= limit:
+            return False
+        loads.note_rare(runner.runner_id, self.now + UNLOAD_S + profile.load_s)
+        return True
+
     def _rate_served(self, model: str, copies: int) -> float:
         """Return the requests a second that so many copies serve in time."""
         requests = self._get_requests(model)
@@ -260,9 +282,8 @@
     def _find_site(self, profile: ModelProfile, waiting: int) -> Site | None:
         best: Site | None = None
         for runner in self._list_runners():
-            if runner.goal or profile.name in runner.held:
-                continue
-            if not can_order(runner, self.now):
+            wait_s = measure_wait(runner, self.engine, self.now)
+            if wait_s is None or profile.name in runner.held:
                 continue
             victims: tuple[str, ...] = ()
             if not self._fits(runner, profile):
@@ -270,11 +291,11 @@
                 if not victims:
                     continue
             loss = sum(self._rate_loss(each, runner) for each in victims)
-            load_s = estimate_load(runner, profile)
-            cost_s = load_s * max(1, waiting) + loss * HOLD_S
+            ready_s = wait_s + estimate_load(runner, profile)
+            cost_s = ready_s * max(1, waiting) + loss * HOLD_S
             cost_s += BUSY_SITE_S * self._measure_busy(runner)
             if best is None or cost_s < best.cost_s:
-                best = Site(runner=runner, victims=victims, cost_s=cost_s)
+                best = Site(runner, victims, wait_s, cost_s)
         return best
 
     def _choose_victims(
@@ -355,6 +376,12 @@
         return self._runners
 
 
+def reserve_for_adapters(engine: EngineProfile) -> float:
+    """Return the memory that is kept free for adapters on each runner, in MB."""
+    sizes = (each.adapter_mb for each in engine.models.values())
+    return ADAPTER_RESERVE * engine.adapter_slots * max(sizes, default=0.0)
+
+
 def estimate_load(runner: RunnerState, profile: ModelProfile) -> float:
     """Return the time of a load from the nearest copy that a runner has."""
     if profile.name in runner.in_host_memory:
@@ -364,6 +391,24 @@
     return profile.load_s
 
 
+def measure_wait(
+    runner: RunnerState, engine: EngineProfile, now: float
+) -> float | None:
+    """Return the seconds until a runner can be ordered; None if that is not known."""
+    if runner.order_count is None:
+        return None
+    goal = engine.models.get(runner.goal)
+    if goal is not None:
+        # It makes room first, and then loads the model.
+        wait_s = max(UNLOAD_S, runner.changing_until - now)
+        return wait_s + estimate_load(runner, goal)
+    if runner.open_order is not None:
+        return None
+    # While a load is under way, reports don't show what will be held.
+    known_s = 0.0 if runner.state_known else REPORT_LAG_S
+    return max(known_s, runner.changing_until - now)
+
+
 def expect_ready(state: SchedulingState, service: str, now: float) -> dict[str, float]:
     """Return when each model that nobody holds could be ready, for who waits."""
     engine = state.get_engine(service)
@@ -375,7 +420,11 @@
     for name, profile in engine.models.items():
         if name not in held:
             load_s = min(
-                (estimate_load(each, profile) for each in runners),
+                (
+                    (measure_wait(each, engine, now) or 0.0)
+                    + estimate_load(each, profile)
+                    for each in runners
+                ),
                 default=profile.load_s,
             )
             times[name] = now + load_s
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -106,6 +106,11 @@
         """Return the id of this life."""
         return self.entry.runner_id
 
+    def list_near(self) -> frozenset[str]:
+        """Return the models that it holds, is getting, or can load without a fetch."""
+        goal = {self.goal} if self.goal else set()
+        return self.in_host_memory | self.on_disk | self.held.keys() | goal
+
     def take_entry(self, entry: RunnerEntry, now: float) -> None:
         """Take the entry as it is now; once reports are read they know more."""
         self.entry = entry
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -33,10 +33,22 @@
     _begun: deque[tuple[float, float]] = field(factory=deque, init=False)
     """Time of the begin and expected end of each."""
 
+    _rare: dict[str, float] = field(factory=dict, init=False)
+    """Runners that fetch a rare model, and when that should be over."""
+
     def note(self, now: float, ends_at: float) -> None:
         """Count a load that begins now."""
         self._begun.append((now, ends_at))
 
+    def note_rare(self, runner_id: str, ends_at: float) -> None:
+        """Note that a runner is kept by a rare model until a time."""
+        self._rare[runner_id] = ends_at
+
+    def count_rare(self, now: float) -> int:
+        """Return the runners that are kept by rare models."""
+        self._rare = {key: end for key, end in self._rare.items() if end > now}
+        return len(self._rare)
+
     def may_begin(self, engine: EngineProfile, load_s: float, now: float) -> bool:
         """Return whether the store allows one more load at full speed."""
         while self._begun and self._begun[0][0] <= now - STORE_WINDOW_S:
--- /dev/null
+++ b/mangoway/policy/scheduling/warming.py
@@ -0,0 +1,143 @@
+"""Fetches copies of weights to the runners' disks while nobody asks for anything.
+
+Answers the load of demand that moves to models which few runners have held: a load from
+the weight store takes up to 6 s, longer than callers wait, and one from a runner's own
+disk about one. A runner keeps what it has held on its disk, so a model that is loaded
+once is near from then on, also when another takes its place in memory again.
+"""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from ...models.routing import EngineProfile, ModelProfile
+from .const import IDLE_VALUE, WARMING_REST_S
+from .events import GiveOrder
+from .orders import can_order, open_order
+from .placement import reserve_for_adapters
+from .runners import RunnerState
+from .state import SchedulingState
+
+
+@define(eq=False)
+class WarmingPlanner:
+    """Plans the copies of one service that are fetched ahead, at one moment."""
+
+    state: SchedulingState
+    service: str
+    engine: EngineProfile
+    now: float
+    _runners: list[RunnerState] = field(init=False)
+    _near: dict[str, int] = field(factory=dict, init=False)
+    """Runners that hold each model, are getting it, or have it on disk."""
+
+    _held: dict[str, int] = field(factory=dict, init=False)
+    """Runners that hold each model in memory."""
+
+    _adapter_mb: float = field(init=False)
+    """Memory that is kept free for adapters on each runner."""
+
+    def __attrs_post_init__(self) -> None:
+        self._runners = self.state.list_usable(self.service, self.now)
+        self._adapter_mb = reserve_for_adapters(self.engine)
+        for runner in self._runners:
+            for name in runner.list_near():
+                self._near[name] = self._near.get(name, 0) + 1
+            for name in runner.held:
+                self._held[name] = self._held.get(name, 0) + 1
+
+    def plan(self) -> list[GiveOrder]:
+        """Return the unloads that make room for copies; the loads follow them."""
+        if not self._is_idle():
+            return []
+        orders: list[GiveOrder] = []
+        for profile in self._list_lacking():
+            order = self._begin(profile)
+            if order is not None:
+                orders.append(order)
+        return orders
+
+    def _is_idle(self) -> bool:
+        """Return whether nothing runs or waits, and nothing was asked for lately."""
+        if self.state.waiting.get(self.service):
+            return False
+        if any(runner.running for runner in self._runners):
+            return False
+        asked_at = self.state.demand.get_last(self.service)
+        return asked_at is None or self.now - asked_at > WARMING_REST_S
+
+    def _list_lacking(self) -> list[ModelProfile]:
+        """Return the models with too few copies near, those most lacked first."""
+        return sorted(
+            self.engine.models.values(),
+            key=lambda each: self._near.get(each.name, 0) / self._rate_value(each),
+        )
+
+    def _rate_value(self, profile: ModelProfile) -> float:
+        """Return how much a model is expected to be asked for.
+
+        Adapters are offered for what many use, and the copies that runners began with
+        were placed by somebody who knew the demand before.
+        """
+        expected = IDLE_VALUE * (1 + profile.adapters)
+        return expected * max(1, self._held.get(profile.name, 0))
+
+    def _begin(self, profile: ModelProfile) -> GiveOrder | None:
+        """Make room for a model where what goes is missed least."""
+        loads = self.state.get_store_loads(self.service)
+        if not loads.may_begin(self.engine, profile.load_s, self.now):
+            return None
+        best: tuple[float, RunnerState, str] | None = None
+        for runner in self._runners:
+            victim = self._choose_victim(runner, profile)
+            if victim is not None and (best is None or victim[0] < best[0]):
+                best = (victim[0], runner, victim[1])
+        if best is None:
+            return None
+        _, runner, name = best
+        runner.goal = profile.name
+        self._near[profile.name] = self._near.get(profile.name, 0) + 1
+        return open_order(
+            runner,
+            load=False,
+            model=name,
+            reason=f"makes way for a copy of {profile.name}",
+            waiting=0,
+            now=self.now,
+        )
+
+    def _choose_victim(
+        self, runner: RunnerState, wanted: ModelProfile
+    ) -> tuple[float, str] | None:
+        """Return the value and name of the model that may go; None if none may."""
+        if runner.goal or not can_order(runner, self.now):
+            return None
+        if wanted.name in runner.list_near() or not self._has_disk(runner, wanted):
+            return None
+        free_mb = self.engine.weights_mb - self._sum_weights(runner.held)
+        best: tuple[float, str] | None = None
+        for name in runner.held:
+            model = self.engine.models.get(name)
+            # Of a model with more copies none goes: it was placed as a popular one.
+            if model is None or self._held[name] > 1:
+                continue
+            value = self._rate_value(model)
+            fits = free_mb + model.weights_mb >= wanted.weights_mb + self._adapter_mb
+            if fits and (best is None or value < best[0]):
+                best = (value, name)
+        return best
+
+    def _has_disk(self, runner: RunnerState, wanted: ModelProfile) -> bool:
+        """Return whether a copy is worth its place on a runner's disk.
+
+        A full disk drops what was used longest ago, which may be the only copy of
+        another model: that pays only for a model that has no copy at all.
+        """
+        if not self._near.get(wanted.name, 0):
+            return self.engine.disk_mb > 0
+        used_mb = self._sum_weights(runner.list_near())
+        return used_mb + wanted.weights_mb <= self.engine.disk_mb
+
+    def _sum_weights(self, names: Iterable[str]) -> float:
+        models = self.engine.models
+        return sum(models[name].weights_mb for name in names if name in models)
--- a/tests/policy/scheduling/test_placement.py
+++ b/tests/policy/scheduling/test_placement.py
@@ -15,8 +15,16 @@
 from .world import Outcome, World
 
 
-def make_ready(*held: list[str], models: str = "abcdefg", load_s: float = 1.2) -> World:
+def make_ready(
+    *held: list[str],
+    models: str = "abcdefg",
+    load_s: float = 1.2,
+    on_disk: dict[str, str] | None = None,
+) -> World:
+    """Return a world whose runners have further models on their disks."""
     world = World(models=list(models), runner_models=list(held), load_s=load_s)
+    for runner_id, names in (on_disk or {}).items():
+        world.runners[runner_id].on_disk = list(names)
     world.run(0.5)
     return world
 
@@ -68,6 +76,35 @@
         assert world.orders == []
 
 
+class TestSlowLoads:
+    """Loads from the weight store of 6 s, beside copies on the runners' disks."""
+
+    def test_load_waits_for_the_runner_that_has_a_copy(self) -> None:
+        world = make_ready(
+            ["a", "b", "c"], ["a", "d", "e"], load_s=6.0, on_disk={"r0": "fg"}
+        )
+        world.ask(make_asked("q1", "f", patience_s=5.0), at=1.0)
+        world.ask(make_asked("q2", "g", patience_s=5.0), at=1.1)
+        world.run(6.0)
+        assert world.count_first_in(2.5) == 2
+        assert sum(each.store_loads for each in world.runners.values()) == 0
+
+    def test_rare_models_leave_a_runner_for_a_rising_one(self) -> None:
+        world = make_ready(
+            ["a", "b", "c"],
+            ["a", "d", "e"],
+            ["a", "b", "d"],
+            models="abcdefghijk",
+            load_s=6.0,
+        )
+        for number, model in enumerate("fghi"):
+            world.ask(make_asked(f"r{number}", model, patience_s=30.0), at=1.0)
+        for number in range(60):
+            world.ask(make_asked(f"q{number}", "k"), at=3.0 + number / 30)
+        world.run(4.0)
+        assert "k" in [each.model for each in world.orders if each.load]
+
+
 class TestCopies:
     """Popular models get more copies."""
 
--- /dev/null
+++ b/tests/policy/scheduling/test_warming.py
@@ -0,0 +1,93 @@
+"""Tests of copies that are fetched while nobody asks for anything."""
+
+from mangoway.policy.scheduling.events import FleetSeen
+
+from ...fakes.fleet import make_asked, make_runner
+from .world import World
+
+DISK_MB = 430_000.0
+"""Room for six models, three more than a runner holds in memory."""
+
+
+def make_idle(*held: list[str], disk_mb: float = DISK_MB) -> World:
+    return World(
+        models=list("abcdefg"), runner_models=list(held), load_s=6.0, disk_mb=disk_mb
+    )
+
+
+def list_near(world: World) -> set[str]:
+    return {name for each in world.runners.values() for name in each.on_disk}
+
+
+class TestIdle:
+    """Runners before the first request, or after the last."""
+
+    def test_models_that_nobody_has_held_come_near(self) -> None:
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"])
+        world.run(16.0)
+        assert list_near(world) == set("abcdefg")
+
+    def test_first_request_for_a_rare_model_is_served_in_its_patience(self) -> None:
+        """A load from the store takes 6 s, from the disk 0.6."""
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"])
+        for number, model in enumerate("bcdefg"):
+            at = 20.0 + 4 * number
+            world.ask(make_asked(f"q{number}", model, patience_s=2.4), at=at)
+        world.run(50.0)
+        assert world.count_first_in(2.4) == 6
+
+    def test_popular_model_keeps_its_copies(self) -> None:
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"])
+        world.run(16.0)
+        assert all("a" in each.models for each in world.runners.values())
+
+    def test_no_copy_is_fetched_beyond_the_disk(self) -> None:
+        """It would take the place of another copy."""
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"], disk_mb=0.0)
+        world.run(16.0)
+        assert world.orders == []
+
+    def test_full_disk_gives_way_only_to_what_has_no_copy(self) -> None:
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"], disk_mb=285_000.0)
+        world.run(40.0)
+        loads = [each.model for each in world.orders if each.load]
+        assert sorted(loads) == ["f", "g"]
+
+    def test_memory_is_never_overfilled(self) -> None:
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"])
+        world.run(30.0)
+        assert sum(each.overfilled for each in world.runners.values()) == 0
+
+    def test_it_comes_to_an_end(self) -> None:
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"])
+        world.run(60.0)
+        orders = len(world.orders)
+        world.run(90.0)
+        assert len(world.orders) == orders
+
+
+class TestBusy:
+    """Runners that serve."""
+
+    def test_nothing_is_fetched_ahead(self) -> None:
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"])
+        for number in range(40):
+            world.ask(make_asked(f"q{number}", "a"), at=number / 2)
+        world.run(20.0)
+        assert [each for each in world.orders if each.model in "fg"] == []
+
+    def test_new_runner_is_no_reason_to_begin(self) -> None:
+        world = make_idle(["a", "b", "c"], ["a", "d", "e"])
+        world.ask(make_asked("q0", "a"), at=0.0)
+        world.run(4.0)
+        world.feed(
+            FleetSeen(
+                table=world.table,
+                runners=tuple(
+                    make_runner(each.runner_id, tuple(each.models))
+                    for each in world.runners.values()
+                ),
+            )
+        )
+        world.run(8.0)
+        assert world.orders == []
--- a/tests/policy/scheduling/world.py
+++ b/tests/policy/scheduling/world.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from mangoway.models.routing import EngineProfile, RoutingTable
 from mangoway.models.runner import ResidentModel, RunnerEntry, RunnerReport
@@ -58,6 +58,10 @@
     running: dict[str, str] = field(factory=dict)
     overfilled: int = 0
     loading: str = ""
+    on_disk: list[str] = field(factory=list)
+    """Models of which the disk keeps a copy, latest used last; none without a disk."""
+
+    store_loads: int = 0
     history: list[tuple[float, RunnerReport]] = field(factory=list)
 
     def carry_out(self, order: GiveOrder, now: float) -> OrderOutcome:
@@ -72,10 +76,28 @@
             self.busy_until = now + 0.02
             return OrderOutcome.STARTED
         self.loading = order.model
-        self.busy_until = now + self.engine.models[order.model].load_s
+        self.busy_until = now + self._load_time(order.model)
+        self._keep_on_disk(order.model)
         self._check_memory()
         return OrderOutcome.STARTED
 
+    def _load_time(self, model: str) -> float:
+        profile = self.engine.models[model]
+        if model in self.on_disk:
+            return profile.disk_load_s
+        self.store_loads += 1
+        return profile.load_s
+
+    def _keep_on_disk(self, model: str) -> None:
+        if not self.engine.disk_mb:
+            return
+        self.on_disk = [name for name in self.on_disk if name != model] + [model]
+        while self._sum_disk() > self.engine.disk_mb:
+            self.on_disk.pop(0)
+
+    def _sum_disk(self) -> float:
+        return sum(self.engine.models[name].weights_mb for name in self.on_disk)
+
     def settle(self, now: float) -> None:
         """End a load whose time is over."""
         if self.loading and now >= self.busy_until:
@@ -98,7 +120,7 @@
             kv_used_tokens=0,
             kv_capacity_tokens=self.engine.kv_capacity_tokens,
             in_host_memory=frozenset(),
-            on_disk=frozenset(),
+            on_disk=frozenset(self.on_disk),
         )
         self.history.append((now, report))
 
@@ -146,6 +168,7 @@
     models: list[str]
     runner_models: list[list[str]]
     load_s: float = 1.2
+    disk_mb: float = 0.0
     seed: int = 1
     now: float = field(default=0.0, init=False)
     outcomes: dict[str, Outcome] = field(factory=dict, init=False)
@@ -165,17 +188,19 @@
     def __attrs_post_init__(self) -> None:
         self.rng = Random(self.seed)
         self.table = make_table(models=self.models)
-        engine = self.table.services["llm"].engine
-        assert engine is not None
+        service = self.table.services["llm"]
+        assert service.engine is not None
+        engine = evolve(service.engine, disk_mb=self.disk_mb)
+        self.table.services["llm"] = evolve(service, engine=engine)
         for name in list(engine.models):
             profile = engine.models[name]
-            engine.models[name] = type(profile)(
-                **{**_to_dict(profile), "load_s": self.load_s}
-            )
+            engine.models[name] = evolve(profile, load_s=self.load_s)
         self.runners = {
             f"r{index}": FakeRunner(f"r{index}", engine, {name: set() for name in held})
             for index, held in enumerate(self.runner_models)
         }
+        for runner in self.runners.values():
+            runner.on_disk = list(runner.models) if self.disk_mb else []
         limits = RetryLimits(ratio=0.2, slack=50.0, window_s=10.0)
         state = SchedulingState(random=self.rng, retry_limits=limits)
         self.core = SchedulingCore(state)
@@ -315,8 +340,3 @@
 
     def _at(self, time: float, call: Callable[[], None]) -> None:
         heapq.heappush(self._queue, (time, next(self._numbers), call))
-
-
-def _to_dict(profile: Any) -> dict[str, Any]:
-    names = [each.name for each in type(profile).__attrs_attrs__]
-    return {name: getattr(profile, name) for name in names}
