Add a fault soak; let a restarted leader take over from its earlier life

Change: a scheduler that sees the key held by an earlier life at its own address takes it by compare-and-set; only what a leader passes on counts as fresh; a reading from before the announcement no longer undoes it; event 460 tells of tries that failed. The soak runs the real programs against stand-ins of store and runners, with faults by signals, by a loopback relay, at the store and at runners, and checks the promises from outside. The catalogue of the product's own events is no longer loaded by edges and schedulers.

Each change has a test that failed before. The first destination of the log got lines of earlier tests: the tests' conftest takes them now.

--- a/mangoway/coordination/leadership.py
+++ b/mangoway/coordination/leadership.py
@@ -18,7 +18,7 @@
     StoreUnavailableError,
     Write,
 )
-from .view import FleetView
+from .view import FleetView, Leader
 
 RETRY_S: Final = 0.25
 """Pause between two looks at whether the key is free; a look costs no call."""
@@ -130,12 +130,22 @@
 
     def _may_take(self) -> bool:
         return (
-            self.view.leader is None
+            (self.view.leader is None or self._is_own_past(self.view.leader))
             and self.view.table is not None
             and self.presence.is_valid()
-            and self.presence.announced
         )
 
+    def _is_own_past(self, leader: Leader) -> bool:
+        """Return whether the key is held by an earlier life of this process.
+
+        That one has ended, since this one listens at its address: there is no need to
+        wait for the end of its lease.
+        """
+        own = self.presence.member
+        same = (leader.member.host, leader.member.peer_address)
+        earlier = leader.member.incarnation != own.incarnation
+        return earlier and same == (own.host, own.peer_address)
+
     async def _async_take(self) -> None:
         key = self.prefix + LEADER_KEY
         write = Write(
@@ -143,12 +153,14 @@
             value=encode_member(self.presence.member),
             lease_id=self.presence.lease_id,
         )
+        leader = self.view.leader
+        held = Precondition(key=key, revision=0 if leader is None else leader.fence)
         try:
-            await self.store.async_commit(
-                (Precondition(key=key, revision=0),), (write,)
-            )
+            result = await self.store.async_commit((held,), (write,))
+            if not result.committed:
+                log_event(log.LeadershipMissed(reason="another one has taken the key"))
         except LeaseEndedError:
             self.presence.forget_lease("it has ended")
-        except StoreUnavailableError:
+        except StoreUnavailableError as error:
             # The write may have taken effect: the view shows it.
-            return
+            log_event(log.LeadershipMissed(reason=str(error)))
--- a/mangoway/coordination/presence.py
+++ b/mangoway/coordination/presence.py
@@ -49,6 +49,9 @@
     failing: bool = field(default=False, init=False)
     """Whether the last call got no answer."""
 
+    _announced_revision: int = field(default=0, init=False)
+    """Revision of the store in which the member's key was written last."""
+
     _leaving: bool = field(default=False, init=False)
     _backoff: Backoff = field(
         factory=lambda: Backoff(FIRST_RETRY_S, MOST_RETRY_S), init=False
@@ -88,9 +91,14 @@
         """Return whether the lease certainly stands now."""
         return self.lease_id != 0 and self.clock() < self.valid_until
 
-    def note_key_lost(self) -> None:
-        """Write the key again, since the store shows that it is gone."""
-        if not self._leaving:
+    def note_key_lost(self, revision: int) -> None:
+        """Write the key again, since the store shows that it is gone.
+
+        Args:
+            revision: Revision of the store at which that was seen; one before the key
+                was written says nothing.
+        """
+        if not self._leaving and revision >= self._announced_revision:
             self.announced = False
 
     def forget_lease(self, reason: str) -> None:
@@ -122,5 +130,6 @@
             value=encode_member(self.member),
             lease_id=self.lease_id,
         )
-        await self.store.async_commit((), (write,))
+        result = await self.store.async_commit((), (write,))
+        self._announced_revision = result.revision
         self.announced = True
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -149,7 +149,7 @@
         key = OWN_PREFIX + self.presence.member.key
         shown = self.view.members.get(key)
         if shown is None or shown.incarnation != self.incarnation:
-            self.presence.note_key_lost()
+            self.presence.note_key_lost(self.mirror.revision or 0)
 
 
 def run_process(
--- a/mangoway/observability/catalogue.py
+++ b/mangoway/observability/catalogue.py
@@ -1,6 +1,7 @@
 """The page of all events, made from their registry."""
 
-from . import events, fleet_events  # noqa: F401  # Importing them registers events.
+# Importing them registers events.
+from . import events, fleet_events, library_log  # noqa: F401
 from .event_log import EventSpec, list_specs
 
 HEADING = """\
--- a/mangoway/observability/events.py
+++ b/mangoway/observability/events.py
@@ -74,15 +74,6 @@
     seconds: float
 
 
-@numbered(107, LogLevel.WARNING)
-class LibraryLogged:
-    """A library logged a warning or an error of its own."""
-
-    library: str
-    severity: str
-    text: str
-
-
 # 2xx: requests of callers.
 
 
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -204,6 +204,13 @@
     fence: int
 
 
+@numbered(460, LogLevel.INFO)
+class LeadershipMissed:
+    """A try to take the scheduler's key failed, or its answer was lost."""
+
+    reason: str
+
+
 @numbered(452, LogLevel.WARNING)
 class FenceRefused:
     """A runner refused an order, since it has seen a higher fence number."""
--- a/mangoway/observability/library_log.py
+++ b/mangoway/observability/library_log.py
@@ -3,8 +3,16 @@
 import logging
 from asyncio import CancelledError
 
-from .event_log import log_event
-from .events import LibraryLogged
+from .event_log import LogLevel, log_event, numbered
+
+
+@numbered(107, LogLevel.WARNING)
+class LibraryLogged:
+    """A library logged a warning or an error of its own."""
+
+    library: str
+    severity: str
+    text: str
 
 
 class EventHandler(logging.Handler):
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -83,7 +83,8 @@
     def is_fresh(self) -> bool:
         """Return whether the leader has passed on what the store said lately."""
         link = self.link
-        if link is None or not self._has_state:
+        # One that doesn't lead may itself follow others: none of them would read.
+        if link is None or not self.leading or not self._has_state:
             return False
         return self._store_age_s + self.clock() - link.heard_at < STORE_SILENCE_S
 
@@ -110,6 +111,10 @@
     def _choose_address(self) -> str:
         """Return the leader's address, or a seed's while nothing is known at all."""
         leader = self.view.leader
+        if leader is not None and not self.hello.asks:
+            if leader.member.host == self.hello.host:
+                # An earlier life of this process, which has ended.
+                return ""
         if leader is not None:
             return leader.member.peer_address
         if self.view.table is None and self.seeds and self.link is None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,13 @@
 
 import os
 
+import eliot
 from hypothesis import HealthCheck, settings
 
+# Eliot keeps what is logged before the first destination, and would give the lines of
+# earlier tests to the first test that starts a log.
+eliot.add_destinations(lambda message: None)
+
 settings.register_profile(
     "ci",
     derandomize=True,
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -57,7 +57,13 @@
     """A process that would lead."""
 
     def __init__(
-        self, store: FakeCoordinationStore, name: str, *, fences: bool = False
+        self,
+        store: FakeCoordinationStore,
+        name: str,
+        *,
+        fences: bool = False,
+        life: int = 1,
+        address: str = "127.0.0.1:1",
     ) -> None:
         self.clock_offset = 0.0
         view = FleetView()
@@ -66,8 +72,8 @@
             host=name,
             role=Role.SCHEDULER,
             data_centre="dc1",
-            incarnation=f"inc-{name}",
-            peer_address="127.0.0.1:1",
+            incarnation=f"inc-{name}-{life}",
+            peer_address=address,
             caller_address="",
         )
         clock = loop_clock()
@@ -126,6 +132,35 @@
         assert second > first
         other.kill()
 
+    async def test_restarted_holder_does_not_wait_for_its_own_lease(self) -> None:
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(1)
+        first = one.leadership.fence
+        one.kill()
+        again = Candidate(store, "a", life=2)
+        await asyncio.sleep(1)
+        second = again.leadership.fence
+        assert first is not None
+        assert second is not None
+        assert second > first
+        await asyncio.sleep(LEASE_S)
+        assert again.leadership.fence == second
+        again.kill()
+
+    async def test_host_of_the_same_name_elsewhere_waits(self) -> None:
+        """The holder may still live: only its own address shows that it has ended."""
+        store = FakeCoordinationStore()
+        one = Candidate(store, "a")
+        await asyncio.sleep(1)
+        first = one.leadership.fence
+        other = Candidate(store, "a", life=2, address="127.0.0.2:1")
+        await asyncio.sleep(1)
+        assert one.leadership.fence == first
+        assert other.leadership.fence is None
+        one.kill()
+        other.kill()
+
     async def test_lost_answer_of_the_write_still_leads(self) -> None:
         store = FakeCoordinationStore()
         one = Candidate(store, "a")
--- a/tests/scheduling/test_client.py
+++ b/tests/scheduling/test_client.py
@@ -5,6 +5,8 @@
 from contextlib import asynccontextmanager
 from random import Random
 
+from attrs import evolve
+
 from mangoway.coordination.members import Member, Role
 from mangoway.coordination.mirror import Mirror
 from mangoway.coordination.store import Changes, Item, Snapshot
@@ -20,7 +22,7 @@
 from mangoway.policy.scheduling.state import RetryLimits, SchedulingState
 from mangoway.scheduling.client import SchedulerClient
 from mangoway.scheduling.codec import Hello
-from mangoway.scheduling.leader import SILENCE_S, LeaderLink
+from mangoway.scheduling.leader import CHECK_S, SILENCE_S, LeaderLink
 from mangoway.scheduling.local import LocalPlacer
 from mangoway.scheduling.placing import Answer
 from mangoway.scheduling.server import SchedulerServer
@@ -234,3 +236,16 @@
             assert edge.link.is_fresh()
             scheduler.mirror.answered_at -= 5.0
             await async_wait_until(lambda: not edge.link.is_fresh())
+
+    async def test_scheduler_that_does_not_lead_is_not_fresh(self) -> None:
+        """It may follow others itself, so that nobody would read the store."""
+        async with connect() as (scheduler, edge):
+            scheduler.leading = False
+            await async_wait_until(lambda: not edge.link.is_fresh())
+
+    async def test_scheduler_does_not_follow_its_own_earlier_life(self) -> None:
+        async with connect() as (_, edge):
+            edge.link.hello = evolve(edge.link.hello, host="s", asks=False)
+            edge.link.close()
+            await asyncio.sleep(3 * CHECK_S)
+            assert edge.link.link is None
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,64 @@
+"""Run soaks: `python -m tests.soak --seeds 50`."""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+from random import SystemRandom
+
+from .soak import FAULT_S, Result, async_soak
+
+
+def main() -> None:
+    """Run soaks of the given or of fresh seeds; exit code 1 if one fails."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=4, help="how many fresh seeds")
+    parser.add_argument("--seed", type=int, action="append", help="a certain seed")
+    parser.add_argument("--at-once", type=int, default=2)
+    parser.add_argument("--fault-s", type=float, default=FAULT_S)
+    parser.add_argument("--folder", type=Path, help="where logs are kept")
+    options = parser.parse_args()
+    seeds = options.seed or [
+        SystemRandom().randrange(1, 10**9) for _ in range(options.seeds)
+    ]
+    folder = options.folder or Path(tempfile.mkdtemp(prefix="soak-"))
+    results = asyncio.run(
+        async_run_all(seeds, folder, options.at_once, options.fault_s)
+    )
+    failed = [each.seed for each in results if each.broken]
+    print(f"{len(results)} seeds, {len(failed)} failed {failed}; logs in {folder}")
+    sys.exit(1 if failed else 0)
+
+
+async def async_run_all(
+    seeds: list[int], folder: Path, at_once: int, fault_s: float
+) -> list[Result]:
+    """Run soaks, a few at a time."""
+    places = asyncio.Semaphore(at_once)
+
+    async def async_one(seed: int) -> Result:
+        async with places:
+            logs = folder / str(seed)
+            logs.mkdir(parents=True, exist_ok=True)
+            result = await async_soak(seed, logs, fault_s)
+            print_result(result)
+            return result
+
+    return list(await asyncio.gather(*(async_one(seed) for seed in seeds)))
+
+
+def print_result(result: Result) -> None:
+    """Print what a soak showed."""
+    verdict = "FAILED" if result.broken else "held"
+    print(
+        f"seed {result.seed}: {verdict}, {result.served} of {result.calls} served; "
+        f"{', '.join(result.faults)}",
+        flush=True,
+    )
+    for each in result.broken[:10]:
+        print(f"  {each}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,223 @@
+"""Faults of a soak; each runs for a while, and several overlap."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from .records import Span
+from .store import StoreFault
+from .world import Node, World
+
+START_S = 3.0
+"""Time in which a process starts on a busy machine."""
+
+Fault = Callable[[World], Awaitable[None]]
+FAULTS: dict[str, Fault] = {}
+PLANNED: set[str] = set()
+"""Names of those that are planned work or none of the system's trouble: bounds in time
+hold beside them."""
+
+
+def fault(call: Fault) -> Fault:
+    """Register a fault under its name."""
+    FAULTS[call.__name__.removeprefix("async_")] = call
+    return call
+
+
+def plan(call: Fault) -> Fault:
+    """Register planned work under its name."""
+    PLANNED.add(call.__name__.removeprefix("async_"))
+    return fault(call)
+
+
+@fault
+async def async_kill_process(world: World) -> None:
+    """Kill a process; it starts again."""
+    node = _choose(world)
+    if node is not None and node.process is not None:
+        with_span = world.records.begin(f"kill {node.name}")
+        node.stopping = True
+        node.process.kill()
+        await asyncio.sleep(1.0)
+        _end(with_span)
+
+
+@fault
+async def async_kill_schedulers(world: World) -> None:
+    """Kill all schedulers at once."""
+    span = world.records.begin("kill schedulers")
+    for node in world.list_nodes("scheduler"):
+        if node.process is not None:
+            node.stopping = True
+            node.process.kill()
+    await asyncio.sleep(1.0)
+    _end(span)
+
+
+@fault
+async def async_freeze_process(world: World) -> None:
+    """Pause a process, and let it go on."""
+    node = _choose(world)
+    if node is None or node.process is None:
+        return
+    span = world.records.begin(f"freeze {node.name}")
+    process = node.process
+    process.pause()
+    await asyncio.sleep(world.random.uniform(0.3, 3.0))
+    process.resume()
+    _end(span)
+
+
+@plan
+async def async_restart_process(world: World) -> None:
+    """Ask a process to stop: it must break nothing off; it starts again."""
+    node = _choose(world)
+    if node is None or node.process is None or len(world.list_nodes("edge")) < 2:
+        return
+    span = world.records.begin(f"stop {node.name}", planned=True)
+    node.stopping = True
+    process = node.process
+    process.terminate()
+    # A process that was frozen meanwhile ends once it goes on.
+    code = await process.async_wait(20.0)
+    # While it starts it doesn't take signals yet, and has nothing to break off.
+    starting = span.began - node.started_at < START_S
+    calm = world.records.is_calm(span.began, time.monotonic())
+    if code != 0 and calm and not starting:
+        world.records.broken.append(f"exit: {node.name} stopped with {code}")
+    await asyncio.sleep(1.0)
+    _end(span)
+
+
+@fault
+async def async_hurt_store(world: World) -> None:
+    """Let the store refuse, fall silent, be slow, or lose answers."""
+    kinds = [each for each in StoreFault if each is not StoreFault.NONE]
+    kind = world.random.choice(kinds)
+    span = world.records.begin(f"store {kind.value}")
+    world.store.fault = kind
+    await asyncio.sleep(world.random.uniform(0.5, 4.0))
+    world.store.fault = StoreFault.NONE
+    _end(span)
+
+
+@plan
+async def async_forget_history(world: World) -> None:
+    """Let the store drop its history."""
+    world.store.forget_history()
+
+
+@fault
+async def async_cut_from_store(world: World) -> None:
+    """Cut one process from the store, one way or both, or reset its connections."""
+    node = _choose(world)
+    if node is None:
+        return
+    span = world.records.begin(f"cut {node.name} from the store")
+    relay = node.store_relay
+    how = world.random.choice(("reset", "silent", "to_target", "from_target", "slow"))
+    if how == "reset":
+        relay.cut()
+        relay.switches.refuse_new = True
+    elif how == "slow":
+        relay.switches.delay_s = 0.3
+    else:
+        relay.switches.drop_to_target = how != "from_target"
+        relay.switches.drop_from_target = how != "to_target"
+    await asyncio.sleep(world.random.uniform(0.5, 4.0))
+    relay.heal()
+    _end(span)
+
+
+@fault
+async def async_mute_open_connections(world: World) -> None:
+    """Let open connections to a runner or the store go silent, while new ones work."""
+    relays = [each.store_relay for each in world.nodes]
+    relays += [each.relay for each in world.runners if each.relay is not None]
+    span = world.records.begin("mute connections")
+    world.random.choice(relays).mute()
+    await asyncio.sleep(1.0)
+    _end(span)
+
+
+@fault
+async def async_cut_runner(world: World) -> None:
+    """Reset or silence all connections to a runner."""
+    runner = world.random.choice(world.runners)
+    if runner.relay is None:
+        return
+    span = world.records.begin(f"cut {runner.runner_id}")
+    if world.random.random() < 0.5:
+        runner.relay.cut()
+        runner.relay.switches.refuse_new = True
+    else:
+        runner.relay.switches.drop_from_target = True
+    await asyncio.sleep(world.random.uniform(0.3, 2.0))
+    runner.relay.heal()
+    _end(span)
+
+
+@fault
+async def async_crash_runner(world: World) -> None:
+    """Let a runner crash; another one comes, empty."""
+    runner = world.random.choice(world.runners)
+    if len(_list_peers(world, runner.service)) < 2:
+        return
+    world.runners.remove(runner)
+    span = world.records.begin(f"crash {runner.runner_id}")
+    await runner.async_crash()
+    models: dict[str, set[str]] | None = None if runner.models is None else {}
+    await world.async_add_runner(runner.service, models)
+    await asyncio.sleep(1.0)
+    _end(span)
+
+
+@plan
+async def async_replace_runner(world: World) -> None:
+    """Start a runner, and drain another."""
+    leaving = world.random.choice(world.runners)
+    models: dict[str, set[str]] | None = None if leaving.models is None else {}
+    await world.async_add_runner(leaving.service, models)
+    world.runners.remove(leaving)
+    world.start_task(leaving.async_drain())
+
+
+@fault
+async def async_break_answers(world: World) -> None:
+    """Let a runner lose a part of its answers after it ran them."""
+    runner = world.random.choice(world.runners)
+    span = world.records.begin(f"answers of {runner.runner_id}")
+    runner.failing = 0.3
+    await asyncio.sleep(world.random.uniform(0.5, 3.0))
+    runner.failing = 0.0
+    _end(span)
+
+
+@plan
+async def async_change_configuration(world: World) -> None:
+    """Let the operator write several versions one after the other."""
+    for _ in range(world.random.randrange(1, 4)):
+        world.write_configuration()
+        await asyncio.sleep(world.random.uniform(0.05, 0.5))
+    world.start_task(world.async_probe_configuration())
+
+
+@plan
+async def async_move_demand(world: World) -> None:
+    """Let other models be the popular ones."""
+    world.wanted[:] = world.random.sample(
+        [f"m{number}" for number in range(10)], len(world.wanted)
+    )
+
+
+def _choose(world: World) -> Node | None:
+    nodes = world.list_nodes("edge") + world.list_nodes("scheduler")
+    return world.random.choice(nodes) if nodes else None
+
+
+def _list_peers(world: World, service: str) -> list[str]:
+    return [each.runner_id for each in world.runners if each.service == service]
+
+
+def _end(span: Span) -> None:
+    span.ended = time.monotonic()
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,176 @@
+"""What callers and runners have seen, and the promises that it must keep."""
+
+import time
+from enum import Enum
+
+from attrs import define, field, frozen
+
+RETRY_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run and never will."""
+
+DRAIN_S = 2.0
+"""Time after a runner's announced leaving from which nothing may reach it."""
+
+APPLY_S = 2.0
+"""Time in which an accepted configuration is in force."""
+
+ROUTE_TIMEOUT_S = 3.0
+"""Longest time for which a request is kept; all routes of a soak have this one."""
+
+CALM_S = 3.0
+"""Time without a fault from which bounds in time hold again."""
+
+
+class Kind(Enum):
+    """What may be repeated."""
+
+    SAFE = "safe"
+    ONCE = "non_idempotent"
+    STREAM = "stream"
+    """A stream that may be resumed."""
+
+    FIXED_STREAM = "fixed"
+    """A stream that may not."""
+
+    @property
+    def runs_once(self) -> bool:
+        """Return whether a request may run once at most."""
+        return self in (Kind.ONCE, Kind.FIXED_STREAM)
+
+
+@frozen(kw_only=True)
+class Run:
+    """A runner began to work on a request."""
+
+    runner_id: str
+    at: float
+    signature: str
+
+
+@define(kw_only=True)
+class Call:
+    """One request of a caller, and what came of it."""
+
+    request_id: str
+    kind: Kind
+    edge: str
+    sent_at: float
+    version: int | None = None
+    """Configuration that added its route; None: the first one."""
+
+    status: int | None = None
+    signature: str = ""
+    whole: bool = False
+    """Whether a success ended as complete."""
+
+    mixed: str = ""
+    """What in the answer belongs to no such request; empty if nothing does."""
+
+    broken: bool = False
+    """Whether the connection ended without a complete answer."""
+
+    given_up: bool = False
+    """Whether the caller left before the answer."""
+
+    ended_at: float = 0.0
+
+
+@define
+class Span:
+    """A time in which something was disturbed."""
+
+    what: str
+    began: float
+    ended: float | None = None
+    planned: bool = False
+    """Whether it was planned work, which must break nothing off."""
+
+
+@define(eq=False)
+class Records:
+    """All that was seen from outside the system."""
+
+    calls: dict[str, Call] = field(factory=dict, init=False)
+    runs: dict[str, list[Run]] = field(factory=dict, init=False)
+    spans: list[Span] = field(factory=list, init=False)
+    leaving: dict[str, float] = field(factory=dict, init=False)
+    """Runners with the time at which the store took their leaving."""
+
+    accepted: dict[int, float] = field(factory=dict, init=False)
+    """Versions of the configuration with the time of the store's answer."""
+
+    broken: list[str] = field(factory=list, init=False)
+    """Promises that were broken, as sentences."""
+
+    def begin(self, what: str, *, planned: bool = False) -> Span:
+        """Note that something is disturbed from now on."""
+        span = Span(what, time.monotonic(), planned=planned)
+        self.spans.append(span)
+        return span
+
+    def note_run(self, request_id: str, run: Run) -> None:
+        """Note that a runner works on a request."""
+        self.runs.setdefault(request_id, []).append(run)
+        left_at = self.leaving.get(run.runner_id)
+        if left_at is not None and run.at - left_at > DRAIN_S:
+            if self.is_calm(left_at - CALM_S, run.at):
+                late_s = run.at - left_at
+                self.broken.append(
+                    f"drain: {request_id} reached {run.runner_id} {late_s:.1f} s late"
+                )
+
+    def is_calm(self, began: float, ended: float) -> bool:
+        """Return whether no unplanned fault touches a time."""
+        return not any(
+            span.began <= ended and (span.ended is None or span.ended + CALM_S >= began)
+            for span in self.spans
+            if not span.planned
+        )
+
+    def check(self) -> list[str]:
+        """Return the promises that were broken."""
+        broken = list(self.broken)
+        for call in self.calls.values():
+            broken += self._check_call(call)
+        broken += self._check_versions()
+        unasked = set(self.runs) - set(self.calls)
+        broken += [f"unasked: {each} ran and nobody sent it" for each in unasked]
+        return broken
+
+    def _check_call(self, call: Call) -> list[str]:
+        runs = self.runs.get(call.request_id, [])
+        name = f"{call.kind.value} {call.request_id}"
+        broken = []
+        if call.mixed:
+            broken.append(f"mixed: {name}: {call.mixed}")
+        if call.kind.runs_once and len(runs) > 1:
+            broken.append(f"twice: {name} ran {len(runs)} times")
+        if call.status in RETRY_STATUSES and runs and call.kind.runs_once:
+            broken.append(f"refused: {name} was told {call.status} and ran")
+        signatures = {run.signature for run in runs}
+        if call.whole and call.signature not in signatures:
+            broken.append(f"mixed: {name} got the answer {call.signature}")
+        calm = self.is_calm(call.sent_at - CALM_S, call.ended_at)
+        in_time = call.ended_at - call.sent_at < ROUTE_TIMEOUT_S
+        if call.broken and in_time and not call.given_up and calm:
+            broken.append(f"lost: {name} at {call.edge} ended without an answer")
+        return broken
+
+    def _check_versions(self) -> list[str]:
+        """Check that a version is in force in time, and never reverts in a process."""
+        broken = []
+        seen: dict[str, int] = {}
+        for call in sorted(self.calls.values(), key=lambda each: each.sent_at):
+            if call.version is None or call.status is None:
+                continue
+            known = call.status != 404
+            if known:
+                seen[call.edge] = max(seen.get(call.edge, 0), call.version)
+                continue
+            if call.version <= seen.get(call.edge, 0):
+                broken.append(f"config: {call.edge} forgot version {call.version}")
+            accepted = self.accepted[call.version]
+            late = call.sent_at > accepted + APPLY_S
+            if late and self.is_calm(accepted - CALM_S, call.ended_at):
+                broken.append(f"config: {call.edge} lacks version {call.version}")
+        return broken
--- /dev/null
+++ b/tests/soak/runners.py
@@ -0,0 +1,229 @@
+"""Stand-ins of runners: plain ones, and engines that hold models."""
+
+import asyncio
+import time
+from itertools import count
+from random import Random
+from typing import Any
+
+import orjson
+from aiohttp import web
+from attrs import define, field
+
+from ..stand_ins.relay import Relay
+from .records import Records, Run
+from .store import StoreStandIn
+
+EVENTS = 12
+EVENT_S = 0.04
+WORK_S = 0.03
+LOAD_S = 0.3
+DISK_LOAD_S = 0.15
+ROOM = 3
+"""Models that fit an engine's memory."""
+
+ADAPTER_SLOTS = 4
+STAY_S = 4.0
+"""Time for which a leaving runner still serves."""
+
+_numbers = count(1)
+
+
+@define(eq=False)
+class RunnerStandIn:
+    """One life of a runner, announced in the store through a relay."""
+
+    service: str
+    data_centre: str
+    store: StoreStandIn
+    records: Records
+    random: Random
+    models: dict[str, set[str]] | None = None
+    """Models and their adapters; None for a plain service."""
+
+    runner_id: str = field(factory=lambda: f"i-{next(_numbers):04d}", init=False)
+    relay: Relay | None = field(default=None, init=False)
+    draining: bool = field(default=False, init=False)
+    failing: float = field(default=0.0, init=False)
+    """Share of the requests that fail, or lose their answers, after they ran."""
+
+    _site: web.AppRunner | None = field(default=None, init=False)
+    _order_count: int = field(default=0, init=False)
+    _busy_until: float = field(default=0.0, init=False)
+    _fence: tuple[int, str] = field(default=(0, ""), init=False)
+    _beats: int = field(default=0, init=False)
+    _active: int = field(default=0, init=False)
+
+    async def async_start(self) -> None:
+        """Listen, and announce the runner."""
+        app = web.Application()
+        app.router.add_get("/v1/report", self._async_report)
+        app.router.add_post("/v1/order", self._async_order)
+        app.router.add_route("*", "/{path:.*}", self._async_serve)
+        self._site = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._site.setup()
+        await web.TCPSite(self._site, "127.0.0.1", 0).start()
+        self.relay = Relay("{}:{}".format(*self._site.addresses[0][:2]))
+        await self.relay.async_start()
+        self.announce()
+
+    async def async_crash(self, *, removed: bool = True) -> None:
+        """End at once, with all that runs."""
+        if removed:
+            self.store.remove(f"servers/{self.runner_id}")
+            self.records.leaving.setdefault(self.runner_id, time.monotonic())
+        if self.relay is not None:
+            await self.relay.async_stop()
+        if self._site is not None:
+            await self._site.cleanup()
+
+    async def async_drain(self) -> None:
+        """Announce the leaving, serve on for a while, and end."""
+        self.draining = True
+        self.announce()
+        self.records.leaving[self.runner_id] = time.monotonic()
+        await asyncio.sleep(STAY_S)
+        await self.async_crash()
+
+    def announce(self) -> None:
+        """Write the runner's entry."""
+        assert self.relay is not None
+        self._beats += 1
+        fields: dict[str, Any] = {
+            "service": self.service,
+            "address": self.relay.relay_address,
+            "zone": self.data_centre,
+            "version": 1,
+            "slots": 8,
+            "state": "draining" if self.draining else "ready",
+            "seq": self._beats,
+        }
+        if self.models is not None:
+            fields |= {"phase": "colocated", "models": self._list_models()}
+        self.store.write(f"servers/{self.runner_id}", orjson.dumps(fields))
+
+    def _list_models(self) -> list[dict[str, Any]]:
+        return [
+            {"name": name, "version": 1, "adapters": sorted(adapters)}
+            for name, adapters in (self.models or {}).items()
+        ]
+
+    async def _async_report(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "phase": "colocated",
+                "models": self._list_models(),
+                "busy": time.monotonic() < self._busy_until,
+                "seq": self._order_count,
+                "queued": 0,
+                "active": self._active,
+                "kv_used": 0,
+                "kv_total": 100_000,
+                "handles": 0,
+            }
+        )
+
+    async def _async_order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        status = self._judge_order(request, order)
+        if status is not None:
+            return web.json_response({}, status=status)
+        self._order_count += 1
+        return web.json_response({}, status=self._carry_out(order))
+
+    def _judge_order(self, request: web.Request, order: Any) -> int | None:
+        """Return the status of an order that is refused; None if it is not."""
+        if request.headers.get("X-Expect-Instance") != self.runner_id:
+            return 421
+        fence, holder = int(order["fence"]), str(order["holder"])
+        if fence < self._fence[0]:
+            return 412
+        if fence == self._fence[0] and holder != self._fence[1]:
+            self.records.broken.append(f"one: two holders use the fence {fence}")
+        self._fence = (fence, holder)
+        if time.monotonic() < self._busy_until:
+            return 409
+        wanted = order.get("precondition")
+        return 409 if wanted not in (None, self._order_count) else None
+
+    def _carry_out(self, order: Any) -> int:
+        models = self.models if self.models is not None else {}
+        name, adapter = order["model"], order.get("adapter")
+        load = order["operation"] == "model_load"
+        if adapter:
+            adapters = models.get(name)
+            if adapters is None:
+                return 400
+            if load:
+                adapters.add(adapter)
+            else:
+                adapters.discard(adapter)
+        elif load:
+            self._busy_until = time.monotonic() + LOAD_S
+            models[name] = set()
+        else:
+            models.pop(name, None)
+        held = sum(len(each) for each in models.values())
+        if len(models) > ROOM or held > ADAPTER_SLOTS:
+            self.records.broken.append(f"limit: {self.runner_id} holds {models}")
+        return 202 if load or not adapter else 200
+
+    async def _async_serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        request_id = request.headers.get("X-Request-Id", "")
+        model, _, adapter = request.headers.get("X-Model", "").partition("/")
+        if request.headers.get("X-Expect-Instance") != self.runner_id:
+            return self._refuse(request_id)
+        if self.models is not None:
+            held = self.models.get(model)
+            loading = time.monotonic() < self._busy_until
+            if held is None or loading or (adapter and adapter not in held):
+                return self._refuse(request_id)
+        signature = f"{self.runner_id}.{request_id}.{next(_numbers)}"
+        run = Run(runner_id=self.runner_id, at=time.monotonic(), signature=signature)
+        self.records.note_run(request_id, run)
+        headers = {"X-Request-Id": request_id, "X-Response-Signature": signature}
+        if self.models is None:
+            return await self._async_answer(request, headers, body)
+        return await self._async_stream(request, headers, request_id)
+
+    def _refuse(self, request_id: str) -> web.Response:
+        headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
+        return web.Response(status=421, headers=headers)
+
+    async def _async_answer(
+        self, request: web.Request, headers: dict[str, str], body: bytes
+    ) -> web.Response:
+        await asyncio.sleep(WORK_S * self.random.uniform(0.5, 4))
+        if self.random.random() < self.failing:
+            assert request.transport is not None
+            request.transport.abort()
+        text = f"{headers['X-Request-Id']} {len(body)}"
+        return web.Response(text=text, headers=headers)
+
+    async def _async_stream(
+        self, request: web.Request, headers: dict[str, str], request_id: str
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        cut_at = EVENTS // 2 if self.random.random() < self.failing else EVENTS + 1
+        self._active += 1
+        try:
+            await response.prepare(request)
+            for number in range(first, EVENTS + 1):
+                await asyncio.sleep(EVENT_S)
+                event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+                if number >= cut_at:
+                    await response.write(event[: len(event) // 2])
+                    assert request.transport is not None
+                    request.transport.abort()
+                    return response
+                await response.write(event)
+            await response.write_eof()
+        except ConnectionResetError:
+            # The other end has left; that is seen there.
+            pass
+        finally:
+            self._active -= 1
+        return response
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,211 @@
+"""A stand-in of the platform's store, by its published calls, with faults."""
+
+import asyncio
+import base64
+import time
+from collections.abc import Callable
+from enum import Enum
+from itertools import count
+from random import Random
+from typing import Any
+
+from aiohttp import web
+from attrs import define, field
+
+MAX_WAIT_S = 30.0
+SLOW_S = 0.2
+
+
+class StoreFault(Enum):
+    """How the store misbehaves."""
+
+    NONE = "none"
+    REFUSING = "refusing"
+    """Answers 503: nothing is done."""
+
+    SILENT = "silent"
+    """Takes calls and never answers; nothing is done."""
+
+    SLOW = "slow"
+    LOSING = "losing"
+    """Carries writes out, and loses half of their answers."""
+
+
+@define
+class StoredItem:
+    """A key with its value."""
+
+    key: str
+    value: bytes
+    revision: int
+    created: int
+    lease: int
+
+    def encode(self) -> dict[str, Any]:
+        """Return it as calls show it."""
+        return {
+            "key": self.key,
+            "value": base64.b64encode(self.value).decode(),
+            "revision": self.revision,
+            "created": self.created,
+            "lease": self.lease,
+        }
+
+
+@define(eq=False)
+class StoreStandIn:
+    """Keys, leases and watches in memory, served over HTTP."""
+
+    random: Random
+    clock: Callable[[], float] = time.monotonic
+    fault: StoreFault = field(default=StoreFault.NONE, init=False)
+    items: dict[str, StoredItem] = field(factory=dict, init=False)
+    history: list[tuple[int, dict[str, Any]]] = field(factory=list, init=False)
+    revision: int = field(default=1, init=False)
+    address: str = field(default="", init=False)
+    _leases: dict[int, tuple[float, float]] = field(factory=dict, init=False)
+    """Time to live and end of each lease."""
+
+    _lease_ids: Any = field(factory=lambda: count(1), init=False)
+    _forgotten: int = field(default=0, init=False)
+    _changed: asyncio.Event = field(factory=asyncio.Event, init=False)
+    _site: web.AppRunner | None = field(default=None, init=False)
+
+    async def async_start(self) -> None:
+        """Listen on a free port of the loopback."""
+        app = web.Application(middlewares=[self._async_misbehave])
+        app.router.add_get("/v1/kv-key", self._async_get)
+        app.router.add_get("/v1/kv-range", self._async_range)
+        app.router.add_get("/v1/kv-watch", self._async_watch)
+        app.router.add_post("/v1/kv-txn", self._async_commit)
+        app.router.add_post("/v1/kv-lease", self._async_grant)
+        app.router.add_post("/v1/kv-keep/{id}", self._async_renew)
+        app.router.add_delete("/v1/kv-lease-end/{id}", self._async_end)
+        self._site = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._site.setup()
+        await web.TCPSite(self._site, "127.0.0.1", 0).start()
+        self.address = "{}:{}".format(*self._site.addresses[0][:2])
+
+    async def async_stop(self) -> None:
+        """Close all connections."""
+        if self._site is not None:
+            await self._site.cleanup()
+
+    def expire(self) -> None:
+        """End the leases whose time is over."""
+        for lease, (_, ends_at) in list(self._leases.items()):
+            if ends_at < self.clock():
+                self._drop_lease(lease)
+
+    def forget_history(self) -> None:
+        """Drop the changes so far, so that watches have to begin anew."""
+        self.history.clear()
+        self._forgotten = self.revision
+
+    def write(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key; returns the new revision."""
+        self.revision += 1
+        known = self.items.get(key)
+        created = self.revision if known is None else known.created
+        item = StoredItem(key, value, self.revision, created, lease)
+        self.items[key] = item
+        self._note(item.encode())
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "revision": self.revision, "removed": True})
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self.history.append((self.revision, event))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _drop_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key in [each.key for each in self.items.values() if each.lease == lease]:
+            self.remove(key)
+
+    @web.middleware
+    async def _async_misbehave(self, request: web.Request, handler: Any) -> Any:
+        self.expire()
+        if self.fault is StoreFault.REFUSING:
+            return web.json_response({}, status=503)
+        if self.fault is StoreFault.SILENT:
+            await asyncio.sleep(MAX_WAIT_S)
+        if self.fault is StoreFault.SLOW:
+            await asyncio.sleep(SLOW_S)
+        response = await handler(request)
+        writes = request.method != "GET"
+        if self.fault is StoreFault.LOSING and writes and self.random.random() < 0.5:
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    async def _async_get(self, request: web.Request) -> web.Response:
+        item = self.items.get(request.query["key"])
+        if item is None:
+            return web.json_response({}, status=404)
+        return web.json_response({**item.encode(), "current_rev": self.revision})
+
+    async def _async_range(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        keys = sorted(key for key in self.items if key.startswith(prefix))
+        shown = [self.items[key].encode() for key in keys if key > after]
+        return web.json_response(
+            {"items": shown, "more_pages": False, "current_rev": self.revision}
+        )
+
+    async def _async_watch(self, request: web.Request) -> web.Response:
+        after = int(request.query["after"])
+        if after < self._forgotten:
+            return web.json_response({}, status=410)
+        events = self._list_events(after)
+        if not events:
+            wait_s = min(MAX_WAIT_S, int(request.query["wait_ms"]) / 1000)
+            try:
+                await asyncio.wait_for(self._changed.wait(), wait_s)
+            except TimeoutError:
+                pass
+            events = self._list_events(after)
+        return web.json_response({"events": events, "current_rev": self.revision})
+
+    def _list_events(self, after: int) -> list[dict[str, Any]]:
+        return [event for revision, event in self.history if revision > after]
+
+    async def _async_commit(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for each in body.get("precondition") or []:
+            known = self.items.get(each["key"])
+            if each["revision"] != (0 if known is None else known.revision):
+                shown = [] if known is None else [known.encode()]
+                return web.json_response({"items": shown}, status=412)
+        writes = body.get("set_keys") or []
+        if any(each["lease"] and each["lease"] not in self._leases for each in writes):
+            return web.json_response({}, status=404)
+        for each in writes:
+            value = base64.b64decode(each["value"])
+            self.write(each["key"], value, each["lease"])
+        for key in body.get("delete_keys") or []:
+            self.remove(key)
+        return web.json_response({"revision": self.revision})
+
+    async def _async_grant(self, request: web.Request) -> web.Response:
+        ttl_ms = float((await request.json())["ttl_ms"])
+        lease = next(self._lease_ids)
+        self._leases[lease] = (ttl_ms / 1000, self.clock() + ttl_ms / 1000)
+        return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
+
+    async def _async_renew(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["id"])
+        if lease not in self._leases:
+            return web.json_response({}, status=404)
+        ttl_s, _ = self._leases[lease]
+        self._leases[lease] = (ttl_s, self.clock() + ttl_s)
+        return web.json_response({"ttl_ms": ttl_s * 1000})
+
+    async def _async_end(self, request: web.Request) -> web.Response:
+        self._drop_lease(int(request.match_info["id"]))
+        return web.json_response({})
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,290 @@
+"""The system's processes and all that they meet, on the loopback."""
+
+import asyncio
+import time
+from random import Random
+from typing import Any, Final
+
+import aiohttp
+import orjson
+from attrs import define, field
+
+from ..stand_ins.launcher import Launcher, Process, find_free_address
+from ..stand_ins.relay import Relay
+from .callers import HOST, Caller
+from .records import APPLY_S, ROUTE_TIMEOUT_S, Kind, Records
+from .runners import RunnerStandIn
+from .store import StoreStandIn
+
+EDGES: Final = 3
+SCHEDULERS: Final = 2
+ENGINES: Final = 3
+PLAIN: Final = 2
+CALLERS: Final = 20
+MODELS: Final = [f"m{number}" for number in range(10)]
+"""One more than the engines have room for."""
+
+GRACE_S: Final = 6.0
+RESTART_S: Final = 0.3
+"""Pause between the end of a process and its next start, as a service manager makes."""
+
+BEAT_S: Final = 0.5
+START_TIMEOUT_S: Final = 15.0
+READY_CHECK_S: Final = 0.05
+
+
+@define(eq=False)
+class Node:
+    """One program on one host, over its restarts."""
+
+    name: str
+    program: str
+    flags: tuple[str, ...]
+    store_relay: Relay
+    ready: str = ""
+    callers: str = ""
+    directory: str = ""
+    process: Process | None = None
+    wanted: bool = True
+    """Whether it is started again when it ends."""
+
+    stopping: bool = False
+    """Whether its end is expected."""
+
+    started_at: float = 0.0
+
+
+@define(eq=False)
+class World:
+    """Store, runners, callers and the real programs."""
+
+    seed: int
+    launcher: Launcher
+    random: Random = field(init=False)
+    records: Records = field(factory=Records, init=False)
+    store: StoreStandIn = field(init=False)
+    nodes: list[Node] = field(factory=list, init=False)
+    runners: list[RunnerStandIn] = field(factory=list, init=False)
+    wanted: list[str] = field(factory=lambda: MODELS[:2], init=False)
+    version: int = field(default=0, init=False)
+    _added: list[int] = field(factory=list, init=False)
+    _tasks: set[asyncio.Task[Any]] = field(factory=set, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.store = StoreStandIn(self.random)
+
+    async def async_start(self) -> None:
+        """Start everything, and wait until the edges are ready."""
+        await self.store.async_start()
+        for number in range(ENGINES):
+            held = MODELS[number * 3 : number * 3 + 3]
+            await self.async_add_runner("llm", {name: set() for name in held})
+        for _ in range(PLAIN):
+            await self.async_add_runner("plain", None)
+        self.write_configuration()
+        for number in range(SCHEDULERS):
+            await self._async_add_node(f"scheduler-{number}", "scheduler")
+        for number in range(EDGES):
+            await self._async_add_node(f"edge-{number}", "edge")
+        self.start_task(self._async_beat())
+        await self._async_wait_ready()
+        for number in range(CALLERS):
+            caller = self._make_caller(number)
+            self.start_task(caller.async_run())
+
+    async def async_stop(self) -> None:
+        """End everything; the launcher ends the processes."""
+        for node in self.nodes:
+            node.wanted = False
+            node.stopping = True
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.launcher.async_end_all()
+        for runner in self.runners:
+            await runner.async_crash(removed=False)
+        for node in self.nodes:
+            await node.store_relay.async_stop()
+        await self.store.async_stop()
+
+    def start_task(self, run: Any) -> "asyncio.Task[Any]":
+        """Run something in the background until the end."""
+        task = asyncio.get_running_loop().create_task(run)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+        return task
+
+    async def async_add_runner(
+        self, service: str, models: dict[str, set[str]] | None
+    ) -> RunnerStandIn:
+        """Start a runner."""
+        centre = f"dc-{len(self.runners) % 2 + 1}"
+        runner = RunnerStandIn(
+            service, centre, self.store, self.records, self.random, models
+        )
+        await runner.async_start()
+        self.runners.append(runner)
+        return runner
+
+    def write_configuration(self) -> None:
+        """Let the operator write a new version, with one more route."""
+        self.version += self.random.randrange(1, 4)
+        if self.records.accepted:
+            self._added.append(self.version)
+        document = {
+            "version": self.version,
+            "routes": [_make_route(kind) for kind in Kind]
+            + [_make_added_route(version) for version in self._added],
+            "services": [_make_engine_service(), _make_plain_service()],
+            "limits": {},
+        }
+        self.store.write("op/config", orjson.dumps(document))
+        self.records.accepted[self.version] = time.monotonic()
+
+    async def async_probe_configuration(self) -> None:
+        """Ask each edge for a route of the newest version, a little later."""
+        if not self._added:
+            return
+        version = self._added[-1]
+        await asyncio.sleep(APPLY_S + 0.3)
+        caller = self._make_caller(1000 + version)
+        async with aiohttp.ClientSession() as session:
+            for node in self.list_nodes("edge"):
+                await caller.async_call(session, node.callers, Kind.SAFE, version)
+
+    def list_nodes(self, program: str) -> list[Node]:
+        """Return the nodes that run a program and are up."""
+        return [
+            each
+            for each in self.nodes
+            if each.program == program
+            and each.process is not None
+            and each.process.is_running
+            and not each.stopping
+        ]
+
+    async def async_start_node(self, node: Node) -> None:
+        """Start a node's program, and again whenever it ends."""
+        while node.wanted:
+            node.stopping = False
+            process = await self.launcher.async_start(
+                node.name, "mangoway", node.program, *node.flags
+            )
+            node.process, node.started_at = process, time.monotonic()
+            code = await process.child.wait()
+            if not node.stopping:
+                self.records.broken.append(f"exit: {node.name} ended with {code}")
+            await asyncio.sleep(RESTART_S)
+
+    def _make_caller(self, number: int) -> Caller:
+        return Caller(
+            random=Random(self.seed * 10_007 + number),
+            records=self.records,
+            directories=[each.directory for each in self.nodes if each.directory],
+            models=MODELS,
+            wanted=self.wanted,
+        )
+
+    async def _async_add_node(self, name: str, program: str) -> None:
+        relay = Relay(self.store.address)
+        await relay.async_start()
+        flags = [
+            *("--host", name, "--data-centre", f"dc-{len(self.nodes) % 2 + 1}"),
+            *("--store", relay.relay_address, "--grace-s", str(GRACE_S)),
+        ]
+        node = Node(name, program, (), relay)
+        if program == "edge":
+            node.callers, node.directory = find_free_address(), find_free_address()
+            node.ready = find_free_address()
+            flags += ["--caller-listen", node.callers, "--ready-listen", node.ready]
+            flags += ["--directory-listen", node.directory]
+        else:
+            flags += ["--peer-listen", find_free_address()]
+            flags += ["--runners-check-fences", "true"]
+        node.flags = tuple(flags)
+        self.nodes.append(node)
+        self.start_task(self.async_start_node(node))
+
+    async def _async_wait_ready(self) -> None:
+        end = time.monotonic() + START_TIMEOUT_S
+        async with aiohttp.ClientSession() as session:
+            for node in self.nodes:
+                while node.ready and not await _async_is_ready(session, node):
+                    if time.monotonic() > end:
+                        raise TimeoutError(f"{node.name} is not ready")
+                    await asyncio.sleep(READY_CHECK_S)
+
+    async def _async_beat(self) -> None:
+        """Write the runners' heartbeats."""
+        while True:
+            await asyncio.sleep(BEAT_S)
+            self.store.expire()
+            for runner in self.runners:
+                if f"servers/{runner.runner_id}" in self.store.items:
+                    runner.announce()
+
+    def _end_task(self, task: "asyncio.Task[Any]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.records.broken.append(f"soak: {task.exception()!r}")
+
+
+async def _async_is_ready(session: aiohttp.ClientSession, node: Node) -> bool:
+    try:
+        async with session.get(f"http://{node.ready}/v1/ready") as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+def _make_route(kind: Kind) -> dict[str, Any]:
+    stream = kind in (Kind.STREAM, Kind.FIXED_STREAM)
+    return {
+        "name": kind.value,
+        "host": HOST,
+        "prefix": {Kind.ONCE: "/once/"}.get(kind, f"/{kind.value}/"),
+        "kind": "streaming" if stream else kind.value,
+        "timeout_ms": int(ROUTE_TIMEOUT_S * 1000),
+        "target_latency_ms": 300,
+        "priority": 0,
+        "service": "llm" if stream else "plain",
+        "max_attempts": 1 if kind.runs_once else 2,
+        "resumable": kind is Kind.STREAM,
+        "gap_target_ms": 300,
+    }
+
+
+def _make_added_route(version: int) -> dict[str, Any]:
+    return {
+        **_make_route(Kind.SAFE),
+        "name": f"added-{version}",
+        "prefix": f"/added-{version}/",
+    }
+
+
+def _make_plain_service() -> dict[str, Any]:
+    return {"name": "plain", "health_path": "/health", "max_conns": 100}
+
+
+def _make_engine_service() -> dict[str, Any]:
+    engine = {
+        "slots": 16,
+        "kv_capacity": 100_000,
+        "weights_mb": 220_000.0,
+        "adapter_slots": 4,
+        "loads_per_s": 4,
+        "models": [
+            {
+                "name": name,
+                "weights_mb": 70_000.0,
+                "load_s": 0.3,
+                "warm_s": 0.3,
+                "disk_s": 0.3,
+                "adapters": 0,
+                "adapter_mb": 50.0,
+            }
+            for name in MODELS
+        ],
+    }
+    return {**_make_plain_service(), "name": "llm", "engine": engine}
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -20,6 +20,10 @@
     """New connections are closed at once."""
 
     delay_s: float = 0.0
+    drop_to_target: bool = False
+    """What is sent to the target is lost: a cut in one direction."""
+
+    drop_from_target: bool = False
 
 
 class Relay(StandIn):
@@ -69,6 +73,13 @@
         for writer in tuple(self._open):
             writer.transport.abort()
 
+    def heal(self) -> None:
+        """End all failures; connections that lost bytes are closed, as in a network."""
+        lossy = self.switches.drop_to_target or self.switches.drop_from_target
+        self.switches = RelaySwitches()
+        if lossy:
+            self.cut()
+
     def mute(self) -> None:
         """Let every open connection go silent for good, without closing it."""
         self._muted.update(self._open)
@@ -96,19 +107,28 @@
             return
         self._open.update((writer, far_writer))
         await asyncio.gather(
-            self._async_copy(reader, far_writer), self._async_copy(far_reader, writer)
+            self._async_copy(reader, far_writer, to_target=True),
+            self._async_copy(far_reader, writer, to_target=False),
         )
         self._open -= {writer, far_writer}
         self._muted -= {writer, far_writer}
 
+    def _drops(self, to_target: bool) -> bool:
+        switches = self.switches
+        return switches.drop_to_target if to_target else switches.drop_from_target
+
     async def _async_copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        to_target: bool,
     ) -> None:
         """Copy one direction until either end closes."""
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await asyncio.sleep(self.switches.delay_s)
-                if writer in self._muted:
+                if writer in self._muted or self._drops(to_target):
                     continue
                 writer.write(data)
                 await writer.drain()
