Order copies for the demand that is expected when a load ends

Change: two averages show how steeply a popular model's demand rises; copies are planned for up to 3 s ahead, and one whose demand falls keeps its copies by the last 5 s, not 10.

Ruled out: shorter averages (clumped arrivals make trends that are none).

--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -102,6 +102,15 @@
 estimates counts. Demand moves to other models within 4 to 6 seconds, and rare models
 are asked for each few seconds."""
 
+TREND_NEAR_FALL_S: Final = 2.0
+TREND_FAR_FALL_S: Final = 5.0
+"""The same of the two averages whose difference shows a trend. At 10 clumped requests a
+second the first errs by 3 a second: a shorter one would see trends that are none."""
+
+TREND_AHEAD_S: Final = 3.0
+"""Longest time for which a trend is held to go on: half of the 6 s in which demand
+moves from one model to another."""
+
 MIN_RESIDENCE_S: Final = 2.0
 """Time for which a loaded model stays: a little longer than the dearest common load."""
 
--- a/mangoway/policy/scheduling/demand.py
+++ b/mangoway/policy/scheduling/demand.py
@@ -4,7 +4,12 @@
 
 from attrs import define, field
 
-from .const import FAST_RATE_FALL_S, SLOW_RATE_FALL_S
+from .const import (
+    FAST_RATE_FALL_S,
+    SLOW_RATE_FALL_S,
+    TREND_FAR_FALL_S,
+    TREND_NEAR_FALL_S,
+)
 
 
 @define
@@ -32,20 +37,36 @@
 
 @define
 class Demand:
-    """A rate that rises fast and falls slowly."""
+    """A rate that rises fast and falls slowly, and where it tends."""
 
     fast: Rate = field(factory=lambda: Rate(FAST_RATE_FALL_S))
     slow: Rate = field(factory=lambda: Rate(SLOW_RATE_FALL_S))
+    near: Rate = field(factory=lambda: Rate(TREND_NEAR_FALL_S))
+    far: Rate = field(factory=lambda: Rate(TREND_FAR_FALL_S))
 
     def add(self, amount: float, now: float) -> None:
         """Count an amount."""
-        self.fast.add(amount, now)
-        self.slow.add(amount, now)
+        for rate in (self.fast, self.slow, self.near, self.far):
+            rate.add(amount, now)
 
     def get(self, now: float) -> float:
         """Return the rate as of now."""
         return max(self.fast.decay(now), self.slow.decay(now))
 
+    def expect(self, now: float, ahead_s: float) -> float:
+        """Return the rate that is expected some seconds from now.
+
+        A rate that rises evenly is seen late by each average, by about the time in
+        which it falls; the difference of two of them shows how steeply it rises. One
+        that falls is not expected to go on falling.
+        """
+        near, far = self.near.decay(now), self.far.decay(now)
+        if near <= far:
+            return max(self.fast.decay(now), far)
+        slope = (near - far) / (TREND_FAR_FALL_S - TREND_NEAR_FALL_S)
+        expected = near + slope * (TREND_NEAR_FALL_S + ahead_s)
+        return max(self.get(now), expected)
+
 
 @define(eq=False)
 class DemandBook:
@@ -67,12 +88,20 @@
         """Return when something was last asked of a service; None if never."""
         return self._asked_at.get(service)
 
-    def get_requests(self, service: str, model: str, now: float) -> float:
-        """Return the requests a second for a model."""
-        demand = self._requests.get((service, model))
-        return 0.0 if demand is None else demand.get(now)
+    def get_requests(
+        self, service: str, model: str, now: float, ahead_s: float = 0.0
+    ) -> float:
+        """Return the requests a second for a model, now or some seconds ahead."""
+        return _read(self._requests.get((service, model)), now, ahead_s)
 
-    def get_work(self, service: str, model: str, now: float) -> float:
+    def get_work(
+        self, service: str, model: str, now: float, ahead_s: float = 0.0
+    ) -> float:
         """Return the seconds of reading a second that a model's requests ask for."""
-        demand = self._work.get((service, model))
-        return 0.0 if demand is None else demand.get(now)
+        return _read(self._work.get((service, model)), now, ahead_s)
+
+
+def _read(demand: Demand | None, now: float, ahead_s: float) -> float:
+    if demand is None:
+        return 0.0
+    return demand.expect(now, ahead_s) if ahead_s else demand.get(now)
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -24,6 +24,7 @@
     POPULAR_REQUESTS,
     RARE_LOAD_SHARE,
     SWAP_GAIN,
+    TREND_AHEAD_S,
     UNLOAD_S,
 )
 from .events import GiveOrder
@@ -105,10 +106,7 @@
 
     def describe_models(self, most: int) -> list[str]:
         """Return a line for each of the models that are asked for most."""
-        work = {
-            name: self.state.demand.get_work(self.service, name, self.now)
-            for name in self.engine.models
-        }
+        work = {name: self._get_work(name) for name in self.engine.models}
         names = sorted(work, key=lambda name: -work[name])[:most]
         return [
             f"{name}: {self._count_copies(name)}/{self._count_wanted(name)}, "
@@ -184,7 +182,7 @@
         requests = self._get_requests(model)
         if copies == 0:
             return 0.0
-        work = self.state.demand.get_work(self.service, model, self.now)
+        work = self._get_work(model)
         return requests * min(1.0, copies * COPY_WORK_S / max(work, COPY_WORK_S))
 
     def _count_wanted(self, model: str) -> int:
@@ -192,7 +190,7 @@
         requests = self._get_requests(model)
         if requests < LEAST_REQUESTS:
             return 0
-        work = self.state.demand.get_work(self.service, model, self.now)
+        work = self._get_work(model)
         wanted = math.ceil(work / COPY_WORK_S)
         if requests > POPULAR_REQUESTS:
             wanted = max(2, wanted)
@@ -209,7 +207,22 @@
         return min(times, default=profile.load_s)
 
     def _get_requests(self, model: str) -> float:
-        return self.state.demand.get_requests(self.service, model, self.now)
+        """Return the requests a second that are expected once a load would be over."""
+        demand, ahead_s = self.state.demand, self._look_ahead(model)
+        return demand.get_requests(self.service, model, self.now, ahead_s)
+
+    def _get_work(self, model: str) -> float:
+        """Return the seconds of reading a second that are expected then."""
+        demand, ahead_s = self.state.demand, self._look_ahead(model)
+        return demand.get_work(self.service, model, self.now, ahead_s)
+
+    def _look_ahead(self, model: str) -> float:
+        """Return how far a trend counts; rare models have none."""
+        now_rate = self.state.demand.get_requests(self.service, model, self.now)
+        profile = self.engine.models.get(model)
+        if profile is None or now_rate < POPULAR_REQUESTS:
+            return 0.0
+        return min(TREND_AHEAD_S, profile.load_s)
 
     def _fill(self) -> list[GiveOrder]:
         """Use room that is free, as after a runner's restart, for what is missing."""
@@ -356,8 +369,7 @@
     def _measure_busy(self, runner: RunnerState) -> float:
         """Return the share of a runner's time that reading prompts takes."""
         return sum(
-            self.state.demand.get_work(self.service, name, self.now)
-            / max(1, self._count_copies(name))
+            self._get_work(name) / max(1, self._count_copies(name))
             for name in runner.held
         )
 
--- a/tests/policy/scheduling/test_placement.py
+++ b/tests/policy/scheduling/test_placement.py
@@ -104,6 +104,24 @@
         world.run(4.0)
         assert "k" in [each.model for each in world.orders if each.load]
 
+    def test_copies_are_ordered_for_the_demand_at_the_end_of_a_load(self) -> None:
+        """Demand that rises to 24 requests a second in 6 s, as long as a load takes."""
+        world = make_ready(
+            ["a", "b", "c"],
+            ["a", "d", "e"],
+            ["a", "b", "d"],
+            ["b", "c", "e"],
+            models="abcdefghijk",
+            load_s=6.0,
+        )
+        number, at = 0, 1.0
+        while at < 7.0:
+            world.ask(make_asked(f"k{number}", "k"), at=at)
+            number += 1
+            at += 1 / max(2.0, 4 * (at - 1.0))
+        world.run(7.0)
+        assert len([each for each in world.orders if each.load]) == 3
+
 
 class TestCopies:
     """Popular models get more copies."""
