Register all events before the pages are held against them

Cause: event 107 moved to the module of the libraries' logs, which the test of the pages did not import: two of its tests failed when run alone (KeyError 107), and passed in the whole suite only where another test of the same worker had imported it.

Change: the test imports the catalogue, which registers every event.

Ruled out: a gap in the pages or in EVENTS.md, which is written from the catalogue.

Measured: tests/test_pages.py alone, before 2 failed, after none; the suite passed in 189 s before this commit, with the failing order not met.

--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -12,7 +12,7 @@
 
 from mangoway.callers.statuses import STATUSES
 from mangoway.cli.commands import add_commands
-from mangoway.observability import events, fleet_events  # noqa: F401  # Registers all.
+from mangoway.observability import catalogue  # noqa: F401  # Registers all events.
 from mangoway.observability.event_log import LogLevel, list_specs
 from mangoway.observability.metrics import Metrics
 
