Let both planners measure free memory alike; list open runners in one place

Cause: the read of the whole change. The planner of copies fetched ahead counted a model that is no longer offered as no memory, the other planner as all of it; edges and schedulers each listed the runners that take requests; a change's revision was carried through a timer though the mirror knows it.

Change: measure_free, FleetView.list_open_runners, and the mirror's revision. Behaviour differs only where a runner holds a model that is not offered any more: nothing is fetched ahead in its place.

--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -137,6 +137,10 @@
             if each.service == service and not each.draining
         ]
 
+    def list_open_runners(self) -> tuple[RunnerEntry, ...]:
+        """Return the runners of all services that take new requests."""
+        return tuple(each for each in self.runners.values() if not each.draining)
+
     def find_open_runner(self, runner_id: str) -> RunnerEntry | None:
         """Return a runner if it takes new requests."""
         entry = self.runners.get(runner_id)
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -215,10 +215,7 @@
         self._fleet_changed = False
         state = self.client.local.core.state
         state.limit_scale = 1 / max(1, self._count_edges())
-        open_runners = tuple(
-            each for each in view.runners.values() if not each.draining
-        )
-        return FleetSeen(table=view.table, runners=open_runners)
+        return FleetSeen(table=view.table, runners=view.list_open_runners())
 
     def _become_ready(self, version: int) -> None:
         """Announce the edge, now that it can serve."""
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -185,10 +185,8 @@
     def _note_view(self) -> None:
         view = self.process.view
         if view.table is not None:
-            open_runners = tuple(
-                each for each in view.runners.values() if not each.draining
-            )
-            self.server.handle(FleetSeen(table=view.table, runners=open_runners))
+            fleet = FleetSeen(table=view.table, runners=view.list_open_runners())
+            self.server.handle(fleet)
 
     async def _async_follow_lead(self) -> None:
         """Tell the core and the edges when this process begins or ceases to lead."""
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -317,7 +317,9 @@
         """Return the models to unload, least missed first; empty if none may go."""
         candidates = [name for name in runner.held if self._may_go(runner, name)]
         candidates.sort(key=lambda name: self._rate_loss(name, runner))
-        needed = profile.weights_mb - self._count_free(runner)
+        needed = profile.weights_mb - measure_free(
+            runner, self.engine, self._adapter_mb
+        )
         victims: list[str] = []
         for name in candidates:
             victims.append(name)
@@ -348,16 +350,7 @@
         return max(self._get_requests(name), IDLE_VALUE * (1 + profile.adapters))
 
     def _fits(self, runner: RunnerState, profile: ModelProfile) -> bool:
-        return self._count_free(runner) >= profile.weights_mb
-
-    def _count_free(self, runner: RunnerState) -> float:
-        """Return the memory that is free, with room kept for all adapter places."""
-        free = self.engine.weights_mb - self._adapter_mb
-        for name in runner.held:
-            model = self.engine.models.get(name)
-            # A model that the configuration no longer offers has an unknown size.
-            free -= self.engine.weights_mb if model is None else model.weights_mb
-        return free
+        return measure_free(runner, self.engine, self._adapter_mb) >= profile.weights_mb
 
     def _count_all_waiting(self) -> dict[str, int]:
         counts: dict[str, int] = {}
@@ -394,6 +387,24 @@
     return ADAPTER_RESERVE * engine.adapter_slots * max(sizes, default=0.0)
 
 
+def measure_free(
+    runner: RunnerState, engine: EngineProfile, reserved_mb: float
+) -> float:
+    """Return the memory of a runner that is free for models, in MB.
+
+    Args:
+        runner: The runner.
+        engine: What it can do.
+        reserved_mb: Memory that is kept for adapters; a planner works it out once.
+    """
+    free_mb = engine.weights_mb - reserved_mb
+    for name in runner.held:
+        model = engine.models.get(name)
+        # A model that the configuration no longer offers has an unknown size.
+        free_mb -= engine.weights_mb if model is None else model.weights_mb
+    return free_mb
+
+
 def estimate_load(runner: RunnerState, profile: ModelProfile) -> float:
     """Return the time of a load from the nearest copy that a runner has."""
     if profile.name in runner.in_host_memory:
--- a/mangoway/policy/scheduling/warming.py
+++ b/mangoway/policy/scheduling/warming.py
@@ -14,7 +14,7 @@
 from .const import IDLE_VALUE, WARMING_REST_S
 from .events import GiveOrder
 from .orders import can_order, open_order
-from .placement import reserve_for_adapters
+from .placement import measure_free, reserve_for_adapters
 from .runners import RunnerState
 from .state import SchedulingState
 
@@ -114,7 +114,7 @@
             return None
         if wanted.name in runner.list_near() or not self._has_disk(runner, wanted):
             return None
-        free_mb = self.engine.weights_mb - self._sum_weights(runner.held)
+        free_mb = measure_free(runner, self.engine, self._adapter_mb)
         best: tuple[float, str] | None = None
         for name in runner.held:
             model = self.engine.models.get(name)
@@ -122,7 +122,7 @@
             if model is None or self._held[name] > 1:
                 continue
             value = self._rate_value(model)
-            fits = free_mb + model.weights_mb >= wanted.weights_mb + self._adapter_mb
+            fits = free_mb + model.weights_mb >= wanted.weights_mb
             if fits and (best is None or value < best[0]):
                 best = (value, name)
         return best
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -115,16 +115,15 @@
             self._unpassed[change.key] = change
         if self._passing is None:
             loop = asyncio.get_running_loop()
-            self._passing = loop.call_later(PASS_S, self._pass_on, changes.revision)
+            self._passing = loop.call_later(PASS_S, self._pass_on)
 
-    def _pass_on(self, revision: int) -> None:
+    def _pass_on(self) -> None:
         """Send the last change of each key."""
         self._passing = None
         changes = tuple(self._unpassed.values())
         self._unpassed.clear()
-        revision = max(revision, *(each.revision for each in changes))
         message = StateChanged(
-            changes=Changes(changes=changes, revision=revision),
+            changes=Changes(changes=changes, revision=self.mirror.revision or 0),
             kept_s=self.get_kept_s(),
         )
         for link in tuple(self._links.values()):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 
 from .records import Span
 from .store import StoreFault
-from .world import Node, World
+from .world import MODELS, Node, World
 
 START_S = 3.0
 """Time in which a process starts on a busy machine."""
@@ -35,11 +35,11 @@
     """Kill a process; it starts again."""
     node = _choose(world)
     if node is not None and node.process is not None:
-        with_span = world.records.begin(f"kill {node.name}")
+        span = world.records.begin(f"kill {node.name}")
         node.stopping = True
         node.process.kill()
         await asyncio.sleep(1.0)
-        _end(with_span)
+        _end(span)
 
 
 @fault
@@ -205,9 +205,7 @@
 @plan
 async def async_move_demand(world: World) -> None:
     """Let other models be the popular ones."""
-    world.wanted[:] = world.random.sample(
-        [f"m{number}" for number in range(10)], len(world.wanted)
-    )
+    world.wanted[:] = world.random.sample(MODELS, len(world.wanted))
 
 
 def _choose(world: World) -> Node | None:
