Learn an offset beside the reading pace, and count prompts as read when their time is over

Cause: runners stood idle while requests waited. A prompt counted as unread until its first event, and the engine of the new customer shows that some 80 ms after it has read the prompt; the time went into the pace, so that prompts looked up to five times as long, and one at a time was on its way.

Change: the time to a first event is fitted as a line, with one offset for a service and a slope for each model; a prompt counts as read when its reading should be over, and each first event corrects when the others will be. A late one delays what follows.

--- a/mangoway/policy/scheduling/adapters.py
+++ b/mangoway/policy/scheduling/adapters.py
@@ -60,7 +60,7 @@
         for each in runners
         if each.is_ready(model, "", now) and can_order(each, now)
     ]
-    holders.sort(key=lambda each: _rate_holder(each, model))
+    holders.sort(key=lambda each: _rate_holder(each, model, now))
     for runner in holders:
         if runner.engine is None:
             continue
@@ -88,9 +88,12 @@
     return None
 
 
-def _rate_holder(runner: RunnerState, model: str) -> tuple[int, float]:
+def _rate_holder(runner: RunnerState, model: str, now: float) -> tuple[int, float]:
     """Spread a model's adapters over its copies, then prefer the idle runner."""
-    return (len(runner.held[model].adapters), runner.unread_s + len(runner.running))
+    return (
+        len(runner.held[model].adapters),
+        runner.measure_unread(now) + len(runner.running),
+    )
 
 
 def _find_victim(runner: RunnerState) -> tuple[str, str] | None:
--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -22,15 +22,9 @@
 READ_S_PER_TOKEN: Final = 1 / 29_000
 """First guess of a runner's reading speed, as the larger models of both sites have."""
 
-ROUND_TRIP_S: Final = 0.012
-"""Part of the time to a first event that is not reading: ways, one decoding step and
-the answer of the edge, about 12 ms on a calm day."""
-
-PACE_WEIGHT: Final = 0.1
-"""Weight of a new sample of the reading speed."""
-
-PACE_RANGE: Final = 6.0
-"""Largest factor between the first guess and a learned reading speed."""
+FIRST_EVENT_S: Final = 0.012
+"""First guess of the part of the time to a first event that is not reading: ways, one
+decoding step and the answer of the edge."""
 
 SLOTS_USED: Final = 0.95
 """Part of a runner's slots that is used; the rest is for what edges choose alone."""
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -100,10 +100,10 @@
         runners = [each.describe() for each in self.state.list_runners(service)]
         return planner.describe_models(DESCRIBED_MODELS), runners[:DESCRIBED_RUNNERS]
 
-    def end(self, key: RequestKey) -> Running | None:
+    def end(self, key: RequestKey, now: float) -> Running | None:
         """Forget a request; returns it if a runner had it."""
         runner = self.state.runners.get(self.state.granted.pop(key, ""))
-        return None if runner is None else runner.remove(key)
+        return None if runner is None else runner.remove(key, now)
 
     def note_health(self, running: Running, kind: EndKind, now: float) -> None:
         """Judge a runner by how a request ended there."""
@@ -129,7 +129,9 @@
             return [_refuse(event, RETRY_AFTER_BUDGET_S, "the retry budget is spent")]
     else:
         budget.note_request(now)
-        work_s = state.pace.estimate(event.model, event.prompt.tokens)
+        work_s = state.pace.get(event.service).estimate(
+            event.model, event.prompt.tokens
+        )
         state.demand.note(event.service, event.model, work_s, now)
     engine = state.get_engine(event.service)
     if engine is not None and event.model not in engine.models:
@@ -146,9 +148,9 @@
     if runner is None or waiting.key in core.state.granted:
         return []
     running = place(core.state, waiting, runner, now)
-    running.alone = False
+    running.adopted = True
     if not event.reading:
-        runner.note_read(running)
+        runner.note_read(running, now)
     return []
 
 
@@ -161,10 +163,11 @@
     running = None if runner is None else runner.running.get(key)
     if runner is None or running is None:
         return []
-    if running.alone and running.reading:
-        seconds = now - running.granted_at
-        core.state.pace.learn(running.asked.model, running.unread_tokens, seconds)
-    runner.note_read(running)
+    begun_at = runner.find_begin(running)
+    if begun_at is not None:
+        pace = core.state.pace.get(running.asked.service)
+        pace.learn(running.asked.model, running.unread_tokens, now - begun_at)
+    runner.note_first_event(running, now)
     runner.note_accepted(running.asked.model, running.asked.adapter)
     core.note_health(running, EndKind.SERVED, now)
     return core.serve(running.asked.service, now)
@@ -176,7 +179,7 @@
     for waiting in core.state.waiting.values():
         waiting.pop(key, None)
     runner = core.state.runners.get(core.state.granted.get(key, ""))
-    running = core.end(key)
+    running = core.end(key, now)
     if running is None or runner is None:
         return []
     if event.kind in (EndKind.NOT_HELD, EndKind.NOT_RUN):
@@ -192,7 +195,7 @@
         for key in [each for each in waiting if each[0] == event.edge]:
             del waiting[key]
     for key in [each for each in state.granted if each[0] == event.edge]:
-        core.end(key)
+        core.end(key, now)
     return _serve_all(core, now)
 
 
--- a/mangoway/policy/scheduling/dispatch.py
+++ b/mangoway/policy/scheduling/dispatch.py
@@ -30,7 +30,7 @@
     scale = state.limit_scale
     usable = state.list_usable(service, now)
     limit_s = limit_unread(len(state.waiting[service]), len(usable))
-    roomy = [each for each in usable if each.has_room(scale, limit_s)]
+    roomy = [each for each in usable if each.has_room(scale, limit_s, now)]
     actions: list[Action] = []
     if not roomy:
         return actions
@@ -40,7 +40,7 @@
         if runner is None:
             continue
         actions.append(grant(state, waiting, runner, now))
-        if not runner.has_room(scale, limit_s):
+        if not runner.has_room(scale, limit_s, now):
             roomy.remove(runner)
             if not roomy:
                 break
@@ -97,8 +97,9 @@
     were sent lately.
     """
     asked = waiting.asked
-    reading_s = state.pace.estimate(asked.model, count_unread(waiting, runner))
-    cost = runner.unread_s + reading_s + RUNNING_S * len(runner.running)
+    pace = state.pace.get(asked.service)
+    reading_s = pace.estimate(asked.model, count_unread(waiting, runner))
+    cost = runner.measure_unread(now) + reading_s + RUNNING_S * len(runner.running)
     place = state.edge_places.get(asked.edge)
     if place is not None and place != runner.entry.data_centre:
         cost += OTHER_ZONE_S
@@ -140,13 +141,14 @@
     """Count a request as running at a runner."""
     asked = waiting.asked
     unread = count_unread(waiting, runner)
+    pace = state.pace.get(asked.service)
     running = Running(
         asked=asked,
         runner_id=runner.runner_id,
         granted_at=now,
-        unread_s=state.pace.estimate(asked.model, unread),
+        unread_s=pace.estimate(asked.model, unread),
         unread_tokens=unread,
-        alone=runner.unread_s == 0.0,
+        first_event_s=pace.first_event_s,
         kv_tokens=count_kv_tokens(waiting),
     )
     runner.add(waiting.key, running, now)
--- a/mangoway/policy/scheduling/pace.py
+++ b/mangoway/policy/scheduling/pace.py
@@ -1,32 +1,115 @@
-"""How fast runners read prompts, learned from first events."""
+"""How fast the runners of a service read prompts, learned from first events."""
+
+from typing import Final
 
 from attrs import define, field
 
-from .const import PACE_RANGE, PACE_WEIGHT, READ_S_PER_TOKEN, ROUND_TRIP_S
+from .const import FIRST_EVENT_S, READ_S_PER_TOKEN
+
+MEMORY_SAMPLES: Final = 60.0
+"""Samples of a model after which older ones count a third: some seconds of a popular
+model, so that a runner's change of pace is followed within a burst."""
+
+PRIOR_SAMPLES: Final = 2.0
+PRIOR_TOKENS: Final = 800.0
+"""Weight of the first guess of a slope: two prompts of a common length."""
+
+PRIOR_OFFSETS: Final = 0.1
+"""Weight of the first guess of the offset. Prompts of like lengths tell little of it: a
+few that differ must outweigh the guess."""
+
+OUTLIER: Final = 2.5
+"""Factor to the estimate beyond which a sample counts as no more: a frozen host or a
+runner that is busy elsewhere says nothing about reading."""
+
+TRUSTED_SAMPLES: Final = 5.0
+"""Samples of a model from which the estimate tells an outlier."""
+
+LEAST_S_PER_TOKEN: Final = 1e-6
+"""A million prompt tokens a second: faster than any engine reads."""
 
 
 @define(eq=False)
-class PaceBook:
-    """Seconds per prompt token by model."""
+class ModelSums:
+    """Sums over the samples of one model; older samples weigh less."""
+
+    count: float = 0.0
+    tokens: float = 0.0
+    seconds: float = 0.0
+    tokens_squared: float = PRIOR_SAMPLES * PRIOR_TOKENS**2
+    tokens_seconds: float = PRIOR_SAMPLES * PRIOR_TOKENS**2 * READ_S_PER_TOKEN
+
+    def add(self, tokens: float, seconds: float) -> None:
+        """Count a sample."""
+        keep = 1 - 1 / MEMORY_SAMPLES
+        prior = PRIOR_SAMPLES * PRIOR_TOKENS**2
+        self.count = keep * self.count + 1
+        self.tokens = keep * self.tokens + tokens
+        self.seconds = keep * self.seconds + seconds
+        self.tokens_squared = keep * (self.tokens_squared - prior) + prior + tokens**2
+        prior *= READ_S_PER_TOKEN
+        rest = keep * (self.tokens_seconds - prior) + prior
+        self.tokens_seconds = rest + tokens * seconds
+
 
+@define(eq=False)
+class Pace:
+    """A straight line of first-event time over tokens: one offset, a slope a model.
+
+    The offset is what takes time beside reading: ways, the steps of decoding and what
+    the engine adds to each first event. Streams and other prompts are read meanwhile,
+    so it delays an answer and keeps no runner. One offset holds for all models of a
+    service; it is fitted together with the slopes by least squares.
+    """
+
+    first_event_s: float = FIRST_EVENT_S
+    """The offset, in seconds."""
+
+    _models: dict[str, ModelSums] = field(factory=dict, init=False)
     _per_token: dict[str, float] = field(factory=dict, init=False)
 
     def estimate(self, model: str, tokens: int) -> float:
-        """Return the seconds that reading so many tokens takes."""
+        """Return the seconds that reading so many tokens keeps a runner."""
         return tokens * self._per_token.get(model, READ_S_PER_TOKEN)
 
     def learn(self, model: str, tokens: int, seconds: float) -> None:
-        """Learn from one prompt that was read without others before it.
+        """Learn from one prompt.
 
         Args:
             model: Name of the model.
             tokens: Tokens that the runner had to read.
-            seconds: Time from the grant to the first event.
+            seconds: Time from the begin of its reading to the first event.
         """
         if tokens <= 0:
             return
-        sample = max(0.0, seconds - ROUND_TRIP_S) / tokens
-        low, high = READ_S_PER_TOKEN / PACE_RANGE, READ_S_PER_TOKEN * PACE_RANGE
-        sample = min(high, max(low, sample))
-        known = self._per_token.get(model, READ_S_PER_TOKEN)
-        self._per_token[model] = known + PACE_WEIGHT * (sample - known)
+        sums = self._models.setdefault(model, ModelSums())
+        if sums.count >= TRUSTED_SAMPLES:
+            expected = self.first_event_s + self.estimate(model, tokens)
+            seconds = min(seconds, OUTLIER * expected)
+        sums.add(tokens, seconds)
+        self._fit()
+
+    def _fit(self) -> None:
+        """Solve for the offset with the slopes eliminated, then for the slopes."""
+        weight = PRIOR_OFFSETS
+        weighted = PRIOR_OFFSETS * FIRST_EVENT_S
+        for sums in self._models.values():
+            share = sums.tokens / sums.tokens_squared
+            weight += sums.count - share * sums.tokens
+            weighted += sums.seconds - share * sums.tokens_seconds
+        self.first_event_s = max(0.0, weighted / weight)
+        for model, sums in self._models.items():
+            slope = sums.tokens_seconds - self.first_event_s * sums.tokens
+            slope /= sums.tokens_squared
+            self._per_token[model] = max(LEAST_S_PER_TOKEN, slope)
+
+
+@define(eq=False)
+class PaceBook:
+    """The pace of each service's runners."""
+
+    _services: dict[str, Pace] = field(factory=dict, init=False)
+
+    def get(self, service: str) -> Pace:
+        """Return the pace of a service's runners; a first guess if none is known."""
+        return self._services.setdefault(service, Pace())
--- a/mangoway/policy/scheduling/queue.py
+++ b/mangoway/policy/scheduling/queue.py
@@ -10,7 +10,6 @@
     MIN_RETRY_AFTER_S,
     PATIENCE_USED,
     RETRY_SPREAD,
-    ROUND_TRIP_S,
 )
 from .events import Asked, Refuse
 from .requests import Waiting
@@ -20,12 +19,12 @@
 
 def sort_waiting(state: SchedulingState, service: str, now: float) -> list[Waiting]:
     """Return the waiting requests of a service, first to be served first."""
-    pace = state.pace
+    pace = state.pace.get(service)
 
     def rank(each: Waiting) -> tuple[int, int, float]:
         asked = each.asked
         reading_s = pace.estimate(asked.model, asked.prompt.tokens)
-        late = now + reading_s + ROUND_TRIP_S > each.objective_at
+        late = now + reading_s + pace.first_event_s > each.objective_at
         return (int(late), asked.priority, each.leave_at if late else each.objective_at)
 
     return sorted(state.waiting.get(service, {}).values(), key=rank)
@@ -49,7 +48,7 @@
         ready_times: For models that no runner holds, when one is expected to.
     """
     runners = state.list_usable(service, now)
-    free_at = {each.runner_id: now + each.unread_s for each in runners}
+    free_at = {each.runner_id: now + each.measure_unread(now) for each in runners}
     refusals = []
     for waiting in sort_waiting(state, service, now):
         starts_at = _expect_start(waiting, runners, free_at, ready_times, now)
@@ -120,7 +119,7 @@
     if not holders:
         return
     first = min(holders, key=lambda each: free_at[each.runner_id])
-    reading_s = state.pace.estimate(asked.model, asked.prompt.tokens)
+    reading_s = state.pace.get(asked.service).estimate(asked.model, asked.prompt.tokens)
     free_at[first.runner_id] = starts_at + reading_s
 
 
--- a/mangoway/policy/scheduling/requests.py
+++ b/mangoway/policy/scheduling/requests.py
@@ -37,12 +37,18 @@
     """Reading time of its prompt at this runner."""
 
     unread_tokens: int
-    alone: bool
-    """Whether no other prompt was unread when it was granted."""
+    first_event_s: float
+    """Time from the end of its reading to its first event, as was expected."""
 
     kv_tokens: int
     """KV memory that it will take."""
 
+    adopted: bool = False
+    """Whether another granted it, so that the time of the grant isn't known."""
+
+    read_at: float = 0.0
+    """When its prompt should have been read."""
+
     stalled: bool = False
     """Whether a long prompt beside it has made it late already."""
 
--- a/tests/policy/scheduling/test_load.py
+++ b/tests/policy/scheduling/test_load.py
@@ -50,6 +50,26 @@
         assert len(times) > 10
 
 
+class TestSlowFirstEvents:
+    """An engine whose first events come long after a prompt was read."""
+
+    def test_runner_reads_on_meanwhile(self) -> None:
+        world = World(
+            models=["a"],
+            runner_models=[["a"]],
+            read_s_per_token=1 / 60_000,
+            first_event_s=0.08,
+        )
+        world.run(0.5)
+        for number in range(300):
+            asked = make_asked(f"q{number}", "a", objective_s=0.8, patience_s=5.0)
+            world.ask(asked, at=1.0 + number / 30)
+        world.run(16.0)
+        # 30 prompts of 13 ms a second take 0.4 of the runner; one prompt at a time
+        # with its first event takes it 2.9 s of each.
+        assert world.count_first_in(0.8) >= 285
+
+
 class TestShift:
     """Demand that moves to a model with one copy."""
 
--- a/tests/policy/scheduling/world.py
+++ b/tests/policy/scheduling/world.py
@@ -170,6 +170,10 @@
     load_s: float = 1.2
     disk_mb: float = 0.0
     seed: int = 1
+    read_s_per_token: float = READ_S_PER_TOKEN
+    first_event_s: float = 0.005
+    """Time from the end of reading to a first event, in which others are read."""
+
     now: float = field(default=0.0, init=False)
     outcomes: dict[str, Outcome] = field(factory=dict, init=False)
     orders: list[GiveOrder] = field(factory=list, init=False)
@@ -275,8 +279,8 @@
         outcome.runner_id = grant.runner_id
         runner.running[grant.request_id] = asked.model
         start = max(self.now, runner.read_until)
-        runner.read_until = start + asked.prompt.tokens * READ_S_PER_TOKEN
-        first_at = runner.read_until + 0.005
+        runner.read_until = start + asked.prompt.tokens * self.read_s_per_token
+        first_at = runner.read_until + self.first_event_s
 
         def show_first() -> None:
             outcome.first_at = self.now
