Take a runner that starts again under its id as a new life; refuse entries of other writers

A JSON string reached .get and raised out of the decoder, and any unknown state counted as ready.

Change: the start of a runner's life is read from its entry and report. A later one is a new life that holds, runs and counts nothing of before; late entries, reports, answers to orders and ends of requests of an earlier life change nothing. Entries are decoded with their types checked; one that can't be read names no runner to use, also where it was good before, and is logged at 1, 10, 100 readings in a row. Property tests feed arbitrary bytes and JSON to the decoders of entries, reports, configuration, members and frames.

--- a/mangoway/coordination/members.py
+++ b/mangoway/coordination/members.py
@@ -59,5 +59,5 @@
         fields = orjson.loads(value)
         known = {each.name: fields[each.name] for each in attrs_fields(Member)}
         return Member(**{**known, "role": Role(fields["role"])})
-    except (KeyError, TypeError, ValueError) as error:
+    except (LookupError, TypeError, ValueError) as error:
         raise MemberError(f"member can't be read: {error!r}") from error
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -73,8 +73,11 @@
         known = self.runners.get(entry.runner_id)
         if known == entry:
             return
+        if known is not None and 0 < entry.started_ms < known.started_ms:
+            # Written by an earlier life, and late.
+            return
         self.runners[entry.runner_id] = entry
-        if known is None or known.draining != entry.draining:
+        if known is None or _is_news(known, entry):
             log_event(
                 log.RunnerSeen(
                     runner_id=entry.runner_id,
@@ -82,10 +85,15 @@
                     address=entry.address,
                     draining=entry.draining,
                     models=len(entry.models),
+                    started_ms=entry.started_ms,
                 )
             )
         self._notify()
 
+    def withdraw_runner(self, runner_id: str) -> None:
+        """Take a runner away whose entry can't be read any more."""
+        self._drop_runner(runner_id, "its entry can't be read")
+
     def remove_runner(self, runner_id: str, now: float) -> None:
         """Take a runner away, or keep it for a while just after an outage."""
         if runner_id not in self.runners:
@@ -155,3 +163,8 @@
     def _notify(self) -> None:
         for call in self.on_change:
             call()
+
+
+def _is_news(known: RunnerEntry, entry: RunnerEntry) -> bool:
+    """Return whether a runner drains, or drains no more, or has started again."""
+    return known.draining != entry.draining or known.started_ms != entry.started_ms
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -272,7 +272,13 @@
         try:
             outcome = await self._async_send_order(order)
         finally:
-            self.server.handle(OrderEnded(runner_id=order.runner_id, outcome=outcome))
+            self.server.handle(
+                OrderEnded(
+                    runner_id=order.runner_id,
+                    outcome=outcome,
+                    started_ms=order.started_ms,
+                )
+            )
 
     async def _async_send_order(self, order: GiveOrder) -> OrderOutcome:
         entry = self.process.view.find_open_runner(order.runner_id)
--- a/mangoway/models/runner.py
+++ b/mangoway/models/runner.py
@@ -17,7 +17,7 @@
     """What the platform's directory says of one life of a runner."""
 
     runner_id: str
-    """Names this life: a restarted runner gets another id."""
+    """Names the runner; it may start again under the same id."""
 
     service: str
     address: str
@@ -30,6 +30,10 @@
     models: tuple[ResidentModel, ...]
     """What it held when it wrote this, up to a heartbeat ago."""
 
+    started_ms: int = 0
+    """When its present life began, in Unix milliseconds; 0 if it doesn't say. A later
+    one is a new life, which holds and knows nothing of the one before."""
+
 
 @frozen(kw_only=True)
 class RunnerReport:
@@ -52,3 +56,6 @@
 
     on_disk: frozenset[str]
     """Models whose weights lie on the runner's disk."""
+
+    started_ms: int = 0
+    """When the life that reports began, as in the entry."""
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -153,13 +153,15 @@
 
 @numbered(350, LogLevel.INFO)
 class RunnerSeen:
-    """A runner appeared, or its readiness changed."""
+    """A runner appeared or started again, or its readiness changed."""
 
     runner_id: str
     service: str
     address: str
     draining: bool
     models: int
+    started_ms: int
+    """Start of its present life, in Unix milliseconds; 0 if it doesn't say."""
 
 
 @numbered(351, LogLevel.INFO)
@@ -352,7 +354,9 @@
 
 @numbered(755, LogLevel.ERROR)
 class DocumentUnreadable:
-    """A value of the store can't be read; what was known of it stays in use."""
+    """A value of the store can't be read; a runner whose entry it is isn't used."""
 
     key: str
     reason: str
+    times: int
+    """Readings in a row that could not be read; 1, 10, 100 and so on are logged."""
--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes what the operator and the runners write in the store."""
 
+from collections.abc import Mapping
 from typing import Any, Final
 
 import orjson
@@ -15,6 +16,14 @@
     TrafficShare,
 )
 from ..models.runner import ResidentModel, RunnerEntry
+from .fields import (
+    DocumentError,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 
 CONFIGURATION_KEY: Final = "op/config"
 RUNNER_PREFIX: Final = "servers/"
@@ -22,11 +31,12 @@
 """Keys of this system; the platform keeps the two prefixes above for itself."""
 
 MS_PER_S: Final = 1000.0
+MAX_PORT: Final = 65_535
+READY: Final = "ready"
 DRAINING: Final = "draining"
 
-
-class DocumentError(Exception):
-    """A document of the store can't be read."""
+UNREADABLE: Final = (LookupError, TypeError, ValueError, ArithmeticError)
+"""What a document of another shape raises while its fields are taken apart."""
 
 
 def decode_configuration(document: bytes) -> RoutingTable:
@@ -36,7 +46,7 @@
         DocumentError: If it can't be read.
     """
     try:
-        fields = orjson.loads(document)
+        fields = read_object(orjson.loads(document), "the configuration")
         return RoutingTable(
             version=int(fields["version"]),
             routes=tuple(_decode_route(each) for each in fields["routes"]),
@@ -45,62 +55,96 @@
             },
             limits=_decode_limits(fields.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except UNREADABLE as error:
         raise DocumentError(f"configuration can't be read: {error!r}") from error
 
 
 def decode_runner(key: str, document: bytes) -> RunnerEntry:
-    """Decode the entry of a runner.
+    """Decode the entry of a runner; other writers may leave anything under its key.
 
     Raises:
-        DocumentError: If it can't be read.
+        DocumentError: If it can't be read, or names no runner that could be used.
     """
     try:
-        fields = orjson.loads(document)
-        left_ms = fields.get("remaining_ms")
+        fields = read_object(orjson.loads(document), "the entry")
+        left_ms = read_number(fields, "remaining_ms")
         return RunnerEntry(
             runner_id=key.removeprefix(RUNNER_PREFIX),
-            service=str(fields["service"]),
-            address=str(fields["address"]),
-            data_centre=str(fields.get("zone", "")),
-            slots=int(fields.get("slots") or 1),
-            draining=fields.get("state") == DRAINING,
-            seconds_left=None if left_ms is None else float(left_ms) / MS_PER_S,
-            models=decode_models(fields.get("models") or []),
+            service=read_text(fields, "service"),
+            address=_read_address(fields),
+            data_centre=read_text(fields, "zone"),
+            slots=_read_slots(fields),
+            draining=_read_draining(fields),
+            seconds_left=None if left_ms is None else left_ms / MS_PER_S,
+            models=decode_models(fields.get("models")),
+            started_ms=read_started(fields),
         )
         # `seq` counts the runner's heartbeats here; in its report it counts orders.
-    except (KeyError, TypeError, ValueError) as error:
-        raise DocumentError(f"entry {key} can't be read: {error!r}") from error
-
-
-def decode_models(fields: Any) -> tuple[ResidentModel, ...]:
-    """Decode the list of models that a runner holds."""
-    return tuple(
-        ResidentModel(
-            name=str(each["name"]),
-            version=int(each.get("version") or 0),
-            adapters=frozenset(
-                _name_adapter(adapter) for adapter in each.get("adapters") or []
-            ),
-        )
-        for each in fields
+    except (DocumentError, *UNREADABLE) as error:
+        raise DocumentError(f"entry {key} can't be read: {error}") from error
+
+
+def read_started(fields: Mapping[str, Any]) -> int:
+    """Return when a runner's present life began, in Unix ms; 0 if it doesn't say."""
+    return read_integer(fields, "born", 0)
+
+
+def decode_models(value: Any) -> tuple[ResidentModel, ...]:
+    """Decode the list of models that a runner holds.
+
+    Raises:
+        DocumentError: If it can't be read.
+    """
+    return tuple(_decode_resident(each) for each in read_list(value, "models"))
+
+
+def _decode_resident(value: Any) -> ResidentModel:
+    fields = read_object(value, "a model")
+    adapters = read_list(fields.get("adapters"), "adapters")
+    return ResidentModel(
+        name=read_text(fields, "name"),
+        version=read_integer(fields, "version", 0),
+        adapters=frozenset(_name_adapter(each) for each in adapters),
     )
 
 
-def _name_adapter(adapter: Any) -> str:
-    name = str(adapter["name"] if isinstance(adapter, dict) else adapter)
+def _name_adapter(value: Any) -> str:
+    name = read_text(value if isinstance(value, dict) else {"name": value}, "name")
     return name.partition("@")[0]
 
 
-def _decode_route(fields: Any) -> Route:
+def _read_address(fields: Mapping[str, Any]) -> str:
+    address = read_text(fields, "address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or int(port) > MAX_PORT:
+        raise DocumentError(f"no address of a host and port: {address!r}")
+    return address
+
+
+def _read_slots(fields: Mapping[str, Any]) -> int:
+    slots = read_integer(fields, "slots")
+    if slots < 1:
+        raise DocumentError(f"a runner without slots: {slots}")
+    return slots
+
+
+def _read_draining(fields: Mapping[str, Any]) -> bool:
+    state = fields.get("state")
+    if state not in (READY, DRAINING):
+        raise DocumentError(f"no known state: {state!r}")
+    return bool(state == DRAINING)
+
+
+def _decode_route(value: Any) -> Route:
+    fields = read_object(value, "a route")
     split = fields.get("traffic_split")
     if split:
         shares = tuple(
-            TrafficShare(service=each["service"], weight=float(each["weight"]))
+            TrafficShare(service=str(each["service"]), weight=float(each["weight"]))
             for each in split
         )
     else:
-        shares = (TrafficShare(service=fields["service"], weight=1.0),)
+        shares = (TrafficShare(service=str(fields["service"]), weight=1.0),)
     return Route(
         name=str(fields["name"]),
         host=str(fields["host"]),
@@ -117,7 +161,8 @@
     )
 
 
-def _decode_service(fields: Any) -> ServiceProfile:
+def _decode_service(value: Any) -> ServiceProfile:
+    fields = read_object(value, "a service")
     engine = fields.get("engine")
     return ServiceProfile(
         name=str(fields["name"]),
@@ -127,7 +172,8 @@
     )
 
 
-def _decode_engine(fields: Any) -> EngineProfile:
+def _decode_engine(value: Any) -> EngineProfile:
+    fields = read_object(value, "an engine")
     return EngineProfile(
         slots=int(fields["slots"]),
         kv_capacity_tokens=int(fields["kv_capacity"]),
@@ -139,7 +185,8 @@
     )
 
 
-def _decode_model(fields: Any) -> ModelProfile:
+def _decode_model(value: Any) -> ModelProfile:
+    fields = read_object(value, "a model")
     load_s = float(fields["load_s"])
     return ModelProfile(
         name=str(fields["name"]),
@@ -152,7 +199,8 @@
     )
 
 
-def _decode_limits(fields: Any) -> CallerLimits:
+def _decode_limits(value: Any) -> CallerLimits:
+    fields = read_object(value, "the limits")
     usual = CallerLimits()
     return CallerLimits(
         max_header_bytes=int(fields.get("max_header_bytes") or usual.max_header_bytes),
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 
 from ..coordination.members import LEADER_KEY, MEMBER_KEYS, MemberError, decode_member
 from ..coordination.store import Change, Changes, Item, Snapshot
@@ -13,10 +13,10 @@
     CONFIGURATION_KEY,
     OWN_PREFIX,
     RUNNER_PREFIX,
-    DocumentError,
     decode_configuration,
     decode_runner,
 )
+from .fields import DocumentError
 
 OWN_LEADER_KEY = OWN_PREFIX + LEADER_KEY
 OWN_MEMBER_KEYS = OWN_PREFIX + MEMBER_KEYS
@@ -30,6 +30,9 @@
     clock: Callable[[], float]
     """Steady time in seconds."""
 
+    _unreadable: dict[str, int] = field(factory=dict, init=False)
+    """Keys whose value can't be read, with the readings that showed so."""
+
     def take_snapshot(self, snapshot: Snapshot) -> None:
         """Take a full reading: what it doesn't show is gone."""
         now = self.clock()
@@ -65,6 +68,8 @@
             self.view.note_outage_ended(self.clock(), kept_s)
 
     def _take_change(self, change: Change, now: float) -> None:
+        if change.item is None:
+            self._unreadable.pop(change.key, None)
         if change.item is not None:
             self._take_item(change.item, now)
         elif change.key.startswith(RUNNER_PREFIX):
@@ -78,7 +83,18 @@
         try:
             self._decode(item, now)
         except (DocumentError, MemberError) as error:
-            log_event(log.DocumentUnreadable(key=item.key, reason=str(error)))
+            self._note_unreadable(item.key, str(error))
+        else:
+            self._unreadable.pop(item.key, None)
+
+    def _note_unreadable(self, key: str, reason: str) -> None:
+        """Use the runner no more, and log ever less often that it is so."""
+        if key.startswith(RUNNER_PREFIX):
+            self.view.withdraw_runner(key.removeprefix(RUNNER_PREFIX))
+        times = self._unreadable.get(key, 0) + 1
+        self._unreadable[key] = times
+        if str(times).strip("0") == "1":
+            log_event(log.DocumentUnreadable(key=key, reason=reason, times=times))
 
     def _decode(self, item: Item, now: float) -> None:
         if item.key == CONFIGURATION_KEY:
--- a/mangoway/platform/runners.py
+++ b/mangoway/platform/runners.py
@@ -8,7 +8,8 @@
 from ..http1.json_client import CallFailedError, JsonClient
 from ..models.runner import RunnerReport
 from . import headers as names
-from .documents import DocumentError, decode_models
+from .documents import UNREADABLE, decode_models, read_started
+from .fields import DocumentError, read_integer, read_list, read_object
 
 REPORT_TIMEOUT_S: Final = 0.5
 """A report needs no slot and comes in a few milliseconds."""
@@ -78,7 +79,7 @@
             )
             if reply.status != 200:
                 raise RunnerUnreachableError(f"{runner_id}: status {reply.status}")
-            return _decode_report(reply.body)
+            return decode_report(reply.body)
         except (CallFailedError, DocumentError) as error:
             raise RunnerUnreachableError(f"{runner_id}: {error}") from error
 
@@ -116,23 +117,33 @@
         return answer
 
 
-def _decode_report(fields: Any) -> RunnerReport:
+def decode_report(value: Any) -> RunnerReport:
+    """Decode a runner's report.
+
+    Raises:
+        DocumentError: If it can't be read.
+    """
     try:
-        available = fields.get("available") or {}
+        fields = read_object(value, "the report")
+        available = read_object(fields.get("available") or {}, "available")
         return RunnerReport(
             models=decode_models(fields["models"]),
             # `pending` names adapters as model/adapter@version.
             pending_adapters=frozenset(
-                str(each).partition("@")[0] for each in fields.get("pending") or []
+                str(each).partition("@")[0]
+                for each in read_list(fields.get("pending"), "pending")
             ),
             busy=bool(fields["busy"]),
-            order_count=int(fields["seq"]),
+            order_count=read_integer(fields, "seq"),
             queued=int(fields["queued"]),
             active=int(fields["active"]),
             kv_used_tokens=int(fields["kv_used"]),
             kv_capacity_tokens=int(fields["kv_total"]),
-            in_host_memory=frozenset(available.get("in_memory") or []),
-            on_disk=frozenset(available.get("on_disk") or []),
+            in_host_memory=frozenset(
+                read_list(available.get("in_memory"), "in_memory")
+            ),
+            on_disk=frozenset(read_list(available.get("on_disk"), "on_disk")),
+            started_ms=read_started(fields),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except UNREADABLE as error:
         raise DocumentError(f"report can't be read: {error!r}") from error
--- a/mangoway/policy/edge/health.py
+++ b/mangoway/policy/edge/health.py
@@ -61,6 +61,10 @@
         if record is not None and record.avoided:
             record.next_try_at = now + AVOID_S
 
+    def forget(self, runner_id: str) -> None:
+        """Forget what an earlier life of a runner did."""
+        self._records.pop(runner_id, None)
+
     def keep_only(self, runner_ids: set[str]) -> None:
         """Forget runners that are gone."""
         for runner_id in set(self._records) - runner_ids:
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -207,7 +207,7 @@
 
 @handles(ReportSeen)
 def _take_report(core: SchedulingCore, event: ReportSeen, now: float) -> list[Action]:
-    runner = core.state.runners.get(event.runner_id)
+    runner = core.state.find_life(event.runner_id, event.report.started_ms)
     if runner is None:
         return []
     runner.take_report(event.report, event.asked_at, now)
@@ -229,6 +229,8 @@
     runner = core.state.runners.get(event.runner_id)
     if runner is None or runner.open_order is None:
         return []
+    if event.started_ms != runner.open_order.started_ms:
+        return []
     service = runner.entry.service
     profile = core.state.get_model(service, runner.open_order.model)
     duration_s = 0.0 if profile is None else estimate_load(runner, profile)
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -136,6 +136,8 @@
 
     runner_id: str
     outcome: OrderOutcome
+    started_ms: int = 0
+    """Life of the runner that was ordered."""
 
 
 @frozen(kw_only=True)
@@ -191,5 +193,8 @@
     waiting: int
     """Requests that wait for the model."""
 
+    started_ms: int = 0
+    """Life of the runner that it is for."""
+
 
 Action = Grant | Refuse | GiveOrder
--- a/mangoway/policy/scheduling/orders.py
+++ b/mangoway/policy/scheduling/orders.py
@@ -41,6 +41,7 @@
         order_count=runner.order_count,
         reason=reason,
         waiting=waiting,
+        started_ms=runner.entry.started_ms,
     )
     runner.open_order = order
     runner.ordered_at = now
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -3,7 +3,7 @@
 from collections import deque
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ...models.routing import EngineProfile, ModelProfile, RoutingTable
 from ...models.runner import RunnerEntry
@@ -133,11 +133,39 @@
         for entry in entries:
             self._take_entry(entry, now)
 
+    def find_life(self, runner_id: str, started_ms: int) -> RunnerState | None:
+        """Return the life of a runner that began at a time; None for an earlier one.
+
+        Args:
+            runner_id: The runner.
+            started_ms: When the life began, in Unix ms; 0 stands for the present one.
+        """
+        known = self.runners.get(runner_id)
+        if known is None or not started_ms:
+            return known
+        if started_ms < known.entry.started_ms:
+            return None
+        if started_ms > known.entry.started_ms:
+            entry = evolve(known.entry, started_ms=started_ms, models=())
+            return self._begin_life(entry)
+        return known
+
     def _take_entry(self, entry: RunnerEntry, now: float) -> None:
-        known = self.runners.get(entry.runner_id)
+        known = self.find_life(entry.runner_id, entry.started_ms)
+        if known is None and entry.runner_id in self.runners:
+            return
         if known is None:
-            engine = self.get_engine(entry.service)
-            capacity = 0 if engine is None else engine.kv_capacity_tokens
-            known = RunnerState(entry, engine, PrefixMemory(capacity))
-            self.runners[entry.runner_id] = known
+            known = self._begin_life(entry)
         known.take_entry(entry, now)
+
+    def _begin_life(self, entry: RunnerEntry) -> RunnerState:
+        """Begin with a runner that holds and runs nothing, as far as is known."""
+        earlier = self.runners.get(entry.runner_id)
+        for key in () if earlier is None else earlier.running:
+            self.granted.pop(key, None)
+        self.health.forget(entry.runner_id)
+        engine = self.get_engine(entry.service)
+        capacity = 0 if engine is None else engine.kv_capacity_tokens
+        runner = RunnerState(entry, engine, PrefixMemory(capacity))
+        self.runners[entry.runner_id] = runner
+        return runner
--- a/tests/coordination/test_view.py
+++ b/tests/coordination/test_view.py
@@ -34,6 +34,22 @@
         assert [each.runner_id for each in view.list_runners("llm")] == ["r2"]
         assert view.find_open_runner("r1") is None
 
+    def test_late_entry_of_an_earlier_life_is_ignored(self) -> None:
+        view = FleetView()
+        view.take_runner(make_runner("r1", started_ms=2000))
+        view.take_runner(make_runner("r1", ("a",), started_ms=1000))
+        assert view.runners["r1"].started_ms == 2000
+
+    def test_runner_with_an_unreadable_entry_is_not_used(self) -> None:
+        view = FleetView()
+        view.take_runner(make_runner("r1"))
+        view.take_runner(make_runner("r2"))
+        view.note_outage_ended(10.0)
+        view.withdraw_runner("r1")
+        assert [each.runner_id for each in view.list_runners("llm")] == ["r2"]
+        view.take_runner(make_runner("r1"))
+        assert len(view.list_runners("llm")) == 2
+
     def test_removed_runner_is_gone_at_once(self) -> None:
         view = FleetView()
         view.take_runner(make_runner("r1"))
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -99,6 +99,7 @@
     address: str = "127.0.0.1:1",
     data_centre: str = "dc1",
     draining: bool = False,
+    started_ms: int = 0,
 ) -> RunnerEntry:
     """Return a runner's entry."""
     return RunnerEntry(
@@ -110,6 +111,7 @@
         draining=draining,
         seconds_left=None,
         models=make_residents(models),
+        started_ms=started_ms,
     )
 
 
@@ -126,6 +128,7 @@
     *,
     busy: bool = False,
     on_disk: frozenset[str] = frozenset(),
+    started_ms: int = 0,
 ) -> RunnerReport:
     """Return a runner's report."""
     return RunnerReport(
@@ -139,6 +142,7 @@
         kv_capacity_tokens=150_000,
         in_host_memory=frozenset(),
         on_disk=on_disk,
+        started_ms=started_ms,
     )
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,13 +2,16 @@
 
 import orjson
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from mangoway.models.routing import RouteKind
-from mangoway.platform.documents import (
-    DocumentError,
-    decode_configuration,
-    decode_runner,
-)
+from mangoway.coordination.members import Member, MemberError, decode_member
+from mangoway.models.routing import RouteKind, RoutingTable
+from mangoway.models.runner import RunnerReport
+from mangoway.platform.documents import decode_configuration, decode_runner
+from mangoway.platform.fields import DocumentError
+from mangoway.platform.runners import decode_report
+from mangoway.scheduling.codec import CodecError, decode_payload
 
 ROUTE = {
     "name": "r-1",
@@ -51,6 +54,18 @@
     "models": [{"name": "m0", "version": 1, "adapters": ["a1", {"name": "a2@1"}]}],
 }
 
+REPORT = {
+    "models": [{"name": "m0", "version": 1, "adapters": []}],
+    "busy": False,
+    "seq": 2,
+    "queued": 1,
+    "active": 12,
+    "kv_used": 41000,
+    "kv_total": 90000,
+    "pending": ["m0/a1@1"],
+    "available": {"in_memory": ["m0"], "on_disk": []},
+}
+
 
 def encode(**changes: object) -> bytes:
     document = {
@@ -134,3 +149,118 @@
     def test_unreadable_entry_is_an_error(self) -> None:
         with pytest.raises(DocumentError):
             decode_runner("servers/i-1", b"{}")
+
+    def test_start_of_its_life_is_decoded(self) -> None:
+        document = {**ENTRY, "born": 1_771_816_803_316}
+        entry = decode_runner("servers/i-1", orjson.dumps(document))
+        assert entry.started_ms == 1_771_816_803_316
+        assert decode_runner("servers/i-1", orjson.dumps(ENTRY)).started_ms == 0
+
+    @pytest.mark.parametrize(
+        "document", [b"null", b"7", b'"text"', b"[]", b"[1]", b"true", b"\xff\x00", b""]
+    )
+    def test_entry_that_is_no_object_is_an_error(self, document: bytes) -> None:
+        with pytest.raises(DocumentError):
+            decode_runner("servers/i-1", document)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "resting"},
+            {"state": None},
+            {"service": 5},
+            {"service": ""},
+            {"address": None},
+            {"address": "nowhere"},
+            {"address": "10.0.0.1:http"},
+            {"zone": {}},
+            {"slots": "64"},
+            {"slots": 0},
+            {"slots": True},
+            {"models": "m0"},
+            {"models": ["m0"]},
+            {"models": [{"name": 3}]},
+            {"models": [{"name": "m0", "adapters": 1}]},
+            {"remaining_ms": "soon"},
+            {"born": "1771816803316"},
+            {"born": 1.5},
+        ],
+    )
+    def test_field_of_another_kind_is_an_error(self, change: dict[str, object]) -> None:
+        """Entries of other writers were used: any unknown state counted as ready."""
+        with pytest.raises(DocumentError):
+            decode_runner("servers/i-1", orjson.dumps({**ENTRY, **change}))
+
+    @pytest.mark.parametrize("name", ["service", "address", "zone", "slots", "state"])
+    def test_missing_field_is_an_error(self, name: str) -> None:
+        document = {key: value for key, value in ENTRY.items() if key != name}
+        with pytest.raises(DocumentError):
+            decode_runner("servers/i-1", orjson.dumps(document))
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**53), 2**53) | st.floats() | st.text(),
+    lambda children: (
+        st.lists(children, max_size=4)
+        | st.dictionaries(
+            st.sampled_from([*ENTRY, *ROUTE, *ENGINE, "routes", "services"])
+            | st.text(max_size=4),
+            children,
+            max_size=6,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def spoil(document: dict[str, object]) -> st.SearchStrategy[bytes]:
+    """Return encodings of a document of which some fields have other values."""
+    changes = st.dictionaries(st.sampled_from(sorted(document)), json_values)
+    return changes.map(lambda each: orjson.dumps({**document, **each}))
+
+
+class TestAnyBytes:
+    """Whatever another writer leaves is decoded, or refused as unreadable."""
+
+    @given(st.binary() | json_values.map(orjson.dumps) | spoil(ENTRY))
+    def test_entry(self, document: bytes) -> None:
+        try:
+            entry = decode_runner("servers/i-1", document)
+        except DocumentError:
+            return
+        assert entry.service
+        assert entry.slots >= 1
+        assert ":" in entry.address
+
+    @given(
+        st.binary()
+        | json_values.map(orjson.dumps)
+        | spoil({"version": 7, "routes": [ROUTE], "services": [], "limits": {}})
+        | spoil(dict(ROUTE)).map(lambda each: b'{"routes":[%b],"version":1}' % each)
+    )
+    def test_configuration(self, document: bytes) -> None:
+        try:
+            assert isinstance(decode_configuration(document), RoutingTable)
+        except DocumentError:
+            return
+
+    @given(json_values | spoil(REPORT).map(orjson.loads))
+    def test_report(self, fields: object) -> None:
+        try:
+            assert isinstance(decode_report(fields), RunnerReport)
+        except DocumentError:
+            return
+
+    @given(st.binary() | json_values.map(orjson.dumps))
+    def test_member(self, value: bytes) -> None:
+        try:
+            assert isinstance(decode_member(value), Member)
+        except MemberError:
+            return
+
+    @given(st.binary() | json_values.map(orjson.dumps))
+    def test_frame_between_processes(self, body: bytes) -> None:
+        try:
+            decode_payload(b"\x00" + body, "e1")
+        except CodecError:
+            return
--- /dev/null
+++ b/tests/policy/scheduling/test_restart.py
@@ -0,0 +1,107 @@
+"""Tests of a runner that starts again under the id that it had."""
+
+from mangoway.policy.scheduling.core import SchedulingCore
+from mangoway.policy.scheduling.events import (
+    Ended,
+    EndKind,
+    FleetSeen,
+    GiveOrder,
+    Grant,
+    OrderEnded,
+    OrderOutcome,
+    OrdersAllowed,
+    ReportSeen,
+    Tick,
+)
+from mangoway.policy.scheduling.runners import RunnerState
+
+from ...fakes.fleet import make_asked, make_report, make_residents, make_runner
+from .world import World
+
+FIRST_LIFE = 1_000
+SECOND_LIFE = 2_000
+
+
+def make_core() -> tuple[World, SchedulingCore]:
+    """Return a core that knows the first life of one runner, which holds `a`."""
+    world = World(models=["a", "b"], runner_models=[])
+    see_entry(world, FIRST_LIFE, ("a",))
+    report(world, FIRST_LIFE, ("a",), order_count=5, at=1.0)
+    return world, world.core
+
+
+def see_entry(world: World, started_ms: int, models: tuple[str, ...]) -> None:
+    entry = make_runner("r0", models, started_ms=started_ms)
+    world.core.handle(FleetSeen(table=world.table, runners=(entry,)), world.now)
+
+
+def report(
+    world: World, started_ms: int, models: tuple[str, ...], order_count: int, at: float
+) -> None:
+    seen = make_report(make_residents(models), order_count, started_ms=started_ms)
+    world.now = at
+    world.core.handle(ReportSeen(runner_id="r0", report=seen, asked_at=at), at)
+
+
+def get_runner(world: World) -> RunnerState:
+    return world.core.state.runners["r0"]
+
+
+class TestNewLife:
+    """What is forgotten when a runner has started again."""
+
+    def test_entry_of_a_new_life_holds_and_counts_nothing_of_before(self) -> None:
+        world, core = make_core()
+        [grant] = [
+            each for each in core.handle(make_asked("q1"), 1.0) if each.edge == "e1"
+        ]
+        assert isinstance(grant, Grant)
+        see_entry(world, SECOND_LIFE, ())
+        runner = get_runner(world)
+        assert not runner.held
+        assert not runner.running
+        assert runner.order_count is None
+        assert not core.state.granted
+
+    def test_report_shows_it_before_the_entry(self) -> None:
+        world, _ = make_core()
+        report(world, SECOND_LIFE, (), order_count=0, at=2.0)
+        runner = get_runner(world)
+        assert not runner.held
+        assert runner.order_count == 0
+        see_entry(world, SECOND_LIFE, ())
+        assert get_runner(world) is runner
+
+    def test_late_report_of_the_earlier_life_changes_nothing(self) -> None:
+        world, _ = make_core()
+        see_entry(world, SECOND_LIFE, ())
+        report(world, FIRST_LIFE, ("a",), order_count=5, at=2.0)
+        runner = get_runner(world)
+        assert not runner.held
+        assert runner.order_count is None
+
+    def test_late_end_of_a_request_of_the_earlier_life_is_taken(self) -> None:
+        world, core = make_core()
+        core.handle(make_asked("q1"), 1.0)
+        see_entry(world, SECOND_LIFE, ())
+        ended = Ended(edge="e1", request_id="q1", kind=EndKind.FAILED)
+        assert core.handle(ended, 2.0) == []
+
+    def test_late_answer_to_an_order_of_the_earlier_life_changes_nothing(self) -> None:
+        world, core = make_core()
+        core.handle(OrdersAllowed(allowed=True), 1.0)
+        core.handle(make_asked("q1", "b", patience_s=20.0), 1.0)
+        [order] = [
+            each for each in core.handle(Tick(), 1.1) if isinstance(each, GiveOrder)
+        ] or [get_runner(world).open_order]
+        assert order is not None
+        assert order.started_ms == FIRST_LIFE
+        see_entry(world, SECOND_LIFE, ())
+        report(world, SECOND_LIFE, (), order_count=0, at=2.0)
+        ended = OrderEnded(
+            runner_id="r0", outcome=OrderOutcome.STARTED, started_ms=FIRST_LIFE
+        )
+        core.handle(ended, 2.1)
+        runner = get_runner(world)
+        assert runner.order_count == 0
+        assert "b" not in runner.held
--- a/tests/policy/scheduling/world.py
+++ b/tests/policy/scheduling/world.py
@@ -322,7 +322,13 @@
 
         def tell() -> None:
             if self.core is core:
-                self.feed(OrderEnded(runner_id=order.runner_id, outcome=outcome))
+                self.feed(
+                    OrderEnded(
+                        runner_id=order.runner_id,
+                        outcome=outcome,
+                        started_ms=order.started_ms,
+                    )
+                )
 
         self._at(self.now + after, tell)
 
