--- a/mangoway/cli/commands.py
+++ b/mangoway/cli/commands.py
@@ -13,6 +13,7 @@
     "scheduler",
     "status",
     "explain",
+    "losses",
     "config",
 )
 """Modules of this package that hold commands, by the name of their command."""
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -55,7 +55,7 @@
             self._reject(delivery, fields, STATUS_NO_ROUTE, "no such route")
             return
         service = self._choose_service(route, table.services)
-        request_log = self.make_log(fields, route.name, delivery)
+        request_log = self.make_log(fields, route, delivery)
         handling = Handling(
             self, request_log, request, fields, route, service, delivery
         )
@@ -70,7 +70,7 @@
         return profile or ServiceProfile(name=name, health_path="", max_connections=0)
 
     def make_log(
-        self, fields: RequestFields, route: str, delivery: Delivery
+        self, fields: RequestFields, route: Route | None, delivery: Delivery
     ) -> RequestLog:
         """Return the log of a request."""
         table = self.view.table
@@ -88,7 +88,7 @@
     ) -> None:
         """Answer a request that has no route."""
         retry_after = RETRY_AFTER_START_S if status == STATUS_NOT_RUN else None
-        self.make_log(fields, "", delivery).note_rejected(status, reason, retry_after)
+        self.make_log(fields, None, delivery).note_rejected(status, reason, retry_after)
         delivery.answer(status, *make_answer(reason, retry_after))
 
 
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from ..models.routing import Route
 from ..models.runner import RunnerEntry
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
@@ -22,8 +23,8 @@
 
     metrics: Metrics
     fields: RequestFields
-    route: str
-    """Name of the route; empty if none was found."""
+    route: Route | None
+    """The route; None if none was found."""
 
     delivery: Delivery
     version: int | None
@@ -34,18 +35,23 @@
     queued_s: float = 0.0
     """Time for which it waited for a runner."""
 
+    @property
+    def _route_name(self) -> str:
+        return self.route.name if self.route else ""
+
     def note_served(self, runner: RunnerEntry) -> None:
         """Log a request that got its whole answer."""
         delivery = self.delivery
         first_s = (delivery.first_at or self.clock()) - delivery.arrived_at
         self._count("served", SERVED)
-        self.metrics.edge_first_seconds.observe(self.route, seconds=first_s)
-        self.metrics.edge_queue_seconds.observe(self.route, seconds=self.queued_s)
-        self.metrics.edge_request_seconds.observe(self.route, seconds=self._measure())
+        name = self._route_name
+        self.metrics.edge_first_seconds.observe(name, seconds=first_s)
+        self.metrics.edge_queue_seconds.observe(name, seconds=self.queued_s)
+        self.metrics.edge_request_seconds.observe(name, seconds=self._measure())
         log_event(
             log.RequestServed(
                 request_id=self.fields.request_id,
-                route=self.route,
+                route=self._route_name,
                 artifact=self.fields.artifact,
                 runner_id=runner.runner_id,
                 status=SERVED,
@@ -55,6 +61,8 @@
                 seconds=self._measure(),
                 longest_gap_s=round(delivery.longest_gap_s, 4),
                 events=delivery.events,
+                objective_s=self.route.objective_s if self.route else 0.0,
+                gap_objective_s=self.route.gap_objective_s if self.route else 0.0,
             )
         )
 
@@ -66,7 +74,7 @@
         log_event(
             log.RequestRejected(
                 request_id=self.fields.request_id,
-                route=self.route or None,
+                route=self._route_name or None,
                 artifact=self.fields.artifact,
                 status=status,
                 reason=reason,
@@ -85,7 +93,7 @@
         log_event(
             log.RequestFailed(
                 request_id=self.fields.request_id,
-                route=self.route,
+                route=self._route_name,
                 status=status,
                 reason=reason,
                 runner_id=runner_id,
@@ -101,7 +109,7 @@
         log_event(
             log.RequestAbandoned(
                 request_id=self.fields.request_id,
-                route=self.route,
+                route=self._route_name,
                 attempts=self.attempts,
                 events=self.delivery.events,
                 seconds=self._measure(),
@@ -125,7 +133,7 @@
         )
 
     def _count(self, outcome: str, status: int) -> None:
-        self.metrics.edge_requests.add(self.route, outcome, str(status))
+        self.metrics.edge_requests.add(self._route_name, outcome, str(status))
 
     def _measure(self) -> float:
         return round(self.clock() - self.delivery.arrived_at, 4)
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -84,6 +84,11 @@
     seconds: float
     longest_gap_s: float
     events: int
+    objective_s: float
+    """Time to the first event, of others to the whole answer, that is on time."""
+
+    gap_objective_s: float
+    """Longest pause of a stream that is on time; 0 if the route has none."""
 
 
 @numbered(251, LogLevel.WARNING)
