Keep the data of processes below policy; put what a load takes in a module of its own

The policy of naming edges imported coordination, the one import that ran up: Member and Role are plain data and move to models.

--- a/mangoway/coordination/presence.py
+++ b/mangoway/coordination/presence.py
@@ -6,11 +6,12 @@
 
 from attrs import define, field
 
+from ..models.fleet import Member
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..util.backoff import Backoff
 from ..util.clock import read_boot_clock
-from .members import Member, encode_member
+from .members import encode_member
 from .store import (
     CoordinationStore,
     LeaseEndedError,
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -5,11 +5,11 @@
 
 from attrs import define, field, frozen
 
+from ..models.fleet import Member
 from ..models.routing import RoutingTable
 from ..models.runner import RunnerEntry
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
-from .members import Member
 
 RETURN_TIME_S: Final = 2.2
 """Time from the end of an outage for which an entry that vanished is still kept: the
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -6,7 +6,6 @@
 
 from attrs import define, field
 
-from ..coordination.members import Role
 from ..edge.answers import make_refusal
 from ..edge.const import MAX_IDLE_PER_RUNNER
 from ..edge.forwarder import Forwarder
@@ -14,6 +13,7 @@
 from ..edge.plain import PlainPlacer
 from ..http1.client import ConnectionPool
 from ..http1.server import ServerOptions, async_listen
+from ..models.fleet import Role
 from ..models.routing import CallerLimits
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -8,10 +8,10 @@
 
 from attrs import define, field
 
-from ..coordination.members import Member, Role
 from ..coordination.mirror import Mirror
 from ..coordination.presence import Presence
 from ..coordination.view import FleetView
+from ..models.fleet import Member, Role
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event, start_log
 from ..observability.library_log import capture_library_logs
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from ..coordination.leadership import Leadership
-from ..coordination.members import Role
+from ..models.fleet import Role
 from ..models.runner import RunnerEntry
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
--- a/mangoway/edge/pages.py
+++ b/mangoway/edge/pages.py
@@ -5,10 +5,10 @@
 
 from attrs import define
 
-from ..coordination.members import Role
 from ..coordination.view import FleetView
 from ..http1.messages import Request
 from ..http1.server import Exchange
+from ..models.fleet import Role
 from ..platform.pages import PATH_READY, decode_question, encode_addresses
 from ..policy.edge.naming import choose_gateways
 from .answers import STATUS_NO_ROUTE, STATUS_NOT_RUN, make_answer
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -4,9 +4,10 @@
 
 from attrs import define, field
 
-from ..coordination.members import LEADER_KEY, MEMBER_KEYS, MemberError, decode_member
+from ..coordination.members import LEADER_KEY, MemberError, decode_member
 from ..coordination.store import Change, Changes, Item, Snapshot
 from ..coordination.view import FleetView, Leader
+from ..models.fleet import MEMBER_KEYS
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from .documents import (
--- a/mangoway/policy/edge/naming.py
+++ b/mangoway/policy/edge/naming.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from ...coordination.members import Member
+from ...models.fleet import Member
 from .const import MAX_NAMED, MIN_SAME_ZONE
 
 
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -24,8 +24,9 @@
     ReportSeen,
     Tick,
 )
+from .loads import estimate_load, expect_ready
 from .orders import take_outcome
-from .placement import Planner, estimate_load, expect_ready
+from .placement import Planner
 from .queue import list_hopeless
 from .requests import RequestKey, Running, Waiting
 from .state import SchedulingState
--- a/mangoway/policy/scheduling/warming.py
+++ b/mangoway/policy/scheduling/warming.py
@@ -13,8 +13,8 @@
 from ...models.routing import EngineProfile, ModelProfile
 from .const import IDLE_VALUE, WARMING_REST_S, WARMING_SHARE
 from .events import GiveOrder
+from .loads import measure_free, reserve_for_adapters
 from .orders import can_order, open_order
-from .placement import measure_free, reserve_for_adapters
 from .runners import RunnerState
 from .state import SchedulingState
 
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -5,11 +5,12 @@
 import pytest
 
 from mangoway.coordination.leadership import Leadership
-from mangoway.coordination.members import LEADER_KEY, Member, Role, decode_member
+from mangoway.coordination.members import LEADER_KEY, decode_member
 from mangoway.coordination.mirror import Mirror
 from mangoway.coordination.presence import LEASE_S, Presence
 from mangoway.coordination.store import Changes, Item, Snapshot
 from mangoway.coordination.view import FleetView, Leader
+from mangoway.models.fleet import Member, Role
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
 from ..fakes.fleet import make_table
--- a/tests/coordination/test_presence.py
+++ b/tests/coordination/test_presence.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from mangoway.coordination.members import Member, Role
 from mangoway.coordination.presence import RENEW_S, Presence
+from mangoway.models.fleet import Member, Role
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mangoway.coordination.members import Member, MemberError, decode_member
+from mangoway.coordination.members import MemberError, decode_member
+from mangoway.models.fleet import Member
 from mangoway.models.routing import RouteKind, RoutingTable
 from mangoway.models.runner import RunnerReport
 from mangoway.platform.documents import decode_configuration, decode_runner
--- a/tests/scheduling/test_client.py
+++ b/tests/scheduling/test_client.py
@@ -7,10 +7,10 @@
 
 from attrs import evolve
 
-from mangoway.coordination.members import Member, Role
 from mangoway.coordination.mirror import Mirror
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 from mangoway.coordination.view import FleetView, Leader
+from mangoway.models.fleet import Member, Role
 from mangoway.policy.scheduling.core import SchedulingCore
 from mangoway.policy.scheduling.events import (
     EndKind,
