Put what a runner still has to read into a class of its own

The class keeps only prompts whose first event has not come, so that a look at a runner costs those and not all that runs there.

--- a/mangoway/policy/scheduling/adapters.py
+++ b/mangoway/policy/scheduling/adapters.py
@@ -92,7 +92,7 @@
     """Spread a model's adapters over its copies, then prefer the idle runner."""
     return (
         len(runner.held[model].adapters),
-        runner.measure_unread(now) + len(runner.running),
+        runner.reading.measure(now) + len(runner.running),
     )
 
 
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -149,7 +149,7 @@
     running = place(core.state, waiting, runner, now)
     running.adopted = True
     if not event.reading:
-        runner.note_read(running, now)
+        runner.reading.note_read(running, now)
     return []
 
 
@@ -162,11 +162,11 @@
     running = None if runner is None else runner.running.get(key)
     if runner is None or running is None:
         return []
-    begun_at = runner.find_begin(running)
+    begun_at = runner.reading.find_begin(running)
     if begun_at is not None:
         pace = core.state.pace.get(running.asked.service)
         pace.learn(running.asked.model, running.unread_tokens, now - begun_at)
-    runner.note_first_event(running, now)
+    runner.reading.note_first_event(running, now)
     runner.note_accepted(running.asked.model, running.asked.adapter)
     core.note_health(running, EndKind.SERVED, now)
     return core.serve(running.asked.service, now)
--- a/mangoway/policy/scheduling/dispatch.py
+++ b/mangoway/policy/scheduling/dispatch.py
@@ -104,7 +104,7 @@
     asked = waiting.asked
     pace = state.pace.get(asked.service)
     reading_s = pace.estimate(asked.model, count_unread(waiting, runner))
-    cost = runner.measure_unread(now) + reading_s + RUNNING_S * len(runner.running)
+    cost = runner.reading.measure(now) + reading_s + RUNNING_S * len(runner.running)
     place = state.edge_places.get(asked.edge)
     if place is not None and place != runner.entry.data_centre:
         cost += OTHER_ZONE_S
--- a/mangoway/policy/scheduling/queue.py
+++ b/mangoway/policy/scheduling/queue.py
@@ -48,7 +48,7 @@
         ready_times: For models that no runner holds, when one is expected to.
     """
     runners = state.list_usable(service, now)
-    free_at = {each.runner_id: now + each.measure_unread(now) for each in runners}
+    free_at = {each.runner_id: now + each.reading.measure(now) for each in runners}
     refusals = []
     for waiting in sort_waiting(state, service, now):
         starts_at = _expect_start(waiting, runners, free_at, ready_times, now)
--- a/mangoway/policy/scheduling/requests.py
+++ b/mangoway/policy/scheduling/requests.py
@@ -51,6 +51,3 @@
 
     stalled: bool = False
     """Whether a long prompt beside it has made it late already."""
-
-    reading: bool = True
-    """Whether no event has come yet."""
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -19,23 +19,13 @@
 from .demand import Rate
 from .events import GiveOrder
 from .prefixes import PrefixMemory
+from .reading import Reading
 from .requests import RequestKey, Running
 
 REPORT_LAG_S: Final = 0.3
 """Age that the content of a report may have: the platform's engines say some hundred
 milliseconds; 0.2 s at both sites."""
 
-GRANT_WAY_S: Final = 0.004
-"""Time from a grant until the runner has the prompt: two ways between data centres and
-the edge's part."""
-
-OVERDUE_PART: Final = 0.3
-"""Part of the expected time by which a first event may be late before the runner counts
-as slower than thought."""
-
-MAX_CORRECTION_S: Final = 0.3
-"""Most by which one late first event puts off the reading of the prompts behind it."""
-
 TRUSTED_REPORT_S: Final = 1.0
 """Time after the last order from which a report overrules what was counted here."""
 
@@ -78,8 +68,8 @@
     order_count: int | None = None
     """Orders that the runner has accepted; None until a report was read."""
 
-    read_until: float = 0.0
-    """When the prompts that it was given should have been read."""
+    reading: Reading = field(factory=Reading)
+    """The prompts that it still has to read."""
 
     kv_tokens: int = 0
     ordered_at: float = -1e9
@@ -113,8 +103,6 @@
     """How often its streams were stalled lately."""
 
     count_by_model: dict[str, int] = field(factory=dict)
-    _shown_read_at: float = field(default=0.0, init=False)
-    """When the last prompt was read that has shown its first event."""
 
     @property
     def runner_id(self) -> str:
@@ -185,8 +173,7 @@
             self._note_stall(now)
         self.reads.append((now, running.unread_s))
         self.running[key] = running
-        self.read_until = max(self.read_until, now + GRANT_WAY_S) + running.unread_s
-        running.read_at = self.read_until
+        self.reading.add(running, now)
         self.kv_tokens += running.kv_tokens
         model = running.asked.model
         self.count_by_model[model] = self.count_by_model.get(model, 0) + 1
@@ -206,67 +193,12 @@
         for each in self.running.values():
             each.stalled = True
 
-    def measure_unread(self, now: float) -> float:
-        """Return the reading time of the prompts that should still be unread.
-
-        A prompt counts as read when its time is over, and not only when its first
-        event shows that, which may come much later. One whose first event is overdue
-        shows that the runner is slower than expected: all after it are late as well.
-        """
-        unread_s = max(0.0, self.read_until - now)
-        overdue_s = 0.0
-        for each in self.running.values():
-            if each.reading:
-                expected_s = each.first_event_s + each.unread_s
-                late_s = now - each.read_at - each.first_event_s
-                overdue_s = max(overdue_s, late_s - OVERDUE_PART * expected_s)
-        return unread_s + overdue_s
-
-    def is_reading(self) -> bool:
-        """Return whether a prompt was sent whose first event has not come."""
-        return any(each.reading for each in self.running.values())
-
-    def find_begin(self, running: Running) -> float | None:
-        """Return when a runner began to read a prompt, as its first event shows.
-
-        That was at the grant, or when the prompt before it was read. None if it isn't
-        known: prompts granted before it may still be read, in another order.
-        """
-        if running.adopted or not running.reading:
-            return None
-        for each in self.running.values():
-            if each.reading and each.granted_at < running.granted_at:
-                return None
-        return max(running.granted_at, self._shown_read_at)
-
-    def note_first_event(self, running: Running, now: float) -> None:
-        """Count a prompt as read, and correct by it when the others will be."""
-        if not running.reading:
-            return
-        self._shown_read_at = now - running.first_event_s
-        error_s = self._shown_read_at - running.read_at
-        self.note_read(running, now)
-        error_s = min(MAX_CORRECTION_S, max(-running.unread_s, error_s))
-        for each in self.running.values():
-            if each.reading:
-                each.read_at += error_s
-        if self.is_reading():
-            self.read_until += error_s
-
-    def note_read(self, running: Running, now: float) -> None:
-        """Count a prompt as read."""
-        running.reading = False
-        if not self.is_reading():
-            self.read_until = min(self.read_until, now)
-
     def remove(self, key: RequestKey, now: float) -> Running | None:
         """Count a request as over."""
         running = self.running.pop(key, None)
         if running is None:
             return None
-        if running.reading:
-            self.read_until = max(now, self.read_until - running.unread_s)
-            self.note_read(running, now)
+        self.reading.note_ended(running, now)
         self.kv_tokens -= running.kv_tokens
         model = running.asked.model
         self.count_by_model[model] -= 1
@@ -283,7 +215,7 @@
         slots = self.entry.slots if self.engine is None else self.engine.slots
         if len(self.running) >= max(1.0, slots * SLOTS_USED * limit_scale):
             return False
-        return self.measure_unread(now) <= unread_limit_s * limit_scale
+        return self.reading.measure(now) <= unread_limit_s * limit_scale
 
     def has_memory(self, tokens: int) -> bool:
         """Return whether a request of so many tokens fits the KV memory."""
@@ -320,7 +252,7 @@
         """Return a line on what runs here and what is held."""
         models = " ".join(self.held)
         return (
-            f"{self.runner_id}: {len(self.running)}, {self.read_until:.3f}, "
+            f"{self.runner_id}: {len(self.running)}, {self.reading.until:.3f}, "
             f"{models} {self.goal and 'for ' + self.goal}"
         )
 
--- a/tests/edge/test_forwarder.py
+++ b/tests/edge/test_forwarder.py
@@ -246,6 +246,20 @@
         assert len(edge.placer.first) == 1
         assert edge.placer.ended == [EndKind.SERVED]
 
+    async def test_pause_beyond_the_objective_is_told(self) -> None:
+        head, first, second, end = make_stream(make_event(0), make_event(1))
+
+        async def run(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.writelines([head, first])
+            await asyncio.sleep(0.35)
+            writer.writelines([second, end])
+
+        async with RawServer(run) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm")
+            reply = await edge.async_call("/stream/x")
+        assert reply.whole
+        assert edge.placer.ended == [EndKind.PAUSED]
+
     async def test_broken_stream_goes_on_elsewhere(self) -> None:
         first = make_stream(make_event(1), make_event(2), b"id: 3\nda", end=False)
         second = make_stream(make_event(3), make_event(4))
