--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -98,7 +98,7 @@
         if engine is None:
             return [], []
         planner = Planner(self.state, service, engine, now)
-        runners = [each.describe() for each in self.state.list_runners(service)]
+        runners = [each.describe(now) for each in self.state.list_runners(service)]
         return planner.describe_models(DESCRIBED_MODELS), runners[:DESCRIBED_RUNNERS]
 
     def end(self, key: RequestKey, now: float) -> Running | None:
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -248,11 +248,11 @@
         if held is not None:
             held.confirmed = True
 
-    def describe(self) -> str:
-        """Return a line on what runs here and what is held."""
+    def describe(self, now: float) -> str:
+        """Return a line on what runs here, for how long it reads, and what is held."""
         models = " ".join(self.held)
         return (
-            f"{self.runner_id}: {len(self.running)}, {self.reading.until:.3f}, "
+            f"{self.runner_id}: {len(self.running)}, {self.reading.measure(now):.3f}, "
             f"{models} {self.goal and 'for ' + self.goal}"
         )
 
