Take the first word of a runner's start as no new life

Cause, found by reading the change: a runner whose entry doesn't say when its life began and whose report does would have begun a new life with the first report after each change of its entry, and lost what runs there.

--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import Final
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ...models.routing import EngineProfile
 from ...models.runner import ResidentModel, RunnerEntry, RunnerReport
@@ -116,7 +116,8 @@
 
     def take_entry(self, entry: RunnerEntry, now: float) -> None:
         """Take the entry as it is now; once reports are read they know more."""
-        self.entry = entry
+        started_ms = entry.started_ms or self.entry.started_ms
+        self.entry = evolve(entry, started_ms=started_ms)
         if self.order_count is None:
             self.take_models(entry.models, now)
 
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -152,6 +152,9 @@
             return known
         if started_ms < known.entry.started_ms:
             return None
+        if not known.entry.started_ms:
+            # It had not said when it began.
+            known.entry = evolve(known.entry, started_ms=started_ms)
         if started_ms > known.entry.started_ms:
             entry = evolve(known.entry, started_ms=started_ms, models=())
             return self._begin_life(entry)
--- a/tests/policy/scheduling/test_restart.py
+++ b/tests/policy/scheduling/test_restart.py
@@ -105,3 +105,24 @@
         runner = get_runner(world)
         assert runner.order_count == 0
         assert "b" not in runner.held
+
+
+class TestUnsaid:
+    """Runners whose entries or reports don't say when their life began."""
+
+    def test_first_word_of_it_is_no_new_life(self) -> None:
+        world = World(models=["a", "b"], runner_models=[])
+        see_entry(world, 0, ("a",))
+        runner = get_runner(world)
+        report(world, FIRST_LIFE, ("a",), order_count=5, at=1.0)
+        assert get_runner(world) is runner
+
+    def test_entry_without_it_takes_nothing_back(self) -> None:
+        """Each such entry made the next report look like that of a new life."""
+        world, core = make_core()
+        core.handle(make_asked("q1"), 1.0)
+        runner = get_runner(world)
+        see_entry(world, 0, ("a",))
+        report(world, FIRST_LIFE, ("a",), order_count=5, at=2.0)
+        assert get_runner(world) is runner
+        assert runner.running
