Name the gaps of streams apart from the pauses after refusals

A runner has pauses in another sense already: the time for which it isn't asked for what it refused. Gaps is what routes and deliveries call the other.

--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -118,22 +118,22 @@
 without runs of the model was still busy 7 ms after it and no more after 48 ms."""
 
 CALM_COPY_WORK_S: Final = 0.6
-PAUSED_COPY_WORK_S: Final = 0.35
+LOADED_COPY_WORK_S: Final = 0.35
 """Seconds of reading a second that one copy of a model is to take, where few streams
 pause for too long and where many do. On 40 drawn fleets callers got 0.812 of all
 answers in time with 0.6 throughout, 0.798 with 0.35 and 0.809 with 0.75: a lower share
 takes places from models that have none. An engine that reads much between two tokens
 has to be kept from reading all the time."""
 
-CALM_PAUSES: Final = 0.02
-MANY_PAUSES: Final = 0.1
+LOW_GAP_SHARE: Final = 0.02
+HIGH_GAP_SHARE: Final = 0.1
 """Shares of streams that pause for too long between which the one turns into the
 other: one in fifty comes from frozen hosts and crashes as well."""
 
-PAUSES_FALL_S: Final = 6.0
+GAPS_FALL_S: Final = 6.0
 """Time in which the count of pauses falls to a third: a few streams' length."""
 
-PRIOR_PAUSES: Final = 0.05
+PRIOR_GAP_SHARE: Final = 0.05
 PRIOR_STREAMS_PER_S: Final = 1.0
 """Share of pauses that is expected before streams have ended, and how many streams a
 second it counts as."""
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -185,8 +185,8 @@
         runner.note_refused(running.asked.model, running.asked.adapter, now)
     core.note_health(running, event.kind, now)
     if event.kind in (EndKind.SERVED, EndKind.PAUSED):
-        pauses = core.state.get_pauses(running.asked.service)
-        pauses.note(now, paused=event.kind is EndKind.PAUSED)
+        gaps = core.state.get_gaps(running.asked.service)
+        gaps.note(now, paused=event.kind is EndKind.PAUSED)
     return core.serve(running.asked.service, now)
 
 
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -89,8 +89,8 @@
     def __attrs_post_init__(self) -> None:
         self._runners = self.state.list_usable(self.service, self.now)
         self._waiting = self._count_all_waiting()
-        pauses = self.state.get_pauses(self.service)
-        self._copy_work_s = pauses.choose_copy_work(self.now)
+        gaps = self.state.get_gaps(self.service)
+        self._copy_work_s = gaps.choose_copy_work(self.now)
         self._adapter_mb = reserve_for_adapters(self.engine)
         self._count()
 
--- a/mangoway/policy/scheduling/reading.py
+++ b/mangoway/policy/scheduling/reading.py
@@ -1,9 +1,10 @@
 """The prompts that a runner still has to read, in time.
 
 Answers engines of which a first event comes long after the prompt was read: a prompt
-counts as read when its time is over, and not only when its first event shows that. On
-the kiosk platform's engine, which adds 80 ms, runners idled otherwise: the mean of its
-days with trouble rose from 0.641 to 0.730.
+counts as read when its time is over, and not only when its first event shows that. With
+an engine that adds 80 ms runners idled otherwise: with this and the learned offset
+callers got 0.730 instead of 0.641 of what they could, less what it cost, on five days
+with faults.
 """
 
 from typing import Final
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -11,8 +11,8 @@
 from ..edge.retry_budget import RetryBudget
 from .const import STORE_LOAD_SHARE, STORE_WINDOW_S
 from .demand import DemandBook, Returns
+from .gaps import Gaps
 from .pace import PaceBook
-from .pauses import Pauses
 from .prefixes import PrefixMemory
 from .requests import RequestKey, Waiting
 from .runners import RunnerState
@@ -87,7 +87,7 @@
     returns: Returns = field(factory=Returns, init=False)
     health: HealthBook = field(factory=HealthBook, init=False)
     store_loads: dict[str, StoreLoads] = field(factory=dict, init=False)
-    _pauses: dict[str, Pauses] = field(factory=dict, init=False)
+    _gaps: dict[str, Gaps] = field(factory=dict, init=False)
     orders_allowed: bool = field(default=False, init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict, init=False)
 
@@ -100,9 +100,9 @@
             self._budgets[service] = budget
         return budget
 
-    def get_pauses(self, service: str) -> Pauses:
+    def get_gaps(self, service: str) -> Gaps:
         """Return the pauses of a service's streams."""
-        return self._pauses.setdefault(service, Pauses())
+        return self._gaps.setdefault(service, Gaps())
 
     def get_store_loads(self, service: str) -> StoreLoads:
         """Return the loads from the weight store for a service."""
