Fit the offset of first events from what each model's sums hold

Cause, found by reading the change: each first event went through all models of a service twice, to fit the offset and all slopes anew, and where a request was served was asked in the same words at three places. Change: a model's sums keep their part of the offset, the slope is worked out where it is asked for, and EndKind says whether the caller was served. Ruled out: keeping a running total of the parts, whose rounding would drift.

--- a/mangoway/edge/plain.py
+++ b/mangoway/edge/plain.py
@@ -73,7 +73,7 @@
 
     def note(self, runner_id: str, kind: EndKind) -> None:
         """Judge a runner by how a request ended there."""
-        if kind in (EndKind.SERVED, EndKind.PAUSED):
+        if kind.was_served:
             if self.health.note_success(runner_id):
                 log_event(log.RunnerTrusted(runner_id=runner_id))
         elif kind in (EndKind.FAILED, EndKind.UNREACHABLE):
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -109,7 +109,7 @@
     def note_health(self, running: Running, kind: EndKind, now: float) -> None:
         """Judge a runner by how a request ended there."""
         health = self.state.health
-        if kind in (EndKind.SERVED, EndKind.PAUSED):
+        if kind.was_served:
             if health.note_success(running.runner_id):
                 self.on_health(running.runner_id, 0)
         elif kind in (EndKind.FAILED, EndKind.UNREACHABLE):
@@ -184,7 +184,7 @@
     if event.kind in (EndKind.NOT_HELD, EndKind.NOT_RUN):
         runner.note_refused(running.asked.model, running.asked.adapter, now)
     core.note_health(running, event.kind, now)
-    if event.kind in (EndKind.SERVED, EndKind.PAUSED):
+    if event.kind.was_served:
         gaps = core.state.get_gaps(running.asked.service)
         gaps.note(now, paused=event.kind is EndKind.PAUSED)
     return core.serve(running.asked.service, now)
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -29,6 +29,11 @@
     LEFT = "left"
     """The caller left, or the time was over."""
 
+    @property
+    def was_served(self) -> bool:
+        """Return whether the caller got the whole answer."""
+        return self in (EndKind.SERVED, EndKind.PAUSED)
+
 
 @frozen(kw_only=True)
 class Asked:
--- a/mangoway/policy/scheduling/pace.py
+++ b/mangoway/policy/scheduling/pace.py
@@ -40,6 +40,10 @@
     seconds: float = 0.0
     tokens_squared: float = PRIOR_SAMPLES * PRIOR_TOKENS**2
     tokens_seconds: float = PRIOR_SAMPLES * PRIOR_TOKENS**2 * READ_S_PER_TOKEN
+    offset_weight: float = 0.0
+    offset_sum: float = 0.0
+    """What the samples tell of the offset once their slope is eliminated: its weight,
+    and its value times the weight."""
 
     def add(self, tokens: float, seconds: float) -> None:
         """Count a sample."""
@@ -52,6 +56,14 @@
         prior *= READ_S_PER_TOKEN
         rest = keep * (self.tokens_seconds - prior) + prior
         self.tokens_seconds = rest + tokens * seconds
+        share = self.tokens / self.tokens_squared
+        self.offset_weight = self.count - share * self.tokens
+        self.offset_sum = self.seconds - share * self.tokens_seconds
+
+    def find_slope(self, offset_s: float) -> float:
+        """Return the seconds a token, given the offset in seconds."""
+        slope = (self.tokens_seconds - offset_s * self.tokens) / self.tokens_squared
+        return max(LEAST_S_PER_TOKEN, slope)
 
 
 @define(eq=False)
@@ -68,11 +80,13 @@
     """The offset, in seconds."""
 
     _models: dict[str, ModelSums] = field(factory=dict, init=False)
-    _per_token: dict[str, float] = field(factory=dict, init=False)
 
     def estimate(self, model: str, tokens: int) -> float:
         """Return the seconds that reading so many tokens keeps a runner."""
-        return tokens * self._per_token.get(model, READ_S_PER_TOKEN)
+        sums = self._models.get(model)
+        if sums is None:
+            return tokens * READ_S_PER_TOKEN
+        return tokens * sums.find_slope(self.first_event_s)
 
     def learn(self, model: str, tokens: int, seconds: float) -> None:
         """Learn from one prompt.
@@ -89,21 +103,15 @@
             expected = self.first_event_s + self.estimate(model, tokens)
             seconds = min(seconds, OUTLIER * expected + OUTLIER_S)
         sums.add(tokens, seconds)
-        self._fit()
-
-    def _fit(self) -> None:
-        """Solve for the offset with the slopes eliminated, then for the slopes."""
-        weight = PRIOR_OFFSETS
-        weighted = PRIOR_OFFSETS * FIRST_EVENT_S
-        for sums in self._models.values():
-            share = sums.tokens / sums.tokens_squared
-            weight += sums.count - share * sums.tokens
-            weighted += sums.seconds - share * sums.tokens_seconds
-        self.first_event_s = max(0.0, weighted / weight)
-        for model, sums in self._models.items():
-            slope = sums.tokens_seconds - self.first_event_s * sums.tokens
-            slope /= sums.tokens_squared
-            self._per_token[model] = max(LEAST_S_PER_TOKEN, slope)
+        self._fit_offset()
+
+    def _fit_offset(self) -> None:
+        """Solve for the offset, with the slopes eliminated."""
+        models = self._models.values()
+        weight = sum((each.offset_weight for each in models), PRIOR_OFFSETS)
+        prior_s = PRIOR_OFFSETS * FIRST_EVENT_S
+        total_s = sum((each.offset_sum for each in models), prior_s)
+        self.first_event_s = max(0.0, total_s / weight)
 
 
 @define(eq=False)
