--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -25,7 +25,7 @@
     StoreUnavailableError,
 )
 
-LEADER_WATCH_S: Final = 0.4
+LEADER_WATCH_S: Final = 0.3
 """Time that a watch of the leader waits. All others rely on it, so that it must notice
 soon that the store fell silent: a drain has to be obeyed and a configuration in force
 within two seconds. Others read themselves once its last answer is 0.8 s old."""
@@ -38,15 +38,19 @@
 """Time without an answer from which keys may have lapsed: a runner's entry does after
 three heartbeats, 3.6 s, and an outage is noticed late."""
 
-LEADER_PACE_S: Final = 0.1
+LEADER_PACE_S: Final = 0.25
+"""Least time between two watches of the leader. Runners write their entries about once
+a second, so that a watch is answered at once wherever there are many: without a pause
+the leader would make a call for each of them."""
+
 OWN_PACE_S: Final = 0.4
 """Least time between two watches. Without it each of many processes that start together
 is woken by each announcement of the others, and each call is paid for."""
 
 OWN_READS_PER_S: Final = 120.0
 """Watches that all processes together begin in a second while they hear of no leader:
-with 48 processes one each 0.4 s, with 200 one each 1.7 s. Of 200 processes that each
-watched every 0.4 s, five seconds without a leader cost 2,500 calls."""
+with 48 processes one each 0.4 s, with 200 one each 1.7 s. If 200 processes watched
+every 0.4 s, five seconds without a leader would cost 2,500 calls."""
 
 MAX_OWN_PACE_S: Final = 2.0
 """A drain has to be obeyed and a configuration in force within two seconds and more."""
--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -125,6 +125,10 @@
 takes places from models that have none. An engine that reads much between two tokens
 has to be kept from reading all the time."""
 
+COPY_SLOTS_USED: Final = 0.8
+"""Part of a runner's slots that the streams of one copy are to keep in the mean; the
+rest is for clumps."""
+
 LOW_GAP_SHARE: Final = 0.02
 HIGH_GAP_SHARE: Final = 0.1
 """Shares of streams that pause for too long between which the one turns into the
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -236,6 +236,9 @@
     if event.kind.was_served:
         gaps = core.state.get_gaps(running.asked.service)
         gaps.note(now, paused=event.kind is EndKind.PAUSED)
+        if not running.adopted:
+            stays = core.state.get_stays(running.asked.service)
+            stays.learn(running.asked.model, now - running.granted_at)
     return core.serve_runner(runner, now)
 
 
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -18,6 +18,7 @@
 from .queue import ServiceQueue
 from .requests import RequestKey
 from .runners import RunnerState
+from .stays import Stays
 from .wakes import Wakes
 
 
@@ -91,6 +92,7 @@
     health: HealthBook = field(factory=HealthBook, init=False)
     store_loads: dict[str, StoreLoads] = field(factory=dict, init=False)
     _gaps: dict[str, Gaps] = field(factory=dict, init=False)
+    _stays: dict[str, Stays] = field(factory=dict, init=False)
     wakes: Wakes = field(factory=Wakes, init=False)
     orders_allowed: bool = field(default=False, init=False)
     _by_service: dict[str, dict[str, RunnerState]] = field(factory=dict, init=False)
@@ -113,6 +115,10 @@
         """Return the pauses of a service's streams."""
         return self._gaps.setdefault(service, Gaps())
 
+    def get_stays(self, service: str) -> Stays:
+        """Return how long a service's requests keep a slot."""
+        return self._stays.setdefault(service, Stays())
+
     def get_store_loads(self, service: str) -> StoreLoads:
         """Return the loads from the weight store for a service."""
         return self.store_loads.setdefault(service, StoreLoads())
--- /dev/null
+++ b/mangoway/policy/scheduling/stays.py
@@ -0,0 +1,46 @@
+"""How long requests keep a slot of a runner, learned from those that were served.
+
+Answers engines with few slots: streams of two seconds keep a slot for longer than their
+prompts take to read, so that a model needs copies for its streams as well.
+"""
+
+from typing import Final
+
+from attrs import define, field
+
+MEMORY_REQUESTS: Final = 50.0
+"""Requests after which older ones count a third."""
+
+
+@define
+class Mean:
+    """A mean in which older values weigh less."""
+
+    value: float = 0.0
+    count: float = 0.0
+
+    def add(self, value: float) -> None:
+        """Count a value."""
+        self.count = min(MEMORY_REQUESTS, self.count + 1)
+        self.value += (value - self.value) / self.count
+
+
+@define(eq=False)
+class Stays:
+    """Seconds from the grant of a request of one service to its end."""
+
+    _all: Mean = field(factory=Mean, init=False)
+    _models: dict[str, Mean] = field(factory=dict, init=False)
+
+    def learn(self, model: str, seconds: float) -> None:
+        """Count a request that was served."""
+        self._all.add(seconds)
+        known = self._models.get(model)
+        if known is None:
+            known = self._models[model] = Mean()
+        known.add(seconds)
+
+    def estimate(self, model: str) -> float:
+        """Return the seconds that a request for a model keeps a slot; 0 if unknown."""
+        known = self._models.get(model)
+        return self._all.value if known is None else known.value
