Work a runner's offer out anew once it is ordered

Cause: offers are worked out once a plan; after an order for a load the one of its runner still said that it could be ordered, so that a second model got an order with the same count of orders, and the first order's answer was taken for the second's. Found by reading; rare loads from the store, one at a time, hid it in the existing tests.

Change: the offer goes with each order and each goal, and a second order to a runner that has not answered the first is an error.

Test: TestOneOrder, with copies near, red before.

--- a/mangoway/policy/scheduling/orders.py
+++ b/mangoway/policy/scheduling/orders.py
@@ -33,6 +33,8 @@
     """Note and return an order; what it takes away counts as gone at once."""
     if runner.order_count is None:
         raise ValueError(f"the orders of runner {runner.runner_id} are not known")
+    if runner.open_order is not None:
+        raise ValueError(f"runner {runner.runner_id} has not answered its last order")
     order = GiveOrder(
         runner_id=runner.runner_id,
         load=load,
--- a/mangoway/policy/scheduling/placement.py
+++ b/mangoway/policy/scheduling/placement.py
@@ -237,7 +237,7 @@
             now=self.now,
         )
         self._appraisal.note_ordered(victims[0].model)
-        self._sites.note_ordered()
+        self._sites.note_unloaded()
         return order
 
     def _set_goal(self, runner: RunnerState, model: str) -> None:
@@ -246,6 +246,7 @@
         if model:
             self._goals[model] = self._goals.get(model, 0) + 1
         runner.goal = model
+        self._sites.note_changed(runner)
 
     def _load(
         self, runner: RunnerState, profile: ModelProfile, reason: str, waiting: int
@@ -256,6 +257,7 @@
             if not loads.may_begin(self.engine, self.now):
                 return None
             loads.note(self.now, self.now + load_s)
+        self._sites.note_changed(runner)
         return open_order(
             runner,
             load=True,
--- a/mangoway/policy/scheduling/sites.py
+++ b/mangoway/policy/scheduling/sites.py
@@ -65,8 +65,12 @@
     def __attrs_post_init__(self) -> None:
         self._adapter_mb = reserve_for_adapters(self.engine)
 
-    def note_ordered(self) -> None:
-        """Make the offers anew, since a copy is to go: the others are worth more."""
+    def note_changed(self, runner: RunnerState) -> None:
+        """Make a runner's offer anew, since it was ordered or is to be."""
+        self._offers.pop(runner.runner_id, None)
+
+    def note_unloaded(self) -> None:
+        """Make all offers anew, since a copy goes: the others are worth more."""
         self._offers.clear()
 
     def find(self, profile: ModelProfile, waiting: int) -> Site | None:
--- a/tests/policy/scheduling/test_placement.py
+++ b/tests/policy/scheduling/test_placement.py
@@ -293,3 +293,22 @@
         assert "a7" in held.adapters
         world.feed(ReportSeen(runner_id="r0", report=report, asked_at=1.2))
         assert "a7" in held.adapters
+
+
+class TestOneOrder:
+    """Several models that nobody holds, and one runner that is best for all."""
+
+    def test_runner_gets_one_order_at_a_time(self) -> None:
+        """An offer that was worked out before an order must not stand after it."""
+        world = World(models=list("abcdef"), runner_models=[["a"]], disk_mb=1e6)
+        # Loads from a disk are not held back by the weight store.
+        world.runners["r0"].on_disk = list("abcd")
+        world.feed(OrdersAllowed(allowed=False))
+        for name in "bcd":
+            world.ask(make_asked(f"q-{name}", name, patience_s=9.0), at=0.4)
+        world.run(0.5)
+        world.feed(OrdersAllowed(allowed=True))
+        world.run(8.0)
+        orders = [(each.runner_id, each.order_count) for each in world.orders]
+        assert len(orders) == len(set(orders))
+        assert all(each.overfilled == 0 for each in world.runners.values())
