Send edges that come from another scheduler what they lack only

Change: a scheduler keeps the last 2,000 changes and sends those after the revision that an edge says it knows; a full reading only where that is older.

Test: TestWelcome (under 300 bytes instead of all names).

--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -215,7 +215,9 @@
         if isinstance(message, StateRead):
             self.mirror.take_reading(message.keys, message.items, message.revision)
             self._has_state = True
-        elif self._has_state:
+        elif self._has_state or self.mirror.revision is not None:
+            # The first ones on a connection are those since the revision of the hello.
+            self._has_state = True
             self.mirror.take_changes(message.changes)
 
     def _lose(self, link: Link, reason: str) -> None:
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -1,6 +1,7 @@
 """The scheduler's end: feeds the core and carries its actions out."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -48,6 +49,10 @@
 which they would watch themselves. It must stay well within the history of the store,
 which is 20 s at most deployments."""
 
+MAX_RECENT_CHANGES: Final = 2000
+"""Changes that are kept for edges that come from another scheduler: those of a minute
+in which each of 200 hosts and 80 runners changes some times."""
+
 TICK_S: Final = 0.05
 """Time between two looks of the core at its queue and the placement."""
 
@@ -76,6 +81,12 @@
     _unpassed: dict[str, Change] = field(factory=dict, init=False)
     """The last change of each key that was not passed on yet, in their order."""
 
+    _recent: deque[Change] = field(factory=deque, init=False)
+    """The last changes, oldest first."""
+
+    _recent_after: int | None = field(default=None, init=False)
+    """Revision from which `_recent` has all changes; None before the first reading."""
+
     _passing: asyncio.TimerHandle | None = field(default=None, init=False)
     _server: asyncio.AbstractServer | None = field(default=None, init=False)
 
@@ -117,10 +128,13 @@
 
     def pass_snapshot(self, snapshot: Snapshot) -> None:
         """Pass a full reading of the store on."""
+        self._recent.clear()
+        self._recent_after = snapshot.revision
         self._send_to_all(self._make_state(snapshot, 0))
 
     def pass_changes(self, changes: Changes) -> None:
         """Pass changes of the store on, soon and with those that come meanwhile."""
+        self._keep_recent(changes)
         first = not self._unpassed
         for change in changes.changes:
             self._unpassed.pop(change.key, None)
@@ -133,6 +147,11 @@
             after_s = PASS_S if self._unpassed else IDLE_PASS_S
             self._passing = loop.call_later(after_s, self._pass_on)
 
+    def _keep_recent(self, changes: Changes) -> None:
+        self._recent.extend(changes.changes)
+        while len(self._recent) > MAX_RECENT_CHANGES:
+            self._recent_after = self._recent.popleft().revision
+
     def _pass_on(self) -> None:
         """Send the last change of each key."""
         self._passing = None
@@ -191,9 +210,23 @@
         link.send(self._make_heartbeat())
         snapshot = self.mirror.make_snapshot()
         if snapshot is not None:
-            link.send(self._make_state(snapshot, hello.revision))
+            link.send(self._make_welcome(snapshot, hello.revision))
         log_event(log.LinkOpened(peer=hello.host))
 
+    def _make_welcome(self, snapshot: Snapshot, known: int) -> StateRead | StateChanged:
+        """Return what an edge lacks that knows the store up to a revision.
+
+        When a scheduler is lost all edges come at once. With the names of all keys for
+        each of 195 edges the next one was busy for more than a second.
+        """
+        if self._recent_after is None or known < self._recent_after:
+            return self._make_state(snapshot, known)
+        changes = tuple(each for each in self._recent if each.revision > known)
+        return StateChanged(
+            changes=Changes(changes=changes, revision=snapshot.revision),
+            kept_s=self.get_kept_s(),
+        )
+
     def _make_state(self, snapshot: Snapshot, known: int) -> StateRead:
         """Return a reading without the items that were known at a revision."""
         return StateRead(
--- a/tests/scheduling/test_standby.py
+++ b/tests/scheduling/test_standby.py
@@ -4,8 +4,10 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from mangoway.coordination.store import Change, Changes, Item, Snapshot
 from mangoway.models.fleet import Member, Role
 from mangoway.policy.scheduling.events import EndKind, Grant
+from mangoway.scheduling.codec import StateChanged, StateRead, encode_frame
 
 from ..fakes.fleet import make_asked, make_table
 from ..fakes.polling import async_wait_until
@@ -44,6 +46,43 @@
         standby.stop()
 
 
+class TestWelcome:
+    """What a scheduler sends to the edges that come to it all at once."""
+
+    async def test_edge_gets_what_it_lacks(self) -> None:
+        """With the names of 450 keys for each of 195 edges it was busy for a second."""
+        scheduler = Scheduler()
+        items = tuple(
+            Item(key=f"runners/{number}", value=b"v" * 300, revision=5)
+            for number in range(450)
+        )
+        scheduler.mirror.take_snapshot(Snapshot(items=items, revision=6))
+        change = Change(key="runners/1", revision=7, item=None)
+        scheduler.mirror.take_changes(Changes(changes=(change,), revision=7))
+        snapshot = scheduler.mirror.make_snapshot()
+        assert snapshot is not None
+        welcome = scheduler.server._make_welcome(snapshot, 6)
+        assert isinstance(welcome, StateChanged)
+        assert welcome.changes.changes == (change,)
+        assert len(encode_frame([welcome])) < 300
+        assert isinstance(scheduler.server._make_welcome(snapshot, 5), StateRead)
+
+    async def test_edge_that_comes_later_has_all_changes(self) -> None:
+        async with start_two() as (leader, standby, edge):
+            item = Item(key="l", value=b"2", revision=6)
+            snapshot = Snapshot(items=(item,), revision=6)
+            for each in (leader, standby):
+                each.mirror.take_snapshot(snapshot)
+            await async_wait_until(lambda: edge.recorder.values == {"l": b"2"})
+            newer = Item(key="n", value=b"3", revision=7)
+            change = Change(key="n", revision=7, item=newer)
+            standby.mirror.take_changes(Changes(changes=(change,), revision=7))
+            leader.stop()
+            standby.leading = True
+            await async_wait_until(lambda: len(edge.recorder.values) == 2)
+            assert edge.link.is_fresh()
+
+
 class TestStandby:
     """Who grants places until another scheduler has taken the lead."""
 
