Test copies for streams that keep the slots of their runners

At runners with 12 slots a model of 30 requests a second and streams of 1.5 s had two copies by its reading; with the slots it has four or more and 95 in 100 of its first events come in 0.4 s from 5 s on. Red without the term in Appraisal.measure_load.

--- /dev/null
+++ b/tests/policy/scheduling/test_stays.py
@@ -0,0 +1,54 @@
+"""Tests of copies for models whose streams keep the slots of their runners."""
+
+from attrs import evolve
+
+from mangoway.policy.scheduling.stays import Stays
+
+from ...fakes.fleet import make_asked
+from .world import World
+
+
+class TestStays:
+    """The time that a request keeps a slot."""
+
+    def test_unknown_model_takes_the_mean_of_all(self) -> None:
+        stays = Stays()
+        assert stays.estimate("a") == 0.0
+        stays.learn("a", 1.0)
+        stays.learn("b", 3.0)
+        assert stays.estimate("a") == 1.0
+        assert stays.estimate("c") == 2.0
+
+    def test_change_is_followed(self) -> None:
+        stays = Stays()
+        for seconds in [1.0] * 100 + [3.0] * 200:
+            stays.learn("a", seconds)
+        assert stays.estimate("a") > 2.9
+
+
+class TestFewSlots:
+    """Short prompts and long streams, at runners with 12 slots."""
+
+    def test_model_gets_copies_for_its_streams(self) -> None:
+        """By reading alone it had two copies, 24 slots of the 45 that it needs."""
+        held = [["a", "b", "c"], ["d", "e", "f"], ["d", "e", "f"], ["g", "h", "i"]]
+        world = World(models=list("abcdefghi"), runner_models=[*held, *held[1:]])
+        service = world.table.services["llm"]
+        assert service.engine is not None
+        engine = evolve(service.engine, slots=12, loads_per_s=10.0)
+        world.table.services["llm"] = evolve(service, engine=engine)
+        world.replace_core()
+        world.run(0.5)
+        for number in range(360):
+            asked = make_asked(f"q{number}", "a", tokens=100)
+            world.ask(asked, at=1.0 + number / 30)
+        world.run(16.0)
+        copies = [each for each in world.runners.values() if "a" in each.models]
+        assert len(copies) >= 4
+        later = [each for each in world.outcomes.values() if each.asked_at > 6.0]
+        on_time = [
+            each
+            for each in later
+            if each.first_at is not None and each.first_at - each.asked_at < 0.4
+        ]
+        assert len(on_time) >= 0.95 * len(later)
