--- a/mangoway/coordination/presence.py
+++ b/mangoway/coordination/presence.py
@@ -21,16 +21,17 @@
 )
 
 LEASE_S: Final = 3.0
-"""Time after which a silent scheduler is no longer announced: as long may a fleet be
-without one."""
+"""Time after which a silent process is no longer announced. So long may a fleet be
+without a scheduler, and callers be told the address of a host that is gone: the leader
+takes that of an edge away sooner, but the host may have been the leader's own."""
 
-EDGE_LEASE_S: Final = 9.0
-"""The same for an edge. Callers pass over addresses that fail them, and the leading
-scheduler takes the announcement of an edge away that it has lost. With renewals each
-second, those of 200 processes were a third of all calls."""
+RENEW_S: Final = 1.0
+"""A third of the lease, so that two renewals may fail: a scheduler that loses its lease
+loses the lead."""
 
-RENEW_SHARE: Final = 1 / 3
-"""Part of the lease after which it is renewed, so that two renewals may fail."""
+EDGE_RENEW_S: Final = 1.5
+"""The same for an edge, of which one renewal may fail: its key can be written anew.
+Most renewals are those of edges, and each is a call that is paid for."""
 
 ANNOUNCE_SPREAD_S: Final = 0.5
 """Time over which processes whose keys are gone write them anew: a store that lapses
@@ -49,7 +50,7 @@
     prefix: str
     """Prefix of the system's own keys."""
 
-    lease_s: float = LEASE_S
+    renew_s: float = RENEW_S
     random: Random = field(factory=Random)
     clock: Callable[[], float] = read_boot_clock
     lease_id: int = field(default=0, init=False)
@@ -129,7 +130,7 @@
     async def _async_rest(self) -> None:
         """Wait until the lease is to be renewed or the key to be written."""
         try:
-            async with asyncio.timeout(RENEW_SHARE * self.lease_s):
+            async with asyncio.timeout(self.renew_s):
                 await self._key_lost.wait()
         except TimeoutError:
             return
@@ -139,7 +140,7 @@
     async def _async_step(self) -> None:
         asked_at = self.clock()
         if self.lease_id == 0:
-            lease_id = await self.store.async_grant_lease(self.lease_s)
+            lease_id = await self.store.async_grant_lease(LEASE_S)
             if self._leaving:
                 await self.store.async_end_lease(lease_id)
                 return
@@ -147,7 +148,7 @@
         elif self.announced:
             await self.store.async_renew_lease(self.lease_id)
         if not self._leaving:
-            self.valid_until = max(self.valid_until, asked_at + self.lease_s)
+            self.valid_until = max(self.valid_until, asked_at + LEASE_S)
         if not self.announced and self.lease_id:
             await self._async_announce()
 
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from ..coordination.mirror import Mirror
-from ..coordination.presence import EDGE_LEASE_S, LEASE_S, Presence
+from ..coordination.presence import EDGE_RENEW_S, RENEW_S, Presence
 from ..coordination.view import FleetView
 from ..models.fleet import Member, Role
 from ..observability import fleet_events as log
@@ -68,8 +68,8 @@
             peer_address=self.peer_address,
             caller_address=self.caller_address,
         )
-        lease_s = EDGE_LEASE_S if self.role is Role.EDGE else LEASE_S
-        self.presence = Presence(self.store, member, OWN_PREFIX, lease_s)
+        renew_s = EDGE_RENEW_S if self.role is Role.EDGE else RENEW_S
+        self.presence = Presence(self.store, member, OWN_PREFIX, renew_s)
         receiver = StoreReceiver(self.view, self.clock)
         self.mirror = Mirror(self.store, receiver, self.clock, self._check_presence)
         self.leader_link = LeaderLink(
