Reproduce the incident: requests that make their runners crash

Cause: no process remembers a request beyond one arrival, so that one which makes its runners crash is sent again by the edge, and anew at each host that it comes to.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from .records import RETRY_STATUSES, Call, Kind, Records
-from .runners import EVENTS
+from .runners import CRASH_MARK, EVENTS
 
 DEADLINE_S = 3.0
 GIVE_UP_SHARE = 0.03
@@ -59,8 +59,17 @@
         edge: str,
         kind: Kind,
         version: int | None = None,
+        crashing: str = "",
     ) -> Call:
-        """Send one request and read its answer."""
+        """Send one request and read its answer.
+
+        Args:
+            session: Keeps the connections.
+            edge: Where to send it.
+            kind: What may be repeated.
+            version: Configuration that added its route; None: the first one.
+            crashing: Name of the request if it makes its runners crash.
+        """
         request_id = f"{next(_numbers):08x}"
         call = Call(
             request_id=request_id,
@@ -68,10 +77,12 @@
             edge=edge,
             sent_at=time.monotonic(),
             version=version,
+            crashing=crashing,
         )
         path = PATHS[kind] if version is None else f"/added-{version}/x"
         self.records.calls[request_id] = call
         leaves = self.random.random() < GIVE_UP_SHARE and version is None
+        leaves = leaves and not crashing
         patience_s = 0.05 if leaves else DEADLINE_S + 1.0
         try:
             async with asyncio.timeout(patience_s):
@@ -93,22 +104,27 @@
         model = self.random.choice(
             self.wanted if self.random.random() < 0.8 else self.models
         )
+        body, subject = b"x" * 50, f"{int(call.request_id, 16):x}"
+        if call.crashing:
+            model, subject = self.wanted[0], "c"
+            body = CRASH_MARK + call.crashing.encode()
         headers = {
             "Host": HOST,
             "X-Request-Id": call.request_id,
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "X-Model": model,
             "X-Token-Usage": "100,40",
-            "X-Prompt-Prefix": f"a1:60,{int(call.request_id, 16):x}:40",
+            "X-Prompt-Prefix": f"a1:60,{subject}:40",
         }
-        async with session.post(url, headers=headers, data=b"x" * 50) as response:
+        async with session.post(url, headers=headers, data=body) as response:
             call.status = response.status
             call.signature = response.headers.get("X-Response-Signature", "")
-            body = await response.read()
+            answer = await response.read()
         if call.status == 200:
             call.whole = True
-            call.mixed = find_fault(call, body.decode())
+            call.mixed = find_fault(call, answer.decode())
         elif call.status in RETRY_STATUSES:
+            call.reason = answer.decode()
             retry_after_s = float(response.headers.get("Retry-After") or 0)
             await asyncio.sleep(min(retry_after_s, DEADLINE_S / 3))
 
@@ -135,6 +151,24 @@
                 return
 
 
+@define(eq=False)
+class CrashingCaller(Caller):
+    """A caller that sends one request, which makes its runners crash, for ever."""
+
+    kind: Kind = Kind.SAFE
+    name: str = ""
+    """Name of the request."""
+
+    async def async_run(self) -> None:
+        """Send the request to any edge until cancelled."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                edge = await self._async_choose(session)
+                if edge is not None:
+                    await self.async_call(session, edge, self.kind, crashing=self.name)
+                await asyncio.sleep(self.random.uniform(0.1, 0.4))
+
+
 def find_fault(call: Call, text: str) -> str:
     """Return what is wrong with a success; empty if nothing is."""
     if call.kind in (Kind.SAFE, Kind.ONCE):
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -20,6 +20,19 @@
 CALM_S = 3.0
 """Time without a fault from which bounds in time hold again."""
 
+CRASHES_ALLOWED = 3
+"""Runners that one request may make crash before it must be known."""
+
+RETRIES_ALLOWED = 3
+"""Runs that such a request may still get once it must be known."""
+
+KNOWN_S = 3.0
+"""Time from the third crash in which all of the system must know the request."""
+
+
+HELD_BACK = "makes its runners crash"
+"""Words of the refusal of such a request."""
+
 
 class Kind(Enum):
     """What may be repeated."""
@@ -45,6 +58,8 @@
     runner_id: str
     at: float
     signature: str
+    crashing: str = ""
+    """Name of the request if it makes its runners crash; empty for all others."""
 
 
 @define(kw_only=True)
@@ -58,6 +73,12 @@
     version: int | None = None
     """Configuration that added its route; None: the first one."""
 
+    crashing: str = ""
+    """Name of the request if it makes its runners crash; empty for all others."""
+
+    reason: str = ""
+    """Why it was refused, in the words of the answer."""
+
     status: int | None = None
     signature: str = ""
     whole: bool = False
@@ -85,6 +106,9 @@
     planned: bool = False
     """Whether it was planned work, which must break nothing off."""
 
+    caused: bool = False
+    """Whether a request brought it about, which is no excuse for sending it again."""
+
 
 @define(eq=False)
 class Records:
@@ -99,12 +123,15 @@
     accepted: dict[int, float] = field(factory=dict, init=False)
     """Versions of the configuration with the time of the store's answer."""
 
+    crashes: dict[str, list[float]] = field(factory=dict, init=False)
+    """Times at which each request that makes its runners crash did so."""
+
     broken: list[str] = field(factory=list, init=False)
     """Promises that were broken, as sentences."""
 
-    def begin(self, what: str, *, planned: bool = False) -> Span:
+    def begin(self, what: str, *, planned: bool = False, caused: bool = False) -> Span:
         """Note that something is disturbed from now on."""
-        span = Span(what, time.monotonic(), planned=planned)
+        span = Span(what, time.monotonic(), planned=planned, caused=caused)
         self.spans.append(span)
         return span
 
@@ -119,12 +146,41 @@
                     f"drain: {request_id} reached {run.runner_id} {late_s:.1f} s late"
                 )
 
-    def is_calm(self, began: float, ended: float) -> bool:
-        """Return whether no unplanned fault touches a time."""
+    def is_calm(self, began: float, ended: float, *, but_caused: bool = False) -> bool:
+        """Return whether no unplanned fault touches a time.
+
+        Args:
+            began: Begin of the time.
+            ended: Its end.
+            but_caused: Whether what requests brought about is passed over.
+        """
         return not any(
             span.began <= ended and (span.ended is None or span.ended + CALM_S >= began)
             for span in self.spans
-            if not span.planned
+            if not span.planned and not (but_caused and span.caused)
+        )
+
+    def count_late_retries(self, crashing: str) -> int:
+        """Return the runs of a request that came after all had to know it."""
+        crashes = self.crashes.get(crashing, [])
+        if len(crashes) < CRASHES_ALLOWED:
+            return 0
+        known_at = crashes[CRASHES_ALLOWED - 1] + KNOWN_S
+        return sum(
+            1
+            for runs in self.runs.values()
+            for run in runs
+            if run.crashing == crashing
+            and run.at > known_at
+            and self.is_calm(run.at - CALM_S, run.at, but_caused=True)
+        )
+
+    def count_held_back(self) -> int:
+        """Return the innocent requests that were refused for making runners crash."""
+        return sum(
+            1
+            for call in self.calls.values()
+            if not call.crashing and HELD_BACK in call.reason
         )
 
     def check(self) -> list[str]:
@@ -133,6 +189,13 @@
         for call in self.calls.values():
             broken += self._check_call(call)
         broken += self._check_versions()
+        for name, crashes in self.crashes.items():
+            late = self.count_late_retries(name)
+            if late > RETRIES_ALLOWED:
+                broken.append(
+                    f"crashing: {name} ran {late} times though it was to be known; "
+                    f"{len(crashes)} runners crashed"
+                )
         unasked = set(self.runs) - set(self.calls)
         broken += [f"unasked: {each} ran and nobody sent it" for each in unasked]
         return broken
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from itertools import count
 from random import Random
 from typing import Any
@@ -23,6 +24,12 @@
 """Models that fit an engine's memory."""
 
 ADAPTER_SLOTS = 4
+CRASH_MARK = b"crash:"
+"""What the body of a request begins with that makes its runner crash."""
+
+CRASH_AFTER_S = 0.05
+"""Time from the begin of such a request to the crash."""
+
 STAY_S = 4.0
 """Time for which a leaving runner still serves."""
 
@@ -41,6 +48,9 @@
     models: dict[str, set[str]] | None = None
     """Models and their adapters; None for a plain service."""
 
+    on_crash: "Callable[[RunnerStandIn], None]" = lambda runner: None
+    """Told when a request makes it crash."""
+
     runner_id: str = field(factory=lambda: f"i-{next(_numbers):04d}", init=False)
     relay: Relay | None = field(default=None, init=False)
     draining: bool = field(default=False, init=False)
@@ -53,6 +63,7 @@
     _fence: tuple[int, str] = field(default=(0, ""), init=False)
     _beats: int = field(default=0, init=False)
     _active: int = field(default=0, init=False)
+    _crashed: bool = field(default=False, init=False)
 
     async def async_start(self) -> None:
         """Listen, and announce the runner."""
@@ -180,13 +191,37 @@
             if held is None or loading or (adapter and adapter not in held):
                 return self._refuse(request_id)
         signature = f"{self.runner_id}.{request_id}.{next(_numbers)}"
-        run = Run(runner_id=self.runner_id, at=time.monotonic(), signature=signature)
+        run = Run(
+            runner_id=self.runner_id,
+            at=time.monotonic(),
+            signature=signature,
+            crashing=body.removeprefix(CRASH_MARK).decode()
+            if body.startswith(CRASH_MARK)
+            else "",
+        )
         self.records.note_run(request_id, run)
+        if run.crashing:
+            return await self._async_end_by(request, run)
         headers = {"X-Request-Id": request_id, "X-Response-Signature": signature}
         if self.models is None:
             return await self._async_answer(request, headers, body)
         return await self._async_stream(request, headers, request_id)
 
+    async def _async_end_by(self, request: web.Request, run: Run) -> web.Response:
+        """Crash, since a request makes the runner do so."""
+        if self.models is not None:
+            response = web.StreamResponse(
+                headers={"X-Response-Signature": run.signature}
+            )
+            await response.prepare(request)
+        await asyncio.sleep(CRASH_AFTER_S)
+        self.records.crashes.setdefault(run.crashing, []).append(time.monotonic())
+        if not self._crashed:
+            self._crashed = True
+            self.on_crash(self)
+        await asyncio.sleep(STAY_S)
+        return web.Response()
+
     def _refuse(self, request_id: str) -> web.Response:
         headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
         return web.Response(status=421, headers=headers)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,7 +11,7 @@
 
 from ..stand_ins.launcher import Launcher, Process, find_free_address
 from ..stand_ins.relay import Relay
-from .callers import HOST, Caller
+from .callers import HOST, Caller, CrashingCaller
 from .records import APPLY_S, ROUTE_TIMEOUT_S, Kind, Records
 from .runners import RunnerStandIn
 from .store import StoreStandIn
@@ -28,6 +28,12 @@
 RESTART_S: Final = 0.3
 """Pause between the end of a process and its next start, as a service manager makes."""
 
+COME_BACK_S: Final = 1.0
+"""Time from a crash that a request caused to the next start of the runner."""
+
+LAPSE_S: Final = 1.5
+"""Time from there until the entry of its earlier life is removed."""
+
 BEAT_S: Final = 0.5
 START_TIMEOUT_S: Final = 15.0
 READY_CHECK_S: Final = 0.05
@@ -60,6 +66,11 @@
 
     seed: int
     launcher: Launcher
+    edges: int = EDGES
+    schedulers: int = SCHEDULERS
+    engines: int = ENGINES
+    plain: int = PLAIN
+    callers: int = CALLERS
     random: Random = field(init=False)
     records: Records = field(factory=Records, init=False)
     store: StoreStandIn = field(init=False)
@@ -68,6 +79,9 @@
     wanted: list[str] = field(factory=lambda: MODELS[:2], init=False)
     version: int = field(default=0, init=False)
     _added: list[int] = field(factory=list, init=False)
+    _crashing: int = field(default=0, init=False)
+    """Requests that make their runners crash, so far."""
+
     _tasks: set[asyncio.Task[Any]] = field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -77,19 +91,19 @@
     async def async_start(self) -> None:
         """Start everything, and wait until the edges are ready."""
         await self.store.async_start()
-        for number in range(ENGINES):
-            held = MODELS[number * 3 : number * 3 + 3]
+        for number in range(self.engines):
+            held = [MODELS[(number * 3 + each) % len(MODELS)] for each in range(3)]
             await self.async_add_runner("llm", {name: set() for name in held})
-        for _ in range(PLAIN):
+        for _ in range(self.plain):
             await self.async_add_runner("plain", None)
         self.write_configuration()
-        for number in range(SCHEDULERS):
+        for number in range(self.schedulers):
             await self._async_add_node(f"scheduler-{number}", "scheduler")
-        for number in range(EDGES):
+        for number in range(self.edges):
             await self._async_add_node(f"edge-{number}", "edge")
         self.start_task(self._async_beat())
         await self._async_wait_ready()
-        for number in range(CALLERS):
+        for number in range(self.callers):
             caller = self._make_caller(number)
             self.start_task(caller.async_run())
 
@@ -123,10 +137,32 @@
         runner = RunnerStandIn(
             service, centre, self.store, self.records, self.random, models
         )
+        runner.on_crash = self._note_crash
         await runner.async_start()
         self.runners.append(runner)
         return runner
 
+    def send_crashing_requests(self, kind: Kind) -> str:
+        """Let a caller send a request that makes its runners crash.
+
+        Returns:
+            The name of the request.
+        """
+        self._crashing += 1
+        name = f"{kind.value}-{self._crashing}"
+        plain = self._make_caller(2000 + self._crashing)
+        caller = CrashingCaller(
+            random=plain.random,
+            records=plain.records,
+            directories=plain.directories,
+            models=plain.models,
+            wanted=plain.wanted,
+            kind=kind,
+            name=name,
+        )
+        self.start_task(caller.async_run())
+        return name
+
     def write_configuration(self) -> None:
         """Let the operator write a new version, with one more route."""
         self.version += self.random.randrange(1, 4)
@@ -153,6 +189,25 @@
             for node in self.list_nodes("edge"):
                 await caller.async_call(session, node.callers, Kind.SAFE, version)
 
+    def _note_crash(self, runner: RunnerStandIn) -> None:
+        """Let a runner that a request made crash come back under another id."""
+        if runner in self.runners:
+            self.runners.remove(runner)
+            self.start_task(self._async_come_back(runner))
+
+    async def _async_come_back(self, runner: RunnerStandIn) -> None:
+        span = self.records.begin(f"crash {runner.runner_id}", caused=True)
+        await runner.async_crash(removed=False)
+        await asyncio.sleep(COME_BACK_S)
+        models = runner.models
+        held: dict[str, set[str]] | None = None
+        if models is not None:
+            held = {name: set() for name in models}
+        await self.async_add_runner(runner.service, held)
+        span.ended = time.monotonic()
+        await asyncio.sleep(LAPSE_S)
+        self.store.remove(f"servers/{runner.runner_id}")
+
     def list_nodes(self, program: str) -> list[Node]:
         """Return the nodes that run a program and are up."""
         return [
