Hold requests back that make their runners crash

Cause: what a process learned from a crash it learned about the runner only, and no other process heard of it; each arrival of the same request was a new one to each edge. Change: each edge charges what it had at a crashed runner, under an identity that stays the same, and says so under a key of the store, which all processes read: with a leader, a standby and without any. A run that ends well clears a request. After three crashes and no such run it goes to no runner: 503 with a time to come back at once, also to what waits, 502 where it may have run. The leader writes down what is held back, for an hour, and removes old statements; all that is kept is bounded. Ruled out: counting at the leader only (lost with it, and nobody counts without one); counting tries of an id (callers come with new ones); taking each broken connection for a crash (resets and lost answers); content alone as the identity (callers with the same path and body who are served).

--- /dev/null
+++ b/mangoway/coordination/crash_reporter.py
@@ -0,0 +1,78 @@
+"""Writes what an edge has to say of crashes to the store."""
+
+import asyncio
+from typing import Final
+
+from attrs import define, field
+
+from ..observability import fleet_events as log
+from ..observability.event_log import log_event
+from ..util.backoff import Backoff
+from .crashes import Statement, encode_statement
+from .store import CoordinationStore, StoreUnavailableError, Write
+
+GATHER_S: Final = 0.02
+"""Time for which statements are gathered: all connections to a crashed runner break
+within some milliseconds, and each call of the store is paid for."""
+
+WRITES_A_CALL: Final = 16
+"""Statements in one call; the platform takes up to 32 entries."""
+
+MAX_PENDING: Final = 256
+"""Statements that wait while the store does not answer; the oldest go first."""
+
+FIRST_RETRY_S: Final = 0.2
+MOST_RETRY_S: Final = 1.0
+
+
+@define(eq=False)
+class CrashReporter:
+    """Statements on their way to the store."""
+
+    store: CoordinationStore
+    prefix: str
+    """Prefix of the system's own keys."""
+
+    _pending: dict[str, Statement] = field(factory=dict, init=False)
+    """By key, oldest first."""
+
+    _posted: asyncio.Event = field(factory=asyncio.Event, init=False)
+    _backoff: Backoff = field(
+        factory=lambda: Backoff(FIRST_RETRY_S, MOST_RETRY_S), init=False
+    )
+
+    def post(self, statement: Statement) -> None:
+        """Write a statement soon, in place of an earlier one under its key."""
+        self._pending.pop(statement.key, None)
+        if len(self._pending) >= MAX_PENDING:
+            dropped = next(iter(self._pending))
+            del self._pending[dropped]
+            log_event(log.StatementDropped(key=dropped))
+        self._pending[statement.key] = statement
+        self._posted.set()
+
+    async def async_run(self) -> None:
+        """Write what is posted until cancelled."""
+        while True:
+            await self._posted.wait()
+            await asyncio.sleep(GATHER_S)
+            await self._async_write()
+
+    async def _async_write(self) -> None:
+        batch = list(self._pending.values())[:WRITES_A_CALL]
+        writes = tuple(
+            Write(key=self.prefix + each.key, value=encode_statement(each))
+            for each in batch
+        )
+        try:
+            await self.store.async_commit((), writes)
+        except StoreUnavailableError:
+            # The mirror logs that the store is lost; the same writes do no harm twice.
+            await asyncio.sleep(self._backoff.next())
+            return
+        self._backoff.reset()
+        for each in batch:
+            if self._pending.get(each.key) is each:
+                del self._pending[each.key]
+        if not self._pending:
+            self._posted.clear()
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -6,8 +6,10 @@
 
 from attrs import define, field
 
+from ..coordination.crash_reporter import CrashReporter
 from ..edge.answers import make_refusal
 from ..edge.const import MAX_IDLE_PER_RUNNER
+from ..edge.crash_screen import CrashScreen
 from ..edge.crash_watch import CrashWatch
 from ..edge.forwarder import Forwarder
 from ..edge.pages import DirectoryPage, ReadyPage
@@ -18,6 +20,7 @@
 from ..models.routing import CallerLimits
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..platform.documents import OWN_PREFIX
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import FleetSeen
 from ..policy.scheduling.state import RetryLimits, SchedulingState
@@ -74,6 +77,7 @@
     settings: EdgeSettings
     process: FleetProcess = field(init=False)
     client: SchedulerClient = field(init=False)
+    reporter: CrashReporter = field(init=False)
     forwarder: Forwarder = field(init=False)
     callers: ServerOptions = field(init=False)
     pages: list[ServerOptions] = field(factory=list, init=False)
@@ -97,6 +101,7 @@
             window_s=settings.retry_window_s,
         )
         self.client = self._make_client(limits)
+        self.reporter = CrashReporter(self.process.store, OWN_PREFIX)
         self.forwarder = self._make_forwarder(limits)
         self.callers = ServerOptions(
             handle=self.forwarder.async_handle,
@@ -131,6 +136,7 @@
             settings.ready_listen,
         )
         await self.process.async_start(addresses)
+        self.process.keep_running(self.reporter.async_run)
         self.process.keep_running(self._async_sweep)
 
     @property
@@ -188,6 +194,12 @@
             clock=process.clock,
             random=self._random,
         )
+        screen = CrashScreen(
+            edge=process.incarnation,
+            book=process.crashes,
+            teller=self.reporter,
+            clock=process.clock,
+        )
         return Forwarder(
             data_centre=self.settings.data_centre,
             incarnation=process.incarnation,
@@ -201,7 +213,9 @@
                 metrics=process.metrics,
                 clock=process.clock,
                 start_task=process.tasks.async_start,
+                on_crash=screen.note_crash,
             ),
+            screen=screen,
             random=self._random,
         )
 
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -19,6 +19,7 @@
 from ..platform.documents import OWN_PREFIX
 from ..platform.receiver import StoreReceiver
 from ..platform.store import PlatformStore
+from ..policy.crashes.book import CrashBook
 from ..scheduling.codec import Hello
 from ..scheduling.leader import LeaderLink
 from ..settings.fleet import FleetSettings
@@ -51,6 +52,7 @@
     metrics: Metrics = field(factory=Metrics)
     incarnation: str = field(factory=lambda: secrets.token_hex(6))
     view: FleetView = field(factory=FleetView)
+    crashes: CrashBook = field(factory=CrashBook)
     store: PlatformStore = field(init=False)
     presence: Presence = field(init=False)
     mirror: Mirror = field(init=False)
@@ -70,7 +72,7 @@
         )
         renew_s = EDGE_RENEW_S if self.role is Role.EDGE else RENEW_S
         self.presence = Presence(self.store, member, OWN_PREFIX, renew_s)
-        receiver = StoreReceiver(self.view, self.clock)
+        receiver = StoreReceiver(self.view, self.clock, self.crashes)
         self.mirror = Mirror(self.store, receiver, self.clock, self._check_presence)
         self.leader_link = LeaderLink(
             hello=Hello(
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from ..coordination.absence import AbsentEdges
+from ..coordination.crash_keeper import CrashKeeper
 from ..coordination.leadership import Leadership
 from ..models.fleet import Role
 from ..models.runner import RunnerEntry
@@ -103,6 +104,7 @@
     leadership: Leadership = field(init=False)
     server: SchedulerServer = field(init=False)
     absent: AbsentEdges = field(init=False)
+    keeper: CrashKeeper = field(init=False)
     control: RunnerControl = field(factory=RunnerControl, init=False)
     _led: bool = field(default=False, init=False)
     _stopping: bool = field(default=False, init=False)
@@ -141,6 +143,14 @@
             clock=process.clock,
             may_remove=lambda: self.leadership.fence is not None,
         )
+        self.keeper = CrashKeeper(
+            store=process.store,
+            mirror=process.mirror,
+            book=process.crashes,
+            clock=process.clock,
+            may_write=lambda: self.leadership.fence is not None,
+            prefix=OWN_PREFIX,
+        )
         self.server.on_edge = self._note_edge
         process.mirror.follower = self.server
         process.view.on_change.append(self._note_view)
@@ -159,6 +169,7 @@
             self.leadership.async_run,
             self.server.async_run,
             self.absent.async_run,
+            self.keeper.async_run,
             self._async_follow_lead,
             self._async_read_reports,
             self._async_sum_up,
--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -47,6 +47,9 @@
     delivered: bool = False
     """Whether the caller has got the whole answer."""
 
+    ended_well: bool = False
+    """Whether the runner ran it to a whole answer, which it has survived."""
+
     was_sent: bool = True
     reason: str = ""
     not_held: bool = False
@@ -176,7 +179,7 @@
             raise ExchangeFailedError("the stream ended within an event")
         self.delivery.start(head, headers)
         self.delivery.finish()
-        return AttemptResult(verdict=Verdict.RAN, delivered=True)
+        return AttemptResult(verdict=Verdict.RAN, delivered=True, ended_well=True)
 
     async def _async_read_body(self, connection: Connection) -> bytes:
         body = bytearray()
@@ -205,7 +208,9 @@
         if self.delivery.started:
             raise StreamBrokenError(f"a resumed stream was answered with {status}")
         deliver_whole(self.delivery, whole)
-        return AttemptResult(verdict=Verdict.RAN, delivered=True)
+        return AttemptResult(
+            verdict=Verdict.RAN, delivered=True, ended_well=not not_run
+        )
 
     def _release(self, complete: bool) -> None:
         connection = self._connection
--- /dev/null
+++ b/mangoway/edge/crash_screen.py
@@ -0,0 +1,146 @@
+"""Keeps requests that make their runners crash away from runners."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Final, Protocol
+
+from attrs import define, field
+
+from ..coordination.crashes import ClearedStatement, CrashStatement, Statement
+from ..models.crash import Charge, Clearance, RequestIdentity
+from ..observability import fleet_events as log
+from ..observability.event_log import log_event
+from ..policy.crashes.book import CrashBook
+from ..policy.crashes.const import CRASHES_TO_HOLD
+from ..policy.crashes.memory import ServedMemory
+from .crash_watch import CrashSeen
+
+TOLD_FROM: Final = 2
+"""Charges from which others are told that a request has ended well. Most of what a
+crash cuts off is charged once and served elsewhere at once; one charge holds nobody
+back."""
+
+MAX_OWN_LIVES: Final = 64
+"""Crashes of which this edge remembers what it has told: what breaks later is added to
+the statement of its life, within a second."""
+
+
+class Teller(Protocol):
+    """Tells other processes."""
+
+    def post(self, statement: Statement) -> None:
+        """Tell a statement soon."""
+        ...
+
+
+@define(eq=False)
+class CrashScreen:
+    """What an edge adds to the book of crashes, and what it takes from it."""
+
+    edge: str
+    """Incarnation of this edge."""
+
+    book: CrashBook
+    teller: Teller
+    clock: Callable[[], float]
+    memory: ServedMemory = field(factory=ServedMemory)
+    _own: dict[str, dict[RequestIdentity, Charge]] = field(factory=dict, init=False)
+    """What this edge had at each life that crashed, oldest first."""
+
+    _waiting: dict[str, list[tuple[RequestIdentity, Callable[[], None]]]] = field(
+        factory=dict, init=False
+    )
+    """Requests that wait for a runner, by content."""
+
+    def __attrs_post_init__(self) -> None:
+        self.book.on_held.append(self._note_held)
+
+    def is_held_back(self, identity: RequestIdentity) -> bool:
+        """Return whether a request must go to no runner."""
+        return self.book.is_held_back(identity)
+
+    def is_suspected(self, identity: RequestIdentity) -> bool:
+        """Return whether one more crash holds a request back."""
+        return len(self.book.list_crashes(identity)) >= CRASHES_TO_HOLD - 1
+
+    @contextmanager
+    def call_if_held(
+        self, identity: RequestIdentity, call: Callable[[], None]
+    ) -> Iterator[None]:
+        """Call back if a request becomes held back meanwhile."""
+        entry = (identity, call)
+        self._waiting.setdefault(identity.content, []).append(entry)
+        try:
+            yield
+        finally:
+            waiting = self._waiting[identity.content]
+            waiting.remove(entry)
+            if not waiting:
+                del self._waiting[identity.content]
+
+    def note_crash(self, crash: CrashSeen) -> None:
+        """Charge the requests that a crashed runner had with the crash."""
+        life = crash.life.text
+        own = self._own.setdefault(life, {})
+        for each in crash.requests:
+            if not self._has_just_ended_well(each.identity):
+                own[each.identity] = self._make_charge(each.identity, life)
+        if len(self._own) > MAX_OWN_LIVES:
+            del self._own[next(iter(self._own))]
+        if own:
+            self._tell(
+                CrashStatement(life=life, edge=self.edge, charges=tuple(own.values()))
+            )
+
+    def note_served(self, identity: RequestIdentity) -> None:
+        """Clear a request that has ended well."""
+        self.memory.note(identity, self.clock())
+        lives = self.book.list_crashes(identity)
+        if lives:
+            self._clear(identity, lives, told=len(lives) >= TOLD_FROM)
+
+    def _has_just_ended_well(self, identity: RequestIdentity) -> bool:
+        return self.memory.knows(identity, self.clock())
+
+    def _make_charge(self, identity: RequestIdentity, life: str) -> Charge:
+        alone = self.memory.knows_content(identity.content, self.clock())
+        return Charge(identity, life, alone)
+
+    def _clear(
+        self, identity: RequestIdentity, lives: frozenset[str], *, told: bool
+    ) -> None:
+        statement = ClearedStatement(
+            clearance=Clearance(identity=identity, lives=lives)
+        )
+        if told:
+            self._tell(statement)
+        else:
+            statement.take(self.book)
+
+    def _tell(self, statement: Statement) -> None:
+        """Take a statement here, and tell it to all others."""
+        self.teller.post(statement)
+        statement.take(self.book)
+
+    def _note_held(self, content: str) -> None:
+        """Object if this edge knows better; else answer what waits."""
+        charges = self.book.list_charges(content)
+        identities = {each.identity for each in charges}
+        for identity in identities:
+            if self._has_just_ended_well(identity):
+                self._clear(identity, self.book.list_crashes(identity), told=True)
+        if self.memory.knows_content(content, self.clock()):
+            # Others with this content are served, so it takes one of them by itself.
+            self._clear(RequestIdentity(content, ""), frozenset(), told=True)
+        held = [each for each in identities if self.book.is_held_back(each)]
+        if not held:
+            return
+        log_event(
+            log.CrashingRequestHeld(
+                identities=tuple(sorted(each.text for each in held)),
+                lives=tuple(sorted({each.life for each in charges})),
+            )
+        )
+        for identity, call in tuple(self._waiting.get(content, ())):
+            if self.book.is_held_back(identity):
+                call()
--- a/mangoway/edge/crash_watch.py
+++ b/mangoway/edge/crash_watch.py
@@ -4,6 +4,7 @@
 lose an answer now and then. A runner has crashed if it takes no new connection either.
 """
 
+import asyncio
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
@@ -43,6 +44,14 @@
     requests: tuple[LostRequest, ...]
 
 
+@define(eq=False)
+class Check:
+    """A runner that is being checked."""
+
+    lost: list[LostRequest]
+    done: asyncio.Event = field(factory=asyncio.Event)
+
+
 @define(eq=False)
 class CrashWatch:
     """Checks runners whose connections break."""
@@ -54,8 +63,7 @@
     on_crash: Callable[[CrashSeen], None] = lambda crash: None
     """Told of each crash, and again of requests whose connections break later."""
 
-    _checked: dict[RunnerLife, list[LostRequest]] = field(factory=dict, init=False)
-    """Lives that are being checked, with what was lost there."""
+    _checks: dict[RunnerLife, Check] = field(factory=dict, init=False)
 
     _crashed: dict[RunnerLife, float] = field(factory=dict, init=False)
     """Lives that ended in a crash and when that was noticed, oldest first."""
@@ -70,7 +78,7 @@
             identity: Identity of the request.
             sent_at: When it was sent.
         """
-        life = RunnerLife(runner_id=runner.runner_id, started_ms=runner.started_ms)
+        life = _get_life(runner)
         lost = LostRequest(identity=identity, sent_at=sent_at)
         noticed_at = self._crashed.get(life)
         if noticed_at is not None:
@@ -78,15 +86,23 @@
             if sent_at < noticed_at:
                 self._report(life, runner.service, [lost])
             return
-        checked = self._checked.get(life)
-        if checked is not None:
-            checked.append(lost)
+        check = self._checks.get(life)
+        if check is not None:
+            check.lost.append(lost)
         elif self.view.find_open_runner(runner.runner_id) is not None:
             # A runner that drains, or is gone, ends as planned.
-            self._checked[life] = [lost]
-            self.start_task(self._async_check(life, runner))
+            self._checks[life] = check = Check([lost])
+            self.start_task(self._async_check(life, runner, check))
+
+    async def async_settle(self, runner: RunnerEntry) -> None:
+        """Wait until it is known whether a runner has crashed, if that is checked."""
+        check = self._checks.get(_get_life(runner))
+        if check is not None:
+            await check.done.wait()
 
-    async def _async_check(self, life: RunnerLife, runner: RunnerEntry) -> None:
+    async def _async_check(
+        self, life: RunnerLife, runner: RunnerEntry, check: Check
+    ) -> None:
         """Find out whether a runner still takes connections."""
         noticed_at = self.clock()
         crashed = False
@@ -98,19 +114,29 @@
         except ConnectFailedError as error:
             crashed = error.refused
         finally:
-            lost = self._checked.pop(life)
-        if not crashed:
+            del self._checks[life]
+            self._end_check(life, runner.service, check, crashed, noticed_at)
+
+    def _end_check(
+        self,
+        life: RunnerLife,
+        service: str,
+        check: Check,
+        crashed: bool,
+        noticed_at: float,
+    ) -> None:
+        if crashed:
+            if len(self._crashed) >= MAX_REMEMBERED:
+                del self._crashed[next(iter(self._crashed))]
+            self._crashed[life] = noticed_at
+            self.metrics.runner_crashes.add(service)
+            self._report(life, service, check.lost)
+        else:
+            requests = len(check.lost)
             log_event(
-                log.RunnerReset(
-                    life=life.text, service=runner.service, requests=len(lost)
-                )
+                log.RunnerReset(life=life.text, service=service, requests=requests)
             )
-            return
-        if len(self._crashed) >= MAX_REMEMBERED:
-            del self._crashed[next(iter(self._crashed))]
-        self._crashed[life] = noticed_at
-        self.metrics.runner_crashes.add(runner.service)
-        self._report(life, runner.service, lost)
+        check.done.set()
 
     def _report(
         self, life: RunnerLife, service: str, requests: list[LostRequest]
@@ -128,3 +154,7 @@
             )
         )
         self.on_crash(CrashSeen(life=life, service=service, requests=tuple(requests)))
+
+
+def _get_life(runner: RunnerEntry) -> RunnerLife:
+    return RunnerLife(runner_id=runner.runner_id, started_ms=runner.started_ms)
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -17,6 +17,7 @@
 from ..policy.edge.const import RETRY_AFTER_START_S
 from ..scheduling.placing import Placer
 from .answers import STATUS_NO_ROUTE, STATUS_NOT_RUN, make_answer
+from .crash_screen import CrashScreen
 from .crash_watch import CrashWatch
 from .delivery import Delivery
 from .handling import Handling
@@ -41,6 +42,7 @@
     pool: ConnectionPool
     metrics: Metrics
     crash_watch: CrashWatch
+    screen: CrashScreen
     random: Random
     numbers: "count[int]" = field(factory=count, init=False)
 
--- a/mangoway/edge/handling.py
+++ b/mangoway/edge/handling.py
@@ -16,13 +16,21 @@
 from ..models.verdict import Verdict
 from ..observability.metrics import Metrics
 from ..platform.requests import RequestFields, encode_for_runner
+from ..policy.crashes.const import RETRY_AFTER_HELD_S
 from ..policy.edge.const import MIN_RETRY_TIME_S, RETRY_AFTER_OUTAGE_S
 from ..policy.edge.retries import FailedTry, Next, decide_next
 from ..policy.scheduling.events import Asked, EndKind, Refuse
-from ..scheduling.placing import Placer
+from ..scheduling.placing import Answer, Placer
 from .answers import STATUS_FAILED, STATUS_NOT_RUN, STATUS_TIMEOUT, make_answer
 from .attempt import Attempt, AttemptResult, WholeResponse, deliver_whole
-from .const import MAX_SILENCE_S, MIN_SILENCE_S, OTHER_PLACE_S, SILENT_OBJECTIVES
+from .const import (
+    HELD_BACK,
+    MAX_SILENCE_S,
+    MIN_SILENCE_S,
+    OTHER_PLACE_S,
+    SILENT_OBJECTIVES,
+)
+from .crash_screen import CrashScreen
 from .crash_watch import CrashWatch
 from .delivery import Delivery
 from .plain import PlainPlacer
@@ -39,6 +47,7 @@
     pool: ConnectionPool
     metrics: Metrics
     crash_watch: CrashWatch
+    screen: CrashScreen
     numbers: "count[int]"
 
 
@@ -101,15 +110,17 @@
             self._end_next()
 
     async def _async_try_runners(self) -> None:
-        if self.service.engine is None:
+        if self.service.engine is None and not self._is_held_back():
             self.tools.plain.note_request(self.service.name)
         while True:
-            placed = await self._async_place()
+            placed = await self._async_find_runner()
             if isinstance(placed, Refuse):
                 self._refuse(placed.reason, placed.retry_after_s)
                 return
             result = await self._async_attempt(placed)
             if result.delivered:
+                if result.ended_well:
+                    self.tools.screen.note_served(self.log.identity)
                 self.log.note_served(placed)
                 return
             decision = self._decide(result)
@@ -119,6 +130,26 @@
             self._give_up(result, decision)
             return
 
+    async def _async_find_runner(self) -> RunnerEntry | Refuse:
+        """Return the runner to send to, unless the request is held back.
+
+        Looked at once more when a runner is found: crashes at other edges may have told
+        what the request does while it waited.
+        """
+        if self._is_held_back():
+            return self._refuse_held()
+        placed = await self._async_place()
+        if self._is_held_back():
+            self._end_place(EndKind.NOT_RUN)
+            return self._refuse_held()
+        return placed
+
+    def _is_held_back(self) -> bool:
+        return self.tools.screen.is_held_back(self.log.identity)
+
+    def _refuse_held(self) -> Refuse:
+        return self._make_refusal(HELD_BACK, RETRY_AFTER_HELD_S)
+
     async def _async_place(self) -> RunnerEntry | Refuse:
         """Return the runner to send to, or why there is none."""
         if self._next is not None:
@@ -132,7 +163,7 @@
         asked_at = self._clock()
         asked = self._make_ask(asked_at, self._excluded)
         self._key = asked.request_id
-        answer = await self.tools.placer.ask(asked)
+        answer = await self._async_ask(asked)
         self.log.queued_s += self._clock() - asked_at
         if isinstance(answer, Refuse):
             self._end_place(EndKind.LEFT)
@@ -143,12 +174,25 @@
             return self._make_refusal("the runner is leaving", RETRY_AFTER_OUTAGE_S)
         return entry
 
+    async def _async_ask(self, asked: Asked) -> Answer:
+        """Ask for a place; refused at once if the request becomes held back."""
+        future = self.tools.placer.ask(asked)
+
+        def refuse() -> None:
+            if not future.done():
+                future.set_result(self._refuse_held())
+
+        with self.tools.screen.call_if_held(self.log.identity, refuse):
+            return await future
+
     async def _async_find_other(self) -> bool:
         """Look for another runner while the present one is silent.
 
         The present one is given up only if there is another: its silence is no reason
         to end an answer.
         """
+        if self._is_held_back():
+            return False
         reached = {*self._reached, *([self._runner_id] if self._runner_id else [])}
         time_left_s = self._deadline - self._clock()
         if len(reached) >= self.route.max_attempts or time_left_s < MIN_RETRY_TIME_S:
@@ -239,12 +283,23 @@
             result = await attempt.async_run()
         finally:
             self.tools.plain.in_flight.remove(runner.runner_id)
-        self._in_attempt = False
         if result.connection_lost:
-            self.tools.crash_watch.note_lost(runner, self.log.identity, sent_at)
+            await self._async_note_lost(runner, sent_at)
+        self._in_attempt = False
         self._note_result(runner, result)
         return result
 
+    async def _async_note_lost(self, runner: RunnerEntry, sent_at: float) -> None:
+        """Have it checked whether the runner crashed.
+
+        One that may be held back for this crash waits for the verdict, some
+        milliseconds, before it is repeated: it would cost one more runner.
+        """
+        identity = self.log.identity
+        self.tools.crash_watch.note_lost(runner, identity, sent_at)
+        if self.tools.screen.is_suspected(identity):
+            await self.tools.crash_watch.async_settle(runner)
+
     def _choose_silence(self) -> float:
         wanted = SILENT_OBJECTIVES * self.route.objective_s
         return min(MAX_SILENCE_S, max(MIN_SILENCE_S, wanted))
--- a/mangoway/models/crash.py
+++ b/mangoway/models/crash.py
@@ -31,3 +31,24 @@
     def text(self) -> str:
         """Return it in one word, for log lines and keys."""
         return f"{self.runner_id}@{self.started_ms}"
+
+
+@frozen
+class Charge:
+    """A request was at a runner when that crashed."""
+
+    identity: RequestIdentity
+    life: str
+    """The life of the runner, as text."""
+
+    alone: bool = False
+    """Whether requests with this content and another variant were served of late, so
+    that the content by itself is not the cause."""
+
+
+@frozen(kw_only=True)
+class Clearance:
+    """A request ended well at a runner, so it has not caused these crashes."""
+
+    identity: RequestIdentity
+    lives: frozenset[str]
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -218,6 +218,15 @@
     requests: int
 
 
+@numbered(356, LogLevel.ERROR)
+class CrashingRequestHeld:
+    """A request goes to no runner any more: each that ran it has crashed."""
+
+    identities: tuple[str, ...]
+    lives: tuple[str, ...]
+    """The lives of runners that crashed with it."""
+
+
 # 4xx: scheduling and placement.
 
 
@@ -404,3 +413,17 @@
     """Announcements of lost edges could not be removed; their leases end."""
 
     reason: str
+
+
+@numbered(758, LogLevel.WARNING)
+class StatementDropped:
+    """What was to be said of a crash was left out: too much waits for the store."""
+
+    key: str
+
+
+@numbered(759, LogLevel.INFO)
+class StatementsKept:
+    """Old statements on crashes could not be removed; that is tried again."""
+
+    reason: str
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -4,12 +4,14 @@
 
 from attrs import define, field
 
+from ..coordination.crashes import STATEMENT_KEYS, StatementError, decode_statement
 from ..coordination.members import LEADER_KEY, MemberError, decode_member
 from ..coordination.store import Change, Changes, Item, Snapshot
 from ..coordination.view import FleetView, Leader
 from ..models.fleet import MEMBER_KEYS
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..policy.crashes.book import CrashBook
 from .documents import (
     CONFIGURATION_KEY,
     OWN_PREFIX,
@@ -21,6 +23,7 @@
 
 OWN_LEADER_KEY = OWN_PREFIX + LEADER_KEY
 OWN_MEMBER_KEYS = OWN_PREFIX + MEMBER_KEYS
+OWN_STATEMENT_KEYS = tuple(OWN_PREFIX + each for each in STATEMENT_KEYS)
 
 
 @define(eq=False)
@@ -31,6 +34,10 @@
     clock: Callable[[], float]
     """Steady time in seconds."""
 
+    crashes: CrashBook = field(factory=CrashBook)
+    _statements: set[str] = field(factory=set, init=False)
+    """Keys of the statements on crashes that were read."""
+
     _unreadable: dict[str, int] = field(factory=dict, init=False)
     """Keys whose value can't be read, with the readings that showed so."""
 
@@ -50,6 +57,8 @@
             self.view.remove_member(key)
         if OWN_LEADER_KEY not in keys:
             self.view.take_leader(None)
+        for key in self._statements - keys:
+            self._withdraw_statement(key)
 
     def take_changes(self, changes: Changes) -> None:
         """Take changes in their order."""
@@ -97,11 +106,13 @@
             self.view.remove_member(change.key)
         elif change.key == OWN_LEADER_KEY:
             self.view.take_leader(None)
+        elif change.key.startswith(OWN_STATEMENT_KEYS):
+            self._withdraw_statement(change.key)
 
     def _take_item(self, item: Item, now: float) -> None:
         try:
             self._decode(item, now)
-        except (DocumentError, MemberError) as error:
+        except (DocumentError, MemberError, StatementError) as error:
             self._note_unreadable(item.key, str(error))
         else:
             self._unreadable.pop(item.key, None)
@@ -129,3 +140,11 @@
                 lease_id=item.lease_id,
             )
             self.view.take_leader(leader)
+        elif item.key.startswith(OWN_STATEMENT_KEYS):
+            self._statements.add(item.key)
+            key = item.key.removeprefix(OWN_PREFIX)
+            decode_statement(key, item.value).take(self.crashes)
+
+    def _withdraw_statement(self, key: str) -> None:
+        self._statements.discard(key)
+        self.crashes.withdraw(key.removeprefix(OWN_PREFIX))
--- /dev/null
+++ b/tests/coordination/test_crashes.py
@@ -0,0 +1,260 @@
+"""Tests of what processes tell each other of crashes through the store."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from mangoway.coordination.crash_keeper import CrashKeeper
+from mangoway.coordination.crash_reporter import MAX_PENDING, CrashReporter
+from mangoway.coordination.crashes import (
+    ClearedStatement,
+    CrashStatement,
+    HeldStatement,
+    Statement,
+    StatementError,
+    decode_statement,
+    encode_statement,
+)
+from mangoway.coordination.mirror import Mirror
+from mangoway.coordination.view import FleetView
+from mangoway.models.crash import Charge, Clearance, RequestIdentity
+from mangoway.platform.receiver import StoreReceiver
+from mangoway.policy.crashes.book import CrashBook
+from mangoway.policy.crashes.const import EVIDENCE_S, HELD_S
+
+from ..fakes.coordination_store import FakeCoordinationStore
+from ..fakes.polling import async_wait_until
+
+PREFIX = "mangoway/"
+CULPRIT = RequestIdentity("c" * 24, "v" * 24)
+
+
+def make_crash(
+    life: str, edge: str = "e1", identity: RequestIdentity = CULPRIT
+) -> CrashStatement:
+    return CrashStatement(life=life, edge=edge, charges=(Charge(identity, life),))
+
+
+def make_cleared(*lives: str) -> ClearedStatement:
+    clearance = Clearance(identity=CULPRIT, lives=frozenset(lives))
+    return ClearedStatement(clearance=clearance)
+
+
+class TestCodec:
+    """Statements as the store keeps them."""
+
+    @pytest.mark.parametrize(
+        "statement",
+        [
+            make_crash("i-1@0"),
+            make_cleared("i-1@0", "i-2@5"),
+            HeldStatement(
+                content=CULPRIT.content, charges=(Charge(CULPRIT, "i-1@0", True),)
+            ),
+        ],
+        ids=lambda each: type(each).__name__,
+    )
+    def test_statement_is_read_as_it_was_written(self, statement: Statement) -> None:
+        value = encode_statement(statement)
+        assert decode_statement(statement.key, value) == statement
+        assert len(PREFIX + statement.key) <= 200
+
+    @pytest.mark.parametrize(
+        ("key", "value"),
+        [
+            ("crashes/i-1@0/e1", b"\xff"),
+            ("crashes/i-1@0", b'{"charges": []}'),
+            ("crashes/i-1@0/e1", b'{"charges": [["x"]]}'),
+            ("cleared/x", b'{"lives": []}'),
+            ("held/x", b"[]"),
+        ],
+    )
+    def test_what_cannot_be_read_is_said(self, key: str, value: bytes) -> None:
+        with pytest.raises(StatementError):
+            decode_statement(key, value)
+
+
+class Node:
+    """A process that follows the store, as an edge without a leader does."""
+
+    def __init__(self, store: FakeCoordinationStore) -> None:
+        self.clock = asyncio.get_running_loop().time
+        self.book = CrashBook()
+        receiver = StoreReceiver(FleetView(), self.clock, self.book)
+        self.mirror = Mirror(store, receiver, self.clock)
+        self.reporter = CrashReporter(store, PREFIX)
+        self.shift_s = 0.0
+        self.leads = True
+        self.keeper = CrashKeeper(
+            store=store,
+            mirror=self.mirror,
+            book=self.book,
+            clock=lambda: self.clock() + self.shift_s,
+            may_write=lambda: self.leads,
+            prefix=PREFIX,
+        )
+        self.tasks = [
+            asyncio.create_task(self.mirror.async_run()),
+            asyncio.create_task(self.reporter.async_run()),
+        ]
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+@asynccontextmanager
+async def start_nodes(
+    store: FakeCoordinationStore, count: int
+) -> AsyncIterator[list[Node]]:
+    nodes = [Node(store) for _ in range(count)]
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            node.stop()
+
+
+class TestSpread:
+    """What all processes know, whoever saw it."""
+
+    async def test_crashes_at_three_hosts_hold_back_at_all(self) -> None:
+        async with start_nodes(FakeCoordinationStore(), 4) as nodes:
+            began = nodes[0].clock()
+            for number, node in enumerate(nodes[:3]):
+                node.reporter.post(make_crash(f"i-{number}@0", f"e{number}"))
+            await async_wait_until(
+                lambda: all(each.book.is_held_back(CULPRIT) for each in nodes)
+            )
+            assert nodes[0].clock() - began < 1.0
+
+    async def test_host_that_has_just_joined_knows_it(self) -> None:
+        store = FakeCoordinationStore()
+        for number in range(3):
+            statement = make_crash(f"i-{number}@0")
+            store.put(PREFIX + statement.key, encode_statement(statement))
+        async with start_nodes(store, 1) as [node]:
+            await async_wait_until(lambda: node.book.is_held_back(CULPRIT))
+
+    async def test_clearance_reaches_all(self) -> None:
+        async with start_nodes(FakeCoordinationStore(), 2) as nodes:
+            for number in range(3):
+                nodes[0].reporter.post(make_crash(f"i-{number}@0"))
+            await async_wait_until(lambda: nodes[1].book.is_held_back(CULPRIT))
+            nodes[0].reporter.post(make_cleared("i-0@0", "i-1@0", "i-2@0"))
+            await async_wait_until(lambda: not nodes[1].book.is_held_back(CULPRIT))
+
+    async def test_unreadable_statement_leaves_the_others(self) -> None:
+        store = FakeCoordinationStore()
+        store.put(PREFIX + "crashes/i-0@0/e9", b"\xff")
+        async with start_nodes(store, 1) as [node]:
+            for number in range(3):
+                node.reporter.post(make_crash(f"i-{number}@0"))
+            await async_wait_until(lambda: node.book.is_held_back(CULPRIT))
+
+
+class TestReporter:
+    """How an edge writes what it knows."""
+
+    async def test_what_breaks_together_takes_one_call(self) -> None:
+        store = FakeCoordinationStore()
+        async with start_nodes(store, 1) as [node]:
+            for number in range(10):
+                node.reporter.post(make_crash(f"i-{number}@0"))
+            await async_wait_until(lambda: len(store.items) == 10)
+        assert store.calls.count("commit") == 1
+
+    async def test_outage_is_outlasted(self) -> None:
+        store = FakeCoordinationStore()
+        store.down = True
+        async with start_nodes(store, 1) as [node]:
+            node.reporter.post(make_crash("i-0@0"))
+            await asyncio.sleep(0.3)
+            store.down = False
+            await async_wait_until(lambda: len(store.items) == 1)
+
+    async def test_lost_answer_does_no_harm(self) -> None:
+        store = FakeCoordinationStore()
+        store.lose_answers = 1
+        async with start_nodes(store, 1) as [node]:
+            node.reporter.post(make_crash("i-0@0"))
+            await async_wait_until(lambda: not node.reporter._pending)
+        assert len(store.items) == 1
+
+    async def test_what_waits_is_bounded(self) -> None:
+        reporter = CrashReporter(FakeCoordinationStore(), PREFIX)
+        for number in range(MAX_PENDING + 50):
+            reporter.post(make_crash(f"i-{number}@0"))
+        assert len(reporter._pending) == MAX_PENDING
+
+
+class TestKeeper:
+    """What the leader looks after."""
+
+    async def async_hold(self, node: Node) -> None:
+        for number in range(3):
+            node.reporter.post(make_crash(f"i-{number}@0"))
+        await async_wait_until(lambda: node.book.is_held_back(CULPRIT))
+        await async_wait_until(lambda: len(node.mirror.items) == 3)
+
+    async def test_what_is_held_back_outlasts_the_charges(self) -> None:
+        store = FakeCoordinationStore()
+        async with start_nodes(store, 1) as [node]:
+            await self.async_hold(node)
+            await node.keeper.async_check()
+            await async_wait_until(lambda: len(node.mirror.items) == 4)
+            await node.keeper.async_check()
+            node.shift_s = EVIDENCE_S + 1
+            await node.keeper.async_check()
+            await async_wait_until(lambda: len(node.mirror.items) == 1)
+            assert node.book.is_held_back(CULPRIT)
+            node.shift_s = HELD_S + EVIDENCE_S + 2
+            await node.keeper.async_check()
+            await async_wait_until(lambda: not node.mirror.items)
+            assert not node.book.is_held_back(CULPRIT)
+
+    async def test_charges_stay_until_what_they_hold_is_written(self) -> None:
+        store = FakeCoordinationStore()
+        async with start_nodes(store, 1) as [node]:
+            await self.async_hold(node)
+            await node.keeper.async_check()
+            held = PREFIX + HeldStatement(content=CULPRIT.content, charges=()).key
+            await async_wait_until(lambda: held in store.items)
+            store.remove(held)
+            await async_wait_until(lambda: held not in node.mirror.items)
+            node.shift_s = EVIDENCE_S + 1
+            await node.keeper.async_check()
+            assert held in store.items
+            assert len(store.items) == 4
+
+    async def test_cleared_request_is_not_kept_held_back(self) -> None:
+        store = FakeCoordinationStore()
+        async with start_nodes(store, 1) as [node]:
+            await self.async_hold(node)
+            await node.keeper.async_check()
+            node.reporter.post(make_cleared("i-0@0", "i-1@0", "i-2@0"))
+            await async_wait_until(lambda: len(node.mirror.items) == 5)
+            await node.keeper.async_check()
+            assert len(store.items) == 4
+
+    async def test_only_a_leader_changes_the_store(self) -> None:
+        store = FakeCoordinationStore()
+        async with start_nodes(store, 1) as [node]:
+            await self.async_hold(node)
+            node.leads = False
+            await node.keeper.async_check()
+            node.shift_s = EVIDENCE_S + 1
+            await node.keeper.async_check()
+            assert len(store.items) == 3
+
+    async def test_outage_is_borne(self) -> None:
+        store = FakeCoordinationStore()
+        async with start_nodes(store, 1) as [node]:
+            await self.async_hold(node)
+            store.down = True
+            await node.keeper.async_check()
+            store.down = False
+            await node.keeper.async_check()
+            assert len(store.items) == 4
