Tell crashes over the links as well; hold a content back for all later

Cause: an edge that is cut off from the store could tell nobody of a crash. A soak with two such requests held 25 innocent requests back: callers that send one content each were beside three crashes just after the start, so that it was held back for all of them. Change: a statement goes to the scheduler too, which passes it on to all others at once. A content is held back for all who send it after five crashes, not three. Ruled out: telling it over the links only (it would go with the scheduler).

--- a/mangoway/coordination/crash_keeper.py
+++ b/mangoway/coordination/crash_keeper.py
@@ -74,6 +74,10 @@
 
     async def async_check(self) -> None:
         """Write what is missing, and remove what is old."""
+        if self.book.is_empty:
+            # Every statement in the store is in the book; most days there are none.
+            self._seen_at.clear()
+            return
         keys = self._list_keys()
         now = self.clock()
         self._seen_at = {key: self._seen_at.get(key, now) for key in keys}
--- a/mangoway/coordination/crash_reporter.py
+++ b/mangoway/coordination/crash_reporter.py
@@ -1,6 +1,7 @@
-"""Writes what an edge has to say of crashes to the store."""
+"""Tells what an edge has to say of crashes, and writes it to the store."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from attrs import define, field
@@ -33,6 +34,9 @@
     prefix: str
     """Prefix of the system's own keys."""
 
+    tell: Callable[[str, bytes], None] = lambda key, value: None
+    """Tells other processes at once: the key without the prefix, and the value."""
+
     _pending: dict[str, Statement] = field(factory=dict, init=False)
     """By key, oldest first."""
 
@@ -42,7 +46,8 @@
     )
 
     def post(self, statement: Statement) -> None:
-        """Write a statement soon, in place of an earlier one under its key."""
+        """Tell a statement, and write it soon in place of one under its key."""
+        self.tell(statement.key, encode_statement(statement))
         self._pending.pop(statement.key, None)
         if len(self._pending) >= MAX_PENDING:
             dropped = next(iter(self._pending))
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -25,6 +25,7 @@
 from ..policy.scheduling.events import FleetSeen
 from ..policy.scheduling.state import RetryLimits, SchedulingState
 from ..scheduling.client import SchedulerClient
+from ..scheduling.codec import Told
 from ..scheduling.local import LocalPlacer
 from ..settings.fleet import EdgeSettings
 from ..util.collector import exempt_start
@@ -101,7 +102,7 @@
             window_s=settings.retry_window_s,
         )
         self.client = self._make_client(limits)
-        self.reporter = CrashReporter(self.process.store, OWN_PREFIX)
+        self.reporter = CrashReporter(self.process.store, OWN_PREFIX, self._tell)
         self.forwarder = self._make_forwarder(limits)
         self.callers = ServerOptions(
             handle=self.forwarder.async_handle,
@@ -219,6 +220,9 @@
             random=self._random,
         )
 
+    def _tell(self, key: str, value: bytes) -> None:
+        self.process.leader_link.tell(Told(key=key, value=value))
+
     def _note_view(self) -> None:
         """Note that the fleet changed; the first configuration makes the edge ready."""
         table = self.process.view.table
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field
 
+from ..coordination.crashes import StatementError, decode_statement
 from ..coordination.mirror import Mirror
 from ..coordination.presence import EDGE_RENEW_S, RENEW_S, Presence
 from ..coordination.view import FleetView
@@ -20,7 +21,7 @@
 from ..platform.receiver import StoreReceiver
 from ..platform.store import PlatformStore
 from ..policy.crashes.book import CrashBook
-from ..scheduling.codec import Hello
+from ..scheduling.codec import Hello, Told
 from ..scheduling.leader import LeaderLink
 from ..settings.fleet import FleetSettings
 from ..util.address import split_address
@@ -88,6 +89,7 @@
             seeds=self._list_seeds(),
         )
         self.mirror.feed = self.leader_link
+        self.leader_link.on_told = self.take_told
         self.tasks = Tasks(_log_failure)
 
     def _list_seeds(self) -> tuple[str, ...]:
@@ -117,6 +119,13 @@
             )
         )
 
+    def take_told(self, message: Told) -> None:
+        """Take a statement on a crash that another process tells."""
+        try:
+            decode_statement(message.key, message.value).take(self.crashes)
+        except StatementError as error:
+            log_event(log.HandlerFailed(error=repr(error)))
+
     def keep_running(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a background task until the end; one that fails starts again."""
         self.tasks.async_start(self._async_keep(run))
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -152,6 +152,7 @@
             prefix=OWN_PREFIX,
         )
         self.server.on_edge = self._note_edge
+        self.server.on_told = process.take_told
         process.mirror.follower = self.server
         process.view.on_change.append(self._note_view)
 
--- a/mangoway/policy/crashes/book.py
+++ b/mangoway/policy/crashes/book.py
@@ -23,6 +23,7 @@
     MAX_CLEARANCES,
     MAX_HELD,
     POINTS_TO_HOLD,
+    POINTS_TO_HOLD_CONTENT,
 )
 
 NONE: Final[frozenset[str]] = frozenset()
@@ -79,20 +80,22 @@
         return frozenset(lives) - self.cleared.get(variant, NONE)
 
     def holds(self, variant: str) -> bool:
-        """Return whether a variant is held back, by itself or with all others.
+        """Return whether a variant is held back, by itself or with all others."""
+        return self.weigh(variant) >= POINTS_TO_HOLD or self.holds_all()
 
-        Where several variants were beside crashes and none ever ended well, it is the
-        content that makes runners crash, whoever sends it.
+    def holds_all(self) -> bool:
+        """Return whether the content is held back, whoever sends it.
+
+        It is what makes runners crash if several variants were beside crashes and none
+        ever ended well.
         """
-        if self.weigh(variant) >= POINTS_TO_HOLD:
-            return True
         if self.cleared or self.served or len(self.charges) < 2:
             return False
         points: dict[str, int] = {}
         for lives in self.charges.values():
             for life, weight in lives.items():
                 points[life] = max(points.get(life, 0), weight.points)
-        return sum(points.values()) >= POINTS_TO_HOLD
+        return sum(points.values()) >= POINTS_TO_HOLD_CONTENT
 
     def weigh(self, variant: str) -> int:
         """Return the points of the crashes that a variant is charged with.
@@ -205,6 +208,11 @@
             for life in sorted(record.list_lives(variant))
         )
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is no statement at all."""
+        return not (self._charges or self._held_for or self._clearances)
+
     @property
     def charge_count(self) -> int:
         """Return the number of charges that are kept."""
--- a/mangoway/policy/crashes/const.py
+++ b/mangoway/policy/crashes/const.py
@@ -20,6 +20,12 @@
 fleets whose runners are killed each second refused 1,024 of 26,874 innocent requests
 with three crashes whatever the run, and 234 of 26,904 with these points."""
 
+POINTS_TO_HOLD_CONTENT: Final = 25
+"""The same for all requests with a content, whoever sends them: five crashes beside any
+of them, and none that ended well. One path may be asked by many callers without a body,
+and three crashes beside three of them just after a start held back 25 innocent requests
+in a run of a minute."""
+
 MAX_CHARGES: Final = 4096
 """Pairs of a request and a crash that are kept: those of 40 runners that crash with 100
 requests each. The oldest go first; what is held back already is kept apart."""
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -93,9 +93,21 @@
     kept_s: float
 
 
+@frozen(kw_only=True)
+class Told:
+    """A statement on a crash, which the store gets as well.
+
+    It reaches all others in some milliseconds, also while the store is away.
+    """
+
+    key: str
+    value: bytes
+
+
 Message = (
     Hello
     | Heartbeat
+    | Told
     | StateRead
     | StateChanged
     | Asked
@@ -278,6 +290,16 @@
     return Item(key=row[0], revision=row[1], lease_id=row[2], value=value)
 
 
+@encodes(Told)
+def _encode_told(message: Told) -> list[Any]:
+    return ["told", message.key, message.value.decode()]
+
+
+@decodes("told")
+def _decode_told(fields: list[Any], edge: str) -> Message:
+    return Told(key=fields[1], value=fields[2].encode())
+
+
 @encodes(Asked)
 def _encode_asked(message: Asked) -> list[Any]:
     prompt = message.prompt
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -14,7 +14,7 @@
 from ..observability.event_log import log_event
 from ..util.address import split_address
 from ..util.ticks import async_sleep_to_tick
-from .codec import Heartbeat, Hello, Message, StateChanged, StateRead
+from .codec import Heartbeat, Hello, Message, StateChanged, StateRead, Told
 from .link import Link
 
 CONNECT_TIMEOUT_S: Final = 0.3
@@ -49,6 +49,9 @@
     on_message: Callable[[Message], None] = lambda message: None
     """Told of messages that are not about the store."""
 
+    on_told: Callable[[Told], None] = lambda message: None
+    """Told of statements on crashes."""
+
     on_leading: Callable[[Link], None] = lambda link: None
     """Told of a connection whose other end begins to lead."""
 
@@ -93,6 +96,11 @@
         if self.link is not None:
             self.link.close(reason)
 
+    def tell(self, message: Told) -> None:
+        """Tell the other end, which tells all others; without one the store must do."""
+        if self.link is not None and self.link.is_open:
+            self.link.send(message)
+
     def is_fresh(self) -> bool:
         """Return whether the leader has passed on what the store said lately."""
         link = self.link
@@ -205,6 +213,8 @@
                 self.on_leading(link)
         elif isinstance(message, StateRead | StateChanged):
             self._take_state(message)
+        elif isinstance(message, Told):
+            self.on_told(message)
         else:
             self.on_message(message)
 
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -28,6 +28,7 @@
     Message,
     StateChanged,
     StateRead,
+    Told,
     encode_frame,
 )
 from .link import Link
@@ -71,6 +72,9 @@
     get_kept_s: Callable[[], float]
     """Seconds for which keys that vanish are still kept, after an outage."""
 
+    on_told: Callable[[Told], None] = lambda message: None
+    """Told of statements on crashes."""
+
     on_edge: Callable[[str, bool], None] = lambda incarnation, connected: None
     """Told of each edge that connects, and of each whose connection breaks."""
 
@@ -193,9 +197,19 @@
     def _take(self, link: Link, message: Message) -> None:
         if isinstance(message, Hello):
             self._welcome(link, message)
+        elif isinstance(message, Told):
+            self._pass_told(link, message)
         elif link.edge and not isinstance(message, Heartbeat):
             self.handle(message)  # type: ignore[arg-type]
 
+    def _pass_told(self, link: Link, message: Told) -> None:
+        """Take a statement on a crash, and tell it to all others."""
+        self.on_told(message)
+        frame = encode_frame([message])
+        for other in tuple(self._links.values()):
+            if other is not link:
+                other.send_frame(frame)
+
     def _welcome(self, link: Link, hello: Hello) -> None:
         known = self._links.pop(hello.edge, None)
         if known is not None:
--- a/tests/coordination/test_crashes.py
+++ b/tests/coordination/test_crashes.py
@@ -184,6 +184,14 @@
             await async_wait_until(lambda: not node.reporter._pending)
         assert len(store.items) == 1
 
+    async def test_others_are_told_before_the_store_answers(self) -> None:
+        told: list[str] = []
+        reporter = CrashReporter(
+            FakeCoordinationStore(), PREFIX, lambda key, value: told.append(key)
+        )
+        reporter.post(make_crash("i-0@0"))
+        assert told == ["crashes/i-0@0/e1"]
+
     async def test_what_waits_is_bounded(self) -> None:
         reporter = CrashReporter(FakeCoordinationStore(), PREFIX)
         for number in range(MAX_PENDING + 50):
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -22,6 +22,7 @@
     Message,
     StateChanged,
     StateRead,
+    Told,
     decode_payload,
     encode_frame,
 )
@@ -37,6 +38,7 @@
     FirstEventSeen(edge="e1", request_id="q1"),
     Ended(edge="e1", request_id="q1", kind=EndKind.NOT_HELD),
     Grant(edge="e1", request_id="q1", runner_id="r1"),
+    Told(key="crashes/i-1@0/e1", value=b'{"charges": []}'),
     Refuse(edge="e1", request_id="q1", retry_after_s=0.5, reason="why"),
     StateRead(keys=("k", "l"), items=(ITEM,), revision=5, kept_s=0.0),
     StateChanged(
