--- /dev/null
+++ b/mangoway/edge/runner_finder.py
@@ -0,0 +1,247 @@
+"""Finds runners for one request: places at engines, choices among plain runners."""
+
+import asyncio
+from collections.abc import Callable
+from itertools import count
+from typing import Protocol
+
+from attrs import define, field, frozen
+
+from ..coordination.view import FleetView
+from ..models.routing import Route, ServiceProfile
+from ..models.runner import RunnerEntry
+from ..platform.requests import RequestFields
+from ..policy.crashes.const import RETRY_AFTER_HELD_S
+from ..policy.edge.const import MIN_RETRY_TIME_S, RETRY_AFTER_OUTAGE_S
+from ..policy.scheduling.events import Asked, EndKind, Refuse
+from ..scheduling.placing import Answer, Placer
+from .const import HELD_BACK, OTHER_PLACE_S
+from .crash_screen import CrashScreen
+from .delivery import Delivery
+from .plain import PlainPlacer
+from .request_log import RequestLog
+
+
+class FinderTools(Protocol):
+    """What all requests of an edge share to find runners."""
+
+    incarnation: str
+    view: FleetView
+    placer: Placer
+    plain: PlainPlacer
+    screen: CrashScreen
+    numbers: "count[int]"
+
+
+@frozen
+class NextPlace:
+    """A place that was found while the runner before was silent."""
+
+    key: str | None
+    """Key under which it was asked for; None at a plain service."""
+
+    runner: RunnerEntry
+
+
+@define(eq=False, kw_only=True)
+class RunnerFinder:
+    """Finds the runners of one request, and gives their places back."""
+
+    tools: FinderTools
+    log: RequestLog
+    fields: RequestFields
+    route: Route
+    service: ServiceProfile
+    delivery: Delivery
+    deadline: float
+    """When the request must have its answer, in the loop's time."""
+
+    reached: set[str] = field(factory=set, init=False)
+    """Runners that it was sent to."""
+
+    _excluded: list[str] = field(factory=list, init=False)
+    """Runners that failed it."""
+
+    _key: str | None = field(default=None, init=False)
+    """Key of the place that is asked for or held."""
+
+    _next: NextPlace | None = field(default=None, init=False)
+    _clock: Callable[[], float] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._clock = asyncio.get_running_loop().time
+        if self.service.engine is None and not self._is_held_back():
+            self.tools.plain.note_request(self.service.name)
+
+    @property
+    def has_next(self) -> bool:
+        """Return whether a runner was found while the one before was silent."""
+        return self._next is not None
+
+    async def async_find(self) -> RunnerEntry | Refuse:
+        """Return the runner to send to, or why there is none.
+
+        Whether the request is held back is looked at once more when a runner is found:
+        crashes at other edges may have told what it does while it waited.
+        """
+        if self._is_held_back():
+            return self._refuse_held()
+        placed = await self._async_place()
+        if self._is_held_back():
+            self.end(EndKind.NOT_RUN)
+            return self._refuse_held()
+        return placed
+
+    async def async_find_other(self, present: str | None) -> bool:
+        """Look for another runner while the present one is silent.
+
+        The present one is given up only if there is another: its silence is no reason
+        to end an answer.
+
+        Args:
+            present: The runner that is silent; None if there is none.
+        """
+        if self._is_held_back():
+            return False
+        reached = {*self.reached, *([present] if present else [])}
+        time_left_s = self.deadline - self._clock()
+        if len(reached) >= self.route.max_attempts or time_left_s < MIN_RETRY_TIME_S:
+            return False
+        excluded = [*self._excluded, *reached]
+        if self.service.engine is None:
+            placed = self.tools.plain.place(self.service.name, excluded, ())
+            if isinstance(placed, Refuse) or placed.runner_id in excluded:
+                return False
+            self._next = NextPlace(None, placed)
+            return self.tools.plain.take_repeat(self.service.name)
+        return await self._async_ask_other(excluded)
+
+    def note_first_event(self) -> None:
+        """Say that the first event of the present try came."""
+        if self._key is not None:
+            self.tools.placer.note_first_event(self._key)
+
+    def note_tried(self, runner_id: str, kind: EndKind, *, was_sent: bool) -> None:
+        """Note how a try ended, and give its place back.
+
+        Args:
+            runner_id: The runner.
+            kind: How the try ended.
+            was_sent: Whether bytes of the request went out.
+        """
+        self.end(kind)
+        if self.service.engine is None:
+            self.tools.plain.note(runner_id, kind)
+        if was_sent:
+            self.reached.add(runner_id)
+        if kind not in (EndKind.NOT_HELD, EndKind.NOT_RUN):
+            self._excluded.append(runner_id)
+
+    def end(self, kind: EndKind) -> None:
+        """Give the place back that is asked for or held."""
+        key, self._key = self._key, None
+        if key is not None:
+            self.tools.placer.end(key, kind)
+
+    def end_next(self) -> None:
+        """Give back a place that was found and not used."""
+        placed, self._next = self._next, None
+        if placed is not None and placed.key is not None:
+            self.tools.placer.end(placed.key, EndKind.LEFT)
+
+    def _is_held_back(self) -> bool:
+        return self.tools.screen.is_held_back(self.log.identity)
+
+    def _refuse_held(self) -> Refuse:
+        return self._make_refusal(HELD_BACK, RETRY_AFTER_HELD_S)
+
+    async def _async_place(self) -> RunnerEntry | Refuse:
+        """Return the runner to send to, or why there is none."""
+        if self._next is not None:
+            placed, self._next = self._next, None
+            self._key = placed.key
+            return placed.runner
+        if self.service.engine is None:
+            return self.tools.plain.place(
+                self.service.name, self._excluded, self._list_allowed()
+            )
+        asked_at = self._clock()
+        asked = self._make_ask(asked_at, self._excluded)
+        self._key = asked.request_id
+        answer = await self._async_ask(asked)
+        self.log.queued_s += self._clock() - asked_at
+        if isinstance(answer, Refuse):
+            self.end(EndKind.LEFT)
+            return answer
+        entry = self.tools.view.find_open_runner(answer.runner_id)
+        if entry is None:
+            self.end(EndKind.NOT_RUN)
+            return self._make_refusal("the runner is leaving", RETRY_AFTER_OUTAGE_S)
+        return entry
+
+    async def _async_ask(self, asked: Asked) -> Answer:
+        """Ask for a place; refused at once if the request becomes held back."""
+        future = self.tools.placer.ask(asked)
+
+        def refuse() -> None:
+            if not future.done():
+                future.set_result(self._refuse_held())
+
+        with self.tools.screen.call_if_held(self.log.identity, refuse):
+            return await future
+
+    async def _async_ask_other(self, excluded: list[str]) -> bool:
+        asked = self._make_ask(self._clock(), excluded, repeat=True)
+        placer = self.tools.placer
+        try:
+            async with asyncio.timeout(OTHER_PLACE_S):
+                answer = await placer.ask(asked)
+        except (TimeoutError, asyncio.CancelledError) as error:
+            placer.end(asked.request_id, EndKind.LEFT)
+            if isinstance(error, asyncio.CancelledError):
+                raise
+            return False
+        entry = None
+        if not isinstance(answer, Refuse):
+            entry = self.tools.view.find_open_runner(answer.runner_id)
+        if entry is None:
+            placer.end(asked.request_id, EndKind.LEFT)
+            return False
+        self._next = NextPlace(asked.request_id, entry)
+        return True
+
+    def _make_ask(
+        self, now: float, excluded: list[str], *, repeat: bool = False
+    ) -> Asked:
+        elapsed = now - self.delivery.arrived_at
+        patience = min(self.deadline - now, self.route.patience_s - elapsed)
+        if self.delivery.events:
+            patience = self.route.patience_s
+        return Asked(
+            request_id=f"{self.fields.request_id}/{next(self.tools.numbers)}",
+            edge=self.tools.incarnation,
+            service=self.service.name,
+            model=self.fields.model,
+            adapter=self.fields.adapter,
+            prompt=self.fields.prompt,
+            priority=self.route.priority,
+            objective_left_s=self.route.objective_s - elapsed,
+            patience_left_s=max(0.0, patience),
+            excluded=tuple(excluded),
+            only=self._list_allowed(),
+            repeat=repeat or bool(self.reached),
+        )
+
+    def _list_allowed(self) -> tuple[str, ...]:
+        """Return the runners that alone may get the request; empty if any may."""
+        if len(self.reached) < self.route.max_attempts:
+            return ()
+        return tuple(self.reached)
+
+    def _make_refusal(self, reason: str, retry_after_s: float) -> Refuse:
+        return Refuse(
+            edge=self.tools.incarnation,
+            request_id=self.fields.request_id,
+            retry_after_s=retry_after_s,
+            reason=reason,
+        )
