--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -15,17 +15,13 @@
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
 from ..platform.runners import (
-    OrderAnswer,
     RunnerControl,
-    RunnerOrder,
     RunnerUnreachableError,
 )
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import (
     FleetSeen,
     GiveOrder,
-    OrderEnded,
-    OrderOutcome,
     OrdersAllowed,
     ReportSeen,
 )
@@ -41,6 +37,7 @@
     open_address,
     run_process,
 )
+from .order_sender import OrderSender
 
 REPORT_S: Final = 0.4
 """Time between two reports of a runner. Reports are some 0.2 s old, and each costs as
@@ -71,15 +68,6 @@
 LEAD_CHECK_S: Final = 0.05
 """Time between two looks at whether this process leads."""
 
-OUTCOMES: Final = {
-    OrderAnswer.STARTED: OrderOutcome.STARTED,
-    OrderAnswer.ALREADY_HOLDS: OrderOutcome.ALREADY_HOLDS,
-    OrderAnswer.BUSY_OR_STALE: OrderOutcome.NOT_NOW,
-    OrderAnswer.FENCED: OrderOutcome.REFUSED,
-    OrderAnswer.REFUSED: OrderOutcome.REFUSED,
-    OrderAnswer.OTHER_RUNNER: OrderOutcome.REFUSED,
-}
-
 
 def run(settings: SchedulerSettings) -> None:
     """Run a scheduler until a signal stops it."""
@@ -105,6 +93,7 @@
     server: SchedulerServer = field(init=False)
     absent: AbsentEdges = field(init=False)
     keeper: CrashKeeper = field(init=False)
+    orders: OrderSender = field(init=False)
     control: RunnerControl = field(factory=RunnerControl, init=False)
     _led: bool = field(default=False, init=False)
     _stopping: bool = field(default=False, init=False)
@@ -136,6 +125,9 @@
             mirror=process.mirror,
             get_kept_s=lambda: process.view.get_kept_s(process.clock()),
         )
+        self.orders = OrderSender(
+            process, self.leadership, self.control, self.server.handle
+        )
         self.absent = AbsentEdges(
             store=process.store,
             mirror=process.mirror,
@@ -282,6 +274,9 @@
                     self.process.tasks.async_start(self._async_read_report(entry))
             await async_sleep_to_tick(URGENT_REPORT_S)
 
+    def _give_order(self, order: GiveOrder) -> None:
+        self.orders.give(order)
+
     def _choose_period(self, runner_id: str) -> float:
         state = self.server.core.state.runners.get(runner_id)
         if state is None:
@@ -312,87 +307,6 @@
             ReportSeen(runner_id=entry.runner_id, report=report, asked_at=asked_at)
         )
 
-    def _give_order(self, order: GiveOrder) -> None:
-        self.process.tasks.async_start(self._async_give_order(order))
-
-    async def _async_give_order(self, order: GiveOrder) -> None:
-        outcome = OrderOutcome.REFUSED
-        try:
-            outcome = await self._async_send_order(order)
-        finally:
-            self.server.handle(
-                OrderEnded(
-                    runner_id=order.runner_id,
-                    outcome=outcome,
-                    started_ms=order.started_ms,
-                )
-            )
-
-    async def _async_send_order(self, order: GiveOrder) -> OrderOutcome:
-        entry = self.process.view.find_open_runner(order.runner_id)
-        fence = self.leadership.fence
-        if entry is None or fence is None or not self.leadership.may_order:
-            return OrderOutcome.REFUSED
-        log_event(
-            log.PlacementOrdered(
-                runner_id=order.runner_id,
-                load=order.load,
-                model=order.model,
-                adapter=order.adapter,
-                reason=order.reason,
-                order_count=order.order_count,
-                fence=fence,
-                waiting=order.waiting,
-            )
-        )
-        began = self.process.clock()
-        try:
-            answer = await self.control.async_send_order(
-                entry.address, entry.runner_id, self._make_order(order, fence)
-            )
-        except RunnerUnreachableError as error:
-            self._log_unanswered(order, str(error))
-            return OrderOutcome.IN_DOUBT
-        if answer is OrderAnswer.FENCED:
-            self.leadership.note_refused(fence)
-        self._log_answer(order, answer, began)
-        return OUTCOMES[answer]
-
-    def _make_order(self, order: GiveOrder, fence: int) -> RunnerOrder:
-        return RunnerOrder(
-            load=order.load,
-            model=order.model,
-            adapter=order.adapter,
-            expected_order_count=order.order_count,
-            holder=self.settings.host,
-            fence=fence,
-        )
-
-    def _log_answer(self, order: GiveOrder, answer: OrderAnswer, began: float) -> None:
-        operation = "load" if order.load else "unload"
-        self.process.metrics.placement_orders.add(operation, answer.value)
-        log_event(
-            log.PlacementAnswered(
-                runner_id=order.runner_id,
-                model=order.model,
-                adapter=order.adapter,
-                answer=answer.value,
-                seconds=round(self.process.clock() - began, 4),
-            )
-        )
-
-    def _log_unanswered(self, order: GiveOrder, reason: str) -> None:
-        operation = "load" if order.load else "unload"
-        self.process.metrics.placement_orders.add(operation, "no_answer")
-        log_event(
-            log.PlacementUnanswered(
-                runner_id=order.runner_id,
-                model=order.model,
-                adapter=order.adapter,
-                reason=reason,
-            )
-        )
-
 
 def choose_report_period(state: RunnerState, now: float) -> float:
     """Return the time between two reports of a runner."""
