--- a/mangoway/coordination/crashes.py
+++ b/mangoway/coordination/crashes.py
@@ -11,7 +11,7 @@
 import orjson
 from attrs import frozen
 
-from ..models.crash import Charge, Clearance, RequestIdentity
+from ..models.crash import Charge, Clearance, RequestIdentity, RunStage
 from ..policy.crashes.book import CrashBook
 
 CRASH_KEYS: Final = "crashes/"
@@ -83,7 +83,7 @@
     if isinstance(statement, ClearedStatement):
         return orjson.dumps({"lives": sorted(statement.clearance.lives)})
     rows = [
-        [each.identity.text, each.life, each.fresh, each.alone]
+        [each.identity.text, each.life, each.stage.value, each.alone]
         for each in statement.charges
     ]
     return orjson.dumps({"charges": rows})
@@ -116,9 +116,8 @@
 
 
 def _read_charge(row: Any) -> Charge:
-    return Charge(
-        _read_identity(row[0]), str(row[1]), fresh=bool(row[2]), alone=bool(row[3])
-    )
+    stage = RunStage(row[2])
+    return Charge(_read_identity(row[0]), str(row[1]), stage, alone=bool(row[3]))
 
 
 def _read_identity(text: str) -> RequestIdentity:
--- a/mangoway/edge/crash_screen.py
+++ b/mangoway/edge/crash_screen.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from ..coordination.crashes import ClearedStatement, CrashStatement, Statement
-from ..models.crash import Charge, Clearance, RequestIdentity
+from ..models.crash import Charge, Clearance, RequestIdentity, RunStage
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.crashes.book import CrashBook
@@ -107,7 +107,7 @@
         return Charge(
             lost.identity,
             life,
-            fresh=lost.ran_s < BEGIN_S,
+            _get_stage(lost.ran_s),
             alone=self.memory.knows_content(content, self.clock()),
         )
 
@@ -149,3 +149,14 @@
         for identity, call in tuple(self._waiting.get(content, ())):
             if self.book.is_held_back(identity):
                 call()
+
+
+def _get_stage(ran_s: float) -> RunStage:
+    """Return how far a run had come.
+
+    Args:
+        ran_s: Seconds since its first event; 0 without one.
+    """
+    if ran_s <= 0:
+        return RunStage.NOTHING_SENT
+    return RunStage.BEGUN if ran_s < BEGIN_S else RunStage.GOING_ON
--- a/mangoway/policy/crashes/book.py
+++ b/mangoway/policy/crashes/book.py
@@ -3,8 +3,8 @@
 All that runs at a runner is cut off when it crashes, and any of it may be the cause. A
 request is the cause for sure only if its runners crash each time. So each request is
 charged with the crashes that it was beside; a run of it that ends well, at any runner,
-clears it; and after three crashes without such a run it is held back. What had run for
-a while at the crash is a weaker suspect, and is held back after five.
+clears it; and after three crashes without such a run it is held back. The further a run
+had come at its crash the weaker is the suspicion, and the more crashes it takes.
 
 What is known comes as statements under keys, from this process and from others, in any
 order and more than once. Processes that know the same statements decide alike.
@@ -15,13 +15,13 @@
 
 from attrs import define, field
 
-from ...models.crash import Charge, Clearance, RequestIdentity
+from ...models.crash import Charge, Clearance, RequestIdentity, RunStage
 from .const import (
-    FRESH_POINTS,
-    LATE_POINTS,
     MAX_CHARGES,
     MAX_CLEARANCES,
     MAX_HELD,
+    MOST_POINTS,
+    POINTS,
     POINTS_TO_HOLD,
     POINTS_TO_HOLD_CONTENT,
 )
@@ -33,19 +33,24 @@
 class Weight:
     """How much one crash says of one request."""
 
-    statements: int = 0
-    fresh: int = 0
-    """Those of them by which its run had only just begun."""
+    stages: dict[RunStage, int] = field(factory=dict)
+    """Statements on how far a run had come, with their number."""
 
-    def add(self, charge: Charge, amount: int) -> None:
+    def add(self, stage: RunStage, amount: int) -> None:
         """Add a statement, or take it away."""
-        self.statements += amount
-        self.fresh += amount * charge.fresh
+        self.stages[stage] = self.stages.get(stage, 0) + amount
+        if self.stages[stage] <= 0:
+            del self.stages[stage]
+
+    @property
+    def stage(self) -> RunStage:
+        """Return how far the run had come that is the strongest suspect."""
+        return max(self.stages, key=POINTS.__getitem__)
 
     @property
     def points(self) -> int:
         """Return the points that it counts."""
-        return FRESH_POINTS if self.fresh > 0 else LATE_POINTS
+        return POINTS[self.stage]
 
 
 @define(eq=False)
@@ -66,8 +71,8 @@
         self.served += amount * charge.alone
         lives = self.charges.setdefault(charge.identity.variant, {})
         weight = lives.setdefault(charge.life, Weight())
-        weight.add(charge, amount)
-        if weight.statements <= 0:
+        weight.add(charge.stage, amount)
+        if not weight.stages:
             del lives[charge.life]
         if not lives:
             del self.charges[charge.identity.variant]
@@ -100,13 +105,13 @@
     def weigh(self, variant: str) -> int:
         """Return the points of the crashes that a variant is charged with.
 
-        A run that went on for a while before its crash shows that the begin of a run
-        does no harm, so that no crash counts more for having come at the begin.
+        A run that came further than others before its crash shows that as much of a run
+        does no harm, so that each crash counts as much as that one.
         """
         lives = self.charges.get(variant, {})
         charged = self.list_lives(variant)
-        fresh = all(lives[each].fresh > 0 for each in charged)
-        return len(charged) * (FRESH_POINTS if fresh else LATE_POINTS)
+        least = min((lives[each].points for each in charged), default=0)
+        return len(charged) * least
 
     def is_empty(self) -> bool:
         """Return whether nothing is known."""
@@ -187,7 +192,7 @@
         record = self._records.get(identity.content)
         if record is None:
             return False
-        return record.weigh(identity.variant) >= POINTS_TO_HOLD - FRESH_POINTS
+        return record.weigh(identity.variant) >= POINTS_TO_HOLD - MOST_POINTS
 
     def list_held(self) -> tuple[str, ...]:
         """Return the contents of which a request is held back, oldest first."""
@@ -201,7 +206,7 @@
             Charge(
                 RequestIdentity(content, variant),
                 life,
-                fresh=record.charges[variant][life].fresh > 0,
+                record.charges[variant][life].stage,
                 alone=alone,
             )
             for variant in record.charges
--- a/mangoway/policy/crashes/const.py
+++ b/mangoway/policy/crashes/const.py
@@ -2,23 +2,29 @@
 
 from typing import Final
 
+from ...models.crash import RunStage
+
 BEGIN_S: Final = 0.5
 """Time from its first event for which a run has only just begun. Requests that make
-runners crash were seen to do so 0.05 to 0.1 s after their runs began, before they had
-sent an event; others have run for a second and more when a crash cuts them off."""
+runners crash were seen to do so 0.05 to 0.1 s after their runs began, before an event
+came; others have run for a second and more when a crash cuts them off."""
 
-FRESH_POINTS: Final = 5
-"""What a crash counts for a request whose run had only just begun, if it had."""
+POINTS: Final = {
+    RunStage.NOTHING_SENT: 5,
+    RunStage.BEGUN: 4,
+    RunStage.GOING_ON: 3,
+}
+"""What a crash counts for a request, by how far its run had come."""
 
-LATE_POINTS: Final = 3
-"""What it counts for one that had run for a while."""
+MOST_POINTS: Final = max(POINTS.values())
 
 POINTS_TO_HOLD: Final = 15
 """Points without any run that ended well, from which a request is held back: three
-crashes at the begin of its runs, or five if any run went on for a while. Operators
-allow such a request three runners, and three more once all may know it. Ten drawn
-fleets whose runners are killed each second refused 1,024 of 26,874 innocent requests
-with three crashes whatever the run, and 234 of 26,904 with these points."""
+crashes before its runs sent anything, four if any run had begun to, five if any went on
+for a while. Operators allow such a request three runners, and three more once all may
+know it. Ten drawn fleets whose runners are killed each second refused 1,024 of 26,874
+innocent requests with three crashes whatever the run, 234 of 26,904 where only runs
+that went on counted less, and 131 of 26,849 with these points."""
 
 POINTS_TO_HOLD_CONTENT: Final = 25
 """The same for all requests with a content, whoever sends them: five crashes beside any
