Say less of a crash, and over the links only what the store was not told

Cause: found by reading: one crash of 21 runners at 195 hosts makes some 250 statements, and the leader passes each on to all; they went twice, over the links and through the store, with digests of 24 characters and the life in each row. A variant that was held back after another one of its content lost that with its charges; where more than 256 contents were held the leader would have written and removed them in turn; and each edge that serves a content told all others so when one variant of it was held back. Change: 72-bit digests, the life once; the links only while the store doesn't answer; the leader writes what is held back anew when it grows, the newest 256; a content's clearance only where the content is held for all.

--- a/mangoway/coordination/crash_keeper.py
+++ b/mangoway/coordination/crash_keeper.py
@@ -107,13 +107,14 @@
     def _list_missing(self) -> tuple[Write, ...]:
         """Return what is to be written of requests that are held back."""
         missing = []
-        for content in self.book.list_held():
+        for content in self.book.list_held()[-MAX_HELD:]:
             statement = HeldStatement(
                 content=content, charges=self.book.list_charges(content)
             )
-            if self.prefix + statement.key not in self.mirror.items:
-                value = encode_statement(statement)
-                missing.append(Write(key=self.prefix + statement.key, value=value))
+            key, value = self.prefix + statement.key, encode_statement(statement)
+            written = self.mirror.items.get(key)
+            if written is None or written.value != value:
+                missing.append(Write(key=key, value=value))
         return tuple(missing[:ENTRIES_A_CALL])
 
     def _list_old(self, keys: list[str], now: float) -> list[str]:
--- a/mangoway/coordination/crash_reporter.py
+++ b/mangoway/coordination/crash_reporter.py
@@ -35,19 +35,23 @@
     """Prefix of the system's own keys."""
 
     tell: Callable[[str, bytes], None] = lambda key, value: None
-    """Tells other processes at once: the key without the prefix, and the value."""
+    """Tells other processes over the links: the key without the prefix, and the value.
+    That is done where the store does not answer: through it they hear in half a second,
+    and what both bring would go twice to each of 195 hosts."""
 
     _pending: dict[str, Statement] = field(factory=dict, init=False)
     """By key, oldest first."""
 
+    _told: dict[str, Statement] = field(factory=dict, init=False)
+    """Those of them that were told over the links, by key."""
+
     _posted: asyncio.Event = field(factory=asyncio.Event, init=False)
     _backoff: Backoff = field(
         factory=lambda: Backoff(FIRST_RETRY_S, MOST_RETRY_S), init=False
     )
 
     def post(self, statement: Statement) -> None:
-        """Tell a statement, and write it soon in place of one under its key."""
-        self.tell(statement.key, encode_statement(statement))
+        """Write a statement soon, in place of an earlier one under its key."""
         self._pending.pop(statement.key, None)
         if len(self._pending) >= MAX_PENDING:
             dropped = next(iter(self._pending))
@@ -73,11 +77,23 @@
             await self.store.async_commit((), writes)
         except StoreUnavailableError:
             # The mirror logs that the store is lost; the same writes do no harm twice.
+            self._tell_untold(batch)
             await asyncio.sleep(self._backoff.next())
             return
         self._backoff.reset()
+        self._told.clear()
         for each in batch:
             if self._pending.get(each.key) is each:
                 del self._pending[each.key]
         if not self._pending:
             self._posted.clear()
+
+    def _tell_untold(self, batch: list[Statement]) -> None:
+        """Tell others over the links what the store was not told."""
+        self._told = {
+            key: self._told[key] for key in self._told if key in self._pending
+        }
+        for each in batch:
+            if self._told.get(each.key) is not each:
+                self._told[each.key] = each
+                self.tell(each.key, encode_statement(each))
--- a/mangoway/coordination/crashes.py
+++ b/mangoway/coordination/crashes.py
@@ -6,6 +6,7 @@
 have no lease: what a request did outlives the edge that saw it.
 """
 
+from collections.abc import Iterable
 from typing import Any, Final
 
 import orjson
@@ -81,12 +82,16 @@
 def encode_statement(statement: Statement) -> bytes:
     """Encode a statement for the store."""
     if isinstance(statement, ClearedStatement):
-        return orjson.dumps({"lives": sorted(statement.clearance.lives)})
-    rows = [
-        [each.identity.text, each.life, each.stage.value, each.alone]
-        for each in statement.charges
-    ]
-    return orjson.dumps({"charges": rows})
+        return orjson.dumps(sorted(statement.clearance.lives))
+    if isinstance(statement, CrashStatement):
+        return orjson.dumps(_list_rows(statement.charges))
+    lives = sorted({each.life for each in statement.charges})
+    return orjson.dumps(
+        {
+            life: _list_rows(each for each in statement.charges if each.life == life)
+            for life in lives
+        }
+    )
 
 
 def decode_statement(key: str, value: bytes) -> Statement:
@@ -103,21 +108,31 @@
         document = orjson.loads(value)
         if key.startswith(CLEARED_KEYS):
             identity = _read_identity(key.removeprefix(CLEARED_KEYS))
-            lives = frozenset(str(each) for each in document["lives"])
+            lives = frozenset(str(each) for each in document)
             return ClearedStatement(clearance=Clearance(identity=identity, lives=lives))
-        charges = tuple(_read_charge(each) for each in document["charges"])
         if key.startswith(HELD_KEYS):
+            charges = tuple(
+                _read_charge(row, life)
+                for life, rows in document.items()
+                for row in rows
+            )
             content = key.removeprefix(HELD_KEYS)
             return HeldStatement(content=content, charges=charges)
         life, edge = key.removeprefix(CRASH_KEYS).split("/")
+        charges = tuple(_read_charge(row, life) for row in document)
         return CrashStatement(life=life, edge=edge, charges=charges)
-    except (LookupError, TypeError, ValueError) as error:
+    except (AttributeError, LookupError, TypeError, ValueError) as error:
         raise StatementError(f"{key} can't be read: {error!r}") from error
 
 
-def _read_charge(row: Any) -> Charge:
-    stage = RunStage(row[2])
-    return Charge(_read_identity(row[0]), str(row[1]), stage, alone=bool(row[3]))
+def _list_rows(charges: Iterable[Charge]) -> list[list[Any]]:
+    """Return charges of one life; all hosts read them, so that they are short."""
+    rows = [[each.identity.text, each.stage.value, int(each.alone)] for each in charges]
+    return sorted(rows)
+
+
+def _read_charge(row: Any, life: str) -> Charge:
+    return Charge(_read_identity(row[0]), life, RunStage(row[1]), alone=bool(row[2]))
 
 
 def _read_identity(text: str) -> RequestIdentity:
--- a/mangoway/edge/crash_screen.py
+++ b/mangoway/edge/crash_screen.py
@@ -134,7 +134,8 @@
         for identity in identities:
             if self._has_just_ended_well(identity):
                 self._clear(identity, self.book.list_crashes(identity), told=True)
-        if self.memory.knows_content(content, self.clock()):
+        served = self.memory.knows_content(content, self.clock())
+        if served and self.book.holds_all(content):
             # Others with this content are served, so it takes one of them by itself.
             self._clear(RequestIdentity(content, ""), frozenset(), told=True)
         held = [each for each in identities if self.book.is_held_back(each)]
--- a/mangoway/edge/identity.py
+++ b/mangoway/edge/identity.py
@@ -1,5 +1,6 @@
 """Tells which requests are the same, whatever their ids."""
 
+from base64 import urlsafe_b64encode
 from hashlib import blake2b
 from typing import Final
 
@@ -7,9 +8,10 @@
 from ..models.crash import RequestIdentity
 from ..platform.requests import RequestFields
 
-DIGEST_BYTES: Final = 12
-"""Length of a digest. With 96 bits two of a billion requests are alike by chance once
-in 10^11 fleets, and nobody finds a request that passes for another's."""
+DIGEST_BYTES: Final = 9
+"""Length of a digest, 12 characters as text. Two of the million requests of an hour are
+alike by chance once in ten billion hours, and nobody finds one that passes for
+another's. All hosts are told of each request that a crash cuts off."""
 
 CREDENTIALS: Final = b"authorization"
 
@@ -36,4 +38,4 @@
         # The length keeps the border between two values.
         hasher.update(b"%d:" % len(value))
         hasher.update(value)
-    return hasher.hexdigest()
+    return urlsafe_b64encode(hasher.digest()).decode()
--- a/mangoway/policy/crashes/book.py
+++ b/mangoway/policy/crashes/book.py
@@ -182,6 +182,11 @@
             return False
         return self._records[identity.content].holds(identity.variant)
 
+    def holds_all(self, content: str) -> bool:
+        """Return whether a content is held back, whoever sends it."""
+        record = self._records.get(content)
+        return record is not None and record.holds_all()
+
     def list_crashes(self, identity: RequestIdentity) -> frozenset[str]:
         """Return the crashes that a request is charged with and not cleared of."""
         record = self._records.get(identity.content)
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -95,10 +95,7 @@
 
 @frozen(kw_only=True)
 class Told:
-    """A statement on a crash, which the store gets as well.
-
-    It reaches all others in some milliseconds, also while the store is away.
-    """
+    """A statement on a crash, while the store doesn't answer who makes it."""
 
     key: str
     value: bytes
--- a/tests/edge/test_crash_screen.py
+++ b/tests/edge/test_crash_screen.py
@@ -130,6 +130,15 @@
         assert not world.screen.is_held_back(OTHER)
         assert len(world.list_told(ClearedStatement)) >= 1
 
+    def test_edge_that_serves_others_says_nothing_of_one_that_crashes(self) -> None:
+        """At 195 edges each would tell all others."""
+        world = Screening()
+        world.screen.note_served(RequestIdentity("c", "served"))
+        for life in ("l1", "l2", "l3"):
+            world.book.take_crash(f"{life}/e2", [Charge(CULPRIT, life)])
+        assert world.screen.is_held_back(CULPRIT)
+        assert world.teller.posted == []
+
     def test_edge_that_serves_the_content_to_others_objects(self) -> None:
         world = Screening()
         world.screen.note_served(RequestIdentity("c", "served"))
