Let gateway tests wait until their engine has what they ask for

The world of these tests loads a model and an adapter and goes on after the engine's first report; loads begin 1 ms apart in the stand-in, and the report may be read between the two. Shown: with the stand-in's loads 50 ms apart the same two cases fail each time. Change: the world waits until the engine has all that it was ordered to load; no check changed. Result: all 16 pass with loads 50 ms and 1 ms apart.

--- a/tests/daemons/gateway_world.py
+++ b/tests/daemons/gateway_world.py
@@ -238,3 +238,6 @@
             memory_mb=10,
         )
         await node.engines.async_send_order(engine.address, order)
+    # The first report that a gateway reads must show them as ready.
+    wanted = {str(each) for each in artifacts}
+    await wait_until(lambda: wanted <= set(engine.truth()["ready"]))
