Add a core that holds customers to quotas over all hosts

Cause: the configuration of the shifted work gives each customer tokens a second and a burst, over all hosts together; nothing counts them. Ways: the scheduler counts where it grants a place anyway (this one), or each host has an equal part. An equal part of the smallest quota is 57 tokens a second on 73 hosts, and a request takes some 1,500, so that an equal part serves nobody; hosts that are alone have one all the same, for the seconds until a scheduler is heard. A scheduler that starts full at each change breaks it.

--- /dev/null
+++ b/mangoway/policy/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Decides what customers may still ask for."""
--- /dev/null
+++ b/mangoway/policy/customers/spending.py
@@ -0,0 +1,58 @@
+"""What customers have spent lately."""
+
+from collections import deque
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from .const import MEMORY_S, SLOT_S
+
+
+@frozen
+class Spent:
+    """What a customer spent around one time."""
+
+    customer: str
+    age_s: float
+    """How long ago."""
+
+    amount: float
+
+
+@define(eq=False)
+class Spending:
+    """Amounts by customer and time, for as long as they matter.
+
+    An amount counts as spent at the end of its slot: taken as earlier, what the rate
+    has brought since would be too much.
+    """
+
+    _slots: dict[str, deque[tuple[float, float]]] = field(factory=dict, init=False)
+    """End and amount of each slot, oldest first."""
+
+    def add(self, customer: str, amount: float, at: float) -> None:
+        """Add what was spent at a time; a negative amount was given back."""
+        slots = self._slots.setdefault(customer, deque())
+        end = (at // SLOT_S + 1) * SLOT_S
+        later = []
+        while slots and slots[-1][0] > end:
+            later.append(slots.pop())
+        if slots and slots[-1][0] == end:
+            amount += slots.pop()[1]
+        slots.append((end, amount))
+        slots.extend(reversed(later))
+        while slots and slots[0][0] < slots[-1][0] - MEMORY_S:
+            slots.popleft()
+
+    def list_slots(self, customer: str, now: float) -> list[tuple[float, float]]:
+        """Return the slots of a customer that still matter, oldest first."""
+        slots = self._slots.get(customer, ())
+        return [
+            (min(end, now), amount) for end, amount in slots if end >= now - MEMORY_S
+        ]
+
+    def list_all(self, now: float) -> Iterable[Spent]:
+        """Return all that still matters."""
+        for customer in self._slots:
+            for at, amount in self.list_slots(customer, now):
+                yield Spent(customer, now - at, amount)
--- /dev/null
+++ b/tests/policy/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package of the same name."""
