--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -14,6 +14,7 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..util.backoff import Backoff
+from ..util.clock import read_boot_clock
 from ..util.ticks import async_sleep_to_tick
 from .store import (
     Change,
@@ -34,6 +35,11 @@
 """Time that a watch of any other process waits while it hears nothing of the leader:
 with its margin it must show a silent connection in the rest of the two seconds."""
 
+FIRST_WATCH_S: Final = 0.01
+UNSURE_AGE_S: Final = 3.0
+"""Time for which a watch waits that only shows that what is known is current, and the
+age of the knowledge from which it is made: at a start and after an outage."""
+
 OUTAGE_S: Final = 1.5
 """Time without an answer from which keys may have lapsed: a runner's entry does after
 three heartbeats, 3.6 s, and an outage is noticed late."""
@@ -125,9 +131,16 @@
 
     feed: Feed | None = None
     follower: Follower | None = None
+    boot_clock: Callable[[], float] = read_boot_clock
+    """Time in seconds that also passes while the host is suspended."""
+
     answered_at: float = field(default=-1e9, init=False)
     """When the store last answered this process."""
 
+    known_at: float = field(default=-1e9, init=False)
+    """Time on the boot clock up to which all that the store acknowledged is known here:
+    when the answer that shows it was asked for, not when it came."""
+
     items: dict[str, Item] = field(factory=dict, init=False)
     """All keys as they are known."""
 
@@ -162,6 +175,18 @@
                 self._note_failure(error)
                 await asyncio.sleep(self._backoff.next())
 
+    def measure_age(self) -> float:
+        """Return the seconds for which something may have changed unknown to us."""
+        return self.boot_clock() - self.known_at
+
+    def note_known(self, at: float) -> None:
+        """Note that all is known here that the store acknowledged before a time.
+
+        Args:
+            at: Time on this host's boot clock.
+        """
+        self.known_at = max(self.known_at, at)
+
     def make_snapshot(self) -> Snapshot | None:
         """Return all keys as they are known; None before the first reading."""
         if self.revision is None:
@@ -221,21 +246,34 @@
     async def _async_step(self) -> None:
         if self.revision is None or self._relist:
             # A reading may be some seconds old as long as the changes since are kept.
-            snapshot = await self.store.async_list("", exact=self._relist)
+            exact, asked_at = self._relist, self.boot_clock()
+            snapshot = await self.store.async_list("", exact=exact)
             self._relist = False
             self._note_answer()
             self.take_snapshot(snapshot)
+            if exact:
+                self.note_known(asked_at)
             return
-        alone = self.follower is None
-        pace_s = self._choose_own_pace() if alone else LEADER_PACE_S
         await asyncio.sleep(max(0.0, self._watch_from - self.clock()))
+        unsure = self.measure_age() > UNSURE_AGE_S
+        # The first reading may be old, and nothing is served on it alone.
+        wait_s = FIRST_WATCH_S if unsure else self._choose_wait()
+        pace_s = 0.0 if unsure else self._choose_pace()
         self._watch_from = self.clock() + pace_s
-        wait_s = OWN_WATCH_S if alone else LEADER_WATCH_S
+        asked_at = self.boot_clock()
         changes = await self.store.async_watch("", self.revision, wait_s)
         self._note_answer()
         self.take_changes(changes)
+        self.note_known(asked_at)
 
-    def _choose_own_pace(self) -> float:
+    def _choose_wait(self) -> float:
+        """Return how long a watch waits for a change."""
+        return OWN_WATCH_S if self.follower is None else LEADER_WATCH_S
+
+    def _choose_pace(self) -> float:
+        """Return the least time between two watches."""
+        if self.follower is not None:
+            return LEADER_PACE_S
         wanted_s = self.receiver.count_processes() / OWN_READS_PER_S
         return min(MAX_OWN_PACE_S, max(OWN_PACE_S, wanted_s))
 
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from ..coordination.crash_reporter import CrashReporter
+from ..edge.admission import Admission
 from ..edge.answers import make_refusal
 from ..edge.const import MAX_IDLE_PER_RUNNER
 from ..edge.crash_screen import CrashScreen
@@ -21,6 +22,7 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
+from ..policy.customers.quota import QuotaBook
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import FleetSeen
 from ..policy.scheduling.state import RetryLimits, SchedulingState
@@ -47,6 +49,7 @@
 STOP_MARGIN_S: Final = 0.6
 """Time before the end of the grace in which what still runs is broken off."""
 
+MS_PER_S: Final = 1000.0
 STOP_CHECK_S: Final = 0.05
 
 REFUSE_BEFORE_END_S: Final = 2.5
@@ -79,6 +82,7 @@
     process: FleetProcess = field(init=False)
     client: SchedulerClient = field(init=False)
     reporter: CrashReporter = field(init=False)
+    admission: Admission = field(init=False)
     forwarder: Forwarder = field(init=False)
     callers: ServerOptions = field(init=False)
     pages: list[ServerOptions] = field(factory=list, init=False)
@@ -103,6 +107,11 @@
         )
         self.client = self._make_client(limits)
         self.reporter = CrashReporter(self.process.store, OWN_PREFIX, self._tell)
+        self.admission = Admission(
+            view=self.process.view,
+            measure_age=self.process.mirror.measure_age,
+            revoke_s=settings.revoke_ms / MS_PER_S if settings.revoke_closed else None,
+        )
         self.forwarder = self._make_forwarder(limits)
         self.callers = ServerOptions(
             handle=self.forwarder.async_handle,
@@ -143,7 +152,9 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the edge takes new callers."""
-        return self.process.view.table is not None and not self._stopping
+        if self._stopping or self.process.view.table is None:
+            return False
+        return self.admission.is_current()
 
     def force(self) -> None:
         """End at once."""
@@ -180,7 +191,12 @@
             await asyncio.sleep(STOP_CHECK_S)
 
     def _make_client(self, limits: RetryLimits) -> SchedulerClient:
-        core = SchedulingCore(SchedulingState(random=self._random, retry_limits=limits))
+        state = SchedulingState(
+            random=self._random,
+            retry_limits=limits,
+            quotas=QuotaBook(slack=self.settings.quota_slack),
+        )
+        core = SchedulingCore(state)
         process = self.process
         local = LocalPlacer(core, process.incarnation, process.clock, self._read_fleet)
         return SchedulerClient(process.leader_link, local, process.incarnation)
@@ -207,6 +223,7 @@
             view=process.view,
             placer=self.client,
             plain=plain,
+            admission=self.admission,
             pool=ConnectionPool(MAX_IDLE_PER_RUNNER),
             metrics=process.metrics,
             crash_watch=CrashWatch(
@@ -240,6 +257,7 @@
         self._fleet_changed = False
         state = self.client.local.core.state
         state.limit_scale = 1 / max(1, self._count_edges())
+        state.quotas.share = state.limit_scale
         return FleetSeen(table=view.table, runners=view.list_open_runners())
 
     def _become_ready(self, version: int) -> None:
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -18,6 +18,7 @@
     RunnerControl,
     RunnerUnreachableError,
 )
+from ..policy.customers.quota import QuotaBook
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import (
     FleetSeen,
@@ -61,6 +62,9 @@
 SUMMARY_S: Final = 2.0
 """Time between two summaries in the log: a line a second at two services."""
 
+DESCRIBED_CUSTOMERS: Final = 8
+"""Customers in one summary, to bound the length of its line."""
+
 STOP_MARGIN_S: Final = 1.8
 """Time before the end of the grace at which a scheduler stops leading at the latest:
 the call that ends its lease takes up to 1.2 s."""
@@ -197,7 +201,9 @@
             slack=settings.retry_slack,
             window_s=settings.retry_window_s,
         )
-        state = SchedulingState(random=Random(), retry_limits=limits)
+        quotas = QuotaBook(slack=settings.quota_slack, starts_full=False)
+        quotas.begin(self.process.clock())
+        state = SchedulingState(random=Random(), retry_limits=limits, quotas=quotas)
         return SchedulingCore(state, _log_health)
 
     def _note_view(self) -> None:
@@ -222,6 +228,17 @@
         process = self.process
         return process.view.table is not None and not process.leader_link.leading
 
+    def _measure_share(self) -> float:
+        """Return the part of each quota that this process grants.
+
+        It is that of the edges which it hears: others may ask another scheduler, or
+        choose alone.
+        """
+        heard = self.server.edge_count
+        members = self.process.view.members.values()
+        known = sum(1 for each in members if each.role is Role.EDGE)
+        return max(1, heard) / known if heard < known else 1.0
+
     def _note_edge(self, incarnation: str, connected: bool) -> None:
         if connected:
             self.absent.note_back(incarnation)
@@ -232,6 +249,7 @@
         """Tell the core and the edges when this process begins or ceases to lead."""
         while True:
             leading = self._is_granting()
+            self.server.core.state.quotas.share = self._measure_share()
             # Without edges nothing is known of demand: another may lead by now.
             allowed = self.leadership.may_order and self.server.edge_count > 0
             self.server.handle(OrdersAllowed(allowed=allowed))
@@ -246,10 +264,18 @@
             await asyncio.sleep(SUMMARY_S)
             table = self.process.view.table if self._led else None
             services = table.services if table is not None else {}
+            if table is not None and table.customers is not None:
+                self._log_quotas()
             for name, profile in services.items():
                 if profile.engine is not None:
                     self._log_summary(name)
 
+    def _log_quotas(self) -> None:
+        quotas = self.server.core.state.quotas
+        balances = quotas.describe(DESCRIBED_CUSTOMERS, self.process.clock())
+        share = round(quotas.share, 3)
+        log_event(log.QuotasSummed(share=share, balances=tuple(balances)))
+
     def _log_summary(self, service: str) -> None:
         core = self.server.core
         models, runners = core.describe(service, self.process.clock())
--- a/mangoway/edge/answers.py
+++ b/mangoway/edge/answers.py
@@ -8,7 +8,9 @@
 
 JSON_TYPE: Final = (b"Content-Type", b"application/json")
 
+STATUS_UNKNOWN_CALLER: Final = 401
 STATUS_NO_ROUTE: Final = 404
+STATUS_OVER_QUOTA: Final = 429
 STATUS_NOT_RUN: Final = 503
 STATUS_FAILED: Final = 502
 STATUS_TIMEOUT: Final = 504
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -25,3 +25,15 @@
 
 HELD_BACK: Final = "it makes its runners crash"
 """Why a request is refused that the crashes of its runners tell against."""
+
+KNOWLEDGE_SHARE: Final = 0.7
+"""Part of the time after which a key that was taken away must let nobody in, for which
+a host serves on without hearing the store. The rest is for a store whose watches hear
+nothing for a second."""
+
+SURE_AGE_S: Final = 1.5
+"""Age of a host's knowledge, in seconds, up to which a key that it lacks is unknown.
+What others pass on is about a second old; beyond, a newer configuration may have it."""
+
+RETRY_AFTER_STALE_S: Final = 0.3
+"""When to come back, to another host: this one says meanwhile that it isn't ready."""
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -16,6 +16,7 @@
 from ..platform.requests import RequestFields, decode_request
 from ..policy.edge.const import RETRY_AFTER_START_S
 from ..scheduling.placing import Placer
+from .admission import Admission, Denial
 from .answers import STATUS_NO_ROUTE, STATUS_NOT_RUN, make_answer
 from .crash_screen import CrashScreen
 from .crash_watch import CrashWatch
@@ -25,6 +26,13 @@
 from .plain import PlainPlacer
 from .request_log import RequestLog
 
+NO_CONFIGURATION = Denial(
+    status=STATUS_NOT_RUN,
+    reason="no configuration yet",
+    retry_after_s=RETRY_AFTER_START_S,
+)
+NO_ROUTE = Denial(status=STATUS_NO_ROUTE, reason="no such route", retry_after_s=None)
+
 
 @define(eq=False)
 class Forwarder:
@@ -39,6 +47,7 @@
     plain: PlainPlacer
     """Places requests for all others."""
 
+    admission: Admission
     pool: ConnectionPool
     metrics: Metrics
     crash_watch: CrashWatch
@@ -55,17 +64,22 @@
         delivery = Delivery(exchange, now)
         if table is None:
             request_log = self.make_log(fields, identity, None, delivery)
-            _reject(delivery, request_log, STATUS_NOT_RUN, "no configuration yet")
+            _reject(delivery, request_log, NO_CONFIGURATION)
             return
         host = (request.find(b"host") or "").partition(":")[0]
         route = table.find_route(host, request.path)
         request_log = self.make_log(fields, identity, route, delivery)
         if route is None:
-            _reject(delivery, request_log, STATUS_NO_ROUTE, "no such route")
+            _reject(delivery, request_log, NO_ROUTE)
+            return
+        caller = self.admission.check(request, route)
+        if isinstance(caller, Denial):
+            _reject(delivery, request_log, caller)
             return
+        request_log.customer = caller.name
         service = self._choose_service(route, table.services)
         handling = Handling(
-            self, request_log, request, fields, route, service, delivery
+            self, request_log, request, fields, route, caller, service, delivery
         )
         await handling.async_run()
 
@@ -97,13 +111,11 @@
         )
 
 
-def _reject(
-    delivery: Delivery, request_log: RequestLog, status: int, reason: str
-) -> None:
-    """Answer a request that has no route."""
-    retry_after = RETRY_AFTER_START_S if status == STATUS_NOT_RUN else None
-    request_log.note_rejected(status, reason, retry_after)
-    delivery.answer(status, *make_answer(reason, retry_after))
+def _reject(delivery: Delivery, request_log: RequestLog, denial: Denial) -> None:
+    """Answer a request that reaches no runner."""
+    request_log.note_rejected(denial.status, denial.reason, denial.retry_after_s)
+    answer = make_answer(denial.reason, denial.retry_after_s)
+    delivery.answer(denial.status, *answer)
 
 
 def _draw(shares: tuple[TrafficShare, ...], random: Random) -> str:
--- a/mangoway/edge/handling.py
+++ b/mangoway/edge/handling.py
@@ -17,7 +17,14 @@
 from ..policy.edge.const import RETRY_AFTER_OUTAGE_S
 from ..policy.edge.retries import FailedTry, Next, decide_next
 from ..policy.scheduling.events import EndKind, Refuse
-from .answers import STATUS_FAILED, STATUS_NOT_RUN, STATUS_TIMEOUT, make_answer
+from .admission import Admission, Caller, Denial
+from .answers import (
+    STATUS_FAILED,
+    STATUS_NOT_RUN,
+    STATUS_OVER_QUOTA,
+    STATUS_TIMEOUT,
+    make_answer,
+)
 from .attempt import Attempt, AttemptResult, WholeResponse, deliver_whole
 from .const import MAX_SILENCE_S, MIN_SILENCE_S, SILENT_OBJECTIVES
 from .crash_watch import CrashWatch, LostRequest
@@ -29,6 +36,7 @@
 class Tools(FinderTools, Protocol):
     """What all requests of an edge share."""
 
+    admission: Admission
     pool: ConnectionPool
     metrics: Metrics
     crash_watch: CrashWatch
@@ -43,6 +51,7 @@
     request: Request
     fields: RequestFields
     route: Route
+    caller: Caller
     service: ServiceProfile
     delivery: Delivery
     _finder: RunnerFinder = field(init=False)
@@ -67,6 +76,7 @@
             log=self.log,
             fields=self.fields,
             route=self.route,
+            caller=self.caller,
             service=self.service,
             delivery=self.delivery,
             deadline=self._deadline,
@@ -92,7 +102,13 @@
         while True:
             placed = await self._finder.async_find()
             if isinstance(placed, Refuse):
-                self._refuse(placed.reason, placed.retry_after_s)
+                status = STATUS_OVER_QUOTA if placed.over_quota else STATUS_NOT_RUN
+                self._refuse(placed.reason, placed.retry_after_s, status)
+                return
+            denial = self._check_again()
+            if denial is not None:
+                self._finder.end(EndKind.LEFT)
+                self._refuse(denial.reason, denial.retry_after_s, denial.status)
                 return
             result = await self._async_attempt(placed)
             if result.delivered:
@@ -116,8 +132,10 @@
                 self.request,
                 runner_id=runner.runner_id,
                 time_left_s=self._deadline - self._clock(),
-                priority=self.route.priority if self.service.engine else None,
+                priority=self._choose_priority(),
                 last_event_id=self.delivery.last_event_id,
+                customer=self.caller.name,
+                keeps_credentials=self.caller.keeps_credentials,
             ),
             request_id=self.fields.request_id,
             runner=runner,
@@ -157,6 +175,17 @@
         if self.tools.screen.is_suspected(identity):
             await self.tools.crash_watch.async_settle(runner)
 
+    def _check_again(self) -> Denial | None:
+        """Return why the request may not go on; an answer that has begun may."""
+        if self.delivery.started:
+            return None
+        return self.tools.admission.check_again(self.caller, self.route)
+
+    def _choose_priority(self) -> int | None:
+        if self.service.engine is None:
+            return None
+        return self.caller.choose_priority(self.route)
+
     async def _async_find_other(self) -> bool:
         return await self._finder.async_find_other(self._runner_id)
 
@@ -206,13 +235,16 @@
         else:
             self._fail(STATUS_FAILED, result.reason)
 
-    def _refuse(self, reason: str, retry_after_s: float) -> None:
+    def _refuse(
+        self, reason: str, retry_after_s: float | None, status: int = STATUS_NOT_RUN
+    ) -> None:
         """Answer that the request has not run; a failure if it may have."""
         if self._may_have_run or self.delivery.started:
             self._fail(STATUS_FAILED, reason)
             return
-        self.log.note_rejected(STATUS_NOT_RUN, reason, retry_after_s)
-        self.delivery.answer(STATUS_NOT_RUN, *make_answer(reason, retry_after_s))
+        self._finder.give_back_quota()
+        self.log.note_rejected(status, reason, retry_after_s)
+        self.delivery.answer(status, *make_answer(reason, retry_after_s))
 
     def _fail(self, status: int, reason: str) -> None:
         """Answer a failure: the runner's own if it gave one."""
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -33,6 +33,9 @@
     """Configuration by which the request was routed."""
 
     clock: Callable[[], float]
+    customer: str | None = None
+    """Name of the customer who asks, if that is known."""
+
     attempts: int = 0
     queued_s: float = 0.0
     """Time for which it waited for a runner."""
@@ -55,6 +58,7 @@
                 request_id=self.fields.request_id,
                 identity=self.identity.text,
                 route=self._route_name,
+                customer=self.customer,
                 artifact=self.fields.artifact,
                 runner_id=runner.runner_id,
                 status=SERVED,
@@ -79,6 +83,7 @@
                 request_id=self.fields.request_id,
                 identity=self.identity.text,
                 route=self._route_name or None,
+                customer=self.customer,
                 artifact=self.fields.artifact,
                 status=status,
                 reason=reason,
@@ -99,6 +104,7 @@
                 request_id=self.fields.request_id,
                 identity=self.identity.text,
                 route=self._route_name,
+                customer=self.customer,
                 status=status,
                 reason=reason,
                 runner_id=runner_id,
@@ -140,6 +146,8 @@
 
     def _count(self, outcome: str, status: int) -> None:
         self.metrics.edge_requests.add(self._route_name, outcome, str(status))
+        if self.customer is not None:
+            self.metrics.edge_customers.add(self.customer, outcome, str(status))
 
     def _measure(self) -> float:
         return round(self.clock() - self.delivery.arrived_at, 4)
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -12,9 +12,11 @@
 from ..models.runner import RunnerEntry
 from ..platform.requests import RequestFields
 from ..policy.crashes.const import RETRY_AFTER_HELD_S
+from ..policy.customers.const import OVER_QUOTA
 from ..policy.edge.const import MIN_RETRY_TIME_S, RETRY_AFTER_OUTAGE_S
 from ..policy.scheduling.events import Asked, EndKind, Refuse
 from ..scheduling.placing import Answer, Placer
+from .admission import Caller
 from .const import HELD_BACK, OTHER_PLACE_S
 from .crash_screen import CrashScreen
 from .delivery import Delivery
@@ -51,6 +53,7 @@
     log: RequestLog
     fields: RequestFields
     route: Route
+    caller: Caller
     service: ServiceProfile
     delivery: Delivery
     deadline: float
@@ -65,6 +68,9 @@
     _key: str | None = field(default=None, init=False)
     """Key of the place that is asked for or held."""
 
+    _charged: float = field(default=0.0, init=False)
+    """What the request has taken of its customer's quota."""
+
     _next: NextPlace | None = field(default=None, init=False)
     _clock: Callable[[], float] = field(init=False)
 
@@ -149,6 +155,27 @@
         if placed is not None and placed.key is not None:
             self.tools.placer.end(placed.key, EndKind.LEFT)
 
+    def give_back_quota(self) -> None:
+        """Give back what the request took of its customer's quota: it has not run."""
+        amount, self._charged = self._charged, 0.0
+        if amount and self.caller.name is not None:
+            self.tools.placer.give_back(self.caller.name, amount)
+
+    def _measure_cost(self) -> float:
+        """Return what the request has still to take of its customer's quota."""
+        return 0.0 if self._charged else self.caller.measure(self.fields)
+
+    def _take_quota(self) -> Refuse | None:
+        """Take what a request takes that needs no place; returns why it can't."""
+        cost = self._measure_cost()
+        if not cost or self.caller.name is None:
+            return None
+        wait_s = self.tools.placer.take_quota(self.caller.name, cost)
+        if wait_s > 0:
+            return self._make_refusal(OVER_QUOTA, wait_s, over_quota=True)
+        self._charged = cost
+        return None
+
     def _is_held_back(self) -> bool:
         return self.tools.screen.is_held_back(self.log.identity)
 
@@ -162,7 +189,7 @@
             self._key = placed.key
             return placed.runner
         if self.service.engine is None:
-            return self.tools.plain.place(
+            return self._take_quota() or self.tools.plain.place(
                 self.service.name, self._excluded, self._list_allowed()
             )
         asked_at = self._clock()
@@ -173,6 +200,7 @@
         if isinstance(answer, Refuse):
             self.end(EndKind.LEFT)
             return answer
+        self._charged += asked.cost
         entry = self.tools.view.find_open_runner(answer.runner_id)
         if entry is None:
             self.end(EndKind.NOT_RUN)
@@ -224,11 +252,13 @@
             model=self.fields.model,
             adapter=self.fields.adapter,
             prompt=self.fields.prompt,
-            priority=self.route.priority,
+            priority=self.caller.choose_priority(self.route),
             objective_left_s=self.route.objective_s - elapsed,
             patience_left_s=max(0.0, patience),
             excluded=tuple(excluded),
             only=self._list_allowed(),
+            customer=self.caller.name or "",
+            cost=self._measure_cost(),
             repeat=repeat or bool(self.reached),
         )
 
@@ -238,10 +268,13 @@
             return ()
         return tuple(self.reached)
 
-    def _make_refusal(self, reason: str, retry_after_s: float) -> Refuse:
+    def _make_refusal(
+        self, reason: str, retry_after_s: float, *, over_quota: bool = False
+    ) -> Refuse:
         return Refuse(
             edge=self.tools.incarnation,
             request_id=self.fields.request_id,
             retry_after_s=retry_after_s,
             reason=reason,
+            over_quota=over_quota,
         )
--- a/mangoway/models/routing.py
+++ b/mangoway/models/routing.py
@@ -5,6 +5,8 @@
 
 from attrs import field, frozen
 
+from .customer import CustomerRegistry
+
 DEFAULT_MAX_HEADER_BYTES: Final = 16_384
 DEFAULT_MAX_BODY_BYTES: Final = 1 << 22
 DEFAULT_HEADER_TIMEOUT_S: Final = 3.0
@@ -56,6 +58,9 @@
     gap_objective_s: float = 0.0
     """Longest pause between two events of a stream that is still on time."""
 
+    public: bool = False
+    """Whether anybody may ask, without a key."""
+
     @property
     def patience_s(self) -> float:
         """Return how long a caller waits for the first event of a stream."""
@@ -144,6 +149,9 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceProfile]
     limits: CallerLimits = CallerLimits()
+    customers: CustomerRegistry | None = None
+    """Who may ask on routes that are not public; None where no keys are in use."""
+
     _by_host: dict[str, tuple[Route, ...]] = field(init=False, repr=False, eq=False)
 
     @_by_host.default
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -76,6 +76,7 @@
     request_id: str
     identity: str
     route: str
+    customer: str | None
     artifact: str
     runner_id: str
     status: int
@@ -99,6 +100,7 @@
     request_id: str
     identity: str
     route: str | None
+    customer: str | None
     artifact: str
     status: int
     reason: str
@@ -115,6 +117,7 @@
     request_id: str
     identity: str
     route: str
+    customer: str | None
     status: int | None
     reason: str
     runner_id: str | None
@@ -253,6 +256,16 @@
     reason: str
 
 
+@numbered(461, LogLevel.INFO)
+class QuotasSummed:
+    """What customers have left of their quotas, those with the least seconds first."""
+
+    share: float
+    """Part of each quota that this scheduler grants."""
+
+    balances: tuple[str, ...]
+
+
 @numbered(452, LogLevel.WARNING)
 class FenceRefused:
     """A runner refused an order, since it has seen a higher fence number."""
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -218,6 +218,11 @@
             "Requests of an edge, by route, outcome and status.",
             ("route", "outcome", "status"),
         )
+        self.edge_customers = self._counter(
+            "mangoway_edge_customer_requests_total",
+            "Requests of an edge, by customer, outcome and status.",
+            ("customer", "outcome", "status"),
+        )
         self.edge_attempts = self._counter(
             "mangoway_edge_attempts_total",
             "Tries of an edge at runners, by how they ended.",
--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from ..models.customer import Customer, CustomerRegistry, Quota
 from ..models.routing import (
     CallerLimits,
     EngineProfile,
@@ -32,6 +33,7 @@
 
 MS_PER_S: Final = 1000.0
 MAX_PORT: Final = 65_535
+TOKEN_UNIT: Final = "token_stream"
 READY: Final = "ready"
 DRAINING: Final = "draining"
 
@@ -54,6 +56,7 @@
                 each["name"]: _decode_service(each) for each in fields["services"]
             },
             limits=_decode_limits(fields.get("limits") or {}),
+            customers=_decode_customers(fields.get("tenants")),
         )
     except UNREADABLE as error:
         raise DocumentError(f"configuration can't be read: {error!r}") from error
@@ -158,9 +161,47 @@
         max_attempts=max(1, int(fields.get("max_attempts") or 1)),
         resumable=bool(fields.get("resumable")),
         gap_objective_s=float(fields.get("gap_target_ms") or 0) / MS_PER_S,
+        public=bool(fields.get("public")),
     )
 
 
+def _decode_customers(value: Any) -> CustomerRegistry | None:
+    """Decode the customers; a configuration without any asks for no keys."""
+    if not value:
+        return None
+    registry = CustomerRegistry()
+    for each in read_list(value, "the customers"):
+        fields = read_object(each, "a customer")
+        keys = read_list(fields.get("api_keys"), "the keys")
+        registry.add(_decode_customer(fields), [_read_key(key) for key in keys])
+    return registry
+
+
+def _decode_customer(fields: Mapping[str, Any]) -> Customer:
+    priority = fields.get("priority")
+    return Customer(
+        name=read_text(fields, "name"),
+        priority=None if priority is None else int(priority),
+        quota=_decode_quota(fields),
+        counts_tokens=fields.get("unit") == TOKEN_UNIT,
+        plain_tokens=int(fields.get("plain_tokens") or 0),
+    )
+
+
+def _decode_quota(fields: Mapping[str, Any]) -> Quota | None:
+    rate = read_number(fields, "rate_per_s") or 0.0
+    if rate <= 0:
+        return None
+    return Quota(rate_per_s=rate, burst=read_number(fields, "burst") or 0.0)
+
+
+def _read_key(value: Any) -> str:
+    """Return a key; an error must not show it."""
+    if not isinstance(value, str) or not value:
+        raise DocumentError("a key is no text")
+    return value
+
+
 def _decode_service(value: Any) -> ServiceProfile:
     fields = read_object(value, "a service")
     engine = fields.get("engine")
--- a/mangoway/platform/headers.py
+++ b/mangoway/platform/headers.py
@@ -21,6 +21,12 @@
 PROMPT_PARTS: Final = b"x-prompt-prefix"
 """All parts of the prompt in order, as `hex id:tokens`; not only a prefix."""
 
+AUTHORIZATION: Final = b"authorization"
+"""`Bearer KEY`, the key of a customer."""
+
+CUSTOMER: Final = b"x-tenant"
+"""The customer's name, for runners; callers say it by their key only."""
+
 LENGTH_HINT: Final = b"x-length-hint"
 LAST_EVENT: Final = b"last-event-id"
 
@@ -29,6 +35,7 @@
         DEADLINE,
         EXPECTED_INSTANCE,
         PRIORITY,
+        CUSTOMER,
         b"x-expect-version",
         b"x-hold",
         b"x-pin-ms",
--- a/mangoway/platform/requests.py
+++ b/mangoway/platform/requests.py
@@ -1,12 +1,15 @@
 """Reads the platform's header fields of a request, and writes those for a runner."""
 
+from typing import Final
+
 from attrs import frozen
 
 from ..http1.messages import Headers, Request, drop_headers, list_end_to_end
 from ..models.prompt import Prompt, PromptPart
 from . import headers as names
 
-MS_PER_S = 1000.0
+MS_PER_S: Final = 1000.0
+KEY_SCHEME: Final = "bearer"
 
 
 @frozen(kw_only=True)
@@ -23,6 +26,8 @@
 
     prompt: Prompt
     last_event_id: str | None
+    has_usage: bool = False
+    """Whether it says how many tokens it takes."""
 
     @property
     def artifact(self) -> str:
@@ -40,9 +45,16 @@
         adapter=adapter,
         prompt=_read_prompt(request),
         last_event_id=request.find(names.LAST_EVENT),
+        has_usage=_says_usage(request),
     )
 
 
+def read_key(request: Request) -> str | None:
+    """Return the key that a caller shows; None without one."""
+    scheme, _, key = (request.find(names.AUTHORIZATION) or "").partition(" ")
+    return key.strip() or None if scheme.lower() == KEY_SCHEME else None
+
+
 def encode_for_runner(
     request: Request,
     *,
@@ -50,6 +62,8 @@
     time_left_s: float,
     priority: int | None,
     last_event_id: str | None,
+    customer: str | None = None,
+    keeps_credentials: bool = True,
 ) -> Request:
     """Return a request as it goes to a runner.
 
@@ -59,8 +73,12 @@
         time_left_s: Time after which the runner may stop its work.
         priority: Rank in the runner's queue, 0 first; None leaves the default.
         last_event_id: Event after which a stream goes on; None: as the caller said.
+        customer: Name of the customer who asks; None if that isn't known.
+        keeps_credentials: Whether the caller's credentials are the runner's business.
     """
     kept = drop_headers(list_end_to_end(request.headers), names.RESERVED)
+    if not keeps_credentials:
+        kept = drop_headers(kept, {names.AUTHORIZATION})
     if last_event_id is not None:
         kept = drop_headers(kept, {names.LAST_EVENT})
     kept = drop_headers(kept, {b"content-length", b"expect"})
@@ -78,6 +96,8 @@
         fields.append((b"X-Request-Priority", b"%d" % priority))
     if last_event_id is not None:
         fields.append((b"Last-Event-Id", last_event_id.encode()))
+    if customer is not None:
+        fields.append((b"X-Tenant", customer.encode()))
     return Request(
         method=request.method,
         target=request.target,
@@ -112,6 +132,14 @@
     )
 
 
+def _says_usage(request: Request) -> bool:
+    """Return whether both figures can be read: what can't be must not be free."""
+    usage = [
+        each.strip() for each in (request.find(names.TOKEN_USAGE) or "").split(",")
+    ]
+    return len(usage) == 2 and all(each.isascii() and each.isdigit() for each in usage)
+
+
 def _read_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in text.split(","):
--- a/mangoway/policy/customers/quota.py
+++ b/mangoway/policy/customers/quota.py
@@ -119,6 +119,18 @@
         quota = self._find_quota(name)
         return None if quota is None else self._fill(name, quota, now).balance
 
+    def describe(self, most: int, now: float) -> list[str]:
+        """Return lines on the customers who have the least left, in seconds of rate."""
+        rows = []
+        for customer in self._list_limited():
+            balance = self.get_balance(customer.name, now)
+            if balance is not None and customer.quota is not None:
+                seconds = balance / customer.quota.rate_per_s
+                rows.append(
+                    (seconds, f"{customer.name} {balance:.0f}, {seconds:.2f} s")
+                )
+        return [text for _, text in sorted(rows)[:most]]
+
     def _list_limited(self) -> list[Customer]:
         return [] if self.registry is None else self.registry.list_customers()
 
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -5,8 +5,10 @@
 
 from attrs import define, field
 
+from ..customers.const import OVER_QUOTA
 from ..edge.const import RETRY_BUDGET_USED
 from .adapters import plan_adapter, plan_adapters, plan_runner
+from .const import MIN_RETRY_AFTER_S
 from .dispatch import Dispatcher, place
 from .events import (
     Action,
@@ -18,10 +20,13 @@
     Event,
     FirstEventSeen,
     FleetSeen,
+    Grant,
     OrderEnded,
     OrdersAllowed,
+    QuotaSpent,
     Refuse,
     ReportSeen,
+    SpendingTold,
     Tick,
 )
 from .hopeless import Forecast
@@ -30,7 +35,7 @@
 from .placement import Planner
 from .requests import RequestKey, Running, Waiting
 from .runners import RunnerState
-from .state import SchedulingState
+from .state import Charge, SchedulingState
 from .warming import WarmingPlanner
 
 RETRY_AFTER_BUDGET_S: Final = 0.5
@@ -75,7 +80,24 @@
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event at time `now` (seconds, never decreasing)."""
-        return _handlers[type(event)](self, event, now)
+        actions = _handlers[type(event)](self, event, now)
+        if self.state.charges:
+            self._settle_charges(actions, now)
+        return actions
+
+    def _settle_charges(self, actions: list[Action], now: float) -> None:
+        """Give back what was taken of quotas for requests that are refused."""
+        for action in actions:
+            if isinstance(action, Refuse):
+                self.give_back((action.edge, action.request_id), now)
+            elif isinstance(action, Grant):
+                self.state.charges.pop((action.edge, action.request_id), None)
+
+    def give_back(self, key: RequestKey, now: float) -> None:
+        """Give back what was taken of a quota for a request that waits no more."""
+        charge = self.state.charges.pop(key, None)
+        if charge is not None:
+            self.state.quotas.spend(charge.customer, -charge.amount, now)
 
     def serve_request(self, waiting: Waiting, now: float) -> list[Action]:
         """Return what can be done for a request that has just come."""
@@ -174,6 +196,12 @@
 @handles(Asked)
 def _take_asked(core: SchedulingCore, event: Asked, now: float) -> list[Action]:
     state = core.state
+    if event.cost > 0:
+        wait_s = state.quotas.take(event.customer, event.cost, now)
+        if wait_s > 0:
+            return [_refuse_over_quota(event, wait_s)]
+        charge = Charge(event.customer, event.cost)
+        state.charges[event.edge, event.request_id] = charge
     budget = state.get_budget(event.service)
     if event.repeat:
         share = RETRY_BUDGET_USED * state.limit_scale
@@ -224,6 +252,7 @@
 @handles(Ended)
 def _take_ended(core: SchedulingCore, event: Ended, now: float) -> list[Action]:
     key = (event.edge, event.request_id)
+    core.give_back(key, now)
     for queue in core.state.queues.values():
         queue.remove(key)
     runner = core.state.runners.get(core.state.granted.get(key, ""))
@@ -242,11 +271,25 @@
     return core.serve_runner(runner, now)
 
 
+@handles(QuotaSpent)
+def _take_spent(core: SchedulingCore, event: QuotaSpent, now: float) -> list[Action]:
+    core.state.quotas.spend(event.customer, event.amount, now)
+    return []
+
+
+@handles(SpendingTold)
+def _take_told(core: SchedulingCore, event: SpendingTold, now: float) -> list[Action]:
+    core.state.quotas.take_told(event.rows, now)
+    return []
+
+
 @handles(EdgeGone)
 def _take_edge_gone(core: SchedulingCore, event: EdgeGone, now: float) -> list[Action]:
     state = core.state
     for queue in state.queues.values():
         queue.remove_edge(event.edge)
+    for key in [each for each in state.charges if each[0] == event.edge]:
+        core.give_back(key, now)
     for key in [each for each in state.granted if each[0] == event.edge]:
         core.end(key, now)
     return _serve_all(core, now)
@@ -343,6 +386,16 @@
     )
 
 
+def _refuse_over_quota(event: Asked, wait_s: float) -> Refuse:
+    return Refuse(
+        edge=event.edge,
+        request_id=event.request_id,
+        retry_after_s=round(max(wait_s, MIN_RETRY_AFTER_S), 3),
+        reason=OVER_QUOTA,
+        over_quota=True,
+    )
+
+
 def _refuse(event: Asked, retry_after_s: float, reason: str) -> Refuse:
     return Refuse(
         edge=event.edge,
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -7,6 +7,7 @@
 from ...models.prompt import Prompt
 from ...models.routing import RoutingTable
 from ...models.runner import RunnerEntry, RunnerReport
+from ..customers.spending import Spent
 
 
 class EndKind(Enum):
@@ -64,6 +65,12 @@
     repeat: bool
     """Whether the request was sent to a runner before."""
 
+    customer: str = ""
+    """Who asks; empty if that isn't known."""
+
+    cost: float = 0.0
+    """What it takes of the customer's quota; 0 if that was taken already."""
+
 
 @frozen(kw_only=True)
 class Adopted:
@@ -92,6 +99,22 @@
     kind: EndKind
 
 
+@frozen(kw_only=True)
+class QuotaSpent:
+    """An edge let a customer's request in by itself, or gives back what was not run."""
+
+    customer: str
+    amount: float
+    """Negative if it is given back."""
+
+
+@frozen(kw_only=True)
+class SpendingTold:
+    """What an edge's customers spent before this process granted its requests."""
+
+    rows: tuple[Spent, ...]
+
+
 @frozen(kw_only=True)
 class EdgeGone:
     """The connection to an edge is lost; its requests are taken as ended."""
@@ -158,6 +181,8 @@
     | Adopted
     | FirstEventSeen
     | Ended
+    | QuotaSpent
+    | SpendingTold
     | EdgeGone
     | FleetSeen
     | ReportSeen
@@ -184,6 +209,8 @@
     request_id: str
     retry_after_s: float
     reason: str
+    over_quota: bool = False
+    """Whether it is refused since its customer has asked for too much."""
 
 
 @frozen(kw_only=True)
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -3,10 +3,11 @@
 from collections import deque
 from random import Random
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from ...models.routing import EngineProfile, ModelProfile, RoutingTable
 from ...models.runner import RunnerEntry
+from ..customers.quota import QuotaBook
 from ..edge.health import HealthBook
 from ..edge.retry_budget import RetryBudget
 from .const import STORE_LOAD_SHARE, STORE_WINDOW_S
@@ -31,6 +32,14 @@
     window_s: float
 
 
+@frozen
+class Charge:
+    """What was taken of a customer's quota."""
+
+    customer: str
+    amount: float
+
+
 @define(eq=False)
 class StoreLoads:
     """Loads from the weight store that were begun, to keep to its rate."""
@@ -76,6 +85,7 @@
     """Part of each runner's limits that this process may use; 1 if it sees all."""
 
     table: RoutingTable | None = None
+    quotas: QuotaBook = field(factory=QuotaBook)
     runners: dict[str, RunnerState] = field(factory=dict, init=False)
     queues: dict[str, ServiceQueue] = field(factory=dict, init=False)
     """What waits for each service."""
@@ -83,6 +93,9 @@
     granted: dict[RequestKey, str] = field(factory=dict, init=False)
     """Runner of each request that was granted."""
 
+    charges: dict[RequestKey, Charge] = field(factory=dict, init=False)
+    """What was taken of quotas for requests that still wait."""
+
     edge_places: dict[str, str] = field(factory=dict, init=False)
     """Data centre of each edge."""
 
@@ -179,6 +192,7 @@
     ) -> None:
         """Take configuration and runners as they are now."""
         self.table = table
+        self.quotas.registry = table.customers
         present = {entry.runner_id for entry in entries}
         for runner_id in [each for each in self.runners if each not in present]:
             self._remove(runner_id)
--- a/mangoway/scheduling/client.py
+++ b/mangoway/scheduling/client.py
@@ -7,6 +7,7 @@
 
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..policy.customers.spending import Spending
 from ..policy.scheduling.events import (
     Adopted,
     Asked,
@@ -14,7 +15,9 @@
     EndKind,
     FirstEventSeen,
     Grant,
+    QuotaSpent,
     Refuse,
+    SpendingTold,
 )
 from .codec import Message
 from .leader import LeaderLink
@@ -55,6 +58,9 @@
     leader: LeaderLink
     local: LocalPlacer
     incarnation: str
+    spending: Spending = field(factory=Spending, init=False)
+    """What customers have spent at this edge lately, whoever granted it."""
+
     _asks: OpenAsks = field(factory=OpenAsks, init=False)
     _placed: dict[str, Placed] = field(factory=dict, init=False)
     _granting: Link | None = field(default=None, init=False)
@@ -70,9 +76,7 @@
 
     def ask(self, asked: Asked) -> "asyncio.Future[Answer]":
         """Ask for a place."""
-        link = self.leader.link
-        if link is None or not link.is_open or not self.leader.leading:
-            link = None
+        link = self._find_link()
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         future.add_done_callback(self._note_answer)
         placed = Placed(asked, link, future)
@@ -109,6 +113,47 @@
         ended = Ended(edge=self.incarnation, request_id=request_id, kind=kind)
         placed.link.send(ended)
 
+    def take_quota(self, customer: str, amount: float) -> float:
+        """Take an amount of a customer's quota for a request that needs no place.
+
+        The scheduler hears of it at once, and tells all edges who has nothing left. So
+        a customer may come into debt by what all edges let in between two heartbeats.
+
+        Returns:
+            0.0 if it was taken, otherwise the seconds until it can be.
+        """
+        link = self._find_link()
+        if link is None:
+            wait_s = self.local.take_quota(customer, amount)
+        else:
+            wait_s = self.leader.measure_exhausted(customer)
+        if wait_s > 0:
+            return wait_s
+        self._note_spent(customer, amount)
+        if link is not None:
+            link.send(QuotaSpent(customer=customer, amount=amount))
+        return 0.0
+
+    def give_back(self, customer: str, amount: float) -> None:
+        """Give back what was taken for a request that no runner has run."""
+        self._note_spent(customer, -amount)
+        message = QuotaSpent(customer=customer, amount=-amount)
+        link = self._find_link()
+        if link is not None:
+            link.send(message)
+        else:
+            self.local.handle(message)
+
+    def _note_spent(self, customer: str, amount: float) -> None:
+        self.spending.add(customer, amount, asyncio.get_running_loop().time())
+
+    def _find_link(self) -> Link | None:
+        """Return the connection to a scheduler that grants; None if there is none."""
+        link = self.leader.link
+        if link is None or not link.is_open or not self.leader.leading:
+            return None
+        return link
+
     def refuse_waiting(self, reason: str, retry_after_s: float) -> None:
         """Refuse the requests that still wait for a place."""
         for placed in list(self._placed.values()):
@@ -129,6 +174,8 @@
         placed = self._placed.get(answer.request_id)
         if placed is not None and isinstance(answer, Grant):
             placed.runner_id = answer.runner_id
+            if placed.asked.cost > 0:
+                self._note_spent(placed.asked.customer, placed.asked.cost)
 
     def _take(self, message: Message) -> None:
         if isinstance(message, Grant | Refuse):
@@ -138,6 +185,9 @@
     def _adopt(self, link: Link) -> None:
         """Tell a scheduler that begins to lead what runs where already, and ask it."""
         self._granting = link
+        rows = tuple(self.spending.list_all(asyncio.get_running_loop().time()))
+        if rows:
+            link.send(SpendingTold(rows=rows))
         for placed in self._placed.values():
             if placed.runner_id is None:
                 continue
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -7,6 +7,7 @@
 """
 
 import base64
+import math
 import struct
 import zlib
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 
 from ..coordination.store import Change, Changes, Item
 from ..models.prompt import Prompt, PromptPart
+from ..policy.customers.spending import Spent
 from ..policy.scheduling.events import (
     Adopted,
     Asked,
@@ -24,9 +26,12 @@
     EndKind,
     FirstEventSeen,
     Grant,
+    QuotaSpent,
     Refuse,
+    SpendingTold,
 )
 
+MS_PER_S: Final = 1000.0
 LENGTH: Final = struct.Struct(">I")
 PLAIN: Final = b"\x00"
 COMPRESSED: Final = b"\x01"
@@ -73,6 +78,30 @@
     period_s: float
     """Time until the next heartbeat."""
 
+    known_at: float = -1e9
+    """Time on the scheduler's boot clock up to which all that the store acknowledged
+    has been passed on."""
+
+    exhausted: tuple[tuple[str, float], ...] = ()
+    """Customers who have nothing left of their quotas, and in how many seconds they
+    do."""
+
+
+@frozen(kw_only=True)
+class ClockAsked:
+    """Asks for the scheduler's boot clock."""
+
+    asked_at: float
+    """Time on the asking process's boot clock."""
+
+
+@frozen(kw_only=True)
+class ClockTold:
+    """The scheduler's boot clock, after it was asked for."""
+
+    asked_at: float
+    clock_s: float
+
 
 @frozen(kw_only=True)
 class StateRead:
@@ -104,6 +133,8 @@
 Message = (
     Hello
     | Heartbeat
+    | ClockAsked
+    | ClockTold
     | Told
     | StateRead
     | StateChanged
@@ -111,6 +142,8 @@
     | Adopted
     | FirstEventSeen
     | Ended
+    | QuotaSpent
+    | SpendingTold
     | Grant
     | Refuse
 )
@@ -225,12 +258,42 @@
 @encodes(Heartbeat)
 def _encode_heartbeat(message: Heartbeat) -> list[Any]:
     age_s = round(message.store_age_s, 3)
-    return ["beat", message.leading, age_s, round(message.period_s, 3)]
+    # Rounded up, the time would say more than is known.
+    known_at = math.floor(message.known_at * MS_PER_S) / MS_PER_S
+    fields = ["beat", message.leading, age_s, round(message.period_s, 3), known_at]
+    waits = [[name, round(wait_s, 3)] for name, wait_s in message.exhausted]
+    return [*fields, waits] if waits else fields
 
 
 @decodes("beat")
 def _decode_heartbeat(fields: list[Any], edge: str) -> Message:
-    return Heartbeat(leading=fields[1], store_age_s=fields[2], period_s=fields[3])
+    return Heartbeat(
+        leading=fields[1],
+        store_age_s=fields[2],
+        period_s=fields[3],
+        known_at=fields[4],
+        exhausted=tuple((row[0], row[1]) for row in fields[5]) if fields[5:] else (),
+    )
+
+
+@encodes(ClockAsked)
+def _encode_clock_asked(message: ClockAsked) -> list[Any]:
+    return ["clock?", message.asked_at]
+
+
+@decodes("clock?")
+def _decode_clock_asked(fields: list[Any], edge: str) -> Message:
+    return ClockAsked(asked_at=fields[1])
+
+
+@encodes(ClockTold)
+def _encode_clock_told(message: ClockTold) -> list[Any]:
+    return ["clock", message.asked_at, message.clock_s]
+
+
+@decodes("clock")
+def _decode_clock_told(fields: list[Any], edge: str) -> Message:
+    return ClockTold(asked_at=fields[1], clock_s=fields[2])
 
 
 @encodes(StateRead)
@@ -316,6 +379,8 @@
         prompt.max_output_tokens,
         prompt.expected_output_tokens,
         [[part.part_id, part.tokens] for part in prompt.parts],
+        message.customer,
+        message.cost,
     ]
 
 
@@ -332,6 +397,8 @@
         excluded=tuple(fields[8]),
         only=tuple(fields[9]),
         repeat=fields[10],
+        customer=fields[15],
+        cost=fields[16],
         prompt=Prompt(
             tokens=fields[11],
             max_output_tokens=fields[12],
@@ -377,6 +444,30 @@
     return Ended(edge=edge, request_id=fields[1], kind=EndKind(fields[2]))
 
 
+@encodes(QuotaSpent)
+def _encode_spent(message: QuotaSpent) -> list[Any]:
+    return ["spent", message.customer, message.amount]
+
+
+@decodes("spent")
+def _decode_spent(fields: list[Any], edge: str) -> Message:
+    return QuotaSpent(customer=fields[1], amount=fields[2])
+
+
+@encodes(SpendingTold)
+def _encode_spending(message: SpendingTold) -> list[Any]:
+    rows = [
+        [each.customer, round(each.age_s, 3), round(each.amount, 1)]
+        for each in message.rows
+    ]
+    return ["spending", rows]
+
+
+@decodes("spending")
+def _decode_spending(fields: list[Any], edge: str) -> Message:
+    return SpendingTold(rows=tuple(Spent(*row) for row in fields[1]))
+
+
 @encodes(Grant)
 def _encode_grant(message: Grant) -> list[Any]:
     return ["grant", message.request_id, message.runner_id]
@@ -389,11 +480,21 @@
 
 @encodes(Refuse)
 def _encode_refuse(message: Refuse) -> list[Any]:
-    return ["refuse", message.request_id, message.retry_after_s, message.reason]
+    return [
+        "refuse",
+        message.request_id,
+        message.retry_after_s,
+        message.reason,
+        message.over_quota,
+    ]
 
 
 @decodes("refuse")
 def _decode_refuse(fields: list[Any], edge: str) -> Message:
     return Refuse(
-        edge=edge, request_id=fields[1], retry_after_s=fields[2], reason=fields[3]
+        edge=edge,
+        request_id=fields[1],
+        retry_after_s=fields[2],
+        reason=fields[3],
+        over_quota=fields[4],
     )
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -14,7 +14,16 @@
 from ..observability.event_log import log_event
 from ..util.address import split_address
 from ..util.ticks import async_sleep_to_tick
-from .codec import Heartbeat, Hello, Message, StateChanged, StateRead, Told
+from .codec import (
+    ClockAsked,
+    ClockTold,
+    Heartbeat,
+    Hello,
+    Message,
+    StateChanged,
+    StateRead,
+    Told,
+)
 from .link import Link
 
 CONNECT_TIMEOUT_S: Final = 0.3
@@ -38,6 +47,12 @@
 on top, from which others read themselves. Its watch waits 0.4 s; the rest is for a slow
 store."""
 
+CLOCK_ERROR_S: Final = 0.2
+CLOCK_RETRY_S: Final = 1.0
+"""Error of the other end's clock, in seconds, from which it is asked for once more, and
+the time between two such questions. A connection is greeted late where hundreds are
+made at once."""
+
 
 @define(eq=False)
 class LeaderLink:
@@ -84,6 +99,17 @@
     """Time between two heartbeats, as the other end says."""
 
     _has_state: bool = field(default=False, init=False)
+    _clock_offset_s: float | None = field(default=None, init=False)
+    """What is added to a time on the other end's boot clock for the earliest time that
+    it can be on ours; None until it was told."""
+
+    _clock_error_s: float = field(default=1e9, init=False)
+    """By how much that may be too early."""
+
+    _exhausted_until: dict[str, float] = field(factory=dict, init=False)
+    """Customers who have nothing left of their quotas, and until when."""
+
+    _clock_asked_at: float = field(default=-1e9, init=False)
 
     async def async_run(self) -> None:
         """Keep a connection to the leader until cancelled."""
@@ -101,6 +127,10 @@
         if self.link is not None and self.link.is_open:
             self.link.send(message)
 
+    def measure_exhausted(self, customer: str) -> float:
+        """Return the seconds until a customer has something left of its quota."""
+        return max(0.0, self._exhausted_until.get(customer, 0.0) - self.clock())
+
     def is_fresh(self) -> bool:
         """Return whether the leader has passed on what the store said lately."""
         link = self.link
@@ -200,7 +230,9 @@
         self.link, self._address = link, address
         self.leading, self._has_state, self._store_age_s = False, False, 1e9
         known = 0 if self.mirror is None else self.mirror.revision or 0
+        self._clock_offset_s, self._clock_error_s = None, 1e9
         link.send(evolve(self.hello, revision=known))
+        self._ask_clock(link)
         log_event(log.LinkOpened(peer=address))
 
     def _take(self, link: Link, message: Message) -> None:
@@ -209,15 +241,53 @@
             self.leading = message.leading
             self._store_age_s = message.store_age_s
             self._period_s = message.period_s
+            self._note_known(link, message.known_at)
+            now = self.clock()
+            self._exhausted_until = {
+                name: now + wait_s for name, wait_s in message.exhausted
+            }
             if begins:
                 self.on_leading(link)
         elif isinstance(message, StateRead | StateChanged):
             self._take_state(message)
+        elif isinstance(message, ClockTold):
+            self._take_clock(message)
         elif isinstance(message, Told):
             self.on_told(message)
         else:
             self.on_message(message)
 
+    def _ask_clock(self, link: Link) -> None:
+        if self.mirror is not None:
+            self._clock_asked_at = self.mirror.boot_clock()
+            link.send(ClockAsked(asked_at=self._clock_asked_at))
+
+    def _take_clock(self, message: ClockTold) -> None:
+        """Learn the earliest time on our clock that a time on the other's can be.
+
+        The other end read its clock after we asked, however late its answer comes.
+        """
+        if self.mirror is None:
+            return
+        error_s = self.mirror.boot_clock() - message.asked_at
+        if error_s < self._clock_error_s:
+            self._clock_error_s = error_s
+            self._clock_offset_s = message.asked_at - message.clock_s
+
+    def _note_known(self, link: Link, known_at: float) -> None:
+        """Note up to when the other end has passed on all that the store says.
+
+        Heartbeats may lie unread for long while this host is suspended, so what counts
+        is when the other end asked the store, on our clock, and not when they come.
+        """
+        if self.mirror is None or not self._has_state:
+            return
+        if self._clock_offset_s is not None:
+            self.mirror.note_known(known_at + self._clock_offset_s)
+        asked_s = self.mirror.boot_clock() - self._clock_asked_at
+        if self._clock_error_s > CLOCK_ERROR_S and asked_s > CLOCK_RETRY_S:
+            self._ask_clock(link)
+
     def _take_state(self, message: StateRead | StateChanged) -> None:
         if self.mirror is None:
             return
--- a/mangoway/scheduling/local.py
+++ b/mangoway/scheduling/local.py
@@ -65,6 +65,11 @@
         self._asks.drop(request_id)
         self.handle(Ended(edge=self.edge, request_id=request_id, kind=kind))
 
+    def take_quota(self, customer: str, amount: float) -> float:
+        """Take an amount of a quota; returns the seconds until there is enough."""
+        self.handle(Tick())
+        return self.core.state.quotas.take(customer, amount, self.clock())
+
     def adopt(self, asked: Asked, runner_id: str, reading: bool) -> None:
         """Count a request that runs at a runner which another chose."""
         self.handle(Adopted(asked=asked, runner_id=runner_id, reading=reading))
--- a/mangoway/scheduling/placing.py
+++ b/mangoway/scheduling/placing.py
@@ -25,6 +25,18 @@
         """Say that a request is over at its runner, or waits no more."""
         ...
 
+    def take_quota(self, customer: str, amount: float) -> float:
+        """Take an amount of a customer's quota for a request that needs no place.
+
+        Returns:
+            0.0 if it was taken, otherwise the seconds until it can be.
+        """
+        ...
+
+    def give_back(self, customer: str, amount: float) -> None:
+        """Give back what was taken for a request that no runner has run."""
+        ...
+
 
 @define(eq=False)
 class OpenAsks:
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -23,6 +23,8 @@
 )
 from ..util.ticks import async_sleep_to_tick
 from .codec import (
+    ClockAsked,
+    ClockTold,
     Heartbeat,
     Hello,
     Message,
@@ -91,6 +93,9 @@
     _recent_after: int | None = field(default=None, init=False)
     """Revision from which `_recent` has all changes; None before the first reading."""
 
+    _passed_at: float = field(default=-1e9, init=False)
+    """Time on the boot clock up to which all changes of the store were passed on."""
+
     _passing: asyncio.TimerHandle | None = field(default=None, init=False)
     _server: asyncio.AbstractServer | None = field(default=None, init=False)
 
@@ -199,6 +204,9 @@
             self._welcome(link, message)
         elif isinstance(message, Told):
             self._pass_told(link, message)
+        elif isinstance(message, ClockAsked):
+            clock_s = self.mirror.boot_clock()
+            link.send(ClockTold(asked_at=message.asked_at, clock_s=clock_s))
         elif link.edge and not isinstance(message, Heartbeat):
             self.handle(message)  # type: ignore[arg-type]
 
@@ -256,8 +264,16 @@
             leading=self.is_leading(),
             store_age_s=age_s,
             period_s=self._choose_period(),
+            known_at=self._find_passed_at(),
+            exhausted=tuple(self.core.state.quotas.list_exhausted(self.clock())),
         )
 
+    def _find_passed_at(self) -> float:
+        """Return the time up to which all changes of the store were passed on."""
+        if not self._unpassed:
+            self._passed_at = self.mirror.known_at
+        return self._passed_at
+
     def _choose_period(self) -> float:
         wanted_s = len(self._links) / HEARTBEATS_PER_S
         return min(MAX_HEARTBEAT_S, max(HEARTBEAT_S, wanted_s))
--- a/mangoway/settings/fleet.py
+++ b/mangoway/settings/fleet.py
@@ -12,6 +12,7 @@
     parse_flag,
     parse_level,
     parse_name,
+    parse_optional,
     parse_optional_addresses,
 )
 
@@ -20,6 +21,8 @@
 DEFAULT_RETRY_SLACK: Final = 50.0
 DEFAULT_RETRY_WINDOW_S: Final = 10.0
 DEFAULT_ORDER_DELAY_S: Final = 3.0
+DEFAULT_REVOKE_MS: Final = 5000.0
+DEFAULT_QUOTA_SLACK: Final = 0.0
 
 
 @frozen(kw_only=True)
@@ -58,6 +61,12 @@
         "Seconds of the window in which repeats are counted.",
         DEFAULT_RETRY_WINDOW_S,
     )
+    quota_slack: float = setting(
+        parse_optional(float_between(0, 1e12), DEFAULT_QUOTA_SLACK),
+        "What the whole fleet may grant a customer beyond its quota for a while, in "
+        "the quota's unit.",
+        DEFAULT_QUOTA_SLACK,
+    )
     grace_s: float = setting(
         float_between(0, 3600),
         "Seconds from the signal to stop until the process must have ended.",
@@ -69,6 +78,19 @@
 class EdgeSettings(FleetSettings):
     """Settings of an edge."""
 
+    revoke_ms: float = setting(
+        parse_optional(float_between(1, 3_600_000), DEFAULT_REVOKE_MS),
+        "Milliseconds after which a customer's key that was taken away lets nobody in, "
+        "on no host.",
+        DEFAULT_REVOKE_MS,
+    )
+    revoke_closed: bool = setting(
+        parse_optional(parse_flag, True),
+        "Whether a host that can't know whether keys still stand refuses what needs "
+        "one.",
+        True,
+    )
+
     caller_listen: str = setting(
         parse_address, "IP address and port to listen on for callers."
     )
--- a/mangoway/settings/parsers.py
+++ b/mangoway/settings/parsers.py
@@ -4,7 +4,7 @@
 import math
 import re
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 from urllib.parse import urlsplit
 
 from ..observability.event_log import LogLevel
@@ -75,6 +75,15 @@
     raise ValueError("expected true or false")
 
 
+def parse_optional(parse: Callable[[str], Any], default: Any) -> Callable[[str], Any]:
+    """Return a parser of settings whose text is empty where a site doesn't say them."""
+
+    def parse_or_default(text: str) -> Any:
+        return parse(text) if text.strip() else default
+
+    return parse_or_default
+
+
 def parse_level(text: str) -> LogLevel:
     """Parse a log level."""
     try:
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -9,6 +9,7 @@
 
 from mangoway.coordination.crashes import Statement
 from mangoway.coordination.view import FleetView
+from mangoway.edge.admission import Admission
 from mangoway.edge.answers import make_refusal
 from mangoway.edge.crash_screen import CrashScreen
 from mangoway.edge.crash_watch import CrashWatch
@@ -51,12 +52,27 @@
     first: list[str] = field(factory=list)
     ended: list[EndKind] = field(factory=list)
     hold: bool = False
+    spent: list[tuple[str, float]] = field(factory=list)
+    """What was taken of quotas for plain services, and what was given back."""
+
+    quota_wait_s: float = 0.0
+    delay_s: float = 0.0
+    """Time after which a question is answered."""
 
     def ask(self, asked: Asked) -> "asyncio.Future[Answer]":
         self.asked.append(asked)
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         if self.hold:
             return future
+        answer = self._choose(asked)
+        if self.delay_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.delay_s, _resolve, future, answer)
+        else:
+            future.set_result(answer)
+        return future
+
+    def _choose(self, asked: Asked) -> Answer:
         left = [each for each in self.runner_ids if each not in asked.excluded]
         if asked.only:
             left = [each for each in left if each in asked.only]
@@ -70,8 +86,7 @@
             answer = Grant(
                 edge=asked.edge, request_id=asked.request_id, runner_id=left[0]
             )
-        future.set_result(answer)
-        return future
+        return answer
 
     def note_first_event(self, request_id: str) -> None:
         self.first.append(request_id)
@@ -79,6 +94,19 @@
     def end(self, request_id: str, kind: EndKind) -> None:
         self.ended.append(kind)
 
+    def take_quota(self, customer: str, amount: float) -> float:
+        if self.quota_wait_s == 0.0:
+            self.spent.append((customer, amount))
+        return self.quota_wait_s
+
+    def give_back(self, customer: str, amount: float) -> None:
+        self.spent.append((customer, -amount))
+
+
+def _resolve(future: "asyncio.Future[Answer]", answer: Answer) -> None:
+    if not future.done():
+        future.set_result(answer)
+
 
 @define(eq=False)
 class StubTeller:
@@ -110,6 +138,8 @@
     options: ServerOptions
     port: int
     teller: StubTeller
+    ages: list[float]
+    """Its only entry is the age of what the edge knows, in seconds."""
 
     def add(self, runner_id: str, server: RawServer, service: str) -> None:
         """Let the edge know a runner."""
@@ -220,6 +250,7 @@
         random=Random(1),
     )
     errors: list[BaseException] = []
+    ages = [0.0]
     metrics = Metrics()
     tasks = Tasks(errors.append)
     teller = StubTeller()
@@ -230,6 +261,7 @@
         view=view,
         placer=placer,
         plain=plain,
+        admission=Admission(view=view, measure_age=lambda: ages[0], revoke_s=5.0),
         pool=ConnectionPool(4),
         metrics=metrics,
         crash_watch=CrashWatch(
@@ -249,7 +281,7 @@
     port = listener.getsockname()[1]
     server = await async_listen(options, listener)
     try:
-        yield EdgeWorld(view, placer, forwarder, options, port, teller)
+        yield EdgeWorld(view, placer, forwarder, options, port, teller, ages)
     finally:
         server.close()
         options.abort()
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -1,5 +1,6 @@
 """Routes, services, runners and requests for tests."""
 
+from mangoway.models.customer import CustomerRegistry
 from mangoway.models.prompt import Prompt, PromptPart
 from mangoway.models.routing import (
     EngineProfile,
@@ -51,6 +52,7 @@
     resumable: bool = True,
     max_attempts: int = 2,
     timeout_s: float = 5.0,
+    public: bool = False,
 ) -> Route:
     """Return a route."""
     return Route(
@@ -65,6 +67,7 @@
         max_attempts=max_attempts,
         resumable=resumable,
         gap_objective_s=0.3,
+        public=public,
     )
 
 
@@ -72,6 +75,7 @@
     version: int = 1,
     routes: tuple[Route, ...] = (),
     models: list[str] | None = None,
+    customers: CustomerRegistry | None = None,
 ) -> RoutingTable:
     """Return a table with the services `llm` and `plain`."""
     return RoutingTable(
@@ -88,6 +92,7 @@
                 name="plain", health_path="/health", max_connections=100
             ),
         },
+        customers=customers,
     )
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from mangoway.coordination.members import MemberError, decode_member
+from mangoway.models.customer import Customer, Quota, make_credential
 from mangoway.models.fleet import Member
 from mangoway.models.routing import RouteKind, RoutingTable
 from mangoway.models.runner import RunnerReport
@@ -68,6 +69,17 @@
 }
 
 
+CUSTOMER = {
+    "name": "acme",
+    "api_keys": ["k1", "k2"],
+    "priority": 1,
+    "unit": "token_stream",
+    "plain_tokens": 200,
+    "rate_per_s": 150390,
+    "burst": 1000,
+}
+
+
 def encode(**changes: object) -> bytes:
     document = {
         "version": 7,
@@ -265,3 +277,69 @@
             decode_payload(b"\x00" + body, "e1")
         except CodecError:
             return
+
+
+class TestCustomers:
+    """Who may ask, by key."""
+
+    def decode(self, **changes: object) -> RoutingTable:
+        return decode_configuration(encode(tenants=[{**CUSTOMER, **changes}]))
+
+    def find(self, table: RoutingTable, key: str) -> Customer | None:
+        assert table.customers is not None
+        return table.customers.find_by_credential(make_credential(key))
+
+    def test_customer_is_found_by_each_key(self) -> None:
+        table = self.decode()
+        for key in ("k1", "k2"):
+            customer = self.find(table, key)
+            assert customer is not None
+            assert (customer.name, customer.priority) == ("acme", 1)
+            assert customer.quota == Quota(rate_per_s=150390.0, burst=1000.0)
+            assert customer.measure(1540) == 1540
+            assert customer.measure(None) == 200
+        assert self.find(table, "k3") is None
+
+    @pytest.mark.parametrize("rate", [0, None])
+    def test_rate_of_nothing_is_no_limit(self, rate: int | None) -> None:
+        customer = self.find(self.decode(rate_per_s=rate), "k1")
+        assert customer is not None
+        assert customer.quota is None
+
+    def test_other_units_count_requests(self) -> None:
+        customer = self.find(self.decode(unit="request"), "k1")
+        assert customer is not None
+        assert customer.measure(1540) == 1
+
+    def test_without_customers_no_keys_are_in_use(self) -> None:
+        assert decode_configuration(encode()).customers is None
+        assert decode_configuration(encode(tenants=[])).customers is None
+
+    def test_route_says_whether_it_is_public(self) -> None:
+        routes = [{**ROUTE, "public": True}, {**ROUTE, "name": "r-2"}]
+        table = decode_configuration(encode(routes=routes))
+        assert [each.public for each in table.routes] == [True, False]
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"name": ""},
+            {"name": None},
+            {"api_keys": "k1"},
+            {"api_keys": [["k1-secret"]]},
+            {"api_keys": [{"k1-secret": 1}]},
+            {"rate_per_s": "many"},
+            {"priority": []},
+        ],
+    )
+    def test_what_cannot_be_read_says_no_key(self, changes: dict[str, object]) -> None:
+        with pytest.raises(DocumentError) as caught:
+            self.decode(**changes)
+        assert "k1" not in str(caught.value)
+
+    def test_key_of_two_customers_is_refused(self) -> None:
+        with pytest.raises(DocumentError) as caught:
+            decode_configuration(
+                encode(tenants=[CUSTOMER, {**CUSTOMER, "name": "other"}])
+            )
+        assert "k1" not in str(caught.value)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -3,7 +3,11 @@
 import pytest
 
 from mangoway.http1.messages import Request
-from mangoway.platform.requests import decode_request, encode_for_runner
+from mangoway.platform.requests import (
+    decode_request,
+    encode_for_runner,
+    read_key,
+)
 
 
 def make_request(*headers: tuple[bytes, bytes], body: bytes = b"") -> Request:
@@ -96,3 +100,39 @@
         sent = self.encode(make_request((b"Last-Event-Id", b"3")), last_event_id="12")
         values = [v for k, v in sent.headers if k.lower() == b"last-event-id"]
         assert values == [b"12"]
+
+
+class TestKey:
+    """The key that a caller shows."""
+
+    @pytest.mark.parametrize(
+        ("value", "key"),
+        [
+            (b"Bearer abc", "abc"),
+            (b"bearer  abc ", "abc"),
+            (b"Basic abc", None),
+            (b"Bearer", None),
+            (b"Bearer ", None),
+            (b"", None),
+        ],
+    )
+    def test_key_is_read(self, value: bytes, key: str | None) -> None:
+        assert read_key(make_request((b"Authorization", value))) == key
+
+    @pytest.mark.parametrize("usage", [b"", b"x,1", b"1", b"1,-2", b"1,2,3"])
+    def test_usage_that_cannot_be_read_is_none(self, usage: bytes) -> None:
+        assert not decode_request(make_request((b"X-Token-Usage", usage))).has_usage
+
+    def test_customer_is_ours_to_set(self) -> None:
+        sent = encode_for_runner(
+            make_request((b"x-TENANT", b"evil"), (b"AUTHORIZATION", b"Bearer abc")),
+            runner_id="i-1",
+            time_left_s=1.0,
+            priority=None,
+            last_event_id=None,
+            customer="acme",
+            keeps_credentials=False,
+        )
+        assert sent.find(b"x-tenant") == "acme"
+        assert sum(1 for name, _ in sent.headers if name.lower() == b"x-tenant") == 1
+        assert sent.find(b"authorization") is None
--- a/tests/policy/customers/test_quota.py
+++ b/tests/policy/customers/test_quota.py
@@ -107,6 +107,11 @@
         assert name == "acme"
         assert book.list_exhausted(wait_s + 0.001) == []
 
+    def test_summary_begins_with_who_has_least(self) -> None:
+        book = make_book()
+        book.take("other", 0.75 * BURST, 0.0)
+        assert book.describe(1, 0.0) == ["other 2500, 0.25 s"]
+
 
 class TestShare:
     """Two that grant at a time."""
