--- a/mangoway/policy/crashes/const.py
+++ b/mangoway/policy/crashes/const.py
@@ -1,4 +1,4 @@
-"""Thresholds of that decision, with their units and where they come from."""
+"""Thresholds of that decision, with their units and reasons."""
 
 from typing import Final
 
@@ -6,8 +6,8 @@
 
 BEGIN_S: Final = 0.5
 """Time from its first event for which a run has only just begun. Requests that make
-runners crash were seen to do so 0.05 to 0.1 s after their runs began, before an event
-came; others have run for a second and more when a crash cuts them off."""
+runners crash do so at the begin of their runs, mostly before an event comes; others
+have mostly run for longer when a crash cuts them off."""
 
 POINTS: Final = {
     RunStage.NOTHING_SENT: 5,
@@ -22,15 +22,13 @@
 """Points without any run that ended well, from which a request is held back: three
 crashes before its runs sent anything, four if any run had begun to, five if any went on
 for a while. Operators allow such a request three runners, and three more once all may
-know it. Ten drawn fleets whose runners are killed each second refused 1,024 of 26,874
-innocent requests with three crashes whatever the run, 234 of 26,904 where only runs
-that went on counted less, and 131 of 26,849 with these points."""
+know it. Where runners are killed one after the other, crashes that count alike whatever
+the run hold back many innocent requests."""
 
 POINTS_TO_HOLD_CONTENT: Final = 25
 """The same for all requests with a content, whoever sends them: five crashes beside any
 of them, and none that ended well. One path may be asked by many callers without a body,
-and three crashes beside three of them just after a start held back 25 innocent requests
-in a run of a minute."""
+so that three crashes just after a start tell little of it."""
 
 MAX_CHARGES: Final = 4096
 """Pairs of a request and a crash that are kept: those of 40 runners that crash with 100
--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -1,4 +1,4 @@
-"""Thresholds of scheduling, with their units and where they come from."""
+"""Thresholds of scheduling, with their units and reasons."""
 
 from typing import Final
 
@@ -10,15 +10,14 @@
 not idle, and hardly two prompts are read in one step beside its streams."""
 
 PRESSED_UNREAD_LIMIT_S: Final = 0.012
-"""The same while requests wait for all runners. On 32 drawn fleets callers got 0.838 of
-all answers in time with these two, and 0.834 with 12 and 25 ms; longer limits cost more
-(30 and 60 ms 0.011, 100 and 200 ms 0.032, on 40 fleets)."""
+"""The same while requests wait for all runners: then a runner must not idle, and longer
+limits stall its streams."""
 
 PRESSED_WAITING: Final = 3.0
 """Waiting requests for each runner from which the pressed limit holds in full."""
 
 READ_S_PER_TOKEN: Final = 1 / 29_000
-"""First guess of a runner's reading speed, as the larger models of both sites have."""
+"""First guess of a runner's reading speed, that of a large model."""
 
 FIRST_EVENT_S: Final = 0.012
 """First guess of the part of the time to a first event that is not reading: ways, one
@@ -39,8 +38,8 @@
 a step longer by some 25 microseconds, over the few dozen steps of an answer."""
 
 STALL_WINDOW_S: Final = 0.3
-"""Time over which prompts that a runner reads add up to one stall of its streams: the
-longest pause between events that is still on time at both sites."""
+"""Time over which prompts that a runner reads add up to one stall of its streams: a
+common longest pause between events that is still on time."""
 
 STALL_LIMIT_S: Final = 0.2
 """Reading time within that window from which the streams beside it are late: the rest
@@ -62,8 +61,8 @@
 
 LOAD_MARGIN: Final = 1.08
 LOAD_MARGIN_S: Final = 0.06
-"""Factor and time by which a load takes longer than announced, from its answer on; on
-a calm day runners were not ready 0.59 s after the answer to a load of 0.45 s."""
+"""Factor and time by which a load takes longer than announced, from its answer on. A
+request that comes before the model is ready is refused and repeated."""
 
 ADAPTER_LOAD_S: Final = 0.015
 """Time from the answer to an adapter's order until it can be used: 5 to 10 ms, and
@@ -114,16 +113,14 @@
 """Time for which a loaded model stays: a little longer than the dearest common load."""
 
 UNLOAD_S: Final = 0.05
-"""Time from the answer to an unload until the next order: on a calm day a runner
-without runs of the model was still busy 7 ms after it and no more after 48 ms."""
+"""Time from the answer to an unload until the next order: a busy runner refuses it."""
 
 CALM_COPY_WORK_S: Final = 0.6
 LOADED_COPY_WORK_S: Final = 0.35
 """Seconds of reading a second that one copy of a model is to take, where few streams
-pause for too long and where many do. On 40 drawn fleets callers got 0.812 of all
-answers in time with 0.6 throughout, 0.798 with 0.35 and 0.809 with 0.75: a lower share
-takes places from models that have none. An engine that reads much between two tokens
-has to be kept from reading all the time."""
+pause for too long and where many do. A lower share takes places from models that have
+none; an engine that reads much between two tokens has to be kept from reading all the
+time."""
 
 COPY_SLOTS_USED: Final = 0.8
 """Part of a runner's slots that the streams of one copy are to keep in the mean; the
@@ -164,8 +161,8 @@
 
 AHEAD_LOSS: Final = 1.0
 """Requests that would wait during a load from which a model that nobody holds is loaded
-before one waits. At 0.5, which one chance pair of requests reached, rare models took
-each other's places: 57 loads on a calm day against 8."""
+before one waits. Lower, a chance pair of requests lets rare models take each other's
+places."""
 
 NEEDS_A_PLAN: Final = 16
 """Models with too few copies for which one plan looks for a runner, those first that
@@ -189,9 +186,8 @@
 """Window over which the weight store's rate of loads is counted."""
 
 RARE_LOAD_SHARE: Final = 0.34
-"""Part of the runners that loads of rare models from the weight store may keep at once:
-on a day with loads of 5.8 s they kept all, and a model whose demand had risen to 16
-requests a second waited 5 s for its first load."""
+"""Part of the runners that loads of rare models from the weight store may keep at once,
+so that a model whose demand rises finds one for its first load."""
 
 LEAST_REQUESTS: Final = 0.01
 """Requests a second below which a model counts as not asked for: one in some 40 s."""
@@ -209,6 +205,5 @@
 fetch copies for later: the longest time in which demand is still remembered."""
 
 WARMING_SHARE: Final = 0.34
-"""Part of the runners that fetch copies ahead at once. When all did, each had unloaded
-a model when requests came: on 24 drawn fleets callers got 0.820 of all answers in time
-instead of 0.830."""
+"""Part of the runners that fetch copies ahead at once: each has unloaded a model for
+it, which may be asked for just then."""
