Tell all statements on crashes that wait, and only where there is a link

Cause: while the store is away an edge told others over the links the first 16 of the statements that wait, and never those behind them; and without a link a statement counted as told. No test turned red when the leader's keeper of statements never ran. A test's stand-in now returns that it has told, as the interface says whether there was a link. Also: one bound of clearances instead of two, no field and no method that nobody used.

--- a/mangoway/coordination/crash_keeper.py
+++ b/mangoway/coordination/crash_keeper.py
@@ -13,7 +13,7 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.crashes.book import CrashBook
-from ..policy.crashes.const import EVIDENCE_S, HELD_S, MAX_HELD
+from ..policy.crashes.const import EVIDENCE_S, HELD_S, MAX_CLEARANCES, MAX_HELD
 from .crashes import (
     CLEARED_KEYS,
     CRASH_KEYS,
@@ -38,7 +38,11 @@
 CLEARED_MARGIN_S: Final = 60.0
 """Time for which a clearance outlives the charges that it is about."""
 
-MOST: Final = {CRASH_KEYS: MAX_CRASH_KEYS, HELD_KEYS: MAX_HELD, CLEARED_KEYS: 1024}
+MOST: Final = {
+    CRASH_KEYS: MAX_CRASH_KEYS,
+    HELD_KEYS: MAX_HELD,
+    CLEARED_KEYS: MAX_CLEARANCES,
+}
 """Keys of each kind that are kept."""
 
 STAY_S: Final = {
--- a/mangoway/coordination/crash_reporter.py
+++ b/mangoway/coordination/crash_reporter.py
@@ -34,8 +34,9 @@
     prefix: str
     """Prefix of the system's own keys."""
 
-    tell: Callable[[str, bytes], None] = lambda key, value: None
+    tell: Callable[[str, bytes], bool] = lambda key, value: False
     """Tells other processes over the links: the key without the prefix, and the value.
+    Returns whether there is a link; without one it is tried again with the store.
     That is done where the store does not answer: through it they hear in half a second,
     and what both bring would go twice to each of 195 hosts."""
 
@@ -77,7 +78,7 @@
             await self.store.async_commit((), writes)
         except StoreUnavailableError:
             # The mirror logs that the store is lost; the same writes do no harm twice.
-            self._tell_untold(batch)
+            self._tell_untold()
             await asyncio.sleep(self._backoff.next())
             return
         self._backoff.reset()
@@ -88,12 +89,12 @@
         if not self._pending:
             self._posted.clear()
 
-    def _tell_untold(self, batch: list[Statement]) -> None:
+    def _tell_untold(self) -> None:
         """Tell others over the links what the store was not told."""
         self._told = {
             key: self._told[key] for key in self._told if key in self._pending
         }
-        for each in batch:
-            if self._told.get(each.key) is not each:
+        for each in self._pending.values():
+            is_told = self._told.get(each.key) is each
+            if not is_told and self.tell(each.key, encode_statement(each)):
                 self._told[each.key] = each
-                self.tell(each.key, encode_statement(each))
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -237,8 +237,8 @@
             random=self._random,
         )
 
-    def _tell(self, key: str, value: bytes) -> None:
-        self.process.leader_link.tell(Told(key=key, value=value))
+    def _tell(self, key: str, value: bytes) -> bool:
+        return self.process.leader_link.tell(Told(key=key, value=value))
 
     def _note_view(self) -> None:
         """Note that the fleet changed; the first configuration makes the edge ready."""
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -22,7 +22,6 @@
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import (
     FleetSeen,
-    GiveOrder,
     OrdersAllowed,
     ReportSeen,
 )
@@ -125,7 +124,7 @@
             core=self._make_core(),
             clock=process.clock,
             is_leading=self._is_granting,
-            give_order=self._give_order,
+            give_order=lambda order: self.orders.give(order),
             mirror=process.mirror,
             get_kept_s=lambda: process.view.get_kept_s(process.clock()),
         )
@@ -300,9 +299,6 @@
                     self.process.tasks.async_start(self._async_read_report(entry))
             await async_sleep_to_tick(URGENT_REPORT_S)
 
-    def _give_order(self, order: GiveOrder) -> None:
-        self.orders.give(order)
-
     def _choose_period(self, runner_id: str) -> float:
         state = self.server.core.state.runners.get(runner_id)
         if state is None:
--- a/mangoway/edge/crash_watch.py
+++ b/mangoway/edge/crash_watch.py
@@ -42,7 +42,6 @@
     """A runner crashed while it had requests of this edge."""
 
     life: RunnerLife
-    service: str
     requests: tuple[LostRequest, ...]
 
 
@@ -151,7 +150,7 @@
                 ),
             )
         )
-        self.on_crash(CrashSeen(life=life, service=service, requests=tuple(requests)))
+        self.on_crash(CrashSeen(life=life, requests=tuple(requests)))
 
 
 def _get_life(runner: RunnerEntry) -> RunnerLife:
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -122,10 +122,12 @@
         if self.link is not None:
             self.link.close(reason)
 
-    def tell(self, message: Told) -> None:
-        """Tell the other end, which tells all others; without one the store must do."""
-        if self.link is not None and self.link.is_open:
-            self.link.send(message)
+    def tell(self, message: Told) -> bool:
+        """Tell the other end, which tells all others; False if there is none."""
+        if self.link is None or not self.link.is_open:
+            return False
+        self.link.send(message)
+        return True
 
     def measure_exhausted(self, customer: str) -> float:
         """Return the seconds until a customer has something left of its quota."""
--- a/tests/coordination/test_crashes.py
+++ b/tests/coordination/test_crashes.py
@@ -7,7 +7,11 @@
 import pytest
 
 from mangoway.coordination.crash_keeper import CrashKeeper
-from mangoway.coordination.crash_reporter import MAX_PENDING, CrashReporter
+from mangoway.coordination.crash_reporter import (
+    MAX_PENDING,
+    WRITES_A_CALL,
+    CrashReporter,
+)
 from mangoway.coordination.crashes import (
     ClearedStatement,
     CrashStatement,
@@ -190,11 +194,41 @@
         store.down = down
         told: list[str] = []
         async with start_nodes(store, 1) as [node]:
-            node.reporter.tell = lambda key, value: told.append(key)
+            node.reporter.tell = lambda key, value: not told.append(key)
             node.reporter.post(make_crash("i-0@0"))
             await asyncio.sleep(0.6)
         assert told == (["crashes/i-0@0/e1"] if down else [])
 
+    async def test_all_that_waits_is_told(self) -> None:
+        """Also what is beyond one call of the store."""
+        store = FakeCoordinationStore()
+        store.down = True
+        told: list[str] = []
+        async with start_nodes(store, 1) as [node]:
+            node.reporter.tell = lambda key, value: not told.append(key)
+            for number in range(3 * WRITES_A_CALL):
+                node.reporter.post(make_crash(f"i-{number}@0"))
+            await async_wait_until(lambda: len(told) == 3 * WRITES_A_CALL)
+
+    async def test_without_a_link_nobody_is_told(self) -> None:
+        """It is told once there is one."""
+        store = FakeCoordinationStore()
+        store.down = True
+        told: list[str] = []
+        linked = False
+
+        def tell(key: str, value: bytes) -> bool:
+            if linked:
+                told.append(key)
+            return linked
+
+        async with start_nodes(store, 1) as [node]:
+            node.reporter.tell = tell
+            node.reporter.post(make_crash("i-0@0"))
+            await asyncio.sleep(0.4)
+            linked = True
+            await async_wait_until(lambda: told == ["crashes/i-0@0/e1"])
+
     async def test_call_at_its_largest_fits_a_frame_of_the_links(self) -> None:
         """Twelve requests a runner: 200 hosts are told of each."""
         charges = [
@@ -224,6 +258,15 @@
         await async_wait_until(lambda: node.book.is_held_back(CULPRIT))
         await async_wait_until(lambda: len(node.mirror.items) == 3)
 
+    async def test_leader_looks_by_itself(self) -> None:
+        """Nobody else writes down what is held back."""
+        store = FakeCoordinationStore()
+        async with start_nodes(store, 1) as [node]:
+            task = asyncio.create_task(node.keeper.async_run())
+            await self.async_hold(node)
+            await async_wait_until(lambda: len(node.mirror.items) == 4)
+            task.cancel()
+
     async def test_what_is_held_back_outlasts_the_charges(self) -> None:
         store = FakeCoordinationStore()
         async with start_nodes(store, 1) as [node]:
--- a/tests/edge/test_crash_screen.py
+++ b/tests/edge/test_crash_screen.py
@@ -47,7 +47,6 @@
         self.screen.note_crash(
             CrashSeen(
                 life=RunnerLife(runner_id=life, started_ms=0),
-                service="llm",
                 requests=tuple(
                     LostRequest(identity=each, sent_at=self.now, ran_s=ran_s)
                     for each in requests
--- a/tests/edge/test_crash_watch.py
+++ b/tests/edge/test_crash_watch.py
@@ -72,7 +72,7 @@
             watching.lose(address, OTHER)
             await watching.async_rest()
         [crash] = watching.crashes
-        assert (crash.life.text, crash.service) == ("r1@0", "llm")
+        assert crash.life.text == "r1@0"
         assert watching.list_requests() == [IDENTITY, OTHER]
 
     async def test_connection_that_breaks_later_is_added(self) -> None:
--- a/tests/policy/crashes/storm.py
+++ b/tests/policy/crashes/storm.py
@@ -278,9 +278,7 @@
                 )
                 for each in lost
             )
-            self.screens[edge].note_crash(
-                CrashSeen(life=life, service="llm", requests=requests)
-            )
+            self.screens[edge].note_crash(CrashSeen(life=life, requests=requests))
         for request in running:
             request.crashed += 1
             self.figures.cut_off += not request.crashes
