Greet a crowd of edges at once, and let each wait for its turn

Edges gave a connection up that was not greeted in half a second, and made it anew at once; the scheduler had the greeting, with a reading of all keys encoded for each, done in vain. The loop listened with a backlog of 100, so that the kernel dropped what came beyond. While nobody led a standby was left and made anew each second. Change: a heartbeat at once, readings one a turn of the loop, encoded once for all that come within a second (with the changes since), values as text; patience by the size of the fleet, doubling with each failure, as do pauses and connect timeouts, with jitter; the backlog that the listener names; a standby is kept while there is no leader. Ruled out: a tree of schedulers that relay, for now: three of them greet 300 edges. What is left: some 3,900 connections open at a scheduler's host, one to each of 3,000 runners for reports.

--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -10,6 +10,7 @@
 from attrs import define, field, frozen
 
 from ..models.routing import CallerLimits
+from ..util.listener import BACKLOG
 from .const import MAX_PIPELINED_BYTES, MAX_WRITE_BUFFER_BYTES
 from .messages import Headers, Request
 
@@ -356,4 +357,6 @@
 async def async_listen(options: ServerOptions, listener: Any) -> asyncio.AbstractServer:
     """Serve callers on a listening socket."""
     loop = asyncio.get_running_loop()
-    return await loop.create_server(lambda: CallerConnection(options), sock=listener)
+    return await loop.create_server(
+        lambda: CallerConnection(options), sock=listener, backlog=BACKLOG
+    )
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -35,6 +35,12 @@
 LENGTH: Final = struct.Struct(">I")
 PLAIN: Final = b"\x00"
 COMPRESSED: Final = b"\x01"
+IN_BASE64: Final = 1
+"""Ends the row of an item whose value is no text."""
+
+PLAIN_ROW: Final = 4
+"""Length of the row of any other item."""
+
 COMPRESSED_FROM_BYTES: Final = 2048
 """Size from which a frame is compressed: configurations and readings of the store, in
 which text repeats. Messages about requests stay below it, and cost no time."""
@@ -341,12 +347,17 @@
 
 
 def _encode_item(item: Item) -> list[Any]:
-    value = base64.b64encode(item.value).decode()
-    return [item.key, item.revision, item.lease_id, value]
+    try:
+        # Most values are text, which compresses to half of what base64 does.
+        return [item.key, item.revision, item.lease_id, item.value.decode()]
+    except UnicodeDecodeError:
+        value = base64.b64encode(item.value).decode()
+        return [item.key, item.revision, item.lease_id, value, IN_BASE64]
 
 
 def _decode_item(row: list[Any]) -> Item:
-    value = base64.b64decode(row[3])
+    in_base64 = len(row) > PLAIN_ROW
+    value = base64.b64decode(row[3]) if in_base64 else row[3].encode()
     return Item(key=row[0], revision=row[1], lease_id=row[2], value=value)
 
 
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -27,7 +27,10 @@
 from .link import Link
 
 CONNECT_TIMEOUT_S: Final = 0.3
-"""Time for a connection to the scheduler, which takes some 3 ms."""
+MAX_CONNECT_TIMEOUT_S: Final = 3.0
+"""Time for a connection to the scheduler, which takes some 3 ms, and its bound as it
+doubles: where hundreds come at once the kernel may drop the first packet, which is sent
+again after a second."""
 
 CHECK_S: Final = 0.1
 """Time between two looks at the connection."""
@@ -38,9 +41,20 @@
 these are rarer. Callers want the first event within 0.4 s, so that what waits can still
 be on time only if the loss is noticed before."""
 
+GREETING_S: Final = 0.5
+GREETING_S_PER_PROCESS: Final = 0.004
+MAX_GREETING_S: Final = 6.0
+"""Time for which a new connection may be silent, the same for each process of the
+system where there are many, and its bound; it doubles with each one that was silent. A
+scheduler of half a core greets some 300 others a second; who leaves before his turn has
+it do the work in vain, and comes anew."""
+
 AVOID_S: Final = 1.0
-"""Time for which a scheduler that was silent is left alone: the kernel of a host whose
-processes are frozen still takes connections."""
+MAX_AVOID_S: Final = 4.0
+AVOID_SPREAD: Final = 0.25
+"""Time for which a scheduler that was silent is left alone, its bound as it doubles,
+and the part by which it is drawn longer: the kernel of a host whose processes are
+frozen still takes connections, and hundreds must not come back all at once."""
 
 STORE_SILENCE_S: Final = 0.65
 """Age of the leader's last answer from the store, with the time between two heartbeats
@@ -87,6 +101,11 @@
     _avoided: dict[str, float] = field(factory=dict, init=False)
     """Addresses that were silent or not reached, and until when they are left alone."""
 
+    _failures: int = field(default=0, init=False)
+    """Connections in a row that failed or were not greeted."""
+
+    _greeted: bool = field(default=False, init=False)
+
     _passed_over: str | None = field(default=None, init=False)
     """The leader's address while the connection is to a standby; empty if there was no
     leader, None if the connection is to the leader."""
@@ -169,7 +188,7 @@
             self._passed_over = None
         elif leader and leader != self._passed_over:
             self.close("another scheduler leads")
-        elif not self.leading and self.clock() >= self._try_leader_at:
+        elif leader and not self.leading and self.clock() >= self._try_leader_at:
             self.close("the leader is tried again")
 
     async def _async_connect_standby(self, leader: str) -> None:
@@ -182,7 +201,7 @@
             if self._is_avoided(address):
                 continue
             self._passed_over = leader
-            self._try_leader_at = self.clock() + AVOID_S
+            self._try_leader_at = self.clock() + self._choose_pause()
             await self._async_connect(address)
             if self.link is not None:
                 self._avoid(leader)
@@ -198,12 +217,23 @@
         ]
 
     def _avoid(self, address: str) -> None:
-        self._avoided[address] = self.clock() + AVOID_S
+        self._avoided[address] = self.clock() + self._choose_pause()
+
+    def _choose_timeout(self) -> float:
+        return min(MAX_CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S * 2.0**self._failures)
+
+    def _choose_pause(self) -> float:
+        pause_s = min(MAX_AVOID_S, AVOID_S * 2.0**self._failures)
+        return pause_s * (1 + AVOID_SPREAD * self.random.random())
 
     def _is_avoided(self, address: str) -> bool:
         return self.clock() < self._avoided.get(address, 0.0)
 
     def _bear_silence(self) -> float:
+        if not self._greeted:
+            processes = len(self.view.members)
+            wanted_s = max(GREETING_S, GREETING_S_PER_PROCESS * processes)
+            return min(MAX_GREETING_S, wanted_s * 2.0**self._failures)
         return max(SILENCE_S, SILENT_HEARTBEATS * self._period_s)
 
     def _choose_address(self) -> str:
@@ -224,12 +254,13 @@
         host, port = split_address(address)
         link = Link(self.hello.edge, self._take, self._lose)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._choose_timeout()):
                 await loop.create_connection(lambda: link, host, port)
         except (OSError, TimeoutError):
             # Tried again soon; that no scheduler answers was logged when it was lost.
+            self._failures += 1
             return
-        self.link, self._address = link, address
+        self.link, self._address, self._greeted = link, address, False
         self.leading, self._has_state, self._store_age_s = False, False, 1e9
         known = 0 if self.mirror is None else self.mirror.revision or 0
         self._clock_offset_s, self._clock_error_s = None, 1e9
@@ -239,6 +270,7 @@
 
     def _take(self, link: Link, message: Message) -> None:
         if isinstance(message, Heartbeat):
+            self._greeted, self._failures = True, 0
             begins = message.leading and not self.leading
             self.leading = message.leading
             self._store_age_s = message.store_age_s
@@ -306,6 +338,8 @@
     def _lose(self, link: Link, reason: str) -> None:
         if link is not self.link:
             return
+        if not self._greeted:
+            self._failures += 1
         self.link, self.leading = None, False
         log_event(log.LinkLost(peer=self._address, reason=reason))
         self.on_lost(link)
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -21,6 +21,7 @@
     GiveOrder,
     Tick,
 )
+from ..util.listener import BACKLOG
 from ..util.ticks import async_sleep_to_tick
 from .codec import (
     ClockAsked,
@@ -59,6 +60,32 @@
 TICK_S: Final = 0.05
 """Time between two looks of the core at its queue and the placement."""
 
+WHOLE_KEPT_S: Final = 1.0
+"""Time for which an encoded reading of all keys is sent to others as well, with the
+changes since. It takes some milliseconds to encode, for each of hundreds that start."""
+
+
+@define(eq=False)
+class TurnQueue:
+    """Followers that wait for a reading: one a turn of the loop.
+
+    Between two of them the loop takes what others ask, and greets who has just come.
+    """
+
+    send: Callable[[Link, int], None]
+    _waiting: deque[tuple[Link, int]] = field(factory=deque, init=False)
+
+    def add(self, link: Link, known: int) -> None:
+        """Let a follower wait that knows the store up to a revision."""
+        if not self._waiting:
+            asyncio.get_running_loop().call_soon(self._serve)
+        self._waiting.append((link, known))
+
+    def _serve(self) -> None:
+        self.send(*self._waiting.popleft())
+        if self._waiting:
+            asyncio.get_running_loop().call_soon(self._serve)
+
 
 @define(eq=False)
 class SchedulerServer:
@@ -96,14 +123,23 @@
     _passed_at: float = field(default=-1e9, init=False)
     """Time on the boot clock up to which all changes of the store were passed on."""
 
+    _readings: "TurnQueue" = field(init=False)
+    _whole: bytes = field(default=b"", init=False)
+    """A frame with all keys of the store at a revision."""
+
+    _whole_revision: int = field(default=-1, init=False)
+    _whole_at: float = field(default=-1e9, init=False)
     _passing: asyncio.TimerHandle | None = field(default=None, init=False)
     _server: asyncio.AbstractServer | None = field(default=None, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        self._readings = TurnQueue(self._send_reading)
+
     async def async_start(self, listener: Any) -> None:
         """Listen for edges."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Link("", self._take, self._lose), sock=listener
+            lambda: Link("", self._take, self._lose), sock=listener, backlog=BACKLOG
         )
 
     async def async_run(self) -> None:
@@ -174,6 +210,8 @@
 
     def _send_to_all(self, message: Message) -> None:
         """Encode a message once for all links; a long one takes a millisecond."""
+        if not self._links:
+            return
         frame = encode_frame([message])
         for link in tuple(self._links.values()):
             link.send_frame(frame)
@@ -229,12 +267,37 @@
             self._asking.add(hello.edge)
             self.core.state.edge_places[hello.edge] = hello.data_centre
             self.on_edge(hello.edge, True)
-        link.send(self._make_heartbeat())
-        snapshot = self.mirror.make_snapshot()
-        if snapshot is not None:
-            link.send(self._make_welcome(snapshot, hello.revision))
+        # A heartbeat at once, a reading in its turn: who is greeted late comes anew.
+        link.send_frame(encode_frame([self._make_heartbeat()]))
+        self._readings.add(link, hello.revision)
         log_event(log.LinkOpened(peer=hello.host))
 
+    def _send_reading(self, link: Link, known: int) -> None:
+        """Send what another process lacks that knows the store up to a revision."""
+        snapshot = self.mirror.make_snapshot()
+        if snapshot is None or not link.is_open:
+            return
+        if known or self.get_kept_s() > 0:
+            link.send(self._make_welcome(snapshot, known))
+            return
+        link.send_frame(self._get_whole(snapshot))
+        begun = self._whole_revision
+        if begun < snapshot.revision:
+            link.send(self._make_welcome(snapshot, begun))
+
+    def _get_whole(self, snapshot: Snapshot) -> bytes:
+        """Return a frame with all keys, of now or of a moment ago.
+
+        Where hundreds start at once, each of them needs it while each announcement of
+        the others changes it.
+        """
+        old = self._recent_after is None or self._whole_revision < self._recent_after
+        if old or self.clock() - self._whole_at > WHOLE_KEPT_S:
+            self._whole = encode_frame([self._make_state(snapshot, 0)])
+            self._whole_revision = snapshot.revision
+            self._whole_at = self.clock()
+        return self._whole
+
     def _make_welcome(self, snapshot: Snapshot, known: int) -> StateRead | StateChanged:
         """Return what an edge lacks that knows the store up to a revision.
 
--- a/mangoway/util/listener.py
+++ b/mangoway/util/listener.py
@@ -1,8 +1,12 @@
 """Listening sockets."""
 
 import socket
+from typing import Final
 
-BACKLOG = 1024
+BACKLOG: Final = 1024
+"""Connections that wait to be accepted. Beyond it the kernel drops them, and they are
+tried again after a second. A loop that is given a listener sets its own, 100, unless
+it is told this one."""
 
 
 def open_listener(host: str, port: int) -> socket.socket:
