Read few reports of runners at once, and fewer where there are many

Change: 32 at once and a look at most, the most overdue first; those of quiet runners at 100 a second together (as before up to 100 runners); connections that stood idle are closed. The reading of reports is a module of its own.

--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -10,22 +10,16 @@
 from ..coordination.crash_keeper import CrashKeeper
 from ..coordination.leadership import Leadership
 from ..models.fleet import Role
-from ..models.runner import RunnerEntry
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
-from ..platform.runners import (
-    RunnerControl,
-    RunnerUnreachableError,
-)
+from ..platform.runners import RunnerControl
 from ..policy.customers.quota import QuotaBook
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import (
     FleetSeen,
     OrdersAllowed,
-    ReportSeen,
 )
-from ..policy.scheduling.runners import RunnerState
 from ..policy.scheduling.state import RetryLimits, SchedulingState
 from ..scheduling.server import SchedulerServer
 from ..settings.fleet import SchedulerSettings
@@ -38,26 +32,13 @@
     run_process,
 )
 from .order_sender import OrderSender
-
-REPORT_S: Final = 0.4
-"""Time between two reports of a runner. Reports are some 0.2 s old, and each costs as
-much as a sixth of a store call."""
-
-QUIET_REPORT_S: Final = 1.0
-"""The same for a runner that has got no order for so long: nothing changes there."""
-
-URGENT_REPORT_S: Final = 0.1
-"""The same for a runner that gets no orders until its state is known."""
+from .report_reader import ReportReader
 
 FENCED_ORDER_DELAY_S: Final = 0.5
 """Time after a change of holder before it orders where runners check fence numbers:
 an order of the one before is refused by each runner that the new one has ordered, so
 that the wait only has to cover orders that are on their way."""
 
-CHANGE_BEFORE_END: Final = 0.85
-"""Part of the expected time of a load after which its end is looked for: the estimate
-has a margin of a tenth."""
-
 SUMMARY_S: Final = 2.0
 """Time between two summaries in the log: a line a second at two services."""
 
@@ -97,6 +78,7 @@
     absent: AbsentEdges = field(init=False)
     keeper: CrashKeeper = field(init=False)
     orders: OrderSender = field(init=False)
+    reports: ReportReader = field(init=False)
     control: RunnerControl = field(factory=RunnerControl, init=False)
     _led: bool = field(default=False, init=False)
     _stopping: bool = field(default=False, init=False)
@@ -131,6 +113,14 @@
         self.orders = OrderSender(
             process, self.leadership, self.control, self.server.handle
         )
+        self.reports = ReportReader(
+            view=process.view,
+            server=self.server,
+            control=self.control,
+            tasks=process.tasks,
+            clock=process.clock,
+            may_read=lambda: self._led,
+        )
         self.absent = AbsentEdges(
             store=process.store,
             mirror=process.mirror,
@@ -167,7 +157,7 @@
             self.absent.async_run,
             self.keeper.async_run,
             self._async_follow_lead,
-            self._async_read_reports,
+            self.reports.async_run,
             self._async_sum_up,
         ):
             process.keep_running(run_task)
@@ -287,58 +277,6 @@
             )
         )
 
-    async def _async_read_reports(self) -> None:
-        """Read the reports of all runners with an engine while this process leads."""
-        read_at: dict[str, float] = {}
-        while True:
-            now = self.process.clock()
-            for entry in self._list_engines() if self._led else ():
-                period = self._choose_period(entry.runner_id)
-                if now - read_at.get(entry.runner_id, 0.0) >= period:
-                    read_at[entry.runner_id] = now
-                    self.process.tasks.async_start(self._async_read_report(entry))
-            await async_sleep_to_tick(URGENT_REPORT_S)
-
-    def _choose_period(self, runner_id: str) -> float:
-        state = self.server.core.state.runners.get(runner_id)
-        if state is None:
-            return REPORT_S
-        return choose_report_period(state, self.process.clock())
-
-    def _list_engines(self) -> list[RunnerEntry]:
-        view = self.process.view
-        services = view.table.services if view.table else {}
-        return [
-            each
-            for each in view.runners.values()
-            if each.service in services
-            and services[each.service].engine is not None
-            and not each.draining
-        ]
-
-    async def _async_read_report(self, entry: RunnerEntry) -> None:
-        asked_at = self.process.clock()
-        try:
-            report = await self.control.async_read_report(
-                entry.address, entry.runner_id
-            )
-        except RunnerUnreachableError:
-            # Requests show better than reports whether a runner serves.
-            return
-        self.server.handle(
-            ReportSeen(runner_id=entry.runner_id, report=report, asked_at=asked_at)
-        )
-
-
-def choose_report_period(state: RunnerState, now: float) -> float:
-    """Return the time between two reports of a runner."""
-    if not state.state_known:
-        change_s = state.changing_until - state.ordered_at
-        ends_soon = now >= state.ordered_at + CHANGE_BEFORE_END * change_s
-        return URGENT_REPORT_S if ends_soon else REPORT_S
-    quiet = now - state.ordered_at > QUIET_REPORT_S
-    return QUIET_REPORT_S if quiet else REPORT_S
-
 
 def _log_health(runner_id: str, failures: int) -> None:
     if failures:
