--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -259,6 +259,7 @@
             only=self._list_allowed(),
             customer=self.caller.name or "",
             cost=self._measure_cost(),
+            route_priority=self.route.priority,
             repeat=repeat or bool(self.reached),
         )
 
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -49,6 +49,8 @@
     adapter: str
     prompt: Prompt
     priority: int
+    """Rank of the customer, or of the route where customers have none; 0 goes first."""
+
     objective_left_s: float
     """Time until the first event is late; negative if it is already."""
 
@@ -71,6 +73,9 @@
     cost: float = 0.0
     """What it takes of the customer's quota; 0 if that was taken already."""
 
+    route_priority: int = 0
+    """Rank of the route among requests of customers of one rank."""
+
 
 @frozen(kw_only=True)
 class Adopted:
--- a/mangoway/policy/scheduling/requests.py
+++ b/mangoway/policy/scheduling/requests.py
@@ -8,9 +8,9 @@
 RequestKey = tuple[str, str]
 """Edge and request id."""
 
-Rank = tuple[bool, int, float, int]
-"""Place in the queue, smallest first: whether it is late, its priority, the time that
-bounds it, and the number of its arrival."""
+Rank = tuple[bool, int, int, float, int]
+"""Place in the queue, smallest first: whether it is late, the rank of its customer and
+of its route, the time that bounds it, and the number of its arrival."""
 
 
 @define(eq=False)
@@ -31,7 +31,7 @@
     number: int = 0
     """Number of its arrival."""
 
-    rank: Rank = field(init=False, default=(False, 0, 0.0, 0))
+    rank: Rank = field(init=False, default=(False, 0, 0, 0.0, 0))
     key: RequestKey = field(init=False)
     parts: tuple[SizedPart, ...] = field(init=False)
     """The parts of its prompt, as runners keep them."""
@@ -50,7 +50,8 @@
     def take_rank(self, *, late: bool) -> None:
         """Take its place among the requests that can be on time, or that can't."""
         bound = self.leave_at if late else self.objective_at
-        self.rank = (late, self.asked.priority, bound, self.number)
+        asked = self.asked
+        self.rank = (late, asked.priority, asked.route_priority, bound, self.number)
 
 
 @define(eq=False)
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -392,6 +392,7 @@
         [[part.part_id, part.tokens] for part in prompt.parts],
         message.customer,
         message.cost,
+        message.route_priority,
     ]
 
 
@@ -410,6 +411,7 @@
         repeat=fields[10],
         customer=fields[15],
         cost=fields[16],
+        route_priority=fields[17],
         prompt=Prompt(
             tokens=fields[11],
             max_output_tokens=fields[12],
--- /dev/null
+++ b/tests/policy/scheduling/mixed.py
@@ -0,0 +1,235 @@
+"""A drawn fleet with many models, few places, and urgent and patient work together.
+
+Three kinds of request: chats (urgent, long streams, few popular models that change),
+patient chats (the same over a long tail of rare models, with an objective as long as a
+load from the weight store), and summaries (long prompts and short answers, of the
+popular models).
+Customers have ranks that say nothing of the kind.
+"""
+
+import math
+from collections.abc import Callable
+from random import Random
+
+from attrs import evolve, frozen
+
+from mangoway.policy.scheduling.events import Asked
+
+from ...fakes.fleet import make_asked
+from .drawn import BEGIN_S, Draw, DrawnWorld, make_world
+
+PLAY_S = 40.0
+DEMAND_S = 24.0
+BURST_S = 8.0
+"""Time from one burst of patient work to the next."""
+
+SHIFT_S = 2.0
+"""Time after which the model that is asked for most falls silent, and a new one comes
+in that is asked for least of the popular ones."""
+
+POPULAR_PLACES = 0.5
+"""Part of all places that copies of the popular models have at the begin."""
+
+LOAD_S = 4.0
+DISK_S = 0.8
+
+
+@frozen(kw_only=True)
+class Kind:
+    """One kind of request."""
+
+    name: str
+    share: float
+    """Part of the requests."""
+
+    tokens: int
+    """Mean of the prompt."""
+
+    output: int
+    """Mean of the answer, in tokens."""
+
+    objective_s: float
+    patience_s: float
+    route_priority: int
+    worth: float
+    late_worth: float
+
+
+CHAT = Kind(
+    name="chat",
+    share=0.6,
+    tokens=800,
+    output=280,
+    objective_s=0.5,
+    patience_s=2.4,
+    route_priority=1,
+    worth=1.9,
+    late_worth=0.58,
+)
+PATIENT = evolve(
+    CHAT,
+    name="patient",
+    share=0.14,
+    objective_s=4.0,
+    patience_s=16.0,
+    route_priority=2,
+    worth=0.97,
+    late_worth=0.29,
+)
+SUMMARY = Kind(
+    name="summary",
+    share=0.26,
+    tokens=2370,
+    output=24,
+    objective_s=0.6,
+    patience_s=2.4,
+    route_priority=0,
+    worth=1.8,
+    late_worth=0.54,
+)
+KINDS = (CHAT, PATIENT, SUMMARY)
+
+
+@frozen(kw_only=True)
+class MixedDay:
+    """The demand of a seed."""
+
+    seed: int
+    runners: int = 20
+    models: int = 74
+    popular: int = 8
+    """Models that are asked for most at a time."""
+
+    rate: float = 85.0
+    """Requests a second."""
+
+    burst: float = 2.5
+    """Factor of the patient kind for three seconds after each shift."""
+
+    ranks: tuple[int, ...] = (0, 1, 2)
+    """Ranks of customers."""
+
+
+def make_mixed(day: MixedDay) -> DrawnWorld:
+    """Return a fleet of the kind, its popular models held by several runners."""
+    drawn = Draw(
+        seed=day.seed,
+        runners=day.runners,
+        models=day.models,
+        held_each=3,
+        slots=12,
+        read_s_per_token=1 / 29_400,
+        first_event_s=0.012,
+        step_s=0.0051,
+        chunk=2048,
+        stride=8,
+        load_s=LOAD_S,
+        near=True,
+        prompt_tokens=1100,
+        output_tokens=210,
+        use=0.3,
+        gap_objective_s=0.3,
+    )
+    world = make_world(drawn)
+    service = world.table.services["llm"]
+    assert service.engine is not None
+    models = {
+        name: evolve(profile, disk_load_s=DISK_S, memory_load_s=0.45)
+        for name, profile in service.engine.models.items()
+    }
+    some = next(iter(models.values()))
+    # A runner's disk has room for six models.
+    engine = evolve(
+        service.engine,
+        models=models,
+        loads_per_s=0.3 * day.runners,
+        disk_mb=6.4 * some.weights_mb,
+    )
+    world.table.services["llm"] = evolve(service, engine=engine)
+    held = _spread_models(day)
+    for runner, names in zip(world.runners.values(), held, strict=True):
+        runner.engine = engine
+        runner.models = {name: set() for name in names}
+        runner.on_disk = list(names)
+    world.replace_core()
+    return world
+
+
+def _spread_models(day: MixedDay) -> list[list[str]]:
+    """Place popular models on several runners, and others on one if there is room."""
+    weights = _weigh_places(day)
+    copies = []
+    for place, weight in enumerate(weights):
+        count = max(2, round(POPULAR_PLACES * 3 * day.runners * weight / sum(weights)))
+        copies += [f"m{place}"] * count
+    copies += [f"m{index}" for index in range(day.popular, day.models)]
+    held: list[list[str]] = [[] for _ in range(day.runners)]
+    for name in copies:
+        free = [each for each in held if len(each) < 3 and name not in each]
+        if free:
+            min(free, key=len).append(name)
+    return held
+
+
+def _weigh_places(day: MixedDay) -> list[float]:
+    """Return what part of the requests the popular models get, first ones most."""
+    return [math.pow(each + 1, -0.8) for each in range(day.popular)]
+
+
+def ask_mixed(world: DrawnWorld, day: MixedDay) -> dict[str, Kind]:
+    """Let requests come; return the kind of each."""
+    random = Random(day.seed + 7)
+    kinds: dict[str, Kind] = {}
+    at = BEGIN_S
+    while at < BEGIN_S + DEMAND_S:
+        shift = int((at - BEGIN_S) / SHIFT_S)
+        in_burst = (at - BEGIN_S) % BURST_S < 3.0
+        patient = PATIENT.share * (day.burst if in_burst else 1.0)
+        shares = [CHAT.share, patient, SUMMARY.share]
+        at += random.expovariate(day.rate * sum(shares))
+        kind = random.choices(KINDS, shares)[0]
+        name = _choose_model(day, random, kind, shift)
+        tokens = int(kind.tokens * random.lognormvariate(-0.3, 0.75))
+        output = max(1, int(kind.output * random.lognormvariate(-0.24, 0.69)))
+        request_id = f"q{len(kinds)}"
+        kinds[request_id] = kind
+        asked = make_asked(
+            request_id,
+            name,
+            tokens=max(50, min(tokens, 6000)),
+            priority=random.choice(day.ranks),
+            objective_s=kind.objective_s,
+            patience_s=kind.patience_s,
+        )
+        prompt = evolve(asked.prompt, expected_output_tokens=output)
+        asked = evolve(asked, prompt=prompt, route_priority=kind.route_priority)
+        world.ask(asked, at=at)
+    return kinds
+
+
+def _choose_model(day: MixedDay, random: Random, kind: Kind, shift: int) -> str:
+    if kind is PATIENT:
+        index = random.randrange(int(0.73 * day.models))
+    else:
+        place = random.choices(range(day.popular), _weigh_places(day))[0]
+        index = place + shift
+    return f"m{index % day.models}"
+
+
+def rate(
+    world: DrawnWorld, kinds: dict[str, Kind], chosen: Callable[[Asked, Kind], bool]
+) -> float:
+    """Return the worth that callers of some requests got, as a share of all on time."""
+    earned = owed = 0.0
+    for request_id, kind in kinds.items():
+        outcome = world.outcomes[request_id]
+        if not chosen(outcome.asked, kind):
+            continue
+        owed += kind.worth
+        gap_s = world.gaps.get(request_id)
+        if outcome.first_at is None or gap_s is None:
+            continue
+        on_time = outcome.first_at - outcome.asked_at <= kind.objective_s
+        on_time = on_time and gap_s <= world.drawn.gap_objective_s
+        earned += kind.worth if on_time else kind.late_worth
+    return earned / owed
--- a/tests/policy/scheduling/test_queue.py
+++ b/tests/policy/scheduling/test_queue.py
@@ -1,5 +1,6 @@
 """Tests of the order of what waits, against a sort of all of it."""
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,7 +17,7 @@
         st.integers(0, 30),
         st.sampled_from("ab"),
         st.sampled_from(["", "x"]),
-        st.integers(0, 2),
+        st.tuples(st.integers(0, 2), st.integers(0, 2)),
         st.floats(0.0, 0.5),
     ),
     max_size=60,
@@ -24,11 +25,17 @@
 
 
 def make_waiting(
-    request_id: str, model: str, adapter: str, priority: int, left_s: float, now: float
+    request_id: str,
+    model: str,
+    adapter: str,
+    ranks: tuple[int, int],
+    left_s: float,
+    now: float,
 ) -> Waiting:
     asked = make_asked(
-        request_id, model, adapter=adapter, priority=priority, objective_s=left_s
+        request_id, model, adapter=adapter, priority=ranks[0], objective_s=left_s
     )
+    asked = evolve(asked, route_priority=ranks[1])
     return Waiting(
         asked=asked,
         arrived_at=now,
@@ -38,26 +45,25 @@
     )
 
 
-def rank(waiting: Waiting, now: float) -> tuple[bool, int, float, int]:
+def rank(waiting: Waiting, now: float) -> tuple[bool, int, int, float, int]:
     late = now > waiting.late_at
     bound = waiting.leave_at if late else waiting.objective_at
-    return (late, waiting.asked.priority, bound, waiting.number)
+    asked = waiting.asked
+    return (late, asked.priority, asked.route_priority, bound, waiting.number)
 
 
 class TestOrder:
-    """On time before late, urgent before less urgent, the earliest bound first."""
+    """On time before late, by the ranks of customer and route, the earliest bound."""
 
     @given(STEPS)
     def test_it_is_that_of_a_sort(
-        self, steps: list[tuple[str, int, str, str, int, float]]
+        self, steps: list[tuple[str, int, str, str, tuple[int, int], float]]
     ) -> None:
         queue, known, now = ServiceQueue(), dict[str, Waiting](), 0.0
-        for kind, number, model, adapter, priority, seconds in steps:
+        for kind, number, model, adapter, ranks, seconds in steps:
             request_id = f"q{number}"
             if kind == "add":
-                waiting = make_waiting(
-                    request_id, model, adapter, priority, seconds, now
-                )
+                waiting = make_waiting(request_id, model, adapter, ranks, seconds, now)
                 queue.add(waiting, now)
                 known[request_id] = waiting
             elif kind == "remove":
@@ -76,7 +82,7 @@
 
     def test_edge_that_is_gone_leaves_nothing(self) -> None:
         queue = ServiceQueue()
-        queue.add(make_waiting("q1", "a", "", 0, 0.4, 0.0), 0.0)
+        queue.add(make_waiting("q1", "a", "", (0, 0), 0.4, 0.0), 0.0)
         queue.remove_edge("e1")
         assert len(queue) == 0
         assert queue.list_models() == []
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -1,20 +1,26 @@
 """Tests of the messages between edges and the scheduler."""
 
 import pytest
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
 from mangoway.coordination.store import Change, Changes, Item
+from mangoway.policy.customers.spending import Spent
 from mangoway.policy.scheduling.events import (
     Adopted,
     Ended,
     EndKind,
     FirstEventSeen,
     Grant,
+    QuotaSpent,
     Refuse,
+    SpendingTold,
 )
 from mangoway.scheduling.codec import (
     COMPRESSED_FROM_BYTES,
+    ClockAsked,
+    ClockTold,
     CodecError,
     FrameReader,
     Heartbeat,
@@ -33,13 +39,28 @@
 MESSAGES: list[Message] = [
     Hello(edge="e1", host="h", data_centre="dc1", asks=True, revision=4),
     Heartbeat(leading=True, store_age_s=0.25, period_s=0.15),
+    Heartbeat(
+        leading=True,
+        store_age_s=0.25,
+        period_s=0.15,
+        known_at=12.5,
+        exhausted=(("acme", 1.25),),
+    ),
+    ClockAsked(asked_at=3.5),
+    ClockTold(asked_at=3.5, clock_s=9.25),
+    QuotaSpent(customer="acme", amount=-150.0),
+    SpendingTold(rows=(Spent("acme", 1.5, 300.0),)),
     make_asked("q1", adapter="x", excluded=("r1",), only=("r2",), repeat=True),
+    evolve(make_asked("q1"), customer="acme", cost=150.0, route_priority=2),
     Adopted(asked=make_asked("q2"), runner_id="r1", reading=False),
     FirstEventSeen(edge="e1", request_id="q1"),
     Ended(edge="e1", request_id="q1", kind=EndKind.NOT_HELD),
     Grant(edge="e1", request_id="q1", runner_id="r1"),
     Told(key="crashes/i-1@0/e1", value=b'{"charges": []}'),
     Refuse(edge="e1", request_id="q1", retry_after_s=0.5, reason="why"),
+    Refuse(
+        edge="e1", request_id="q1", retry_after_s=0.5, reason="why", over_quota=True
+    ),
     StateRead(keys=("k", "l"), items=(ITEM,), revision=5, kept_s=0.0),
     StateChanged(
         changes=Changes(
