Refuse no customer below its quota while schedulers change

Ruled out: a larger part for hosts that are alone (whatever is enough for one request is over the limit if all of them are).

--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -14,6 +14,7 @@
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
 from ..platform.runners import RunnerControl
+from ..policy.customers.const import BEGIN_S
 from ..policy.customers.quota import QuotaBook
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import (
@@ -81,6 +82,9 @@
     reports: ReportReader = field(init=False)
     control: RunnerControl = field(factory=RunnerControl, init=False)
     _led: bool = field(default=False, init=False)
+    _began_at: float = field(default=-1e9, init=False)
+    """When this process last began or ceased to grant places."""
+
     _stopping: bool = field(default=False, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -223,6 +227,8 @@
         It is that of the edges which it hears: others may ask another scheduler, or
         choose alone.
         """
+        if self.process.clock() < self._began_at + BEGIN_S:
+            return 1.0
         heard = self.server.edge_count
         members = self.process.view.members.values()
         known = sum(1 for each in members if each.role is Role.EDGE)
@@ -238,13 +244,14 @@
         """Tell the core and the edges when this process begins or ceases to lead."""
         while True:
             leading = self._is_granting()
-            self.server.core.state.quotas.share = self._measure_share()
             # Without edges nothing is known of demand: another may lead by now.
             allowed = self.leadership.may_order and self.server.edge_count > 0
             self.server.handle(OrdersAllowed(allowed=allowed))
             if leading != self._led:
                 self._led = leading
+                self._began_at = self.process.clock()
                 self.server.send_heartbeats()
+            self.server.core.state.quotas.share = self._measure_share()
             await async_sleep_to_tick(LEAD_CHECK_S)
 
     async def _async_sum_up(self) -> None:
--- a/mangoway/policy/customers/const.py
+++ b/mangoway/policy/customers/const.py
@@ -14,5 +14,15 @@
 scheduler in another order and a little later than callers send them, and a customer at
 its quota must not be refused for that. The rest is for hosts that hear no scheduler."""
 
+LENT_S: Final = 1.5
+"""Time for which a host that has just lost its scheduler lets customers go on who had
+something left: their equal part there is less than one request. What is lent is told to
+the next scheduler, as debt. Six times the usual of a customer, for so long and after
+usual spending, stays within a window's overshoot."""
+
+BEGIN_S: Final = 0.75
+"""Time from its begin for which a scheduler grants as if it heard all hosts: they come
+to it one after the other. One that still grants elsewhere adds less than a burst."""
+
 OVER_QUOTA: Final = "the customer's quota is spent"
 """Why a request is refused whose customer has asked for too much."""
--- a/mangoway/policy/customers/quota.py
+++ b/mangoway/policy/customers/quota.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 
 from ...models.customer import Customer, CustomerRegistry, Quota
-from .const import MEMORY_S, SLACK_USED
+from .const import LENT_S, MEMORY_S, SLACK_USED
 from .spending import Spending, Spent
 
 
@@ -49,6 +49,12 @@
     """Part of each quota that this process may grant."""
 
     registry: CustomerRegistry | None = None
+    _lent_until: float = field(default=-1e9, init=False)
+    """Time until which customers may come into debt."""
+
+    _not_lent: frozenset[str] = field(default=frozenset(), init=False)
+    """Customers who may not, since they had nothing left."""
+
     spending: Spending = field(factory=Spending, init=False)
     _accounts: dict[str, Account] = field(factory=dict, init=False)
     _began_at: float | None = field(default=None, init=False)
@@ -62,21 +68,33 @@
         if self._began_at is None:
             self._began_at = now
 
+    def lend(self, exhausted: Iterable[str], now: float) -> None:
+        """Let customers come into debt for a moment, as the one who granted is lost.
+
+        Args:
+            exhausted: Customers who had nothing left.
+            now: Time in seconds.
+        """
+        self._lent_until = now + LENT_S
+        self._not_lent = frozenset(exhausted)
+
     def take(self, name: str, amount: float, now: float) -> float:
         """Take an amount if the customer's quota has it.
 
         A request that is larger than all that an account holds needs a full one.
 
         Returns:
-            0.0 if it was taken, otherwise the seconds until it can be.
+            0.0 if it was taken, otherwise the seconds until it can be where the whole
+            quota is granted: a host that is alone hears a scheduler sooner than its
+            own part is refilled.
         """
         quota = self._find_quota(name)
         if quota is None:
             return 0.0
         account = self._fill(name, quota, now)
         missing = min(amount, self._hold(quota)) - account.balance
-        if missing > 0:
-            return missing / (quota.rate_per_s * self.share)
+        if missing > 0 and not self._lends(name, now):
+            return missing / quota.rate_per_s
         account.balance -= amount
         self.spending.add(name, amount, now)
         return 0.0
@@ -131,6 +149,9 @@
                 )
         return [text for _, text in sorted(rows)[:most]]
 
+    def _lends(self, name: str, now: float) -> bool:
+        return now < self._lent_until and name not in self._not_lent
+
     def _list_limited(self) -> list[Customer]:
         return [] if self.registry is None else self.registry.list_customers()
 
--- a/mangoway/scheduling/client.py
+++ b/mangoway/scheduling/client.py
@@ -209,6 +209,8 @@
     def _move(self, link: Link) -> None:
         """Hold what the lost scheduler was asked until another one is reached."""
         loop = asyncio.get_running_loop()
+        if link is self._granting:
+            self.local.lend(self.leader.list_exhausted())
         if link is self._granting and self._holding is None:
             self._holding = loop.call_later(HOLD_S, self._choose_alone)
         for placed in self._placed.values():
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -152,6 +152,10 @@
         """Return the seconds until a customer has something left of its quota."""
         return max(0.0, self._exhausted_until.get(customer, 0.0) - self.clock())
 
+    def list_exhausted(self) -> list[str]:
+        """Return the customers who had nothing left when that was last heard."""
+        return list(self._exhausted_until)
+
     def is_fresh(self) -> bool:
         """Return whether the leader has passed on what the store said lately."""
         link = self.link
--- a/mangoway/scheduling/local.py
+++ b/mangoway/scheduling/local.py
@@ -70,6 +70,10 @@
         self.handle(Tick())
         return self.core.state.quotas.take(customer, amount, self.clock())
 
+    def lend(self, exhausted: list[str]) -> None:
+        """Let customers come into debt for a moment, unless they had nothing left."""
+        self.core.state.quotas.lend(exhausted, self.clock())
+
     def adopt(self, asked: Asked, runner_id: str, reading: bool) -> None:
         """Count a request that runs at a runner which another chose."""
         self.handle(Adopted(asked=asked, runner_id=runner_id, reading=reading))
--- a/tests/daemons/test_scheduler.py
+++ b/tests/daemons/test_scheduler.py
@@ -8,6 +8,7 @@
 from mangoway.daemons.fleet_process import FleetProcess
 from mangoway.daemons.scheduler import SchedulerProcess
 from mangoway.models.fleet import Role
+from mangoway.policy.customers.const import BEGIN_S
 from mangoway.settings.fleet import SchedulerSettings
 
 from ..scheduling.test_standby import make_member
@@ -67,6 +68,19 @@
         scheduler.server._asking.update(f"e{number}" for number in range(9))
         assert scheduler._measure_share() == 1.0
 
+    async def test_it_begins_as_if_it_heard_all(self) -> None:
+        """They come one after the other, and the first ones must not be refused."""
+        scheduler = SchedulerProcess(make_settings())
+        for number in range(8):
+            member = make_member(f"h{number}", "")
+            scheduler.process.view.take_member(
+                f"m/{number}", evolve(member, role=Role.EDGE)
+            )
+        scheduler._began_at = scheduler.process.clock()
+        assert scheduler._measure_share() == 1.0
+        scheduler._began_at -= BEGIN_S
+        assert scheduler._measure_share() == 1 / 8
+
     async def test_it_starts_with_nothing(self) -> None:
         quotas = SchedulerProcess(make_settings()).server.core.state.quotas
         assert not quotas.starts_full
--- a/tests/scheduling/test_quotas.py
+++ b/tests/scheduling/test_quotas.py
@@ -116,6 +116,24 @@
             edge.task.cancel()
 
 
+class TestLoss:
+    """The scheduler is lost, and no other one is there."""
+
+    async def test_customer_goes_on_unless_he_had_nothing_left(self) -> None:
+        async with connect() as (scheduler, edge):
+            limit(scheduler, edge)
+            local = edge.local.core.state.quotas
+            local.share = 1 / 73
+            scheduler.stop()
+            await async_wait_until(lambda: edge.link.link is None)
+            await asyncio.sleep(0.3)
+            for number in range(3):
+                request_id = f"q{number}"
+                answer = await receive(edge.client.ask(ask(request_id, 1500.0)))
+                assert isinstance(answer, Grant), answer
+                edge.client.note_first_event(request_id)
+
+
 class TestSuccession:
     """Another scheduler begins to grant."""
 
