Let soaks show keys, take them away, and look for them in logs

Cause: the fault soak knew no customers, so that nothing outside the tests of single parts held what keys promise while hosts are cut off, frozen and killed. Measured: tests of the checks; the soaks themselves are run next.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -102,6 +102,8 @@
             crashing=crashing,
         )
         self._choose_fields(call, like)
+        good = bool(crashing) or version is not None
+        call.key = self.records.customers.choose(self.random, good=good)
         path = PATHS[kind] if version is None else f"/added-{version}/x"
         self.records.calls[request_id] = call
         leaves = self.random.random() < GIVE_UP_SHARE and version is None
@@ -130,6 +132,8 @@
         headers = {
             "Host": HOST,
             "X-Request-Id": call.request_id,
+            "Authorization": f"Bearer {call.key}",
+            "X-Tenant": "somebody else",
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "X-Model": call.model,
             "X-Token-Usage": "100,40",
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -202,6 +202,28 @@
     world.start_task(world.async_probe_configuration())
 
 
+@plan
+async def async_take_key_away(world: World) -> None:
+    """Let the operator give a customer another key."""
+    world.records.customers.change_key(time.monotonic())
+    world.write_configuration()
+
+
+@fault
+async def async_cut_off_and_take_key_away(world: World) -> None:
+    """Cut several processes from the store, and take a key away meanwhile."""
+    nodes = world.random.sample(world.nodes, max(1, len(world.nodes) // 2))
+    span = world.records.begin(f"cut {len(nodes)} from the store")
+    for node in nodes:
+        node.store_relay.switches.drop_from_target = True
+    await asyncio.sleep(world.random.uniform(0.1, 0.5))
+    await async_take_key_away(world)
+    await asyncio.sleep(world.random.uniform(4.0, 7.0))
+    for node in nodes:
+        node.store_relay.heal()
+    _end(span)
+
+
 @plan
 async def async_move_demand(world: World) -> None:
     """Let other models be the popular ones."""
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -2,9 +2,12 @@
 
 import time
 from enum import Enum
+from random import Random
 
 from attrs import define, field, frozen
 
+from .customers import Customers
+
 RETRY_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
@@ -61,6 +64,12 @@
     crashing: str = ""
     """Name of the request if it makes its runners crash; empty for all others."""
 
+    customer: str = ""
+    """Who asks, as the runner was told."""
+
+    saw_key: bool = False
+    """Whether the key went on to the runner."""
+
 
 @define(kw_only=True)
 class Call:
@@ -76,6 +85,9 @@
     crashing: str = ""
     """Name of the request if it makes its runners crash; empty for all others."""
 
+    key: str = ""
+    """The key that it shows."""
+
     reason: str = ""
     """Why it was refused, in the words of the answer."""
 
@@ -133,6 +145,8 @@
     broken: list[str] = field(factory=list, init=False)
     """Promises that were broken, as sentences."""
 
+    customers: Customers = field(factory=lambda: Customers(Random(0)))
+
     def begin(self, what: str, *, planned: bool = False, caused: bool = False) -> Span:
         """Note that something is disturbed from now on."""
         span = Span(what, time.monotonic(), planned=planned, caused=caused)
@@ -229,6 +243,16 @@
             broken.append(f"twice: {name} ran {len(runs)} times")
         if call.status in RETRY_STATUSES and runs and call.kind.runs_once:
             broken.append(f"refused: {name} was told {call.status} and ran")
+        wrong = self.customers.check(
+            call.key, call.sent_at, call.status, ran=bool(runs)
+        )
+        if wrong:
+            broken.append(f"key: {name} at {call.edge}: {wrong}")
+        if any(run.saw_key for run in runs):
+            broken.append(f"key: {name} showed its key to a runner")
+        owner = self.customers.find_owner(call.key)
+        if any(run.customer != owner for run in runs):
+            broken.append(f"unasked: {name} ran as another customer's")
         signatures = {run.signature for run in runs}
         if call.whole and call.signature not in signatures:
             broken.append(f"mixed: {name} got the answer {call.signature}")
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -195,6 +195,8 @@
             runner_id=self.runner_id,
             at=time.monotonic(),
             signature=signature,
+            customer=",".join(request.headers.getall("X-Tenant", [])),
+            saw_key="Authorization" in request.headers,
             crashing=body.removeprefix(CRASH_MARK).decode()
             if body.startswith(CRASH_MARK)
             else "",
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -79,6 +79,7 @@
     result.crashes = sum(len(each) for each in world.records.crashes.values())
     result.held_back = world.records.count_held_back()
     result.broken += world.records.check()
+    result.broken += world.records.customers.find_in_logs(folder)
     return result
 
 
--- /dev/null
+++ b/tests/soak/test_customers.py
@@ -0,0 +1,74 @@
+"""Tests of what a soak checks of customers."""
+
+import time
+from pathlib import Path
+from random import Random
+
+from .customers import KNOWN_S, REVOKE_S, STRANGER, Customers, Key
+
+NOW = 100.0
+
+
+def make_customers() -> tuple[Customers, Key]:
+    customers = Customers(Random(1))
+    customers.note_accepted(NOW)
+    return customers, customers.keys[0]
+
+
+class TestChecks:
+    """What is wrong with how a request was treated."""
+
+    def test_request_with_a_key_in_force_may_run(self) -> None:
+        customers, key = make_customers()
+        assert customers.check(key.text, NOW + 10, 200, ran=True) == ""
+
+    def test_stranger_must_not_run(self) -> None:
+        customers, _ = make_customers()
+        assert customers.check(STRANGER, NOW, 401, ran=False) == ""
+        assert customers.check(STRANGER, NOW, 200, ran=True)
+
+    def test_key_that_was_taken_away_ends_in_time(self) -> None:
+        customers, key = make_customers()
+        key.removed_at = NOW
+        assert customers.check(key.text, NOW + REVOKE_S, 200, ran=True) == ""
+        assert customers.check(key.text, NOW + REVOKE_S + 0.1, 200, ran=True)
+        assert customers.check(key.text, NOW + REVOKE_S + 0.1, 401, ran=False) == ""
+
+    def test_key_in_force_is_not_unknown(self) -> None:
+        customers, key = make_customers()
+        assert customers.check(key.text, NOW + KNOWN_S, 401, ran=False) == ""
+        assert customers.check(key.text, NOW + KNOWN_S + 0.1, 401, ran=False)
+
+
+class TestKeys:
+    """Keys that come and go."""
+
+    def test_changed_key_leaves_another(self) -> None:
+        customers, _ = make_customers()
+        before = {each.text for each in customers.keys}
+        customers.change_key(NOW + 1)
+        customers.note_accepted(NOW + 1)
+        removed = [each for each in customers.keys if each.removed_at is not None]
+        assert len(removed) == 1
+        listed = {
+            text for each in customers.make_document() for text in each["api_keys"]
+        }
+        assert len(listed) == 2
+        assert removed[0].text in before - listed
+
+    def test_new_key_is_used_once_all_know_it(self) -> None:
+        customers, _ = make_customers()
+        for each in customers.keys:
+            each.accepted_at = time.monotonic() - KNOWN_S - 1
+        known = {each.text for each in customers.keys}
+        customers.change_key(time.monotonic())
+        customers.note_accepted(time.monotonic())
+        for _ in range(20):
+            assert customers.choose(Random(2), good=True) in known
+
+    def test_key_in_a_log_is_found(self, tmp_path: Path) -> None:
+        customers, key = make_customers()
+        (tmp_path / "a.log").write_text("nothing")
+        assert customers.find_in_logs(tmp_path) == []
+        (tmp_path / "b.log").write_text(f"key {key.text}")
+        assert customers.find_in_logs(tmp_path) == ["key: a key stands in b.log"]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,7 @@
 from ..stand_ins.launcher import Launcher, Process, find_free_address
 from ..stand_ins.relay import Relay
 from .callers import HOST, Caller, CrashingCaller
+from .customers import Customers
 from .records import APPLY_S, ROUTE_TIMEOUT_S, Kind, Records
 from .runners import RunnerStandIn
 from .store import StoreStandIn
@@ -87,6 +88,7 @@
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed)
         self.store = StoreStandIn(self.random)
+        self.records.customers = Customers(Random(self.seed))
 
     async def async_start(self) -> None:
         """Start everything, and wait until the edges are ready."""
@@ -174,9 +176,11 @@
             + [_make_added_route(version) for version in self._added],
             "services": [_make_engine_service(), _make_plain_service()],
             "limits": {},
+            "tenants": self.records.customers.make_document(),
         }
         self.store.write("op/config", orjson.dumps(document))
         self.records.accepted[self.version] = time.monotonic()
+        self.records.customers.note_accepted(time.monotonic())
 
     async def async_probe_configuration(self) -> None:
         """Ask each edge for a route of the newest version, a little later."""
