Pass nothing on to who waits for a reading; split what passes the store on

Cause: since readings are sent in turn, a change could reach a follower before its own reading. It said that all up to its revision was known, so that what had come between was taken as old and never seen: a leader, a runner, a configuration. Also: a leader that was passed over for a standby was left alone for longer than the standby was kept, by another random pause, and so passed over again (test_edge_goes_back_to_a_leader_that_others_still_hear failed once in a run of all). Tests: test_change_before_its_reading_hides_nothing and test_leader_is_tried_when_the_standby_is_left, red before.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -27,8 +27,8 @@
 from ..policy.scheduling.events import FleetSeen
 from ..policy.scheduling.state import RetryLimits, SchedulingState
 from ..scheduling.client import SchedulerClient
-from ..scheduling.codec import Told
 from ..scheduling.local import LocalPlacer
+from ..scheduling.messages import Told
 from ..settings.fleet import EdgeSettings
 from ..util.collector import exempt_start
 from ..util.ticks import async_sleep_to_tick
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -21,8 +21,8 @@
 from ..platform.receiver import StoreReceiver
 from ..platform.store import PlatformStore
 from ..policy.crashes.book import CrashBook
-from ..scheduling.codec import Hello, Told
 from ..scheduling.leader import LeaderLink
+from ..scheduling.messages import Hello, Told
 from ..settings.fleet import FleetSettings
 from ..util.address import split_address
 from ..util.clock import read_boot_clock
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -142,7 +142,7 @@
         )
         self.server.on_edge = self._note_edge
         self.server.on_told = process.take_told
-        process.mirror.follower = self.server
+        process.mirror.follower = self.server.feed
         process.view.on_change.append(self._note_view)
 
     async def async_start(self) -> None:
--- a/mangoway/scheduling/client.py
+++ b/mangoway/scheduling/client.py
@@ -19,10 +19,10 @@
     Refuse,
     SpendingTold,
 )
-from .codec import Message
 from .leader import LeaderLink
 from .link import Link
 from .local import LocalPlacer
+from .messages import Message
 from .placing import Answer, OpenAsks
 
 HOLD_S: Final = 0.25
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -14,8 +14,8 @@
 from ..observability.event_log import log_event
 from ..util.address import split_address
 from ..util.ticks import async_sleep_to_tick
-from .codec import (
-    ClockAsked,
+from .link import Link
+from .messages import (
     ClockTold,
     Heartbeat,
     Hello,
@@ -24,13 +24,8 @@
     StateRead,
     Told,
 )
-from .link import Link
-
-CONNECT_TIMEOUT_S: Final = 0.3
-MAX_CONNECT_TIMEOUT_S: Final = 3.0
-"""Time for a connection to the scheduler, which takes some 3 ms, and its bound as it
-doubles: where hundreds come at once the kernel may drop the first packet, which is sent
-again after a second."""
+from .patience import Patience
+from .remote_clock import RemoteClock
 
 CHECK_S: Final = 0.1
 """Time between two looks at the connection."""
@@ -41,32 +36,11 @@
 these are rarer. Callers want the first event within 0.4 s, so that what waits can still
 be on time only if the loss is noticed before."""
 
-GREETING_S: Final = 0.5
-GREETING_S_PER_PROCESS: Final = 0.004
-MAX_GREETING_S: Final = 6.0
-"""Time for which a new connection may be silent, the same for each process of the
-system where there are many, and its bound; it doubles with each one that was silent. A
-scheduler of half a core greets some 300 others a second; who leaves before his turn has
-it do the work in vain, and comes anew."""
-
-AVOID_S: Final = 1.0
-MAX_AVOID_S: Final = 4.0
-AVOID_SPREAD: Final = 0.25
-"""Time for which a scheduler that was silent is left alone, its bound as it doubles,
-and the part by which it is drawn longer: the kernel of a host whose processes are
-frozen still takes connections, and hundreds must not come back all at once."""
-
 STORE_SILENCE_S: Final = 0.65
 """Age of the leader's last answer from the store, with the time between two heartbeats
 on top, from which others read themselves. Its watch waits 0.4 s; the rest is for a slow
 store."""
 
-CLOCK_ERROR_S: Final = 0.2
-CLOCK_RETRY_S: Final = 1.0
-"""Error of the other end's clock, in seconds, from which it is asked for once more, and
-the time between two such questions. A connection is greeted late where hundreds are
-made at once."""
-
 
 @define(eq=False)
 class LeaderLink:
@@ -101,8 +75,9 @@
     _avoided: dict[str, float] = field(factory=dict, init=False)
     """Addresses that were silent or not reached, and until when they are left alone."""
 
-    _failures: int = field(default=0, init=False)
-    """Connections in a row that failed or were not greeted."""
+    _patience: Patience = field(init=False)
+    _remote_clock: RemoteClock | None = field(default=None, init=False)
+    """That of the other end of the connection."""
 
     _greeted: bool = field(default=False, init=False)
 
@@ -118,17 +93,11 @@
     """Time between two heartbeats, as the other end says."""
 
     _has_state: bool = field(default=False, init=False)
-    _clock_offset_s: float | None = field(default=None, init=False)
-    """What is added to a time on the other end's boot clock for the earliest time that
-    it can be on ours; None until it was told."""
-
-    _clock_error_s: float = field(default=1e9, init=False)
-    """By how much that may be too early."""
-
     _exhausted_until: dict[str, float] = field(factory=dict, init=False)
     """Customers who have nothing left of their quotas, and until when."""
 
-    _clock_asked_at: float = field(default=-1e9, init=False)
+    def __attrs_post_init__(self) -> None:
+        self._patience = Patience(self.random)
 
     async def async_run(self) -> None:
         """Keep a connection to the leader until cancelled."""
@@ -205,10 +174,10 @@
             if self._is_avoided(address):
                 continue
             self._passed_over = leader
-            self._try_leader_at = self.clock() + self._choose_pause()
+            # Left alone for just as long: later it would be passed over again.
+            self._try_leader_at = self._avoid(leader)
             await self._async_connect(address)
             if self.link is not None:
-                self._avoid(leader)
                 return
             self._avoid(address)
 
@@ -220,24 +189,18 @@
             if each.role is Role.SCHEDULER and each.peer_address not in ("", leader)
         ]
 
-    def _avoid(self, address: str) -> None:
-        self._avoided[address] = self.clock() + self._choose_pause()
-
-    def _choose_timeout(self) -> float:
-        return min(MAX_CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S * 2.0**self._failures)
-
-    def _choose_pause(self) -> float:
-        pause_s = min(MAX_AVOID_S, AVOID_S * 2.0**self._failures)
-        return pause_s * (1 + AVOID_SPREAD * self.random.random())
+    def _avoid(self, address: str) -> float:
+        """Leave a scheduler alone for a while; returns until when."""
+        until = self.clock() + self._patience.choose_pause()
+        self._avoided[address] = until
+        return until
 
     def _is_avoided(self, address: str) -> bool:
         return self.clock() < self._avoided.get(address, 0.0)
 
     def _bear_silence(self) -> float:
         if not self._greeted:
-            processes = len(self.view.members)
-            wanted_s = max(GREETING_S, GREETING_S_PER_PROCESS * processes)
-            return min(MAX_GREETING_S, wanted_s * 2.0**self._failures)
+            return self._patience.choose_greeting(len(self.view.members))
         return max(SILENCE_S, SILENT_HEARTBEATS * self._period_s)
 
     def _choose_address(self) -> str:
@@ -258,23 +221,25 @@
         host, port = split_address(address)
         link = Link(self.hello.edge, self._take, self._lose)
         try:
-            async with asyncio.timeout(self._choose_timeout()):
+            async with asyncio.timeout(self._patience.choose_timeout()):
                 await loop.create_connection(lambda: link, host, port)
         except (OSError, TimeoutError):
             # Tried again soon; that no scheduler answers was logged when it was lost.
-            self._failures += 1
+            self._patience.note_failed()
             return
         self.link, self._address, self._greeted = link, address, False
         self.leading, self._has_state, self._store_age_s = False, False, 1e9
         known = 0 if self.mirror is None else self.mirror.revision or 0
-        self._clock_offset_s, self._clock_error_s = None, 1e9
         link.send(evolve(self.hello, revision=known))
-        self._ask_clock(link)
+        if self.mirror is not None:
+            self._remote_clock = RemoteClock(self.mirror.boot_clock)
+            link.send(self._remote_clock.ask())
         log_event(log.LinkOpened(peer=address))
 
     def _take(self, link: Link, message: Message) -> None:
         if isinstance(message, Heartbeat):
-            self._greeted, self._failures = True, 0
+            self._greeted = True
+            self._patience.note_greeted()
             begins = message.leading and not self.leading
             self.leading = message.leading
             self._store_age_s = message.store_age_s
@@ -289,42 +254,27 @@
         elif isinstance(message, StateRead | StateChanged):
             self._take_state(message)
         elif isinstance(message, ClockTold):
-            self._take_clock(message)
+            if self._remote_clock is not None:
+                self._remote_clock.take(message)
         elif isinstance(message, Told):
             self.on_told(message)
         else:
             self.on_message(message)
 
-    def _ask_clock(self, link: Link) -> None:
-        if self.mirror is not None:
-            self._clock_asked_at = self.mirror.boot_clock()
-            link.send(ClockAsked(asked_at=self._clock_asked_at))
-
-    def _take_clock(self, message: ClockTold) -> None:
-        """Learn the earliest time on our clock that a time on the other's can be.
-
-        The other end read its clock after we asked, however late its answer comes.
-        """
-        if self.mirror is None:
-            return
-        error_s = self.mirror.boot_clock() - message.asked_at
-        if error_s < self._clock_error_s:
-            self._clock_error_s = error_s
-            self._clock_offset_s = message.asked_at - message.clock_s
-
     def _note_known(self, link: Link, known_at: float) -> None:
         """Note up to when the other end has passed on all that the store says.
 
         Heartbeats may lie unread for long while this host is suspended, so what counts
         is when the other end asked the store, on our clock, and not when they come.
         """
-        if self.mirror is None or not self._has_state:
+        clock = self._remote_clock
+        if self.mirror is None or clock is None or not self._has_state:
             return
-        if self._clock_offset_s is not None:
-            self.mirror.note_known(known_at + self._clock_offset_s)
-        asked_s = self.mirror.boot_clock() - self._clock_asked_at
-        if self._clock_error_s > CLOCK_ERROR_S and asked_s > CLOCK_RETRY_S:
-            self._ask_clock(link)
+        at = clock.convert(known_at)
+        if at is not None:
+            self.mirror.note_known(at)
+        if clock.should_ask():
+            link.send(clock.ask())
 
     def _take_state(self, message: StateRead | StateChanged) -> None:
         if self.mirror is None:
@@ -343,7 +293,7 @@
         if link is not self.link:
             return
         if not self._greeted:
-            self._failures += 1
+            self._patience.note_failed()
         self.link, self.leading = None, False
         log_event(log.LinkLost(peer=self._address, reason=reason))
         self.on_lost(link)
--- a/mangoway/scheduling/link.py
+++ b/mangoway/scheduling/link.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from .codec import CodecError, FrameReader, Message, decode_payload, encode_frame
+from .codec import CodecError, FrameReader, decode_payload, encode_frame
+from .messages import Message
 
 MAX_UNSENT_BYTES: Final = 1 << 20
 """Unsent bytes from which the other end counts as gone: thousands of messages."""
--- a/tests/scheduling/test_client.py
+++ b/tests/scheduling/test_client.py
@@ -21,9 +21,9 @@
 )
 from mangoway.policy.scheduling.state import RetryLimits, SchedulingState
 from mangoway.scheduling.client import SchedulerClient
-from mangoway.scheduling.codec import Hello, Told
 from mangoway.scheduling.leader import CHECK_S, SILENCE_S, LeaderLink
 from mangoway.scheduling.local import LocalPlacer
+from mangoway.scheduling.messages import Hello, Told
 from mangoway.scheduling.placing import Answer
 from mangoway.scheduling.server import SchedulerServer
 from mangoway.util.listener import open_listener
@@ -87,7 +87,7 @@
             mirror=self.mirror,
             get_kept_s=lambda: 0.0,
         )
-        self.mirror.follower = self.server
+        self.mirror.follower = self.server.feed
         self.server.on_told = self.told.append
 
     async def async_start(self) -> str:
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -19,18 +19,20 @@
 )
 from mangoway.scheduling.codec import (
     COMPRESSED_FROM_BYTES,
-    ClockAsked,
-    ClockTold,
     CodecError,
     FrameReader,
+    decode_payload,
+    encode_frame,
+)
+from mangoway.scheduling.messages import (
+    ClockAsked,
+    ClockTold,
     Heartbeat,
     Hello,
     Message,
     StateChanged,
     StateRead,
     Told,
-    decode_payload,
-    encode_frame,
 )
 
 from ..fakes.fleet import make_asked
--- a/tests/scheduling/test_crowd.py
+++ b/tests/scheduling/test_crowd.py
@@ -9,17 +9,16 @@
 
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 from mangoway.models.fleet import Member, Role
-from mangoway.scheduling import server as server_module
-from mangoway.scheduling.codec import (
+from mangoway.scheduling import store_feed as feed_module
+from mangoway.scheduling.codec import decode_payload, encode_frame
+from mangoway.scheduling.link import Link
+from mangoway.scheduling.messages import (
     Heartbeat,
     Hello,
     Message,
     StateChanged,
     StateRead,
-    decode_payload,
-    encode_frame,
 )
-from mangoway.scheduling.link import Link
 from mangoway.util.address import split_address
 
 from ..fakes.fleet import make_table
@@ -110,7 +109,7 @@
     ) -> None:
         """Also while each announcement changes it, as at a start of hundreds."""
         encoded: list[int] = []
-        encode: Callable[[list[Message]], bytes] = server_module.encode_frame
+        encode: Callable[[list[Message]], bytes] = feed_module.encode_frame
 
         def count(messages: list[Message]) -> bytes:
             frame = encode(messages)
@@ -118,7 +117,7 @@
                 encoded.append(len(frame))
             return frame
 
-        monkeypatch.setattr(server_module, "encode_frame", count)
+        monkeypatch.setattr(feed_module, "encode_frame", count)
         scheduler = Scheduler()
         fill(scheduler)
         links = [FakeLink() for _ in range(CROWD)]
@@ -145,6 +144,23 @@
         assert [each.item for each in changes.changes.changes] == [item]
         assert changes.changes.revision == 9
 
+    async def test_change_before_its_reading_hides_nothing(self) -> None:
+        """It would say that all up to its revision is known."""
+        scheduler = Scheduler()
+        fill(scheduler)
+        missed = announce(scheduler, 8)
+        await asyncio.sleep(0.2)
+        links = [FakeLink() for _ in range(40)]
+        for number, link in enumerate(links):
+            scheduler.server._take(link, make_hello(number, revision=6))
+        last = announce(scheduler, 9)
+        scheduler.server.feed._pass_on()
+        await asyncio.sleep(0.3)
+        for link in links:
+            first = link.read()[1]
+            assert isinstance(first, StateChanged)
+            assert [each.item for each in first.changes.changes] == [missed, last]
+
     async def test_values_that_are_no_text_pass_as_well(self) -> None:
         item = Item(key="k", value=b"\xff\x00", revision=3, lease_id=4)
         text = Item(key="t", value="é1".encode(), revision=3)
--- a/tests/scheduling/test_knowledge.py
+++ b/tests/scheduling/test_knowledge.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 
 from mangoway.coordination.store import Change, Changes, Item
-from mangoway.scheduling.codec import ClockTold, Heartbeat
+from mangoway.scheduling.messages import ClockTold, Heartbeat
 
 from ..fakes.polling import async_wait_until
 from .test_client import Edge, Scheduler
@@ -104,13 +104,15 @@
 
     async def test_clock_that_was_told_late_is_taken_as_early(self) -> None:
         async with connect() as (scheduler, edge):
-            await async_wait_until(lambda: edge.link._clock_offset_s is not None)
-            edge.link._clock_error_s = 1e9
+            clock = edge.link._remote_clock
+            assert clock is not None
+            await async_wait_until(lambda: clock.convert(0.0) is not None)
+            clock._error_s = 1e9
             told = ClockTold(asked_at=loop_time() - 2.0, clock_s=loop_time() + AHEAD_S)
-            edge.link._take_clock(told)
+            clock.take(told)
             know(scheduler, 0.0)
             scheduler.server.send_heartbeats()
             await asyncio.sleep(0.05)
             assert measure(edge) >= 2.0
             # It is asked for once more, and told soon.
-            await async_wait_until(lambda: edge.link._clock_error_s < 1.0)
+            await async_wait_until(lambda: clock._error_s < 1.0)
--- a/tests/scheduling/test_server.py
+++ b/tests/scheduling/test_server.py
@@ -4,6 +4,8 @@
 
 from mangoway.coordination.store import Change, Changes
 from mangoway.scheduling import server as server_module
+from mangoway.scheduling import store_feed as feed_module
+from mangoway.scheduling.messages import Message
 from mangoway.scheduling.server import HEARTBEATS_PER_S
 
 from .test_client import Scheduler
@@ -26,6 +28,7 @@
 def connect_many(scheduler: Scheduler, hosts: int) -> list[CountingLink]:
     links = [CountingLink() for _ in range(hosts)]
     scheduler.server._links = {f"e{n}": each for n, each in enumerate(links)}  # type: ignore[misc]
+    scheduler.server.feed._links = dict.fromkeys(links)  # type: ignore[arg-type]
     return links
 
 
@@ -49,14 +52,15 @@
         encoded = []
         encode = server_module.encode_frame
 
-        def count(messages: list[server_module.Message]) -> bytes:
+        def count(messages: list[Message]) -> bytes:
             encoded.append(len(messages))
             return encode(messages)
 
         monkeypatch.setattr(server_module, "encode_frame", count)
+        monkeypatch.setattr(feed_module, "encode_frame", count)
         change = Change(key="k", revision=7, item=None)
-        scheduler.server.pass_changes(Changes(changes=(change,), revision=7))
-        scheduler.server._pass_on()
+        scheduler.server.feed.pass_changes(Changes(changes=(change,), revision=7))
+        scheduler.server.feed._pass_on()
         scheduler.server.send_heartbeats()
         assert encoded == [1, 1]
         assert all(each.frames == 2 and each.bytes < 200 for each in links)
--- a/tests/scheduling/test_standby.py
+++ b/tests/scheduling/test_standby.py
@@ -7,7 +7,8 @@
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 from mangoway.models.fleet import Member, Role
 from mangoway.policy.scheduling.events import EndKind, Grant
-from mangoway.scheduling.codec import StateChanged, StateRead, encode_frame
+from mangoway.scheduling.codec import encode_frame
+from mangoway.scheduling.messages import StateChanged, StateRead
 
 from ..fakes.fleet import make_asked, make_table
 from ..fakes.polling import async_wait_until
@@ -61,11 +62,11 @@
         scheduler.mirror.take_changes(Changes(changes=(change,), revision=7))
         snapshot = scheduler.mirror.make_snapshot()
         assert snapshot is not None
-        welcome = scheduler.server._make_welcome(snapshot, 6)
+        welcome = scheduler.server.feed.make_welcome(snapshot, 6)
         assert isinstance(welcome, StateChanged)
         assert welcome.changes.changes == (change,)
         assert len(encode_frame([welcome])) < 300
-        assert isinstance(scheduler.server._make_welcome(snapshot, 5), StateRead)
+        assert isinstance(scheduler.server.feed.make_welcome(snapshot, 5), StateRead)
 
     async def test_edge_that_comes_later_has_all_changes(self) -> None:
         async with start_two() as (leader, standby, edge):
@@ -147,6 +148,19 @@
             await edge.async_wait_leading()
             assert leader.server.edge_count == 1
 
+    async def test_leader_is_tried_when_the_standby_is_left(self) -> None:
+        """Were it avoided for longer, it would be passed over again and again."""
+        async with start_two() as (_leader, _standby, edge):
+            first = edge.view.leader
+            assert first is not None
+            for seed in range(50):
+                edge.link.random.seed(seed)
+                edge.link.close("for the test")
+                edge.link._avoid(first.member.peer_address)
+                await async_wait_until(lambda: edge.link.link is not None)
+                leave_at = edge.link._try_leader_at
+                assert edge.link._avoided[first.member.peer_address] <= leave_at
+
     async def test_edge_follows_the_next_leader(self) -> None:
         async with start_two() as (leader, standby, edge):
             third = Scheduler()
