Tell the changes of one reading together; count failures up to a bound

Cause: found by reading for what happens after all of 300 hosts were killed. A scheduler that starts with 3,000 runners told its core of the whole fleet at each of them; refused connections let the patience double each tenth of a second, without a bound, until a power of two is no number any more (after 102 s). Change: a view gathers what one reading changes and tells it once; refusals don't count, as nobody listens there yet, and six failures in a row are the most that do. A test counts the tellings at three sizes.

--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -1,6 +1,7 @@
 """What a process knows of the fleet: configuration, runners, members, leader."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Final
 
 from attrs import define, field, frozen
@@ -45,6 +46,30 @@
     _missing: set[str] = field(factory=set, init=False)
     """Runners whose entries vanished and are kept."""
 
+    _gathering: bool = field(default=False, init=False)
+    """Whether changes are told together later."""
+
+    _changed: bool = field(default=False, init=False)
+    """Whether something changed that was not told yet."""
+
+    @contextmanager
+    def gather(self) -> Iterator[None]:
+        """Tell the changes of one reading together.
+
+        Who is told looks at all runners: told of each of thousands, a scheduler that
+        starts would be busy for many seconds.
+        """
+        if self._gathering:
+            yield
+            return
+        self._gathering = True
+        try:
+            yield
+        finally:
+            self._gathering = False
+            if self._changed:
+                self._notify()
+
     def note_outage_ended(self, now: float, kept_s: float = RETURN_TIME_S) -> None:
         """Note that the store answers again after an outage in which keys lapsed.
 
@@ -166,6 +191,9 @@
             self._notify()
 
     def _notify(self) -> None:
+        self._changed = self._gathering
+        if self._gathering:
+            return
         for call in self.on_change:
             call()
 
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -43,6 +43,10 @@
 
     def take_snapshot(self, snapshot: Snapshot) -> None:
         """Take a full reading: what it doesn't show is gone."""
+        with self.view.gather():
+            self._take_snapshot(snapshot)
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
         now = self.clock()
         keys = frozenset(item.key for item in snapshot.items)
         for item in snapshot.items:
@@ -63,8 +67,9 @@
     def take_changes(self, changes: Changes) -> None:
         """Take changes in their order."""
         now = self.clock()
-        for change in changes.changes:
-            self._take_change(change, now)
+        with self.view.gather():
+            for change in changes.changes:
+                self._take_change(change, now)
 
     def is_news(self, change: Change) -> bool:
         """Return whether a change will show in the view.
--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -223,10 +223,13 @@
         try:
             async with asyncio.timeout(self._patience.choose_timeout()):
                 await loop.create_connection(lambda: link, host, port)
-        except (OSError, TimeoutError):
+        except TimeoutError:
             # Tried again soon; that no scheduler answers was logged when it was lost.
             self._patience.note_failed()
             return
+        except OSError:
+            # Nobody listens there, as while it starts: no reason to wait for longer.
+            return
         self.link, self._address, self._greeted = link, address, False
         self.leading, self._has_state, self._store_age_s = False, False, 1e9
         known = 0 if self.mirror is None else self.mirror.revision or 0
--- a/mangoway/scheduling/patience.py
+++ b/mangoway/scheduling/patience.py
@@ -27,6 +27,10 @@
 frozen still takes connections, and hundreds must not come back all at once."""
 
 
+MOST_FAILURES: Final = 6
+"""Connections in a row that count; beyond, all times are at their bounds."""
+
+
 @define(eq=False)
 class Patience:
     """Grows with each connection in a row that failed or was not greeted."""
@@ -36,7 +40,7 @@
 
     def note_failed(self) -> None:
         """Note that a connection failed, or ended without a greeting."""
-        self._failures += 1
+        self._failures = min(MOST_FAILURES, self._failures + 1)
 
     def note_greeted(self) -> None:
         """Note that the other end has greeted."""
--- a/tests/coordination/test_view.py
+++ b/tests/coordination/test_view.py
@@ -1,6 +1,11 @@
 """Tests of what a process knows of the fleet."""
 
+import orjson
+import pytest
+
+from mangoway.coordination.store import Item, Snapshot
 from mangoway.coordination.view import RETURN_TIME_S, FleetView
+from mangoway.platform.receiver import StoreReceiver
 
 from ..fakes.fleet import make_runner, make_table
 
@@ -98,3 +103,51 @@
         view.on_change.append(lambda: told.append(1))
         view.take_runner(make_runner("r1"))
         assert told == []
+
+
+class TestGathering:
+    """Who is told of changes, and how often."""
+
+    @pytest.mark.parametrize("runners", [30, 300, 3000])
+    def test_reading_is_told_once(self, runners: int) -> None:
+        """Each listener looks at all runners: told of each, it took their square."""
+        view, told = FleetView(), list[int]()
+        view.on_change.append(lambda: told.append(len(view.runners)))
+        items = tuple(
+            Item(
+                key=f"servers/r{number}",
+                value=make_entry(number),
+                revision=number + 1,
+            )
+            for number in range(runners)
+        )
+        receiver = StoreReceiver(view, lambda: 0.0)
+        receiver.take_snapshot(Snapshot(items=items, revision=runners))
+        assert told == [runners]
+
+    def test_reading_without_news_is_not_told(self) -> None:
+        view, told = FleetView(), list[int]()
+        item = Item(key="servers/r0", value=make_entry(0), revision=1)
+        receiver = StoreReceiver(view, lambda: 0.0)
+        receiver.take_snapshot(Snapshot(items=(item,), revision=1))
+        view.on_change.append(lambda: told.append(1))
+        receiver.take_snapshot(Snapshot(items=(item,), revision=2))
+        assert told == []
+
+    def test_change_outside_of_a_reading_is_told_at_once(self) -> None:
+        view, told = FleetView(), list[int]()
+        view.on_change.append(lambda: told.append(1))
+        view.take_runner(make_runner("r1"))
+        assert told == [1]
+
+
+def make_entry(number: int) -> bytes:
+    return orjson.dumps(
+        {
+            "service": "llm",
+            "address": f"10.0.0.1:{number + 1}",
+            "zone": "dc1",
+            "slots": 8,
+            "state": "ready",
+        }
+    )
