--- a/mangoway/scheduling/leader.py
+++ b/mangoway/scheduling/leader.py
@@ -36,6 +36,11 @@
 these are rarer. Callers want the first event within 0.4 s, so that what waits can still
 be on time only if the loss is noticed before."""
 
+SEED_WAIT_S: Final = 0.6
+"""Time from the start in which a process reads the store before it asks a seed. Who has
+read it lacks little when it comes to the leader; who asks a seed as well gets all keys
+a second time, mostly from another data centre."""
+
 STORE_SILENCE_S: Final = 0.65
 """Age of the leader's last answer from the store, with the time between two heartbeats
 on top, from which others read themselves. Its watch waits 0.4 s; the rest is for a slow
@@ -93,6 +98,9 @@
     """Time between two heartbeats, as the other end says."""
 
     _has_state: bool = field(default=False, init=False)
+    _seeds_from: float = field(default=0.0, init=False)
+    """Time from which seeds are asked while nothing is known."""
+
     _exhausted_until: dict[str, float] = field(factory=dict, init=False)
     """Customers who have nothing left of their quotas, and until when."""
 
@@ -101,6 +109,7 @@
 
     async def async_run(self) -> None:
         """Keep a connection to the leader until cancelled."""
+        self._seeds_from = self.clock() + SEED_WAIT_S
         while True:
             await self._async_follow()
             await async_sleep_to_tick(CHECK_S)
@@ -212,7 +221,8 @@
                 return ""
         if leader is not None:
             return leader.member.peer_address
-        if self.view.table is None and self.seeds and self.link is None:
+        asks_seeds = self.view.table is None and self.clock() >= self._seeds_from
+        if asks_seeds and self.seeds and self.link is None:
             return self.random.choice(self.seeds)
         return ""
 
--- a/tests/scheduling/test_crowd.py
+++ b/tests/scheduling/test_crowd.py
@@ -11,6 +11,7 @@
 from mangoway.models.fleet import Member, Role
 from mangoway.scheduling import store_feed as feed_module
 from mangoway.scheduling.codec import decode_payload, encode_frame
+from mangoway.scheduling.leader import SEED_WAIT_S
 from mangoway.scheduling.link import Link
 from mangoway.scheduling.messages import (
     Heartbeat,
@@ -268,3 +269,32 @@
                 each.close()
             scheduler.stop()
         assert len(sockets) == CROWD
+
+
+class TestSeeds:
+    """Whom a process asks that knows nothing yet."""
+
+    async def test_seed_is_asked_if_the_store_does_not_answer(self) -> None:
+        seed, edge = Scheduler(), Edge()
+        try:
+            edge.link.seeds = (await seed.async_start(),)
+            await asyncio.sleep(SEED_WAIT_S - 0.2)
+            assert edge.link.link is None
+            await async_wait_until(lambda: seed.server.edge_count == 1)
+        finally:
+            edge.task.cancel()
+            edge.link.close()
+            seed.stop()
+
+    async def test_who_has_read_the_store_asks_no_seed(self) -> None:
+        """All keys would come a second time, mostly from another data centre."""
+        seed, edge = Scheduler(), Edge()
+        try:
+            edge.link.seeds = (await seed.async_start(),)
+            edge.view.take_table(make_table())
+            await asyncio.sleep(SEED_WAIT_S + 0.3)
+            assert seed.server.edge_count == 0
+        finally:
+            edge.task.cancel()
+            edge.link.close()
+            seed.stop()
