Count nothing twice when an edge comes back to its scheduler

An edge tells a scheduler that begins to grant what its customers spent in the last ten seconds; after a reset connection it told the same one what that had counted itself, so that customers below their quotas were refused. Change: of an edge that was here before only what it spent since it was lost counts. Test: three resets within two seconds; red before.

--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -9,6 +9,7 @@
 from ..coordination.mirror import Mirror
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..policy.customers.const import MEMORY_S
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import (
     Action,
@@ -17,6 +18,7 @@
     EndKind,
     Event,
     GiveOrder,
+    SpendingTold,
     Tick,
 )
 from ..util.listener import BACKLOG
@@ -68,6 +70,9 @@
     _asking: set[str] = field(factory=set, init=False)
     """Incarnations of the edges among those that follow."""
 
+    _lost_at: dict[str, float] = field(factory=dict, init=False)
+    """When the connection to each edge was lost that was here lately."""
+
     feed: StoreFeed = field(init=False)
     _server: asyncio.AbstractServer | None = field(default=None, init=False)
 
@@ -146,9 +151,33 @@
         elif isinstance(message, ClockAsked):
             clock_s = self.mirror.boot_clock()
             link.send(ClockTold(asked_at=message.asked_at, clock_s=clock_s))
+        elif isinstance(message, SpendingTold):
+            self.handle(self._drop_known(link.edge, message))
         elif link.edge and not isinstance(message, Heartbeat):
             self.handle(message)  # type: ignore[arg-type]
 
+    def _drop_known(self, edge: str, message: SpendingTold) -> SpendingTold:
+        """Return what an edge has spent since it was lost here, if it was here before.
+
+        What was spent before was counted here: a connection that is reset, and made
+        anew, must not have it counted twice.
+        """
+        lost_at = self._lost_at.pop(edge, None)
+        if lost_at is None:
+            return message
+        lost_s = self.clock() - lost_at
+        return SpendingTold(
+            rows=tuple(each for each in message.rows if each.age_s < lost_s)
+        )
+
+    def _note_lost(self, edge: str) -> None:
+        """Note when an edge was lost, for as long as its spending matters."""
+        now = self.clock()
+        self._lost_at = {
+            key: at for key, at in self._lost_at.items() if at > now - MEMORY_S
+        }
+        self._lost_at[edge] = now
+
     def _pass_told(self, link: Link, message: Told) -> None:
         """Take a statement on a crash, and tell it to all others."""
         self.on_told(message)
@@ -161,6 +190,7 @@
         known = self._links.pop(hello.edge, None)
         if known is not None:
             self.feed.remove(known)
+            self._note_lost(hello.edge)
             known.close("the edge connected anew")
             self.handle(EdgeGone(edge=hello.edge))
         link.edge = hello.edge
@@ -192,6 +222,7 @@
         if link.edge and self._links.get(link.edge) is link:
             del self._links[link.edge]
             self.feed.remove(link)
+            self._note_lost(link.edge)
             if link.edge in self._asking:
                 self._asking.discard(link.edge)
                 self.on_edge(link.edge, False)
--- a/tests/scheduling/test_quotas.py
+++ b/tests/scheduling/test_quotas.py
@@ -135,7 +135,28 @@
 
 
 class TestSuccession:
-    """Another scheduler begins to grant."""
+    """Another scheduler begins to grant, or the same once more."""
+
+    async def test_what_it_has_counted_is_not_counted_twice(self) -> None:
+        """Connections are reset, and made anew to the same scheduler."""
+        async with connect() as (scheduler, edge):
+            limit(scheduler, edge)
+            quotas = scheduler.server.core.state.quotas
+            clock = scheduler.server.clock
+            assert edge.client.take_quota("acme", 2 * RATE) == 0.0
+            await async_wait_until(
+                lambda: (quotas.get_balance("acme", clock()) or 0) < 0
+            )
+            before, at = quotas.get_balance("acme", clock()) or 0.0, clock()
+            for _ in range(3):
+                await asyncio.sleep(0.6)
+                edge.link.close("for the test")
+                await async_wait_until(lambda: not edge.link.leading)
+                await edge.async_wait_leading()
+            await asyncio.sleep(0.1)
+            earned = RATE * (clock() - at)
+            now_left = quotas.get_balance("acme", clock()) or 0.0
+        assert now_left >= min(RATE, before + earned) - 1.0
 
     async def test_it_learns_what_was_spent(self) -> None:
         second = Scheduler()
