--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -1,4 +1,4 @@
-"""Constants of an edge, with their units and where they come from."""
+"""Constants of an edge, with their units and reasons."""
 
 from typing import Final
 
--- a/mangoway/policy/customers/quota.py
+++ b/mangoway/policy/customers/quota.py
@@ -3,7 +3,7 @@
 Whoever grants places counts: the scheduler sees all requests for engines before they
 run, and hears at once of those for plain services, which hosts let in by themselves.
 Two that grant at a time have a part of each quota, by the hosts that they hear. A
-customer may come into debt, by what was let in before it was counted; nothing is
+customer may come into debt, by what was let in uncounted; nothing is
 granted until that is made good.
 """
 
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -1,4 +1,4 @@
-"""Thresholds of the decisions of an edge, with their units and where they come from."""
+"""Thresholds of the decisions of an edge, with their units and reasons."""
 
 from typing import Final
 
@@ -9,8 +9,7 @@
 BEGINNER_PART: Final = (1 - RETRY_BUDGET_USED) / RETRY_BUDGET_USED / 2
 """Part of its allowance that a process uses until it has seen a whole window: the one
 that chose before may have used all of its own, and the edges alone and the next
-scheduler may both begin within it. Without it 182 repeats in 10 s were made across a
-change of scheduler, where 176 were allowed."""
+scheduler may both begin within it: together they must stay within the fleet's."""
 
 MIN_RETRY_TIME_S: Final = 0.05
 """Time that must be left for another try: a plain call takes some 20 to 90 ms."""
--- a/mangoway/policy/scheduling/gaps.py
+++ b/mangoway/policy/scheduling/gaps.py
@@ -2,9 +2,7 @@
 
 Prompts that a runner reads delay the tokens of its streams. How much depends on the
 engine: on how much it reads between two tokens, and on how many tokens make an event.
-Neither is declared, so the share of reading is chosen by the pauses that are seen. With
-an engine that pauses callers got 0.624 instead of 0.607 of what they could, less what
-it cost, on five days with faults.
+Neither is declared, so the share of reading is chosen by the pauses that are seen.
 """
 
 from attrs import define, field
--- a/mangoway/policy/scheduling/reading.py
+++ b/mangoway/policy/scheduling/reading.py
@@ -1,10 +1,8 @@
 """The prompts that a runner still has to read, in time.
 
 Answers engines of which a first event comes long after the prompt was read: a prompt
-counts as read when its time is over, and not only when its first event shows that. With
-an engine that adds 80 ms runners idled otherwise: with this and the learned offset
-callers got 0.730 instead of 0.641 of what they could, less what it cost, on five days
-with faults.
+counts as read when its time is over, and not only when its first event shows that.
+Runners would idle in between.
 """
 
 from typing import Final
--- a/mangoway/policy/scheduling/warming.py
+++ b/mangoway/policy/scheduling/warming.py
@@ -87,8 +87,8 @@
     def _list_lacking(self) -> list[ModelProfile]:
         """Return all models, those first that have few copies near for their value.
 
-        Second copies pay: without them a calm day with three shifts of demand made
-        0.806 instead of 0.851 (means of two runs).
+        Second copies pay: the runner with the first may be the wrong one to load it on
+        when demand shifts.
         """
         return sorted(
             self.engine.models.values(),
