--- a/mangoway/policy/scheduling/queue.py
+++ b/mangoway/policy/scheduling/queue.py
@@ -2,8 +2,8 @@
 
 Answers the load of bursts: when more is asked than can be read in time, requests that
 can still be on time go before those that are late already, since a late answer earns a
-third. Within each, urgent customers and routes before less urgent ones, and the earliest
-bound first.
+third. Within each, urgent customers and routes before less urgent ones, and the
+earliest bound first.
 
 An event must not cost more the more requests wait: what waits is kept in order, by
 model and adapter, and a request that becomes late is moved when its time comes. With a
