Take nothing as counted that an edge spent elsewhere

What an edge tells of its customers' spending was cut to the time since it was lost here, also where this process had granted nothing then: a standby that an edge had visited for a moment forgot, once it led, what was spent before the visit, and could give a second burst. Change: a loss counts only while this process grants. If in doubt more is counted. Test: red before.

--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -171,7 +171,12 @@
         )
 
     def _note_lost(self, edge: str) -> None:
-        """Note when an edge was lost, for as long as its spending matters."""
+        """Note when an edge was lost, for as long as its spending matters.
+
+        What it spent while this process granted nothing was counted elsewhere.
+        """
+        if not self.is_leading():
+            return
         now = self.clock()
         self._lost_at = {
             key: at for key, at in self._lost_at.items() if at > now - MEMORY_S
--- a/tests/scheduling/test_quotas.py
+++ b/tests/scheduling/test_quotas.py
@@ -6,7 +6,14 @@
 
 from mangoway.models.customer import Customer, CustomerRegistry, Quota
 from mangoway.policy.customers.quota import QuotaBook
-from mangoway.policy.scheduling.events import Asked, EndKind, Grant, Refuse
+from mangoway.policy.customers.spending import Spent
+from mangoway.policy.scheduling.events import (
+    Asked,
+    EndKind,
+    Grant,
+    Refuse,
+    SpendingTold,
+)
 
 from ..fakes.fleet import make_asked
 from ..fakes.polling import async_wait_until
@@ -158,6 +165,17 @@
             now_left = quotas.get_balance("acme", clock()) or 0.0
         assert now_left >= min(RATE, before + earned) - 1.0
 
+    async def test_what_was_spent_elsewhere_is_not_taken_as_counted(self) -> None:
+        """An edge was at a standby that granted nothing, and comes back to it."""
+        standby = Scheduler()
+        standby.leading = False
+        limit(standby)
+        row = Spent("acme", 0.5, 2 * RATE)
+        standby.server._note_lost("e1")
+        standby.leading = True
+        told = standby.server._drop_known("e1", SpendingTold(rows=(row,)))
+        assert told.rows == (row,)
+
     async def test_it_learns_what_was_spent(self) -> None:
         second = Scheduler()
         async with connect() as (scheduler, edge):
