Log each repeat and each process's retry budget

Event 256 and mangoway_edge_repeats_total name each repeat with its cause; event 257 tells every two seconds what a process counts in its window.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -39,6 +39,9 @@
     run_process,
 )
 
+SUMMARY_S: Final = 2.0
+"""Time between two summaries of the retry budgets in the log."""
+
 SWEEP_S: Final = 0.5
 """Time between two looks at idle connections to runners."""
 
@@ -148,6 +151,7 @@
         await self.process.async_start(addresses)
         self.process.keep_running(self.reporter.async_run)
         self.process.keep_running(self._async_sweep)
+        self.process.keep_running(self._async_sum_up)
 
     @property
     def is_ready(self) -> bool:
@@ -281,6 +285,11 @@
             self.forwarder.pool.sweep(self.process.clock())
             self.forwarder.plain.forget_gone()
 
+    async def _async_sum_up(self) -> None:
+        while True:
+            await async_sleep_to_tick(SUMMARY_S)
+            self.forwarder.plain.sum_up()
+
 
 def _log_error(error: BaseException) -> None:
     log_event(log.HandlerFailed(error=repr(error)))
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Final
 
-from attrs import define, field
+from attrs import asdict, define, field
 
 from ..coordination.absence import AbsentEdges
 from ..coordination.crash_keeper import CrashKeeper
@@ -274,6 +274,9 @@
 
     def _log_summary(self, service: str) -> None:
         core = self.server.core
+        levels = core.measure_budget(service, self.process.clock())
+        if levels.repeats:
+            log_event(log.RetryBudgetSummed(service=service, **asdict(levels)))
         models, runners = core.describe(service, self.process.clock())
         log_event(
             log.PlacementSummed(
--- a/mangoway/edge/handling.py
+++ b/mangoway/edge/handling.py
@@ -15,7 +15,7 @@
 from ..observability.metrics import Metrics
 from ..platform.requests import RequestFields, encode_for_runner
 from ..policy.edge.const import RETRY_AFTER_OUTAGE_S
-from ..policy.edge.retries import FailedTry, Next, decide_next
+from ..policy.edge.retries import FailedTry, Next, RepeatCause, decide_next
 from ..policy.scheduling.events import EndKind, Refuse
 from .admission import Admission, Caller, Denial
 from .answers import (
@@ -57,6 +57,9 @@
     _finder: RunnerFinder = field(init=False)
     _may_have_run: bool = field(default=False, init=False)
     _in_attempt: bool = field(default=False, init=False)
+    _cause: RepeatCause = field(default=RepeatCause.FAILED, init=False)
+    """Why the request is sent once more, if it is."""
+
     _runner_id: str | None = field(default=None, init=False)
     _first_event_at: float | None = field(default=None, init=False)
     """When the first event of the present try came."""
@@ -116,6 +119,7 @@
                     self.tools.screen.note_served(self.log.identity)
                 self.log.note_served(placed)
                 return
+            self._cause = self._find_cause(result)
             decision = self._decide(result)
             self.log.note_attempt(placed, result, decision)
             if decision is Next.RETRY:
@@ -125,6 +129,8 @@
 
     async def _async_attempt(self, runner: RunnerEntry) -> AttemptResult:
         self.log.attempts += 1
+        if self._finder.reached:
+            self.log.note_repeat(runner, self._cause)
         self._runner_id = runner.runner_id
         idempotent = self.route.idempotent
         attempt = Attempt(
@@ -229,6 +235,13 @@
             self._may_have_run = True
         return decision
 
+    def _find_cause(self, result: AttemptResult) -> RepeatCause:
+        if result.verdict is Verdict.NOT_RUN:
+            return RepeatCause.REFUSED
+        if self._finder.has_next:
+            return RepeatCause.SILENT
+        return RepeatCause.RESUMED if self.delivery.events else RepeatCause.FAILED
+
     def _give_up(self, result: AttemptResult, decision: Next) -> None:
         if decision is Next.REFUSE:
             self._refuse(result.reason, RETRY_AFTER_OUTAGE_S)
--- a/mangoway/edge/plain.py
+++ b/mangoway/edge/plain.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, field
+from attrs import asdict, define, field
 
 from ..coordination.view import FleetView
 from ..models.runner import RunnerEntry
@@ -91,8 +91,18 @@
 
     def take_repeat(self, service: str) -> bool:
         """Take one repeat from this edge's part of the fleet's budget."""
-        share = RETRY_BUDGET_USED / max(1, self.count_edges())
-        return self._get_budget(service).take(self.clock(), share)
+        return self._get_budget(service).take(self.clock(), self._measure_share())
+
+    def sum_up(self) -> None:
+        """Log the budgets of which repeats were taken."""
+        share = self._measure_share()
+        for service, budget in self._budgets.items():
+            levels = budget.measure(self.clock(), share)
+            if levels.repeats:
+                log_event(log.RetryBudgetSummed(service=service, **asdict(levels)))
+
+    def _measure_share(self) -> float:
+        return RETRY_BUDGET_USED / max(1, self.count_edges())
 
     def _get_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -11,7 +11,7 @@
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
 from ..platform.requests import RequestFields
-from ..policy.edge.retries import Next
+from ..policy.edge.retries import Next, RepeatCause
 from .attempt import AttemptResult
 from .delivery import Delivery
 
@@ -144,6 +144,19 @@
             )
         )
 
+    def note_repeat(self, runner: RunnerEntry, cause: RepeatCause) -> None:
+        """Log that the request is sent to a runner once more."""
+        self.metrics.edge_repeats.add(runner.service, cause.value)
+        log_event(
+            log.RepeatSent(
+                request_id=self.fields.request_id,
+                service=runner.service,
+                runner_id=runner.runner_id,
+                cause=cause.value,
+                attempts=self.attempts,
+            )
+        )
+
     def _count(self, outcome: str, status: int) -> None:
         self.metrics.edge_requests.add(self._route_name, outcome, str(status))
         if self.customer is not None:
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -160,6 +160,29 @@
     foreign_id: str
 
 
+@numbered(256, LogLevel.INFO)
+class RepeatSent:
+    """A request that reached a runner before is sent once more."""
+
+    request_id: str
+    service: str
+    runner_id: str
+    cause: str
+    """Why: the try before failed, was refused, was silent, or its stream broke."""
+
+    attempts: int
+
+
+@numbered(257, LogLevel.INFO)
+class RetryBudgetSummed:
+    """What this process counts against the retry budget of a service."""
+
+    service: str
+    requests: int
+    repeats: int
+    allowed: float
+
+
 # 3xx: runners.
 
 
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -228,6 +228,11 @@
             "Tries of an edge at runners, by how they ended.",
             ("outcome",),
         )
+        self.edge_repeats = self._counter(
+            "mangoway_edge_repeats_total",
+            "Requests that an edge sent to a runner once more, by cause.",
+            ("service", "cause"),
+        )
         self.runner_crashes = self._counter(
             "mangoway_edge_runner_crashes_total",
             "Crashes of runners that an edge saw while it had requests there.",
--- a/mangoway/policy/edge/retries.py
+++ b/mangoway/policy/edge/retries.py
@@ -20,6 +20,22 @@
     """Answer that it may have run."""
 
 
+class RepeatCause(Enum):
+    """Why a request is sent to a runner once more."""
+
+    FAILED = "failed"
+    """The runner failed, or its connection broke before an answer began."""
+
+    REFUSED = "refused"
+    """The runner said that it has not run the request."""
+
+    SILENT = "silent"
+    """The runner was silent, and another one was found."""
+
+    RESUMED = "resumed"
+    """The stream broke after its first event."""
+
+
 @frozen(kw_only=True)
 class FailedTry:
     """A try that failed, and what came before it."""
--- a/mangoway/policy/edge/retry_budget.py
+++ b/mangoway/policy/edge/retry_budget.py
@@ -4,7 +4,7 @@
 from collections import deque
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from .const import BEGINNER_PART
 
@@ -37,6 +37,15 @@
             self.total -= self._slices.popleft()[1]
 
 
+@frozen
+class BudgetLevels:
+    """Counts of one window, and the repeats that are allowed in it."""
+
+    requests: int
+    repeats: int
+    allowed: float
+
+
 @define(eq=False)
 class RetryBudget:
     """Allows repeats up to a share of the requests, and a few beyond.
@@ -74,12 +83,17 @@
             now: Time in seconds.
             share: Part of the fixed allowance that this process may use, 0 to 1.
         """
+        levels = self.measure(now, share)
+        if levels.repeats + 1 > levels.allowed:
+            return False
+        self._repeats.add(now)
+        return True
+
+    def measure(self, now: float, share: float) -> BudgetLevels:
+        """Return what was counted in the window that ends now."""
         self._requests.forget(now)
         self._repeats.forget(now)
         if now - self._began_at < self.window_s:
             share *= BEGINNER_PART
         allowed = self.ratio * self._requests.total + self.slack * share
-        if self._repeats.total + 1 > allowed:
-            return False
-        self._repeats.add(now)
-        return True
+        return BudgetLevels(self._requests.total, self._repeats.total, allowed)
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -7,6 +7,7 @@
 
 from ..customers.const import OVER_QUOTA
 from ..edge.const import RETRY_BUDGET_USED
+from ..edge.retry_budget import BudgetLevels
 from .adapters import plan_adapter, plan_adapters, plan_runner
 from .const import MIN_RETRY_AFTER_S
 from .dispatch import Dispatcher, place
@@ -173,6 +174,11 @@
         runners = [each.describe(now) for each in self.state.list_runners(service)]
         return planner.describe_models(DESCRIBED_MODELS), runners[:DESCRIBED_RUNNERS]
 
+    def measure_budget(self, service: str, now: float) -> BudgetLevels:
+        """Return what was counted against the retry budget of a service."""
+        share = RETRY_BUDGET_USED * self.state.limit_scale
+        return self.state.get_budget(service).measure(now, share)
+
     def end(self, key: RequestKey, now: float) -> Running | None:
         """Forget a request; returns it if a runner had it."""
         runner = self.state.runners.get(self.state.granted.pop(key, ""))
