Use no second runner that the retry budget refused

Callers saw nothing; runners of a plain service got a repeat that nobody had paid for. Cause: beside a silent runner a second one was kept as the next place before the budget was asked, so that a later failure of the first one went on there, free of charge.

--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -118,8 +118,10 @@
             placed = self.tools.plain.place(self.service.name, excluded, ())
             if isinstance(placed, Refuse) or placed.runner_id in excluded:
                 return False
+            if not self.tools.plain.take_repeat(self.service.name):
+                return False
             self._next = NextPlace(None, placed)
-            return self.tools.plain.take_repeat(self.service.name)
+            return True
         return await self._async_ask_other(excluded)
 
     def note_first_event(self) -> None:
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -40,6 +40,7 @@
 SHORT = make_route(
     RouteKind.SAFE, service="plain", prefix="/short/", max_attempts=1, timeout_s=0.3
 )
+RETRY_LIMITS = RetryLimits(ratio=0.2, slack=50.0, window_s=10.0)
 ROUTES = (SAFE, ONCE, STREAM, FIXED, SHORT)
 
 
@@ -233,14 +234,15 @@
 
 
 @asynccontextmanager
-async def start_edge(routes: tuple[Route, ...] = ROUTES) -> AsyncIterator[EdgeWorld]:
+async def start_edge(
+    routes: tuple[Route, ...] = ROUTES, limits: RetryLimits = RETRY_LIMITS
+) -> AsyncIterator[EdgeWorld]:
     """Start an edge; runners are added by the test."""
     view = FleetView()
     if routes:
         view.take_table(make_table(routes=routes))
     placer = StubPlacer([])
     clock: Callable[[], float] = asyncio.get_running_loop().time
-    limits = RetryLimits(ratio=0.2, slack=50.0, window_s=10.0)
     plain = PlainPlacer(
         data_centre="dc1",
         view=view,
