Count repeats at the edge that sends them

Cause: counters without memory. Each scheduler, and each edge alone, counted the repeats that it granted in a window of its own; none heard of the others. Edges divided the allowance of plain services by the members that each one saw, and earned the whole share of the requests again after a restart. Ruled out: one arrival sent to more runners than max_attempts (none). Change: an edge earns credits from the requests that arrive at it and takes one before it sends a repeat, whoever granted the place: after a failure, a refusal, beside a silent runner, for a resumed stream. A credit is held until the runner has surely got the repeat, and given back if nothing was sent. What an edge may save up is its part of the fixed allowance; it has the larger part only while it surely counts all others that may have one. So a window gets no more than what was saved, what its requests earn and what is added, however edges come and go. Schedulers count no repeats; their settings for it go. The soak checks the budget.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -15,6 +15,7 @@
 from ..edge.forwarder import Forwarder
 from ..edge.pages import DirectoryPage, ReadyPage
 from ..edge.plain import PlainPlacer
+from ..edge.repeats import RetryBudgets
 from ..http1.client import ConnectionPool
 from ..http1.server import ServerOptions, async_listen
 from ..models.fleet import Role
@@ -23,13 +24,17 @@
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
 from ..policy.customers.quota import QuotaBook
+from ..policy.edge.const import LOOK_S
+from ..policy.edge.retry_budget import RetryLimits
+from ..policy.edge.shares import FleetShares
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import FleetSeen
-from ..policy.scheduling.state import RetryLimits, SchedulingState
+from ..policy.scheduling.state import SchedulingState
 from ..scheduling.client import SchedulerClient
 from ..scheduling.local import LocalPlacer
 from ..scheduling.messages import Told
 from ..settings.fleet import EdgeSettings
+from ..util.clock import read_boot_clock
 from ..util.collector import exempt_start
 from ..util.ticks import async_sleep_to_tick
 from .fleet_process import (
@@ -86,6 +91,7 @@
     client: SchedulerClient = field(init=False)
     reporter: CrashReporter = field(init=False)
     admission: Admission = field(init=False)
+    repeats: RetryBudgets = field(init=False)
     forwarder: Forwarder = field(init=False)
     callers: ServerOptions = field(init=False)
     pages: list[ServerOptions] = field(factory=list, init=False)
@@ -103,19 +109,24 @@
         self.process = FleetProcess(
             settings, Role.EDGE, caller_address=settings.caller_listen
         )
-        limits = RetryLimits(
-            ratio=settings.retry_ratio,
-            slack=settings.retry_slack,
-            window_s=settings.retry_window_s,
+        self.client = self._make_client()
+        self.repeats = RetryBudgets(
+            limits=RetryLimits(
+                ratio=settings.retry_ratio,
+                slack=settings.retry_slack,
+                window_s=settings.retry_window_s,
+            ),
+            shares=FleetShares(settings.retry_window_s),
+            clock=self.process.clock,
+            boot_clock=read_boot_clock,
         )
-        self.client = self._make_client(limits)
         self.reporter = CrashReporter(self.process.store, OWN_PREFIX, self._tell)
         self.admission = Admission(
             view=self.process.view,
             measure_age=self.process.mirror.measure_age,
             revoke_s=settings.revoke_ms / MS_PER_S if settings.revoke_closed else None,
         )
-        self.forwarder = self._make_forwarder(limits)
+        self.forwarder = self._make_forwarder()
         self.callers = ServerOptions(
             handle=self.forwarder.async_handle,
             limits=self._get_limits,
@@ -151,6 +162,7 @@
         await self.process.async_start(addresses)
         self.process.keep_running(self.reporter.async_run)
         self.process.keep_running(self._async_sweep)
+        self.process.keep_running(self._async_look_at_members)
         self.process.keep_running(self._async_sum_up)
 
     @property
@@ -194,10 +206,9 @@
                 self.callers.close_idle()
             await asyncio.sleep(STOP_CHECK_S)
 
-    def _make_client(self, limits: RetryLimits) -> SchedulerClient:
+    def _make_client(self) -> SchedulerClient:
         state = SchedulingState(
             random=self._random,
-            retry_limits=limits,
             quotas=QuotaBook(slack=self.settings.quota_slack),
         )
         core = SchedulingCore(state)
@@ -205,13 +216,11 @@
         local = LocalPlacer(core, process.incarnation, process.clock, self._read_fleet)
         return SchedulerClient(process.leader_link, local, process.incarnation)
 
-    def _make_forwarder(self, limits: RetryLimits) -> Forwarder:
+    def _make_forwarder(self) -> Forwarder:
         process = self.process
         plain = PlainPlacer(
             data_centre=self.settings.data_centre,
             view=process.view,
-            retry_limits=limits,
-            count_edges=self._count_edges,
             clock=process.clock,
             random=self._random,
         )
@@ -227,6 +236,7 @@
             view=process.view,
             placer=self.client,
             plain=plain,
+            repeats=self.repeats,
             admission=self.admission,
             pool=ConnectionPool(MAX_IDLE_PER_RUNNER),
             metrics=process.metrics,
@@ -272,8 +282,12 @@
         self.process.keep_running(self.process.presence.async_run)
 
     def _count_edges(self) -> int:
-        members = self.process.view.members.values()
-        return sum(1 for each in members if each.role is Role.EDGE)
+        return len(self._list_edges())
+
+    def _list_edges(self) -> list[str]:
+        """Return the keys of the edges that are announced."""
+        members = self.process.view.members.items()
+        return [key for key, each in members if each.role is Role.EDGE]
 
     def _get_limits(self) -> CallerLimits:
         table = self.process.view.table
@@ -285,10 +299,21 @@
             self.forwarder.pool.sweep(self.process.clock())
             self.forwarder.plain.forget_gone()
 
+    async def _async_look_at_members(self) -> None:
+        """Keep this edge's part of the fleet's retry budgets current."""
+        while True:
+            self.repeats.shares.update(
+                self._list_edges(),
+                known_at=self.process.mirror.known_at,
+                now=read_boot_clock(),
+                joined=self.process.shows_itself(),
+            )
+            await async_sleep_to_tick(LOOK_S)
+
     async def _async_sum_up(self) -> None:
         while True:
             await async_sleep_to_tick(SUMMARY_S)
-            self.forwarder.plain.sum_up()
+            self.repeats.sum_up()
 
 
 def _log_error(error: BaseException) -> None:
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Final
 
-from attrs import asdict, define, field
+from attrs import define, field
 
 from ..coordination.absence import AbsentEdges
 from ..coordination.crash_keeper import CrashKeeper
@@ -21,7 +21,7 @@
     FleetSeen,
     OrdersAllowed,
 )
-from ..policy.scheduling.state import RetryLimits, SchedulingState
+from ..policy.scheduling.state import SchedulingState
 from ..scheduling.server import SchedulerServer
 from ..settings.fleet import SchedulerSettings
 from ..util.collector import exempt_start
@@ -189,14 +189,9 @@
 
     def _make_core(self) -> SchedulingCore:
         settings = self.settings
-        limits = RetryLimits(
-            ratio=settings.retry_ratio,
-            slack=settings.retry_slack,
-            window_s=settings.retry_window_s,
-        )
         quotas = QuotaBook(slack=settings.quota_slack, starts_full=False)
         quotas.begin(self.process.clock())
-        state = SchedulingState(random=Random(), retry_limits=limits, quotas=quotas)
+        state = SchedulingState(random=Random(), quotas=quotas)
         return SchedulingCore(state, _log_health)
 
     def _note_view(self) -> None:
@@ -274,9 +269,6 @@
 
     def _log_summary(self, service: str) -> None:
         core = self.server.core
-        levels = core.measure_budget(service, self.process.clock())
-        if levels.repeats:
-            log_event(log.RetryBudgetSummed(service=service, **asdict(levels)))
         models, runners = core.describe(service, self.process.clock())
         log_event(
             log.PlacementSummed(
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -26,6 +26,9 @@
 HELD_BACK: Final = "it makes its runners crash"
 """Why a request is refused that the crashes of its runners tell against."""
 
+BUDGET_SPENT: Final = "the retry budget is spent"
+"""Why a request is refused that needs a repeat for which the edge has no credit."""
+
 KNOWLEDGE_SHARE: Final = 0.7
 """Part of the time after which a key that was taken away must let nobody in, for which
 a host serves on without hearing the store. The rest is for a store whose watches hear
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -24,6 +24,7 @@
 from .handling import Handling
 from .identity import identify
 from .plain import PlainPlacer
+from .repeats import RetryBudgets
 from .request_log import RequestLog
 
 NO_CONFIGURATION = Denial(
@@ -47,6 +48,7 @@
     plain: PlainPlacer
     """Places requests for all others."""
 
+    repeats: RetryBudgets
     admission: Admission
     pool: ConnectionPool
     metrics: Metrics
--- a/mangoway/edge/plain.py
+++ b/mangoway/edge/plain.py
@@ -4,18 +4,16 @@
 from random import Random
 from typing import Final
 
-from attrs import asdict, define, field
+from attrs import define, field
 
 from ..coordination.view import FleetView
 from ..models.runner import RunnerEntry
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.edge.choice import InFlight, choose_runner
-from ..policy.edge.const import RETRY_AFTER_OUTAGE_S, RETRY_BUDGET_USED
+from ..policy.edge.const import RETRY_AFTER_OUTAGE_S
 from ..policy.edge.health import HealthBook
-from ..policy.edge.retry_budget import RetryBudget
 from ..policy.scheduling.events import EndKind, Refuse
-from ..policy.scheduling.state import RetryLimits
 
 NO_RUNNER: Final = "no runner of the service is known"
 
@@ -26,24 +24,15 @@
 
     data_centre: str
     view: FleetView
-    retry_limits: RetryLimits
-    count_edges: Callable[[], int]
-    """Number of edges that share the fleet's retry budget."""
-
     clock: Callable[[], float]
     random: Random
     in_flight: InFlight = field(factory=InFlight, init=False)
     health: HealthBook = field(factory=HealthBook, init=False)
-    _budgets: dict[str, RetryBudget] = field(factory=dict, init=False)
 
     def forget_gone(self) -> None:
         """Forget the failures of runners that are gone."""
         self.health.keep_only(set(self.view.runners))
 
-    def note_request(self, service: str) -> None:
-        """Count a request for the retry budget."""
-        self._get_budget(service).note_request(self.clock())
-
     def place(
         self,
         service: str,
@@ -97,29 +86,6 @@
                     )
                 )
 
-    def take_repeat(self, service: str) -> bool:
-        """Take one repeat from this edge's part of the fleet's budget."""
-        return self._get_budget(service).take(self.clock(), self._measure_share())
-
-    def sum_up(self) -> None:
-        """Log the budgets of which repeats were taken."""
-        share = self._measure_share()
-        for service, budget in self._budgets.items():
-            levels = budget.measure(self.clock(), share)
-            if levels.repeats:
-                log_event(log.RetryBudgetSummed(service=service, **asdict(levels)))
-
-    def _measure_share(self) -> float:
-        return RETRY_BUDGET_USED / max(1, self.count_edges())
-
-    def _get_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            limits = self.retry_limits
-            budget = RetryBudget(limits.ratio, limits.slack, limits.window_s)
-            self._budgets[service] = budget
-        return budget
-
 
 def _refuse(reason: str) -> Refuse:
     return Refuse(
--- /dev/null
+++ b/mangoway/edge/repeats.py
@@ -0,0 +1,60 @@
+"""The retry budgets of an edge, one for each service."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from ..observability import fleet_events as log
+from ..observability.event_log import log_event
+from ..policy.edge.retry_budget import RetryBudget, RetryCredit, RetryLimits
+from ..policy.edge.shares import FleetShares
+
+
+@define(eq=False)
+class RetryBudgets:
+    """Counts requests and pays for their repeats, whoever chose the runner."""
+
+    limits: RetryLimits
+    shares: FleetShares
+    clock: Callable[[], float]
+    boot_clock: Callable[[], float]
+    _budgets: dict[str, RetryBudget] = field(factory=dict, init=False)
+    _told: dict[str, int] = field(factory=dict, init=False)
+    """Repeats and refusals of each service when they were last summed up."""
+
+    def note_request(self, service: str) -> None:
+        """Count a request of a caller."""
+        shares = self.shares.measure(self.boot_clock())
+        self.get(service).note_request(self.clock(), shares)
+
+    def take(self, service: str) -> RetryCredit | None:
+        """Take the credit for one repeat; None if there is none."""
+        shares = self.shares.measure(self.boot_clock())
+        return self.get(service).take(self.clock(), shares)
+
+    def sum_up(self) -> None:
+        """Log the budgets that were used since the last call."""
+        shares = self.shares.measure(self.boot_clock())
+        for service, budget in self._budgets.items():
+            used = budget.repeats + budget.refused
+            if used == self._told.get(service, 0):
+                continue
+            self._told[service] = used
+            log_event(
+                log.RetryBudgetSummed(
+                    service=service,
+                    requests=budget.requests,
+                    repeats=budget.repeats,
+                    refused=budget.refused,
+                    balance=round(budget.balance, 2),
+                    most=round(budget.measure_most(), 2),
+                    shared=round(shares.shared, 4),
+                )
+            )
+
+    def get(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self.limits)
+        return budget
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -175,12 +175,20 @@
 
 @numbered(257, LogLevel.INFO)
 class RetryBudgetSummed:
-    """What this process counts against the retry budget of a service."""
+    """What an edge has left of its part of the retry budget of a service."""
 
     service: str
     requests: int
     repeats: int
-    allowed: float
+    refused: int
+    """Repeats that were not sent for lack of credit; all three since the start."""
+
+    balance: float
+    most: float
+    """Credits that the edge has, and the most that it may save up."""
+
+    shared: float
+    """Its part of what edges share that surely know each other; 0: it has none."""
 
 
 # 3xx: runners.
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -2,14 +2,23 @@
 
 from typing import Final
 
-RETRY_BUDGET_USED: Final = 0.7
-"""Part of the fleet's retry budget that is used; the rest covers what processes count
-differently at the edges of the window and repeats sent while members come and go."""
-
-BEGINNER_PART: Final = (1 - RETRY_BUDGET_USED) / RETRY_BUDGET_USED / 2
-"""Part of its allowance that a process uses until it has seen a whole window: the one
-that chose before may have used all of its own, and the edges alone and the next
-scheduler may both begin within it: together they must stay within the fleet's."""
+BASE_PART: Final = 0.5
+SHARED_PART: Final = 0.38
+ADDED_PART: Final = 0.07
+"""Parts of a service's fixed allowance of repeats: what all edges may save up, what
+those may that surely know each other, and what is added over a window. The rest covers
+requests that are counted later than they were sent, and hosts that are added."""
+
+BASE_HORIZONS: Final = 6.0
+"""Windows for which an edge has its base part without hearing of the fleet, and for
+which one that has gone is counted. Stores are down for long; without a base part no
+failed request would be repeated then."""
+
+LOOK_S: Final = 0.5
+"""Time between two looks at the members."""
+
+RETRY_AFTER_BUDGET_S: Final = 0.5
+"""When to come back if no repeat may be sent: callers' requests earn some by then."""
 
 MIN_RETRY_TIME_S: Final = 0.05
 """Time that must be left for another try: a plain call takes some 20 to 90 ms."""
--- a/mangoway/policy/edge/retry_budget.py
+++ b/mangoway/policy/edge/retry_budget.py
@@ -1,99 +1,123 @@
-"""Bounds the repeats of a service, so that a failure is not multiplied by retries."""
+"""Bounds the repeats of a service, so that a failure is not multiplied by retries.
 
-import math
-from collections import deque
+The bound holds over the whole fleet and in each window. Each edge counts what it sends,
+and nobody counts for another: requests earn credits where they arrive, a repeat takes
+one where it is sent. What an edge may save up is its part of the fixed allowance. So
+all edges together send in a window no more than they had saved, what the window's
+requests earn, and what is added over the window, however edges come and go.
+"""
+
+from enum import Enum
 from typing import Final
 
 from attrs import define, field, frozen
 
-from .const import BEGINNER_PART
+from .const import ADDED_PART, BASE_PART, SHARED_PART
+from .shares import NO_SHARES, Shares
 
-PARTS: Final = 20
-"""Slices into which a window is cut; its edge is right to a twentieth."""
+WHOLE_CREDIT: Final = 1 - 1e-9
+"""One credit, as it is where fractions were added up."""
 
 
-@define(eq=False)
-class WindowCount:
-    """Counts events of the last `window_s` seconds in slices."""
+@frozen(kw_only=True)
+class RetryLimits:
+    """Bounds of the repeats of a service over the whole fleet."""
+
+    ratio: float
+    """Repeats for each request."""
+
+    slack: float
+    """Repeats beyond those in a window."""
 
     window_s: float
-    _slices: deque[tuple[float, int]] = field(factory=deque, init=False)
-    total: int = field(default=0, init=False)
 
-    def add(self, now: float) -> None:
-        """Count one event."""
-        self.forget(now)
-        slice_s = self.window_s / PARTS
-        if self._slices and now - self._slices[-1][0] < slice_s:
-            start, count = self._slices[-1]
-            self._slices[-1] = (start, count + 1)
-        else:
-            self._slices.append((now, 1))
-        self.total += 1
 
-    def forget(self, now: float) -> None:
-        """Drop what lies before the window."""
-        while self._slices and self._slices[0][0] <= now - self.window_s:
-            self.total -= self._slices.popleft()[1]
+class Pay(Enum):
+    """What became of a credit that was taken."""
 
+    HELD = "held"
+    """The repeat is not sent, or may not have reached its runner yet."""
 
-@frozen
-class BudgetLevels:
-    """Counts of one window, and the repeats that are allowed in it."""
+    SPENT = "spent"
+    RETURNED = "returned"
 
-    requests: int
-    repeats: int
-    allowed: float
+
+@define(eq=False)
+class RetryCredit:
+    """The payment for one repeat."""
+
+    budget: "RetryBudget"
+    state: Pay = field(default=Pay.HELD, init=False)
+
+    def spend(self) -> None:
+        """Note that the repeat has reached its runner, or never will."""
+        if self.state is Pay.HELD:
+            self.state = Pay.SPENT
+            self.budget.held -= 1
+
+    def give_back(self) -> None:
+        """Return the credit, as nothing was sent."""
+        if self.state is Pay.HELD:
+            self.state = Pay.RETURNED
+            self.budget.held -= 1
+            self.budget.balance += 1
 
 
 @define(eq=False)
 class RetryBudget:
-    """Allows repeats up to a share of the requests, and a few beyond.
-
-    The bound holds for the whole fleet. A process that sees all requests of a service
-    uses the whole of it; one of several uses its part of the fixed allowance.
-    """
+    """The credits of one edge for the repeats of one service."""
 
-    ratio: float
-    slack: float
-    window_s: float
-    _requests: WindowCount = field(init=False)
-    _repeats: WindowCount = field(init=False)
-    _began_at: float = field(default=-math.inf, init=False)
-    """Since when it has seen the requests without a gap of a window."""
+    limits: RetryLimits
+    balance: float = field(default=0.0, init=False)
+    held: int = field(default=0, init=False)
+    """Credits of repeats that may still be on their way. They are kept as saved, so
+    that repeats which reach their runners late add nothing to what is sent then."""
 
-    _seen_at: float = field(default=-math.inf, init=False)
-    """When it saw the last request."""
+    requests: int = field(default=0, init=False)
+    repeats: int = field(default=0, init=False)
+    refused: int = field(default=0, init=False)
+    """Requests, repeats paid for, and repeats refused, since the start."""
 
-    def __attrs_post_init__(self) -> None:
-        self._requests = WindowCount(self.window_s)
-        self._repeats = WindowCount(self.window_s)
+    _filled_at: float | None = field(default=None, init=False)
+    _shares: Shares = field(default=NO_SHARES, init=False)
 
-    def note_request(self, now: float) -> None:
-        """Count a request."""
-        if now - self._seen_at >= self.window_s:
-            self._began_at = now
-        self._seen_at = now
-        self._requests.add(now)
+    def note_request(self, now: float, shares: Shares) -> None:
+        """Count a request of a caller, once."""
+        self._fill(now, shares)
+        self.requests += 1
+        self._add(self.limits.ratio)
 
-    def take(self, now: float, share: float) -> bool:
-        """Take one repeat, if the budget has one.
+    def take(self, now: float, shares: Shares) -> RetryCredit | None:
+        """Take the credit for one repeat; None if there is none.
 
         Args:
             now: Time in seconds.
-            share: Part of the fixed allowance that this process may use, 0 to 1.
+            shares: Parts of the fixed allowance that this edge has now.
         """
-        levels = self.measure(now, share)
-        if levels.repeats + 1 > levels.allowed:
-            return False
-        self._repeats.add(now)
-        return True
-
-    def measure(self, now: float, share: float) -> BudgetLevels:
-        """Return what was counted in the window that ends now."""
-        self._requests.forget(now)
-        self._repeats.forget(now)
-        if now - self._began_at < self.window_s:
-            share *= BEGINNER_PART
-        allowed = self.ratio * self._requests.total + self.slack * share
-        return BudgetLevels(self._requests.total, self._repeats.total, allowed)
+        self._fill(now, shares)
+        if self.balance < WHOLE_CREDIT:
+            self.refused += 1
+            return None
+        self.balance -= 1
+        self.held += 1
+        self.repeats += 1
+        return RetryCredit(self)
+
+    def measure_most(self) -> float:
+        """Return the most credits that the edge may save up."""
+        base = BASE_PART * self._shares.base
+        return self.limits.slack * (base + SHARED_PART * self._shares.shared)
+
+    def _fill(self, now: float, shares: Shares) -> None:
+        """Add what time brings, and drop what a smaller part can't hold."""
+        if self._filled_at is None:
+            self._filled_at = now
+        # The part may have changed at any time since.
+        shared = min(self._shares.shared, shares.shared)
+        added_per_s = ADDED_PART * self.limits.slack / self.limits.window_s
+        self._shares = shares
+        self._add(shared * added_per_s * max(0.0, now - self._filled_at))
+        self._filled_at = max(self._filled_at, now)
+
+    def _add(self, credits: float) -> None:
+        self.balance = min(self.balance + credits, self.measure_most() - self.held)
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -6,8 +6,6 @@
 from attrs import define, field
 
 from ..customers.const import OVER_QUOTA
-from ..edge.const import RETRY_BUDGET_USED
-from ..edge.retry_budget import BudgetLevels
 from .adapters import plan_adapter, plan_adapters, plan_runner
 from .const import MIN_RETRY_AFTER_S
 from .dispatch import Dispatcher, place
@@ -39,8 +37,9 @@
 from .state import Charge, SchedulingState
 from .warming import WarmingPlanner
 
-RETRY_AFTER_BUDGET_S: Final = 0.5
-"""When to come back if the fleet's retry budget is spent: a twentieth of its window."""
+RETRY_AFTER_UNKNOWN_S: Final = 0.5
+"""When to come back for a model that is not offered: a newer configuration may have it
+by then."""
 
 DESCRIBED_MODELS: Final = 6
 DESCRIBED_RUNNERS: Final = 12
@@ -174,11 +173,6 @@
         runners = [each.describe(now) for each in self.state.list_runners(service)]
         return planner.describe_models(DESCRIBED_MODELS), runners[:DESCRIBED_RUNNERS]
 
-    def measure_budget(self, service: str, now: float) -> BudgetLevels:
-        """Return what was counted against the retry budget of a service."""
-        share = RETRY_BUDGET_USED * self.state.limit_scale
-        return self.state.get_budget(service).measure(now, share)
-
     def end(self, key: RequestKey, now: float) -> Running | None:
         """Forget a request; returns it if a runner had it."""
         runner = self.state.runners.get(self.state.granted.pop(key, ""))
@@ -208,17 +202,11 @@
             return [_refuse_over_quota(event, wait_s)]
         charge = Charge(event.customer, event.cost)
         state.charges[event.edge, event.request_id] = charge
-    budget = state.get_budget(event.service)
-    if event.repeat:
-        share = RETRY_BUDGET_USED * state.limit_scale
-        if not budget.take(now, share):
-            return [_refuse(event, RETRY_AFTER_BUDGET_S, "the retry budget is spent")]
-    else:
-        budget.note_request(now)
+    if not event.repeat:
         _note_demand(state, event, now)
     engine = state.get_engine(event.service)
     if engine is not None and event.model not in engine.models:
-        return [_refuse(event, RETRY_AFTER_BUDGET_S, "the model is not offered")]
+        return [_refuse(event, RETRY_AFTER_UNKNOWN_S, "the model is not offered")]
     waiting = _make_waiting(state, event, now)
     return core.serve_request(waiting, now)
 
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -9,7 +9,6 @@
 from ...models.runner import RunnerEntry
 from ..customers.quota import QuotaBook
 from ..edge.health import HealthBook
-from ..edge.retry_budget import RetryBudget
 from .const import STORE_LOAD_SHARE, STORE_WINDOW_S
 from .copies import CopyIndex
 from .demand import DemandBook, Returns
@@ -23,15 +22,6 @@
 from .wakes import Wakes
 
 
-@define(kw_only=True)
-class RetryLimits:
-    """Bounds of the repeats of a service over the whole fleet."""
-
-    ratio: float
-    slack: float
-    window_s: float
-
-
 @frozen
 class Charge:
     """What was taken of a customer's quota."""
@@ -80,7 +70,6 @@
     """Runners, waiting requests, demand and limits."""
 
     random: Random
-    retry_limits: RetryLimits
     limit_scale: float = 1.0
     """Part of each runner's limits that this process may use; 1 if it sees all."""
 
@@ -113,17 +102,6 @@
     _entries: dict[str, RunnerEntry] = field(factory=dict, init=False)
     """The entries that were taken last."""
 
-    _budgets: dict[str, RetryBudget] = field(factory=dict, init=False)
-
-    def get_budget(self, service: str) -> RetryBudget:
-        """Return the retry budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            limits = self.retry_limits
-            budget = RetryBudget(limits.ratio, limits.slack, limits.window_s)
-            self._budgets[service] = budget
-        return budget
-
     def get_gaps(self, service: str) -> Gaps:
         """Return the pauses of a service's streams."""
         return self._gaps.setdefault(service, Gaps())
--- a/mangoway/settings/fleet.py
+++ b/mangoway/settings/fleet.py
@@ -46,21 +46,6 @@
     log_level: LogLevel = setting(
         parse_level, "Lowest level of events that are logged.", LogLevel.INFO
     )
-    retry_ratio: float = setting(
-        float_between(0, 10),
-        "Repeats that the whole fleet may make for each request to a service.",
-        DEFAULT_RETRY_RATIO,
-    )
-    retry_slack: float = setting(
-        float_between(0, 100_000),
-        "Repeats beyond those that the fleet may make to a service in a window.",
-        DEFAULT_RETRY_SLACK,
-    )
-    retry_window_s: float = setting(
-        float_between(0.1, 3600),
-        "Seconds of the window in which repeats are counted.",
-        DEFAULT_RETRY_WINDOW_S,
-    )
     quota_slack: float = setting(
         parse_optional(float_between(0, 1e12), DEFAULT_QUOTA_SLACK),
         "What the whole fleet may grant a customer beyond its quota for a while, in "
@@ -78,6 +63,21 @@
 class EdgeSettings(FleetSettings):
     """Settings of an edge."""
 
+    retry_ratio: float = setting(
+        float_between(0, 10),
+        "Repeats that the whole fleet may make for each request to a service.",
+        DEFAULT_RETRY_RATIO,
+    )
+    retry_slack: float = setting(
+        float_between(0, 100_000),
+        "Repeats beyond those that the fleet may make to a service in a window.",
+        DEFAULT_RETRY_SLACK,
+    )
+    retry_window_s: float = setting(
+        float_between(0.1, 3600),
+        "Seconds of the window in which repeats are counted.",
+        DEFAULT_RETRY_WINDOW_S,
+    )
     revoke_ms: float = setting(
         parse_optional(float_between(1, 3_600_000), DEFAULT_REVOKE_MS),
         "Milliseconds after which a customer's key that was taken away lets nobody in, "
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -1,6 +1,7 @@
 """What callers and runners have seen, and the promises that it must keep."""
 
 import time
+from bisect import bisect_left
 from enum import Enum
 from random import Random
 
@@ -33,6 +34,11 @@
 """Time from the third crash in which all of the system must know the request."""
 
 
+RETRY_RATIO = 0.2
+RETRY_SLACK = 12
+RETRY_WINDOW_S = 4.0
+"""What the fleet is told of the budget for repeats of each service."""
+
 HELD_BACK = "makes its runners crash"
 """Words of the refusal of such a request."""
 
@@ -48,6 +54,11 @@
     FIXED_STREAM = "fixed"
     """A stream that may not."""
 
+    @property
+    def service(self) -> str:
+        """Return the service that the route goes to."""
+        return "llm" if self in (Kind.STREAM, Kind.FIXED_STREAM) else "plain"
+
     @property
     def runs_once(self) -> bool:
         """Return whether a request may run once at most."""
@@ -132,6 +143,9 @@
 
     calls: dict[str, Call] = field(factory=dict, init=False)
     runs: dict[str, list[Run]] = field(factory=dict, init=False)
+    arrivals: dict[str, list[tuple[float, str]]] = field(factory=dict, init=False)
+    """Time and request of what reached the runners of each service, run or refused."""
+
     spans: list[Span] = field(factory=list, init=False)
     leaving: dict[str, float] = field(factory=dict, init=False)
     """Runners with the time at which the store took their leaving."""
@@ -153,6 +167,11 @@
         self.spans.append(span)
         return span
 
+    def note_arrival(self, service: str, request_id: str) -> None:
+        """Note that a request reached a runner, which runs or refuses it."""
+        rows = self.arrivals.setdefault(service, [])
+        rows.append((time.monotonic(), request_id))
+
     def note_run(self, request_id: str, run: Run) -> None:
         """Note that a runner works on a request."""
         self.runs.setdefault(request_id, []).append(run)
@@ -222,6 +241,8 @@
         for call in self.calls.values():
             broken += self._check_call(call)
         broken += self._check_versions()
+        for service in self.arrivals:
+            broken += self.check_repeats(service)
         for name, crashes in self.crashes.items():
             late = self.count_late_retries(name)
             if late > RETRIES_ALLOWED:
@@ -233,6 +254,42 @@
         broken += [f"unasked: {each} ran and nobody sent it" for each in unasked]
         return broken
 
+    def list_repeats(self, service: str) -> list[float]:
+        """Return the times of a service's arrivals beyond the first of a request."""
+        seen = set()
+        repeats = []
+        for at, request_id in self.arrivals.get(service, ()):
+            if request_id in seen:
+                repeats.append(at)
+            seen.add(request_id)
+        return repeats
+
+    def check_repeats(self, service: str) -> list[str]:
+        """Check the budget for repeats of a service in each window.
+
+        A window is held against its requests, those of the one before it, or those of
+        the one half a window before it, whichever are most.
+        """
+        sent = sorted(
+            call.sent_at for call in self.calls.values() if call.kind.service == service
+        )
+        repeats = self.list_repeats(service)
+        broken = []
+        for began in repeats:
+            count = _count_between(repeats, began, began + RETRY_WINDOW_S)
+            requests = max(
+                _count_between(sent, began - back_s, began - back_s + RETRY_WINDOW_S)
+                for back_s in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+            )
+            allowed = RETRY_RATIO * requests + RETRY_SLACK
+            if count > allowed:
+                broken.append(
+                    f"budget: {service} got {count} repeats for {requests} requests; "
+                    f"{allowed:.0f} allowed"
+                )
+        # One spell breaks it in many windows.
+        return broken[:1]
+
     def _check_call(self, call: Call) -> list[str]:
         runs = self.runs.get(call.request_id, [])
         name = f"{call.kind.value} {call.request_id}"
@@ -280,3 +337,8 @@
             if late and self.is_calm(accepted - CALM_S, call.ended_at):
                 broken.append(f"config: {call.edge} lacks version {call.version}")
         return broken
+
+
+def _count_between(times: list[float], began: float, ended: float) -> int:
+    """Return how many of sorted times lie in `[began, ended)`."""
+    return bisect_left(times, ended) - bisect_left(times, began)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,7 +13,15 @@
 from ..stand_ins.relay import Relay
 from .callers import HOST, Caller, CrashingCaller
 from .customers import Customers
-from .records import APPLY_S, ROUTE_TIMEOUT_S, Kind, Records
+from .records import (
+    APPLY_S,
+    RETRY_RATIO,
+    RETRY_SLACK,
+    RETRY_WINDOW_S,
+    ROUTE_TIMEOUT_S,
+    Kind,
+    Records,
+)
 from .runners import RunnerStandIn
 from .store import StoreStandIn
 
@@ -258,6 +266,13 @@
             node.ready = find_free_address()
             flags += ["--caller-listen", node.callers, "--ready-listen", node.ready]
             flags += ["--directory-listen", node.directory]
+            flags += [
+                "--retry-ratio",
+                str(RETRY_RATIO),
+                "--retry-slack",
+                str(RETRY_SLACK),
+            ]
+            flags += ["--retry-window-s", str(RETRY_WINDOW_S)]
         else:
             flags += ["--peer-listen", find_free_address()]
             flags += ["--runners-check-fences", "true"]
