Let each edge send its base part in each window

Cause: the base part was a bound on savings only. Now an edge that has been up for a window may send its base part in each window whatever it has earned; what was sent or may be on its way counts against it, and what is left of a credit is dropped. The bound stays: up to the last repeat of the base part a window has no more than the base part, after it no more than its requests earn.

--- a/mangoway/edge/handling.py
+++ b/mangoway/edge/handling.py
@@ -14,7 +14,7 @@
 from ..models.verdict import Verdict
 from ..observability.metrics import Metrics
 from ..platform.requests import RequestFields, encode_for_runner
-from ..policy.edge.const import RETRY_AFTER_OUTAGE_S
+from ..policy.edge.const import RETRY_AFTER_BUDGET_S, RETRY_AFTER_OUTAGE_S
 from ..policy.edge.retries import FailedTry, Next, RepeatCause, decide_next
 from ..policy.scheduling.events import EndKind, Refuse
 from .admission import Admission, Caller, Denial
@@ -246,9 +246,11 @@
         return RepeatCause.RESUMED if self.delivery.events else RepeatCause.FAILED
 
     def _give_up(self, result: AttemptResult, decision: Next) -> None:
-        reason = BUDGET_SPENT if self._budget_spent else result.reason
+        reason, retry_after_s = result.reason, RETRY_AFTER_OUTAGE_S
+        if self._budget_spent:
+            reason, retry_after_s = BUDGET_SPENT, RETRY_AFTER_BUDGET_S
         if decision is Next.REFUSE:
-            self._refuse(reason, RETRY_AFTER_OUTAGE_S)
+            self._refuse(reason, retry_after_s)
         else:
             self._fail(STATUS_FAILED, reason)
 
--- a/mangoway/edge/repeats.py
+++ b/mangoway/edge/repeats.py
@@ -18,10 +18,14 @@
     shares: FleetShares
     clock: Callable[[], float]
     boot_clock: Callable[[], float]
+    _began_at: float = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict, init=False)
     _told: dict[str, int] = field(factory=dict, init=False)
     """Repeats and refusals of each service when they were last summed up."""
 
+    def __attrs_post_init__(self) -> None:
+        self._began_at = self.clock()
+
     def note_request(self, service: str) -> None:
         """Count a request of a caller."""
         shares = self.shares.measure(self.boot_clock())
@@ -56,5 +60,5 @@
         """Return the budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RetryBudget(self.limits)
+            budget = self._budgets[service] = RetryBudget(self.limits, self._began_at)
         return budget
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -13,16 +13,12 @@
 from ..platform.requests import RequestFields
 from ..policy.crashes.const import RETRY_AFTER_HELD_S
 from ..policy.customers.const import OVER_QUOTA
-from ..policy.edge.const import (
-    MIN_RETRY_TIME_S,
-    RETRY_AFTER_BUDGET_S,
-    RETRY_AFTER_OUTAGE_S,
-)
+from ..policy.edge.const import MIN_RETRY_TIME_S, RETRY_AFTER_OUTAGE_S
 from ..policy.edge.retry_budget import RetryCredit
 from ..policy.scheduling.events import Asked, EndKind, Refuse
 from ..scheduling.placing import Answer, Placer
 from .admission import Caller
-from .const import BUDGET_SPENT, HELD_BACK, OTHER_PLACE_S
+from .const import HELD_BACK, OTHER_PLACE_S
 from .crash_screen import CrashScreen
 from .delivery import Delivery
 from .plain import PlainPlacer
@@ -108,8 +104,6 @@
         """
         if self._is_held_back():
             return self._refuse_held()
-        if self.reached and not self.pay_repeat():
-            return self._make_refusal(BUDGET_SPENT, RETRY_AFTER_BUDGET_S)
         placed = await self._async_place()
         if self._is_held_back():
             self.end(EndKind.NOT_RUN)
@@ -208,7 +202,7 @@
         if credit is None:
             return
         if was_sent:
-            credit.spend()
+            credit.spend(self._clock())
         else:
             self._credit = credit
 
--- a/mangoway/policy/edge/retry_budget.py
+++ b/mangoway/policy/edge/retry_budget.py
@@ -7,6 +7,7 @@
 requests earn, and what is added over the window, however edges come and go.
 """
 
+from collections import deque
 from enum import Enum
 from typing import Final
 
@@ -47,20 +48,24 @@
     """The payment for one repeat."""
 
     budget: "RetryBudget"
+    was_saved: bool
+    """Whether it was taken off the balance, and not of the base part."""
+
     state: Pay = field(default=Pay.HELD, init=False)
 
-    def spend(self) -> None:
+    def spend(self, now: float) -> None:
         """Note that the repeat has reached its runner, or never will."""
         if self.state is Pay.HELD:
             self.state = Pay.SPENT
             self.budget.held -= 1
+            self.budget.note_spent(now)
 
     def give_back(self) -> None:
         """Return the credit, as nothing was sent."""
         if self.state is Pay.HELD:
             self.state = Pay.RETURNED
             self.budget.held -= 1
-            self.budget.balance += 1
+            self.budget.balance += 1 if self.was_saved else 0
 
 
 @define(eq=False)
@@ -68,6 +73,9 @@
     """The credits of one edge for the repeats of one service."""
 
     limits: RetryLimits
+    began_at: float
+    """When the edge started."""
+
     balance: float = field(default=0.0, init=False)
     held: int = field(default=0, init=False)
     """Credits of repeats that may still be on their way. They are kept as saved, so
@@ -78,6 +86,9 @@
     refused: int = field(default=0, init=False)
     """Requests, repeats paid for, and repeats refused, since the start."""
 
+    spent_at: deque[float] = field(factory=deque, init=False)
+    """Times of the repeats of the last window, or a little more."""
+
     _filled_at: float | None = field(default=None, init=False)
     _shares: Shares = field(default=NO_SHARES, init=False)
 
@@ -95,13 +106,39 @@
             shares: Parts of the fixed allowance that this edge has now.
         """
         self._fill(now, shares)
-        if self.balance < WHOLE_CREDIT:
+        was_saved = self.balance >= WHOLE_CREDIT
+        if was_saved:
+            self.balance -= 1
+        elif self._has_base_left(now):
+            # Taken on top, what is left of a credit would be one too many.
+            self.balance = min(self.balance, 0.0)
+        else:
             self.refused += 1
             return None
-        self.balance -= 1
         self.held += 1
         self.repeats += 1
-        return RetryCredit(self)
+        return RetryCredit(self, was_saved)
+
+    def _has_base_left(self, now: float) -> bool:
+        """Return whether less than the base part was spent in the last window.
+
+        An edge that has just started doesn't know what its earlier life has spent.
+        """
+        window_s = self.limits.window_s
+        if now - self.began_at < window_s:
+            return False
+        self._forget(now)
+        spent = len(self.spent_at) + self.held
+        return spent + 1 <= BASE_PART * self.limits.slack * self._shares.base
+
+    def note_spent(self, now: float) -> None:
+        """Note that a repeat has reached its runner."""
+        self.spent_at.append(now)
+        self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        while self.spent_at and self.spent_at[0] < now - self.limits.window_s:
+            self.spent_at.popleft()
 
     def measure_most(self) -> float:
         """Return the most credits that the edge may save up."""
--- a/tests/policy/edge/test_fleet_budget.py
+++ b/tests/policy/edge/test_fleet_budget.py
@@ -54,7 +54,7 @@
     """
     seen = RepeatWindows(RATIO, SLACK, WINDOW_S)
     shares = Shares(1 / EDGES, 1 / EDGES)
-    budgets = [RetryBudget(LIMITS) for _ in range(EDGES)]
+    budgets = [RetryBudget(LIMITS, began_at=0.0) for _ in range(EDGES)]
     edges = cycle(budgets)
     now = 0.0
     for _, until in changes:
@@ -66,7 +66,7 @@
             for _ in range(TRIES if now >= 20 else 0):
                 credit = budget.take(now, shares)
                 if credit is not None:
-                    credit.spend()
+                    credit.spend(now)
                     seen.repeats.append(now)
     return seen
 
@@ -77,7 +77,7 @@
 
     key: str
     life: int
-    budget: RetryBudget = field(factory=lambda: RetryBudget(LIMITS))
+    budget: RetryBudget
     shares: FleetShares = field(factory=lambda: FleetShares(WINDOW_S))
     cut_at: float | None = None
     """Since when it is cut off from the store and from the others."""
@@ -112,7 +112,7 @@
 
     def add(self, key: str) -> None:
         self.lives += 1
-        self.edges[key] = Edge(key, self.lives)
+        self.edges[key] = Edge(key, self.lives, RetryBudget(LIMITS, self.now))
 
     @rule(seconds=st.floats(0.05, 16.0))
     def advance(self, seconds: float) -> None:
@@ -201,7 +201,7 @@
 
     def arrive(self, edge: Edge) -> None:
         for credit in edge.on_their_way:
-            credit.spend()
+            credit.spend(self.now)
             self.seen.repeats.append(self.now)
         edge.on_their_way.clear()
 
