Divide an edge's repeats into savings and a window's part

Callers: after a start, and in short bursts of failures, requests got no second try though the fleet's budget had room. Cause: the earlier form gave an edge most of its part only once it surely knew all others, and rounded savings and base part down apart, so that an edge of a large fleet (2.1 of the allowance each at 300) could hold one credit and waste the rest. Now one share for both: what an edge has saved (0.45 of the allowance) and what it may send in each window besides (0.45) pay for a repeat together, also by parts. Members that are gone are counted for six windows, for as long as an edge that hears nothing keeps its share. Less code: no wait after joining. Tests of the core are rewritten for the two parts with the same bounds, whole windows, late arrivals included.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -24,9 +24,9 @@
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
 from ..policy.customers.quota import QuotaBook
-from ..policy.edge.const import LOOK_S
+from ..policy.edge.const import LOOK_S, SHARE_WINDOWS
 from ..policy.edge.retry_budget import RetryLimits
-from ..policy.edge.shares import FleetShares
+from ..policy.edge.shares import FleetShare
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import FleetSeen
 from ..policy.scheduling.state import SchedulingState
@@ -116,7 +116,7 @@
                 slack=settings.retry_slack,
                 window_s=settings.retry_window_s,
             ),
-            shares=FleetShares(settings.retry_window_s),
+            share=FleetShare(SHARE_WINDOWS * settings.retry_window_s),
             clock=self.process.clock,
             boot_clock=read_boot_clock,
         )
@@ -302,7 +302,7 @@
     async def _async_look_at_members(self) -> None:
         """Keep this edge's part of the fleet's retry budgets current."""
         while True:
-            self.repeats.shares.update(
+            self.repeats.share.update(
                 self._list_edges(),
                 known_at=self.process.mirror.known_at,
                 now=read_boot_clock(),
--- a/mangoway/edge/repeats.py
+++ b/mangoway/edge/repeats.py
@@ -7,7 +7,7 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.edge.retry_budget import RetryBudget, RetryCredit, RetryLimits
-from ..policy.edge.shares import FleetShares
+from ..policy.edge.shares import FleetShare
 
 
 @define(eq=False)
@@ -15,7 +15,7 @@
     """Counts requests and pays for their repeats, whoever chose the runner."""
 
     limits: RetryLimits
-    shares: FleetShares
+    share: FleetShare
     clock: Callable[[], float]
     boot_clock: Callable[[], float]
     _began_at: float = field(init=False)
@@ -28,17 +28,17 @@
 
     def note_request(self, service: str) -> None:
         """Count a request of a caller."""
-        shares = self.shares.measure(self.boot_clock())
-        self.get(service).note_request(self.clock(), shares)
+        share = self.share.measure(self.boot_clock())
+        self.get(service).note_request(self.clock(), share)
 
     def take(self, service: str) -> RetryCredit | None:
         """Take the credit for one repeat; None if there is none."""
-        shares = self.shares.measure(self.boot_clock())
-        return self.get(service).take(self.clock(), shares)
+        share = self.share.measure(self.boot_clock())
+        return self.get(service).take(self.clock(), share)
 
     def sum_up(self) -> None:
         """Log the budgets that were used since the last call."""
-        shares = self.shares.measure(self.boot_clock())
+        share = self.share.measure(self.boot_clock())
         for service, budget in self._budgets.items():
             used = budget.repeats + budget.refused
             if used == self._told.get(service, 0):
@@ -50,9 +50,8 @@
                     requests=budget.requests,
                     repeats=budget.repeats,
                     refused=budget.refused,
-                    balance=round(budget.balance, 2),
-                    most=round(budget.measure_most(), 2),
-                    shared=round(shares.shared, 4),
+                    left=round(budget.measure_left(self.clock(), share), 2),
+                    share=round(share, 4),
                 )
             )
 
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -183,12 +183,11 @@
     refused: int
     """Repeats that were not sent for lack of credit; all three since the start."""
 
-    balance: float
-    most: float
-    """Credits that the edge has, and the most that it may save up."""
+    left: float
+    """Repeats that the edge may send now."""
 
-    shared: float
-    """Its part of what edges share that surely know each other; 0: it has none."""
+    share: float
+    """Its part of the fleet's fixed allowance; 0 if it has not heard of the fleet."""
 
 
 # 3xx: runners.
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -2,17 +2,17 @@
 
 from typing import Final
 
-BASE_PART: Final = 0.5
-SHARED_PART: Final = 0.38
-ADDED_PART: Final = 0.07
-"""Parts of a service's fixed allowance of repeats: what all edges may save up, what
-those may that surely know each other, and what is added over a window. The rest covers
+SAVED_PART: Final = 0.45
+ADDED_PART: Final = 0.05
+WINDOW_PART: Final = 0.45
+"""Parts of a service's fixed allowance of repeats: what edges may save up, what time
+adds to that over a window, and what they may send in each window. The rest covers
 requests that are counted later than they were sent, and hosts that are added."""
 
-BASE_HORIZONS: Final = 6.0
-"""Windows for which an edge has its base part without hearing of the fleet, and for
-which one that has gone is counted. Stores are down for long; without a base part no
-failed request would be repeated then."""
+SHARE_WINDOWS: Final = 6.0
+"""Windows for which an edge has its share without hearing of the fleet, and for which
+one that has gone is counted. Stores are down for long, and an edge without a share
+sends no repeat."""
 
 LOOK_S: Final = 0.5
 """Time between two looks at the members."""
--- a/mangoway/policy/edge/retry_budget.py
+++ b/mangoway/policy/edge/retry_budget.py
@@ -1,10 +1,11 @@
 """Bounds the repeats of a service, so that a failure is not multiplied by retries.
 
 The bound holds over the whole fleet and in each window. Each edge counts what it sends,
-and nobody counts for another: requests earn credits where they arrive, a repeat takes
-one where it is sent. What an edge may save up is its part of the fixed allowance. So
-all edges together send in a window no more than they had saved, what the window's
-requests earn, and what is added over the window, however edges come and go.
+and nobody counts for another, so that it makes no difference who else comes and goes.
+Requests earn credits where they arrive, and an edge saves up a part of the fixed
+allowance at most. Besides, it may send another part of it in each window. So all edges
+together send in a window no more than they had saved, what the window's requests earn,
+and what they may send in each.
 """
 
 from collections import deque
@@ -13,8 +14,7 @@
 
 from attrs import define, field, frozen
 
-from .const import ADDED_PART, BASE_PART, SHARED_PART
-from .shares import NO_SHARES, Shares
+from .const import ADDED_PART, SAVED_PART, WINDOW_PART
 
 WHOLE_CREDIT: Final = 1 - 1e-9
 """One credit, as it is where fractions were added up."""
@@ -28,12 +28,12 @@
     """Repeats for each request."""
 
     slack: float
-    """Repeats beyond those in a window."""
+    """Repeats beyond those in a window: the fixed allowance."""
 
     window_s: float
 
 
-class Pay(Enum):
+class CreditState(Enum):
     """What became of a credit that was taken."""
 
     HELD = "held"
@@ -45,116 +45,134 @@
 
 @define(eq=False)
 class RetryCredit:
-    """The payment for one repeat."""
+    """The payment for one repeat, from what was saved and from the window's part."""
 
     budget: "RetryBudget"
-    was_saved: bool
-    """Whether it was taken off the balance, and not of the base part."""
+    saved: float
+    state: CreditState = field(default=CreditState.HELD, init=False)
 
-    state: Pay = field(default=Pay.HELD, init=False)
+    @property
+    def from_window(self) -> float:
+        """Return what was taken from the window's part."""
+        return 1.0 - self.saved
 
     def spend(self, now: float) -> None:
         """Note that the repeat has reached its runner, or never will."""
-        if self.state is Pay.HELD:
-            self.state = Pay.SPENT
-            self.budget.held -= 1
-            self.budget.note_spent(now)
+        if self.state is CreditState.HELD:
+            self.state = CreditState.SPENT
+            self.budget.settle(self, now)
 
     def give_back(self) -> None:
         """Return the credit, as nothing was sent."""
-        if self.state is Pay.HELD:
-            self.state = Pay.RETURNED
-            self.budget.held -= 1
-            self.budget.balance += 1 if self.was_saved else 0
+        if self.state is CreditState.HELD:
+            self.state = CreditState.RETURNED
+            self.budget.take_back(self)
 
 
 @define(eq=False)
 class RetryBudget:
-    """The credits of one edge for the repeats of one service."""
+    """The credits of one edge for the repeats of one service.
+
+    A credit counts as saved, or as sent in the window, for as long as its repeat may
+    be on its way: one that reaches its runner late adds nothing to what is sent then.
+    """
 
     limits: RetryLimits
     began_at: float
     """When the edge started."""
 
     balance: float = field(default=0.0, init=False)
-    held: int = field(default=0, init=False)
-    """Credits of repeats that may still be on their way. They are kept as saved, so
-    that repeats which reach their runners late add nothing to what is sent then."""
+    """Credits that are saved."""
 
     requests: int = field(default=0, init=False)
     repeats: int = field(default=0, init=False)
     refused: int = field(default=0, init=False)
     """Requests, repeats paid for, and repeats refused, since the start."""
 
-    spent_at: deque[float] = field(factory=deque, init=False)
-    """Times of the repeats of the last window, or a little more."""
+    _held_saved: float = field(default=0.0, init=False)
+    _held_from_window: float = field(default=0.0, init=False)
+    _spent: deque[tuple[float, float]] = field(factory=deque, init=False)
+    """Time and amount of what was spent of the last window's part."""
 
     _filled_at: float | None = field(default=None, init=False)
-    _shares: Shares = field(default=NO_SHARES, init=False)
+    _share: float = field(default=0.0, init=False)
+
+    @property
+    def held(self) -> float:
+        """Return the credits of repeats that may be on their way."""
+        return self._held_saved + self._held_from_window
 
-    def note_request(self, now: float, shares: Shares) -> None:
+    def note_request(self, now: float, share: float) -> None:
         """Count a request of a caller, once."""
-        self._fill(now, shares)
+        self._fill(now, share)
         self.requests += 1
         self._add(self.limits.ratio)
 
-    def take(self, now: float, shares: Shares) -> RetryCredit | None:
+    def take(self, now: float, share: float) -> RetryCredit | None:
         """Take the credit for one repeat; None if there is none.
 
         Args:
             now: Time in seconds.
-            shares: Parts of the fixed allowance that this edge has now.
+            share: Part of the fleet's fixed allowance that this edge has now.
         """
-        self._fill(now, shares)
-        was_saved = self.balance >= WHOLE_CREDIT
-        if was_saved:
-            self.balance -= 1
-        elif self._has_base_left(now):
-            # Taken on top, what is left of a credit would be one too many.
-            self.balance = min(self.balance, 0.0)
-        else:
+        self._fill(now, share)
+        balance = max(0.0, self.balance)
+        if balance + self._measure_window(now) < WHOLE_CREDIT:
             self.refused += 1
             return None
-        self.held += 1
+        credit = RetryCredit(self, min(1.0, balance))
+        self.balance -= credit.saved
+        self._held_saved += credit.saved
+        self._held_from_window += credit.from_window
         self.repeats += 1
-        return RetryCredit(self, was_saved)
+        return credit
+
+    def settle(self, credit: RetryCredit, now: float) -> None:
+        """Take what is held for a repeat as spent."""
+        self._release(credit)
+        if credit.from_window:
+            self._spent.append((now, credit.from_window))
+            self._forget(now)
+
+    def take_back(self, credit: RetryCredit) -> None:
+        """Take what is held for a repeat that was not sent as never taken."""
+        self._release(credit)
+        self.balance += credit.saved
 
-    def _has_base_left(self, now: float) -> bool:
-        """Return whether less than the base part was spent in the last window.
+    def measure_left(self, now: float, share: float) -> float:
+        """Return the repeats that may be sent now."""
+        self._fill(now, share)
+        return max(0.0, self.balance) + self._measure_window(now)
+
+    def _measure_window(self, now: float) -> float:
+        """Return what is left of the window's part.
 
         An edge that has just started doesn't know what its earlier life has spent.
         """
-        window_s = self.limits.window_s
-        if now - self.began_at < window_s:
-            return False
+        if now - self.began_at < self.limits.window_s:
+            return 0.0
         self._forget(now)
-        spent = len(self.spent_at) + self.held
-        return spent + 1 <= BASE_PART * self.limits.slack * self._shares.base
+        spent = sum(amount for _, amount in self._spent) + self._held_from_window
+        return max(0.0, WINDOW_PART * self.limits.slack * self._share - spent)
 
-    def note_spent(self, now: float) -> None:
-        """Note that a repeat has reached its runner."""
-        self.spent_at.append(now)
-        self._forget(now)
+    def _release(self, credit: RetryCredit) -> None:
+        self._held_saved -= credit.saved
+        self._held_from_window -= credit.from_window
 
     def _forget(self, now: float) -> None:
-        while self.spent_at and self.spent_at[0] < now - self.limits.window_s:
-            self.spent_at.popleft()
-
-    def measure_most(self) -> float:
-        """Return the most credits that the edge may save up."""
-        base = BASE_PART * self._shares.base
-        return self.limits.slack * (base + SHARED_PART * self._shares.shared)
+        while self._spent and self._spent[0][0] < now - self.limits.window_s:
+            self._spent.popleft()
 
-    def _fill(self, now: float, shares: Shares) -> None:
-        """Add what time brings, and drop what a smaller part can't hold."""
+    def _fill(self, now: float, share: float) -> None:
+        """Add what time brings, and drop what a smaller share can't hold."""
         if self._filled_at is None:
             self._filled_at = now
-        # The part may have changed at any time since.
-        shared = min(self._shares.shared, shares.shared)
-        added_per_s = ADDED_PART * self.limits.slack / self.limits.window_s
-        self._shares = shares
-        self._add(shared * added_per_s * max(0.0, now - self._filled_at))
+        # The share may have changed at any time since.
+        added = ADDED_PART * self.limits.slack * min(self._share, share)
+        self._share = share
+        self._add(added * max(0.0, now - self._filled_at) / self.limits.window_s)
         self._filled_at = max(self._filled_at, now)
 
     def _add(self, credits: float) -> None:
-        self.balance = min(self.balance + credits, self.measure_most() - self.held)
+        most = SAVED_PART * self.limits.slack * self._share - self._held_saved
+        self.balance = min(self.balance + credits, most)
--- a/tests/edge/test_retry_budget.py
+++ b/tests/edge/test_retry_budget.py
@@ -6,11 +6,13 @@
 
 from mangoway.edge.const import BUDGET_SPENT
 from mangoway.models.routing import RouteKind
+from mangoway.policy.edge.const import SAVED_PART
 from mangoway.policy.edge.retry_budget import RetryLimits
 
 from ..fakes.fleet import make_route
 from ..upstreams.raw_server import RawServer, Script, answer, cut
 from .world import (
+    RETRY_LIMITS,
     EdgeWorld,
     make_event,
     make_not_run,
@@ -19,6 +21,7 @@
     start_edge,
 )
 
+SAVED = RETRY_LIMITS.slack * SAVED_PART
 NO_REPEATS = RetryLimits(ratio=0.0, slack=0.0, window_s=10.0)
 
 
@@ -81,7 +84,7 @@
         arrivals, edge = await async_call_twice(service, path, first, second, limits)
         budget = edge.forwarder.repeats.get(service)
         assert (arrivals, budget.repeats, budget.held) == (1, 1, 0)
-        assert budget.balance == pytest.approx(budget.measure_most() - 1)
+        assert budget.balance == pytest.approx(SAVED - 1)
 
     @pytest.mark.parametrize(("service", "path", "first", "second"), WAYS)
     async def test_without_credit_nothing_is_sent_again(
@@ -151,7 +154,7 @@
             edge.add("r1", bad, "llm")
             await edge.async_call("/stream/x")
         budget = edge.forwarder.repeats.get("llm")
-        assert budget.balance == pytest.approx(budget.measure_most())
+        assert budget.balance == pytest.approx(SAVED)
         assert budget.held == 0
 
     async def test_caller_that_leaves_holds_no_credit(self) -> None:
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -22,7 +22,7 @@
 from mangoway.observability.metrics import Metrics
 from mangoway.policy.crashes.book import CrashBook
 from mangoway.policy.edge.retry_budget import RetryLimits
-from mangoway.policy.edge.shares import FleetShares
+from mangoway.policy.edge.shares import FleetShare
 from mangoway.policy.scheduling.events import Asked, EndKind, Grant, Refuse
 from mangoway.scheduling.placing import Answer
 from mangoway.util.listener import open_listener
@@ -253,10 +253,9 @@
         view.take_table(make_table(routes=routes))
     placer = StubPlacer([])
     clock: Callable[[], float] = asyncio.get_running_loop().time
-    shares = FleetShares(limits.window_s)
-    for at in (clock() - limits.window_s, clock()):
-        shares.update(["e1"], at, at, joined=True)
-    repeats = RetryBudgets(limits=limits, shares=shares, clock=clock, boot_clock=clock)
+    share = FleetShare(limits.window_s)
+    share.update(["e1"], clock(), clock(), joined=True)
+    repeats = RetryBudgets(limits=limits, share=share, clock=clock, boot_clock=clock)
     for _ in range(EARNED_REQUESTS):
         for service in ("plain", "llm"):
             repeats.note_request(service)
--- a/tests/policy/edge/test_fleet_budget.py
+++ b/tests/policy/edge/test_fleet_budget.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from mangoway.policy.edge.const import LOOK_S
+from mangoway.policy.edge.const import LOOK_S, SHARE_WINDOWS
 from mangoway.policy.edge.retry_budget import RetryBudget, RetryCredit, RetryLimits
-from mangoway.policy.edge.shares import FleetShares, Shares
+from mangoway.policy.edge.shares import FleetShare
 
 from .repeat_window import RepeatWindows
 
@@ -53,7 +53,7 @@
         changes: Who grants, and until when; edges count all the same.
     """
     seen = RepeatWindows(RATIO, SLACK, WINDOW_S)
-    shares = Shares(1 / EDGES, 1 / EDGES)
+    share = 1 / EDGES
     budgets = [RetryBudget(LIMITS, began_at=0.0) for _ in range(EDGES)]
     edges = cycle(budgets)
     now = 0.0
@@ -61,10 +61,10 @@
         while now < until:
             now += STEP_S
             budget = next(edges)
-            budget.note_request(now, shares)
+            budget.note_request(now, share)
             seen.requests.append(now)
             for _ in range(TRIES if now >= 20 else 0):
-                credit = budget.take(now, shares)
+                credit = budget.take(now, share)
                 if credit is not None:
                     credit.spend(now)
                     seen.repeats.append(now)
@@ -78,7 +78,7 @@
     key: str
     life: int
     budget: RetryBudget
-    shares: FleetShares = field(factory=lambda: FleetShares(WINDOW_S))
+    share: FleetShare = field(factory=lambda: FleetShare(SHARE_WINDOWS * WINDOW_S))
     cut_at: float | None = None
     """Since when it is cut off from the store and from the others."""
 
@@ -114,7 +114,7 @@
         self.lives += 1
         self.edges[key] = Edge(key, self.lives, RetryBudget(LIMITS, self.now))
 
-    @rule(seconds=st.floats(0.05, 16.0))
+    @rule(seconds=st.floats(0.05, 40.0))
     def advance(self, seconds: float) -> None:
         end = self.now + seconds
         while self.now < end:
@@ -142,7 +142,7 @@
         known_at = (self.now if edge.cut_at is None else edge.cut_at) - LAG_S
         known = [each for each in self.history if each[0] <= known_at]
         members = known[-1][1] if known else {}
-        edge.shares.update(
+        edge.share.update(
             list(members),
             known_at if known else -1e9,
             self.now,
@@ -175,14 +175,14 @@
 
     def earn(self, edge: Edge, requests: int) -> None:
         if not edge.paused:
-            shares = edge.shares.measure(self.now)
+            share = edge.share.measure(self.now)
             for _ in range(requests):
-                edge.budget.note_request(self.now, shares)
+                edge.budget.note_request(self.now, share)
             self.seen.requests += [self.now] * requests
 
     def pay(self, edge: Edge, wanted: int) -> None:
-        shares = edge.shares.measure(self.now)
-        credits = [edge.budget.take(self.now, shares) for _ in range(wanted)]
+        share = edge.share.measure(self.now)
+        credits = [edge.budget.take(self.now, share) for _ in range(wanted)]
         edge.on_their_way += [each for each in credits if each is not None]
 
     @rule(data=st.data())
--- a/tests/policy/edge/test_retry_budget.py
+++ b/tests/policy/edge/test_retry_budget.py
@@ -1,179 +1,190 @@
 """Tests of the retry budget of one edge."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mangoway.policy.edge.const import ADDED_PART, BASE_PART, SHARED_PART
+from mangoway.policy.edge.const import ADDED_PART, SAVED_PART, WINDOW_PART
 from mangoway.policy.edge.retry_budget import RetryBudget, RetryLimits
-from mangoway.policy.edge.shares import NO_SHARES, Shares
 
 from .repeat_window import RepeatWindows
 
-LIMITS = RetryLimits(ratio=0.2, slack=50.0, window_s=10.0)
-WHOLE = Shares(base=1.0, shared=1.0)
-SHARED_ALONE = Shares(base=0.0, shared=1.0)
-BASE_ALONE = Shares(base=1.0, shared=0.0)
-MOST = LIMITS.slack * (BASE_PART + SHARED_PART)
+LIMITS = RetryLimits(ratio=0.2, slack=60.0, window_s=10.0)
+SAVED = LIMITS.slack * SAVED_PART
+IN_WINDOW = LIMITS.slack * WINDOW_PART
 
 
-def save_up(budget: RetryBudget, now: float = 0.0, shares: Shares = WHOLE) -> None:
+def make_budget(*, began_at: float = 0.0) -> RetryBudget:
+    return RetryBudget(LIMITS, began_at=began_at)
+
+
+def save_up(budget: RetryBudget, now: float = 0.0, share: float = 1.0) -> None:
     """Let requests earn all that may be saved up."""
     for _ in range(1000):
-        budget.note_request(now, shares)
+        budget.note_request(now, share)
 
 
-def use_up(budget: RetryBudget, now: float, shares: Shares = WHOLE) -> int:
+def use_up(budget: RetryBudget, now: float, share: float = 1.0) -> int:
     """Return how many repeats the budget pays for at a time."""
-    credits = [budget.take(now, shares) for _ in range(1000)]
+    credits = [budget.take(now, share) for _ in range(1000)]
     taken = [each for each in credits if each is not None]
     for each in taken:
         each.spend(now)
     return len(taken)
 
 
-class TestRetryBudget:
-    """Repeats up to a share of the requests, and a few."""
+class TestSavings:
+    """What requests earn before repeats need it."""
 
     def test_edge_that_starts_has_nothing_saved(self) -> None:
-        assert use_up(RetryBudget(LIMITS, began_at=0.0), 0.0) == 0
+        assert use_up(make_budget(), 0.0) == 0
 
     def test_requests_earn_repeats(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
+        budget = make_budget()
         for _ in range(50):
-            budget.note_request(0.0, WHOLE)
+            budget.note_request(0.0, 1.0)
         assert use_up(budget, 0.0) == 10
 
     def test_no_more_is_saved_up_than_the_part(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
+        budget = make_budget()
         save_up(budget)
-        assert use_up(budget, 0.0) == int(MOST)
+        assert use_up(budget, 0.0) == int(SAVED)
 
-    def test_part_of_a_fleet_is_smaller(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        tenth = Shares(0.1, 0.1)
-        save_up(budget, shares=tenth)
-        assert use_up(budget, 0.0, tenth) == int(MOST / 10)
+    def test_edge_of_a_fleet_saves_up_its_share(self) -> None:
+        budget = make_budget()
+        save_up(budget, share=0.1)
+        assert use_up(budget, 0.0, share=0.1) == int(SAVED / 10)
 
-    def test_part_that_shrinks_keeps_nothing_beyond(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
+    def test_share_that_shrinks_keeps_nothing_beyond(self) -> None:
+        budget = make_budget()
         save_up(budget)
-        assert use_up(budget, 1.0, Shares(0.1, 0.0)) == int(50 * BASE_PART / 10)
+        assert use_up(budget, 1.0, share=0.1) == int(SAVED / 10)
 
     def test_time_adds_a_part_over_a_window(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        budget.take(0.0, SHARED_ALONE)
+        budget = make_budget(began_at=1e9)
+        budget.take(0.0, 1.0)
         added = LIMITS.slack * ADDED_PART
-        first = use_up(budget, LIMITS.window_s, SHARED_ALONE)
-        assert first == int(added)
-        later = use_up(budget, 3 * LIMITS.window_s, SHARED_ALONE)
-        assert first + later == int(3 * added)
-
-    def test_time_adds_nothing_to_an_edge_without_a_part(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        budget.take(0.0, NO_SHARES)
-        assert use_up(budget, 100.0, NO_SHARES) == 0
-
-    @given(
-        steps=st.lists(
-            st.tuples(st.floats(0, 4), st.integers(0, 40), st.integers(0, 40)),
-            max_size=40,
-        )
-    )
-    def test_no_window_gets_more_than_is_allowed(
-        self, steps: list[tuple[float, int, int]]
-    ) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        seen = RepeatWindows(LIMITS.ratio, LIMITS.slack, LIMITS.window_s)
-        now = 0.0
-        for pause_s, requests, wanted in steps:
-            now += pause_s
-            for _ in range(requests):
-                budget.note_request(now, WHOLE)
-            seen.requests += [now] * requests
-            taken = [budget.take(now, WHOLE) for _ in range(wanted)]
-            seen.repeats += [now for each in taken if each is not None]
-        assert seen.find_excess() == 0
+        assert use_up(budget, LIMITS.window_s) == int(added)
+        assert use_up(budget, 4 * LIMITS.window_s) == int(3 * added)
 
 
-class TestBasePart:
-    """What each edge may send in each window, whatever its requests have earned."""
+class TestWindowPart:
+    """What an edge may send in each window, whatever its requests have earned."""
 
     def test_it_comes_back_after_a_window(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        base = int(BASE_PART * LIMITS.slack)
-        assert use_up(budget, 10.0, BASE_ALONE) == base
-        assert use_up(budget, 19.9, BASE_ALONE) == 0
-        assert use_up(budget, 20.1, BASE_ALONE) == base
-
-    def test_what_was_earned_and_sent_counts_against_it(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        save_up(budget, 10.0, BASE_ALONE)
-        assert use_up(budget, 10.0, BASE_ALONE) == int(BASE_PART * LIMITS.slack)
+        budget = make_budget()
+        assert use_up(budget, 10.0) == int(IN_WINDOW)
+        assert use_up(budget, 10.1) == 0
+        assert use_up(budget, 20.1) >= int(IN_WINDOW)
 
     def test_edge_that_has_just_started_has_none(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=5.0)
-        assert use_up(budget, 14.9, BASE_ALONE) == 0
-        assert use_up(budget, 15.1, BASE_ALONE) > 0
+        budget = make_budget(began_at=5.0)
+        assert use_up(budget, 14.9) == 0
+        assert use_up(budget, 15.1) > 0
+
+    def test_savings_go_first(self) -> None:
+        budget = make_budget()
+        save_up(budget, 10.0)
+        credit = budget.take(10.0, 1.0)
+        assert credit is not None
+        assert (credit.saved, credit.from_window) == (1.0, 0.0)
+
+    def test_rest_of_savings_pays_a_part_of_a_repeat(self) -> None:
+        """Else large fleets, with a credit or two an edge, could send fewer."""
+        budget = make_budget()
+        for _ in range(3):
+            budget.note_request(10.0, 1.0)
+        credit = budget.take(10.0, 1.0)
+        assert credit is not None
+        assert credit.from_window == pytest.approx(0.4)
 
     def test_repeats_on_their_way_count(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        credits = [budget.take(10.0, BASE_ALONE) for _ in range(100)]
-        assert sum(each is not None for each in credits) == int(50 * BASE_PART)
-        assert use_up(budget, 30.0, BASE_ALONE) == 0
-
-    def test_credit_of_it_that_is_given_back_is_not_saved(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        credit = budget.take(10.0, BASE_ALONE)
-        assert credit is not None
-        credit.give_back()
-        assert (budget.balance, budget.held) == (0.0, 0)
+        budget = make_budget()
+        credits = [budget.take(10.0, 1.0) for _ in range(100)]
+        assert sum(each is not None for each in credits) == int(IN_WINDOW)
+        # What time has added since is all that there is.
+        assert use_up(budget, 30.0) == int(2 * LIMITS.slack * ADDED_PART)
 
-    def test_rest_of_a_credit_is_not_kept_beside_it(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        for _ in range(4):
-            budget.note_request(10.0, BASE_ALONE)
-        assert budget.take(10.0, BASE_ALONE) is not None
-        assert budget.balance == 0.0
+    def test_edge_without_a_share_sends_nothing(self) -> None:
+        budget = make_budget()
+        save_up(budget, 10.0)
+        assert use_up(budget, 20.0, share=0.0) == 0
 
     def test_memory_is_bounded(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
+        budget = make_budget()
         for second in range(200):
-            save_up(budget, float(second))
             use_up(budget, float(second))
-        assert len(budget.spent_at) <= 12 * (MOST + 1)
+        assert len(budget._spent) < 2 * IN_WINDOW
 
 
 class TestRetryCredit:
     """The payment for one repeat."""
 
     def test_it_counts_once(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
+        budget = make_budget()
         save_up(budget)
-        credit = budget.take(0.0, WHOLE)
+        credit = budget.take(0.0, 1.0)
         assert credit is not None
         credit.spend(0.0)
         credit.give_back()
         credit.spend(0.0)
-        assert (budget.balance, budget.held) == (MOST - 1, 0)
-
-    def test_what_is_not_sent_is_given_back_once(self) -> None:
-        budget = RetryBudget(LIMITS, began_at=0.0)
-        save_up(budget)
-        credit = budget.take(0.0, WHOLE)
+        assert budget.balance == pytest.approx(SAVED - 1)
+        assert budget.held == pytest.approx(0)
+
+    @pytest.mark.parametrize("saves", [True, False])
+    def test_what_is_not_sent_is_given_back_once(self, saves: bool) -> None:
+        budget = make_budget()
+        if saves:
+            save_up(budget, 10.0)
+        before = budget.measure_left(10.0, 1.0)
+        credit = budget.take(10.0, 1.0)
         assert credit is not None
+        assert budget.measure_left(10.0, 1.0) == pytest.approx(before - 1)
         credit.give_back()
         credit.give_back()
-        assert (budget.balance, budget.held) == (MOST, 0)
+        assert budget.measure_left(10.0, 1.0) == pytest.approx(before)
+        assert budget.held == pytest.approx(0)
 
     def test_repeat_on_its_way_counts_as_saved(self) -> None:
         """Else those that arrive late add to what was saved up meanwhile."""
-        budget = RetryBudget(LIMITS, began_at=0.0)
+        budget = make_budget()
         save_up(budget)
-        credits = [budget.take(0.0, WHOLE) for _ in range(20)]
+        credits = [budget.take(0.0, 1.0) for _ in range(20)]
         save_up(budget)
-        assert use_up(budget, 0.0) == int(MOST) - 20
+        assert use_up(budget, 0.0) == int(SAVED) - 20
         for credit in credits:
             assert credit is not None
             credit.spend(0.0)
         save_up(budget)
-        assert use_up(budget, 0.0) == int(MOST)
+        assert use_up(budget, 0.0) == int(SAVED)
+
+
+class TestWindows:
+    """The promise, for an edge that has the whole allowance."""
+
+    @given(
+        steps=st.lists(
+            st.tuples(st.floats(0, 12), st.integers(0, 60), st.integers(0, 60)),
+            max_size=40,
+        ),
+        delayed=st.booleans(),
+    )
+    def test_no_window_gets_more_than_is_allowed(
+        self, steps: list[tuple[float, int, int]], delayed: bool
+    ) -> None:
+        budget = make_budget()
+        seen = RepeatWindows(LIMITS.ratio, LIMITS.slack, LIMITS.window_s)
+        on_their_way = []
+        now = 0.0
+        for pause_s, requests, wanted in steps:
+            now += pause_s
+            for _ in range(requests):
+                budget.note_request(now, 1.0)
+            seen.requests += [now] * requests
+            arriving = on_their_way if delayed else []
+            taken = [budget.take(now, 1.0) for _ in range(wanted)]
+            on_their_way = [each for each in taken if each is not None]
+            for credit in arriving if delayed else on_their_way:
+                credit.spend(now)
+                seen.repeats.append(now)
+        assert seen.find_excess() == 0
