Let soaks refuse requests in spells, on any number of edges

The check of the budget has tests. A runner's stand-in no longer stumbles over a caller that has left while it answers (AssertionError in two soaks, not the system's).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 from random import SystemRandom
 
 from .soak import FAULT_S, Result, async_soak
+from .world import EDGES
 
 
 def main() -> None:
@@ -20,6 +21,7 @@
     parser.add_argument(
         "--crashing", type=int, help="requests that make their runners crash"
     )
+    parser.add_argument("--edges", type=int, default=EDGES, help="number of edges")
     parser.add_argument("--folder", type=Path, help="where logs are kept")
     options = parser.parse_args()
     seeds = options.seed or [
@@ -27,7 +29,14 @@
     ]
     folder = options.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     results = asyncio.run(
-        async_run_all(seeds, folder, options.at_once, options.fault_s, options.crashing)
+        async_run_all(
+            seeds,
+            folder,
+            options.at_once,
+            options.fault_s,
+            options.crashing,
+            options.edges,
+        )
     )
     failed = [each.seed for each in results if each.broken]
     print(f"{len(results)} seeds, {len(failed)} failed {failed}; logs in {folder}")
@@ -40,6 +49,7 @@
     at_once: int,
     fault_s: float,
     crashing: int | None = None,
+    edges: int = EDGES,
 ) -> list[Result]:
     """Run soaks, a few at a time."""
     places = asyncio.Semaphore(at_once)
@@ -48,7 +58,7 @@
         async with places:
             logs = folder / str(seed)
             logs.mkdir(parents=True, exist_ok=True)
-            result = await async_soak(seed, logs, fault_s, crashing)
+            result = await async_soak(seed, logs, fault_s, crashing, edges)
             print_result(result)
             return result
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,11 +3,15 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
+from random import Random
 
 from .records import Span
 from .store import StoreFault
 from .world import MODELS, Node, World
 
+REFUSING_SHARE = 0.6
+"""Part of the spells in which runners refuse; in the others they fail."""
+
 START_S = 3.0
 """Time in which a process starts on a busy machine."""
 
@@ -193,6 +197,24 @@
     _end(span)
 
 
+async def async_refuse_in_spells(world: World, random: Random) -> None:
+    """Let runners refuse or fail most requests in spells, until cancelled.
+
+    Repeats are wanted then, beside whatever faults the seed brings.
+    """
+    while True:
+        await asyncio.sleep(random.uniform(0.5, 3.0))
+        span = world.records.begin("runners refuse")
+        refusing = random.random() < REFUSING_SHARE
+        for runner in world.runners:
+            runner.shedding = 0.9 if refusing else 0.0
+            runner.failing = 0.0 if refusing else 0.9
+        await asyncio.sleep(random.uniform(0.5, 3.0))
+        for runner in world.runners:
+            runner.shedding = runner.failing = 0.0
+        _end(span)
+
+
 @plan
 async def async_change_configuration(world: World) -> None:
     """Let the operator write several versions one after the other."""
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -239,8 +239,7 @@
     ) -> web.Response:
         await asyncio.sleep(WORK_S * self.random.uniform(0.5, 4))
         if self.random.random() < self.failing:
-            assert request.transport is not None
-            request.transport.abort()
+            _abort(request)
         text = f"{headers['X-Request-Id']} {len(body)}"
         return web.Response(text=text, headers=headers)
 
@@ -259,8 +258,7 @@
                 event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
                 if number >= cut_at:
                     await response.write(event[: len(event) // 2])
-                    assert request.transport is not None
-                    request.transport.abort()
+                    _abort(request)
                     return response
                 await response.write(event)
             await response.write_eof()
@@ -270,3 +268,9 @@
         finally:
             self._active -= 1
         return response
+
+
+def _abort(request: web.Request) -> None:
+    """Break the connection of a request off, unless its other end has left."""
+    if request.transport is not None:
+        request.transport.abort()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,14 +3,15 @@
 import asyncio
 import time
 from pathlib import Path
+from random import Random
 from typing import Final
 
 from attrs import define, field
 
 from ..stand_ins.launcher import Launcher
-from .faults import FAULTS, PLANNED
+from .faults import FAULTS, PLANNED, async_refuse_in_spells
 from .records import Kind, Records
-from .world import World
+from .world import EDGES, World
 
 FAULT_S: Final = 8.0
 """Time in which faults begin."""
@@ -32,6 +33,11 @@
 """One seed in so many, with this rest, sees requests that make their runners crash."""
 
 
+REFUSING_EACH: Final = 3
+REFUSING_REST: Final = 1
+"""One seed in so many, with this rest, sees runners that refuse or fail in spells."""
+
+
 @define(eq=False)
 class Result:
     """What a soak showed."""
@@ -50,7 +56,11 @@
 
 
 async def async_soak(
-    seed: int, folder: Path, fault_s: float = FAULT_S, crashing: int | None = None
+    seed: int,
+    folder: Path,
+    fault_s: float = FAULT_S,
+    crashing: int | None = None,
+    edges: int = EDGES,
 ) -> Result:
     """Run one soak.
 
@@ -59,16 +69,19 @@
         folder: Where the logs of its processes go.
         fault_s: Time in which faults begin, in seconds.
         crashing: Requests that make their runners crash; None: as the seed says.
+        edges: Number of edges.
     """
     result = Result(seed)
     if crashing is None:
         crashing = 2 if seed % CRASHING_EACH == CRASHING_REST else 0
     async with Launcher(folder) as launcher:
-        world = World(seed, launcher)
+        world = World(seed, launcher, edges=edges)
         await world.async_start()
         kinds = list(Kind)
         for number in range(crashing):
             world.send_crashing_requests(kinds[(seed + number) % len(kinds)])
+        if seed % REFUSING_EACH == REFUSING_REST:
+            world.start_task(async_refuse_in_spells(world, Random(seed)))
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result)
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -2,7 +2,7 @@
 
 import time
 
-from .records import Call, Kind, Records, Run
+from .records import RETRY_WINDOW_S, Call, Kind, Records, Run
 
 
 def make_call(records: Records, kind: Kind = Kind.ONCE, **fields: object) -> Call:
@@ -79,6 +79,41 @@
         assert records.check() == ["unasked: q ran and nobody sent it"]
 
 
+class TestRepeats:
+    """Arrivals beyond the first of each request."""
+
+    def note(self, records: Records, requests: int, arrivals: int) -> None:
+        """Note requests that reach runners so often, two arrivals a request."""
+        for number in range(requests):
+            records.calls[f"q{number}"] = Call(
+                request_id=f"q{number}",
+                kind=Kind.SAFE,
+                edge="e",
+                sent_at=time.monotonic(),
+            )
+        for number in range(arrivals):
+            records.note_arrival("plain", f"q{number // 2}")
+
+    def test_as_many_as_allowed(self) -> None:
+        records = Records()
+        self.note(records, requests=20, arrivals=32)
+        assert records.check_repeats("plain") == []
+
+    def test_one_too_many(self) -> None:
+        records = Records()
+        self.note(records, requests=20, arrivals=34)
+        assert records.check_repeats("plain") == [
+            "budget: plain got 17 repeats for 20 requests; 16 allowed"
+        ]
+
+    def test_requests_of_the_window_before_count(self) -> None:
+        records = Records()
+        self.note(records, requests=20, arrivals=32)
+        for call in records.calls.values():
+            call.sent_at -= RETRY_WINDOW_S - 0.5
+        assert records.check_repeats("plain") == []
+
+
 class TestDrains:
     """Runners that have announced their leaving."""
 
