Begin fewer loads in the first window of a lead

A scheduler now begins a fifth, or three loads, in its first window: its forerunner used 0.9 of the rate at most, and the store allows 1.1 and three.

--- a/mangoway/policy/scheduling/const.py
+++ b/mangoway/policy/scheduling/const.py
@@ -185,6 +185,12 @@
 STORE_WINDOW_S: Final = 5.0
 """Window over which the weight store's rate of loads is counted."""
 
+STORE_FIRST_SHARE: Final = 0.2
+STORE_FIRST_LOADS: Final = 3.0
+"""Part of that, and loads at least, which a scheduler begins in the first window in
+which it orders: the one before may have used all, and the store allows a tenth more
+than its rate, and three loads."""
+
 RARE_LOAD_SHARE: Final = 0.34
 """Part of the runners that loads of rare models from the weight store may keep at once,
 so that a model whose demand rises finds one for its first load."""
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -308,6 +308,8 @@
 def _take_allowed(
     core: SchedulingCore, event: OrdersAllowed, now: float
 ) -> list[Action]:
+    if event.allowed and not core.state.orders_allowed:
+        core.state.begin_orders(now)
     core.state.orders_allowed = event.allowed
     return []
 
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -1,5 +1,6 @@
 """All that the scheduling core knows."""
 
+import math
 from collections import deque
 from random import Random
 
@@ -9,7 +10,12 @@
 from ...models.runner import RunnerEntry
 from ..customers.quota import QuotaBook
 from ..edge.health import HealthBook
-from .const import STORE_LOAD_SHARE, STORE_WINDOW_S
+from .const import (
+    STORE_FIRST_LOADS,
+    STORE_FIRST_SHARE,
+    STORE_LOAD_SHARE,
+    STORE_WINDOW_S,
+)
 from .copies import CopyIndex
 from .demand import DemandBook, Returns
 from .gaps import Gaps
@@ -37,9 +43,16 @@
     _begun: deque[tuple[float, float]] = field(factory=deque, init=False)
     """Time of the begin and expected end of each."""
 
+    _first_until: float = field(default=-math.inf, init=False)
+    """End of the first window in which this process orders loads."""
+
     _rare: dict[str, float] = field(factory=dict, init=False)
     """Runners that fetch a rare model, and when that should be over."""
 
+    def begin(self, now: float) -> None:
+        """Note that this process orders from now on, maybe after another one."""
+        self._first_until = now + STORE_WINDOW_S
+
     def note(self, now: float, ends_at: float) -> None:
         """Count a load that begins now."""
         self._begun.append((now, ends_at))
@@ -58,6 +71,9 @@
         while self._begun and self._begun[0][0] <= now - STORE_WINDOW_S:
             self._begun.popleft()
         allowed = engine.loads_per_s * STORE_WINDOW_S * STORE_LOAD_SHARE
+        if now < self._first_until:
+            # The one before may have begun as many as are allowed.
+            allowed = max(STORE_FIRST_LOADS, allowed * STORE_FIRST_SHARE)
         if len(self._begun) + 1 > max(1.0, allowed):
             return False
         at_once = max(1, int(engine.loads_per_s * engine.mean_load_s))
@@ -97,6 +113,7 @@
     _stays: dict[str, Stays] = field(factory=dict, init=False)
     wakes: Wakes = field(factory=Wakes, init=False)
     orders_allowed: bool = field(default=False, init=False)
+    ordering_since: float = field(default=-math.inf, init=False)
     _by_service: dict[str, dict[str, RunnerState]] = field(factory=dict, init=False)
     _copies: dict[str, CopyIndex] = field(factory=dict, init=False)
     _entries: dict[str, RunnerEntry] = field(factory=dict, init=False)
@@ -112,7 +129,17 @@
 
     def get_store_loads(self, service: str) -> StoreLoads:
         """Return the loads from the weight store for a service."""
-        return self.store_loads.setdefault(service, StoreLoads())
+        loads = self.store_loads.get(service)
+        if loads is None:
+            loads = self.store_loads[service] = StoreLoads()
+            loads.begin(self.ordering_since)
+        return loads
+
+    def begin_orders(self, now: float) -> None:
+        """Note that this process orders from now on."""
+        self.ordering_since = now
+        for loads in self.store_loads.values():
+            loads.begin(now)
 
     def get_engine(self, service: str) -> EngineProfile | None:
         """Return what the runners of a service can do; None for plain services."""
--- a/tests/policy/scheduling/test_store_loads.py
+++ b/tests/policy/scheduling/test_store_loads.py
@@ -2,6 +2,7 @@
 
 from attrs import evolve
 
+from mangoway.models.routing import EngineProfile
 from mangoway.policy.scheduling.state import StoreLoads
 
 from ...fakes.fleet import make_engine, make_model
@@ -29,3 +30,30 @@
                 loads.note(step / 100, step / 100 + 0.1)
                 begun += 1
         assert begun <= 2.0 * 5.0
+
+
+class TestSuccession:
+    """Schedulers that order loads one after the other."""
+
+    def test_two_leaders_within_a_window_keep_to_the_rate_of_the_store(self) -> None:
+        engine = evolve(make_engine(["a"], load_s=5.4), loads_per_s=1.8)
+        first, second = StoreLoads(), StoreLoads()
+        first.begin(0.0)
+        second.begin(21.0)
+        begun = count_loads(first, engine, 20.0) + count_loads(second, engine, 21.0)
+        assert begun <= engine.loads_per_s * 5.0 * 1.1 + 3
+
+    def test_leader_uses_the_whole_rate_after_a_window(self) -> None:
+        engine = evolve(make_engine(["a"], load_s=5.4), loads_per_s=1.8)
+        loads = StoreLoads()
+        loads.begin(0.0)
+        assert count_loads(loads, engine, 5.1) == 8
+
+
+def count_loads(loads: StoreLoads, engine: EngineProfile, now: float) -> int:
+    """Return how many loads may begin at a time."""
+    begun = 0
+    while loads.may_begin(engine, now):
+        loads.note(now, now + 5.4)
+        begun += 1
+    return begun
