Give the payment of a request's repeats a class of its own

RunnerFinder had grown by it beyond finding runners. RepeatPayment holds the credits of one request; the budgets of an edge are named as such everywhere. No behaviour changes: tests of edge, policy/edge and daemons pass as they were, but for names.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -15,7 +15,7 @@
 from ..edge.forwarder import Forwarder
 from ..edge.pages import DirectoryPage, ReadyPage
 from ..edge.plain import PlainPlacer
-from ..edge.repeats import RetryBudgets
+from ..edge.retry_budgets import RetryBudgets
 from ..http1.client import ConnectionPool
 from ..http1.server import ServerOptions, async_listen
 from ..models.fleet import Role
@@ -91,7 +91,7 @@
     client: SchedulerClient = field(init=False)
     reporter: CrashReporter = field(init=False)
     admission: Admission = field(init=False)
-    repeats: RetryBudgets = field(init=False)
+    retry_budgets: RetryBudgets = field(init=False)
     forwarder: Forwarder = field(init=False)
     callers: ServerOptions = field(init=False)
     pages: list[ServerOptions] = field(factory=list, init=False)
@@ -110,7 +110,7 @@
             settings, Role.EDGE, caller_address=settings.caller_listen
         )
         self.client = self._make_client()
-        self.repeats = RetryBudgets(
+        self.retry_budgets = RetryBudgets(
             limits=RetryLimits(
                 ratio=settings.retry_ratio,
                 slack=settings.retry_slack,
@@ -236,7 +236,7 @@
             view=process.view,
             placer=self.client,
             plain=plain,
-            repeats=self.repeats,
+            retry_budgets=self.retry_budgets,
             admission=self.admission,
             pool=ConnectionPool(MAX_IDLE_PER_RUNNER),
             metrics=process.metrics,
@@ -302,18 +302,18 @@
     async def _async_look_at_members(self) -> None:
         """Keep this edge's part of the fleet's retry budgets current."""
         while True:
-            self.repeats.share.update(
+            self.retry_budgets.share.update(
                 self._list_edges(),
                 known_at=self.process.mirror.known_at,
                 now=read_boot_clock(),
-                joined=self.process.shows_itself(),
+                joined=self.process.is_announced(),
             )
             await async_sleep_to_tick(LOOK_S)
 
     async def _async_sum_up(self) -> None:
         while True:
             await async_sleep_to_tick(SUMMARY_S)
-            self.repeats.sum_up()
+            self.retry_budgets.sum_up()
 
 
 def _log_error(error: BaseException) -> None:
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -157,14 +157,14 @@
                 log_event(log.ProcessPaused(seconds=round(late, 3)))
             self.view.expire_missing(self.clock())
 
-    def shows_itself(self) -> bool:
+    def is_announced(self) -> bool:
         """Return whether the store shows this life of the process."""
         shown = self.view.members.get(OWN_PREFIX + self.presence.member.key)
         return shown is not None and shown.incarnation == self.incarnation
 
     def _check_presence(self) -> None:
         """Announce the process again if the store does not show it."""
-        if not self.shows_itself():
+        if not self.is_announced():
             self.presence.note_key_lost(self.mirror.revision or 0)
 
 
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -24,8 +24,8 @@
 from .handling import Handling
 from .identity import identify
 from .plain import PlainPlacer
-from .repeats import RetryBudgets
 from .request_log import RequestLog
+from .retry_budgets import RetryBudgets
 
 NO_CONFIGURATION = Denial(
     status=STATUS_NOT_RUN,
@@ -48,7 +48,7 @@
     plain: PlainPlacer
     """Places requests for all others."""
 
-    repeats: RetryBudgets
+    retry_budgets: RetryBudgets
     admission: Admission
     pool: ConnectionPool
     metrics: Metrics
--- a/mangoway/edge/handling.py
+++ b/mangoway/edge/handling.py
@@ -158,7 +158,7 @@
         )
         self.tools.plain.in_flight.add(runner.runner_id)
         self._in_attempt = True
-        self._finder.begin_try()
+        self._finder.payment.begin_try()
         self._first_event_at = None
         sent_at = self._clock()
         try:
@@ -231,7 +231,11 @@
             time_left_s=self._deadline - self._clock(),
         )
         decision = decide_next(self.route, failed, budget_left=True)
-        if decision is Next.RETRY and result.was_sent and not self._finder.pay_repeat():
+        if (
+            decision is Next.RETRY
+            and result.was_sent
+            and not self._finder.payment.pay()
+        ):
             self._budget_spent = True
             decision = decide_next(self.route, failed, budget_left=False)
         if result.verdict is not Verdict.NOT_RUN:
--- a/mangoway/edge/repeats.py
+++ b/mangoway/edge/retry_budgets.py
@@ -20,8 +20,8 @@
     boot_clock: Callable[[], float]
     _began_at: float = field(init=False)
     _budgets: dict[str, RetryBudget] = field(factory=dict, init=False)
-    _told: dict[str, int] = field(factory=dict, init=False)
-    """Repeats and refusals of each service when they were last summed up."""
+    _logged: dict[str, int] = field(factory=dict, init=False)
+    """Repeats and refusals of each service when they were last logged."""
 
     def __attrs_post_init__(self) -> None:
         self._began_at = self.clock()
@@ -41,9 +41,9 @@
         share = self.share.measure(self.boot_clock())
         for service, budget in self._budgets.items():
             used = budget.repeats + budget.refused
-            if used == self._told.get(service, 0):
+            if used == self._logged.get(service, 0):
                 continue
-            self._told[service] = used
+            self._logged[service] = used
             log_event(
                 log.RetryBudgetSummed(
                     service=service,
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -14,7 +14,6 @@
 from ..policy.crashes.const import RETRY_AFTER_HELD_S
 from ..policy.customers.const import OVER_QUOTA
 from ..policy.edge.const import MIN_RETRY_TIME_S, RETRY_AFTER_OUTAGE_S
-from ..policy.edge.retry_budget import RetryCredit
 from ..policy.scheduling.events import Asked, EndKind, Refuse
 from ..scheduling.placing import Answer, Placer
 from .admission import Caller
@@ -22,8 +21,9 @@
 from .crash_screen import CrashScreen
 from .delivery import Delivery
 from .plain import PlainPlacer
-from .repeats import RetryBudgets
+from .repeat_payment import RepeatPayment
 from .request_log import RequestLog
+from .retry_budgets import RetryBudgets
 
 
 class FinderTools(Protocol):
@@ -33,7 +33,7 @@
     view: FleetView
     placer: Placer
     plain: PlainPlacer
-    repeats: RetryBudgets
+    retry_budgets: RetryBudgets
     screen: CrashScreen
     numbers: "count[int]"
 
@@ -65,6 +65,8 @@
     reached: set[str] = field(factory=set, init=False)
     """Runners that it was sent to."""
 
+    payment: RepeatPayment = field(init=False)
+
     _excluded: list[str] = field(factory=list, init=False)
     """Runners that failed it."""
 
@@ -77,19 +79,15 @@
     _charged: float = field(default=0.0, init=False)
     """What the request has taken of its customer's quota."""
 
-    _credit: RetryCredit | None = field(default=None, init=False)
-    """What is paid for the next try, if that is a repeat."""
-
-    _sent_credit: RetryCredit | None = field(default=None, init=False)
-    """What was paid for the present try, until it has surely arrived."""
-
     _next: NextPlace | None = field(default=None, init=False)
     _clock: Callable[[], float] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._clock = asyncio.get_running_loop().time
+        budgets, service = self.tools.retry_budgets, self.service.name
+        self.payment = RepeatPayment(budgets, service, self._clock)
         if not self._is_held_back():
-            self.tools.repeats.note_request(self.service.name)
+            budgets.note_request(service)
 
     @property
     def has_next(self) -> bool:
@@ -125,26 +123,13 @@
         time_left_s = self.deadline - self._clock()
         if len(reached) >= self.route.max_attempts or time_left_s < MIN_RETRY_TIME_S:
             return False
-        if not self.pay_repeat():
+        if not self.payment.pay():
             return False
         if await self._async_find_beside([*self._excluded, *reached]):
             return True
-        self._return_credit()
+        self.payment.give_back()
         return False
 
-    def pay_repeat(self) -> bool:
-        """Pay for the next repeat, unless that is done; False if the budget is spent.
-
-        Each arrival at a runner but the first is paid for here, before it is sent.
-        """
-        if self._credit is None:
-            self._credit = self.tools.repeats.take(self.service.name)
-        return self._credit is not None
-
-    def begin_try(self) -> None:
-        """Note that the request is sent, with what was paid for it."""
-        self._sent_credit, self._credit = self._credit, None
-
     async def _async_find_beside(self, excluded: list[str]) -> bool:
         """Find a runner beside one that is silent."""
         if self.service.engine is None:
@@ -159,7 +144,7 @@
 
     def note_first_event(self) -> None:
         """Say that the first event of the present try came."""
-        self._settle_credit(was_sent=True)
+        self.payment.settle_try(was_sent=True)
         if self._key is not None:
             self.tools.placer.note_first_event(self._key)
 
@@ -172,7 +157,7 @@
             was_sent: Whether bytes of the request went out.
         """
         self.end(kind)
-        self._settle_credit(was_sent=was_sent)
+        self.payment.settle_try(was_sent=was_sent)
         if self.service.engine is None:
             self.tools.plain.note(runner_id, kind)
         if was_sent:
@@ -190,27 +175,11 @@
 
     def end_next(self) -> None:
         """Give back a place that was found and not used, and what was paid for it."""
-        self._settle_credit(was_sent=True)
-        self._return_credit()
+        self.payment.end()
         placed, self._next = self._next, None
         if placed is not None and placed.key is not None:
             self.tools.placer.end(placed.key, EndKind.LEFT)
 
-    def _settle_credit(self, *, was_sent: bool) -> None:
-        """Spend what was paid for a try, or keep it for the next one."""
-        credit, self._sent_credit = self._sent_credit, None
-        if credit is None:
-            return
-        if was_sent:
-            credit.spend(self._clock())
-        else:
-            self._credit = credit
-
-    def _return_credit(self) -> None:
-        credit, self._credit = self._credit, None
-        if credit is not None:
-            credit.give_back()
-
     def give_back_quota(self) -> None:
         """Give back what the request took of its customer's quota: it has not run."""
         amount, self._charged = self._charged, 0.0
--- a/tests/edge/test_retry_budget.py
+++ b/tests/edge/test_retry_budget.py
@@ -82,7 +82,7 @@
     ) -> None:
         limits = RetryLimits(ratio=0.2, slack=50.0, window_s=1e9)
         arrivals, edge = await async_call_twice(service, path, first, second, limits)
-        budget = edge.forwarder.repeats.get(service)
+        budget = edge.forwarder.retry_budgets.get(service)
         assert (arrivals, budget.repeats, budget.held) == (1, 1, 0)
         assert budget.balance == pytest.approx(SAVED - 1)
 
@@ -94,7 +94,7 @@
             service, path, first, second, NO_REPEATS
         )
         assert arrivals == 0
-        assert edge.forwarder.repeats.get(service).refused > 0
+        assert edge.forwarder.retry_budgets.get(service).refused > 0
 
     async def test_try_that_reached_no_runner_costs_nothing(self) -> None:
         async with RawServer(answer(make_ok())) as good, start_edge() as edge:
@@ -105,7 +105,7 @@
             edge.add("r2", good, "plain")
             reply = await edge.async_call("/safe/x")
         assert reply.status == 200
-        budget = edge.forwarder.repeats.get("plain")
+        budget = edge.forwarder.retry_budgets.get("plain")
         assert (budget.repeats, budget.held) == (0, 0)
 
     async def test_two_repeats_take_two_credits(self) -> None:
@@ -124,7 +124,7 @@
                 choose_last(edge, runner_id)
             reply = await edge.async_call("/safe/x")
         assert reply.status == 200
-        assert edge.forwarder.repeats.get("plain").repeats == 2
+        assert edge.forwarder.retry_budgets.get("plain").repeats == 2
 
     async def test_credit_of_a_try_that_was_not_sent_pays_the_next_one(self) -> None:
         async with (
@@ -141,19 +141,19 @@
                 choose_last(edge, runner_id)
             reply = await edge.async_call("/safe/x")
         assert reply.status == 200
-        assert edge.forwarder.repeats.get("plain").repeats == 1
+        assert edge.forwarder.retry_budgets.get("plain").repeats == 1
 
     async def test_request_that_is_not_repeated_pays_nothing(self) -> None:
         async with RawServer(cut(b"")) as bad, start_edge() as edge:
             edge.add("r1", bad, "plain")
             await edge.async_call("/once/x")
-        assert edge.forwarder.repeats.get("plain").repeats == 0
+        assert edge.forwarder.retry_budgets.get("plain").repeats == 0
 
     async def test_place_that_is_refused_is_not_paid_for(self) -> None:
         async with RawServer(cut(b"")) as bad, start_edge() as edge:
             edge.add("r1", bad, "llm")
             await edge.async_call("/stream/x")
-        budget = edge.forwarder.repeats.get("llm")
+        budget = edge.forwarder.retry_budgets.get("llm")
         assert budget.balance == pytest.approx(SAVED)
         assert budget.held == 0
 
@@ -170,7 +170,7 @@
                 async with asyncio.timeout(0.15):
                     await edge.async_call("/safe/x")
             await asyncio.sleep(0.1)
-            assert edge.forwarder.repeats.get("plain").held == 0
+            assert edge.forwarder.retry_budgets.get("plain").held == 0
 
     async def test_request_is_counted_once(self) -> None:
         async with (
@@ -178,7 +178,7 @@
             RawServer(answer(*make_stream(make_event(1)))) as good,
             start_edge() as edge,
         ):
-            budget = edge.forwarder.repeats.get("llm")
+            budget = edge.forwarder.retry_budgets.get("llm")
             before = budget.requests
             edge.add("r1", bad, "llm")
             edge.add("r2", good, "llm")
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -15,7 +15,7 @@
 from mangoway.edge.crash_watch import CrashWatch
 from mangoway.edge.forwarder import Forwarder
 from mangoway.edge.plain import PlainPlacer
-from mangoway.edge.repeats import RetryBudgets
+from mangoway.edge.retry_budgets import RetryBudgets
 from mangoway.http1.client import ConnectionPool
 from mangoway.http1.server import ServerOptions, async_listen
 from mangoway.models.routing import CallerLimits, Route, RouteKind
@@ -255,10 +255,12 @@
     clock: Callable[[], float] = asyncio.get_running_loop().time
     share = FleetShare(limits.window_s)
     share.update(["e1"], clock(), clock(), joined=True)
-    repeats = RetryBudgets(limits=limits, share=share, clock=clock, boot_clock=clock)
+    retry_budgets = RetryBudgets(
+        limits=limits, share=share, clock=clock, boot_clock=clock
+    )
     for _ in range(EARNED_REQUESTS):
         for service in ("plain", "llm"):
-            repeats.note_request(service)
+            retry_budgets.note_request(service)
     plain = PlainPlacer(
         data_centre="dc1",
         view=view,
@@ -277,7 +279,7 @@
         view=view,
         placer=placer,
         plain=plain,
-        repeats=repeats,
+        retry_budgets=retry_budgets,
         admission=Admission(view=view, measure_age=lambda: ages[0], revoke_s=5.0),
         pool=ConnectionPool(4),
         metrics=metrics,
