--- a/mangoway/edge/handling.py
+++ b/mangoway/edge/handling.py
@@ -231,11 +231,8 @@
             time_left_s=self._deadline - self._clock(),
         )
         decision = decide_next(self.route, failed, budget_left=True)
-        if (
-            decision is Next.RETRY
-            and result.was_sent
-            and not self._finder.payment.pay()
-        ):
+        needs_credit = decision is Next.RETRY and result.was_sent
+        if needs_credit and not self._finder.payment.pay():
             self._budget_spent = True
             decision = decide_next(self.route, failed, budget_left=False)
         if result.verdict is not Verdict.NOT_RUN:
--- a/mangoway/edge/repeat_payment.py
+++ b/mangoway/edge/repeat_payment.py
@@ -22,7 +22,7 @@
     """What was paid for the present try, until it has surely arrived."""
 
     def pay(self) -> bool:
-        """Pay for the next repeat, unless that is done; False if the budget is spent."""
+        """Pay for the next repeat, unless that is done; False without a credit."""
         if self._next is None:
             self._next = self.budgets.take(self.service)
         return self._next is not None
