--- a/mangoway/edge/plain.py
+++ b/mangoway/edge/plain.py
@@ -16,6 +16,7 @@
 from ..policy.scheduling.events import EndKind, Refuse
 
 NO_RUNNER: Final = "no runner of the service is known"
+ALL_REFUSED: Final = "each runner that may get it has refused it"
 
 
 @define(eq=False)
@@ -51,11 +52,10 @@
         """
         now = self.clock()
         known = self.view.list_runners(service)
-        runners = [each for each in known if each.runner_id not in refused]
-        if known and not runners:
-            return _refuse("every runner of the service has refused it")
-        if only:
-            runners = [each for each in runners if each.runner_id in only]
+        allowed = [each for each in known if not only or each.runner_id in only]
+        runners = [each for each in allowed if each.runner_id not in refused]
+        if allowed and not runners:
+            return _refuse(ALL_REFUSED)
         left = [each for each in runners if each.runner_id not in excluded] or runners
         usable = set(self.health.list_usable([each.runner_id for each in left], now))
         candidates = [each for each in left if each.runner_id in usable]
@@ -63,8 +63,7 @@
             candidates, self.in_flight, self.data_centre, self.random
         )
         if runner is None:
-            reason = "the runners that may get it refused it" if only else NO_RUNNER
-            return _refuse(reason)
+            return _refuse(NO_RUNNER)
         self.health.note_sent(runner.runner_id, now)
         return runner
 
