Log and count the limits that runners name in their answers

On-call engineers could not tell whether a limit was not read, or read and not acted on: no line held what an answer had said of its runner. The adapter now decodes the field, an edge logs each change of what a runner names (357) and what can't be read (358), and counts the answers that name one (mangoway_edge_signals_total). Nothing is decided by it yet.

A value counts only as digits with at most one point; the strictest of several counts; a sign, an exponent, a word, a date, or more digits than a number can hold are dropped and logged.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -16,6 +16,7 @@
 from ..edge.pages import DirectoryPage, ReadyPage
 from ..edge.plain import PlainPlacer
 from ..edge.retry_budgets import RetryBudgets
+from ..edge.signal_watch import SignalWatch
 from ..http1.client import ConnectionPool
 from ..http1.server import ServerOptions, async_listen
 from ..models.fleet import Role
@@ -248,6 +249,7 @@
                 on_crash=screen.note_crash,
             ),
             screen=screen,
+            signal_watch=SignalWatch(process.metrics),
             random=self._random,
         )
 
--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -83,6 +83,9 @@
     pool: ConnectionPool
     delivery: Delivery
     on_first_event: Callable[[], None]
+    on_head: Callable[[ResponseHead], None]
+    """Told of the head of the runner's answer, whatever its status."""
+
     _connection: Connection | None = field(default=None, init=False)
 
     async def async_run(self) -> AttemptResult:
@@ -120,6 +123,7 @@
         connection.silence_s = self.silence_s
         connection.on_silence = self.on_silence
         head = await self._async_send(connection)
+        self.on_head(head)
         self._check_head(head)
         if self.streaming and _is_success(head.status):
             return await self._async_pass_stream(connection, head)
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -26,6 +26,7 @@
 from .plain import PlainPlacer
 from .request_log import RequestLog
 from .retry_budgets import RetryBudgets
+from .signal_watch import SignalWatch
 
 NO_CONFIGURATION = Denial(
     status=STATUS_NOT_RUN,
@@ -54,6 +55,7 @@
     metrics: Metrics
     crash_watch: CrashWatch
     screen: CrashScreen
+    signal_watch: SignalWatch
     random: Random
     numbers: "count[int]" = field(factory=count, init=False)
 
--- a/mangoway/edge/handling.py
+++ b/mangoway/edge/handling.py
@@ -7,13 +7,14 @@
 from attrs import define, field
 
 from ..http1.client import ConnectionPool
-from ..http1.messages import Request
+from ..http1.messages import Request, ResponseHead
 from ..http1.server import CallerGoneError
 from ..models.routing import Route, RouteKind, ServiceProfile
 from ..models.runner import RunnerEntry
 from ..models.verdict import Verdict
 from ..observability.metrics import Metrics
 from ..platform.requests import RequestFields, encode_for_runner
+from ..platform.signals import decode_signals
 from ..policy.edge.const import RETRY_AFTER_BUDGET_S, RETRY_AFTER_OUTAGE_S
 from ..policy.edge.retries import FailedTry, Next, RepeatCause, decide_next
 from ..policy.scheduling.events import EndKind, Refuse
@@ -31,6 +32,7 @@
 from .delivery import Delivery
 from .request_log import RequestLog
 from .runner_finder import FinderTools, RunnerFinder
+from .signal_watch import SignalWatch
 
 
 class Tools(FinderTools, Protocol):
@@ -40,6 +42,7 @@
     pool: ConnectionPool
     metrics: Metrics
     crash_watch: CrashWatch
+    signal_watch: SignalWatch
 
 
 @define(eq=False)
@@ -155,6 +158,7 @@
             pool=self.tools.pool,
             delivery=self.delivery,
             on_first_event=self._note_first_event,
+            on_head=lambda head: self._note_head(runner, head),
         )
         self.tools.plain.in_flight.add(runner.runner_id)
         self._in_attempt = True
@@ -207,6 +211,9 @@
         self._first_event_at = self._clock()
         self._finder.note_first_event()
 
+    def _note_head(self, runner: RunnerEntry, head: ResponseHead) -> None:
+        self.tools.signal_watch.note(runner, decode_signals(head))
+
     def _note_result(self, runner: RunnerEntry, result: AttemptResult) -> None:
         kind = _judge(result)
         if kind is EndKind.SERVED and self._has_paused():
--- /dev/null
+++ b/mangoway/models/signals.py
@@ -0,0 +1,31 @@
+"""What a runner says of itself in an answer to a request."""
+
+from typing import Final
+
+from attrs import frozen
+
+
+@frozen(kw_only=True)
+class DroppedField:
+    """A field of an answer that can't be read."""
+
+    name: str
+    value: str
+
+
+@frozen(kw_only=True)
+class RunnerSignals:
+    """The statements of one answer."""
+
+    limit: float | None = None
+    """Requests a second that the runner takes from all hosts together; None: as many
+    as come."""
+
+    limit_known: bool = True
+    """Whether the answer says anything of the limit: one that can't be read doesn't."""
+
+    dropped: tuple[DroppedField, ...] = ()
+
+
+NO_SIGNALS: Final = RunnerSignals()
+"""An answer that says nothing."""
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -261,6 +261,25 @@
     """The lives of runners that crashed with it."""
 
 
+@numbered(357, LogLevel.INFO)
+class RunnerLimitSeen:
+    """A runner has named another limit of its requests in an answer, or names none."""
+
+    runner_id: str
+    service: str
+    limit: float | None
+    """Requests a second that it takes from all hosts together; none: no limit."""
+
+
+@numbered(358, LogLevel.WARNING)
+class SignalDropped:
+    """A field of a runner's answer can't be read; it counts as not said."""
+
+    runner_id: str
+    field: str
+    value: str
+
+
 # 4xx: scheduling and placement.
 
 
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -233,6 +233,11 @@
             "Requests that an edge sent to a runner once more, by cause.",
             ("service", "cause"),
         )
+        self.edge_signals = self._counter(
+            "mangoway_edge_signals_total",
+            "Answers in which runners said something of themselves, by what it was.",
+            ("service", "signal"),
+        )
         self.runner_crashes = self._counter(
             "mangoway_edge_runner_crashes_total",
             "Crashes of runners that an edge saw while it had requests there.",
--- a/mangoway/platform/headers.py
+++ b/mangoway/platform/headers.py
@@ -7,6 +7,10 @@
 NOT_EXECUTED: Final = b"x-not-executed"
 """Set by a runner that refused a request without running it."""
 
+REQUEST_LIMIT: Final = b"server-limit"
+"""Requests a second that a runner takes from all hosts together, a decimal number. It
+holds for as long as the runner's answers name it."""
+
 DEADLINE: Final = b"x-deadline-ms"
 """Milliseconds that are left; no point in time."""
 
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -16,6 +16,7 @@
 from mangoway.edge.forwarder import Forwarder
 from mangoway.edge.plain import PlainPlacer
 from mangoway.edge.retry_budgets import RetryBudgets
+from mangoway.edge.signal_watch import SignalWatch
 from mangoway.http1.client import ConnectionPool
 from mangoway.http1.server import ServerOptions, async_listen
 from mangoway.models.routing import CallerLimits, Route, RouteKind
@@ -291,6 +292,7 @@
             on_crash=screen.note_crash,
         ),
         screen=screen,
+        signal_watch=SignalWatch(metrics),
         random=Random(1),
     )
     options = ServerOptions(
--- /dev/null
+++ b/tests/platform/test_signals.py
@@ -0,0 +1,54 @@
+"""Tests of what runners say of themselves in the fields of their answers."""
+
+import pytest
+
+from mangoway.http1.messages import ResponseHead
+from mangoway.models.signals import NO_SIGNALS, DroppedField
+from mangoway.platform.signals import decode_signals
+
+
+def make_head(*fields: tuple[bytes, bytes], status: int = 200) -> ResponseHead:
+    """Return the head of an answer."""
+    return ResponseHead(status=status, reason=b"", headers=fields)
+
+
+class TestLimit:
+    """The requests a second that a runner takes."""
+
+    @pytest.mark.parametrize("status", [200, 421, 429, 500, 503, 504])
+    def test_answers_of_all_kinds_name_it(self, status: int) -> None:
+        signals = decode_signals(make_head((b"Server-Limit", b"2.1"), status=status))
+        assert (signals.limit, signals.limit_known) == (2.1, True)
+
+    def test_answer_without_the_field_names_none(self) -> None:
+        signals = decode_signals(make_head((b"Content-Length", b"2")))
+        assert signals == NO_SIGNALS
+        assert (signals.limit, signals.limit_known) == (None, True)
+
+    @pytest.mark.parametrize(
+        ("value", "limit"),
+        [(b"0", 0.0), (b" 3 ", 3.0), (b"0.25", 0.25), (b"9" * 300, 1e300)],
+        ids=["zero", "spaces", "fraction", "huge"],
+    )
+    def test_decimal_numbers_count(self, value: bytes, limit: float) -> None:
+        signals = decode_signals(make_head((b"server-limit", value)))
+        assert signals.limit == pytest.approx(limit)
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            *(b"", b"many", b"-1", b"+1", b"1e3", b"1_0", b"nan", b"inf", b".5"),
+            *(b"1.5, 2", b"9" * 400, b"\xb2", b"Thu, 03 Dec 2026 10:00:00 GMT"),
+        ],
+    )
+    def test_value_that_is_no_decimal_number_is_dropped(self, value: bytes) -> None:
+        signals = decode_signals(make_head((b"Server-Limit", value)))
+        assert (signals.limit, signals.limit_known) == (None, False)
+        shown = value.decode("latin-1")[:64]
+        assert signals.dropped == (DroppedField(name="server-limit", value=shown),)
+
+    def test_strictest_of_several_counts(self) -> None:
+        fields = [(b"Server-Limit", value) for value in (b"3", b"1.5", b"x")]
+        signals = decode_signals(make_head(*fields))
+        assert (signals.limit, signals.limit_known) == (1.5, True)
+        assert len(signals.dropped) == 1
