Show that runners get more requests than they name

The stand-ins of runners learn to name a limit, and the soak holds what reaches them against the users' rule: from 3 s after the first answer that names it, no window of 4 s with more than one and a half times what it allows, and five, by edges that were told half a second before. Restarts, pauses and cuts excuse an edge.

--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 
 from .customers import Customers
+from .signals import SignalRecords
 
 RETRY_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
@@ -160,6 +161,7 @@
     """Promises that were broken, as sentences."""
 
     customers: Customers = field(factory=lambda: Customers(Random(0)))
+    signals: SignalRecords = field(factory=SignalRecords, init=False)
 
     def begin(self, what: str, *, planned: bool = False, caused: bool = False) -> Span:
         """Note that something is disturbed from now on."""
@@ -167,10 +169,16 @@
         self.spans.append(span)
         return span
 
-    def note_arrival(self, service: str, request_id: str) -> None:
+    def note_arrival(self, service: str, runner_id: str, request_id: str) -> None:
         """Note that a request reached a runner, which runs or refuses it."""
         rows = self.arrivals.setdefault(service, [])
         rows.append((time.monotonic(), request_id))
+        self.signals.note_arrival(runner_id, self.find_edge(request_id))
+
+    def find_edge(self, request_id: str) -> str:
+        """Return the edge to which a request was sent; empty if nobody sent it."""
+        call = self.calls.get(request_id)
+        return "" if call is None else call.edge
 
     def note_run(self, request_id: str, run: Run) -> None:
         """Note that a runner works on a request."""
@@ -250,6 +258,7 @@
                     f"crashing: {name} ran {late} times though it was to be known; "
                     f"{len(crashes)} runners crashed"
                 )
+        broken += self.signals.check()
         unasked = set(self.runs) - set(self.calls)
         broken += [f"unasked: {each} ran and nobody sent it" for each in unasked]
         return broken
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -13,6 +13,7 @@
 
 from ..stand_ins.relay import Relay
 from .records import Records, Run
+from .signals import LimitSpell
 from .store import StoreStandIn
 
 EVENTS = 12
@@ -60,6 +61,9 @@
     shedding: float = field(default=0.0, init=False)
     """Share of the requests that it refuses as not run."""
 
+    limit: LimitSpell | None = field(default=None, init=False)
+    """What its answers say of the requests a second that it takes."""
+
     _site: web.AppRunner | None = field(default=None, init=False)
     _order_count: int = field(default=0, init=False)
     _busy_until: float = field(default=0.0, init=False)
@@ -182,10 +186,28 @@
             self.records.broken.append(f"limit: {self.runner_id} holds {models}")
         return 202 if load or not adapter else 200
 
+    def name_limit(self, limit: float) -> None:
+        """Name a limit in all answers from now on."""
+        self.limit = self.records.signals.begin_limit(self.runner_id, limit)
+
+    def lift_limit(self) -> None:
+        """Name no limit any more."""
+        if self.limit is not None:
+            self.limit.ended = time.monotonic()
+            self.limit = None
+
+    def _say(self, request_id: str) -> dict[str, str]:
+        """Return the fields in which an answer says something of the runner."""
+        edge = self.records.find_edge(request_id)
+        self.records.signals.note_answer(self.limit, edge)
+        if self.limit is None:
+            return {}
+        return {"Server-Limit": f"{self.limit.limit:g}"}
+
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
-        self.records.note_arrival(self.service, request_id)
+        self.records.note_arrival(self.service, self.runner_id, request_id)
         if self.random.random() < self.shedding:
             return self._refuse(request_id, 503)
         model, _, adapter = request.headers.get("X-Model", "").partition("/")
@@ -211,6 +233,7 @@
         if run.crashing:
             return await self._async_end_by(request, run)
         headers = {"X-Request-Id": request_id, "X-Response-Signature": signature}
+        headers |= self._say(request_id)
         if self.models is None:
             return await self._async_answer(request, headers, body)
         return await self._async_stream(request, headers, request_id)
@@ -232,6 +255,7 @@
 
     def _refuse(self, request_id: str, status: int = 421) -> web.Response:
         headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
+        headers |= self._say(request_id)
         return web.Response(status=status, headers=headers)
 
     async def _async_answer(
--- /dev/null
+++ b/tests/soak/signals.py
@@ -0,0 +1,124 @@
+"""What runners said of themselves in their answers, and what reached them since."""
+
+import time
+from bisect import bisect_left, bisect_right
+
+from attrs import define, field
+
+STABLE_S = 3.0
+"""Time from the first answer that names a limit from which the limit is held."""
+
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+"""A window may hold this many times what the limit allows, and as many more."""
+
+TOLD_S = 0.5
+"""Time from an answer by which the edge that got it must act on it."""
+
+
+@define(eq=False)
+class LimitSpell:
+    """A time in which a runner names a limit."""
+
+    runner_id: str
+    limit: float
+    began: float
+    ended: float | None = None
+    told: dict[str, float] = field(factory=dict, init=False)
+    """When each edge first got an answer that names it."""
+
+    @property
+    def allowed(self) -> float:
+        """Return the requests that a window may hold."""
+        return LIMIT_FACTOR * self.limit * LIMIT_WINDOW_S + LIMIT_SLACK
+
+
+@define(eq=False)
+class Disturbance:
+    """A time in which an edge was restarted, paused or cut off."""
+
+    edge: str
+    began: float
+    ended: float | None = None
+
+    def excuses(self, edge: str, began: float, ended: float) -> bool:
+        """Return whether it touches a time of an edge."""
+        over = self.ended is not None and self.ended + STABLE_S < began
+        return edge == self.edge and self.began <= ended and not over
+
+
+@define(eq=False)
+class SignalRecords:
+    """Statements and arrivals of all runners, as the runners see them."""
+
+    limits: list[LimitSpell] = field(factory=list, init=False)
+    disturbances: list[Disturbance] = field(factory=list, init=False)
+    _arrivals: dict[str, list[tuple[float, str]]] = field(factory=dict, init=False)
+    """Time and edge of each request that reached a runner."""
+
+    def note_arrival(self, runner_id: str, edge: str) -> None:
+        """Note that an edge's request reached a runner."""
+        rows = self._arrivals.setdefault(runner_id, [])
+        rows.append((time.monotonic(), edge))
+
+    def begin_limit(self, runner_id: str, limit: float) -> LimitSpell:
+        """Note that a runner names a limit from now on."""
+        spell = LimitSpell(runner_id, limit, time.monotonic())
+        self.limits.append(spell)
+        return spell
+
+    def note_answer(self, spell: LimitSpell | None, edge: str) -> None:
+        """Note that an edge gets an answer that names a limit."""
+        if spell is not None:
+            spell.told.setdefault(edge, time.monotonic())
+
+    def disturb(self, edge: str) -> Disturbance:
+        """Note that an edge is disturbed from now on."""
+        disturbance = Disturbance(edge, time.monotonic())
+        self.disturbances.append(disturbance)
+        return disturbance
+
+    def count_arrivals(self, runner_id: str, began: float, ended: float) -> int:
+        """Return the requests that reached a runner in `[began, ended]`."""
+        rows = self._arrivals.get(runner_id, [])
+        first = bisect_left(rows, began, key=lambda row: row[0])
+        return bisect_right(rows, ended, key=lambda row: row[0]) - first
+
+    def check(self) -> list[str]:
+        """Return the promises that were broken."""
+        broken = []
+        for spell in self.limits:
+            broken += self._check_limit(spell)
+        return broken
+
+    def _check_limit(self, spell: LimitSpell) -> list[str]:
+        """Check each window that ends while a limit is held."""
+        for ended, _ in self._arrivals.get(spell.runner_id, []):
+            held_until = spell.ended or ended
+            if not spell.began + STABLE_S <= ended <= held_until:
+                continue
+            count = self._count_told(spell, ended)
+            if count > spell.allowed:
+                return [
+                    f"limit: {spell.runner_id} named {spell.limit} a second and got "
+                    f"{count} requests in {LIMIT_WINDOW_S} s; {spell.allowed:.0f} "
+                    f"allowed; {ended - spell.began:.1f} s after it began"
+                ]
+        return []
+
+    def _count_told(self, spell: LimitSpell, ended: float) -> int:
+        """Return the requests of a window by edges that had been told."""
+        began = ended - LIMIT_WINDOW_S
+        rows = self._arrivals[spell.runner_id]
+        first = bisect_right(rows, began, key=lambda row: row[0])
+        last = bisect_right(rows, ended, key=lambda row: row[0])
+        bound = {
+            edge
+            for edge, told_at in spell.told.items()
+            if told_at <= ended - TOLD_S and not self._is_excused(edge, began, ended)
+        }
+        return sum(1 for _, edge in rows[first:last] if edge in bound)
+
+    def _is_excused(self, edge: str, began: float, ended: float) -> bool:
+        return any(each.excuses(edge, began, ended) for each in self.disturbances)
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -92,7 +92,7 @@
                 sent_at=time.monotonic(),
             )
         for number in range(arrivals):
-            records.note_arrival("plain", f"q{number // 2}")
+            records.note_arrival("plain", "i-1", f"q{number // 2}")
 
     def test_as_many_as_allowed(self) -> None:
         records = Records()
