Show that runners which say that they leave get requests

The stand-ins of runners learn to say in their answers that they leave, and the soak holds what reaches them against the users' rule: nothing that a caller sent later than 2 s after its edge was told, cut off or not; a restart or a pause of the edge excuses it.

--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -173,7 +173,9 @@
         """Note that a request reached a runner, which runs or refuses it."""
         rows = self.arrivals.setdefault(service, [])
         rows.append((time.monotonic(), request_id))
-        self.signals.note_arrival(runner_id, self.find_edge(request_id))
+        call = self.calls.get(request_id)
+        if call is not None:
+            self.signals.note_arrival(runner_id, call.edge, call.sent_at)
 
     def find_edge(self, request_id: str) -> str:
         """Return the edge to which a request was sent; empty if nobody sent it."""
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -13,7 +13,7 @@
 
 from ..stand_ins.relay import Relay
 from .records import Records, Run
-from .signals import LimitSpell
+from .signals import Leaving, LimitSpell
 from .store import StoreStandIn
 
 EVENTS = 12
@@ -64,6 +64,9 @@
     limit: LimitSpell | None = field(default=None, init=False)
     """What its answers say of the requests a second that it takes."""
 
+    leaving: Leaving | None = field(default=None, init=False)
+    """What its answers say of its leaving."""
+
     _site: web.AppRunner | None = field(default=None, init=False)
     _order_count: int = field(default=0, init=False)
     _busy_until: float = field(default=0.0, init=False)
@@ -196,13 +199,21 @@
             self.limit.ended = time.monotonic()
             self.limit = None
 
+    def say_leaving(self) -> None:
+        """Say in all answers from now on that the runner leaves."""
+        self.leaving = self.records.signals.begin_leaving(self.runner_id)
+
     def _say(self, request_id: str) -> dict[str, str]:
         """Return the fields in which an answer says something of the runner."""
         edge = self.records.find_edge(request_id)
         self.records.signals.note_answer(self.limit, edge)
-        if self.limit is None:
-            return {}
-        return {"Server-Limit": f"{self.limit.limit:g}"}
+        self.records.signals.note_answer(self.leaving, edge)
+        fields = {}
+        if self.limit is not None:
+            fields["Server-Limit"] = f"{self.limit.limit:g}"
+        if self.leaving is not None:
+            fields["Server-Leaving"] = "1"
+        return fields
 
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -13,6 +13,10 @@
 LIMIT_SLACK = 5
 """A window may hold this many times what the limit allows, and as many more."""
 
+DRAIN_S = 2.0
+"""Time from an answer that says that its runner leaves, from which no request may be
+sent there."""
+
 TOLD_S = 0.5
 """Time from an answer by which the edge that got it must act on it."""
 
@@ -34,6 +38,15 @@
         return LIMIT_FACTOR * self.limit * LIMIT_WINDOW_S + LIMIT_SLACK
 
 
+@define(eq=False)
+class Leaving:
+    """A runner that says in its answers that it leaves."""
+
+    runner_id: str
+    told: dict[str, float] = field(factory=dict, init=False)
+    """When each edge first got an answer that says so."""
+
+
 @define(eq=False)
 class Disturbance:
     """A time in which an edge was restarted, paused or cut off."""
@@ -41,6 +54,8 @@
     edge: str
     began: float
     ended: float | None = None
+    cut: bool = False
+    """Whether the edge ran on, but was cut off."""
 
     def excuses(self, edge: str, began: float, ended: float) -> bool:
         """Return whether it touches a time of an edge."""
@@ -53,14 +68,41 @@
     """Statements and arrivals of all runners, as the runners see them."""
 
     limits: list[LimitSpell] = field(factory=list, init=False)
+    leaving: list[Leaving] = field(factory=list, init=False)
     disturbances: list[Disturbance] = field(factory=list, init=False)
+    broken: list[str] = field(factory=list, init=False)
     _arrivals: dict[str, list[tuple[float, str]]] = field(factory=dict, init=False)
     """Time and edge of each request that reached a runner."""
 
-    def note_arrival(self, runner_id: str, edge: str) -> None:
-        """Note that an edge's request reached a runner."""
+    def note_arrival(self, runner_id: str, edge: str, sent_at: float = 0.0) -> None:
+        """Note that a request reached a runner.
+
+        Args:
+            runner_id: The runner.
+            edge: The edge to which it was sent.
+            sent_at: When its caller sent it.
+        """
         rows = self._arrivals.setdefault(runner_id, [])
         rows.append((time.monotonic(), edge))
+        for each in self.leaving:
+            if each.runner_id == runner_id:
+                self._check_leaving(each, edge, sent_at)
+
+    def begin_leaving(self, runner_id: str) -> Leaving:
+        """Note that a runner says from now on that it leaves."""
+        leaving = Leaving(runner_id)
+        self.leaving.append(leaving)
+        return leaving
+
+    def _check_leaving(self, leaving: Leaving, edge: str, sent_at: float) -> None:
+        told_at = leaving.told.get(edge)
+        if told_at is None or sent_at <= told_at + DRAIN_S:
+            return
+        if not self._is_excused(edge, told_at, sent_at, cut_off=False):
+            self.broken.append(
+                f"drain: a request reached {leaving.runner_id} "
+                f"{sent_at - told_at:.1f} s after {edge} had been told that it leaves"
+            )
 
     def begin_limit(self, runner_id: str, limit: float) -> LimitSpell:
         """Note that a runner names a limit from now on."""
@@ -68,14 +110,14 @@
         self.limits.append(spell)
         return spell
 
-    def note_answer(self, spell: LimitSpell | None, edge: str) -> None:
-        """Note that an edge gets an answer that names a limit."""
-        if spell is not None:
-            spell.told.setdefault(edge, time.monotonic())
+    def note_answer(self, said: LimitSpell | Leaving | None, edge: str) -> None:
+        """Note that an edge gets an answer that says something of its runner."""
+        if said is not None:
+            said.told.setdefault(edge, time.monotonic())
 
-    def disturb(self, edge: str) -> Disturbance:
+    def disturb(self, edge: str, *, cut: bool = False) -> Disturbance:
         """Note that an edge is disturbed from now on."""
-        disturbance = Disturbance(edge, time.monotonic())
+        disturbance = Disturbance(edge, time.monotonic(), cut=cut)
         self.disturbances.append(disturbance)
         return disturbance
 
@@ -87,7 +129,7 @@
 
     def check(self) -> list[str]:
         """Return the promises that were broken."""
-        broken = []
+        broken = list(self.broken)
         for spell in self.limits:
             broken += self._check_limit(spell)
         return broken
@@ -120,5 +162,12 @@
         }
         return sum(1 for _, edge in rows[first:last] if edge in bound)
 
-    def _is_excused(self, edge: str, began: float, ended: float) -> bool:
-        return any(each.excuses(edge, began, ended) for each in self.disturbances)
+    def _is_excused(
+        self, edge: str, began: float, ended: float, *, cut_off: bool = True
+    ) -> bool:
+        """Return whether an edge was disturbed; being cut off may be no excuse."""
+        return any(
+            each.excuses(edge, began, ended)
+            for each in self.disturbances
+            if cut_off or not each.cut
+        )
--- a/tests/soak/test_signals.py
+++ b/tests/soak/test_signals.py
@@ -36,6 +36,33 @@
     return [began + (ended - began) * each / count for each in range(count)]
 
 
+class TestLeaving:
+    """Requests to a runner whose answer has told an edge that it leaves."""
+
+    def play(self, clock: FakeTime, sent_after_s: float, **fault: bool) -> list[str]:
+        records = SignalRecords()
+        leaving = records.begin_leaving("i-1")
+        records.note_answer(leaving, "e1")
+        if fault:
+            records.disturb("e1", **fault)
+        clock.now += sent_after_s
+        records.note_arrival("i-1", "e1", clock.now)
+        records.note_arrival("i-1", "e2", clock.now)
+        return records.check()
+
+    def test_request_of_the_first_seconds_breaks_nothing(self, clock: FakeTime) -> None:
+        assert self.play(clock, 1.9) == []
+
+    def test_later_one(self, clock: FakeTime) -> None:
+        assert len(self.play(clock, 2.1)) == 1
+
+    def test_edge_that_is_cut_off_is_bound(self, clock: FakeTime) -> None:
+        assert len(self.play(clock, 2.1, cut=True)) == 1
+
+    def test_edge_that_is_paused_is_excused(self, clock: FakeTime) -> None:
+        assert self.play(clock, 2.1, cut=False) == []
+
+
 class TestLimit:
     """Windows of a runner that names 2 requests a second; 17 are allowed."""
 
