Send nothing to runners that say in answers that they leave

Cause: leaving was known from the runner's entry alone, which an outage of the store keeps as it was. What its answers said was not read. The class: a fact about a runner with two sources, of which the slower one was the only one.

The host that reads it counts the runner as closed at once, tells its scheduler, and that tells all others, each edge that comes, and is told when it begins to grant; standbys take what the leader passes on, and the scheduler reads it in answers to reports and orders as well. It holds for that life of the runner, so that an entry of before, or one that comes back, changes nothing.

A place at a runner that the host knows to leave is asked for anew instead of refusing the request, and a place that was kept beside a silent runner is looked at again before it is used.

--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -8,7 +8,8 @@
 
 from ..models.fleet import Member
 from ..models.routing import RoutingTable
-from ..models.runner import RunnerEntry
+from ..models.runner import RunnerEntry, is_later_life
+from ..models.signals import LeavingSaid
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 
@@ -18,6 +19,11 @@
 the store removes 3 s after one counts at once again, so this must be less."""
 
 
+MAX_LEAVING: Final = 16_384
+"""Lives that are known to leave: more than all runners of a fleet. Their entries may
+come back after an outage, so that they are remembered beyond these."""
+
+
 @frozen(kw_only=True)
 class Leader:
     """The holder of the scheduler's key; its fence number grows with each holder."""
@@ -43,6 +49,9 @@
     _kept_until: float = field(default=0.0, init=False)
     """Time until which entries that vanish are kept, since they may come back."""
 
+    _leaving: dict[str, int] = field(factory=dict, init=False)
+    """Runners whose answers say that they leave, with the starts of these lives."""
+
     _missing: set[str] = field(factory=set, init=False)
     """Runners whose entries vanished and are kept."""
 
@@ -115,6 +124,35 @@
             )
         self._notify()
 
+    def note_leaving(self, said: LeavingSaid) -> bool:
+        """Take that a life of a runner leaves, whatever its entry says.
+
+        Returns:
+            Whether that was not known.
+        """
+        known = self._leaving.get(said.runner_id)
+        if known is not None and not is_later_life(said.started_ms, known):
+            return False
+        if len(self._leaving) >= MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[said.runner_id] = said.started_ms
+        self._notify()
+        return True
+
+    def list_leaving(self) -> list[LeavingSaid]:
+        """Return the runners that say that they leave."""
+        return [
+            LeavingSaid(runner_id=runner_id, started_ms=started_ms)
+            for runner_id, started_ms in self._leaving.items()
+        ]
+
+    def is_open(self, entry: RunnerEntry) -> bool:
+        """Return whether a runner takes new requests."""
+        if entry.draining:
+            return False
+        left_ms = self._leaving.get(entry.runner_id)
+        return left_ms is None or is_later_life(entry.started_ms, left_ms)
+
     def shows_runner(self, entry: RunnerEntry) -> bool:
         """Return whether an entry is in the view as it is, and for sure."""
         known = self.runners.get(entry.runner_id)
@@ -172,17 +210,17 @@
         return [
             each
             for each in self.runners.values()
-            if each.service == service and not each.draining
+            if each.service == service and self.is_open(each)
         ]
 
     def list_open_runners(self) -> tuple[RunnerEntry, ...]:
         """Return the runners of all services that take new requests."""
-        return tuple(each for each in self.runners.values() if not each.draining)
+        return tuple(each for each in self.runners.values() if self.is_open(each))
 
     def find_open_runner(self, runner_id: str) -> RunnerEntry | None:
         """Return a runner if it takes new requests."""
         entry = self.runners.get(runner_id)
-        return None if entry is None or entry.draining else entry
+        return entry if entry is not None and self.is_open(entry) else None
 
     def _drop_runner(self, runner_id: str, reason: str) -> None:
         self._missing.discard(runner_id)
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -227,9 +227,12 @@
             metrics=self.process.metrics,
             limits=limits,
             clock=self.process.clock,
-            tell=self.client.tell_limit,
+            view=self.process.view,
+            tell=self.client.tell,
         )
         self.client.on_limit = watch.take_told
+        self.client.on_leaving = watch.take_told_leaving
+        self.client.list_leaving = self.process.view.list_leaving
         self.client.list_limits = watch.list_limits
         return watch
 
--- a/mangoway/daemons/report_reader.py
+++ b/mangoway/daemons/report_reader.py
@@ -106,7 +106,7 @@
             for each in view.runners.values()
             if each.service in services
             and services[each.service].engine is not None
-            and not each.draining
+            and view.is_open(each)
         ]
 
     async def _async_read(self, entry: RunnerEntry) -> None:
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -10,6 +10,7 @@
 from ..coordination.crash_keeper import CrashKeeper
 from ..coordination.leadership import Leadership
 from ..models.fleet import Role
+from ..models.signals import LeavingSaid, RunnerSignals
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
@@ -22,6 +23,7 @@
     OrdersAllowed,
 )
 from ..policy.scheduling.state import SchedulingState
+from ..scheduling.messages import Message
 from ..scheduling.server import SchedulerServer
 from ..settings.fleet import SchedulerSettings
 from ..util.collector import exempt_start
@@ -142,6 +144,10 @@
         )
         self.server.on_edge = self._note_edge
         self.server.on_told = process.take_told
+        self.server.on_leaving = process.view.note_leaving
+        self.server.list_leaving = process.view.list_leaving
+        process.leader_link.on_message = self._take_passed_on
+        self.control.on_signals = self._note_signals
         process.mirror.follower = self.server.feed
         process.view.on_change.append(self._note_view)
 
@@ -201,6 +207,18 @@
             fleet = FleetSeen(table=view.table, runners=view.list_open_runners())
             self.server.handle(fleet)
 
+    def _take_passed_on(self, message: Message) -> None:
+        """Take what the leader passes on while this process stands by."""
+        if isinstance(message, LeavingSaid):
+            self.server.take_leaving(message)
+
+    def _note_signals(self, runner_id: str, signals: RunnerSignals) -> None:
+        """Take what a runner says in the answer to a report or an order."""
+        entry = self.process.view.runners.get(runner_id)
+        if entry is not None and signals.leaving:
+            said = LeavingSaid(runner_id=runner_id, started_ms=entry.started_ms)
+            self.server.take_leaving(said)
+
     def _is_granting(self) -> bool:
         """Return whether edges are to ask this process: it leads, or stands in."""
         return self.leadership.is_granting or self._stands_in()
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -12,6 +12,10 @@
 OTHER_PLACE_S: Final = 0.4
 """Time for which another runner is looked for while the present one is silent."""
 
+PLACES_ASKED: Final = 3
+"""Places that are asked for one after the other while each is at a runner that this
+host knows to leave: who grants hears of it within milliseconds."""
+
 MAX_IDLE_PER_RUNNER: Final = 8
 """Idle connections kept to one runner. Runners accept some 100 to 600 from all callers
 together; with 83 edges this stays in bounds for the large ones, as few are busy."""
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -17,7 +17,7 @@
 from ..policy.scheduling.events import Asked, EndKind, Refuse
 from ..scheduling.placing import Answer, Placer
 from .admission import Caller
-from .const import HELD_BACK, OTHER_PLACE_S
+from .const import HELD_BACK, OTHER_PLACE_S, PLACES_ASKED
 from .crash_screen import CrashScreen
 from .delivery import Delivery
 from .plain import PlainPlacer
@@ -212,11 +212,27 @@
         if self._next is not None:
             placed, self._next = self._next, None
             self._key = placed.key
-            return placed.runner
+            if self.tools.view.is_open(placed.runner):
+                return placed.runner
+            self.end(EndKind.LEFT)
         if self.service.engine is None:
             return self._take_quota() or await self._async_place_plain(
                 self._excluded, self._list_allowed()
             )
+        for _ in range(PLACES_ASKED):
+            answer = await self._async_ask_place()
+            if isinstance(answer, Refuse):
+                return answer
+            entry = self.tools.view.find_open_runner(answer.runner_id)
+            if entry is not None:
+                return entry
+            # This host knows better than who granted it.
+            self.end(EndKind.NOT_RUN)
+            self._excluded.append(answer.runner_id)
+        return self._make_refusal("the runner is leaving", RETRY_AFTER_OUTAGE_S)
+
+    async def _async_ask_place(self) -> Answer:
+        """Ask for a place, whose key is kept."""
         asked_at = self._clock()
         asked = self._make_ask(asked_at, self._excluded)
         self._key = asked.request_id
@@ -224,13 +240,9 @@
         self.log.queued_s += self._clock() - asked_at
         if isinstance(answer, Refuse):
             self.end(EndKind.LEFT)
-            return answer
-        self._charged += asked.cost
-        entry = self.tools.view.find_open_runner(answer.runner_id)
-        if entry is None:
-            self.end(EndKind.NOT_RUN)
-            return self._make_refusal("the runner is leaving", RETRY_AFTER_OUTAGE_S)
-        return entry
+        else:
+            self._charged += asked.cost
+        return answer
 
     async def _async_place_plain(
         self, excluded: list[str], only: tuple[str, ...]
--- a/mangoway/edge/signal_watch.py
+++ b/mangoway/edge/signal_watch.py
@@ -6,8 +6,9 @@
 
 from attrs import define, evolve, field
 
+from ..coordination.view import FleetView
 from ..models.runner import RunnerEntry
-from ..models.signals import RunnerSignals
+from ..models.signals import LeavingSaid, RunnerSignals
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
@@ -15,6 +16,7 @@
 from ..policy.limits.const import PAST_S
 
 LIMIT: Final = "limit"
+LEAVING: Final = "leaving"
 DROPPED: Final = "dropped"
 """Signals by which answers are counted."""
 
@@ -59,7 +61,8 @@
     """Those that the core of this process keeps to."""
 
     clock: Callable[[], float]
-    tell: Callable[[LimitSaid], None] = lambda said: None
+    view: FleetView
+    tell: Callable[[LimitSaid | LeavingSaid], None] = lambda said: None
     """Tells the scheduler."""
 
     sends: RecentSends = field(factory=RecentSends, init=False)
@@ -85,6 +88,9 @@
                     runner_id=runner.runner_id, field=each.name, value=each.value
                 )
             )
+        if signals.leaving:
+            self.metrics.edge_signals.add(runner.service, LEAVING)
+            self._note_leaving(runner)
         if signals.limit is not None:
             self.metrics.edge_signals.add(runner.service, LIMIT)
         if signals.limit_known:
@@ -98,6 +104,10 @@
         if said.limit is not None and sent_lately:
             self.tell(evolve(said, sent_lately=sent_lately))
 
+    def take_told_leaving(self, said: LeavingSaid) -> None:
+        """Take that a runner leaves which another process has heard."""
+        self._believe_leaving(said, "the scheduler")
+
     def list_limits(self) -> list[LimitSaid]:
         """Return the limits that are known, for a scheduler that begins to grant."""
         now = self.clock()
@@ -111,6 +121,18 @@
         self.limits.keep_only(runner_ids)
         self.sends.keep_only(runner_ids)
 
+    def _note_leaving(self, runner: RunnerEntry) -> None:
+        said = LeavingSaid(runner_id=runner.runner_id, started_ms=runner.started_ms)
+        if self._believe_leaving(said, None):
+            self.tell(said)
+
+    def _believe_leaving(self, said: LeavingSaid, told_by: str | None) -> bool:
+        """Take that a runner leaves; returns whether that was not known."""
+        if not self.view.note_leaving(said):
+            return False
+        log_event(log.RunnerLeavingSeen(runner_id=said.runner_id, told_by=told_by))
+        return True
+
     def _note_limit(
         self, runner: RunnerEntry, limit: float | None, asked_at: float
     ) -> None:
--- a/mangoway/models/runner.py
+++ b/mangoway/models/runner.py
@@ -59,3 +59,8 @@
 
     started_ms: int = 0
     """When the life that reports began, as in the entry."""
+
+
+def is_later_life(started_ms: int, known_ms: int) -> bool:
+    """Return whether one life of a runner began after another; 0: not known when."""
+    return 0 < known_ms < started_ms
--- a/mangoway/models/signals.py
+++ b/mangoway/models/signals.py
@@ -24,8 +24,20 @@
     limit_known: bool = True
     """Whether the answer says anything of the limit: one that can't be read doesn't."""
 
+    leaving: bool = False
+    """Whether the runner is about to end, and takes no new requests."""
+
     dropped: tuple[DroppedField, ...] = ()
 
 
 NO_SIGNALS: Final = RunnerSignals()
 """An answer that says nothing."""
+
+
+@frozen(kw_only=True)
+class LeavingSaid:
+    """A runner said in an answer that it leaves."""
+
+    runner_id: str
+    started_ms: int
+    """Life of the runner, as in its entry."""
--- a/mangoway/platform/runners.py
+++ b/mangoway/platform/runners.py
@@ -1,5 +1,6 @@
 """Calls that runners answer: their report, and orders to them."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Any, Final
 
@@ -7,9 +8,11 @@
 
 from ..http1.json_client import CallFailedError, JsonClient
 from ..models.runner import RunnerReport
+from ..models.signals import RunnerSignals
 from . import headers as names
 from .documents import UNREADABLE, decode_models, read_started
 from .fields import DocumentError, read_integer, read_list, read_object
+from .signals import decode_signals
 
 REPORT_TIMEOUT_S: Final = 0.5
 """A report needs no slot and comes in a few milliseconds."""
@@ -66,6 +69,8 @@
     """Reads reports of runners and sends them orders."""
 
     client: JsonClient = field(factory=JsonClient)
+    on_signals: Callable[[str, RunnerSignals], None] = lambda runner_id, signals: None
+    """Told what a runner says of itself in an answer."""
 
     async def async_read_report(self, address: str, runner_id: str) -> RunnerReport:
         """Read a runner's report.
@@ -77,6 +82,7 @@
             reply = await self.client.async_call(
                 address, "GET", "/v1/report", timeout_s=REPORT_TIMEOUT_S
             )
+            self.on_signals(runner_id, decode_signals(reply.headers))
             if reply.status != 200:
                 raise RunnerUnreachableError(f"{runner_id}: status {reply.status}")
             return decode_report(reply.body)
@@ -111,6 +117,7 @@
             )
         except CallFailedError as error:
             raise RunnerUnreachableError(f"{runner_id}: {error}") from error
+        self.on_signals(runner_id, decode_signals(reply.headers))
         answer = ANSWERS.get(reply.status)
         if answer is None:
             raise RunnerUnreachableError(f"{runner_id}: status {reply.status}")
--- a/mangoway/platform/signals.py
+++ b/mangoway/platform/signals.py
@@ -3,39 +3,38 @@
 import re
 from typing import Final
 
-from ..http1.messages import ResponseHead
+from ..http1.messages import Headers
 from ..models.signals import NO_SIGNALS, DroppedField, RunnerSignals
 from . import headers as names
 
 DECIMAL: Final = re.compile(r"\d{1,300}(\.\d{1,300})?", re.ASCII)
 """Digits with at most one point: no sign, no exponent, no words such as `inf`."""
 
+LEAVES: Final = b"1"
+"""The one value by which a runner says that it leaves."""
+
+FIELDS: Final = frozenset({names.REQUEST_LIMIT, names.LEAVING})
+
 MAX_LOGGED_CHARACTERS: Final = 64
 """Part of a value that can't be read which is kept for the log."""
 
 
-def decode_signals(head: ResponseHead) -> RunnerSignals:
+def decode_signals(headers: Headers) -> RunnerSignals:
     """Return what an answer says of its runner.
 
     A field that comes several times counts by its strictest value. What can't be read
     counts as not said, and is returned as dropped.
     """
-    limits = []
-    dropped = []
-    for key, raw in head.headers:
-        if key.lower() != names.REQUEST_LIMIT:
-            continue
-        limit = read_decimal(raw)
-        if limit is None:
-            dropped.append(_drop(names.REQUEST_LIMIT, raw))
-        else:
-            limits.append(limit)
-    if not limits and not dropped:
+    values = [(key.lower(), raw) for key, raw in headers if key.lower() in FIELDS]
+    if not values:
         return NO_SIGNALS
+    limits = [read_decimal(raw) for key, raw in values if key == names.REQUEST_LIMIT]
+    named = [each for each in limits if each is not None]
     return RunnerSignals(
-        limit=min(limits, default=None),
-        limit_known=bool(limits),
-        dropped=tuple(dropped),
+        limit=min(named, default=None),
+        limit_known=bool(named) or not limits,
+        leaving=(names.LEAVING, LEAVES) in values,
+        dropped=tuple(_drop(*each) for each in values if not _is_readable(*each)),
     )
 
 
@@ -45,6 +44,12 @@
     return float(text) if DECIMAL.fullmatch(text) else None
 
 
+def _is_readable(name: bytes, raw: bytes) -> bool:
+    if name == names.LEAVING:
+        return raw == LEAVES
+    return read_decimal(raw) is not None
+
+
 def _drop(name: bytes, raw: bytes) -> DroppedField:
     value = raw.decode("latin-1")[:MAX_LOGGED_CHARACTERS]
     return DroppedField(name=name.decode(), value=value)
--- a/mangoway/policy/limits/book.py
+++ b/mangoway/policy/limits/book.py
@@ -11,6 +11,7 @@
 
 from attrs import define, evolve, field, frozen
 
+from ...models.runner import is_later_life
 from .const import (
     FREE_REQUESTS,
     FREE_S,
@@ -216,11 +217,6 @@
         return limit * self.get_share(runner_id)
 
 
-def is_later_life(started_ms: int, known_ms: int) -> bool:
-    """Return whether one life of a runner is later than another; 0: not known."""
-    return 0 < known_ms < started_ms
-
-
 def forget_past(said: LimitSaid) -> LimitSaid:
     """Return a statement without what its teller sent, to pass it on."""
     return evolve(said, sent_lately=0)
--- a/mangoway/scheduling/client.py
+++ b/mangoway/scheduling/client.py
@@ -8,6 +8,7 @@
 from attrs import define, evolve, field
 
 from ..models.runner import RunnerEntry
+from ..models.signals import LeavingSaid
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.customers.spending import Spending
@@ -76,6 +77,14 @@
     on_limit: Callable[[LimitSaid], None] = field(default=lambda said: None, init=False)
     """Told of the limits that the scheduler passes on."""
 
+    on_leaving: Callable[[LeavingSaid], None] = field(
+        default=lambda said: None, init=False
+    )
+    """Told of the runners of which the scheduler passes on that they leave."""
+
+    list_leaving: Callable[[], list[LeavingSaid]] = field(default=list, init=False)
+    """Returns the runners of which this edge knows that they leave."""
+
     list_limits: Callable[[], list[LimitSaid]] = field(default=list, init=False)
     """Returns the limits of runners that this edge knows."""
 
@@ -194,8 +203,8 @@
             del self._permits[request_id]
         return answer.retry_after_s if isinstance(answer, Refuse) else 0.0
 
-    def tell_limit(self, said: LimitSaid) -> None:
-        """Tell the scheduler what a runner said of its limit."""
+    def tell(self, said: LimitSaid | LeavingSaid) -> None:
+        """Tell the scheduler what a runner said of itself."""
         link = self._find_link()
         if link is not None:
             link.send(said)
@@ -236,6 +245,8 @@
     def _take(self, message: Message) -> None:
         if isinstance(message, LimitSaid):
             self.on_limit(message)
+        elif isinstance(message, LeavingSaid):
+            self.on_leaving(message)
         elif isinstance(message, Grant | Refuse):
             permit = self._permits.get(message.request_id)
             if permit is not None:
@@ -250,6 +261,8 @@
         rows = tuple(self.spending.list_all(asyncio.get_running_loop().time()))
         if rows:
             link.send(SpendingTold(rows=rows))
+        for leaving in self.list_leaving():
+            link.send(leaving)
         for said in self.list_limits():
             link.send(said)
         for placed in self._placed.values():
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -17,6 +17,7 @@
 
 from ..coordination.store import Change, Changes, Item
 from ..models.prompt import Prompt, PromptPart
+from ..models.signals import LeavingSaid
 from ..policy.customers.spending import Spent
 from ..policy.limits.book import LimitSaid
 from ..policy.scheduling.events import (
@@ -463,3 +464,13 @@
     return PermitAsked(
         edge=edge, request_id=fields[1], runner_id=fields[2], started_ms=fields[3]
     )
+
+
+@encodes(LeavingSaid)
+def _encode_leaving(message: LeavingSaid) -> list[Any]:
+    return ["leaving", message.runner_id, message.started_ms]
+
+
+@decodes("leaving")
+def _decode_leaving(fields: list[Any], edge: str) -> Message:
+    return LeavingSaid(runner_id=fields[1], started_ms=fields[2])
--- a/mangoway/scheduling/messages.py
+++ b/mangoway/scheduling/messages.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from ..coordination.store import Changes, Item
+from ..models.signals import LeavingSaid
 from ..policy.limits.book import LimitSaid
 from ..policy.scheduling.events import (
     Adopted,
@@ -112,6 +113,7 @@
     | SpendingTold
     | LimitSaid
     | PermitAsked
+    | LeavingSaid
     | Grant
     | Refuse
 )
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from ..coordination.mirror import Mirror
+from ..models.signals import LeavingSaid
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.customers.const import MEMORY_S
@@ -64,6 +65,12 @@
     on_told: Callable[[Told], None] = lambda message: None
     """Told of statements on crashes."""
 
+    on_leaving: Callable[[LeavingSaid], bool] = lambda message: False
+    """Told of runners that say that they leave; returns whether that is new."""
+
+    list_leaving: Callable[[], list[LeavingSaid]] = list
+    """Returns the runners that are known to leave."""
+
     on_edge: Callable[[str, bool], None] = lambda incarnation, connected: None
     """Told of each edge that connects, and of each whose connection breaks."""
 
@@ -154,6 +161,8 @@
             link.send(ClockTold(asked_at=message.asked_at, clock_s=clock_s))
         elif isinstance(message, LimitSaid):
             self._take_limit(link, message)
+        elif isinstance(message, LeavingSaid):
+            self.take_leaving(message, link)
         elif isinstance(message, SpendingTold):
             self.handle(self._drop_known(link.edge, message))
         elif link.edge and not isinstance(message, Heartbeat):
@@ -206,7 +215,20 @@
         )
         self._pass_on(link, forget_past(said))
 
-    def _pass_on(self, link: Link, message: Message) -> None:
+    def take_leaving(self, said: LeavingSaid, link: Link | None = None) -> None:
+        """Take that a runner leaves, and tell all others if it is new.
+
+        Args:
+            said: What the runner has said.
+            link: Who told it; None if this process has read it.
+        """
+        if not self.on_leaving(said):
+            return
+        told_by = None if link is None else link.edge
+        log_event(log.RunnerLeavingSeen(runner_id=said.runner_id, told_by=told_by))
+        self._pass_on(link, said)
+
+    def _pass_on(self, link: Link | None, message: Message) -> None:
         """Tell all others what one has told."""
         frame = encode_frame([message])
         for other in tuple(self._links.values()):
@@ -229,6 +251,8 @@
         # A heartbeat at once, a reading in its turn: who is greeted late comes anew.
         link.send_frame(encode_frame([self._make_heartbeat()]))
         self.feed.add(link, hello.revision)
+        for leaving in self.list_leaving():
+            link.send(leaving)
         for said in self.core.state.limits.list_said(self.clock()):
             link.send(said)
         log_event(log.LinkOpened(peer=hello.host))
--- a/tests/daemons/test_scheduler.py
+++ b/tests/daemons/test_scheduler.py
@@ -8,9 +8,11 @@
 from mangoway.daemons.fleet_process import FleetProcess
 from mangoway.daemons.scheduler import SchedulerProcess
 from mangoway.models.fleet import Role
+from mangoway.models.signals import LeavingSaid, RunnerSignals
 from mangoway.policy.customers.const import BEGIN_S
 from mangoway.settings.fleet import SchedulerSettings
 
+from ..fakes.fleet import make_runner, make_table
 from ..scheduling.test_standby import make_member
 
 
@@ -85,3 +87,31 @@
         quotas = SchedulerProcess(make_settings()).server.core.state.quotas
         assert not quotas.starts_full
         assert quotas.slack == 1700.0
+
+
+class TestLeaving:
+    """Runners that say that they leave."""
+
+    SAID = LeavingSaid(runner_id="r1", started_ms=0)
+
+    async def test_answer_to_a_report_counts(self) -> None:
+        scheduler = SchedulerProcess(make_settings())
+        scheduler.process.view.take_runner(make_runner("r1"))
+        scheduler.control.on_signals("r1", RunnerSignals(leaving=True))
+        assert scheduler.process.view.find_open_runner("r1") is None
+        assert scheduler.server.list_leaving() == [self.SAID]
+
+    async def test_standby_takes_what_the_leader_passes_on(self) -> None:
+        scheduler = SchedulerProcess(make_settings())
+        scheduler.process.view.take_runner(make_runner("r1"))
+        scheduler.process.leader_link.on_message(self.SAID)
+        assert scheduler.process.view.find_open_runner("r1") is None
+
+    async def test_core_grants_and_plans_without_it(self) -> None:
+        scheduler = SchedulerProcess(make_settings())
+        scheduler.process.view.take_table(make_table())
+        scheduler.process.view.take_runner(make_runner("r1", ("a",)))
+        state = scheduler.server.core.state
+        assert "r1" in state.runners
+        scheduler.server.take_leaving(self.SAID)
+        assert "r1" not in state.runners
