Show that runners which asked for rest get requests

The stand-ins of runners learn to ask for rest when they refuse a request, and the soak holds what reaches them against the users' rule: two requests of that edge at most from half a second after the refusal to the end of the rest; a restart, a pause or a cut of the edge excuses it.

--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -61,6 +61,9 @@
     shedding: float = field(default=0.0, init=False)
     """Share of the requests that it refuses as not run."""
 
+    rest_s: float = field(default=0.0, init=False)
+    """Rest that it asks for when it refuses a request; 0: it asks for none."""
+
     limit: LimitSpell | None = field(default=None, init=False)
     """What its answers say of the requests a second that it takes."""
 
@@ -267,6 +270,10 @@
     def _refuse(self, request_id: str, status: int = 421) -> web.Response:
         headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
         headers |= self._say(request_id)
+        if status == 503 and self.rest_s:
+            headers["Retry-After"] = f"{self.rest_s:g}"
+            edge = self.records.find_edge(request_id)
+            self.records.signals.note_refusal(self.runner_id, edge, self.rest_s)
         return web.Response(status=status, headers=headers)
 
     async def _async_answer(
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -17,6 +17,9 @@
 """Time from an answer that says that its runner leaves, from which no request may be
 sent there."""
 
+REST_ARRIVALS = 2
+"""Requests of an edge that may reach a runner in the rest that it asked for."""
+
 TOLD_S = 0.5
 """Time from an answer by which the edge that got it must act on it."""
 
@@ -47,6 +50,19 @@
     """When each edge first got an answer that says so."""
 
 
+@define(eq=False)
+class Rest:
+    """A time for which a runner that refused a request wants none of its edge."""
+
+    runner_id: str
+    edge: str
+    began: float
+    """Time from which the edge must act on it."""
+
+    ended: float
+    arrivals: int = 0
+
+
 @define(eq=False)
 class Disturbance:
     """A time in which an edge was restarted, paused or cut off."""
@@ -69,6 +85,7 @@
 
     limits: list[LimitSpell] = field(factory=list, init=False)
     leaving: list[Leaving] = field(factory=list, init=False)
+    rests: list[Rest] = field(factory=list, init=False)
     disturbances: list[Disturbance] = field(factory=list, init=False)
     broken: list[str] = field(factory=list, init=False)
     _arrivals: dict[str, list[tuple[float, str]]] = field(factory=dict, init=False)
@@ -87,6 +104,7 @@
         for each in self.leaving:
             if each.runner_id == runner_id:
                 self._check_leaving(each, edge, sent_at)
+        self._check_rests(runner_id, edge)
 
     def begin_leaving(self, runner_id: str) -> Leaving:
         """Note that a runner says from now on that it leaves."""
@@ -94,6 +112,27 @@
         self.leaving.append(leaving)
         return leaving
 
+    def note_refusal(self, runner_id: str, edge: str, rest_s: float) -> None:
+        """Note that a runner refuses a request, and asks for rest if that is not 0."""
+        if rest_s > 0:
+            now = time.monotonic()
+            self.rests.append(Rest(runner_id, edge, now + TOLD_S, now + rest_s))
+
+    def _check_rests(self, runner_id: str, edge: str) -> None:
+        now = time.monotonic()
+        for rest in self.rests:
+            if (rest.runner_id, rest.edge) != (runner_id, edge):
+                continue
+            if not rest.began < now < rest.ended:
+                continue
+            rest.arrivals += 1
+            if rest.arrivals == REST_ARRIVALS + 1:
+                if not self._is_excused(edge, rest.began, now):
+                    self.broken.append(
+                        f"budget: {runner_id} got more than {REST_ARRIVALS} requests "
+                        f"of {edge} in a rest of {rest.ended - rest.began:.1f} s"
+                    )
+
     def _check_leaving(self, leaving: Leaving, edge: str, sent_at: float) -> None:
         told_at = leaving.told.get(edge)
         if told_at is None or sent_at <= told_at + DRAIN_S:
--- a/tests/soak/test_signals.py
+++ b/tests/soak/test_signals.py
@@ -63,6 +63,36 @@
         assert self.play(clock, 2.1, cut=False) == []
 
 
+class TestRest:
+    """Requests to a runner that has asked an edge for 3 s of rest."""
+
+    def play(self, clock: FakeTime, times: list[float], rest_s: float = 3.0) -> int:
+        records = SignalRecords()
+        records.note_refusal("i-1", "e1", rest_s)
+        arrive(records, clock, times)
+        return len(records.check())
+
+    def test_two_requests_break_nothing(self, clock: FakeTime) -> None:
+        assert self.play(clock, [0.6, 2.9]) == 0
+
+    def test_third_one(self, clock: FakeTime) -> None:
+        assert self.play(clock, [0.6, 1.5, 2.9]) == 1
+
+    def test_requests_on_their_way_and_after_the_end_count_not(
+        self, clock: FakeTime
+    ) -> None:
+        assert self.play(clock, [0.1, 0.2, 0.4, 3.1, 3.2, 3.3]) == 0
+
+    def test_refusal_without_rest(self, clock: FakeTime) -> None:
+        assert self.play(clock, [0.6, 0.7, 0.8, 0.9], rest_s=0.0) == 0
+
+    def test_other_edges_are_not_bound(self, clock: FakeTime) -> None:
+        records = SignalRecords()
+        records.note_refusal("i-1", "e2", 3.0)
+        arrive(records, clock, [0.6, 0.7, 0.8, 0.9])
+        assert records.check() == []
+
+
 class TestLimit:
     """Windows of a runner that names 2 requests a second; 17 are allowed."""
 
