Leave runners alone that refuse and ask for rest

One request reached it six times, about a second apart, and was served only when the runner stopped refusing: what brought it there each time was the pause of an artifact at a runner that refuses it, 0.06 s doubled up to 1 s, by the scheduler's own time.

Cause: of a refusal an edge took that the request had not run, and nothing of the time that the runner asked for. An adapter was even loaded onto the runner in its rest, since only artifacts were paused.

A rest is between one runner and one host. The host that reads it chooses the runner for nothing until the end, tells the scheduler, and tells the next one what is left of it. The core grants no place at it to that host's requests, first or repeated, and loads no adapter onto it for them; a request that would outlast it waits, all others are refused at once with its end. Each refusal binds for its own time, so that a shorter rest ends no longer one. Before a place is used, also one kept beside a silent runner, the host looks once more. If half of the hosts have left a runner alone for a second, models get copies elsewhere.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -228,6 +228,8 @@
             limits=limits,
             clock=self.process.clock,
             view=self.process.view,
+            edge=self.process.incarnation,
+            rests=self.client.local.core.state.rests,
             tell=self.client.tell,
         )
         self.client.on_limit = watch.take_told
--- a/mangoway/edge/handling.py
+++ b/mangoway/edge/handling.py
@@ -213,7 +213,9 @@
     def _note_head(
         self, runner: RunnerEntry, head: ResponseHead, sent_at: float
     ) -> None:
-        self.tools.signal_watch.note(runner, decode_signals(head.headers), sent_at)
+        self.tools.signal_watch.note(
+            runner, decode_signals(head.headers, head.status), sent_at
+        )
 
     def _note_result(self, runner: RunnerEntry, result: AttemptResult) -> None:
         kind = _judge(result)
--- a/mangoway/edge/plain.py
+++ b/mangoway/edge/plain.py
@@ -13,6 +13,7 @@
 from ..policy.edge.choice import InFlight, choose_runner
 from ..policy.edge.const import RETRY_AFTER_OUTAGE_S
 from ..policy.edge.health import HealthBook
+from ..policy.scheduling.const import MAX_RETRY_AFTER_S, RETRY_SPREAD
 from ..policy.scheduling.core import LIMIT_REACHED
 from ..policy.scheduling.events import EndKind, Refuse
 
@@ -63,7 +64,8 @@
         taking = [each for each in runners if each.runner_id not in waits]
         if runners and not taking:
             wait_s = min(waits[each.runner_id] for each in runners)
-            return _refuse(LIMIT_REACHED, wait_s)
+            spread = 1 + RETRY_SPREAD * self.random.random()
+            return _refuse(LIMIT_REACHED, min(MAX_RETRY_AFTER_S, wait_s) * spread)
         runners = taking
         left = [each for each in runners if each.runner_id not in excluded] or runners
         usable = set(self.health.list_usable([each.runner_id for each in left], now))
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -212,7 +212,7 @@
         if self._next is not None:
             placed, self._next = self._next, None
             self._key = placed.key
-            if self.tools.view.is_open(placed.runner):
+            if self._may_send(placed.runner):
                 return placed.runner
             self.end(EndKind.LEFT)
         if self.service.engine is None:
@@ -224,12 +224,13 @@
             if isinstance(answer, Refuse):
                 return answer
             entry = self.tools.view.find_open_runner(answer.runner_id)
-            if entry is not None:
+            if entry is not None and self._may_send(entry):
                 return entry
             # This host knows better than who granted it.
-            self.end(EndKind.NOT_RUN)
-            self._excluded.append(answer.runner_id)
-        return self._make_refusal("the runner is leaving", RETRY_AFTER_OUTAGE_S)
+            self.end(EndKind.LEFT)
+            if entry is None:
+                self._excluded.append(answer.runner_id)
+        return self._make_refusal("the runner takes no more", RETRY_AFTER_OUTAGE_S)
 
     async def _async_ask_place(self) -> Answer:
         """Ask for a place, whose key is kept."""
@@ -248,7 +249,7 @@
         self, excluded: list[str], only: tuple[str, ...]
     ) -> RunnerEntry | Refuse:
         """Choose a plain runner; a limited one only with a permit."""
-        waits: dict[str, float] = {}
+        waits = self._list_rests()
         while True:
             placed = self.tools.plain.place(
                 self.service.name, excluded, only, self._refused, waits
@@ -260,6 +261,21 @@
                 return placed
             waits[placed.runner_id] = wait_s
 
+    def _list_rests(self) -> dict[str, float]:
+        """Return the plain runners that want nothing of this edge, and for how long."""
+        watch = self.tools.signal_watch
+        if not watch.rests.has_rests(self._clock()):
+            return {}
+        runners = self.tools.view.list_runners(self.service.name)
+        waits = {each.runner_id: watch.measure_rest(each) for each in runners}
+        return {key: wait_s for key, wait_s in waits.items() if wait_s > 0}
+
+    def _may_send(self, runner: RunnerEntry) -> bool:
+        """Return whether a runner takes requests of this edge, as far as it knows."""
+        if not self.tools.view.is_open(runner):
+            return False
+        return self.tools.signal_watch.measure_rest(runner) == 0
+
     def _is_limited(self, runner: RunnerEntry) -> bool:
         limits = self.tools.signal_watch.limits
         return limits.get_limit(runner.runner_id, runner.started_ms) is not None
@@ -289,7 +305,7 @@
         entry = None
         if not isinstance(answer, Refuse):
             entry = self.tools.view.find_open_runner(answer.runner_id)
-        if entry is None:
+        if entry is None or not self._may_send(entry):
             placer.end(asked.request_id, EndKind.LEFT)
             return False
         self._next = NextPlace(asked.request_id, entry)
--- a/mangoway/edge/signal_watch.py
+++ b/mangoway/edge/signal_watch.py
@@ -14,9 +14,11 @@
 from ..observability.metrics import Metrics
 from ..policy.limits.book import LimitBook, LimitSaid
 from ..policy.limits.const import PAST_S
+from ..policy.limits.rests import RestBook, RestSaid
 
 LIMIT: Final = "limit"
 LEAVING: Final = "leaving"
+REST: Final = "rest"
 DROPPED: Final = "dropped"
 """Signals by which answers are counted."""
 
@@ -62,7 +64,13 @@
 
     clock: Callable[[], float]
     view: FleetView
-    tell: Callable[[LimitSaid | LeavingSaid], None] = lambda said: None
+    edge: str
+    """Incarnation of this edge."""
+
+    rests: RestBook
+    """The rests that the core of this process keeps to."""
+
+    tell: Callable[[LimitSaid | LeavingSaid | RestSaid], None] = lambda said: None
     """Tells the scheduler."""
 
     sends: RecentSends = field(factory=RecentSends, init=False)
@@ -91,6 +99,9 @@
         if signals.leaving:
             self.metrics.edge_signals.add(runner.service, LEAVING)
             self._note_leaving(runner)
+        if signals.rest_s > 0:
+            self.metrics.edge_signals.add(runner.service, REST)
+            self._note_rest(runner, signals.rest_s)
         if signals.limit is not None:
             self.metrics.edge_signals.add(runner.service, LIMIT)
         if signals.limit_known:
@@ -104,6 +115,11 @@
         if said.limit is not None and sent_lately:
             self.tell(evolve(said, sent_lately=sent_lately))
 
+    def measure_rest(self, runner: RunnerEntry) -> float:
+        """Return the seconds for which a runner wants nothing of this edge."""
+        life = (runner.runner_id, runner.started_ms)
+        return self.rests.measure_wait(self.edge, *life, self.clock())
+
     def take_told_leaving(self, said: LeavingSaid) -> None:
         """Take that a runner leaves which another process has heard."""
         self._believe_leaving(said, "the scheduler")
@@ -119,8 +135,22 @@
     def keep_only(self, runner_ids: set[str]) -> None:
         """Forget runners that are gone."""
         self.limits.keep_only(runner_ids)
+        self.rests.keep_only(runner_ids)
         self.sends.keep_only(runner_ids)
 
+    def _note_rest(self, runner: RunnerEntry, rest_s: float) -> None:
+        said = RestSaid(
+            edge=self.edge,
+            runner_id=runner.runner_id,
+            started_ms=runner.started_ms,
+            rest_s=rest_s,
+        )
+        if self.rests.note(said, self.clock()):
+            log_event(
+                log.RunnerRestSeen(runner_id=said.runner_id, rest_s=round(rest_s, 3))
+            )
+            self.tell(said)
+
     def _note_leaving(self, runner: RunnerEntry) -> None:
         said = LeavingSaid(runner_id=runner.runner_id, started_ms=runner.started_ms)
         if self._believe_leaving(said, None):
--- a/mangoway/models/signals.py
+++ b/mangoway/models/signals.py
@@ -27,6 +27,10 @@
     leaving: bool = False
     """Whether the runner is about to end, and takes no new requests."""
 
+    rest_s: float = 0.0
+    """Time for which the runner wants no more requests of this host; 0: it may be
+    sent the next one at once."""
+
     dropped: tuple[DroppedField, ...] = ()
 
 
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -282,6 +282,14 @@
     """The process that told it; none if this one has read the answer."""
 
 
+@numbered(360, LogLevel.INFO)
+class RunnerRestSeen:
+    """A runner refused a request and asked for rest; this edge sends it none."""
+
+    runner_id: str
+    rest_s: float
+
+
 @numbered(358, LogLevel.WARNING)
 class SignalDropped:
     """A field of a runner's answer can't be read; it counts as not said."""
--- a/mangoway/platform/headers.py
+++ b/mangoway/platform/headers.py
@@ -11,6 +11,9 @@
 """Requests a second that a runner takes from all hosts together, a decimal number. It
 holds for as long as the runner's answers name it."""
 
+RETRY_AFTER: Final = b"retry-after"
+"""Seconds for which a runner that refuses with 503 wants nothing of this host."""
+
 LEAVING: Final = b"server-leaving"
 """`1` in all answers of a runner that leaves."""
 
--- a/mangoway/platform/runners.py
+++ b/mangoway/platform/runners.py
@@ -82,7 +82,8 @@
             reply = await self.client.async_call(
                 address, "GET", "/v1/report", timeout_s=REPORT_TIMEOUT_S
             )
-            self.on_signals(runner_id, decode_signals(reply.headers))
+            signals = decode_signals(reply.headers, reply.status)
+            self.on_signals(runner_id, signals)
             if reply.status != 200:
                 raise RunnerUnreachableError(f"{runner_id}: status {reply.status}")
             return decode_report(reply.body)
@@ -117,7 +118,7 @@
             )
         except CallFailedError as error:
             raise RunnerUnreachableError(f"{runner_id}: {error}") from error
-        self.on_signals(runner_id, decode_signals(reply.headers))
+        self.on_signals(runner_id, decode_signals(reply.headers, reply.status))
         answer = ANSWERS.get(reply.status)
         if answer is None:
             raise RunnerUnreachableError(f"{runner_id}: status {reply.status}")
--- a/mangoway/policy/limits/const.py
+++ b/mangoway/policy/limits/const.py
@@ -33,5 +33,9 @@
 """Largest part of a service's runners that placement does without since they are
 limited: with more, the others can't take their models."""
 
+RESTING_EDGES: Final = 0.5
+"""Part of the edges that a runner must want nothing of for placement to do without it:
+the others still use what it holds."""
+
 MAX_WAIT_S: Final = 4.0
 """Longest time to come back that is worked out from a limit, as for other refusals."""
--- a/mangoway/policy/scheduling/adapters.py
+++ b/mangoway/policy/scheduling/adapters.py
@@ -6,7 +6,6 @@
 
 from .events import GiveOrder
 from .orders import can_order, open_order
-from .queue import allows
 from .requests import Waiting
 from .runners import RunnerState
 from .state import SchedulingState
@@ -47,16 +46,21 @@
         return []
     avoided = state.find_avoided(service, now)
     runners = state.list_holders(service, model, avoided)
-    limited = state.limits.list_long(now)
-    runners = [each for each in runners if each.runner_id not in limited] or runners
+    in_need = state.find_in_need(now)
+    runners = [each for each in runners if each.runner_id not in in_need] or runners
     having = [each for each in runners if adapter in each.held[model].adapters]
     lacking = [
         each
         for each in artifact
-        if not any(allows(each.asked, runner.runner_id) for runner in having)
+        if not any(state.allows(each.asked, runner, now) for runner in having)
     ]
     if not lacking:
         return []
+    runners = [
+        runner
+        for runner in runners
+        if any(state.allows(each.asked, runner, now) for each in lacking)
+    ]
     order = _plan_one(state, runners, model, adapter, lacking, now)
     return [] if order is None else [order]
 
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -7,6 +7,7 @@
 
 from ..customers.const import OVER_QUOTA
 from ..limits.book import LimitSaid
+from ..limits.rests import RestSaid
 from .adapters import plan_adapter, plan_adapters, plan_runner
 from .const import MIN_RETRY_AFTER_S
 from .dispatch import Dispatcher, place
@@ -290,6 +291,12 @@
     return [] if runner is None else core.serve_runner(runner, now)
 
 
+@handles(RestSaid)
+def _take_rest(core: SchedulingCore, event: RestSaid, now: float) -> list[Action]:
+    core.state.rests.note(event, now)
+    return []
+
+
 @handles(PermitAsked)
 def _take_permit(core: SchedulingCore, event: PermitAsked, now: float) -> list[Action]:
     limits, life = core.state.limits, (event.runner_id, event.started_ms)
@@ -311,6 +318,7 @@
 @handles(EdgeGone)
 def _take_edge_gone(core: SchedulingCore, event: EdgeGone, now: float) -> list[Action]:
     state = core.state
+    state.rests.forget_edge(event.edge)
     for queue in state.queues.values():
         queue.remove_edge(event.edge)
     for key in [each for each in state.charges if each[0] == event.edge]:
--- a/mangoway/policy/scheduling/dispatch.py
+++ b/mangoway/policy/scheduling/dispatch.py
@@ -25,7 +25,7 @@
     UNREAD_LIMIT_S,
 )
 from .events import Grant
-from .queue import ArtifactQueue, ServiceQueue, allows
+from .queue import ArtifactQueue, ServiceQueue
 from .requests import Running, Waiting
 from .runners import RunnerState
 from .state import SchedulingState
@@ -139,7 +139,7 @@
         asked = waiting.asked
         return (
             runner.is_ready(asked.model, asked.adapter, self.now)
-            and allows(asked, runner.runner_id)
+            and self.state.allows(asked, runner, self.now)
             and runner.has_memory(waiting.kv_tokens)
         )
 
@@ -150,11 +150,21 @@
             for adapter, queue in self._list_queues(model, held.adapters):
                 if not runner.is_ready(model, adapter, self.now):
                     continue
-                first = _find_first(queue, runner)
+                first = self._find_first(queue, runner)
                 if first is not None and (best is None or first.rank < best.rank):
                     best = first
         return best
 
+    def _find_first(self, queue: ArtifactQueue, runner: RunnerState) -> Waiting | None:
+        for looks, waiting in enumerate(queue):
+            if looks == MAX_LOOKS:
+                return None
+            if not self.state.allows(waiting.asked, runner, self.now):
+                continue
+            if runner.has_memory(waiting.kv_tokens):
+                return waiting
+        return None
+
     def _list_queues(
         self, model: str, adapters: dict[str, float]
     ) -> list[tuple[str, ArtifactQueue]]:
@@ -213,16 +223,6 @@
         )
 
 
-def _find_first(queue: ArtifactQueue, runner: RunnerState) -> Waiting | None:
-    for looks, waiting in enumerate(queue):
-        if looks == MAX_LOOKS:
-            return None
-        if allows(waiting.asked, runner.runner_id):
-            if runner.has_memory(waiting.kv_tokens):
-                return waiting
-    return None
-
-
 def measure_pressure(waiting: int, runners: int) -> float:
     """Return 0 where nothing waits, and 1 where much waits for all runners."""
     return min(1.0, waiting / (PRESSED_WAITING * max(1, runners)))
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -9,6 +9,7 @@
 from ...models.runner import RunnerEntry, RunnerReport
 from ..customers.spending import Spent
 from ..limits.book import LimitSaid
+from ..limits.rests import RestSaid
 
 
 class EndKind(Enum):
@@ -201,6 +202,7 @@
     | QuotaSpent
     | SpendingTold
     | LimitSaid
+    | RestSaid
     | PermitAsked
     | EdgeGone
     | FleetSeen
--- a/mangoway/policy/scheduling/hopeless.py
+++ b/mangoway/policy/scheduling/hopeless.py
@@ -74,7 +74,7 @@
     def _find_start(self, waiting: Waiting) -> tuple[float, str] | None:
         """Return when and where a request would start; nowhere without a holder."""
         asked = waiting.asked
-        if asked.only or asked.excluded:
+        if asked.only or asked.excluded or self.state.rests.has_rests(self.now):
             return self._find_allowed_start(asked)
         heap = self._get_heap(asked)
         while heap:
@@ -91,11 +91,20 @@
         """Return the same for a request that may not go to all runners."""
         if not any(allows(asked, each) for each in self._runners):
             return None
-        times = [entry for entry in self._list_times(asked) if allows(asked, entry[1])]
+        times = [
+            (at + self._measure_rest(asked, runner_id, at), runner_id)
+            for at, runner_id in self._list_times(asked)
+            if allows(asked, runner_id)
+        ]
         if times:
             return min(times)
         return self._expect_load(asked), ""
 
+    def _measure_rest(self, asked: Asked, runner_id: str, at: float) -> float:
+        """Return for how much longer a runner wants nothing of a request's edge."""
+        rest_s = self.state.measure_rest(asked, self._runners[runner_id], self.now)
+        return max(0.0, self.now + rest_s - at)
+
     def _expect_load(self, asked: Asked) -> float:
         earliest = min(self._free_at.values())
         return max(self._ready.get(asked.model), earliest)
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -11,7 +11,8 @@
 from ..customers.quota import QuotaBook
 from ..edge.health import HealthBook
 from ..limits.book import LimitBook
-from ..limits.const import LIMITED_SHARE
+from ..limits.const import LIMITED_SHARE, LONG_S, RESTING_EDGES
+from ..limits.rests import RestBook
 from .const import (
     STORE_FIRST_LOADS,
     STORE_FIRST_SHARE,
@@ -20,10 +21,11 @@
 )
 from .copies import CopyIndex
 from .demand import DemandBook, Returns
+from .events import Asked
 from .gaps import Gaps
 from .pace import PaceBook
 from .prefixes import PrefixMemory
-from .queue import ServiceQueue
+from .queue import ServiceQueue, allows
 from .requests import RequestKey
 from .runners import RunnerState
 from .stays import Stays
@@ -111,6 +113,7 @@
     returns: Returns = field(factory=Returns, init=False)
     health: HealthBook = field(factory=HealthBook, init=False)
     limits: LimitBook = field(factory=LimitBook, init=False)
+    rests: RestBook = field(factory=RestBook, init=False)
     store_loads: dict[str, StoreLoads] = field(factory=dict, init=False)
     _gaps: dict[str, Gaps] = field(factory=dict, init=False)
     _stays: dict[str, Stays] = field(factory=dict, init=False)
@@ -189,15 +192,33 @@
         entry = runner.entry
         return self.limits.measure_wait(entry.runner_id, entry.started_ms, now)
 
+    def find_in_need(self, now: float) -> frozenset[str]:
+        """Return the runners that have been limited, or at rest, for a while."""
+        edges = RESTING_EDGES * len(self.edge_places)
+        return self.limits.list_long(now) | self.rests.list_long(LONG_S, edges, now)
+
+    def measure_rest(self, asked: Asked, runner: RunnerState, now: float) -> float:
+        """Return the seconds for which a runner wants nothing of a request's edge."""
+        entry = runner.entry
+        return self.rests.measure_wait(
+            asked.edge, entry.runner_id, entry.started_ms, now
+        )
+
+    def allows(self, asked: Asked, runner: RunnerState, now: float) -> bool:
+        """Return whether a request may go to a runner, as far as it is about both."""
+        if not allows(asked, runner.runner_id):
+            return False
+        return self.measure_rest(asked, runner, now) == 0
+
     def list_relied(self, service: str, now: float) -> list[RunnerState]:
-        """Return the usable runners that are not limited, to place models on.
+        """Return the usable runners that take what comes, to place models on.
 
-        If these are too few, the limited ones are among them: somebody has to hold
-        the models.
+        If these are too few, those that are limited or rest are among them: somebody
+        has to hold the models.
         """
         usable = self.list_usable(service, now)
-        limited = self.limits.list_long(now)
-        relied = [each for each in usable if each.runner_id not in limited]
+        in_need = self.find_in_need(now)
+        relied = [each for each in usable if each.runner_id not in in_need]
         enough = len(relied) >= (1 - LIMITED_SHARE) * len(usable)
         return relied if enough and relied else usable
 
@@ -223,6 +244,7 @@
             self._remove(runner_id)
         self.health.keep_only(present)
         self.limits.keep_only(present)
+        self.rests.keep_only(present)
         for entry in entries:
             # Entries of other runners change many times a second.
             if self._entries.get(entry.runner_id) is not entry:
--- a/mangoway/scheduling/client.py
+++ b/mangoway/scheduling/client.py
@@ -13,6 +13,7 @@
 from ..observability.event_log import log_event
 from ..policy.customers.spending import Spending
 from ..policy.limits.book import LimitSaid
+from ..policy.limits.rests import RestSaid
 from ..policy.scheduling.events import (
     Adopted,
     Asked,
@@ -203,7 +204,7 @@
             del self._permits[request_id]
         return answer.retry_after_s if isinstance(answer, Refuse) else 0.0
 
-    def tell(self, said: LimitSaid | LeavingSaid) -> None:
+    def tell(self, said: LimitSaid | LeavingSaid | RestSaid) -> None:
         """Tell the scheduler what a runner said of itself."""
         link = self._find_link()
         if link is not None:
@@ -265,6 +266,9 @@
             link.send(leaving)
         for said in self.list_limits():
             link.send(said)
+        rests = self.local.core.state.rests
+        for rest in rests.list_said(self.incarnation, self.local.clock()):
+            link.send(rest)
         for placed in self._placed.values():
             if placed.runner_id is None:
                 continue
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -20,6 +20,7 @@
 from ..models.signals import LeavingSaid
 from ..policy.customers.spending import Spent
 from ..policy.limits.book import LimitSaid
+from ..policy.limits.rests import RestSaid
 from ..policy.scheduling.events import (
     Adopted,
     Asked,
@@ -474,3 +475,16 @@
 @decodes("leaving")
 def _decode_leaving(fields: list[Any], edge: str) -> Message:
     return LeavingSaid(runner_id=fields[1], started_ms=fields[2])
+
+
+@encodes(RestSaid)
+def _encode_rest(message: RestSaid) -> list[Any]:
+    rest_s = round(message.rest_s, 4)
+    return ["rest", message.runner_id, message.started_ms, rest_s]
+
+
+@decodes("rest")
+def _decode_rest(fields: list[Any], edge: str) -> Message:
+    return RestSaid(
+        edge=edge, runner_id=fields[1], started_ms=fields[2], rest_s=fields[3]
+    )
--- a/mangoway/scheduling/messages.py
+++ b/mangoway/scheduling/messages.py
@@ -5,6 +5,7 @@
 from ..coordination.store import Changes, Item
 from ..models.signals import LeavingSaid
 from ..policy.limits.book import LimitSaid
+from ..policy.limits.rests import RestSaid
 from ..policy.scheduling.events import (
     Adopted,
     Asked,
@@ -112,6 +113,7 @@
     | QuotaSpent
     | SpendingTold
     | LimitSaid
+    | RestSaid
     | PermitAsked
     | LeavingSaid
     | Grant
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -9,6 +9,7 @@
 from mangoway.models.signals import LeavingSaid
 from mangoway.policy.customers.spending import Spent
 from mangoway.policy.limits.book import LimitSaid
+from mangoway.policy.limits.rests import RestSaid
 from mangoway.policy.scheduling.events import (
     Adopted,
     Ended,
@@ -66,6 +67,7 @@
     LimitSaid(
         runner_id="r1", started_ms=0, limit=None, asked_ago_s=0.2, read_ago_s=0.1
     ),
+    RestSaid(edge="e1", runner_id="r1", started_ms=5, rest_s=2.5),
     LeavingSaid(runner_id="r1", started_ms=5),
     PermitAsked(request_id="p1", edge="e1", runner_id="r1", started_ms=5),
     make_asked("q1", adapter="x", excluded=("r1",), only=("r2",), repeat=True),
