Let runners of soaks limit, rest and leave beside all faults

One seed in two has spells in which random runners name a limit, refuse and ask for rest, or say in answers that they leave up to four seconds before the store hears of it, alone and together, while schedulers change and hosts are killed, paused, stopped and cut off.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from random import Random
 
 from .records import Span
+from .runners import RunnerStandIn
+from .signals import LIMIT_SLACK, LIMIT_WINDOW_S
 from .store import StoreFault
 from .world import MODELS, Node, World
 
@@ -42,7 +45,8 @@
         span = world.records.begin(f"kill {node.name}")
         node.stopping = True
         node.process.kill()
-        await asyncio.sleep(1.0)
+        with _disturb(world, node, ended=True):
+            await asyncio.sleep(1.0)
         _end(span)
 
 
@@ -67,7 +71,8 @@
     span = world.records.begin(f"freeze {node.name}")
     process = node.process
     process.pause()
-    await asyncio.sleep(world.random.uniform(0.3, 3.0))
+    with _disturb(world, node):
+        await asyncio.sleep(world.random.uniform(0.3, 3.0))
     process.resume()
     _end(span)
 
@@ -83,7 +88,9 @@
     process = node.process
     process.terminate()
     # A process that was frozen meanwhile ends once it goes on.
-    code = await process.async_wait(20.0)
+    with _disturb(world, node):
+        code = await process.async_wait(20.0)
+    world.records.signals.forget(node.callers)
     # While it starts it doesn't take signals yet, and has nothing to break off.
     starting = span.began - node.started_at < START_S
     calm = world.records.is_calm(span.began, time.monotonic())
@@ -128,7 +135,8 @@
     else:
         relay.switches.drop_to_target = how != "from_target"
         relay.switches.drop_from_target = how != "to_target"
-    await asyncio.sleep(world.random.uniform(0.5, 4.0))
+    with _disturb(world, node, cut=True):
+        await asyncio.sleep(world.random.uniform(0.5, 4.0))
     relay.heal()
     _end(span)
 
@@ -215,6 +223,49 @@
         _end(span)
 
 
+async def async_say_in_spells(world: World, random: Random) -> None:
+    """Let runners limit, rest and leave in spells that overlap, until cancelled."""
+    ways = (_async_limit, _async_limit, _async_rest, _async_leave)
+    while True:
+        await asyncio.sleep(random.uniform(0.2, 1.2))
+        runner = random.choice(world.runners)
+        world.start_task(random.choice(ways)(world, runner, random))
+
+
+async def _async_limit(world: World, runner: RunnerStandIn, random: Random) -> None:
+    """Let a runner name a limit that what it got just before doesn't exceed."""
+    if runner.limit is not None:
+        return
+    lately = world.records.signals.count_lately(runner.runner_id)
+    least = (lately - LIMIT_SLACK) / LIMIT_WINDOW_S
+    runner.name_limit(round(max(random.uniform(0.0, 6.0), least), 2))
+    await asyncio.sleep(random.uniform(2.0, 8.0))
+    runner.lift_limit()
+
+
+async def _async_rest(world: World, runner: RunnerStandIn, random: Random) -> None:
+    """Let a runner refuse most requests, and ask for rest each time."""
+    span = world.records.begin("runners refuse")
+    runner.shedding, runner.rest_s = 0.9, random.uniform(0.6, 3.0)
+    await asyncio.sleep(random.uniform(1.0, 5.0))
+    runner.shedding = runner.rest_s = 0.0
+    _end(span)
+
+
+async def _async_leave(world: World, runner: RunnerStandIn, random: Random) -> None:
+    """Let a runner say that it leaves before the store hears of it."""
+    if runner not in world.runners or runner.leaving is not None:
+        return
+    models: dict[str, set[str]] | None = None if runner.models is None else {}
+    await world.async_add_runner(runner.service, models)
+    if runner not in world.runners:
+        return
+    world.runners.remove(runner)
+    runner.say_leaving()
+    await asyncio.sleep(random.uniform(0.0, 4.0))
+    await runner.async_drain()
+
+
 @plan
 async def async_change_configuration(world: World) -> None:
     """Let the operator write several versions one after the other."""
@@ -240,7 +291,10 @@
         node.store_relay.switches.drop_from_target = True
     await asyncio.sleep(world.random.uniform(0.1, 0.5))
     await async_take_key_away(world)
-    await asyncio.sleep(world.random.uniform(4.0, 7.0))
+    with ExitStack() as stack:
+        for node in nodes:
+            stack.enter_context(_disturb(world, node, cut=True))
+        await asyncio.sleep(world.random.uniform(4.0, 7.0))
     for node in nodes:
         node.store_relay.heal()
     _end(span)
@@ -261,5 +315,20 @@
     return [each.runner_id for each in world.runners if each.service == service]
 
 
+@contextmanager
+def _disturb(
+    world: World, node: Node, *, ended: bool = False, cut: bool = False
+) -> Iterator[None]:
+    """Excuse a node from what an edge is bound to, for as long as this lasts."""
+    signals = world.records.signals
+    disturbance = signals.disturb(node.callers, cut=cut)
+    try:
+        yield
+    finally:
+        disturbance.ended = time.monotonic()
+        if ended:
+            signals.forget(node.callers)
+
+
 def _end(span: Span) -> None:
     span.ended = time.monotonic()
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -17,6 +17,9 @@
 """Time from an answer that says that its runner leaves, from which no request may be
 sent there."""
 
+LATELY_S = 1.2
+"""Time before a limit is named whose requests are in its first window."""
+
 REST_ARRIVALS = 2
 """Requests of an edge that may reach a runner in the rest that it asked for."""
 
@@ -155,17 +158,33 @@
             said.told.setdefault(edge, time.monotonic())
 
     def disturb(self, edge: str, *, cut: bool = False) -> Disturbance:
-        """Note that an edge is disturbed from now on."""
+        """Note that an edge is disturbed from now on.
+
+        Args:
+            edge: Its address for callers.
+            cut: Whether it runs on and knows what it was told.
+        """
         disturbance = Disturbance(edge, time.monotonic(), cut=cut)
         self.disturbances.append(disturbance)
         return disturbance
 
+    def forget(self, edge: str) -> None:
+        """Note that an edge has ended, with all that it was told."""
+        for said in (*self.limits, *self.leaving):
+            said.told.pop(edge, None)
+        self.rests = [each for each in self.rests if each.edge != edge]
+
     def count_arrivals(self, runner_id: str, began: float, ended: float) -> int:
         """Return the requests that reached a runner in `[began, ended]`."""
         rows = self._arrivals.get(runner_id, [])
         first = bisect_left(rows, began, key=lambda row: row[0])
         return bisect_right(rows, ended, key=lambda row: row[0]) - first
 
+    def count_lately(self, runner_id: str) -> int:
+        """Return the requests that reached a runner in the last moments."""
+        now = time.monotonic()
+        return self.count_arrivals(runner_id, now - LATELY_S, now)
+
     def check(self) -> list[str]:
         """Return the promises that were broken."""
         broken = list(self.broken)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,12 @@
 from attrs import define, field
 
 from ..stand_ins.launcher import Launcher
-from .faults import FAULTS, PLANNED, async_refuse_in_spells
+from .faults import (
+    FAULTS,
+    PLANNED,
+    async_refuse_in_spells,
+    async_say_in_spells,
+)
 from .records import Kind, Records
 from .world import EDGES, World
 
@@ -38,6 +43,11 @@
 """One seed in so many, with this rest, sees runners that refuse or fail in spells."""
 
 
+SAYING_EACH: Final = 2
+SAYING_REST: Final = 0
+"""One seed in so many, with this rest, sees runners that limit, rest and leave."""
+
+
 @define(eq=False)
 class Result:
     """What a soak showed."""
@@ -82,6 +92,8 @@
             world.send_crashing_requests(kinds[(seed + number) % len(kinds)])
         if seed % REFUSING_EACH == REFUSING_REST:
             world.start_task(async_refuse_in_spells(world, Random(seed)))
+        if seed % SAYING_EACH == SAYING_REST:
+            world.start_task(async_say_in_spells(world, Random(seed)))
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result)
