Read limits in answers to reports and orders as well

A runner whose requests all wait, or go elsewhere, is heard of by its reports alone. They only begin a limit: whether they name one for as long as it lasts is not said, so that none is taken as ended by them.

--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -17,6 +17,7 @@
 from ..platform.runners import RunnerControl
 from ..policy.customers.const import BEGIN_S
 from ..policy.customers.quota import QuotaBook
+from ..policy.limits.book import LimitSaid
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import (
     FleetSeen,
@@ -215,9 +216,21 @@
     def _note_signals(self, runner_id: str, signals: RunnerSignals) -> None:
         """Take what a runner says in the answer to a report or an order."""
         entry = self.process.view.runners.get(runner_id)
-        if entry is not None and signals.leaving:
+        if entry is None:
+            return
+        if signals.leaving:
             said = LeavingSaid(runner_id=runner_id, started_ms=entry.started_ms)
             self.server.take_leaving(said)
+        if signals.limit is not None:
+            # Only answers to requests end a limit: reports may not name it.
+            limit = LimitSaid(
+                runner_id=runner_id,
+                started_ms=entry.started_ms,
+                limit=signals.limit,
+                asked_ago_s=0.0,
+                read_ago_s=0.0,
+            )
+            self.server.take_limit(limit)
 
     def _is_granting(self) -> bool:
         """Return whether edges are to ask this process: it leads, or stands in."""
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -160,7 +160,7 @@
             clock_s = self.mirror.boot_clock()
             link.send(ClockTold(asked_at=message.asked_at, clock_s=clock_s))
         elif isinstance(message, LimitSaid):
-            self._take_limit(link, message)
+            self.take_limit(message, link)
         elif isinstance(message, LeavingSaid):
             self.take_leaving(message, link)
         elif isinstance(message, SpendingTold):
@@ -200,18 +200,22 @@
         self.on_told(message)
         self._pass_on(link, message)
 
-    def _take_limit(self, link: Link, said: LimitSaid) -> None:
-        """Take what a runner said to an edge, and tell all others if it is new."""
+    def take_limit(self, said: LimitSaid, link: Link | None = None) -> None:
+        """Take what a runner said of its limit, and tell all others if it is new.
+
+        Args:
+            said: What the runner has said.
+            link: Who told it; None if this process has read it.
+        """
         limits, life = self.core.state.limits, (said.runner_id, said.started_ms)
         before = limits.get_limit(*life)
         self.handle(said)
         limit = limits.get_limit(*life)
         if limit == before:
             return
+        told_by = None if link is None else link.edge
         log_event(
-            log.RunnerLimitSeen(
-                runner_id=said.runner_id, limit=limit, told_by=link.edge
-            )
+            log.RunnerLimitSeen(runner_id=said.runner_id, limit=limit, told_by=told_by)
         )
         self._pass_on(link, forget_past(said))
 
--- a/tests/daemons/test_scheduler.py
+++ b/tests/daemons/test_scheduler.py
@@ -115,3 +115,21 @@
         assert "r1" in state.runners
         scheduler.server.take_leaving(self.SAID)
         assert "r1" not in state.runners
+
+
+class TestLimits:
+    """Runners that name a limit of their requests."""
+
+    async def test_answer_to_a_report_counts_but_ends_none(self) -> None:
+        scheduler = SchedulerProcess(make_settings())
+        scheduler.process.view.take_runner(make_runner("r1"))
+        limits = scheduler.server.core.state.limits
+        scheduler.control.on_signals("r1", RunnerSignals(limit=1.5))
+        assert limits.get_limit("r1") == 1.5
+        scheduler.control.on_signals("r1", RunnerSignals())
+        assert limits.get_limit("r1") == 1.5
+
+    async def test_it_uses_the_part_of_the_edges_that_it_hears(self) -> None:
+        scheduler = SchedulerProcess(make_settings())
+        scheduler.server.core.state.quotas.share = 0.25
+        assert scheduler.server.core.state.limits.get_share("r1") == 0.25
