Tell a scheduler the end of a limit that it has missed

Found by reading: if all edges read that a limit has ended while they reach no scheduler, and come back to the same one, it keeps to the limit for good: they believe none, so that they have nothing to tell, and what it tells them is older than what they know. An edge that is told such a limit now answers with its end.

--- a/mangoway/edge/signal_watch.py
+++ b/mangoway/edge/signal_watch.py
@@ -110,6 +110,10 @@
     def take_told(self, said: LimitSaid) -> None:
         """Take a limit that another edge has read."""
         if not self._believe(said, "the scheduler"):
+            end = self.limits.find_end(said, self.clock())
+            if end is not None:
+                # It ended while the scheduler was out of reach.
+                self.tell(end)
             return
         sent_lately = self.sends.count(said.runner_id, self.clock())
         if said.limit is not None and sent_lately:
--- a/mangoway/policy/limits/book.py
+++ b/mangoway/policy/limits/book.py
@@ -145,6 +145,18 @@
         record.promised_until = min(turn_at + spacing_s, now + MAX_WAIT_S)
         return turn_at - now
 
+    def find_end(self, said: LimitSaid, now: float) -> LimitSaid | None:
+        """Return the end of a limit that who tells it doesn't know; None without."""
+        record = self._records.get(said.runner_id)
+        if record is None or record.limit is not None or said.limit is None:
+            return None
+        if is_later_life(said.started_ms, record.started_ms):
+            return None
+        if now - said.read_ago_s >= record.lifted_at:
+            return None
+        ago_s = now - record.lifted_at
+        return evolve(said, limit=None, asked_ago_s=ago_s, read_ago_s=ago_s)
+
     def list_long(self, now: float) -> frozenset[str]:
         """Return the runners that have been limited for a while."""
         return frozenset(
--- a/tests/edge/test_limits.py
+++ b/tests/edge/test_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from attrs import evolve
 
 from mangoway.policy.limits.book import LimitSaid
 from mangoway.policy.scheduling.const import RETRY_SPREAD
@@ -152,3 +153,19 @@
                 await edge.async_call("/once/x")
             limit(edge, "r1", 0.0)
         assert [each.sent_lately for each in told] == [3]
+
+    async def test_end_that_the_scheduler_missed_is_told_when_it_tells_the_limit(
+        self,
+    ) -> None:
+        """Nobody else would: edges that believe no limit have nothing to tell."""
+        told: list[LimitSaid] = []
+        async with RawServer(answer(NAMED), answer(make_ok())) as server:
+            async with start_edge() as edge:
+                edge.add("r1", server, "plain")
+                await edge.async_call("/once/x")
+                [said] = edge.forwarder.signal_watch.list_limits()
+                await edge.async_call("/once/x")
+                edge.forwarder.signal_watch.tell = told.append
+                edge.forwarder.signal_watch.take_told(evolve(said, read_ago_s=0.3))
+        assert [each.limit for each in told] == [None]
+        assert edge.forwarder.signal_watch.list_limits() == []
--- a/tests/policy/limits/test_book.py
+++ b/tests/policy/limits/test_book.py
@@ -89,6 +89,25 @@
         assert not book.note(say(9.0, read_ago_s=5.0), 10.1)
         assert book.get_limit("r1") == 2.0
 
+    def test_end_is_found_for_who_does_not_know_it(self) -> None:
+        book, other = LimitBook(), LimitBook()
+        for each in (book, other):
+            each.note(say(2.0), 10.0)
+        book.note(say(None), 12.0)
+        end = book.find_end(other.list_said(13.0)[0], 13.0)
+        assert end is not None
+        assert other.note(end, 13.0)
+        assert other.list_said(13.0) == []
+
+    def test_no_end_is_found_for_a_later_limit(self) -> None:
+        book = LimitBook()
+        book.note(say(2.0, started_ms=5), 10.0)
+        book.note(say(None, started_ms=5), 12.0)
+        later = say(3.0, read_ago_s=0.5, started_ms=5)
+        assert book.find_end(later, 13.0) is None
+        later_life = say(3.0, read_ago_s=5.0, started_ms=9)
+        assert book.find_end(later_life, 13.0) is None
+
     def test_new_life_owes_nothing(self) -> None:
         book = LimitBook()
         book.note(say(2.0, started_ms=1000), 10.0)
