--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -14,7 +14,7 @@
 
 PLACES_ASKED: Final = 3
 """Places that are asked for one after the other while each is at a runner that this
-host knows to leave: who grants hears of it within milliseconds."""
+host knows to leave or to rest: who grants hears of it within milliseconds."""
 
 MAX_IDLE_PER_RUNNER: Final = 8
 """Idle connections kept to one runner. Runners accept some 100 to 600 from all callers
--- a/mangoway/edge/signal_watch.py
+++ b/mangoway/edge/signal_watch.py
@@ -107,9 +107,9 @@
         if signals.limit_known:
             self._note_limit(runner, signals.limit, asked_at)
 
-    def take_told(self, said: LimitSaid) -> None:
+    def take_told_limit(self, said: LimitSaid) -> None:
         """Take a limit that another edge has read."""
-        if not self._believe(said, "the scheduler"):
+        if not self._believe_limit(said, "the scheduler"):
             end = self.limits.find_end(said, self.clock())
             if end is not None:
                 # It ended while the scheduler was out of reach.
@@ -184,10 +184,10 @@
         if known is None:
             sent_lately = self.sends.count(runner.runner_id, now)
             said = evolve(said, sent_lately=sent_lately)
-        if self._believe(said, None):
+        if self._believe_limit(said, None):
             self.tell(said)
 
-    def _believe(self, said: LimitSaid, told_by: str | None) -> bool:
+    def _believe_limit(self, said: LimitSaid, told_by: str | None) -> bool:
         """Take a statement; returns whether another limit is believed now."""
         if not self.limits.note(said, self.clock()):
             return False
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -273,6 +273,15 @@
     """The process that told it; none if this one has read the answer."""
 
 
+@numbered(358, LogLevel.WARNING)
+class SignalDropped:
+    """A field of a runner's answer can't be read; it counts as not said."""
+
+    runner_id: str
+    field: str
+    value: str
+
+
 @numbered(359, LogLevel.INFO)
 class RunnerLeavingSeen:
     """A runner's answer says that it leaves; it gets no new requests."""
@@ -290,15 +299,6 @@
     rest_s: float
 
 
-@numbered(358, LogLevel.WARNING)
-class SignalDropped:
-    """A field of a runner's answer can't be read; it counts as not said."""
-
-    runner_id: str
-    field: str
-    value: str
-
-
 # 4xx: scheduling and placement.
 
 
--- /dev/null
+++ b/tests/edge/ways.py
@@ -0,0 +1,65 @@
+"""The ways on which a request comes to a second runner."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from ..upstreams.raw_server import RawServer, Script, answer, cut
+from .world import EdgeWorld, make_event, make_not_run, make_ok, make_stream, start_edge
+
+
+async def end_late(_: bytes, writer: asyncio.StreamWriter) -> None:
+    """Fail, but only after a silence in which another runner is looked for."""
+    await asyncio.sleep(1.3)
+    writer.close()
+
+
+FAILS = cut(b"")
+REFUSES = answer(make_not_run())
+SILENT = answer()
+BREAKS_OFF = cut(*make_stream(make_event(1), end=False))
+
+WAYS = [
+    pytest.param("plain", "/safe/x", FAILS, id="failure"),
+    pytest.param("plain", "/safe/x", REFUSES, id="refusal"),
+    pytest.param("plain", "/safe/x", SILENT, id="silence"),
+    pytest.param("plain", "/safe/x", end_late, id="silence_then_failure"),
+    pytest.param("llm", "/stream/x", FAILS, id="stream_failure"),
+    pytest.param("llm", "/stream/x", REFUSES, id="stream_refusal"),
+    pytest.param("llm", "/stream/x", SILENT, id="stream_silence"),
+    pytest.param("llm", "/stream/x", BREAKS_OFF, id="resumed_stream"),
+]
+"""Service, path, and what the first runner does."""
+
+
+def choose_last(edge: EdgeWorld, runner_id: str) -> None:
+    """Let a plain runner be chosen only if there is no other."""
+    for _ in range(5):
+        edge.forwarder.plain.in_flight.add(runner_id)
+
+
+async def async_count_second(
+    service: str, path: str, first: Script, prepare: Callable[[EdgeWorld], None]
+) -> int:
+    """Return how often the second runner, r2, gets a request.
+
+    Args:
+        service: The service of both runners.
+        path: Where the request goes to.
+        first: What the first runner does.
+        prepare: Called before the request is sent.
+    """
+    async with (
+        RawServer(first) as server,
+        RawServer(answer(make_ok())) as second,
+        start_edge() as edge,
+    ):
+        edge.add("r1", server, service)
+        choose_last(edge, "r2")
+        edge.add("r2", second, service)
+        edge.placer.drops_refusing = True
+        prepare(edge)
+        await edge.async_call(path)
+        assert len(server.requests) >= 1
+        return len(second.requests)
