Hold edges to what they passed on, and let soaks show requests to leaving runners

The rule binds an edge by an answer that it has passed on; the check now goes by what callers got from it, limits and leaving alike. A rest is asked for by a refusal, which is not passed on: there a cut of the runner's connections excuses, as what was sent on them may not be read. Beside these no bound has moved.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -141,6 +141,7 @@
         async with session.post(url, headers=headers, data=body) as response:
             call.status = response.status
             call.signature = response.headers.get("X-Response-Signature", "")
+            self._note_signals(call, response)
             answer = await response.read()
         if call.status == 200:
             call.whole = True
@@ -150,6 +151,15 @@
             retry_after_s = float(response.headers.get("Retry-After") or 0)
             await asyncio.sleep(min(retry_after_s, DEADLINE_S / 3))
 
+    def _note_signals(self, call: Call, response: aiohttp.ClientResponse) -> None:
+        """Note what a runner's answer, as an edge has passed it on, says of it."""
+        runner_id = call.signature.partition(".")[0]
+        signals = self.records.signals
+        if "Server-Limit" in response.headers:
+            signals.note_passed_on(signals.limits, runner_id, call.edge)
+        if "Server-Leaving" in response.headers:
+            signals.note_passed_on(signals.leaving, runner_id, call.edge)
+
     def _choose_fields(self, call: Call, like: Call | None) -> None:
         """Choose what tells a request from others."""
         if like is not None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,7 @@
 
 from .records import Span
 from .runners import RunnerStandIn
-from .signals import LIMIT_SLACK, LIMIT_WINDOW_S
+from .signals import DRAIN_S, LIMIT_SLACK, LIMIT_WINDOW_S
 from .store import StoreFault
 from .world import MODELS, Node, World
 
@@ -147,7 +147,11 @@
     relays = [each.store_relay for each in world.nodes]
     relays += [each.relay for each in world.runners if each.relay is not None]
     span = world.records.begin("mute connections")
-    world.random.choice(relays).mute()
+    relay = world.random.choice(relays)
+    relay.mute()
+    for runner in world.runners:
+        if runner.relay is relay:
+            world.records.signals.disturb(runner.runner_id)
     await asyncio.sleep(1.0)
     _end(span)
 
@@ -164,8 +168,10 @@
         runner.relay.switches.refuse_new = True
     else:
         runner.relay.switches.drop_from_target = True
+    disturbance = world.records.signals.disturb(runner.runner_id)
     await asyncio.sleep(world.random.uniform(0.3, 2.0))
     runner.relay.heal()
+    disturbance.ended = time.monotonic()
     _end(span)
 
 
@@ -262,7 +268,7 @@
         return
     world.runners.remove(runner)
     runner.say_leaving()
-    await asyncio.sleep(random.uniform(0.0, 4.0))
+    await asyncio.sleep(random.uniform(1.0, 3.0) * DRAIN_S)
     await runner.async_drain()
 
 
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -206,11 +206,8 @@
         """Say in all answers from now on that the runner leaves."""
         self.leaving = self.records.signals.begin_leaving(self.runner_id)
 
-    def _say(self, request_id: str) -> dict[str, str]:
+    def _say(self) -> dict[str, str]:
         """Return the fields in which an answer says something of the runner."""
-        edge = self.records.find_edge(request_id)
-        self.records.signals.note_answer(self.limit, edge)
-        self.records.signals.note_answer(self.leaving, edge)
         fields = {}
         if self.limit is not None:
             fields["Server-Limit"] = f"{self.limit.limit:g}"
@@ -247,7 +244,7 @@
         if run.crashing:
             return await self._async_end_by(request, run)
         headers = {"X-Request-Id": request_id, "X-Response-Signature": signature}
-        headers |= self._say(request_id)
+        headers |= self._say()
         if self.models is None:
             return await self._async_answer(request, headers, body)
         return await self._async_stream(request, headers, request_id)
@@ -269,7 +266,7 @@
 
     def _refuse(self, request_id: str, status: int = 421) -> web.Response:
         headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
-        headers |= self._say(request_id)
+        headers |= self._say()
         if status == 503 and self.rest_s:
             headers["Retry-After"] = f"{self.rest_s:g}"
             edge = self.records.find_edge(request_id)
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -2,6 +2,7 @@
 
 import time
 from bisect import bisect_left, bisect_right
+from collections.abc import Sequence
 
 from attrs import define, field
 
@@ -68,9 +69,11 @@
 
 @define(eq=False)
 class Disturbance:
-    """A time in which an edge was restarted, paused or cut off."""
+    """A time in which an edge was restarted, paused or cut off, or a runner cut off."""
 
     edge: str
+    """The edge's address for callers, or the runner's id."""
+
     began: float
     ended: float | None = None
     cut: bool = False
@@ -130,7 +133,9 @@
                 continue
             rest.arrivals += 1
             if rest.arrivals == REST_ARRIVALS + 1:
-                if not self._is_excused(edge, rest.began, now):
+                # A refusal whose connection was cut tells the edge nothing.
+                hidden = self._is_excused(runner_id, rest.began - TOLD_S, now)
+                if not hidden and not self._is_excused(edge, rest.began, now):
                     self.broken.append(
                         f"budget: {runner_id} got more than {REST_ARRIVALS} requests "
                         f"of {edge} in a rest of {rest.ended - rest.began:.1f} s"
@@ -157,6 +162,16 @@
         if said is not None:
             said.told.setdefault(edge, time.monotonic())
 
+    def note_passed_on(
+        self, statements: Sequence[LimitSpell | Leaving], runner_id: str, edge: str
+    ) -> None:
+        """Note that a caller got an answer that says something of its runner.
+
+        What a runner has sent may be lost before an edge has read it.
+        """
+        said = [each for each in statements if each.runner_id == runner_id]
+        self.note_answer(said[-1] if said else None, edge)
+
     def disturb(self, edge: str, *, cut: bool = False) -> Disturbance:
         """Note that an edge is disturbed from now on.
 
