Remember a limit while its runner's entry is gone for a moment

Found by reading: a scheduler forgot the limit with the runner's entry, which may lapse in an outage and come back. It is forgotten a minute after the entry now.

--- a/mangoway/edge/signal_watch.py
+++ b/mangoway/edge/signal_watch.py
@@ -138,7 +138,7 @@
 
     def keep_only(self, runner_ids: set[str]) -> None:
         """Forget runners that are gone."""
-        self.limits.keep_only(runner_ids)
+        self.limits.keep_only(runner_ids, self.clock())
         self.rests.keep_only(runner_ids)
         self.sends.keep_only(runner_ids)
 
--- a/mangoway/policy/limits/book.py
+++ b/mangoway/policy/limits/book.py
@@ -13,6 +13,7 @@
 
 from ...models.runner import is_later_life
 from .const import (
+    FORGET_S,
     FREE_REQUESTS,
     FREE_S,
     LEAST_RATE,
@@ -65,6 +66,9 @@
     promised_until: float = -math.inf
     """Time up to which refused callers were told to come back."""
 
+    gone_since: float | None = None
+    """Since when the runner isn't among those that are known."""
+
 
 @define(eq=False)
 class LimitBook:
@@ -179,10 +183,19 @@
             if record.limit is not None
         ]
 
-    def keep_only(self, runner_ids: set[str]) -> None:
-        """Forget runners that are gone."""
-        for runner_id in set(self._records) - runner_ids:
-            del self._records[runner_id]
+    def keep_only(self, runner_ids: set[str], now: float) -> None:
+        """Forget runners that have been gone for a while.
+
+        An entry may vanish and come back, while edges that have told the limit go on
+        believing it and don't tell it again.
+        """
+        for runner_id, record in list(self._records.items()):
+            if runner_id in runner_ids:
+                record.gone_since = None
+            elif record.gone_since is None:
+                record.gone_since = now
+            elif now - record.gone_since >= FORGET_S:
+                del self._records[runner_id]
 
     def _find(self, runner_id: str, started_ms: int) -> RunnerLimit | None:
         """Return the record of a limited life; None for another life."""
--- a/mangoway/policy/limits/const.py
+++ b/mangoway/policy/limits/const.py
@@ -29,6 +29,10 @@
 LONG_S: Final = 1.0
 """Time after which a limit counts when models are placed; some last for moments."""
 
+FORGET_S: Final = 60.0
+"""Time for which the limit of a runner is remembered that isn't known any more: longer
+than an outage of the store in which entries lapse."""
+
 LIMITED_SHARE: Final = 0.5
 """Largest part of a service's runners that placement does without since they are
 limited: with more, the others can't take their models."""
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -243,7 +243,7 @@
         for runner_id in [each for each in self.runners if each not in present]:
             self._remove(runner_id)
         self.health.keep_only(present)
-        self.limits.keep_only(present)
+        self.limits.keep_only(present, now)
         self.rests.keep_only(present)
         for entry in entries:
             # Entries of other runners change many times a second.
