--- a/tests/edge/test_limits.py
+++ b/tests/edge/test_limits.py
@@ -1,5 +1,7 @@
 """Tests of how an edge keeps to the limits that runners name."""
 
+import asyncio
+
 import pytest
 from attrs import evolve
 
@@ -30,9 +32,41 @@
 """Places at engines are granted by a scheduler, which keeps to the limit itself."""
 
 
+async def answer_late(_: bytes, writer: asyncio.StreamWriter) -> None:
+    """Answer after a silence in which another runner is looked for."""
+    await asyncio.sleep(1.3)
+    writer.write(make_ok(b"late"))
+
+
+STATUSES = [
+    pytest.param(answer(make_ok()), 200, id="first"),
+    pytest.param(FAILS, 502, id="failure"),
+    pytest.param(REFUSES, 503, id="refusal"),
+    pytest.param(answer_late, 200, id="silence"),
+]
+"""What the first runner does, and what the caller gets if no other takes it."""
+
+
 class TestPlainRunners:
     """Requests for plain services, at each way to a runner."""
 
+    @pytest.mark.parametrize(("first", "status"), STATUSES)
+    async def test_caller_gets_what_the_first_runner_leaves_it(
+        self, first: Script, status: int
+    ) -> None:
+        async with (
+            RawServer(first) as server,
+            RawServer(answer(make_ok())) as limited,
+            start_edge() as edge,
+        ):
+            edge.add("r1", server, "plain")
+            choose_last(edge, "r2")
+            edge.add("r2", limited, "plain")
+            limit(edge, "r2", 0.4)
+            reply = await edge.async_call("/safe/x")
+        assert limited.requests == []
+        assert reply.status == status
+
     @pytest.mark.parametrize(("service", "path", "first"), PLAIN_WAYS)
     async def test_limited_runner_gets_nothing_without_a_permit(
         self, service: str, path: str, first: Script
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -15,8 +15,9 @@
 class TestLimit:
     """The requests a second that a runner takes."""
 
-    def test_answer_names_it(self) -> None:
-        signals = decode_signals(make_head((b"Server-Limit", b"2.1")), 200)
+    @pytest.mark.parametrize("status", [200, 421, 429, 500, 503, 504])
+    def test_answers_of_all_kinds_name_it(self, status: int) -> None:
+        signals = decode_signals(make_head((b"Server-Limit", b"2.1")), status)
         assert (signals.limit, signals.limit_known) == (2.1, True)
 
     def test_answer_without_the_field_names_none(self) -> None:
@@ -56,8 +57,9 @@
 class TestLeaving:
     """Whether a runner leaves."""
 
-    def test_answer_says_so(self) -> None:
-        signals = decode_signals(make_head((b"Server-Leaving", b"1")), 200)
+    @pytest.mark.parametrize("status", [200, 421, 429, 500, 503, 504])
+    def test_answers_of_all_kinds_say_so(self, status: int) -> None:
+        signals = decode_signals(make_head((b"Server-Leaving", b"1")), status)
         assert (signals.leaving, signals.limit_known) == (True, True)
 
     @pytest.mark.parametrize("value", [b"", b"0", b"2", b"true", b"1, 1", b"-1"])
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -147,11 +147,7 @@
     relays = [each.store_relay for each in world.nodes]
     relays += [each.relay for each in world.runners if each.relay is not None]
     span = world.records.begin("mute connections")
-    relay = world.random.choice(relays)
-    relay.mute()
-    for runner in world.runners:
-        if runner.relay is relay:
-            world.records.signals.disturb(runner.runner_id)
+    world.random.choice(relays).mute()
     await asyncio.sleep(1.0)
     _end(span)
 
@@ -168,10 +164,8 @@
         runner.relay.switches.refuse_new = True
     else:
         runner.relay.switches.drop_from_target = True
-    disturbance = world.records.signals.disturb(runner.runner_id)
     await asyncio.sleep(world.random.uniform(0.3, 2.0))
     runner.relay.heal()
-    disturbance.ended = time.monotonic()
     _end(span)
 
 
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -69,11 +69,9 @@
 
 @define(eq=False)
 class Disturbance:
-    """A time in which an edge was restarted, paused or cut off, or a runner cut off."""
+    """A time in which an edge was restarted, paused or cut off."""
 
     edge: str
-    """The edge's address for callers, or the runner's id."""
-
     began: float
     ended: float | None = None
     cut: bool = False
@@ -133,9 +131,7 @@
                 continue
             rest.arrivals += 1
             if rest.arrivals == REST_ARRIVALS + 1:
-                # A refusal whose connection was cut tells the edge nothing.
-                hidden = self._is_excused(runner_id, rest.began - TOLD_S, now)
-                if not hidden and not self._is_excused(edge, rest.began, now):
+                if not self._is_excused(edge, rest.began, now):
                     self.broken.append(
                         f"budget: {runner_id} got more than {REST_ARRIVALS} requests "
                         f"of {edge} in a rest of {rest.ended - rest.began:.1f} s"
