Log the era and the revision of the store

Event 760 now says that the store has a new era (Store-Era in its responses), 761 that a reading was ignored as older, with both revisions; two gauges hold the era and the last stated revision. No decision changes.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -257,6 +257,12 @@
             snapshot = await self.store.async_list("", exact=exact)
             self._needs_snapshot = False
             self._record_response()
+            if self.revision is not None and snapshot.revision < self.revision:
+                log_event(
+                    log.StoreStateIgnored(
+                        revision=snapshot.revision, known_revision=self.revision
+                    )
+                )
             self.apply_snapshot(snapshot)
             if exact:
                 self.advance_known_at(requested_at)
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -521,3 +521,20 @@
     """Crash statements could not be updated in the store; this is retried."""
 
     reason: str
+
+
+@numbered(760, LogLevel.WARNING)
+class StoreEraSeen:
+    """The store has a new era: it came back from a copy, without later writes."""
+
+    era: int
+    previous_era: int
+    """0 if no response has stated an era before."""
+
+
+@numbered(761, LogLevel.INFO)
+class StoreStateIgnored:
+    """A reading of the store was ignored, since it is older than the known state."""
+
+    revision: int
+    known_revision: int
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -284,6 +284,13 @@
             "Calls to the platform's store, by call and status.",
             ("call", "status"),
         )
+        self.store_era = self._gauge(
+            "mangoway_store_era",
+            "Era of the platform's store, which rises when it comes back from a copy.",
+        )
+        self.store_revision = self._gauge(
+            "mangoway_store_revision", "Last revision that a response has stated."
+        )
         self.placement_orders = self._counter(
             "mangoway_placement_orders_total",
             "Orders to runners, by operation and the answer of the runner.",
--- a/mangoway/platform/headers.py
+++ b/mangoway/platform/headers.py
@@ -2,6 +2,10 @@
 
 from typing import Final
 
+STORE_ERA: Final = b"store-era"
+"""In all responses of the store: a whole number that rises by one each time the store
+comes back from a copy, without the writes since the copy was taken."""
+
 REQUEST_ID: Final = b"x-request-id"
 SIGNATURE: Final = b"x-response-signature"
 NOT_EXECUTED: Final = b"x-not-executed"
--- a/mangoway/platform/store.py
+++ b/mangoway/platform/store.py
@@ -19,7 +19,11 @@
     Write,
 )
 from ..http1.json_client import CallFailedError, JsonClient, JsonReply
+from ..http1.messages import find_header
+from ..observability import fleet_events as log
+from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
+from .headers import STORE_ERA
 
 CALL_TIMEOUT_S: Final = 1.2
 """The store responds within 4 ms, or within 0.25 s if it is slower by a factor of 60,
@@ -39,6 +43,8 @@
     address: str
     metrics: Metrics
     client: JsonClient = field(factory=JsonClient)
+    era: int = field(default=0, init=False)
+    """Highest era of a response; 0 if no response has stated one."""
 
     async def async_read(self, key: str) -> Item | None:
         """Read one key."""
@@ -164,8 +170,21 @@
             self.metrics.store_calls.add(call, "no_answer")
             raise StoreUnavailableError(f"{path}: {error}") from error
         self.metrics.store_calls.add(call, str(reply.status))
+        self._record_era(reply)
+        if isinstance(reply.body, dict) and "current_rev" in reply.body:
+            self.metrics.store_revision.set(level=int(reply.body["current_rev"]))
         return reply
 
+    def _record_era(self, reply: JsonReply) -> None:
+        value = find_header(reply.headers, STORE_ERA)
+        if value is None or not value.isdigit():
+            return
+        era = int(value)
+        if era > self.era:
+            log_event(log.StoreEraSeen(era=era, previous_era=self.era))
+            self.era = era
+            self.metrics.store_era.set(level=era)
+
 
 def _require_ok(reply: JsonReply) -> None:
     if reply.status != 200:
