--- a/tests/fakes/coordination_store.py
+++ b/tests/fakes/coordination_store.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from attrs import frozen
+
 from mangoway.coordination.store import (
     Change,
     Changes,
@@ -20,6 +22,17 @@
 """Duration of each call, without the time for which a watch waits."""
 
 
+@frozen(kw_only=True)
+class StoreCopy:
+    """State of a store that it can come back with."""
+
+    items: dict[str, Item]
+    leases: dict[int, float]
+    ttls: dict[int, float]
+    revision: int
+    history: tuple[Change, ...]
+
+
 class FakeCoordinationStore:
     """Keys, leases and watches, with faults that tests switch on."""
 
@@ -29,6 +42,9 @@
         """Expiry time of each lease."""
 
         self.revision = 0
+        self.era = 0
+        """Number of times that the store has come back from a copy."""
+
         self.calls: list[str] = []
         self.down = False
         self.lose_answers = 0
@@ -60,6 +76,25 @@
         del self.items[key]
         self._add_change(Change(key=key, revision=self.revision, item=None))
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(
+            items=dict(self.items),
+            leases=dict(self.leases),
+            ttls=dict(self._ttls),
+            revision=self.revision,
+            history=tuple(self._history),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy; revisions and lease IDs since are given out again."""
+        self.era += 1
+        self.items, self.leases = dict(copy.items), dict(copy.leases)
+        self._ttls, self.revision = dict(copy.ttls), copy.revision
+        self._history = list(copy.history)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def discard_history(self) -> None:
         """Discard all changes so far."""
         self.discarded_revision = self.revision
@@ -89,7 +124,7 @@
 
     async def async_watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
         await self._async_begin("watch")
-        if revision < self.discarded_revision:
+        if revision < self.discarded_revision or revision > self.revision:
             raise HistoryLostError(revision)
         end = self._now() + wait_s
         while True:
