--- a/mangoway/coordination/leadership.py
+++ b/mangoway/coordination/leadership.py
@@ -12,6 +12,7 @@
 from .members import LEADER_KEY, encode_member
 from .presence import Presence
 from .store import (
+    NO_REVISION,
     CoordinationStore,
     LeaseEndedError,
     Precondition,
@@ -186,7 +187,7 @@
         )
         leader = self.view.leader
         precondition = Precondition(
-            key=key, revision=0 if leader is None else leader.fence
+            key=key, revision=NO_REVISION if leader is None else leader.revision
         )
         try:
             result = await self.store.async_commit((precondition,), (write,))
--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -22,7 +22,9 @@
     CoordinationStore,
     HistoryLostError,
     Item,
+    OutdatedResponseError,
     Snapshot,
+    StoreRevision,
     StoreUnavailableError,
 )
 
@@ -72,6 +74,11 @@
 """Bounds of the delay after a failed call. With them, a fleet of 83 uses less than a
 tenth of the reads that its store allows."""
 
+NEW_ERA_WAIT_S: Final = 1.0
+"""Time for which a process that follows another one waits for the state of a new era.
+The leader reads it within 0.6 s. If all hosts read the store themselves after it came
+back from a copy, the largest fleet would exceed its rates."""
+
 FEED_CHECK_S: Final = 0.1
 """Time between two checks of whether the leader still relays the store."""
 
@@ -150,7 +157,7 @@
     items: dict[str, Item] = field(factory=dict, init=False)
     """All mirrored items by key."""
 
-    revision: int | None = field(default=None, init=False)
+    revision: StoreRevision | None = field(default=None, init=False)
     """Revision up to which changes are applied; None before the first snapshot."""
 
     _relayed_at: float = field(default=-1e9, init=False)
@@ -164,11 +171,13 @@
     """Time from which the next watch may start."""
 
     _needs_snapshot: bool = field(default=False, init=False)
+    _outdated_since: float | None = field(default=None, init=False)
+    """When this process learned that the state is of an earlier era."""
 
     async def async_run(self) -> None:
         """Follow the store until cancelled."""
         while True:
-            if self.feed is not None and self.feed.is_fresh():
+            if self._can_follow_feed():
                 self._relayed_at = self.clock()
                 await async_sleep_to_tick(FEED_CHECK_S)
                 continue
@@ -177,10 +186,28 @@
             except HistoryLostError as error:
                 log_event(log.StoreHistoryLost(reason=str(error)))
                 self._needs_snapshot = True
+            except OutdatedResponseError as error:
+                # A reading that may be stale can still be of an earlier era.
+                self._needs_snapshot = True
+                self._record_failure(error)
+                await asyncio.sleep(self._backoff.next())
             except StoreUnavailableError as error:
                 self._record_failure(error)
                 await asyncio.sleep(self._backoff.next())
 
+    @property
+    def era(self) -> int:
+        """Return the era of the mirrored state; 0 before the first snapshot."""
+        return 0 if self.revision is None else self.revision.era
+
+    def learn_era(self, era: int) -> None:
+        """Learn of an era from another process; earlier eras are outdated from now.
+
+        Args:
+            era: Era that the other process knows.
+        """
+        self.store.era = max(self.store.era, era)
+
     def measure_age(self) -> float:
         """Return for how many seconds the store may have changed unnoticed."""
         return self.boot_clock() - self.known_at
@@ -209,13 +236,14 @@
             return
         self.items = {item.key: item for item in snapshot.items}
         self.revision = snapshot.revision
+        self.learn_era(snapshot.revision.era)
         self.receiver.apply_snapshot(snapshot)
         if self.follower is not None:
             self.follower.relay_snapshot(snapshot)
         self.on_synced()
 
     def apply_partial_snapshot(
-        self, keys: tuple[str, ...], items: tuple[Item, ...], revision: int
+        self, keys: tuple[str, ...], items: tuple[Item, ...], revision: StoreRevision
     ) -> None:
         """Apply a snapshot of another process, without the items that are known here.
 
@@ -224,13 +252,20 @@
             items: Those items of the snapshot that are not known here.
             revision: Revision of the snapshot.
         """
-        known = {**self.items, **{item.key: item for item in items}}
+        own = self.items if self.era == revision.era else {}
+        known = {**own, **{item.key: item for item in items}}
         present = tuple(known[key] for key in keys if key in known)
         self.apply_snapshot(Snapshot(items=present, revision=revision))
 
     def apply_changes(self, changes: Changes) -> None:
-        """Apply those changes that are newer than the known revision."""
-        known = self.revision or 0
+        """Apply those changes that are newer than the known revision.
+
+        Changes of another era do not follow the mirrored state and are ignored.
+        """
+        known = self.revision or StoreRevision(changes.revision.era, 0)
+        if changes.revision.era != known.era:
+            self.learn_era(changes.revision.era)
+            return
         new = tuple(each for each in changes.changes if each.revision > known)
         for change in new:
             self._store_change(change)
@@ -250,22 +285,8 @@
             self.items[change.key] = change.item
 
     async def _async_step(self) -> None:
-        if self.revision is None or self._needs_snapshot:
-            # A snapshot may be some seconds old while the store still keeps the changes
-            # since, which the next watch returns.
-            exact, requested_at = self._needs_snapshot, self.boot_clock()
-            snapshot = await self.store.async_list("", exact=exact)
-            self._needs_snapshot = False
-            self._record_response()
-            if self.revision is not None and snapshot.revision < self.revision:
-                log_event(
-                    log.StoreStateIgnored(
-                        revision=snapshot.revision, known_revision=self.revision
-                    )
-                )
-            self.apply_snapshot(snapshot)
-            if exact:
-                self.advance_known_at(requested_at)
+        if self.revision is None or self._needs_snapshot or self._is_outdated():
+            await self._async_read_snapshot()
             return
         await asyncio.sleep(max(0.0, self._watch_from - self.clock()))
         is_stale = self.measure_age() > STALE_AGE_S
@@ -273,11 +294,54 @@
         wait_s = STALE_WATCH_S if is_stale else self._choose_wait()
         interval_s = 0.0 if is_stale else self._choose_interval()
         self._watch_from = self.clock() + interval_s
-        requested_at = self.boot_clock()
-        changes = await self.store.async_watch("", self.revision, wait_s)
+        revision, requested_at = self.revision, self.boot_clock()
+        changes = await self.store.async_watch("", revision, wait_s)
         self._record_response()
+        if changes.revision.era != revision.era:
+            # They follow a revision number that has been given out again.
+            self.learn_era(changes.revision.era)
+            return
         self.apply_changes(changes)
-        self.advance_known_at(requested_at)
+        if self.era == revision.era:
+            self.advance_known_at(requested_at)
+
+    async def _async_read_snapshot(self) -> None:
+        """Read all keys.
+
+        The first snapshot may be some seconds old while the store still keeps the
+        changes since, which the next watch returns.
+        """
+        exact, requested_at = self.revision is not None, self.boot_clock()
+        snapshot = await self.store.async_list("", exact=exact or self._needs_snapshot)
+        self._needs_snapshot = False
+        self._record_response()
+        if self.revision is not None and snapshot.revision < self.revision:
+            log_event(
+                log.StoreStateIgnored(
+                    era=snapshot.revision.era,
+                    revision=snapshot.revision.number,
+                    known_era=self.revision.era,
+                    known_revision=self.revision.number,
+                )
+            )
+            return
+        self.apply_snapshot(snapshot)
+        if exact:
+            self.advance_known_at(requested_at)
+
+    def _can_follow_feed(self) -> bool:
+        """Return whether the state that another process relays is good enough."""
+        if not self._is_outdated():
+            self._outdated_since = None
+        elif self._outdated_since is None:
+            self._outdated_since = self.clock()
+        elif self.clock() > self._outdated_since + NEW_ERA_WAIT_S:
+            return False
+        return self.feed is not None and self.feed.is_fresh()
+
+    def _is_outdated(self) -> bool:
+        """Return whether a later era than that of the mirrored state is known."""
+        return self.revision is not None and self.revision.era < self.store.era
 
     def _choose_wait(self) -> float:
         """Return for how long a watch waits for changes.
@@ -304,7 +368,11 @@
         now = self.clock()
         since, self._failing_since = self._failing_since, None
         if since is not None:
-            log_event(log.StoreRegained(revision=self.revision or 0))
+            log_event(
+                log.StoreRegained(
+                    revision=0 if self.revision is None else self.revision.number
+                )
+            )
         last = max(self.responded_at, self._relayed_at)
         if since is not None and now - min(since, last) > OUTAGE_S:
             self.receiver.record_outage_end()
--- a/mangoway/coordination/presence.py
+++ b/mangoway/coordination/presence.py
@@ -14,8 +14,10 @@
 from ..util.clock import read_boot_clock
 from .members import encode_member
 from .store import (
+    NO_REVISION,
     CoordinationStore,
     LeaseEndedError,
+    StoreRevision,
     StoreUnavailableError,
     Write,
 )
@@ -64,7 +66,7 @@
     failing: bool = field(default=False, init=False)
     """Whether the last call received no response."""
 
-    _announced_revision: int = field(default=0, init=False)
+    _announced_revision: StoreRevision = field(default=NO_REVISION, init=False)
     """Revision of the store at which the member's key was last written."""
 
     _leaving: bool = field(default=False, init=False)
@@ -109,7 +111,7 @@
         """Return whether the lease is certainly valid now."""
         return self.lease_id != 0 and self.clock() < self.valid_until
 
-    def handle_key_lost(self, revision: int) -> None:
+    def handle_key_lost(self, revision: StoreRevision) -> None:
         """Schedule a write of the key, since it is missing in the store.
 
         Args:
--- a/mangoway/coordination/store.py
+++ b/mangoway/coordination/store.py
@@ -4,7 +4,7 @@
 and each method maps to about one call, since every call of the platform is billed.
 """
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from attrs import frozen
 
@@ -25,22 +25,50 @@
         super().__init__(ErrorCode.PLATFORM_UNAVAILABLE, f"lease {lease_id} has ended")
 
 
+@frozen(order=True)
+class StoreRevision:
+    """Position in the sequence of the store's states.
+
+    When the store comes back from a copy, a new era begins: the writes since the copy
+    are lost, and their revision numbers are given out again.
+    """
+
+    era: int
+    """0 for a store that does not state its era."""
+
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.number} of era {self.era}" if self.era else str(self.number)
+
+
+NO_REVISION: Final = StoreRevision(0, 0)
+"""Before all revisions; as a precondition, the key must not exist."""
+
+
 class HistoryLostError(MangowayError):
     """The store no longer keeps the changes after a revision; a snapshot is needed."""
 
-    def __init__(self, revision: int) -> None:
+    def __init__(self, revision: StoreRevision) -> None:
         super().__init__(
             ErrorCode.PLATFORM_UNAVAILABLE, f"no history after revision {revision}"
         )
 
 
+class OutdatedResponseError(StoreUnavailableError):
+    """A response is from an earlier era than a known one, so it shows a lost state."""
+
+    def __init__(self, era: int, known_era: int) -> None:
+        super().__init__(f"response of era {era} though era {known_era} is known")
+
+
 @frozen(kw_only=True)
 class Item:
     """A key with its value and the revision of its last change."""
 
     key: str
     value: bytes
-    revision: int
+    revision: StoreRevision
     lease_id: int = 0
 
 
@@ -49,7 +77,7 @@
     """All items under a prefix, and the revision after which to follow changes."""
 
     items: tuple[Item, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @frozen(kw_only=True)
@@ -57,7 +85,7 @@
     """A write or a removal of one key."""
 
     key: str
-    revision: int
+    revision: StoreRevision
     item: Item | None
     """The written item; None if the key was removed."""
 
@@ -67,15 +95,15 @@
     """Changes in order, and the revision after which to continue."""
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: StoreRevision
 
 
 @frozen(kw_only=True)
 class Precondition:
-    """A revision that a key must have; with 0 the key must not exist."""
+    """A revision that a key must have; with `NO_REVISION` the key must not exist."""
 
     key: str
-    revision: int
+    revision: StoreRevision
 
 
 @frozen(kw_only=True)
@@ -92,12 +120,16 @@
     """Whether the preconditions were met, and the revision of the change."""
 
     committed: bool
-    revision: int
+    revision: StoreRevision
 
 
 class CoordinationStore(Protocol):
     """Store of the platform; all calls may raise `StoreUnavailableError`."""
 
+    era: int
+    """Highest era that is known to this process. Responses of earlier eras are dropped
+    with `OutdatedResponseError`."""
+
     async def async_read(self, key: str) -> Item | None:
         """Read one key."""
         ...
@@ -112,9 +144,14 @@
         """
         ...
 
-    async def async_watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
+    async def async_watch(
+        self, prefix: str, revision: StoreRevision, wait_s: float
+    ) -> Changes:
         """Wait for changes after a revision.
 
+        If the result is of a later era than the revision, the changes do not follow
+        it, and a snapshot is needed.
+
         Raises:
             HistoryLostError: If the store no longer keeps some of them.
         """
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -12,6 +12,7 @@
 from ..models.signals import LeavingReport
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from .store import StoreRevision
 
 OUTAGE_RETENTION_S: Final = 2.2
 """Time after the end of an outage for which removed entries are kept. According to the
@@ -28,9 +29,16 @@
     """Holder of the scheduler's key; the fence number increases with each holder."""
 
     member: Member
-    fence: int
+    revision: StoreRevision
+    """Revision at which the holder took the key."""
+
     lease_id: int
 
+    @property
+    def fence(self) -> int:
+        """Return the fence number of the holder's orders."""
+        return self.revision.number
+
 
 @define(eq=False)
 class FleetView:
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -11,6 +11,7 @@
 from ..coordination.crashes import StatementError, decode_statement
 from ..coordination.mirror import Mirror
 from ..coordination.presence import EDGE_RENEW_S, RENEW_S, Presence
+from ..coordination.store import NO_REVISION
 from ..coordination.view import FleetView
 from ..models.fleet import Member, Role
 from ..observability import fleet_events as log
@@ -81,7 +82,7 @@
                 host=self.settings.host,
                 data_centre=self.settings.data_centre,
                 requests_grants=self.role is Role.EDGE,
-                revision=0,
+                revision=NO_REVISION,
             ),
             view=self.view,
             clock=self.clock,
@@ -167,7 +168,7 @@
     def _check_presence(self) -> None:
         """Announce the process again if the store does not show it."""
         if not self.is_announced():
-            self.presence.handle_key_lost(self.mirror.revision or 0)
+            self.presence.handle_key_lost(self.mirror.revision or NO_REVISION)
 
 
 def run_process(
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -536,5 +536,7 @@
 class StoreStateIgnored:
     """A reading of the store was ignored, since it is older than the known state."""
 
+    era: int
     revision: int
+    known_era: int
     known_revision: int
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -145,7 +145,7 @@
         elif item.key == OWN_LEADER_KEY:
             leader = Leader(
                 member=decode_member(item.value),
-                fence=item.revision,
+                revision=item.revision,
                 lease_id=item.lease_id,
             )
             self.view.update_leader(leader)
--- a/mangoway/platform/store.py
+++ b/mangoway/platform/store.py
@@ -2,24 +2,28 @@
 
 import base64
 import binascii
+import re
 from typing import Any, Final
 
 from attrs import define, field
 
 from ..coordination.store import (
+    NO_REVISION,
     Change,
     Changes,
     CommitResult,
     HistoryLostError,
     Item,
     LeaseEndedError,
+    OutdatedResponseError,
     Precondition,
     Snapshot,
+    StoreRevision,
     StoreUnavailableError,
     Write,
 )
 from ..http1.json_client import CallFailedError, JsonClient, JsonReply
-from ..http1.messages import find_header
+from ..http1.messages import Headers
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
@@ -34,6 +38,11 @@
 twice the response time of a slow store."""
 
 MS_PER_S: Final = 1000
+MAX_ERA: Final = 8191
+"""Highest valid era. Fence numbers combine it with the revision number, and JSON
+readers keep only whole numbers below 2**53 exactly."""
+
+ERA_FORMAT: Final = re.compile(rb"[0-9]{1,9}")
 
 
 @define(eq=False)
@@ -44,7 +53,7 @@
     metrics: Metrics
     client: JsonClient = field(factory=JsonClient)
     era: int = field(default=0, init=False)
-    """Highest era of a response; 0 if no response has stated one."""
+    """Highest known era; 0 if none is known."""
 
     async def async_read(self, key: str) -> Item | None:
         """Read one key."""
@@ -52,7 +61,7 @@
         if reply.status == 404:
             return None
         _require_ok(reply)
-        return _decode_item(reply.body)
+        return _decode_item(reply.body, self.era)
 
     async def async_list(self, prefix: str, *, exact: bool = True) -> Snapshot:
         """Read all keys with a prefix.
@@ -66,7 +75,7 @@
             exact: Whether the result must include all writes before the call.
         """
         items: list[Item] = []
-        revision: int | None = None
+        revision: StoreRevision | None = None
         after = ""
         while True:
             query = {"prefix": prefix, **({"after": after} if after else {})}
@@ -74,21 +83,25 @@
                 query["serializable"] = "1"
             reply = await self._async_call("GET", "/v1/kv-range", query=query)
             _require_ok(reply)
-            items += [_decode_item(each) for each in reply.body["items"]]
             if revision is None:
-                revision = int(reply.body["current_rev"])
+                revision = self._read_revision(reply, "current_rev")
+            if revision.era != self.era:
+                raise OutdatedResponseError(revision.era, self.era)
+            items += [_decode_item(each, self.era) for each in reply.body["items"]]
             if not reply.body.get("more_pages") or not items:
                 return Snapshot(items=tuple(items), revision=revision)
             after = items[-1].key
 
-    async def async_watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
+    async def async_watch(
+        self, prefix: str, revision: StoreRevision, wait_s: float
+    ) -> Changes:
         """Wait for changes after a revision."""
         reply = await self._async_call(
             "GET",
             "/v1/kv-watch",
             query={
                 "prefix": prefix,
-                "after": revision,
+                "after": revision.number,
                 "wait_ms": int(wait_s * MS_PER_S),
             },
             timeout_s=wait_s + WATCH_MARGIN_S,
@@ -97,8 +110,10 @@
             raise HistoryLostError(revision)
         _require_ok(reply)
         return Changes(
-            changes=tuple(_decode_change(each) for each in reply.body["events"]),
-            revision=int(reply.body["current_rev"]),
+            changes=tuple(
+                _decode_change(each, self.era) for each in reply.body["events"]
+            ),
+            revision=self._read_revision(reply, "current_rev"),
         )
 
     async def async_commit(
@@ -107,21 +122,29 @@
         writes: tuple[Write, ...],
         deletes: tuple[str, ...] = (),
     ) -> CommitResult:
-        """Write and delete keys if all preconditions hold."""
+        """Write and delete keys if all preconditions hold.
+
+        A precondition with a revision of an earlier era does not hold: the number may
+        have been given out again.
+        """
+        if any(self._is_outdated(each) for each in preconditions):
+            return CommitResult(committed=False, revision=NO_REVISION)
         body = {
             "precondition": [
-                {"key": each.key, "revision": each.revision} for each in preconditions
+                {"key": each.key, "revision": each.revision.number}
+                for each in preconditions
             ],
             "set_keys": [_encode_write(each) for each in writes],
             "delete_keys": list(deletes),
         }
         reply = await self._async_call("POST", "/v1/kv-txn", body=body)
         if reply.status == 412:
-            return CommitResult(committed=False, revision=0)
+            return CommitResult(committed=False, revision=NO_REVISION)
         if reply.status == 404:
             raise LeaseEndedError(writes[0].lease_id if writes else 0)
         _require_ok(reply)
-        return CommitResult(committed=True, revision=int(reply.body["revision"]))
+        revision = self._read_revision(reply, "revision")
+        return CommitResult(committed=True, revision=revision)
 
     async def async_grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its ID."""
@@ -170,22 +193,53 @@
             self.metrics.store_calls.add(call, "no_answer")
             raise StoreUnavailableError(f"{path}: {error}") from error
         self.metrics.store_calls.add(call, str(reply.status))
-        self._record_era(reply)
-        if isinstance(reply.body, dict) and "current_rev" in reply.body:
-            self.metrics.store_revision.set(level=int(reply.body["current_rev"]))
+        self._record_era(decode_era(reply.headers, default=self.era))
         return reply
 
-    def _record_era(self, reply: JsonReply) -> None:
-        value = find_header(reply.headers, STORE_ERA)
-        if value is None or not value.isdigit():
-            return
-        era = int(value)
+    def _is_outdated(self, precondition: Precondition) -> bool:
+        revision = precondition.revision
+        return revision != NO_REVISION and revision.era < self.era
+
+    def _read_revision(self, reply: JsonReply, name: str) -> StoreRevision:
+        revision = _decode_revision(reply.body, name, self.era)
+        self.metrics.store_revision.set(level=revision.number)
+        return revision
+
+    def _record_era(self, era: int) -> None:
+        """Record the era of a response.
+
+        Raises:
+            OutdatedResponseError: If it is earlier than a known one.
+        """
+        if era < self.era:
+            raise OutdatedResponseError(era, self.era)
         if era > self.era:
             log_event(log.StoreEraSeen(era=era, previous_era=self.era))
             self.era = era
             self.metrics.store_era.set(level=era)
 
 
+def decode_era(headers: Headers, default: int) -> int:
+    """Decode the era of a response.
+
+    Args:
+        headers: Fields of the response.
+        default: Era of a response without the field.
+
+    Raises:
+        StoreUnavailableError: If it is not one whole number in the valid range.
+    """
+    values = {value for name, value in headers if name.lower() == STORE_ERA}
+    if not values:
+        return default
+    if len(values) > 1:
+        raise StoreUnavailableError(f"the store sent several eras: {sorted(values)}")
+    text = values.pop()
+    if not ERA_FORMAT.fullmatch(text) or int(text) > MAX_ERA:
+        raise StoreUnavailableError(f"the store sent an invalid era: {text[:20]!r}")
+    return int(text)
+
+
 def _require_ok(reply: JsonReply) -> None:
     if reply.status != 200:
         raise StoreUnavailableError(
@@ -198,12 +252,21 @@
     return {"key": write.key, "value": value, "lease": write.lease_id}
 
 
-def _decode_item(fields: Any) -> Item:
+def _decode_revision(fields: Any, name: str, era: int) -> StoreRevision:
+    try:
+        return StoreRevision(era, int(fields[name]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreUnavailableError(
+            f"the store sent an invalid revision: {error!r}"
+        ) from error
+
+
+def _decode_item(fields: Any, era: int) -> Item:
     try:
         return Item(
             key=str(fields["key"]),
             value=base64.b64decode(fields["value"]),
-            revision=int(fields["revision"]),
+            revision=StoreRevision(era, int(fields["revision"])),
             lease_id=int(fields.get("lease") or 0),
         )
     except (KeyError, TypeError, ValueError, binascii.Error) as error:
@@ -212,9 +275,9 @@
         ) from error
 
 
-def _decode_change(fields: Any) -> Change:
+def _decode_change(fields: Any, era: int) -> Change:
     if fields.get("removed"):
-        revision = int(fields["revision"])
+        revision = _decode_revision(fields, "revision", era)
         return Change(key=str(fields["key"]), revision=revision, item=None)
-    item = _decode_item(fields)
+    item = _decode_item(fields, era)
     return Change(key=item.key, revision=item.revision, item=item)
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from ..coordination.store import Change, Changes, Item
+from ..coordination.store import Change, Changes, Item, StoreRevision
 from ..models.prompt import Prompt, PromptPart
 from ..models.signals import LeavingReport
 from ..policy.customers.spending import SpendingEntry
@@ -165,7 +165,8 @@
         message.host,
         message.data_centre,
         message.requests_grants,
-        message.revision,
+        message.revision.number,
+        message.revision.era,
     ]
 
 
@@ -176,7 +177,7 @@
         host=fields[2],
         data_centre=fields[3],
         requests_grants=fields[4],
-        revision=fields[5],
+        revision=StoreRevision(_get_era(fields, 6), fields[5]),
     )
 
 
@@ -187,6 +188,8 @@
     known_at = math.floor(message.known_at * MS_PER_S) / MS_PER_S
     fields = ["beat", message.leading, age_s, round(message.period_s, 3), known_at]
     waits = [[name, round(wait_s, 3)] for name, wait_s in message.exhausted]
+    if message.era:
+        return [*fields, waits, message.era]
     return [*fields, waits] if waits else fields
 
 
@@ -198,6 +201,7 @@
         period_s=fields[3],
         known_at=fields[4],
         exhausted=tuple((row[0], row[1]) for row in fields[5]) if fields[5:] else (),
+        era=_get_era(fields, 6),
     )
 
 
@@ -226,19 +230,21 @@
     items = [_encode_item(each) for each in message.items]
     return [
         "state",
-        message.revision,
+        message.revision.number,
         message.keys,
         items,
         round(message.retention_s, 3),
+        message.revision.era,
     ]
 
 
 @decodes("state")
 def _decode_store_snapshot(fields: list[Any], edge: str) -> Message:
+    era = _get_era(fields, 5)
     return StoreSnapshot(
-        revision=fields[1],
+        revision=StoreRevision(era, fields[1]),
         keys=tuple(fields[2]),
-        items=tuple(_decode_item(each) for each in fields[3]),
+        items=tuple(_decode_item(each, era) for each in fields[3]),
         retention_s=fields[4],
     )
 
@@ -248,42 +254,54 @@
     rows = [
         [
             each.key,
-            each.revision,
+            each.revision.number,
             None if each.item is None else _encode_item(each.item),
         ]
         for each in message.changes.changes
     ]
-    return ["changes", message.changes.revision, rows, round(message.retention_s, 3)]
+    revision = message.changes.revision
+    retention_s = round(message.retention_s, 3)
+    return ["changes", revision.number, rows, retention_s, revision.era]
 
 
 @decodes("changes")
 def _decode_store_changes(fields: list[Any], edge: str) -> Message:
+    era = _get_era(fields, 4)
     changes = tuple(
         Change(
             key=row[0],
-            revision=row[1],
-            item=None if row[2] is None else _decode_item(row[2]),
+            revision=StoreRevision(era, row[1]),
+            item=None if row[2] is None else _decode_item(row[2], era),
         )
         for row in fields[2]
     )
+    revision = StoreRevision(era, fields[1])
     return StoreChanges(
-        changes=Changes(changes=changes, revision=fields[1]), retention_s=fields[3]
+        changes=Changes(changes=changes, revision=revision), retention_s=fields[3]
     )
 
 
+def _get_era(fields: list[Any], index: int) -> int:
+    """Return the era of a message; 0 if it states none."""
+    return int(fields[index]) if len(fields) > index else 0
+
+
 def _encode_item(item: Item) -> list[Any]:
     try:
         # Most values are text, which compresses to half the size of its base64 form.
-        return [item.key, item.revision, item.lease_id, item.value.decode()]
+        value = item.value.decode()
+        return [item.key, item.revision.number, item.lease_id, value]
     except UnicodeDecodeError:
         value = base64.b64encode(item.value).decode()
-        return [item.key, item.revision, item.lease_id, value, BASE64_MARKER]
+        number = item.revision.number
+        return [item.key, number, item.lease_id, value, BASE64_MARKER]
 
 
-def _decode_item(row: list[Any]) -> Item:
+def _decode_item(row: list[Any], era: int) -> Item:
     in_base64 = len(row) > TEXT_ROW_LENGTH
     value = base64.b64decode(row[3]) if in_base64 else row[3].encode()
-    return Item(key=row[0], revision=row[1], lease_id=row[2], value=value)
+    revision = StoreRevision(era, row[1])
+    return Item(key=row[0], revision=revision, lease_id=row[2], value=value)
 
 
 @encodes(RelayedStatement)
--- a/mangoway/scheduling/leader_link.py
+++ b/mangoway/scheduling/leader_link.py
@@ -8,6 +8,7 @@
 from attrs import define, evolve, field
 
 from ..coordination.mirror import Mirror
+from ..coordination.store import NO_REVISION
 from ..coordination.view import FleetView
 from ..models.fleet import Role
 from ..observability import fleet_events as log
@@ -101,6 +102,9 @@
     """Time between two heartbeats, as reported by the other end."""
 
     _has_state: bool = field(default=False, init=False)
+    _era: int = field(default=0, init=False)
+    """Era of the state that the other end relays."""
+
     _seeds_from: float = field(default=0.0, init=False)
     """Time from which seeds are tried while no configuration is known."""
 
@@ -144,6 +148,8 @@
         # then none of them would read the store.
         if link is None or not self.leading or not self._has_state:
             return False
+        if self.mirror is not None and self._era < self.mirror.era:
+            return False
         age_s = self._store_age_s + self.clock() - link.last_received_at
         return age_s < MAX_STORE_AGE_S + self._period_s
 
@@ -253,8 +259,8 @@
             return
         self.link, self._address, self._is_handshake_done = link, address, False
         self.leading, self._has_state, self._store_age_s = False, False, 1e9
-        known_revision = 0 if self.mirror is None else self.mirror.revision or 0
-        link.send(evolve(self.hello, revision=known_revision))
+        known_revision = self.mirror.revision if self.mirror is not None else None
+        link.send(evolve(self.hello, revision=known_revision or NO_REVISION))
         if self.mirror is not None:
             self._remote_clock = RemoteClock(self.mirror.boot_clock)
             link.send(self._remote_clock.make_request())
@@ -268,6 +274,9 @@
             self.leading = message.leading
             self._store_age_s = message.store_age_s
             self._period_s = message.period_s
+            self._era = message.era
+            if self.mirror is not None:
+                self.mirror.learn_era(message.era)
             self._record_known_at(link, message.known_at)
             now = self.clock()
             self._exhausted_until = {
@@ -296,7 +305,7 @@
         if self.mirror is None or clock is None or not self._has_state:
             return
         at = clock.convert(known_at)
-        if at is not None:
+        if at is not None and self._era == self.mirror.era:
             self.mirror.advance_known_at(at)
         if clock.should_request():
             link.send(clock.make_request())
--- a/mangoway/scheduling/messages.py
+++ b/mangoway/scheduling/messages.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from ..coordination.store import Changes, Item
+from ..coordination.store import Changes, Item, StoreRevision
 from ..models.signals import LeavingReport
 from ..policy.limits.cooldowns import CooldownReport
 from ..policy.limits.tracker import LimitReport
@@ -31,8 +31,9 @@
     requests_grants: bool
     """Whether it requests grants; standby schedulers only follow the store."""
 
-    revision: int
-    """Store revision up to which it has the keys; 0 if it has none."""
+    revision: StoreRevision
+    """Store revision up to which it has the keys. Processes of the previous release
+    state no era in their messages, which counts as era 0."""
 
 
 @frozen(kw_only=True)
@@ -50,6 +51,9 @@
     """Time on the scheduler's boot clock up to which all acknowledged writes to the
     store have been relayed."""
 
+    era: int = 0
+    """Era of the state that the scheduler relays."""
+
     exhausted: tuple[tuple[str, float], ...] = ()
     """Customers with an exhausted quota, and the seconds until it is available."""
 
@@ -76,7 +80,7 @@
 
     keys: tuple[str, ...]
     items: tuple[Item, ...]
-    revision: int
+    revision: StoreRevision
     retention_s: float
     """Seconds for which vanished keys are still kept after an outage; 0 without one."""
 
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -269,6 +269,7 @@
             previous.close("the edge reconnected")
             self.handle(EdgeDisconnected(edge=hello.edge))
         link.edge = hello.edge
+        self.mirror.learn_era(hello.revision.era)
         self._links[hello.edge] = link
         if hello.requests_grants:
             self._edges.add(hello.edge)
@@ -291,6 +292,7 @@
             store_age_s=age_s,
             period_s=self._choose_period(),
             known_at=self.feed.find_relayed_at(),
+            era=self.mirror.era,
             exhausted=tuple(self.core.state.quotas.list_exhausted(self.clock())),
         )
 
--- a/mangoway/scheduling/store_feed.py
+++ b/mangoway/scheduling/store_feed.py
@@ -8,7 +8,13 @@
 from attrs import define, field
 
 from ..coordination.mirror import Mirror
-from ..coordination.store import Change, Changes, Snapshot
+from ..coordination.store import (
+    NO_REVISION,
+    Change,
+    Changes,
+    Snapshot,
+    StoreRevision,
+)
 from .codec import encode_frame
 from .link import Link
 from .messages import Message, StoreChanges, StoreSnapshot
@@ -52,7 +58,7 @@
     _links: dict[Link, None] = field(factory=dict, init=False)
     """Followers that have received a snapshot, in the order in which they got it."""
 
-    _waiting: deque[tuple[Link, int]] = field(factory=deque, init=False)
+    _waiting: deque[tuple[Link, StoreRevision]] = field(factory=deque, init=False)
     """Followers that wait for a snapshot, with the revision that each has already."""
 
     _next_turn: asyncio.Handle | None = field(default=None, init=False)
@@ -62,7 +68,7 @@
     _recent_changes: deque[Change] = field(factory=deque, init=False)
     """The most recent changes, oldest first."""
 
-    _recent_after_revision: int | None = field(default=None, init=False)
+    _recent_after_revision: StoreRevision | None = field(default=None, init=False)
     """Revision after which `_recent_changes` is complete; None before a snapshot."""
 
     _relayed_at: float = field(default=-1e9, init=False)
@@ -71,16 +77,16 @@
     _snapshot_frame: bytes = field(default=b"", init=False)
     """A frame with all keys of the store at a revision."""
 
-    _snapshot_revision: int = field(default=-1, init=False)
+    _snapshot_revision: StoreRevision | None = field(default=None, init=False)
     _snapshot_at: float = field(default=-1e9, init=False)
     _relay_timer: asyncio.TimerHandle | None = field(default=None, init=False)
 
-    def add(self, link: Link, known_revision: int) -> None:
+    def add(self, link: Link, known_revision: StoreRevision) -> None:
         """Add a follower, which is sent the state that it lacks in its turn.
 
         Args:
             link: The link to it.
-            known_revision: Store revision that it has already; 0 if it has none.
+            known_revision: Store revision that it has already.
         """
         self._waiting.append((link, known_revision))
         if self._next_turn is None:
@@ -105,8 +111,10 @@
     def relay_snapshot(self, snapshot: Snapshot) -> None:
         """Relay a snapshot of the store."""
         self._recent_changes.clear()
+        # They may be of an earlier era, and the snapshot contains all others.
+        self._pending_changes.clear()
         self._recent_after_revision = snapshot.revision
-        self._send_to_all(self._make_snapshot(snapshot, 0))
+        self._send_to_all(self._make_snapshot(snapshot, NO_REVISION))
 
     def relay_changes(self, changes: Changes) -> None:
         """Relay changes of the store soon, together with those of the meantime."""
@@ -126,7 +134,7 @@
             self._relay_timer = loop.call_later(after_s, self._relay_changes)
 
     def make_update(
-        self, snapshot: Snapshot, known_revision: int
+        self, snapshot: Snapshot, known_revision: StoreRevision
     ) -> StoreSnapshot | StoreChanges:
         """Return the message with the state that a follower lacks after a revision.
 
@@ -161,32 +169,44 @@
         if self._waiting:
             self._next_turn = asyncio.get_running_loop().call_soon(self._serve_next)
 
-    def _send_state(self, link: Link, snapshot: Snapshot, known_revision: int) -> None:
-        if known_revision or self.get_retention_s() > 0:
+    def _send_state(
+        self, link: Link, snapshot: Snapshot, known_revision: StoreRevision
+    ) -> None:
+        if known_revision != NO_REVISION or self.get_retention_s() > 0:
             link.send_frame(encode_frame([self.make_update(snapshot, known_revision)]))
             return
-        link.send_frame(self._get_snapshot_frame(snapshot))
-        if self._snapshot_revision < snapshot.revision:
-            changes_since = self.make_update(snapshot, self._snapshot_revision)
+        frame, revision = self._get_snapshot_frame(snapshot)
+        link.send_frame(frame)
+        if revision < snapshot.revision:
+            changes_since = self.make_update(snapshot, revision)
             link.send_frame(encode_frame([changes_since]))
 
-    def _get_snapshot_frame(self, snapshot: Snapshot) -> bytes:
-        """Return a frame with all keys, which may be slightly out of date.
+    def _get_snapshot_frame(self, snapshot: Snapshot) -> tuple[bytes, StoreRevision]:
+        """Return a frame with all keys and its revision, slightly out of date or not.
 
         When hundreds of followers start at once, each of them needs it while the
         announcements of the others change it.
         """
         is_outdated = (
             self._recent_after_revision is None
+            or self._snapshot_revision is None
             or self._snapshot_revision < self._recent_after_revision
         )
-        if is_outdated or self.clock() - self._snapshot_at > SNAPSHOT_REUSE_S:
-            self._snapshot_frame = encode_frame([self._make_snapshot(snapshot, 0)])
+        if (
+            self._snapshot_revision is None
+            or is_outdated
+            or self.clock() - self._snapshot_at > SNAPSHOT_REUSE_S
+        ):
+            self._snapshot_frame = encode_frame(
+                [self._make_snapshot(snapshot, NO_REVISION)]
+            )
             self._snapshot_revision = snapshot.revision
             self._snapshot_at = self.clock()
-        return self._snapshot_frame
+        return self._snapshot_frame, self._snapshot_revision
 
-    def _make_snapshot(self, snapshot: Snapshot, known_revision: int) -> StoreSnapshot:
+    def _make_snapshot(
+        self, snapshot: Snapshot, known_revision: StoreRevision
+    ) -> StoreSnapshot:
         """Return a snapshot without the items of a known revision."""
         return StoreSnapshot(
             keys=tuple(item.key for item in snapshot.items),
@@ -208,7 +228,9 @@
         changes = tuple(self._pending_changes.values())
         self._pending_changes.clear()
         message = StoreChanges(
-            changes=Changes(changes=changes, revision=self.mirror.revision or 0),
+            changes=Changes(
+                changes=changes, revision=self.mirror.revision or NO_REVISION
+            ),
             retention_s=self.get_retention_s(),
         )
         self._send_to_all(message)
--- a/tests/coordination/test_crashes.py
+++ b/tests/coordination/test_crashes.py
@@ -30,6 +30,7 @@
 
 from ..fakes.coordination_store import FakeCoordinationStore
 from ..fakes.polling import async_wait_until
+from ..fakes.revisions import at
 
 PREFIX = "mangoway/"
 CULPRIT = RequestIdentity("c" * 24, "v" * 24)
@@ -328,7 +329,9 @@
             await async_wait_until(lambda: len(process.mirror.items) == 7)
             await process.maintainer.async_check()
             calls = store.calls.count("commit")
-            await async_wait_until(lambda: process.mirror.revision == store.revision)
+            await async_wait_until(
+                lambda: process.mirror.revision == at(store.revision)
+            )
             await process.maintainer.async_check()
             assert store.calls.count("commit") == calls
             process.shift_s = CRASH_RETENTION_S + 1
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -53,7 +53,7 @@
             self.view.update_leader(
                 Leader(
                     member=decode_member(item.value),
-                    fence=item.revision,
+                    revision=item.revision,
                     lease_id=item.lease_id,
                 )
             )
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -8,6 +8,7 @@
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
+from ..fakes.revisions import at
 
 pytestmark = pytest.mark.looptime
 
@@ -168,10 +169,10 @@
     def test_older_snapshot_is_ignored(self) -> None:
         recorder = Recorder()
         mirror = Mirror(FakeCoordinationStore(), recorder, lambda: 0.0)
-        newer = Item(key="a", value=b"new", revision=9)
-        older = Item(key="a", value=b"old", revision=4)
-        mirror.apply_snapshot(Snapshot(items=(newer,), revision=9))
-        mirror.apply_snapshot(Snapshot(items=(older,), revision=5))
+        newer = Item(key="a", value=b"new", revision=at(9))
+        older = Item(key="a", value=b"old", revision=at(4))
+        mirror.apply_snapshot(Snapshot(items=(newer,), revision=at(9)))
+        mirror.apply_snapshot(Snapshot(items=(older,), revision=at(5)))
         assert recorder.values == {"a": b"new"}
 
     def test_two_mirrors_that_follow_each_other_stop_relaying(self) -> None:
@@ -179,19 +180,19 @@
         one = Mirror(FakeCoordinationStore(), Recorder(), lambda: 0.0)
         other = Mirror(FakeCoordinationStore(), Recorder(), lambda: 0.0)
         one.follower, other.follower = MirrorRelay(other), MirrorRelay(one)
-        item = Item(key="a", value=b"1", revision=4)
-        one.apply_snapshot(Snapshot(items=(item,), revision=4))
-        assert other.revision == 4
+        item = Item(key="a", value=b"1", revision=at(4))
+        one.apply_snapshot(Snapshot(items=(item,), revision=at(4)))
+        assert other.revision == at(4)
         assert one.follower.relayed + other.follower.relayed <= 2
 
     def test_partial_snapshot_is_completed_with_known_items(self) -> None:
         recorder = Recorder()
         mirror = Mirror(FakeCoordinationStore(), recorder, lambda: 0.0)
-        kept = Item(key="a", value=b"1", revision=2)
-        gone = Item(key="b", value=b"2", revision=3)
-        mirror.apply_snapshot(Snapshot(items=(kept, gone), revision=3))
-        added = Item(key="c", value=b"3", revision=5)
-        mirror.apply_partial_snapshot(("a", "c"), (added,), 6)
+        kept = Item(key="a", value=b"1", revision=at(2))
+        gone = Item(key="b", value=b"2", revision=at(3))
+        mirror.apply_snapshot(Snapshot(items=(kept, gone), revision=at(3)))
+        added = Item(key="c", value=b"3", revision=at(5))
+        mirror.apply_partial_snapshot(("a", "c"), (added,), at(6))
         assert recorder.values == {"a": b"1", "c": b"3"}
 
 
@@ -218,7 +219,7 @@
         await asyncio.sleep(0.5)
         task.cancel()
         assert [len(each.changes) for each in relayed] == [0, 1]
-        assert relayed[-1].revision == store.revision
+        assert relayed[-1].revision == at(store.revision)
 
     @pytest.mark.parametrize("processes", [8, 30, 100, 200])
     async def test_rate_of_watches_of_all_processes_is_bounded(
--- a/tests/coordination/test_presence.py
+++ b/tests/coordination/test_presence.py
@@ -13,6 +13,7 @@
 from mangoway.models.fleet import Member, Role
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
+from ..fakes.revisions import at
 
 pytestmark = pytest.mark.looptime
 
@@ -39,7 +40,7 @@
         presence = make_presence(store)
         task = asyncio.get_running_loop().create_task(presence.async_run())
         await asyncio.sleep(0.1)
-        presence.handle_key_lost(store.revision - 1)
+        presence.handle_key_lost(at(store.revision - 1))
         assert presence.announced
         task.cancel()
 
@@ -49,7 +50,7 @@
         task = asyncio.get_running_loop().create_task(presence.async_run())
         await asyncio.sleep(0.1)
         revision = store.revision
-        presence.handle_key_lost(revision)
+        presence.handle_key_lost(at(revision))
         assert not presence.announced
         await asyncio.sleep(RENEW_S + 0.1)
         assert presence.announced
@@ -61,7 +62,7 @@
         presence = make_presence(store, renew_s=EDGE_RENEW_S)
         task = asyncio.get_running_loop().create_task(presence.async_run())
         await asyncio.sleep(0.1)
-        presence.handle_key_lost(store.revision)
+        presence.handle_key_lost(at(store.revision))
         await asyncio.sleep(ANNOUNCE_SPREAD_S + 0.1)
         assert presence.announced
         task.cancel()
--- a/tests/coordination/test_view.py
+++ b/tests/coordination/test_view.py
@@ -8,6 +8,7 @@
 from mangoway.platform.receiver import StoreReceiver
 
 from ..fakes.fleet import make_runner, make_table
+from ..fakes.revisions import at
 
 
 class TestTable:
@@ -120,21 +121,21 @@
             Item(
                 key=f"servers/r{number}",
                 value=make_entry(number),
-                revision=number + 1,
+                revision=at(number + 1),
             )
             for number in range(runners)
         )
         receiver = StoreReceiver(view, lambda: 0.0)
-        receiver.apply_snapshot(Snapshot(items=items, revision=runners))
+        receiver.apply_snapshot(Snapshot(items=items, revision=at(runners)))
         assert notifications == [runners]
 
     def test_unchanged_snapshot_causes_no_notification(self) -> None:
         view, notifications = FleetView(), list[int]()
-        item = Item(key="servers/r0", value=make_entry(0), revision=1)
+        item = Item(key="servers/r0", value=make_entry(0), revision=at(1))
         receiver = StoreReceiver(view, lambda: 0.0)
-        receiver.apply_snapshot(Snapshot(items=(item,), revision=1))
+        receiver.apply_snapshot(Snapshot(items=(item,), revision=at(1)))
         view.on_change.append(lambda: notifications.append(1))
-        receiver.apply_snapshot(Snapshot(items=(item,), revision=2))
+        receiver.apply_snapshot(Snapshot(items=(item,), revision=at(2)))
         assert notifications == []
 
     def test_single_change_causes_a_notification_at_once(self) -> None:
--- a/tests/fakes/coordination_store.py
+++ b/tests/fakes/coordination_store.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TypeVar
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from mangoway.coordination.store import (
+    NO_REVISION,
     Change,
     Changes,
     CommitResult,
@@ -14,10 +16,13 @@
     LeaseEndedError,
     Precondition,
     Snapshot,
+    StoreRevision,
     StoreUnavailableError,
     Write,
 )
 
+ResultT = TypeVar("ResultT")
+
 RESPONSE_S = 0.004
 """Duration of each call, without the time for which a watch waits."""
 
@@ -42,9 +47,12 @@
         """Expiry time of each lease."""
 
         self.revision = 0
-        self.era = 0
+        self.current_era = 0
         """Number of times that the store has come back from a copy."""
 
+        self.era = 0
+        """Highest era that the client knows."""
+
         self.calls: list[str] = []
         self.down = False
         self.lose_answers = 0
@@ -66,15 +74,20 @@
     def put(self, key: str, value: bytes, lease_id: int = 0) -> None:
         """Write a key, as another client would."""
         self.revision += 1
-        item = Item(key=key, value=value, revision=self.revision, lease_id=lease_id)
+        revision = self.make_revision()
+        item = Item(key=key, value=value, revision=revision, lease_id=lease_id)
         self.items[key] = item
-        self._add_change(Change(key=key, revision=self.revision, item=item))
+        self._add_change(Change(key=key, revision=revision, item=item))
 
     def remove(self, key: str) -> None:
         """Remove a key, as another client would."""
         self.revision += 1
         del self.items[key]
-        self._add_change(Change(key=key, revision=self.revision, item=None))
+        self._add_change(Change(key=key, revision=self.make_revision(), item=None))
+
+    def make_revision(self) -> StoreRevision:
+        """Return the current revision."""
+        return StoreRevision(self.current_era, self.revision)
 
     def copy(self) -> StoreCopy:
         """Return a copy of the current state."""
@@ -88,10 +101,18 @@
 
     def restore(self, copy: StoreCopy) -> None:
         """Come back from a copy; revisions and lease IDs since are given out again."""
-        self.era += 1
-        self.items, self.leases = dict(copy.items), dict(copy.leases)
+        self.current_era += 1
+        self.items = {key: self._move(item) for key, item in copy.items.items()}
+        self.leases = dict(copy.leases)
         self._ttls, self.revision = dict(copy.ttls), copy.revision
-        self._history = list(copy.history)
+        self._history = [
+            evolve(
+                each,
+                revision=StoreRevision(self.current_era, each.revision.number),
+                item=None if each.item is None else self._move(each.item),
+            )
+            for each in copy.history
+        ]
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -116,15 +137,17 @@
     async def async_list(self, prefix: str, *, exact: bool = True) -> Snapshot:
         await self._async_begin("list")
         if not exact and self.stale_list:
-            return Snapshot(items=(), revision=0)
+            return Snapshot(items=(), revision=StoreRevision(self.current_era, 0))
         items = tuple(
             item for key, item in sorted(self.items.items()) if key.startswith(prefix)
         )
-        return Snapshot(items=items, revision=self.revision)
+        return Snapshot(items=items, revision=self.make_revision())
 
-    async def async_watch(self, prefix: str, revision: int, wait_s: float) -> Changes:
+    async def async_watch(
+        self, prefix: str, revision: StoreRevision, wait_s: float
+    ) -> Changes:
         await self._async_begin("watch")
-        if revision < self.discarded_revision or revision > self.revision:
+        if not self.discarded_revision <= revision.number <= self.revision:
             raise HistoryLostError(revision)
         end = self._now() + wait_s
         while True:
@@ -132,16 +155,18 @@
             found = tuple(
                 each
                 for each in self._history
-                if each.revision > revision and each.key.startswith(prefix)
+                if each.revision.number > revision.number
+                and each.key.startswith(prefix)
             )
             if self.silent_watches:
                 await asyncio.sleep(wait_s + 0.6)
                 raise StoreUnavailableError("no answer")
             if found or self._now() >= end:
-                return Changes(changes=found, revision=self.revision)
+                return Changes(changes=found, revision=self.make_revision())
             await self._async_wait_change(end)
             if self.down:
                 raise StoreUnavailableError("cut")
+            self.era = max(self.era, self.current_era)
 
     async def async_commit(
         self,
@@ -152,8 +177,8 @@
         await self._async_begin("commit")
         for each in preconditions:
             item = self.items.get(each.key)
-            if (item.revision if item else 0) != each.revision:
-                return CommitResult(committed=False, revision=0)
+            if (item.revision.number if item else 0) != each.revision.number:
+                return CommitResult(committed=False, revision=NO_REVISION)
         for write in writes:
             if write.lease_id and write.lease_id not in self.leases:
                 raise LeaseEndedError(write.lease_id)
@@ -164,7 +189,7 @@
         if self.lose_answers:
             self.lose_answers -= 1
             raise StoreUnavailableError("the answer was lost")
-        return CommitResult(committed=True, revision=self.revision)
+        return CommitResult(committed=True, revision=self.make_revision())
 
     async def async_grant_lease(self, ttl_s: float) -> int:
         await self._async_begin("grant")
@@ -191,6 +216,7 @@
         await asyncio.sleep(RESPONSE_S)
         if self.down:
             raise StoreUnavailableError("down")
+        self.era = max(self.era, self.current_era)
         self._expire()
 
     def _expire(self) -> None:
@@ -211,6 +237,12 @@
         except TimeoutError:
             return
 
+    def _move(self, item: Item) -> Item:
+        """Return an item of a copy in the current era."""
+        return evolve(
+            item, revision=StoreRevision(self.current_era, item.revision.number)
+        )
+
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
@@ -219,3 +251,54 @@
 def loop_clock() -> Callable[[], float]:
     """Return the clock of the running event loop."""
     return asyncio.get_running_loop().time
+
+
+class FakeStoreClient:
+    """Client of one process; several clients of a store know eras independently."""
+
+    def __init__(self, store: FakeCoordinationStore) -> None:
+        self.store = store
+        self.era = 0
+
+    async def async_read(self, key: str) -> Item | None:
+        return self._accept(await self.store.async_read(key))
+
+    async def async_list(self, prefix: str, *, exact: bool = True) -> Snapshot:
+        return self._accept(await self.store.async_list(prefix, exact=exact))
+
+    async def async_watch(
+        self, prefix: str, revision: StoreRevision, wait_s: float
+    ) -> Changes:
+        try:
+            changes = await self.store.async_watch(prefix, revision, wait_s)
+        except HistoryLostError:
+            self._accept(None)
+            raise
+        return self._accept(changes)
+
+    async def async_commit(
+        self,
+        preconditions: tuple[Precondition, ...],
+        writes: tuple[Write, ...],
+        deletes: tuple[str, ...] = (),
+    ) -> CommitResult:
+        return self._accept(
+            await self.store.async_commit(preconditions, writes, deletes)
+        )
+
+    async def async_grant_lease(self, ttl_s: float) -> int:
+        return self._accept(await self.store.async_grant_lease(ttl_s))
+
+    async def async_renew_lease(self, lease_id: int) -> None:
+        self._accept(await self.store.async_renew_lease(lease_id))
+
+    async def async_end_lease(self, lease_id: int) -> None:
+        self._accept(await self.store.async_end_lease(lease_id))
+
+    def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+    def _accept(self, result: ResultT) -> ResultT:
+        """Learn the era of a response."""
+        self.era = max(self.era, self.store.current_era)
+        return result
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,114 @@
+"""Tests of the client of the platform's store."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+import pytest
+
+from mangoway.coordination.store import (
+    HistoryLostError,
+    OutdatedResponseError,
+    Precondition,
+    StoreUnavailableError,
+    Write,
+)
+from mangoway.observability.metrics import Metrics
+from mangoway.platform.store import MAX_ERA, PlatformStore, decode_era
+
+from ..fakes.revisions import at
+from ..soak.store import StoreStandIn
+
+
+@asynccontextmanager
+async def connect() -> AsyncIterator[tuple[StoreStandIn, PlatformStore]]:
+    """Yield a store and a client of it."""
+    store = StoreStandIn(Random(1))
+    await store.async_start()
+    client = PlatformStore(store.address, Metrics())
+    try:
+        yield store, client
+    finally:
+        client.close()
+        await store.async_stop()
+
+
+def decode(*values: bytes, default: int = 0) -> int:
+    return decode_era(tuple((b"Store-Era", each) for each in values), default)
+
+
+class TestDecodeEra:
+    """The era that a response states."""
+
+    def test_missing_field_means_the_known_era(self) -> None:
+        assert decode(default=3) == 3
+
+    def test_whole_number_is_the_era(self) -> None:
+        assert decode(b"12") == 12
+
+    def test_repeated_equal_fields_are_one(self) -> None:
+        assert decode(b"2", b"2") == 2
+
+    @pytest.mark.parametrize(
+        "values",
+        [
+            (b"1", b"2"),
+            (b"1, 1",),
+            (b"-1",),
+            (b"1.0",),
+            (b"x",),
+            (b"",),
+            (b"9" * 5000,),
+            (b"%d" % (MAX_ERA + 1),),
+        ],
+    )
+    def test_response_with_an_invalid_era_is_dropped(
+        self, values: tuple[bytes, ...]
+    ) -> None:
+        with pytest.raises(StoreUnavailableError):
+            decode(*values)
+
+
+class TestEras:
+    """Responses of a store that came back from a copy."""
+
+    async def test_revision_contains_the_era_of_its_response(self) -> None:
+        async with connect() as (store, client):
+            copy = store.copy()
+            store.restore(copy)
+            store.write("k", b"1")
+            snapshot = await client.async_list("")
+            assert snapshot.revision == at(store.revision, era=1)
+            assert [each.revision for each in snapshot.items] == [snapshot.revision]
+            assert client.era == 1
+
+    async def test_lost_history_teaches_the_era(self) -> None:
+        async with connect() as (store, client):
+            copy = store.copy()
+            known = at(store.write("k", b"1"))
+            store.restore(copy)
+            with pytest.raises(HistoryLostError):
+                await client.async_watch("", known, 0.01)
+            assert client.era == 1
+
+    async def test_response_of_an_earlier_era_is_dropped(self) -> None:
+        async with connect() as (_, client):
+            client.era = 2
+            with pytest.raises(OutdatedResponseError):
+                await client.async_list("")
+            assert client.era == 2
+
+    async def test_revision_of_an_earlier_era_meets_no_precondition(self) -> None:
+        """The number is given out again, so the precondition could hold by chance."""
+        async with connect() as (store, client):
+            copy = store.copy()
+            known = at(store.write("k", b"1"))
+            store.restore(copy)
+            assert store.write("k", b"2") == known.number
+            await client.async_list("")
+            condition = Precondition(key="k", revision=known)
+            result = await client.async_commit(
+                (condition,), (Write(key="k", value=b"3"),)
+            )
+            assert not result.committed
+            assert store.items["k"].value == b"2"
--- a/tests/scheduling/test_client.py
+++ b/tests/scheduling/test_client.py
@@ -34,6 +34,7 @@
 from ..fakes.coordination_store import FakeCoordinationStore
 from ..fakes.fleet import make_grant_request, make_runner, make_table
 from ..fakes.polling import async_wait_until
+from ..fakes.revisions import at
 
 RUNNER = make_runner("r1", ("a",))
 FLEET = FleetUpdated(table=make_table(), runners=(make_runner("r1", ("a",)),))
@@ -79,7 +80,7 @@
         clock = asyncio.get_running_loop().time
         self.mirror = Mirror(FakeCoordinationStore(), Recorder(), clock)
         self.mirror.apply_snapshot(
-            Snapshot(items=(Item(key="k", value=b"1", revision=5),), revision=5)
+            Snapshot(items=(Item(key="k", value=b"1", revision=at(5)),), revision=at(5))
         )
         self.mirror.responded_at = clock()
         self.server = SchedulerServer(
@@ -115,7 +116,11 @@
         self.recorder = Recorder()
         mirror = Mirror(FakeCoordinationStore(), self.recorder, clock)
         hello = Hello(
-            edge=name, host="h1", data_centre="dc1", requests_grants=True, revision=0
+            edge=name,
+            host="h1",
+            data_centre="dc1",
+            requests_grants=True,
+            revision=at(0),
         )
         self.link = LeaderLink(hello=hello, view=self.view, clock=clock, mirror=mirror)
         self.link.on_statement = self.statements.append
@@ -133,7 +138,7 @@
             peer_address=address,
             caller_address="",
         )
-        self.view.update_leader(Leader(member=member, fence=fence, lease_id=1))
+        self.view.update_leader(Leader(member=member, revision=at(fence), lease_id=1))
 
     async def async_wait_leading(self) -> None:
         """Wait until the edge is connected to a scheduler that leads."""
@@ -394,8 +399,8 @@
     async def test_keys_and_changes_are_relayed(self) -> None:
         async with connect() as (scheduler, edge):
             assert edge.recorder.values == {"k": b"1"}
-            item = Item(key="l", value=b"2", revision=6)
-            scheduler.mirror.apply_partial_snapshot(("k", "l"), (item,), 6)
+            item = Item(key="l", value=b"2", revision=at(6))
+            scheduler.mirror.apply_partial_snapshot(("k", "l"), (item,), at(6))
             await async_wait_until(lambda: len(edge.recorder.values) == 2)
             assert edge.recorder.values == {"k": b"1", "l": b"2"}
 
@@ -405,18 +410,18 @@
             edge.recorder.apply_changes = received_changes.append  # type: ignore[method-assign]
             for revision in (6, 7, 8):
                 key = "k" if revision < 8 else "l"
-                item = Item(key=key, value=b"%d" % revision, revision=revision)
-                change = Change(key=key, revision=revision, item=item)
+                item = Item(key=key, value=b"%d" % revision, revision=at(revision))
+                change = Change(key=key, revision=at(revision), item=item)
                 scheduler.mirror.apply_changes(
-                    Changes(changes=(change,), revision=revision)
+                    Changes(changes=(change,), revision=at(revision))
                 )
             await async_wait_until(lambda: bool(received_changes))
             (changes,) = received_changes
-            assert [(each.key, each.revision) for each in changes.changes] == [
+            assert [(each.key, each.revision.number) for each in changes.changes] == [
                 ("k", 7),
                 ("l", 8),
             ]
-            assert changes.revision == 8
+            assert changes.revision == at(8)
 
     async def test_state_of_a_scheduler_without_the_store_is_not_fresh(self) -> None:
         async with connect() as (scheduler, edge):
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -40,10 +40,11 @@
 )
 
 from ..fakes.fleet import make_grant_request
+from ..fakes.revisions import at
 
-ITEM = Item(key="k", value=b"\x00\xffvalue", revision=3, lease_id=9)
+ITEM = Item(key="k", value=b"\x00\xffvalue", revision=at(3), lease_id=9)
 MESSAGES: list[Message] = [
-    Hello(edge="e1", host="h", data_centre="dc1", requests_grants=True, revision=4),
+    Hello(edge="e1", host="h", data_centre="dc1", requests_grants=True, revision=at(4)),
     Heartbeat(leading=True, store_age_s=0.25, period_s=0.15),
     Heartbeat(
         leading=True,
@@ -83,14 +84,14 @@
     Reject(
         edge="e1", request_id="q1", retry_after_s=0.5, reason="why", over_quota=True
     ),
-    StoreSnapshot(keys=("k", "l"), items=(ITEM,), revision=5, retention_s=0.0),
+    StoreSnapshot(keys=("k", "l"), items=(ITEM,), revision=at(5), retention_s=0.0),
     StoreChanges(
         changes=Changes(
             changes=(
-                Change(key="k", revision=3, item=ITEM),
-                Change(key="l", revision=4, item=None),
+                Change(key="k", revision=at(3), item=ITEM),
+                Change(key="l", revision=at(4), item=None),
             ),
-            revision=4,
+            revision=at(4),
         ),
         retention_s=1.5,
     ),
@@ -110,13 +111,13 @@
 
     def test_large_frame_is_compressed(self) -> None:
         items = tuple(
-            Item(key=f"k{number}", value=b"route" * 40, revision=number)
+            Item(key=f"k{number}", value=b"route" * 40, revision=at(number))
             for number in range(100)
         )
         state = StoreSnapshot(
             keys=tuple(each.key for each in items),
             items=items,
-            revision=100,
+            revision=at(100),
             retention_s=0.0,
         )
         data = encode_frame([state])
--- a/tests/scheduling/test_many_edges.py
+++ b/tests/scheduling/test_many_edges.py
@@ -24,6 +24,7 @@
 
 from ..fakes.fleet import make_table
 from ..fakes.polling import async_wait_until
+from ..fakes.revisions import at
 from .test_client import Edge, Scheduler
 from .test_standby import make_member
 
@@ -62,24 +63,24 @@
         host="h",
         data_centre="dc1",
         requests_grants=True,
-        revision=revision,
+        revision=at(revision),
     )
 
 
 def fill_store(scheduler: Scheduler) -> None:
     """Fill the scheduler's mirror with an entry for each process."""
     items = tuple(
-        Item(key=f"m/{number}", value=b"v" * 200, revision=5)
+        Item(key=f"m/{number}", value=b"v" * 200, revision=at(5))
         for number in range(EDGE_COUNT)
     )
-    scheduler.mirror.apply_snapshot(Snapshot(items=items, revision=6))
+    scheduler.mirror.apply_snapshot(Snapshot(items=items, revision=at(6)))
 
 
 def add_presence(scheduler: Scheduler, revision: int) -> Item:
     """Add the presence of one more process to the scheduler's mirror."""
-    item = Item(key=f"n/{revision}", value=b"new", revision=revision)
-    change = Change(key=item.key, revision=revision, item=item)
-    scheduler.mirror.apply_changes(Changes(changes=(change,), revision=revision))
+    item = Item(key=f"n/{revision}", value=b"new", revision=at(revision))
+    change = Change(key=item.key, revision=at(revision), item=item)
+    scheduler.mirror.apply_changes(Changes(changes=(change,), revision=at(revision)))
     return item
 
 
@@ -148,7 +149,7 @@
         assert isinstance(snapshot, StoreSnapshot)
         assert isinstance(changes, StoreChanges)
         assert [each.item for each in changes.changes.changes] == [item]
-        assert changes.changes.revision == 9
+        assert changes.changes.revision == at(9)
 
     async def test_no_change_is_sent_before_missed_changes(self) -> None:
         """Its revision would make the edge count the missed changes as known."""
@@ -168,10 +169,10 @@
             assert [each.item for each in first.changes.changes] == [missed, last]
 
     async def test_binary_values_are_encoded(self) -> None:
-        item = Item(key="k", value=b"\xff\x00", revision=3, lease_id=4)
-        text = Item(key="t", value="é1".encode(), revision=3)
+        item = Item(key="k", value=b"\xff\x00", revision=at(3), lease_id=4)
+        text = Item(key="t", value="é1".encode(), revision=at(3))
         message = StoreSnapshot(
-            keys=("k", "t"), items=(item, text), revision=3, retention_s=0.0
+            keys=("k", "t"), items=(item, text), revision=at(3), retention_s=0.0
         )
         assert decode_payload(encode_frame([message])[4:], "") == [message]
 
--- a/tests/scheduling/test_server.py
+++ b/tests/scheduling/test_server.py
@@ -8,6 +8,7 @@
 from mangoway.scheduling.messages import Message
 from mangoway.scheduling.server import HEARTBEATS_PER_S
 
+from ..fakes.revisions import at
 from .test_client import Scheduler
 
 HOSTS = [30, 100, 300]
@@ -58,8 +59,8 @@
 
         monkeypatch.setattr(server_module, "encode_frame", count)
         monkeypatch.setattr(feed_module, "encode_frame", count)
-        change = Change(key="k", revision=7, item=None)
-        scheduler.server.feed.relay_changes(Changes(changes=(change,), revision=7))
+        change = Change(key="k", revision=at(7), item=None)
+        scheduler.server.feed.relay_changes(Changes(changes=(change,), revision=at(7)))
         scheduler.server.feed._relay_changes()
         scheduler.server.send_heartbeats()
         assert encoded == [1, 1]
--- a/tests/scheduling/test_standby.py
+++ b/tests/scheduling/test_standby.py
@@ -12,6 +12,7 @@
 
 from ..fakes.fleet import make_grant_request, make_table
 from ..fakes.polling import async_wait_until
+from ..fakes.revisions import at
 from .test_client import Edge, Scheduler, receive
 
 
@@ -54,30 +55,32 @@
         """Sending the names of 450 keys to each of 195 edges would take a second."""
         scheduler = Scheduler()
         items = tuple(
-            Item(key=f"runners/{number}", value=b"v" * 300, revision=5)
+            Item(key=f"runners/{number}", value=b"v" * 300, revision=at(5))
             for number in range(450)
         )
-        scheduler.mirror.apply_snapshot(Snapshot(items=items, revision=6))
-        change = Change(key="runners/1", revision=7, item=None)
-        scheduler.mirror.apply_changes(Changes(changes=(change,), revision=7))
+        scheduler.mirror.apply_snapshot(Snapshot(items=items, revision=at(6)))
+        change = Change(key="runners/1", revision=at(7), item=None)
+        scheduler.mirror.apply_changes(Changes(changes=(change,), revision=at(7)))
         snapshot = scheduler.mirror.make_snapshot()
         assert snapshot is not None
-        update = scheduler.server.feed.make_update(snapshot, 6)
+        update = scheduler.server.feed.make_update(snapshot, at(6))
         assert isinstance(update, StoreChanges)
         assert update.changes.changes == (change,)
         assert len(encode_frame([update])) < 300
-        assert isinstance(scheduler.server.feed.make_update(snapshot, 5), StoreSnapshot)
+        assert isinstance(
+            scheduler.server.feed.make_update(snapshot, at(5)), StoreSnapshot
+        )
 
     async def test_edge_receives_all_changes_from_a_standby(self) -> None:
         async with start_two() as (leader, standby, edge):
-            item = Item(key="l", value=b"2", revision=6)
-            snapshot = Snapshot(items=(item,), revision=6)
+            item = Item(key="l", value=b"2", revision=at(6))
+            snapshot = Snapshot(items=(item,), revision=at(6))
             for each in (leader, standby):
                 each.mirror.apply_snapshot(snapshot)
             await async_wait_until(lambda: edge.recorder.values == {"l": b"2"})
-            newer = Item(key="n", value=b"3", revision=7)
-            change = Change(key="n", revision=7, item=newer)
-            standby.mirror.apply_changes(Changes(changes=(change,), revision=7))
+            newer = Item(key="n", value=b"3", revision=at(7))
+            change = Change(key="n", revision=at(7), item=newer)
+            standby.mirror.apply_changes(Changes(changes=(change,), revision=at(7)))
             leader.stop()
             standby.leading = True
             await async_wait_until(lambda: len(edge.recorder.values) == 2)
--- a/tests/scheduling/test_state_age.py
+++ b/tests/scheduling/test_state_age.py
@@ -8,6 +8,7 @@
 from mangoway.scheduling.messages import ClockResponse, Heartbeat
 
 from ..fakes.polling import async_wait_until
+from ..fakes.revisions import at
 from .test_client import Edge, Scheduler
 
 CLOCK_OFFSET_S = 5000.0
@@ -84,9 +85,9 @@
         async with connect() as (scheduler, edge):
             set_state_age(scheduler, 2.0)
             await async_wait_until(lambda: get_age(edge) < 1e6)
-            item = Item(key="op/config", value=b"2", revision=9)
-            change = Change(key=item.key, revision=9, item=item)
-            scheduler.mirror.apply_changes(Changes(changes=(change,), revision=9))
+            item = Item(key="op/config", value=b"2", revision=at(9))
+            change = Change(key=item.key, revision=at(9), item=item)
+            scheduler.mirror.apply_changes(Changes(changes=(change,), revision=at(9)))
             set_state_age(scheduler, 0.0)
             scheduler.server.send_heartbeats()
             await asyncio.sleep(0.05)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -5,16 +5,16 @@
 import time
 from collections.abc import Callable
 from enum import Enum
-from itertools import count
 from random import Random
-from typing import Any
+from typing import Any, Final
 
 from aiohttp import web
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 MAX_WAIT_S = 30.0
 """Longest wait of a watch for a change, and delay of each call to a silent store."""
 
+ERA_HEADER: Final = "Store-Era"
 SLOW_S = 0.2
 """Delay of each call to a slow store."""
 
@@ -55,6 +55,19 @@
         }
 
 
+@frozen(kw_only=True)
+class StoreCopy:
+    """State that the store can come back with."""
+
+    items: dict[str, StoredItem]
+    leases: dict[int, tuple[float, float]]
+    revision: int
+    next_lease: int
+    history: tuple[tuple[int, dict[str, Any]], ...]
+    discarded_revision: int
+    taken_at: float
+
+
 @define(eq=False)
 class StoreStandIn:
     """Keys, leases and watches in memory, served over HTTP."""
@@ -67,11 +80,14 @@
     """Changes with their revisions."""
 
     revision: int = field(default=1, init=False)
+    era: int = field(default=0, init=False)
+    """Number of times that the store has come back from a copy."""
+
     address: str = field(default="", init=False)
     _leases: dict[int, tuple[float, float]] = field(factory=dict, init=False)
     """Time to live and expiry time of each lease."""
 
-    _lease_ids: Any = field(factory=lambda: count(1), init=False)
+    _next_lease: int = field(default=1, init=False)
     _discarded_revision: int = field(default=0, init=False)
     """Revision of the last change that was discarded."""
 
@@ -109,6 +125,37 @@
         self.history.clear()
         self._discarded_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(
+            items={key: evolve(item) for key, item in self.items.items()},
+            leases=dict(self._leases),
+            revision=self.revision,
+            next_lease=self._next_lease,
+            history=tuple(self.history),
+            discarded_revision=self._discarded_revision,
+            taken_at=self.clock(),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: later writes and leases are gone.
+
+        Revisions and lease IDs since the copy are given out again. The leases of the
+        copy have as much time left as when it was taken.
+        """
+        self.era += 1
+        age_s = self.clock() - copy.taken_at
+        self.items = {key: evolve(item) for key, item in copy.items.items()}
+        self._leases = {
+            lease: (ttl_s, ends_at + age_s)
+            for lease, (ttl_s, ends_at) in copy.leases.items()
+        }
+        self.revision, self._next_lease = copy.revision, copy.next_lease
+        self.history = list(copy.history)
+        self._discarded_revision = copy.discarded_revision
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def write(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key, and return the new revision."""
         self.revision += 1
@@ -139,12 +186,15 @@
     async def _async_apply_fault(self, request: web.Request, handler: Any) -> Any:
         self.expire()
         if self.fault is StoreFault.REJECTING:
-            return web.json_response({}, status=503)
+            return web.json_response(
+                {}, status=503, headers={ERA_HEADER: str(self.era)}
+            )
         if self.fault is StoreFault.SILENT:
             await asyncio.sleep(MAX_WAIT_S)
         if self.fault is StoreFault.SLOW:
             await asyncio.sleep(SLOW_S)
         response = await handler(request)
+        response.headers[ERA_HEADER] = str(self.era)
         writes = request.method != "GET"
         if self.fault is StoreFault.LOSING and writes and self.random.random() < 0.5:
             assert request.transport is not None
@@ -167,7 +217,7 @@
 
     async def _async_watch(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
-        if after < self._discarded_revision:
+        if not self._discarded_revision <= after <= self.revision:
             return web.json_response({}, status=410)
         events = self._list_events(after)
         if not events:
@@ -201,7 +251,8 @@
 
     async def _async_grant(self, request: web.Request) -> web.Response:
         ttl_ms = float((await request.json())["ttl_ms"])
-        lease = next(self._lease_ids)
+        lease = self._next_lease
+        self._next_lease += 1
         self._leases[lease] = (ttl_ms / 1000, self.clock() + ttl_ms / 1000)
         return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
 
