Derive fence numbers from the era and the revision of the leader's key

What would happen: after the store came back from a copy the next holder of the leader's key gets a lower revision, so that runners that check fence numbers reject all its orders (fence 2 after 52 in the test), or two holders have one number. A rejected number of the earlier era also kept a new holder from ever ordering.

The number is now era * 2**40 + revision, below 2**53 up to the highest valid era, and equal to the revision where the store states no era. The delay before the first order holds as before: a holder starts a new term with the new number.

--- a/mangoway/coordination/leadership.py
+++ b/mangoway/coordination/leadership.py
@@ -33,7 +33,8 @@
 class Leadership:
     """Holder of the scheduler's key, bound to the lease of the process's presence.
 
-    The key's revision is the fence number, which increases with each holder. Whether
+    The fence number is derived from the key's revision and era, so that it increases
+    with each holder, also after the store came back from a copy. Whether
     this process holds the key is derived from the view and the expiry of the lease, so
     that a lost response to the write needs no further call.
 
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -19,6 +19,9 @@
 platform, the entries of running runners are back about 2 s after an outage. A removal
 3 s after an outage must take effect at once, so this must be less."""
 
+FENCES_PER_ERA: Final = 1 << 40
+"""More than the revisions of an era: 400 writes a second for 87 years."""
+
 MAX_LEAVING: Final = 16_384
 """Runner incarnations that are kept as leaving: more than the runners of a fleet. They
 outlast the entries, since these may come back after an outage."""
@@ -36,8 +39,11 @@
 
     @property
     def fence(self) -> int:
-        """Return the fence number of the holder's orders."""
-        return self.revision.number
+        """Return the fence number of the holder's orders.
+
+        It rises over eras. Without eras it is the revision, as in the previous release.
+        """
+        return self.revision.era * FENCES_PER_ERA + self.revision.number
 
 
 @define(eq=False)
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -8,7 +8,13 @@
 from mangoway.coordination.members import LEADER_KEY, decode_member
 from mangoway.coordination.mirror import Mirror
 from mangoway.coordination.presence import LEASE_S, Presence
-from mangoway.coordination.store import Change, Changes, Item, Snapshot
+from mangoway.coordination.store import (
+    Change,
+    Changes,
+    CoordinationStore,
+    Item,
+    Snapshot,
+)
 from mangoway.coordination.view import FleetView, Leader
 from mangoway.models.fleet import Member, Role
 
@@ -64,7 +70,7 @@
 
     def __init__(
         self,
-        store: FakeCoordinationStore,
+        store: CoordinationStore,
         name: str,
         *,
         checks_fences: bool = False,
