Keep a lease over a restore of the store only if the copy contains it

What would happen: leases that were granted since the copy are gone, and their IDs are given out again. A process whose lease was lost renewed the lease of another process, which kept the keys of that one after it had ended, and ended it at its own stop. Found by looking for the same cause; not in the users' records.

A process now trusts a lease in a new era only once the mirrored state shows its own key bound to it, which proves that the copy contains both. Until then it neither renews nor ends it nor bases leadership on it. Otherwise it asks for a new lease and announces itself again, spread so that all processes together use half of the 400 writing calls a second. Where nothing was lost, nothing is written. A holder of the leader's key that knows of a later era stops ordering even while the store doesn't answer it.

What is left: one renewal or end that is under way when the store comes back.

--- a/mangoway/coordination/leadership.py
+++ b/mangoway/coordination/leadership.py
@@ -139,7 +139,11 @@
             return None
         if leader.lease_id == self.presence.lease_id and self.presence.is_valid():
             return leader.fence
-        is_unrenewed = self.presence.failing and leader.fence == self._last_fence
+        is_unrenewed = (
+            self.presence.failing
+            and leader.fence == self._last_fence
+            and leader.revision.era >= self.store.era
+        )
         return leader.fence if is_unrenewed and self.runners_check_fences else None
 
     def _start_term(self, fence: int) -> None:
--- a/mangoway/coordination/presence.py
+++ b/mangoway/coordination/presence.py
@@ -13,6 +13,7 @@
 from ..util.backoff import Backoff
 from ..util.clock import read_boot_clock
 from .members import encode_member
+from .mirror import Mirror
 from .store import (
     NO_REVISION,
     CoordinationStore,
@@ -40,6 +41,11 @@
 """Time over which processes spread the rewriting of lost keys. After an outage of the
 store, the keys of all processes may be gone at once."""
 
+ANNOUNCEMENTS_PER_S: Final = 100.0
+"""Rate at which all processes together rewrite keys that were lost when the store came
+back from a copy. Each takes two writing calls, and the stores of small fleets allow 400
+of these a second."""
+
 FIRST_RETRY_S: Final = 0.2
 MAX_RETRY_S: Final = 1.0
 
@@ -56,6 +62,9 @@
     renew_s: float = RENEW_S
     random: Random = field(factory=Random)
     clock: Callable[[], float] = read_boot_clock
+    count_processes: Callable[[], int] = lambda: 1
+    """Returns the number of known processes of the system, including this one."""
+
     lease_id: int = field(default=0, init=False)
     valid_until: float = field(default=0.0, init=False)
     """Time on the boot clock until which the lease is certainly valid."""
@@ -66,6 +75,9 @@
     failing: bool = field(default=False, init=False)
     """Whether the last call received no response."""
 
+    _lease_era: int = field(default=0, init=False)
+    """Latest era of the store in which the lease is known to exist."""
+
     _announced_revision: StoreRevision = field(default=NO_REVISION, init=False)
     """Revision of the store at which the member's key was last written."""
 
@@ -85,6 +97,8 @@
             except LeaseEndedError:
                 self.failing = False
                 self.discard_lease("it has ended")
+                if self._is_lease_era_over():
+                    await asyncio.sleep(self._choose_spread_s())
             except StoreUnavailableError:
                 # The mirror logs the outage.
                 self.failing = True
@@ -99,7 +113,7 @@
         self._leaving = True
         lease_id, self.lease_id = self.lease_id, 0
         self.valid_until = 0.0
-        if lease_id == 0:
+        if lease_id == 0 or self._is_lease_era_over():
             return
         try:
             await self.store.async_end_lease(lease_id)
@@ -109,7 +123,25 @@
 
     def is_valid(self) -> bool:
         """Return whether the lease is certainly valid now."""
-        return self.lease_id != 0 and self.clock() < self.valid_until
+        if self.lease_id == 0 or self._is_lease_era_over():
+            return False
+        return self.clock() < self.valid_until
+
+    def handle_state(self, mirror: Mirror) -> None:
+        """Compare the mirrored state of the store with the announcement.
+
+        After the store came back from a copy, the lease still exists if the copy
+        contains the key with it. Otherwise its ID may belong to another process now.
+        """
+        revision = mirror.revision or NO_REVISION
+        item = mirror.items.get(self.prefix + self.member.key)
+        if item is None or item.value != encode_member(self.member):
+            self.handle_key_lost(revision)
+        elif revision.era > self._lease_era and self.lease_id != 0:
+            if item.lease_id == self.lease_id:
+                self._lease_era = revision.era
+            else:
+                self.handle_key_lost(revision)
 
     def handle_key_lost(self, revision: StoreRevision) -> None:
         """Schedule a write of the key, since it is missing in the store.
@@ -118,9 +150,12 @@
             revision: Revision of the store at which the key was missing. Revisions
                 before the last write of the key are ignored.
         """
-        if not self._leaving and revision >= self._announced_revision:
-            self.announced = False
-            self._key_lost.set()
+        if self._leaving or revision < self._announced_revision:
+            return
+        if revision.era > self._lease_era:
+            self.discard_lease("the store came back from a copy without it")
+        self.announced = False
+        self._key_lost.set()
 
     def discard_lease(self, reason: str) -> None:
         """Treat the lease as ended; `async_run` will request another one."""
@@ -138,7 +173,21 @@
         except TimeoutError:
             return
         self._key_lost.clear()
-        await asyncio.sleep(self.random.uniform(0.0, ANNOUNCE_SPREAD_S))
+        await asyncio.sleep(self._choose_spread_s())
+
+    def _choose_spread_s(self) -> float:
+        """Return the delay before a lost key is written again.
+
+        When the store came back from a copy, the keys of all processes may be lost.
+        """
+        spread_s = ANNOUNCE_SPREAD_S
+        if self._is_lease_era_over():
+            spread_s = max(spread_s, self.count_processes() / ANNOUNCEMENTS_PER_S)
+        return self.random.uniform(0.0, spread_s)
+
+    def _is_lease_era_over(self) -> bool:
+        """Return whether the lease may have been lost and its ID given out again."""
+        return self.store.era > self._lease_era
 
     async def _async_step(self) -> None:
         requested_at = self.clock()
@@ -147,9 +196,14 @@
             if self._leaving:
                 await self.store.async_end_lease(lease_id)
                 return
-            self.lease_id = lease_id
+            self.lease_id, self._lease_era = lease_id, self.store.era
+        elif self._is_lease_era_over():
+            # The mirrored state will show whether the lease still exists.
+            return
         elif self.announced:
             await self.store.async_renew_lease(self.lease_id)
+            if self._is_lease_era_over():
+                return
         if not self._leaving:
             self.valid_until = max(self.valid_until, requested_at + LEASE_S)
         if not self.announced and self.lease_id:
@@ -162,5 +216,10 @@
             lease_id=self.lease_id,
         )
         result = await self.store.async_commit((), (write,))
+        if self._is_lease_era_over():
+            # The key may be bound to the lease of another process.
+            self.discard_lease("the store came back from a copy")
+            self._key_lost.set()
+            return
         self._announced_revision = result.revision
         self.announced = True
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -75,6 +75,7 @@
         renew_s = EDGE_RENEW_S if self.role is Role.EDGE else RENEW_S
         self.presence = Presence(self.store, member, OWN_PREFIX, renew_s)
         receiver = StoreReceiver(self.view, self.clock, self.crashes)
+        self.presence.count_processes = receiver.count_processes
         self.mirror = Mirror(self.store, receiver, self.clock, self._check_presence)
         self.leader_link = LeaderLink(
             hello=Hello(
@@ -167,8 +168,7 @@
 
     def _check_presence(self) -> None:
         """Announce the process again if the store does not show it."""
-        if not self.is_announced():
-            self.presence.handle_key_lost(self.mirror.revision or NO_REVISION)
+        self.presence.handle_state(self.mirror)
 
 
 def run_process(
--- a/tests/fakes/coordination_store.py
+++ b/tests/fakes/coordination_store.py
@@ -1,7 +1,7 @@
 """An in-memory coordination store in the time of the running event loop."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 from attrs import evolve, frozen
@@ -259,22 +259,18 @@
     def __init__(self, store: FakeCoordinationStore) -> None:
         self.store = store
         self.era = 0
+        self.cut_off = False
 
     async def async_read(self, key: str) -> Item | None:
-        return self._accept(await self.store.async_read(key))
+        return await self._async_call(self.store.async_read(key))
 
     async def async_list(self, prefix: str, *, exact: bool = True) -> Snapshot:
-        return self._accept(await self.store.async_list(prefix, exact=exact))
+        return await self._async_call(self.store.async_list(prefix, exact=exact))
 
     async def async_watch(
         self, prefix: str, revision: StoreRevision, wait_s: float
     ) -> Changes:
-        try:
-            changes = await self.store.async_watch(prefix, revision, wait_s)
-        except HistoryLostError:
-            self._accept(None)
-            raise
-        return self._accept(changes)
+        return await self._async_call(self.store.async_watch(prefix, revision, wait_s))
 
     async def async_commit(
         self,
@@ -282,23 +278,33 @@
         writes: tuple[Write, ...],
         deletes: tuple[str, ...] = (),
     ) -> CommitResult:
-        return self._accept(
-            await self.store.async_commit(preconditions, writes, deletes)
-        )
+        for each in preconditions:
+            if each.revision != NO_REVISION and each.revision.era < self.era:
+                return CommitResult(committed=False, revision=NO_REVISION)
+        call = self.store.async_commit(preconditions, writes, deletes)
+        return await self._async_call(call)
 
     async def async_grant_lease(self, ttl_s: float) -> int:
-        return self._accept(await self.store.async_grant_lease(ttl_s))
+        return await self._async_call(self.store.async_grant_lease(ttl_s))
 
     async def async_renew_lease(self, lease_id: int) -> None:
-        self._accept(await self.store.async_renew_lease(lease_id))
+        await self._async_call(self.store.async_renew_lease(lease_id))
 
     async def async_end_lease(self, lease_id: int) -> None:
-        self._accept(await self.store.async_end_lease(lease_id))
+        await self._async_call(self.store.async_end_lease(lease_id))
 
     def close(self) -> None:
         """Do nothing; there are no connections."""
 
-    def _accept(self, result: ResultT) -> ResultT:
-        """Learn the era of a response."""
+    async def _async_call(self, call: Awaitable[ResultT]) -> ResultT:
+        """Make a call, and learn the era of its response unless there is none."""
+        if self.cut_off:
+            await asyncio.sleep(RESPONSE_S)
+            raise StoreUnavailableError("cut off")
+        try:
+            result = await call
+        except (HistoryLostError, LeaseEndedError):
+            self.era = max(self.era, self.store.current_era)
+            raise
         self.era = max(self.era, self.store.current_era)
         return result
