Keep what a process knows over a restore of the store

What would happen: after the store came back from a copy, a runner that had said that it leaves was open again by its entry in the copy, one that had been removed came back, one that had come since was dropped before it could write again, and so did hosts in address answers. A configuration of the copy was already ignored by running processes, but one that started since took it for the newest.

- Runners that drain are recorded as leaving, which lasts for that start of them, and which schedulers tell every process that connects later.
- Runners that the copy lacks are kept for 2.2 s, as after an outage, and hosts for 3 s and the time in which all announce themselves again.
- A configuration that is newer than that of the copy is retained, and relayed to processes that connect, until the operator's next version replaces it.
Processes of the previous release, which state no era, get no such message.

Not done: a process that starts answers requests by the configuration of the copy until its link to a scheduler is open.

--- a/mangoway/coordination/members.py
+++ b/mangoway/coordination/members.py
@@ -11,6 +11,11 @@
 LEADER_KEY: Final = "scheduler"
 """Key that the leading scheduler holds, without the prefix of the system's keys."""
 
+ANNOUNCEMENTS_PER_S: Final = 100.0
+"""Rate at which all processes together rewrite keys that were lost when the store came
+back from a copy. Each takes two writing calls, and the stores of small fleets allow 400
+of these a second."""
+
 
 class MemberError(Exception):
     """The announcement of a member can't be decoded."""
--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -16,6 +16,7 @@
 from ..util.backoff import Backoff
 from ..util.clock import read_boot_clock
 from ..util.ticks import async_sleep_to_tick
+from .removed_entries import RemovedEntries
 from .store import (
     Change,
     Changes,
@@ -102,6 +103,21 @@
         """Return the number of known processes of the system, including this one."""
         ...
 
+    def record_restore(self) -> None:
+        """Record that the next snapshot is of a store that came back from a copy.
+
+        What it lacks may only have been lost, and is written again soon.
+        """
+        ...
+
+    def may_be_outdated(self, key: str) -> bool:
+        """Return whether an entry of a copy counts only if it was not removed since."""
+        ...
+
+    def is_superseded(self, item: Item, known: Item) -> bool:
+        """Return whether an item of a copy is older than the known one with its key."""
+        ...
+
     def record_outage_end(self, retention_s: float | None = None) -> None:
         """Record the end of an outage during which keys may have expired.
 
@@ -131,6 +147,10 @@
         """Relay changes; if there are none, only the revision of the store."""
         ...
 
+    def relay_retained(self, items: tuple[Item, ...]) -> None:
+        """Relay items that are newer than those of the restored store."""
+        ...
+
 
 @define(eq=False)
 class Mirror:
@@ -160,6 +180,11 @@
     revision: StoreRevision | None = field(default=None, init=False)
     """Revision up to which changes are applied; None before the first snapshot."""
 
+    retained: dict[str, Item] = field(factory=dict, init=False)
+    """Items that the store lost when it came back from a copy, and that are newer than
+    those with which it came back, by key."""
+
+    _removed: RemovedEntries = field(factory=RemovedEntries, init=False)
     _relayed_at: float = field(default=-1e9, init=False)
     """When another process last relayed the state of the store."""
 
@@ -177,6 +202,7 @@
     async def async_run(self) -> None:
         """Follow the store until cancelled."""
         while True:
+            self._release_held()
             if self._can_follow_feed():
                 self._relayed_at = self.clock()
                 await async_sleep_to_tick(FEED_CHECK_S)
@@ -234,14 +260,76 @@
         """
         if self.revision is not None and snapshot.revision <= self.revision:
             return
+        known, is_restored = self.items, self._is_restored(snapshot)
         self.items = {item.key: item for item in snapshot.items}
         self.revision = snapshot.revision
         self.learn_era(snapshot.revision.era)
-        self.receiver.apply_snapshot(snapshot)
+        if is_restored:
+            self._apply_restored(snapshot, known)
+        else:
+            self._record_removed(known)
+            self.receiver.apply_snapshot(snapshot)
         if self.follower is not None:
             self.follower.relay_snapshot(snapshot)
+            if self.retained:
+                self.follower.relay_retained(tuple(self.retained.values()))
         self.on_synced()
 
+    def apply_retained(self, items: tuple[Item, ...]) -> None:
+        """Apply items that another process knows to be newer than the restored ones."""
+        for item in items:
+            known = self.items.get(item.key)
+            if known is None or self.receiver.is_superseded(known, item):
+                self.retained[item.key] = item
+                self._deliver((item,))
+
+    def _is_restored(self, snapshot: Snapshot) -> bool:
+        return self.revision is not None and self.era < snapshot.revision.era
+
+    def _apply_restored(self, snapshot: Snapshot, known: dict[str, Item]) -> None:
+        """Apply the state with which the store came back from a copy.
+
+        Args:
+            snapshot: The state of the store.
+            known: All items before the restore, by key.
+        """
+        soft = [key for key in self.items if self.receiver.may_be_outdated(key)]
+        held = self._removed.hold_back(soft, self.clock())
+        items = tuple(each for each in snapshot.items if each.key not in held)
+        self.retained = {
+            key: item
+            for key, item in {**known, **self.retained}.items()
+            if key in self.items and self.receiver.is_superseded(self.items[key], item)
+        }
+        self.receiver.record_restore()
+        self.receiver.apply_snapshot(Snapshot(items=items, revision=snapshot.revision))
+        log_event(
+            log.StoreRestored(
+                era=snapshot.revision.era,
+                revision=snapshot.revision.number,
+                lost_keys=len(known.keys() - self.items.keys()),
+                held_keys=len(held),
+                retained=tuple(self.retained),
+            )
+        )
+
+    def _record_removed(self, known: dict[str, Item]) -> None:
+        for key in known.keys() - self.items.keys():
+            self._removed.record_removed(key, self.clock())
+
+    def _release_held(self) -> None:
+        """Apply the entries that are no longer held back."""
+        self._deliver(self._removed.release(self.items, self.clock()))
+
+    def _deliver(self, items: tuple[Item, ...]) -> None:
+        """Pass items to the receiver whose revisions are not newer than the known."""
+        if not items or self.revision is None:
+            return
+        changes = tuple(
+            Change(key=each.key, revision=each.revision, item=each) for each in items
+        )
+        self.receiver.apply_changes(Changes(changes=changes, revision=self.revision))
+
     def apply_partial_snapshot(
         self, keys: tuple[str, ...], items: tuple[Item, ...], revision: StoreRevision
     ) -> None:
@@ -281,8 +369,15 @@
     def _store_change(self, change: Change) -> None:
         if change.item is None:
             self.items.pop(change.key, None)
-        else:
-            self.items[change.key] = change.item
+            self._removed.record_removed(change.key, self.clock())
+            return
+        self.items[change.key] = change.item
+        self._removed.record_written(change.key)
+        retained = self.retained.get(change.key)
+        if retained is not None and not self.receiver.is_superseded(
+            change.item, retained
+        ):
+            del self.retained[change.key]
 
     async def _async_step(self) -> None:
         if self.revision is None or self._needs_snapshot or self._is_outdated():
--- a/mangoway/coordination/presence.py
+++ b/mangoway/coordination/presence.py
@@ -12,7 +12,7 @@
 from ..observability.event_log import log_event
 from ..util.backoff import Backoff
 from ..util.clock import read_boot_clock
-from .members import encode_member
+from .members import ANNOUNCEMENTS_PER_S, encode_member
 from .mirror import Mirror
 from .store import (
     NO_REVISION,
@@ -41,11 +41,6 @@
 """Time over which processes spread the rewriting of lost keys. After an outage of the
 store, the keys of all processes may be gone at once."""
 
-ANNOUNCEMENTS_PER_S: Final = 100.0
-"""Rate at which all processes together rewrite keys that were lost when the store came
-back from a copy. Each takes two writing calls, and the stores of small fleets allow 400
-of these a second."""
-
 FIRST_RETRY_S: Final = 0.2
 MAX_RETRY_S: Final = 1.0
 
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -12,6 +12,7 @@
 from ..models.signals import LeavingReport
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from .members import ANNOUNCEMENTS_PER_S
 from .store import StoreRevision
 
 OUTAGE_RETENTION_S: Final = 2.2
@@ -19,6 +20,11 @@
 platform, the entries of running runners are back about 2 s after an outage. A removal
 3 s after an outage must take effect at once, so this must be less."""
 
+MEMBER_RETENTION_S: Final = 3.0
+"""Time for which announcements are kept that the store lost when it came back from a
+copy: the lease of an announcement, since a process may have ended meanwhile. The time
+in which all processes write them again is added."""
+
 FENCES_PER_ERA: Final = 1 << 40
 """More than the revisions of an era: 400 writes a second for 87 years."""
 
@@ -65,6 +71,12 @@
     _leaving: dict[str, int] = field(factory=dict, init=False)
     """Runners that report that they leave, with the start time of that incarnation."""
 
+    _members_kept_until: float = field(default=0.0, init=False)
+    """Time until which members are kept whose announcements the store has lost."""
+
+    _missing_members: set[str] = field(factory=set, init=False)
+    """Keys of members whose announcements are missing and that are kept here."""
+
     _missing: set[str] = field(factory=set, init=False)
     """Runners whose entries were removed from the store and are kept here."""
 
@@ -103,6 +115,23 @@
         """
         self._kept_until = max(self._kept_until, now + retention_s)
 
+    def record_restore(self, now: float) -> None:
+        """Record that the store came back from a copy, without the later writes.
+
+        A runner that drains goes on draining, whatever its entry in the copy says.
+        """
+        self.record_outage_end(now)
+        self._members_kept_until = (
+            now + MEMBER_RETENTION_S + len(self.members) / ANNOUNCEMENTS_PER_S
+        )
+        for entry in self.runners.values():
+            if entry.draining:
+                self.record_leaving(
+                    LeavingReport(
+                        runner_id=entry.runner_id, started_ms=entry.started_ms
+                    )
+                )
+
     def get_retention_s(self, now: float) -> float:
         """Return the remaining seconds for which removed entries are kept."""
         return max(0.0, self._kept_until - now)
@@ -193,6 +222,21 @@
         for runner_id in list(self._missing):
             self._drop_runner(runner_id, "its entry has not come back")
 
+    def expire_missing_members(self, now: float) -> None:
+        """Remove the members whose announcements have not come back in time."""
+        if now < self._members_kept_until:
+            return
+        for key in list(self._missing_members):
+            self.remove_member(key)
+
+    def keep_only_members(self, present: frozenset[str], now: float) -> None:
+        """Remove the members that a snapshot does not contain."""
+        for key in set(self.members) - present:
+            if now < self._members_kept_until:
+                self._missing_members.add(key)
+            else:
+                self.remove_member(key)
+
     def keep_only_runners(self, present: frozenset[str], now: float) -> None:
         """Remove the runners that a snapshot does not contain."""
         for runner_id in set(self.runners) - present:
@@ -200,10 +244,12 @@
 
     def update_member(self, key: str, member: Member) -> None:
         """Add or update a member."""
+        self._missing_members.discard(key)
         self.members[key] = member
 
     def remove_member(self, key: str) -> None:
         """Remove a member."""
+        self._missing_members.discard(key)
         self.members.pop(key, None)
 
     def update_leader(self, leader: Leader | None) -> None:
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -160,6 +160,7 @@
             if late_s > MIN_LOGGED_PAUSE_S:
                 log_event(log.ProcessPaused(seconds=round(late_s, 3)))
             self.view.expire_missing(self.clock())
+            self.view.expire_missing_members(self.clock())
 
     def is_announced(self) -> bool:
         """Return whether the store shows this incarnation of the process."""
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -540,3 +540,19 @@
     revision: int
     known_era: int
     known_revision: int
+
+
+@numbered(762, LogLevel.WARNING)
+class StoreRestored:
+    """The state of a store that came back from a copy is in use."""
+
+    era: int
+    revision: int
+    lost_keys: int
+    """Known keys that the store no longer has."""
+
+    held_keys: int
+    """Keys that it has again, and that are not used until they are written again."""
+
+    retained: tuple[str, ...]
+    """Keys whose known values are newer and stay in use."""
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -57,8 +57,7 @@
             if key.startswith(RUNNER_PREFIX)
         )
         self.view.keep_only_runners(runners, now)
-        for key in set(self.view.members) - keys:
-            self.view.remove_member(key)
+        self.view.keep_only_members(keys, now)
         if OWN_LEADER_KEY not in keys:
             self.view.update_leader(None)
         for key in self._statements - keys:
@@ -89,6 +88,29 @@
         """Return the number of known processes of the system, including this one."""
         return max(1, len(self.view.members))
 
+    def record_restore(self) -> None:
+        """Record that the next snapshot is of a store that came back from a copy."""
+        self.view.record_restore(self.clock())
+
+    def may_be_outdated(self, key: str) -> bool:
+        """Return whether an entry of a copy counts only if it was not removed since.
+
+        The leader's key counts, since the store decides who may take it.
+        """
+        return key.startswith((RUNNER_PREFIX, OWN_MEMBER_KEYS))
+
+    def is_superseded(self, item: Item, known: Item) -> bool:
+        """Return whether a restored configuration is older than the known one."""
+        if item.key != CONFIGURATION_KEY:
+            return False
+        try:
+            return (
+                decode_configuration(item.value).version
+                < decode_configuration(known.value).version
+            )
+        except DocumentError:
+            return False
+
     def record_outage_end(self, retention_s: float | None = None) -> None:
         """Record that the store is available again after an outage.
 
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -40,6 +40,7 @@
     Hello,
     Message,
     RelayedStatement,
+    RetainedItems,
     StoreChanges,
     StoreSnapshot,
 )
@@ -178,6 +179,7 @@
         data_centre=fields[3],
         requests_grants=fields[4],
         revision=StoreRevision(_get_era(fields, 6), fields[5]),
+        states_era=len(fields) > 6,
     )
 
 
@@ -281,6 +283,20 @@
     )
 
 
+@encodes(RetainedItems)
+def _encode_retained(message: RetainedItems) -> list[Any]:
+    return [
+        "retained",
+        [[each.revision.era, *_encode_item(each)] for each in message.items],
+    ]
+
+
+@decodes("retained")
+def _decode_retained(fields: list[Any], edge: str) -> Message:
+    items = tuple(_decode_item(row[1:], row[0]) for row in fields[1])
+    return RetainedItems(items=items)
+
+
 def _get_era(fields: list[Any], index: int) -> int:
     """Return the era of a message; 0 if it states none."""
     return int(fields[index]) if len(fields) > index else 0
--- a/mangoway/scheduling/leader_link.py
+++ b/mangoway/scheduling/leader_link.py
@@ -23,6 +23,7 @@
     Hello,
     Message,
     RelayedStatement,
+    RetainedItems,
     StoreChanges,
     StoreSnapshot,
 )
@@ -286,6 +287,9 @@
                 self.on_leading(link)
         elif isinstance(message, StoreSnapshot | StoreChanges):
             self._handle_state(message)
+        elif isinstance(message, RetainedItems):
+            if self.mirror is not None:
+                self.mirror.apply_retained(message.items)
         elif isinstance(message, ClockResponse):
             if self._remote_clock is not None:
                 self._remote_clock.handle_response(message)
--- a/mangoway/scheduling/messages.py
+++ b/mangoway/scheduling/messages.py
@@ -35,6 +35,9 @@
     """Store revision up to which it has the keys. Processes of the previous release
     state no era in their messages, which counts as era 0."""
 
+    states_era: bool = True
+    """Whether it states its era, and so reads retained items."""
+
 
 @frozen(kw_only=True)
 class Heartbeat:
@@ -93,6 +96,16 @@
     retention_s: float
 
 
+@frozen(kw_only=True)
+class RetainedItems:
+    """Items that are newer than those with which the store came back from a copy.
+
+    Only sent to processes that state their era.
+    """
+
+    items: tuple[Item, ...]
+
+
 @frozen(kw_only=True)
 class RelayedStatement:
     """A crash statement, relayed while its author can't write it to the store."""
@@ -109,6 +122,7 @@
     | RelayedStatement
     | StoreSnapshot
     | StoreChanges
+    | RetainedItems
     | GrantRequest
     | RequestAdopted
     | FirstEventSeen
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -278,7 +278,7 @@
         # The heartbeat is sent at once and the snapshot in its turn, because a follower
         # without a timely heartbeat disconnects and connects again.
         link.send_frame(encode_frame([self._make_heartbeat()]))
-        self.feed.add(link, hello.revision)
+        self.feed.add(link, hello.revision, reads_retained=hello.states_era)
         for leaving in self.list_leaving():
             link.send(leaving)
         for report in self.core.state.limits.list_reports(self.clock()):
--- a/mangoway/scheduling/store_feed.py
+++ b/mangoway/scheduling/store_feed.py
@@ -12,12 +12,13 @@
     NO_REVISION,
     Change,
     Changes,
+    Item,
     Snapshot,
     StoreRevision,
 )
 from .codec import encode_frame
 from .link import Link
-from .messages import Message, StoreChanges, StoreSnapshot
+from .messages import Message, RetainedItems, StoreChanges, StoreSnapshot
 
 RELAY_INTERVAL_S: Final = 0.1
 """Time for which changes of the store are collected into one message. Each message
@@ -58,6 +59,9 @@
     _links: dict[Link, None] = field(factory=dict, init=False)
     """Followers that have received a snapshot, in the order in which they got it."""
 
+    _reading_retained: set[Link] = field(factory=set, init=False)
+    """Followers that read retained items."""
+
     _waiting: deque[tuple[Link, StoreRevision]] = field(factory=deque, init=False)
     """Followers that wait for a snapshot, with the revision that each has already."""
 
@@ -81,13 +85,18 @@
     _snapshot_at: float = field(default=-1e9, init=False)
     _relay_timer: asyncio.TimerHandle | None = field(default=None, init=False)
 
-    def add(self, link: Link, known_revision: StoreRevision) -> None:
+    def add(
+        self, link: Link, known_revision: StoreRevision, *, reads_retained: bool = False
+    ) -> None:
         """Add a follower, which is sent the state that it lacks in its turn.
 
         Args:
             link: The link to it.
             known_revision: Store revision that it has already.
+            reads_retained: Whether it reads retained items.
         """
+        if reads_retained:
+            self._reading_retained.add(link)
         self._waiting.append((link, known_revision))
         if self._next_turn is None:
             self._next_turn = asyncio.get_running_loop().call_soon(self._serve_next)
@@ -95,6 +104,7 @@
     def remove(self, link: Link) -> None:
         """Remove a follower whose link is lost."""
         self._links.pop(link, None)
+        self._reading_retained.discard(link)
 
     def stop(self) -> None:
         """Stop relaying."""
@@ -116,6 +126,11 @@
         self._recent_after_revision = snapshot.revision
         self._send_to_all(self._make_snapshot(snapshot, NO_REVISION))
 
+    def relay_retained(self, items: tuple[Item, ...]) -> None:
+        """Relay items that are newer than those of the restored store."""
+        for link in tuple(self._links):
+            self._send_retained(link, items)
+
     def relay_changes(self, changes: Changes) -> None:
         """Relay changes of the store soon, together with those of the meantime."""
         self._record_recent(changes)
@@ -164,11 +179,16 @@
                 continue
             if snapshot is not None:
                 self._send_state(link, snapshot, known_revision)
+                self._send_retained(link, tuple(self.mirror.retained.values()))
             self._links[link] = None
             break
         if self._waiting:
             self._next_turn = asyncio.get_running_loop().call_soon(self._serve_next)
 
+    def _send_retained(self, link: Link, items: tuple[Item, ...]) -> None:
+        if items and link in self._reading_retained:
+            link.send(RetainedItems(items=items))
+
     def _send_state(
         self, link: Link, snapshot: Snapshot, known_revision: StoreRevision
     ) -> None:
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -40,6 +40,15 @@
     def count_processes(self) -> int:
         return self.processes
 
+    def record_restore(self) -> None:
+        """Ignore the call."""
+
+    def may_be_outdated(self, key: str) -> bool:
+        return False
+
+    def is_superseded(self, item: Item, known: Item) -> bool:
+        return False
+
     def record_outage_end(self, retention_s: float | None = None) -> None:
         self.outages += 1
 
@@ -70,6 +79,9 @@
     def relay_changes(self, changes: Changes) -> None:
         self.mirror.apply_changes(changes)
 
+    def relay_retained(self, items: tuple[Item, ...]) -> None:
+        self.mirror.apply_retained(items)
+
 
 def start(mirror: Mirror) -> "asyncio.Task[None]":
     return asyncio.get_running_loop().create_task(mirror.async_run())
--- a/tests/coordination/test_mirror_age.py
+++ b/tests/coordination/test_mirror_age.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from mangoway.coordination.mirror import Mirror
-from mangoway.coordination.store import Change, Changes, Snapshot
+from mangoway.coordination.store import Change, Changes, Item, Snapshot
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
 from ..fakes.polling import async_wait_until
@@ -24,6 +24,15 @@
     def count_processes(self) -> int:
         return 1
 
+    def record_restore(self) -> None:
+        """Ignore the call."""
+
+    def may_be_outdated(self, key: str) -> bool:
+        return False
+
+    def is_superseded(self, item: Item, known: Item) -> bool:
+        return False
+
     def record_outage_end(self, retention_s: float | None = None) -> None:
         """Ignore the call."""
 
--- a/tests/fakes/process.py
+++ b/tests/fakes/process.py
@@ -5,6 +5,7 @@
 from mangoway.coordination.mirror import Mirror
 from mangoway.coordination.presence import Presence
 from mangoway.coordination.view import FleetView
+from mangoway.daemons.fleet_process import EXPIRE_PERIOD_S
 from mangoway.models.fleet import Member, Role
 from mangoway.platform.documents import OWN_PREFIX
 from mangoway.platform.receiver import StoreReceiver
@@ -40,8 +41,15 @@
         self.tasks = [
             loop.create_task(self.mirror.async_run()),
             loop.create_task(self.presence.async_run()),
+            loop.create_task(self._async_expire()),
         ]
 
+    async def _async_expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_PERIOD_S)
+            self.view.expire_missing(self.mirror.clock())
+            self.view.expire_missing_members(self.mirror.clock())
+
     def kill(self) -> None:
         """End the process without a planned stop."""
         for task in self.tasks:
--- a/tests/scheduling/test_client.py
+++ b/tests/scheduling/test_client.py
@@ -60,6 +60,15 @@
     def count_processes(self) -> int:
         return 1
 
+    def record_restore(self) -> None:
+        """Ignore the call."""
+
+    def may_be_outdated(self, key: str) -> bool:
+        return False
+
+    def is_superseded(self, item: Item, known: Item) -> bool:
+        return False
+
     def record_outage_end(self, retention_s: float | None = None) -> None:
         """Do nothing."""
 
--- a/tests/scheduling/test_store_eras.py
+++ b/tests/scheduling/test_store_eras.py
@@ -4,6 +4,7 @@
 
 import orjson
 import pytest
+from attrs import evolve
 
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 from mangoway.scheduling.codec import LENGTH, UNCOMPRESSED, decode_payload, encode_frame
@@ -11,6 +12,7 @@
     Heartbeat,
     Hello,
     Message,
+    RetainedItems,
     StoreChanges,
     StoreSnapshot,
 )
@@ -146,6 +148,33 @@
         assert [each.revision for each in states] == [RESTORED.revision]
 
 
+class TestRetainedItems:
+    """Items that are newer than those of the restored store."""
+
+    @pytest.mark.parametrize("states_era", [True, False])
+    async def test_new_follower_receives_them_if_it_states_its_era(
+        self, states_era: bool
+    ) -> None:
+        """The previous release closes the link at a message of an unknown kind."""
+        scheduler = Scheduler()
+        item = Item(key="c", value=b"newer", revision=at(9))
+        scheduler.mirror.retained = {"c": item}
+        link = FakeLink()
+        hello = evolve(make_hello(3, era=1), states_era=states_era)
+        scheduler.server._handle_message(link, hello)
+        await asyncio.sleep(0.05)
+        received = [each for each in link.read() if isinstance(each, RetainedItems)]
+        assert received == ([RetainedItems(items=(item,))] if states_era else [])
+
+    async def test_they_are_encoded_with_their_eras(self) -> None:
+        items = (
+            Item(key="c", value=b"1", revision=at(9, era=1)),
+            Item(key="d", value=b"\xff", revision=at(3, era=2), lease_id=4),
+        )
+        frame = encode_frame([RetainedItems(items=items)])
+        assert decode_payload(frame[LENGTH.size :], "") == [RetainedItems(items=items)]
+
+
 class TestPreviousRelease:
     """Messages of a process that states no era, and those that it receives."""
 
@@ -160,6 +189,7 @@
                     data_centre="dc1",
                     requests_grants=True,
                     revision=at(7),
+                    states_era=False,
                 ),
             ),
             (
