Write lost crash statements again after a restore of the store

What would happen: charges, blocks and clearances that were written after the copy was taken are gone, so that every process withdrew them and requests that make runners crash ran again, three crashes each; a clearance that was lost blocked an innocent request again, and so did a block that had been removed and was in the copy.

Running processes now keep the statements that the copy lacks.

What is left: a statement that was acknowledged and not yet read by any process when the store went away.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -114,6 +114,10 @@
         """Return whether an entry of a copy counts only if it was not removed since."""
         ...
 
+    def must_be_rewritten(self, key: str) -> bool:
+        """Return whether this system writes an item again that the store has lost."""
+        ...
+
     def is_superseded(self, item: Item, known: Item) -> bool:
         """Return whether an item of a copy is older than the known one with its key."""
         ...
@@ -184,6 +188,10 @@
     """Items that the store lost when it came back from a copy, and that are newer than
     those with which it came back, by key."""
 
+    lost: dict[str, Item] = field(factory=dict, init=False)
+    """Items of this system that the store lost when it came back from a copy, by key.
+    The leader writes them again."""
+
     _removed: RemovedEntries = field(factory=RemovedEntries, init=False)
     _relayed_at: float = field(default=-1e9, init=False)
     """When another process last relayed the state of the store."""
@@ -234,6 +242,10 @@
         """
         self.store.era = max(self.store.era, era)
 
+    def list_held(self) -> frozenset[str]:
+        """Return the keys of the copy that had been removed before the restore."""
+        return self._removed.held
+
     def measure_age(self) -> float:
         """Return for how many seconds the store may have changed unnoticed."""
         return self.boot_clock() - self.known_at
@@ -301,6 +313,11 @@
             for key, item in {**known, **self.retained}.items()
             if key in self.items and self.receiver.is_superseded(self.items[key], item)
         }
+        self.lost = {
+            key: item
+            for key, item in {**known, **self.lost}.items()
+            if self.receiver.must_be_rewritten(key) and self._lacks(item)
+        }
         self.receiver.record_restore()
         self.receiver.apply_snapshot(Snapshot(items=items, revision=snapshot.revision))
         log_event(
@@ -309,10 +326,16 @@
                 revision=snapshot.revision.number,
                 lost_keys=len(known.keys() - self.items.keys()),
                 held_keys=len(held),
+                rewritten_keys=len(self.lost),
                 retained=tuple(self.retained),
             )
         )
 
+    def _lacks(self, item: Item) -> bool:
+        """Return whether the store lacks an item or has another value for its key."""
+        stored = self.items.get(item.key)
+        return stored is None or stored.value != item.value
+
     def _record_removed(self, known: dict[str, Item]) -> None:
         for key in known.keys() - self.items.keys():
             self._removed.record_removed(key, self.clock())
@@ -367,6 +390,7 @@
         self.on_synced()
 
     def _store_change(self, change: Change) -> None:
+        self.lost.pop(change.key, None)
         if change.item is None:
             self.items.pop(change.key, None)
             self._removed.record_removed(change.key, self.clock())
--- a/mangoway/coordination/statement_maintainer.py
+++ b/mangoway/coordination/statement_maintainer.py
@@ -82,7 +82,13 @@
             await self.async_check()
 
     async def async_check(self) -> None:
-        """Write missing block statements, and otherwise remove outdated statements."""
+        """Write missing block statements, and otherwise remove outdated statements.
+
+        If the store came back from a copy, first write the statements again that it
+        lost, and remove those again that had been removed.
+        """
+        if self.may_write() and await self._async_repair():
+            return
         if self.tracker.is_empty:
             # The tracker contains all statements in the store. Mostly there are none.
             self._first_seen_at.clear()
@@ -97,12 +103,31 @@
         removed = (
             () if writes else tuple(self._list_outdated(keys, now)[:MAX_KEYS_PER_CALL])
         )
-        if not writes and not removed:
-            return
+        if writes or removed:
+            keys_to_remove = tuple(self.prefix + each for each in removed)
+            await self._async_commit(writes, keys_to_remove)
+
+    async def _async_repair(self) -> bool:
+        """Undo what a restore of the store did to the statements, one batch a call.
+
+        Returns:
+            Whether there was anything to undo.
+        """
+        kinds = tuple(self.prefix + each for each in STATEMENT_KEYS)
+        lost = list(self.mirror.lost.values())[:MAX_KEYS_PER_CALL]
+        held = [each for each in self.mirror.list_held() if each.startswith(kinds)]
+        removed = tuple(sorted(held)[:MAX_KEYS_PER_CALL])
+        if not lost and not removed:
+            return False
+        writes = tuple(Write(key=each.key, value=each.value) for each in lost)
+        await self._async_commit(writes, removed)
+        return True
+
+    async def _async_commit(
+        self, writes: tuple[Write, ...], removed: tuple[str, ...]
+    ) -> None:
         try:
-            await self.store.async_commit(
-                (), writes, tuple(self.prefix + each for each in removed)
-            )
+            await self.store.async_commit((), writes, removed)
         except StoreUnavailableError as error:
             log_event(log.StatementsKept(reason=str(error)))
 
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -554,5 +554,8 @@
     held_keys: int
     """Keys that it has again, and that are not used until they are written again."""
 
+    rewritten_keys: int
+    """Keys that the leader writes again."""
+
     retained: tuple[str, ...]
     """Keys whose known values are newer and stay in use."""
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -38,6 +38,9 @@
     _statements: set[str] = field(factory=set, init=False)
     """Keys of the crash statements in the store."""
 
+    _is_restoring: bool = field(default=False, init=False)
+    """Whether the next snapshot is of a store that came back from a copy."""
+
     _failure_counts: dict[str, int] = field(factory=dict, init=False)
     """Number of consecutive failures to decode a value, by key."""
 
@@ -60,6 +63,10 @@
         self.view.keep_only_members(keys, now)
         if OWN_LEADER_KEY not in keys:
             self.view.update_leader(None)
+        if self._is_restoring:
+            # The leader writes the missing statements again.
+            self._is_restoring = False
+            return
         for key in self._statements - keys:
             self._withdraw_statement(key)
 
@@ -90,14 +97,23 @@
 
     def record_restore(self) -> None:
         """Record that the next snapshot is of a store that came back from a copy."""
+        self._is_restoring = True
         self.view.record_restore(self.clock())
 
+    def must_be_rewritten(self, key: str) -> bool:
+        """Return whether this system writes an item again that the store has lost.
+
+        These are the crash statements: announcements and the leader's key are bound to
+        leases, and all others belong to the operator and the runners.
+        """
+        return key.startswith(OWN_STATEMENT_KEYS)
+
     def may_be_outdated(self, key: str) -> bool:
         """Return whether an entry of a copy counts only if it was not removed since.
 
         The leader's key counts, since the store decides who may take it.
         """
-        return key.startswith((RUNNER_PREFIX, OWN_MEMBER_KEYS))
+        return key.startswith((RUNNER_PREFIX, OWN_MEMBER_KEYS, *OWN_STATEMENT_KEYS))
 
     def is_superseded(self, item: Item, known: Item) -> bool:
         """Return whether a restored configuration is older than the known one."""
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -46,6 +46,9 @@
     def may_be_outdated(self, key: str) -> bool:
         return False
 
+    def must_be_rewritten(self, key: str) -> bool:
+        return False
+
     def is_superseded(self, item: Item, known: Item) -> bool:
         return False
 
