--- a/tests/fakes/coordination_store.py
+++ b/tests/fakes/coordination_store.py
@@ -1,8 +1,8 @@
 """An in-memory coordination store in the time of the running event loop."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
 
 from attrs import evolve, frozen
 
@@ -296,9 +296,10 @@
     def close(self) -> None:
         """Do nothing; there are no connections."""
 
-    async def _async_call(self, call: Awaitable[ResultT]) -> ResultT:
+    async def _async_call(self, call: Coroutine[Any, Any, ResultT]) -> ResultT:
         """Make a call, and learn the era of its response unless there is none."""
         if self.cut_off:
+            call.close()
             await asyncio.sleep(RESPONSE_S)
             raise StoreUnavailableError("cut off")
         try:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,6 +29,12 @@
         "--crashing", type=int, help="number of requests that crash their runners"
     )
     parser.add_argument("--edges", type=int, default=EDGES, help="number of edges")
+    parser.add_argument(
+        "--restoring",
+        action="store_true",
+        default=None,
+        help="restore the store from copies in each seed",
+    )
     parser.add_argument("--folder", type=Path, help="folder for the logs")
     options = parser.parse_args()
     seeds = options.seed or [
@@ -43,6 +49,7 @@
             options.fault_s,
             options.crashing,
             options.edges,
+            options.restoring,
         )
     )
     failed = [each.seed for each in results if each.violations]
@@ -57,6 +64,7 @@
     fault_s: float,
     crashing: int | None = None,
     edges: int = EDGES,
+    restoring: bool | None = None,
 ) -> list[Result]:
     """Run one soak for each seed, at most `at_once` at a time."""
     slots = asyncio.Semaphore(at_once)
@@ -65,7 +73,7 @@
         async with slots:
             logs = folder / str(seed)
             logs.mkdir(parents=True, exist_ok=True)
-            result = await async_soak(seed, logs, fault_s, crashing, edges)
+            result = await async_soak(seed, logs, fault_s, crashing, edges, restoring)
             print_result(result)
             return result
 
@@ -79,6 +87,7 @@
         f"seed {result.seed}: {verdict}, {result.served} of {result.calls} served; "
         f"{result.crashes} crashes by requests, "
         f"{result.wrongly_blocked} other requests blocked; "
+        f"{result.restores} restores of the store; "
         f"{', '.join(result.faults)}",
         flush=True,
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
@@ -13,12 +14,16 @@
 from .records import Span
 from .runners import RunnerStandIn
 from .signals import DRAIN_S, LIMIT_SLACK, LIMIT_WINDOW_S
-from .store import StoreFault
+from .store import StoreCopy, StoreFault
 from .world import MODELS, Node, World
 
 REJECTING_SHARE = 0.6
 """Share of the periods in which runners reject requests rather than fail them."""
 
+MAX_COPIES = 12
+COPY_INTERVAL_S = 0.5
+"""Copies of the store that are kept, and the time between two of them."""
+
 START_S = 3.0
 """Time in which a process starts on a busy host."""
 
@@ -238,6 +243,38 @@
         _end(span)
 
 
+async def async_restore_periodically(
+    world: World, random: Random, stopping: asyncio.Event
+) -> None:
+    """Let the store come back from copies that are some seconds old.
+
+    Sometimes it comes back twice in a row. Once `stopping` is set, returns after the
+    current restore.
+    """
+    copies: deque[StoreCopy] = deque(maxlen=MAX_COPIES)
+    while not stopping.is_set():
+        pause_end = time.monotonic() + random.uniform(1.0, 5.0)
+        while time.monotonic() < pause_end:
+            copies.append(world.store.copy())
+            await asyncio.sleep(COPY_INTERVAL_S)
+        span = world.records.begin("restore of the store")
+        for _ in range(random.choice((1, 1, 1, 2))):
+            await _async_restore(world, random, random.choice(copies))
+        _end(span)
+
+
+async def _async_restore(world: World, random: Random, copy: StoreCopy) -> None:
+    """Let the store be away for a moment, and come back from a copy."""
+    previous_fault = world.store.fault
+    world.store.fault = random.choice((StoreFault.REJECTING, StoreFault.SILENT))
+    await asyncio.sleep(random.uniform(0.05, 2.5))
+    lost = world.store.restore(copy)
+    world.records.restores += 1
+    world.store.fault = previous_fault
+    await asyncio.sleep(random.uniform(0.05, 1.5))
+    world.store.write_again(lost)
+
+
 async def async_signal_periodically(
     world: World, random: Random, stopping: asyncio.Event
 ) -> None:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -35,6 +35,9 @@
 """Time from the third crash within which all processes must block the request."""
 
 
+FENCE_REJECTIONS_ALLOWED = 3
+"""Orders with a low fence number that runners may reject while there is no fault."""
+
 RETRY_RATIO = 0.2
 RETRY_SLACK = 12
 RETRY_WINDOW_S = 4.0
@@ -163,6 +166,12 @@
     accepted: dict[int, float] = field(factory=dict, init=False)
     """Time at which the store accepted a version of the configuration."""
 
+    restores: int = field(default=0, init=False)
+    """Number of times that the store came back from a copy."""
+
+    fence_rejections: list[float] = field(factory=list, init=False)
+    """Times at which runners rejected orders with a fence number that was too low."""
+
     crashes: dict[str, list[float]] = field(factory=dict, init=False)
     """Times of the crashes, by the request that caused them."""
 
@@ -284,6 +293,7 @@
                     f"{len(crashes)} runners crashed"
                 )
         violations += self.signals.check()
+        violations += self._check_fences()
         unknown = set(self.runs) - set(self.calls)
         violations += [f"unasked: {each} ran but no caller sent it" for each in unknown]
         return violations
@@ -328,6 +338,15 @@
         # One period of many retries violates the budget in many windows.
         return violations[:1]
 
+    def _check_fences(self) -> list[str]:
+        """Check that no scheduler keeps sending orders that runners must reject."""
+        rejected = sum(
+            self.has_no_fault(at - FAULT_FREE_S, at) for at in self.fence_rejections
+        )
+        if rejected <= FENCE_REJECTIONS_ALLOWED:
+            return []
+        return [f"fence: runners rejected {rejected} orders without a fault"]
+
     def _check_call(self, call: Call) -> list[str]:
         runs = self.runs.get(call.request_id, [])
         name = f"{call.kind.value} {call.request_id}"
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -171,6 +171,7 @@
             return 421
         fence, holder = int(order["fence"]), str(order["holder"])
         if fence < self._fence[0]:
+            self.records.fence_rejections.append(time.monotonic())
             return 412
         if fence == self._fence[0] and holder != self._fence[1]:
             self.records.violations.append(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
     FAULTS,
     PLANNED,
     async_reject_periodically,
+    async_restore_periodically,
     async_signal_periodically,
 )
 from .records import Kind, Records
@@ -54,6 +55,11 @@
 """Remainder, by `SIGNALLING_DIVISOR`, of the seeds with runners that send signals."""
 
 
+RESTORING_DIVISOR: Final = 5
+RESTORING_REMAINDER: Final = 1
+"""Remainder, by `RESTORING_DIVISOR`, of the seeds with restores of the store."""
+
+
 @define(eq=False)
 class Result:
     """Result of a soak."""
@@ -68,12 +74,15 @@
     wrongly_blocked: int = 0
     """Harmless requests that were rejected as if they had caused crashes."""
 
+    restores: int = 0
+    """Number of times that the store came back from a copy."""
+
     violations: list[str] = field(factory=list)
 
 
 @define(eq=False)
 class Periods:
-    """Periods in which runners reject, fail or send signals, apart from the faults.
+    """Periods of rejections, failures, signals and restores, apart from the faults.
 
     Unlike faults they go on during the recovery.
     """
@@ -107,6 +116,7 @@
     fault_s: float = FAULT_S,
     crashing: int | None = None,
     edges: int = EDGES,
+    restoring: bool | None = None,
 ) -> Result:
     """Run one soak.
 
@@ -116,6 +126,7 @@
         fault_s: Time in which faults start, in seconds.
         crashing: Number of requests that crash runners; None: derived from the seed.
         edges: Number of edges.
+        restoring: Whether the store is restored; None: derived from the seed.
     """
     result = Result(seed)
     if crashing is None:
@@ -131,6 +142,10 @@
             periods.start(world, async_reject_periodically)
         if seed % SIGNALLING_DIVISOR == SIGNALLING_REMAINDER:
             periods.start(world, async_signal_periodically)
+        if restoring is None:
+            restoring = seed % RESTORING_DIVISOR == RESTORING_REMAINDER
+        if restoring:
+            periods.start(world, async_restore_periodically)
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result, periods)
@@ -138,6 +153,7 @@
             await world.async_stop()
     result.calls = len(world.records.calls)
     result.served = sum(1 for each in world.records.calls.values() if each.whole)
+    result.restores = world.records.restores
     result.crashes = sum(len(each) for each in world.records.crashes.values())
     result.wrongly_blocked = world.records.count_wrongly_blocked()
     result.violations += world.records.check()
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -15,6 +15,9 @@
 """Longest wait of a watch for a change, and delay of each call to a silent store."""
 
 ERA_HEADER: Final = "Store-Era"
+OWN_PREFIX: Final = "mangoway/"
+"""Prefix of the keys that the system writes."""
+
 SLOW_S = 0.2
 """Delay of each call to a slow store."""
 
@@ -68,6 +71,19 @@
     taken_at: float
 
 
+@frozen(kw_only=True)
+class LostWrites:
+    """Writes of the operator and the runners that a restore has undone."""
+
+    items: dict[str, StoredItem]
+    """Their items before the restore."""
+
+    removed_keys: frozenset[str]
+    """Their keys that had been removed, and that are in the copy."""
+
+    copied_revision: int
+
+
 @define(eq=False)
 class StoreStandIn:
     """Keys, leases and watches in memory, served over HTTP."""
@@ -137,12 +153,33 @@
             taken_at=self.clock(),
         )
 
-    def restore(self, copy: StoreCopy) -> None:
+    def restore(self, copy: StoreCopy) -> LostWrites:
         """Come back from a copy: later writes and leases are gone.
 
         Revisions and lease IDs since the copy are given out again. The leases of the
         copy have as much time left as when it was taken.
+
+        Returns:
+            The writes that the operator and the runners make again.
         """
+        foreign = {
+            key: item
+            for key, item in self.items.items()
+            if not key.startswith(OWN_PREFIX)
+        }
+        lost = LostWrites(
+            items={
+                key: item
+                for key, item in foreign.items()
+                if key not in copy.items or copy.items[key].value != item.value
+            },
+            removed_keys=frozenset(
+                key
+                for key in copy.items
+                if key not in foreign and not key.startswith(OWN_PREFIX)
+            ),
+            copied_revision=copy.revision,
+        )
         self.era += 1
         age_s = self.clock() - copy.taken_at
         self.items = {key: evolve(item) for key, item in copy.items.items()}
@@ -155,6 +192,20 @@
         self._discarded_revision = copy.discarded_revision
         self._changed.set()
         self._changed = asyncio.Event()
+        return lost
+
+    def write_again(self, lost: LostWrites) -> None:
+        """Make lost writes again, unless their keys were written since the restore."""
+        for key, item in lost.items.items():
+            if self._is_unchanged(key, lost):
+                self.write(key, item.value)
+        for key in lost.removed_keys:
+            if self._is_unchanged(key, lost):
+                self.remove(key)
+
+    def _is_unchanged(self, key: str, lost: LostWrites) -> bool:
+        known = self.items.get(key)
+        return known is None or known.revision <= lost.copied_revision
 
     def write(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key, and return the new revision."""
