Let a starting edge hear a scheduler before it uses a restored configuration

What would happen: an edge that starts just after the store came back from a copy answers requests by the configuration of the copy, older than the one that the edge before it used, and lets keys in that were taken away.

Where the store states an era above zero, an edge that starts now waits for the state of a scheduler of that era, 1 s at most, which comes after the configuration that schedulers retain. Until then it answers as without a configuration.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -281,6 +281,7 @@
         else:
             self._record_removed(known)
             self.receiver.apply_snapshot(snapshot)
+            self._deliver(tuple(self.retained.values()))
         if self.follower is not None:
             self.follower.relay_snapshot(snapshot)
             if self.retained:
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -17,6 +17,7 @@
 from ..edge.responses import make_error_response
 from ..edge.retry_budgets import RetryBudgets
 from ..edge.signal_tracker import SignalTracker
+from ..edge.startup import StartupCheck
 from ..http1.client import ConnectionPool
 from ..http1.server import ServerOptions, async_listen
 from ..models.fleet import Role
@@ -94,6 +95,7 @@
     client: SchedulerClient = field(init=False)
     reporter: CrashReporter = field(init=False)
     admission: Admission = field(init=False)
+    startup: StartupCheck = field(init=False)
     retry_budgets: RetryBudgets = field(init=False)
     signal_tracker: SignalTracker = field(init=False)
     disconnected_share: DisconnectedShare = field(factory=DisconnectedShare, init=False)
@@ -134,6 +136,11 @@
             measure_age=self.process.mirror.measure_age,
             revoke_s=settings.revoke_ms / MS_PER_S if settings.revoke_closed else None,
         )
+        self.startup = StartupCheck(
+            mirror=self.process.mirror,
+            has_scheduler_state=lambda: self.process.leader_link.has_current_state,
+            clock=self.process.clock,
+        )
         self.forwarder = self._make_forwarder()
         self.callers = ServerOptions(
             handle=self.forwarder.async_handle,
@@ -180,7 +187,7 @@
         """Return whether the edge accepts new callers."""
         if self._stopping or self.process.view.table is None:
             return False
-        return self.admission.is_current()
+        return self.startup.is_done() and self.admission.is_current()
 
     def force(self) -> None:
         """End a stop without waiting for open requests."""
@@ -281,6 +288,7 @@
             crash_filter=crash_filter,
             signal_tracker=self.signal_tracker,
             random=self._random,
+            may_use_configuration=self.startup.is_done,
         )
 
     def _send_statement(self, key: str, value: bytes) -> bool:
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -1,6 +1,7 @@
 """Entry point for requests: finds their routes and services, and handles them."""
 
 import asyncio
+from collections.abc import Callable
 from itertools import count
 from random import Random
 
@@ -57,6 +58,9 @@
     crash_filter: CrashFilter
     signal_tracker: SignalTracker
     random: Random
+    may_use_configuration: Callable[[], bool] = lambda: True
+    """Returns whether the configuration is known to be recent enough."""
+
     request_numbers: "count[int]" = field(factory=count, init=False)
 
     async def async_handle(self, request: Request, exchange: Exchange) -> None:
@@ -66,7 +70,7 @@
         identity = identify_request(request, fields)
         table = self.view.table
         delivery = Delivery(exchange, now)
-        if table is None:
+        if table is None or not self.may_use_configuration():
             request_log = self.make_log(fields, identity, None, delivery)
             _reject(delivery, request_log, NO_CONFIGURATION)
             return
--- a/mangoway/scheduling/leader_link.py
+++ b/mangoway/scheduling/leader_link.py
@@ -142,6 +142,13 @@
         """Return the customers whose quota was exhausted at the last heartbeat."""
         return list(self._exhausted_until)
 
+    @property
+    def has_current_state(self) -> bool:
+        """Return whether the other end has sent its state of the current era."""
+        if self.mirror is None or not self._has_state:
+            return False
+        return self._era >= self.mirror.era
+
     def is_fresh(self) -> bool:
         """Return whether the leader has relayed recent state of the store."""
         link = self.link
@@ -149,7 +156,7 @@
         # then none of them would read the store.
         if link is None or not self.leading or not self._has_state:
             return False
-        if self.mirror is not None and self._era < self.mirror.era:
+        if self.mirror is not None and not self.has_current_state:
             return False
         age_s = self._store_age_s + self.clock() - link.last_received_at
         return age_s < MAX_STORE_AGE_S + self._period_s
--- a/mangoway/scheduling/store_feed.py
+++ b/mangoway/scheduling/store_feed.py
@@ -178,8 +178,9 @@
             if not link.is_open:
                 continue
             if snapshot is not None:
-                self._send_state(link, snapshot, known_revision)
+                # A process that starts uses the state as soon as it is received.
                 self._send_retained(link, tuple(self.mirror.retained.values()))
+                self._send_state(link, snapshot, known_revision)
             self._links[link] = None
             break
         if self._waiting:
--- a/tests/scheduling/test_store_eras.py
+++ b/tests/scheduling/test_store_eras.py
@@ -166,6 +166,16 @@
         received = [each for each in link.read() if isinstance(each, RetainedItems)]
         assert received == ([RetainedItems(items=(item,))] if states_era else [])
 
+    async def test_they_are_sent_before_the_state(self) -> None:
+        """A process that starts uses the state as soon as it has it."""
+        scheduler = Scheduler()
+        scheduler.mirror.retained = {"c": Item(key="c", value=b"1", revision=at(9))}
+        link = FakeLink()
+        scheduler.server._handle_message(link, make_hello(0, era=0))
+        await asyncio.sleep(0.05)
+        kinds = [type(each) for each in link.read()]
+        assert kinds.index(RetainedItems) < kinds.index(StoreSnapshot)
+
     async def test_they_are_encoded_with_their_eras(self) -> None:
         items = (
             Item(key="c", value=b"1", revision=at(9, era=1)),
