Let callers retry what a restored store may not know yet

Seen in the soak ( with restores): callers with a valid key got 401. The configuration with the key had been acknowledged by the store, was lost with the restore before any host had read it, and was written again 0.4 s after the return. Hosts that had just read the restored store counted their state as recent, and so the key as unknown. A path of a lost route would have got 404 in the same way. Callers retry neither.

For 5 s after it first read a restored store of an era, a host now answers an unknown key or path with 503 and a retry time.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final, Protocol
 
@@ -80,6 +81,10 @@
 The leader reads it within 0.6 s. If all hosts read the store themselves after it came
 back from a copy, the largest fleet would exceed its rates."""
 
+REWRITE_S: Final = 5.0
+"""Time after a restore in which the store may lack acknowledged writes. Runners write
+their entries again within about two seconds; the operator may take longer."""
+
 FEED_CHECK_S: Final = 0.1
 """Time between two checks of whether the leader still relays the store."""
 
@@ -192,6 +197,9 @@
     """Items of this system that the store lost when it came back from a copy, by key.
     The leader writes them again."""
 
+    _restored_at: float = field(default=-math.inf, init=False)
+    """When this process first read a restored store of the current era."""
+
     _removed: RemovedEntries = field(factory=RemovedEntries, init=False)
     _relayed_at: float = field(default=-1e9, init=False)
     """When another process last relayed the state of the store."""
@@ -242,6 +250,14 @@
         """
         self.store.era = max(self.store.era, era)
 
+    def may_lack_writes(self) -> bool:
+        """Return whether the store may lack writes that it has acknowledged.
+
+        After it came back from a copy, these are written again. A process that starts
+        does not know how long ago that was.
+        """
+        return self.clock() < self._restored_at + REWRITE_S
+
     def list_held(self) -> frozenset[str]:
         """Return the keys of the copy that had been removed before the restore."""
         return self._removed.held
@@ -272,10 +288,13 @@
         """
         if self.revision is not None and snapshot.revision <= self.revision:
             return
-        known, is_restored = self.items, self._is_restored(snapshot)
+        known, is_first = self.items, self.revision is None
+        is_restored = self._is_restored(snapshot)
         self.items = {item.key: item for item in snapshot.items}
         self.revision = snapshot.revision
         self.learn_era(snapshot.revision.era)
+        if is_restored or (is_first and self.era > 0):
+            self._restored_at = self.clock()
         if is_restored:
             self._apply_restored(snapshot, known)
         else:
--- a/mangoway/edge/admission.py
+++ b/mangoway/edge/admission.py
@@ -93,6 +93,9 @@
     """Time after which a revoked key must be rejected everywhere. If None, hosts that
     are cut off from the store continue to serve."""
 
+    may_lack_writes: Callable[[], bool] = lambda: False
+    """Returns whether the store may lack writes that it has acknowledged."""
+
     def is_current(self) -> bool:
         """Return whether requests that need a key can be served."""
         return self._registry is None or not self._is_state_outdated()
@@ -110,9 +113,7 @@
             None if credential is None else registry.find_by_credential(credential)
         )
         if customer is None and not route.public:
-            return (
-                UNCERTAIN_KEY if self.measure_age() > MAX_CERTAIN_AGE_S else UNKNOWN_KEY
-            )
+            return self._reject_unknown_key()
         return Caller(customer=customer, credential=credential)
 
     def recheck(self, caller: Caller, route: Route) -> Rejection | None:
@@ -123,7 +124,14 @@
         if self._is_state_outdated():
             return OUTDATED_STATE
         customer = registry.find_by_credential(caller.credential)
-        return None if customer is not None else UNKNOWN_KEY
+        return None if customer is not None else self._reject_unknown_key()
+
+    def _reject_unknown_key(self) -> Rejection:
+        """Return the rejection of a key that may be in a newer configuration."""
+        is_uncertain = self.measure_age() > MAX_CERTAIN_AGE_S
+        if is_uncertain or self.may_lack_writes():
+            return UNCERTAIN_KEY
+        return UNKNOWN_KEY
 
     @property
     def _registry(self) -> CustomerRegistry | None:
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -18,6 +18,7 @@
 from ..policy.edge.const import RETRY_AFTER_START_S
 from ..scheduling.grant_provider import GrantProvider
 from .admission import Admission, Rejection
+from .const import RETRY_AFTER_OUTDATED_STATE_S
 from .crash_detector import CrashDetector
 from .crash_filter import CrashFilter
 from .delivery import Delivery
@@ -34,6 +35,11 @@
     reason="no configuration yet",
     retry_after_s=RETRY_AFTER_START_S,
 )
+UNCERTAIN_ROUTE = Rejection(
+    status=STATUS_NOT_RUN,
+    reason="no such route in a configuration that may not be the newest",
+    retry_after_s=RETRY_AFTER_OUTDATED_STATE_S,
+)
 NO_ROUTE = Rejection(status=STATUS_NO_ROUTE, reason="no such route", retry_after_s=None)
 
 
@@ -78,7 +84,9 @@
         route = table.find_route(host, request.path)
         request_log = self.make_log(fields, identity, route, delivery)
         if route is None:
-            _reject(delivery, request_log, NO_ROUTE)
+            is_uncertain = self.admission.may_lack_writes()
+            rejection = UNCERTAIN_ROUTE if is_uncertain else NO_ROUTE
+            _reject(delivery, request_log, rejection)
             return
         caller = self.admission.check(request, route)
         if isinstance(caller, Rejection):
--- a/tests/coordination/test_store_restore.py
+++ b/tests/coordination/test_store_restore.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mangoway.coordination.mirror import Mirror
+from mangoway.coordination.mirror import REWRITE_S, Mirror
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
@@ -146,3 +146,29 @@
         await asyncio.sleep(DETECTION_S)
         task.cancel()
         assert recorder.values == {"b": b"1", "c": b"2"}
+
+
+class TestLostWrites:
+    """Time in which the store may lack writes that it has acknowledged."""
+
+    async def test_it_begins_with_a_restore_and_ends(self) -> None:
+        store = FakeCoordinationStore()
+        mirror = Mirror(store, Recorder(), loop_clock())
+        task = start(mirror)
+        await asyncio.sleep(0.5)
+        assert not mirror.may_lack_writes()
+        store.restore(store.copy())
+        await asyncio.sleep(1.0)
+        assert mirror.may_lack_writes()
+        await asyncio.sleep(REWRITE_S)
+        task.cancel()
+        assert not mirror.may_lack_writes()
+
+    async def test_it_begins_with_a_process_that_starts_after_a_restore(self) -> None:
+        store = FakeCoordinationStore()
+        store.restore(store.copy())
+        mirror = Mirror(store, Recorder(), loop_clock())
+        task = start(mirror)
+        await asyncio.sleep(0.5)
+        task.cancel()
+        assert mirror.may_lack_writes()
--- a/tests/edge/test_admission.py
+++ b/tests/edge/test_admission.py
@@ -103,6 +103,17 @@
         assert "retry-after" not in reply.headers
         assert runner.requests == []
 
+    async def test_unknown_key_may_be_retried_after_a_restore(self) -> None:
+        """The store may have lost the configuration that contains it."""
+        async with RawServer(answer(make_ok())) as runner, start_edge() as edge:
+            edge.forwarder.admission.may_lack_writes = lambda: True
+            configure_keys(edge, KEY)
+            edge.add("r1", runner, "plain")
+            reply = await edge.async_call("/safe/x", headers=OTHER_AUTHORIZATION)
+        assert reply.status == 503
+        assert "retry-after" in reply.headers
+        assert runner.requests == []
+
     async def test_public_route_needs_no_key(self) -> None:
         async with RawServer(answer(make_ok())) as runner, start_edge() as edge:
             configure_keys(edge, KEY)
--- a/tests/edge/test_forwarder.py
+++ b/tests/edge/test_forwarder.py
@@ -194,6 +194,14 @@
         async with start_edge() as edge:
             assert (await edge.async_call("/none/x")).status == 404
 
+    async def test_unknown_path_may_be_retried_after_a_restore(self) -> None:
+        """The store may have lost the configuration that contains its route."""
+        async with start_edge() as edge:
+            edge.forwarder.admission.may_lack_writes = lambda: True
+            reply = await edge.async_call("/none/x")
+        assert reply.status == 503
+        assert "retry-after" in reply.headers
+
     async def test_no_configuration_is_unavailable(self) -> None:
         async with start_edge(routes=()) as edge:
             reply = await edge.async_call("/safe/x")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .soak import async_soak
+from .soak import FAULT_S, async_soak
 
 SHORT_S = 4.0
 SEEDS = (3, 4)
@@ -18,6 +18,11 @@
 """Seeds that failed once, with the causes, which were errors in the checks."""
 
 
+RESTORED_SEED = 17_798_720
+"""A seed that failed once: a host that had read a restored store rejected keys for good
+that the store had lost together with their configuration."""
+
+
 @pytest.mark.process
 class TestSoak:
     """The real programs under external faults."""
@@ -34,3 +39,10 @@
     ) -> None:
         result = await async_soak(seed, tmp_path, SHORT_S)
         assert result.violations == []
+
+    async def test_guarantees_hold_when_the_store_is_restored(
+        self, tmp_path: Path
+    ) -> None:
+        result = await async_soak(RESTORED_SEED, tmp_path, FAULT_S, restoring=True)
+        assert result.violations == []
+        assert result.restores > 0
