Show the store's era, revision and age in metrics, also if another process taught it

An era that was learned over a link was neither logged nor shown. One above the valid range is ignored, so that a faulty process can't make all others drop the store's responses.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -248,7 +248,7 @@
         Args:
             era: Era that the other process knows.
         """
-        self.store.era = max(self.store.era, era)
+        self.store.learn_era(era)
 
     def may_lack_writes(self) -> bool:
         """Return whether the store may lack writes that it has acknowledged.
--- a/mangoway/coordination/store.py
+++ b/mangoway/coordination/store.py
@@ -130,6 +130,10 @@
     """Highest era that is known to this process. Responses of earlier eras are dropped
     with `OutdatedResponseError`."""
 
+    def learn_era(self, era: int) -> None:
+        """Learn of an era, from a response or from another process."""
+        ...
+
     async def async_read(self, key: str) -> Item | None:
         """Read one key."""
         ...
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -159,6 +159,7 @@
             late_s = read_boot_clock() - slept_from - EXPIRE_PERIOD_S
             if late_s > MIN_LOGGED_PAUSE_S:
                 log_event(log.ProcessPaused(seconds=round(late_s, 3)))
+            self.metrics.store_age.set(level=round(self.mirror.measure_age(), 1))
             self.view.expire_missing(self.clock())
             self.view.expire_missing_members(self.clock())
 
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -525,11 +525,11 @@
 
 @numbered(760, LogLevel.WARNING)
 class StoreEraSeen:
-    """The store has a new era: it came back from a copy, without later writes."""
+    """The store is known to have come back from a copy, without the later writes."""
 
     era: int
     previous_era: int
-    """0 if no response has stated an era before."""
+    """0 if no era was known, as in a process that starts."""
 
 
 @numbered(761, LogLevel.INFO)
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -288,6 +288,10 @@
             "mangoway_store_era",
             "Era of the platform's store, which rises when it comes back from a copy.",
         )
+        self.store_age = self._gauge(
+            "mangoway_store_age_seconds",
+            "Time for which changes in the platform's store may be unknown here.",
+        )
         self.store_revision = self._gauge(
             "mangoway_store_revision", "Last revision that a response has stated."
         )
--- a/mangoway/platform/store.py
+++ b/mangoway/platform/store.py
@@ -166,6 +166,16 @@
         if reply.status != 404:
             _require_ok(reply)
 
+    def learn_era(self, era: int) -> None:
+        """Learn of an era, from a response or from another process.
+
+        An era above the valid range is ignored.
+        """
+        if self.era < era <= MAX_ERA:
+            log_event(log.StoreEraSeen(era=era, previous_era=self.era))
+            self.era = era
+            self.metrics.store_era.set(level=era)
+
     def close(self) -> None:
         """Close the connections."""
         self.client.pool.close()
@@ -213,10 +223,7 @@
         """
         if era < self.era:
             raise OutdatedResponseError(era, self.era)
-        if era > self.era:
-            log_event(log.StoreEraSeen(era=era, previous_era=self.era))
-            self.era = era
-            self.metrics.store_era.set(level=era)
+        self.learn_era(era)
 
 
 def decode_era(headers: Headers, default: int) -> int:
--- a/tests/fakes/coordination_store.py
+++ b/tests/fakes/coordination_store.py
@@ -89,6 +89,10 @@
         """Return the current revision."""
         return StoreRevision(self.current_era, self.revision)
 
+    def learn_era(self, era: int) -> None:
+        """Learn of an era, as the client does."""
+        self.era = max(self.era, era)
+
     def copy(self) -> StoreCopy:
         """Return a copy of the current state."""
         return StoreCopy(
@@ -261,6 +265,9 @@
         self.era = 0
         self.cut_off = False
 
+    def learn_era(self, era: int) -> None:
+        self.era = max(self.era, era)
+
     async def async_read(self, key: str) -> Item | None:
         return await self._async_call(self.store.async_read(key))
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -98,6 +98,12 @@
                 await client.async_list("")
             assert client.era == 2
 
+    async def test_invalid_era_of_another_process_is_ignored(self) -> None:
+        async with connect() as (_, client):
+            client.learn_era(MAX_ERA + 1)
+            assert client.era == 0
+            await client.async_list("")
+
     async def test_revision_of_an_earlier_era_meets_no_precondition(self) -> None:
         """The number is given out again, so the precondition could hold by chance."""
         async with connect() as (store, client):
