Guard three cases of a restore that no test would have missed

With these parts of the fixes taken out one by one all tests stayed green: a lease that is later than the one in the copy, a watch from a lost revision beside a relayed state of the new era, and a holder that knows of a later era while the store doesn't answer it. Each has a test now that is red without its part.

--- a/tests/coordination/test_leadership_restore.py
+++ b/tests/coordination/test_leadership_restore.py
@@ -116,6 +116,22 @@
         assert len({(name, fence) for name, fence in orderers}) == len(set(fences))
         assert fences
 
+    async def test_holder_that_knows_of_a_later_era_stops_without_the_store(
+        self,
+    ) -> None:
+        """Another process may hold the restored key."""
+        store = FakeCoordinationStore()
+        client = FakeStoreClient(store)
+        one = Candidate(client, "a", checks_fences=True)
+        await asyncio.sleep(ELECTION_S)
+        client.cut_off = True
+        await asyncio.sleep(ELECTION_S)
+        assert one.leadership.may_order
+        client.learn_era(1)
+        may_order = one.leadership.may_order
+        one.kill()
+        assert not may_order
+
     async def test_holder_whose_key_was_lost_leads_again(self) -> None:
         store = FakeCoordinationStore()
         copy = store.copy()
--- a/tests/coordination/test_presence_restore.py
+++ b/tests/coordination/test_presence_restore.py
@@ -88,6 +88,25 @@
         await store.async_list("")
         assert "other" not in store.items
 
+    async def test_lease_that_is_later_than_the_one_in_the_copy_is_not_trusted(
+        self,
+    ) -> None:
+        """The copy has the key with an earlier lease of the same process."""
+        store = FakeCoordinationStore()
+        process = FakeProcess(store, "a")
+        await asyncio.sleep(1.0)
+        copy = store.copy()
+        process.presence.discard_lease("the test ends it")
+        await asyncio.sleep(RENEW_S + 0.5)
+        lost_lease = process.presence.lease_id
+        store.restore(copy)
+        other = FakeStoreClient(store)
+        assert await other.async_grant_lease(LEASE_S) == lost_lease
+        await asyncio.sleep(ANNOUNCE_SPREAD_S + RENEW_S + 0.5)
+        process.kill()
+        assert process.presence.lease_id != lost_lease
+        assert store.items[process.key].lease_id == process.presence.lease_id
+
     async def test_leader_role_is_not_based_on_a_lost_lease(self) -> None:
         store = FakeCoordinationStore()
         copy = store.copy()
--- a/tests/coordination/test_store_restore.py
+++ b/tests/coordination/test_store_restore.py
@@ -147,6 +147,26 @@
         task.cancel()
         assert recorder.values == {"b": b"1", "c": b"2"}
 
+    @pytest.mark.parametrize("at_s", [0.5, 0.6, 0.7, 0.8])
+    async def test_watch_from_a_lost_revision_is_not_applied_to_a_relayed_state(
+        self, at_s: float
+    ) -> None:
+        """Another process may relay the new era while the watch waits."""
+        store, recorder = FakeCoordinationStore(), Recorder()
+        mirror = Mirror(store, recorder, loop_clock())
+        copy = store.copy()
+        for _ in range(LOST_WRITES):
+            store.put("a", b"lost")
+        task = start(mirror)
+        await asyncio.sleep(at_s)
+        store.restore(copy)
+        mirror.apply_snapshot(Snapshot(items=(), revision=at(0, era=1)))
+        for number in range(2 * LOST_WRITES):
+            store.put(f"key-{number}", b"1")
+        await asyncio.sleep(DETECTION_S)
+        task.cancel()
+        assert len(recorder.values) == 2 * LOST_WRITES
+
 
 class TestLostWrites:
     """Time in which the store may lack writes that it has acknowledged."""
