--- a/tests/coordination/test_store_restore.py
+++ b/tests/coordination/test_store_restore.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from mangoway.coordination.mirror import REWRITE_S, Mirror
+from mangoway.coordination.mirror import NEW_ERA_WAIT_S, REWRITE_S, Mirror
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
 from ..fakes.revisions import at
-from .test_mirror import Recorder, start
+from .test_mirror import Recorder, StubFeed, start
 
 pytestmark = pytest.mark.looptime
 
@@ -167,6 +167,22 @@
         task.cancel()
         assert len(recorder.values) == 2 * LOST_WRITES
 
+    async def test_process_reads_the_store_if_its_leader_does_not_relay_the_new_era(
+        self,
+    ) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        mirror = Mirror(store, recorder, loop_clock(), feed=StubFeed(fresh=True))
+        mirror.apply_snapshot(Snapshot(items=(), revision=at(9)))
+        task = start(mirror)
+        store.restore(store.copy())
+        store.put("a", b"1")
+        mirror.learn_era(1)
+        await asyncio.sleep(NEW_ERA_WAIT_S - 0.2)
+        assert store.calls == []
+        await asyncio.sleep(0.5)
+        task.cancel()
+        assert recorder.values == {"a": b"1"}
+
 
 class TestLostWrites:
     """Time in which the store may lack writes that it has acknowledged."""
