Let a restore in the soak not bring back a fault of the store that has ended

A restore kept the store's fault of its begin and set it again at its end, when the other fault had ended, so that the store rejected every call for good, which the logs show (no 751 after it, edges answer that they have not heard for too long). The absence before a restore is a state of its own now. No check or bound changes.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -265,12 +265,11 @@
 
 async def _async_restore(world: World, random: Random, copy: StoreCopy) -> None:
     """Let the store be away for a moment, and come back from a copy."""
-    previous_fault = world.store.fault
-    world.store.fault = random.choice((StoreFault.REJECTING, StoreFault.SILENT))
+    world.store.absence = random.choice((StoreFault.REJECTING, StoreFault.SILENT))
     await asyncio.sleep(random.uniform(0.05, 2.5))
     lost = world.store.restore(copy)
     world.records.restores += 1
-    world.store.fault = previous_fault
+    world.store.absence = StoreFault.NONE
     await asyncio.sleep(random.uniform(0.05, 1.5))
     world.store.write_again(lost)
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -91,6 +91,9 @@
     random: Random
     clock: Callable[[], float] = time.monotonic
     fault: StoreFault = field(default=StoreFault.NONE, init=False)
+    absence: StoreFault = field(default=StoreFault.NONE, init=False)
+    """How it behaves while it is away before a restore, apart from other faults."""
+
     items: dict[str, StoredItem] = field(factory=dict, init=False)
     history: list[tuple[int, dict[str, Any]]] = field(factory=list, init=False)
     """Changes with their revisions."""
@@ -236,11 +239,12 @@
     @web.middleware
     async def _async_apply_fault(self, request: web.Request, handler: Any) -> Any:
         self.expire()
-        if self.fault is StoreFault.REJECTING:
+        faults = (self.fault, self.absence)
+        if StoreFault.REJECTING in faults:
             return web.json_response(
                 {}, status=503, headers={ERA_HEADER: str(self.era)}
             )
-        if self.fault is StoreFault.SILENT:
+        if StoreFault.SILENT in faults:
             await asyncio.sleep(MAX_WAIT_S)
         if self.fault is StoreFault.SLOW:
             await asyncio.sleep(SLOW_S)
