Split what a restore of the store takes from the mirror

RestoreTracker holds what a process knows that the store no longer has, the interfaces of the mirror are a module, and the mirror reads, orders and passes on. One thing behaves differently: a full reading of the same era in the 5 s after a restore now holds the same entries back as the first one; it passed them on.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -6,9 +6,8 @@
 """
 
 import asyncio
-import math
 from collections.abc import Callable
-from typing import Final, Protocol
+from typing import Final
 
 from attrs import define, field
 
@@ -17,7 +16,8 @@
 from ..util.backoff import Backoff
 from ..util.clock import read_boot_clock
 from ..util.ticks import async_sleep_to_tick
-from .removed_entries import RemovedEntries
+from .interfaces import Feed, Follower, Receiver
+from .restore_tracker import RestoreTracker
 from .store import (
     Change,
     Changes,
@@ -81,86 +81,10 @@
 The leader reads it within 0.6 s. If all hosts read the store themselves after it came
 back from a copy, the largest fleet would exceed its rates."""
 
-REWRITE_S: Final = 5.0
-"""Time after a restore in which the store may lack acknowledged writes. Runners write
-their entries again within about two seconds; the operator may take longer."""
-
 FEED_CHECK_S: Final = 0.1
 """Time between two checks of whether the leader still relays the store."""
 
 
-class Receiver(Protocol):
-    """Consumer of the mirrored state of the store."""
-
-    def apply_snapshot(self, snapshot: Snapshot) -> None:
-        """Replace the state with a snapshot."""
-        ...
-
-    def apply_changes(self, changes: Changes) -> None:
-        """Apply changes in order."""
-        ...
-
-    def has_effect(self, change: Change) -> bool:
-        """Return whether a change would alter the state."""
-        ...
-
-    def count_processes(self) -> int:
-        """Return the number of known processes of the system, including this one."""
-        ...
-
-    def record_restore(self) -> None:
-        """Record that the next snapshot is of a store that came back from a copy.
-
-        What it lacks may only have been lost, and is written again soon.
-        """
-        ...
-
-    def may_be_outdated(self, key: str) -> bool:
-        """Return whether an entry of a copy counts only if it was not removed since."""
-        ...
-
-    def must_be_rewritten(self, key: str) -> bool:
-        """Return whether this system writes an item again that the store has lost."""
-        ...
-
-    def is_superseded(self, item: Item, known: Item) -> bool:
-        """Return whether an item of a copy is older than the known one with its key."""
-        ...
-
-    def record_outage_end(self, retention_s: float | None = None) -> None:
-        """Record the end of an outage during which keys may have expired.
-
-        Args:
-            retention_s: Seconds for which removed keys are still kept; None for the
-                default.
-        """
-        ...
-
-
-class Feed(Protocol):
-    """Another process that relays the state of the store."""
-
-    def is_fresh(self) -> bool:
-        """Return whether the other process has relayed recent state."""
-        ...
-
-
-class Follower(Protocol):
-    """Relay of the mirrored state to other processes."""
-
-    def relay_snapshot(self, snapshot: Snapshot) -> None:
-        """Relay a snapshot."""
-        ...
-
-    def relay_changes(self, changes: Changes) -> None:
-        """Relay changes; if there are none, only the revision of the store."""
-        ...
-
-    def relay_retained(self, items: tuple[Item, ...]) -> None:
-        """Relay items that are newer than those of the restored store."""
-        ...
-
-
 @define(eq=False)
 class Mirror:
     """Mirror of the store that updates a receiver while `async_run` runs."""
@@ -189,18 +113,9 @@
     revision: StoreRevision | None = field(default=None, init=False)
     """Revision up to which changes are applied; None before the first snapshot."""
 
-    retained: dict[str, Item] = field(factory=dict, init=False)
-    """Items that the store lost when it came back from a copy, and that are newer than
-    those with which it came back, by key."""
+    restores: RestoreTracker = field(init=False)
+    """What this process knows that a restored store no longer has."""
 
-    lost: dict[str, Item] = field(factory=dict, init=False)
-    """Items of this system that the store lost when it came back from a copy, by key.
-    The leader writes them again."""
-
-    _restored_at: float = field(default=-math.inf, init=False)
-    """When this process first read a restored store of the current era."""
-
-    _removed: RemovedEntries = field(factory=RemovedEntries, init=False)
     _relayed_at: float = field(default=-1e9, init=False)
     """When another process last relayed the state of the store."""
 
@@ -215,10 +130,13 @@
     _outdated_since: float | None = field(default=None, init=False)
     """When this process learned that the state is of an earlier era."""
 
+    def __attrs_post_init__(self) -> None:
+        self.restores = RestoreTracker(self.receiver, self.clock)
+
     async def async_run(self) -> None:
         """Follow the store until cancelled."""
         while True:
-            self._release_held()
+            self._deliver(self.restores.release(self.items))
             if self._can_follow_feed():
                 self._relayed_at = self.clock()
                 await async_sleep_to_tick(FEED_CHECK_S)
@@ -250,18 +168,6 @@
         """
         self.store.learn_era(era)
 
-    def may_lack_writes(self) -> bool:
-        """Return whether the store may lack writes that it has acknowledged.
-
-        After it came back from a copy, these are written again. A process that starts
-        does not know how long ago that was.
-        """
-        return self.clock() < self._restored_at + REWRITE_S
-
-    def list_held(self) -> frozenset[str]:
-        """Return the keys of the copy that had been removed before the restore."""
-        return self._removed.held
-
     def measure_age(self) -> float:
         """Return for how many seconds the store may have changed unnoticed."""
         return self.boot_clock() - self.known_at
@@ -288,82 +194,59 @@
         """
         if self.revision is not None and snapshot.revision <= self.revision:
             return
-        known, is_first = self.items, self.revision is None
-        is_restored = self._is_restored(snapshot)
+        known_items, known_era = self.items, self.era
+        is_first = self.revision is None
         self.items = {item.key: item for item in snapshot.items}
         self.revision = snapshot.revision
         self.learn_era(snapshot.revision.era)
-        if is_restored or (is_first and self.era > 0):
-            self._restored_at = self.clock()
-        if is_restored:
-            self._apply_restored(snapshot, known)
+        if is_first and self.era > 0:
+            self.restores.record_start()
+        if is_first or self.era == known_era:
+            self.restores.record_removed(known_items.keys() - self.items.keys())
+            self._deliver_snapshot(snapshot)
         else:
-            self._record_removed(known)
-            self.receiver.apply_snapshot(snapshot)
-            self._deliver(tuple(self.retained.values()))
-        if self.follower is not None:
-            self.follower.relay_snapshot(snapshot)
-            if self.retained:
-                self.follower.relay_retained(tuple(self.retained.values()))
+            self.restores.record_restore(known_items, self.items)
+            self.receiver.record_restore()
+            self._deliver_snapshot(snapshot)
+            self._log_restore(known_items)
+        self._relay_snapshot(snapshot)
         self.on_synced()
 
     def apply_retained(self, items: tuple[Item, ...]) -> None:
         """Apply items that another process knows to be newer than the restored ones."""
-        for item in items:
-            known = self.items.get(item.key)
-            if known is None or self.receiver.is_superseded(known, item):
-                self.retained[item.key] = item
-                self._deliver((item,))
-
-    def _is_restored(self, snapshot: Snapshot) -> bool:
-        return self.revision is not None and self.era < snapshot.revision.era
-
-    def _apply_restored(self, snapshot: Snapshot, known: dict[str, Item]) -> None:
-        """Apply the state with which the store came back from a copy.
+        newer = (
+            each
+            for each in items
+            if self.restores.retain(each, self.items.get(each.key))
+        )
+        self._deliver(tuple(newer))
 
-        Args:
-            snapshot: The state of the store.
-            known: All items before the restore, by key.
-        """
-        soft = [key for key in self.items if self.receiver.may_be_outdated(key)]
-        held = self._removed.hold_back(soft, self.clock())
+    def _deliver_snapshot(self, snapshot: Snapshot) -> None:
+        """Pass a snapshot to the receiver, without the entries that are held back."""
+        held = self.restores.held
         items = tuple(each for each in snapshot.items if each.key not in held)
-        self.retained = {
-            key: item
-            for key, item in {**known, **self.retained}.items()
-            if key in self.items and self.receiver.is_superseded(self.items[key], item)
-        }
-        self.lost = {
-            key: item
-            for key, item in {**known, **self.lost}.items()
-            if self.receiver.must_be_rewritten(key) and self._lacks(item)
-        }
-        self.receiver.record_restore()
         self.receiver.apply_snapshot(Snapshot(items=items, revision=snapshot.revision))
+        self._deliver(tuple(self.restores.retained.values()))
+
+    def _relay_snapshot(self, snapshot: Snapshot) -> None:
+        if self.follower is None:
+            return
+        self.follower.relay_snapshot(snapshot)
+        if self.restores.retained:
+            self.follower.relay_retained(tuple(self.restores.retained.values()))
+
+    def _log_restore(self, known_items: dict[str, Item]) -> None:
         log_event(
             log.StoreRestored(
-                era=snapshot.revision.era,
-                revision=snapshot.revision.number,
-                lost_keys=len(known.keys() - self.items.keys()),
-                held_keys=len(held),
-                rewritten_keys=len(self.lost),
-                retained=tuple(self.retained),
+                era=self.era,
+                revision=0 if self.revision is None else self.revision.number,
+                lost_keys=len(known_items.keys() - self.items.keys()),
+                held_keys=len(self.restores.held),
+                rewritten_keys=len(self.restores.lost),
+                retained=tuple(self.restores.retained),
             )
         )
 
-    def _lacks(self, item: Item) -> bool:
-        """Return whether the store lacks an item or has another value for its key."""
-        stored = self.items.get(item.key)
-        return stored is None or stored.value != item.value
-
-    def _record_removed(self, known: dict[str, Item]) -> None:
-        for key in known.keys() - self.items.keys():
-            self._removed.record_removed(key, self.clock())
-
-    def _release_held(self) -> None:
-        """Apply the entries that are no longer held back."""
-        self._deliver(self._removed.release(self.items, self.clock()))
-
     def _deliver(self, items: tuple[Item, ...]) -> None:
         """Pass items to the receiver whose revisions are not newer than the known."""
         if not items or self.revision is None:
@@ -410,18 +293,11 @@
         self.on_synced()
 
     def _store_change(self, change: Change) -> None:
-        self.lost.pop(change.key, None)
+        self.restores.record_change(change)
         if change.item is None:
             self.items.pop(change.key, None)
-            self._removed.record_removed(change.key, self.clock())
-            return
-        self.items[change.key] = change.item
-        self._removed.record_written(change.key)
-        retained = self.retained.get(change.key)
-        if retained is not None and not self.receiver.is_superseded(
-            change.item, retained
-        ):
-            del self.retained[change.key]
+        else:
+            self.items[change.key] = change.item
 
     async def _async_step(self) -> None:
         if self.revision is None or self._needs_snapshot or self._is_outdated():
--- a/mangoway/coordination/statement_maintainer.py
+++ b/mangoway/coordination/statement_maintainer.py
@@ -114,8 +114,8 @@
             Whether there was anything to undo.
         """
         kinds = tuple(self.prefix + each for each in STATEMENT_KEYS)
-        lost = list(self.mirror.lost.values())[:MAX_KEYS_PER_CALL]
-        held = [each for each in self.mirror.list_held() if each.startswith(kinds)]
+        lost = list(self.mirror.restores.lost.values())[:MAX_KEYS_PER_CALL]
+        held = [each for each in self.mirror.restores.held if each.startswith(kinds)]
         removed = tuple(sorted(held)[:MAX_KEYS_PER_CALL])
         if not lost and not removed:
             return False
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -135,7 +135,7 @@
             view=self.process.view,
             measure_age=self.process.mirror.measure_age,
             revoke_s=settings.revoke_ms / MS_PER_S if settings.revoke_closed else None,
-            may_lack_writes=self.process.mirror.may_lack_writes,
+            may_lack_writes=self.process.mirror.restores.may_lack_writes,
         )
         self.startup = StartupCheck(
             mirror=self.process.mirror,
--- a/mangoway/scheduling/store_feed.py
+++ b/mangoway/scheduling/store_feed.py
@@ -179,7 +179,7 @@
                 continue
             if snapshot is not None:
                 # A process that starts uses the state as soon as it is received.
-                self._send_retained(link, tuple(self.mirror.retained.values()))
+                self._send_retained(link, tuple(self.mirror.restores.retained.values()))
                 self._send_state(link, snapshot, known_revision)
             self._links[link] = None
             break
--- a/tests/coordination/test_crashes_restore.py
+++ b/tests/coordination/test_crashes_restore.py
@@ -55,7 +55,7 @@
             await process.maintainer.async_check()
             after = {key: item.value for key, item in store.items.items()}
             assert after == before
-            await async_wait_until(lambda: not process.mirror.lost)
+            await async_wait_until(lambda: not process.mirror.restores.lost)
             async with start_processes(store, 1) as [later]:
                 await async_wait_until(lambda: later.tracker.is_blocked(CULPRIT))
 
--- a/tests/coordination/test_store_restore.py
+++ b/tests/coordination/test_store_restore.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from mangoway.coordination.mirror import NEW_ERA_WAIT_S, REWRITE_S, Mirror
+from mangoway.coordination.mirror import NEW_ERA_WAIT_S, Mirror
+from mangoway.coordination.restore_tracker import REWRITE_S
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
@@ -192,13 +193,13 @@
         mirror = Mirror(store, Recorder(), loop_clock())
         task = start(mirror)
         await asyncio.sleep(0.5)
-        assert not mirror.may_lack_writes()
+        assert not mirror.restores.may_lack_writes()
         store.restore(store.copy())
         await asyncio.sleep(1.0)
-        assert mirror.may_lack_writes()
+        assert mirror.restores.may_lack_writes()
         await asyncio.sleep(REWRITE_S)
         task.cancel()
-        assert not mirror.may_lack_writes()
+        assert not mirror.restores.may_lack_writes()
 
     async def test_it_begins_with_a_process_that_starts_after_a_restore(self) -> None:
         store = FakeCoordinationStore()
@@ -207,4 +208,4 @@
         task = start(mirror)
         await asyncio.sleep(0.5)
         task.cancel()
-        assert mirror.may_lack_writes()
+        assert mirror.restores.may_lack_writes()
--- a/tests/coordination/test_view_restore.py
+++ b/tests/coordination/test_view_restore.py
@@ -88,12 +88,12 @@
         await asyncio.sleep(SETTLE_S)
         assert process.view.table is not None
         assert process.view.table.version == 5
-        assert CONFIGURATION_KEY in process.mirror.retained
+        assert CONFIGURATION_KEY in process.mirror.restores.retained
         put_configuration(store, 6)
         await asyncio.sleep(SETTLE_S)
         process.kill()
         assert process.view.table.version == 6
-        assert process.mirror.retained == {}
+        assert process.mirror.restores.retained == {}
 
 
 class TestRunners:
@@ -243,8 +243,8 @@
         await asyncio.sleep(SETTLE_S)
         assert second.view.table is not None
         assert second.view.table.version == 3
-        second.mirror.apply_retained(tuple(first.mirror.retained.values()))
+        second.mirror.apply_retained(tuple(first.mirror.restores.retained.values()))
         first.kill()
         second.kill()
         assert second.view.table.version == 5
-        assert second.mirror.retained == first.mirror.retained
+        assert second.mirror.restores.retained == first.mirror.restores.retained
--- a/tests/fakes/process.py
+++ b/tests/fakes/process.py
@@ -94,7 +94,9 @@
         snapshot = scheduler.mirror.make_snapshot()
         if snapshot is not None:
             self._send_snapshot(follower.mirror, snapshot)
-            follower.mirror.apply_retained(tuple(scheduler.mirror.retained.values()))
+            follower.mirror.apply_retained(
+                tuple(scheduler.mirror.restores.retained.values())
+            )
 
     def disconnect(self, follower: FakeProcess) -> None:
         """Remove a follower."""
--- a/tests/scheduling/test_store_eras.py
+++ b/tests/scheduling/test_store_eras.py
@@ -158,7 +158,7 @@
         """The previous release closes the link at a message of an unknown kind."""
         scheduler = Scheduler()
         item = Item(key="c", value=b"newer", revision=at(9))
-        scheduler.mirror.retained = {"c": item}
+        scheduler.mirror.restores.retained = {"c": item}
         link = FakeLink()
         hello = evolve(make_hello(3, era=1), states_era=states_era)
         scheduler.server._handle_message(link, hello)
@@ -169,7 +169,9 @@
     async def test_they_are_sent_before_the_state(self) -> None:
         """A process that starts uses the state as soon as it has it."""
         scheduler = Scheduler()
-        scheduler.mirror.retained = {"c": Item(key="c", value=b"1", revision=at(9))}
+        scheduler.mirror.restores.retained = {
+            "c": Item(key="c", value=b"1", revision=at(9))
+        }
         link = FakeLink()
         scheduler.server._handle_message(link, make_hello(0, era=0))
         await asyncio.sleep(0.05)
