--- a/mangoway/coordination/interfaces.py
+++ b/mangoway/coordination/interfaces.py
@@ -1,4 +1,4 @@
-"""Interfaces between the mirror of the store and what consumes, feeds and follows it."""
+"""Interfaces of what consumes, feeds and follows the mirror of the store."""
 
 from typing import Protocol
 
