--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -124,12 +124,11 @@
         self._members_kept_until = (
             now + MEMBER_RETENTION_S + len(self.members) / ANNOUNCEMENTS_PER_S
         )
-        for entry in self.runners.values():
-            if entry.draining:
+        draining = [each for each in self.runners.values() if each.draining]
+        with self.defer_notifications():
+            for each in draining:
                 self.record_leaving(
-                    LeavingReport(
-                        runner_id=entry.runner_id, started_ms=entry.started_ms
-                    )
+                    LeavingReport(runner_id=each.runner_id, started_ms=each.started_ms)
                 )
 
     def get_retention_s(self, now: float) -> float:
