Reproduce changes that a watch misses after a restore from a backup, known red

Found by looking for the incident's cause in the key-value service of the product's own interface: a watch continues from the position that it knows, which a service restored from a backup reaches again with other changes.

--- a/tests/key_value/test_etcd_watch.py
+++ b/tests/key_value/test_etcd_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from copy import deepcopy
 
 import pytest
 
@@ -105,3 +106,22 @@
         assert await next_change == ("/w/a", b"1")
         assert stand_in.calls["watch"] == 1
         await async_end(watch)
+
+    async def test_changes_after_a_restore_from_a_backup_are_not_missed(
+        self, stand_in: KeyValueStandIn, store: EtcdStore, make_store: MakeStore
+    ) -> None:
+        """The revisions of the backup are lower, and are given out again."""
+        await async_write(store, "/w/a", b"0")
+        backup = deepcopy(stand_in.storage)
+        watch = store.watch("/w/")
+        for value in (b"1", b"2", b"3"):
+            await async_write(store, "/w/a", value)
+            assert await async_next(watch) == ("/w/a", value)
+        next_change = asyncio.create_task(async_next(watch))
+        stand_in.storage = backup
+        await async_fail(stand_in, "down")
+        await async_write(make_store(), "/w/b", b"new")
+        changes = [await next_change]
+        while ("/w/b", b"new") not in changes:
+            changes.append(await async_next(watch))
+        await async_end(watch)
