--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -20,6 +20,7 @@
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
 from ..fakes.fleet import make_table
+from ..fakes.receiver import InertReceiver
 
 pytestmark = pytest.mark.looptime
 
@@ -27,7 +28,7 @@
 ORDER_DELAY_S = 3.0
 
 
-class Receiver:
+class Receiver(InertReceiver):
     """A receiver that decodes the leader's key into a view."""
 
     def __init__(self, view: FleetView) -> None:
@@ -48,24 +49,6 @@
     def has_effect(self, change: Change) -> bool:
         return True
 
-    def count_processes(self) -> int:
-        return 1
-
-    def record_restore(self) -> None:
-        """Ignore the call."""
-
-    def may_be_outdated(self, key: str) -> bool:
-        return False
-
-    def must_be_rewritten(self, key: str) -> bool:
-        return False
-
-    def is_superseded(self, item: Item, known: Item) -> bool:
-        return False
-
-    def record_outage_end(self, retention_s: float | None = None) -> None:
-        """Ignore the call."""
-
     def _apply(self, item: Item) -> None:
         if item.key == PREFIX + LEADER_KEY:
             self.view.update_leader(
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -8,12 +8,13 @@
 from mangoway.coordination.store import Change, Changes, Item, Snapshot
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
+from ..fakes.receiver import InertReceiver
 from ..fakes.revisions import at
 
 pytestmark = pytest.mark.looptime
 
 
-class Recorder:
+class Recorder(InertReceiver):
     """A receiver that records the state."""
 
     def __init__(self) -> None:
@@ -40,18 +41,6 @@
     def count_processes(self) -> int:
         return self.processes
 
-    def record_restore(self) -> None:
-        """Ignore the call."""
-
-    def may_be_outdated(self, key: str) -> bool:
-        return False
-
-    def must_be_rewritten(self, key: str) -> bool:
-        return False
-
-    def is_superseded(self, item: Item, known: Item) -> bool:
-        return False
-
     def record_outage_end(self, retention_s: float | None = None) -> None:
         self.outages += 1
 
--- a/tests/coordination/test_mirror_age.py
+++ b/tests/coordination/test_mirror_age.py
@@ -3,41 +3,10 @@
 import asyncio
 
 from mangoway.coordination.mirror import Mirror
-from mangoway.coordination.store import Change, Changes, Item, Snapshot
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
 from ..fakes.polling import async_wait_until
-
-
-class IgnoringReceiver:
-    """A receiver that ignores the state."""
-
-    def apply_snapshot(self, snapshot: Snapshot) -> None:
-        """Ignore the call."""
-
-    def apply_changes(self, changes: Changes) -> None:
-        """Ignore the call."""
-
-    def has_effect(self, change: Change) -> bool:
-        return True
-
-    def count_processes(self) -> int:
-        return 1
-
-    def record_restore(self) -> None:
-        """Ignore the call."""
-
-    def may_be_outdated(self, key: str) -> bool:
-        return False
-
-    def must_be_rewritten(self, key: str) -> bool:
-        return False
-
-    def is_superseded(self, item: Item, known: Item) -> bool:
-        return False
-
-    def record_outage_end(self, retention_s: float | None = None) -> None:
-        """Ignore the call."""
+from ..fakes.receiver import InertReceiver
 
 
 class ShiftedClock:
@@ -51,7 +20,7 @@
 
 
 def make_mirror(store: FakeCoordinationStore, clock: ShiftedClock) -> Mirror:
-    return Mirror(store, IgnoringReceiver(), loop_clock(), boot_clock=clock)
+    return Mirror(store, InertReceiver(), loop_clock(), boot_clock=clock)
 
 
 class TestAge:
--- a/tests/scheduling/test_client.py
+++ b/tests/scheduling/test_client.py
@@ -34,13 +34,14 @@
 from ..fakes.coordination_store import FakeCoordinationStore
 from ..fakes.fleet import make_grant_request, make_runner, make_table
 from ..fakes.polling import async_wait_until
+from ..fakes.receiver import InertReceiver
 from ..fakes.revisions import at
 
 RUNNER = make_runner("r1", ("a",))
 FLEET = FleetUpdated(table=make_table(), runners=(make_runner("r1", ("a",)),))
 
 
-class Recorder:
+class Recorder(InertReceiver):
     """A mirror's receiver that records the values of the keys."""
 
     def __init__(self) -> None:
@@ -57,24 +58,6 @@
     def has_effect(self, change: Change) -> bool:
         return True
 
-    def count_processes(self) -> int:
-        return 1
-
-    def record_restore(self) -> None:
-        """Ignore the call."""
-
-    def may_be_outdated(self, key: str) -> bool:
-        return False
-
-    def must_be_rewritten(self, key: str) -> bool:
-        return False
-
-    def is_superseded(self, item: Item, known: Item) -> bool:
-        return False
-
-    def record_outage_end(self, retention_s: float | None = None) -> None:
-        """Do nothing."""
-
 
 def make_core() -> SchedulingCore:
     core = SchedulingCore(SchedulingState(random=Random(1)))
