--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -114,7 +114,7 @@
     """Revision up to which changes are applied; None before the first snapshot."""
 
     restores: RestoreTracker = field(init=False)
-    """What this process knows that a restored store no longer has."""
+    """What this process knows and a restored store lacks."""
 
     _relayed_at: float = field(default=-1e9, init=False)
     """When another process last relayed the state of the store."""
--- a/mangoway/coordination/removed_entries.py
+++ b/mangoway/coordination/removed_entries.py
@@ -23,7 +23,7 @@
 class RemovedEntries:
     """Holds back entries of a copy that had been removed from the store before.
 
-    An entry is believed again once it is written in the new era, or once it has stayed
+    An entry is used again once it is written in the new era, or once it has stayed
     in the store for `HOLD_S`.
     """
 
@@ -70,7 +70,7 @@
         return frozenset(self._held)
 
     def release(self, items: dict[str, Item], now: float) -> tuple[Item, ...]:
-        """Return the entries that are no longer held back, and believe them.
+        """Stop holding entries back after `HOLD_S`, and return them.
 
         Args:
             items: All items of the store by key.
--- a/mangoway/coordination/restore_tracker.py
+++ b/mangoway/coordination/restore_tracker.py
@@ -32,7 +32,7 @@
 
 @define(eq=False)
 class RestoreTracker:
-    """What a process knows that the store no longer has."""
+    """What a process knows and a restored store lacks."""
 
     policy: RestorePolicy
     clock: Callable[[], float]
@@ -126,7 +126,7 @@
         return True
 
     def release(self, items: dict[str, Item]) -> tuple[Item, ...]:
-        """Return the entries that are no longer held back.
+        """Return the entries that need not be held back any more.
 
         Args:
             items: All items of the store by key.
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -549,7 +549,7 @@
     era: int
     revision: int
     lost_keys: int
-    """Known keys that the store no longer has."""
+    """Known keys that the store lacks."""
 
     held_keys: int
     """Keys that it has again, and that are not used until they are written again."""
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -6,16 +6,14 @@
 scheduling decision itself.
 """
 
-import base64
 import math
 import struct
 import zlib
-from collections.abc import Callable
-from typing import Any, Final, TypeVar
+from typing import Any, Final
 
 import orjson
 
-from ..coordination.store import Change, Changes, Item, StoreRevision
+from ..coordination.store import StoreRevision
 from ..models.prompt import Prompt, PromptPart
 from ..models.signals import LeavingReport
 from ..policy.customers.spending import SpendingEntry
@@ -33,6 +31,7 @@
     RequestEnded,
     SpendingReported,
 )
+from .codec_registry import DECODERS, ENCODERS, decodes, encodes
 from .messages import (
     ClockRequest,
     ClockResponse,
@@ -40,21 +39,13 @@
     Hello,
     Message,
     RelayedStatement,
-    RetainedItems,
-    StoreChanges,
-    StoreSnapshot,
 )
+from .store_codec import get_era
 
 MS_PER_S: Final = 1000.0
 LENGTH: Final = struct.Struct(">I")
 UNCOMPRESSED: Final = b"\x00"
 COMPRESSED: Final = b"\x01"
-BASE64_MARKER: Final = 1
-"""Last element of the row of an item whose value is binary."""
-
-TEXT_ROW_LENGTH: Final = 4
-"""Length of the row of an item whose value is text."""
-
 MIN_COMPRESSED_BYTES: Final = 2048
 """Payload size from which a frame is compressed. Configurations and snapshots of the
 store exceed it and contain repeated text. Messages about requests stay below it, so no
@@ -73,40 +64,9 @@
     """The received bytes are not a valid frame of messages."""
 
 
-MessageT = TypeVar("MessageT", bound=Message)
-Decoder = Callable[[list[Any], str], Message]
-
-_encoders: dict[type, Callable[[Any], list[Any]]] = {}
-_decoders: dict[str, Decoder] = {}
-
-
-def encodes(
-    cls: type[MessageT],
-) -> Callable[[Callable[[MessageT], list[Any]]], Callable[[MessageT], list[Any]]]:
-    """Register the encoder of a message class."""
-
-    def register(
-        encode: Callable[[MessageT], list[Any]],
-    ) -> Callable[[MessageT], list[Any]]:
-        _encoders[cls] = encode
-        return encode
-
-    return register
-
-
-def decodes(kind: str) -> Callable[[Decoder], Decoder]:
-    """Register the decoder of a message kind."""
-
-    def register(decode: Decoder) -> Decoder:
-        _decoders[kind] = decode
-        return decode
-
-    return register
-
-
 def encode_frame(messages: list[Message]) -> bytes:
     """Encode messages as one frame."""
-    payload = orjson.dumps([_encoders[type(each)](each) for each in messages])
+    payload = orjson.dumps([ENCODERS[type(each)](each) for each in messages])
     if len(payload) < MIN_COMPRESSED_BYTES:
         return LENGTH.pack(len(payload) + 1) + UNCOMPRESSED + payload
     packed = zlib.compress(payload, COMPRESSION_LEVEL)
@@ -127,7 +87,7 @@
         body = payload[1:]
         if payload[:1] == COMPRESSED:
             body = zlib.decompress(body)
-        return [_decoders[each[0]](each, edge) for each in orjson.loads(body)]
+        return [DECODERS[each[0]](each, edge) for each in orjson.loads(body)]
     except (KeyError, IndexError, TypeError, ValueError, zlib.error) as error:
         raise CodecError(f"invalid frame: {error!r}") from error
 
@@ -178,7 +138,7 @@
         host=fields[2],
         data_centre=fields[3],
         requests_grants=fields[4],
-        revision=StoreRevision(_get_era(fields, 6), fields[5]),
+        revision=StoreRevision(get_era(fields, 6), fields[5]),
         states_era=len(fields) > 6,
     )
 
@@ -203,7 +163,7 @@
         period_s=fields[3],
         known_at=fields[4],
         exhausted=tuple((row[0], row[1]) for row in fields[5]) if fields[5:] else (),
-        era=_get_era(fields, 6),
+        era=get_era(fields, 6),
     )
 
 
@@ -227,99 +187,6 @@
     return ClockResponse(requested_at=fields[1], clock_s=fields[2])
 
 
-@encodes(StoreSnapshot)
-def _encode_store_snapshot(message: StoreSnapshot) -> list[Any]:
-    items = [_encode_item(each) for each in message.items]
-    return [
-        "state",
-        message.revision.number,
-        message.keys,
-        items,
-        round(message.retention_s, 3),
-        message.revision.era,
-    ]
-
-
-@decodes("state")
-def _decode_store_snapshot(fields: list[Any], edge: str) -> Message:
-    era = _get_era(fields, 5)
-    return StoreSnapshot(
-        revision=StoreRevision(era, fields[1]),
-        keys=tuple(fields[2]),
-        items=tuple(_decode_item(each, era) for each in fields[3]),
-        retention_s=fields[4],
-    )
-
-
-@encodes(StoreChanges)
-def _encode_store_changes(message: StoreChanges) -> list[Any]:
-    rows = [
-        [
-            each.key,
-            each.revision.number,
-            None if each.item is None else _encode_item(each.item),
-        ]
-        for each in message.changes.changes
-    ]
-    revision = message.changes.revision
-    retention_s = round(message.retention_s, 3)
-    return ["changes", revision.number, rows, retention_s, revision.era]
-
-
-@decodes("changes")
-def _decode_store_changes(fields: list[Any], edge: str) -> Message:
-    era = _get_era(fields, 4)
-    changes = tuple(
-        Change(
-            key=row[0],
-            revision=StoreRevision(era, row[1]),
-            item=None if row[2] is None else _decode_item(row[2], era),
-        )
-        for row in fields[2]
-    )
-    revision = StoreRevision(era, fields[1])
-    return StoreChanges(
-        changes=Changes(changes=changes, revision=revision), retention_s=fields[3]
-    )
-
-
-@encodes(RetainedItems)
-def _encode_retained(message: RetainedItems) -> list[Any]:
-    return [
-        "retained",
-        [[each.revision.era, *_encode_item(each)] for each in message.items],
-    ]
-
-
-@decodes("retained")
-def _decode_retained(fields: list[Any], edge: str) -> Message:
-    items = tuple(_decode_item(row[1:], row[0]) for row in fields[1])
-    return RetainedItems(items=items)
-
-
-def _get_era(fields: list[Any], index: int) -> int:
-    """Return the era of a message; 0 if it states none."""
-    return int(fields[index]) if len(fields) > index else 0
-
-
-def _encode_item(item: Item) -> list[Any]:
-    try:
-        # Most values are text, which compresses to half the size of its base64 form.
-        value = item.value.decode()
-        return [item.key, item.revision.number, item.lease_id, value]
-    except UnicodeDecodeError:
-        value = base64.b64encode(item.value).decode()
-        number = item.revision.number
-        return [item.key, number, item.lease_id, value, BASE64_MARKER]
-
-
-def _decode_item(row: list[Any], era: int) -> Item:
-    in_base64 = len(row) > TEXT_ROW_LENGTH
-    value = base64.b64decode(row[3]) if in_base64 else row[3].encode()
-    revision = StoreRevision(era, row[1])
-    return Item(key=row[0], revision=revision, lease_id=row[2], value=value)
-
-
 @encodes(RelayedStatement)
 def _encode_statement(message: RelayedStatement) -> list[Any]:
     return ["told", message.key, message.value.decode()]
@@ -380,7 +247,7 @@
     )
 
 
-_decoders["ask"] = _decode_grant_request
+DECODERS["ask"] = _decode_grant_request
 
 
 @encodes(RequestAdopted)
