--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -47,7 +47,7 @@
     def fence(self) -> int:
         """Return the fence number of the holder's orders.
 
-        It rises over eras. Without eras it is the revision, as in the previous release.
+        It rises over eras. For a store that states no era it is the revision.
         """
         return self.revision.era * FENCES_PER_ERA + self.revision.number
 
