--- a/mangoway/scheduling/messages.py
+++ b/mangoway/scheduling/messages.py
@@ -32,8 +32,10 @@
     """Whether it requests grants; standby schedulers only follow the store."""
 
     revision: StoreRevision
-    """Store revision up to which it has the keys. A message that states no era counts as
-    one of era 0."""
+    """Store revision up to which it has the keys.
+
+    A message that states no era counts as one of era 0.
+    """
 
     states_era: bool = True
     """Whether it states its era, and so reads retained items."""
