Probe gateways and leave suspected ones out of address answers

What callers saw: an address answer named a host whose process had ended, for up to ten seconds after each departure that no other host had heard of, and after each crash. They got refused connections, or none until their own timeout.

Cause: silence of relayed heartbeats for 10 s was the only evidence of a failure, and decided both what callers are told and what counts as gone.

Change: two neighbours in a ring probe each gateway once a second, again after 0.3 s, directly on a new connection and through five peers. After five retries, or a refused connection, it is suspected; that is announced with a bound of its heartbeats, which it refutes with a higher one. Address answers leave suspected gateways out (as silent: up to half of them), and nothing else acts on it. A process that was delayed, or hears nobody, suspects nobody.

Why it works: detection rests on probes of the process itself, whose age doesn't grow with the cell.

The fake of a cell now refuses connections to a stopped process as a host does, or is silent if a test says so; no check changed.

--- a/mangoway/models/member.py
+++ b/mangoway/models/member.py
@@ -22,6 +22,17 @@
     GONE = "gone"
 
 
+@frozen(order=True)
+class Suspicion:
+    """A failed check of a process, which a heartbeat after `beat` refutes."""
+
+    beat: int
+    """Upper bound of the heartbeats that the process had sent before the check."""
+
+    is_refused: bool = False
+    """Whether connections were refused; a process that is only silent may live."""
+
+
 @frozen(kw_only=True)
 class Member:
     """One process of the system."""
@@ -48,6 +59,20 @@
     successor: IncarnationId | None = None
     """Incarnation that is responsible for this one's idempotency keys after it left."""
 
+    suspicion: Suspicion | None = None
+
+    @property
+    def is_suspected(self) -> bool:
+        """Return whether a check failed and no later heartbeat refuted it."""
+        return self.suspicion is not None and self.suspicion.beat >= self.beat
+
+    @property
+    def is_refused(self) -> bool:
+        """Return whether it is suspected since connections to it were refused."""
+        if self.suspicion is None or not self.is_suspected:
+            return False
+        return self.suspicion.is_refused
+
 
 @frozen(kw_only=True)
 class GatewayAddress:
--- a/mangoway/observability/events.py
+++ b/mangoway/observability/events.py
@@ -367,6 +367,23 @@
     incarnation: IncarnationId
 
 
+@numbered(603, LogLevel.WARNING)
+class MemberSuspected:
+    """A process failed all probes or refuses connections; callers aren't sent to it."""
+
+    peer: HostId
+    incarnation: IncarnationId
+    refused: bool
+
+
+@numbered(604, LogLevel.INFO)
+class SuspicionRefuted:
+    """A process that was suspected sent a heartbeat; callers are sent to it again."""
+
+    peer: HostId
+    incarnation: IncarnationId
+
+
 # 7xx: the platform.
 
 
--- a/mangoway/peers/client.py
+++ b/mangoway/peers/client.py
@@ -49,6 +49,12 @@
             lambda stub: stub.Exchange, (heartbeat,), EXCHANGE_TIMEOUT_S
         )
 
+    async def async_probe(
+        self, request: pb.ProbeRequest, timeout_s: float
+    ) -> pb.ProbeReply:
+        """Check whether the peer responds, or let it check another process."""
+        return await self._async_call(lambda stub: stub.Probe, (request,), timeout_s)
+
     async def async_fetch_configuration(
         self, request: pb.FetchConfigurationRequest
     ) -> pb.ConfigurationDocument:
--- a/mangoway/peers/const.py
+++ b/mangoway/peers/const.py
@@ -11,6 +11,9 @@
 EXCHANGE_TIMEOUT_S: Final = 1.0
 """Longest time for the reply to a heartbeat."""
 
+PROBE_TIMEOUT_S: Final = 0.3
+"""Longest time for the response to a probe; the next one uses a new connection."""
+
 CALL_TIMEOUT_S: Final = 3.0
 """Longest time for any other call with a single reply, except a hand-over."""
 
--- a/mangoway/peers/member_codec.py
+++ b/mangoway/peers/member_codec.py
@@ -10,7 +10,7 @@
     HostId,
     IncarnationId,
 )
-from ..models.member import Member, MemberState, ProcessRole
+from ..models.member import Member, MemberState, ProcessRole, Suspicion
 from . import peers_pb2 as pb
 from .slots import SenderSlots, SentState, SlotTable
 
@@ -45,6 +45,12 @@
         columns.beats.append(member.beat)
         columns.lags.append(newest - member.config_version)
         columns.flags.append(_encode_flags(member))
+        if member.suspicion is not None:
+            columns.suspicions.add(
+                slot=slot,
+                beat=member.suspicion.beat,
+                refused=member.suspicion.is_refused,
+            )
 
 
 def decode_members(
@@ -55,6 +61,9 @@
         sender_slots.members[identity.slot] = _decode_identity(identity)
     columns = heartbeat.members
     newest = columns.newest_version
+    suspicions = {
+        each.slot: Suspicion(each.beat, each.refused) for each in columns.suspicions
+    }
     members: list[Member] = []
     rows = zip(columns.slots, columns.beats, columns.lags, columns.flags, strict=True)
     for slot, beat, lag, flags in rows:
@@ -62,7 +71,8 @@
         if known is None:
             unknown.add(slot)
             continue
-        members.append(_decode_row(known, beat, newest - lag, flags))
+        member = _decode_row(known, beat, newest - lag, flags)
+        members.append(evolve(member, suspicion=suspicions.get(slot)))
     return tuple(members)
 
 
--- a/mangoway/peers/member_log.py
+++ b/mangoway/peers/member_log.py
@@ -22,6 +22,7 @@
             old = previous.get(member.incarnation)
             if old is None or old.state is not member.state:
                 _log_state(member)
+            _log_suspicion(old, member)
         for incarnation, member in previous.items():
             if incarnation not in self._known and member.state is not MemberState.GONE:
                 _log_gone(member)
@@ -45,5 +46,22 @@
             _log_gone(member)
 
 
+def _log_suspicion(old: Member | None, member: Member) -> None:
+    if member.state is MemberState.GONE:
+        return
+    if member.is_suspected and (old is None or not old.is_suspected):
+        log_event(
+            log.MemberSuspected(
+                peer=member.host,
+                incarnation=member.incarnation,
+                refused=member.is_refused,
+            )
+        )
+    elif old is not None and old.is_suspected and not member.is_suspected:
+        log_event(
+            log.SuspicionRefuted(peer=member.host, incarnation=member.incarnation)
+        )
+
+
 def _log_gone(member: Member) -> None:
     log_event(log.MemberGone(peer=member.host, incarnation=member.incarnation))
--- a/mangoway/peers/membership.py
+++ b/mangoway/peers/membership.py
@@ -15,15 +15,18 @@
     MembershipAction,
     ReplyHeartbeat,
     SendHeartbeat,
+    SendProbe,
     WakeAt,
 )
 from ..policy.membership.events import (
+    ConnectionRefused,
     HeartbeatReceived,
     HostListUpdated,
     LeaveRequested,
     ListedHost,
     MembershipEvent,
     OwnMemberChanged,
+    PeerAnswered,
     SendFailed,
     Ticked,
 )
@@ -33,6 +36,7 @@
 from .client import PeerClients
 from .heartbeat import HeartbeatCodec
 from .messages import ReceivedHeartbeat
+from .probes import Prober, is_refused
 
 UNKNOWN_SESSION = 0
 
@@ -62,6 +66,7 @@
     on_members: Callable[[tuple[Member, ...]], None]
     on_unreachable: Callable[[str, MangowayError], None] = lambda _address, _error: None
     _driver: CoreDriver[MembershipEvent, MembershipAction] = field(init=False)
+    _prober: Prober = field(init=False)
     _peers: dict[str, PeerRecord] = field(factory=dict, init=False)
     _hosts: dict[str, HostId] = field(factory=dict, init=False)
     """Host of each process by its peer address."""
@@ -71,6 +76,7 @@
 
     def __attrs_post_init__(self) -> None:
         self._driver = CoreDriver(self.core, self._execute, Ticked)
+        self._prober = Prober(self.clients)
 
     def async_start(self, seeds: Iterable[str]) -> None:
         """Start with the peer addresses in the settings."""
@@ -103,6 +109,15 @@
         self._handle_received(received, heartbeat, wants_reply=True)
         return self.codec.encode(heartbeat.session, self._reply_members, _now())
 
+    async def async_handle_probe(self, request: pb.ProbeRequest) -> pb.ProbeReply:
+        """Respond to a probe, or probe another known process for the sender."""
+        if not request.target_address:
+            return pb.ProbeReply(outcome=pb.PROBE_OUTCOME_ANSWERED)
+        if request.target_address not in self._hosts:
+            return pb.ProbeReply(outcome=pb.PROBE_OUTCOME_SILENT)
+        outcome = await self._prober.async_probe(request.target_address)
+        return pb.ProbeReply(outcome=outcome)
+
     @singledispatchmethod
     def _execute(self, action: MembershipAction) -> None:
         raise TypeError(f"unknown action {action!r}")
@@ -123,6 +138,16 @@
         self._update_own(action.members)
         self._reply_members = action.members
 
+    @_execute.register
+    def _(self, action: SendProbe) -> None:
+        if action.relay_address is None:
+            probe = self._async_probe(action.target_address)
+        else:
+            probe = self._async_probe_through(
+                action.relay_address, action.target_address
+            )
+        self.tasks.async_start(probe)
+
     @_execute.register
     def _(self, action: MembersChanged) -> None:
         self._update_own(action.members)
@@ -147,6 +172,24 @@
         record.session = reply.session
         self._handle_received(received, reply, wants_reply=False)
 
+    async def _async_probe(self, target_address: str) -> None:
+        outcome = await self._prober.async_probe(target_address)
+        self._handle_outcome(target_address, outcome)
+
+    async def _async_probe_through(
+        self, relay_address: str, target_address: str
+    ) -> None:
+        outcome = await self._prober.async_probe_through(relay_address, target_address)
+        if outcome is not None:
+            self._driver.async_handle(PeerAnswered(address=relay_address))
+            self._handle_outcome(target_address, outcome)
+
+    def _handle_outcome(self, address: str, outcome: pb.ProbeOutcome.ValueType) -> None:
+        if outcome == pb.PROBE_OUTCOME_ANSWERED:
+            self._driver.async_handle(PeerAnswered(address=address))
+        elif outcome == pb.PROBE_OUTCOME_REFUSED:
+            self._driver.async_handle(ConnectionRefused(address=address))
+
     def _handle_received(
         self, received: ReceivedHeartbeat, heartbeat: pb.Heartbeat, wants_reply: bool
     ) -> None:
@@ -165,6 +208,8 @@
         self.codec.reset_peer(record.session)
         record.session = UNKNOWN_SESSION
         self.on_unreachable(address, error)
+        if is_refused(error):
+            self._driver.async_handle(ConnectionRefused(address=address))
         self._handle_undelivered(address)
 
     def _handle_undelivered(self, address: str) -> None:
--- a/mangoway/peers/network.py
+++ b/mangoway/peers/network.py
@@ -76,8 +76,9 @@
         )
 
     def add_to(self, receivers: PeerReceivers) -> None:
-        """Register the receivers of heartbeats and configuration calls."""
+        """Register the receivers of heartbeats, probes and configuration calls."""
         receivers.heartbeats = self.membership
+        receivers.probes = self.membership
         receivers.configuration = self.configuration
 
     def async_start(self, seeds: Iterable[str]) -> None:
--- a/mangoway/peers/peers_grpc.py
+++ b/mangoway/peers/peers_grpc.py
@@ -18,6 +18,10 @@
     async def Exchange(self, stream: 'grpclib.server.Stream[mangoway.peers.peers_pb2.Heartbeat, mangoway.peers.peers_pb2.Heartbeat]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Probe(self, stream: 'grpclib.server.Stream[mangoway.peers.peers_pb2.ProbeRequest, mangoway.peers.peers_pb2.ProbeReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Forward(self, stream: 'grpclib.server.Stream[mangoway.peers.peers_pb2.ForwardedRequest, mangoway.peers.peers_pb2.ForwardedFrame]') -> None:
         pass
@@ -54,6 +58,12 @@
                 mangoway.peers.peers_pb2.Heartbeat,
                 mangoway.peers.peers_pb2.Heartbeat,
             ),
+            '/mangoway.peers.Peers/Probe': grpclib.const.Handler(
+                self.Probe,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mangoway.peers.peers_pb2.ProbeRequest,
+                mangoway.peers.peers_pb2.ProbeReply,
+            ),
             '/mangoway.peers.Peers/Forward': grpclib.const.Handler(
                 self.Forward,
                 grpclib.const.Cardinality.UNARY_STREAM,
@@ -108,6 +118,12 @@
             mangoway.peers.peers_pb2.Heartbeat,
             mangoway.peers.peers_pb2.Heartbeat,
         )
+        self.Probe = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mangoway.peers.Peers/Probe',
+            mangoway.peers.peers_pb2.ProbeRequest,
+            mangoway.peers.peers_pb2.ProbeReply,
+        )
         self.Forward = grpclib.client.UnaryStreamMethod(
             channel,
             '/mangoway.peers.Peers/Forward',
--- a/mangoway/peers/server.py
+++ b/mangoway/peers/server.py
@@ -44,6 +44,14 @@
         ...
 
 
+class ProbeReceiver(Protocol):
+    """Handles probes."""
+
+    async def async_handle_probe(self, request: pb.ProbeRequest) -> pb.ProbeReply:
+        """Respond, after probing the requested target if there is one."""
+        ...
+
+
 class ConfigurationReceiver(Protocol):
     """Handles fetches and pushes of configurations."""
 
@@ -95,6 +103,7 @@
     """Receivers of each kind of call; None if this process doesn't serve it."""
 
     heartbeats: HeartbeatReceiver | None = None
+    probes: ProbeReceiver | None = None
     configuration: ConfigurationReceiver | None = None
     forwards: ForwardReceiver | None = None
     keys: KeyReceiver | None = None
@@ -143,6 +152,12 @@
         receiver = _require(self._receivers.heartbeats)
         await _async_handle(stream, receiver.async_receive_heartbeat)
 
+    async def Probe(self, stream: Stream[pb.ProbeRequest, pb.ProbeReply]) -> None:
+        """Respond to a probe, or probe another process."""
+        receiver = _require(self._receivers.probes)
+        request = await _async_read(stream)
+        await stream.send_message(await receiver.async_handle_probe(request))
+
     async def Forward(
         self, stream: Stream[pb.ForwardedRequest, pb.ForwardedFrame]
     ) -> None:
--- a/mangoway/policy/membership/actions.py
+++ b/mangoway/policy/membership/actions.py
@@ -20,6 +20,19 @@
     members: tuple[Member, ...]
 
 
+@frozen(kw_only=True)
+class SendProbe:
+    """Check whether a process responds; the result is a `PeerAnswered` event.
+
+    A refused connection is a `ConnectionRefused` event instead. No event is needed for
+    a probe without a response.
+    """
+
+    target_address: str
+    relay_address: str | None = None
+    """Peer that is requested to probe the target; None to probe it directly."""
+
+
 @frozen(kw_only=True)
 class MembersChanged:
     """The set of members, or a member's state, readiness or version changed."""
@@ -34,4 +47,4 @@
     time: float
 
 
-MembershipAction = SendHeartbeat | ReplyHeartbeat | MembersChanged | WakeAt
+MembershipAction = SendHeartbeat | ReplyHeartbeat | SendProbe | MembersChanged | WakeAt
--- a/mangoway/policy/membership/addresses.py
+++ b/mangoway/policy/membership/addresses.py
@@ -10,6 +10,7 @@
     MemberState,
     ProcessRole,
 )
+from .const import MAX_SUSPECTED_SHARE
 
 
 def build_address_answer(
@@ -20,6 +21,8 @@
 ) -> AddressAnswer:
     """Return the live gateways that are ready, those of the own data centre first.
 
+    Suspected ones are left out unless `MAX_SUSPECTED_SHARE` is exceeded.
+
     Args:
         members: All members, with their state as seen by this process.
         data_centre: Data centre of this process.
@@ -27,7 +30,7 @@
         rotation: Number of the answer; each answer starts with another gateway, so
             that callers that use the first one are spread evenly.
     """
-    usable = sorted(filter(_is_usable, members), key=lambda member: member.host)
+    usable = sorted(_list_usable(members), key=lambda member: member.host)
     local = [member for member in usable if member.data_centre == data_centre]
     remote = [member for member in usable if member.data_centre != data_centre]
     ordered = _rotate(local, rotation) + _rotate(remote, rotation)
@@ -35,11 +38,22 @@
     return AddressAnswer(gateways=gateways, valid_for_s=valid_for_s)
 
 
+def _list_usable(members: Iterable[Member]) -> list[Member]:
+    candidates = [member for member in members if _is_usable(member)]
+    trusted = [member for member in candidates if not member.is_suspected]
+    suspected = len(candidates) - len(trusted)
+    if suspected > MAX_SUSPECTED_SHARE * len(candidates):
+        return candidates
+    return trusted
+
+
 def _is_usable(member: Member) -> bool:
     is_live_gateway = (
         member.role is ProcessRole.GATEWAY and member.state is MemberState.LIVE
     )
-    return is_live_gateway and member.ready and member.caller_address is not None
+    if not is_live_gateway or not member.ready or member.caller_address is None:
+        return False
+    return not member.is_refused
 
 
 def _rotate(members: list[Member], rotation: int) -> list[Member]:
--- a/mangoway/policy/membership/core.py
+++ b/mangoway/policy/membership/core.py
@@ -1,11 +1,12 @@
-"""Failure detection: which processes are live, leaving or gone."""
+"""Exchange of heartbeats: which processes are live, suspected, leaving or gone."""
 
+from math import ceil
 from random import Random
 
 from attrs import define, evolve, field
 
 from ...models.identifiers import HostId, IncarnationId
-from ...models.member import Member, MemberState
+from ...models.member import Member, MemberState, ProcessRole, Suspicion
 from .actions import (
     MembersChanged,
     MembershipAction,
@@ -17,16 +18,20 @@
     FANOUT,
     FULL_SYNC_S,
     HEARTBEAT_S,
+    MAX_BEATS_PER_S,
     MIN_FREEZE_S,
     SMALL_CELL_FANOUT,
     SMALL_CELL_PEERS,
 )
+from .detector import FailureDetector
 from .events import (
+    ConnectionRefused,
     HeartbeatReceived,
     HostListUpdated,
     LeaveRequested,
     MembershipEvent,
     OwnMemberChanged,
+    PeerAnswered,
     SendFailed,
     Ticked,
 )
@@ -36,7 +41,11 @@
 
 @define
 class MembershipCore:
-    """Exchanges heartbeats and detects silent peers; one instance per process."""
+    """Exchanges heartbeats and detects silent peers; one instance per process.
+
+    A peer that fails probes is suspected: gateways leave it out of address answers, and
+    all else goes on as before. It counts as gone only after `SILENCE_S`.
+    """
 
     _own: Member
     _random: Random
@@ -45,10 +54,15 @@
     _sent_changes: dict[str, int] = field(factory=dict)
     """Number of the last change that was sent to each peer address."""
 
+    _detector: FailureDetector = field(init=False)
     _next_heartbeat_at: float | None = None
+    _wake_at: float | None = None
     _next_sync_at: float = 0.0
     _is_changed: bool = True
 
+    def __attrs_post_init__(self) -> None:
+        self._detector = FailureDetector(self._own.peer_address, self._random)
+
     @property
     def own(self) -> Member:
         """Return the entry of this process."""
@@ -75,6 +89,11 @@
                 actions += self._handle_heartbeat(event, now)
             case SendFailed():
                 self._reset_sent_changes(event.peer)
+            case PeerAnswered():
+                self._detector.record_contact(event.address, now)
+            case ConnectionRefused():
+                self._detector.end_probe(event.address)
+                actions += self._suspect(event.address, True, now)
             case HostListUpdated():
                 self._update_listing(event)
             case OwnMemberChanged():
@@ -91,11 +110,13 @@
             case Ticked():
                 pass
         actions += self._send_heartbeats(now)
+        actions += self._advance_probes(now)
+        actions += self._refute_suspicion(now)
         self._is_changed |= self._table.expire_silent(self._own_key, now)
         if self._is_changed:
             self._is_changed = False
             actions.append(MembersChanged(members=self.members))
-        return actions
+        return actions + self._schedule()
 
     @property
     def _own_key(self) -> ProcessKey:
@@ -140,6 +161,8 @@
         source = next(
             (m.peer_address for m in event.members if m.host == event.sender), None
         )
+        if source is not None:
+            self._detector.record_contact(source, now)
         for member in event.members:
             self._is_changed |= self._table.merge(member, source, now)
         if not event.wants_reply:
@@ -173,7 +196,7 @@
         self._next_heartbeat_at = now + HEARTBEAT_S * self._random.uniform(0.9, 1.1)
         if not self.is_replaced:
             self._change_own(self._own, now)
-        actions: list[MembershipAction] = [WakeAt(time=self._next_heartbeat_at)]
+        actions: list[MembershipAction] = []
         live = self._list_live()
         fanout = SMALL_CELL_FANOUT if len(live) <= SMALL_CELL_PEERS else FANOUT
         chosen = self._random.sample(live, min(fanout, len(live)))
@@ -182,10 +205,67 @@
             self._drop_gone_peers(live)
             self._sent_changes.pop(chosen[0], None)
         actions += [self._send(address) for address in chosen]
-        actions += self._probe(live)
+        actions += self._contact_unknown(live)
+        actions += self._detector.start_probes(self._list_probed(), now)
         return actions
 
-    def _probe(self, live: list[str]) -> list[MembershipAction]:
+    def _schedule(self) -> list[MembershipAction]:
+        """Request a tick at the next heartbeat or repeated probe."""
+        times = (self._next_heartbeat_at, self._detector.wake_at)
+        wake_at = min(time for time in times if time is not None)
+        if wake_at == self._wake_at:
+            return []
+        self._wake_at = wake_at
+        return [WakeAt(time=wake_at)]
+
+    def _advance_probes(self, now: float) -> list[MembershipAction]:
+        if self._detector.wake_at is None:
+            return []
+        actions: list[MembershipAction] = []
+        probes, failed = self._detector.advance(self._list_trusted(), now)
+        actions += probes
+        for address in failed:
+            actions += self._suspect(address, False, now)
+        return actions
+
+    def _suspect(
+        self, address: str, is_refused: bool, now: float
+    ) -> list[MembershipAction]:
+        """Mark the live process at an address as suspected, and notify all peers."""
+        actions: list[MembershipAction] = []
+        for entry in list(self._table.list_entries()):
+            member = entry.member
+            if member.peer_address != address or not self._is_known_live(entry):
+                continue
+            if member.is_suspected and not (is_refused and not member.is_refused):
+                continue
+            # Heartbeats that are still being relayed must not refute the suspicion.
+            elapsed_s = now - entry.last_heartbeat_at
+            beat = member.beat + ceil(MAX_BEATS_PER_S * elapsed_s) + 1
+            suspicion = Suspicion(beat, is_refused)
+            suspected = evolve(member, suspicion=suspicion)
+            self._is_changed |= self._table.merge(suspected, None, now)
+            actions += [self._send(peer) for peer in self._list_live()]
+        return actions
+
+    def _is_known_live(self, entry: Entry) -> bool:
+        """Return whether heartbeats of another process are received."""
+        if get_process_key(entry.member) == self._own_key:
+            return False
+        return not entry.is_silent and entry.member.state is not MemberState.GONE
+
+    def _refute_suspicion(self, now: float) -> list[MembershipAction]:
+        """Announce a heartbeat that refutes a suspicion of this process."""
+        entry = self._table.find(self._own_key)
+        if entry is None or self.is_replaced:
+            return []
+        suspicion = entry.member.suspicion
+        if suspicion is None or suspicion.beat < self._own.beat:
+            return []
+        self._change_own(evolve(self._own, beat=suspicion.beat), now)
+        return [self._send(address) for address in self._list_live()]
+
+    def _contact_unknown(self, live: list[str]) -> list[MembershipAction]:
         """Send a heartbeat to one address without a known live process.
 
         This is how a process joins, and how the parts of a partitioned network find
@@ -229,12 +309,29 @@
         own = replacing if self.is_replaced else [self._own]
         return (*own, *others)
 
+    def _list_probed(self) -> list[str]:
+        """Return the addresses of gateways that address answers may contain."""
+        return sorted(
+            entry.member.peer_address
+            for entry in self._table.list_entries()
+            if entry.member.state is MemberState.LIVE
+            and entry.member.role is ProcessRole.GATEWAY
+            and self._is_known_live(entry)
+            and not entry.member.is_suspected
+        )
+
+    def _list_trusted(self) -> list[str]:
+        """Return the addresses of peers with heartbeats that are not suspected."""
+        return sorted(
+            entry.member.peer_address
+            for entry in self._table.list_entries()
+            if self._is_known_live(entry) and not entry.member.is_suspected
+        )
+
     def _list_live(self) -> list[str]:
         """Return the addresses of peers with heartbeats, including leaving ones."""
         return sorted(
             entry.member.peer_address
             for entry in self._table.list_entries()
-            if not entry.is_silent
-            and entry.member.state is not MemberState.GONE
-            and get_process_key(entry.member) != self._own_key
+            if self._is_known_live(entry)
         )
--- a/mangoway/policy/membership/events.py
+++ b/mangoway/policy/membership/events.py
@@ -23,6 +23,20 @@
     peer: HostId
 
 
+@frozen(kw_only=True)
+class PeerAnswered:
+    """A peer responded to a probe."""
+
+    address: str
+
+
+@frozen(kw_only=True)
+class ConnectionRefused:
+    """A peer's host responded, and no process accepts connections at the address."""
+
+    address: str
+
+
 @frozen(kw_only=True)
 class ListedHost:
     """One process in the host list, or a seed from the settings."""
@@ -61,6 +75,8 @@
 MembershipEvent = (
     HeartbeatReceived
     | SendFailed
+    | PeerAnswered
+    | ConnectionRefused
     | HostListUpdated
     | OwnMemberChanged
     | LeaveRequested
--- a/mangoway/policy/membership/table.py
+++ b/mangoway/policy/membership/table.py
@@ -5,7 +5,7 @@
 from attrs import define, evolve, field
 
 from ...models.identifiers import HostId
-from ...models.member import Member, MemberState, ProcessRole
+from ...models.member import Member, MemberState, ProcessRole, Suspicion
 from .const import GONE_RETENTION_S, SILENCE_S
 
 ProcessKey = tuple[HostId, ProcessRole]
@@ -65,7 +65,7 @@
         merged = merge_members(entry.member, member)
         if merged == entry.member:
             return False
-        previous = entry.get_view()
+        previous = _clear_beat(entry.get_view())
         if (
             is_newer_incarnation(merged, entry.member)
             or merged.beat > entry.member.beat
@@ -75,7 +75,7 @@
         entry.member = merged
         entry.change = self._next_change()
         entry.source = source
-        return evolve(previous, beat=0) != evolve(entry.get_view(), beat=0)
+        return previous != _clear_beat(entry.get_view())
 
     def find(self, key: ProcessKey) -> Entry | None:
         """Return the entry of a process."""
@@ -125,6 +125,15 @@
         return self._last_change
 
 
+def _clear_beat(member: Member) -> Member:
+    """Return a member without its heartbeat counter, for comparisons.
+
+    Its suspicion is kept only if it holds.
+    """
+    suspicion = member.suspicion if member.is_suspected else None
+    return evolve(member, beat=0, suspicion=suspicion)
+
+
 def is_newer_incarnation(one: Member, other: Member) -> bool:
     """Return whether `one` is a later incarnation than `other`."""
     if one.incarnation == other.incarnation:
@@ -137,5 +146,17 @@
     if known.incarnation != received.incarnation:
         return received if is_newer_incarnation(received, known) else known
     newer = received if received.beat > known.beat else known
-    state = max(known.state, received.state, key=STATE_RANKS.__getitem__)
-    return evolve(newer, state=state, successor=received.successor or known.successor)
+    return evolve(
+        newer,
+        state=max(known.state, received.state, key=STATE_RANKS.__getitem__),
+        successor=received.successor or known.successor,
+        suspicion=_merge_suspicions(known.suspicion, received.suspicion),
+    )
+
+
+def _merge_suspicions(
+    known: Suspicion | None, received: Suspicion | None
+) -> Suspicion | None:
+    if known is None or received is None:
+        return known or received
+    return max(known, received)
--- a/tests/peers/test_heartbeat.py
+++ b/tests/peers/test_heartbeat.py
@@ -21,7 +21,7 @@
     UpstreamId,
     VersionName,
 )
-from mangoway.models.member import Member, MemberState, ProcessRole
+from mangoway.models.member import Member, MemberState, ProcessRole, Suspicion
 from mangoway.models.upstream import EngineReport, Residency, ResidentArtifact
 from mangoway.peers import peers_pb2 as pb
 from mangoway.peers import slots
@@ -84,6 +84,10 @@
             config_version=ConfigVersion(draw(st.integers(0, 2**20))),
             ready=draw(st.booleans()),
             successor=draw(st.none() | NAMES.map(IncarnationId)),
+            suspicion=draw(
+                st.none()
+                | st.builds(Suspicion, st.integers(0, 2**32 - 1), st.booleans())
+            ),
         )
         for number in numbers
     )
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -50,6 +50,12 @@
 
     processes: dict[str, "Process"] = field(factory=dict)
     unreachable: set[str] = field(factory=set)
+    stopped: set[str] = field(factory=set)
+    """Processes whose host refuses connections."""
+
+    previous_release: set[str] = field(factory=set)
+    """Processes that don't know probes."""
+
     errors: list[BaseException] = field(factory=list)
     sessions: "count[int]" = field(factory=lambda: count(1))
     lost_replies: int = 0
@@ -81,6 +87,10 @@
 
     async def async_exchange(self, heartbeat: pb.Heartbeat) -> pb.Heartbeat:
         await asyncio.sleep(0.001)
+        if self.address in self.network.stopped:
+            refused = ConnectionRefusedError()
+            error = MangowayError(ErrorCode.PEER_UNREACHABLE, "stopped")
+            raise error from refused
         if (
             self.address in self.network.unreachable
             or self.address not in self.network.processes
@@ -95,6 +105,25 @@
             raise MangowayError(ErrorCode.PEER_SILENT, "lost", Verdict.MAY_HAVE_RUN)
         return pb.Heartbeat.FromString(reply.SerializeToString())
 
+    async def async_probe(
+        self, request: pb.ProbeRequest, timeout_s: float
+    ) -> pb.ProbeReply:
+        await asyncio.sleep(0.001)
+        if self.address in self.network.stopped:
+            refused = ConnectionRefusedError()
+            error = MangowayError(ErrorCode.PEER_UNREACHABLE, "stopped")
+            raise error from refused
+        if (
+            self.address in self.network.unreachable
+            or self.address not in self.network.processes
+        ):
+            await asyncio.sleep(timeout_s)
+            raise MangowayError(ErrorCode.PEER_SILENT, "cut", Verdict.MAY_HAVE_RUN)
+        if self.address in self.network.previous_release:
+            raise MangowayError(ErrorCode.PEER_FAILED, "UNIMPLEMENTED")
+        process = self.network.processes[self.address]
+        return await process.driver.async_handle_probe(request)
+
 
 class ScriptedCore:
     """Sends one heartbeat to `n1` at each tick, and records the received events."""
@@ -154,6 +183,10 @@
     def states(self) -> dict[str, str]:
         return {member.host: member.state.value for member in self.members}
 
+    @property
+    def suspected(self) -> list[Member]:
+        return [member for member in self.members if member.is_suspected]
+
     async def async_stop(self) -> None:
         self.driver.async_stop()
         await self.tasks.async_cancel()
@@ -235,6 +268,52 @@
                 assert entry.report.reported_at == pytest.approx(now, abs=0.1)
 
 
+class TestProbes:
+    """Suspicions that reach all processes, so that no caller is sent to a gone one."""
+
+    def list_suspecting(self, network: FakeNetwork, of: str) -> list[str]:
+        return [
+            name
+            for name, process in network.processes.items()
+            if name != of and any(m.host == of for m in process.suspected)
+        ]
+
+    @pytest.mark.parametrize("failure", ["unreachable", "stopped"])
+    async def test_killed_process_is_suspected_by_all(self, failure: str) -> None:
+        async with run_network(6) as network:
+            network.processes["n3"].driver.async_stop()
+            getattr(network, failure).add("n3")
+            await asyncio.sleep(3)
+            assert self.list_suspecting(network, "n3") == ["n0", "n1", "n2", "n4", "n5"]
+            assert network.list_states("n3") == ["live"] * 5
+            (member,) = network.processes["n0"].suspected
+            assert member.is_refused is (failure == "stopped")
+
+    async def test_reachable_process_refutes_a_suspicion(self) -> None:
+        async with run_network(4) as network:
+            driver = network.processes["n3"].driver
+            network.unreachable.add("n3")
+            driver.clients = FakeNetwork()  # type: ignore[assignment]
+            await asyncio.sleep(3)
+            assert len(self.list_suspecting(network, "n3")) == 3
+            network.unreachable.clear()
+            driver.clients = network  # type: ignore[assignment]
+            await asyncio.sleep(3)
+            assert self.list_suspecting(network, "n3") == []
+
+    async def test_process_of_the_previous_release_is_not_suspected(self) -> None:
+        async with run_network(4) as network:
+            network.previous_release.add("n3")
+            await asyncio.sleep(5)
+            assert self.list_suspecting(network, "n3") == []
+
+    async def test_unknown_address_is_not_probed_for_a_peer(self) -> None:
+        async with run_network(2) as network:
+            request = pb.ProbeRequest(target_address="elsewhere")
+            reply = await network.processes["n0"].driver.async_handle_probe(request)
+            assert reply.outcome == pb.PROBE_OUTCOME_SILENT
+
+
 class TestLostHeartbeats:
     """Heartbeats that a peer did not receive are reported to the core."""
 
--- a/tests/policy/membership/cell.py
+++ b/tests/policy/membership/cell.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from heapq import heappop, heappush
-from itertools import count
+from itertools import count, pairwise
 from random import Random
 
 from attrs import define, field
@@ -13,16 +13,19 @@
     MembershipAction,
     ReplyHeartbeat,
     SendHeartbeat,
+    SendProbe,
     WakeAt,
 )
 from mangoway.policy.membership.addresses import build_address_answer
 from mangoway.policy.membership.core import MembershipCore
 from mangoway.policy.membership.events import (
+    ConnectionRefused,
     HeartbeatReceived,
     HostListUpdated,
     LeaveRequested,
     ListedHost,
     MembershipEvent,
+    PeerAnswered,
     SendFailed,
     Ticked,
 )
@@ -66,12 +69,17 @@
     list_is_outdated: bool = False
     """Whether the host list stays as it is when hosts leave."""
 
+    refuses_connections: bool = True
+    """Whether a host without a process refuses connections; a host that has lost its
+    power or its network is silent instead."""
+
     processes: dict[str, Process] = field(factory=dict)
     left_at: dict[str, float] = field(factory=dict)
     """When each host was asked to leave; dropped when it is started again."""
 
     start_count: int = 0
     sent_heartbeats: int = 0
+    sent_probes: int = 0
     _listed: tuple[ListedHost, ...] = ()
     _queue: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
     _order: "count[int]" = field(factory=count)
@@ -163,6 +171,9 @@
             case ReplyHeartbeat():
                 assert isinstance(event, HeartbeatReceived)
                 self._send(host, event.sender, action.members, wants_reply=False)
+            case SendProbe():
+                self.sent_probes += 1
+                self._probe(host, action)
 
     def _wake_up(self, host: str, process: Process) -> None:
         if self.processes.get(host) is process:
@@ -171,19 +182,53 @@
     def _send(
         self, sender: str, receiver: str, members: tuple[Member, ...], wants_reply: bool
     ) -> None:
-        is_lost = {
-            sender,
-            receiver,
-        } & self.disconnected or self.random.random() < self.loss_rate
-        if is_lost or receiver not in self.processes:
-            failed = SendFailed(peer=HostId(receiver))
+        failed = SendFailed(peer=HostId(receiver))
+        if self._is_lost(sender, receiver):
             self._call_at(self.now + 1.0, lambda: self.deliver(sender, failed))
             return
+        if receiver not in self.processes:
+            if not self.refuses_connections:
+                self._call_at(self.now + 1.0, lambda: self.deliver(sender, failed))
+                return
+            self._deliver_later(sender, ConnectionRefused(address=f"{receiver}:1"))
+            self._deliver_later(sender, failed)
+            return
         heartbeat = HeartbeatReceived(
             sender=HostId(sender), members=members, wants_reply=wants_reply
         )
-        delay = DELAY_S * (1 + self.random.random())
-        self._call_at(self.now + delay, lambda: self.deliver(receiver, heartbeat))
+        self._deliver_later(receiver, heartbeat, DELAY_S)
+
+    def _probe(self, host: str, action: SendProbe) -> None:
+        """Deliver the result of a probe; every message of it may be lost."""
+        target = action.target_address.removesuffix(":1")
+        if action.relay_address is None:
+            path = [host, target]
+        else:
+            path = [host, action.relay_address.removesuffix(":1"), target]
+        hops = list(pairwise(path))
+        if any(self._is_lost(*hop) or self._is_lost(*hop) for hop in hops):
+            return
+        if any(not self._is_responsive(relay) for relay in path[1:-1]):
+            return
+        if self._is_responsive(target):
+            self._deliver_later(host, PeerAnswered(address=action.target_address))
+        elif target not in self.processes and self.refuses_connections:
+            self._deliver_later(host, ConnectionRefused(address=action.target_address))
+
+    def _is_responsive(self, host: str) -> bool:
+        process = self.processes.get(host)
+        return process is not None and not process.is_frozen
+
+    def _is_lost(self, sender: str, receiver: str) -> bool:
+        if {sender, receiver} & self.disconnected:
+            return True
+        return self.random.random() < self.loss_rate
+
+    def _deliver_later(
+        self, host: str, event: MembershipEvent, delay_s: float = 2 * DELAY_S
+    ) -> None:
+        delay = delay_s * (1 + self.random.random())
+        self._call_at(self.now + delay, lambda: self.deliver(host, event))
 
     def _update_list(self) -> None:
         if not self.list_is_outdated:
--- a/tests/processes/test_gateways.py
+++ b/tests/processes/test_gateways.py
@@ -134,6 +134,22 @@
         assert await call.async_count_runs() == 1
 
 
+class TestAddressesAfterAFailure:
+    """Callers aren't sent to a gateway that can't serve them."""
+
+    @pytest.mark.parametrize("failure", ["kill", "pause"])
+    async def test_failed_gateway_is_not_answered_while_it_counts_as_live(
+        self, fleet: Fleet, failure: str
+    ) -> None:
+        """It counts as gone only after ten seconds of silence."""
+        failed, other = fleet.gateways
+        await async_wait_listed(fleet, other, {failed.address, other.address})
+        getattr(failed, failure)()
+        await async_wait_listed(fleet, other, {other.address})
+        log = other.log.read_text()
+        assert ('"event":603' in log, '"event":602' in log) == (True, False)
+
+
 class TestPausedGateway:
     """A gateway is unused after SIGSTOP, and used again after SIGCONT."""
 
