Leave edges that are gone out of directories while the store is away

What callers saw: the directory named an edge that had ended for as long as the store was away, so that they connected to nothing.

The loss of an edge is known at once, as its link breaks, but only the store could end its announcement, and the leader's one attempt to remove it failed with the store.

Change: the scheduler that grants names in its heartbeats the announced edges that have been disconnected for 1 s, at most half of the members. Edges leave them out of their directory, and keep the last report while they hear no scheduler. An edge whose announcement is removed or written again is no longer reported.

Why it works: the scheduler's link is evidence that doesn't need the store. A heartbeat without lost edges is encoded as it was.

--- a/mangoway/coordination/absence.py
+++ b/mangoway/coordination/absence.py
@@ -2,7 +2,8 @@
 
 The announcement of a killed edge would otherwise remain until its lease ends, and
 callers would still receive its address. The leader detects the loss at once, because
-the link to the edge breaks.
+the link to the edge breaks. While the store can't remove it, schedulers report such
+edges to the others, which leave them out of the directory.
 """
 
 import asyncio
@@ -46,50 +47,54 @@
     _disconnected_at: dict[str, float] = field(factory=dict, init=False)
     """When the link to each disconnected edge broke, by its incarnation."""
 
+    _attempted: set[str] = field(factory=set, init=False)
+    """Disconnected edges whose announcements this process has tried to remove."""
+
     def record_disconnected(self, incarnation: str) -> None:
         """Record that the link to an edge broke."""
         self._disconnected_at[incarnation] = self.clock()
+        self._attempted.discard(incarnation)
 
     def record_reconnected(self, incarnation: str) -> None:
         """Record that an edge is connected again."""
-        self._disconnected_at.pop(incarnation, None)
+        self._forget(incarnation)
+
+    def list_absent(self) -> tuple[str, ...]:
+        """Return the incarnations of absent edges that are still announced."""
+        if not self._disconnected_at:
+            return ()
+        announced = {each.incarnation for each in self.view.members.values()}
+        for incarnation in self._disconnected_at.keys() - announced:
+            self._forget(incarnation)
+        if len(self._disconnected_at) > MAX_ABSENT_SHARE * len(announced):
+            return ()
+        latest = self.clock() - ABSENT_S
+        return tuple(
+            incarnation
+            for incarnation, disconnected_at in self._disconnected_at.items()
+            if disconnected_at <= latest
+        )
 
     async def async_run(self) -> None:
         """Remove the announcements of absent edges until cancelled."""
         while True:
             await asyncio.sleep(CHECK_S)
-            keys = self._list_absent()
-            if keys:
-                await self._async_remove(keys)
-
-    def _list_absent(self) -> list[str]:
-        """Return the keys of edges that have been absent for long enough.
-
-        Each edge is returned once. An edge that announces itself again is running, even
-        if it does not reach this process.
-        """
-        members = self.view.members
-        keys_by_incarnation = {each.incarnation: key for key, each in members.items()}
-        for incarnation in [
-            each for each in self._disconnected_at if each not in keys_by_incarnation
-        ]:
-            del self._disconnected_at[incarnation]
-        if not self.may_remove():
-            return []
-        if len(self._disconnected_at) > MAX_ABSENT_SHARE * len(members):
-            return []
-        latest = self.clock() - ABSENT_S
-        absent = [
-            each
-            for each, disconnected_at in self._disconnected_at.items()
-            if disconnected_at <= latest
+            if self.may_remove():
+                await self._async_remove(self._choose_next())
+
+    def _choose_next(self) -> dict[str, str]:
+        """Return the keys of some absent edges by incarnation; each is chosen once."""
+        chosen = [each for each in self.list_absent() if each not in self._attempted]
+        chosen = chosen[:MAX_REMOVED_PER_CALL]
+        self._attempted.update(chosen)
+        members = self.view.members.items()
+        keys = {each.incarnation: key for key, each in members}
+        return {each: keys[each] for each in chosen}
+
+    async def _async_remove(self, keys: dict[str, str]) -> None:
+        items = [
+            self.mirror.items[key] for key in keys.values() if key in self.mirror.items
         ]
-        for incarnation in absent[:MAX_REMOVED_PER_CALL]:
-            del self._disconnected_at[incarnation]
-        return [keys_by_incarnation[each] for each in absent[:MAX_REMOVED_PER_CALL]]
-
-    async def _async_remove(self, keys: list[str]) -> None:
-        items = [self.mirror.items[key] for key in keys if key in self.mirror.items]
         if not items:
             return
         # A key that has been written since belongs to an edge that is running.
@@ -101,8 +106,14 @@
                 unchanged, (), tuple(each.key for each in items)
             )
         except StoreUnavailableError as error:
-            # The keys are removed when their leases end.
+            # The store removes the keys when their leases end.
             log_event(log.EdgesKept(reason=str(error)))
             return
+        for incarnation in keys:
+            self._forget(incarnation)
         if result.committed:
             log_event(log.EdgesRemoved(keys=tuple(each.key for each in items)))
+
+    def _forget(self, incarnation: str) -> None:
+        self._disconnected_at.pop(incarnation, None)
+        self._attempted.discard(incarnation)
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field, frozen
 
-from ..models.fleet import Member
+from ..models.fleet import Member, Role
 from ..models.routing import RoutingTable
 from ..models.runner import RunnerEntry, is_later_incarnation
 from ..models.signals import LeavingReport
@@ -68,6 +68,10 @@
     members: dict[str, Member] = field(factory=dict, init=False)
     """Members by store key."""
 
+    absent_edges: frozenset[str] = field(default=frozenset(), init=False)
+    """Incarnations of announced edges that the scheduler doesn't reach. The last report
+    is kept while no scheduler is heard."""
+
     leader: Leader | None = field(default=None, init=False)
     _kept_until: float = field(default=0.0, init=False)
     """Time until which removed entries are kept, since they may come back."""
@@ -269,6 +273,14 @@
         self._missing_members.discard(key)
         self.members.pop(key, None)
 
+    def list_reachable_edges(self) -> list[Member]:
+        """Return the announced edges without absent ones; all if none is left."""
+        edges = [each for each in self.members.values() if each.role is Role.EDGE]
+        reachable = [
+            each for each in edges if each.incarnation not in self.absent_edges
+        ]
+        return reachable or edges
+
     def update_leader(self, leader: Leader | None) -> None:
         """Update the holder of the scheduler's key; None if it is free."""
         if leader == self.leader:
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -155,6 +155,7 @@
             may_write=lambda: self.leadership.fence is not None,
             prefix=OWN_PREFIX,
         )
+        self.server.list_absent = self.absent.list_absent
         self.server.plain.use_metrics(process.metrics)
         self.server.transfer_log.metrics = process.metrics
         self.server.on_edge_connection = self._handle_edge_connection
--- a/mangoway/edge/pages.py
+++ b/mangoway/edge/pages.py
@@ -8,7 +8,6 @@
 from ..coordination.view import FleetView
 from ..http1.messages import Request
 from ..http1.server import Exchange
-from ..models.fleet import Role
 from ..platform.pages import PATH_READY, decode_address_request, encode_addresses
 from ..policy.edge.gateways import choose_gateways
 from .const import DIRECTORY_TTL_S
@@ -28,7 +27,7 @@
         if query is None:
             exchange.answer(STATUS_NO_ROUTE, *make_response("no such page"))
             return
-        edges = [each for each in self.view.members.values() if each.role is Role.EDGE]
+        edges = self.view.list_reachable_edges()
         named = choose_gateways(edges, query.data_centre, self.random)
         if not named:
             exchange.answer(STATUS_NOT_RUN, *make_response("no edge is known yet"))
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -166,6 +166,9 @@
     known_at = math.floor(message.known_at * MS_PER_S) / MS_PER_S
     fields = ["beat", message.leading, age_s, round(message.period_s, 3), known_at]
     waits = [[name, round(wait_s, 3)] for name, wait_s in message.exhausted]
+    if message.absent:
+        flags = [message.grants_plain, message.takes_transfers]
+        return [*fields, waits, message.era, *flags, list(message.absent)]
     if message.takes_transfers:
         return [*fields, waits, message.era, message.grants_plain, True]
     if message.grants_plain:
@@ -186,6 +189,7 @@
         era=get_era(fields, 6),
         grants_plain=len(fields) > 7 and bool(fields[7]),
         takes_transfers=len(fields) > 8 and bool(fields[8]),
+        absent=tuple(fields[9]) if len(fields) > 9 else (),
     )
 
 
--- a/mangoway/scheduling/leader_link.py
+++ b/mangoway/scheduling/leader_link.py
@@ -300,6 +300,8 @@
             self._exhausted_until = {
                 name: now + wait_s for name, wait_s in message.exhausted
             }
+            if message.leading:
+                self.view.absent_edges = frozenset(message.absent)
             if starts_leading:
                 self.on_leading(link)
         elif isinstance(message, StoreSnapshot | StoreChanges):
--- a/mangoway/scheduling/messages.py
+++ b/mangoway/scheduling/messages.py
@@ -88,6 +88,9 @@
     `StreamMoved` and `TransferFailed`. One of the previous release closes a link on
     which they arrive."""
 
+    absent: tuple[str, ...] = ()
+    """Incarnations of announced edges that have been disconnected for a while."""
+
 
 @frozen(kw_only=True)
 class ClockRequest:
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -93,6 +93,9 @@
     )
     """Called with the incarnation of each edge that connects or disconnects."""
 
+    list_absent: Callable[[], tuple[str, ...]] = tuple
+    """Returns the incarnations of announced edges that are disconnected."""
+
     transfer_log: TransferLog = field(factory=TransferLog, init=False)
     _links: dict[str, Link] = field(factory=dict, init=False)
     """Link to each follower, by the incarnation of its process."""
@@ -351,6 +354,7 @@
             exhausted=tuple(self.core.state.quotas.list_exhausted(self.clock())),
             grants_plain=self.plain.is_offered,
             takes_transfers=self.core.state.protecting,
+            absent=self.list_absent(),
         )
 
     def _choose_period(self) -> float:
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -58,6 +58,7 @@
         transfers_streams=True,
     ),
     Heartbeat(leading=True, store_age_s=0.25, period_s=0.15),
+    Heartbeat(leading=True, store_age_s=9.0, period_s=0.15, absent=("e1", "e2")),
     Heartbeat(
         leading=True,
         store_age_s=0.25,
