Compare all keys when a watch of the key-value service is replaced

What callers would see: a process that relays the configuration goes on without a change that was accepted after the service was restored from a backup, 2 s at a relay and 30 s elsewhere; other readers of a watch would miss it for good.

Cause: a failed watch was resumed at a revision, which the restored service gives out again for other changes. The keys were listed only if its revision was below the position at that moment, which no longer holds after some writes; and a list yielded no deletion.

The stand-in has the changes below the position that it is asked for, which rules out a reader that drops them.

Change: a replaced watch lists all its keys after it is created, and reports how they differ from what was reported. A read or transaction that states a revision below a known one resets the newest known revision (event 709).

Why it works: nothing that was known before the failure is taken for a point in time; what is compared is the values themselves. A list for each opening, one call more. The stand-in now rejects reads at revisions that it doesn't have, as the published interface does.

--- a/mangoway/key_value/etcd.py
+++ b/mangoway/key_value/etcd.py
@@ -57,10 +57,9 @@
         change made between a read and this call is yielded if no other call was made
         in between.
 
-        A watch that ends or stalls is resumed at its position. If the service no longer
-        has the changes after that position, or was restored from a backup that ends
-        before it, all existing keys are yielded instead, and deletions in between are
-        not.
+        A watch that ends or stalls is replaced by one that first yields how the keys
+        differ from what was yielded, deletions among it. If the service was restored
+        from a backup before the watch began, all existing keys are yielded.
         """
         return watch_prefix(self._client, prefix, self._client.revision)
 
--- a/mangoway/key_value/etcd_client.py
+++ b/mangoway/key_value/etcd_client.py
@@ -10,7 +10,11 @@
 from ..models.errors import ErrorCode, MangowayError
 from ..models.verdict import Verdict
 from ..observability.event_log import log_event
-from ..observability.events import BudgetExhausted, KeyValueUnavailable
+from ..observability.events import (
+    BudgetExhausted,
+    KeyValueRestored,
+    KeyValueUnavailable,
+)
 from ..observability.metrics import Metrics
 from ..settings.process import KeyValueSettings
 from . import rpc_grpc, rpc_pb2
@@ -23,6 +27,9 @@
 ReplyT = TypeVar("ReplyT")
 Send = Callable[[Channel], Awaitable[ReplyT]]
 
+LINEARIZABLE_CALLS = frozenset({"range", "txn"})
+"""Calls whose responses state a revision that is not below any known before them."""
+
 RESULT_OK = "ok"
 RESULT_FAILED = "failed"
 RESULT_REJECTED = "refused"
@@ -42,6 +49,9 @@
         self.revision = 0
         """Newest revision of the service that a response contained."""
 
+        self.restores = 0
+        """Number of times that the service was seen to have lost known revisions."""
+
         self.endpoints = Endpoints(
             settings.key_value, settings.key_value_timeout_s, self.random_source
         )
@@ -120,6 +130,7 @@
         await self.async_consume_budget(call, rank)
         loop = asyncio.get_running_loop()
         started = loop.time()
+        known = self.revision
         result = RESULT_FAILED
         try:
             reply = await self.endpoints.async_call(send)
@@ -127,6 +138,8 @@
         finally:
             self.metrics.key_value_calls.add(call, rank.name.lower(), result)
             self.metrics.key_value_seconds.observe(call, seconds=loop.time() - started)
+        if call in LINEARIZABLE_CALLS:
+            self._check_restore(reply, known)
         self.update_revision(reply)
         return reply
 
@@ -163,9 +176,17 @@
         """Update the newest revision from the header of a response."""
         self.revision = max(self.revision, reply.header.revision)
 
-    def reset_revision(self, revision: int) -> None:
-        """Set the newest revision of a service that was restored from a backup."""
-        self.revision = revision
+    def _check_restore(self, reply: Any, known: int) -> None:
+        """Reset the newest revision if the service was restored from a backup.
+
+        Args:
+            reply: Response to a linearizable call.
+            known: Newest revision that was known before the call.
+        """
+        if reply.header.revision < known:
+            log_event(KeyValueRestored(revision=reply.header.revision, known=known))
+            self.restores += 1
+            self.revision = reply.header.revision
 
 
 def make_unavailable_error(
--- a/mangoway/key_value/etcd_watch.py
+++ b/mangoway/key_value/etcd_watch.py
@@ -1,9 +1,11 @@
 """Watches on the etcd API that detect stalls and resume."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
+from attrs import define
 from grpclib.client import Channel, Stream
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
 from ..models.errors import MangowayError
@@ -37,43 +39,72 @@
     """
 
 
+@define(eq=False)
+class WatchedKeys:
+    """Keys under a prefix with the values that the reader of a watch knows."""
+
+    _values: dict[str, StoredValue]
+
+    def apply(self, changes: Iterable[StoredValue]) -> None:
+        """Apply changes that are reported to the reader."""
+        for change in changes:
+            if change.value is None:
+                self._values.pop(change.key, None)
+            else:
+                self._values[change.key] = change
+
+    def find_changes(self, values: Iterable[StoredValue]) -> list[StoredValue]:
+        """Return the differences of a complete list, in key order."""
+        listed = {each.key: each for each in values}
+        changed = [
+            each for each in listed.values() if self._values.get(each.key) != each
+        ]
+        missing = [
+            StoredValue(key=key, value=None, revision=Revision(0))
+            for key in self._values.keys() - listed.keys()
+        ]
+        return sorted([*changed, *missing], key=lambda each: each.key)
+
+
 async def watch_prefix(
     client: EtcdClient, prefix: str, position: int
 ) -> AsyncIterator[StoredValue]:
-    """Yield changes under a prefix after a revision; failed watches are replaced."""
+    """Yield changes under a prefix after a revision; failed watches are replaced.
+
+    A replacement begins with a list of all keys, which is compared with what was
+    reported. So nothing is missed if the service was restored from a backup and has
+    given the revisions after the position to other changes, or has compacted changes.
+    """
+    lister = PrefixLister(client, prefix)
+    known: WatchedKeys | None = None
     failures = 0
     while True:
-        session = WatchSession(client, prefix, position)
+        is_replacement = failures > 0 or known is not None
+        session = WatchSession(client, prefix, 0 if is_replacement else position)
         try:
             await session.async_open()
+            await session.async_receive_created()
+            if known is None:
+                known = WatchedKeys(await lister.async_list_at(position))
+            changes: list[StoredValue] = []
+            if is_replacement:
+                values, revision = await lister.async_list()
+                session.skip_until(revision)
+                changes = known.find_changes(values)
             while True:
-                changes = await session.async_receive()
-                failures = 0
+                known.apply(changes)
                 for change in changes:
                     yield change
+                changes = await session.async_receive()
+                failures = 0
         except (WatchFailed, CallFailed, MangowayError) as error:
             reason = str(error)
-            is_compacted = isinstance(error, WatchCompacted)
-            is_ahead = isinstance(error, WatchAhead)
         finally:
             await session.async_close()
-        position = session.position
-        log_event(WatchResumed(prefix=prefix, revision=position, reason=reason))
+        revision = session.position
+        log_event(WatchResumed(prefix=prefix, revision=revision, reason=reason))
         failures += 1
         await client.async_back_off(failures)
-        if is_compacted or is_ahead:
-            try:
-                values, revision = await _async_list(client, prefix)
-            except MangowayError:
-                continue
-            # The list states the newest revision of the whole service.
-            if revision < position:
-                client.reset_revision(revision)
-            elif is_ahead:
-                continue
-            position = revision
-            for value in values:
-                yield value
 
 
 class WatchSession:
@@ -95,6 +126,8 @@
         self._stream: WatchStream | None = None
         self._receiving: asyncio.Task[rpc_pb2.WatchResponse | None] | None = None
         self._expected_revision: int | None = None
+        self._skipped_until = 0
+        self._known_restores = client.restores
         self._last_received_at = 0.0
 
     async def async_open(self) -> None:
@@ -122,6 +155,19 @@
             )
         )
 
+    async def async_receive_created(self) -> None:
+        """Wait until the watch is created: from here on it misses no change.
+
+        Raises:
+            WatchFailed: If it is not.
+        """
+        await self.async_receive()
+
+    def skip_until(self, revision: int) -> None:
+        """Skip the changes up to a revision, since a list contained them."""
+        self.position = max(self.position, revision)
+        self._skipped_until = revision
+
     async def async_receive(self) -> list[StoredValue]:
         """Wait for changes; the list is empty if only progress was reported.
 
@@ -165,10 +211,16 @@
     def _apply_events(self, response: rpc_pb2.WatchResponse) -> list[StoredValue]:
         last = response.events[-1].kv.mod_revision
         self.position = max(self.position, last)
-        return [_make_change(event) for event in response.events]
+        return [
+            _make_change(event)
+            for event in response.events
+            if event.kv.mod_revision > self._skipped_until
+        ]
 
     def _apply_progress(self, revision: int) -> None:
         expected_revision, self._expected_revision = self._expected_revision, None
+        if self._client.restores != self._known_restores:
+            raise WatchFailed("the service was restored from a backup")
         self.position = max(self.position, revision)
         if expected_revision is not None and revision < expected_revision:
             raise WatchFailed(
@@ -222,13 +274,54 @@
         self._client.metrics.key_value_calls.add(call, rank, result)
 
 
-async def _async_list(client: EtcdClient, prefix: str) -> tuple[list[StoredValue], int]:
-    start = prefix.encode()
-    request = rpc_pb2.RangeRequest(key=start, range_end=find_prefix_end(start))
+@define(eq=False)
+class PrefixLister:
+    """Lists the keys under a prefix."""
+
+    _client: EtcdClient
+    _prefix: str
+
+    async def async_list(self) -> tuple[list[StoredValue], int]:
+        """Return all keys and the newest revision of the service.
+
+        Raises:
+            CallFailed, MangowayError: If the call fails.
+        """
+        return await self._async_read(0)
+
+    async def async_list_at(self, revision: int) -> dict[str, StoredValue]:
+        """Return all keys at a revision, 0 for the newest one.
+
+        It is empty if the service doesn't know the revision: what was read at it may
+        have been lost.
+
+        Raises:
+            CallFailed, MangowayError: If the call fails.
+        """
+        try:
+            values, _ = await self._async_read(revision)
+        except CallFailed as error:
+            if error.status is Status.OUT_OF_RANGE:
+                return {}
+            raise
+        return {each.key: each for each in values}
+
+    async def _async_read(self, revision: int) -> tuple[list[StoredValue], int]:
+        start = self._prefix.encode()
+        request = rpc_pb2.RangeRequest(
+            key=start, range_end=find_prefix_end(start), revision=revision
+        )
+
+        async def send(channel: Channel) -> rpc_pb2.RangeResponse:
+            reply: rpc_pb2.RangeResponse = await rpc_grpc.KVStub(channel).Range(request)
+            return reply
 
-    reply = await client.async_range(request, CallRank.CONFIGURATION)
-    values = [make_stored_value(kv.key.decode(), kv) for kv in reply.kvs]
-    return values, reply.header.revision
+        # If it fails, the watch is opened again as well, after a backoff.
+        reply = await self._client.async_call_once(
+            "range", CallRank.CONFIGURATION, send
+        )
+        values = [make_stored_value(kv.key.decode(), kv) for kv in reply.kvs]
+        return values, reply.header.revision
 
 
 def _make_change(event: rpc_pb2.Event) -> StoredValue:
--- a/mangoway/observability/events.py
+++ b/mangoway/observability/events.py
@@ -459,6 +459,14 @@
     reason: str
 
 
+@numbered(709, LogLevel.WARNING)
+class KeyValueRestored:
+    """The key-value service states an older revision: it was restored from a backup."""
+
+    revision: int
+    known: int
+
+
 # 8xx: traces.
 
 
--- a/tests/stand_ins/etcd_storage.py
+++ b/tests/stand_ins/etcd_storage.py
@@ -23,6 +23,9 @@
 
     clock: Callable[[], float] = time.monotonic
     revision: int = 1
+    compacted: int = 0
+    """Revision before which the versions of keys are no longer known."""
+
     events: list[Event] = field(factory=list)
     leases: dict[int, StoredLease] = field(factory=dict)
     _versions: dict[bytes, list[KeyValue]] = field(factory=lambda: defaultdict(list))
--- a/tests/stand_ins/key_value.py
+++ b/tests/stand_ins/key_value.py
@@ -156,6 +156,16 @@
     async def Range(self, stream: Stream[Any, Any]) -> None:
         request = await stream.recv_message()
         await self._owner.async_begin_call(stream, "range")
+        storage = self._owner.storage
+        if request.revision > storage.revision:
+            raise GRPCError(
+                Status.OUT_OF_RANGE, "etcdserver: mvcc: required revision is in future"
+            )
+        if 0 < request.revision < storage.compacted:
+            raise GRPCError(
+                Status.OUT_OF_RANGE,
+                "etcdserver: mvcc: required revision has been compacted",
+            )
         await stream.send_message(self._read(request))
 
     async def Txn(self, stream: Stream[Any, Any]) -> None:
@@ -245,6 +255,11 @@
         start = create.start_revision or storage.revision + 1
         position = sum(each.kv.mod_revision < start for each in storage.events)
         await self._async_send(stream, created=True)
+        if start <= storage.compacted:
+            await self._async_send(
+                stream, canceled=True, compact_revision=storage.compacted
+            )
+            return
         progress_request = asyncio.ensure_future(stream.recv_message())
         try:
             while not self._owner.switches.down:
