Merge clearances that edges wrote over each other without a leader

What callers would see: an edge that starts while no scheduler leads rejects a request, for up to the ten minutes for which its charges count, that the running edges serve.

Cause: the store keeps the last of two clearances that edges write at once under the key of a request, and running processes add both up. Since the leader writes what the value lacks; without a leader nobody did. Evidence: tests/coordination/test_clearance_writer.py without the check of the new writer: the store keeps the clearance of one edge of two and of five, and a process that starts blocks the request while the two running ones don't (3 of 6 red); their charges are equal, which rules those out.

Change: an edge checks each second the clearances that it wrote, and writes the merged one if the store's value was incomplete at two checks in a row, so that a leader comes first and hundreds of edges don't write at a time.

Why it works: an edge whose clearance was written over sees the other's value, merges it and writes both; merging is the same in any order, so the writes end. Measured: 6 of 6 green, no write after the merge.

--- a/mangoway/coordination/crash_reporter.py
+++ b/mangoway/coordination/crash_reporter.py
@@ -63,6 +63,10 @@
         self._pending[statement.key] = statement
         self._posted.set()
 
+    def is_pending(self, key: str) -> bool:
+        """Return whether the store has not confirmed the statement under a key."""
+        return key in self._pending
+
     async def async_run(self) -> None:
         """Write queued statements until cancelled."""
         while True:
--- a/mangoway/coordination/crashes.py
+++ b/mangoway/coordination/crashes.py
@@ -4,9 +4,10 @@
 crashed, and a clearance for a charged request that has succeeded. The leader writes
 which requests are blocked. All edges write the clearances of a request under one key,
 each with what it knows of earlier ones; if two edges write at once, the leader writes
-the merged clearance. Each process reads all statements along with the other keys of the
-store, so that they apply with a leader, with a standby and without any scheduler. The
-keys have no lease: a statement stays valid after the edge that wrote it has stopped.
+the merged clearance, or these edges without a leader. Each process reads all statements
+along with the other keys of the store, so that they apply with a leader, with a standby
+and without any scheduler. The keys have no lease: a statement stays valid after the
+edge that wrote it has stopped.
 """
 
 from collections.abc import Iterable
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from ..coordination.clearance_writer import ClearanceWriter
 from ..coordination.crash_reporter import CrashReporter
 from ..edge.admission import Admission
 from ..edge.caller_memory import make_response_memory
@@ -96,6 +97,7 @@
     process: FleetProcess = field(init=False)
     client: SchedulerClient = field(init=False)
     reporter: CrashReporter = field(init=False)
+    clearance_writer: ClearanceWriter = field(init=False)
     admission: Admission = field(init=False)
     startup: StartupCheck = field(init=False)
     retry_budgets: RetryBudgets = field(init=False)
@@ -133,6 +135,9 @@
         self.reporter = CrashReporter(
             self.process.store, OWN_PREFIX, self._send_statement
         )
+        self.clearance_writer = ClearanceWriter(
+            self.reporter, self.process.mirror, self.process.crashes, OWN_PREFIX
+        )
         self.admission = Admission(
             view=self.process.view,
             measure_age=self.process.mirror.measure_age,
@@ -182,6 +187,7 @@
         )
         await self.process.async_start(addresses)
         self.process.keep_running(self.reporter.async_run)
+        self.process.keep_running(self.clearance_writer.async_run)
         self.process.keep_running(self._async_sweep)
         self.process.keep_running(self._async_update_shares)
         self.process.keep_running(self._async_log_summaries)
@@ -271,7 +277,7 @@
         crash_filter = CrashFilter(
             edge=process.incarnation,
             tracker=process.crashes,
-            statement_sender=self.reporter,
+            statement_sender=self.clearance_writer,
             clock=process.clock,
         )
         return Forwarder(
