Check that a lease of the key-value service still has its key

What operators would see: two controllers plan one cell for good, and conflict on each ledger, after the key-value service was restored from a backup.

Cause: a renewal that the service accepted counted as holding the key. A backup may hold the lease without the key that was written with it.

Change: a renewal is followed by a reading of the key if the response states a revision below a known one, if a restore was seen since, and each 10 s. A member that lags behind states an older revision as well; the reading keeps the lease then.

Why it works: the key itself is looked at, which no revision can stand for. Two calls more each 10 s by the holder of each cell.

--- a/mangoway/key_value/const.py
+++ b/mangoway/key_value/const.py
@@ -39,5 +39,9 @@
 
 NONCE_BYTES: Final = 12
 
+LEASE_KEY_CHECK_S: Final = 10.0
+"""Time after which a renewal also reads the key. Two holders cost failed writes, though
+the ledgers keep them from harm."""
+
 LEASE_ID_BITS: Final = 62
 """Number of random bits of a lease id, which must be a positive 64-bit integer."""
--- a/mangoway/key_value/etcd_lease.py
+++ b/mangoway/key_value/etcd_lease.py
@@ -1,5 +1,6 @@
 """Lease keys on the etcd API: keys attached to a lease that must be renewed."""
 
+import asyncio
 import math
 
 from attrs import frozen
@@ -8,6 +9,7 @@
 from ..models.identifiers import Revision
 from ..models.verdict import Verdict
 from . import rpc_grpc, rpc_pb2
+from .const import LEASE_KEY_CHECK_S
 from .endpoints import CallFailed
 from .envelope import Envelope
 from .etcd_client import EtcdClient
@@ -21,15 +23,20 @@
 
     id: int
     owner: str
+    restores: int
+    """Restores of the service that had been seen when the key was known to exist."""
+
+    checked_at: float
+    """Loop time at which the key was known to exist."""
 
 
 class LeaseKeeper:
     """Acquisition, renewal and release of lease keys.
 
-    Number of calls: 1 for a renewal, 1 for an attempt while another owner holds the
-    key, 3 to acquire a free key. The time of a lease starts at the service, after the
-    call was sent, so a holder that measures it from before the call never overestimates
-    it.
+    Number of calls: 1 for a renewal, 3 for one that checks the key as well, 1 for an
+    attempt while another owner holds the key, 3 to acquire a free key. The time of a
+    lease starts at the service, after the call was sent, so a holder that measures it
+    from before the call never overestimates it.
     """
 
     def __init__(self, client: EtcdClient, writer: TransactionWriter) -> None:
@@ -44,7 +51,7 @@
         held = self._held.get(key)
         if held is None or held.owner != owner:
             held = None
-        if held and await self._async_renew(held, rank):
+        if held and not await self._async_may_lack_key(held, rank):
             return True
         self._held.pop(key, None)
         holder = await self._async_find_holder(key, rank)
@@ -52,9 +59,10 @@
             return await self._async_create(key, owner, ttl_s, rank)
         if holder.owner != owner:
             return False
-        # An earlier acquisition succeeded although its response was lost.
+        # An earlier acquisition succeeded although its response was lost, or the key
+        # was in question.
         self._held[key] = holder
-        return await self._async_renew(holder, rank)
+        return (await self._async_renew(holder, rank)).TTL > 0
 
     async def async_release(self, key: str, owner: str, rank: CallRank) -> None:
         """Release a key; its lease is revoked, which deletes the key.
@@ -77,7 +85,24 @@
         await self._client.async_read("lease_revoke", rank, send)
         self._held.pop(key, None)
 
-    async def _async_renew(self, held: HeldLease, rank: CallRank) -> bool:
+    async def _async_may_lack_key(self, held: HeldLease, rank: CallRank) -> bool:
+        """Renew a lease; return whether it has ended or may be without its key.
+
+        A service that was restored from a backup may have the lease only. It states an
+        older revision, like a member that lags behind, until it has given out as many
+        again. So the key has to be read in doubt, and now and then.
+        """
+        known = self._client.revision
+        reply = await self._async_renew(held, rank)
+        if reply.TTL <= 0 or reply.header.revision < known:
+            return True
+        if held.restores != self._client.restores:
+            return True
+        return _now() >= held.checked_at + LEASE_KEY_CHECK_S
+
+    async def _async_renew(
+        self, held: HeldLease, rank: CallRank
+    ) -> rpc_pb2.LeaseKeepAliveResponse:
         request = rpc_pb2.LeaseKeepAliveRequest(ID=held.id)
 
         async def send(channel: Channel) -> rpc_pb2.LeaseKeepAliveResponse:
@@ -91,8 +116,7 @@
                 )
             return reply
 
-        reply = await self._client.async_read("lease_keep_alive", rank, send)
-        return reply.TTL > 0
+        return await self._client.async_read("lease_keep_alive", rank, send)
 
     async def _async_create(
         self, key: str, owner: str, ttl_s: float, rank: CallRank
@@ -101,7 +125,7 @@
         put = Put(key=key, value=owner.encode(), expected=Revision(0))
         result = await self._writer.async_commit((put,), rank, lease_id)
         if result.succeeded:
-            self._held[key] = HeldLease(lease_id, owner)
+            self._held[key] = self._make_held(lease_id, owner)
         # After a failed commit the lease has no key and expires.
         return result.succeeded
 
@@ -111,4 +135,11 @@
         if not reply.kvs:
             return None
         owner = Envelope.decode(reply.kvs[0].value).value
-        return HeldLease(reply.kvs[0].lease, owner.decode(errors="replace"))
+        return self._make_held(reply.kvs[0].lease, owner.decode(errors="replace"))
+
+    def _make_held(self, lease_id: int, owner: str) -> HeldLease:
+        return HeldLease(lease_id, owner, self._client.restores, _now())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/key_value/test_restored_service.py
+++ b/tests/key_value/test_restored_service.py
@@ -10,11 +10,14 @@
 
 import pytest
 
+from mangoway.key_value import etcd_lease
 from mangoway.key_value.etcd import EtcdStore
 from mangoway.key_value.store import CallRank, Put, StoredValue
+from tests.stand_ins.etcd_storage import EtcdStorage
 from tests.stand_ins.key_value import KeyValueStandIn
 
 from .conftest import MakeStore
+from .test_etcd_lease import async_acquire
 from .test_etcd_watch import async_end, async_fail, async_next, async_write
 
 RANK = CallRank.CONFIGURATION
@@ -180,3 +183,57 @@
         stand_in.storage = backup
         await store.async_get("/w/a", RANK)
         assert store._client.revision < known
+
+
+class TestLease:
+    """Lease keys whose write the backup lacks, though it has their lease."""
+
+    def restore_without_the_key(self, stand_in: KeyValueStandIn) -> None:
+        """Restore a state between the grant of the lease and the write of its key."""
+        leases = stand_in.storage.leases
+        stand_in.storage = EtcdStorage(leases=leases)
+
+    async def test_holder_notices_that_its_key_is_gone(
+        self,
+        stand_in: KeyValueStandIn,
+        make_store: MakeStore,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Its lease is renewed, while another owner holds the key."""
+        monkeypatch.setattr(etcd_lease, "LEASE_KEY_CHECK_S", 0.0)
+        first, second = make_store(), make_store()
+        assert await async_acquire(first, "a")
+        self.restore_without_the_key(stand_in)
+        assert await async_acquire(second, "b")
+        assert not await async_acquire(first, "a")
+
+    async def test_holder_notices_it_after_the_old_revision_is_reached(
+        self, stand_in: KeyValueStandIn, make_store: MakeStore
+    ) -> None:
+        first, second = make_store(), make_store()
+        assert await async_acquire(first, "a")
+        self.restore_without_the_key(stand_in)
+        await first.async_get("/other", RANK)
+        assert await async_acquire(second, "b")
+        for number in range(5):
+            await async_write(second, "/other", b"%d" % number)
+        assert not await async_acquire(first, "a")
+
+    async def test_holder_whose_key_is_in_the_backup_keeps_it(
+        self, stand_in: KeyValueStandIn, make_store: MakeStore
+    ) -> None:
+        first, second = make_store(), make_store()
+        assert await async_acquire(first, "a")
+        backup = deepcopy(stand_in.storage)
+        await async_write(first, "/other", b"1")
+        stand_in.storage = backup
+        assert await async_acquire(first, "a")
+        assert await async_acquire(first, "a")
+        assert not await async_acquire(second, "b")
+
+    async def test_renewal_at_a_member_that_lags_keeps_the_lease(
+        self, stand_in: KeyValueStandIn, store: EtcdStore
+    ) -> None:
+        assert await async_acquire(store, "a")
+        store._client.revision += 5
+        assert await async_acquire(store, "a")
