Send the requests of a test while addresses are surely valid

No caller is concerned.

Cause: the gateways of the test state addresses that are valid for 0.3 s, and a stopping gateway rejects requests that come later, as not run. The test assumed that its process sends them within that time.

Change: addresses are valid for 60 s in this test, and its stop is ended by force, as nothing else of it depends on its end. The check is as it was; that a stop ends by itself is checked by the tests beside it.

--- a/tests/daemons/test_gateway_stop.py
+++ b/tests/daemons/test_gateway_stop.py
@@ -4,16 +4,24 @@
 from typing import Any
 
 import pytest
+from attrs import evolve
 
 from mangoway.daemons.gateway_stop import PlannedStop, StopOutcome
-from mangoway.models.identifiers import IncarnationId
+from mangoway.models.identifiers import ConfigVersion, IncarnationId
 from mangoway.models.member import MemberState
+from mangoway.models.offer import SitePolicy
 from mangoway.peers import peers_pb2 as pb
 
-from .gateway_world import GatewayWorld, open_world, wait_until
+from .gateway_world import CONFIGURATION, GatewayWorld, open_world, wait_until
 from .test_gateway_faults import assert_problem
 from .test_gateway_keys import confirm, make_key
 
+LONG_VALIDITY = evolve(
+    CONFIGURATION,
+    version=ConfigVersion(CONFIGURATION.version + 1),
+    site=SitePolicy(address_validity_s=60.0),
+)
+
 
 class ImmediateAnnouncer:
     """Announces a stop to all gateways of a world immediately."""
@@ -79,13 +87,18 @@
         self, failed_peer: int
     ) -> None:
         async with open_world(gateways=3) as world:
+            # The requests are sent while addresses are valid, also on a busy host.
+            for node in world.nodes:
+                node.set_configuration(LONG_VALIDITY)
             await world.nodes[failed_peer].peer_server.async_stop()
-            task = await start_stop(make_stop(world), world)
+            stop = make_stop(world)
+            task = await start_stop(stop, world)
             requests = [world.complete() for _ in range(4)]
             calls = [world.call("confirm", {}) for _ in range(4)]
             answers = await asyncio.gather(*requests, *calls)
             assert {answer.status for answer in answers} == {200}
-            await task
+            stop.force()
+            assert await task is StopOutcome.FORCED
 
     async def test_peer_failure_ends_a_stream_with_an_error_event(self) -> None:
         async with open_world(tokens_per_second=50.0, gateways=2) as world:
