Tell a suspected gateway of its suspicion in replies to its heartbeats

What callers would see: a gateway that is reachable again after a cut stays out of most address answers for seconds, until heartbeats have crossed the cell.

Cause: an entry isn't sent back to the peer that it came from, so that a process whose suspicion was announced while it couldn't be reached got no reply that told it; and it announced no heartbeat where an ordinary one was beyond the suspicion already.

Change: a process gets its own entry back if that holds a suspicion, and announces a heartbeat once for each new suspicion.

Why it works: the first exchange tells the process, and its announcement reaches all at once.

--- a/mangoway/policy/membership/core.py
+++ b/mangoway/policy/membership/core.py
@@ -55,6 +55,9 @@
     """Number of the last change that was sent to each peer address."""
 
     _detector: FailureDetector = field(init=False)
+    _refuted_beat: int = -1
+    """Latest suspicion of this process that it has refuted."""
+
     _next_heartbeat_at: float | None = None
     _wake_at: float | None = None
     _next_sync_at: float = 0.0
@@ -255,14 +258,20 @@
         return not entry.is_silent and entry.member.state is not MemberState.GONE
 
     def _refute_suspicion(self, now: float) -> list[MembershipAction]:
-        """Announce a heartbeat that refutes a suspicion of this process."""
+        """Announce a heartbeat that refutes a suspicion of this process.
+
+        It is announced once, also if an earlier heartbeat is beyond the suspicion: that
+        one takes seconds to reach all.
+        """
         entry = self._table.find(self._own_key)
         if entry is None or self.is_replaced:
             return []
         suspicion = entry.member.suspicion
-        if suspicion is None or suspicion.beat < self._own.beat:
+        if suspicion is None or suspicion.beat <= self._refuted_beat:
             return []
-        self._change_own(evolve(self._own, beat=suspicion.beat), now)
+        self._refuted_beat = suspicion.beat
+        beat = max(self._own.beat, suspicion.beat)
+        self._change_own(evolve(self._own, beat=beat), now)
         return [self._send(address) for address in self._list_live()]
 
     def _contact_unknown(self, live: list[str]) -> list[MembershipAction]:
--- a/mangoway/policy/membership/table.py
+++ b/mangoway/policy/membership/table.py
@@ -88,15 +88,20 @@
     def list_changes(self, since: int, receiver: str | None) -> tuple[Member, ...]:
         """Return the entries changed after change number `since`.
 
-        Those that came from the receiver itself are left out, and so are silent
-        entries, which it would consider live.
+        Those that came from the receiver itself are left out, but for its own entry
+        with a suspicion, which it may have to refute. So are silent entries, which it
+        would consider live.
         """
         return tuple(
             entry.member
             for entry in self._entries.values()
             if entry.change > since
             and not entry.is_silent
-            and (receiver is None or entry.source != receiver)
+            and (
+                receiver is None
+                or entry.source != receiver
+                or _must_refute(entry.member, receiver)
+            )
         )
 
     def expire_silent(self, own: ProcessKey, now: float) -> bool:
@@ -125,6 +130,10 @@
         return self._last_change
 
 
+def _must_refute(member: Member, address: str) -> bool:
+    return member.peer_address == address and member.suspicion is not None
+
+
 def _clear_beat(member: Member) -> Member:
     """Return a member without its heartbeat counter, for comparisons.
 
--- a/tests/policy/membership/test_failure_detection.py
+++ b/tests/policy/membership/test_failure_detection.py
@@ -12,6 +12,7 @@
 from mangoway.models.member import MemberState, Suspicion
 from mangoway.policy.membership.addresses import build_address_answer
 from mangoway.policy.membership.const import (
+    HEARTBEAT_S,
     MIN_FREEZE_S,
     PROBE_RETRIES,
     PROBE_TIMEOUT_S,
@@ -137,9 +138,20 @@
         assert list_answers_with(cell, "host-3") == ["host-3"]
         assert "host-3" in cell.list_live("host-0")
         cell.resume("host-3")
-        cell.run(1.5)
+        cell.run(0.5)
         assert len(list_answers_with(cell, "host-3")) == 20
 
+    @pytest.mark.parametrize("size", SIZES[1:])
+    def test_suspected_host_learns_of_it_from_the_first_reply(self, size: int) -> None:
+        """The announcement of the suspicion didn't reach it."""
+        cell = make_cell(size)
+        cell.disconnected.add("host-3")
+        cell.run(8.0)
+        assert list_answers_with(cell, "host-3") == []
+        cell.disconnected.clear()
+        cell.run(HEARTBEAT_S * 1.1 + 0.2)
+        assert len(list_answers_with(cell, "host-3")) == size
+
     def test_heartbeats_that_are_still_relayed_do_not_refute(self) -> None:
         """A heartbeat from before the failure is no evidence that it ended."""
         cell = make_cell(62)
