Judge keys by the state of before for a while after a restore

What users would see: a key that was taken away lets requests in for longer than 5 s, where the store comes back from a copy without the change before any host has read it.

Cause: a host derives from the age of its state for how long a key may have been revoked without its knowledge, and its first reading after a restore made the state recent, though it lacks what was acknowledged between the copy and the restore. Evidence: soak, once; by its logs the store rejects all calls from 8.1 s on, comes back from copies at 10.0 and 13.1 s, and the change reaches the hosts at 14.4 s. TestRestoredStore of tests/coordination/test_mirror_age.py without the rule of the new method: 2 of 2 red.

Change: for 2.2 s after a restore, the time in which the operator writes again what was lost, a host judges keys by the age of the last reading before it; a further restore in that time extends it. Readings and watches are as they were.

Why it works: until the lost writes may be back, nothing newer than that reading is certain, and hosts then answer 503 with a retry time once it is too old.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -81,6 +81,10 @@
 The leader reads it within 0.6 s. If all hosts read the store themselves after it came
 back from a copy, the largest fleet would exceed its rates."""
 
+LOST_WRITES_S: Final = 2.2
+"""Time after a restore for which acknowledged writes may still be missing. Runners and
+the operator write what was lost again within about two seconds."""
+
 FEED_CHECK_S: Final = 0.1
 """Time between two checks of whether the leader still relays the store."""
 
@@ -116,6 +120,12 @@
     restores: RestoreTracker = field(init=False)
     """What this process knows and a restored store lacks."""
 
+    _certain_at: float = field(default=-1e9, init=False)
+    """`known_at` before the store came back from a copy, the first time of several."""
+
+    _uncertain_until: float = field(default=-1e9, init=False)
+    """Time until which the restored store may lack acknowledged writes."""
+
     _relayed_at: float = field(default=-1e9, init=False)
     """When another process last relayed the state of the store."""
 
@@ -172,6 +182,17 @@
         """Return for how many seconds the store may have changed unnoticed."""
         return self.boot_clock() - self.known_at
 
+    def measure_certain_age(self) -> float:
+        """Return for how many seconds an acknowledged write may be unknown here.
+
+        It is the age of the state, unless the store came back from a copy just now:
+        what was written since the last reading before may be lost until it is written
+        again.
+        """
+        if self.clock() < self._uncertain_until:
+            return self.boot_clock() - self._certain_at
+        return self.measure_age()
+
     def advance_known_at(self, at: float) -> None:
         """Record that all writes acknowledged before a time are mirrored.
 
@@ -205,6 +226,7 @@
             self.restores.record_removed(known_items.keys() - self.items.keys())
             self._deliver_snapshot(snapshot)
         else:
+            self._record_uncertainty()
             self.restores.record_restore(known_items, self.items)
             self.receiver.record_restore()
             self._deliver_snapshot(snapshot)
@@ -212,6 +234,12 @@
         self._relay_snapshot(snapshot)
         self.on_synced()
 
+    def _record_uncertainty(self) -> None:
+        now = self.clock()
+        if now >= self._uncertain_until:
+            self._certain_at = self.known_at
+        self._uncertain_until = now + LOST_WRITES_S
+
     def apply_retained(self, items: tuple[Item, ...]) -> None:
         """Apply items that another process knows to be newer than the restored ones."""
         newer = (
--- a/tests/coordination/test_mirror_age.py
+++ b/tests/coordination/test_mirror_age.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from mangoway.coordination.mirror import Mirror
+import pytest
+
+from mangoway.coordination.mirror import LOST_WRITES_S, Mirror
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
 from ..fakes.polling import async_wait_until
@@ -77,3 +79,46 @@
         await asyncio.sleep(2.0)
         assert mirror.measure_age() > 1.4
         task.cancel()
+
+
+@pytest.mark.looptime
+class TestRestoredStore:
+    """A store that came back from a copy, without writes that no host has read.
+
+    A key that was revoked in them would be valid for longer than it may be.
+    """
+
+    async def test_age_counts_from_before_the_restore_until_writes_are_repeated(
+        self,
+    ) -> None:
+        store, clock = FakeCoordinationStore(), ShiftedClock()
+        store.put("k", b"1")
+        mirror = make_mirror(store, clock)
+        task = asyncio.create_task(mirror.async_run())
+        await asyncio.sleep(0.5)
+        copy = store.copy()
+        store.down = True
+        await asyncio.sleep(2.0)
+        store.restore(copy)
+        store.down = False
+        await async_wait_until(lambda: mirror.era == 1)
+        assert 2.0 < mirror.measure_certain_age() < 4.0
+        assert mirror.measure_age() < 1.0
+        await asyncio.sleep(LOST_WRITES_S)
+        assert mirror.measure_certain_age() < 1.0
+        task.cancel()
+
+    async def test_second_restore_extends_the_first(self) -> None:
+        """The writes may be lost again before any host has read them."""
+        store, clock = FakeCoordinationStore(), ShiftedClock()
+        store.put("k", b"1")
+        mirror = make_mirror(store, clock)
+        task = asyncio.create_task(mirror.async_run())
+        await asyncio.sleep(0.5)
+        copy, began_at = store.copy(), clock()
+        for era in (1, 2):
+            store.restore(copy)
+            await async_wait_until(lambda era=era: mirror.era == era)
+            await asyncio.sleep(LOST_WRITES_S - 0.5)
+        assert mirror.measure_certain_age() > clock() - began_at
+        task.cancel()
