--- a/mangoway/coordination/absence.py
+++ b/mangoway/coordination/absence.py
@@ -83,7 +83,10 @@
                 await self._async_remove(self._choose_next())
 
     def _choose_next(self) -> dict[str, str]:
-        """Return the keys of some absent edges by incarnation; each is chosen once."""
+        """Return the keys of some absent edges by incarnation.
+
+        Each edge is chosen once.
+        """
         chosen = [each for each in self.list_absent() if each not in self._attempted]
         chosen = chosen[:MAX_REMOVED_PER_CALL]
         self._attempted.update(chosen)
--- a/mangoway/policy/membership/detector.py
+++ b/mangoway/policy/membership/detector.py
@@ -38,7 +38,8 @@
     """Open probes by target address."""
 
     _last_contact_at: dict[str, float] = field(factory=dict)
-    """When each of the latest two peers that were heard last was heard."""
+    """When the two peers that were heard last were heard, by address: at least one of
+    them is not the one that is being judged."""
 
     @property
     def wake_at(self) -> float | None:
