Record at each edge whether it reaches any runner

The logs of the incident couldn't tell a host that has lost its connections to all runners from runners that fail: each attempt was logged by itself. Each edge now records its new connections; events 361 and 362 say when several runners in a row could not be reached and when one was again, and a metric counts them. No decision uses it yet.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -18,6 +18,7 @@
 from ..edge.plain_grant_provider import PlainGrantProvider
 from ..edge.responses import make_error_response
 from ..edge.retry_budgets import RetryBudgets
+from ..edge.runner_connector import RunnerConnector
 from ..edge.signal_tracker import SignalTracker
 from ..edge.startup import StartupCheck
 from ..http1.client import ConnectionPool
@@ -289,6 +290,7 @@
             retry_budgets=self.retry_budgets,
             admission=self.admission,
             pool=ConnectionPool(MAX_IDLE_PER_RUNNER),
+            connector=RunnerConnector(process.view, process.metrics, process.clock),
             metrics=process.metrics,
             crash_detector=CrashDetector(
                 view=process.view,
--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -11,7 +11,6 @@
     ConnectionLostError,
     ConnectionPool,
     ExchangeFailedError,
-    async_connect,
 )
 from ..http1.messages import Headers, Request, ResponseHead
 from ..http1.response_memory import MemoryShortError
@@ -23,6 +22,7 @@
 from ..platform.requests import list_response_headers
 from .const import MAX_BUFFERED_BODY_BYTES
 from .delivery import Delivery, StreamBrokenError
+from .runner_connector import RunnerConnector
 from .sse import EventSplitter
 
 STATUS_BAD_REQUEST = 400
@@ -84,6 +84,7 @@
     `ConnectionLostError` if the runner is gone."""
 
     pool: ConnectionPool
+    connector: RunnerConnector
     delivery: Delivery
     on_first_event: Callable[[], None]
     on_head: Callable[[ResponseHead], None]
@@ -130,7 +131,7 @@
             self.runner.address, now(), retryable=self.retryable
         )
         if connection is None:
-            connection = await async_connect(self.runner.address, now())
+            connection = await self.connector.async_connect(self.runner)
         self._connection = connection
         self.delivery.exchange.holding.count_unread = connection.count_unread
         connection.silence_s = self.silence_s
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -30,6 +30,7 @@
 from .request_log import RequestLog
 from .responses import STATUS_NO_ROUTE, STATUS_NOT_RUN, make_response
 from .retry_budgets import RetryBudgets
+from .runner_connector import RunnerConnector
 from .signal_tracker import SignalTracker
 
 NO_CONFIGURATION = Rejection(
@@ -61,6 +62,7 @@
     retry_budgets: RetryBudgets
     admission: Admission
     pool: ConnectionPool
+    connector: RunnerConnector
     metrics: Metrics
     crash_detector: CrashDetector
     crash_filter: CrashFilter
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -47,6 +47,7 @@
     STATUS_TIMEOUT,
     make_response,
 )
+from .runner_connector import RunnerConnector
 from .runner_finder import RunnerFinder
 
 
@@ -55,6 +56,7 @@
 
     admission: Admission
     pool: ConnectionPool
+    connector: RunnerConnector
 
 
 @define(eq=False)
@@ -229,6 +231,7 @@
             silence_s=self._get_max_silence(),
             on_silence=lambda: self._async_handle_silence(runner),
             pool=self.context.pool,
+            connector=self.context.connector,
             delivery=self.delivery,
             on_first_event=lambda: self._handle_first_event(run),
             on_head=lambda head: self._handle_head(runner, head, sent_at),
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -309,6 +309,21 @@
     rest_s: float
 
 
+@numbered(361, LogLevel.WARNING)
+class RunnerReachLost:
+    """An edge could not connect to several runners in a row, and to no other one."""
+
+    unreachable: int
+    known: int
+
+
+@numbered(362, LogLevel.INFO)
+class RunnerReachRegained:
+    """An edge that had lost its connections to all runners has reached one again."""
+
+    lost_s: float
+
+
 # 4xx: scheduling and placement.
 
 
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -294,6 +294,10 @@
             "Broken streams that didn't go on at their backup, by service and cause.",
             ("service", "cause"),
         )
+        self.unreachable_runners = self._gauge(
+            "mangoway_edge_unreachable_runners",
+            "Runners to which connections failed since the edge reached any runner.",
+        )
         self.runner_crashes = self._counter(
             "mangoway_edge_runner_crashes_total",
             "Crashes of runners that interrupted requests of an edge, by service.",
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -54,3 +54,7 @@
 MAX_GATEWAYS: Final = 16
 """Maximum number of addresses in one answer: enough that the loss of a third leaves a
 choice."""
+
+MIN_UNREACHABLE_RUNNERS: Final = 3
+"""Runners to which connections must fail in a row until this host counts as cut off
+from all of them. Two runners may fail together, for example on one rack."""
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -16,6 +16,7 @@
 from mangoway.edge.plain_grant_provider import PlainGrantProvider
 from mangoway.edge.responses import make_error_response
 from mangoway.edge.retry_budgets import RetryBudgets
+from mangoway.edge.runner_connector import RunnerConnector
 from mangoway.edge.signal_tracker import SignalTracker
 from mangoway.http1.client import ConnectionPool
 from mangoway.http1.server import ServerOptions, async_listen
@@ -338,6 +339,7 @@
         retry_budgets=retry_budgets,
         admission=Admission(view=view, measure_age=lambda: ages[0], revoke_s=5.0),
         pool=ConnectionPool(4),
+        connector=RunnerConnector(view, metrics, clock),
         metrics=metrics,
         crash_detector=CrashDetector(
             view=view,
