--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,6 +14,7 @@
 from .callers import HOST, Caller, CrashingCaller
 from .copies import HANDLE_S
 from .customers import Customers
+from .cuts import RunnerCuts
 from .records import (
     APPLY_S,
     RETRY_RATIO,
@@ -96,6 +97,7 @@
     store: StoreStandIn = field(init=False)
     nodes: list[Node] = field(factory=list, init=False)
     runners: list[RunnerStandIn] = field(factory=list, init=False)
+    cuts: RunnerCuts = field(factory=RunnerCuts, init=False)
     popular_models: list[str] = field(factory=lambda: MODELS[:2], init=False)
     version: int = field(default=0, init=False)
     """Newest version of the configuration."""
@@ -164,6 +166,8 @@
         )
         runner.on_crash = self._handle_crash
         await runner.async_start()
+        assert runner.relay is not None
+        runner.relay.refuses = self.cuts.refuses
         self.runners.append(runner)
         return runner
 
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -38,6 +39,12 @@
         super().__init__(RelaySwitches())
         self.target = target
         self.relay_address = ""
+        self.refuses: Callable[[int], bool] = lambda port: False
+        """Returns whether to close a new connection at once, by its client's port."""
+
+        self._clients: dict[asyncio.StreamWriter, asyncio.StreamWriter] = {}
+        """The target's end of each connection by the client's end."""
+
         self._accepted = 0
         self._open: set[asyncio.StreamWriter] = set()
         self._muted: set[asyncio.StreamWriter] = set()
@@ -93,6 +100,14 @@
         """Drop all further data on every open connection, without closing it."""
         self._muted.update(self._open)
 
+    def list_open(self) -> list[asyncio.StreamWriter]:
+        """Return the clients' ends of the open connections."""
+        return list(self._clients)
+
+    def mute_connection(self, client: asyncio.StreamWriter) -> None:
+        """Drop all further data on one connection, without closing it."""
+        self._muted.update((client, self._clients[client]))
+
     async def _async_cut(self, request: web.Request) -> web.Response:
         self.cut()
         return web.json_response({})
@@ -106,7 +121,8 @@
     ) -> None:
         self._accepted += 1
         host, _, port = self.target.rpartition(":")
-        if self.switches.refuse_new:
+        client_port = writer.get_extra_info("peername")[1]
+        if self.switches.refuse_new or self.refuses(client_port):
             writer.transport.abort()
             return
         try:
@@ -117,11 +133,13 @@
             writer.transport.abort()
             return
         self._open.update((writer, target_writer))
+        self._clients[writer] = target_writer
         await asyncio.gather(
             self._async_copy(reader, target_writer, to_target=True),
             self._async_copy(target_reader, writer, to_target=False),
         )
         self._open -= {writer, target_writer}
+        del self._clients[writer]
         self._muted -= {writer, target_writer}
 
     def _drops(self, to_target: bool) -> bool:
