Serve callers of edges that reach no runner through other edges

Cause: an edge had no other way to a runner than its own connections, and took their failure for that of one runner after the other: at most half of the runners are avoided, so that it went on as if it reached them all, until the caller's deadline.

Now an edge judges its reach by its new connections. A failed or slow one starts a check of three other runners at once; if several fail and none succeeds meanwhile, the reach is lost. From then on requests go through a peer, which handles them like a caller's: it alone requests the grant, chooses runners, retries and counts crashes. One hop only: a peer that reaches no runner either says so, and the next one is tried, first of another data centre. Nothing is sent to a second peer once one has received it. Without a peer the request is rejected at once. One runner is probed each 0.25 s until one is reached.

Works because the other hosts reach the runners, and only one process counts and decides about each request.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -16,6 +16,7 @@
 from ..edge.forwarder import Forwarder
 from ..edge.pages import DirectoryPage, ReadyPage
 from ..edge.plain_grant_provider import PlainGrantProvider
+from ..edge.relay import PeerRelay
 from ..edge.responses import make_error_response
 from ..edge.retry_budgets import RetryBudgets
 from ..edge.runner_connector import RunnerConnector
@@ -30,6 +31,7 @@
 from ..platform.documents import OWN_PREFIX
 from ..policy.customers.quota import QuotaTracker
 from ..policy.edge.const import MEMBERS_POLL_S, SHARE_HORIZON_WINDOWS
+from ..policy.edge.relaying import RelayPeers
 from ..policy.edge.retry_budget import RetryLimits
 from ..policy.edge.shares import DisconnectedShare, FleetShare
 from ..policy.scheduling.core import SchedulingCore
@@ -281,6 +283,7 @@
             statement_sender=self.clearance_writer,
             clock=process.clock,
         )
+        pool = ConnectionPool(MAX_IDLE_PER_RUNNER)
         return Forwarder(
             data_centre=self.settings.data_centre,
             incarnation=process.incarnation,
@@ -289,8 +292,23 @@
             plain_grant_provider=plain_grant_provider,
             retry_budgets=self.retry_budgets,
             admission=self.admission,
-            pool=ConnectionPool(MAX_IDLE_PER_RUNNER),
-            connector=RunnerConnector(process.view, process.metrics, process.clock),
+            pool=pool,
+            connector=RunnerConnector(
+                view=process.view,
+                metrics=process.metrics,
+                pool=pool,
+                clock=process.clock,
+                random=self._random,
+                start_task=process.tasks.async_start,
+            ),
+            relay=PeerRelay(
+                view=process.view,
+                peers=RelayPeers(
+                    process.incarnation, self.settings.data_centre, self._random
+                ),
+                metrics=process.metrics,
+                clock=process.clock,
+            ),
             metrics=process.metrics,
             crash_detector=CrashDetector(
                 view=process.view,
@@ -359,6 +377,7 @@
         while True:
             await async_sleep_to_tick(SWEEP_PERIOD_S)
             self.forwarder.pool.sweep(self.process.clock())
+            self.forwarder.relay.pool.sweep(self.process.clock())
             self.forwarder.transfers.client.pool.sweep(self.process.clock())
             self.forwarder.plain_grant_provider.forget_removed_runners()
             self.signal_tracker.keep_only(set(self.process.view.runners))
--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -1,4 +1,4 @@
-"""One attempt of a request at one runner."""
+"""One attempt of a request at one runner, or through a peer."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -14,7 +14,6 @@
 )
 from ..http1.messages import Headers, Request, ResponseHead
 from ..http1.response_memory import MemoryShortError
-from ..models.runner import RunnerEntry
 from ..models.verdict import Verdict
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
@@ -22,7 +21,6 @@
 from ..platform.requests import list_response_headers
 from .const import MAX_BUFFERED_BODY_BYTES
 from .delivery import Delivery, StreamBrokenError
-from .runner_connector import RunnerConnector
 from .sse import EventSplitter
 
 STATUS_BAD_REQUEST = 400
@@ -65,16 +63,18 @@
 
 @define(eq=False)
 class Attempt:
-    """Sends a request to a runner and forwards its response."""
+    """Sends a request to a runner or a peer and forwards its response."""
 
     request: Request
     request_id: str
-    runner: RunnerEntry
+    address: str
+    upstream_id: str
+    """ID of the runner, or host of the peer."""
+
     streaming: bool
-    retryable: bool
-    """Whether the request may be sent again after a connection closed without a
-    response, which doesn't prove that it has not run. Otherwise, an idle connection is
-    used only if it was in use just before."""
+    async_open: Callable[[], Awaitable[Connection]]
+    """Opens a connection, or returns an idle one of the pool; raises
+    `ConnectFailedError`."""
 
     silence_s: float
     """Silence of the runner after which `on_silence` is called."""
@@ -84,7 +84,6 @@
     `ConnectionLostError` if the runner is gone."""
 
     pool: ConnectionPool
-    connector: RunnerConnector
     delivery: Delivery
     on_first_event: Callable[[], None]
     on_head: Callable[[ResponseHead], None]
@@ -126,12 +125,7 @@
             self._connection.close()
 
     async def _async_exchange(self) -> AttemptResult:
-        now = asyncio.get_running_loop().time
-        connection = self.pool.acquire(
-            self.runner.address, now(), retryable=self.retryable
-        )
-        if connection is None:
-            connection = await self.connector.async_connect(self.runner)
+        connection = await self.async_open()
         self._connection = connection
         self.delivery.exchange.holding.count_unread = connection.count_unread
         connection.silence_s = self.silence_s
@@ -165,7 +159,7 @@
             log_event(
                 log.ForeignResponseSkipped(
                     request_id=self.request_id,
-                    runner_id=self.runner.runner_id,
+                    runner_id=self.upstream_id,
                     foreign_id=echoed,
                 )
             )
@@ -247,7 +241,7 @@
         holding.set_body_bytes(0)
         if complete:
             now = asyncio.get_running_loop().time()
-            self.pool.release(self.runner.address, connection, now)
+            self.pool.release(self.address, connection, now)
         else:
             connection.close()
 
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -61,3 +61,14 @@
 DEFAULT_DRAIN_S: Final = 3.0
 """Seconds for which a runner serves after its leaving is known, as the platform has
 it."""
+
+MAX_IDLE_PER_PEER: Final = 16
+"""Idle connections kept to one peer. Only an edge that is cut off from the runners
+opens any, and it sends all of its requests to a few peers."""
+
+PEER_SILENCE_S: Final = 0.5
+"""Silence of a peer after which it is checked whether it is still announced."""
+
+UNREACHABLE_REASON: Final = "no runner can be reached"
+"""Reason for rejecting a request for which neither this host nor a peer reaches a
+runner."""
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -26,6 +26,7 @@
 from .delivery import Delivery
 from .identity import identify_request
 from .plain_grant_provider import PlainGrantProvider
+from .relay import PeerRelay, take_relay_mark
 from .request_handler import RequestHandler
 from .request_log import RequestLog
 from .responses import STATUS_NO_ROUTE, STATUS_NOT_RUN, make_response
@@ -63,6 +64,7 @@
     admission: Admission
     pool: ConnectionPool
     connector: RunnerConnector
+    relay: PeerRelay
     metrics: Metrics
     crash_detector: CrashDetector
     crash_filter: CrashFilter
@@ -82,6 +84,7 @@
     async def async_handle(self, request: Request, exchange: Exchange) -> None:
         """Handle a request; cancelled when its caller disconnects."""
         now = asyncio.get_running_loop().time()
+        request, relay_mark = take_relay_mark(request)
         fields = decode_request(request)
         identity = identify_request(request, fields)
         table = self.view.table
@@ -114,6 +117,7 @@
             service,
             delivery,
             protects_streams=table.protects_streams(service.name),
+            relay_mark=relay_mark,
         )
         await handler.async_run()
 
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -14,7 +14,11 @@
 from ..models.verdict import Verdict
 from ..platform.requests import RequestFields, encode_for_runner
 from ..platform.signals import decode_signals
-from ..policy.edge.const import RETRY_AFTER_BUDGET_S, RETRY_AFTER_OUTAGE_S
+from ..policy.edge.const import (
+    RETRY_AFTER_BUDGET_S,
+    RETRY_AFTER_OUTAGE_S,
+    RETRY_AFTER_UNREACHABLE_S,
+)
 from ..policy.edge.retries import FailedAttempt, RetryCause, RetryDecision, decide_retry
 from ..policy.scheduling.events import EndKind, Reject
 from .admission import Admission, Caller, Rejection
@@ -30,6 +34,7 @@
     MIN_SILENCE_S,
     RETRY_BUDGET_SPENT_REASON,
     SILENCE_OBJECTIVES,
+    UNREACHABLE_REASON,
 )
 from .continuation import (
     CRASH,
@@ -39,6 +44,7 @@
 )
 from .crash_detector import InterruptedRequest
 from .delivery import Delivery
+from .relay import PeerRelay, RelayMark, RequestRelay, make_unreachable_headers
 from .request_log import RequestLog
 from .responses import (
     STATUS_FAILED,
@@ -57,6 +63,7 @@
     admission: Admission
     pool: ConnectionPool
     connector: RunnerConnector
+    relay: PeerRelay
 
 
 @define(eq=False)
@@ -74,10 +81,14 @@
     protects_streams: bool = False
     """Whether streams of the service are transferred and backed up."""
 
+    relay_mark: RelayMark | None = None
+    """Mark of a request that another edge sent; None for one of a caller."""
+
     _finder: RunnerFinder = field(init=False)
     _continuation: StreamContinuation | None = field(default=None, init=False)
     """How the stream continues elsewhere; None if it does not."""
 
+    _relay: RequestRelay = field(init=False)
     _may_have_run: bool = field(default=False, init=False)
     _in_attempt: bool = field(default=False, init=False)
     _retry_cause: RetryCause = field(default=RetryCause.FAILED, init=False)
@@ -110,6 +121,15 @@
             service=self.service,
             delivery=self.delivery,
             deadline=self._deadline,
+            is_counted=self.relay_mark is RelayMark.COUNTED,
+        )
+        self._relay = RequestRelay(
+            relay=self.context.relay,
+            request=self.request,
+            fields=self.fields,
+            route=self.route,
+            delivery=self.delivery,
+            deadline=self._deadline,
         )
         if self.protects_streams and self.route.kind is RouteKind.STREAMING:
             self._continuation = StreamContinuation(
@@ -142,6 +162,10 @@
             self._finder.release_reserved()
 
     async def _async_try_runners(self) -> None:
+        if self._must_relay():
+            await self._async_relay()
+            return
+        self._finder.count_request()
         while True:
             found = await self._finder.async_find()
             if isinstance(found, Reject):
@@ -159,16 +183,45 @@
             if result.delivered:
                 if result.succeeded:
                     self.context.crash_filter.record_success(self.log.identity)
-                self.log.log_served(self._runner or found)
+                self.log.log_served((self._runner or found).runner_id)
                 return
             self._retry_cause = self._get_retry_cause(result)
             decision = self._decide(result)
             self.log.log_failed_attempt(found, result, decision)
             if decision is RetryDecision.RETRY:
+                if self._must_relay():
+                    await self._async_relay()
+                    return
                 continue
             self._give_up(result, decision)
             return
 
+    def _must_relay(self) -> bool:
+        """Return whether no runner can be reached from this host for the request."""
+        return self.context.connector.reach.is_lost
+
+    async def _async_relay(self) -> None:
+        """Send the request through a peer, or reject it if none can help."""
+        result = None
+        if self.relay_mark is None:
+            mark = RelayMark.UNCOUNTED
+            if self._finder.is_counted:
+                mark = RelayMark.COUNTED
+            self._finder.retry_payment.begin_attempt()
+            self._in_attempt = True
+            result = await self._relay.async_run(mark)
+            self._in_attempt = False
+            self._finder.retry_payment.settle_attempt(was_sent=result is not None)
+        if result is None:
+            self._reject_unreachable()
+        elif result.delivered:
+            self.log.log_served("")
+        elif result.error is None:
+            self._may_have_run = True
+            self._fail(STATUS_FAILED, result.reason)
+        else:
+            self._respond_like_peer(result.error)
+
     async def _async_attempt(self, runner: RunnerEntry) -> AttemptResult:
         self.log.attempts += 1
         if self._finder.tried_runner_ids:
@@ -225,13 +278,18 @@
                 backup_address=backup_address,
             ),
             request_id=self.fields.request_id,
-            runner=runner,
+            address=runner.address,
+            upstream_id=runner.runner_id,
             streaming=self.route.kind is RouteKind.STREAMING,
-            retryable=self.route.idempotent and run is None,
+            # A connection that closes without a response doesn't prove that the request
+            # has not run. If that must not be retried, an idle connection is used only
+            # if it was in use just before.
+            async_open=lambda: self.context.connector.async_open(
+                runner, retryable=self.route.idempotent and run is None
+            ),
             silence_s=self._get_max_silence(),
             on_silence=lambda: self._async_handle_silence(runner),
             pool=self.context.pool,
-            connector=self.context.connector,
             delivery=self.delivery,
             on_first_event=lambda: self._handle_first_event(run),
             on_head=lambda head: self._handle_head(runner, head, sent_at),
@@ -281,6 +339,11 @@
         if self._continuation is not None and self._continuation.is_stopping:
             # The stream goes on from its copy.
             return False
+        connector = self.context.connector
+        connector.start_check(self._sent_at)
+        if connector.reach.is_lost:
+            tried = {*self._finder.tried_runner_ids, runner.runner_id}
+            return self._finder.try_acquire_retry(tried)
         return await self._finder.async_find_alternative(runner.runner_id)
 
     def _get_max_silence(self) -> float:
@@ -364,6 +427,40 @@
         self.log.log_rejected(status, reason, retry_after_s)
         self.delivery.send_response(status, *make_response(reason, retry_after_s))
 
+    def _reject_unreachable(self) -> None:
+        """Respond that no runner can be reached; a peer then tries another edge."""
+        if self._may_have_run or self.delivery.started:
+            self._fail(STATUS_FAILED, UNREACHABLE_REASON)
+            return
+        retry_after_s = RETRY_AFTER_UNREACHABLE_S
+        self.log.log_rejected(STATUS_NOT_RUN, UNREACHABLE_REASON, retry_after_s)
+        headers, body = make_response(UNREACHABLE_REASON, retry_after_s)
+        if self.relay_mark is not None:
+            headers = (*headers, *make_unreachable_headers())
+        self._finder.refund_quota()
+        self.delivery.send_response(STATUS_NOT_RUN, headers, body)
+
+    def _respond_like_peer(self, response: BufferedResponse) -> None:
+        """Respond with the error of a peer that handled the request."""
+        self._error_response = response
+        status = response.head.status
+        reason = "the peer has not served it"
+        is_rejection = status in (STATUS_NOT_RUN, STATUS_OVER_QUOTA)
+        if not is_rejection:
+            self._may_have_run = True
+        if self._may_have_run or self.delivery.started:
+            if is_rejection:
+                # The earlier attempt may have run, so that the promise is not true.
+                self._error_response = None
+            self._fail(STATUS_FAILED, reason)
+            return
+        retry_after = response.head.find(b"retry-after")
+        self.log.log_rejected(
+            status, reason, None if retry_after is None else float(retry_after)
+        )
+        self._finder.refund_quota()
+        deliver_buffered(self.delivery, response)
+
     def _fail(self, status: int, reason: str) -> None:
         """Respond with a failure, which is the runner's own if it sent one."""
         error = self._error_response
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -44,8 +44,12 @@
     def _route_name(self) -> str:
         return self.route.name if self.route else ""
 
-    def log_served(self, runner: RunnerEntry) -> None:
-        """Log a request whose response was sent completely."""
+    def log_served(self, runner_id: str) -> None:
+        """Log a request whose response was sent completely.
+
+        Args:
+            runner_id: The runner; empty if a peer chose it.
+        """
         delivery = self.delivery
         first_s = (delivery.first_at or self.clock()) - delivery.arrived_at
         self._count("served", STATUS_OK)
@@ -60,7 +64,7 @@
                 route=self._route_name,
                 customer=self.customer,
                 artifact=self.fields.artifact,
-                runner_id=runner.runner_id,
+                runner_id=runner_id,
                 status=STATUS_OK,
                 attempts=self.attempts,
                 queued_s=round(self.queued_s, 4),
--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -1,17 +1,44 @@
-"""Connections of an edge to runners, and what they show about its reach."""
+"""Connections of an edge to runners, and checks whether it reaches any runner."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any, Final
 
 from attrs import define, field
 
 from ..coordination.view import FleetView
-from ..http1.client import ConnectFailedError, Connection, async_connect
+from ..http1.client import (
+    ConnectFailedError,
+    Connection,
+    ConnectionPool,
+    async_connect,
+)
+from ..http1.const import CONNECT_TIMEOUT_S
 from ..models.runner import RunnerEntry
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
 from ..policy.edge.reach import RunnerReach
 
+SLOW_CONNECT_S: Final = 0.2
+"""Time after which a connection that is not open yet starts a check of other runners. A
+reachable host accepts one in about 3 ms; a lost packet is sent again after a second."""
+
+CHECK_TIMEOUT_S: Final = 0.3
+"""Timeout of the connections of a check."""
+
+KEPT_OPEN_S: Final = 0.05
+"""Time for which a connection of a check must stay open. Something on the way that
+accepts connections to runners which it can't reach resets them at once."""
+
+CHECKED_RUNNERS: Final = 3
+"""Runners that one check connects to at once."""
+
+REGAIN_PERIOD_S: Final = 0.25
+"""Interval between two attempts to reach a runner while the reach is lost. Callers are
+served through peers meanwhile, at the cost of one more hop."""
+
 
 @define(eq=False)
 class RunnerConnector:
@@ -19,33 +46,159 @@
 
     view: FleetView
     metrics: Metrics
+    pool: ConnectionPool
     clock: Callable[[], float]
+    random: Random
+    start_task: Callable[[Coroutine[Any, Any, None]], object]
     reach: RunnerReach = field(factory=RunnerReach, init=False)
 
-    async def async_connect(self, runner: RunnerEntry) -> Connection:
-        """Open a connection to a runner.
+    _opening: set[asyncio.Timeout] = field(factory=set, init=False)
+    """Timeouts of the connections that are being opened for requests."""
+
+    _check: "asyncio.Future[None] | None" = field(default=None, init=False)
+    """Done when the running check has ended; None without one."""
+
+    async def async_open(
+        self, runner: RunnerEntry, *, retryable: bool = True
+    ) -> Connection:
+        """Return an idle connection to a runner, or open one.
+
+        Args:
+            runner: The runner.
+            retryable: Whether the request may be sent again if an idle connection turns
+                out to be broken.
 
         Raises:
-            ConnectFailedError: If the connection fails or times out.
+            ConnectFailedError: If the connection fails, times out, or no runner can be
+                reached at the moment.
         """
+        if self.reach.is_lost:
+            raise ConnectFailedError("no runner can be reached from this host")
+        started_at = self.clock()
+        idle = self.pool.acquire(runner.address, started_at, retryable=retryable)
+        if idle is not None:
+            return idle
+        slow = asyncio.get_running_loop().call_later(
+            SLOW_CONNECT_S, self.start_check, started_at
+        )
         try:
-            connection = await async_connect(runner.address, self.clock())
+            connection = await self._async_connect(runner, CONNECT_TIMEOUT_S)
         except ConnectFailedError:
-            self._record_failure(runner)
+            self.start_check(started_at)
             raise
-        self._record_reached()
+        finally:
+            slow.cancel()
+        connection.on_result = lambda reached: self._handle_result(
+            runner, started_at, reached
+        )
         return connection
 
+    def start_check(self, started_at: float) -> None:
+        """Check whether other runners can be reached, unless one was recently.
+
+        Args:
+            started_at: When the connection was begun that failed or is slow.
+        """
+        if self._check is not None or self.reach.is_lost:
+            return
+        if self.reach.needs_check(started_at, self.clock()):
+            self._check = asyncio.get_running_loop().create_future()
+            self.start_task(self._async_check(self._check))
+
+    async def async_settle(self) -> None:
+        """Wait for the running check, if there is one."""
+        if self._check is not None:
+            await asyncio.shield(self._check)
+
+    async def _async_check(self, check: "asyncio.Future[None]") -> None:
+        try:
+            runners = self.view.list_open_runners()
+            chosen = self.random.sample(runners, min(CHECKED_RUNNERS, len(runners)))
+            await asyncio.gather(*map(self._async_probe, chosen))
+        finally:
+            self._check = None
+            check.set_result(None)
+
+    async def _async_probe(self, runner: RunnerEntry) -> None:
+        """Open a connection to a runner, see whether it stays open, and close it."""
+        started_at = self.clock()
+        try:
+            connection = await self._async_connect(runner, CHECK_TIMEOUT_S)
+        except ConnectFailedError:
+            return
+        try:
+            if await connection.async_is_kept_open(KEPT_OPEN_S):
+                self._record_reached()
+            else:
+                self._record_failure(runner, started_at)
+        finally:
+            connection.close()
+
+    async def _async_regain(self) -> None:
+        """Probe one runner after the other until one is reached."""
+        while self.reach.is_lost:
+            await asyncio.sleep(REGAIN_PERIOD_S)
+            runners = self.view.list_open_runners()
+            if runners:
+                await self._async_probe(self.random.choice(runners))
+
+    async def _async_connect(self, runner: RunnerEntry, timeout_s: float) -> Connection:
+        """Open a connection; record it if that fails.
+
+        Raises:
+            ConnectFailedError: If the connection fails or times out, or the reach is
+                lost meanwhile.
+        """
+        started_at = self.clock()
+        try:
+            return await self._async_open_in_time(runner.address, timeout_s)
+        except ConnectFailedError:
+            self._record_failure(runner, started_at)
+            raise
+
+    async def _async_open_in_time(self, address: str, timeout_s: float) -> Connection:
+        timeout = asyncio.timeout(timeout_s)
+        try:
+            async with timeout:
+                self._opening.add(timeout)
+                return await async_connect(address, self.clock(), None)
+        except TimeoutError as error:
+            raise ConnectFailedError(f"cannot connect to {address} in time") from error
+        finally:
+            self._opening.discard(timeout)
+
+    def _handle_result(
+        self, runner: RunnerEntry, started_at: float, reached: bool
+    ) -> None:
+        """Handle the first data on a new connection, or its end without any.
+
+        An open connection proves nothing, as something on the way may accept it.
+        """
+        if reached:
+            self._record_reached()
+        else:
+            self._record_failure(runner, started_at)
+            self.start_check(started_at)
+
     def _record_reached(self) -> None:
         lost_s = self.reach.record_reached(self.clock())
         self.metrics.unreachable_runners.set(level=0)
         if lost_s is not None:
             log_event(log.RunnerReachRegained(lost_s=round(lost_s, 3)))
 
-    def _record_failure(self, runner: RunnerEntry) -> None:
-        known = len(self.view.runners)
-        is_newly_lost = self.reach.record_failure(runner.runner_id, self.clock(), known)
+    def _record_failure(self, runner: RunnerEntry, started_at: float) -> None:
+        now, known = self.clock(), len(self.view.list_open_runners())
+        is_newly_lost = self.reach.record_failure(
+            runner.runner_id, started_at, now, known
+        )
         unreachable = self.reach.unreachable
         self.metrics.unreachable_runners.set(level=unreachable)
-        if is_newly_lost:
-            log_event(log.RunnerReachLost(unreachable=unreachable, known=known))
+        if not is_newly_lost:
+            return
+        log_event(log.RunnerReachLost(unreachable=unreachable, known=known))
+        # Connections that are open may be silent.
+        self.pool.close()
+        for each in self._opening:
+            if not each.expired():
+                each.reschedule(now)
+        self.start_task(self._async_regain())
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -46,6 +46,9 @@
     deadline: float
     """Deadline of the response, in the event loop's time."""
 
+    is_counted: bool = False
+    """Whether the request has been counted for the retry budget of its service."""
+
     tried_runner_ids: set[str] = field(factory=set, init=False)
     """Runners that the request was sent to."""
 
@@ -82,8 +85,12 @@
         self._plain_grant = PlainGrant(
             self.context.plain_grant_provider, self, self._async_may_use
         )
-        if not self.is_blocked():
-            budgets.record_request(service)
+
+    def count_request(self) -> None:
+        """Count the request for the retry budget of its service, once."""
+        if not self.is_counted and not self.is_blocked():
+            self.context.retry_budgets.record_request(self.service.name)
+        self.is_counted = True
 
     @property
     def has_reserved(self) -> bool:
@@ -157,17 +164,10 @@
         Args:
             current_runner_id: The silent runner; None if there is none.
         """
-        if self.is_blocked():
-            return False
         excluded = {*self.tried_runner_ids}
         if current_runner_id:
             excluded.add(current_runner_id)
-        # A run that continues counts once, at the runner where it began.
-        tried = self.tried_runner_ids if self._is_continued else excluded
-        time_left_s = self.deadline - self._clock()
-        if len(tried) >= self.route.max_attempts or time_left_s < MIN_RETRY_TIME_S:
-            return False
-        if not self.retry_payment.try_acquire():
+        if not self.try_acquire_retry(excluded):
             return False
         found = False
         try:
@@ -177,6 +177,22 @@
                 self.retry_payment.refund()
         return found
 
+    def try_acquire_retry(self, tried_runner_ids: set[str]) -> bool:
+        """Acquire a credit for another attempt; return whether one may be made.
+
+        Args:
+            tried_runner_ids: Runners that the request was sent to, including a silent
+                one.
+        """
+        if self.is_blocked():
+            return False
+        # A run that continues counts once, at the runner where it began.
+        tried = self.tried_runner_ids if self._is_continued else tried_runner_ids
+        time_left_s = self.deadline - self._clock()
+        if len(tried) >= self.route.max_attempts or time_left_s < MIN_RETRY_TIME_S:
+            return False
+        return self.retry_payment.try_acquire()
+
     async def _async_search_alternative(self, excluded: list[str]) -> bool:
         """Find an alternative to a silent runner."""
         if self.service.engine is None:
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -73,6 +73,10 @@
         data can arrive any more.
         """
 
+        self.on_result: Callable[[bool], None] | None = None
+        """Called once: with True at the first data from the upstream, or with False if
+        the connection ends without any."""
+
         self._ended = False
         """Whether the upstream has closed its side of the connection."""
 
@@ -189,6 +193,16 @@
         buffered: Any = getattr(self._reader, "_buffer", b"")
         return len(buffered)
 
+    async def async_is_kept_open(self, timeout_s: float) -> bool:
+        """Return whether the upstream leaves a new connection open for some time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return bool(await self._reader.read(READ_BYTES))
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+
     def close(self) -> None:
         """Close the connection at once, which also ends the request at the upstream."""
         transport = self._writer.transport
@@ -206,10 +220,17 @@
             try:
                 data = await self._async_read()
             except OSError as error:
+                self._report_result(has_data=False)
                 raise ConnectionLostError(f"connection reset: {error}") from error
+            self._report_result(has_data=bool(data))
             self._ended = not data
             self._http.receive_data(data)
 
+    def _report_result(self, *, has_data: bool) -> None:
+        on_result, self.on_result = self.on_result, None
+        if on_result is not None:
+            on_result(has_data)
+
     async def _async_read(self) -> bytes:
         if self.silence_s is None or self.on_silence is None:
             return await self._reader.read(READ_BYTES)
@@ -265,10 +286,15 @@
 
 
 async def async_connect(
-    address: str, now: float, timeout_s: float = CONNECT_TIMEOUT_S
+    address: str, now: float, timeout_s: float | None = CONNECT_TIMEOUT_S
 ) -> Connection:
     """Open a connection.
 
+    Args:
+        address: Address of the upstream.
+        now: Time in seconds.
+        timeout_s: Timeout in seconds; None if the caller has one.
+
     Raises:
         ConnectFailedError: If the connection fails or times out.
     """
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -199,6 +199,21 @@
     current members."""
 
 
+@numbered(258, LogLevel.INFO)
+class RequestRelayed:
+    """An edge that reaches no runner sent a request through a peer, which responded."""
+
+    request_id: str
+    peer: str
+    """Host of the peer, whose log has the request under the same id."""
+
+    outcome: str
+    """"served", "answered" (with the error in `status`) or "failed"."""
+
+    status: int | None
+    reason: str
+
+
 # 3xx: runners.
 
 
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -294,6 +294,11 @@
             "Broken streams that didn't go on at their backup, by service and cause.",
             ("service", "cause"),
         )
+        self.relayed_requests = self._counter(
+            "mangoway_edge_relayed_requests_total",
+            "Requests that an edge sent through a peer, by outcome.",
+            ("outcome",),
+        )
         self.unreachable_runners = self._gauge(
             "mangoway_edge_unreachable_runners",
             "Runners to which connections failed since the edge reached any runner.",
--- a/mangoway/platform/requests.py
+++ b/mangoway/platform/requests.py
@@ -118,6 +118,40 @@
     )
 
 
+def encode_for_peer(
+    request: Request,
+    *,
+    time_left_s: float,
+    last_event_id: str | None,
+    mark: tuple[bytes, bytes],
+) -> Request:
+    """Return the request to send to a peer, which handles it like a caller's.
+
+    Args:
+        request: Request as received from the caller.
+        time_left_s: Time for which the caller still waits.
+        last_event_id: ID of the event after which a stream resumes; None to keep the
+            caller's value.
+        mark: Header field by which the peer recognizes it.
+    """
+    replaced = {names.DEADLINE, b"content-length", b"expect"}
+    if last_event_id is not None:
+        replaced.add(names.LAST_EVENT)
+    fields = list(drop_headers(list_end_to_end(request.headers), replaced))
+    fields.append((b"Content-Length", b"%d" % len(request.body)))
+    time_left_ms = max(1, int(time_left_s * MS_PER_S))
+    fields.append((b"X-Deadline-Ms", b"%d" % time_left_ms))
+    if last_event_id is not None:
+        fields.append((b"Last-Event-Id", last_event_id.encode()))
+    fields.append(mark)
+    return Request(
+        method=request.method,
+        target=request.target,
+        headers=tuple(fields),
+        body=request.body,
+    )
+
+
 def list_response_headers(headers: Headers) -> Headers:
     """Return the header fields of a runner's response to forward to the caller."""
     return list_end_to_end(headers)
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -58,3 +58,19 @@
 MIN_UNREACHABLE_RUNNERS: Final = 3
 """Runners to which connections must fail in a row until this host counts as cut off
 from all of them. Two runners may fail together, for example on one rack."""
+
+RECENTLY_REACHED_S: Final = 0.25
+"""Time after an opened connection to any runner in which a failure needs no check of
+the others. Busy edges open several connections a second."""
+
+MAX_RELAY_PEERS: Final = 3
+"""Peers that are tried for one request: the first may be cut off from the runners like
+this host."""
+
+PEER_AVOIDED_S: Final = 1.0
+"""Time for which a peer is avoided that reached no runner or could not be connected to:
+cuts last some seconds, and each further try delays a request."""
+
+RETRY_AFTER_UNREACHABLE_S: Final = 0.5
+"""Retry-after time if neither this host nor a peer reaches a runner: a host that is
+connected again notices it sooner."""
--- /dev/null
+++ b/tests/edge/test_relay.py
@@ -0,0 +1,241 @@
+"""Tests of requests that an edge without runners sends through a peer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from attrs import define
+
+from mangoway.edge.relay import RELAY_FIELD
+from mangoway.policy.scheduling.events import EndKind
+
+from ..fakes.fleet import make_runner
+from ..upstreams.raw_server import RawServer, Script, answer, cut, make_response
+from .test_unreachable_runners import RUNNERS, add_runners, introduce
+from .unreachable import reserve_refusing_address
+from .world import (
+    SIGNED,
+    EdgeWorld,
+    make_event,
+    make_not_run,
+    make_ok,
+    make_stream,
+    start_edge,
+)
+
+RELAYED = RELAY_FIELD.decode()
+EVENTS = make_stream(make_event(1), make_event(2), make_event(3))
+
+
+@define
+class RelayingFleet:
+    """An edge without runners, its peer, and the runner behind the peer."""
+
+    edge: EdgeWorld
+    peer: EdgeWorld
+    runner: RawServer
+
+    async def async_lose_reach(self) -> None:
+        """Let the edge notice that it reaches no runner."""
+        self.edge.forwarder.connector.start_check(0.0)
+        await self.edge.forwarder.connector.async_settle()
+        assert self.edge.forwarder.connector.reach.is_lost
+
+
+@asynccontextmanager
+async def start_fleet(
+    *scripts: Script, peer_reaches: bool = True
+) -> AsyncIterator[RelayingFleet]:
+    """Start the fleet; the runner's responses are the scripts."""
+    with reserve_refusing_address() as refusing:
+        async with (
+            RawServer(*scripts) as runner,
+            start_edge() as edge,
+            start_edge(incarnation="e2") as peer,
+        ):
+            introduce(edge, peer)
+            add_runners(edge, refusing)
+            add_runners(peer, runner.address if peer_reaches else refusing)
+            yield RelayingFleet(edge, peer, runner)
+
+
+def count_requests(edge: EdgeWorld) -> int:
+    """Return the requests that an edge has counted for its retry budget."""
+    return edge.forwarder.retry_budgets.get("plain").requests
+
+
+class TestRelayedRequest:
+    """What the runner receives, and what is counted at which edge."""
+
+    async def test_runner_receives_the_request_without_the_mark(self) -> None:
+        async with start_fleet(answer(make_ok())) as fleet:
+            await fleet.async_lose_reach()
+            headers = "X-Deadline-Ms: 900\r\nX-Other: 1\r\n"
+            reply = await fleet.edge.async_call("/safe/x?a=b", b"body", headers)
+        assert (reply.status, reply.body) == (200, b"whole")
+        received = fleet.runner.requests[0].decode()
+        assert received.startswith("POST /safe/x?a=b HTTP/1.1\r\n")
+        assert received.endswith("\r\n\r\nbody")
+        assert "X-Other: 1\r\n" in received
+        assert RELAYED not in received.lower()
+        deadline = received.lower().partition("x-deadline-ms: ")[2].partition("\r")[0]
+        assert 0 < int(deadline) <= 900
+
+    async def test_request_is_counted_once_for_the_retry_budget(self) -> None:
+        async with start_fleet(answer(make_ok())) as fleet:
+            before = count_requests(fleet.edge) + count_requests(fleet.peer)
+            await fleet.edge.async_call("/safe/x")
+            assert count_requests(fleet.edge) + count_requests(fleet.peer) == before + 1
+            await fleet.async_lose_reach()
+            await fleet.edge.async_call("/safe/x")
+            assert count_requests(fleet.edge) + count_requests(fleet.peer) == before + 2
+
+    async def test_no_grant_is_requested_by_the_first_edge(self) -> None:
+        async with start_fleet(answer(*EVENTS)) as fleet:
+            await fleet.async_lose_reach()
+            reply = await fleet.edge.async_call("/stream/x")
+        assert (reply.status, reply.complete) == (200, True)
+        assert fleet.edge.grant_provider.grant_requests == []
+        assert fleet.peer.grant_provider.end_kinds == [EndKind.SERVED]
+
+
+class TestErrors:
+    """Requests that the peer or the runner doesn't serve."""
+
+    @pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x", "/fixed/x"])
+    async def test_request_is_rejected_at_once_if_nobody_reaches_a_runner(
+        self, path: str
+    ) -> None:
+        async with start_fleet(answer(make_ok()), peer_reaches=False) as fleet:
+            async with asyncio.timeout(1.0):
+                reply = await fleet.edge.async_call(path)
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert RELAYED not in reply.headers
+
+    async def test_edge_without_peers_rejects(self) -> None:
+        with reserve_refusing_address() as refusing:
+            async with start_edge() as edge:
+                add_runners(edge, refusing)
+                reply = await edge.async_call("/safe/x")
+        assert reply.status == 503
+
+    async def test_relayed_request_is_not_relayed_again(self) -> None:
+        async with start_fleet(answer(make_ok())) as fleet:
+            await fleet.async_lose_reach()
+            headers = f"{RELAYED}: uncounted\r\n"
+            reply = await fleet.edge.async_call("/safe/x", headers=headers)
+        assert (reply.status, reply.headers[RELAYED]) == (503, "unreachable")
+        assert fleet.runner.requests == []
+
+    async def test_request_that_must_not_be_retried_is_sent_once(self) -> None:
+        """The peer's connection to the runner breaks, so that it may have run."""
+        async with start_fleet(cut(b"")) as fleet:
+            await fleet.async_lose_reach()
+            reply = await fleet.edge.async_call("/once/x")
+        assert reply.status == 502
+        assert len(fleet.runner.requests) == 1
+
+    async def test_rejection_of_the_peer_is_passed_on(self) -> None:
+        async with start_fleet(answer(make_not_run())) as fleet:
+            await fleet.async_lose_reach()
+            reply = await fleet.edge.async_call("/once/x")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+
+    async def test_failure_of_the_runner_is_passed_on_with_its_signature(self) -> None:
+        failure = make_response(500, b"broken", f"X-Request-Id: q1\r\n{SIGNED}")
+        async with start_fleet(answer(failure)) as fleet:
+            await fleet.async_lose_reach()
+            reply = await fleet.edge.async_call("/once/x")
+        assert (reply.status, reply.body) == (500, b"broken")
+        assert reply.headers["x-response-signature"] == "s1"
+
+    async def test_stream_that_breaks_at_the_peer_does_not_look_complete(self) -> None:
+        broken = cut(*make_stream(make_event(1), end=False))
+        async with start_fleet(broken) as fleet:
+            await fleet.async_lose_reach()
+            reply = await fleet.edge.async_call("/fixed/x")
+        assert not reply.complete
+
+    async def test_unannounced_peer_ends_the_wait_for_its_response(self) -> None:
+        async with start_fleet(answer()) as fleet:
+            await fleet.async_lose_reach()
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.3, fleet.edge.view.remove_member, "members/edge/e2")
+            async with asyncio.timeout(2.0):
+                reply = await fleet.edge.async_call("/once/x")
+        assert reply.status == 502
+
+
+class TestCutWhileRunning:
+    """Requests that an edge has sent to a runner before it is cut off."""
+
+    async def test_stream_is_resumed_through_a_peer(self) -> None:
+        first = cut(*make_stream(make_event(1), end=False))
+        with reserve_refusing_address() as refusing:
+            async with (
+                RawServer(first) as before,
+                start_fleet(answer(*EVENTS)) as fleet,
+            ):
+                edge = fleet.edge
+                entry = make_runner("llm-0", service="llm", address=before.address)
+                edge.view.update_runner(entry)
+                reply = await edge.async_call("/stream/x")
+        assert refusing
+        assert (reply.status, reply.complete) == (200, True)
+        assert reply.body == b"".join(map(make_event, (1, 2, 3)))
+        assert b"last-event-id: 1" in fleet.runner.requests[0].lower()
+
+    async def test_request_at_a_silent_runner_goes_to_a_peer(self) -> None:
+        async with (
+            RawServer(answer()) as silent,
+            start_fleet(answer(make_ok())) as fleet,
+        ):
+            edge = fleet.edge
+            for number in range(RUNNERS):
+                edge.view.remove_runner(f"plain-{number}", 0.0)
+            entry = make_runner("plain-0", service="plain", address=silent.address)
+            edge.view.update_runner(entry)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.1, silent._server.close)
+            reply = await edge.async_call("/safe/x")
+        assert reply.status == 200
+
+    async def test_request_that_must_not_be_retried_waits_for_its_runner(self) -> None:
+        async with (
+            RawServer(answer()) as silent,
+            start_fleet(answer(make_ok())) as fleet,
+        ):
+            edge = fleet.edge
+            for number in range(RUNNERS):
+                edge.view.remove_runner(f"plain-{number}", 0.0)
+            entry = make_runner("plain-0", service="plain", address=silent.address)
+            edge.view.update_runner(entry)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.1, silent._server.close)
+            headers = "X-Deadline-Ms: 1500\r\n"
+            reply = await edge.async_call("/once/x", headers=headers)
+        assert reply.status == 504
+        assert fleet.runner.requests == []
+
+
+class TestReturn:
+    """An edge that reaches the runners again."""
+
+    async def test_requests_go_to_the_runner_itself_again(self) -> None:
+        async with (
+            RawServer(answer(make_ok())) as reachable,
+            start_fleet(answer(make_ok())) as fleet,
+        ):
+            await fleet.async_lose_reach()
+            await fleet.edge.async_call("/safe/x")
+            assert len(fleet.runner.requests) == 1
+            add_runners(fleet.edge, reachable.address)
+            async with asyncio.timeout(1.0):
+                while fleet.edge.forwarder.connector.reach.is_lost:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+            reply = await fleet.edge.async_call("/safe/x")
+        assert reply.status == 200
+        assert (len(fleet.runner.requests), len(reachable.requests)) == (1, 1)
--- a/tests/edge/test_unreachable_runners.py
+++ b/tests/edge/test_unreachable_runners.py
@@ -89,7 +89,7 @@
         runner = RawServer(answer(*RESPONSES[path]))
         await stack.enter_async_context(runner)
         cut_off = await stack.enter_async_context(start_edge())
-        peer = await stack.enter_async_context(start_edge())
+        peer = await stack.enter_async_context(start_edge(incarnation="e2"))
         introduce(cut_off, peer)
         add_runners(cut_off, unreachable)
         add_runners(peer, runner.address)
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -14,6 +14,7 @@
 from mangoway.edge.crash_filter import CrashFilter
 from mangoway.edge.forwarder import Forwarder
 from mangoway.edge.plain_grant_provider import PlainGrantProvider
+from mangoway.edge.relay import PeerRelay
 from mangoway.edge.responses import make_error_response
 from mangoway.edge.retry_budgets import RetryBudgets
 from mangoway.edge.runner_connector import RunnerConnector
@@ -24,6 +25,7 @@
 from mangoway.models.runner import RunnerEntry
 from mangoway.observability.metrics import Metrics
 from mangoway.policy.crashes.tracker import CrashTracker
+from mangoway.policy.edge.relaying import RelayPeers
 from mangoway.policy.edge.retry_budget import RetryLimits
 from mangoway.policy.edge.shares import FleetShare
 from mangoway.policy.limits.cooldowns import CooldownTracker
@@ -297,7 +299,9 @@
 
 @asynccontextmanager
 async def start_edge(
-    routes: tuple[Route, ...] = ROUTES, limits: RetryLimits = RETRY_LIMITS
+    routes: tuple[Route, ...] = ROUTES,
+    limits: RetryLimits = RETRY_LIMITS,
+    incarnation: str = "e1",
 ) -> AsyncIterator[EdgeWorld]:
     """Start an edge without runners, which the test adds."""
     view = FleetView()
@@ -330,16 +334,30 @@
         statement_sender=statement_sender,
         clock=clock,
     )
+    pool = ConnectionPool(4)
     forwarder = Forwarder(
         data_centre="dc1",
-        incarnation="e1",
+        incarnation=incarnation,
         view=view,
         grant_provider=grant_provider,
         plain_grant_provider=plain_grant_provider,
         retry_budgets=retry_budgets,
         admission=Admission(view=view, measure_age=lambda: ages[0], revoke_s=5.0),
-        pool=ConnectionPool(4),
-        connector=RunnerConnector(view, metrics, clock),
+        pool=pool,
+        connector=RunnerConnector(
+            view=view,
+            metrics=metrics,
+            pool=pool,
+            clock=clock,
+            random=Random(1),
+            start_task=tasks.async_start,
+        ),
+        relay=PeerRelay(
+            view=view,
+            peers=RelayPeers(incarnation, "dc1", Random(1)),
+            metrics=metrics,
+            clock=clock,
+        ),
         metrics=metrics,
         crash_detector=CrashDetector(
             view=view,
@@ -369,5 +387,6 @@
         server.close()
         options.abort()
         forwarder.pool.close()
+        forwarder.relay.pool.close()
         await tasks.async_cancel()
         assert errors == []
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -39,8 +39,8 @@
         super().__init__(RelaySwitches())
         self.target = target
         self.relay_address = ""
-        self.refuses: Callable[[int], bool] = lambda port: False
-        """Returns whether to close a new connection at once, by its client's port."""
+        self.refuses: Callable[[asyncio.StreamWriter], bool] = lambda client: False
+        """Returns whether to close a new connection at once, given its client's end."""
 
         self._clients: dict[asyncio.StreamWriter, asyncio.StreamWriter] = {}
         """The target's end of each connection by the client's end."""
@@ -121,8 +121,7 @@
     ) -> None:
         self._accepted += 1
         host, _, port = self.target.rpartition(":")
-        client_port = writer.get_extra_info("peername")[1]
-        if self.switches.refuse_new or self.refuses(client_port):
+        if self.switches.refuse_new or self.refuses(writer):
             writer.transport.abort()
             return
         try:
