Limit the attempts of a request that fail to connect

A caller whose service had only runners that refuse connections waited until its deadline, while its edge tried them thousands of times a second and had no time for others. Cause: max_attempts counts what was sent, and an attempt that was refused at once was repeated at once. After three attempts the request now goes through a peer, which may reach a runner that this host doesn't, or is rejected with a retry time. The four new cases fail on the parent (no response within 1 s).

--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -15,6 +15,7 @@
 from ..platform.requests import RequestFields, encode_for_runner
 from ..platform.signals import decode_signals
 from ..policy.edge.const import (
+    MAX_UNREACHABLE_ATTEMPTS,
     RETRY_AFTER_BUDGET_S,
     RETRY_AFTER_OUTAGE_S,
     RETRY_AFTER_UNREACHABLE_S,
@@ -89,6 +90,9 @@
     """How the stream continues elsewhere; None if it does not."""
 
     _relay: RequestRelay = field(init=False)
+    _unreachable_attempts: int = field(default=0, init=False)
+    """Attempts that failed to connect."""
+
     _may_have_run: bool = field(default=False, init=False)
     _in_attempt: bool = field(default=False, init=False)
     _retry_cause: RetryCause = field(default=RetryCause.FAILED, init=False)
@@ -198,6 +202,8 @@
 
     def _must_relay(self) -> bool:
         """Return whether no runner can be reached from this host for the request."""
+        if self._unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
+            return True
         return self.context.connector.reach.is_lost
 
     async def _async_relay(self) -> None:
@@ -366,6 +372,7 @@
 
     def _record_result(self, runner: RunnerEntry, result: AttemptResult) -> None:
         kind = _get_end_kind(result)
+        self._unreachable_attempts += kind is EndKind.UNREACHABLE
         if kind is EndKind.SERVED and self._has_paused():
             kind = EndKind.PAUSED
         self._finder.record_attempt(runner.runner_id, kind, was_sent=result.was_sent)
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -63,6 +63,11 @@
 """Time after an opened connection to any runner in which a failure needs no check of
 the others. Busy edges open several connections a second."""
 
+MAX_UNREACHABLE_ATTEMPTS: Final = 3
+"""Attempts of one request that may fail to connect before it is sent through a peer, or
+rejected. A refused connection takes a millisecond, so that a request without this limit
+repeats it thousands of times."""
+
 MAX_RELAY_PEERS: Final = 3
 """Peers that are tried for one request: the first may be cut off from the runners like
 this host."""
--- a/tests/edge/test_unreachable_runners.py
+++ b/tests/edge/test_unreachable_runners.py
@@ -12,6 +12,7 @@
 from attrs import define
 
 from mangoway.models.fleet import Member, Role
+from mangoway.policy.edge.const import MAX_UNREACHABLE_ATTEMPTS
 
 from ..fakes.fleet import make_runner
 from ..upstreams.raw_server import RawServer, answer
@@ -96,6 +97,40 @@
         yield CutOffFleet(cut_off, peer, runner)
 
 
+def leave_one_refusing(edge: EdgeWorld, service: str, address: str) -> None:
+    """Leave a service with a single runner, which refuses connections."""
+    for number in range(1, RUNNERS):
+        edge.view.remove_runner(f"{service}-{number}", 0.0)
+    entry = make_runner(f"{service}-0", service=service, address=address)
+    edge.view.update_runner(entry)
+    edge.grant_provider.runner_ids = [f"{service}-0"]
+    edge.grant_provider.grants_excluded = True
+
+
+class TestServiceWithoutRunners:
+    """A service whose runner refuses connections, while those of others accept them."""
+
+    @pytest.mark.parametrize(
+        ("service", "path"), [("plain", "/safe/x"), ("llm", "/stream/x")]
+    )
+    @pytest.mark.parametrize("has_peer", [False, True])
+    async def test_refused_connection_is_not_repeated_without_end(
+        self, service: str, path: str, has_peer: bool
+    ) -> None:
+        async with start_fleet(path, "refused") as fleet:
+            edge = fleet.cut_off
+            refusing = edge.view.runners[f"{service}-0"].address
+            add_runners(edge, fleet.runner.address)
+            leave_one_refusing(edge, service, refusing)
+            if not has_peer:
+                edge.view.remove_member("members/edge/e2")
+            async with asyncio.timeout(1.0):
+                reply = await edge.async_call(path)
+            attempts = edge.forwarder.metrics.edge_attempts
+            assert reply.status == (200 if has_peer else 503)
+            assert attempts.get("unreachable") <= MAX_UNREACHABLE_ATTEMPTS
+
+
 @pytest.mark.parametrize("kind", ["refused", "hanging"])
 @pytest.mark.parametrize("path", list(RESPONSES))
 class TestEdgeWithoutRunners:
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -71,6 +71,9 @@
     drops_rejecting: bool = False
     """Whether a runner that rejected a request is no longer granted."""
 
+    grants_excluded: bool = False
+    """Whether a runner that failed the request is granted again without another."""
+
     quota_wait_s: float = 0.0
     """Seconds until the quota is available again; 0 if it isn't exhausted."""
 
@@ -114,6 +117,8 @@
         available = [
             each for each in self.runner_ids if each not in grant_request.excluded
         ]
+        if self.grants_excluded and not available:
+            available = self.runner_ids[:1]
         if grant_request.only:
             available = [each for each in available if each in grant_request.only]
         response: GrantResponse = Reject(
