Take a refused connection for a crash only while other runners are reached

Requests of an edge that was cut off from all runners by refused connections were charged with a crash of each of their runners, so that harmless ones could be blocked for an hour, and a stream could go on from its backup while its run went on behind the cut. Cause: a refusal counted as proof that a process has ended, whoever refused. Now another runner has to be reached at that time. If none is, the check is repeated for 3 s, since all runners may have crashed. Runners that failed while others were reached are down and no evidence against this host.

The new test of refusals by all runners fails without the condition.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -284,6 +284,14 @@
             clock=process.clock,
         )
         pool = ConnectionPool(MAX_IDLE_PER_RUNNER)
+        connector = RunnerConnector(
+            view=process.view,
+            metrics=process.metrics,
+            pool=pool,
+            clock=process.clock,
+            random=self._random,
+            start_task=process.tasks.async_start,
+        )
         return Forwarder(
             data_centre=self.settings.data_centre,
             incarnation=process.incarnation,
@@ -293,14 +301,7 @@
             retry_budgets=self.retry_budgets,
             admission=self.admission,
             pool=pool,
-            connector=RunnerConnector(
-                view=process.view,
-                metrics=process.metrics,
-                pool=pool,
-                clock=process.clock,
-                random=self._random,
-                start_task=process.tasks.async_start,
-            ),
+            connector=connector,
             relay=PeerRelay(
                 view=process.view,
                 peers=RelayPeers(
@@ -315,6 +316,7 @@
                 metrics=process.metrics,
                 clock=process.clock,
                 start_task=process.tasks.async_start,
+                async_has_reach=connector.async_has_reach,
                 on_crash=crash_filter.record_crash,
             ),
             crash_filter=crash_filter,
--- a/mangoway/edge/crash_detector.py
+++ b/mangoway/edge/crash_detector.py
@@ -2,11 +2,12 @@
 
 A broken connection doesn't prove a crash, because networks reset connections and some
 runners occasionally drop a response. A runner counts as crashed if it also refuses a
-new connection.
+new connection, while this host reaches another runner: where the host itself is cut
+off, all connections are refused.
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final
 
 from attrs import define, field, frozen
@@ -24,6 +25,14 @@
 process refuses the connection within a millisecond; a host that doesn't respond may
 merely be cut off."""
 
+MAX_UNDECIDED_S: Final = 3.0
+"""Time for which a refusal is checked again while this host reaches no runner. If all
+have crashed, the first is back after some seconds; if this host is cut off, nothing is
+known about the runner, and it counts as reset."""
+
+UNDECIDED_PERIOD_S: Final = 0.25
+"""Interval between two such checks."""
+
 MAX_REMEMBERED_CRASHES: Final = 256
 """Crashes that an edge remembers, to add requests whose connections break slightly
 later. More would be needed only if a thousand runners crashed within a second."""
@@ -63,6 +72,10 @@
     metrics: Metrics
     clock: Callable[[], float]
     start_task: Callable[[Coroutine[Any, Any, None]], object]
+    async_has_reach: Callable[[RunnerEntry, float], Awaitable[bool]]
+    """Returns whether this host has reached another runner than the given one since a
+    point in time, or does so now."""
+
     on_crash: Callable[[RunnerCrash], None] = lambda crash: None
     """Called with each crash, and again with requests whose connections break later."""
 
@@ -131,7 +144,21 @@
             return True
         if self.view.find_open_runner(runner.runner_id) is not None:
             return False
-        return await self._async_is_refused(runner)
+        refused = await self._async_is_refused(runner)
+        return refused and await self.async_has_reach(runner, self.clock())
+
+    async def _async_has_crashed(self, runner: RunnerEntry) -> bool:
+        """Return whether a runner crashed that was open when a connection broke."""
+        until = self.clock() + MAX_UNDECIDED_S
+        while await self._async_is_refused(runner):
+            if await self.async_has_reach(runner, self.clock()):
+                return True
+            if self.is_gone(runner):
+                return True
+            if self.clock() >= until:
+                return False
+            await asyncio.sleep(UNDECIDED_PERIOD_S)
+        return False
 
     async def _async_is_refused(self, runner: RunnerEntry) -> bool:
         """Return whether a runner's host refuses a new connection."""
@@ -151,7 +178,7 @@
         detected_at = self.clock()
         crashed = False
         try:
-            crashed = await self._async_is_refused(runner)
+            crashed = await self._async_has_crashed(runner)
         finally:
             del self._checks[incarnation]
             self._end_check(incarnation, runner.service, check, crashed, detected_at)
--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -1,7 +1,7 @@
 """Connections of an edge to runners, and checks whether it reaches any runner."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from random import Random
 from typing import Any, Final
 
@@ -93,6 +93,37 @@
         )
         return connection
 
+    async def async_has_reach(self, runner: RunnerEntry, since: float) -> bool:
+        """Return whether another runner was reached since then, or is reached now.
+
+        It is also true if no other runner is known that could tell a fault of this host
+        from one of the runner, since all others are down.
+
+        Args:
+            runner: The runner that is not reached.
+            since: Time in seconds.
+        """
+        others = [
+            each
+            for each in self._list_witnesses()
+            if each.runner_id != runner.runner_id
+        ]
+        if not others or self.reach.was_reached_since(since):
+            return True
+        if self.reach.is_lost:
+            return False
+        await self._async_check(others)
+        return self.reach.was_reached_since(since)
+
+    def _list_witnesses(self) -> list[RunnerEntry]:
+        """Return the runners whose failures would say something about this host."""
+        now = self.clock()
+        return [
+            each
+            for each in self.view.list_open_runners()
+            if self.reach.is_witness(each.runner_id, now)
+        ]
+
     def start_check(self, started_at: float) -> None:
         """Check whether other runners can be reached, unless one was recently.
 
@@ -103,22 +134,32 @@
             return
         if self.reach.needs_check(started_at, self.clock()):
             self._check = asyncio.get_running_loop().create_future()
-            self.start_task(self._async_check(self._check))
+            self.start_task(self._async_run_check(self._check))
 
     async def async_settle(self) -> None:
         """Wait for the running check, if there is one."""
         if self._check is not None:
             await asyncio.shield(self._check)
 
-    async def _async_check(self, check: "asyncio.Future[None]") -> None:
+    async def _async_run_check(self, check: "asyncio.Future[None]") -> None:
         try:
-            runners = self.view.list_open_runners()
-            chosen = self.random.sample(runners, min(CHECKED_RUNNERS, len(runners)))
-            await asyncio.gather(*map(self._async_probe, chosen))
+            await self._async_check(self.view.list_open_runners())
         finally:
             self._check = None
             check.set_result(None)
 
+    async def _async_check(self, runners: Sequence[RunnerEntry]) -> None:
+        """Probe some runners at once, first those that have not failed yet."""
+        now = self.clock()
+        fresh = [
+            each for each in runners if not self.reach.has_failed(each.runner_id, now)
+        ]
+        chosen = self.random.sample(fresh, min(CHECKED_RUNNERS, len(fresh)))
+        if len(chosen) < CHECKED_RUNNERS:
+            failed = [each for each in runners if each not in chosen]
+            chosen += failed[: CHECKED_RUNNERS - len(chosen)]
+        await asyncio.gather(*map(self._async_probe, chosen))
+
     async def _async_probe(self, runner: RunnerEntry) -> None:
         """Open a connection to a runner, see whether it stays open, and close it."""
         started_at = self.clock()
@@ -128,7 +169,7 @@
             return
         try:
             if await connection.async_is_kept_open(KEPT_OPEN_S):
-                self._record_reached()
+                self._record_reached(runner)
             else:
                 self._record_failure(runner, started_at)
         finally:
@@ -175,19 +216,19 @@
         An open connection proves nothing, as something on the way may accept it.
         """
         if reached:
-            self._record_reached()
+            self._record_reached(runner)
         else:
             self._record_failure(runner, started_at)
             self.start_check(started_at)
 
-    def _record_reached(self) -> None:
-        lost_s = self.reach.record_reached(self.clock())
+    def _record_reached(self, runner: RunnerEntry) -> None:
+        lost_s = self.reach.record_reached(runner.runner_id, self.clock())
         self.metrics.unreachable_runners.set(level=0)
         if lost_s is not None:
             log_event(log.RunnerReachRegained(lost_s=round(lost_s, 3)))
 
     def _record_failure(self, runner: RunnerEntry, started_at: float) -> None:
-        now, known = self.clock(), len(self.view.list_open_runners())
+        now, known = self.clock(), len(self._list_witnesses())
         is_newly_lost = self.reach.record_failure(
             runner.runner_id, started_at, now, known
         )
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -59,6 +59,10 @@
 """Runners to which connections must fail in a row until this host counts as cut off
 from all of them. Two runners may fail together, for example on one rack."""
 
+DOWN_S: Final = 5.0
+"""Time for which a runner counts as down after it failed while another was reached:
+the entry of a crashed runner stays for some heartbeats."""
+
 RECENTLY_REACHED_S: Final = 0.25
 """Time after an opened connection to any runner in which a failure needs no check of
 the others. Busy edges open several connections a second."""
--- a/mangoway/policy/edge/reach.py
+++ b/mangoway/policy/edge/reach.py
@@ -2,12 +2,13 @@
 
 A failed connection alone says nothing about which end is at fault. If connections to
 several runners fail, and none to any other runner succeeds meanwhile, the fault is
-probably on this host's side.
+probably on this host's side. A runner that fails while another is reached is down, and
+says nothing about this host until it is reached again.
 """
 
 from attrs import define, field
 
-from .const import MIN_UNREACHABLE_RUNNERS, RECENTLY_REACHED_S
+from .const import DOWN_S, MIN_UNREACHABLE_RUNNERS, RECENTLY_REACHED_S
 
 
 @define(eq=False)
@@ -21,7 +22,11 @@
     """When a connection to any runner was opened last."""
 
     _unreachable: set[str] = field(factory=set, init=False)
-    """Runners to which connections failed since any runner was reached."""
+    """Runners to which connections failed since any runner was reached, except those
+    that are down."""
+
+    _down_until: dict[str, float] = field(factory=dict, init=False)
+    """Runners that failed while others were reached, and until when that counts."""
 
     @property
     def is_lost(self) -> bool:
@@ -33,6 +38,21 @@
         """Return the number of runners that failed since any runner was reached."""
         return len(self._unreachable)
 
+    def is_witness(self, runner_id: str, now: float) -> bool:
+        """Return whether a failure to reach a runner says anything about this host."""
+        return self._down_until.get(runner_id, now) <= now
+
+    def has_failed(self, runner_id: str, now: float) -> bool:
+        """Return whether a runner failed since any runner was reached, or is down."""
+        return runner_id in self._unreachable or not self.is_witness(runner_id, now)
+
+    def record_down(self, runner_id: str, now: float) -> None:
+        """Record that a runner itself is at fault."""
+        self._down_until.pop(runner_id, None)
+        self._down_until[runner_id] = now + DOWN_S
+        while next(iter(self._down_until.values())) <= now:
+            del self._down_until[next(iter(self._down_until))]
+
     def was_reached_since(self, started_at: float) -> bool:
         """Return whether any runner was reached since then."""
         return self._reached_at >= started_at
@@ -46,36 +66,42 @@
         """
         return not self.was_reached_since(min(started_at, now - RECENTLY_REACHED_S))
 
-    def record_reached(self, now: float) -> float | None:
-        """Record an opened connection.
+    def record_reached(self, runner_id: str, now: float) -> float | None:
+        """Record that a runner was reached.
 
         Args:
+            runner_id: The runner.
             now: Time in seconds.
 
         Returns:
             The seconds for which the reach was lost; None if it was not.
         """
         lost_at, self.lost_at = self.lost_at, None
+        if lost_at is None:
+            for each in self._unreachable:
+                self.record_down(each, now)
         self._reached_at = now
         self._unreachable.clear()
+        self._down_until.pop(runner_id, None)
         return None if lost_at is None else now - lost_at
 
     def record_failure(
         self, runner_id: str, started_at: float, now: float, known: int
     ) -> bool:
-        """Record a connection that could not be opened.
+        """Record a connection to a runner that failed.
 
         Args:
             runner_id: The runner.
             started_at: When the connection was begun. If another one was opened since,
                 the failure is the runner's.
             now: Time in seconds.
-            known: Number of runners of all services.
+            known: Number of runners of all services that are not down.
 
         Returns:
             Whether the reach is lost now, and was not before.
         """
-        if self.was_reached_since(started_at):
+        if self.was_reached_since(started_at) or not self.is_witness(runner_id, now):
+            self.record_down(runner_id, now)
             return False
         self._unreachable.add(runner_id)
         if self.is_lost or self.unreachable < min(MIN_UNREACHABLE_RUNNERS, known):
--- a/tests/edge/test_crash_detector.py
+++ b/tests/edge/test_crash_detector.py
@@ -3,9 +3,12 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
 
 from mangoway.coordination.view import FleetView
 from mangoway.edge.crash_detector import CrashDetector, InterruptedRequest, RunnerCrash
+from mangoway.edge.runner_connector import RunnerConnector
+from mangoway.http1.client import ConnectionPool
 from mangoway.models.crash import RequestIdentity
 from mangoway.observability.metrics import Metrics
 from mangoway.util.tasks import Tasks
@@ -27,11 +30,20 @@
         self.errors: list[BaseException] = []
         self.tasks = Tasks(self.errors.append)
         self.crashes: list[RunnerCrash] = []
+        self.connector = RunnerConnector(
+            view=self.view,
+            metrics=Metrics(),
+            pool=ConnectionPool(4),
+            clock=self.clock,
+            random=Random(1),
+            start_task=self.tasks.async_start,
+        )
         self.detector = CrashDetector(
             view=self.view,
             metrics=Metrics(),
             clock=self.clock,
             start_task=self.tasks.async_start,
+            async_has_reach=self.connector.async_has_reach,
             on_crash=self.crashes.append,
         )
 
@@ -119,3 +131,53 @@
             harness.interrupt(address)
             await harness.async_wait_idle()
         assert harness.crashes == []
+
+
+class TestReach:
+    """Runners that refuse connections, of a host that may itself be cut off."""
+
+    async def test_refusal_by_all_runners_is_no_crash(self) -> None:
+        async with start_harness(crashed=True) as (harness, address):
+            for runner_id in ("r2", "r3", "r4"):
+                harness.view.update_runner(make_runner(runner_id, address=address))
+            harness.interrupt(address)
+            entry = harness.view.runners["r1"]
+            await harness.detector.async_settle(entry)
+            harness.view.update_runner(
+                make_runner("r1", address=address, draining=True)
+            )
+            assert not await harness.detector.async_prove_end(entry)
+            await harness.tasks.async_cancel()
+        assert harness.crashes == []
+
+    async def test_crash_of_all_runners_is_known_once_one_is_back(self) -> None:
+        async with (
+            RawServer(cut(b"")) as restarted,
+            start_harness(crashed=True) as (harness, address),
+        ):
+            harness.view.update_runner(make_runner("r2", address=address))
+            harness.interrupt(address)
+            await asyncio.sleep(0.4)
+            assert harness.crashes == []
+            harness.view.update_runner(make_runner("r3", address=restarted.address))
+            await harness.async_wait_idle()
+        assert harness.list_requests() == [IDENTITY]
+
+    async def test_last_runner_crashes_after_the_others(self) -> None:
+        async with start_harness(crashed=True) as (harness, address):
+            for runner_id in ("r2", "r3", "r4"):
+                harness.view.update_runner(make_runner(runner_id, address=address))
+                harness.connector.reach.record_down(runner_id, harness.clock())
+            harness.interrupt(address)
+            await harness.async_wait_idle()
+        assert harness.list_requests() == [IDENTITY]
+
+    async def test_refusal_by_one_runner_is_a_crash(self) -> None:
+        async with RawServer(cut(b"")) as other:
+            async with start_harness(crashed=True) as (harness, address):
+                for runner_id in ("r2", "r3"):
+                    entry = make_runner(runner_id, address=other.address)
+                    harness.view.update_runner(entry)
+                harness.interrupt(address)
+                await harness.async_wait_idle()
+        assert harness.list_requests() == [IDENTITY]
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -340,6 +340,14 @@
         clock=clock,
     )
     pool = ConnectionPool(4)
+    connector = RunnerConnector(
+        view=view,
+        metrics=metrics,
+        pool=pool,
+        clock=clock,
+        random=Random(1),
+        start_task=tasks.async_start,
+    )
     forwarder = Forwarder(
         data_centre="dc1",
         incarnation=incarnation,
@@ -349,14 +357,7 @@
         retry_budgets=retry_budgets,
         admission=Admission(view=view, measure_age=lambda: ages[0], revoke_s=5.0),
         pool=pool,
-        connector=RunnerConnector(
-            view=view,
-            metrics=metrics,
-            pool=pool,
-            clock=clock,
-            random=Random(1),
-            start_task=tasks.async_start,
-        ),
+        connector=connector,
         relay=PeerRelay(
             view=view,
             peers=RelayPeers(incarnation, "dc1", Random(1)),
@@ -369,6 +370,7 @@
             metrics=metrics,
             clock=clock,
             start_task=tasks.async_start,
+            async_has_reach=connector.async_has_reach,
             on_crash=crash_filter.record_crash,
         ),
         crash_filter=crash_filter,
