Keep one edge without a path from making others avoid a runner with an engine

Cause: the result of a connection counted for the runner, whoever failed. Plain services counted it once for each edge already. Now runners with engines do too, and an edge that has lost its reach reports nothing about runners. The new test fails without it: requests of the other edge wait at 1.2 and 2.3 s.

--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -375,7 +375,13 @@
         self._unreachable_attempts += kind is EndKind.UNREACHABLE
         if kind is EndKind.SERVED and self._has_paused():
             kind = EndKind.PAUSED
-        self._finder.record_attempt(runner.runner_id, kind, was_sent=result.was_sent)
+        was_cut_off = kind in (EndKind.UNREACHABLE, EndKind.FAILED) and (
+            result.error is None and self.context.connector.reach.is_lost
+        )
+        # A fault of this host says nothing about the runner.
+        reported = EndKind.LEFT if was_cut_off else kind
+        was_sent = result.was_sent
+        self._finder.record_attempt(runner.runner_id, reported, was_sent=was_sent)
         if not result.delivered:
             self._error_response = result.error
         self.context.metrics.edge_attempts.add(kind.value)
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -225,14 +225,22 @@
 
     def record_health(self, running: RunningRequest, kind: EndKind, now: float) -> None:
         """Update the health record of a runner from the result of a request."""
-        if running.runner_id not in self.state.runners:
+        runner = self.state.runners.get(running.runner_id)
+        if runner is None:
             return
-        health = self.state.health
+        health, edge = self.state.health, running.grant_request.edge
         if kind.was_served:
+            runner.unreachable_from.discard(edge)
             if health.record_success(running.runner_id):
                 self.on_health_change(running.runner_id, 0)
         elif kind in (EndKind.FAILED, EndKind.UNREACHABLE):
             unreachable = kind is EndKind.UNREACHABLE
+            if unreachable:
+                # Repeated failures of one edge may only mean that it has no path to a
+                # runner that the others reach.
+                if edge in runner.unreachable_from:
+                    return
+                runner.unreachable_from.add(edge)
             failures = health.record_failure(
                 running.runner_id, now, unreachable=unreachable
             )
@@ -444,6 +452,8 @@
         core.end_request(key, now)
     for shares in state.shares.values():
         shares.settle_edge(event.edge)
+    for runner in state.runners.values():
+        runner.unreachable_from.discard(event.edge)
     return _serve_all(core, now)
 
 
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -79,6 +79,9 @@
     """Models in its memory or being loaded; changed by `add_model` and `remove_model`
     only."""
 
+    unreachable_from: set[str] = field(factory=set)
+    """Edges that failed to connect to it, by incarnation, until it serves one."""
+
     order_count: int | None = None
     """Orders that the runner has accepted; None until a report arrives."""
 
--- a/tests/policy/scheduling/test_dispatch.py
+++ b/tests/policy/scheduling/test_dispatch.py
@@ -181,3 +181,26 @@
                 )
         grants = [*send_request(world, "x1"), *send_request(world, "x2")]
         assert "r0" not in {each.runner_id for each in grants}
+
+    def test_one_edge_without_a_path_does_not_keep_others_from_a_runner(self) -> None:
+        """It tries the runner again every second, and would fail for all each time."""
+        world = make_world(["a"], ["b"], ["c"])
+        kinds = {"e1": EndKind.SERVED, "e2": EndKind.UNREACHABLE}
+        served_at_once = set()
+        for number in range(3):
+            for edge, at in (("e2", 0.0), ("e1", 0.1), ("e1", 1.05)):
+                world.now = 1.1 * number + at
+                request_id = f"{edge}-{world.now:.2f}"
+                grants = send_request(world, request_id, edge=edge)
+                while grants:
+                    grant = grants.pop()
+                    served_at_once |= {request_id} & {grant.request_id}
+                    ended = RequestEnded(
+                        edge=grant.edge,
+                        request_id=grant.request_id,
+                        kind=kinds[grant.edge],
+                    )
+                    actions = world.core.handle(ended, world.now)
+                    grants += [each for each in actions if isinstance(each, Grant)]
+        expected = {"e1-1.05", "e1-1.20", "e1-2.15", "e1-2.30", "e1-3.25"}
+        assert expected <= served_at_once
