Log the shared prompt parts of requests that a crash interrupted

The lines of runner crashes (354) named digests of whole requests only, so that nothing showed what the requests under which runners crash one after the other have in common. They now list the IDs of the shared parts with the number of interrupted requests. No decision uses it yet.

--- a/mangoway/edge/crash_detector.py
+++ b/mangoway/edge/crash_detector.py
@@ -7,7 +7,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any, Final
 
 from attrs import define, field, frozen
@@ -33,6 +34,9 @@
 UNDECIDED_PERIOD_S: Final = 0.25
 """Interval between two such checks."""
 
+LOGGED_PARTS: Final = 16
+"""Shared parts of prompts that the log event of one crash lists."""
+
 MAX_REMEMBERED_CRASHES: Final = 256
 """Crashes that an edge remembers, to add requests whose connections break slightly
 later. More would be needed only if a thousand runners crashed within a second."""
@@ -47,6 +51,9 @@
     ran_s: float
     """Time from its first event in this attempt to the break; 0 without an event."""
 
+    shared_parts: tuple[str, ...] = ()
+    """IDs of the parts of its prompt that other requests may share."""
+
 
 @frozen(kw_only=True)
 class RunnerCrash:
@@ -222,6 +229,7 @@
                     f"{each.identity.text} {now - each.sent_at:.3f} {each.ran_s:.3f}"
                     for each in requests
                 ),
+                parts=_count_parts(requests),
             )
         )
         self.on_crash(RunnerCrash(life=incarnation, requests=tuple(requests)))
@@ -229,3 +237,9 @@
 
 def _get_incarnation(runner: RunnerEntry) -> RunnerIncarnation:
     return RunnerIncarnation(runner_id=runner.runner_id, started_ms=runner.started_ms)
+
+
+def _count_parts(requests: Iterable[InterruptedRequest]) -> tuple[str, ...]:
+    """Return the shared parts of prompts with the number of requests, most first."""
+    counts = Counter(part for each in requests for part in each.shared_parts)
+    return tuple(f"{part} {count}" for part, count in counts.most_common(LOGGED_PARTS))
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -314,7 +314,12 @@
         first_at = self._first_event_at
         ran_s = 0.0 if first_at is None else self._clock() - first_at
         interrupted = InterruptedRequest(
-            identity=identity, sent_at=self._sent_at, ran_s=ran_s
+            identity=identity,
+            sent_at=self._sent_at,
+            ran_s=ran_s,
+            shared_parts=tuple(
+                each.part_id for each in self.fields.prompt.shared_parts
+            ),
         )
         self.context.crash_detector.record_interrupted(runner, interrupted)
         if self.context.crash_filter.is_suspected(identity):
--- a/mangoway/models/prompt.py
+++ b/mangoway/models/prompt.py
@@ -22,3 +22,8 @@
 
     parts: tuple[PromptPart, ...]
     """All parts in order; the last one is specific to the request or its session."""
+
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other requests may share: all but the last one."""
+        return self.parts[:-1]
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -266,6 +266,10 @@
     """One line per request of this edge at the runner: identity, seconds since it was
     sent, and seconds that it ran after its first event (0 without one)."""
 
+    parts: tuple[str, ...]
+    """One line per part of their prompts that other requests may share: its ID, and the
+    number of these requests that have it."""
+
 
 @numbered(355, LogLevel.INFO)
 class RunnerReset:
--- a/tests/edge/test_crash_detector.py
+++ b/tests/edge/test_crash_detector.py
@@ -6,7 +6,12 @@
 from random import Random
 
 from mangoway.coordination.view import FleetView
-from mangoway.edge.crash_detector import CrashDetector, InterruptedRequest, RunnerCrash
+from mangoway.edge.crash_detector import (
+    CrashDetector,
+    InterruptedRequest,
+    RunnerCrash,
+    _count_parts,
+)
 from mangoway.edge.runner_connector import RunnerConnector
 from mangoway.http1.client import ConnectionPool
 from mangoway.models.crash import RequestIdentity
@@ -181,3 +186,16 @@
                 harness.interrupt(address)
                 await harness.async_wait_idle()
         assert harness.list_requests() == [IDENTITY]
+
+
+class TestLog:
+    """What the log says of a crash."""
+
+    async def test_shared_parts_are_counted(self) -> None:
+        requests = [
+            InterruptedRequest(
+                identity=IDENTITY, sent_at=0.0, ran_s=0.0, shared_parts=parts
+            )
+            for parts in (("a1", "b2"), ("a1",), ())
+        ]
+        assert _count_parts(requests) == ("a1 2", "b2 1")
