--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -81,6 +81,7 @@
         version: int | None = None,
         crashing: str = "",
         original: Call | None = None,
+        shared_part: str = "",
     ) -> Call:
         """Send one request and check its response.
 
@@ -92,6 +93,7 @@
                 first routes.
             crashing: Name of the request if it crashes its runners.
             original: Earlier call with the same content; None for a new request.
+            shared_part: ID of a part of its prompt that other requests share.
         """
         request_id = f"{next(_request_numbers):08x}"
         call = Call(
@@ -103,6 +105,7 @@
             crashing=crashing,
         )
         self._choose_fields(call, original)
+        call.shared_part = f"{shared_part}:20," if shared_part else ""
         call.key = self._choose_key(call, original)
         path = PATHS[kind] if version is None else f"/added-{version}/x"
         self.records.calls[request_id] = call
@@ -139,7 +142,7 @@
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "X-Model": call.model,
             "X-Token-Usage": "100,40",
-            "X-Prompt-Prefix": f"a1:60,{call.subject}:40",
+            "X-Prompt-Prefix": f"a1:60,{call.shared_part}{call.subject}:40",
         }
         async with session.post(url, headers=headers, data=body) as response:
             call.status = response.status
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -112,6 +112,9 @@
     subject: str = ""
     """Part of the prompt that identifies the request; kept when it is resent."""
 
+    shared_part: str = ""
+    """Further part of the prompt that other requests share, as the header has it."""
+
     status: int | None = None
     """Status of the response; None if there was none."""
 
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -30,6 +30,10 @@
 CRASH_MARK = b"crash:"
 """Prefix of the body of a request that crashes its runner."""
 
+CRASHING_PART = "dead"
+"""Prefix of the ID of a prompt part that crashes each runner that begins to write an
+answer on it."""
+
 CRASH_AFTER_S = 0.05
 """Time from the start of such a request to the crash."""
 
@@ -261,6 +265,7 @@
         signature = f"{self.runner_id}.{request_id}.{next(_unique_numbers)}"
         if self.models is not None and "Kv-From" in request.headers:
             return await self._async_stream(request, request_id, signature)
+        crashing_part = find_crashing_part(request)
         run = Run(
             runner_id=self.runner_id,
             at=time.monotonic(),
@@ -269,7 +274,7 @@
             received_key="Authorization" in request.headers,
             crashing=body.removeprefix(CRASH_MARK).decode()
             if body.startswith(CRASH_MARK)
-            else "",
+            else crashing_part,
         )
         self.records.record_run(request_id, run)
         if run.crashing:
@@ -371,6 +376,13 @@
         return True
 
 
+def find_crashing_part(request: web.Request) -> str:
+    """Return the shared part of a prompt that crashes runners; empty if none does."""
+    parts = request.headers.get("X-Prompt-Prefix", "").split(",")[:-1]
+    part_ids = [each.partition(":")[0] for each in parts]
+    return next((each for each in part_ids if each.startswith(CRASHING_PART)), "")
+
+
 def _abort(request: web.Request) -> None:
     """Abort the connection of a request unless its client has disconnected."""
     if request.transport is not None:
