--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -35,6 +35,12 @@
         default=None,
         help="restore the store from copies in each seed",
     )
+    parser.add_argument(
+        "--cutting",
+        action="store_true",
+        default=None,
+        help="cut edges off from all runners in each seed",
+    )
     parser.add_argument("--folder", type=Path, help="folder for the logs")
     options = parser.parse_args()
     seeds = options.seed or [
@@ -50,6 +56,7 @@
             options.crashing,
             options.edges,
             options.restoring,
+            options.cutting,
         )
     )
     failed = [each.seed for each in results if each.violations]
@@ -65,6 +72,7 @@
     crashing: int | None = None,
     edges: int = EDGES,
     restoring: bool | None = None,
+    cutting: bool | None = None,
 ) -> list[Result]:
     """Run one soak for each seed, at most `at_once` at a time."""
     slots = asyncio.Semaphore(at_once)
@@ -73,7 +81,9 @@
         async with slots:
             logs = folder / str(seed)
             logs.mkdir(parents=True, exist_ok=True)
-            result = await async_soak(seed, logs, fault_s, crashing, edges, restoring)
+            result = await async_soak(
+                seed, logs, fault_s, crashing, edges, restoring, cutting
+            )
             print_result(result)
             return result
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,7 @@
 from contextlib import ExitStack, contextmanager
 from random import Random
 
+from .cuts import OpenConnections
 from .records import Span
 from .runners import RunnerStandIn
 from .signals import DRAIN_S, LIMIT_SLACK, LIMIT_WINDOW_S
@@ -243,6 +244,30 @@
         _end(span)
 
 
+async def async_cut_edges_periodically(
+    world: World, random: Random, stopping: asyncio.Event
+) -> None:
+    """Cut some edges, or all but one, off from all runners for some periods.
+
+    Once `stopping` is set, returns after the current period, or after the one that
+    follows a pause.
+    """
+    while not stopping.is_set():
+        await asyncio.sleep(random.uniform(0.5, 3.0))
+        edges = world.list_nodes("edge")
+        if len(edges) < 2:
+            continue
+        chosen = random.sample(edges, random.randrange(1, len(edges)))
+        names = " ".join(each.name for each in chosen)
+        span = world.records.begin(f"cut {names} off from the runners")
+        pids = {each.process.child.pid for each in chosen if each.process is not None}
+        relays = [each.relay for each in world.runners if each.relay is not None]
+        world.cuts.begin(pids, relays, random.choice(list(OpenConnections)))
+        await asyncio.sleep(random.uniform(0.5, 4.0))
+        world.cuts.end()
+        _end(span)
+
+
 async def async_restore_periodically(
     world: World, random: Random, stopping: asyncio.Event
 ) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 from .faults import (
     FAULTS,
     PLANNED,
+    async_cut_edges_periodically,
     async_reject_periodically,
     async_restore_periodically,
     async_signal_periodically,
@@ -60,6 +61,12 @@
 """Remainder, by `RESTORING_DIVISOR`, of the seeds with restores of the store."""
 
 
+CUTTING_DIVISOR: Final = 7
+CUTTING_REMAINDER: Final = 5
+"""Remainder, by `CUTTING_DIVISOR`, of the seeds with edges that are cut off from all
+runners."""
+
+
 @define(eq=False)
 class Result:
     """Result of a soak."""
@@ -117,6 +124,7 @@
     crashing: int | None = None,
     edges: int = EDGES,
     restoring: bool | None = None,
+    cutting: bool | None = None,
 ) -> Result:
     """Run one soak.
 
@@ -127,6 +135,8 @@
         crashing: Number of requests that crash runners; None: derived from the seed.
         edges: Number of edges.
         restoring: Whether the store is restored; None: derived from the seed.
+        cutting: Whether edges are cut off from all runners; None: derived from the
+            seed.
     """
     result = Result(seed)
     if crashing is None:
@@ -146,6 +156,10 @@
             restoring = seed % RESTORING_DIVISOR == RESTORING_REMAINDER
         if restoring:
             periods.start(world, async_restore_periodically)
+        if cutting is None:
+            cutting = seed % CUTTING_DIVISOR == CUTTING_REMAINDER
+        if cutting:
+            periods.start(world, async_cut_edges_periodically)
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result, periods)
