Send brittle runners fewer requests after a rejection

After such a rejection an edge now keeps a cooldown of the number of edges divided by that number, so that edges that keep it cause no more rejections together. Requests that are under way at that moment aren't counted.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -219,7 +219,7 @@
 
     def _evaluate_response(self, head: ResponseHead, body: bytes) -> AttemptResult:
         status = head.status
-        not_run = head.find(names.NOT_EXECUTED) is not None
+        not_run = is_not_run(head)
         if status == STATUS_MISDIRECTED or (not_run and status != STATUS_BAD_REQUEST):
             return AttemptResult(
                 verdict=Verdict.NOT_RUN,
@@ -270,6 +270,11 @@
     return any(head.find(name) is not None for name in names)
 
 
+def is_not_run(head: ResponseHead) -> bool:
+    """Return whether a runner states that it rejected a request without running it."""
+    return head.find(names.NOT_EXECUTED) is not None
+
+
 def is_success(status: int) -> bool:
     """Return whether a status is that of a successful response."""
     return 200 <= status < 300
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -29,6 +29,7 @@
     AttemptResult,
     BufferedResponse,
     deliver_buffered,
+    is_not_run,
     is_success,
 )
 from .const import (
@@ -387,7 +388,10 @@
         self, runner: RunnerEntry, head: ResponseHead, sent_at: float
     ) -> None:
         self.context.signal_tracker.handle_signals(
-            runner, decode_signals(head.headers, head.status), sent_at
+            runner,
+            decode_signals(head.headers, head.status),
+            sent_at,
+            is_full=head.status == STATUS_NOT_RUN and is_not_run(head),
         )
         if self._continuation is not None and is_success(head.status):
             self._continuation.handle_response()
--- a/mangoway/edge/signal_tracker.py
+++ b/mangoway/edge/signal_tracker.py
@@ -13,12 +13,17 @@
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
 from ..policy.limits.const import RECENT_REQUESTS_S
-from ..policy.limits.cooldowns import CooldownReport, CooldownTracker
+from ..policy.limits.cooldowns import (
+    CooldownReport,
+    CooldownTracker,
+    compute_brittle_rest_s,
+)
 from ..policy.limits.tracker import LimitReport, LimitTracker
 
 LIMIT: Final = "limit"
 LEAVING: Final = "leaving"
 REST: Final = "rest"
+BRITTLE: Final = "brittle"
 DROPPED: Final = "dropped"
 """Values of the metric label for the kind of signal."""
 
@@ -82,7 +87,12 @@
         self.sends.add(runner.runner_id, self.clock())
 
     def handle_signals(
-        self, runner: RunnerEntry, signals: RunnerSignals, sent_at: float
+        self,
+        runner: RunnerEntry,
+        signals: RunnerSignals,
+        sent_at: float,
+        *,
+        is_full: bool = False,
     ) -> None:
         """Process the signals of a response that was just read.
 
@@ -90,7 +100,14 @@
             runner: The runner, as it was when the request was sent.
             signals: The signals in its response.
             sent_at: When the request was sent, in this tracker's time.
+            is_full: Whether the runner rejected the request for lack of room.
         """
+        rest_s = signals.rest_s
+        if signals.brittle is not None:
+            self.metrics.edge_signals.add(runner.service, BRITTLE)
+            if is_full:
+                edges = len(self.view.list_reachable_edges())
+                rest_s = max(rest_s, compute_brittle_rest_s(signals.brittle, edges))
         for each in signals.dropped:
             self.metrics.edge_signals.add(runner.service, DROPPED)
             log_event(
@@ -101,9 +118,9 @@
         if signals.leaving:
             self.metrics.edge_signals.add(runner.service, LEAVING)
             self._handle_leaving(runner)
-        if signals.rest_s > 0:
+        if rest_s > 0:
             self.metrics.edge_signals.add(runner.service, REST)
-            self._handle_cooldown(runner, signals.rest_s)
+            self._handle_cooldown(runner, rest_s)
         if signals.limit is not None:
             self.metrics.edge_signals.add(runner.service, LIMIT)
         if signals.is_limit_known:
--- a/mangoway/models/signals.py
+++ b/mangoway/models/signals.py
@@ -24,6 +24,10 @@
     is_limit_known: bool = True
     """Whether `limit` is meaningful; False if the response has only invalid limits."""
 
+    brittle: float | None = None
+    """Rejections for lack of room within a second, to all hosts together, beyond which
+    the runner ends; None if it can reject any number."""
+
     leaving: bool = False
     """Whether the runner is about to end and accepts no new requests."""
 
--- a/mangoway/platform/headers.py
+++ b/mangoway/platform/headers.py
@@ -19,6 +19,10 @@
 """Cooldown in a 503 response: seconds in which this host must not send requests to the
 runner."""
 
+BRITTLE: Final = b"server-brittle"
+"""In all responses of a runner that ends if it rejects more requests than this number
+within a second for lack of room."""
+
 LEAVING: Final = b"server-leaving"
 """`1` in all responses of a runner that is leaving."""
 
--- a/mangoway/platform/signals.py
+++ b/mangoway/platform/signals.py
@@ -17,7 +17,7 @@
 MAX_COOLDOWN_S: Final = 86_400.0
 """Longest cooldown, a day; by then the runner has been restarted."""
 
-SIGNAL_FIELDS: Final = frozenset({names.REQUEST_LIMIT, names.LEAVING})
+SIGNAL_FIELDS: Final = frozenset({names.REQUEST_LIMIT, names.BRITTLE, names.LEAVING})
 
 MAX_LOGGED_CHARACTERS: Final = 64
 """Length to which an invalid value is truncated for the log."""
@@ -45,10 +45,12 @@
     cooldowns = [
         parse_decimal(raw) or 0.0 for key, raw in values if _is_retry_after(key)
     ]
+    brittle = [parse_decimal(raw) for key, raw in values if key == names.BRITTLE]
     valid_limits = [each for each in limits if each is not None]
     return RunnerSignals(
         limit=min(valid_limits, default=None),
         is_limit_known=bool(valid_limits) or not limits,
+        brittle=min((each for each in brittle if each is not None), default=None),
         leaving=(names.LEAVING, LEAVING_VALUE) in values,
         rest_s=min(MAX_COOLDOWN_S, max(cooldowns, default=0.0)),
         dropped=tuple(
--- a/mangoway/policy/limits/const.py
+++ b/mangoway/policy/limits/const.py
@@ -47,3 +47,7 @@
 MAX_LIMIT_RETRY_AFTER_S: Final = 4.0
 """Maximum retry-after time that is computed from a limit; the same as
 `MAX_RETRY_AFTER_S`, which applies to the other rejections of the scheduling core."""
+
+MAX_BRITTLE_REST_S: Final = 5.0
+"""Longest cooldown after a rejection by a runner that ends if it rejects too many. One
+that may reject none gets a request of each edge this often."""
--- a/mangoway/policy/limits/cooldowns.py
+++ b/mangoway/policy/limits/cooldowns.py
@@ -10,6 +10,7 @@
 from attrs import define, field, frozen
 
 from ...models.runner import is_later_incarnation
+from .const import MAX_BRITTLE_REST_S
 
 
 @frozen(kw_only=True)
@@ -137,5 +138,19 @@
             del self._cooldowns[runner_id]
 
 
+def compute_brittle_rest_s(max_rejections: float, edges: int) -> float:
+    """Return the cooldown of an edge after a rejection by a brittle runner.
+
+    If each edge keeps it, they cause no more rejections together than the runner bears.
+
+    Args:
+        max_rejections: Rejections within a second that the runner bears.
+        edges: Number of edges.
+    """
+    if max_rejections <= 0:
+        return MAX_BRITTLE_REST_S
+    return min(MAX_BRITTLE_REST_S, max(1, edges) / max_rejections)
+
+
 def _is_long(cooldown: Cooldown, min_duration_s: float, now: float) -> bool:
     return cooldown.since + min_duration_s <= now < cooldown.until
