--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -8,6 +8,7 @@
 import os
 import socket
 import struct
+from collections.abc import Iterable
 from contextlib import suppress
 from enum import Enum
 from typing import Final
@@ -50,6 +51,8 @@
     """Processes that are cut off from all runners; new connections are reset."""
 
     cut_pids: set[int] = field(factory=set, init=False)
+    was_used: bool = field(default=False, init=False)
+    """Whether any process was cut off, so that edges may have relayed requests."""
 
     def refuses(self, client: asyncio.StreamWriter) -> bool:
         """Return whether a relay refuses a new connection."""
@@ -59,7 +62,7 @@
         self, pids: set[int], relays: list[Relay], open_connections: OpenConnections
     ) -> None:
         """Cut processes off from the runners behind some relays."""
-        self.cut_pids = pids
+        self.cut_pids, self.was_used = pids, True
         if open_connections is OpenConnections.LIVE:
             return
         for relay in relays:
@@ -76,12 +79,17 @@
         self.cut_pids = set()
 
     def _is_cut(self, client: asyncio.StreamWriter) -> bool:
-        inode = _find_inode(
-            client.get_extra_info("peername"), client.get_extra_info("sockname")
-        )
-        return inode is not None and any(
-            _has_socket(pid, inode) for pid in self.cut_pids
-        )
+        return find_process(client, self.cut_pids) is not None
+
+
+def find_process(client: asyncio.StreamWriter, pids: Iterable[int]) -> int | None:
+    """Return which process opened a connection; None if it is none of these."""
+    inode = _find_inode(
+        client.get_extra_info("peername"), client.get_extra_info("sockname")
+    )
+    if inode is None:
+        return None
+    return next((pid for pid in pids if _has_socket(pid, inode)), None)
 
 
 def _find_inode(local: tuple[str, int], remote: tuple[str, int]) -> int | None:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -194,13 +194,18 @@
         self.spans.append(span)
         return span
 
-    def record_arrival(self, service: str, runner_id: str, request_id: str) -> None:
-        """Record that a request reached a runner, which runs or rejects it."""
+    def record_arrival(
+        self, service: str, runner_id: str, request_id: str, sender: str
+    ) -> None:
+        """Record that a request of an edge reached a runner, which runs or rejects it.
+
+        The edge isn't the one of the caller if that has relayed the request.
+        """
         rows = self.arrivals.setdefault(service, [])
         rows.append((time.monotonic(), request_id))
         call = self.calls.get(request_id)
         if call is not None:
-            self.signals.record_arrival(runner_id, call.edge, call.sent_at)
+            self.signals.record_arrival(runner_id, sender, call.sent_at)
 
     def find_edge(self, request_id: str) -> str:
         """Return the edge to which a request was sent; empty if no caller sent it."""
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -58,6 +58,9 @@
     on_crash: "Callable[[RunnerStandIn], None]" = lambda runner: None
     """Called when a request crashes the runner."""
 
+    find_sender: Callable[[asyncio.StreamWriter], str | None] = lambda client: None
+    """Returns the edge that opened a connection; None if it isn't known."""
+
     runner_id: str = field(factory=lambda: f"i-{next(_unique_numbers):04d}", init=False)
     relay: Relay | None = field(default=None, init=False)
     draining: bool = field(default=False, init=False)
@@ -247,9 +250,10 @@
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
-        self.records.record_arrival(self.service, self.runner_id, request_id)
+        sender = self._find_sender(request, request_id)
+        self.records.record_arrival(self.service, self.runner_id, request_id, sender)
         if self.random.random() < self.reject_share:
-            return self._reject(request_id, 503)
+            return self._reject(request_id, 503, sender)
         model, _, adapter = request.headers.get("X-Model", "").partition("/")
         if request.headers.get("X-Expect-Instance") != self.runner_id:
             return self._reject(request_id)
@@ -307,14 +311,25 @@
         await asyncio.sleep(DRAIN_SERVING_S)
         return web.Response()
 
-    def _reject(self, request_id: str, status: int = 421) -> web.Response:
+    def _find_sender(self, request: web.Request, request_id: str) -> str:
+        """Return the edge that sent a request; empty if nobody asked for it."""
+        client, transport = None, request.transport
+        if self.relay is not None and transport is not None:
+            client = self.relay.find_client(transport.get_extra_info("peername")[1])
+        sender = None if client is None else self.find_sender(client)
+        return sender or self.records.find_edge(request_id)
+
+    def _reject(
+        self, request_id: str, status: int = 421, sender: str = ""
+    ) -> web.Response:
         """Return the response to a request that is rejected as not run."""
         headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
         headers |= self._make_signal_headers()
         if status == 503 and self.cooldown_s:
             headers["Retry-After"] = f"{self.cooldown_s:g}"
-            edge = self.records.find_edge(request_id)
-            self.records.signals.record_rejection(self.runner_id, edge, self.cooldown_s)
+            self.records.signals.record_rejection(
+                self.runner_id, sender, self.cooldown_s
+            )
         return web.Response(status=status, headers=headers)
 
     async def _async_respond(
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -94,7 +94,7 @@
                 sent_at=time.monotonic(),
             )
         for number in range(arrivals):
-            records.record_arrival("plain", "i-1", f"q{number // 2}")
+            records.record_arrival("plain", "i-1", f"q{number // 2}", "")
 
     def test_retries_at_the_limit(self) -> None:
         records = Records()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,7 +14,7 @@
 from .callers import HOST, Caller, CrashingCaller
 from .copies import HANDLE_S
 from .customers import Customers
-from .cuts import RunnerCuts
+from .cuts import RunnerCuts, find_process
 from .records import (
     APPLY_S,
     RETRY_RATIO,
@@ -165,6 +165,7 @@
             service, data_centre, self.store, self.records, self.random, models
         )
         runner.on_crash = self._handle_crash
+        runner.find_sender = self._find_sender
         await runner.async_start()
         assert runner.relay is not None
         runner.relay.refuses = self.cuts.refuses
@@ -222,6 +223,21 @@
                     session, node.caller_address, Kind.SAFE, version
                 )
 
+    def _find_sender(self, client: asyncio.StreamWriter) -> str | None:
+        """Return the edge that opened a connection, if edges may have relayed requests.
+
+        Otherwise it is the one to which the caller sent the request.
+        """
+        if not self.cuts.was_used:
+            return None
+        edges = {
+            node.process.child.pid: node.caller_address
+            for node in self.nodes
+            if node.caller_address and node.process is not None
+        }
+        pid = find_process(client, edges)
+        return None if pid is None else edges[pid]
+
     def _handle_crash(self, runner: RunnerStandIn) -> None:
         """Restart a runner that a request crashed, under another id."""
         if runner in self.runners:
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -45,6 +45,9 @@
         self._clients: dict[asyncio.StreamWriter, asyncio.StreamWriter] = {}
         """The target's end of each connection by the client's end."""
 
+        self._clients_by_port: dict[int, asyncio.StreamWriter] = {}
+        """The client's end of each connection by the port from which it is relayed."""
+
         self._accepted = 0
         self._open: set[asyncio.StreamWriter] = set()
         self._muted: set[asyncio.StreamWriter] = set()
@@ -104,6 +107,10 @@
         """Return the clients' ends of the open connections."""
         return list(self._clients)
 
+    def find_client(self, port: int) -> asyncio.StreamWriter | None:
+        """Return the client's end of the connection that is relayed from a port."""
+        return self._clients_by_port.get(port)
+
     def mute_connection(self, client: asyncio.StreamWriter) -> None:
         """Drop all further data on one connection, without closing it."""
         self._muted.update((client, self._clients[client]))
@@ -133,12 +140,15 @@
             return
         self._open.update((writer, target_writer))
         self._clients[writer] = target_writer
+        target_port = target_writer.get_extra_info("sockname")[1]
+        self._clients_by_port[target_port] = writer
         await asyncio.gather(
             self._async_copy(reader, target_writer, to_target=True),
             self._async_copy(target_reader, writer, to_target=False),
         )
         self._open -= {writer, target_writer}
         del self._clients[writer]
+        del self._clients_by_port[target_port]
         self._muted -= {writer, target_writer}
 
     def _drops(self, to_target: bool) -> bool:
