Split final responses from the handling of a request

A rejection that a peer passes on may name a date as its retry time (the new test fails before). The runners that a failure is weighed against are counted up to the number that matters, since a large fleet has thousands.

--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -19,7 +19,6 @@
     MAX_UNREACHABLE_ATTEMPTS,
     RETRY_AFTER_BUDGET_S,
     RETRY_AFTER_OUTAGE_S,
-    RETRY_AFTER_UNREACHABLE_S,
 )
 from ..policy.edge.retries import FailedAttempt, RetryCause, RetryDecision, decide_retry
 from ..policy.scheduling.events import EndKind, Reject
@@ -27,8 +26,6 @@
 from .attempt import (
     Attempt,
     AttemptResult,
-    BufferedResponse,
-    deliver_buffered,
     is_not_run,
     is_success,
 )
@@ -37,7 +34,6 @@
     MIN_SILENCE_S,
     RETRY_BUDGET_SPENT_REASON,
     SILENCE_OBJECTIVES,
-    UNREACHABLE_REASON,
 )
 from .continuation import (
     CRASH,
@@ -47,14 +43,14 @@
 )
 from .crash_detector import InterruptedRequest
 from .delivery import Delivery
-from .relay import PeerRelay, RelayMark, RequestRelay, make_unreachable_headers
+from .final_response import FinalResponse
+from .relay import PeerRelay, RelayMark, RequestRelay
 from .request_log import RequestLog
 from .responses import (
     STATUS_FAILED,
     STATUS_NOT_RUN,
     STATUS_OVER_QUOTA,
     STATUS_TIMEOUT,
-    make_response,
 )
 from .runner_connector import RunnerConnector
 from .runner_finder import RunnerFinder
@@ -95,7 +91,6 @@
     _unreachable_attempts: int = field(default=0, init=False)
     """Attempts that failed to connect."""
 
-    _may_have_run: bool = field(default=False, init=False)
     _in_attempt: bool = field(default=False, init=False)
     _retry_cause: RetryCause = field(default=RetryCause.FAILED, init=False)
     """Why the request is sent again, if it is."""
@@ -108,7 +103,7 @@
     _first_event_at: float | None = field(default=None, init=False)
     """When the first event of the current attempt arrived."""
 
-    _error_response: BufferedResponse | None = field(default=None, init=False)
+    _response: FinalResponse = field(init=False)
     _clock: Callable[[], float] = field(init=False)
     _deadline: float = field(init=False)
 
@@ -129,6 +124,9 @@
             deadline=self._deadline,
             is_counted=self.relay_mark is RelayMark.COUNTED,
         )
+        self._response = FinalResponse(
+            self.log, self.delivery, self._finder, self.relay_mark is not None
+        )
         self._relay = RequestRelay(
             relay=self.context.relay,
             request=self.request,
@@ -176,12 +174,12 @@
             found = await self._finder.async_find()
             if isinstance(found, Reject):
                 status = STATUS_OVER_QUOTA if found.over_quota else STATUS_NOT_RUN
-                self._reject(found.reason, found.retry_after_s, status)
+                self._response.reject(found.reason, found.retry_after_s, status)
                 return
             rejection = self._recheck_admission()
             if rejection is not None:
                 self._finder.release_grant(EndKind.LEFT)
-                self._reject(
+                self._response.reject(
                     rejection.reason, rejection.retry_after_s, rejection.status
                 )
                 return
@@ -221,14 +219,14 @@
             self._in_attempt = False
             self._finder.retry_payment.settle_attempt(was_sent=result is not None)
         if result is None:
-            self._reject_unreachable()
+            self._response.reject_unreachable()
         elif result.delivered:
             self.log.log_served("")
         elif result.error is None:
-            self._may_have_run = True
-            self._fail(STATUS_FAILED, result.reason)
+            self._response.may_have_run = True
+            self._response.fail(STATUS_FAILED, result.reason)
         else:
-            self._respond_like_peer(result.error)
+            self._response.forward_peer_error(result.error)
 
     async def _async_attempt(self, runner: RunnerEntry) -> AttemptResult:
         self.log.attempts += 1
@@ -242,6 +240,7 @@
             await self._async_check_crash(runner)
         self._in_attempt = False
         self._runner = runner
+        self._response.runner_id = runner.runner_id
         self._record_result(runner, result)
         return result
 
@@ -255,6 +254,7 @@
     ) -> AttemptResult:
         """Send the request to a runner, for a new run or to continue one."""
         self._runner, self._sent_at = runner, self._clock()
+        self._response.runner_id = runner.runner_id
         attempt = self._make_attempt(runner, run)
         if self._continuation is not None:
             self._continuation.begin_attempt(runner, attempt)
@@ -409,7 +409,7 @@
         was_sent = result.was_sent
         self._finder.record_attempt(runner.runner_id, reported, was_sent=was_sent)
         if not result.delivered:
-            self._error_response = result.error
+            self._response.error = result.error
         self.context.metrics.edge_attempts.add(kind.value)
 
     def _has_paused(self) -> bool:
@@ -425,7 +425,7 @@
     def _decide(self, result: AttemptResult) -> RetryDecision:
         failed = FailedAttempt(
             verdict=result.verdict,
-            ran_before=self._may_have_run,
+            ran_before=self._response.may_have_run,
             runners_tried=len(self._finder.tried_runner_ids),
             was_sent=result.was_sent,
             time_left_s=self._deadline - self._clock(),
@@ -436,7 +436,7 @@
             self._is_budget_spent = True
             decision = decide_retry(self.route, failed, budget_left=False)
         if result.verdict is not Verdict.NOT_RUN:
-            self._may_have_run = True
+            self._response.may_have_run = True
         return decision
 
     def _get_retry_cause(self, result: AttemptResult) -> RetryCause:
@@ -451,78 +451,21 @@
         if self._is_budget_spent:
             reason, retry_after_s = RETRY_BUDGET_SPENT_REASON, RETRY_AFTER_BUDGET_S
         if decision is RetryDecision.REJECT:
-            self._reject(reason, retry_after_s)
+            self._response.reject(reason, retry_after_s)
         else:
-            self._fail(STATUS_FAILED, reason)
-
-    def _reject(
-        self, reason: str, retry_after_s: float | None, status: int = STATUS_NOT_RUN
-    ) -> None:
-        """Respond that the request has not run, or with a failure if it may have."""
-        if self._may_have_run or self.delivery.started:
-            self._fail(STATUS_FAILED, reason)
-            return
-        self._finder.refund_quota()
-        self.log.log_rejected(status, reason, retry_after_s)
-        self.delivery.send_response(status, *make_response(reason, retry_after_s))
-
-    def _reject_unreachable(self) -> None:
-        """Respond that no runner can be reached; a peer then tries another edge."""
-        if self._may_have_run or self.delivery.started:
-            self._fail(STATUS_FAILED, UNREACHABLE_REASON)
-            return
-        retry_after_s = RETRY_AFTER_UNREACHABLE_S
-        self.log.log_rejected(STATUS_NOT_RUN, UNREACHABLE_REASON, retry_after_s)
-        headers, body = make_response(UNREACHABLE_REASON, retry_after_s)
-        if self.relay_mark is not None:
-            headers = (*headers, *make_unreachable_headers())
-        self._finder.refund_quota()
-        self.delivery.send_response(STATUS_NOT_RUN, headers, body)
-
-    def _respond_like_peer(self, response: BufferedResponse) -> None:
-        """Respond with the error of a peer that handled the request."""
-        self._error_response = response
-        status = response.head.status
-        reason = "the peer has not served it"
-        is_rejection = status in (STATUS_NOT_RUN, STATUS_OVER_QUOTA)
-        if not is_rejection:
-            self._may_have_run = True
-        if self._may_have_run or self.delivery.started:
-            if is_rejection:
-                # The earlier attempt may have run, so that the promise is not true.
-                self._error_response = None
-            self._fail(STATUS_FAILED, reason)
-            return
-        retry_after = response.head.find(b"retry-after")
-        self.log.log_rejected(
-            status, reason, None if retry_after is None else float(retry_after)
-        )
-        self._finder.refund_quota()
-        deliver_buffered(self.delivery, response)
-
-    def _fail(self, status: int, reason: str) -> None:
-        """Respond with a failure, which is the runner's own if it sent one."""
-        error = self._error_response
-        is_cut_off = self.delivery.started
-        response_status = (
-            None if is_cut_off else (error.head.status if error else status)
-        )
-        runner_id = None if self._runner is None else self._runner.runner_id
-        self.log.log_failed(response_status, reason, runner_id)
-        if is_cut_off:
-            self.delivery.exchange.abort()
-        elif error is not None:
-            deliver_buffered(self.delivery, error)
-        else:
-            self.delivery.send_response(status, *make_response(reason))
+            self._response.fail(STATUS_FAILED, reason)
 
     def _handle_timeout(self) -> None:
         if self._in_attempt:
-            self._may_have_run = True
-        if self._may_have_run or self.delivery.started:
-            self._fail(STATUS_TIMEOUT, "no response within the timeout of the route")
+            self._response.may_have_run = True
+        if self._response.must_fail:
+            self._response.fail(
+                STATUS_TIMEOUT, "no response within the timeout of the route"
+            )
         else:
-            self._reject("no runner had capacity in time", RETRY_AFTER_OUTAGE_S)
+            self._response.reject(
+                "no runner had capacity in time", RETRY_AFTER_OUTAGE_S
+            )
 
 
 def _get_end_kind(result: AttemptResult) -> EndKind:
--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -1,7 +1,8 @@
 """Connections of an edge to runners, and checks whether it reaches any runner."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
+from itertools import islice
 from random import Random
 from typing import Any, Final
 
@@ -19,6 +20,7 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
+from ..policy.edge.const import MIN_UNREACHABLE_RUNNERS
 from ..policy.edge.reach import RunnerReach
 
 SLOW_CONNECT_S: Final = 0.2
@@ -105,7 +107,7 @@
         """
         others = [
             each
-            for each in self._list_witnesses()
+            for each in self._iterate_witnesses()
             if each.runner_id != runner.runner_id
         ]
         if not others or self.reach.was_reached_since(since):
@@ -115,14 +117,12 @@
         await self._async_check(others)
         return self.reach.was_reached_since(since)
 
-    def _list_witnesses(self) -> list[RunnerEntry]:
-        """Return the runners whose failures would say something about this host."""
+    def _iterate_witnesses(self) -> Iterator[RunnerEntry]:
+        """Yield the runners whose failures would say something about this host."""
         now = self.clock()
-        return [
-            each
-            for each in self.view.list_open_runners()
-            if self.reach.is_witness(each.runner_id, now)
-        ]
+        for each in self.view.runners.values():
+            if self.view.is_open(each) and self.reach.is_witness(each.runner_id, now):
+                yield each
 
     def start_check(self, started_at: float) -> None:
         """Check whether other runners can be reached, unless one was recently.
@@ -228,7 +228,10 @@
             log_event(log.RunnerReachRegained(lost_s=round(lost_s, 3)))
 
     def _record_failure(self, runner: RunnerEntry, started_at: float) -> None:
-        now, known = self.clock(), len(self._list_witnesses())
+        now = self.clock()
+        # More are not needed to judge the reach; large fleets have thousands.
+        witnesses = islice(self._iterate_witnesses(), MIN_UNREACHABLE_RUNNERS)
+        known = sum(1 for _ in witnesses)
         is_newly_lost = self.reach.record_failure(
             runner.runner_id, started_at, now, known
         )
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -152,6 +152,14 @@
         assert (reply.status, reply.body) == (500, b"broken")
         assert reply.headers["x-response-signature"] == "s1"
 
+    async def test_rejection_of_the_runner_may_name_a_date(self) -> None:
+        headers = f"X-Request-Id: q1\r\n{SIGNED}Retry-After: Fri, 04 Dec 2026\r\n"
+        failure = make_response(503, b"later", headers)
+        async with start_fleet(answer(failure)) as fleet:
+            await fleet.async_lose_reach()
+            reply = await fleet.edge.async_call("/once/x")
+        assert (reply.status, reply.body) == (503, b"later")
+
     async def test_stream_that_breaks_at_the_peer_does_not_look_complete(self) -> None:
         broken = cut(*make_stream(make_event(1), end=False))
         async with start_fleet(broken) as fleet:
