--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -24,11 +24,13 @@
 from ..edge.startup import StartupCheck
 from ..http1.client import ConnectionPool
 from ..http1.server import ServerOptions, async_listen
+from ..models.crash import RequestIdentity
 from ..models.fleet import Role
 from ..models.routing import CallerLimits
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
+from ..policy.crashes.probing import choose_prober
 from ..policy.customers.quota import QuotaTracker
 from ..policy.edge.const import MEMBERS_POLL_S, SHARE_HORIZON_WINDOWS
 from ..policy.edge.relaying import RelayPeers
@@ -282,6 +284,7 @@
             tracker=process.crashes,
             statement_sender=self.clearance_writer,
             clock=process.clock,
+            is_prober=self._is_prober,
         )
         pool = ConnectionPool(MAX_IDLE_PER_RUNNER)
         connector = RunnerConnector(
@@ -371,6 +374,11 @@
         members = self.process.view.members.items()
         return [key for key, each in members if each.role is Role.EDGE]
 
+    def _is_prober(self, shared: RequestIdentity) -> bool:
+        """Return whether this edge probes a blocked property of requests."""
+        own = OWN_PREFIX + self.process.presence.member.key
+        return choose_prober(shared, self._list_edges()) == own
+
     def _get_limits(self) -> CallerLimits:
         table = self.process.view.table
         return CallerLimits() if table is None else table.limits
--- a/mangoway/edge/crash_filter.py
+++ b/mangoway/edge/crash_filter.py
@@ -11,6 +11,7 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.crashes.const import EARLY_RUN_S, SUSPICION_POINTS
+from ..policy.crashes.probing import PropertyProbes
 from ..policy.crashes.served_requests import ServedRequests
 from ..policy.crashes.tracker import CrashTracker
 from .crash_detector import RunnerCrash
@@ -43,6 +44,10 @@
     tracker: CrashTracker
     statement_sender: StatementSender
     clock: Callable[[], float]
+    is_prober: Callable[[RequestIdentity], bool] = lambda shared: False
+    """Returns whether this edge probes a blocked property."""
+
+    probes: PropertyProbes = field(factory=PropertyProbes, init=False)
     served_requests: ServedRequests = field(factory=ServedRequests)
     served_properties: ServedRequests = field(factory=ServedRequests)
     """Properties of requests that were served, apart so that neither displaces the
@@ -66,8 +71,34 @@
 
         It is also blocked if a property that it shares with others is.
         """
+        if self.probes.is_probe(identity):
+            return self.tracker.is_blocked(identity)
         return any(map(self.tracker.is_blocked, (identity, *identity.shared)))
 
+    def try_probe(self, identity: RequestIdentity) -> bool:
+        """Return whether a blocked request is let through, to probe a property of it.
+
+        It must have no other blocked property, which could crash its runner instead.
+        """
+        if self.tracker.is_blocked(identity):
+            return False
+        blocked = [each for each in identity.shared if self.tracker.is_blocked(each)]
+        if len(blocked) != 1 or not self.is_prober(blocked[0]):
+            return False
+        if self._explains_most_crashes(blocked[0]):
+            return False
+        return self.probes.try_begin(identity, blocked[0], self.clock())
+
+    def _explains_most_crashes(self, shared: RequestIdentity) -> bool:
+        """Return whether a blocked property has more crashes than any other one."""
+        crashes = len(self.tracker.list_crashes(shared))
+        others = (
+            RequestIdentity(content, shared.variant)
+            for content in self.tracker.list_blocked()
+            if content != shared.content
+        )
+        return all(len(self.tracker.list_crashes(each)) < crashes for each in others)
+
     def is_suspected(self, identity: RequestIdentity) -> bool:
         """Return whether one more crash would block a request."""
         return any(map(self.tracker.is_suspected, (identity, *identity.shared)))
@@ -95,6 +126,7 @@
         incarnation = crash.life.text
         charges_by_request = self._reported_charges.setdefault(incarnation, {})
         for each in crash.requests:
+            self.probes.end(each.identity)
             if each.ran_s >= EARLY_RUN_S:
                 # Shared properties crash runners at the begin of a run, if at all.
                 self._acquit(each.identity.shared)
@@ -115,6 +147,7 @@
 
     def record_success(self, identity: RequestIdentity) -> None:
         """Clear the charges of a request that has succeeded."""
+        self.probes.end(identity)
         self.served_requests.add(identity, self.clock())
         self._clear_known(identity)
         self._acquit(identity.shared)
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -164,6 +164,7 @@
                 self._continuation.close()
             self._finder.release_grant(EndKind.FAILED)
             self._finder.release_reserved()
+            self.context.crash_filter.probes.end(self.log.identity)
 
     async def _async_try_runners(self) -> None:
         if self._must_relay():
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -148,7 +148,8 @@
         crashes reported by other edges may have blocked it while it waited.
         """
         if self.is_blocked():
-            return self._reject_blocked()
+            if not self.context.crash_filter.try_probe(self.log.identity):
+                return self._reject_blocked()
         found = await self._async_find_runner()
         if self.is_blocked():
             self.release_grant(EndKind.NOT_RUN)
--- a/mangoway/policy/crashes/const.py
+++ b/mangoway/policy/crashes/const.py
@@ -59,6 +59,18 @@
 """Time for which a request is blocked: by then its runners have been repaired. Each
 such hour costs up to three runners."""
 
+PROBE_AFTER_S: Final = 1.0
+"""Time from the first rejection of a request with a blocked property until one is let
+through as a probe: until then, clearances of other processes may arrive."""
+
+PROBE_INTERVAL_S: Final = 3.0
+"""Time between two probes of a property: another crash may have interrupted the first,
+which has begun to send by then."""
+
+MAX_PROBES: Final = 2
+"""Probes of a property while it is blocked. Each may crash a runner, and operators
+allow three runs after the fifth crash."""
+
 RETRY_AFTER_BLOCK_S: Final = BLOCK_S
 """Retry-after time of a blocked request: the time that remains is not tracked."""
 
--- a/tests/edge/test_crash_filter.py
+++ b/tests/edge/test_crash_filter.py
@@ -15,7 +15,8 @@
 from mangoway.http1.messages import Request
 from mangoway.models.crash import Charge, RequestIdentity, RunnerIncarnation
 from mangoway.platform.requests import decode_request
-from mangoway.policy.crashes.const import EARLY_RUN_S
+from mangoway.policy.crashes.const import EARLY_RUN_S, MAX_PROBES, PROBE_AFTER_S
+from mangoway.policy.crashes.probing import choose_prober
 from mangoway.policy.crashes.tracker import CrashTracker
 from mangoway.policy.scheduling.events import EndKind
 
@@ -48,6 +49,16 @@
             clock=lambda: self.now,
         )
 
+    def block_harmless(self) -> None:
+        """Let "bad" crash four runners, three of which also ran a harmless part."""
+        for number in range(4):
+            parts = ("bad", "harmless") if number else ("bad",)
+            identities = [
+                make_unique_identity(10 * number + index, part)
+                for index, part in enumerate(parts)
+            ]
+            self.crash(f"l{number}", *identities)
+
     def crash(
         self, runner_id: str, *requests: RequestIdentity, ran_s: float = 0.0
     ) -> None:
@@ -73,6 +84,71 @@
     return RequestIdentity(f"c{number}", f"v{number}", shared=shared)
 
 
+class TestProbes:
+    """Requests that are let through since a part may be blocked by mistake."""
+
+    def make_harness(self, *, is_prober: bool = True) -> CrashFilterHarness:
+        harness = CrashFilterHarness()
+        harness.crash_filter.is_prober = lambda shared: is_prober
+        harness.block_harmless()
+        for part in ("bad", "harmless"):
+            assert harness.crash_filter.is_blocked(make_unique_identity(90, part))
+            assert not harness.crash_filter.try_probe(make_unique_identity(90, part))
+        harness.now += PROBE_AFTER_S
+        return harness
+
+    def test_probe_that_ends_well_ends_the_block(self) -> None:
+        harness = self.make_harness()
+        probe = make_unique_identity(91, "harmless")
+        assert harness.crash_filter.try_probe(probe)
+        assert not harness.crash_filter.is_blocked(probe)
+        harness.crash_filter.record_success(probe)
+        identity = make_unique_identity(92, "harmless")
+        assert not harness.crash_filter.is_blocked(identity)
+        assert len(harness.list_sent(ClearanceStatement)) == 1
+
+    def test_only_the_chosen_edge_probes(self) -> None:
+        harness = self.make_harness(is_prober=False)
+        probe = make_unique_identity(91, "harmless")
+        assert not harness.crash_filter.try_probe(probe)
+
+    def test_part_with_most_crashes_is_not_probed(self) -> None:
+        harness = self.make_harness()
+        assert not harness.crash_filter.try_probe(make_unique_identity(91, "bad"))
+
+    def test_request_with_two_blocked_parts_is_no_probe(self) -> None:
+        harness = self.make_harness()
+        probe = make_unique_identity(91, "harmless", "bad")
+        assert not harness.crash_filter.try_probe(probe)
+
+    def test_number_of_probes_is_limited(self) -> None:
+        harness = self.make_harness()
+        begun = 0
+        for number in range(100):
+            identity = make_unique_identity(100 + number, "harmless")
+            begun += harness.crash_filter.try_probe(identity)
+            harness.now += 1.0
+        assert begun == MAX_PROBES
+
+    def test_probe_that_a_crash_interrupts_is_blocked_again(self) -> None:
+        harness = self.make_harness()
+        probe = make_unique_identity(91, "harmless")
+        assert harness.crash_filter.try_probe(probe)
+        harness.crash("l9", probe)
+        assert harness.crash_filter.is_blocked(probe)
+
+    def test_all_processes_choose_one_edge(self) -> None:
+        edges = [f"e{number}" for number in range(9)]
+        chosen = {
+            choose_prober(RequestIdentity(f"c{number}", "part"), edges)
+            for number in range(100)
+        }
+        assert chosen == set(edges)
+        shared = RequestIdentity("c", "part")
+        assert choose_prober(shared, edges) == choose_prober(shared, edges[::-1])
+        assert choose_prober(shared, []) is None
+
+
 class TestSharedProperties:
     """Requests with a common part, no two of them alike."""
 
--- a/tests/policy/crashes/simulation.py
+++ b/tests/policy/crashes/simulation.py
@@ -17,6 +17,7 @@
 from mangoway.edge.crash_detector import InterruptedRequest, RunnerCrash
 from mangoway.edge.crash_filter import CrashFilter
 from mangoway.models.crash import RequestIdentity, RunnerIncarnation
+from mangoway.policy.crashes.probing import choose_prober
 from mangoway.policy.crashes.tracker import CrashTracker
 
 STATEMENT_DELAY_S = 0.5
@@ -189,6 +190,10 @@
             tracker=CrashTracker(),
             statement_sender=_StatementSender(self, number),
             clock=lambda: self.now,
+            is_prober=lambda shared: (
+                choose_prober(shared, (f"e{each}" for each in range(self.edges)))
+                == f"e{number}"
+            ),
         )
 
     def send_statement(self, edge: int, statement: Statement) -> None:
@@ -248,7 +253,11 @@
 
     def _dispatch(self, request: Request) -> None:
         crash_filter = self.crash_filters[request.edge]
-        if self.blocking and crash_filter.is_blocked(request.identity):
+        if (
+            self.blocking
+            and crash_filter.is_blocked(request.identity)
+            and not crash_filter.try_probe(request.identity)
+        ):
             if not request.crashes:
                 self.results.blocked += 1
                 self.results.blocked_early += request.crash_count < 3
