Detect crashes sooner while many runners are down

Cause: whether another runner is reached was asked with probes that stay open for 50 ms, and not at all while the reach was lost, as it is in a storm of crashes; the next look came 0.25 s later. A short stream that ends with its connection is checked beside the caller's next request.

--- a/mangoway/edge/crash_detector.py
+++ b/mangoway/edge/crash_detector.py
@@ -31,7 +31,7 @@
 have crashed, the first is back after some seconds; if this host is cut off, nothing is
 known about the runner, and it counts as reset."""
 
-UNDECIDED_PERIOD_S: Final = 0.25
+UNDECIDED_PERIOD_S: Final = 0.2
 """Interval between two such checks."""
 
 LOGGED_PARTS: Final = 16
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -186,8 +186,8 @@
                 return
             result = await self._async_attempt(found)
             if result.delivered:
-                if result.succeeded and await self._async_has_ended_well(found, result):
-                    self.context.crash_filter.record_success(self.log.identity)
+                if result.succeeded:
+                    self._record_success(self._runner or found, result)
                 self.log.log_served((self._runner or found).runner_id)
                 return
             self._retry_cause = self._get_retry_cause(result)
@@ -328,21 +328,24 @@
         if self.context.crash_filter.is_suspected(identity):
             await self.context.crash_detector.async_settle(runner)
 
-    async def _async_has_ended_well(
-        self, runner: RunnerEntry, result: AttemptResult
-    ) -> bool:
-        """Return whether a delivered response shows that its run crashed no runner.
-
-        A short one that ends with its connection looks the same if the runner crashed.
-        """
+    def _record_success(self, runner: RunnerEntry, result: AttemptResult) -> None:
+        """Record that the request was served, unless its runner may have crashed."""
         first_at = self._first_event_at
         has_run_on = first_at is not None and self._clock() - first_at >= EARLY_RUN_S
         if result.has_certain_end or has_run_on:
-            return True
-        runner = self._runner or runner
+            self.context.crash_filter.record_success(self.log.identity)
+        else:
+            self.context.start_task(self._async_verify_success(runner))
+
+    async def _async_verify_success(self, runner: RunnerEntry) -> None:
+        """Record a success if the runner goes on.
+
+        A short response that ends with its connection looks the same if it crashed.
+        """
         await self._async_check_crash(runner)
         await self.context.crash_detector.async_settle(runner)
-        return not self.context.crash_detector.is_gone(runner)
+        if not self.context.crash_detector.is_gone(runner):
+            self.context.crash_filter.record_success(self.log.identity)
 
     def _recheck_admission(self) -> Rejection | None:
         """Return why the request is rejected; a started response is not stopped."""
--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -112,10 +112,8 @@
         ]
         if not others or self.reach.was_reached_since(since):
             return True
-        if self.reach.is_lost:
-            return False
-        await self._async_check(others)
-        return self.reach.was_reached_since(since)
+        chosen = self._choose_for_check(others)
+        return any(await asyncio.gather(*map(self._async_accepts, chosen)))
 
     def _iterate_witnesses(self) -> Iterator[RunnerEntry]:
         """Yield the runners whose failures would say something about this host."""
@@ -149,16 +147,31 @@
             check.set_result(None)
 
     async def _async_check(self, runners: Sequence[RunnerEntry]) -> None:
-        """Probe some runners at once, first those that have not failed yet."""
+        """Probe some runners at once."""
+        chosen = self._choose_for_check(runners)
+        await asyncio.gather(*map(self._async_probe, chosen))
+
+    def _choose_for_check(self, runners: Sequence[RunnerEntry]) -> list[RunnerEntry]:
+        """Return some runners, first those that have not failed yet."""
         now = self.clock()
         fresh = [
             each for each in runners if not self.reach.has_failed(each.runner_id, now)
         ]
         chosen = self.random.sample(fresh, min(CHECKED_RUNNERS, len(fresh)))
-        if len(chosen) < CHECKED_RUNNERS:
-            failed = [each for each in runners if each not in chosen]
-            chosen += failed[: CHECKED_RUNNERS - len(chosen)]
-        await asyncio.gather(*map(self._async_probe, chosen))
+        missing = CHECKED_RUNNERS - len(chosen)
+        if missing > 0:
+            others = [each for each in runners if each not in chosen]
+            chosen += self.random.sample(others, min(missing, len(others)))
+        return chosen
+
+    async def _async_accepts(self, runner: RunnerEntry) -> bool:
+        """Return whether a runner accepts a connection, which is closed at once."""
+        try:
+            connection = await self._async_connect(runner, CHECK_TIMEOUT_S)
+        except ConnectFailedError:
+            return False
+        connection.close()
+        return True
 
     async def _async_probe(self, runner: RunnerEntry) -> None:
         """Open a connection to a runner, see whether it stays open, and close it."""
@@ -176,12 +189,10 @@
             connection.close()
 
     async def _async_regain(self) -> None:
-        """Probe one runner after the other until one is reached."""
+        """Probe runners, some at a time, until one is reached."""
         while self.reach.is_lost:
             await asyncio.sleep(REGAIN_PERIOD_S)
-            runners = self.view.list_open_runners()
-            if runners:
-                await self._async_probe(self.random.choice(runners))
+            await self._async_check(self.view.list_open_runners())
 
     async def _async_connect(self, runner: RunnerEntry, timeout_s: float) -> Connection:
         """Open a connection; record it if that fails.
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -247,3 +247,15 @@
             reply = await fleet.edge.async_call("/safe/x")
         assert reply.status == 200
         assert (len(fleet.runner.requests), len(reachable.requests)) == (1, 1)
+
+    async def test_reach_is_regained_though_the_first_runners_stay_away(self) -> None:
+        async with (
+            RawServer(answer(make_ok())) as reachable,
+            start_fleet(answer(make_ok())) as fleet,
+        ):
+            await fleet.async_lose_reach()
+            entry = make_runner("llm-3", service="llm", address=reachable.address)
+            fleet.edge.view.update_runner(entry)
+            async with asyncio.timeout(3.0):
+                while fleet.edge.forwarder.connector.reach.is_lost:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
