--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -79,7 +79,7 @@
         return self.peers.choose(edges, frozenset(tried), self.clock())
 
     def is_gone(self, peer: Member) -> bool:
-        """Return whether a peer's process is no longer announced."""
+        """Return whether the announcement of a peer's process is gone."""
         members = self.view.members.values()
         return all(each.incarnation != peer.incarnation for each in members)
 
