--- a/mangoway/edge/crash_detector.py
+++ b/mangoway/edge/crash_detector.py
@@ -229,7 +229,7 @@
                     f"{each.identity.text} {now - each.sent_at:.3f} {each.ran_s:.3f}"
                     for each in requests
                 ),
-                parts=_count_parts(requests),
+                parts=count_shared_parts(requests),
             )
         )
         self.on_crash(RunnerCrash(life=incarnation, requests=tuple(requests)))
@@ -239,7 +239,7 @@
     return RunnerIncarnation(runner_id=runner.runner_id, started_ms=runner.started_ms)
 
 
-def _count_parts(requests: Iterable[InterruptedRequest]) -> tuple[str, ...]:
+def count_shared_parts(requests: Iterable[InterruptedRequest]) -> tuple[str, ...]:
     """Return the shared parts of prompts with the number of requests, most first."""
     counts = Counter(part for each in requests for part in each.shared_parts)
     return tuple(f"{part} {count}" for part, count in counts.most_common(LOGGED_PARTS))
--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -96,9 +96,6 @@
     deadline: float
     """Deadline of the response, in the event loop's time."""
 
-    peer: Member | None = field(default=None, init=False)
-    """The peer that received the request; None as long as none has."""
-
     async def async_run(self, mark: RelayMark) -> AttemptResult | None:
         """Send the request through a peer and forward its response.
 
@@ -118,12 +115,10 @@
             if result.was_sent and not _is_unreachable(result):
                 self._log(peer, result)
                 return result
-            self.peer = None
             self.relay.peers.avoid(peer, self.relay.clock())
         return None
 
     async def _async_send(self, peer: Member, mark: RelayMark) -> AttemptResult:
-        self.peer = peer
         attempt = Attempt(
             request=encode_for_peer(
                 self.request,
--- a/tests/edge/test_brittle.py
+++ b/tests/edge/test_brittle.py
@@ -9,7 +9,7 @@
 from mangoway.policy.limits.cooldowns import compute_brittle_rest_s
 
 from ..upstreams.raw_server import RawServer, answer, make_response
-from .test_unreachable_runners import introduce
+from .unreachable import introduce
 from .world import make_ok, start_edge
 
 BRITTLE = "Server-Brittle: 4\r\n"
--- a/tests/edge/test_crash_detector.py
+++ b/tests/edge/test_crash_detector.py
@@ -10,7 +10,7 @@
     CrashDetector,
     InterruptedRequest,
     RunnerCrash,
-    _count_parts,
+    count_shared_parts,
 )
 from mangoway.edge.runner_connector import RunnerConnector
 from mangoway.http1.client import ConnectionPool
@@ -198,4 +198,4 @@
             )
             for parts in (("a1", "b2"), ("a1",), ())
         ]
-        assert _count_parts(requests) == ("a1 2", "b2 1")
+        assert count_shared_parts(requests) == ("a1 2", "b2 1")
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -12,8 +12,7 @@
 
 from ..fakes.fleet import make_runner
 from ..upstreams.raw_server import RawServer, Script, answer, cut, make_response
-from .test_unreachable_runners import RUNNERS, add_runners, introduce
-from .unreachable import reserve_refusing_address
+from .unreachable import RUNNERS, add_runners, introduce, reserve_refusing_address
 from .world import (
     SIGNED,
     EdgeWorld,
@@ -44,7 +43,7 @@
 
 
 @asynccontextmanager
-async def start_fleet(
+async def start_relaying_fleet(
     *scripts: Script, peer_reaches: bool = True
 ) -> AsyncIterator[RelayingFleet]:
     """Start the fleet; the runner's responses are the scripts."""
@@ -60,6 +59,15 @@
             yield RelayingFleet(edge, peer, runner)
 
 
+def cut_off_while_silent(edge: EdgeWorld, silent: RawServer) -> None:
+    """Leave a plain runner that soon accepts no further connections."""
+    for number in range(RUNNERS):
+        edge.view.remove_runner(f"plain-{number}", 0.0)
+    entry = make_runner("plain-0", service="plain", address=silent.address)
+    edge.view.update_runner(entry)
+    asyncio.get_running_loop().call_later(0.1, silent._server.close)
+
+
 def count_requests(edge: EdgeWorld) -> int:
     """Return the requests that an edge has counted for its retry budget."""
     return edge.forwarder.retry_budgets.get("plain").requests
@@ -69,7 +77,7 @@
     """What the runner receives, and what is counted at which edge."""
 
     async def test_runner_receives_the_request_without_the_mark(self) -> None:
-        async with start_fleet(answer(make_ok())) as fleet:
+        async with start_relaying_fleet(answer(make_ok())) as fleet:
             await fleet.async_lose_reach()
             headers = "X-Deadline-Ms: 900\r\nX-Other: 1\r\n"
             reply = await fleet.edge.async_call("/safe/x?a=b", b"body", headers)
@@ -83,7 +91,7 @@
         assert 0 < int(deadline) <= 900
 
     async def test_request_is_counted_once_for_the_retry_budget(self) -> None:
-        async with start_fleet(answer(make_ok())) as fleet:
+        async with start_relaying_fleet(answer(make_ok())) as fleet:
             before = count_requests(fleet.edge) + count_requests(fleet.peer)
             await fleet.edge.async_call("/safe/x")
             assert count_requests(fleet.edge) + count_requests(fleet.peer) == before + 1
@@ -92,7 +100,7 @@
             assert count_requests(fleet.edge) + count_requests(fleet.peer) == before + 2
 
     async def test_no_grant_is_requested_by_the_first_edge(self) -> None:
-        async with start_fleet(answer(*EVENTS)) as fleet:
+        async with start_relaying_fleet(answer(*EVENTS)) as fleet:
             await fleet.async_lose_reach()
             reply = await fleet.edge.async_call("/stream/x")
         assert (reply.status, reply.complete) == (200, True)
@@ -107,7 +115,7 @@
     async def test_request_is_rejected_at_once_if_nobody_reaches_a_runner(
         self, path: str
     ) -> None:
-        async with start_fleet(answer(make_ok()), peer_reaches=False) as fleet:
+        async with start_relaying_fleet(answer(make_ok()), peer_reaches=False) as fleet:
             async with asyncio.timeout(1.0):
                 reply = await fleet.edge.async_call(path)
         assert reply.status == 503
@@ -122,7 +130,7 @@
         assert reply.status == 503
 
     async def test_relayed_request_is_not_relayed_again(self) -> None:
-        async with start_fleet(answer(make_ok())) as fleet:
+        async with start_relaying_fleet(answer(make_ok())) as fleet:
             await fleet.async_lose_reach()
             headers = f"{RELAYED}: uncounted\r\n"
             reply = await fleet.edge.async_call("/safe/x", headers=headers)
@@ -131,14 +139,14 @@
 
     async def test_request_that_must_not_be_retried_is_sent_once(self) -> None:
         """The peer's connection to the runner breaks, so that it may have run."""
-        async with start_fleet(cut(b"")) as fleet:
+        async with start_relaying_fleet(cut(b"")) as fleet:
             await fleet.async_lose_reach()
             reply = await fleet.edge.async_call("/once/x")
         assert reply.status == 502
         assert len(fleet.runner.requests) == 1
 
     async def test_rejection_of_the_peer_is_passed_on(self) -> None:
-        async with start_fleet(answer(make_not_run())) as fleet:
+        async with start_relaying_fleet(answer(make_not_run())) as fleet:
             await fleet.async_lose_reach()
             reply = await fleet.edge.async_call("/once/x")
         assert reply.status == 503
@@ -146,7 +154,7 @@
 
     async def test_failure_of_the_runner_is_passed_on_with_its_signature(self) -> None:
         failure = make_response(500, b"broken", f"X-Request-Id: q1\r\n{SIGNED}")
-        async with start_fleet(answer(failure)) as fleet:
+        async with start_relaying_fleet(answer(failure)) as fleet:
             await fleet.async_lose_reach()
             reply = await fleet.edge.async_call("/once/x")
         assert (reply.status, reply.body) == (500, b"broken")
@@ -155,20 +163,20 @@
     async def test_rejection_of_the_runner_may_name_a_date(self) -> None:
         headers = f"X-Request-Id: q1\r\n{SIGNED}Retry-After: Fri, 04 Dec 2026\r\n"
         failure = make_response(503, b"later", headers)
-        async with start_fleet(answer(failure)) as fleet:
+        async with start_relaying_fleet(answer(failure)) as fleet:
             await fleet.async_lose_reach()
             reply = await fleet.edge.async_call("/once/x")
         assert (reply.status, reply.body) == (503, b"later")
 
     async def test_stream_that_breaks_at_the_peer_does_not_look_complete(self) -> None:
         broken = cut(*make_stream(make_event(1), end=False))
-        async with start_fleet(broken) as fleet:
+        async with start_relaying_fleet(broken) as fleet:
             await fleet.async_lose_reach()
             reply = await fleet.edge.async_call("/fixed/x")
         assert not reply.complete
 
     async def test_unannounced_peer_ends_the_wait_for_its_response(self) -> None:
-        async with start_fleet(answer()) as fleet:
+        async with start_relaying_fleet(answer()) as fleet:
             await fleet.async_lose_reach()
             loop = asyncio.get_running_loop()
             loop.call_later(0.3, fleet.edge.view.remove_member, "members/edge/e2")
@@ -182,16 +190,13 @@
 
     async def test_stream_is_resumed_through_a_peer(self) -> None:
         first = cut(*make_stream(make_event(1), end=False))
-        with reserve_refusing_address() as refusing:
-            async with (
-                RawServer(first) as before,
-                start_fleet(answer(*EVENTS)) as fleet,
-            ):
-                edge = fleet.edge
-                entry = make_runner("llm-0", service="llm", address=before.address)
-                edge.view.update_runner(entry)
-                reply = await edge.async_call("/stream/x")
-        assert refusing
+        async with (
+            RawServer(first) as before,
+            start_relaying_fleet(answer(*EVENTS)) as fleet,
+        ):
+            entry = make_runner("llm-0", service="llm", address=before.address)
+            fleet.edge.view.update_runner(entry)
+            reply = await fleet.edge.async_call("/stream/x")
         assert (reply.status, reply.complete) == (200, True)
         assert reply.body == b"".join(map(make_event, (1, 2, 3)))
         assert b"last-event-id: 1" in fleet.runner.requests[0].lower()
@@ -199,30 +204,20 @@
     async def test_request_at_a_silent_runner_goes_to_a_peer(self) -> None:
         async with (
             RawServer(answer()) as silent,
-            start_fleet(answer(make_ok())) as fleet,
+            start_relaying_fleet(answer(make_ok())) as fleet,
         ):
             edge = fleet.edge
-            for number in range(RUNNERS):
-                edge.view.remove_runner(f"plain-{number}", 0.0)
-            entry = make_runner("plain-0", service="plain", address=silent.address)
-            edge.view.update_runner(entry)
-            loop = asyncio.get_running_loop()
-            loop.call_later(0.1, silent._server.close)
+            cut_off_while_silent(edge, silent)
             reply = await edge.async_call("/safe/x")
         assert reply.status == 200
 
     async def test_request_that_must_not_be_retried_waits_for_its_runner(self) -> None:
         async with (
             RawServer(answer()) as silent,
-            start_fleet(answer(make_ok())) as fleet,
+            start_relaying_fleet(answer(make_ok())) as fleet,
         ):
             edge = fleet.edge
-            for number in range(RUNNERS):
-                edge.view.remove_runner(f"plain-{number}", 0.0)
-            entry = make_runner("plain-0", service="plain", address=silent.address)
-            edge.view.update_runner(entry)
-            loop = asyncio.get_running_loop()
-            loop.call_later(0.1, silent._server.close)
+            cut_off_while_silent(edge, silent)
             headers = "X-Deadline-Ms: 1500\r\n"
             reply = await edge.async_call("/once/x", headers=headers)
         assert reply.status == 504
@@ -235,7 +230,7 @@
     async def test_requests_go_to_the_runner_itself_again(self) -> None:
         async with (
             RawServer(answer(make_ok())) as reachable,
-            start_fleet(answer(make_ok())) as fleet,
+            start_relaying_fleet(answer(make_ok())) as fleet,
         ):
             await fleet.async_lose_reach()
             await fleet.edge.async_call("/safe/x")
@@ -251,7 +246,7 @@
     async def test_reach_is_regained_though_the_first_runners_stay_away(self) -> None:
         async with (
             RawServer(answer(make_ok())) as reachable,
-            start_fleet(answer(make_ok())) as fleet,
+            start_relaying_fleet(answer(make_ok())) as fleet,
         ):
             await fleet.async_lose_reach()
             entry = make_runner("llm-3", service="llm", address=reachable.address)
--- a/tests/edge/test_unreachable_runners.py
+++ b/tests/edge/test_unreachable_runners.py
@@ -11,17 +11,19 @@
 import pytest
 from attrs import define
 
-from mangoway.models.fleet import Member, Role
 from mangoway.policy.edge.const import MAX_UNREACHABLE_ATTEMPTS
 
 from ..fakes.fleet import make_runner
 from ..upstreams.raw_server import RawServer, answer
-from .unreachable import open_hanging_address, reserve_refusing_address
+from .unreachable import (
+    RUNNERS,
+    add_runners,
+    introduce,
+    open_hanging_address,
+    reserve_refusing_address,
+)
 from .world import EdgeWorld, make_event, make_ok, make_stream, start_edge
 
-RUNNERS = 4
-"""Runners of each service."""
-
 DETECTION_S = 3.0
 """Time from the begin of a cut after which callers are served again."""
 
@@ -43,37 +45,6 @@
     """Stands for all runners, as the peer reaches them."""
 
 
-def make_member(name: str, edge: EdgeWorld, data_centre: str = "dc1") -> Member:
-    """Return the announcement of an edge."""
-    return Member(
-        host=name,
-        role=Role.EDGE,
-        data_centre=data_centre,
-        incarnation=name,
-        peer_address="",
-        caller_address=f"127.0.0.1:{edge.port}",
-    )
-
-
-def introduce(*edges: EdgeWorld) -> None:
-    """Let edges know each other; the first is called e1."""
-    for number, edge in enumerate(edges, 1):
-        member = make_member(f"e{number}", edge)
-        for other in edges:
-            other.view.update_member(f"members/edge/e{number}", member)
-
-
-def add_runners(edge: EdgeWorld, address: str) -> None:
-    """Add the runners of both services, all at one address."""
-    for service in ("plain", "llm"):
-        for number in range(RUNNERS):
-            runner_id = f"{service}-{number}"
-            entry = make_runner(runner_id, service=service, address=address)
-            edge.view.update_runner(entry)
-            if service == "llm":
-                edge.grant_provider.runner_ids.append(runner_id)
-
-
 @asynccontextmanager
 async def start_fleet(path: str, kind: str) -> AsyncIterator[CutOffFleet]:
     """Start both edges and the runners, whose responses are those to one path.
--- a/tests/edge/unreachable.py
+++ b/tests/edge/unreachable.py
@@ -1,10 +1,18 @@
-"""Addresses of runners that an edge can't connect to."""
+"""Edges that know each other, and runners that one of them can't connect to."""
 
 import asyncio
 import socket
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
 
+from mangoway.models.fleet import Member, Role
+
+from ..fakes.fleet import make_runner
+from .world import EdgeWorld
+
+RUNNERS = 4
+"""Runners of each service."""
+
 BACKLOG_CONNECTIONS = 2
 """Connections that fill the queue of a listener with a backlog of zero."""
 
@@ -35,3 +43,34 @@
         reserved.bind(("127.0.0.1", 0))
         host, port = reserved.getsockname()
         yield f"{host}:{port}"
+
+
+def make_member(name: str, edge: EdgeWorld, data_centre: str = "dc1") -> Member:
+    """Return the announcement of an edge."""
+    return Member(
+        host=name,
+        role=Role.EDGE,
+        data_centre=data_centre,
+        incarnation=name,
+        peer_address="",
+        caller_address=f"127.0.0.1:{edge.port}",
+    )
+
+
+def introduce(*edges: EdgeWorld) -> None:
+    """Let edges know each other; the first is called e1."""
+    for number, edge in enumerate(edges, 1):
+        member = make_member(f"e{number}", edge)
+        for other in edges:
+            other.view.update_member(f"members/edge/e{number}", member)
+
+
+def add_runners(edge: EdgeWorld, address: str) -> None:
+    """Add the runners of both services, all at one address."""
+    for service in ("plain", "llm"):
+        for number in range(RUNNERS):
+            runner_id = f"{service}-{number}"
+            entry = make_runner(runner_id, service=service, address=address)
+            edge.view.update_runner(entry)
+            if service == "llm":
+                edge.grant_provider.runner_ids.append(runner_id)
--- a/tests/soak/test_crashing_parts.py
+++ b/tests/soak/test_crashing_parts.py
@@ -58,7 +58,7 @@
     world: World, part: str, kinds: list[Kind], pause_s: float
 ) -> None:
     """Send requests to one edge after the other, without waiting for responses."""
-    caller = world._make_caller(len(part) + (3000 if part else 4000))
+    caller = world.make_caller(len(part) + (3000 if part else 4000))
     edges = world.list_nodes("edge")
     async with aiohttp.ClientSession() as session:
         for number in range(100_000):
--- a/tests/soak/test_unreachable_runners.py
+++ b/tests/soak/test_unreachable_runners.py
@@ -36,7 +36,7 @@
 
 async def async_send_to(world: World, node: Node, number: int) -> None:
     """Send requests of each kind to one edge, without waiting for their responses."""
-    caller = world._make_caller(number)
+    caller = world.make_caller(number)
     async with aiohttp.ClientSession() as session:
         for count in range(10_000):
             kind = KINDS[count % len(KINDS)]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -131,7 +131,7 @@
         self.start_task(self._async_send_heartbeats())
         await self._async_wait_ready()
         for number in range(self.callers):
-            caller = self._make_caller(number)
+            caller = self.make_caller(number)
             self.start_task(caller.async_run())
 
     async def async_stop(self) -> None:
@@ -180,7 +180,7 @@
         """
         self._crashing_count += 1
         name = f"{kind.value}-{self._crashing_count}"
-        template = self._make_caller(2000 + self._crashing_count)
+        template = self.make_caller(2000 + self._crashing_count)
         caller = CrashingCaller(
             random=template.random,
             records=template.records,
@@ -216,7 +216,7 @@
             return
         version = self._added_versions[-1]
         await asyncio.sleep(APPLY_S + 0.3)
-        caller = self._make_caller(1000 + version)
+        caller = self.make_caller(1000 + version)
         async with aiohttp.ClientSession() as session:
             for node in self.list_nodes("edge"):
                 await caller.async_call(
@@ -283,7 +283,8 @@
                 )
             await asyncio.sleep(RESTART_S)
 
-    def _make_caller(self, number: int) -> Caller:
+    def make_caller(self, number: int) -> Caller:
+        """Return a caller; its number determines its random choices."""
         return Caller(
             random=Random(self.seed * 10_007 + number),
             records=self.records,
