Log the software versions of the runners between which streams go on

Entries of runners are now decoded with it, event 350 states it, event 259 is logged for each stream that goes on (who resumed it, from which version, at which), and a metric counts these by whether the version is the same, another or unknown. No decision uses the version yet.

--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -178,6 +178,7 @@
                     draining=entry.draining,
                     models=len(entry.models),
                     started_ms=entry.started_ms,
+                    software_version=entry.software_version,
                 )
             )
         self._notify()
@@ -338,5 +339,9 @@
 
 
 def _has_state_changed(known: RunnerEntry, entry: RunnerEntry) -> bool:
-    """Return whether a runner's draining state changed or the runner has restarted."""
-    return known.draining != entry.draining or known.started_ms != entry.started_ms
+    """Return whether a runner is draining, has restarted or has other software now."""
+    return (
+        known.draining != entry.draining
+        or known.started_ms != entry.started_ms
+        or known.software_version != entry.software_version
+    )
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -103,6 +103,9 @@
     _first_event_at: float | None = field(default=None, init=False)
     """When the first event of the current attempt arrived."""
 
+    _origin_version: str = field(default="", init=False)
+    """Software version of the runner that wrote the first event; empty if unknown."""
+
     _response: FinalResponse = field(init=False)
     _clock: Callable[[], float] = field(init=False)
     _deadline: float = field(init=False)
@@ -262,6 +265,7 @@
         self.context.plain_grant_provider.in_flight.add(runner.runner_id)
         self._in_attempt = True
         self._first_event_at = None
+        self.log.log_resumed(runner, self._origin_version)
         self._finder.measure_events()
         self.context.signal_tracker.record_sent(runner)
         try:
@@ -385,6 +389,8 @@
 
     def _handle_first_event(self, run: ContinuedRun | None) -> None:
         self._first_event_at = self._clock()
+        if not self.delivery.events and self._runner is not None:
+            self._origin_version = self._runner.software_version
         if run is None:
             self._finder.handle_first_event()
 
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -161,6 +161,34 @@
             )
         )
 
+    def log_resumed(self, runner: RunnerEntry, origin_version: str) -> None:
+        """Log that a stream goes on at a runner, if its caller has a part of it.
+
+        Args:
+            runner: The runner that receives the request.
+            origin_version: Software version of the runner that wrote the first event;
+                empty if it is unknown.
+        """
+        by_caller = self.fields.last_event_id is not None
+        if not (self.delivery.events or by_caller):
+            return
+        resumed_by = "edge" if self.delivery.events else "caller"
+        version = runner.software_version
+        match = "same" if version == origin_version else "other"
+        self.metrics.resumed_streams.add(
+            runner.service, resumed_by, match if origin_version else "unknown"
+        )
+        log_event(
+            log.StreamResumed(
+                request_id=self.fields.request_id,
+                origin_id=self.fields.resumes or self.fields.request_id,
+                resumed_by=resumed_by,
+                runner_id=runner.runner_id,
+                origin_version=origin_version,
+                version=version,
+            )
+        )
+
     def _count(self, outcome: str, status: int) -> None:
         self.metrics.edge_requests.add(self._route_name, outcome, str(status))
         if self.customer is not None:
--- a/mangoway/models/runner.py
+++ b/mangoway/models/runner.py
@@ -34,6 +34,10 @@
     """Start of the runner's incarnation in Unix milliseconds; 0 if unknown. A later
     start means a new incarnation, without the models and state of the previous one."""
 
+    software_version: str = ""
+    """Version of the runner's software; empty if it states none. Versions have no
+    order."""
+
 
 @frozen(kw_only=True)
 class RunnerReport:
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -214,6 +214,25 @@
     reason: str
 
 
+@numbered(259, LogLevel.INFO)
+class StreamResumed:
+    """A stream of which its caller has received a part is sent to a runner."""
+
+    request_id: str
+    origin_id: str
+    """ID of the request that brought the first event."""
+
+    resumed_by: str
+    """"caller" if the caller sent a new request for the rest, or "edge"."""
+
+    runner_id: str
+    origin_version: str
+    """Software version of the runner that wrote the first event; empty if unknown."""
+
+    version: str
+    """Software version of this runner; empty if it states none."""
+
+
 # 3xx: runners.
 
 
@@ -229,6 +248,9 @@
     started_ms: int
     """Start of its current incarnation, in Unix milliseconds; 0 if not reported."""
 
+    software_version: str
+    """Empty if not reported."""
+
 
 @numbered(351, LogLevel.INFO)
 class RunnerGone:
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -294,6 +294,13 @@
             "Broken streams that didn't go on at their backup, by service and cause.",
             ("service", "cause"),
         )
+        self.resumed_streams = self._counter(
+            "mangoway_edge_resumed_streams_total",
+            "Streams that an edge sent to another runner, by service, who resumed them "
+            "(caller, edge) and whether the runner has the software version of the "
+            "first event (same, other, unknown).",
+            ("service", "resumed_by", "version"),
+        )
         self.relayed_requests = self._counter(
             "mangoway_edge_relayed_requests_total",
             "Requests that an edge sent through a peer, by outcome.",
--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -83,6 +83,7 @@
             seconds_left=None if remaining_ms is None else remaining_ms / MS_PER_S,
             models=decode_models(fields.get("models")),
             started_ms=read_started_ms(fields),
+            software_version=_read_software_version(fields),
         )
         # `seq` is ignored: here it counts heartbeats of the runner, whereas in its
         # report it counts orders.
@@ -128,6 +129,13 @@
     return address
 
 
+def _read_software_version(fields: Mapping[str, Any]) -> str:
+    """Return the version of a runner's software; empty if it can't be read."""
+    version = fields.get("version")
+    is_readable = isinstance(version, str | int) and not isinstance(version, bool)
+    return str(version) if is_readable else ""
+
+
 def _read_slots(fields: Mapping[str, Any]) -> int:
     slots = read_integer(fields, "slots")
     if slots < 1:
--- a/mangoway/platform/headers.py
+++ b/mangoway/platform/headers.py
@@ -48,6 +48,8 @@
 
 LENGTH_HINT: Final = b"x-length-hint"
 LAST_EVENT: Final = b"last-event-id"
+RESUMES: Final = b"resumes"
+"""ID of the request that brought the first event of the stream to resume."""
 
 RESERVED: Final = frozenset(
     {
--- a/mangoway/platform/requests.py
+++ b/mangoway/platform/requests.py
@@ -26,6 +26,10 @@
 
     prompt: Prompt
     last_event_id: str | None
+    resumes: str = ""
+    """ID of the request that brought the first event of the stream; empty if the
+    request resumes none, or does not state it."""
+
     has_usage: bool = False
     """Whether the request contains a valid token usage."""
 
@@ -45,6 +49,7 @@
         adapter=adapter,
         prompt=_read_prompt(request),
         last_event_id=request.find(names.LAST_EVENT),
+        resumes=request.find(names.RESUMES) or "",
         has_usage=_has_valid_usage(request),
     )
 
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -105,6 +105,7 @@
     data_centre: str = "dc1",
     draining: bool = False,
     started_ms: int = 0,
+    software_version: str = "",
 ) -> RunnerEntry:
     """Return a runner's entry."""
     return RunnerEntry(
@@ -117,6 +118,7 @@
         seconds_left=None,
         models=make_residents(models),
         started_ms=started_ms,
+        software_version=software_version,
     )
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -169,6 +169,15 @@
         assert entry.started_ms == 1_771_816_803_316
         assert decode_runner("servers/i-1", orjson.dumps(ENTRY)).started_ms == 0
 
+    @pytest.mark.parametrize(
+        ("version", "expected"),
+        [("v1.2", "v1.2"), (3, "3"), (None, ""), (True, ""), ([1], ""), ({}, "")],
+    )
+    def test_software_version_is_decoded(self, version: object, expected: str) -> None:
+        document = {**ENTRY, "version": version}
+        entry = decode_runner("servers/i-1", orjson.dumps(document))
+        assert entry.software_version == expected
+
     @pytest.mark.parametrize(
         "document", [b"null", b"7", b'"text"', b"[]", b"[1]", b"true", b"\xff\x00", b""]
     )
