List failing tests of streams that go on at another software version

Real programs on loopback: eight runners of two versions, four edges, a stream each 70 ms. Runners that crash, edges that are killed (both with and without schedulers), callers that leave, a second version that appears, and callers that name an attempt that nobody knows.

--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -55,6 +55,9 @@
     models: dict[str, set[str]] | None = None
     """Models and their adapters; None for a plain service."""
 
+    software_version: str = ""
+    """Version of its software, which its events name; empty for one that they don't."""
+
     on_crash: "Callable[[RunnerStandIn], None]" = lambda runner: None
     """Called when a request crashes the runner."""
 
@@ -143,7 +146,7 @@
             "service": self.service,
             "address": self.relay.relay_address,
             "zone": self.data_centre,
-            "version": 1,
+            "version": self.software_version or 1,
             "slots": 8,
             "state": "draining" if self.draining else "ready",
             "seq": self._heartbeat_count,
@@ -380,7 +383,8 @@
             if await run.async_is_stopped_within(EVENT_INTERVAL_S):
                 _abort(request)
                 return False
-            event = f"id: {number}\ndata: {run.request_id} {number}\n\n".encode()
+            text = f"{run.request_id} {number} {self.software_version}".rstrip()
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             if number >= cut_at:
                 await response.write(event[: len(event) // 2])
                 _abort(request)
--- /dev/null
+++ b/tests/soak/stream_callers.py
@@ -0,0 +1,175 @@
+"""Callers that resume streams at other edges, and what their streams consist of."""
+
+import asyncio
+import re
+import time
+from itertools import count
+from random import Random
+
+import aiohttp
+from attrs import define, field
+
+from .callers import HOST
+from .records import RETRY_STATUSES
+from .runners import EVENT_COUNT
+from .world import World
+
+STREAM_PAUSE_S = 0.07
+"""Time between the starts of two streams."""
+
+MAX_RESUMPTIONS = 3
+"""Maximum number of requests for the rest of a stream."""
+
+DEADLINE_S = 3.0
+MAX_RETRY_WAIT_S = 1.0
+TRIES_TO_BEGIN = 3
+EVENT = re.compile(rb"id: (\d+)\ndata: \w+ \d+ ?(\S*)\n\n")
+
+_request_numbers = count(1)
+
+
+@define(eq=False)
+class CallerStream:
+    """A stream over all requests of its caller."""
+
+    began_at: float = 0.0
+    """Time of the first request."""
+
+    versions: dict[int, str] = field(factory=dict, init=False)
+    """Software version that wrote each received event, by the event's number."""
+
+    statuses: list[int] = field(factory=list, init=False)
+    """Status of each response; 0 if there was none."""
+
+    resumed: bool = False
+    """Whether its caller has sent a request for the rest."""
+
+    went_on: bool = False
+    """Whether such a request brought events."""
+
+    @property
+    def is_mixed(self) -> bool:
+        """Return whether it holds events of several software versions."""
+        return len(set(self.versions.values())) > 1
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the caller has received all events."""
+        return len(self.versions) == EVENT_COUNT
+
+
+@define(eq=False, kw_only=True)
+class StreamCaller:
+    """Starts one stream after the other, and resumes those that break."""
+
+    world: World
+    random: Random
+    leave_after: int = EVENT_COUNT + 1
+    """Events of a first response after which the caller leaves it, to resume the stream
+    elsewhere."""
+
+    names_origin: bool = True
+    """Whether requests for the rest name the request that brought the first event; if
+    not, they name one that nobody has sent."""
+
+    stopped: bool = field(default=False, init=False)
+    """Whether no further streams are started."""
+
+    streams: list[CallerStream] = field(factory=list, init=False)
+
+    async def async_run(self) -> None:
+        """Start streams until stopped, and return when all of them have ended."""
+        tasks = []
+        async with aiohttp.ClientSession() as session:
+            while not self.stopped:
+                tasks.append(self.world.start_task(self._async_stream(session)))
+                await asyncio.sleep(STREAM_PAUSE_S)
+            await asyncio.gather(*tasks)
+
+    async def _async_stream(self, session: aiohttp.ClientSession) -> None:
+        stream = CallerStream(began_at=time.monotonic())
+        self.streams.append(stream)
+        model = self.random.choice(self.world.engine_models)
+        origin, address = "", ""
+        for _ in range(TRIES_TO_BEGIN):
+            origin, address = _make_request_id(), self._choose_edge(address)
+            headers = self._make_headers(origin, model)
+            await self._async_send(session, stream, address, headers, self.leave_after)
+            if stream.versions:
+                break
+        if not stream.versions:
+            return
+        named = origin if self.names_origin else _make_request_id()
+        for _ in range(MAX_RESUMPTIONS):
+            if stream.is_whole:
+                return
+            stream.resumed = True
+            received, address = len(stream.versions), self._choose_edge(address)
+            headers = self._make_headers(_make_request_id(), model)
+            headers |= {"Last-Event-Id": str(received), "Resumes": named}
+            await self._async_send(session, stream, address, headers, EVENT_COUNT + 1)
+            stream.went_on |= len(stream.versions) > received
+
+    def _choose_edge(self, avoided: str) -> str:
+        """Return the address of a running edge, if possible of another one."""
+        edges = [each.caller_address for each in self.world.list_nodes("edge")]
+        others = [each for each in edges if each != avoided]
+        return self.random.choice(others or edges or [avoided])
+
+    def _make_headers(self, request_id: str, model: str) -> dict[str, str]:
+        return {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "Authorization": f"Bearer {self.world.records.customers.get_first_key()}",
+            "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "X-Model": model,
+            "X-Token-Usage": "100,40",
+            "X-Prompt-Prefix": f"a1:60,{request_id.lstrip('0')}:40",
+        }
+
+    async def _async_send(
+        self,
+        session: aiohttp.ClientSession,
+        stream: CallerStream,
+        address: str,
+        headers: dict[str, str],
+        leave_after: int,
+    ) -> None:
+        """Send one request and record the events that its response brings."""
+        stream.statuses.append(0)
+        url = f"http://{address}/stream/x"
+        try:
+            async with (
+                asyncio.timeout(DEADLINE_S + 1.0),
+                session.post(url, headers=headers, data=b"x" * 50) as response,
+            ):
+                stream.statuses[-1] = response.status
+                if response.status == 200:
+                    await _async_read_events(response, stream, leave_after)
+                    return
+                await response.read()
+                if response.status in RETRY_STATUSES:
+                    wait_s = float(response.headers.get("Retry-After") or 0)
+                    await asyncio.sleep(min(wait_s, MAX_RETRY_WAIT_S))
+                    return
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            pass
+        await asyncio.sleep(self.random.uniform(0.02, 0.1))
+
+
+async def _async_read_events(
+    response: aiohttp.ClientResponse, stream: CallerStream, leave_after: int
+) -> None:
+    data = b""
+    async for part in response.content.iter_any():
+        data += part
+        for match in EVENT.finditer(data):
+            stream.versions[int(match[1])] = match[2].decode()
+            if len(stream.versions) >= leave_after:
+                response.close()
+                return
+        data = data[data.rfind(b"\n\n") + 2 :] if b"\n\n" in data else data
+
+
+def _make_request_id() -> str:
+    return f"5{next(_request_numbers):07x}"
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -92,6 +92,12 @@
     engines: int = ENGINES
     plain_runners: int = PLAIN_RUNNERS
     callers: int = CALLERS
+    software_versions: tuple[str, ...] = ("",)
+    """Versions of the software that runners with engines have in turn."""
+
+    engine_models: tuple[str, ...] = ()
+    """Models that each runner with an engine holds; empty for others at each."""
+
     random: Random = field(init=False)
     records: Records = field(factory=Records, init=False)
     store: StoreStandIn = field(init=False)
@@ -119,8 +125,11 @@
         """Start all parts, and wait until the edges are ready."""
         await self.store.async_start()
         for number in range(self.engines):
-            names = [MODELS[(number * 3 + each) % len(MODELS)] for each in range(3)]
-            await self.async_add_runner("llm", {name: set() for name in names})
+            names = self.engine_models or tuple(
+                MODELS[(number * 3 + each) % len(MODELS)] for each in range(3)
+            )
+            version = self.software_versions[number % len(self.software_versions)]
+            await self.async_add_runner("llm", {name: set() for name in names}, version)
         for _ in range(self.plain_runners):
             await self.async_add_runner("plain", None)
         self.write_configuration()
@@ -157,14 +166,18 @@
         return task
 
     async def async_add_runner(
-        self, service: str, models: dict[str, set[str]] | None
+        self,
+        service: str,
+        models: dict[str, set[str]] | None,
+        software_version: str = "",
     ) -> RunnerStandIn:
         """Start a runner."""
         data_centre = f"dc-{len(self.runners) % 2 + 1}"
         runner = RunnerStandIn(
             service, data_centre, self.store, self.records, self.random, models
         )
-        runner.on_crash = self._handle_crash
+        runner.software_version = software_version
+        runner.on_crash = self.crash_runner
         runner.find_sender = self._find_sender
         await runner.async_start()
         assert runner.relay is not None
@@ -238,8 +251,8 @@
         pid = find_process(client, edges)
         return None if pid is None else edges[pid]
 
-    def _handle_crash(self, runner: RunnerStandIn) -> None:
-        """Restart a runner that a request crashed, under another id."""
+    def crash_runner(self, runner: RunnerStandIn) -> None:
+        """Crash a runner, and restart it under another id."""
         if runner in self.runners:
             self.runners.remove(runner)
             self.start_task(self._async_restart_runner(runner))
@@ -252,7 +265,9 @@
         restarted_models: dict[str, set[str]] | None = None
         if models is not None:
             restarted_models = {name: set() for name in models}
-        await self.async_add_runner(runner.service, restarted_models)
+        await self.async_add_runner(
+            runner.service, restarted_models, runner.software_version
+        )
         span.ended = time.monotonic()
         await asyncio.sleep(ENTRY_REMOVAL_S)
         self.store.remove(f"servers/{runner.runner_id}")
