Let edges resume streams only at the software version that began them

Cause: replicas of a service were taken for interchangeable, though what they wrote is not. The entry of a runner has its version; an edge that resumed a stream asked for any runner of the service.

The first event of a stream now fixes its origin (service and version; the runner itself if it states none while others do). Every runner that an edge finds for the rest passes one check in the finder: grants, alternatives to a silent runner, backups, targets of transfers, plain runners. Grant requests carry the version, so that schedulers grant only such runners and reject at once where none holds the model; an earlier release ignores the field, and its grants fail the edge's check. Requests that wait for one version don't keep runners of another one idle.

Streams that callers take up at another edge are not covered yet.

--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -11,6 +11,7 @@
 from ..models.routing import RoutingTable
 from ..models.runner import RunnerEntry, is_later_incarnation
 from ..models.signals import LeavingReport
+from ..models.streams import StreamOrigin
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from .members import ANNOUNCEMENTS_PER_S
@@ -304,6 +305,26 @@
             if each.service == service and self.is_open(each)
         ]
 
+    def states_versions(self, service: str) -> bool:
+        """Return whether any runner of a service states its software version."""
+        return any(
+            each.service == service and each.software_version
+            for each in self.runners.values()
+        )
+
+    def may_continue(self, origin: StreamOrigin, runner: RunnerEntry) -> bool:
+        """Return whether a runner may write the rest of a stream.
+
+        A runner without a version is taken for the same software as another one only
+        if no runner of the service states a version.
+        """
+        if runner.service != origin.service:
+            return False
+        if origin.software_version or runner.software_version:
+            return runner.software_version == origin.software_version
+        same = runner.runner_id == origin.runner_id
+        return same or not self.states_versions(origin.service)
+
     def list_open_runners(self) -> tuple[RunnerEntry, ...]:
         """Return the runners of all services that accept new requests."""
         return tuple(each for each in self.runners.values() if self.is_open(each))
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -36,6 +36,9 @@
 RETRY_BUDGET_SPENT_REASON: Final = "the retry budget is spent"
 """Reason for rejecting a request that needs a retry for which no credit is left."""
 
+NO_VERSION_REASON: Final = "no runner has the software version that began the stream"
+"""Reason for not sending a stream on that could only go on at another version."""
+
 MAX_STATE_AGE_SHARE: Final = 0.7
 """Share of the time until a revoked key must be rejected, for which a host continues to
 serve without updates from the store. The rest covers a store whose watches receive
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -11,6 +11,7 @@
 from ..http1.server import CallerGoneError
 from ..models.routing import Route, RouteKind, ServiceProfile
 from ..models.runner import RunnerEntry
+from ..models.streams import make_origin
 from ..models.verdict import Verdict
 from ..platform.requests import RequestFields, encode_for_runner
 from ..platform.signals import decode_signals
@@ -32,6 +33,7 @@
 from .const import (
     MAX_SILENCE_S,
     MIN_SILENCE_S,
+    NO_VERSION_REASON,
     RETRY_BUDGET_SPENT_REASON,
     SILENCE_OBJECTIVES,
 )
@@ -103,9 +105,6 @@
     _first_event_at: float | None = field(default=None, init=False)
     """When the first event of the current attempt arrived."""
 
-    _origin_version: str = field(default="", init=False)
-    """Software version of the runner that wrote the first event; empty if unknown."""
-
     _response: FinalResponse = field(init=False)
     _clock: Callable[[], float] = field(init=False)
     _deadline: float = field(init=False)
@@ -175,6 +174,9 @@
             return
         self._finder.count_request()
         while True:
+            if not self._finder.has_candidates:
+                self._response.reject(NO_VERSION_REASON, None)
+                return
             found = await self._finder.async_find()
             if isinstance(found, Reject):
                 status = STATUS_OVER_QUOTA if found.over_quota else STATUS_NOT_RUN
@@ -265,7 +267,7 @@
         self.context.plain_grant_provider.in_flight.add(runner.runner_id)
         self._in_attempt = True
         self._first_event_at = None
-        self.log.log_resumed(runner, self._origin_version)
+        self.log.log_resumed(runner, self._finder.origin)
         self._finder.measure_events()
         self.context.signal_tracker.record_sent(runner)
         try:
@@ -389,8 +391,8 @@
 
     def _handle_first_event(self, run: ContinuedRun | None) -> None:
         self._first_event_at = self._clock()
-        if not self.delivery.events and self._runner is not None:
-            self._origin_version = self._runner.software_version
+        if self._finder.origin is None and self._runner is not None:
+            self._finder.origin = make_origin(self._runner)
         if run is None:
             self._finder.handle_first_event()
 
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -7,6 +7,7 @@
 from ..models.crash import RequestIdentity
 from ..models.routing import Route
 from ..models.runner import RunnerEntry
+from ..models.streams import StreamOrigin
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
@@ -161,18 +162,18 @@
             )
         )
 
-    def log_resumed(self, runner: RunnerEntry, origin_version: str) -> None:
+    def log_resumed(self, runner: RunnerEntry, origin: StreamOrigin | None) -> None:
         """Log that a stream goes on at a runner, if its caller has a part of it.
 
         Args:
             runner: The runner that receives the request.
-            origin_version: Software version of the runner that wrote the first event;
-                empty if it is unknown.
+            origin: What wrote the first event of the stream; None if it is unknown.
         """
         by_caller = self.fields.last_event_id is not None
         if not (self.delivery.events or by_caller):
             return
         resumed_by = "edge" if self.delivery.events else "caller"
+        origin_version = "" if origin is None else origin.software_version
         version = runner.software_version
         match = "same" if version == origin_version else "other"
         self.metrics.resumed_streams.add(
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -11,6 +11,7 @@
 
 from ..models.routing import Route, RouteKind, ServiceProfile
 from ..models.runner import RunnerEntry
+from ..models.streams import StreamOrigin
 from ..platform.requests import RequestFields
 from ..policy.crashes.const import RETRY_AFTER_BLOCK_S
 from ..policy.customers.const import OVER_QUOTA
@@ -23,6 +24,7 @@
     CRASHING_REQUEST_REASON,
     DRAIN_MARGIN_S,
     MAX_GRANT_REQUESTS,
+    NO_VERSION_REASON,
 )
 from .delivery import Delivery
 from .event_times import EventTimes
@@ -49,6 +51,9 @@
     is_counted: bool = False
     """Whether the request has been counted for the retry budget of its service."""
 
+    origin: StreamOrigin | None = field(default=None, init=False)
+    """What wrote the first event of the stream; None while there is no event."""
+
     tried_runner_ids: set[str] = field(factory=set, init=False)
     """Runners that the request was sent to."""
 
@@ -111,6 +116,20 @@
         entry = self.context.view.find_open_runner(runner_id)
         return entry if entry is not None and self._accepts_requests(entry) else None
 
+    def may_run_at(self, runner: RunnerEntry) -> bool:
+        """Return whether a runner's software may write the rest of the stream."""
+        return self.origin is None or self.context.view.may_continue(
+            self.origin, runner
+        )
+
+    @property
+    def has_candidates(self) -> bool:
+        """Return whether any runner's software may write the rest of the stream."""
+        if self.origin is None:
+            return True
+        runners = self.context.view.list_runners(self.service.name)
+        return any(self.may_run_at(each) for each in runners)
+
     def is_same_open(self, runner: RunnerEntry) -> bool:
         """Return whether this incarnation of a runner still accepts requests."""
         entry = self.find_open(runner.runner_id)
@@ -310,7 +329,7 @@
                 return entry
             # This host has newer information about the runner than the grant provider.
             self.release_grant(EndKind.LEFT)
-            if entry is None:
+            if entry is None or not self.may_run_at(entry):
                 self._failed.append(response.runner_id)
         return self._make_rejection("the runner takes no more", RETRY_AFTER_OUTAGE_S)
 
@@ -360,6 +379,10 @@
     ) -> RunnerEntry | Reject:
         """Choose a plain runner, with a permit if it is limited."""
         waits = self._list_cooldowns()
+        if self.origin is not None:
+            only = self._list_continuing(only)
+            if not only:
+                return self._make_rejection(NO_VERSION_REASON, RETRY_AFTER_OUTAGE_S)
         while True:
             found = self.context.plain_grant_provider.find_runner(
                 self.service.name, excluded, only, self._rejecting, waits
@@ -380,9 +403,21 @@
         waits = {each.runner_id: tracker.measure_cooldown(each) for each in runners}
         return {key: wait_s for key, wait_s in waits.items() if wait_s > 0}
 
+    def _list_continuing(self, only: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the plain runners that may continue the stream.
+
+        Args:
+            only: The only runners that may receive the request; empty if any may.
+        """
+        return tuple(
+            each.runner_id
+            for each in self.context.view.list_runners(self.service.name)
+            if self.may_run_at(each) and (not only or each.runner_id in only)
+        )
+
     def _accepts_requests(self, runner: RunnerEntry) -> bool:
-        """Return whether a runner is known to accept requests of this edge."""
-        if not self.context.view.is_open(runner):
+        """Return whether a runner may receive the request from this edge."""
+        if not self.context.view.is_open(runner) or not self.may_run_at(runner):
             return False
         return self.context.signal_tracker.measure_cooldown(runner) == 0
 
@@ -431,6 +466,7 @@
         patience_s = min(self.deadline - now, self.route.patience_s - elapsed_s)
         if self.delivery.events:
             patience_s = self.route.patience_s
+        pinned = self._find_pinned()
         return GrantRequest(
             request_id=f"{self.fields.request_id}/{next(self.context.request_numbers)}",
             edge=self.context.incarnation,
@@ -442,16 +478,28 @@
             objective_left_s=self.route.objective_s - elapsed_s,
             patience_left_s=max(0.0, patience_s),
             excluded=tuple(excluded),
-            only=self._list_allowed(),
+            only=self._list_allowed() if pinned is None else (pinned,),
             customer=self.caller.name or "",
             cost=self._measure_cost(),
             route_priority=self.route.priority,
             streaming=self.route.kind is RouteKind.STREAMING,
             resumable=self.route.resumable,
-            interrupted=self.delivery.events > 0,
+            interrupted=self.origin is not None,
+            software_version=""
+            if self.origin is None
+            else self.origin.software_version,
             repeat=repeat or bool(self.tried_runner_ids),
         )
 
+    def _find_pinned(self) -> str | None:
+        """Return the only runner that may continue the stream, if there is one."""
+        origin = self.origin
+        if origin is None or origin.software_version:
+            return None
+        if not self.context.view.states_versions(origin.service):
+            return None
+        return origin.runner_id
+
     def _list_allowed(self) -> tuple[str, ...]:
         """Return the only runners that may receive the request; empty if any may."""
         if len(self.tried_runner_ids) < self.route.max_attempts:
--- a/mangoway/policy/scheduling/dispatch.py
+++ b/mangoway/policy/scheduling/dispatch.py
@@ -27,7 +27,7 @@
 )
 from .events import Grant
 from .pace import ServicePaces
-from .queue import ArtifactQueue, ServiceQueue
+from .queue import ArtifactQueue, ServiceQueue, fits_version
 from .requests import RunningRequest, WaitingRequest
 from .reserves import leaves_reserve
 from .runners import RunnerState
@@ -291,9 +291,14 @@
             if isinstance(queue, SharedQueue)
             else iter(queue)
         )
-        for examined, waiting in enumerate(requests):
+        examined = 0
+        for waiting in requests:
+            # Many streams may wait for the few runners of an earlier version.
+            if not fits_version(waiting.grant_request, runner.entry):
+                continue
             if examined == MAX_EXAMINED_REQUESTS:
                 return None
+            examined += 1
             if not self.state.allows(waiting.grant_request, runner, self.now):
                 continue
             if not runner.has_memory(waiting.kv_tokens, waiting.memory):
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -88,6 +88,10 @@
     interrupted: bool = False
     """Whether the caller has received a part of the stream, which goes on."""
 
+    software_version: str = ""
+    """The only software version whose runners may be granted, since it wrote the first
+    event of the stream; empty if any may."""
+
 
 @frozen(kw_only=True)
 class RequestAdopted:
--- a/mangoway/policy/scheduling/forecast.py
+++ b/mangoway/policy/scheduling/forecast.py
@@ -84,6 +84,7 @@
         if (
             grant_request.only
             or grant_request.excluded
+            or grant_request.software_version
             or self.state.cooldowns.has_cooldowns(self.now)
         ):
             return self._estimate_restricted_start(grant_request)
@@ -106,15 +107,20 @@
         The runner is empty if a model load has to end first. None if no usable runner
         is allowed.
         """
-        if not any(allows(grant_request, each) for each in self._runners):
+        if not any(
+            allows(grant_request, each.entry) for each in self._runners.values()
+        ):
             return None
         times = [
             (at + self._measure_cooldown(grant_request, runner_id, at), runner_id)
             for at, runner_id in self._list_start_times(grant_request)
-            if allows(grant_request, runner_id)
+            if allows(grant_request, self._runners[runner_id].entry)
         ]
         if times:
             return min(times)
+        if grant_request.software_version:
+            # Models are not loaded for the runners of one version.
+            return None
         return self._estimate_load_end(grant_request), ""
 
     def _measure_cooldown(
--- a/mangoway/policy/scheduling/queue.py
+++ b/mangoway/policy/scheduling/queue.py
@@ -19,6 +19,7 @@
 
 from attrs import define, field
 
+from ...models.runner import RunnerEntry
 from ..fairness.shares import CustomerShares
 from .events import GrantRequest
 from .requests import Rank, RequestKey, WaitingRequest
@@ -201,8 +202,16 @@
     shares.add_waiting(grant_request.customer, grant_request.priority)
 
 
-def allows(grant_request: GrantRequest, runner_id: str) -> bool:
+def allows(grant_request: GrantRequest, runner: RunnerEntry) -> bool:
     """Return whether a request may be sent to a runner, given its earlier attempts."""
+    if not fits_version(grant_request, runner):
+        return False
     if grant_request.only:
-        return runner_id in grant_request.only
-    return runner_id not in grant_request.excluded
+        return runner.runner_id in grant_request.only
+    return runner.runner_id not in grant_request.excluded
+
+
+def fits_version(grant_request: GrantRequest, runner: RunnerEntry) -> bool:
+    """Return whether a runner's software may continue the stream of a request."""
+    version = grant_request.software_version
+    return not version or version == runner.software_version
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -266,9 +266,10 @@
     ) -> bool:
         """Return whether a request may be sent to a runner.
 
-        It may not if its earlier attempts exclude the runner, or during a cooldown.
+        It may not if its earlier attempts or its software exclude the runner, or during
+        a cooldown.
         """
-        if not allows(grant_request, runner.runner_id):
+        if not allows(grant_request, runner.entry):
             return False
         return self.measure_cooldown_s(grant_request, runner, now) == 0
 
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -246,6 +246,7 @@
         message.cost,
         message.route_priority,
         _encode_stream_kind(message),
+        message.software_version,
     ]
 
 
@@ -259,8 +260,9 @@
 
 
 def _decode_grant_request(fields: list[Any], edge: str) -> GrantRequest:
-    # Processes of earlier releases send no flags.
+    # Processes of earlier releases send no flags and no version.
     flags = fields[18] if len(fields) > 18 else 0
+    software_version = fields[19] if len(fields) > 19 else ""
     return GrantRequest(
         edge=edge,
         request_id=fields[1],
@@ -279,6 +281,7 @@
         streaming=bool(flags & STREAMING),
         resumable=bool(flags & RESUMABLE),
         interrupted=bool(flags & INTERRUPTED),
+        software_version=software_version,
         prompt=Prompt(
             tokens=fields[11],
             max_output_tokens=fields[12],
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -211,9 +211,16 @@
     ages: list[float]
     """Its only entry is the age of the edge's state, in seconds."""
 
-    def add(self, runner_id: str, server: RawServer, service: str) -> None:
-        """Add a runner to the edge's fleet."""
-        entry = make_runner(runner_id, service=service, address=server.address)
+    def add(
+        self, runner_id: str, server: RawServer, service: str, version: str = ""
+    ) -> None:
+        """Add a runner to the edge's fleet, with the version of its software."""
+        entry = make_runner(
+            runner_id,
+            service=service,
+            address=server.address,
+            software_version=version,
+        )
         self.view.update_runner(entry)
         if service == "llm":
             self.grant_provider.runner_ids.append(runner_id)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -166,6 +166,7 @@
     excluded: tuple[str, ...] = (),
     only: tuple[str, ...] = (),
     repeat: bool = False,
+    software_version: str = "",
 ) -> GrantRequest:
     """Return the request of an edge for a grant."""
     return GrantRequest(
@@ -186,4 +187,5 @@
         excluded=excluded,
         only=only,
         repeat=repeat,
+        software_version=software_version,
     )
--- a/tests/policy/scheduling/test_events.py
+++ b/tests/policy/scheduling/test_events.py
@@ -47,7 +47,7 @@
         return (
             runner.has_room(1.0, BACKLOG_LIMIT_S, self.now)
             and runner.is_ready(grant_request.model, grant_request.adapter, self.now)
-            and allows(grant_request, runner.runner_id)
+            and allows(grant_request, runner.entry)
             and runner.has_memory(waiting.kv_tokens)
         )
 
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -98,6 +98,7 @@
     TransferFailed(edge="e1", request_id="q1", target_runner_id="r2"),
     evolve(make_grant_request("q1"), streaming=True, interrupted=True),
     evolve(make_grant_request("q1"), streaming=True, resumable=True),
+    make_grant_request("q1", software_version="v1.2"),
     Grant(edge="e1", request_id="q1", runner_id="r1"),
     Grant(edge="e1", request_id="q1", runner_id="r1", backup_runner_id="r2"),
     TransferStream(
--- a/tests/soak/test_stream_versions.py
+++ b/tests/soak/test_stream_versions.py
@@ -65,7 +65,7 @@
 
 
 async def async_release(world: World) -> None:
-    """Replace all runners but two by ones of a second version, while edges are killed."""
+    """Replace most runners by ones of a second version, and kill edges meanwhile."""
     killing = world.start_task(async_kill_edges(world))
     replaced = [each for each in world.runners if each.service == "llm"][2:]
     for runner in replaced:
