Copy the memory of streams to runners of the same software version only

Schedulers choose backups and targets of the same version as the stream's runner, and an edge names no other backup. The five tests were red without this: transfers to another version, the search that remembers where no room is for each source version apart, backups at the scheduler (two) and the edge.

--- a/mangoway/edge/continuation.py
+++ b/mangoway/edge/continuation.py
@@ -8,6 +8,7 @@
 
 from ..models.routing import ServiceProfile
 from ..models.runner import RunnerEntry
+from ..models.streams import make_origin
 from ..models.verdict import Verdict
 from ..observability import continuation_events as log
 from ..observability.event_log import log_event
@@ -127,6 +128,8 @@
         backup = self.finder.find_backup()
         if backup is None or backup.runner_id == runner.runner_id:
             return None
+        if not self.context.view.may_continue(make_origin(runner), backup):
+            return None
         return None if backup.runner_id in self._earlier_backup_ids else backup
 
     def begin_attempt(self, runner: RunnerEntry, attempt: Attempt) -> None:
--- a/mangoway/models/runner.py
+++ b/mangoway/models/runner.py
@@ -65,6 +65,11 @@
     """Start of the reporting incarnation, as in the entry."""
 
 
+def has_same_software(runner: RunnerEntry, other: RunnerEntry) -> bool:
+    """Return whether two runners state the same version of their software, or none."""
+    return runner.software_version == other.software_version
+
+
 def is_later_incarnation(started_ms: int, other_started_ms: int) -> bool:
     """Return whether a runner incarnation started after another one.
 
--- a/mangoway/policy/scheduling/backups.py
+++ b/mangoway/policy/scheduling/backups.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from ...models.runner import has_same_software
 from .backup_table import Backup
 from .events import GrantRequest
 from .requests import RequestKey, RunningRequest
@@ -135,7 +136,9 @@
     best: RunnerState | None = None
     best_cost = (False, 0.0)
     for runner in state.sample(holders, MAX_COMPARED_RUNNERS):
-        if runner is own or not _can_keep(state, running, runner, now):
+        if runner is own or not has_same_software(runner.entry, own.entry):
+            continue
+        if not _can_keep(state, running, runner, now):
             continue
         same = runner.entry.data_centre == own.entry.data_centre
         cost = (same, runner.count_kv_tokens())
--- a/mangoway/policy/scheduling/transfers.py
+++ b/mangoway/policy/scheduling/transfers.py
@@ -11,6 +11,7 @@
 from attrs import define, field
 
 from ...models.routing import EngineProfile
+from ...models.runner import has_same_software
 from .backups import expire_backup_at, expire_backups, use_backup
 from .events import TransferReason, TransferStream
 from .leaving import LeavingRunner
@@ -107,8 +108,9 @@
 
     state: SchedulingState
     now: float
-    _without: dict[tuple[str, str, str, str], int] = field(factory=dict, init=False)
-    """Memory for which no holder has room, by edge, service, model and adapter."""
+    _without: dict[tuple[str, ...], int] = field(factory=dict, init=False)
+    """Memory for which no holder has room, by edge, service, model, adapter and
+    software version of the source."""
 
     def find(self, running: RunningRequest, source: RunnerState) -> RunnerState | None:
         """Return the best runner where a stream can go on."""
@@ -119,6 +121,7 @@
             grant_request.service,
             grant_request.model,
             grant_request.adapter,
+            source.entry.software_version,
         )
         if running.kv_tokens >= self._without.get(wanted, math.inf):
             return None
@@ -217,7 +220,9 @@
     best_cost = (False, 0.0)
     for runner in state.sample(holders, MAX_COMPARED_RUNNERS):
         free = runner.count_free_slots(state.limit_scale)
-        if free <= spare_slots or not _can_take(state, running, runner, now):
+        if free <= spare_slots or not has_same_software(runner.entry, source.entry):
+            continue
+        if not _can_take(state, running, runner, now):
             continue
         # Traffic between data centres is billed.
         elsewhere = runner.entry.data_centre != source.entry.data_centre
--- a/tests/edge/continuation_world.py
+++ b/tests/edge/continuation_world.py
@@ -75,6 +75,12 @@
             )
         )
 
+    def set_versions(self, source: str, target: str) -> None:
+        """Let both runners state the versions of their software."""
+        for runner_id, version in (("r1", source), ("r2", target)):
+            entry = self.edge.view.runners[runner_id]
+            self.edge.view.update_runner(evolve(entry, software_version=version))
+
     def count_credits(self) -> int:
         """Return how many retry credits the service has used."""
         return self.edge.forwarder.retry_budgets.get("llm").repeats
--- a/tests/edge/test_backups.py
+++ b/tests/edge/test_backups.py
@@ -192,3 +192,26 @@
             assert "X-Kv-Backup" in world.source.streams[0]
             assert "Last-Event-Id: 3\r\n" in world.target.streams[0]
             assert "X-Kv-Backup" not in world.target.streams[0]
+
+
+class TestSoftwareVersions:
+    """Backups whose software differs from that of the stream's runner."""
+
+    async def test_backup_of_another_version_is_not_named(self) -> None:
+        """It would receive memory that its software can't continue."""
+        async with start_world(backup=True) as world:
+            world.set_versions("v1", "v2")
+            call = await world.async_begin()
+            crash(world)
+            assert not (await call).complete
+            assert "X-Kv-Backup" not in world.source.streams[0]
+            assert world.target.streams == []
+
+    async def test_backup_that_restarted_with_another_version_is_not_used(self) -> None:
+        async with start_world(backup=True) as world:
+            world.set_versions("v1", "v1")
+            call = await world.async_begin()
+            world.set_versions("v1", "v2")
+            crash(world)
+            assert not (await call).complete
+            assert world.target.streams == []
--- a/tests/edge/test_transfers.py
+++ b/tests/edge/test_transfers.py
@@ -144,6 +144,16 @@
             assert (await call).complete
             assert world.source.calls == []
 
+    async def test_target_of_another_software_version(self) -> None:
+        async with start_world() as world:
+            world.set_versions("v1", "v2")
+            call = await world.async_begin()
+            world.order()
+            assert world.edge.grant_provider.failed_transfers == ["r2"]
+            world.source.go_on.set()
+            assert (await call).complete
+            assert world.source.calls == []
+
     async def test_target_that_is_the_source(self) -> None:
         async with start_world() as world:
             call = await world.async_begin()
--- a/tests/policy/scheduling/test_backups.py
+++ b/tests/policy/scheduling/test_backups.py
@@ -59,6 +59,19 @@
         desk.drop("r1")
         assert grant(desk, make_live("s0")).backup_runner_id == "r2"
 
+    def test_runner_of_another_software_version_is_not_used(self) -> None:
+        desk = make_desk()
+        for name, version in (("r0", "v1"), ("r1", "v2"), ("r2", "v1")):
+            desk.entries[name] = evolve(desk.entries[name], software_version=version)
+        desk.update_fleet()
+        assert grant(desk, make_live("s0")).backup_runner_id == "r2"
+
+    def test_none_without_another_runner_of_the_software_version(self) -> None:
+        desk = make_desk()
+        desk.entries["r0"] = evolve(desk.entries["r0"], software_version="v1")
+        desk.update_fleet()
+        assert grant(desk, make_live("s0")).backup_runner_id == ""
+
     def test_only_holder_has_no_backup(self) -> None:
         desk = make_desk()
         desk.drop("r1")
--- a/tests/policy/scheduling/test_transfers.py
+++ b/tests/policy/scheduling/test_transfers.py
@@ -175,6 +175,29 @@
         assert order.target_runner_id in ("r1", "r2")
         assert order.reason is TransferReason.LEAVING
 
+    def test_stream_goes_to_a_runner_of_the_same_software_version(self) -> None:
+        desk = Desk()
+        for name, version in (("r0", "v1"), ("r1", "v2"), ("r2", "v1")):
+            desk.entries[name] = evolve(desk.entries[name], software_version=version)
+        desk.update_fleet()
+        desk.start_stream(make_live("s0", "a", OUTPUT_TOKENS))
+        assert [each.target_runner_id for each in desk.leave()] == ["r2"]
+        desk.drop("r2")
+        desk.start_stream(make_live("s1", "a", OUTPUT_TOKENS), "r1")
+        assert desk.leave("r1") == []
+
+    def test_sources_of_several_versions_are_searched_for_apart(self) -> None:
+        desk = Desk()
+        for name, version in (("r0", "v1"), ("r1", "v2"), ("r2", "v2")):
+            desk.entries[name] = evolve(desk.entries[name], software_version=version)
+        desk.update_fleet()
+        for number, name in enumerate(("r0", "r1")):
+            desk.start_stream(make_live(f"s{number}", "a", OUTPUT_TOKENS), name)
+        for name in ("r0", "r1"):
+            desk.leaving[name] = evolve(desk.entries.pop(name), draining=True)
+        orders = list_orders(desk.update_fleet())
+        assert [each.request_id for each in orders] == ["s1"]
+
     def test_two_at_a_time(self) -> None:
         """More copies at once would share the link of the runner."""
         desk, orders = start_leaving(5)
