Send streams that callers resume only to the software version that began them

Cause: the same as within one response, but here the edge that gets the request for the rest has never seen the stream; the field Resumes, which names the request that brought the first event, wasn't read.

Each edge now records the origin of its streams before their first event is delivered, by a digest of the customer and the request. A caller's stream is sent on only to the version that its origin states. An edge without a record asks the other edges by datagrams (the nearest 64 first, again after 60 ms, 0.25 s at most). Only while a service has, or within the life of a stream had, several versions, an edge sends the records of its streams to two others, one in each of two data centres if there are, so that they outlast it. Without a record a stream goes on if only one version can have begun it: the edge has watched all runners for the life of a stream, or one that has says so. Otherwise it is rejected at once as not run, with a retry time only if an edge has not answered. A relayed request names its origin too, and an edge that reaches no runner leaves the question to its peer.

Weighed: records at the leading scheduler (nobody knows after a leader and an edge are lost, nor without schedulers); two holders by the hash of each stream (each record is a datagram of its own, some 5 KB a second at 46 streams a second); the version from a hash of the request (wrong for all streams that began before the versions changed, and takes runners from the pool); the store (too few writes).

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -15,6 +15,7 @@
 from ..edge.crash_filter import CrashFilter
 from ..edge.forwarder import Forwarder
 from ..edge.pages import DirectoryPage, ReadyPage
+from ..edge.peer_datagrams import PeerDatagrams
 from ..edge.plain_grant_provider import PlainGrantProvider
 from ..edge.relay import PeerRelay
 from ..edge.responses import make_error_response
@@ -22,6 +23,7 @@
 from ..edge.runner_connector import RunnerConnector
 from ..edge.signal_tracker import SignalTracker
 from ..edge.startup import StartupCheck
+from ..edge.stream_origins import StreamOrigins
 from ..http1.client import ConnectionPool
 from ..http1.server import ServerOptions, async_listen
 from ..models.crash import RequestIdentity
@@ -107,6 +109,8 @@
     startup: StartupCheck = field(init=False)
     retry_budgets: RetryBudgets = field(init=False)
     signal_tracker: SignalTracker = field(init=False)
+    stream_origins: StreamOrigins = field(init=False)
+    datagrams: PeerDatagrams = field(init=False)
     disconnected_share: DisconnectedShare = field(factory=DisconnectedShare, init=False)
     forwarder: Forwarder = field(init=False)
     callers: ServerOptions = field(init=False)
@@ -122,8 +126,12 @@
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
+        peer_address = settings.datagram_listen or settings.caller_listen
         self.process = FleetProcess(
-            settings, Role.EDGE, caller_address=settings.caller_listen
+            settings,
+            Role.EDGE,
+            peer_address=peer_address,
+            caller_address=settings.caller_listen,
         )
         self.client = self._make_client()
         self.signal_tracker = self._make_signal_tracker()
@@ -154,6 +162,16 @@
             has_scheduler_state=lambda: self.process.leader_link.has_current_state,
             clock=self.process.clock,
         )
+        self.stream_origins = StreamOrigins(
+            incarnation=self.process.incarnation,
+            data_centre=settings.data_centre,
+            view=self.process.view,
+            metrics=self.process.metrics,
+            clock=self.process.clock,
+            measure_age=self.process.mirror.measure_certain_age,
+        )
+        self.datagrams = PeerDatagrams(self.stream_origins.handle_datagram)
+        self.stream_origins.send = self.datagrams.send
         self.forwarder = self._make_forwarder()
         self.callers = ServerOptions(
             handle=self.forwarder.async_handle,
@@ -162,7 +180,10 @@
             on_error=_log_error,
             memory=make_response_memory(self.process.metrics),
         )
-        self.process.view.on_change.append(self._handle_view_change)
+        self.process.view.on_change += [
+            self._handle_view_change,
+            self.stream_origins.handle_view_change,
+        ]
 
     async def async_start(self) -> None:
         """Open the listeners and follow the store and the scheduler.
@@ -183,6 +204,9 @@
             )
             self.pages.append(options)
             self._servers.append(await async_listen(options, open_address(address)))
+        await self.datagrams.async_listen(
+            settings.datagram_listen or settings.caller_listen
+        )
         listener = open_address(settings.caller_listen)
         self._servers.insert(0, await async_listen(self.callers, listener))
         addresses = (
@@ -221,6 +245,7 @@
         for server in self._servers:
             server.close()
         self.callers.abort()
+        self.datagrams.close()
         await self.process.async_stop()
         seconds = round(self.process.clock() - began_at, 3)
         log_event(log.NodeStopped(in_progress=unfinished, after_s=seconds))
@@ -324,6 +349,7 @@
             ),
             crash_filter=crash_filter,
             signal_tracker=self.signal_tracker,
+            stream_origins=self.stream_origins,
             random=self._random,
             start_task=process.tasks.async_start,
             uses_backups=self.settings.stream_backups,
@@ -391,6 +417,7 @@
             self.forwarder.transfers.client.pool.sweep(self.process.clock())
             self.forwarder.plain_grant_provider.forget_removed_runners()
             self.signal_tracker.keep_only(set(self.process.view.runners))
+            self.stream_origins.update()
 
     async def _async_update_shares(self) -> None:
         """Update this edge's shares of fleet-wide limits from the announced edges."""
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -13,18 +13,23 @@
 from ..http1.messages import Request
 from ..http1.server import Exchange
 from ..models.crash import RequestIdentity
-from ..models.routing import Route, ServiceProfile, TrafficShare
+from ..models.routing import Route, RouteKind, ServiceProfile, TrafficShare
 from ..observability.metrics import Metrics
 from ..platform.requests import RequestFields, decode_request
 from ..platform.transfers import RunnerTransfers
-from ..policy.edge.const import RETRY_AFTER_START_S
+from ..policy.edge.const import RETRY_AFTER_ORIGIN_S, RETRY_AFTER_START_S
+from ..policy.edge.origin_search import FoundOrigin
 from ..scheduling.grant_provider import GrantProvider
-from .admission import Admission, Rejection
-from .const import DEFAULT_DRAIN_S, RETRY_AFTER_OUTDATED_STATE_S
+from .admission import Admission, Caller, Rejection
+from .const import (
+    DEFAULT_DRAIN_S,
+    RETRY_AFTER_OUTDATED_STATE_S,
+    UNKNOWN_ORIGIN_REASON,
+)
 from .crash_detector import CrashDetector
 from .crash_filter import CrashFilter
 from .delivery import Delivery
-from .identity import identify_request
+from .identity import identify_request, identify_stream
 from .plain_grant_provider import PlainGrantProvider
 from .relay import PeerRelay, take_relay_mark
 from .request_handler import RequestHandler
@@ -33,6 +38,7 @@
 from .retry_budgets import RetryBudgets
 from .runner_connector import RunnerConnector
 from .signal_tracker import SignalTracker
+from .stream_origins import StreamOrigins
 
 NO_CONFIGURATION = Rejection(
     status=STATUS_NOT_RUN,
@@ -44,6 +50,14 @@
     reason="no such route in a configuration that may not be the newest",
     retry_after_s=RETRY_AFTER_OUTDATED_STATE_S,
 )
+UNKNOWN_ORIGIN = Rejection(
+    status=STATUS_NOT_RUN, reason=UNKNOWN_ORIGIN_REASON, retry_after_s=None
+)
+LATE_ORIGIN = Rejection(
+    status=STATUS_NOT_RUN,
+    reason=UNKNOWN_ORIGIN_REASON,
+    retry_after_s=RETRY_AFTER_ORIGIN_S,
+)
 NO_ROUTE = Rejection(status=STATUS_NO_ROUTE, reason="no such route", retry_after_s=None)
 
 
@@ -69,6 +83,7 @@
     crash_detector: CrashDetector
     crash_filter: CrashFilter
     signal_tracker: SignalTracker
+    stream_origins: StreamOrigins
     random: Random
     start_task: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"]
     transfers: RunnerTransfers = field(factory=RunnerTransfers)
@@ -106,7 +121,12 @@
             _reject(delivery, request_log, caller)
             return
         request_log.customer = caller.name
-        service = self._choose_service(route, table.services)
+        found: FoundOrigin | None = None
+        if fields.last_event_id and route.kind is RouteKind.STREAMING:
+            found = await self._async_find_origin(request_log, route, caller)
+            if found is None and not self.connector.reach.is_lost:
+                return
+        service = self._choose_service(route, table.services, found)
         handler = RequestHandler(
             self,
             request_log,
@@ -118,13 +138,41 @@
             delivery,
             protects_streams=table.protects_streams(service.name),
             relay_mark=relay_mark,
+            resumed=found,
         )
         await handler.async_run()
 
+    async def _async_find_origin(
+        self, request_log: RequestLog, route: Route, caller: Caller
+    ) -> FoundOrigin | None:
+        """Find the origin of a stream that the caller resumes.
+
+        Returns:
+            The origin; None if it is unknown. The request is then rejected, unless this
+            host reaches no runner, so that a peer handles the request.
+        """
+        services = tuple(each.service for each in route.shares)
+        digest = identify_stream(caller.name, request_log.fields.origin_id)
+        found = await self.stream_origins.async_find(digest, services)
+        if isinstance(found, FoundOrigin):
+            return found
+        if not self.connector.reach.is_lost:
+            request_log.log_unknown_origin(services[0], found.unanswered)
+            rejection = LATE_ORIGIN if found.unanswered else UNKNOWN_ORIGIN
+            _reject(request_log.delivery, request_log, rejection)
+        return None
+
     def _choose_service(
-        self, route: Route, services: dict[str, ServiceProfile]
+        self,
+        route: Route,
+        services: dict[str, ServiceProfile],
+        found: FoundOrigin | None,
     ) -> ServiceProfile:
+        """Return the service of a request; that of its first event if it has one."""
         shares = route.shares
+        if found is not None:
+            began = [each for each in shares if each.service == found.origin.service]
+            shares = tuple(began) or shares
         name = (
             _choose_service_name(shares, self.random)
             if len(shares) > 1
--- a/mangoway/edge/identity.py
+++ b/mangoway/edge/identity.py
@@ -15,6 +15,10 @@
 can't be forged. Short digests matter because each request that a crash interrupts is
 reported to all hosts."""
 
+STREAM_BYTES: Final = 8
+"""Length of the digest of a stream, which takes 11 characters as text. Hosts keep
+thousands of them for a minute."""
+
 CREDENTIALS: Final = b"authorization"
 
 SharedProperties = Callable[[RequestFields], Iterable[str]]
@@ -65,10 +69,20 @@
     )
 
 
-def _digest(*values: bytes) -> str:
-    hasher = blake2b(digest_size=DIGEST_BYTES)
+def identify_stream(customer: str | None, origin_id: str) -> str:
+    """Return the digest of a stream, which no other customer's request can name.
+
+    Args:
+        customer: Name of the customer; None if it is unknown.
+        origin_id: ID of the request that brought the first event.
+    """
+    return _digest((customer or "").encode(), origin_id.encode(), size=STREAM_BYTES)
+
+
+def _digest(*values: bytes, size: int = DIGEST_BYTES) -> str:
+    hasher = blake2b(digest_size=size)
     for value in values:
         # The length marks the boundary between two values.
         hasher.update(b"%d:" % len(value))
         hasher.update(value)
-    return urlsafe_b64encode(hasher.digest()).decode()
+    return urlsafe_b64encode(hasher.digest()).decode().rstrip("=")
--- /dev/null
+++ b/mangoway/edge/peer_datagrams.py
@@ -0,0 +1,52 @@
+"""Datagrams between edges."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from ..util.address import split_address
+
+
+@define(eq=False)
+class PeerDatagrams(asyncio.DatagramProtocol):
+    """A socket for datagrams to and from other edges."""
+
+    handle: Callable[[bytes, str], None]
+    """Called with each datagram and the address of its sender."""
+
+    _transport: asyncio.DatagramTransport | None = field(default=None, init=False)
+
+    async def async_listen(self, address: str) -> None:
+        """Listen on an address.
+
+        Raises:
+            OSError: If the address can't be used.
+        """
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=split_address(address)
+        )
+
+    def connection_made(self, transport: Any) -> None:
+        """Store the socket."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Pass a datagram on."""
+        host = f"[{addr[0]}]" if ":" in addr[0] else addr[0]
+        self.handle(data, f"{host}:{addr[1]}")
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a peer does not listen; its answer will be missed."""
+
+    def send(self, data: bytes, address: str) -> None:
+        """Send a datagram, unless the socket is closed."""
+        if self._transport is not None:
+            self._transport.sendto(data, split_address(address))
+
+    def close(self) -> None:
+        """Close the socket."""
+        transport, self._transport = self._transport, None
+        if transport is not None:
+            transport.close()
--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -124,6 +124,7 @@
                 self.request,
                 time_left_s=self.deadline - self.relay.clock(),
                 last_event_id=self.delivery.last_event_id,
+                resumes=self._choose_resumed(),
                 mark=(RELAY_FIELD, mark.value),
             ),
             request_id=self.fields.request_id,
@@ -140,6 +141,11 @@
         )
         return await attempt.async_run()
 
+    def _choose_resumed(self) -> str:
+        """Return the ID of the request that brought the first event; empty if none."""
+        has_events = self.fields.last_event_id or self.delivery.last_event_id
+        return self.fields.origin_id if has_events else ""
+
     async def _async_open(self, peer: Member) -> Connection:
         now = self.relay.clock()
         idle = self.relay.pool.acquire(
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -21,6 +21,7 @@
     RETRY_AFTER_BUDGET_S,
     RETRY_AFTER_OUTAGE_S,
 )
+from ..policy.edge.origin_search import FoundOrigin
 from ..policy.edge.retries import FailedAttempt, RetryCause, RetryDecision, decide_retry
 from ..policy.scheduling.events import EndKind, Reject
 from .admission import Admission, Caller, Rejection
@@ -46,6 +47,7 @@
 from .crash_detector import InterruptedRequest
 from .delivery import Delivery
 from .final_response import FinalResponse
+from .identity import identify_stream
 from .relay import PeerRelay, RelayMark, RequestRelay
 from .request_log import RequestLog
 from .responses import (
@@ -56,6 +58,7 @@
 )
 from .runner_connector import RunnerConnector
 from .runner_finder import RunnerFinder
+from .stream_origins import OWN_RECORD, StreamOrigins
 
 
 class HandlerContext(ContinuationContext, Protocol):
@@ -65,6 +68,7 @@
     pool: ConnectionPool
     connector: RunnerConnector
     relay: PeerRelay
+    stream_origins: StreamOrigins
 
 
 @define(eq=False)
@@ -85,6 +89,10 @@
     relay_mark: RelayMark | None = None
     """Mark of a request that another edge sent; None for one of a caller."""
 
+    resumed: FoundOrigin | None = None
+    """Origin of a stream that the caller resumes; None if it is unknown, or for a new
+    stream."""
+
     _finder: RunnerFinder = field(init=False)
     _continuation: StreamContinuation | None = field(default=None, init=False)
     """How the stream continues elsewhere; None if it does not."""
@@ -105,6 +113,9 @@
     _first_event_at: float | None = field(default=None, init=False)
     """When the first event of the current attempt arrived."""
 
+    _stream_digest: str = field(default="", init=False)
+    """Digest of the stream once its origin is recorded."""
+
     _response: FinalResponse = field(init=False)
     _clock: Callable[[], float] = field(init=False)
     _deadline: float = field(init=False)
@@ -126,6 +137,8 @@
             deadline=self._deadline,
             is_counted=self.relay_mark is RelayMark.COUNTED,
         )
+        if self.resumed is not None:
+            self._finder.origin = self.resumed.origin
         self._response = FinalResponse(
             self.log, self.delivery, self._finder, self.relay_mark is not None
         )
@@ -166,6 +179,8 @@
                 self._continuation.close()
             self._finder.release_grant(EndKind.FAILED)
             self._finder.release_reserved()
+            if self.delivery.finished and self._stream_digest:
+                self.context.stream_origins.end(self._stream_digest)
             self.context.crash_filter.probes.end(self.log.identity)
 
     async def _async_try_runners(self) -> None:
@@ -210,6 +225,9 @@
         """Return whether no runner can be reached from this host for the request."""
         if self._unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
             return True
+        if self.fields.last_event_id and self.resumed is None:
+            # A peer may know where the stream began.
+            return self.route.kind is RouteKind.STREAMING
         return self.context.connector.reach.is_lost
 
     async def _async_relay(self) -> None:
@@ -267,7 +285,7 @@
         self.context.plain_grant_provider.in_flight.add(runner.runner_id)
         self._in_attempt = True
         self._first_event_at = None
-        self.log.log_resumed(runner, self._finder.origin)
+        self._log_resumed(runner)
         self._finder.measure_events()
         self.context.signal_tracker.record_sent(runner)
         try:
@@ -275,6 +293,10 @@
         finally:
             self.context.plain_grant_provider.in_flight.remove(runner.runner_id)
 
+    def _log_resumed(self, runner: RunnerEntry) -> None:
+        told_by = OWN_RECORD if self.resumed is None else self.resumed.told_by
+        self.log.log_resumed(runner, self._finder.origin, told_by)
+
     def _make_attempt(self, runner: RunnerEntry, run: ContinuedRun | None) -> Attempt:
         continuation, sent_at = self._continuation, self._sent_at
         backup_address = ""
@@ -391,11 +413,21 @@
 
     def _handle_first_event(self, run: ContinuedRun | None) -> None:
         self._first_event_at = self._clock()
-        if self._finder.origin is None and self._runner is not None:
-            self._finder.origin = make_origin(self._runner)
+        if not self._stream_digest and self._runner is not None:
+            self._record_origin(self._runner)
         if run is None:
             self._finder.handle_first_event()
 
+    def _record_origin(self, runner: RunnerEntry) -> None:
+        """Record what wrote the first event, before the caller receives it."""
+        origin = self._finder.origin
+        if origin is None:
+            origin = self._finder.origin = make_origin(runner)
+        if not self.fields.origin_id:
+            return
+        self._stream_digest = identify_stream(self.caller.name, self.fields.origin_id)
+        self.context.stream_origins.record(self._stream_digest, origin, self.route)
+
     def _handle_head(
         self, runner: RunnerEntry, head: ResponseHead, sent_at: float
     ) -> None:
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -162,14 +162,17 @@
             )
         )
 
-    def log_resumed(self, runner: RunnerEntry, origin: StreamOrigin | None) -> None:
+    def log_resumed(
+        self, runner: RunnerEntry, origin: StreamOrigin | None, told_by: str
+    ) -> None:
         """Log that a stream goes on at a runner, if its caller has a part of it.
 
         Args:
             runner: The runner that receives the request.
             origin: What wrote the first event of the stream; None if it is unknown.
+            told_by: Who stated the origin, as in `FoundOrigin`.
         """
-        by_caller = self.fields.last_event_id is not None
+        by_caller = bool(self.fields.last_event_id)
         if not (self.delivery.events or by_caller):
             return
         resumed_by = "edge" if self.delivery.events else "caller"
@@ -182,11 +185,28 @@
         log_event(
             log.StreamResumed(
                 request_id=self.fields.request_id,
-                origin_id=self.fields.resumes or self.fields.request_id,
+                origin_id=self.fields.origin_id,
                 resumed_by=resumed_by,
                 runner_id=runner.runner_id,
                 origin_version=origin_version,
                 version=version,
+                told_by=told_by,
+            )
+        )
+
+    def log_unknown_origin(self, service: str, unanswered: int) -> None:
+        """Log that a stream is not resumed, since its origin is unknown.
+
+        Args:
+            service: Service of the request.
+            unanswered: Edges that were asked for the origin and have not answered.
+        """
+        self.metrics.unknown_origins.add(service)
+        log_event(
+            log.StreamOriginUnknown(
+                request_id=self.fields.request_id,
+                origin_id=self.fields.resumes,
+                unanswered=unanswered,
             )
         )
 
--- /dev/null
+++ b/mangoway/edge/stream_origins.py
@@ -0,0 +1,303 @@
+"""What the edges of a fleet know about the origins of streams.
+
+A caller that has lost its edge resumes its stream at any other one. While a service has
+runners of several software versions, an edge therefore sends the origins of its streams
+to two others. Streams whose record was lost with all its holders are not sent on.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from itertools import count
+from typing import Final
+
+from attrs import define, field
+
+from ..coordination.view import FleetView
+from ..models.fleet import Member
+from ..models.routing import Route, RouteKind
+from ..models.streams import StreamOrigin
+from ..observability import fleet_events as log
+from ..observability.event_log import log_event
+from ..observability.metrics import Metrics
+from ..policy.edge.const import (
+    MAX_FIRST_PEERS,
+    ORIGIN_QUERY_INTERVAL_S,
+    ORIGIN_QUERY_TIMEOUT_S,
+    RECORDS_DELAY_S,
+    RETENTION_TIMEOUTS,
+)
+from ..policy.edge.origin_search import (
+    FoundOrigin,
+    OriginAnswer,
+    OriginSearch,
+    UnknownOrigin,
+)
+from ..policy.edge.software_versions import VersionEvidence, VersionHistory
+from ..policy.edge.stream_records import StreamRecords, choose_holders
+from .origin_codec import (
+    AnswerMessage,
+    DatagramError,
+    QueryMessage,
+    RecordsMessage,
+    decode_message,
+    encode_answer,
+    encode_query,
+    encode_records,
+)
+
+DEFAULT_RETENTION_S: Final = 60.0
+"""Time for which records are kept while no configuration states timeouts."""
+
+OWN_RECORD: Final = "own"
+"""Who stated an origin of which this host has a record."""
+
+MAX_CURRENT_AGE_S: Final = 1.0
+"""Age of a host's state up to which it has seen all runners that callers may have met:
+a runner gets its first streams some time after its entry was written."""
+
+
+@define(eq=False, kw_only=True)
+class StreamOrigins:
+    """The origins of streams, as an edge and its peers know them."""
+
+    incarnation: str
+    data_centre: str
+    view: FleetView
+    metrics: Metrics
+    clock: Callable[[], float]
+    measure_age: Callable[[], float] = lambda: 0.0
+    """Returns for how many seconds the state of the runners may be outdated."""
+
+    send: Callable[[bytes, str], None] = lambda data, address: None
+    """Sends a datagram to the address of a peer."""
+
+    records: StreamRecords = field(factory=StreamRecords, init=False)
+    history: VersionHistory = field(factory=VersionHistory, init=False)
+    _is_outdated: bool = field(default=True, init=False)
+    """Whether the history lacks the latest change of the runners."""
+
+    _pending: dict[str, StreamOrigin] = field(factory=dict, init=False)
+    """Own streams of which the holders have not been told yet."""
+
+    _mixed: frozenset[str] = field(default=frozenset(), init=False)
+    """Services whose runners have had several versions recently."""
+
+    _holders: tuple[Member, ...] = field(default=(), init=False)
+    _flush: asyncio.TimerHandle | None = field(default=None, init=False)
+    _searches: dict[int, tuple[OriginSearch, "asyncio.Future[None]"]] = field(
+        factory=dict, init=False
+    )
+    _numbers: "count[int]" = field(factory=count, init=False)
+
+    def handle_view_change(self) -> None:
+        """Record that the runners may have changed."""
+        self._is_outdated = True
+
+    def record(self, digest: str, origin: StreamOrigin, route: Route) -> None:
+        """Record the origin of a stream whose first event is about to be delivered.
+
+        Args:
+            digest: Digest of the stream.
+            origin: What wrote the event.
+            route: Route of the stream.
+        """
+        self.records.add(digest, origin, self.clock(), is_own=True)
+        if route.resumable and (origin.service in self._mixed or len(route.shares) > 1):
+            self._post(digest, origin)
+
+    def end(self, digest: str) -> None:
+        """Tell no peer of a stream that its caller has received completely."""
+        self._pending.pop(digest, None)
+
+    async def async_find(
+        self, digest: str, services: tuple[str, ...]
+    ) -> FoundOrigin | UnknownOrigin:
+        """Return the origin of a stream that a caller resumes.
+
+        Args:
+            digest: Digest of the stream.
+            services: Services that may have begun it.
+        """
+        own = self._answer(digest, services)
+        if own.origin is not None:
+            return FoundOrigin(origin=own.origin, told_by=OWN_RECORD)
+        search = OriginSearch(own.evidence, is_current=self._is_current())
+        peers = self._list_peers()
+        search.ask(each.peer_address for each in peers)
+        result = search.get_result()
+        if result is None:
+            result = await self._async_search(
+                search,
+                peers,
+                QueryMessage(
+                    number=next(self._numbers), digest=digest, services=services
+                ),
+            )
+        if isinstance(result, FoundOrigin):
+            self.records.add(digest, result.origin, self.clock(), is_own=False)
+        return result
+
+    def handle_datagram(self, data: bytes, sender: str) -> None:
+        """Handle a datagram of a peer.
+
+        Args:
+            data: The datagram.
+            sender: Address of the peer.
+        """
+        try:
+            message = decode_message(data)
+        except DatagramError as error:
+            log_event(log.HandlerFailed(error=repr(error)))
+            return
+        if isinstance(message, RecordsMessage):
+            self._store(message)
+        elif isinstance(message, QueryMessage):
+            answer = self._answer(message.digest, message.services)
+            self.send(encode_answer(AnswerMessage(message.number, answer)), sender)
+        else:
+            self._handle_answer(message, sender)
+
+    def update(self) -> None:
+        """Update what changes with time: versions, holders and old records."""
+        now = self.clock()
+        self._update_history()
+        past = now - self._get_retention_s()
+        self.records.forget(past)
+        self.history.forget(past)
+        self._update_mixed(past)
+        if self._mixed:
+            self._update_holders()
+
+    def _store(self, message: RecordsMessage) -> None:
+        now = self.clock()
+        for origin, digests in message.rows:
+            for digest in digests:
+                self.records.add(digest, origin, now, is_own=False)
+
+    def _answer(self, digest: str, services: tuple[str, ...]) -> OriginAnswer:
+        """Return what this host knows about a stream."""
+        if self._is_outdated or not self._is_current():
+            self._update_history()
+        since = self.clock() - self._get_retention_s()
+        evidence = VersionEvidence(
+            versions=frozenset(self.history.list_recent(services, since)),
+            is_certain=self._is_current() and self.history.covers(since),
+        )
+        return OriginAnswer(origin=self.records.find(digest), evidence=evidence)
+
+    def _handle_answer(self, message: AnswerMessage, sender: str) -> None:
+        found = self._searches.get(message.number)
+        if found is None:
+            return
+        search, changed = found
+        search.handle_answer(sender, message.answer)
+        if search.get_result() is not None and not changed.done():
+            changed.set_result(None)
+
+    async def _async_search(
+        self, search: OriginSearch, peers: list[Member], query: QueryMessage
+    ) -> FoundOrigin | UnknownOrigin:
+        """Ask peers, the nearest first, until the result is certain or time is up."""
+        answered = asyncio.get_running_loop().create_future()
+        self._searches[query.number] = search, answered
+        data = encode_query(query)
+        asked = {each.peer_address for each in peers[:MAX_FIRST_PEERS]}
+        try:
+            async with asyncio.timeout(ORIGIN_QUERY_TIMEOUT_S):
+                while not answered.done():
+                    for address in asked & set(search.list_unanswered()):
+                        self.send(data, address)
+                    await asyncio.wait([answered], timeout=ORIGIN_QUERY_INTERVAL_S)
+                    asked = {each.peer_address for each in peers}
+        except TimeoutError:
+            pass
+        finally:
+            del self._searches[query.number]
+        return search.end()
+
+    def _is_current(self) -> bool:
+        return self.measure_age() <= MAX_CURRENT_AGE_S
+
+    def _update_history(self) -> None:
+        self._is_outdated = False
+        if self.view.table is not None:
+            self.history.update(
+                self.view.runners.values(), self.clock(), is_current=self._is_current()
+            )
+
+    def _update_mixed(self, since: float) -> None:
+        """Update the services with several versions, and tell of their streams."""
+        counts = self.history.count_versions(since)
+        for service, number in counts.items():
+            self.metrics.service_versions.set(service, level=number)
+        mixed = frozenset(each for each, number in counts.items() if number > 1)
+        begun, self._mixed = mixed - self._mixed, mixed
+        for digest in self.records.iterate_own(begun):
+            self._post_known(digest)
+
+    def _update_holders(self) -> None:
+        """Choose the holders, and tell new ones of all streams."""
+        peers = self._list_peers()
+        holders = choose_holders(self.incarnation, self.data_centre, peers)
+        known = {each.incarnation for each in self._holders}
+        added = [each for each in holders if each.incarnation not in known]
+        self._holders = holders
+        if added:
+            digests = self.records.iterate_own(self._mixed)
+            pairs = ((each, self.records.find(each)) for each in digests)
+            self._send_records(
+                [(digest, origin) for digest, origin in pairs if origin is not None],
+                added,
+            )
+
+    def _post_known(self, digest: str) -> None:
+        origin = self.records.find(digest)
+        if origin is not None:
+            self._post(digest, origin)
+
+    def _post(self, digest: str, origin: StreamOrigin) -> None:
+        self._pending[digest] = origin
+        if self._flush is None:
+            loop = asyncio.get_running_loop()
+            self._flush = loop.call_later(RECORDS_DELAY_S, self._send_pending)
+
+    def _send_pending(self) -> None:
+        self._flush = None
+        pending, self._pending = self._pending, {}
+        if not self._holders:
+            self._update_holders()
+        self._send_records(list(pending.items()), self._holders)
+
+    def _send_records(
+        self, pairs: list[tuple[str, StreamOrigin]], holders: Iterable[Member]
+    ) -> None:
+        datagrams = encode_records(pairs)
+        for each in holders:
+            for data in datagrams:
+                self.send(data, each.peer_address)
+                self.metrics.origin_bytes.add(amount=len(data))
+
+    def _list_peers(self) -> list[Member]:
+        """Return the other edges, those of the own data centre first."""
+        peers = [
+            each
+            for each in self.view.list_reachable_edges()
+            if each.incarnation != self.incarnation and each.peer_address
+        ]
+        peers.sort(key=lambda each: each.data_centre != self.data_centre)
+        return peers
+
+    def _get_retention_s(self) -> float:
+        """Return the time for which a stream may be resumed after it has begun."""
+        table = self.view.table
+        if table is None:
+            return DEFAULT_RETENTION_S
+        longest_s = max(
+            (
+                each.timeout_s
+                for each in table.routes
+                if each.kind is RouteKind.STREAMING
+            ),
+            default=0.0,
+        )
+        return RETENTION_TIMEOUTS * longest_s
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -232,6 +232,22 @@
     version: str
     """Software version of this runner; empty if it states none."""
 
+    told_by: str
+    """Who has a record of the first event: "own", or the address of another edge. Empty
+    if only one version could have written it."""
+
+
+@numbered(260, LogLevel.WARNING)
+class StreamOriginUnknown:
+    """A stream is not resumed, since no edge knows what software version began it."""
+
+    request_id: str
+    origin_id: str
+    """ID of the request that brought the first event, as the caller states it."""
+
+    unanswered: int
+    """Edges that were asked and have not answered."""
+
 
 # 3xx: runners.
 
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -301,6 +301,21 @@
             "first event (same, other, unknown).",
             ("service", "resumed_by", "version"),
         )
+        self.service_versions = self._gauge(
+            "mangoway_edge_service_versions",
+            "Software versions that the runners of a service have had recently.",
+            ("service",),
+        )
+        self.unknown_origins = self._counter(
+            "mangoway_edge_unknown_origins_total",
+            "Streams that an edge did not resume since no host knows the software "
+            "version that began them, by service.",
+            ("service",),
+        )
+        self.origin_bytes = self._counter(
+            "mangoway_edge_origin_bytes_total",
+            "Bytes of the records of streams that an edge sent to others.",
+        )
         self.relayed_requests = self._counter(
             "mangoway_edge_relayed_requests_total",
             "Requests that an edge sent through a peer, by outcome.",
--- a/mangoway/platform/requests.py
+++ b/mangoway/platform/requests.py
@@ -33,6 +33,11 @@
     has_usage: bool = False
     """Whether the request contains a valid token usage."""
 
+    @property
+    def origin_id(self) -> str:
+        """Return the ID of the request that brings or brought the first event."""
+        return self.resumes if self.last_event_id else self.request_id
+
     @property
     def artifact(self) -> str:
         """Return the model, or `model/adapter` if there is an adapter."""
@@ -128,6 +133,7 @@
     *,
     time_left_s: float,
     last_event_id: str | None,
+    resumes: str,
     mark: tuple[bytes, bytes],
 ) -> Request:
     """Return the request to send to a peer, which handles it like a caller's.
@@ -137,17 +143,22 @@
         time_left_s: Time for which the caller still waits.
         last_event_id: ID of the event after which a stream resumes; None to keep the
             caller's value.
+        resumes: ID of the request that brought the first event; empty if there is none.
         mark: Header field by which the peer recognizes it.
     """
     replaced = {names.DEADLINE, b"content-length", b"expect"}
     if last_event_id is not None:
         replaced.add(names.LAST_EVENT)
+    if resumes:
+        replaced.add(names.RESUMES)
     fields = list(drop_headers(list_end_to_end(request.headers), replaced))
     fields.append((b"Content-Length", b"%d" % len(request.body)))
     time_left_ms = max(1, int(time_left_s * MS_PER_S))
     fields.append((b"X-Deadline-Ms", b"%d" % time_left_ms))
     if last_event_id is not None:
         fields.append((b"Last-Event-Id", last_event_id.encode()))
+    if resumes:
+        fields.append((b"Resumes", resumes.encode()))
     fields.append(mark)
     return Request(
         method=request.method,
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -83,3 +83,26 @@
 RETRY_AFTER_UNREACHABLE_S: Final = 0.5
 """Retry-after time if neither this host nor a peer reaches a runner: a host that is
 connected again notices it sooner."""
+
+RETENTION_TIMEOUTS: Final = 2.0
+"""Time for which the origin of a stream is kept, in timeouts of the longest route: a
+caller may resume a stream until its time is over, and starts with one request."""
+
+RECORDS_DELAY_S: Final = 0.1
+"""Time for which the origins of streams are collected for one datagram. A stream that
+loses its host sooner can't be resumed."""
+
+MAX_FIRST_PEERS: Final = 64
+"""Peers that are asked for the origin of a stream at first: most callers resume their
+streams in the same data centre."""
+
+ORIGIN_QUERY_INTERVAL_S: Final = 0.06
+"""Time after which peers that have not answered are asked again, and all others too.
+Datagrams are lost now and then."""
+
+ORIGIN_QUERY_TIMEOUT_S: Final = 0.25
+"""Time limit of the search for the origin of a stream. Hosts that have just been lost
+don't answer, and callers wait for two seconds at most."""
+
+RETRY_AFTER_ORIGIN_S: Final = 0.3
+"""Retry-after time of a stream whose origin was not found, as peers did not answer."""
--- /dev/null
+++ b/mangoway/policy/edge/origin_search.py
@@ -0,0 +1,104 @@
+"""Decides what is known about the origin of a stream that a caller resumes."""
+
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from ...models.streams import StreamOrigin
+from .software_versions import ServiceVersion, VersionEvidence
+
+
+@frozen(kw_only=True)
+class OriginAnswer:
+    """What a peer knows about a stream."""
+
+    origin: StreamOrigin | None
+    """None if it has no record of the stream."""
+
+    evidence: VersionEvidence
+
+
+@frozen(kw_only=True)
+class FoundOrigin:
+    """The origin of a stream, and who stated it."""
+
+    origin: StreamOrigin
+    told_by: str
+    """Who has a record: "own" or the address of a peer; empty if there is only one
+    version."""
+
+
+@frozen(kw_only=True)
+class UnknownOrigin:
+    """The origin of a stream can't be known, so that it must not go on."""
+
+    unanswered: int
+    """Peers that have not answered, and may have a record."""
+
+
+@define(eq=False)
+class OriginSearch:
+    """The search for the origin of one stream.
+
+    A record states it. Without one it follows if only one version can have begun the
+    stream: no host has seen another one within the life of a stream. A host that has
+    just started, or whose state is old, may have missed one, and asks others.
+    """
+
+    own: VersionEvidence
+    is_current: bool
+    """Whether this host's state of the runners is current."""
+
+    _unanswered: set[str] = field(factory=set, init=False)
+    _answered: int = field(default=0, init=False)
+    _versions: set[ServiceVersion] = field(init=False)
+    _is_certain: bool = field(init=False)
+    _found: FoundOrigin | None = field(default=None, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._versions = set(self.own.versions)
+        self._is_certain = self.own.is_certain
+
+    def ask(self, peers: Iterable[str]) -> None:
+        """Record the peers that are asked, by address."""
+        self._unanswered.update(peers)
+
+    def list_unanswered(self) -> list[str]:
+        """Return the peers that have not answered yet."""
+        return sorted(self._unanswered)
+
+    def handle_answer(self, peer: str, answer: OriginAnswer) -> None:
+        """Record the answer of a peer."""
+        if peer not in self._unanswered:
+            return
+        self._unanswered.remove(peer)
+        self._answered += 1
+        self._versions |= answer.evidence.versions
+        self._is_certain |= answer.evidence.is_certain
+        if answer.origin is not None:
+            self._found = FoundOrigin(origin=answer.origin, told_by=peer)
+
+    def get_result(self) -> FoundOrigin | UnknownOrigin | None:
+        """Return the result; None if an answer may still change it."""
+        if self._found is not None:
+            return self._found
+        if len(self._versions) <= 1 and self._is_certain:
+            return self._get_only_origin()
+        return None if self._unanswered else self.end()
+
+    def end(self) -> FoundOrigin | UnknownOrigin:
+        """Return the result without any further answers."""
+        if self._found is not None:
+            return self._found
+        has_asked_nobody = not (self._unanswered or self._answered)
+        is_trusted = self._is_certain or self.is_current or self._answered > 0
+        if len(self._versions) == 1 and (is_trusted or has_asked_nobody):
+            return self._get_only_origin()
+        return UnknownOrigin(unanswered=len(self._unanswered))
+
+    def _get_only_origin(self) -> FoundOrigin | UnknownOrigin:
+        if not self._versions:
+            return UnknownOrigin(unanswered=len(self._unanswered))
+        [(service, version)] = self._versions
+        origin = StreamOrigin(service=service, software_version=version, runner_id="")
+        return FoundOrigin(origin=origin, told_by="")
--- a/mangoway/settings/fleet.py
+++ b/mangoway/settings/fleet.py
@@ -141,6 +141,12 @@
     ready_listen: str = setting(
         parse_address, "IP address and port to serve the readiness of this edge on."
     )
+    datagram_listen: str | None = setting(
+        parse_address,
+        "IP address and UDP port for datagrams of other edges; that of --caller-listen "
+        "if not given.",
+        None,
+    )
 
 
 @frozen(kw_only=True)
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -19,6 +19,7 @@
 from mangoway.edge.retry_budgets import RetryBudgets
 from mangoway.edge.runner_connector import RunnerConnector
 from mangoway.edge.signal_tracker import SignalTracker
+from mangoway.edge.stream_origins import StreamOrigins
 from mangoway.http1.client import ConnectionPool
 from mangoway.http1.server import ServerOptions, async_listen
 from mangoway.models.routing import CallerLimits, Route, RouteKind
@@ -384,6 +385,13 @@
         signal_tracker=SignalTracker(
             metrics, LimitTracker(), clock, view, "e1", CooldownTracker()
         ),
+        stream_origins=StreamOrigins(
+            incarnation=incarnation,
+            data_centre="dc1",
+            view=view,
+            metrics=metrics,
+            clock=clock,
+        ),
         random=Random(1),
         start_task=tasks.async_start,
     )
