Test what edges know about the origins of streams

The state of a host counts as current up to 1.5 s instead of 1 s of age, and its history as without a gap up to 3 s: with four idle edges the age reaches 0.7 s, and 1.0 s without a scheduler, so that edges would have asked each other for every resumed stream of a service with one version.

--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -51,9 +51,13 @@
 OWN_RECORD: Final = "own"
 """Who stated an origin of which this host has a record."""
 
-MAX_CURRENT_AGE_S: Final = 1.0
-"""Age of a host's state up to which it has seen all runners that callers may have met:
-a runner gets its first streams some time after its entry was written."""
+MAX_CURRENT_AGE_S: Final = 1.5
+"""Age of a host's state, in seconds, up to which it counts as current: state that is
+relayed, or that a host reads without a leading scheduler, is about a second old."""
+
+MAX_GAP_S: Final = 3.0
+"""Age of a host's state, in seconds, from which runners may have come and gone without
+being seen: the entry of a runner outlasts its last heartbeat by three of them."""
 
 
 @define(eq=False, kw_only=True)
@@ -176,7 +180,7 @@
 
     def _answer(self, digest: str, services: tuple[str, ...]) -> OriginAnswer:
         """Return what this host knows about a stream."""
-        if self._is_outdated or not self._is_current():
+        if self._is_outdated:
             self._update_history()
         since = self.clock() - self._get_retention_s()
         evidence = VersionEvidence(
@@ -222,7 +226,9 @@
         self._is_outdated = False
         if self.view.table is not None:
             self.history.update(
-                self.view.runners.values(), self.clock(), is_current=self._is_current()
+                self.view.runners.values(),
+                self.clock(),
+                is_gapless=self.measure_age() <= MAX_GAP_S,
             )
 
     def _update_mixed(self, since: float) -> None:
--- a/mangoway/policy/edge/software_versions.py
+++ b/mangoway/policy/edge/software_versions.py
@@ -31,19 +31,18 @@
     _seen_at: dict[ServiceVersion, float] = field(factory=dict, init=False)
 
     def update(
-        self, runners: Iterable[RunnerEntry], now: float, *, is_current: bool
+        self, runners: Iterable[RunnerEntry], now: float, *, is_gapless: bool
     ) -> None:
         """Record the current runners.
 
         Args:
             runners: All known runners.
             now: Time in seconds.
-            is_current: Whether these are the runners that the store shows. If not,
-                others may have come and gone unnoticed.
+            is_gapless: Whether no runner can have come and gone unnoticed.
         """
         current = {(each.service, each.software_version) for each in runners}
         self._seen_at |= dict.fromkeys(current, now)
-        if self._began_at is None or not is_current:
+        if self._began_at is None or not is_gapless:
             self._began_at = now
 
     def list_recent(self, services: Iterable[str], since: float) -> set[ServiceVersion]:
--- a/mangoway/policy/edge/stream_records.py
+++ b/mangoway/policy/edge/stream_records.py
@@ -14,6 +14,9 @@
 two other hosts."""
 
 
+RING_SIZE: Final = 1 << 64
+
+
 @frozen
 class StreamRecord:
     """Origin of one stream."""
@@ -89,13 +92,21 @@
         data_centre: Data centre of the host.
         peers: The other hosts.
     """
-    ranked = sorted(peers, key=lambda each: _rank(own, each))
-    near = [each for each in ranked if each.data_centre == data_centre]
-    far = [each for each in ranked if each.data_centre != data_centre]
+    ring = sorted(peers, key=lambda each: _measure_distance(own, each))
+    near = [each for each in ring if each.data_centre == data_centre]
+    far = [each for each in ring if each.data_centre != data_centre]
     if not near or not far:
         return tuple((near or far)[:2])
     return near[0], far[0]
 
 
-def _rank(own: str, peer: Member) -> int:
-    return xxh64_intdigest(f"{own}\n{peer.incarnation}".encode())
+def _measure_distance(own: str, peer: Member) -> int:
+    """Return how far a peer is from a host in a ring of hashes.
+
+    Neighbours spread the load: at random, some hosts would keep the records of six.
+    """
+    return (_hash(peer.incarnation) - _hash(own)) % RING_SIZE
+
+
+def _hash(incarnation: str) -> int:
+    return xxh64_intdigest(incarnation.encode())
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -5,9 +5,11 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from attrs import define
+from attrs import define, evolve
 
+from mangoway.edge.identity import identify_stream
 from mangoway.edge.relay import RELAY_FIELD
+from mangoway.models.streams import StreamOrigin
 from mangoway.policy.scheduling.events import EndKind
 
 from ..fakes.fleet import make_runner
@@ -201,6 +203,28 @@
         assert reply.body == b"".join(map(make_event, (1, 2, 3)))
         assert b"last-event-id: 1" in fleet.runner.requests[0].lower()
 
+    async def test_peer_is_told_which_request_began_the_stream(self) -> None:
+        first = cut(*make_stream(make_event(1), end=False))
+        async with (
+            RawServer(first) as before,
+            start_relaying_fleet(answer(*EVENTS)) as fleet,
+        ):
+            entry = make_runner("llm-0", service="llm", address=before.address)
+            fleet.edge.view.update_runner(entry)
+            peer = fleet.peer
+            for number, each in enumerate(list(peer.view.runners.values())):
+                at_edge = fleet.edge.view.runners[each.runner_id]
+                fleet.edge.view.update_runner(evolve(at_edge, software_version="v1"))
+                version = f"v{number % 2}"
+                peer.view.update_runner(evolve(each, software_version=version))
+            origin = StreamOrigin(service="llm", software_version="v1", runner_id="")
+            digest = identify_stream(None, "q1")
+            peer.forwarder.stream_origins.records.add(digest, origin, 0.0, is_own=False)
+            reply = await fleet.edge.async_call("/stream/x")
+        assert (reply.status, reply.complete) == (200, True)
+        assert peer.grant_provider.grant_requests[-1].software_version == "v1"
+        assert b"resumes: q1" in fleet.runner.requests[0].lower()
+
     async def test_request_at_a_silent_runner_goes_to_a_peer(self) -> None:
         async with (
             RawServer(answer()) as silent,
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -3,18 +3,23 @@
 import asyncio
 
 import pytest
+from attrs import evolve
 
-from mangoway.models.routing import RouteKind
+from mangoway.edge.identity import identify_stream
+from mangoway.models.routing import RouteKind, TrafficShare
+from mangoway.models.streams import StreamOrigin
 
 from ..fakes.fleet import make_route
 from ..upstreams.raw_server import RawServer, answer, cut
 from .second_attempts import add_load
-from .world import STREAM, make_event, make_stream, start_edge
+from .unreachable import RUNNERS, add_runners, introduce, reserve_refusing_address
+from .world import STREAM, EdgeWorld, make_event, make_stream, start_edge
 
 PLAIN_STREAM = make_route(
     RouteKind.STREAMING, service="plain", prefix="/plain/", resumable=True
 )
 BEGUN = cut(*make_stream(make_event(1), end=False))
+RESUMED = "Last-Event-Id: 1\r\nResumes: q0\r\n"
 REST = answer(*make_stream(make_event(2)))
 WHOLE = make_event(1) + make_event(2)
 
@@ -132,3 +137,131 @@
             await asyncio.sleep(1.5)
             call.cancel()
         assert other.requests == []
+
+
+def record(edge: EdgeWorld, version: str, customer: str | None = None) -> None:
+    """Let an edge have a record of the stream that `RESUMED` names."""
+    origin = StreamOrigin(service="llm", software_version=version, runner_id="")
+    digest = identify_stream(customer, "q0")
+    edge.forwarder.stream_origins.record(digest, origin, STREAM)
+
+
+class TestCallers:
+    """Streams that a caller resumes, having lost or left another edge."""
+
+    @pytest.mark.parametrize("version", ["v1", "v2"])
+    async def test_stream_goes_on_at_the_recorded_version(self, version: str) -> None:
+        async with (
+            RawServer(REST) as first,
+            RawServer(REST) as second,
+            start_edge() as edge,
+        ):
+            edge.add("r1", first, "llm", "v1")
+            edge.add("r2", second, "llm", "v2")
+            record(edge, version)
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+            [request] = edge.grant_provider.grant_requests[-1:]
+        assert (reply.body, reply.complete) == (make_event(2), True)
+        assert len(first.requests) == (version == "v1")
+        assert len(second.requests) == (version == "v2")
+        assert request.software_version == version
+        assert request.interrupted
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            pytest.param(RESUMED, id="unknown"),
+            pytest.param("Last-Event-Id: 1\r\n", id="unnamed"),
+        ],
+    )
+    async def test_stream_of_unknown_version_is_rejected(self, headers: str) -> None:
+        async with (
+            RawServer(REST) as first,
+            RawServer(REST) as second,
+            start_edge() as edge,
+        ):
+            edge.add("r1", first, "llm", "v1")
+            edge.add("r2", second, "llm", "v2")
+            record(edge, "v1", customer="somebody else")
+            reply = await edge.async_call("/stream/x", headers=headers)
+        assert reply.status == 503
+        assert "retry-after" not in reply.headers
+        assert first.requests == second.requests == []
+
+    async def test_stream_whose_version_has_left_is_rejected(self) -> None:
+        async with RawServer(REST) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm", "v2")
+            record(edge, "v1")
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert reply.status == 503
+        assert "retry-after" not in reply.headers
+        assert runner.requests == []
+
+    async def test_stream_of_unknown_version_goes_on_if_there_is_only_one(self) -> None:
+        async with RawServer(REST) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm", "v1")
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert (reply.body, reply.complete) == (make_event(2), True)
+        assert b"\r\nResumes: q0\r\n" in runner.requests[0]
+
+    async def test_new_stream_is_not_searched_for(self) -> None:
+        async with (
+            RawServer(answer(*make_stream(make_event(1)))) as first,
+            RawServer(REST) as second,
+            start_edge() as edge,
+        ):
+            edge.add("r1", first, "llm", "v1")
+            edge.add("r2", second, "llm", "v2")
+            reply = await edge.async_call("/stream/x", headers="Resumes: q0\r\n")
+        assert (reply.body, reply.complete) == (make_event(1), True)
+
+    async def test_stream_that_has_begun_is_recorded_under_its_request(self) -> None:
+        async with (
+            RawServer(answer(*make_stream(make_event(1)))) as runner,
+            start_edge() as edge,
+        ):
+            edge.add("r1", runner, "llm", "v1")
+            await edge.async_call("/stream/x")
+            records = edge.forwarder.stream_origins.records
+            found = records.find(identify_stream(None, "q1"))
+        assert found is not None
+        assert found.software_version == "v1"
+
+    async def test_stream_stays_at_the_service_that_began_it(self) -> None:
+        shares = (
+            TrafficShare(service="other", weight=1000.0),
+            TrafficShare(service="llm", weight=0.001),
+        )
+        route = evolve(STREAM, shares=shares)
+        async with RawServer(REST) as runner, start_edge((route,)) as edge:
+            edge.add("r1", runner, "llm", "v1")
+            record(edge, "v1")
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert (reply.body, reply.complete) == (make_event(2), True)
+
+
+class TestRelay:
+    """Streams at an edge that reaches no runner."""
+
+    @pytest.mark.parametrize("known", [True, False])
+    async def test_peer_decides_by_what_it_knows(self, known: bool) -> None:
+        with reserve_refusing_address() as refusing:
+            async with (
+                RawServer(REST) as runner,
+                start_edge() as edge,
+                start_edge(incarnation="e2") as peer,
+            ):
+                introduce(edge, peer)
+                add_runners(edge, refusing)
+                for number in range(RUNNERS):
+                    peer.add(f"llm-{number}", runner, "llm", f"v{number % 2}")
+                if known:
+                    record(peer, "v1")
+                edge.forwarder.connector.start_check(0.0)
+                await edge.forwarder.connector.async_settle()
+                assert edge.forwarder.connector.reach.is_lost
+                reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert (reply.status, reply.body) == (
+            (200, make_event(2)) if known else (503, reply.body)
+        )
+        assert len(runner.requests) == known
--- /dev/null
+++ b/tests/policy/edge/test_origin_search.py
@@ -0,0 +1,109 @@
+"""Tests of what is concluded about the origin of a stream."""
+
+import pytest
+
+from mangoway.models.streams import StreamOrigin
+from mangoway.policy.edge.origin_search import (
+    FoundOrigin,
+    OriginAnswer,
+    OriginSearch,
+    UnknownOrigin,
+)
+from mangoway.policy.edge.software_versions import VersionEvidence
+
+V1 = StreamOrigin(service="llm", software_version="v1", runner_id="")
+
+
+def make_evidence(*versions: str, is_certain: bool = True) -> VersionEvidence:
+    return VersionEvidence(
+        versions=frozenset(("llm", each) for each in versions), is_certain=is_certain
+    )
+
+
+def make_search(
+    *versions: str, is_certain: bool = True, is_current: bool = True, peers: str = ""
+) -> OriginSearch:
+    own = make_evidence(*versions, is_certain=is_certain)
+    search = OriginSearch(own, is_current=is_current)
+    search.ask(peers)
+    return search
+
+
+def answer(
+    search: OriginSearch,
+    peer: str,
+    *versions: str,
+    is_certain: bool = True,
+    origin: StreamOrigin | None = None,
+) -> FoundOrigin | UnknownOrigin | None:
+    evidence = make_evidence(*versions, is_certain=is_certain)
+    search.handle_answer(peer, OriginAnswer(origin=origin, evidence=evidence))
+    return search.get_result()
+
+
+ONLY_V1 = FoundOrigin(origin=V1, told_by="")
+
+
+class TestOneVersion:
+    """Streams that only one version can have begun."""
+
+    def test_certain_host_asks_nobody(self) -> None:
+        assert make_search("v1", peers="ab").get_result() == ONLY_V1
+
+    def test_one_certain_peer_is_enough(self) -> None:
+        search = make_search("v1", is_certain=False, peers="ab")
+        assert search.get_result() is None
+        assert answer(search, "b", "v1", is_certain=False) is None
+        assert answer(search, "a", "v1") == ONLY_V1
+
+    def test_host_that_has_just_started_takes_the_version_of_its_peers(self) -> None:
+        search = make_search(is_certain=False, peers="a")
+        assert answer(search, "a", "v1") == ONLY_V1
+
+    @pytest.mark.parametrize(
+        ("is_current", "answered", "is_found"),
+        [(True, "", True), (False, "a", True), (False, "", False)],
+    )
+    def test_without_certainty_somebody_must_be_current_or_agree(
+        self, is_current: bool, answered: str, is_found: bool
+    ) -> None:
+        search = make_search("v1", is_certain=False, is_current=is_current, peers="abc")
+        for peer in answered:
+            assert answer(search, peer, "v1", is_certain=False) is None
+        assert isinstance(search.end(), FoundOrigin) == is_found
+
+    def test_host_alone_trusts_what_it_knows(self) -> None:
+        search = make_search("v1", is_certain=False, is_current=False)
+        assert search.get_result() == ONLY_V1
+
+
+class TestSeveralVersions:
+    """Streams that several versions may have begun."""
+
+    def test_record_is_needed(self) -> None:
+        search = make_search("v1", "v2", peers="ab")
+        assert answer(search, "a", "v1", "v2") is None
+        assert answer(search, "b", "v1", "v2") == UnknownOrigin(unanswered=0)
+
+    def test_record_of_any_peer_ends_the_search(self) -> None:
+        search = make_search("v1", "v2", peers="abc")
+        expected = FoundOrigin(origin=V1, told_by="b")
+        assert answer(search, "b", "v1", "v2", origin=V1) == expected
+        assert search.end() == expected
+
+    def test_version_that_only_a_peer_has_seen_counts(self) -> None:
+        search = make_search("v2", is_certain=False, peers="ab")
+        assert answer(search, "a", "v1", "v2") is None
+        assert answer(search, "b", "v2") == UnknownOrigin(unanswered=0)
+
+    def test_missing_answers_are_counted(self) -> None:
+        search = make_search("v1", "v2", peers="abc")
+        answer(search, "a", "v1")
+        assert search.end() == UnknownOrigin(unanswered=2)
+
+    def test_nothing_is_known_without_runners(self) -> None:
+        assert make_search().get_result() == UnknownOrigin(unanswered=0)
+
+    def test_answer_that_nobody_asked_for_is_ignored(self) -> None:
+        search = make_search("v1", "v2", peers="a")
+        assert answer(search, "x", "v1", origin=V1) is None
