Run two software versions of the runners in the soak

Callers leave streams after eight events and resume them at another edge. No more than two streams may hold events of two versions, in one answer or over the requests of a caller, and beside planned work those that are resumed must go on at least half as often as new ones begin. Replaced runners get the other version in turn.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -4,12 +4,18 @@
 import asyncio
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from random import SystemRandom
+from typing import Final
 
 from .soak import FAULT_S, Result, async_soak
 from .world import EDGES
 
+VERSIONS_DIVISOR: Final = 4
+"""Divisor of the new seeds with two software versions of the runners. A seed that is
+given has them only on request, so that those that failed once stay as they were."""
+
 
 def main() -> None:
     """Run soaks with the given or new random seeds; exit with 1 if one fails."""
@@ -41,6 +47,12 @@
         default=None,
         help="cut edges off from all runners in each seed",
     )
+    parser.add_argument(
+        "--versions",
+        action="store_true",
+        help="run two software versions of the runners in each seed; new seeds do so "
+        "anyway if they are divisible by four",
+    )
     parser.add_argument("--folder", type=Path, help="folder for the logs")
     options = parser.parse_args()
     seeds = options.seed or [
@@ -57,6 +69,9 @@
             options.edges,
             options.restoring,
             options.cutting,
+            lambda seed: (
+                options.versions or (not options.seed and seed % VERSIONS_DIVISOR == 0)
+            ),
         )
     )
     failed = [each.seed for each in results if each.violations]
@@ -73,6 +88,7 @@
     edges: int = EDGES,
     restoring: bool | None = None,
     cutting: bool | None = None,
+    versions: Callable[[int], bool] = lambda seed: False,
 ) -> list[Result]:
     """Run one soak for each seed, at most `at_once` at a time."""
     slots = asyncio.Semaphore(at_once)
@@ -82,7 +98,7 @@
             logs = folder / str(seed)
             logs.mkdir(parents=True, exist_ok=True)
             result = await async_soak(
-                seed, logs, fault_s, crashing, edges, restoring, cutting
+                seed, logs, fault_s, crashing, edges, restoring, cutting, versions(seed)
             )
             print_result(result)
             return result
@@ -93,11 +109,14 @@
 def print_result(result: Result) -> None:
     """Print the result of a soak."""
     verdict = "FAILED" if result.violations else "held"
+    flag = " --versions" if result.has_versions else ""
     print(
-        f"seed {result.seed}: {verdict}, {result.served} of {result.calls} served; "
+        f"seed {result.seed}{flag}: {verdict}, "
+        f"{result.served} of {result.calls} served; "
         f"{result.crashes} crashes by requests, "
         f"{result.wrongly_blocked} other requests blocked; "
         f"{result.restores} restores of the store; "
+        f"{result.went_on} of {result.resumed} resumed streams went on; "
         f"{', '.join(result.faults)}",
         flush=True,
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that resolve addresses, reuse connections and check responses."""
 
 import asyncio
+import re
 import time
 from itertools import count
 from random import Random
@@ -28,6 +29,7 @@
     Kind.FIXED_STREAM: "/fixed/x",
 }
 CHOICES = (Kind.SAFE, Kind.ONCE, Kind.ONCE, Kind.STREAM, Kind.STREAM, Kind.FIXED_STREAM)
+EVENT_VERSION = re.compile(r" v\d+(?=\n)")
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 _request_numbers = count(1)
@@ -242,4 +244,7 @@
         f"id: {number}\ndata: {call.request_id} {number}\n\n"
         for number in range(1, EVENT_COUNT + 1)
     )
+    if len(set(EVENT_VERSION.findall(text))) > 1:
+        return f"events of several software versions {text!r}"
+    text = EVENT_VERSION.sub("", text)
     return "" if text == expected else f"unexpected events {text!r}"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,6 +19,12 @@
     async_signal_periodically,
 )
 from .records import Kind, Records
+from .stream_callers import (
+    MIXED_ALLOWED,
+    StreamCaller,
+    count_mixed,
+    find_shortfall,
+)
 from .world import EDGES, World
 
 FAULT_S: Final = 8.0
@@ -67,6 +73,11 @@
 runners."""
 
 
+VERSIONS: Final = ("v1", "v2")
+ENGINES_OF_VERSIONS: Final = 6
+LEFT_AFTER_EVENTS: Final = 8
+
+
 @define(eq=False)
 class Result:
     """Result of a soak."""
@@ -81,9 +92,18 @@
     wrongly_blocked: int = 0
     """Harmless requests that were rejected as if they had caused crashes."""
 
+    has_versions: bool = False
+    """Whether runners had two software versions."""
+
     restores: int = 0
     """Number of times that the store came back from a copy."""
 
+    resumed: int = 0
+    """Streams that callers resumed at another edge."""
+
+    went_on: int = 0
+    """Those of them that went on."""
+
     violations: list[str] = field(factory=list)
 
 
@@ -125,6 +145,7 @@
     edges: int = EDGES,
     restoring: bool | None = None,
     cutting: bool | None = None,
+    versions: bool = False,
 ) -> Result:
     """Run one soak.
 
@@ -137,13 +158,28 @@
         restoring: Whether the store is restored; None: derived from the seed.
         cutting: Whether edges are cut off from all runners; None: derived from the
             seed.
+        versions: Whether runners have two software versions, and callers leave streams
+            to resume them.
     """
-    result = Result(seed)
+    result = Result(seed, has_versions=versions)
     if crashing is None:
         crashing = 2 if seed % CRASHING_DIVISOR == CRASHING_REMAINDER else 0
     async with Launcher(folder) as launcher:
         world = World(seed, launcher, edges=edges)
+        if versions:
+            world = World(
+                seed,
+                launcher,
+                edges=edges,
+                engines=ENGINES_OF_VERSIONS,
+                software_versions=VERSIONS,
+            )
         await world.async_start()
+        stream_caller = StreamCaller(
+            world=world, random=Random(seed), leave_after=LEFT_AFTER_EVENTS
+        )
+        if versions:
+            world.start_task(stream_caller.async_run())
         kinds = list(Kind)
         for number in range(crashing):
             world.send_crashing_requests(kinds[(seed + number) % len(kinds)])
@@ -171,10 +207,27 @@
     result.crashes = sum(len(each) for each in world.records.crashes.values())
     result.wrongly_blocked = world.records.count_wrongly_blocked()
     result.violations += world.records.check()
+    _judge_streams(stream_caller, result)
     result.violations += world.records.customers.find_in_logs(folder)
     return result
 
 
+def _judge_streams(caller: StreamCaller, result: Result) -> None:
+    """Check the streams that callers resumed.
+
+    How many go on is checked beside planned work only, where no edge is disturbed.
+    """
+    result.resumed = sum(each.resumed for each in caller.streams)
+    result.went_on = sum(each.went_on for each in caller.streams)
+    mixed = count_mixed(caller.streams)
+    if mixed > MIXED_ALLOWED:
+        result.violations.append(f"order: {mixed} streams hold events of two versions")
+    if result.seed % PLANNED_DIVISOR == 0:
+        shortfall = find_shortfall(caller.streams)
+        if shortfall:
+            result.violations.append(f"resumed: {shortfall}")
+
+
 async def _async_disturb(world: World, result: Result, fault_s: float) -> None:
     """Start faults at random times, some at the same time, and wait for their ends."""
     end = time.monotonic() + fault_s
--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -9,8 +9,8 @@
 import aiohttp
 from attrs import define, field
 
-from .callers import HOST
-from .records import RETRY_STATUSES
+from .callers import CONNECT_ERRORS, HOST
+from .records import Call, Kind
 from .runners import EVENT_COUNT
 from .world import World
 
@@ -20,6 +20,16 @@
 MAX_RESUMPTIONS = 3
 """Maximum number of requests for the rest of a stream."""
 
+MIXED_ALLOWED = 2
+"""Streams that may hold events of two software versions."""
+
+MIN_RESUMED = 12
+"""Streams that callers must have resumed for a judgement on their share."""
+
+MIN_SHARE = 0.5
+"""Least share of the resumed streams that goes on, relative to the share of new
+streams that begin."""
+
 DEADLINE_S = 3.0
 MAX_RETRY_WAIT_S = 1.0
 TRIES_TO_BEGIN = 3
@@ -38,8 +48,8 @@
     versions: dict[int, str] = field(factory=dict, init=False)
     """Software version that wrote each received event, by the event's number."""
 
-    statuses: list[int] = field(factory=list, init=False)
-    """Status of each response; 0 if there was none."""
+    calls: list[Call] = field(factory=list, init=False)
+    """All requests for it."""
 
     resumed: bool = False
     """Whether its caller has sent a request for the rest."""
@@ -89,7 +99,8 @@
     async def _async_stream(self, session: aiohttp.ClientSession) -> None:
         stream = CallerStream(began_at=time.monotonic())
         self.streams.append(stream)
-        model = self.random.choice(self.world.engine_models)
+        models = self.world.engine_models or self.world.popular_models
+        model = self.random.choice(models)
         origin, address = "", ""
         for _ in range(TRIES_TO_BEGIN):
             origin, address = _make_request_id(), self._choose_edge(address)
@@ -136,25 +147,60 @@
         leave_after: int,
     ) -> None:
         """Send one request and record the events that its response brings."""
-        stream.statuses.append(0)
-        url = f"http://{address}/stream/x"
+        call = Call(
+            request_id=headers["X-Request-Id"],
+            kind=Kind.STREAM,
+            edge=address,
+            sent_at=time.monotonic(),
+            key=headers["Authorization"].removeprefix("Bearer "),
+            model=headers["X-Model"],
+        )
+        self.world.records.calls[call.request_id] = call
+        stream.calls.append(call)
+        wait_s = self.random.uniform(0.02, 0.1)
         try:
             async with (
                 asyncio.timeout(DEADLINE_S + 1.0),
-                session.post(url, headers=headers, data=b"x" * 50) as response,
+                session.post(
+                    f"http://{address}/stream/x", headers=headers, data=b"x" * 50
+                ) as response,
             ):
-                stream.statuses[-1] = response.status
-                if response.status == 200:
+                call.status = response.status
+                call.signature = response.headers.get("X-Response-Signature", "")
+                if call.status == 200:
                     await _async_read_events(response, stream, leave_after)
-                    return
-                await response.read()
-                if response.status in RETRY_STATUSES:
-                    wait_s = float(response.headers.get("Retry-After") or 0)
-                    await asyncio.sleep(min(wait_s, MAX_RETRY_WAIT_S))
-                    return
-        except (aiohttp.ClientError, ConnectionError, TimeoutError):
-            pass
-        await asyncio.sleep(self.random.uniform(0.02, 0.1))
+                    call.whole = True
+                    wait_s = 0.0
+                else:
+                    call.reason = (await response.read()).decode()
+                    retry_after_s = float(response.headers.get("Retry-After") or 0)
+                    wait_s += min(retry_after_s, MAX_RETRY_WAIT_S)
+        except CONNECT_ERRORS:
+            # Nothing was sent, so that there is nothing to check.
+            del self.world.records.calls[call.request_id]
+        except TimeoutError:
+            call.given_up = True
+        except (aiohttp.ClientError, ConnectionError):
+            call.was_disconnected = True
+        call.ended_at = time.monotonic()
+        await asyncio.sleep(wait_s)
+
+
+def count_mixed(streams: list[CallerStream]) -> int:
+    """Return the streams that hold events of several software versions."""
+    return sum(each.is_mixed for each in streams)
+
+
+def find_shortfall(streams: list[CallerStream]) -> str:
+    """Return why too few resumed streams go on; empty if enough do."""
+    resumed = [each for each in streams if each.resumed]
+    went_on = sum(each.went_on for each in resumed)
+    begun = sum(bool(each.versions) for each in streams)
+    if len(resumed) < MIN_RESUMED:
+        return ""
+    if went_on / len(resumed) >= MIN_SHARE * begun / len(streams):
+        return ""
+    return f"{went_on} of {len(resumed)} went on, {begun} of {len(streams)} began"
 
 
 async def _async_read_events(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,9 @@
 """Seeds that failed once, with the causes, which were errors in the checks."""
 
 
+VERSIONS_SEED = 3
+"""A seed whose runners and edges are replaced and restarted, and nothing else."""
+
 RESTORED_SEED = 17_798_720
 """A seed that failed once: a host that had read a restored store rejected keys for good
 that the store had lost together with their configuration."""
@@ -46,3 +49,10 @@
         result = await async_soak(RESTORED_SEED, tmp_path, FAULT_S, restoring=True)
         assert result.violations == []
         assert result.restores > 0
+
+    async def test_guarantees_hold_with_two_software_versions(
+        self, tmp_path: Path
+    ) -> None:
+        result = await async_soak(VERSIONS_SEED, tmp_path, FAULT_S, versions=True)
+        assert result.violations == []
+        assert result.went_on > 0
--- a/tests/soak/test_stream_versions.py
+++ b/tests/soak/test_stream_versions.py
@@ -14,7 +14,14 @@
 
 from ..stand_ins.launcher import Launcher
 from .runners import EVENT_COUNT
-from .stream_callers import CallerStream, StreamCaller
+from .stream_callers import (
+    MIN_RESUMED,
+    MIXED_ALLOWED,
+    CallerStream,
+    StreamCaller,
+    count_mixed,
+    find_shortfall,
+)
 from .test_crashing_requests import FOLLOW_S, async_do_nothing
 from .world import MODELS, World
 
@@ -29,15 +36,6 @@
 RELEASE_PAUSE_S = 0.8
 WATCHED_S = 8.0
 LEFT_AFTER_EVENTS = 8
-MIXED_ALLOWED = 2
-"""Streams that may hold events of two software versions."""
-
-MIN_RESUMED = 12
-"""Streams that callers must have resumed for a judgement on their share."""
-
-MIN_SHARE = 0.5
-"""Least share of the resumed streams that goes on, relative to the share of new
-streams that begin."""
 
 
 async def async_crash_runners(world: World) -> None:
@@ -121,23 +119,6 @@
     return caller.streams
 
 
-def count_mixed(streams: list[CallerStream]) -> int:
-    """Return the streams that hold events of several software versions."""
-    return sum(each.is_mixed for each in streams)
-
-
-def find_shortfall(streams: list[CallerStream]) -> str:
-    """Return why too few resumed streams go on; empty if enough do."""
-    resumed = [each for each in streams if each.resumed]
-    went_on = sum(each.went_on for each in resumed)
-    begun = sum(bool(each.versions) for each in streams)
-    if len(resumed) < MIN_RESUMED:
-        return ""
-    if went_on / len(resumed) >= MIN_SHARE * begun / len(streams):
-        return ""
-    return f"{went_on} of {len(resumed)} went on, {begun} of {len(streams)} began"
-
-
 @pytest.mark.process
 class TestTwoVersions:
     """Streams of two software versions that are resumed by edges and by callers."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import time
+from collections.abc import Iterator
+from itertools import cycle
 from random import Random
 from typing import Any, Final
 
@@ -114,9 +116,13 @@
     _crashing_count: int = field(default=0, init=False)
     """Number of requests that crash runners, so far."""
 
+    _next_versions: Iterator[str] = field(init=False)
+    """Versions of the runners with engines that are started, without end."""
+
     _tasks: set[asyncio.Task[Any]] = field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._next_versions = cycle(self.software_versions)
         self.random = Random(self.seed)
         self.store = StoreStandIn(self.random)
         self.records.customers = Customers(Random(self.seed))
@@ -128,8 +134,7 @@
             names = self.engine_models or tuple(
                 MODELS[(number * 3 + each) % len(MODELS)] for each in range(3)
             )
-            version = self.software_versions[number % len(self.software_versions)]
-            await self.async_add_runner("llm", {name: set() for name in names}, version)
+            await self.async_add_runner("llm", {name: set() for name in names})
         for _ in range(self.plain_runners):
             await self.async_add_runner("plain", None)
         self.write_configuration()
@@ -169,9 +174,17 @@
         self,
         service: str,
         models: dict[str, set[str]] | None,
-        software_version: str = "",
+        software_version: str | None = None,
     ) -> RunnerStandIn:
-        """Start a runner."""
+        """Start a runner.
+
+        Args:
+            service: Name of its service.
+            models: Models that it holds, with their adapters; None for a plain one.
+            software_version: Version of its software; None for the next in turn.
+        """
+        if software_version is None:
+            software_version = "" if models is None else next(self._next_versions)
         data_centre = f"dc-{len(self.runners) % 2 + 1}"
         runner = RunnerStandIn(
             service, data_centre, self.store, self.records, self.random, models
