Ask other edges once a second at most which version is the only one

An edge that has just started, or any edge while the store is away, asked all others for each stream that was resumed, though with one version no record is needed. An agreement now counts for a second, unless the edge sees a second version itself. An edge no longer asks its own earlier life, whose announcement has the same address, and doesn't keep what it concluded as if somebody had a record.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -165,6 +165,7 @@
         self.stream_origins = StreamOrigins(
             incarnation=self.process.incarnation,
             data_centre=settings.data_centre,
+            address=peer_address,
             view=self.process.view,
             metrics=self.process.metrics,
             clock=self.process.clock,
--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -55,6 +55,10 @@
 """Age of a host's state, in seconds, up to which it counts as current: state that is
 relayed, or that a host reads without a leading scheduler, is about a second old."""
 
+AGREEMENT_S: Final = 1.0
+"""Time in seconds for which hosts that agreed on the only version aren't asked again.
+While the store is away, they would be asked for each stream that is resumed."""
+
 MAX_GAP_S: Final = 3.0
 """Age of a host's state, in seconds, from which runners may have come and gone without
 being seen: the entry of a runner outlasts its last heartbeat by three of them."""
@@ -66,6 +70,9 @@
 
     incarnation: str
     data_centre: str
+    address: str = ""
+    """Address for datagrams of other edges."""
+
     view: FleetView
     metrics: Metrics
     clock: Callable[[], float]
@@ -91,6 +98,11 @@
     _searches: dict[int, tuple[OriginSearch, "asyncio.Future[None]"]] = field(
         factory=dict, init=False
     )
+    _agreements: dict[tuple[str, ...], tuple[FoundOrigin, float]] = field(
+        factory=dict, init=False
+    )
+    """The only version that others agreed on, and until when that counts, by services."""
+
     _numbers: "count[int]" = field(factory=count, init=False)
 
     def handle_view_change(self) -> None:
@@ -125,6 +137,9 @@
         own = self._answer(digest, services)
         if own.origin is not None:
             return FoundOrigin(origin=own.origin, told_by=OWN_RECORD)
+        agreed = self._get_agreed(services)
+        if agreed is not None and len(own.evidence.versions) <= 1:
+            return agreed
         search = OriginSearch(own.evidence, is_current=self._is_current())
         peers = self._list_peers()
         search.ask(each.peer_address for each in peers)
@@ -138,7 +153,11 @@
                 ),
             )
         if isinstance(result, FoundOrigin):
-            self.records.add(digest, result.origin, self.clock(), is_own=False)
+            now = self.clock()
+            if result.told_by:
+                self.records.add(digest, result.origin, now, is_own=False)
+            else:
+                self._agreements[services] = result, now + AGREEMENT_S
         return result
 
     def handle_datagram(self, data: bytes, sender: str) -> None:
@@ -198,6 +217,11 @@
         if search.get_result() is not None and not changed.done():
             changed.set_result(None)
 
+    def _get_agreed(self, services: tuple[str, ...]) -> FoundOrigin | None:
+        """Return the only version that others have agreed on just now."""
+        agreed, until = self._agreements.get(services, (None, 0.0))
+        return agreed if self.clock() < until else None
+
     async def _async_search(
         self, search: OriginSearch, peers: list[Member], query: QueryMessage
     ) -> FoundOrigin | UnknownOrigin:
@@ -288,7 +312,9 @@
         peers = [
             each
             for each in self.view.list_reachable_edges()
-            if each.incarnation != self.incarnation and each.peer_address
+            # The announcement of an earlier life has the same address.
+            if each.incarnation != self.incarnation
+            and each.peer_address not in ("", self.address)
         ]
         peers.sort(key=lambda each: each.data_centre != self.data_centre)
         return peers
--- a/tests/edge/origin_fleet.py
+++ b/tests/edge/origin_fleet.py
@@ -69,6 +69,7 @@
             StreamOrigins(
                 incarnation=member.incarnation,
                 data_centre=member.data_centre,
+                address=member.peer_address,
                 view=view,
                 metrics=Metrics(),
                 clock=get_time,
--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -160,6 +160,31 @@
         fleet = OriginFleet(6, versions=("v1",))
         assert await fleet.async_find(fleet.edges[0], "unknown") == V1
 
+    async def test_others_are_not_asked_for_each_stream(self) -> None:
+        fleet = OriginFleet(6, versions=("v1",))
+        assert await fleet.async_find(fleet.edges[0], "one") == V1
+        asked = fleet.edges[0].datagrams
+        assert await fleet.async_find(fleet.edges[0], "two") == V1
+        assert fleet.edges[0].datagrams == asked
+        await fleet.async_pass(1.5)
+        assert await fleet.async_find(fleet.edges[0], "three") == V1
+        assert fleet.edges[0].datagrams > asked
+
+    async def test_second_version_ends_an_agreement(self) -> None:
+        fleet = OriginFleet(6, versions=("v1",))
+        assert await fleet.async_find(fleet.edges[0], "one") == V1
+        fleet.set_versions("v1", "v2")
+        assert await fleet.async_find(fleet.edges[0], "two") is None
+
+    async def test_announcement_of_an_earlier_life_is_not_asked(self) -> None:
+        fleet = OriginFleet(2)
+        edge = fleet.edges[0]
+        members = edge.origins.view.members
+        members["members/earlier"] = evolve(edge.member, incarnation="earlier")
+        fleet.kill(fleet.edges[1], is_known=True)
+        assert await fleet.async_find(edge, "unknown") is None
+        assert edge.datagrams == 0
+
     async def test_state_of_all_edges_is_old(self) -> None:
         fleet = OriginFleet(6, versions=("v1",))
         await fleet.async_pass(RETENTION_S + 1.0)
--- a/tests/edge/test_transfers.py
+++ b/tests/edge/test_transfers.py
@@ -7,6 +7,7 @@
 from mangoway.models.transfers import MoveAnswer
 from mangoway.policy.scheduling.events import EndKind
 
+from ..fakes.fleet import make_runner
 from ..fakes.polling import async_wait_until
 from .continuation_world import PART, WHOLE, start_world
 from .copying_runner import CopyingRunner
@@ -154,6 +155,16 @@
             assert (await call).complete
             assert world.source.calls == []
 
+    async def test_target_of_unstated_version_beside_a_stated_one(self) -> None:
+        async with start_world() as world:
+            stated = make_runner("r3", software_version="v1")
+            world.edge.view.update_runner(stated)
+            call = await world.async_begin()
+            world.order()
+            assert world.edge.grant_provider.failed_transfers == ["r2"]
+            world.source.go_on.set()
+            assert (await call).complete
+
     async def test_target_that_is_the_source(self) -> None:
         async with start_world() as world:
             call = await world.async_begin()
