--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -101,7 +101,7 @@
     _agreements: dict[tuple[str, ...], tuple[FoundOrigin, float]] = field(
         factory=dict, init=False
     )
-    """The only version that others agreed on, and until when that counts, by services."""
+    """The only versions that others agreed on, and until when, by services."""
 
     _numbers: "count[int]" = field(factory=count, init=False)
 
