--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -138,7 +138,7 @@
             is_counted=self.relay_mark is RelayMark.COUNTED,
         )
         if self.resumed is not None:
-            self._finder.origin = self.resumed.origin
+            self._finder.constraint.origin = self.resumed.origin
         self._response = FinalResponse(
             self.log, self.delivery, self._finder, self.relay_mark is not None
         )
@@ -189,7 +189,7 @@
             return
         self._finder.count_request()
         while True:
-            if not self._finder.has_candidates:
+            if not self._finder.constraint.is_satisfiable:
                 self._response.reject(NO_VERSION_REASON, None)
                 return
             found = await self._finder.async_find()
@@ -295,7 +295,7 @@
 
     def _log_resumed(self, runner: RunnerEntry) -> None:
         told_by = OWN_RECORD if self.resumed is None else self.resumed.told_by
-        self.log.log_resumed(runner, self._finder.origin, told_by)
+        self.log.log_resumed(runner, self._finder.constraint.origin, told_by)
 
     def _make_attempt(self, runner: RunnerEntry, run: ContinuedRun | None) -> Attempt:
         continuation, sent_at = self._continuation, self._sent_at
@@ -420,9 +420,9 @@
 
     def _record_origin(self, runner: RunnerEntry) -> None:
         """Record what wrote the first event, before the caller receives it."""
-        origin = self._finder.origin
+        origin = self._finder.constraint.origin
         if origin is None:
-            origin = self._finder.origin = make_origin(runner)
+            origin = self._finder.constraint.origin = make_origin(runner)
         if not self.fields.origin_id:
             return
         self._stream_digest = identify_stream(self.caller.name, self.fields.origin_id)
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -11,7 +11,6 @@
 
 from ..models.routing import Route, RouteKind, ServiceProfile
 from ..models.runner import RunnerEntry
-from ..models.streams import StreamOrigin
 from ..platform.requests import RequestFields
 from ..policy.crashes.const import RETRY_AFTER_BLOCK_S
 from ..policy.customers.const import OVER_QUOTA
@@ -29,6 +28,7 @@
 from .delivery import Delivery
 from .event_times import EventTimes
 from .finder_context import FinderContext, ReservedGrant
+from .origin_constraint import OriginConstraint
 from .plain_grant import PlainGrant
 from .request_log import RequestLog
 from .retry_payment import RetryPayment
@@ -51,8 +51,8 @@
     is_counted: bool = False
     """Whether the request has been counted for the retry budget of its service."""
 
-    origin: StreamOrigin | None = field(default=None, init=False)
-    """What wrote the first event of the stream; None while there is no event."""
+    constraint: OriginConstraint = field(init=False)
+    """Which runners may write the rest of a stream."""
 
     tried_runner_ids: set[str] = field(factory=set, init=False)
     """Runners that the request was sent to."""
@@ -85,6 +85,7 @@
 
     def __attrs_post_init__(self) -> None:
         self._clock = asyncio.get_running_loop().time
+        self.constraint = OriginConstraint(self.context.view, self.service.name)
         budgets, service = self.context.retry_budgets, self.service.name
         self.retry_payment = RetryPayment(budgets, service, self._clock)
         self._plain_grant = PlainGrant(
@@ -116,20 +117,6 @@
         entry = self.context.view.find_open_runner(runner_id)
         return entry if entry is not None and self._accepts_requests(entry) else None
 
-    def may_run_at(self, runner: RunnerEntry) -> bool:
-        """Return whether a runner's software may write the rest of the stream."""
-        return self.origin is None or self.context.view.may_continue(
-            self.origin, runner
-        )
-
-    @property
-    def has_candidates(self) -> bool:
-        """Return whether any runner's software may write the rest of the stream."""
-        if self.origin is None:
-            return True
-        runners = self.context.view.list_runners(self.service.name)
-        return any(self.may_run_at(each) for each in runners)
-
     def is_same_open(self, runner: RunnerEntry) -> bool:
         """Return whether this incarnation of a runner still accepts requests."""
         entry = self.find_open(runner.runner_id)
@@ -329,7 +316,7 @@
                 return entry
             # This host has newer information about the runner than the grant provider.
             self.release_grant(EndKind.LEFT)
-            if entry is None or not self.may_run_at(entry):
+            if entry is None or not self.constraint.fits(entry):
                 self._failed.append(response.runner_id)
         return self._make_rejection("the runner takes no more", RETRY_AFTER_OUTAGE_S)
 
@@ -379,8 +366,8 @@
     ) -> RunnerEntry | Reject:
         """Choose a plain runner, with a permit if it is limited."""
         waits = self._list_cooldowns()
-        if self.origin is not None:
-            only = self._list_continuing(only)
+        if self.constraint.origin is not None:
+            only = self.constraint.list_fitting(only)
             if not only:
                 return self._make_rejection(NO_VERSION_REASON, RETRY_AFTER_OUTAGE_S)
         while True:
@@ -403,21 +390,9 @@
         waits = {each.runner_id: tracker.measure_cooldown(each) for each in runners}
         return {key: wait_s for key, wait_s in waits.items() if wait_s > 0}
 
-    def _list_continuing(self, only: tuple[str, ...]) -> tuple[str, ...]:
-        """Return the plain runners that may continue the stream.
-
-        Args:
-            only: The only runners that may receive the request; empty if any may.
-        """
-        return tuple(
-            each.runner_id
-            for each in self.context.view.list_runners(self.service.name)
-            if self.may_run_at(each) and (not only or each.runner_id in only)
-        )
-
     def _accepts_requests(self, runner: RunnerEntry) -> bool:
         """Return whether a runner may receive the request from this edge."""
-        if not self.context.view.is_open(runner) or not self.may_run_at(runner):
+        if not self.context.view.is_open(runner) or not self.constraint.fits(runner):
             return False
         return self.context.signal_tracker.measure_cooldown(runner) == 0
 
@@ -466,7 +441,7 @@
         patience_s = min(self.deadline - now, self.route.patience_s - elapsed_s)
         if self.delivery.events:
             patience_s = self.route.patience_s
-        pinned = self._find_pinned()
+        only_runner = self.constraint.find_only_runner()
         return GrantRequest(
             request_id=f"{self.fields.request_id}/{next(self.context.request_numbers)}",
             edge=self.context.incarnation,
@@ -478,28 +453,17 @@
             objective_left_s=self.route.objective_s - elapsed_s,
             patience_left_s=max(0.0, patience_s),
             excluded=tuple(excluded),
-            only=self._list_allowed() if pinned is None else (pinned,),
+            only=(only_runner,) if only_runner else self._list_allowed(),
             customer=self.caller.name or "",
             cost=self._measure_cost(),
             route_priority=self.route.priority,
             streaming=self.route.kind is RouteKind.STREAMING,
             resumable=self.route.resumable,
-            interrupted=self.origin is not None,
-            software_version=""
-            if self.origin is None
-            else self.origin.software_version,
+            interrupted=self.constraint.origin is not None,
+            software_version=self.constraint.software_version,
             repeat=repeat or bool(self.tried_runner_ids),
         )
 
-    def _find_pinned(self) -> str | None:
-        """Return the only runner that may continue the stream, if there is one."""
-        origin = self.origin
-        if origin is None or origin.software_version:
-            return None
-        if not self.context.view.states_versions(origin.service):
-            return None
-        return origin.runner_id
-
     def _list_allowed(self) -> tuple[str, ...]:
         """Return the only runners that may receive the request; empty if any may."""
         if len(self.tried_runner_ids) < self.route.max_attempts:
