Keep prompt parts free whose crashes another blocked part explains

Cause: a harmless part that is in progress beside the crashing one is charged with some of its crashes, and each part was judged by itself. A part whose crashes are all crashes of another blocked part, which has more, is explained by that one and stays free; one crash that isn't explained blocks it. Parts with equal crashes are all blocked, as before.

--- a/mangoway/edge/crash_filter.py
+++ b/mangoway/edge/crash_filter.py
@@ -73,7 +73,24 @@
         """
         if self.probes.is_probe(identity):
             return self.tracker.is_blocked(identity)
-        return any(map(self.tracker.is_blocked, (identity, *identity.shared)))
+        if self.tracker.is_blocked(identity):
+            return True
+        return any(map(self._is_property_blocked, identity.shared))
+
+    def _is_property_blocked(self, shared: RequestIdentity) -> bool:
+        """Return whether a property is blocked, and no other one explains its crashes.
+
+        Harmless properties are often in progress beside the one that crashes runners,
+        and so charged with some of its crashes, but with no others.
+        """
+        if not self.tracker.is_blocked(shared):
+            return False
+        crashes = self.tracker.list_crashes(shared)
+        return not any(
+            crashes
+            < self.tracker.list_crashes(RequestIdentity(content, shared.variant))
+            for content in self.tracker.list_blocked()
+        )
 
     def try_probe(self, identity: RequestIdentity) -> bool:
         """Return whether a blocked request is let through, to probe a property of it.
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -227,6 +227,19 @@
         assert found is not None
         assert found.software_version == "v1"
 
+    async def test_runner_without_a_version_is_requested_by_its_id(self) -> None:
+        origin = StreamOrigin(service="llm", software_version="", runner_id="r1")
+        async with RawServer(REST) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm")
+            edge.add("r2", runner, "llm", "v2")
+            edge.forwarder.stream_origins.record(
+                identify_stream(None, "q0"), origin, STREAM
+            )
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+            [request] = edge.grant_provider.grant_requests
+        assert reply.complete
+        assert request.only == ("r1",)
+
     async def test_stream_stays_at_the_service_that_began_it(self) -> None:
         shares = (
             TrafficShare(service="other", weight=1000.0),
