--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -209,6 +209,16 @@
         assert await fleet.async_find(fleet.edges[1], "s") == V1
         assert await fleet.async_find(fleet.edges[1], "unknown") is None
 
+    async def test_running_streams_are_told_at_each_release(self) -> None:
+        fleet = OriginFleet(6)
+        fleet.set_versions("v2")
+        await fleet.async_pass(RETENTION_S + 3.0)
+        fleet.begin_stream(fleet.edges[0], "s", V2)
+        fleet.set_versions("v2", "v3")
+        await fleet.async_pass(1.0)
+        fleet.kill(fleet.edges[0])
+        assert await fleet.async_find(fleet.edges[1], "s") == V2
+
     async def test_removed_version_counts_for_the_life_of_a_stream(self) -> None:
         fleet = OriginFleet(6)
         fleet.set_versions("v2")
