Let streams be resumed again while their service has no runner

A caller that resumed a stream got no retry time while the service had no runner at all, though one of its version may be back soon. Only a service that has runners of other versions rejects it for good.

--- a/mangoway/edge/origin_constraint.py
+++ b/mangoway/edge/origin_constraint.py
@@ -27,8 +27,13 @@
 
     @property
     def is_satisfiable(self) -> bool:
-        """Return whether any runner that accepts requests fits."""
-        return self.origin is None or bool(self.list_fitting())
+        """Return whether any runner that accepts requests fits.
+
+        A service without any runner may get some back soon.
+        """
+        if self.origin is None or self.list_fitting():
+            return True
+        return not self.view.list_runners(self.service)
 
     def fits(self, runner: RunnerEntry) -> bool:
         """Return whether a runner may write the rest of the stream."""
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -197,6 +197,16 @@
         assert "retry-after" not in reply.headers
         assert runner.requests == []
 
+    async def test_stream_may_be_sent_again_while_no_runner_is_there(self) -> None:
+        async with RawServer(REST) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm", "v1")
+            record(edge, "v1")
+            edge.view.remove_runner("r1", 0.0)
+            edge.grant_provider.runner_ids.clear()
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert reply.status == 503
+        assert "retry-after" in reply.headers
+
     async def test_stream_of_unknown_version_goes_on_if_there_is_only_one(self) -> None:
         async with RawServer(REST) as runner, start_edge() as edge:
             edge.add("r1", runner, "llm", "v1")
