Drop a guard that nothing can reach, and test two more

Here: a retry time if a peer has not answered, old records are dropped. The last one, that a resumed stream of unknown origin is left to a peer, could not be reached: the edge has no runner then, and nothing is awaited between the two checks.

--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -225,9 +225,6 @@
         """Return whether no runner can be reached from this host for the request."""
         if self._unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
             return True
-        if self.fields.last_event_id and self.resumed is None:
-            # A peer may know where the stream began.
-            return self.route.kind is RouteKind.STREAMING
         return self.context.connector.reach.is_lost
 
     async def _async_relay(self) -> None:
--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -296,8 +296,16 @@
         assert len(records) == 100
 
 
-class TestDeliveredStreams:
-    """Streams that their callers have received completely."""
+class TestRetention:
+    """Records of old streams, and of those that callers have received completely."""
+
+    async def test_old_records_are_dropped(self) -> None:
+        fleet = OriginFleet(3)
+        fleet.begin_stream(fleet.edges[0], "s", V1)
+        await fleet.async_pass(RETENTION_S - 1.0)
+        assert len(fleet.edges[0].origins.records) == 1
+        await fleet.async_pass(2.0)
+        assert [len(each.origins.records) for each in fleet.edges] == [0, 0, 0]
 
     async def test_ended_stream_is_not_told(self) -> None:
         fleet = OriginFleet(3)
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -12,7 +12,13 @@
 from ..fakes.fleet import make_route
 from ..upstreams.raw_server import RawServer, answer, cut
 from .second_attempts import add_load
-from .unreachable import RUNNERS, add_runners, introduce, reserve_refusing_address
+from .unreachable import (
+    RUNNERS,
+    add_runners,
+    introduce,
+    make_member,
+    reserve_refusing_address,
+)
 from .world import STREAM, EdgeWorld, make_event, make_stream, start_edge
 
 PLAIN_STREAM = make_route(
@@ -188,6 +194,17 @@
         assert "retry-after" not in reply.headers
         assert first.requests == second.requests == []
 
+    async def test_stream_may_be_sent_again_if_a_peer_has_not_answered(self) -> None:
+        async with RawServer(REST) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm", "v1")
+            edge.add("r2", runner, "llm", "v2")
+            silent = evolve(make_member("e2", edge), peer_address="127.0.0.1:9")
+            edge.view.update_member("members/edge/e2", silent)
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert reply.status == 503
+        assert "retry-after" in reply.headers
+        assert runner.requests == []
+
     async def test_stream_whose_version_has_left_is_rejected(self) -> None:
         async with RawServer(REST) as runner, start_edge() as edge:
             edge.add("r1", runner, "llm", "v2")
