--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -23,7 +23,7 @@
     MAX_FIRST_PEERS,
     ORIGIN_QUERY_INTERVAL_S,
     ORIGIN_QUERY_TIMEOUT_S,
-    RECORDS_DELAY_S,
+    RECORDS_INTERVAL_S,
     RETENTION_TIMEOUTS,
 )
 from ..policy.edge.origin_search import (
@@ -286,17 +286,22 @@
             self._post(digest, origin)
 
     def _post(self, digest: str, origin: StreamOrigin) -> None:
+        """Tell the holders of a stream, at once if they were told nothing just now."""
         self._pending[digest] = origin
         if self._flush is None:
-            loop = asyncio.get_running_loop()
-            self._flush = loop.call_later(RECORDS_DELAY_S, self._send_pending)
+            self._send_pending()
 
     def _send_pending(self) -> None:
+        """Send what is pending, and no more before the interval is over."""
         self._flush = None
         pending, self._pending = self._pending, {}
+        if not pending:
+            return
         if not self._holders:
             self._update_holders()
         self._send_records(list(pending.items()), self._holders)
+        loop = asyncio.get_running_loop()
+        self._flush = loop.call_later(RECORDS_INTERVAL_S, self._send_pending)
 
     def _send_records(
         self, pairs: list[tuple[str, StreamOrigin]], holders: Iterable[Member]
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -88,9 +88,9 @@
 """Time for which the origin of a stream is kept, in timeouts of the longest route: a
 caller may resume a stream until its time is over, and starts with one request."""
 
-RECORDS_DELAY_S: Final = 0.1
-"""Time for which the origins of streams are collected for one datagram. A stream that
-loses its host sooner can't be resumed."""
+RECORDS_INTERVAL_S: Final = 0.1
+"""Time between two datagrams with the origins of streams that begin meanwhile. A stream
+that loses its host before they are sent can't be resumed."""
 
 MAX_FIRST_PEERS: Final = 64
 """Peers that are asked for the origin of a stream at first: most callers resume their
--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -8,7 +8,7 @@
 
 from mangoway.edge.identity import identify_stream
 from mangoway.models.streams import StreamOrigin
-from mangoway.policy.edge.const import ORIGIN_QUERY_TIMEOUT_S, RECORDS_DELAY_S
+from mangoway.policy.edge.const import ORIGIN_QUERY_TIMEOUT_S, RECORDS_INTERVAL_S
 from mangoway.policy.edge.stream_records import (
     MAX_RECORDS,
     StreamRecords,
@@ -17,7 +17,6 @@
 
 from .origin_fleet import (
     RETENTION_S,
-    ROUTE,
     V1,
     V2,
     OriginFleet,
@@ -41,7 +40,7 @@
     async def test_stream_is_found_by_every_other_edge(self) -> None:
         fleet = OriginFleet(6)
         fleet.begin_stream(fleet.edges[0], "s", V2)
-        await fleet.async_pass(2 * RECORDS_DELAY_S)
+        await fleet.async_pass(2 * RECORDS_INTERVAL_S)
         fleet.kill(fleet.edges[0])
         for edge in fleet.edges[1:]:
             assert await fleet.async_find(edge, "s") == V2
@@ -49,7 +48,7 @@
     async def test_stream_is_found_after_one_holder_was_lost_too(self) -> None:
         fleet = OriginFleet(6)
         fleet.begin_stream(fleet.edges[0], "s", V1)
-        await fleet.async_pass(2 * RECORDS_DELAY_S)
+        await fleet.async_pass(2 * RECORDS_INTERVAL_S)
         holders = [
             each
             for each in fleet.edges[1:]
@@ -67,7 +66,7 @@
         fleet = OriginFleet(6)
         origin, others = fleet.edges[0], fleet.edges[1:]
         fleet.begin_stream(origin, "s", V1)
-        await fleet.async_pass(2 * RECORDS_DELAY_S)
+        await fleet.async_pass(2 * RECORDS_INTERVAL_S)
         digest = identify_stream(None, "s")
         for each in others:
             if each.origins.records.find(digest):
@@ -77,8 +76,15 @@
         remaining = [each for each in others if each.is_running]
         assert await fleet.async_find(remaining[0], "s") == V1
 
+    async def test_holders_are_told_before_the_first_event_is_delivered(self) -> None:
+        fleet = OriginFleet(6)
+        fleet.begin_stream(fleet.edges[0], "s", V1)
+        fleet.kill(fleet.edges[0])
+        assert await fleet.async_find(fleet.edges[1], "s") == V1
+
     async def test_stream_without_any_record_is_unknown(self) -> None:
         fleet = OriginFleet(6)
+        fleet.begin_stream(fleet.edges[0], "first", V1)
         fleet.begin_stream(fleet.edges[0], "s", V1)
         fleet.kill(fleet.edges[0])
         await fleet.async_pass(1.0)
@@ -89,7 +95,7 @@
         for number in range(100):
             fleet.begin_stream(fleet.edges[0], f"s{number}", V1)
             await fleet.async_pass(0.02)
-        await fleet.async_pass(2 * RECORDS_DELAY_S)
+        await fleet.async_pass(2 * RECORDS_INTERVAL_S)
         fleet.kill(fleet.edges[0])
         names = [f"s{number}" for number in range(100)]
         found = [await fleet.async_find(fleet.edges[1], each) for each in names]
@@ -310,8 +316,9 @@
     async def test_ended_stream_is_not_told(self) -> None:
         fleet = OriginFleet(3)
         edge = fleet.edges[0]
-        digest = identify_stream(None, "s")
-        edge.origins.record(digest, V1, ROUTE)
-        edge.origins.end(digest)
+        fleet.begin_stream(edge, "first", V1)
+        told = edge.datagrams
+        fleet.begin_stream(edge, "s", V1)
+        edge.origins.end(identify_stream(None, "s"))
         await fleet.async_pass(1.0)
-        assert edge.datagrams == 0
+        assert edge.datagrams == told == 2
