Let resumed streams wait for a load where only one version serves

Found by reading the change: the version of a stream was requested from schedulers also where all runners have it. Since schedulers load no model for the sake of one version, a stream whose model had lost its last copy was then rejected at once, which waited for a load before. The version is now requested only if it excludes a runner of the service. The test had no other version; it now has both cases.

--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -307,8 +307,12 @@
 
     def states_versions(self, service: str) -> bool:
         """Return whether any runner of a service states its software version."""
+        return self.has_other_version(service, "")
+
+    def has_other_version(self, service: str, version: str) -> bool:
+        """Return whether any runner of a service has another software version."""
         return any(
-            each.service == service and each.software_version
+            each.service == service and each.software_version != version
             for each in self.runners.values()
         )
 
--- a/mangoway/edge/origin_constraint.py
+++ b/mangoway/edge/origin_constraint.py
@@ -22,8 +22,11 @@
 
     @property
     def software_version(self) -> str:
-        """Return the only version that fits; empty if there is no such version."""
-        return "" if self.origin is None else self.origin.software_version
+        """Return the only version that fits; empty if it excludes no runner."""
+        if self.origin is None:
+            return ""
+        version = self.origin.software_version
+        return version if self.view.has_other_version(self.service, version) else ""
 
     @property
     def is_satisfiable(self) -> bool:
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -83,7 +83,11 @@
             reply = await edge.async_call("/stream/x")
         assert (reply.body, reply.complete) == (make_event(1), False)
 
-    async def test_runner_of_the_version_is_requested_from_the_scheduler(self) -> None:
+    @pytest.mark.parametrize(("other", "requested"), [("v2", "v1"), ("v1", "")])
+    async def test_version_is_requested_if_it_excludes_any_runner(
+        self, other: str, requested: str
+    ) -> None:
+        """With one version, a model may be loaded at any runner for the stream."""
         async with (
             RawServer(BEGUN) as bad,
             RawServer(REST) as good,
@@ -91,11 +95,12 @@
         ):
             edge.add("r1", bad, "llm", "v1")
             edge.add("r2", good, "llm", "v1")
+            edge.add("r3", good, "llm", other)
             await edge.async_call("/stream/x")
             versions = [
                 each.software_version for each in edge.grant_provider.grant_requests
             ]
-        assert versions == ["", "v1"]
+        assert versions == ["", requested]
 
     async def test_scheduler_that_ignores_versions_is_asked_for_another_runner(
         self,
