--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -1,16 +1,18 @@
 """Tests of streams that go on while runners of several software versions serve."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
-from attrs import evolve
+from attrs import define, evolve
 
 from mangoway.edge.identity import identify_stream
 from mangoway.models.routing import RouteKind, TrafficShare
 from mangoway.models.streams import StreamOrigin
 
 from ..fakes.fleet import make_route
-from ..upstreams.raw_server import RawServer, answer, cut
+from ..upstreams.raw_server import RawServer, Script, answer, cut
 from .second_attempts import add_load
 from .unreachable import (
     RUNNERS,
@@ -30,6 +32,40 @@
 WHOLE = make_event(1) + make_event(2)
 
 
+@define
+class BrokenStream:
+    """A stream of which one event was written, and the runners that could go on."""
+
+    edge: EdgeWorld
+    others: list[RawServer]
+
+    def count_requests(self) -> list[int]:
+        """Return the number of requests at each of the other runners."""
+        return [len(each.requests) for each in self.others]
+
+
+@asynccontextmanager
+async def start_broken_stream(
+    *versions: str, service: str = "llm", first: Script = BEGUN
+) -> AsyncIterator[BrokenStream]:
+    """Start an edge and runners, the first of which gets the request and breaks off.
+
+    Args:
+        versions: Software version of each runner.
+        service: Service of the runners.
+        first: What the first runner does.
+    """
+    async with AsyncExitStack() as stack:
+        scripts = [first, *(REST for _ in versions[1:])]
+        servers = [await stack.enter_async_context(RawServer(each)) for each in scripts]
+        edge = await stack.enter_async_context(start_edge((STREAM, PLAIN_STREAM)))
+        for number, (server, version) in enumerate(zip(servers, versions, strict=True)):
+            edge.add(f"r{number}", server, service, version)
+            if number:
+                add_load(edge, f"r{number}")
+        yield BrokenStream(edge, servers[1:])
+
+
 class TestResumption:
     """Streams that an edge resumes after their runner has broken off."""
 
@@ -40,17 +76,10 @@
     async def test_stream_does_not_go_on_at_another_version(
         self, first: str, other: str, path: str, service: str
     ) -> None:
-        async with (
-            RawServer(BEGUN) as bad,
-            RawServer(REST) as good,
-            start_edge((STREAM, PLAIN_STREAM)) as edge,
-        ):
-            edge.add("r1", bad, service, first)
-            edge.add("r2", good, service, other)
-            add_load(edge, "r2")
-            reply = await edge.async_call(path)
+        async with start_broken_stream(first, other, service=service) as stream:
+            reply = await stream.edge.async_call(path)
+            assert stream.count_requests() == [0]
         assert (reply.body, reply.complete) == (make_event(1), False)
-        assert good.requests == []
 
     @pytest.mark.parametrize("version", ["v1", ""])
     @pytest.mark.parametrize(
@@ -59,28 +88,13 @@
     async def test_stream_goes_on_at_the_same_version(
         self, path: str, service: str, version: str
     ) -> None:
-        async with (
-            RawServer(BEGUN) as bad,
-            RawServer(REST) as good,
-            start_edge((STREAM, PLAIN_STREAM)) as edge,
-        ):
-            edge.add("r1", bad, service, version)
-            edge.add("r2", good, service, version)
-            add_load(edge, "r2")
-            reply = await edge.async_call(path)
+        async with start_broken_stream(version, version, service=service) as stream:
+            reply = await stream.edge.async_call(path)
         assert (reply.body, reply.complete) == (WHOLE, True)
 
     async def test_unstated_versions_are_not_equal_beside_a_stated_one(self) -> None:
-        async with (
-            RawServer(BEGUN) as bad,
-            RawServer(REST) as good,
-            RawServer(REST) as stated,
-            start_edge() as edge,
-        ):
-            edge.add("r1", bad, "llm")
-            edge.add("r2", good, "llm")
-            edge.add("r3", stated, "llm", "v1")
-            reply = await edge.async_call("/stream/x")
+        async with start_broken_stream("", "", "v1") as stream:
+            reply = await stream.edge.async_call("/stream/x")
         assert (reply.body, reply.complete) == (make_event(1), False)
 
     @pytest.mark.parametrize(("other", "requested"), [("v2", "v1"), ("v1", "")])
@@ -88,47 +102,24 @@
         self, other: str, requested: str
     ) -> None:
         """With one version, a model may be loaded at any runner for the stream."""
-        async with (
-            RawServer(BEGUN) as bad,
-            RawServer(REST) as good,
-            start_edge() as edge,
-        ):
-            edge.add("r1", bad, "llm", "v1")
-            edge.add("r2", good, "llm", "v1")
-            edge.add("r3", good, "llm", other)
-            await edge.async_call("/stream/x")
-            versions = [
-                each.software_version for each in edge.grant_provider.grant_requests
-            ]
-        assert versions == ["", requested]
+        async with start_broken_stream("v1", "v1", other) as stream:
+            await stream.edge.async_call("/stream/x")
+            requests = stream.edge.grant_provider.grant_requests
+        assert [each.software_version for each in requests] == ["", requested]
 
     async def test_scheduler_that_ignores_versions_is_asked_for_another_runner(
         self,
     ) -> None:
-        async with (
-            RawServer(BEGUN) as bad,
-            RawServer(REST) as other,
-            RawServer(REST) as good,
-            start_edge() as edge,
-        ):
-            edge.add("r1", bad, "llm", "v1")
-            edge.add("r2", other, "llm", "v2")
-            edge.add("r3", good, "llm", "v1")
-            reply = await edge.async_call("/stream/x")
+        async with start_broken_stream("v1", "v2", "v1") as stream:
+            reply = await stream.edge.async_call("/stream/x")
+            assert stream.count_requests() == [0, 1]
         assert (reply.body, reply.complete) == (WHOLE, True)
-        assert other.requests == []
 
     async def test_resumption_is_counted(self) -> None:
-        async with (
-            RawServer(BEGUN) as bad,
-            RawServer(REST) as good,
-            start_edge() as edge,
-        ):
-            edge.add("r1", bad, "llm", "v1")
-            edge.add("r2", good, "llm", "v1")
-            await edge.async_call("/stream/x")
-            counted = edge.forwarder.metrics.resumed_streams.get("llm", "edge", "same")
-        assert counted == 1
+        async with start_broken_stream("v1", "v1") as stream:
+            await stream.edge.async_call("/stream/x")
+            counter = stream.edge.forwarder.metrics.resumed_streams
+        assert counter.get("llm", "edge", "same") == 1
 
 
 class TestSilence:
@@ -137,17 +128,12 @@
     async def test_silent_stream_stays_without_another_runner_of_its_version(
         self,
     ) -> None:
-        async with (
-            RawServer(answer(*make_stream(make_event(1), end=False))) as silent,
-            RawServer(REST) as other,
-            start_edge() as edge,
-        ):
-            edge.add("r1", silent, "llm", "v1")
-            edge.add("r2", other, "llm", "v2")
-            call = asyncio.create_task(edge.async_call("/stream/x"))
+        silent = answer(*make_stream(make_event(1), end=False))
+        async with start_broken_stream("v1", "v2", first=silent) as stream:
+            call = asyncio.create_task(stream.edge.async_call("/stream/x"))
             await asyncio.sleep(1.5)
             call.cancel()
-        assert other.requests == []
+            assert stream.count_requests() == [0]
 
 
 def record(edge: EdgeWorld, version: str, customer: str | None = None) -> None:
