--- a/mangoway/policy/edge/stream_records.py
+++ b/mangoway/policy/edge/stream_records.py
@@ -10,8 +10,8 @@
 from ...models.streams import StreamOrigin
 
 MAX_RECORDS: Final = 30_000
-"""Records that a host keeps, some 5 MB: those of its own and of two other hosts' streams
-for over three minutes, at 46 streams a second each."""
+"""Records that a host keeps, some 5 MB: those of its own streams and of two other
+hosts for over three minutes, at 46 streams a second each."""
 
 RING_SIZE: Final = 1 << 64
 """Number of hashes, by which hosts are arranged in a ring."""
