--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -15,7 +15,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "review.example"
@@ -265,6 +265,9 @@
         ] = async_answer_at_once
         self.orders = 0
         self.ran: list[str] = []
+        self.ended_well: list[str] = []
+        """Streams that were written to their end."""
+
         self._count = 0
 
     def announce(self, store: Store) -> None:
@@ -336,9 +339,10 @@
 
 
 def make_streaming(
-    events: int, interval_s: float
+    events: int, interval_s: float, data_bytes: int = 0
 ) -> Callable[[Runner, Message, asyncio.StreamWriter], Awaitable[bool]]:
     """Return an answer as a stream with a number of events at an interval."""
+    filler = "x" * data_bytes
 
     async def async_answer(
         runner: Runner, message: Message, writer: asyncio.StreamWriter
@@ -360,10 +364,11 @@
                     f"{number - 1} of {events} events"
                 )
                 return False
-            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            event = f"id: {number}\ndata: {request_id} {number} {filler}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
+        runner.ended_well.append(request_id)
         runner.record.write(f"runner {runner.runner_id} has ended {request_id} well")
         return True
 
@@ -387,6 +392,14 @@
         return f"status {self.status}, {len(self.body)} bytes, {whole}"
 
 
+class ReadingPace(NamedTuple):
+    """How slowly a client reads."""
+
+    buffer_bytes: int
+    part_bytes: int
+    pause_s: float
+
+
 class Client:
     """A client with one kept channel."""
 
@@ -396,17 +409,10 @@
         self._writer: asyncio.StreamWriter | None = None
         self.answers: list[Answer] = []
 
-    async def async_connect(self, address: str, buffer_bytes: int = 0) -> None:
-        """Open a channel, with a small receive buffer if one is named."""
+    async def async_connect(self, address: str) -> None:
+        """Open a channel."""
         host, _, port = address.rpartition(":")
-        sock = socket.socket()
-        if buffer_bytes:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-        sock.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-        self._reader, self._writer = await asyncio.open_connection(
-            sock=sock, limit=buffer_bytes or 65536
-        )
+        self._reader, self._writer = await asyncio.open_connection(host, int(port))
 
     async def async_send(
         self,
@@ -416,10 +422,8 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"x" * 200,
         deadline_ms: int = 12_000,
-        pause_s: float = 0.0,
-        read_bytes: int = 65_536,
     ) -> Answer:
-        """Send a request and read its answer, at a pace if a pause is given."""
+        """Send a request and read its answer."""
         assert self._reader is not None and self._writer is not None
         request_id = os.urandom(8).hex()
         fields = {
@@ -437,7 +441,7 @@
         self.record.write(f"client {self.name} sends {request_id} {method} {path}")
         try:
             self._writer.write(head.encode() + b"\r\n" + body)
-            await self._async_read(answer, pause_s, read_bytes)
+            await self._async_read(answer)
         except (ConnectionError, asyncio.IncompleteReadError, OSError) as error:
             answer.error = repr(error)
         self.record.write(
@@ -445,9 +449,7 @@
         )
         return answer
 
-    async def _async_read(
-        self, answer: Answer, pause_s: float, read_bytes: int
-    ) -> None:
+    async def _async_read(self, answer: Answer) -> None:
         assert self._reader is not None
         head = await self._reader.readuntil(b"\r\n\r\n")
         lines = head.decode("latin-1").split("\r\n")
@@ -462,15 +464,47 @@
                 await self._reader.readexactly(2)
             await self._reader.readexactly(2)
         else:
-            left = int(answer.headers.get("content-length", 0))
-            while left:
-                part = await self._reader.read(min(left, read_bytes))
+            length = int(answer.headers.get("content-length", 0))
+            answer.body = await self._reader.readexactly(length)
+        answer.whole = True
+
+    async def async_send_and_read_slowly(
+        self, address: str, path: str, headers: dict[str, str], pace: "ReadingPace"
+    ) -> Answer:
+        """Send a request on a new channel and read its chunked answer in small parts.
+
+        The client's own receive buffer is small, and it pauses after each part.
+        """
+        loop = asyncio.get_running_loop()
+        request_id = os.urandom(8).hex()
+        answer = Answer(request_id)
+        host, _, port = address.rpartition(":")
+        head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, pace.buffer_bytes)
+        sock.setblocking(False)
+        self.record.write(f"client {self.name} sends {request_id} POST {path}")
+        try:
+            await loop.sock_connect(sock, (host, int(port)))
+            await loop.sock_sendall(sock, head.encode() + b"Content-Length: 0\r\n\r\n")
+            while not answer.body.endswith(b"\r\n0\r\n\r\n"):
+                part = await loop.sock_recv(sock, pace.part_bytes)
                 if not part:
                     raise ConnectionError("the channel ended within the body")
                 answer.body += part
-                left -= len(part)
-                await asyncio.sleep(pause_s)
-        answer.whole = True
+                await asyncio.sleep(pace.pause_s)
+            answer.whole = True
+        except OSError as error:
+            answer.error = repr(error)
+        finally:
+            sock.close()
+        if answer.body:
+            answer.status = int(answer.body.split(b" ", 2)[1])
+        self.record.write(
+            f"client {self.name} got for {request_id}: {answer.describe()}"
+        )
+        return answer
 
     async def async_is_ready(self) -> bool:
         """Return whether the status check of a front node is answered with 200."""
