--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -506,6 +506,17 @@
         )
         return answer
 
+    async def async_resolve(self) -> tuple[list[str], float]:
+        """Ask a directory for the addresses of front nodes, and for how long."""
+        assert self._reader is not None and self._writer is not None
+        target = f"/v1/resolve?name={HOST}&region=ulaanbaatar&zone=hall-a"
+        head = f"GET {target} HTTP/1.1\r\nHost: directory\r\n\r\n"
+        self._writer.write(head.encode())
+        answer = Answer("")
+        await self._async_read(answer)
+        fields = json.loads(answer.body)
+        return fields["addresses"], float(fields["ttl_s"])
+
     async def async_is_ready(self) -> bool:
         """Return whether the status check of a front node is answered with 200."""
         assert self._reader is not None and self._writer is not None
