--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -693,6 +693,11 @@
         "weights_mb": 230_000.0,
         "adapter_slots": 8,
         "loads_per_s": 2,
+        "moves": True,
+        "backups": True,
+        "kv_token_bytes": 163_840,
+        "stride": 5,
+        "handle_s": 4,
         "models": [_make_model(f"m{number}") for number in range(4)],
     }
     return {
