--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import os
 import shutil
@@ -128,9 +129,38 @@
         self.history: list[dict[str, Any]] = []
         self.revision = 1
         self.leases: dict[int, tuple[float, float]] = {}
+        self.era: int | None = None
+        """Sent with all answers if it is set; rises when the store is restored."""
+
+        self.is_away = False
+        self.on_watched: Callable[[float], None] = lambda took_s: None
+        """Called with the time that a watch has waited before it was answered."""
+
         self._next_lease = 1
         self._changed = asyncio.Event()
 
+    def copy(self) -> dict[str, Any]:
+        """Return a copy of the current state."""
+        state = {
+            "items": self.items,
+            "history": self.history,
+            "revision": self.revision,
+            "leases": self.leases,
+            "next_lease": self._next_lease,
+        }
+        return copy.deepcopy(state)
+
+    def restore(self, state: dict[str, Any]) -> None:
+        """Come back from a copy; revisions and leases since are given out again."""
+        assert self.era is not None
+        self.era += 1
+        state = copy.deepcopy(state)
+        self.items, self.history = state["items"], state["history"]
+        self.revision, self.leases = state["revision"], state["leases"]
+        self._next_lease = state["next_lease"]
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def write(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write a key."""
         self.revision += 1
@@ -172,10 +202,19 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Answer a call."""
+        if self.is_away:
+            return False
         self._expire()
+        began_at = time.monotonic()
         status, fields = await self._async_answer(message)
-        body = json.dumps(fields).encode()
-        writer.write(encode_reply(status, {"Content-Type": "application/json"}, body))
+        if self.is_away:
+            return False
+        if message.path == "/v1/kv-watch":
+            self.on_watched(time.monotonic() - began_at)
+        headers = {"Content-Type": "application/json"}
+        if self.era is not None:
+            headers["Store-Era"] = str(self.era)
+        writer.write(encode_reply(status, headers, json.dumps(fields).encode()))
         await writer.drain()
         return True
 
@@ -220,6 +259,8 @@
 
     async def _async_watch(self, message: Message) -> tuple[int, dict[str, Any]]:
         after = int(message.query["after"])
+        if after > self.revision:
+            return 410, {}
         wait_s = min(30.0, int(message.query["wait_ms"]) / 1000)
         if after == self.revision:
             try:
@@ -288,7 +329,14 @@
         store.write(f"servers/{self.runner_id}", json.dumps(fields).encode())
 
     def _list_models(self) -> list[dict[str, Any]]:
-        return [{"name": each, "version": 1, "adapters": []} for each in self.models]
+        return [
+            {"name": each, "version": 1, "adapters": self.list_adapters(each)}
+            for each in self.models
+        ]
+
+    def list_adapters(self, model: str) -> list[str]:
+        """Return the adapters of a model that are loaded."""
+        return []
 
     async def async_handle(
         self,
@@ -566,9 +614,10 @@
 
     async def _async_announce(self) -> None:
         while True:
-            await asyncio.sleep(1.2)
-            for runner in self.runners:
-                runner.announce(self.store)
+            for runner in tuple(self.runners):
+                await asyncio.sleep(1.2 / len(self.runners))
+                if runner in self.runners and not self.store.is_away:
+                    runner.announce(self.store)
 
     async def async_add(self, role: str, name: str) -> Program:
         """Start an edge or a scheduler with the command of the deploy file."""
@@ -599,8 +648,8 @@
                 "MANGOWAY_RETRY_RATIO": self.bounds["retry_budget_ratio"],
                 "MANGOWAY_RETRY_SLACK": self.bounds["retry_budget_slack"],
                 "MANGOWAY_RETRY_WINDOW_S": self.bounds["budget_window_s"],
-                "MANGOWAY_REVOKE_MS": "",
-                "MANGOWAY_REVOKE_CLOSED": "",
+                "MANGOWAY_REVOKE_MS": self.bounds.get("revoke_ms", ""),
+                "MANGOWAY_REVOKE_CLOSED": self.bounds.get("revoke_closed", ""),
             }
         else:
             settings |= {
