--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,15 +1,14 @@
-"""A runner that leaves without draining, and its streams that go on elsewhere.
+"""An adapter that is unloaded while a run still uses it, and one more that is loaded.
 
-The entry of the runner is removed while it goes on serving. One of its streams pauses
-for longer than a second, as it is preempted and read anew. The edge then goes on from
-the copy at another runner, though the runner before still works on the stream.
+A client leaves its stream. The runner is one that goes on with such a run, so that the
+adapter stays in use there. The scheduler takes it for unused and orders its unload,
+which the runner carries out once the run has ended, and at once orders another load.
 """
 
 import asyncio
+import json
 import os
 import sys
-import time
-from itertools import pairwise
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -18,163 +17,169 @@
 import stand_ins as parts  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-EVENTS, INTERVAL_S = 58, 0.05
-PAUSED_AT, PAUSE_S = 20, 1.3
-"""The event before which a stream is preempted, and how long that takes: less than the
-two seconds after which clients leave."""
+ADAPTER_SLOTS = 8
+"""As on khangai-escort."""
 
-FIRST = 10
-"""Streams before, from which the edge earns the credit to send one again."""
-
-LEAVES_AT = 15
-"""The event after which the runner leaves."""
-
-OVERLAP_S = 0.4
-"""Time after which the runner before must not work on a stream that went on."""
+LONG_EVENTS, SHORT_EVENTS, INTERVAL_S = 100, 5, 0.05
+LEAVES_AFTER_S = 0.6
 
 
 class EngineRunner(parts.Runner):
-    """A runner that keeps copies, and doesn't drop a run when its channel closes."""
+    """A runner with adapters that doesn't drop a run when its channel closes."""
 
-    def __init__(self, record: parts.Record, copies: set[str]) -> None:
+    def __init__(self, record: parts.Record) -> None:
         super().__init__("escort-llm", record, ("m0",))
-        self._copies = copies
-        """All copies, as address of the runner and request, at any runner."""
+        self.adapters: dict[str, int] = {}
+        """Loaded adapters, with the number of runs that use each."""
 
-        self.begins: dict[str, float] = {}
-        """When it began to run each request."""
+        self.leaving: set[str] = set()
+        """Adapters whose unload waits for the end of their runs."""
 
-        self.worked_at: dict[str, float] = {}
-        """When it last worked on each request."""
+        self.overfilled: list[str] = []
+        """Adapters that it was ordered to load without a free slot."""
 
-        self.preempts = False
-        self.on_event = lambda number: None
-        self.async_answer = self._async_stream
+    def list_adapters(self, model: str) -> list[str]:
+        """Return the loaded adapters."""
+        return sorted(self.adapters)
 
-    async def _async_stream(
+    async def async_handle(
         self,
-        runner: parts.Runner,
         message: parts.Message,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        """Write the events of a run, or of the rest of one."""
-        request_id = message.headers["x-request-id"]
-        source = message.headers.get("kv-from", "")
-        fields = self.make_headers(message)
-        if source and source not in self._copies:
-            self.ran.pop()
-            self.record.write(f"runner {self.runner_id} has no copy {source}")
-            fields["X-Not-Executed"] = "1"
-            writer.write(parts.encode_reply(503, fields, b""))
+        """Answer a report request, an order or a request of a client."""
+        if message.path == "/v1/order":
+            status = self._accept_order(json.loads(message.body))
+            writer.write(parts.encode_reply(status, {}, b"{}"))
+            return True
+        adapter = message.headers.get("x-model", "").partition("/")[2]
+        if adapter and (adapter not in self.adapters or adapter in self.leaving):
+            request_id = message.headers["x-request-id"]
+            fields = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
+            writer.write(parts.encode_reply(421, fields, b""))
             return True
-        backup = message.headers.get("x-kv-backup", "")
-        if backup:
-            self._copies.add(f"{backup}/{request_id}")
-            self.record.write(
-                f"runner {self.runner_id} copies {request_id} to {backup}"
-            )
-        if source:
-            self.record.write(f"runner {self.runner_id} goes on with {request_id}")
-        self.begins[request_id] = time.monotonic()
-        fields |= {
-            "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
-        }
-        head = "HTTP/1.1 200 OK\r\n" + "".join(
-            f"{name}: {value}\r\n" for name, value in fields.items()
+        return await super().async_handle(message, reader, writer)
+
+    def _accept_order(self, order: dict[str, object]) -> int:
+        """Return the status of the answer to an order."""
+        adapter = str(order.get("adapter") or "")
+        if order.get("precondition") not in (None, self.orders) or not adapter:
+            return 409
+        self.orders += 1
+        status = 202
+        if order["operation"] == "model_load":
+            if len(self.adapters) >= ADAPTER_SLOTS:
+                self.overfilled.append(adapter)
+            self.adapters[adapter] = 0
+        elif self.adapters.get(adapter, 0):
+            self.leaving.add(adapter)
+        else:
+            self.adapters.pop(adapter, None)
+            status = 200
+        self.record.write(
+            f"runner answers {status} to {order['operation']} of {adapter}, "
+            f"holds {len(self.adapters)} adapters"
         )
-        writer.write(head.encode() + b"\r\n")
-        first = int(message.headers.get("last-event-id", 0)) + 1
-        for number in range(first, EVENTS + 1):
-            pauses = self.preempts and number == PAUSED_AT
-            if pauses:
-                self.record.write(f"runner {self.runner_id} preempts {request_id}")
-            await asyncio.sleep(PAUSE_S if pauses else INTERVAL_S)
-            self.worked_at[request_id] = time.monotonic()
+        return status
+
+    def begin_use(self, adapter: str) -> None:
+        """Count a run that uses an adapter."""
+        self.adapters[adapter] += 1
+
+    def end_use(self, adapter: str) -> None:
+        """Count the end of a run, and carry out an unload that waits for it."""
+        self.adapters[adapter] -= 1
+        if adapter in self.leaving and not self.adapters[adapter]:
+            self.leaving.discard(adapter)
+            del self.adapters[adapter]
+            self.record.write(f"runner has unloaded {adapter}")
+
+
+async def async_stream(
+    runner: parts.Runner, message: parts.Message, writer: asyncio.StreamWriter
+) -> bool:
+    """Write the events of a run; go on with it after the client has left."""
+    assert isinstance(runner, EngineRunner)
+    adapter = message.headers["x-model"].partition("/")[2]
+    request_id = message.headers["x-request-id"]
+    is_long = message.headers["x-token-usage"] == LONG_USAGE
+    head = "HTTP/1.1 200 OK\r\n" + "".join(
+        f"{name}: {value}\r\n" for name, value in runner.make_headers(message).items()
+    )
+    head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    writer.write(head.encode())
+    runner.begin_use(adapter)
+    try:
+        for number in range(1, (LONG_EVENTS if is_long else SHORT_EVENTS) + 1):
+            await asyncio.sleep(INTERVAL_S)
             if not writer.transport.is_closing():
                 event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
                 writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-            self.on_event(number)
-        self.record.write(f"runner {self.runner_id} has ended {request_id}")
-        if writer.transport.is_closing():
-            return False
-        writer.write(b"0\r\n\r\n")
-        return True
+    finally:
+        runner.end_use(adapter)
+    if writer.transport.is_closing():
+        return False
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
+LONG_USAGE, SHORT_USAGE = "826,500", "826,25"
 
 
 async def async_play(record: parts.Record, logs: Path) -> int:
     """Play the case, and return the exit code."""
     deployment = parts.Deployment(logs, record, parts.BOUNDS)
-    copies: set[str] = set()
-    engines = [EngineRunner(record, copies) for _ in range(3)]
-    deployment.runners += [*engines, parts.Runner("booking-core", record)]
+    engine = EngineRunner(record)
+    engine.async_answer = async_stream
+    deployment.runners += [engine, parts.Runner("booking-core", record)]
+    config = parts.make_config()
+    config["services"][0]["engine"]["models"][0] |= {"adapters": 42, "adapter_mb": 12.0}
     try:
-        await deployment.async_start(parts.make_config())
+        await deployment.async_start(config)
         await deployment.async_add("scheduler", "front-1")
         edges = [await deployment.async_add("edge", f"front-{n}") for n in (1, 2)]
         for edge in edges:
             await deployment.async_wait_ready(edge)
         await asyncio.sleep(3.5)
-        return await async_judge(deployment, engines, edges[0])
+        return await async_judge(engine, edges[0], record)
     finally:
         await deployment.async_stop()
 
 
 async def async_judge(
-    deployment: parts.Deployment, engines: list[EngineRunner], edge: parts.Program
+    engine: EngineRunner, edge: parts.Program, record: parts.Record
 ) -> int:
-    """Send a stream, let its runner leave, and judge who worked on it."""
-    record = deployment.record
-
-    def leave(runner: EngineRunner, number: int) -> None:
-        if number == LEAVES_AT and TROUBLE and runner in deployment.runners:
-            record.write(f"store removes the entry of {runner.runner_id}, which leaves")
-            deployment.runners.remove(runner)
-            deployment.store.remove(f"servers/{runner.runner_id}")
-
-    first = [parts.Client(f"first-{n}", record) for n in range(FIRST)]
-    for each in first:
-        await each.async_connect(edge.addresses["front"])
-    warm_up = await asyncio.gather(*(async_chat(each) for each in first))
-    if not all(each.whole and each.status == 200 for each in warm_up):
+    """Use one adapter more than there are slots, and judge the orders."""
+    first = parts.Client("first", record)
+    await first.async_connect(edge.addresses["front"])
+    leaving = asyncio.create_task(async_chat(first, "a1", LONG_USAGE))
+    await asyncio.sleep(LEAVES_AFTER_S)
+    if TROUBLE:
+        record.write("client first leaves")
+        first.close()
+    served = 0
+    for number in range(2, ADAPTER_SLOTS + 2):
+        client = parts.Client(f"client-{number}", record)
+        await client.async_connect(edge.addresses["front"])
+        answer = await async_chat(client, f"a{number}", SHORT_USAGE)
+        served += answer.whole and answer.status == 200
+    await asyncio.gather(leaving, return_exceptions=True)
+    if served < ADAPTER_SLOTS - 1:
         record.write("the deployment does not serve: the case can't run")
         return 2
-    for each in engines:
-        each.begins.clear()
-    client = parts.Client("chat", record)
-    await client.async_connect(edge.addresses["front"])
-    chat = asyncio.create_task(async_chat(client))
-    await asyncio.sleep(INTERVAL_S * 5)
-    for each in engines:
-        if each.begins:
-            each.preempts = True
-            each.on_event = lambda number, each=each: leave(each, number)
-    answer = await chat
-    await asyncio.sleep(PAUSE_S + EVENTS * INTERVAL_S)
-    request_id = answer.request_id
-    ran = sorted(
-        (each for each in engines if request_id in each.begins),
-        key=lambda each: each.begins[request_id],
+    record.write(
+        f"LIMIT: ordered to load {engine.overfilled} while all "
+        f"{ADAPTER_SLOTS} slots were taken"
     )
-    if not ran:
-        record.write("no runner ran it: the case can't run")
-        return 2
-    broken = False
-    for before, after in pairwise(ran):
-        overlap_s = before.worked_at[request_id] - after.begins[request_id]
-        record.write(
-            f"{before.runner_id} worked on it until {overlap_s:.2f} s after "
-            f"{after.runner_id} had gone on with it"
-        )
-        broken |= overlap_s > OVERLAP_S
-    record.write(f"TWICE: {'broken' if broken else 'held'}, {len(ran)} runners")
-    return 1 if broken else 0
+    return 1 if engine.overfilled else 0
 
 
-async def async_chat(client: parts.Client) -> parts.Answer:
-    """Send the request of a stream that can't be resumed."""
+async def async_chat(client: parts.Client, adapter: str, usage: str) -> parts.Answer:
+    """Send the request of a stream that uses an adapter."""
+    headers = parts.CHAT_HEADERS | {"X-Model": f"m0/{adapter}", "X-Token-Usage": usage}
     return await client.async_send(
-        "/overnight-chat/x", headers=parts.CHAT_HEADERS, deadline_ms=15_000
+        "/overnight-chat/x", headers=headers, deadline_ms=15_000
     )
 
 
