--- a/mangoway/edge/continuation.py
+++ b/mangoway/edge/continuation.py
@@ -19,6 +19,7 @@
 from ..policy.edge.continuation import CONTINUES, TransferStep
 from ..policy.scheduling.events import TransferStream
 from .attempt import Attempt, AttemptResult
+from .crash_detector import log_end
 from .delivery import Delivery
 from .finder_context import FinderContext
 from .retry_payment import RetryPayment
@@ -368,9 +369,11 @@
         backup, self._backup = self._backup, None
         if backup is None or self.delivery.last_event_id is None:
             return None
-        if not await self.context.crash_detector.async_prove_end(runner):
+        evidence = await self.context.crash_detector.async_prove_end(runner)
+        if evidence is None:
             self._report_unused(runner, backup, "no_crash")
             return None
+        log_end(self.fields.request_id, runner, evidence)
         if not self.finder.is_same_open(backup):
             self._report_unused(runner, backup, "left")
             return None
--- a/mangoway/edge/crash_detector.py
+++ b/mangoway/edge/crash_detector.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from enum import Enum
 from typing import Any, Final
 
 from attrs import define, field, frozen
@@ -42,6 +43,20 @@
 later. More would be needed only if a thousand runners crashed within a second."""
 
 
+class EndEvidence(Enum):
+    """What shows that the process of a runner has ended."""
+
+    CRASHED = "crashed"
+    RESTARTED = "restarted"
+    """A later incarnation has its ID."""
+
+    REFUSED = "refused"
+    """Its host refuses connections, and other runners accept them."""
+
+    UNLISTED = "unlisted"
+    """Its entry is missing."""
+
+
 @frozen(kw_only=True)
 class InterruptedRequest:
     """A request whose connection to its runner broke."""
@@ -121,15 +136,25 @@
         Either it has crashed, or its entry has vanished or is that of a later
         incarnation.
 
+        Args:
+            runner: The runner, as it was when a request was sent to it.
+        """
+        return self.find_end(runner) is not None
+
+    def find_end(self, runner: RunnerEntry) -> EndEvidence | None:
+        """Return what shows that a runner's process has ended; None if nothing does.
+
         Args:
             runner: The runner, as it was when a request was sent to it.
         """
         if _get_incarnation(runner) in self._crashed:
-            return True
+            return EndEvidence.CRASHED
         entry = self.view.runners.get(runner.runner_id)
-        return entry is None or is_later_incarnation(
-            entry.started_ms, runner.started_ms
-        )
+        if entry is None:
+            return EndEvidence.UNLISTED
+        if is_later_incarnation(entry.started_ms, runner.started_ms):
+            return EndEvidence.RESTARTED
+        return None
 
     async def async_settle(self, runner: RunnerEntry) -> None:
         """Wait for the pending check of a runner, if there is one."""
@@ -137,8 +162,8 @@
         if check is not None:
             await check.done.wait()
 
-    async def async_prove_end(self, runner: RunnerEntry) -> bool:
-        """Return whether a runner whose connection broke has certainly ended.
+    async def async_prove_end(self, runner: RunnerEntry) -> EndEvidence | None:
+        """Return what proves that a runner whose connection broke has ended.
 
         Either it is gone, or its host refuses a new connection. A runner that leaves as
         planned isn't checked for a crash, but may have ended all the same.
@@ -147,12 +172,15 @@
             runner: The runner, as it was when a request was sent to it.
         """
         await self.async_settle(runner)
-        if self.is_gone(runner):
-            return True
+        evidence = self.find_end(runner)
+        if evidence is not None:
+            return evidence
         if self.view.find_open_runner(runner.runner_id) is not None:
-            return False
+            return None
         refused = await self._async_is_refused(runner)
-        return refused and await self.async_has_reach(runner, self.clock())
+        if refused and await self.async_has_reach(runner, self.clock()):
+            return EndEvidence.REFUSED
+        return None
 
     async def _async_has_crashed(self, runner: RunnerEntry) -> bool:
         """Return whether a runner crashed that was open when a connection broke."""
@@ -235,6 +263,14 @@
         self.on_crash(RunnerCrash(life=incarnation, requests=tuple(requests)))
 
 
+def log_end(request_id: str, runner: RunnerEntry, evidence: EndEvidence) -> None:
+    """Log that a runner that holds a request is taken for ended."""
+    life = _get_incarnation(runner).text
+    log_event(
+        log.RunnerEndFound(request_id=request_id, life=life, evidence=evidence.value)
+    )
+
+
 def _get_incarnation(runner: RunnerEntry) -> RunnerIncarnation:
     return RunnerIncarnation(runner_id=runner.runner_id, started_ms=runner.started_ms)
 
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -44,7 +44,7 @@
     ContinuedRun,
     StreamContinuation,
 )
-from .crash_detector import InterruptedRequest
+from .crash_detector import InterruptedRequest, log_end
 from .delivery import Delivery
 from .final_response import FinalResponse
 from .identity import identify_stream
@@ -390,7 +390,9 @@
             ConnectionLostError: If the silent runner's process has ended. A host that
                 is gone closes no connections.
         """
-        if self.context.crash_detector.is_gone(runner):
+        evidence = self.context.crash_detector.find_end(runner)
+        if evidence is not None:
+            log_end(self.fields.request_id, runner, evidence)
             raise ConnectionLostError("the runner is gone")
         if not self.route.idempotent:
             return False
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -381,6 +381,18 @@
     lost_s: float
 
 
+@numbered(363, LogLevel.INFO)
+class RunnerEndFound:
+    """An edge takes a runner that holds a request of its own for ended."""
+
+    request_id: str
+    life: str
+    """Runner id and start of the incarnation."""
+
+    evidence: str
+    """`crashed`, `restarted`, `refused`, or `unlisted` for a missing entry."""
+
+
 # 4xx: scheduling and placement.
 
 
--- a/tests/edge/test_crash_detector.py
+++ b/tests/edge/test_crash_detector.py
@@ -151,7 +151,7 @@
             harness.view.update_runner(
                 make_runner("r1", address=address, draining=True)
             )
-            assert not await harness.detector.async_prove_end(entry)
+            assert await harness.detector.async_prove_end(entry) is None
             await harness.tasks.async_cancel()
         assert harness.crashes == []
 
