Continue a stream elsewhere only if its runner has provably ended

Without a retry credit the caller's stream was reset.

Cause: an edge took a missing entry for a process that had ended, both when a runner was silent and when its connection broke. A runner may leave without a draining report and serve on, or be cut off from the store alone. Event 363 showed 'unlisted' for both steps; orders of transfers (cause 'crash' in 262) and a connection closed by the runner (the first 363 precedes the end of the attempt) are ruled out.

An end is now proved by a detected crash, a later incarnation, a host that refuses a connection of a runner that leaves, or, for a runner without an entry, a host that does not respond to two connections; for the last two this host must reach another runner. Requests of one runner share the check. A request that can't be repeated watches the entry between two silences, so that streams of a lost host go on as soon as before.

Tests: three of tests/edge/test_runner_ends.py failed before (paused, reset, and broken off without a backup); streams of lost hosts passed before and after.

--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -215,6 +215,20 @@
         left_ms = self._leaving.get(entry.runner_id)
         return left_ms is None or is_later_incarnation(entry.started_ms, left_ms)
 
+    def is_listed(self, runner: RunnerEntry) -> bool:
+        """Return whether the fleet has an entry of this incarnation of a runner."""
+        known = self.runners.get(runner.runner_id)
+        return known is not None and not is_later_incarnation(
+            known.started_ms, runner.started_ms
+        )
+
+    def has_restarted(self, runner: RunnerEntry) -> bool:
+        """Return whether a later incarnation of a runner has its ID."""
+        known = self.runners.get(runner.runner_id)
+        return known is not None and is_later_incarnation(
+            known.started_ms, runner.started_ms
+        )
+
     def measure_closed_s(self, runner_id: str) -> float:
         """Return for how many seconds a runner is known to leave; 0 if it doesn't."""
         closed_at = self._closed_at.get(runner_id)
--- a/mangoway/edge/continuation.py
+++ b/mangoway/edge/continuation.py
@@ -19,10 +19,10 @@
 from ..policy.edge.continuation import CONTINUES, TransferStep
 from ..policy.scheduling.events import TransferStream
 from .attempt import Attempt, AttemptResult
-from .crash_detector import log_end
 from .delivery import Delivery
 from .finder_context import FinderContext
 from .retry_payment import RetryPayment
+from .runner_ends import log_end
 from .runner_finder import RunnerFinder
 from .transfer import StreamTransfer
 
@@ -113,6 +113,11 @@
         """Return whether a transfer is stopping the run at its runner."""
         return self._transfer is not None and self._transfer.plan.is_stopping
 
+    @property
+    def has_backup(self) -> bool:
+        """Return whether a backup was named to the runner of the current run."""
+        return self._backup is not None
+
     def choose_backup(self, runner: RunnerEntry) -> str:
         """Return the address of the backup for a new run at a runner; empty if none."""
         self._backup = backup = self._find_backup(runner)
@@ -369,7 +374,8 @@
         backup, self._backup = self._backup, None
         if backup is None or self.delivery.last_event_id is None:
             return None
-        evidence = await self.context.crash_detector.async_prove_end(runner)
+        await self.context.crash_detector.async_settle(runner)
+        evidence = await self.context.runner_ends.async_find(runner)
         if evidence is None:
             self._report_unused(runner, backup, "no_crash")
             return None
--- a/mangoway/edge/crash_detector.py
+++ b/mangoway/edge/crash_detector.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
-from enum import Enum
 from typing import Any, Final
 
 from attrs import define, field, frozen
@@ -17,7 +16,7 @@
 from ..coordination.view import FleetView
 from ..http1.client import ConnectFailedError, async_connect
 from ..models.crash import RequestIdentity, RunnerIncarnation
-from ..models.runner import RunnerEntry, is_later_incarnation
+from ..models.runner import RunnerEntry
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
@@ -43,20 +42,6 @@
 later. More would be needed only if a thousand runners crashed within a second."""
 
 
-class EndEvidence(Enum):
-    """What shows that the process of a runner has ended."""
-
-    CRASHED = "crashed"
-    RESTARTED = "restarted"
-    """A later incarnation has its ID."""
-
-    REFUSED = "refused"
-    """Its host refuses connections, and other runners accept them."""
-
-    UNLISTED = "unlisted"
-    """Its entry is missing."""
-
-
 @frozen(kw_only=True)
 class InterruptedRequest:
     """A request whose connection to its runner broke."""
@@ -115,7 +100,7 @@
             runner: The runner, as it was when the request was sent.
             request: The request.
         """
-        incarnation = _get_incarnation(runner)
+        incarnation = get_incarnation(runner)
         detected_at = self._crashed.get(incarnation)
         if detected_at is not None:
             # A request that was sent later reached a runner that had already crashed.
@@ -130,65 +115,27 @@
             self._checks[incarnation] = check = PendingCheck([request])
             self.start_task(self._async_check(incarnation, runner, check))
 
-    def is_gone(self, runner: RunnerEntry) -> bool:
-        """Return whether a runner's process is known to have ended.
-
-        Either it has crashed, or its entry has vanished or is that of a later
-        incarnation.
+    def has_crashed(self, runner: RunnerEntry) -> bool:
+        """Return whether a crash of a runner was detected.
 
         Args:
             runner: The runner, as it was when a request was sent to it.
         """
-        return self.find_end(runner) is not None
-
-    def find_end(self, runner: RunnerEntry) -> EndEvidence | None:
-        """Return what shows that a runner's process has ended; None if nothing does.
-
-        Args:
-            runner: The runner, as it was when a request was sent to it.
-        """
-        if _get_incarnation(runner) in self._crashed:
-            return EndEvidence.CRASHED
-        entry = self.view.runners.get(runner.runner_id)
-        if entry is None:
-            return EndEvidence.UNLISTED
-        if is_later_incarnation(entry.started_ms, runner.started_ms):
-            return EndEvidence.RESTARTED
-        return None
+        return get_incarnation(runner) in self._crashed
 
     async def async_settle(self, runner: RunnerEntry) -> None:
         """Wait for the pending check of a runner, if there is one."""
-        check = self._checks.get(_get_incarnation(runner))
+        check = self._checks.get(get_incarnation(runner))
         if check is not None:
             await check.done.wait()
 
-    async def async_prove_end(self, runner: RunnerEntry) -> EndEvidence | None:
-        """Return what proves that a runner whose connection broke has ended.
-
-        Either it is gone, or its host refuses a new connection. A runner that leaves as
-        planned isn't checked for a crash, but may have ended all the same.
-
-        Args:
-            runner: The runner, as it was when a request was sent to it.
-        """
-        await self.async_settle(runner)
-        evidence = self.find_end(runner)
-        if evidence is not None:
-            return evidence
-        if self.view.find_open_runner(runner.runner_id) is not None:
-            return None
-        refused = await self._async_is_refused(runner)
-        if refused and await self.async_has_reach(runner, self.clock()):
-            return EndEvidence.REFUSED
-        return None
-
     async def _async_has_crashed(self, runner: RunnerEntry) -> bool:
         """Return whether a runner crashed that was open when a connection broke."""
         until = self.clock() + MAX_UNDECIDED_S
         while await self._async_is_refused(runner):
             if await self.async_has_reach(runner, self.clock()):
                 return True
-            if self.is_gone(runner):
+            if self.view.has_restarted(runner):
                 return True
             if self.clock() >= until:
                 return False
@@ -263,15 +210,8 @@
         self.on_crash(RunnerCrash(life=incarnation, requests=tuple(requests)))
 
 
-def log_end(request_id: str, runner: RunnerEntry, evidence: EndEvidence) -> None:
-    """Log that a runner that holds a request is taken for ended."""
-    life = _get_incarnation(runner).text
-    log_event(
-        log.RunnerEndFound(request_id=request_id, life=life, evidence=evidence.value)
-    )
-
-
-def _get_incarnation(runner: RunnerEntry) -> RunnerIncarnation:
+def get_incarnation(runner: RunnerEntry) -> RunnerIncarnation:
+    """Return the incarnation of a runner."""
     return RunnerIncarnation(runner_id=runner.runner_id, started_ms=runner.started_ms)
 
 
--- a/mangoway/edge/finder_context.py
+++ b/mangoway/edge/finder_context.py
@@ -12,6 +12,7 @@
 from .crash_filter import CrashFilter
 from .plain_grant_provider import PlainGrantProvider
 from .retry_budgets import RetryBudgets
+from .runner_ends import RunnerEnds
 from .signal_tracker import SignalTracker
 
 
@@ -28,6 +29,7 @@
 
     crash_detector: CrashDetector
     crash_filter: CrashFilter
+    runner_ends: RunnerEnds
     signal_tracker: SignalTracker
     request_numbers: "count[int]"
 
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -37,6 +37,7 @@
 from .responses import STATUS_NO_ROUTE, STATUS_NOT_RUN, make_response
 from .retry_budgets import RetryBudgets
 from .runner_connector import RunnerConnector
+from .runner_ends import RunnerEnds
 from .signal_tracker import SignalTracker
 from .stream_origins import StreamOrigins
 
@@ -95,6 +96,12 @@
     """Returns whether the configuration is known to be recent enough."""
 
     request_numbers: "count[int]" = field(factory=count, init=False)
+    runner_ends: RunnerEnds = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.runner_ends = RunnerEnds(
+            self.view, self.crash_detector, self.connector, self.start_task
+        )
 
     async def async_handle(self, request: Request, exchange: Exchange) -> None:
         """Handle a request; cancelled when its caller disconnects."""
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -44,7 +44,7 @@
     ContinuedRun,
     StreamContinuation,
 )
-from .crash_detector import InterruptedRequest, log_end
+from .crash_detector import InterruptedRequest
 from .delivery import Delivery
 from .final_response import FinalResponse
 from .identity import identify_stream
@@ -57,6 +57,7 @@
     STATUS_TIMEOUT,
 )
 from .runner_connector import RunnerConnector
+from .runner_ends import EndEvidence, log_end
 from .runner_finder import RunnerFinder
 from .stream_origins import OWN_RECORD, StreamOrigins
 
@@ -369,7 +370,8 @@
         """
         await self._async_check_crash(runner)
         await self.context.crash_detector.async_settle(runner)
-        if not self.context.crash_detector.is_gone(runner):
+        is_listed = self.context.view.is_listed(runner)
+        if is_listed and not self.context.crash_detector.has_crashed(runner):
             self.context.crash_filter.record_success(self.log.identity)
 
     def _recheck_admission(self) -> Rejection | None:
@@ -390,15 +392,32 @@
             ConnectionLostError: If the silent runner's process has ended. A host that
                 is gone closes no connections.
         """
-        evidence = self.context.crash_detector.find_end(runner)
-        if evidence is not None:
-            log_end(self.fields.request_id, runner, evidence)
-            raise ConnectionLostError("the runner is gone")
+        ends, continuation = self.context.runner_ends, self._continuation
+        self._raise_if_ended(runner, ends.find_known(runner))
         if not self.route.idempotent:
-            return False
-        if self._continuation is not None and self._continuation.is_stopping:
+            self._raise_if_ended(runner, await ends.async_wait(runner))
+        is_listed = self.context.view.is_listed(runner)
+        if not is_listed and continuation is not None and continuation.has_backup:
+            # Its copy spares the prefill at an alternative.
+            self._raise_if_ended(runner, await ends.async_find(runner))
+        if continuation is not None and continuation.is_stopping:
             # The stream goes on from its copy.
             return False
+        if await self._async_find_alternative(runner):
+            return True
+        if not is_listed:
+            self._raise_if_ended(runner, await ends.async_find(runner))
+        return False
+
+    def _raise_if_ended(
+        self, runner: RunnerEntry, evidence: EndEvidence | None
+    ) -> None:
+        if evidence is not None:
+            log_end(self.fields.request_id, runner, evidence)
+            raise ConnectionLostError("the runner is gone")
+
+    async def _async_find_alternative(self, runner: RunnerEntry) -> bool:
+        """Return whether a request may be repeated at another runner or a peer."""
         connector = self.context.connector
         connector.start_check(self._sent_at)
         if connector.reach.is_lost:
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -128,7 +128,9 @@
 
     def may_still_receive(self, runner: RunnerEntry) -> bool:
         """Return whether a runner may receive a continued run, also if it leaves."""
-        if self.context.crash_detector.is_gone(runner):
+        if self.context.crash_detector.has_crashed(runner):
+            return False
+        if not self.context.view.is_listed(runner):
             return False
         if self.context.signal_tracker.measure_cooldown(runner) > 0:
             return False
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -1,6 +1,7 @@
 """Connections to upstreams with one request at a time and streamed responses."""
 
 import asyncio
+import errno
 import re
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -25,6 +26,7 @@
 
 KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*(\d+)")
 NAGLE_OFF: Final = 1
+UNREACHABLE_ERRORS: Final = (errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 
 SilenceHandler = Callable[[], Awaitable[bool]]
@@ -33,11 +35,16 @@
 class ConnectFailedError(Exception):
     """No connection was opened, so nothing was sent."""
 
-    def __init__(self, detail: str, *, refused: bool = False) -> None:
+    def __init__(
+        self, detail: str, *, refused: bool = False, timed_out: bool = False
+    ) -> None:
         super().__init__(detail)
         self.refused = refused
         """Whether the host refused the connection since no process listens there."""
 
+        self.timed_out = timed_out
+        """Whether the host did not respond, or the network knows no way to it."""
+
 
 class ExchangeFailedError(Exception):
     """The exchange failed after bytes were sent; the request may have run."""
@@ -308,6 +315,8 @@
         raise ConnectFailedError(
             f"cannot connect to {address}: {error!r}",
             refused=isinstance(error, ConnectionRefusedError),
+            timed_out=isinstance(error, TimeoutError)
+            or error.errno in UNREACHABLE_ERRORS,
         ) from error
     sock = writer.get_extra_info("socket")
     if sock is not None:
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -390,7 +390,7 @@
     """Runner id and start of the incarnation."""
 
     evidence: str
-    """`crashed`, `restarted`, `refused`, or `unlisted` for a missing entry."""
+    """`crashed`, `restarted`, `refused` or `unreachable`."""
 
 
 # 4xx: scheduling and placement.
--- a/tests/edge/test_backups.py
+++ b/tests/edge/test_backups.py
@@ -11,6 +11,7 @@
 from .copying_runner import CopyingRunner
 from .test_leaving import report_leaving
 from .test_limits import limit_runner
+from .unreachable import stop_accepting
 from .world import FIXED, STREAM
 
 
@@ -20,9 +21,9 @@
 
 
 def vanish(world: ContinuationWorld) -> None:
-    """Remove the runner's entry."""
+    """End a runner whose entry was removed before."""
     world.edge.view.remove_runner("r1", 0.0)
-    world.source.break_off()
+    world.source.break_off(listens=False)
 
 
 def end_leaving(world: ContinuationWorld) -> None:
@@ -66,8 +67,9 @@
         """A host that is gone closes no connections."""
         async with start_world(backup=True) as world:
             call = await world.async_begin()
-            world.edge.view.remove_runner("r1", 0.0)
-            reply = await call
+            async with stop_accepting(world.source.server):
+                world.edge.view.remove_runner("r1", 0.0)
+                reply = await call
             assert (reply.body, reply.complete) == (WHOLE, True)
             assert "Last-Event-Id: 2\r\n" in world.target.streams[0]
             assert world.edge.grant_provider.moves == ["r2"]
--- a/tests/edge/test_crash_detector.py
+++ b/tests/edge/test_crash_detector.py
@@ -13,6 +13,7 @@
     count_shared_parts,
 )
 from mangoway.edge.runner_connector import RunnerConnector
+from mangoway.edge.runner_ends import RunnerEnds
 from mangoway.http1.client import ConnectionPool
 from mangoway.models.crash import RequestIdentity
 from mangoway.observability.metrics import Metrics
@@ -51,6 +52,9 @@
             async_has_reach=self.connector.async_has_reach,
             on_crash=self.crashes.append,
         )
+        self.ends = RunnerEnds(
+            self.view, self.detector, self.connector, self.tasks.async_start
+        )
 
     def interrupt(
         self, address: str, identity: RequestIdentity = IDENTITY, ago_s: float = 0.1
@@ -151,7 +155,7 @@
             harness.view.update_runner(
                 make_runner("r1", address=address, draining=True)
             )
-            assert await harness.detector.async_prove_end(entry) is None
+            assert await harness.ends.async_find(entry) is None
             await harness.tasks.async_cancel()
         assert harness.crashes == []
 
--- a/tests/edge/test_silence.py
+++ b/tests/edge/test_silence.py
@@ -125,6 +125,7 @@
         parts = make_stream(make_event(1), end=False)
         async with RawServer(answer(*parts)) as silent, start_edge() as edge:
             edge.add("r1", silent, "llm")
+            asyncio.get_running_loop().call_later(0.3, silent._server.close)
             asyncio.get_running_loop().call_later(0.4, remove, edge)
             reply = await edge.async_call("/fixed/x")
         assert (reply.body, reply.complete) == (make_event(1), False)
--- a/tests/edge/unreachable.py
+++ b/tests/edge/unreachable.py
@@ -1,6 +1,7 @@
 """Edges that know each other, and runners that one of them can't connect to."""
 
 import asyncio
+import os
 import socket
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
@@ -8,6 +9,7 @@
 from mangoway.models.fleet import Member, Role
 
 from ..fakes.fleet import make_runner
+from ..upstreams.raw_server import RawServer
 from .world import EdgeWorld
 
 RUNNERS = 4
@@ -36,6 +38,28 @@
             each.close()
 
 
+@asynccontextmanager
+async def stop_accepting(server: RawServer) -> AsyncIterator[None]:
+    """Let a server neither accept nor refuse new connections, and keep its open ones.
+
+    To a caller, its host is lost: such a host closes no connections.
+    """
+    listener = server._server.sockets[0]
+    asyncio.get_running_loop().remove_reader(listener.fileno())
+    duplicate = socket.socket(fileno=os.dup(listener.fileno()))
+    duplicate.listen(0)
+    fillers = [socket.socket() for _ in range(BACKLOG_CONNECTIONS)]
+    for each in fillers:
+        each.setblocking(False)
+        each.connect_ex(duplicate.getsockname())
+    await asyncio.sleep(0.05)
+    try:
+        yield
+    finally:
+        for each in (*fillers, duplicate):
+            each.close()
+
+
 @contextmanager
 def reserve_refusing_address() -> Iterator[str]:
     """Yield an address at which no process listens."""
