Keep waiting for a peer that lost only its announcement

Callers of an edge without connections to runners got 502 for requests that a peer was still serving: a missing announcement counted as the end of the peer's process. It is the cause of the stream that went on while its runner worked on it, on the way through peers.

A peer has ended only if it isn't announced and also refuses, or does not respond to, new connections. test_peer_without_an_announcement_may_still_respond failed before.

--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -26,6 +26,7 @@
 from ..platform.requests import RequestFields, encode_for_peer
 from ..policy.edge.const import MAX_RELAY_PEERS
 from ..policy.edge.relaying import RelayPeers
+from .address_probe import ProbeResult, async_probe
 from .attempt import Attempt, AttemptResult
 from .const import MAX_IDLE_PER_PEER, PEER_SILENCE_S
 from .delivery import Delivery
@@ -78,10 +79,15 @@
         edges = self.view.list_reachable_edges()
         return self.peers.choose(edges, frozenset(tried), self.clock())
 
-    def is_gone(self, peer: Member) -> bool:
-        """Return whether the announcement of a peer's process is gone."""
+    async def async_has_ended(self, peer: Member) -> bool:
+        """Return whether a peer's process has ended.
+
+        A peer that the store does not hear of loses its announcement and serves on.
+        """
         members = self.view.members.values()
-        return all(each.incarnation != peer.incarnation for each in members)
+        if any(each.incarnation == peer.incarnation for each in members):
+            return False
+        return await async_probe(peer.caller_address) is not ProbeResult.LISTENING
 
 
 @define(eq=False, kw_only=True)
@@ -154,12 +160,12 @@
         return idle or await async_connect(peer.caller_address, now)
 
     async def _async_handle_silence(self, peer: Member) -> bool:
-        """Keep waiting unless the peer is gone.
+        """Keep waiting unless the peer has ended.
 
         Raises:
             ConnectionLostError: If the peer's process has ended.
         """
-        if self.relay.is_gone(peer):
+        if await self.relay.async_has_ended(peer):
             raise ConnectionLostError("the peer is gone")
         return False
 
