Count the room of an accepted unload as taken until a report shows it free

Cause: the scheduler took the unload of an adapter that was answered 202 for done, though the runner waits for runs. It doesn't know all runs: callers leave, edges are killed, and earlier schedulers granted some.

Now an adapter whose unload was accepted keeps its slot, can't be used and isn't ordered again until a report requested later no longer lists it; event 464 says how long that took. Each runner's runs that may go on are remembered until a report's list of runs shows that they have ended, and the first reports show those of earlier schedulers; adapters that such a run may use are evicted last, and a model that one may use isn't counted as gone before a report. The same cause elsewhere: adapters in transit that another scheduler ordered took no slots.

--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -26,6 +26,7 @@
 )
 from ..policy.scheduling.memory_summary import summarize_memory
 from ..policy.scheduling.protection import find_transferring
+from ..policy.scheduling.runners import FinishedUnload
 from ..policy.scheduling.state import SchedulingState
 from ..scheduling.messages import Message
 from ..scheduling.server import SchedulerServer
@@ -222,7 +223,7 @@
             random=Random(), quotas=quotas, features=make_features(settings)
         )
         state.limits.get_share = lambda runner_id: quotas.share
-        return SchedulingCore(state, _log_health)
+        return SchedulingCore(state, _log_health, _log_unload)
 
     def _handle_view_change(self) -> None:
         view = self.process.view
@@ -379,3 +380,14 @@
         )
     else:
         log_event(log.RunnerTrusted(runner_id=runner_id))
+
+
+def _log_unload(runner_id: str, unload: FinishedUnload) -> None:
+    log_event(
+        log.AdapterUnloadFinished(
+            runner_id=runner_id,
+            model=unload.model,
+            adapter=unload.adapter,
+            waited_s=round(unload.waited_s, 3),
+        )
+    )
--- a/mangoway/models/runner.py
+++ b/mangoway/models/runner.py
@@ -64,6 +64,9 @@
     started_ms: int = 0
     """Start of the reporting incarnation, as in the entry."""
 
+    run_ids: frozenset[str] | None = None
+    """IDs of the requests that it runs; None if the report doesn't list them."""
+
 
 def has_same_software(runner: RunnerEntry, other: RunnerEntry) -> bool:
     """Return whether two runners state the same version of their software, or none."""
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -461,6 +461,16 @@
     seconds: float
 
 
+@numbered(464, LogLevel.INFO)
+class AdapterUnloadFinished:
+    """An adapter is gone whose unload had waited for runs; its slot is free now."""
+
+    runner_id: str
+    model: str
+    adapter: str
+    waited_s: float
+
+
 @numbered(455, LogLevel.WARNING)
 class PlacementUnanswered:
     """A runner did not answer an order; a later report shows whether it took effect."""
--- a/mangoway/platform/runners.py
+++ b/mangoway/platform/runners.py
@@ -153,6 +153,14 @@
             ),
             on_disk=frozenset(read_list(available.get("on_disk"), "on_disk")),
             started_ms=read_started_ms(fields),
+            run_ids=_decode_run_ids(fields.get("runs")),
         )
     except DECODE_ERRORS as error:
         raise DocumentError(f"invalid report: {error!r}") from error
+
+
+def _decode_run_ids(value: Any) -> frozenset[str] | None:
+    """Return the request IDs of the rows of a report's runs."""
+    if value is None:
+        return None
+    return frozenset(str(row[0]) for row in read_list(value, "runs"))
--- a/mangoway/policy/scheduling/adapters.py
+++ b/mangoway/policy/scheduling/adapters.py
@@ -76,7 +76,9 @@
     holders = [
         each
         for each in runners
-        if each.is_ready(model, "", now) and can_order(each, now)
+        if each.is_ready(model, "", now)
+        and can_order(each, now)
+        and adapter not in each.models[model].unloading
     ]
     holders.sort(key=lambda each: _get_holder_rank(each, model, now))
     for runner in holders:
@@ -115,13 +117,17 @@
 
 
 def _find_victim(runner: RunnerState) -> tuple[str, str] | None:
-    """Return the least recently used adapter that isn't in use."""
-    oldest: tuple[float, str, str] | None = None
+    """Return the least recently used adapter that isn't in use.
+
+    The unload of one that an unfinished run may use would wait for that run.
+    """
+    oldest: tuple[bool, float, str, str] | None = None
     for model, loaded in runner.models.items():
         for adapter in loaded.adapters:
             if runner.is_in_use(model, adapter):
                 continue
+            may_wait = runner.unfinished.may_use(model, adapter)
             used_at = loaded.used_at.get(adapter, 0.0)
-            if oldest is None or used_at < oldest[0]:
-                oldest = (used_at, model, adapter)
-    return None if oldest is None else (oldest[1], oldest[2])
+            if oldest is None or (may_wait, used_at) < oldest[:2]:
+                oldest = (may_wait, used_at, model, adapter)
+    return None if oldest is None else oldest[2:]
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -48,7 +48,7 @@
 from .placement import PlacementPlanner
 from .prefetching import PrefetchPlanner
 from .requests import RequestKey, RunningRequest, WaitingRequest
-from .runners import RunnerState
+from .runners import FinishedUnload, RunnerState
 from .sharing import estimate_waiting, settle_request
 from .state import QuotaCharge, SchedulingState
 from .yields import plan_yields
@@ -60,6 +60,10 @@
 RATE_LIMITED_REASON: Final = "its runners take no more requests now"
 """Reason of a rejection when only rate-limited runners could serve the request."""
 
+MAY_RUN_ON: Final = (EndKind.FAILED, EndKind.LEFT)
+"""Ends of attempts whose runner may go on with the run; most runners stop it when its
+connection closes."""
+
 MAX_DESCRIBED_MODELS: Final = 6
 MAX_DESCRIBED_RUNNERS: Final = 12
 """Models and runners in one summary; bounds the length of the log line."""
@@ -97,6 +101,11 @@
     """Called with a runner and its number of failures when it becomes avoided, and with
     0 when it is no longer avoided."""
 
+    on_unload_finished: Callable[[str, FinishedUnload], None] = (
+        lambda runner_id, unload: None
+    )
+    """Called with a runner and an unload that waited for runs there."""
+
     _planned_at: dict[str, float] = field(factory=dict, init=False)
     """Time of the last plan of each service's models."""
 
@@ -217,7 +226,10 @@
             end_backup(self.state, key, now, drop=kind.was_served or not_run)
         runner = self.state.find_granted_runner(key)
         self.state.granted.pop(key, None)
-        return None if runner is None else runner.remove(key, now)
+        running = None if runner is None else runner.remove(key, now)
+        if runner is not None and running is not None and kind in MAY_RUN_ON:
+            runner.record_unfinished(running, now)
+        return running
 
     def plan_transfers(self, now: float) -> list[Action]:
         """Return the transfers of streams away from runners that leave."""
@@ -476,7 +488,8 @@
     runner = core.state.find_incarnation(event.runner_id, event.report.started_ms)
     if runner is None:
         return []
-    runner.apply_report(event.report, event.requested_at, now)
+    for each in runner.apply_report(event.report, event.requested_at, now):
+        core.on_unload_finished(event.runner_id, each)
     return core.serve_runner(runner, now)
 
 
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -92,6 +92,11 @@
     """The only software version whose runners may be granted, since it wrote the first
     event of the stream; empty if any may."""
 
+    @property
+    def caller_request_id(self) -> str:
+        """Return the ID of the caller's request, which each grant request extends."""
+        return self.request_id.rpartition("/")[0] or self.request_id
+
 
 @frozen(kw_only=True)
 class RequestAdopted:
--- a/mangoway/policy/scheduling/loads.py
+++ b/mangoway/policy/scheduling/loads.py
@@ -47,16 +47,16 @@
     """Return the seconds until an order can be sent to a runner; None if unknown."""
     if runner.order_count is None:
         return None
+    # The state becomes known from a later report: during a load, reports don't list the
+    # model being loaded.
+    known_s = 0.0 if runner.is_state_known else MAX_REPORT_LAG_S
     target_model = engine.models.get(runner.target_model)
     if target_model is not None:
         # The runner frees memory first, and then loads the model.
-        wait_s = max(UNLOAD_S, runner.changing_until - now)
+        wait_s = max(UNLOAD_S, known_s, runner.changing_until - now)
         return wait_s + estimate_load_s(runner, target_model)
     if runner.open_order is not None:
         return None
-    # The state becomes known from a later report: during a load, reports don't list the
-    # model being loaded.
-    known_s = 0.0 if runner.is_state_known else MAX_REPORT_LAG_S
     return max(known_s, runner.changing_until - now)
 
 
--- a/mangoway/policy/scheduling/orders.py
+++ b/mangoway/policy/scheduling/orders.py
@@ -31,7 +31,7 @@
     waiting: int,
     now: float,
 ) -> SendOrder:
-    """Record and return an order; an unloaded artifact counts as removed at once."""
+    """Record and return an order; an unloaded artifact can't be used from now on."""
     if runner.order_count is None:
         raise ValueError(f"the order count of runner {runner.runner_id} is unknown")
     if runner.open_order is not None:
@@ -84,7 +84,7 @@
     ):
         runner.order_count = order.order_count + 1
     if outcome in (OrderOutcome.STARTED, OrderOutcome.ALREADY_HOLDS):
-        _apply(runner, order, duration_s, now)
+        _apply(runner, order, outcome, duration_s, now)
         return
     # The runner's state differs from the recorded one, or may come to differ.
     runner.is_state_known = False
@@ -92,12 +92,19 @@
 
 
 def _apply(
-    runner: RunnerState, order: SendOrder, duration_s: float, now: float
+    runner: RunnerState,
+    order: SendOrder,
+    outcome: OrderOutcome,
+    duration_s: float,
+    now: float,
 ) -> None:
     if order.adapter:
         loaded = runner.models.get(order.model)
         if loaded is not None and order.load:
             loaded.adapters[order.adapter] = now + ADAPTER_LOAD_S
+        elif loaded is not None and outcome is OrderOutcome.STARTED:
+            # It waits for runs, of which this process may not know.
+            loaded.unloading[order.adapter] = now
         return
     if order.load:
         ready_at = now + LOAD_MARGIN_FACTOR * duration_s + LOAD_MARGIN_S
@@ -109,8 +116,8 @@
     else:
         runner.prefixes.remove_model(order.model)
         runner.changing_until = now + UNLOAD_S
-        if runner.is_in_use(order.model):
-            # The runner unloads the model when its requests have ended; only a report
+        if runner.may_be_in_use(order.model):
+            # The runner unloads the model when its runs have ended; only a report
             # shows when that is.
             runner.is_state_known = False
 
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -3,11 +3,12 @@
 from collections import deque
 from typing import Final
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from ...models.routing import EngineProfile
 from ...models.runner import ResidentModel, RunnerEntry, RunnerReport
 from .const import (
+    ADAPTER_LOAD_S,
     MAX_REJECTION_BACKOFF_S,
     MIN_REJECTION_BACKOFF_S,
     STALL_DECAY_S,
@@ -27,6 +28,7 @@
 from .requests import RequestKey, RunningRequest
 from .reservations import Reservations
 from .stream_pauses import StreamPauses
+from .unfinished_runs import UnfinishedRuns
 
 MAX_REPORT_LAG_S: Final = 0.3
 """Maximum age of a report's content. Engines specify a lag of some hundred
@@ -36,6 +38,10 @@
 """Time after the last order from which a report is applied even if its order count is
 lower than the recorded one."""
 
+ADOPTION_S: Final = 3.0
+"""Time after the first report of a runner within which runs that it lists may be of an
+earlier scheduler, and unknown here until their edges connect."""
+
 
 @define
 class RejectionBackoff:
@@ -63,6 +69,20 @@
     used_at: dict[str, float] = field(factory=dict)
     """Adapters with the time of their last use."""
 
+    unloading: dict[str, float] = field(factory=dict)
+    """Adapters whose unload waits for runs, with the time at which the runner accepted
+    it. They can't be used, and keep their slots until a report shows that they are
+    gone."""
+
+
+@frozen
+class FinishedUnload:
+    """An unload of an adapter that waited for runs."""
+
+    model: str
+    adapter: str
+    waited_s: float
+
 
 @define(eq=False)
 class RunnerState:
@@ -104,6 +124,10 @@
     ordered_at: float = -1e9
     """Time at which the last order was sent or answered."""
 
+    unfinished: UnfinishedRuns = field(factory=UnfinishedRuns)
+    """Runs that may go on here without a request among `running`."""
+
+    first_report_at: float | None = None
     open_order: SendOrder | None = None
     """The order whose response is outstanding."""
 
@@ -182,24 +206,62 @@
 
     def apply_report(
         self, report: RunnerReport, requested_at: float, now: float
-    ) -> None:
-        """Apply a report, unless an order may have changed the state since."""
+    ) -> list[FinishedUnload]:
+        """Apply a report, unless an order may have changed the state since.
+
+        Returns:
+            The unloads of adapters that it shows to be finished.
+        """
         self._update_local_copies(report.in_host_memory, report.on_disk)
         self.reported_kv_tokens = report.kv_used_tokens
+        finished = self._finish_unloads(report, requested_at, now)
+        self._update_unfinished(report, requested_at, now)
         if self.open_order or requested_at - MAX_REPORT_LAG_S < self.ordered_at:
-            return
+            return finished
         fresh = requested_at - REPORT_OVERRIDE_S >= self.ordered_at
         known = self.order_count
         if known is not None and report.order_count < known and not fresh:
-            return
+            return finished
         self.order_count = report.order_count
         if report.busy:
             # A model being loaded takes memory, but the report does not list it.
             self.is_state_known = False
-            return
+            return finished
         self.is_state_known = True
         self.changing_until = min(self.changing_until, now)
         self.update_models(report.models, now, report.pending_adapters)
+        return finished
+
+    def _update_unfinished(
+        self, report: RunnerReport, requested_at: float, now: float
+    ) -> None:
+        if self.first_report_at is None:
+            self.first_report_at = now
+        if now - self.first_report_at <= ADOPTION_S and report.run_ids:
+            known = {
+                each.grant_request.caller_request_id for each in self.running.values()
+            }
+            self.unfinished.add_unknown(report.run_ids - known, now)
+        if self.unfinished.runs:
+            self.unfinished.update(report, requested_at - MAX_REPORT_LAG_S)
+
+    def _finish_unloads(
+        self, report: RunnerReport, requested_at: float, now: float
+    ) -> list[FinishedUnload]:
+        """Free the slots of adapters that a later report no longer lists.
+
+        Such an adapter isn't ordered again before that, so later orders don't matter.
+        """
+        held = {model.name: model.adapters for model in report.models}
+        finished = []
+        for name, loaded in self.models.items():
+            for adapter, accepted_at in list(loaded.unloading.items()):
+                if requested_at - MAX_REPORT_LAG_S < accepted_at:
+                    continue
+                if adapter not in held.get(name, ()):
+                    del loaded.unloading[adapter]
+                    finished.append(FinishedUnload(name, adapter, now - accepted_at))
+        return finished
 
     def update_models(
         self,
@@ -218,11 +280,18 @@
                 self.add_model(model.name, loaded)
             loaded.ready_at = min(loaded.ready_at, now)
             loaded.confirmed = True
-            for adapter in set(loaded.adapters) - model.adapters:
-                if f"{model.name}/{adapter}" not in pending:
-                    del loaded.adapters[adapter]
-            for adapter in model.adapters:
+            in_transit = {
+                name.partition("/")[2]
+                for name in pending
+                if name.partition("/")[0] == model.name
+            }
+            for adapter in set(loaded.adapters) - model.adapters - in_transit:
+                del loaded.adapters[adapter]
+            for adapter in model.adapters - loaded.unloading.keys():
                 loaded.adapters[adapter] = min(loaded.adapters.get(adapter, now), now)
+            for adapter in in_transit - loaded.unloading.keys():
+                # An earlier scheduler may have ordered it.
+                loaded.adapters.setdefault(adapter, now + ADAPTER_LOAD_S)
 
     def drop_model(self, name: str) -> None:
         """Remove a model that the runner no longer holds, with its cached prefixes."""
@@ -273,6 +342,8 @@
         """Record a stream that goes on here, with its memory and without a prefill."""
         running.runner_id = self.runner_id
         self.running[key] = running
+        if self.unfinished.runs:
+            self.unfinished.discard(running.grant_request.caller_request_id)
         self.kv_tokens += running.kv_tokens
         self.memory_plan.add(running.memory or ExpectedMemory(running.kv_tokens))
         self._unstalled += not running.stalled
@@ -347,6 +418,20 @@
         self._count_use(running, -1)
         return running
 
+    def record_unfinished(self, running: RunningRequest, now: float) -> None:
+        """Record that a run may go on here although its request has ended."""
+        grant_request = running.grant_request
+        self.unfinished.add(
+            grant_request.caller_request_id,
+            grant_request.model,
+            grant_request.adapter,
+            now,
+        )
+
+    def may_be_in_use(self, model: str, adapter: str = "") -> bool:
+        """Return whether a run, known or not, may use a model or an adapter of it."""
+        return self.is_in_use(model, adapter) or self.unfinished.may_use(model, adapter)
+
     def has_room(self, limit_scale: float, backlog_limit_s: float, now: float) -> bool:
         """Return whether another prompt may be sent now.
 
@@ -433,8 +518,11 @@
         )
 
     def count_adapters(self) -> int:
-        """Return the number of adapters that are loaded or being loaded."""
-        return sum(len(loaded.adapters) for loaded in self.models.values())
+        """Return the number of adapters that take slots."""
+        return sum(
+            len(loaded.adapters) + len(loaded.unloading)
+            for loaded in self.models.values()
+        )
 
     def is_in_use(self, model: str, adapter: str = "") -> bool:
         """Return whether requests use a model here, or one adapter of it if named.
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -66,6 +66,7 @@
     "kv_total": 90000,
     "pending": ["m0/a1@1"],
     "available": {"in_memory": ["m0"], "on_disk": []},
+    "runs": [["9c41d07be2a35f68", 826, 3, 5]],
 }
 
 
@@ -288,6 +289,18 @@
             return
 
 
+class TestReport:
+    """Decoding of the reports of runners."""
+
+    def test_runs_are_listed_by_their_ids(self) -> None:
+        assert decode_report(REPORT).run_ids == {"9c41d07be2a35f68"}
+
+    def test_report_without_runs(self) -> None:
+        """An empty list would show that all runs have ended."""
+        fields = {key: value for key, value in REPORT.items() if key != "runs"}
+        assert decode_report(fields).run_ids is None
+
+
 class TestCustomers:
     """Decoding of customers and their API keys."""
 
--- a/tests/policy/scheduling/drawn.py
+++ b/tests/policy/scheduling/drawn.py
@@ -278,7 +278,8 @@
             self._end(grant, EndKind.NOT_HELD)
             return
         self.outcomes[grant.request_id].runner_id = grant.runner_id
-        runner.running[grant.request_id] = grant_request.model
+        artifact = (grant_request.model, grant_request.adapter)
+        runner.running[grant.request_id] = artifact
         engine = self.engines.get(grant.runner_id)
         if engine is None:
             engine = self.engines[grant.runner_id] = self.make_engine(grant.runner_id)
--- a/tests/policy/scheduling/moving.py
+++ b/tests/policy/scheduling/moving.py
@@ -232,8 +232,10 @@
             self.broken.add(action.request_id)
             self._end(stream.grant, EndKind.FAILED)
             return
-        self.runners[action.source_runner_id].running.pop(action.request_id, None)
-        self.runners[target_id].running[action.request_id] = ""
+        grant_request = self.outcomes[action.request_id].grant_request
+        artifact = (grant_request.model, grant_request.adapter)
+        self.runners[action.source_runner_id].end_run(action.request_id)
+        self.runners[target_id].running[action.request_id] = artifact
         stream.grant = evolve(stream.grant, runner_id=target_id)
         engine = self.engines.setdefault(target_id, Engine(self.drawn, self))
         engine.streams.append(stream)
@@ -261,7 +263,7 @@
         """End a stream and report its events and their pace."""
         self.gaps[stream.grant.request_id] = stream.longest_gap_s
         runner = self.runners[stream.grant.runner_id]
-        runner.running.pop(stream.grant.request_id, None)
+        runner.end_run(stream.grant.request_id)
         paused = stream.longest_gap_s > self.drawn.gap_objective_s
         self.send_event(
             RequestEnded(
--- a/tests/policy/scheduling/test_machine.py
+++ b/tests/policy/scheduling/test_machine.py
@@ -13,6 +13,8 @@
 
 MODELS = list("abcdefgh")
 FAULTS = ["lose", "late", "no_answer", ""]
+RUN_ON_S = 5.0
+LEAVES_AFTER_S = 0.5
 
 
 class PlacementMachine(RuleBasedStateMachine):
@@ -30,10 +32,20 @@
     def wait(self, seconds: float) -> None:
         self.world.run(self.world.now + seconds)
 
-    @rule(model=st.sampled_from(MODELS), many=st.integers(1, 8), adapter=st.booleans())
-    def add_requests(self, model: str, many: int, adapter: bool) -> None:
+    @rule(
+        model=st.sampled_from(MODELS),
+        many=st.integers(1, 8),
+        adapter=st.booleans(),
+        leaving=st.booleans(),
+    )
+    def add_requests(self, model: str, many: int, adapter: bool, leaving: bool) -> None:
+        """Add requests; runners go on with those whose callers leave."""
         for number in range(many):
             self.added += 1
+            if leaving:
+                request_id = f"q{self.added}"
+                self.world.stream_s[request_id] = RUN_ON_S
+                self.world.leave(request_id, at=self.world.now + LEAVES_AFTER_S)
             grant_request = make_grant_request(
                 f"q{self.added}",
                 model,
--- a/tests/policy/scheduling/uneven.py
+++ b/tests/policy/scheduling/uneven.py
@@ -101,7 +101,7 @@
         request_id = stream.grant.request_id
         self.gaps[request_id] = stream.longest_gap_s
         paused = stream.longest_gap_s > self.drawn.gap_objective_s
-        self.runners[stream.grant.runner_id].running.pop(request_id, None)
+        self.runners[stream.grant.runner_id].end_run(request_id)
         self.send_event(
             RequestEnded(
                 edge=stream.grant.edge,
--- a/tests/policy/scheduling/world.py
+++ b/tests/policy/scheduling/world.py
@@ -57,7 +57,15 @@
     order_count: int = 0
     busy_until: float = 0.0
     prefilled_until: float = 0.0
-    running: dict[str, str] = field(factory=dict)
+    running: dict[str, tuple[str, str]] = field(factory=dict)
+    """Model and adapter of each run, also of those whose callers have left."""
+
+    unloading_adapters: set[tuple[str, str]] = field(factory=set)
+    """Adapters whose unload waits for their runs; they keep their slots."""
+
+    unloading: str = ""
+    """Model whose unload waits for its runs, or empty; it keeps its memory."""
+
     overfilled: int = 0
     """Number of times that an order exceeded the memory or the adapter slots."""
 
@@ -72,13 +80,18 @@
 
     def execute(self, order: SendOrder, now: float) -> OrderOutcome:
         """Execute an order and return the result."""
-        if now < self.busy_until or order.order_count != self.order_count:
+        if order.order_count != self.order_count:
+            return OrderOutcome.NOT_NOW
+        if self.unloading or now < self.busy_until:
+            # A runner that checks an order's size first would crash.
+            self._check_memory(order.model if order.load and not order.adapter else "")
             return OrderOutcome.NOT_NOW
         if order.adapter:
             return self._change_adapter(order)
         self.order_count += 1
         if not order.load:
-            self.models.pop(order.model, None)
+            self.unloading = order.model
+            self.finish_unloads()
             self.busy_until = now + 0.02
             return OrderOutcome.STARTED
         self.loading = order.model
@@ -110,6 +123,21 @@
             self.models[self.loading] = set()
             self.loading = ""
 
+    def end_run(self, request_id: str) -> None:
+        """End a run, and finish the unloads that wait for it."""
+        self.running.pop(request_id, None)
+        self.finish_unloads()
+
+    def finish_unloads(self) -> None:
+        """Finish the unloads whose model or adapter no run uses."""
+        used = set(self.running.values())
+        for model, adapter in self.unloading_adapters - used:
+            self.models.get(model, set()).discard(adapter)
+        self.unloading_adapters &= used
+        if self.unloading and self.unloading not in {model for model, _ in used}:
+            self.models.pop(self.unloading, None)
+            self.unloading = ""
+
     def record_state(self, now: float) -> None:
         """Record the state for later reports."""
         residents = tuple(
@@ -119,7 +147,7 @@
         report = RunnerReport(
             models=residents,
             pending_adapters=frozenset(),
-            busy=now < self.busy_until,
+            busy=bool(self.unloading) or now < self.busy_until,
             order_count=self.order_count,
             queued=0,
             active=len(self.running),
@@ -127,6 +155,7 @@
             kv_capacity_tokens=self.engine.kv_capacity_tokens,
             in_host_memory=frozenset(),
             on_disk=frozenset(self.on_disk),
+            run_ids=frozenset(self.running),
         )
         self.history.append((now, report))
 
@@ -144,11 +173,20 @@
             adapters.add(order.adapter)
             self._check_memory()
             return OrderOutcome.STARTED
+        artifact = (order.model, order.adapter)
+        if artifact in self.running.values():
+            self.unloading_adapters.add(artifact)
+            return OrderOutcome.STARTED
         adapters.discard(order.adapter)
         return OrderOutcome.ALREADY_HOLDS
 
-    def _check_memory(self) -> None:
-        names = [*self.models, *([self.loading] if self.loading else [])]
+    def _check_memory(self, ordered: str = "") -> None:
+        """Count an order that exceeds the memory or the adapter slots.
+
+        Args:
+            ordered: Model of an order that is rejected; empty for an accepted one.
+        """
+        names = [name for name in [*self.models, self.loading, ordered] if name]
         weights = sum(self.engine.models[name].weights_mb for name in names)
         adapters = sum(len(each) for each in self.models.values())
         if weights > self.engine.weights_mb or adapters > self.engine.adapter_slots:
@@ -181,6 +219,9 @@
     """Time from the end of a prefill to the first event, during which the runner
     prefills other prompts."""
 
+    stream_s: dict[str, float] = field(factory=dict)
+    """Seconds from the first event of a stream to its end, by request, if unusual."""
+
     now: float = field(default=0.0, init=False)
     outcomes: dict[str, Outcome] = field(factory=dict, init=False)
     orders: list[SendOrder] = field(factory=list, init=False)
@@ -288,7 +329,7 @@
             return
         outcome = self.outcomes[grant.request_id]
         outcome.runner_id = grant.runner_id
-        runner.running[grant.request_id] = grant_request.model
+        runner.running[grant.request_id] = (grant_request.model, grant_request.adapter)
         start = max(self.now, runner.prefilled_until)
         runner.prefilled_until = (
             start + grant_request.prompt.tokens * self.prefill_s_per_token
@@ -302,12 +343,18 @@
             )
 
         self._call_at(first_at + NETWORK_DELAY_S, report_first_event)
-        self._call_at(first_at + STREAM_S, lambda: self._end(grant, EndKind.SERVED))
+        stream_s = self.stream_s.get(grant.request_id, STREAM_S)
+        self._call_at(first_at + stream_s, lambda: self._end(grant, EndKind.SERVED))
+
+    def leave(self, request_id: str, at: float, kind: EndKind = EndKind.LEFT) -> None:
+        """Let an attempt end for the scheduler while its runner goes on."""
+        ended = RequestEnded(edge="e1", request_id=request_id, kind=kind)
+        self._call_at(at, lambda: self.send_event(ended))
 
     def _end(self, grant: Grant, kind: EndKind) -> None:
         runner = self.runners.get(grant.runner_id)
         if runner is not None:
-            runner.running.pop(grant.request_id, None)
+            runner.end_run(grant.request_id)
         self.send_event(
             RequestEnded(edge=grant.edge, request_id=grant.request_id, kind=kind)
         )
