Limit the size and the time of each part of a response

A faulty server may send bytes without end, in a head or a body. Callers of such a runner waited until their deadline (504), while their edge kept all bytes of a stream's event or of a JSON reply in memory, and parsed small chunks without a turn for other callers.

Cause: only heads (64 KB), garbage and bodies that are buffered (8 MB) had a limit. Interim responses, responses to other requests, events, replies to calls and the number of chunks had none, nothing had a time, and a connection with unread bytes never let other tasks run.

All of our HTTP/1.1 clients on the platform read through Connection, so the limits stand there: size, time and number of parts for heads, interim and skipped responses and bodies; events have theirs in EventReader. What exceeds one is a broken response that may have run, and its connection is closed at once. Slow parts are timed by the time spent waiting for reads, capped at a second each, so that a pause of this process or a slow caller breaks off nothing.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -2,16 +2,19 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 from attrs import define, field, frozen
 
 from ..http1.client import (
+    BodyLimits,
     ConnectFailedError,
     Connection,
     ConnectionLostError,
     ConnectionPool,
     ExchangeFailedError,
 )
+from ..http1.const import BODY_GRACE_S
 from ..http1.messages import Headers, Request, ResponseHead
 from ..http1.response_memory import MemoryShortError
 from ..models.verdict import Verdict
@@ -19,15 +22,20 @@
 from ..observability.event_log import log_event
 from ..platform import headers as names
 from ..platform.requests import list_response_headers
-from .const import MAX_BUFFERED_BODY_BYTES
+from .const import MAX_BUFFERED_BODY_BYTES, MAX_STREAM_BYTES
 from .delivery import Delivery, StreamBrokenError
-from .sse import EventSplitter
+from .event_reader import EventReader
 
 STATUS_BAD_REQUEST = 400
 STATUS_MISDIRECTED = 421
 STATUS_TOO_MANY = 429
 STATUS_ERROR = 500
 
+BUFFERED_LIMITS: Final = BodyLimits(
+    max_bytes=MAX_BUFFERED_BODY_BYTES, grace_s=BODY_GRACE_S
+)
+STREAM_LIMITS: Final = BodyLimits(max_bytes=MAX_STREAM_BYTES)
+
 
 @frozen(kw_only=True)
 class BufferedResponse:
@@ -180,18 +188,18 @@
         self, connection: Connection, head: ResponseHead
     ) -> AttemptResult:
         now = asyncio.get_running_loop().time
-        splitter = EventSplitter()
+        reader = EventReader(connection)
         headers = list_response_headers(head.headers)
         is_first_event_reported = False
-        async for data in connection.async_iterate_body():
-            for event in splitter.feed(data):
+        async for data in connection.async_iterate_body(STREAM_LIMITS):
+            async for event in reader.async_iterate(data):
                 self.delivery.start(head, headers)
                 if not is_first_event_reported:
                     is_first_event_reported = True
                     self.on_first_event()
                 await self.delivery.async_forward_event(event, now())
         has_length = _has_length(head)
-        if splitter.rest:
+        if reader.has_rest:
             error = ExchangeFailedError if has_length else ConnectionLostError
             raise error("the stream ended within an event")
         if not has_length and self.was_stopped and await self.was_stopped():
@@ -208,10 +216,8 @@
     async def _async_read_body(self, connection: Connection) -> bytes:
         body = bytearray()
         holding = self.delivery.exchange.holding
-        async for data in connection.async_iterate_body():
+        async for data in connection.async_iterate_body(BUFFERED_LIMITS):
             body += data
-            if len(body) > MAX_BUFFERED_BODY_BYTES:
-                raise ExchangeFailedError("the response is too large")
             await holding.async_collect(len(body))
         # The caller's connection counts it from now on.
         holding.set_body_bytes(0)
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -26,6 +26,24 @@
 MAX_BUFFERED_BODY_BYTES: Final = 8 << 20
 """Largest response that is buffered before it is forwarded."""
 
+MAX_STREAM_BYTES: Final = 32 << 20
+"""Largest response that is forwarded as it arrives, ten times the longest outputs. Its
+longest time is the timeout of its route."""
+
+MAX_EVENT_BYTES: Final = 1 << 20
+"""Largest event of a stream; one holds a few tokens."""
+
+MAX_EVENT_S: Final = 3.0
+"""Time from the first byte of an event until it is complete. Runners send an event at
+once, and callers leave after a pause of two seconds."""
+
+MAX_STREAM_EVENTS: Final = 65_536
+"""Events of one response, more than the tokens of the longest outputs. Without a limit,
+a faulty runner could use the processor up to the deadline."""
+
+EVENTS_PER_TURN: Final = 32
+"""Events that are forwarded before other tasks run, which takes about a millisecond."""
+
 DIRECTORY_TTL_S: Final = 1
 """Time for which callers cache a response of the directory. Some cache it three times
 as long, and an edge that stops serves only for its grace period of 8 s."""
--- a/mangoway/edge/sse.py
+++ b/mangoway/edge/sse.py
@@ -1,5 +1,7 @@
 """Splitting of a stream of server-sent events into events."""
 
+from collections.abc import Iterator
+
 from attrs import frozen
 
 EVENT_END = b"\n\n"
@@ -31,12 +33,12 @@
         """Return the bytes of an incomplete event."""
         return self._rest
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that these bytes complete."""
+    def feed(self, data: bytes) -> Iterator[StreamEvent]:
+        """Return the events that these bytes complete, each parsed when it is read."""
         joined = (self._rest + data) if self._rest else data
         parts = joined.split(EVENT_END)
         self._rest = parts.pop()
-        return [StreamEvent(part + EVENT_END, _find_id(part)) for part in parts]
+        return (StreamEvent(part + EVENT_END, _find_id(part)) for part in parts)
 
 
 def _find_id(event: bytes) -> str | None:
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -5,21 +5,31 @@
 import re
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
+from math import inf
 from typing import Any, Final
 
 import h11
-from attrs import define, field
+from attrs import define, field, frozen
 
 from ..util.address import split_address
 from .const import (
+    BODY_GRACE_S,
     CONNECT_TIMEOUT_S,
     DEFAULT_KEEP_ALIVE_S,
     IDLE_LIMIT_RECOVERY_PER_S,
     IDLE_SHARE_AFTER_BREAK,
     KEEP_ALIVE_MARGIN_S,
+    MAX_BODY_PARTS,
+    MAX_COUNTED_WAIT_S,
+    MAX_INCOMPLETE_S,
+    MAX_INTERIM_RESPONSES,
     MAX_READ_AHEAD_BYTES,
     MAX_RESPONSE_HEADER_BYTES,
     MAX_REUSE_IDLE_S,
+    MAX_SKIPPED_BYTES,
+    MAX_SKIPPED_RESPONSES,
+    MIN_BODY_BYTES_PER_S,
+    PARTS_PER_TURN,
     READ_BYTES,
 )
 from .messages import Request, ResponseHead
@@ -54,8 +64,32 @@
     """The upstream closed or reset the connection before the end of its response."""
 
 
+@frozen(kw_only=True)
+class BodyLimits:
+    """What the body of one response may take at most."""
+
+    max_bytes: int
+    grace_s: float | None = None
+    """Seconds from its head to its end, beyond which `MIN_BODY_BYTES_PER_S` must have
+    been received; None if its time is limited by other means."""
+
+    def measure_max_s(self, size: int) -> float:
+        """Return the seconds within which this many bytes may be received."""
+        if self.grace_s is None:
+            return inf
+        return self.grace_s + size / MIN_BODY_BYTES_PER_S
+
+
+SKIPPED_LIMITS: Final = BodyLimits(max_bytes=MAX_SKIPPED_BYTES, grace_s=BODY_GRACE_S)
+
+
 class Connection:
-    """Connection to an upstream."""
+    """Connection to an upstream.
+
+    All bytes that an upstream sends are read here. A faulty one may send bytes without
+    end, fast or slowly, so each part of a response has a largest size and a longest
+    time, and parsing takes turns with the other tasks.
+    """
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, now: float
@@ -87,6 +121,20 @@
         self._ended = False
         """Whether the upstream has closed its side of the connection."""
 
+        self._clock = asyncio.get_running_loop().time
+        self.waited_s = 0.0
+        """Time spent waiting for reads. Slow parts are timed by it, since the time in
+        which this host is busy or its caller reads slowly is not the upstream's."""
+
+        self._incomplete_since: float | None = None
+        """`waited_s` at the first bytes of an incomplete part, for example a head."""
+
+        self._parsed = 0
+        """Parts parsed since other tasks of the event loop could run."""
+
+        self._skipped = 0
+        """Responses to other requests skipped since the current request was sent."""
+
     async def async_send(self, request: Request) -> None:
         """Send a whole request.
 
@@ -94,6 +142,7 @@
             ExchangeFailedError: If the connection fails.
         """
         self._closes_after = True
+        self._skipped = 0
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
@@ -112,9 +161,13 @@
         Raises:
             ExchangeFailedError: If the connection fails or the response is malformed.
         """
+        interim = 0
         while True:
             event = await self._async_next()
             if isinstance(event, h11.InformationalResponse):
+                interim += 1
+                if interim > MAX_INTERIM_RESPONSES:
+                    raise ExchangeFailedError("too many interim responses")
                 continue
             if isinstance(event, h11.Response):
                 head = ResponseHead(
@@ -126,15 +179,25 @@
                 return head
             raise ConnectionLostError("connection closed before the response")
 
-    async def async_iterate_body(self) -> AsyncIterator[bytes]:
+    async def async_iterate_body(self, limits: BodyLimits) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive, until it is complete.
 
         Raises:
-            ExchangeFailedError: If the body ends early.
+            ExchangeFailedError: If the body ends early, or exceeds its limits.
         """
+        started_at = self.waited_s
+        size = parts = 0
         while True:
             event = await self._async_next()
             if isinstance(event, h11.Data):
+                size += len(event.data)
+                parts += 1
+                if size > limits.max_bytes:
+                    raise ExchangeFailedError("the response is too large")
+                if self.waited_s - started_at > limits.measure_max_s(size):
+                    raise ExchangeFailedError("the body arrives too slowly")
+                if parts > MAX_BODY_PARTS:
+                    raise ExchangeFailedError("the response has too many parts")
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
@@ -150,7 +213,10 @@
         Raises:
             ExchangeFailedError: If the connection cannot carry another response.
         """
-        async for _ in self.async_iterate_body():
+        self._skipped += 1
+        if self._skipped > MAX_SKIPPED_RESPONSES:
+            raise ExchangeFailedError("too many responses to other requests")
+        async for _ in self.async_iterate_body(SKIPPED_LIMITS):
             pass
         if self._closes_after:
             raise ExchangeFailedError(
@@ -223,16 +289,46 @@
                 kind = ConnectionLostError if self._ended else ExchangeFailedError
                 raise kind(f"malformed response: {error}") from error
             if event is not h11.NEED_DATA:
+                self._incomplete_since = None
+                await self._async_take_turns()
                 return event
+            self._check_incomplete()
+            if not self.count_unread():
+                self._parsed = 0
+            began_at = self._clock()
             try:
                 data = await self._async_read()
             except OSError as error:
                 self._report_result(has_data=False)
                 raise ConnectionLostError(f"connection reset: {error}") from error
+            self.waited_s += min(self._clock() - began_at, MAX_COUNTED_WAIT_S)
             self._report_result(has_data=bool(data))
             self._ended = not data
             self._http.receive_data(data)
 
+    async def _async_take_turns(self) -> None:
+        """Let other tasks run, since unread bytes don't suspend this one."""
+        self._parsed += 1
+        if self._parsed >= PARTS_PER_TURN:
+            self._parsed = 0
+            await asyncio.sleep(0)
+
+    def _check_incomplete(self) -> None:
+        """Check the time of an incomplete part; its size is limited by the parser.
+
+        Raises:
+            ExchangeFailedError: If it is not complete in time.
+        """
+        if not self._http.trailing_data[0]:
+            self._incomplete_since = None
+            return
+        if self._incomplete_since is None:
+            self._incomplete_since = self.waited_s
+        elif self.waited_s - self._incomplete_since > MAX_INCOMPLETE_S:
+            raise ExchangeFailedError(
+                f"a part of the response takes over {MAX_INCOMPLETE_S:g} s"
+            )
+
     def _report_result(self, *, has_data: bool) -> None:
         on_result, self.on_result = self.on_result, None
         if on_result is not None:
--- a/mangoway/http1/const.py
+++ b/mangoway/http1/const.py
@@ -50,3 +50,39 @@
 
 IDLE_LIMIT_RECOVERY_PER_S: Final = 0.02
 """Seconds by which the idle limit rises for each second without another break."""
+
+MAX_INCOMPLETE_S: Final = 3.0
+"""Time from the first byte of a head, a chunk's size or a trailer until it is complete.
+Servers send each at once; a packet that is lost twice arrives within this time."""
+
+MAX_INTERIM_RESPONSES: Final = 4
+"""Interim responses before the response to a request; servers send one or two."""
+
+MAX_BODY_PARTS: Final = 16_384
+"""Chunks and reads of one body. Each takes some 20 microseconds to parse, whatever its
+size; the longest streams have some thousand events."""
+
+MAX_SKIPPED_RESPONSES: Final = 2
+"""Responses to other requests that are skipped before the response to a request. A
+connection with unread bytes isn't reused, so that only late ones are met."""
+
+MAX_SKIPPED_BYTES: Final = 8 << 20
+"""Largest body of such a response, which is as large as any response."""
+
+BODY_GRACE_S: Final = 2.0
+MIN_BODY_BYTES_PER_S: Final = 65_536
+"""A body that is read as a whole takes this time at most, and more the larger it is:
+the narrowest links carry ten times this rate, and a lost packet is sent again within
+the grace time."""
+
+MAX_REPLY_BYTES: Final = 4 << 20
+"""Largest response to a call with a JSON body. The longest is the report of a runner
+that lists a few thousand artifacts."""
+
+MAX_COUNTED_WAIT_S: Final = 1.0
+"""Longest wait for one read that counts for these times, so that a pause of this
+process doesn't break off a response. Longer ones are silences."""
+
+PARTS_PER_TURN: Final = 32
+"""Parts that one connection parses before the other tasks of the event loop run, which
+takes under a millisecond."""
--- a/mangoway/http1/json_client.py
+++ b/mangoway/http1/json_client.py
@@ -9,12 +9,14 @@
 from attrs import define, field, frozen
 
 from .client import (
+    BodyLimits,
     ConnectFailedError,
     Connection,
     ConnectionPool,
     ExchangeFailedError,
     async_connect,
 )
+from .const import MAX_REPLY_BYTES
 from .messages import Headers, Request, ResponseHead
 
 IDLE_CONNECTIONS: Final = 2
@@ -58,6 +60,7 @@
         body: Any = None,
         headers: Headers = (),
         fresh: bool = False,
+        max_bytes: int = MAX_REPLY_BYTES,
     ) -> JsonReply:
         """Make one call.
 
@@ -70,6 +73,7 @@
             body: Value that is sent as JSON; None for no body.
             headers: Additional fields of the request.
             fresh: Whether to use a new connection even if an idle one could be reused.
+            max_bytes: Largest body of the response.
 
         Raises:
             CallFailedError: If no valid response is received.
@@ -79,7 +83,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._async_acquire_connection(address, fresh)
-                return await self._async_exchange(address, connection, request)
+                return await self._async_exchange(
+                    address, connection, request, max_bytes
+                )
         except ConnectFailedError as error:
             raise CallFailedError(str(error), sent=False) from error
         except ExchangeFailedError as error:
@@ -99,11 +105,12 @@
         return idle or await async_connect(address, now)
 
     async def _async_exchange(
-        self, address: str, connection: Connection, request: Request
+        self, address: str, connection: Connection, request: Request, max_bytes: int
     ) -> JsonReply:
         await connection.async_send(request)
         head = await connection.async_read_head()
-        parts = [part async for part in connection.async_iterate_body()]
+        limits = BodyLimits(max_bytes=max_bytes)
+        parts = [part async for part in connection.async_iterate_body(limits)]
         now = asyncio.get_running_loop().time()
         self.pool.release(address, connection, now)
         return _read_reply(head, b"".join(parts))
--- a/mangoway/platform/store.py
+++ b/mangoway/platform/store.py
@@ -29,6 +29,10 @@
 from ..observability.metrics import Metrics
 from .headers import STORE_ERA
 
+MAX_STORE_REPLY_BYTES: Final = 32 << 20
+"""Largest response of the store. A page has about 1 MB, but a watch reports all changes
+since its revision."""
+
 CALL_TIMEOUT_S: Final = 1.2
 """The store responds within 4 ms, or within 0.25 s if it is slower by a factor of 60,
 which the platform documents; after more than a second it counts as unavailable."""
@@ -198,6 +202,7 @@
                 query=query,
                 body=body,
                 timeout_s=timeout_s,
+                max_bytes=MAX_STORE_REPLY_BYTES,
             )
         except CallFailedError as error:
             self.metrics.store_calls.add(call, "no_answer")
--- a/tests/edge/test_sse.py
+++ b/tests/edge/test_sse.py
@@ -11,7 +11,7 @@
 
     def test_complete_events_are_returned(self) -> None:
         splitter = EventSplitter()
-        events = splitter.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda")
+        events = [*splitter.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda")]
         assert [each.event_id for each in events] == ["1", "2"]
         assert splitter.rest == b"id: 3\nda"
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mangoway.http1.client import (
+    BodyLimits,
     ConnectFailedError,
     Connection,
     ConnectionPool,
@@ -14,11 +15,14 @@
     IdleReuseLimit,
     async_connect,
 )
-from mangoway.http1.const import MAX_REUSE_IDLE_S
+from mangoway.http1.const import MAX_REUSE_IDLE_S, PARTS_PER_TURN
+from mangoway.http1.json_client import CallFailedError, JsonClient
 from mangoway.http1.messages import Request
 
+from ..upstreams.pouring import Pour
 from ..upstreams.raw_server import RawServer, Script, make_response
 
+LIMITS = BodyLimits(max_bytes=1 << 20)
 REQUEST = Request(method=b"GET", target=b"/", headers=((b"Host", b"u"),), body=b"")
 
 
@@ -50,7 +54,7 @@
 async def read_whole(connection: Connection) -> tuple[int, bytes]:
     await connection.async_send(REQUEST)
     head = await connection.async_read_head()
-    parts = [part async for part in connection.async_iterate_body()]
+    parts = [part async for part in connection.async_iterate_body(LIMITS)]
     return head.status, b"".join(parts)
 
 
@@ -111,7 +115,7 @@
             await connection.async_read_head()
             await connection.async_skip_response(REQUEST)
             await connection.async_read_head()
-            parts = [part async for part in connection.async_iterate_body()]
+            parts = [part async for part in connection.async_iterate_body(LIMITS)]
             assert b"".join(parts) == b"mine"
 
 
@@ -251,3 +255,56 @@
             connection.silence_s, connection.on_silence = 0.02, handle
             assert await read_whole(connection) == (200, b"late")
             await cancelled.wait()
+
+
+class TestLimits:
+    """Tests of responses beyond the limits of a body."""
+
+    @pytest.mark.parametrize(
+        ("chunk", "reason"), [(b"1\r\nw\r\n", "parts"), (b"5\r\nwords\r\n", "large")]
+    )
+    async def test_endless_body_fails(self, chunk: bytes, reason: str) -> None:
+        """The connection was read, and its body kept, until a timeout."""
+        head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+        limits = BodyLimits(max_bytes=50_000)
+        async with RawServer(Pour(head, chunk).script) as server:
+            connection = await connect(server)
+            await connection.async_send(REQUEST)
+            await connection.async_read_head()
+            with pytest.raises(ExchangeFailedError, match=reason):
+                async for _ in connection.async_iterate_body(limits):
+                    pass
+            connection.close()
+
+    async def test_other_tasks_run_while_small_parts_are_parsed(self) -> None:
+        """Unread bytes never suspended the task that parsed them."""
+        head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+        data = head + 2000 * b"1\r\nw\r\n" + b"0\r\n\r\n"
+        async with RawServer(script(data)) as server:
+            connection = await connect(server)
+            await connection.async_send(REQUEST)
+            await connection.async_read_head()
+            turns = 0
+
+            async def count_turns() -> None:
+                nonlocal turns
+                while True:
+                    turns += 1
+                    await asyncio.sleep(0)
+
+            counting = asyncio.create_task(count_turns())
+            parts = [part async for part in connection.async_iterate_body(LIMITS)]
+            counting.cancel()
+        assert len(parts) == 2000
+        assert turns >= len(parts) // PARTS_PER_TURN
+
+    async def test_endless_reply_to_a_call_fails(self) -> None:
+        """It was kept in memory until the timeout of the call."""
+        head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+        pour = Pour(head, b"800\r\n" + 2048 * b"[" + b"\r\n")
+        async with RawServer(pour.script) as server:
+            with pytest.raises(CallFailedError, match="large"):
+                await JsonClient().async_call(
+                    server.address, "GET", "/v1/report", timeout_s=60.0
+                )
+            await pour.closed.wait()
