Treat event ids with other digits or thousands of them as text

Cause: 'isdigit' accepts digits that 'int' doesn't, and 'int' converts no more than 4,300 digits. Only numbers within 64 bits are numbers now; two of the cases of tests/edge/test_sse.py failed before.

--- a/mangoway/edge/sse.py
+++ b/mangoway/edge/sse.py
@@ -1,11 +1,15 @@
 """Splitting of a stream of server-sent events into events."""
 
+import re
 from collections.abc import Iterator
+from typing import Final
 
 from attrs import frozen
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+ID_NUMBER: Final = re.compile("[0-9]{1,18}")
+"""Numbers within 64 bits; other digits or thousands of them can't be converted."""
 
 
 @frozen
@@ -18,8 +22,8 @@
     @property
     def number(self) -> int | None:
         """Return the id as a number; None if it isn't a number."""
-        text = self.event_id
-        return int(text) if text is not None and text.isdigit() else None
+        text = self.event_id or ""
+        return int(text) if ID_NUMBER.fullmatch(text) else None
 
 
 class EventSplitter:
--- a/tests/edge/test_sse.py
+++ b/tests/edge/test_sse.py
@@ -1,9 +1,10 @@
 """Tests of splitting a stream into events."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mangoway.edge.sse import EventSplitter
+from mangoway.edge.sse import EventSplitter, StreamEvent
 
 
 class TestEventSplitter:
@@ -24,6 +25,12 @@
         assert one.number is None
         assert two.number is None
 
+    @pytest.mark.parametrize("text", ["\u00b2", "9" * 5000, "-1", ""])
+    def test_other_digits_are_no_number(self, text: str) -> None:
+        """The conversion failed, and the request with it without any response."""
+        event = StreamEvent(b"", text)
+        assert event.number is None
+
     @given(cuts=st.lists(st.integers(1, 60), max_size=8))
     def test_split_positions_do_not_matter(self, cuts: list[int]) -> None:
         data = b"".join(b"id: %d\ndata: piece\n\n" % number for number in range(4))
