Play runners that leave unannounced, run on and send bytes without end in the soak

Our stand-ins of runners had none of these, so that neither soaks nor tests showed that a missing entry was taken for an end, an accepted unload for done, or that bytes without end were read on.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -47,6 +47,12 @@
         default=None,
         help="cut edges off from all runners in each seed",
     )
+    parser.add_argument(
+        "--misbehaving",
+        action="store_true",
+        default=None,
+        help="let runners leave unannounced, run on or send bytes without end",
+    )
     parser.add_argument(
         "--versions",
         action="store_true",
@@ -72,6 +78,7 @@
             lambda seed: (
                 options.versions or (not options.seed and seed % VERSIONS_DIVISOR == 0)
             ),
+            options.misbehaving,
         )
     )
     failed = [each.seed for each in results if each.violations]
@@ -89,6 +96,7 @@
     restoring: bool | None = None,
     cutting: bool | None = None,
     versions: Callable[[int], bool] = lambda seed: False,
+    misbehaving: bool | None = None,
 ) -> list[Result]:
     """Run one soak for each seed, at most `at_once` at a time."""
     slots = asyncio.Semaphore(at_once)
@@ -98,7 +106,15 @@
             logs = folder / str(seed)
             logs.mkdir(parents=True, exist_ok=True)
             result = await async_soak(
-                seed, logs, fault_s, crashing, edges, restoring, cutting, versions(seed)
+                seed,
+                logs,
+                fault_s,
+                crashing,
+                edges,
+                restoring,
+                cutting,
+                versions(seed),
+                misbehaving,
             )
             print_result(result)
             return result
@@ -116,6 +132,7 @@
         f"{result.crashes} crashes by requests, "
         f"{result.wrongly_blocked} other requests blocked; "
         f"{result.restores} restores of the store; "
+        f"{result.pours} endless responses; "
         f"{result.went_on} of {result.resumed} resumed streams went on; "
         f"{', '.join(result.faults)}",
         flush=True,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -354,6 +354,50 @@
     await runner.async_drain()
 
 
+async def async_misbehave_periodically(
+    world: World, random: Random, stopping: asyncio.Event
+) -> None:
+    """Let runners leave unannounced, run on, or send bytes without end, for periods.
+
+    Once `stopping` is set, at most one more period starts; returns when all have ended.
+    """
+    kinds = (_async_leave_unannounced, _async_run_on, _async_pour)
+    running: set[asyncio.Task[None]] = set()
+    while not stopping.is_set():
+        await asyncio.sleep(random.uniform(0.2, 1.2))
+        runner = random.choice(world.runners)
+        running.add(world.start_task(random.choice(kinds)(world, runner, random)))
+    await asyncio.gather(*running, return_exceptions=True)
+
+
+async def _async_leave_unannounced(
+    world: World, runner: RunnerStandIn, random: Random
+) -> None:
+    """Let a runner leave without a draining report; another one replaces it."""
+    models: dict[str, set[str]] | None = None if runner.models is None else {}
+    await world.async_add_runner(runner.service, models)
+    if runner not in world.runners:
+        return
+    world.runners.remove(runner)
+    await runner.async_leave_unannounced()
+
+
+async def _async_run_on(world: World, runner: RunnerStandIn, random: Random) -> None:
+    """Let a runner go on with the streams of clients that disconnect, and pause."""
+    runner.runs_on = runner.pauses = True
+    await asyncio.sleep(random.uniform(2.0, 5.0))
+    runner.runs_on = runner.pauses = False
+
+
+async def _async_pour(world: World, runner: RunnerStandIn, random: Random) -> None:
+    """Let a runner answer some requests with bytes without end."""
+    span = world.records.begin("runners pour")
+    runner.pour_share = random.uniform(0.05, 0.5)
+    await asyncio.sleep(random.uniform(1.0, 4.0))
+    runner.pour_share = 0.0
+    _end(span)
+
+
 @plan
 async def async_change_configuration(world: World) -> None:
     """Write one to three versions of the configuration in succession."""
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -174,6 +174,9 @@
     restores: int = field(default=0, init=False)
     """Number of times that the store came back from a copy."""
 
+    pours: list[str] = field(factory=list, init=False)
+    """IDs of the requests that runners answered with bytes without end."""
+
     fence_rejections: list[float] = field(factory=list, init=False)
     """Times at which runners rejected orders with a fence number that was too low."""
 
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Callable
 from itertools import count
 from random import Random
@@ -12,6 +13,7 @@
 from attrs import define, field
 
 from ..stand_ins.relay import Relay
+from ..upstreams.pouring import POURS
 from .copies import Copier, LiveRun
 from .records import Records, Run
 from .signals import Leaving, LimitPeriod
@@ -37,6 +39,12 @@
 CRASH_AFTER_S = 0.05
 """Time from the start of such a request to the crash."""
 
+PAUSE_S = 1.3
+"""Pause of a preempted stream, below the two seconds after which callers leave."""
+
+POUR_BLOCK_BYTES = 65_536
+POUR_POLL_S = 0.005
+
 DRAIN_SERVING_S = 4.0
 """Time for which a draining runner still serves."""
 
@@ -82,7 +90,22 @@
     leaving: Leaving | None = field(default=None, init=False)
     """Leaving signal that its responses carry."""
 
+    pour_share: float = field(default=0.0, init=False)
+    """Share of the requests that it answers with bytes without end."""
+
+    runs_on: bool = field(default=False, init=False)
+    """Whether it goes on with the stream of a client that has disconnected."""
+
+    pauses: bool = field(default=False, init=False)
+    """Whether it preempts its streams once, in their middle."""
+
     copier: Copier = field(init=False)
+    _uses: Counter[tuple[str, str]] = field(factory=Counter, init=False)
+    """Number of runs by model and adapter."""
+
+    _unloading: set[tuple[str, str]] = field(factory=set, init=False)
+    """Adapters whose unload waits for their runs; they keep their slots."""
+
     _site: web.AppRunner | None = field(default=None, init=False)
     _order_count: int = field(default=0, init=False)
     """Number of accepted orders; an order may name the one that it expects."""
@@ -138,6 +161,18 @@
         await asyncio.sleep(DRAIN_SERVING_S)
         await self.async_crash()
 
+    async def async_leave_unannounced(self) -> None:
+        """Remove the runner's entry, serve for some more time, and stop.
+
+        Its streams are preempted before and meanwhile.
+        """
+        self.pauses = self.runs_on = True
+        await asyncio.sleep(PAUSE_S)
+        self.store.remove(f"servers/{self.runner_id}")
+        self.records.leaving[self.runner_id] = time.monotonic()
+        await asyncio.sleep(DRAIN_SERVING_S)
+        await self.async_crash()
+
     def announce(self) -> None:
         """Write the runner's entry to the store."""
         assert self.relay is not None
@@ -213,6 +248,9 @@
                 return 400
             if is_load:
                 adapters.add(adapter)
+            elif self._uses[name, adapter]:
+                self._unloading.add((name, adapter))
+                return 202
             else:
                 adapters.discard(adapter)
         elif is_load:
@@ -257,6 +295,8 @@
         self.records.record_arrival(self.service, self.runner_id, request_id, sender)
         if self.random.random() < self.reject_share:
             return self._reject(request_id, 503, sender)
+        if self.pour_share and self.random.random() < self.pour_share:
+            return await self._async_pour(request, request_id)
         model, _, adapter = request.headers.get("X-Model", "").partition("/")
         if request.headers.get("X-Expect-Instance") != self.runner_id:
             return self._reject(request_id)
@@ -267,6 +307,7 @@
                 loaded_adapters is None
                 or loading
                 or (adapter and adapter not in loaded_adapters)
+                or (model, adapter) in self._unloading
             ):
                 return self._reject(request_id)
         signature = f"{self.runner_id}.{request_id}.{next(_unique_numbers)}"
@@ -359,6 +400,8 @@
         )
         response.content_type = "text/event-stream"
         self._active += 1
+        model, _, adapter = request.headers.get("X-Model", "").partition("/")
+        self._uses[model, adapter] += 1
         is_whole = False
         try:
             await response.prepare(request)
@@ -368,10 +411,35 @@
             pass
         finally:
             self._active -= 1
+            self._end_use(model, adapter)
             segment.ended = time.monotonic()
             self.copier.end(run, well=is_whole)
         return response
 
+    def _end_use(self, model: str, adapter: str) -> None:
+        """Count the end of a run, and carry out an unload that waits for it."""
+        self._uses[model, adapter] -= 1
+        if (model, adapter) in self._unloading and not self._uses[model, adapter]:
+            self._unloading.discard((model, adapter))
+            (self.models or {}).get(model, set()).discard(adapter)
+
+    async def _async_pour(
+        self, request: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        """Send bytes without end, until the client closes the connection."""
+        transport = request.transport
+        beginning, repeated = self.random.choice([*POURS.values()])
+        beginning = beginning.replace(b"q1", request_id.encode())
+        block = repeated * (POUR_BLOCK_BYTES // len(repeated))
+        self.records.pours.append(request_id)
+        if transport is not None:
+            transport.write(beginning)
+        while transport is not None and not transport.is_closing():
+            if transport.get_write_buffer_size() < POUR_BLOCK_BYTES:
+                transport.write(block)
+            await asyncio.sleep(POUR_POLL_S)
+        return web.Response()
+
     async def _async_write_events(
         self, request: web.Request, response: web.StreamResponse, run: LiveRun
     ) -> bool:
@@ -380,7 +448,9 @@
         is_cut = self.random.random() < self.fail_share
         cut_at = EVENT_COUNT // 2 if is_cut else EVENT_COUNT + 1
         for number in range(first_event, EVENT_COUNT + 1):
-            if await run.async_is_stopped_within(EVENT_INTERVAL_S):
+            is_preempted = self.pauses and number == EVENT_COUNT // 2
+            interval_s = PAUSE_S if is_preempted else EVENT_INTERVAL_S
+            if await run.async_is_stopped_within(interval_s):
                 _abort(request)
                 return False
             text = f"{run.request_id} {number} {self.software_version}".rstrip()
@@ -390,7 +460,11 @@
                 _abort(request)
                 return False
             self.copier.record_event(run, number)
-            await response.write(event)
+            try:
+                await response.write(event)
+            except ConnectionResetError:
+                if not self.runs_on:
+                    raise
         await response.write_eof()
         return True
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
     FAULTS,
     PLANNED,
     async_cut_edges_periodically,
+    async_misbehave_periodically,
     async_reject_periodically,
     async_restore_periodically,
     async_signal_periodically,
@@ -73,6 +74,12 @@
 runners."""
 
 
+MISBEHAVING_DIVISOR: Final = 6
+MISBEHAVING_REMAINDER: Final = 5
+"""Remainder, by `MISBEHAVING_DIVISOR`, of the seeds with runners that leave
+unannounced, run on or send bytes without end."""
+
+
 VERSIONS: Final = ("v1", "v2")
 ENGINES_OF_VERSIONS: Final = 6
 LEFT_AFTER_EVENTS: Final = 8
@@ -98,6 +105,9 @@
     restores: int = 0
     """Number of times that the store came back from a copy."""
 
+    pours: int = 0
+    """Requests that runners answered with bytes without end."""
+
     resumed: int = 0
     """Streams that callers resumed at another edge."""
 
@@ -146,6 +156,7 @@
     restoring: bool | None = None,
     cutting: bool | None = None,
     versions: bool = False,
+    misbehaving: bool | None = None,
 ) -> Result:
     """Run one soak.
 
@@ -160,6 +171,8 @@
             seed.
         versions: Whether runners have two software versions, and callers leave streams
             to resume them.
+        misbehaving: Whether runners leave unannounced, run on or send bytes without
+            end; None: derived from the seed.
     """
     result = Result(seed, has_versions=versions)
     if crashing is None:
@@ -196,6 +209,10 @@
             cutting = seed % CUTTING_DIVISOR == CUTTING_REMAINDER
         if cutting:
             periods.start(world, async_cut_edges_periodically)
+        if misbehaving is None:
+            misbehaving = seed % MISBEHAVING_DIVISOR == MISBEHAVING_REMAINDER
+        if misbehaving:
+            periods.start(world, async_misbehave_periodically)
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result, periods)
@@ -204,6 +221,7 @@
     result.calls = len(world.records.calls)
     result.served = sum(1 for each in world.records.calls.values() if each.whole)
     result.restores = world.records.restores
+    result.pours = len(world.records.pours)
     result.crashes = sum(len(each) for each in world.records.crashes.values())
     result.wrongly_blocked = world.records.count_wrongly_blocked()
     result.violations += world.records.check()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -37,6 +37,9 @@
 MODELS: Final = [f"m{number}" for number in range(10)]
 """One more than the engines have room for."""
 
+ADAPTERS: Final = 8
+"""Adapters of each model, twice as many as an engine has slots."""
+
 GRACE_S: Final = 6.0
 """Time from SIGTERM within which a process must have ended."""
 
@@ -442,7 +445,7 @@
                 "load_s": 0.3,
                 "warm_s": 0.3,
                 "disk_s": 0.3,
-                "adapters": 0,
+                "adapters": ADAPTERS,
                 "adapter_mb": 50.0,
             }
             for name in MODELS
