Send no retry on a connection that an earlier attempt used

A runner rejected it and sent the rejection again late; the edge retried on the same kept connection, read the copy as the answer to the retry, and sent the request again.

Cause: answers are told apart by the request's ID, which all of its attempts share, and the pool hands out the connection used last. The runner's record has neither a closed connection nor a silence between the attempts, and 254 gives the rejection for both, so that a retry after a failure is ruled out.

A request now takes no connection that carried an attempt of it.

--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -1,7 +1,7 @@
 """Connections of an edge to runners, and checks whether it reaches any runner."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterator, Sequence
+from collections.abc import Callable, Collection, Coroutine, Iterator, Sequence
 from itertools import islice
 from random import Random
 from typing import Any, Final
@@ -61,7 +61,11 @@
     """Done when the running check has ended; None without one."""
 
     async def async_open(
-        self, runner: RunnerEntry, *, retryable: bool = True
+        self,
+        runner: RunnerEntry,
+        *,
+        retryable: bool = True,
+        excluded: Collection[Connection] = (),
     ) -> Connection:
         """Return an idle connection to a runner, or open one.
 
@@ -69,6 +73,7 @@
             runner: The runner.
             retryable: Whether the request may be sent again if an idle connection turns
                 out to be broken.
+            excluded: Connections that must not be used.
 
         Raises:
             ConnectFailedError: If the connection fails, times out, or no runner can be
@@ -77,7 +82,9 @@
         if self.reach.is_lost:
             raise ConnectFailedError("no runner can be reached from this host")
         started_at = self.clock()
-        idle = self.pool.acquire(runner.address, started_at, retryable=retryable)
+        idle = self.pool.acquire(
+            runner.address, started_at, retryable=retryable, excluded=excluded
+        )
         if idle is not None:
             return idle
         slow = asyncio.get_running_loop().call_later(
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -4,7 +4,7 @@
 import errno
 import re
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 from math import inf
 from typing import Any, Final
 
@@ -461,7 +461,12 @@
     _idle: dict[str, list[Connection]] = field(factory=dict, init=False)
 
     def acquire(
-        self, address: str, now: float, *, retryable: bool = True
+        self,
+        address: str,
+        now: float,
+        *,
+        retryable: bool = True,
+        excluded: Collection[Connection] = (),
     ) -> Connection | None:
         """Return an idle connection that is probably still open, or None.
 
@@ -470,16 +475,16 @@
             now: Time in seconds.
             retryable: Whether the request may be sent again if the connection breaks
                 without a response. If not, `idle_limit` applies to the idle time.
+            excluded: Connections that must not be used.
         """
-        idle = self._idle.get(address)
-        while idle:
-            if not retryable and now - idle[-1].idle_since > self.idle_limit.compute_s(
-                now
-            ):
+        idle = self._idle.get(address, [])
+        for connection in [each for each in reversed(idle) if each not in excluded]:
+            idle_s = now - connection.idle_since
+            if not retryable and idle_s > self.idle_limit.compute_s(now):
                 return None
-            connection = idle.pop()
+            idle.remove(connection)
             if connection.is_likely_open(now):
-                connection.idle_s = now - connection.idle_since
+                connection.idle_s = idle_s
                 return connection
             connection.close()
         return None
