Ignore a repeated signal to stop in edges and schedulers

Cause: an edge took each signal after the first as an order to end at once (force), as the product's own programs do for an operator at a terminal. The platform ends a process that stays too long by SIGKILL, so nothing needs that here, and schedulers ignored it already. Event 158 says that a signal was ignored.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -90,7 +90,7 @@
 async def async_run(settings: EdgeSettings) -> None:
     """Run an edge on the running loop until a signal stops it."""
     edge = EdgeProcess(settings)
-    signals = listen_for_signals(edge.force)
+    signals = listen_for_signals()
     await edge.async_start()
     freeze_startup_objects()
     await edge.async_leave(await signals.async_wait())
@@ -119,7 +119,6 @@
     _servers: list[asyncio.AbstractServer] = field(factory=list, init=False)
     _started_at: float = field(default=0.0, init=False)
     _stopping: bool = field(default=False, init=False)
-    _forced: bool = field(default=False, init=False)
     _ready_logged: bool = field(default=False, init=False)
     _fleet_changed: bool = field(default=False, init=False)
     """Whether the local grant provider has yet to receive the current fleet."""
@@ -229,10 +228,6 @@
             return False
         return self.startup.is_done() and self.admission.is_current()
 
-    def force(self) -> None:
-        """End a stop without waiting for open requests."""
-        self._forced = True
-
     async def async_leave(self, signal: str) -> None:
         """Leave the directory, finish open requests and stop in the grace period."""
         began_at = self.process.clock()
@@ -252,9 +247,8 @@
         log_event(log.NodeStopped(in_progress=unfinished, after_s=seconds))
 
     async def _async_finish(self, accept_until: float, finish_by: float) -> None:
-        while not self._forced:
-            now = self.process.clock()
-            if now >= finish_by or (now >= accept_until and self.callers.busy == 0):
+        while (now := self.process.clock()) < finish_by:
+            if now >= accept_until and self.callers.busy == 0:
                 return
             if now >= finish_by - REJECT_BEFORE_END_S:
                 self.client.reject_waiting("this host stops", RETRY_AFTER_STOP_S)
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -204,9 +204,13 @@
         stop_log()
 
 
-def listen_for_signals(on_second: Callable[[], None]) -> StopSignals:
-    """Handle the signals to stop; log that the signal to reload is ignored."""
-    signals = StopSignals(on_second)
+def listen_for_signals() -> StopSignals:
+    """Handle the signals to stop; log that others are ignored.
+
+    A stop ends within the grace period, after which the platform kills the process, so
+    that a repeated signal has no reason to cut off requests.
+    """
+    signals = StopSignals(lambda: log_event(log.StopRepeated()))
     signals.async_listen()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -72,7 +72,7 @@
 async def async_run(settings: SchedulerSettings) -> None:
     """Run a scheduler on the running loop until a signal stops it."""
     scheduler = SchedulerProcess(settings)
-    signals = listen_for_signals(lambda: None)
+    signals = listen_for_signals()
     await scheduler.async_start()
     freeze_startup_objects()
     await scheduler.async_leave(await signals.async_wait())
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -69,6 +69,11 @@
     lines: int
 
 
+@numbered(158, LogLevel.INFO)
+class StopRepeated:
+    """A signal to stop was ignored, since the process is stopping already."""
+
+
 # 2xx: requests.
 
 
