Reject streams that reach a stopping edge after three seconds

Callers keep an address for three times the second that the directory states, so that some come as late as 3.1 s.

Cause: an edge accepted all requests until it stopped listening, whatever they take.

tests/soak/test_stopping_edges.py: four of four late streams were taken before, none now.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -1,6 +1,7 @@
 """The process `mangoway edge`."""
 
 import asyncio
+from math import inf
 from random import Random
 from typing import Final
 
@@ -10,7 +11,7 @@
 from ..coordination.crash_reporter import CrashReporter
 from ..edge.admission import Admission
 from ..edge.caller_memory import make_response_memory
-from ..edge.const import MAX_IDLE_PER_RUNNER
+from ..edge.const import MAX_IDLE_PER_RUNNER, RETRY_AFTER_STOP_S, STOPPING_REASON
 from ..edge.crash_detector import CrashDetector
 from ..edge.crash_filter import CrashFilter
 from ..edge.forwarder import Forwarder
@@ -66,6 +67,10 @@
 """Time for which a stopping edge still accepts requests: callers keep an address for up
 to three times the 1 s that the directory states."""
 
+STOP_ACCEPT_STREAMS_S: Final = 3.0
+"""Time for which it accepts streams, which may outlast the rest of the grace period.
+Callers that come later have kept an address for longest."""
+
 STOP_MARGIN_S: Final = 0.6
 """Time before the end of the grace period at which remaining requests are aborted."""
 
@@ -77,10 +82,6 @@
 rejected: an answer takes about two seconds, and callers must be able to retry at
 another edge before their deadline."""
 
-RETRY_AFTER_STOP_S: Final = 0.1
-"""Retry delay of requests rejected by a stopping edge: short, since another edge can
-serve them, but not zero, so that retries are spread when an edge restarts."""
-
 
 def run(settings: EdgeSettings) -> None:
     """Run an edge until a signal stops it."""
@@ -119,6 +120,9 @@
     _servers: list[asyncio.AbstractServer] = field(factory=list, init=False)
     _started_at: float = field(default=0.0, init=False)
     _stopping: bool = field(default=False, init=False)
+    _streams_until: float = field(default=inf, init=False)
+    """Time until which streams are accepted."""
+
     _ready_logged: bool = field(default=False, init=False)
     _fleet_changed: bool = field(default=False, init=False)
     """Whether the local grant provider has yet to receive the current fleet."""
@@ -232,6 +236,7 @@
         """Leave the directory, finish open requests and stop in the grace period."""
         began_at = self.process.clock()
         self._stopping = True
+        self._streams_until = began_at + STOP_ACCEPT_STREAMS_S
         self.callers.closing = True
         log_event(log.NodeStopping(signal=signal, in_progress=self.callers.busy))
         self.process.tasks.async_start(self.process.presence.async_leave())
@@ -251,7 +256,7 @@
             if now >= accept_until and self.callers.busy == 0:
                 return
             if now >= finish_by - REJECT_BEFORE_END_S:
-                self.client.reject_waiting("this host stops", RETRY_AFTER_STOP_S)
+                self.client.reject_waiting(STOPPING_REASON, RETRY_AFTER_STOP_S)
             if now >= accept_until:
                 # No callers are expected any more; requests already being read are
                 # still answered.
@@ -350,6 +355,7 @@
             uses_backups=self.settings.stream_backups,
             drain_s=self.settings.drain_ms / MS_PER_S,
             may_use_configuration=self.startup.is_done,
+            accepts_streams=lambda: process.clock() < self._streams_until,
         )
 
     def _send_statement(self, key: str, value: bytes) -> bool:
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -96,3 +96,10 @@
 UNREACHABLE_REASON: Final = "no runner can be reached"
 """Reason for rejecting a request for which neither this host nor a peer reaches a
 runner."""
+
+STOPPING_REASON: Final = "this host stops"
+"""Reason for rejecting a request that this host would cut off when it stops."""
+
+RETRY_AFTER_STOP_S: Final = 0.1
+"""Retry delay of requests rejected by a stopping edge: short, since another edge can
+serve them, but not zero, so that retries are spread when an edge restarts."""
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -24,6 +24,8 @@
 from .const import (
     DEFAULT_DRAIN_S,
     RETRY_AFTER_OUTDATED_STATE_S,
+    RETRY_AFTER_STOP_S,
+    STOPPING_REASON,
     UNKNOWN_ORIGIN_REASON,
 )
 from .crash_detector import CrashDetector
@@ -59,6 +61,9 @@
     reason=UNKNOWN_ORIGIN_REASON,
     retry_after_s=RETRY_AFTER_ORIGIN_S,
 )
+STOPPING = Rejection(
+    status=STATUS_NOT_RUN, reason=STOPPING_REASON, retry_after_s=RETRY_AFTER_STOP_S
+)
 NO_ROUTE = Rejection(status=STATUS_NO_ROUTE, reason="no such route", retry_after_s=None)
 
 
@@ -95,6 +100,9 @@
     may_use_configuration: Callable[[], bool] = lambda: True
     """Returns whether the configuration is known to be recent enough."""
 
+    accepts_streams: Callable[[], bool] = lambda: True
+    """Returns whether a new stream can end before this host stops."""
+
     request_numbers: "count[int]" = field(factory=count, init=False)
     runner_ends: RunnerEnds = field(init=False)
 
@@ -123,6 +131,9 @@
             rejection = UNCERTAIN_ROUTE if is_uncertain else NO_ROUTE
             _reject(delivery, request_log, rejection)
             return
+        if route.kind is RouteKind.STREAMING and not self.accepts_streams():
+            _reject(delivery, request_log, STOPPING)
+            return
         caller = self.admission.check(request, route)
         if isinstance(caller, Rejection):
             _reject(delivery, request_log, caller)
--- a/tests/soak/test_stopping_edges.py
+++ b/tests/soak/test_stopping_edges.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -20,6 +21,9 @@
 RECEIVE_BYTES = 2048
 """Receive buffer of a slow caller."""
 
+LATE_S = 3.05
+"""Time after the signal from which streams have no excuse for being cut off."""
+
 
 @asynccontextmanager
 async def start_world(tmp_path: Path) -> AsyncIterator[tuple[World, Node]]:
@@ -104,3 +108,18 @@
             assert [is_whole(each) for each in await asyncio.gather(*calls)] == [
                 True
             ] * STREAMS
+
+    async def test_late_streams_are_rejected_as_not_run(self, tmp_path: Path) -> None:
+        """They were taken, and cut off at the end of the grace period."""
+        async with start_world(tmp_path) as (world, node):
+            stop(node)
+            stopped_at = time.monotonic()
+            await asyncio.sleep(LATE_S)
+            responses = await asyncio.gather(
+                *(async_call(world, node, number) for number in range(STREAMS))
+            )
+            assert time.monotonic() - stopped_at < LATE_S + 1.0
+            for each in responses:
+                assert each.startswith(b"HTTP/1.1 503")
+                assert b"retry-after" in each.lower()
+        assert world.records.runs == {}
