Let slow callers read complete responses before an edge stops

Cause: an edge counted as idle once no request was in progress, though its own and the kernel's buffers held the ends of responses, and closed all connections with a reset. It now waits until callers have received them, at most until the end of the grace period, and closes idle connections without a reset then.

tests/http1/test_server.py tests the count of such connections, which did not exist before.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -245,6 +245,9 @@
         unfinished = self.callers.busy
         for server in self._servers:
             server.close()
+        # Complete responses that the kernel holds still reach their callers.
+        self.callers.close_idle()
+        await asyncio.sleep(0)
         self.callers.abort()
         self.datagrams.close()
         await self.process.async_stop()
@@ -253,7 +256,8 @@
 
     async def _async_finish(self, accept_until: float, finish_by: float) -> None:
         while (now := self.process.clock()) < finish_by:
-            if now >= accept_until and self.callers.busy == 0:
+            is_idle = not self.callers.busy and not self.callers.undelivered
+            if now >= accept_until and is_idle:
                 return
             if now >= finish_by - REJECT_BEFORE_END_S:
                 self.client.reject_waiting(STOPPING_REASON, RETRY_AFTER_STOP_S)
--- a/mangoway/http1/response_memory.py
+++ b/mangoway/http1/response_memory.py
@@ -147,7 +147,7 @@
             return
         unsent = self.transport.get_write_buffer_size()
         unread = 0 if self.count_unread is None else self.count_unread()
-        in_kernel = _count_in_kernel(self.transport) if unsent else 0
+        in_kernel = count_in_kernel(self.transport) if unsent else 0
         self.memory.ledger.update(
             self.holding,
             held=unsent + unread + self.request_bytes + self.body_bytes,
@@ -264,7 +264,7 @@
             self._start_timer()
 
 
-def _count_in_kernel(transport: asyncio.Transport) -> int:
+def count_in_kernel(transport: asyncio.Transport) -> int:
     """Return the bytes that the kernel holds since the caller has not received them."""
     sock: Any = transport.get_extra_info("socket")
     try:
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -19,7 +19,7 @@
 )
 from .messages import Headers, Request
 from .request_problems import MEMORY_SHORT, find_problem
-from .response_memory import CallerHolding, ResponseMemory
+from .response_memory import CallerHolding, ResponseMemory, count_in_kernel
 
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Zero linger time: closing drops unsent data and resets the connection."""
@@ -61,6 +61,11 @@
         """Return the number of requests in progress."""
         return sum(each.busy for each in self.connections)
 
+    @property
+    def undelivered(self) -> int:
+        """Return the number of connections with bytes that callers have yet to read."""
+        return sum(each.has_undelivered for each in self.connections)
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for each in tuple(self.connections):
@@ -145,6 +150,12 @@
         """Return whether a request is being read or answered."""
         return self._task is not None or self._head is not None
 
+    @property
+    def has_undelivered(self) -> bool:
+        """Return whether the caller has yet to receive bytes of a response."""
+        unsent = self._transport.get_write_buffer_size()
+        return unsent > 0 or count_in_kernel(self._transport) > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timeout."""
         assert isinstance(transport, asyncio.Transport)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -300,3 +300,19 @@
                 while received < 60 * server.answer_bytes:
                     received += len(await reader.read(1 << 20))
             assert len(server.requests) == 60
+
+
+class TestUndelivered:
+    """Responses that callers have yet to read."""
+
+    async def test_unread_response_is_undelivered_until_it_is_read(self) -> None:
+        """An edge that stopped reset complete responses of slow callers."""
+        async with serve() as (server, reader, writer):
+            server.answer_bytes = 32 * MAX_WRITE_BUFFER_BYTES
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            await async_wait_until(lambda: server.options.undelivered == 1)
+            await async_wait_until(lambda: server.options.busy == 0)
+            assert server.options.undelivered == 1
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(server.answer_bytes)
+            await async_wait_until(lambda: server.options.undelivered == 0)
