Relay an entry that is removed and written again in one batch of changes

Cause: the leader relays only changes that alter its own view, and compared each change of a batch with its view of before the batch. The removal altered it; the write after it did not, nor did the later heartbeats. A change to a key that an earlier one of the batch has altered is now relayed too. tests/coordination/test_mirror.py::TestRelay::test_key_removed_and_written_again_alike_stays_at_followers failed before.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -312,7 +312,7 @@
         for change in new:
             self._store_change(change)
         self.revision = max(known, changes.revision)
-        effective = tuple(each for each in new if self.receiver.has_effect(each))
+        effective = self._select_effective(new)
         self.receiver.apply_changes(Changes(changes=new, revision=changes.revision))
         if self.follower is not None and new:
             # Runners write their entries every second, mostly unchanged.
@@ -320,6 +320,16 @@
             self.follower.relay_changes(relayed)
         self.on_synced()
 
+    def _select_effective(self, changes: tuple[Change, ...]) -> tuple[Change, ...]:
+        """Return the changes that alter the view, or what an earlier one has altered."""
+        altered: set[str] = set()
+        effective = []
+        for each in changes:
+            if each.key in altered or self.receiver.has_effect(each):
+                altered.add(each.key)
+                effective.append(each)
+        return tuple(effective)
+
     def _store_change(self, change: Change) -> None:
         self.restores.record_change(change)
         if change.item is None:
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -225,6 +225,23 @@
         assert [len(each.changes) for each in relayed] == [0, 1]
         assert relayed[-1].revision == at(store.revision)
 
+    async def test_key_removed_and_written_again_alike_stays_at_followers(self) -> None:
+        """The removal alone was relayed, and followers lost the runner for good."""
+        second = Recorder()
+        leader = Mirror(FakeCoordinationStore(), Recorder(), loop_clock())
+        follower = Mirror(FakeCoordinationStore(), second, loop_clock())
+        leader.follower = MirrorRelay(follower)
+        item = Item(key="a", value=b"1", revision=at(4))
+        for each in (leader, follower):
+            each.apply_snapshot(Snapshot(items=(item,), revision=at(4)))
+        again = Item(key="a", value=b"1", revision=at(6))
+        changes = (
+            Change(key="a", revision=at(5), item=None),
+            Change(key="a", revision=at(6), item=again),
+        )
+        leader.apply_changes(Changes(changes=changes, revision=at(6)))
+        assert second.values == {"a": b"1"}
+
     @pytest.mark.parametrize("processes", [8, 30, 100, 200])
     async def test_rate_of_watches_of_all_processes_is_bounded(
         self, processes: int
