Treat token counts beyond 64 bits as malformed

One such request let an edge lose all messages to its scheduler that were sent with it (grants, ends and signals of other requests): the encoder of links raises a TypeError for such numbers. A count of thousands of digits failed its request with an unexpected error. Cause: counts were converted whatever their size. Two tests of tests/platform/test_requests.py failed before. The count is as malformed as one with other characters, so that it makes no request free of charge.

--- a/mangoway/platform/requests.py
+++ b/mangoway/platform/requests.py
@@ -1,5 +1,6 @@
 """Decodes header fields of callers' requests and encodes requests for runners."""
 
+import re
 from typing import Final
 
 from attrs import frozen
@@ -11,6 +12,9 @@
 MS_PER_S: Final = 1000.0
 KEY_SCHEME: Final = "bearer"
 
+COUNT: Final = re.compile("[0-9]{1,15}")
+"""A count of tokens. Messages between processes hold numbers within 64 bits."""
+
 
 @frozen(kw_only=True)
 class RequestFields:
@@ -202,7 +206,7 @@
     usage = [
         each.strip() for each in (request.find(names.TOKEN_USAGE) or "").split(",")
     ]
-    return len(usage) == 2 and all(each.isascii() and each.isdigit() for each in usage)
+    return len(usage) == 2 and all(COUNT.fullmatch(each) for each in usage)
 
 
 def _read_parts(text: str) -> tuple[PromptPart, ...]:
@@ -216,4 +220,4 @@
 
 def _read_int(text: str) -> int:
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return int(text) if COUNT.fullmatch(text) else 0
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -119,6 +119,14 @@
     def test_key_is_decoded(self, value: bytes, key: str | None) -> None:
         assert read_key(make_request((b"Authorization", value))) == key
 
+    @pytest.mark.parametrize("usage", [b"1,%d" % 2**64, b"9" * 5000 + b",1"])
+    def test_count_beyond_64_bits_is_malformed(self, usage: bytes) -> None:
+        """It failed the encoding of all messages of an edge that were sent with it."""
+        fields = decode_request(make_request((b"X-Token-Usage", usage)))
+        assert not fields.has_usage
+        assert fields.prompt.tokens < 2**63
+        assert fields.prompt.max_output_tokens < 2**63
+
     @pytest.mark.parametrize("usage", [b"", b"x,1", b"1", b"1,-2", b"1,2,3"])
     def test_malformed_usage_counts_as_missing(self, usage: bytes) -> None:
         assert not decode_request(make_request((b"X-Token-Usage", usage))).has_usage
