--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -321,7 +321,7 @@
         self.on_synced()
 
     def _select_effective(self, changes: tuple[Change, ...]) -> tuple[Change, ...]:
-        """Return the changes that alter the view, or what an earlier one has altered."""
+        """Return the changes that alter the view, or what an earlier one altered."""
         altered: set[str] = set()
         effective = []
         for each in changes:
