Test guards of the proof of a runner's end that no test held

Taken out one at a time, four guards turned no test red: a source without an entry gets no continued run, a response that may be cut clears its request only at a listed runner, a request that can't be repeated stays at its silent runner although its route allows another attempt, and one that may have no other runner fails once its runner has ended. Each of the new tests is red with its guard taken out.

--- a/tests/edge/test_crash_filter.py
+++ b/tests/edge/test_crash_filter.py
@@ -544,3 +544,26 @@
                 if isinstance(each, CrashStatement)
             ]
         assert len(charged) == crashes
+
+    @pytest.mark.parametrize("is_listed", [True, False])
+    async def test_response_that_may_be_cut_clears_only_at_a_listed_runner(
+        self, *, is_listed: bool
+    ) -> None:
+        """A short response that ends with its connection looks the same in a crash."""
+        head, event = make_stream(make_event(1))[0], make_event(1)
+        head = head.replace(b"Transfer-Encoding: chunked\r\n", b"")
+        async with RawServer() as runner, start_edge() as edge:
+
+            async def respond(_: bytes, writer: asyncio.StreamWriter) -> None:
+                if not is_listed:
+                    edge.view.remove_runner("r1", 0.0)
+                writer.writelines([head, event])
+                writer.close()
+
+            runner._scripts = [respond]
+            edge.add("r1", runner, "llm")
+            reply = await edge.async_call("/stream/x")
+            served = edge.forwarder.crash_filter.served_requests
+            await asyncio.sleep(0.1)
+            assert reply.complete
+            assert len(served) == is_listed
--- a/tests/edge/test_silence.py
+++ b/tests/edge/test_silence.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 
 import pytest
+from attrs import evolve
 
 from mangoway.edge.crash_detector import InterruptedRequest
 from mangoway.models.crash import RequestIdentity
 from mangoway.policy.scheduling.events import EndKind
 
 from ..upstreams.raw_server import RawServer, Script, answer
-from .world import EdgeWorld, make_event, make_ok, make_stream, start_edge
+from .world import ONCE, SAFE, EdgeWorld, make_event, make_ok, make_stream, start_edge
 
 SEVERAL_SILENCES_S = 2.3
 """Longer than two silences of a route with an objective of 0.4 s."""
@@ -83,6 +84,26 @@
         assert (reply.status, reply.complete) == (200, True)
         assert len(slow.requests) == 1
 
+    @pytest.mark.parametrize("is_listed", [True, False])
+    async def test_request_that_may_not_be_repeated_stays_at_its_runner(
+        self, *, is_listed: bool
+    ) -> None:
+        """It would run twice, although its route allows another attempt."""
+        route = evolve(ONCE, max_attempts=2)
+        async with (
+            RawServer(answer_late(make_ok())) as slow,
+            RawServer(answer(make_ok())) as other,
+            start_edge((route,)) as edge,
+        ):
+            edge.add("r1", slow, "plain")
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.3, edge.add, "r2", other, "plain")
+            if not is_listed:
+                loop.call_later(0.4, remove, edge)
+            reply = await edge.async_call("/once/x")
+        assert (reply.status, reply.complete) == (200, True)
+        assert other.requests == []
+
 
 class TestRunnerThatIsGone:
     """Silent runners whose process has ended."""
@@ -130,3 +151,16 @@
             reply = await edge.async_call("/fixed/x")
         assert (reply.body, reply.complete) == (make_event(1), False)
         assert edge.grant_provider.end_kinds == [EndKind.FAILED]
+
+    async def test_request_without_another_attempt_fails_before_its_deadline(
+        self,
+    ) -> None:
+        """It is idempotent, but its route allows no further runner."""
+        route = evolve(SAFE, max_attempts=1)
+        async with RawServer(answer()) as silent, start_edge((route,)) as edge:
+            edge.add("r1", silent, "plain")
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.3, silent._server.close)
+            loop.call_later(0.4, remove, edge)
+            reply = await edge.async_call("/safe/x")
+        assert reply.status == 502
--- a/tests/edge/test_transfers.py
+++ b/tests/edge/test_transfers.py
@@ -320,6 +320,17 @@
             assert (reply.body, reply.complete) == (PART, False)
             assert len(world.source.streams) == 1
 
+    async def test_source_without_an_entry_receives_nothing(self) -> None:
+        """How long it has been leaving is not known."""
+        target = CopyingRunner(accepts_copies=False)
+        async with start_world(target=target) as world:
+            call = await world.async_begin()
+            world.order()
+            world.edge.view.remove_runner("r1", 0.0)
+            reply = await call
+            assert (reply.body, reply.complete) == (PART, False)
+            assert len(world.source.streams) == 1
+
     async def test_source_in_a_cooldown_receives_nothing(self) -> None:
         target = CopyingRunner(accepts_copies=False)
         async with start_world(target=target) as world:
