--- a/tests/edge/test_runner_ends.py
+++ b/tests/edge/test_runner_ends.py
@@ -173,4 +173,5 @@
             await asyncio.sleep(0.3)
             assert not waiting.done()
             remove_entry(world.edge)
-            assert await waiting is EndEvidence.UNREACHABLE
+            async with asyncio.timeout(5):
+                assert await waiting is EndEvidence.UNREACHABLE
