Test guards of accepted unloads and of probes that no test held

Taken out one at a time, these turned no test red: one connection instead of two for a probe, a restart as proof of a crash, an announced peer, an adapter in use evicted last, its load while its unload waits, the time of reports, the queue of a runner, and runs that become known again. Each of the new tests is red without its guard.

--- a/tests/edge/test_crash_detector.py
+++ b/tests/edge/test_crash_detector.py
@@ -57,10 +57,14 @@
         )
 
     def interrupt(
-        self, address: str, identity: RequestIdentity = IDENTITY, ago_s: float = 0.1
+        self,
+        address: str,
+        identity: RequestIdentity = IDENTITY,
+        ago_s: float = 0.1,
+        started_ms: int = 0,
     ) -> None:
         """Report that a request sent `ago_s` seconds ago lost its connection."""
-        runner = make_runner("r1", address=address)
+        runner = make_runner("r1", address=address, started_ms=started_ms)
         sent_at = self.clock() - ago_s
         request = InterruptedRequest(identity=identity, sent_at=sent_at, ran_s=0.0)
         self.detector.record_interrupted(runner, request)
@@ -172,6 +176,20 @@
             await harness.async_wait_idle()
         assert harness.list_requests() == [IDENTITY]
 
+    async def test_later_incarnation_shows_the_crash_without_reach(self) -> None:
+        """No other runner accepts connections, but the entry is that of a restart."""
+        async with start_harness(crashed=True) as (harness, address):
+            for runner_id in ("r2", "r3", "r4"):
+                harness.view.update_runner(make_runner(runner_id, address=address))
+            harness.view.update_runner(make_runner("r1", address=address, started_ms=1))
+            harness.interrupt(address, started_ms=1)
+            await asyncio.sleep(0.4)
+            assert harness.crashes == []
+            harness.view.update_runner(make_runner("r1", address=address, started_ms=2))
+            await async_wait_until(lambda: bool(harness.crashes))
+            await harness.tasks.async_cancel()
+        assert harness.list_requests() == [IDENTITY]
+
     async def test_last_runner_crashes_after_the_others(self) -> None:
         async with start_harness(crashed=True) as (harness, address):
             for runner_id in ("r2", "r3", "r4"):
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -207,6 +207,20 @@
                 reply = await call
         assert reply.status == 502
 
+    async def test_announced_peer_that_accepts_nothing_may_still_respond(self) -> None:
+        """A busy peer accepts no connections for a while."""
+
+        async def respond_late(_: bytes, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(1.5)
+            writer.write(make_ok())
+
+        async with start_edge_with_peer(respond_late) as (edge, peer):
+            call = asyncio.create_task(edge.async_call("/once/x"))
+            await async_wait_until(lambda: bool(peer.requests))
+            async with stop_accepting(peer):
+                reply = await call
+        assert (reply.status, reply.body) == (200, b"whole")
+
     async def test_peer_without_an_announcement_may_still_respond(self) -> None:
         """A peer that the store does not hear of for a while loses only its lease."""
 
--- a/tests/policy/scheduling/test_unknown_runs.py
+++ b/tests/policy/scheduling/test_unknown_runs.py
@@ -7,14 +7,15 @@
 """
 
 import pytest
+from attrs import evolve
 
-from mangoway.models.runner import ResidentModel
-from mangoway.policy.scheduling.events import (
-    EdgeDisconnected,
-    EndKind,
-)
+from mangoway.models.runner import ResidentModel, RunnerReport
+from mangoway.policy.scheduling.events import EdgeDisconnected, EndKind, OrderOutcome
+from mangoway.policy.scheduling.orders import apply_outcome, create_order
+from mangoway.policy.scheduling.runners import FinishedUnload, RunnerState
+from mangoway.policy.scheduling.unfinished_runs import MAX_RUN_S, UnfinishedRuns
 
-from ...fakes.fleet import make_grant_request
+from ...fakes.fleet import make_grant_request, make_report
 from .test_placement import make_world
 from .world import World
 
@@ -77,14 +78,28 @@
         assert sum(map(len, runner.models.values())) == ADAPTER_SLOTS
         assert not world.core.state.runners["r0"].models["a"].unloading
 
-    def test_adapter_is_not_loaded_while_its_unload_waits(self) -> None:
-        """Its run ends, and it is gone with the requests that were sent for it."""
+    def test_adapter_of_an_unknown_run_is_evicted_last(self) -> None:
+        """Its unload would wait, and another adapter be evicted as well."""
         world = start_with_unknown_run()
         use_adapters(world, ADAPTER_SLOTS + 1)
-        world.add_request(make_grant_request("again", "a", adapter="x0"), at=19.0)
         world.run(24.0)
-        loads = [each.adapter for each in world.orders if each.load]
-        assert loads.count("x0") == 1
+        assert [each.adapter for each in world.orders if not each.load] == ["x1"]
+
+    def test_adapter_is_not_loaded_while_its_unload_waits(self) -> None:
+        """It would be gone with the end of the run, and its requests with it."""
+        world = make_world(["a", "b", "c"])
+        world.runners["r0"].models["a"].add("x0")
+        world.runners["r0"].running["q"] = ("a", "x0")
+        world.runners["r0"].unloading_adapters.add(("a", "x0"))
+        world.run(1.0)
+        loaded = world.core.state.runners["r0"].models["a"]
+        del loaded.adapters["x0"]
+        loaded.unloading["x0"] = world.now
+        world.add_request(make_grant_request("q0", "a", adapter="x0"), at=1.1)
+        world.run(2.0)
+        assert world.orders == []
+        assert world.outcomes["q0"].first_at is None
+        assert "x0" not in loaded.adapters
 
     def test_adapters_in_transit_take_slots(self) -> None:
         """An earlier scheduler ordered them."""
@@ -95,6 +110,126 @@
         assert runner.count_adapters() == 2
 
 
+class TestAcceptedUnload:
+    """The state of a runner between the response to an unload and its end."""
+
+    def start(self) -> RunnerState:
+        """Return a runner that has accepted an unload at 1.0 s."""
+        world = make_world(["a", "b", "c"])
+        runner = world.core.state.runners["r0"]
+        runner.models["a"].adapters["x0"] = 0.0
+        create_order(
+            runner,
+            load=False,
+            model="a",
+            adapter="x0",
+            reason="",
+            waiting=0,
+            now=1.0,
+        )
+        apply_outcome(runner, OrderOutcome.STARTED, 0.0, 1.0)
+        return runner
+
+    def report(
+        self, runner: RunnerState, at: float, *adapters: str
+    ) -> list[FinishedUnload]:
+        """Apply a report that lists adapters; return the unloads that it finishes."""
+        resident = ResidentModel(name="a", version=1, adapters=frozenset(adapters))
+        return runner.apply_report(make_report((resident,), 1), at, at)
+
+    def test_adapter_keeps_its_slot_and_is_not_used(self) -> None:
+        runner = self.start()
+        assert runner.count_adapters() == 1
+        assert not runner.is_ready("a", "x0", 1.1)
+
+    def test_report_that_lists_it_makes_it_neither_free_nor_usable(self) -> None:
+        runner = self.start()
+        assert self.report(runner, 2.0, "x0") == []
+        assert runner.count_adapters() == 1
+        assert not runner.is_ready("a", "x0", 2.1)
+
+    def test_report_of_before_its_load_frees_nothing(self) -> None:
+        """Reports describe the runner as it was some hundred milliseconds ago."""
+        runner = self.start()
+        assert self.report(runner, 1.2) == []
+        assert runner.count_adapters() == 1
+
+    def test_later_report_without_it_frees_its_slot(self) -> None:
+        runner = self.start()
+        [finished] = self.report(runner, 2.0)
+        assert finished == FinishedUnload("a", "x0", 1.0)
+        assert runner.count_adapters() == 0
+
+    def test_answer_that_it_is_gone_frees_its_slot_at_once(self) -> None:
+        runner = self.start()
+        runner.models["a"].adapters["x1"] = 0.0
+        create_order(
+            runner,
+            load=False,
+            model="a",
+            adapter="x1",
+            reason="",
+            waiting=0,
+            now=1.5,
+        )
+        apply_outcome(runner, OrderOutcome.ALREADY_HOLDS, 0.0, 1.5)
+        assert runner.count_adapters() == 1
+
+
+class TestUnfinishedRuns:
+    """Which runs may go on."""
+
+    def make_report(self, *run_ids: str, queued: int = 0) -> RunnerReport:
+        return evolve(make_report((), 1), run_ids=frozenset(run_ids), queued=queued)
+
+    def test_listed_run_may_go_on(self) -> None:
+        runs = UnfinishedRuns()
+        runs.add("q", "a", "x", 1.0)
+        runs.update(self.make_report("q"), 2.0)
+        assert runs.may_use("a", "x")
+        assert not runs.may_use("a", "y")
+        assert not runs.may_use("b")
+
+    def test_run_has_ended_once_a_later_report_lacks_it(self) -> None:
+        runs = UnfinishedRuns()
+        runs.add("q", "a", "x", 1.0)
+        runs.update(self.make_report(), 0.9)
+        assert runs.may_use("a", "x")
+        runs.update(self.make_report(), 1.1)
+        assert not runs.may_use("a", "x")
+
+    def test_request_in_the_queue_of_its_runner_may_begin(self) -> None:
+        runs = UnfinishedRuns()
+        runs.add("q", "a", "x", 1.0)
+        runs.update(self.make_report(queued=1), 2.0)
+        assert runs.may_use("a")
+
+    def test_run_of_an_earlier_scheduler_may_use_anything(self) -> None:
+        runs = UnfinishedRuns()
+        runs.add_unknown(frozenset({"q"}), 1.0)
+        assert runs.may_use("a", "x")
+        runs.discard("q")
+        assert not runs.may_use("a", "x")
+
+    def test_run_whose_edge_connects_is_known_again(self) -> None:
+        world = make_world(["a"])
+        runner = world.core.state.runners["r0"]
+        runner.unfinished.add("q1", "", "", world.now + LONG_S)
+        world.add_request(make_grant_request("q1", "a"), at=world.now)
+        world.run(world.now + 0.01)
+        assert not runner.unfinished.may_use("b")
+
+    @pytest.mark.parametrize(("active", "at"), [(0, 2.0), (1, 1.5 + MAX_RUN_S)])
+    def test_report_without_a_list_of_runs(self, active: int, at: float) -> None:
+        runs = UnfinishedRuns()
+        runs.add("q", "a", "x", 1.0)
+        report = evolve(make_report((), 1), active=1)
+        runs.update(report, 2.0)
+        assert runs.may_use("a")
+        runs.update(evolve(report, active=active), at)
+        assert not runs.may_use("a")
+
+
 class TestModels:
     """Models that an unknown run uses."""
 
