--- a/tests/policy/scheduling/test_unknown_runs.py
+++ b/tests/policy/scheduling/test_unknown_runs.py
@@ -233,11 +233,19 @@
 class TestModels:
     """Models that an unknown run uses."""
 
-    def test_load_waits_until_a_report_shows_the_free_memory(self) -> None:
+    @pytest.mark.parametrize("is_replaced", [False, True])
+    def test_load_waits_until_a_report_shows_the_free_memory(
+        self, *, is_replaced: bool
+    ) -> None:
         """The runner rejects it, or crashes if it checks the size first."""
-        world = start_with_unknown_run()
+        world = make_world(["a", "b", "c"])
         world.stream_s["q0"] = 6.0
         world.add_request(make_grant_request("q0", "a"), at=1.0)
+        if not is_replaced:
+            world.leave("q0", at=1.5)
+        world.run(1.6)
+        if is_replaced:
+            world.replace_core()
         for number, model in enumerate("bbbbccccdddd"):
             request = make_grant_request(f"{model}{number}", model, patience_s=9.0)
             world.add_request(request, at=3.0 + number / 10)
