End a runner's limit only by a whole response

Cause: the absence of the field counted as soon as a head was read, though nothing shows that bytes that look like a head are an answer before it is complete. A limit that a head states still counts at once, as do cooldowns and leaving. The end of a limit now waits for the end of a whole response. tests/edge/test_limits.py::TestReports::test_broken_response_ends_no_limit failed before.

--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ..http1.client import Connection, ConnectionLostError, ConnectionPool
 from ..http1.messages import Request, ResponseHead
 from ..http1.server import CallerGoneError
 from ..models.routing import Route, RouteKind, ServiceProfile
 from ..models.runner import RunnerEntry
+from ..models.signals import NO_SIGNALS
 from ..models.streams import make_origin
 from ..models.verdict import Verdict
 from ..platform.requests import RequestFields, encode_for_runner
@@ -117,6 +118,9 @@
     _first_event_at: float | None = field(default=None, init=False)
     """When the first event of the current attempt arrived."""
 
+    _may_end_limit: bool = field(default=False, init=False)
+    """Whether the head of the current attempt's response has no limit."""
+
     _stream_digest: str = field(default="", init=False)
     """Digest of the stream once its origin is recorded."""
 
@@ -466,9 +470,13 @@
     def _handle_head(
         self, runner: RunnerEntry, head: ResponseHead, sent_at: float
     ) -> None:
+        signals = decode_signals(head.headers, head.status)
+        self._may_end_limit = signals.is_limit_known and signals.limit is None
+        if self._may_end_limit:
+            signals = evolve(signals, is_limit_known=False)
         self.context.signal_tracker.handle_signals(
             runner,
-            decode_signals(head.headers, head.status),
+            signals,
             sent_at,
             is_full=head.status == STATUS_NOT_RUN and is_not_run(head),
         )
@@ -485,6 +493,13 @@
         )
         # A fault of this host says nothing about the runner.
         reported = EndKind.LEFT if was_cut_off else kind
+        if self._may_end_limit and result.verdict is not Verdict.MAY_HAVE_RUN:
+            # Only a whole response without a limit ends one: a faulty runner may send
+            # bytes that look like the head of a response.
+            self.context.signal_tracker.handle_signals(
+                runner, NO_SIGNALS, self._sent_at
+            )
+        self._may_end_limit = False
         was_sent = result.was_sent
         self._finder.record_attempt(runner.runner_id, reported, was_sent=was_sent)
         if not result.delivered:
--- a/tests/edge/test_limits.py
+++ b/tests/edge/test_limits.py
@@ -8,7 +8,7 @@
 from mangoway.policy.limits.tracker import LimitReport
 from mangoway.policy.scheduling.const import RETRY_SPREAD
 
-from ..upstreams.raw_server import RawServer, Script, answer, make_response
+from ..upstreams.raw_server import RawServer, Script, answer, cut, make_response
 from .second_attempts import (
     FAILS,
     REJECTS,
@@ -151,6 +151,17 @@
                     await edge.async_call("/once/x")
         assert [each.limit for each in reports] == [2.0, None]
 
+    async def test_broken_response_ends_no_limit(self) -> None:
+        """Its head may be bytes of a faulty runner that look like one."""
+        head = make_ok(b"half").replace(b"Content-Length: 4", b"Content-Length: 9")
+        async with RawServer(cut(head)) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            limit_runner(edge, "r1", 0.0)
+            reply = await edge.async_call("/once/x")
+            limits = edge.forwarder.signal_tracker.limits
+            assert reply.status == 502
+            assert limits.get_limit("r1", 0) == 2.0
+
     async def test_limit_in_a_rejection_or_failure_is_reported(self) -> None:
         reports: list[LimitReport] = []
         headers = "X-Request-Id: q1\r\nServer-Limit: {}\r\n"
