Take a response without the request's ID on a kept connection for no one's

Requests that may run once only were answered 503 although they ran, or ran twice, if a runner sent a late rejection without an ID where the next response was due.

Cause: an edge took every response that names no request for the request's own, and sent requests without an ID on kept connections, where nothing tells an extra response from the own one.

A response without an ID is now the request's own only as the first one of a connection; others are skipped like those that name another request (event 255). Requests without an ID have connections of their own. Peers, which are edges, send no extra responses and don't name what they reject; their responses are taken as before.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -100,6 +100,9 @@
     on_head: Callable[[ResponseHead], None]
     """Called with the head of the runner's response, whatever its status."""
 
+    is_id_echoed: bool = True
+    """Whether the upstream names the request's ID in each response to it."""
+
     was_stopped: Callable[[], Awaitable[bool]] | None = None
     """Returns whether the runner may have been told to stop the stream. Without a
     length, a stopped stream looks like a complete one."""
@@ -161,21 +164,32 @@
             raise
 
     async def _async_read_own_head(self, connection: Connection) -> ResponseHead:
-        """Read the head of the response with the request's id; skip other responses."""
+        """Read the head of the response to the request; skip other responses."""
         while True:
             head = await connection.async_read_head()
             echoed = head.find(names.REQUEST_ID)
-            if echoed is None or not self.request_id or echoed == self.request_id:
+            if self._is_own(echoed, connection):
                 return head
             log_event(
                 log.ForeignResponseSkipped(
                     request_id=self.request_id,
                     runner_id=self.upstream_id,
-                    foreign_id=echoed,
+                    foreign_id=echoed or "",
                 )
             )
             await connection.async_skip_response(self.request)
 
+    def _is_own(self, echoed: str | None, connection: Connection) -> bool:
+        """Return whether a response is the one to this request.
+
+        Args:
+            echoed: ID of the request that the response names; None without one.
+            connection: The connection on which it arrived.
+        """
+        if echoed is not None and self.request_id:
+            return echoed == self.request_id
+        return connection.is_first_response or not self.is_id_echoed
+
     def _check_head(self, head: ResponseHead) -> None:
         if not is_success(head.status):
             return
--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -144,6 +144,8 @@
             delivery=self.delivery,
             on_first_event=lambda: None,
             on_head=lambda head: None,
+            # Edges send no extra responses, and reject requests without naming them.
+            is_id_echoed=False,
         )
         return await attempt.async_run()
 
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -344,12 +344,14 @@
         """Return a connection on which no attempt of this request was sent.
 
         All attempts have the same ID, so that an extra response to an earlier one,
-        which may arrive late, can't be told from the response.
+        which may arrive late, can't be told from the response. Without an ID, this
+        holds for extra responses to any request.
         """
         connection = await self.context.connector.async_open(
             runner,
             retryable=self.route.idempotent and run is None,
             excluded=self._used_connections,
+            new=not self.fields.request_id,
         )
         self._used_connections.append(connection)
         return connection
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -241,6 +241,15 @@
         if rest:
             self._http.receive_data(rest)
 
+    @property
+    def is_first_response(self) -> bool:
+        """Return whether the current response is the first one of the connection.
+
+        It can only be that to the first request. A later one may be an extra response
+        to an earlier request, which faulty upstreams send.
+        """
+        return self.idle_s is None and not self._skipped
+
     def prepare_reuse(self, now: float) -> bool:
         """Return whether another request may be sent on this connection."""
         rest, closed = self._http.trailing_data
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -167,6 +167,7 @@
     request_id: str
     runner_id: str
     foreign_id: str
+    """Request that it names; empty if it names none."""
 
 
 @numbered(256, LogLevel.INFO)
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -175,6 +175,14 @@
         assert reply.status == 503
         assert float(reply.headers["retry-after"]) > 0
 
+    async def test_rejections_on_a_kept_connection_are_passed_on(self) -> None:
+        """Peers do not name the request that they reject."""
+        rejection = make_response(503, b"", "Retry-After: 0.5\r\n")
+        async with start_edge_with_peer(answer(rejection)) as (edge, peer):
+            replies = [await edge.async_call("/once/x") for _ in range(2)]
+        assert [each.status for each in replies] == [503, 503]
+        assert (len(peer.requests), peer.connections) == (2, 1)
+
     async def test_failure_of_the_runner_is_passed_on_with_its_signature(self) -> None:
         failure = make_response(500, b"broken", f"X-Request-Id: q1\r\n{SIGNED}")
         async with start_relaying_fleet(answer(failure)) as fleet:
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -227,11 +227,16 @@
             self.grant_provider.runner_ids.append(runner_id)
 
     async def async_call(
-        self, path: str, body: bytes = b"", headers: str = "", method: str = "POST"
+        self,
+        path: str,
+        body: bytes = b"",
+        headers: str = "",
+        method: str = "POST",
+        request_id: str = "q1",
     ) -> Reply:
         """Send a request and read its complete response."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        writer.write(make_call(path, body, headers, method))
+        writer.write(make_call(path, body, headers, method, request_id))
         data = bytearray()
         async with asyncio.timeout(8):
             try:
@@ -244,11 +249,16 @@
 
 
 def make_call(
-    path: str, body: bytes = b"", headers: str = "", method: str = "POST"
+    path: str,
+    body: bytes = b"",
+    headers: str = "",
+    method: str = "POST",
+    request_id: str = "q1",
 ) -> bytes:
-    """Return the bytes of a request."""
+    """Return the bytes of a request; without an ID if that is empty."""
+    named = f"X-Request-Id: {request_id}\r\n" if request_id else ""
     head = (
-        f"{method} {path} HTTP/1.1\r\nHost: example.test\r\nX-Request-Id: q1\r\n"
+        f"{method} {path} HTTP/1.1\r\nHost: example.test\r\n{named}"
         f"Connection: close\r\nX-Model: a\r\nX-Token-Usage: 100,50\r\n"
         f"Content-Length: {len(body)}\r\n{headers}\r\n"
     )
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -15,6 +15,7 @@
 from ..stand_ins.relay import Relay
 from ..upstreams.pouring import POURS, UNFRAMED
 from .copies import Copier, LiveRun
+from .extras import ExtraResponses
 from .records import Records, Run
 from .signals import Leaving, LimitPeriod
 from .store import StoreStandIn
@@ -100,6 +101,9 @@
     """Whether it preempts its streams once, in their middle."""
 
     copier: Copier = field(init=False)
+    extras: ExtraResponses = field(init=False)
+    """Responses that it sends twice."""
+
     _uses: Counter[tuple[str, str]] = field(factory=Counter, init=False)
     """Number of runs by model and adapter."""
 
@@ -122,7 +126,8 @@
 
     async def async_start(self) -> None:
         """Start to listen, and announce the runner."""
-        app = web.Application()
+        self.extras = ExtraResponses(self.random)
+        app = web.Application(middlewares=[self.extras.async_precede])
         self.copier = Copier(self.records.copies, "")
         self.copier.add_routes(app)
         app.router.add_get("/v1/report", self._async_report)
