Read a report that may free something on a new connection

A scheduler took the slot of an adapter for free, or a run for ended, if a runner sent an earlier report once more where the next one was due: the copy was older than the load of the adapter, or than the run. What is planned on that may be more than the runner holds.

Cause: reports on a kept connection name no call, and neither the order count (no order lies between a run's begin and its end) nor the time of the request tells a copy.

While a runner has unloads that wait, or runs that may go on without a request, its reports are read on new connections. All others share a connection as before: there a copy shows an older order count at most, with which orders are rejected, or less progress.

Two new cases of tests/daemons/test_report_reader.py failed before.

--- a/mangoway/daemons/report_reader.py
+++ b/mangoway/daemons/report_reader.py
@@ -119,9 +119,12 @@
 
     async def _async_read(self, entry: RunnerEntry) -> None:
         requested_at = self.clock()
+        state = self.server.core.state.runners.get(entry.runner_id)
         try:
             report = await self.control.async_read_report(
-                entry.address, entry.runner_id
+                entry.address,
+                entry.runner_id,
+                fresh=state is not None and state.awaits_ends,
             )
         except RunnerUnreachableError:
             # Requests show more reliably than reports whether a runner is available.
--- a/mangoway/platform/runners.py
+++ b/mangoway/platform/runners.py
@@ -72,15 +72,27 @@
     on_signals: Callable[[str, RunnerSignals], None] = lambda runner_id, signals: None
     """Called with the signals in each response of a runner."""
 
-    async def async_read_report(self, address: str, runner_id: str) -> RunnerReport:
+    async def async_read_report(
+        self, address: str, runner_id: str, *, fresh: bool = False
+    ) -> RunnerReport:
         """Request a runner's report.
 
+        Args:
+            address: Address of the runner.
+            runner_id: ID of the runner.
+            fresh: Whether to use a new connection, on which no extra copy of an earlier
+                report can arrive.
+
         Raises:
             RunnerUnreachableError: If there is no valid response.
         """
         try:
             reply = await self.client.async_call(
-                address, "GET", "/v1/report", timeout_s=REPORT_TIMEOUT_S
+                address,
+                "GET",
+                "/v1/report",
+                timeout_s=REPORT_TIMEOUT_S,
+                fresh=fresh,
             )
             signals = decode_signals(reply.headers, reply.status)
             self.on_signals(runner_id, signals)
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -181,6 +181,16 @@
         """Return the id of the runner."""
         return self.entry.runner_id
 
+    @property
+    def awaits_ends(self) -> bool:
+        """Return whether a report may show that a run or an unload has ended.
+
+        An earlier report that arrives again, as the response to this request, must not
+        show that: it may be older than the run, or than the load of the adapter.
+        """
+        is_unloading = any(each.unloading for each in self.models.values())
+        return is_unloading or bool(self.unfinished.runs)
+
     def use_pace(self, *, enabled: bool) -> None:
         """Start to learn the pace of this incarnation, or forget it."""
         self.pace = RunnerPace() if enabled else None
--- a/tests/daemons/test_report_reader.py
+++ b/tests/daemons/test_report_reader.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import orjson
 import pytest
 
 from mangoway.coordination.view import FleetView
@@ -15,14 +16,16 @@
     ReportReader,
     choose_report_period,
 )
-from mangoway.models.runner import RunnerReport
+from mangoway.models.runner import RunnerEntry, RunnerReport
 from mangoway.platform.runners import RunnerControl, RunnerUnreachableError
 from mangoway.policy.scheduling.prefixes import PrefixCache
 from mangoway.policy.scheduling.runners import RunnerState
 from mangoway.util.tasks import Tasks
 
 from ..fakes.fleet import make_report, make_runner, make_table
+from ..fakes.polling import async_wait_until
 from ..scheduling.test_client import Scheduler
+from ..upstreams.raw_server import RawServer, answer, make_response, repeat_before
 
 
 def make_state(**fields: object) -> RunnerState:
@@ -65,7 +68,9 @@
         self.max_concurrent = 0
         self.unreachable: set[str] = set()
 
-    async def async_read_report(self, address: str, runner_id: str) -> RunnerReport:
+    async def async_read_report(
+        self, address: str, runner_id: str, *, fresh: bool = False
+    ) -> RunnerReport:
         self.requested.append(runner_id)
         self.concurrent += 1
         self.max_concurrent = max(self.max_concurrent, self.concurrent)
@@ -79,10 +84,21 @@
 @asynccontextmanager
 async def open_reader(runners: int) -> AsyncIterator[tuple[ReportReader, FakeControl]]:
     """Provide a reader that may read, for runners whose state is unknown."""
-    view, control = FleetView(), FakeControl()
+    control = FakeControl()
+    entries = [make_runner(f"r{number:04}") for number in range(runners)]
+    async with open_reader_of(control, *entries) as reader:
+        yield reader, control
+
+
+@asynccontextmanager
+async def open_reader_of(
+    control: RunnerControl, *entries: RunnerEntry
+) -> AsyncIterator[ReportReader]:
+    """Provide a reader that may read the reports of some runners."""
+    view = FleetView()
     view.apply_table(make_table())
-    for number in range(runners):
-        view.update_runner(make_runner(f"r{number:04}"))
+    for each in entries:
+        view.update_runner(each)
     errors: list[BaseException] = []
     tasks = Tasks(errors.append)
     reader = ReportReader(
@@ -94,7 +110,7 @@
         may_read=lambda: True,
     )
     try:
-        yield reader, control
+        yield reader
     finally:
         await tasks.async_cancel()
         assert errors == []
@@ -139,3 +155,64 @@
             reader.start_due_reads()
             assert set(reader._read_at) == {"r0000", "r0002"}
         assert len(control.requested) == 3
+
+
+def encode_report(*adapters: str) -> bytes:
+    """Return a response with the report of a runner that holds a model's adapters."""
+    model = {"name": "a", "version": 1, "adapters": adapters}
+    return make_response(
+        200,
+        orjson.dumps(
+            {
+                "phase": "colocated",
+                "models": [model],
+                "busy": False,
+                "seq": 2,
+                "queued": 0,
+                "active": 1,
+                "kv_used": 0,
+                "kv_total": 100,
+                "runs": [["q1", 10, 1, 5]] if adapters else [],
+            }
+        ),
+    )
+
+
+class TestExtraReports:
+    """Runners that send a report again before the next one."""
+
+    @pytest.mark.parametrize("waits_for", ["unload", "run"])
+    async def test_older_report_ends_nothing(self, waits_for: str) -> None:
+        """A report of before a load was taken for the end of an unload or a run."""
+        before, now = encode_report(), encode_report("a1")
+        loop = asyncio.get_running_loop()
+        async with RawServer(repeat_before(before, now)) as server:
+            entry = make_runner("r1", address=server.address)
+            async with open_reader_of(RunnerControl(), entry) as reader:
+                state = make_state(first_report_at=0.0)
+                reader.server.core.state.runners["r1"] = state
+                reader.start_due_reads()
+                await async_wait_until(lambda: state.is_state_known)
+                accepted_at = loop.time() - 1.0
+                if waits_for == "unload":
+                    state.models["a"].unloading["a1"] = accepted_at
+                else:
+                    state.unfinished.add("q1", "a", "a1", accepted_at)
+                reader._read_at.clear()
+                reader.start_due_reads()
+                await async_wait_until(lambda: len(server.requests) == 2)
+                await async_wait_until(lambda: not reader._in_progress)
+                assert state.awaits_ends
+
+    async def test_reports_that_end_nothing_share_a_connection(self) -> None:
+        async with RawServer(answer(encode_report())) as server:
+            entry = make_runner("r1", address=server.address)
+            async with open_reader_of(RunnerControl(), entry) as reader:
+                state = make_state(is_state_known=True)
+                reader.server.core.state.runners["r1"] = state
+                for number in (1, 2):
+                    reader._read_at.clear()
+                    reader.start_due_reads()
+                    await async_wait_until(lambda: not reader._in_progress)
+                    assert len(server.requests) == number
+        assert server.connections == 1
