Play runners that send extra responses in the soak

No stand-in sent an extra response on a control connection, or one that names no request, so that our own proof missed both. Runners of the soak now do so for periods, with `--extras` and in one new seed of five; seeds that are given stay as they were.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,10 @@
 """Divisor of the new seeds with two software versions of the runners. A seed that is
 given has them only on request, so that those that failed once stay as they were."""
 
+EXTRAS_DIVISOR: Final = 5
+EXTRAS_REMAINDER: Final = 2
+"""New seeds in which runners send extra responses; a given one only on request too."""
+
 
 def main() -> None:
     """Run soaks with the given or new random seeds; exit with 1 if one fails."""
@@ -59,6 +63,12 @@
         help="run two software versions of the runners in each seed; new seeds do so "
         "anyway if they are divisible by four",
     )
+    parser.add_argument(
+        "--extras",
+        action="store_true",
+        help="let runners send extra responses where the next ones are due; one new "
+        "seed in five does so anyway",
+    )
     parser.add_argument("--folder", type=Path, help="folder for the logs")
     options = parser.parse_args()
     seeds = options.seed or [
@@ -79,6 +89,10 @@
                 options.versions or (not options.seed and seed % VERSIONS_DIVISOR == 0)
             ),
             options.misbehaving,
+            lambda seed: (
+                options.extras
+                or (not options.seed and seed % EXTRAS_DIVISOR == EXTRAS_REMAINDER)
+            ),
         )
     )
     failed = [each.seed for each in results if each.violations]
@@ -97,6 +111,7 @@
     cutting: bool | None = None,
     versions: Callable[[int], bool] = lambda seed: False,
     misbehaving: bool | None = None,
+    extras: Callable[[int], bool] = lambda seed: False,
 ) -> list[Result]:
     """Run one soak for each seed, at most `at_once` at a time."""
     slots = asyncio.Semaphore(at_once)
@@ -115,6 +130,7 @@
                 cutting,
                 versions(seed),
                 misbehaving,
+                extras(seed),
             )
             print_result(result)
             return result
@@ -126,6 +142,7 @@
     """Print the result of a soak."""
     verdict = "FAILED" if result.violations else "held"
     flag = " --versions" if result.has_versions else ""
+    flag += " --extras" if result.has_extras else ""
     print(
         f"seed {result.seed}{flag}: {verdict}, "
         f"{result.served} of {result.calls} served; "
@@ -133,6 +150,7 @@
         f"{result.wrongly_blocked} other requests blocked; "
         f"{result.restores} restores of the store; "
         f"{result.pours} endless responses; "
+        f"{result.extras} extra responses; "
         f"{result.went_on} of {result.resumed} resumed streams went on; "
         f"{', '.join(result.faults)}",
         flush=True,
--- a/tests/soak/extras.py
+++ b/tests/soak/extras.py
@@ -13,6 +13,9 @@
 CONTROL_PREFIX = "/v1/"
 """Beginning of the paths of calls without a request ID."""
 
+COPY_SHARE = 0.5
+"""Share of the extra responses to requests that are copies; others name no request."""
+
 LATE_REJECTION = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 """A rejection that belongs to no request."""
 
@@ -26,18 +29,25 @@
     """Share of the responses on kept connections that an extra one precedes."""
 
     count: int = field(default=0, init=False)
-    """Extra responses sent so far."""
+    """Extra responses sent since `take_count`."""
 
     _last: "WeakKeyDictionary[asyncio.BaseTransport, bytes]" = field(
         factory=WeakKeyDictionary, init=False
     )
     """The last response on each connection that is sent with a length."""
 
+    def take_count(self) -> int:
+        """Return the number of extra responses since the last call."""
+        count, self.count = self.count, 0
+        return count
+
     @web.middleware
     async def async_precede(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         """Answer a request, perhaps after an extra response."""
+        if not self.share:
+            return await handler(request)
         transport = request.transport
         extra = None if transport is None else self._last.pop(transport, None)
         if extra is not None and self.random.random() < self.share:
@@ -56,7 +66,7 @@
         is_control = request.path.startswith(CONTROL_PREFIX)
         if not isinstance(response, web.Response):
             return LATE_REJECTION
-        if is_control or self.random.random() < 0.5:
+        if is_control or self.random.random() < COPY_SHARE:
             return encode(response)
         return LATE_REJECTION
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -389,6 +389,33 @@
     runner.runs_on = runner.pauses = False
 
 
+async def async_send_extras_periodically(
+    world: World, random: Random, stopping: asyncio.Event
+) -> None:
+    """Let runners send extra responses for periods.
+
+    Once `stopping` is set, at most one more period starts; returns when all have ended.
+    """
+    running: set[asyncio.Task[None]] = set()
+    while not stopping.is_set():
+        await asyncio.sleep(random.uniform(0.1, 0.6))
+        runner = random.choice(world.runners)
+        running.add(world.start_task(_async_send_extras(world, runner, random)))
+    await asyncio.gather(*running, return_exceptions=True)
+
+
+async def _async_send_extras(
+    world: World, runner: RunnerStandIn, random: Random
+) -> None:
+    """Let a runner send extra responses where the next ones are due."""
+    span = world.records.begin("runners send extra responses")
+    runner.extras.share = random.uniform(0.2, 0.8)
+    await asyncio.sleep(random.uniform(1.0, 4.0))
+    runner.extras.share = 0.0
+    world.records.extras += runner.extras.take_count()
+    _end(span)
+
+
 async def _async_pour(world: World, runner: RunnerStandIn, random: Random) -> None:
     """Let a runner answer some requests with bytes without end."""
     span = world.records.begin("runners pour")
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -174,6 +174,9 @@
     restores: int = field(default=0, init=False)
     """Number of times that the store came back from a copy."""
 
+    extras: int = field(default=0, init=False)
+    """Number of responses that runners sent beside the due ones."""
+
     pours: list[str] = field(factory=list, init=False)
     """IDs of the requests that runners answered with bytes without end."""
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
     async_misbehave_periodically,
     async_reject_periodically,
     async_restore_periodically,
+    async_send_extras_periodically,
     async_signal_periodically,
 )
 from .records import Kind, Records
@@ -102,6 +103,12 @@
     has_versions: bool = False
     """Whether runners had two software versions."""
 
+    has_extras: bool = False
+    """Whether runners sent extra responses."""
+
+    extras: int = 0
+    """Number of extra responses."""
+
     restores: int = 0
     """Number of times that the store came back from a copy."""
 
@@ -157,6 +164,7 @@
     cutting: bool | None = None,
     versions: bool = False,
     misbehaving: bool | None = None,
+    extras: bool = False,
 ) -> Result:
     """Run one soak.
 
@@ -173,8 +181,9 @@
             to resume them.
         misbehaving: Whether runners leave unannounced, run on or send bytes without
             end; None: derived from the seed.
+        extras: Whether runners send extra responses.
     """
-    result = Result(seed, has_versions=versions)
+    result = Result(seed, has_versions=versions, has_extras=extras)
     if crashing is None:
         crashing = 2 if seed % CRASHING_DIVISOR == CRASHING_REMAINDER else 0
     async with Launcher(folder) as launcher:
@@ -213,6 +222,8 @@
             misbehaving = seed % MISBEHAVING_DIVISOR == MISBEHAVING_REMAINDER
         if misbehaving:
             periods.start(world, async_misbehave_periodically)
+        if extras:
+            periods.start(world, async_send_extras_periodically)
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result, periods)
@@ -222,6 +233,7 @@
     result.served = sum(1 for each in world.records.calls.values() if each.whole)
     result.restores = world.records.restores
     result.pours = len(world.records.pours)
+    result.extras = world.records.extras
     result.crashes = sum(len(each) for each in world.records.crashes.values())
     result.wrongly_blocked = world.records.count_wrongly_blocked()
     result.violations += world.records.check()
--- a/tests/soak/test_extra_responses.py
+++ b/tests/soak/test_extra_responses.py
@@ -44,7 +44,7 @@
             await asyncio.sleep(RUN_S)
         finally:
             await world.async_stop()
-    assert sum(each.extras.count for each in faulty) >= MIN_EXTRAS
+    assert sum(each.extras.take_count() for each in faulty) >= MIN_EXTRAS
     return [each for each in world.records.check() if each.startswith(CHECKED)]
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,9 @@
 VERSIONS_SEED = 3
 """A seed whose runners and edges are replaced and restarted, and nothing else."""
 
+EXTRAS_SEED = 10
+"""A seed with all faults."""
+
 RESTORED_SEED = 17_798_720
 """A seed that failed once: a host that had read a restored store rejected keys for good
 that the store had lost together with their configuration."""
@@ -58,3 +61,8 @@
         result = await async_soak(VERSIONS_SEED, tmp_path, FAULT_S, versions=True)
         assert result.violations == []
         assert result.went_on > 0
+
+    async def test_guarantees_hold_beside_extra_responses(self, tmp_path: Path) -> None:
+        result = await async_soak(EXTRAS_SEED, tmp_path, FAULT_S, extras=True)
+        assert result.violations == []
+        assert result.extras > 0
