--- a/tests/edge/test_extra_responses.py
+++ b/tests/edge/test_extra_responses.py
@@ -95,6 +95,15 @@
                 assert (reply.status, reply.complete) == (200, True)
                 assert len(runs) == number
 
+    async def test_one_after_another_request_s_response_is_skipped_too(self) -> None:
+        """A new connection proves only its first response to be the request's own."""
+        foreign = make_response(503, b"", "X-Request-Id: q0\r\nX-Not-Executed: 1\r\n")
+        script = answer(foreign, UNNAMED_REJECTION, make_ok())
+        async with RawServer(script) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            reply = await edge.async_call("/once/x")
+        assert (reply.status, reply.body) == (200, b"whole")
+
     async def test_first_response_of_a_connection_is_the_request_s_own(self) -> None:
         async with RawServer(answer(UNNAMED_REJECTION)) as runner, start_edge() as edge:
             edge.add("r1", runner, "plain")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,6 +18,7 @@
 
 from ..fakes.revisions import at
 from ..soak.store import StoreStandIn
+from ..upstreams.raw_server import RawServer, answer, make_response
 
 
 @asynccontextmanager
@@ -118,3 +119,16 @@
             )
             assert not result.committed
             assert store.items["k"].value == b"2"
+
+
+class TestConnections:
+    """Connections to the store, which sends one response to each call."""
+
+    async def test_writes_share_a_connection(self) -> None:
+        response = make_response(200, b'{"revision": 5}')
+        async with RawServer(answer(response)) as server:
+            client = PlatformStore(server.address, Metrics())
+            for _ in range(2):
+                await client.async_commit((), (Write(key="k", value=b"v"),))
+            client.close()
+        assert (len(server.requests), server.connections) == (2, 1)
