--- a/mangoway/http1/json_client.py
+++ b/mangoway/http1/json_client.py
@@ -77,19 +77,19 @@
             query: Fields of the query.
             body: Value that is sent as JSON; None for no body.
             headers: Additional fields of the request.
-            fresh: Whether to use a new connection for a call that changes nothing too.
+            fresh: Whether to use a new connection also for a call that changes nothing.
             max_bytes: Largest body of the response.
 
         Raises:
             CallFailedError: If no valid response is received.
         """
         request = _make_request(address, method, path, query, body, headers)
-        is_single = self.expects_extras and method != "GET"
+        is_single_use = self.expects_extras and method != "GET"
         connection: Connection | None = None
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._async_acquire_connection(
-                    address, fresh or is_single
+                    address, fresh or is_single_use
                 )
                 reply = await _async_exchange(connection, request, max_bytes)
         except ConnectFailedError as error:
@@ -104,7 +104,7 @@
         except asyncio.CancelledError:
             _close(connection)
             raise
-        if is_single:
+        if is_single_use:
             connection.close()
         else:
             now = asyncio.get_running_loop().time()
