Share no ports among test processes that run at once

A test process now claims blocks of 500 ports by locked files, which end with it; that replaces the slices for the workers of one run.

--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -1,48 +1,76 @@
 """Start and stop processes on loopback, each of them by its own process id."""
 
 import asyncio
+import fcntl
 import json
 import os
 import signal
 import socket
 import sys
+import tempfile
 from contextlib import suppress
 from pathlib import Path
 from random import SystemRandom
 from types import TracebackType
-from typing import Self
+from typing import Self, TextIO
 
 from attrs import define, field
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 ROOT = Path(__file__).resolve().parents[2]
-WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-WORKERS = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
-PORTS = range(10_000, 32_000)[WORKER::WORKERS]
-"""Ports below the range from which the kernel assigns free ones to other sockets. Each
-process of a parallel test run has its own, since a port is free until the process that
-it was chosen for listens on it, and while that is restarted."""
+PORTS = range(10_000, 32_000)
+"""Ports below the range from which the kernel assigns free ones to other sockets."""
 
-_given_ports: set[int] = set()
+BLOCK_PORTS = 500
+"""Ports that one process claims at once. A port is free until the process that it was
+chosen for listens on it, and while that is restarted, so that other test processes must
+not choose it."""
+
+LOCKS = Path(tempfile.gettempdir()) / "mangoway-test-ports"
+"""Folder with a file for each block, which the process that claimed the block locks."""
+
+_locks: list[TextIO] = []
+"""Files of the claimed blocks; they stay locked until this process ends."""
+
+_unused_ports: list[int] = []
 
 
 def find_free_address() -> str:
     """Return a loopback address with a port that is free now.
 
-    It is a new one for each call of this process. A process of another test run may get
-    the same one.
+    It is a new one for each call, also among the processes of other test runs.
     """
     while True:
-        port = PORTS[SystemRandom().randrange(len(PORTS))]
-        if port in _given_ports:
-            continue
-        _given_ports.add(port)
+        if not _unused_ports:
+            _unused_ports.extend(_claim_ports())
+        port = _unused_ports.pop()
         with suppress(OSError), socket.socket() as probe:
             probe.bind(("127.0.0.1", port))
             return f"127.0.0.1:{port}"
 
 
+def _claim_ports() -> list[int]:
+    """Return the ports of a block that no other process has claimed.
+
+    Raises:
+        RuntimeError: If all blocks are claimed.
+    """
+    LOCKS.mkdir(exist_ok=True)
+    for start in PORTS[::BLOCK_PORTS]:
+        lock = (LOCKS / str(start)).open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _locks.append(lock)
+        ports = list(range(start, start + BLOCK_PORTS))
+        SystemRandom().shuffle(ports)
+        return ports
+    raise RuntimeError("other test processes have claimed all ports")
+
+
 @define(eq=False)
 class Process:
     """A process that a launcher started."""
