Add a failing test of adapters that evict each other

Cause: the victim for another adapter is the least recently used one that no run uses, also if requests wait for it on that runner. While the runner is full, none of the waiting requests is granted, and the requests for the evicted adapter take the freed slot first.

--- a/tests/policy/scheduling/test_placement.py
+++ b/tests/policy/scheduling/test_placement.py
@@ -273,6 +273,22 @@
         assert all(each.first_at is not None for each in world.outcomes.values())
         assert world.runners["r0"].overfilled == 0
 
+    def test_waiting_requests_do_not_evict_each_other_s_adapters(self) -> None:
+        """A full runner swapped adapters each few ms, before a request used them."""
+        world = make_world(["a", "b", "c"])
+        for number in range(64):
+            world.stream_s[f"s{number}"] = 5.0
+            world.add_request(make_grant_request(f"s{number}", "a"), at=1.0)
+        requests = 24
+        for number in range(requests):
+            grant_request = make_grant_request(
+                f"q{number}", "a", adapter=f"x{number % 12}", patience_s=20.0
+            )
+            world.add_request(grant_request, at=2.0 + number / 100)
+        world.run(20.0)
+        loads = [each for each in world.orders if each.load and each.adapter]
+        assert len(loads) <= requests
+
     def test_unload_answered_as_already_done_counts(self) -> None:
         """The runner answers 200 and counts it; the next order must not be stale."""
         world = make_world(["a", "b", "c"])
