Start the edges of a large soak eight at a time

Trace of the failing one: 21 of 60 edges had started within 9.3 s, each of them was ready within 0.1 s of that, and none of the others had written a line or failed to listen: 60 processes that start at once share the processors of one machine, where each takes almost a second of them.

Edges now start eight at a time, the next ones once these are ready, each group within the same 15 s.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -54,6 +54,10 @@
 
 HEARTBEAT_S: Final = 0.5
 START_TIMEOUT_S: Final = 15.0
+EDGES_STARTED_AT_ONCE: Final = 8
+"""Edges that start before the next ones. Each takes almost a second of processor time,
+and on one machine they share the processors."""
+
 READY_CHECK_S: Final = 0.05
 
 
@@ -145,6 +149,8 @@
             await self._async_add_node(f"scheduler-{number}", "scheduler")
         for number in range(self.edges):
             await self._async_add_node(f"edge-{number}", "edge")
+            if (number + 1) % EDGES_STARTED_AT_ONCE == 0:
+                await self._async_wait_ready()
         self.start_task(self._async_send_heartbeats())
         await self._async_wait_ready()
         for number in range(self.callers):
