--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -351,7 +351,7 @@
             runner,
             retryable=self.route.idempotent and run is None,
             excluded=self._used_connections,
-            new=not self.fields.request_id,
+            fresh=not self.fields.request_id,
         )
         self._used_connections.append(connection)
         return connection
--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -66,7 +66,7 @@
         *,
         retryable: bool = True,
         excluded: Collection[Connection] = (),
-        new: bool = False,
+        fresh: bool = False,
     ) -> Connection:
         """Return an idle connection to a runner, or open one.
 
@@ -75,7 +75,7 @@
             retryable: Whether the request may be sent again if an idle connection turns
                 out to be broken.
             excluded: Connections that must not be used.
-            new: Whether to open a connection even if an idle one could be used.
+            fresh: Whether to open a connection even if an idle one could be used.
 
         Raises:
             ConnectFailedError: If the connection fails, times out, or no runner can be
@@ -84,7 +84,7 @@
         if self.reach.is_lost:
             raise ConnectFailedError("no runner can be reached from this host")
         started_at = self.clock()
-        if not new:
+        if not fresh:
             idle = self.pool.acquire(
                 runner.address, started_at, retryable=retryable, excluded=excluded
             )
