Log what each rejection and each attempt taken for not run rests on

The record of the incident can't tell its hypotheses apart: 254 states neither the connection nor the fields of the rejection, 251 not which runners rejected the request, and rejections while a request is read (408) are not logged; a response with another status than 200 was logged as served with 200.

Event 265 is written in one place for all ways to a runner or a peer; 251 lists who stated that the request has not run; 266 covers requests that were not read. Lines of 251, 254 and 265 are limited for each kind of route apart, so that frequent ones of one kind suppress none of another. No decision changes.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -19,6 +19,7 @@
 from ..edge.peer_datagrams import PeerDatagrams
 from ..edge.plain_grant_provider import PlainGrantProvider
 from ..edge.relay import PeerRelay
+from ..edge.request_log import log_unread
 from ..edge.responses import make_error_response
 from ..edge.retry_budgets import RetryBudgets
 from ..edge.runner_connector import RunnerConnector
@@ -182,6 +183,7 @@
             limits=self._get_limits,
             reject=make_error_response,
             on_error=_log_error,
+            on_rejected=log_unread,
             memory=make_response_memory(self.process.metrics),
         )
         self.process.view.on_change += [
--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -17,6 +17,7 @@
 from ..http1.const import BODY_GRACE_S
 from ..http1.messages import Headers, Request, ResponseHead
 from ..http1.response_memory import MemoryShortError
+from ..models.routing import RouteKind
 from ..models.verdict import Verdict
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
@@ -54,6 +55,9 @@
     delivered: bool = False
     """Whether the caller has received the complete response."""
 
+    status: int = 0
+    """Status of the response that was delivered."""
+
     succeeded: bool = False
     """Whether the runner ran the request to a complete response, without a crash."""
 
@@ -82,7 +86,7 @@
     upstream_id: str
     """ID of the runner, or host of the peer."""
 
-    streaming: bool
+    kind: RouteKind
     async_open: Callable[[], Awaitable[Connection]]
     """Opens a connection, or returns an idle one of the pool; raises
     `ConnectFailedError`."""
@@ -115,15 +119,26 @@
         Raises:
             CallerGoneError: If the caller disconnects.
         """
-        complete = False
         try:
-            result = await self._async_exchange()
-            complete = True
-            return result
+            connection = await self.async_open()
         except ConnectFailedError as error:
+            self._log_not_run(str(error))
             return AttemptResult(
                 verdict=Verdict.NOT_RUN, was_sent=False, reason=str(error)
             )
+        self._connection = connection
+        history = self.delivery.history
+        history.record_sent()
+        result = await self._async_use(connection)
+        history.record_verdict(result.verdict, self.upstream_id)
+        return result
+
+    async def _async_use(self, connection: Connection) -> AttemptResult:
+        complete = False
+        try:
+            result = await self._async_exchange(connection)
+            complete = True
+            return result
         except (ExchangeFailedError, StreamBrokenError, MemoryShortError) as error:
             return AttemptResult(
                 verdict=Verdict.MAY_HAVE_RUN,
@@ -131,23 +146,21 @@
                 connection_lost=isinstance(error, ConnectionLostError),
             )
         finally:
-            self._release(complete)
+            self._release(connection, complete)
 
     def close(self) -> None:
         """Close the connection, which ends the attempt as a lost connection."""
         if self._connection is not None:
             self._connection.close()
 
-    async def _async_exchange(self) -> AttemptResult:
-        connection = await self.async_open()
-        self._connection = connection
+    async def _async_exchange(self, connection: Connection) -> AttemptResult:
         self.delivery.exchange.holding.count_unread = connection.count_unread
         connection.silence_s = self.silence_s
         connection.on_silence = self.on_silence
         head = await self._async_send(connection)
         self.on_head(head)
         self._check_head(head)
-        if self.streaming and is_success(head.status):
+        if self.kind is RouteKind.STREAMING and is_success(head.status):
             return await self._async_forward_stream(connection, head)
         body = await self._async_read_body(connection)
         return self._evaluate_response(head, body)
@@ -223,6 +236,7 @@
         return AttemptResult(
             verdict=Verdict.RAN,
             delivered=True,
+            status=head.status,
             succeeded=True,
             has_certain_end=has_length,
         )
@@ -241,9 +255,11 @@
         status = head.status
         not_run = is_not_run(head)
         if status == STATUS_MISDIRECTED or (not_run and status != STATUS_BAD_REQUEST):
+            reason = f"the runner refused it with {status}"
+            self._log_not_run(reason, head)
             return AttemptResult(
                 verdict=Verdict.NOT_RUN,
-                reason=f"the runner refused it with {status}",
+                reason=reason,
                 is_model_missing=status == STATUS_MISDIRECTED,
             )
         response = BufferedResponse(
@@ -260,12 +276,38 @@
                 f"the response to a resumed stream has status {status}"
             )
         deliver_buffered(self.delivery, response)
-        return AttemptResult(verdict=Verdict.RAN, delivered=True, succeeded=not not_run)
+        return AttemptResult(
+            verdict=Verdict.RAN,
+            delivered=True,
+            status=status,
+            succeeded=not not_run,
+        )
+
+    def _log_not_run(self, reason: str, head: ResponseHead | None = None) -> None:
+        """Log that the request has not run in this attempt.
 
-    def _release(self, complete: bool) -> None:
+        Args:
+            reason: Why.
+            head: Head of the response; None if no connection was opened.
+        """
         connection = self._connection
-        if connection is None:
-            return
+        named = None if head is None else head.find(names.REQUEST_ID)
+        log_event(
+            log.AttemptNotRun(
+                request_id=self.request_id,
+                kind=self.kind.value,
+                upstream_id=self.upstream_id,
+                status=None if head is None else head.status,
+                states_not_run=head is not None and is_not_run(head),
+                names_request=bool(named) and named == self.request_id,
+                local_port=0 if connection is None else connection.local_port,
+                earlier_requests=0 if connection is None else connection.requests - 1,
+                skipped=0 if connection is None else connection.skipped,
+                reason=reason,
+            )
+        )
+
+    def _release(self, connection: Connection, complete: bool) -> None:
         holding = self.delivery.exchange.holding
         holding.count_unread = None
         holding.set_body_bytes(0)
--- a/mangoway/edge/delivery.py
+++ b/mangoway/edge/delivery.py
@@ -4,6 +4,7 @@
 
 from ..http1.messages import Headers, ResponseHead
 from ..http1.server import Exchange
+from ..policy.edge.run_history import RunHistory
 from .event_times import EventTimes
 from .sse import StreamEvent
 
@@ -30,6 +31,9 @@
     """Event times at the current runner; None if they aren't measured."""
 
     finished: bool = field(default=False, init=False)
+    history: RunHistory = field(factory=RunHistory, init=False)
+    """The attempts to serve the request."""
+
     _last_at: float = field(default=0.0, init=False)
     _last_number: int | None = field(default=None, init=False)
 
--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -19,7 +19,7 @@
 )
 from ..http1.messages import Headers, Request, drop_headers
 from ..models.fleet import Member
-from ..models.routing import Route, RouteKind
+from ..models.routing import Route
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
@@ -136,7 +136,7 @@
             request_id=self.fields.request_id,
             address=peer.caller_address,
             upstream_id=peer.host,
-            streaming=self.route.kind is RouteKind.STREAMING,
+            kind=self.route.kind,
             async_open=lambda: self._async_open(peer),
             silence_s=PEER_SILENCE_S,
             on_silence=lambda: self._async_handle_silence(peer),
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -216,7 +216,7 @@
             if result.delivered:
                 if result.succeeded:
                     self._record_success(self._runner or found, result)
-                self.log.log_served((self._runner or found).runner_id)
+                self.log.log_served((self._runner or found).runner_id, result.status)
                 return
             self._retry_cause = self._get_retry_cause(result)
             decision = self._decide(result)
@@ -250,7 +250,7 @@
         if result is None:
             self._response.reject_unreachable()
         elif result.delivered:
-            self.log.log_served("")
+            self.log.log_served("", result.status)
         elif result.error is None:
             self._response.may_have_run = True
             self._response.fail(STATUS_FAILED, result.reason)
@@ -322,7 +322,7 @@
             request_id=self.fields.request_id,
             address=runner.address,
             upstream_id=runner.runner_id,
-            streaming=self.route.kind is RouteKind.STREAMING,
+            kind=self.route.kind,
             # A connection that closes without a response doesn't prove that the request
             # has not run. If that must not be retried, an idle connection is used only
             # if it was in use just before.
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import h11
 from attrs import define
 
 from ..models.crash import RequestIdentity
@@ -11,13 +12,12 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
+from ..platform import headers as names
 from ..platform.requests import RequestFields
 from ..policy.edge.retries import RetryCause, RetryDecision
 from .attempt import AttemptResult
 from .delivery import Delivery
 
-STATUS_OK = 200
-
 
 @define(eq=False)
 class RequestLog:
@@ -45,15 +45,20 @@
     def _route_name(self) -> str:
         return self.route.name if self.route else ""
 
-    def log_served(self, runner_id: str) -> None:
+    @property
+    def _kind(self) -> str:
+        return self.route.kind.value if self.route else ""
+
+    def log_served(self, runner_id: str, status: int) -> None:
         """Log a request whose response was sent completely.
 
         Args:
             runner_id: The runner; empty if a peer chose it.
+            status: Status of the response.
         """
         delivery = self.delivery
         first_s = (delivery.first_at or self.clock()) - delivery.arrived_at
-        self._count("served", STATUS_OK)
+        self._count("served", status)
         name = self._route_name
         self.metrics.edge_first_seconds.observe(name, seconds=first_s)
         self.metrics.edge_queue_seconds.observe(name, seconds=self.queued_s)
@@ -66,7 +71,7 @@
                 customer=self.customer,
                 artifact=self.fields.artifact,
                 runner_id=runner_id,
-                status=STATUS_OK,
+                status=status,
                 attempts=self.attempts,
                 queued_s=round(self.queued_s, 4),
                 first_s=round(first_s, 4),
@@ -87,6 +92,7 @@
             log.RequestRejected(
                 request_id=self.fields.request_id,
                 identity=self.identity.text,
+                kind=self._kind,
                 route=self._route_name or None,
                 customer=self.customer,
                 artifact=self.fields.artifact,
@@ -94,6 +100,7 @@
                 reason=reason,
                 retry_after_s=retry_after_s,
                 attempts=self.attempts,
+                rejected_by=tuple(self.delivery.history.rejected_by),
                 seconds=self._measure_seconds(),
                 version=self.version,
             )
@@ -140,6 +147,7 @@
             log.AttemptFailed(
                 request_id=self.fields.request_id,
                 identity=self.identity.text,
+                kind=self._kind,
                 runner_id=runner.runner_id,
                 verdict=result.verdict.value,
                 reason=result.reason,
@@ -217,3 +225,18 @@
 
     def _measure_seconds(self) -> float:
         return round(self.clock() - self.delivery.arrived_at, 4)
+
+
+def log_unread(status: int, reason: str, head: h11.Request | None) -> None:
+    """Log a request that was rejected before it was read completely.
+
+    Args:
+        status: Status of the response.
+        reason: Why it was rejected.
+        head: Its method, path and headers; None if these were not read.
+    """
+    headers = dict(head.headers) if head is not None else {}
+    request_id = headers.get(names.REQUEST_ID, b"").decode("latin-1")
+    log_event(
+        log.UnreadRequestRejected(request_id=request_id, status=status, reason=reason)
+    )
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -132,9 +132,12 @@
         self._parsed = 0
         """Parts parsed since other tasks of the event loop could run."""
 
-        self._skipped = 0
+        self.skipped = 0
         """Responses to other requests skipped since the current request was sent."""
 
+        self.requests = 0
+        """Requests sent on this connection."""
+
     async def async_send(self, request: Request) -> None:
         """Send a whole request.
 
@@ -142,7 +145,8 @@
             ExchangeFailedError: If the connection fails.
         """
         self._closes_after = True
-        self._skipped = 0
+        self.skipped = 0
+        self.requests += 1
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
@@ -213,8 +217,8 @@
         Raises:
             ExchangeFailedError: If the connection cannot carry another response.
         """
-        self._skipped += 1
-        if self._skipped > MAX_SKIPPED_RESPONSES:
+        self.skipped += 1
+        if self.skipped > MAX_SKIPPED_RESPONSES:
             raise ExchangeFailedError("too many responses to other requests")
         async for _ in self.async_iterate_body(SKIPPED_LIMITS):
             pass
@@ -248,7 +252,7 @@
         It can only be that to the first request. A later one may be an extra response
         to an earlier request, which faulty upstreams send.
         """
-        return self.idle_s is None and not self._skipped
+        return self.idle_s is None and not self.skipped
 
     def prepare_reuse(self, now: float) -> bool:
         """Return whether another request may be sent on this connection."""
@@ -270,6 +274,12 @@
         silent = not buffered and not self._reader.at_eof()
         return silent and not self._writer.is_closing() and now < self.usable_until
 
+    @property
+    def local_port(self) -> int:
+        """Return the port of this end; 0 if it is unknown."""
+        address = self._writer.get_extra_info("sockname")
+        return int(address[1]) if address else 0
+
     def count_unread(self) -> int:
         """Return the bytes that were received and not read yet."""
         buffered: Any = getattr(self._reader, "_buffer", b"")
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -51,6 +51,10 @@
     memory: ResponseMemory = field(factory=ResponseMemory)
     """Bounds the bytes that are held for all connections."""
 
+    on_rejected: "Callable[[int, str, h11.Request | None], None] | None" = None
+    """Called with the status, reason and head (if it was read) of a request that is
+    rejected before it was read completely."""
+
     closing: bool = False
     """Whether responses close the connection, so that callers open a new one."""
 
@@ -265,14 +269,13 @@
 
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
+            self._head = event
+            self._body = bytearray()
             problem = find_problem(event, self._limits.max_header_bytes)
             if problem is None and self._options.memory.is_short():
                 problem = MEMORY_SHORT
             if problem is not None:
                 self._reject(problem.status, problem.reason)
-                return
-            self._head = event
-            self._body = bytearray()
         elif isinstance(event, h11.Data):
             self._body += event.data
             self.holding.set_request_bytes(len(self._body))
@@ -351,6 +354,8 @@
         would begin.
         """
         self._stop_timer()
+        if self._options.on_rejected is not None:
+            self._options.on_rejected(status, reason, self._head)
         self._head = None
         self.holding.set_request_bytes(0)
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/mangoway/observability/event_log.py
+++ b/mangoway/observability/event_log.py
@@ -35,6 +35,8 @@
     level: LogLevel
     meaning: str
     fields: tuple[str, ...]
+    limited_by: str = ""
+    """Field by whose values lines are limited separately; empty for all together."""
 
 
 @attrs.define
@@ -74,17 +76,27 @@
 _eliot: Any = eliot
 
 _specs: dict[type, EventSpec] = {}
-_budgets: dict[type, LineBudget] = {}
+_budgets: dict[tuple[type, str], LineBudget] = {}
+"""Budgets by class of event and value of the field that limits it."""
+
 _minimum_level = LogLevel.INFO
 
 
 @dataclass_transform(frozen_default=True, kw_only_default=True)
-def numbered(number: int, level: LogLevel) -> Callable[[EventT], EventT]:
+def numbered(
+    number: int, level: LogLevel, *, limited_by: str = ""
+) -> Callable[[EventT], EventT]:
     """Return a decorator that registers an event class under a number.
 
     The class becomes a frozen attrs class with keyword arguments; its docstring is
     its meaning in the catalogue.
 
+    Args:
+        number: Number of the event.
+        level: Severity of the event.
+        limited_by: Field by whose few values the lines are limited separately, so that
+            frequent events of one value suppress none of another.
+
     Raises:
         ValueError: If the number is already in use.
     """
@@ -99,6 +111,7 @@
             level=level,
             meaning=" ".join((cls.__doc__ or "").split()),
             fields=tuple(each.name for each in attrs.fields(frozen_cls)),
+            limited_by=limited_by,
         )
         return frozen_cls
 
@@ -122,15 +135,16 @@
 def log_event(event: Any) -> None:
     """Write an event to the log, unless its level is below the log's.
 
-    The lines of each kind of event are limited to `LINES_PER_SECOND` after a burst of
-    `LINES_BURST`. The first line after dropped events gives their number in the field
-    `suppressed`.
+    The lines of each kind of event, or of each value of the field that limits it, are
+    limited to `LINES_PER_SECOND` after a burst of `LINES_BURST`. The first line after
+    dropped events gives their number in the field `suppressed`.
     """
     kind = type(event)
     spec = _specs[kind]
     if spec.level < _minimum_level:
         return
-    budget = _budgets.setdefault(kind, LineBudget())
+    value = str(getattr(event, spec.limited_by)) if spec.limited_by else ""
+    budget = _budgets.setdefault((kind, value), LineBudget())
     if not budget.try_acquire(time.monotonic()):
         return
     fields = {name: _to_plain(getattr(event, name)) for name in spec.fields}
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -102,12 +102,15 @@
     """Longest pause of a stream that counts as on time; 0 if the route sets none."""
 
 
-@numbered(251, LogLevel.WARNING)
+@numbered(251, LogLevel.WARNING, limited_by="kind")
 class RequestRejected:
     """A request was rejected and has not run."""
 
     request_id: str
     identity: str
+    kind: str
+    """Kind of the route; empty without one."""
+
     route: str | None
     customer: str | None
     artifact: str
@@ -115,6 +118,10 @@
     reason: str
     retry_after_s: float | None
     attempts: int
+    rejected_by: tuple[str, ...]
+    """Runners, and hosts of peers, that stated that they have not run it; empty if it
+    was sent nowhere."""
+
     seconds: float
     version: int | None
 
@@ -146,12 +153,13 @@
     seconds: float
 
 
-@numbered(254, LogLevel.INFO)
+@numbered(254, LogLevel.INFO, limited_by="kind")
 class AttemptFailed:
     """An attempt at a runner failed; `decision` says whether a retry follows."""
 
     request_id: str
     identity: str
+    kind: str
     runner_id: str
     verdict: str
     reason: str
@@ -255,6 +263,49 @@
     """Edges that were asked and have not answered."""
 
 
+@numbered(265, LogLevel.INFO, limited_by="kind")
+class AttemptNotRun:
+    """An attempt was taken for not run; the fields say what this rests on."""
+
+    request_id: str
+    kind: str
+    """Kind of the route."""
+
+    upstream_id: str
+    """The runner, or the host of the peer."""
+
+    status: int | None
+    """Status of the response; None if no connection was opened."""
+
+    states_not_run: bool
+    """Whether the response states that the request has not run."""
+
+    names_request: bool
+    """Whether the response names the request."""
+
+    local_port: int
+    """Port of this end of the connection; 0 without one."""
+
+    earlier_requests: int
+    """Requests sent on the connection before."""
+
+    skipped: int
+    """Responses to other requests that came before this one."""
+
+    reason: str
+
+
+@numbered(266, LogLevel.WARNING)
+class UnreadRequestRejected:
+    """A request was rejected before it was read completely; nothing was sent."""
+
+    request_id: str
+    """Empty if its head was not read."""
+
+    status: int
+    reason: str
+
+
 # 3xx: runners.
 
 
--- /dev/null
+++ b/tests/edge/test_request_log.py
@@ -0,0 +1,100 @@
+"""Tests of the log lines from which the verdicts on requests can be traced."""
+
+import asyncio
+import io
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from mangoway.observability import event_log
+from mangoway.observability.event_log import LogLevel, start_log
+
+from ..upstreams.raw_server import RawServer, answer, make_response
+from .world import make_not_run, make_ok, start_edge
+
+
+@pytest.fixture
+def log() -> Iterator[io.StringIO]:
+    stream = io.StringIO()
+    event_log._budgets.clear()
+    stop = start_log(LogLevel.INFO, host="e1", role="edge", stream=stream)
+    yield stream
+    stop()
+
+
+def find_lines(log: io.StringIO, number: int) -> list[dict[str, Any]]:
+    """Return the lines of an event."""
+    lines = map(json.loads, log.getvalue().splitlines())
+    return [each for each in lines if each.get("event") == number]
+
+
+class TestRejectedRequest:
+    """Lines of a request that a runner has rejected."""
+
+    async def test_lines_state_what_the_promise_rests_on(
+        self, log: io.StringIO
+    ) -> None:
+        async with RawServer(answer(make_not_run())) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            await edge.async_call("/once/x")
+        (attempt,) = find_lines(log, 265)
+        (rejected,) = find_lines(log, 251)
+        assert attempt["request_id"] == rejected["request_id"] == "q1"
+        assert attempt["upstream_id"] == "r1"
+        assert rejected["rejected_by"] == ["r1"]
+        assert attempt["kind"] == rejected["kind"] == "non_idempotent"
+        assert (attempt["status"], attempt["states_not_run"]) == (503, True)
+        assert (attempt["names_request"], attempt["skipped"]) == (True, 0)
+        assert attempt["earlier_requests"] == 0
+        assert attempt["local_port"] > 0
+
+    async def test_line_counts_earlier_requests_of_the_connection(
+        self, log: io.StringIO
+    ) -> None:
+        async def run(request: bytes, writer: asyncio.StreamWriter) -> None:
+            is_second = b"q2" in request
+            rejection = make_response(
+                503, b"", "X-Request-Id: q2\r\nX-Not-Executed: 1\r\n"
+            )
+            writer.write(rejection if is_second else make_ok())
+
+        async with RawServer(run) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            await edge.async_call("/once/x")
+            await edge.async_call("/once/x", request_id="q2")
+        (attempt,) = find_lines(log, 265)
+        assert attempt["earlier_requests"] == 1
+
+    async def test_request_that_was_not_sent_rests_on_no_runner(
+        self, log: io.StringIO
+    ) -> None:
+        async with start_edge() as edge:
+            async with RawServer(answer(make_ok())) as runner:
+                edge.add("r1", runner, "plain")
+            await edge.async_call("/once/x")
+        (attempt,) = find_lines(log, 265)
+        (rejected,) = find_lines(log, 251)
+        assert (attempt["status"], attempt["local_port"]) == (None, 0)
+        assert rejected["rejected_by"] == []
+
+    async def test_request_that_was_not_read_is_named(self, log: io.StringIO) -> None:
+        async with start_edge() as edge:
+            reply = await edge.async_call(
+                "/once/x", headers="Transfer-Encoding: chunked\r\n"
+            )
+        (rejected,) = find_lines(log, 266)
+        assert rejected["status"] == reply.status == 400
+
+
+class TestServedRequest:
+    """Lines of a request that a runner has answered."""
+
+    async def test_line_states_the_status(self, log: io.StringIO) -> None:
+        response = make_response(404, b"", "X-Request-Id: q1\r\n")
+        async with RawServer(answer(response)) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            await edge.async_call("/once/x")
+        (served,) = find_lines(log, 250)
+        assert served["status"] == 404
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -15,6 +15,7 @@
 from mangoway.edge.forwarder import Forwarder
 from mangoway.edge.plain_grant_provider import PlainGrantProvider
 from mangoway.edge.relay import PeerRelay
+from mangoway.edge.request_log import log_unread
 from mangoway.edge.responses import make_error_response
 from mangoway.edge.retry_budgets import RetryBudgets
 from mangoway.edge.runner_connector import RunnerConnector
@@ -406,7 +407,11 @@
         start_task=tasks.async_start,
     )
     options = ServerOptions(
-        forwarder.async_handle, CallerLimits, make_error_response, errors.append
+        forwarder.async_handle,
+        CallerLimits,
+        make_error_response,
+        errors.append,
+        on_rejected=log_unread,
     )
     listener = open_listener("127.0.0.1", 0)
     port = listener.getsockname()[1]
--- a/tests/observability/test_event_log.py
+++ b/tests/observability/test_event_log.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mangoway.models.identifiers import ConfigVersion, RequestId
-from mangoway.observability import event_log, events
+from mangoway.observability import event_log, events, fleet_events
 from mangoway.observability.catalogue import render_catalogue
 from mangoway.observability.event_log import (
     LINES_BURST,
@@ -113,7 +113,33 @@
             log_event(event)
         written = log.getvalue().count("\n")
         assert written < LINES_BURST + 100
-        event_log._budgets[events.BudgetExhausted].remaining = 1
+        event_log._budgets[events.BudgetExhausted, ""].remaining = 1
         log_event(event)
         last = json.loads(log.getvalue().splitlines()[-1])
         assert last["suppressed"] == LINES_BURST + 100 - written
+
+    def test_flood_of_one_kind_suppresses_no_line_of_another(
+        self, log: io.StringIO
+    ) -> None:
+        for _ in range(int(LINES_BURST) + 100):
+            log_event(make_not_run("safe"))
+        log_event(make_not_run("non_idempotent"))
+        last = json.loads(log.getvalue().splitlines()[-1])
+        assert last["kind"] == "non_idempotent"
+        assert "suppressed" not in last
+
+
+def make_not_run(kind: str) -> fleet_events.AttemptNotRun:
+    """Return the event of an attempt that has not run, for a kind of route."""
+    return fleet_events.AttemptNotRun(
+        request_id="q1",
+        kind=kind,
+        upstream_id="r1",
+        status=503,
+        states_not_run=True,
+        names_request=True,
+        local_port=1,
+        earlier_requests=0,
+        skipped=0,
+        reason="",
+    )
