Add failing tests of promises after a request ran

A request that may run once is answered with 408, 421, 429 or 503 although it ran: where its runner fails it with such a status without stating that it has not run (16 cases; 421 counts as not run whoever states it), where a peer sends such a failure on (3), and where a caller sends a rejected request again with the same ID and the runner a copy of the rejection (2).

--- /dev/null
+++ b/tests/edge/test_promises.py
@@ -0,0 +1,148 @@
+"""Tests that statuses which promise "not run" are true for requests that may not repeat.
+
+These statuses are 408, 421, 429 and 503.
+"""
+
+import asyncio
+
+import pytest
+
+from mangoway.models.fleet import Member, Role
+
+from ..upstreams.raw_server import RawServer, Script, answer, make_response
+from .world import SIGNED, EdgeWorld, make_event, make_ok, make_stream, start_edge
+
+PROMISES = (408, 421, 429, 503)
+
+ROUTES = [("llm", "/fixed/x"), ("plain", "/once/x")]
+"""Services and paths of the routes whose requests may run once only."""
+
+NAMED = "X-Request-Id: q1\r\n"
+
+
+def add_peer(edge: EdgeWorld, server: RawServer) -> None:
+    """Add an edge to the fleet that sends nothing to runners itself."""
+    member = Member(
+        role=Role.EDGE,
+        host="h2",
+        incarnation="e2",
+        data_centre="dc1",
+        peer_address=server.address,
+        caller_address=server.address,
+    )
+    edge.view.members["edges/e2"] = member
+
+
+def reject_again(*response: bytes) -> tuple[Script, list[str]]:
+    """Return a script that rejects the first request, and a copy of that before others.
+
+    Returns:
+        The script, and a list of the requests that run.
+    """
+    rejection = make_response(503, b"", f"{NAMED}X-Not-Executed: 1\r\n")
+    rejected: list[asyncio.StreamWriter] = []
+    runs: list[str] = []
+
+    async def run(request: bytes, writer: asyncio.StreamWriter) -> None:
+        if not rejected:
+            rejected.append(writer)
+            writer.write(rejection)
+            return
+        if writer in rejected:
+            writer.write(rejection)
+        runs.append(request.decode())
+        writer.writelines(response)
+
+    return run, runs
+
+
+class TestFailureOfRunner:
+    """A runner that ran a request and fails it with a status that promises the opposite.
+
+    The edge sent the status on, since it is the runner's own.
+    """
+
+    @pytest.mark.parametrize("status", PROMISES)
+    @pytest.mark.parametrize("named", [NAMED, ""], ids=["named", "unnamed"])
+    @pytest.mark.parametrize(("service", "path"), ROUTES)
+    async def test_failure_promises_nothing(
+        self, service: str, path: str, named: str, status: int
+    ) -> None:
+        response = make_response(status, b"failed", named + SIGNED)
+        async with RawServer(answer(response)) as runner, start_edge() as edge:
+            edge.add("r1", runner, service)
+            reply = await edge.async_call(path)
+        assert len(runner.requests) == 1
+        assert reply.status == 502
+        assert "x-response-signature" not in reply.headers
+        assert "retry-after" not in reply.headers
+
+    @pytest.mark.parametrize("status", PROMISES)
+    async def test_request_does_not_run_again(self, status: int) -> None:
+        response = make_response(status, b"failed", NAMED + SIGNED)
+        async with (
+            RawServer(answer(response)) as first,
+            RawServer(answer(make_ok())) as second,
+            start_edge() as edge,
+        ):
+            edge.add("r1", first, "plain")
+            edge.add("r2", second, "plain")
+            await edge.async_call("/once/x")
+        assert len(first.requests) + len(second.requests) == 1
+
+    async def test_other_failure_is_returned_unchanged(self) -> None:
+        response = make_response(500, b"failed", NAMED + SIGNED)
+        async with RawServer(answer(response)) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            reply = await edge.async_call("/once/x")
+        assert (reply.status, reply.body) == (500, b"failed")
+        assert reply.headers["x-response-signature"] == "s1"
+
+
+class TestRepeatedId:
+    """A caller that sends a rejected request again with the same ID.
+
+    A copy of the rejection passed for the response to the second request.
+    """
+
+    @pytest.mark.parametrize(
+        ("service", "path", "response"),
+        [
+            ("llm", "/fixed/x", make_stream(make_event(1))),
+            ("plain", "/once/x", [make_ok()]),
+        ],
+    )
+    async def test_copy_of_a_rejection_decides_nothing(
+        self, service: str, path: str, response: list[bytes]
+    ) -> None:
+        script, runs = reject_again(*response)
+        async with RawServer(script) as runner, start_edge() as edge:
+            edge.add("r1", runner, service)
+            first = await edge.async_call(path)
+            second = await edge.async_call(path)
+        assert first.status == 503
+        assert len(runs) == 1
+        assert (second.status, second.complete) == (200, True)
+
+
+class TestFailureThroughPeer:
+    """A failure of a runner that a peer of an earlier release sends on."""
+
+    @pytest.mark.parametrize("status", PROMISES)
+    async def test_failure_promises_nothing(self, status: int) -> None:
+        response = make_response(status, b"failed", NAMED + SIGNED)
+        async with RawServer(answer(response)) as peer, start_edge() as edge:
+            edge.forwarder.connector.reach.lost_at = 0.0
+            add_peer(edge, peer)
+            reply = await edge.async_call("/once/x")
+        assert len(peer.requests) == 1
+        assert reply.status == 502
+
+    @pytest.mark.parametrize("status", [429, 503])
+    async def test_rejection_of_the_peer_is_returned(self, status: int) -> None:
+        response = make_response(status, b"full", "Retry-After: 0.50\r\n")
+        async with RawServer(answer(response)) as peer, start_edge() as edge:
+            edge.forwarder.connector.reach.lost_at = 0.0
+            add_peer(edge, peer)
+            reply = await edge.async_call("/once/x")
+        assert (reply.status, reply.headers["retry-after"]) == (status, "0.50")
