Answer 502 where a runner fails a request with a status that promises "not run"

Callers saw: a request that may run once was answered 503, 429, 421 or 408 although a runner ran it, and callers send such a request again.

Cause: only a rejection that states that the request has not run proves it. The edge knew that for the verdict, but sent the runner's own status on to the caller, whom it promises the opposite; 408 was counted as served, and 421 counted as not run without the statement. Class: a promise is passed on that the one who makes it can't vouch for.

The failure of a runner with such a status becomes a 502 without its signature; a promise that would still go out after an attempt that may have run becomes a 502 and event 267. A time limit that ends while nothing was sent yet is rejected, no longer failed with 504.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -26,10 +26,10 @@
 from .const import MAX_BUFFERED_BODY_BYTES, MAX_STREAM_BYTES
 from .delivery import Delivery, StreamBrokenError
 from .event_reader import EventReader
+from .responses import PROMISES
 
 STATUS_BAD_REQUEST = 400
 STATUS_MISDIRECTED = 421
-STATUS_TOO_MANY = 429
 STATUS_ERROR = 500
 
 BUFFERED_LIMITS: Final = BodyLimits(
@@ -67,7 +67,11 @@
     """Whether the runner lacks the model, or isn't the runner that was addressed."""
 
     error: BufferedResponse | None = None
-    """The error response of the runner, if it sent one."""
+    """The error response of the runner, if it sent one after it may have run the
+    request."""
+
+    rejection: BufferedResponse | None = None
+    """The response that states that the request has not run, if there is one."""
 
     has_certain_end: bool = True
     """Whether the end of a complete response differs from that of a broken one."""
@@ -104,6 +108,11 @@
     on_head: Callable[[ResponseHead], None]
     """Called with the head of the runner's response, whatever its status."""
 
+    is_rejection: Callable[[ResponseHead], bool] = field(
+        default=lambda head: is_not_run(head) and head.status != STATUS_BAD_REQUEST
+    )
+    """Returns whether a response states that the upstream has not run the request."""
+
     is_id_echoed: bool = True
     """Whether the upstream names the request's ID in each response to it."""
 
@@ -253,19 +262,19 @@
 
     def _evaluate_response(self, head: ResponseHead, body: bytes) -> AttemptResult:
         status = head.status
-        not_run = is_not_run(head)
-        if status == STATUS_MISDIRECTED or (not_run and status != STATUS_BAD_REQUEST):
+        response = BufferedResponse(
+            head=head, headers=list_response_headers(head.headers), body=body
+        )
+        if self.is_rejection(head):
             reason = f"the runner refused it with {status}"
             self._log_not_run(reason, head)
             return AttemptResult(
                 verdict=Verdict.NOT_RUN,
                 reason=reason,
                 is_model_missing=status == STATUS_MISDIRECTED,
+                rejection=response,
             )
-        response = BufferedResponse(
-            head=head, headers=list_response_headers(head.headers), body=body
-        )
-        if status >= STATUS_ERROR or status == STATUS_TOO_MANY:
+        if status >= STATUS_ERROR or status in PROMISES:
             return AttemptResult(
                 verdict=Verdict.RAN,
                 reason=f"the runner failed with status {status}",
@@ -280,7 +289,7 @@
             verdict=Verdict.RAN,
             delivered=True,
             status=status,
-            succeeded=not not_run,
+            succeeded=not is_not_run(head),
         )
 
     def _log_not_run(self, reason: str, head: ResponseHead | None = None) -> None:
--- a/mangoway/edge/delivery.py
+++ b/mangoway/edge/delivery.py
@@ -1,13 +1,20 @@
 """Delivery of a response to its caller."""
 
+from typing import Final
+
 from attrs import define, field
 
 from ..http1.messages import Headers, ResponseHead
 from ..http1.server import Exchange
+from ..observability import fleet_events as log
+from ..observability.event_log import log_event
 from ..policy.edge.run_history import RunHistory
 from .event_times import EventTimes
+from .responses import PROMISES, STATUS_FAILED, make_response
 from .sse import StreamEvent
 
+UNPROVED_REASON: Final = "the request may have run"
+
 
 class StreamBrokenError(Exception):
     """A stream can't continue.
@@ -23,6 +30,7 @@
 
     exchange: Exchange
     arrived_at: float
+    request_id: str = ""
     events: int = field(default=0, init=False)
     last_event_id: str | None = field(default=None, init=False)
     first_at: float | None = field(default=None, init=False)
@@ -72,7 +80,13 @@
         self.finished = True
 
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response."""
+        """Send a complete response.
+
+        A status that promises "not run" is replaced if the request may have run.
+        """
+        if status in PROMISES and self.history.may_have_run:
+            log_event(log.PromiseWithheld(request_id=self.request_id, status=status))
+            status, (headers, body) = STATUS_FAILED, make_response(UNPROVED_REASON)
         self.exchange.answer(status, headers, body)
         self.finished = True
 
--- a/mangoway/edge/final_response.py
+++ b/mangoway/edge/final_response.py
@@ -9,7 +9,7 @@
 from .delivery import Delivery
 from .relay import make_unreachable_headers
 from .request_log import RequestLog
-from .responses import STATUS_FAILED, STATUS_NOT_RUN, STATUS_OVER_QUOTA, make_response
+from .responses import PROMISES, STATUS_FAILED, STATUS_NOT_RUN, make_response
 from .runner_finder import RunnerFinder
 
 PEER_REASON = "the peer has not served it"
@@ -25,7 +25,6 @@
     is_relayed: bool
     """Whether another edge sent the request."""
 
-    may_have_run: bool = field(default=False, init=False)
     error: BufferedResponse | None = field(default=None, init=False)
     """The last error response of a runner, or of a peer."""
 
@@ -35,7 +34,7 @@
     @property
     def must_fail(self) -> bool:
         """Return whether a response must not say that the request has not run."""
-        return self.may_have_run or self.delivery.started
+        return self.delivery.history.may_have_run or self.delivery.started
 
     def reject(
         self, reason: str, retry_after_s: float | None, status: int = STATUS_NOT_RUN
@@ -61,18 +60,16 @@
             headers = (*headers, *make_unreachable_headers())
         self.delivery.send_response(STATUS_NOT_RUN, headers, body)
 
-    def forward_peer_error(self, response: BufferedResponse) -> None:
-        """Respond with the error of a peer that handled the request.
+    def forward_rejection(self, response: BufferedResponse) -> None:
+        """Respond with the rejection of a peer, unless an earlier attempt may have run.
 
-        A rejection is a promise that is not true if an earlier attempt may have run.
+        Args:
+            response: The peer's own response, not one of a runner.
         """
-        status = response.head.status
-        is_rejection = status in (STATUS_NOT_RUN, STATUS_OVER_QUOTA)
-        if not is_rejection:
-            self.may_have_run, self.error = True, response
         if self.must_fail:
             self.fail(STATUS_FAILED, PEER_REASON)
             return
+        status = response.head.status
         retry_after = response.head.find(b"retry-after")
         retry_after_s = retry_after and parse_decimal(retry_after.encode("latin-1"))
         self.finder.refund_quota()
@@ -80,8 +77,15 @@
         deliver_buffered(self.delivery, response)
 
     def fail(self, status: int, reason: str) -> None:
-        """Respond with a failure, which is the runner's own if it sent one."""
+        """Respond with a failure, which is the runner's own if it sent one.
+
+        A runner may fail a request that it ran with a status that promises the
+        opposite. The caller then gets a failure of this host, without the runner's
+        signature, which belongs to its own status.
+        """
         error, is_cut_off = self.error, self.delivery.started
+        if error is not None and error.head.status in PROMISES:
+            error = None
         response_status = (
             None if is_cut_off else (error.head.status if error else status)
         )
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -118,7 +118,7 @@
         fields = decode_request(request)
         identity = identify_request(request, fields)
         table = self.view.table
-        delivery = Delivery(exchange, now)
+        delivery = Delivery(exchange, now, fields.request_id)
         if table is None or not self.may_use_configuration():
             request_log = self.make_log(fields, identity, None, delivery)
             _reject(delivery, request_log, NO_CONFIGURATION)
--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -17,7 +17,7 @@
     ConnectionPool,
     async_connect,
 )
-from ..http1.messages import Headers, Request, drop_headers
+from ..http1.messages import Headers, Request, ResponseHead, drop_headers
 from ..models.fleet import Member
 from ..models.routing import Route
 from ..observability import fleet_events as log
@@ -30,6 +30,7 @@
 from .attempt import Attempt, AttemptResult
 from .const import MAX_IDLE_PER_PEER, PEER_SILENCE_S
 from .delivery import Delivery
+from .responses import STATUS_NOT_RUN, STATUS_OVER_QUOTA
 
 RELAY_FIELD: Final = b"x-mangoway-relay"
 """Header field of requests between edges. A caller that sets it loses only the relaying
@@ -146,6 +147,7 @@
             on_head=lambda head: None,
             # Edges send no extra responses, and reject requests without naming them.
             is_id_echoed=False,
+            is_rejection=_is_own_rejection,
         )
         return await attempt.async_run()
 
@@ -172,7 +174,8 @@
         return False
 
     def _log(self, peer: Member, result: AttemptResult) -> None:
-        status = result.error.head.status if result.error else None
+        response = result.rejection or result.error
+        status = None if response is None else response.head.status
         outcome = "failed"
         if result.delivered:
             outcome = "served"
@@ -195,9 +198,14 @@
     return ((RELAY_FIELD, RelayMark.UNREACHABLE.value),)
 
 
+def _is_own_rejection(head: ResponseHead) -> bool:
+    """Return whether a peer rejected a request."""
+    return head.status in (STATUS_NOT_RUN, STATUS_OVER_QUOTA)
+
+
 def _is_unreachable(result: AttemptResult) -> bool:
     """Return whether the peer rejected a request since it reaches no runner."""
-    if result.error is None:
+    if result.rejection is None:
         return False
-    mark = result.error.head.find(RELAY_FIELD)
+    mark = result.rejection.head.find(RELAY_FIELD)
     return mark is not None and mark.encode() == RelayMark.UNREACHABLE.value
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -106,7 +106,6 @@
     _used_connections: list[Connection] = field(factory=list, init=False)
     """Connections on which attempts were sent."""
 
-    _in_attempt: bool = field(default=False, init=False)
     _retry_cause: RetryCause = field(default=RetryCause.FAILED, init=False)
     """Why the request is sent again, if it is."""
 
@@ -243,19 +242,17 @@
             if self._finder.is_counted:
                 mark = RelayMark.COUNTED
             self._finder.retry_payment.begin_attempt()
-            self._in_attempt = True
             result = await self._relay.async_run(mark)
-            self._in_attempt = False
             self._finder.retry_payment.settle_attempt(was_sent=result is not None)
         if result is None:
             self._response.reject_unreachable()
         elif result.delivered:
             self.log.log_served("", result.status)
-        elif result.error is None:
-            self._response.may_have_run = True
-            self._response.fail(STATUS_FAILED, result.reason)
+        elif result.rejection is not None:
+            self._response.forward_rejection(result.rejection)
         else:
-            self._response.forward_peer_error(result.error)
+            self._response.error = result.error
+            self._response.fail(STATUS_FAILED, result.reason)
 
     async def _async_attempt(self, runner: RunnerEntry) -> AttemptResult:
         self.log.attempts += 1
@@ -267,7 +264,6 @@
             runner, result = await self._continuation.async_follow(runner, result)
         elif result.connection_lost:
             await self._async_check_crash(runner)
-        self._in_attempt = False
         self._runner = runner
         self._response.runner_id = runner.runner_id
         self._record_result(runner, result)
@@ -288,7 +284,6 @@
         if self._continuation is not None:
             self._continuation.begin_attempt(runner, attempt)
         self.context.plain_grant_provider.in_flight.add(runner.runner_id)
-        self._in_attempt = True
         self._first_event_at = None
         self._log_resumed(runner)
         self._finder.measure_events()
@@ -521,7 +516,7 @@
     def _decide(self, result: AttemptResult) -> RetryDecision:
         failed = FailedAttempt(
             verdict=result.verdict,
-            ran_before=self._response.may_have_run,
+            ran_before=self.delivery.history.may_have_run,
             runners_tried=len(self._finder.tried_runner_ids),
             was_sent=result.was_sent,
             time_left_s=self._deadline - self._clock(),
@@ -531,8 +526,6 @@
         if needs_credit and not self._finder.retry_payment.try_acquire():
             self._is_budget_spent = True
             decision = decide_retry(self.route, failed, budget_left=False)
-        if result.verdict is not Verdict.NOT_RUN:
-            self._response.may_have_run = True
         return decision
 
     def _get_retry_cause(self, result: AttemptResult) -> RetryCause:
@@ -552,8 +545,6 @@
             self._response.fail(STATUS_FAILED, reason)
 
     def _handle_timeout(self) -> None:
-        if self._in_attempt:
-            self._response.may_have_run = True
         if self._response.must_fail:
             self._response.fail(
                 STATUS_TIMEOUT, "no response within the timeout of the route"
--- a/mangoway/edge/responses.py
+++ b/mangoway/edge/responses.py
@@ -9,6 +9,9 @@
 
 JSON_TYPE: Final = (b"Content-Type", b"application/json")
 
+PROMISES: Final = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will."""
+
 STATUS_UNKNOWN_CALLER: Final = 401
 STATUS_NO_ROUTE: Final = 404
 STATUS_OVER_QUOTA: Final = 429
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -306,6 +306,14 @@
     reason: str
 
 
+@numbered(267, LogLevel.ERROR)
+class PromiseWithheld:
+    """A wrong promise that a request has not run was replaced by a failure."""
+
+    request_id: str
+    status: int
+
+
 # 3xx: runners.
 
 
