Take a peer's response for a rejection only without a runner's signature

Callers saw: a request that may run once, sent through a peer, was answered 503 or 429 though a runner ran it.

Cause: any 503 or 429 of a peer counted as the peer's own promise. A peer of an earlier release sends a runner's failure with such a status on, so that in a mixed fleet the promise comes from one who can't vouch for it, over two hops.

Fix: edges sign nothing, so a response with a runner's signature is a runner's, whatever its status.

--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -23,6 +23,7 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
+from ..platform import headers as names
 from ..platform.requests import RequestFields, encode_for_peer
 from ..policy.edge.const import MAX_RELAY_PEERS
 from ..policy.edge.relaying import RelayPeers
@@ -30,7 +31,7 @@
 from .attempt import Attempt, AttemptResult
 from .const import MAX_IDLE_PER_PEER, PEER_SILENCE_S
 from .delivery import Delivery
-from .responses import STATUS_NOT_RUN, STATUS_OVER_QUOTA
+from .responses import PROMISES
 
 RELAY_FIELD: Final = b"x-mangoway-relay"
 """Header field of requests between edges. A caller that sets it loses only the relaying
@@ -199,8 +200,12 @@
 
 
 def _is_own_rejection(head: ResponseHead) -> bool:
-    """Return whether a peer rejected a request."""
-    return head.status in (STATUS_NOT_RUN, STATUS_OVER_QUOTA)
+    """Return whether a peer rejected a request itself.
+
+    A peer of an earlier release also sends on failures of runners with such a status,
+    which have the runner's signature.
+    """
+    return head.status in PROMISES and head.find(names.SIGNATURE) is None
 
 
 def _is_unreachable(result: AttemptResult) -> bool:
