Send no request on a connection that carried one with the same ID

Callers saw: a request that may run once was rejected and ran. They had sent a rejected request again with the same ID, as callers with one ID for tracing do, and the runner a copy of its rejection, where the next response was due.

Cause: which connections carried an attempt was known to one request at one edge only, so that the guarantee ended with it: for a caller's next request with this ID, and for one that comes through a peer and again. Class: a guarantee about a connection kept by one of its users.

Evidence: tests/edge/test_promises.py, TestRepeatedId: on the code before, the second request is answered 503 and has run, for a stream and a plain request; 200 now.

Fix: a connection remembers digests of the IDs that it carried, 256 at most, after which it isn't reused; the pool returns none that carried the request's ID. The handler's list of used connections is gone.

Two tests of the reuse of connections sent two requests with one ID; these now have two.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -177,7 +177,7 @@
     async def _async_send(self, connection: Connection) -> ResponseHead:
         """Send the request and read the head of its response."""
         try:
-            await connection.async_send(self.request)
+            await connection.async_send(self.request, self.request_id)
             return await self._async_read_own_head(connection)
         except ExchangeFailedError:
             if connection.idle_s is not None:
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -6,7 +6,7 @@
 
 from attrs import define, evolve, field
 
-from ..http1.client import Connection, ConnectionLostError, ConnectionPool
+from ..http1.client import ConnectionLostError, ConnectionPool
 from ..http1.messages import Request, ResponseHead
 from ..http1.server import CallerGoneError
 from ..models.routing import Route, RouteKind, ServiceProfile
@@ -103,9 +103,6 @@
     _unreachable_attempts: int = field(default=0, init=False)
     """Attempts that failed to connect."""
 
-    _used_connections: list[Connection] = field(factory=list, init=False)
-    """Connections on which attempts were sent."""
-
     _retry_cause: RetryCause = field(default=RetryCause.FAILED, init=False)
     """Why the request is sent again, if it is."""
 
@@ -321,7 +318,11 @@
             # A connection that closes without a response doesn't prove that the request
             # has not run. If that must not be retried, an idle connection is used only
             # if it was in use just before.
-            async_open=lambda: self._async_open(runner, run),
+            async_open=lambda: self.context.connector.async_open(
+                runner,
+                request_id=self.fields.request_id,
+                retryable=self.route.idempotent and run is None,
+            ),
             silence_s=self._get_max_silence(),
             on_silence=lambda: self._async_handle_silence(runner),
             pool=self.context.pool,
@@ -333,24 +334,6 @@
             else continuation.async_was_stopped,
         )
 
-    async def _async_open(
-        self, runner: RunnerEntry, run: ContinuedRun | None
-    ) -> Connection:
-        """Return a connection on which no attempt of this request was sent.
-
-        All attempts have the same ID, so that an extra response to an earlier one,
-        which may arrive late, can't be told from the response. Without an ID, this
-        holds for extra responses to any request.
-        """
-        connection = await self.context.connector.async_open(
-            runner,
-            retryable=self.route.idempotent and run is None,
-            excluded=self._used_connections,
-            fresh=not self.fields.request_id,
-        )
-        self._used_connections.append(connection)
-        return connection
-
     async def _async_check_crash(self, runner: RunnerEntry) -> None:
         """Start a check whether the runner has crashed.
 
--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -1,7 +1,7 @@
 """Connections of an edge to runners, and checks whether it reaches any runner."""
 
 import asyncio
-from collections.abc import Callable, Collection, Coroutine, Iterator, Sequence
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from itertools import islice
 from random import Random
 from typing import Any, Final
@@ -64,18 +64,21 @@
         self,
         runner: RunnerEntry,
         *,
+        request_id: str,
         retryable: bool = True,
-        excluded: Collection[Connection] = (),
-        fresh: bool = False,
     ) -> Connection:
         """Return an idle connection to a runner, or open one.
 
+        An extra response to an earlier request, which may arrive late, must not pass
+        for that to this one. So no connection is returned that carried a request with
+        the same ID, for example an earlier attempt; without an ID, none that carried
+        any request.
+
         Args:
             runner: The runner.
+            request_id: ID of the request; empty without one.
             retryable: Whether the request may be sent again if an idle connection turns
                 out to be broken.
-            excluded: Connections that must not be used.
-            fresh: Whether to open a connection even if an idle one could be used.
 
         Raises:
             ConnectFailedError: If the connection fails, times out, or no runner can be
@@ -84,9 +87,9 @@
         if self.reach.is_lost:
             raise ConnectFailedError("no runner can be reached from this host")
         started_at = self.clock()
-        if not fresh:
+        if request_id:
             idle = self.pool.acquire(
-                runner.address, started_at, retryable=retryable, excluded=excluded
+                runner.address, started_at, retryable=retryable, request_id=request_id
             )
             if idle is not None:
                 return idle
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -4,7 +4,8 @@
 import errno
 import re
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+from array import array
+from collections.abc import AsyncIterator, Awaitable, Callable
 from math import inf
 from typing import Any, Final
 
@@ -23,6 +24,7 @@
     MAX_COUNTED_WAIT_S,
     MAX_INCOMPLETE_S,
     MAX_INTERIM_RESPONSES,
+    MAX_NAMED_REQUESTS,
     MAX_READ_AHEAD_BYTES,
     MAX_RESPONSE_HEADER_BYTES,
     MAX_REUSE_IDLE_S,
@@ -138,15 +140,24 @@
         self.requests = 0
         """Requests sent on this connection."""
 
-    async def async_send(self, request: Request) -> None:
+        self._sent_ids = array("q")
+        """Digests of the IDs of requests that were sent on this connection."""
+
+    async def async_send(self, request: Request, request_id: str = "") -> None:
         """Send a whole request.
 
+        Args:
+            request: The request.
+            request_id: ID that its response names; empty without one.
+
         Raises:
             ExchangeFailedError: If the connection fails.
         """
         self._closes_after = True
         self.skipped = 0
         self.requests += 1
+        if request_id:
+            self._sent_ids.append(hash(request_id))
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
@@ -254,12 +265,21 @@
         """
         return self.idle_s is None and not self.skipped
 
+    def has_sent(self, request_id: str) -> bool:
+        """Return whether a request with this ID was sent on this connection.
+
+        A late response to it could not be told from that to another one with the ID.
+        """
+        return bool(request_id) and hash(request_id) in self._sent_ids
+
     def prepare_reuse(self, now: float) -> bool:
         """Return whether another request may be sent on this connection."""
         rest, closed = self._http.trailing_data
         clean = not rest and not closed and not self._reader.at_eof()
         if not clean or self._closes_after or self._writer.is_closing():
             return False
+        if len(self._sent_ids) >= MAX_NAMED_REQUESTS:
+            return False
         try:
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
@@ -485,7 +505,7 @@
         now: float,
         *,
         retryable: bool = True,
-        excluded: Collection[Connection] = (),
+        request_id: str = "",
     ) -> Connection | None:
         """Return an idle connection that is probably still open, or None.
 
@@ -494,10 +514,12 @@
             now: Time in seconds.
             retryable: Whether the request may be sent again if the connection breaks
                 without a response. If not, `idle_limit` applies to the idle time.
-            excluded: Connections that must not be used.
+            request_id: ID of the request. A connection that carried a request with this
+                ID is not returned.
         """
         idle = self._idle.get(address, [])
-        for connection in [each for each in reversed(idle) if each not in excluded]:
+        usable = [each for each in reversed(idle) if not each.has_sent(request_id)]
+        for connection in usable:
             idle_s = now - connection.idle_since
             if not retryable and idle_s > self.idle_limit.compute_s(now):
                 return None
--- a/mangoway/http1/const.py
+++ b/mangoway/http1/const.py
@@ -66,6 +66,10 @@
 """Responses to other requests that are skipped before the response to a request. A
 connection with unread bytes isn't reused, so that only late ones are met."""
 
+MAX_NAMED_REQUESTS: Final = 256
+"""Requests with an ID that one connection carries. It keeps a digest of each ID, 2 KiB
+in all, for as long as it is open: a late response may arrive at any time."""
+
 MAX_SKIPPED_BYTES: Final = 8 << 20
 """Largest body of such a response, which is as large as any response."""
 
--- a/tests/edge/test_forwarder.py
+++ b/tests/edge/test_forwarder.py
@@ -163,9 +163,10 @@
             assert runner.connections == 2
 
     async def test_unretryable_request_reuses_a_recent_connection(self) -> None:
-        async with RawServer(answer(make_ok())) as runner, start_edge() as edge:
+        runner = RawServer(answer(make_ok(request_id="q0")), answer(make_ok()))
+        async with runner, start_edge() as edge:
             edge.add("r1", runner, "plain")
-            await edge.async_call("/safe/x")
+            await edge.async_call("/safe/x", request_id="q0")
             reply = await edge.async_call("/once/x")
             assert (reply.status, runner.connections) == (200, 1)
 
@@ -173,12 +174,12 @@
         self,
     ) -> None:
         async with (
-            RawServer(answer(make_ok()), cut()) as runner,
+            RawServer(answer(make_ok(request_id="q0")), cut()) as runner,
             RawServer(answer(make_ok())) as other,
             start_edge() as edge,
         ):
             edge.add("r1", runner, "plain")
-            await edge.async_call("/safe/x")
+            await edge.async_call("/safe/x", request_id="q0")
             edge.add("r2", other, "plain")
             edge.forwarder.plain_grant_provider.in_flight.add("r2")
             reply = await edge.async_call("/once/x")
--- a/tests/edge/test_promises.py
+++ b/tests/edge/test_promises.py
@@ -114,8 +114,10 @@
     ) -> None:
         script, runs = reject_again(*response)
         async with RawServer(script) as runner, start_edge() as edge:
+            edge.grant_provider.drops_rejecting = True
             edge.add("r1", runner, service)
             first = await edge.async_call(path)
+            edge.add("r1", runner, service)
             second = await edge.async_call(path)
         assert first.status == 503
         assert len(runs) == 1
@@ -135,7 +137,7 @@
         assert len(peer.requests) == 1
         assert reply.status == 502
 
-    @pytest.mark.parametrize("status", [429, 503])
+    @pytest.mark.parametrize("status", [408, 429, 503])
     async def test_rejection_of_the_peer_is_returned(self, status: int) -> None:
         response = make_response(status, b"full", "Retry-After: 0.50\r\n")
         async with RawServer(answer(response)) as peer, start_edge() as edge:
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -311,9 +311,11 @@
     return [head.encode(), *chunks, *([b"0\r\n\r\n"] if end else [])]
 
 
-def make_ok(body: bytes = b"whole", headers: str = SIGNED) -> bytes:
+def make_ok(
+    body: bytes = b"whole", headers: str = SIGNED, request_id: str = "q1"
+) -> bytes:
     """Return a complete response with a signature."""
-    return make_response(200, body, f"X-Request-Id: q1\r\n{headers}")
+    return make_response(200, body, f"X-Request-Id: {request_id}\r\n{headers}")
 
 
 def make_not_run(status: int = 503) -> bytes:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -15,12 +15,12 @@
     IdleReuseLimit,
     async_connect,
 )
-from mangoway.http1.const import MAX_REUSE_IDLE_S, PARTS_PER_TURN
+from mangoway.http1.const import MAX_NAMED_REQUESTS, MAX_REUSE_IDLE_S, PARTS_PER_TURN
 from mangoway.http1.json_client import CallFailedError, JsonClient
 from mangoway.http1.messages import Request
 
 from ..upstreams.pouring import Pour
-from ..upstreams.raw_server import RawServer, Script, make_response
+from ..upstreams.raw_server import RawServer, Script, answer, make_response
 
 LIMITS = BodyLimits(max_bytes=1 << 20)
 REQUEST = Request(method=b"GET", target=b"/", headers=((b"Host", b"u"),), body=b"")
@@ -51,8 +51,8 @@
     return write
 
 
-async def read_whole(connection: Connection) -> tuple[int, bytes]:
-    await connection.async_send(REQUEST)
+async def read_whole(connection: Connection, request_id: str = "") -> tuple[int, bytes]:
+    await connection.async_send(REQUEST, request_id)
     head = await connection.async_read_head()
     parts = [part async for part in connection.async_iterate_body(LIMITS)]
     return head.status, b"".join(parts)
@@ -186,6 +186,32 @@
             assert pool.acquire(server.address, now()) is None
 
 
+class TestRequestIds:
+    """Tests of the IDs of requests that a connection carried."""
+
+    async def test_connection_is_not_reused_for_the_same_id(self) -> None:
+        async with RawServer(*[script(make_response(200))] * 2) as server:
+            pool = ConnectionPool(max_idle=2)
+            kept = [await connect(server) for _ in range(2)]
+            for number, each in enumerate(kept):
+                await read_whole(each, f"q{number}")
+                pool.release(server.address, each, now())
+            assert pool.acquire(server.address, now(), request_id="q1") is kept[0]
+            assert pool.acquire(server.address, now(), request_id="q1") is None
+            assert pool.acquire(server.address, now(), request_id="q2") is kept[1]
+
+    async def test_connection_carries_a_limited_number_of_ids(self) -> None:
+        async with RawServer(answer(make_response(200))) as server:
+            pool = ConnectionPool(max_idle=2)
+            connection = await connect(server)
+            for number in range(MAX_NAMED_REQUESTS):
+                await read_whole(connection, f"q{number}")
+                is_last = number == MAX_NAMED_REQUESTS - 1
+                assert connection.prepare_reuse(now()) is not is_last
+                assert connection.has_sent("q0")
+            assert pool.acquire(server.address, now()) is None
+
+
 class TestConnect:
     """Tests of connections that cannot be opened."""
 
