Play runners that fail with false promises, and callers that keep their IDs, in the soak

Callers got promises of runners that had run their requests, and copies of rejections for requests that were sent again under their IDs; no stand-in did either.

All four statuses are checked against all runs of each try, and over all tries of an ID.

tests/edge/test_promises.py also holds what was read as sound: time limits, rejections that break off, and a rejection after an attempt that may have run.

--- a/tests/edge/test_promises.py
+++ b/tests/edge/test_promises.py
@@ -4,10 +4,23 @@
 
 import pytest
 
+from mangoway.edge.delivery import Delivery
+from mangoway.http1.messages import Request
+from mangoway.http1.server import Exchange
 from mangoway.models.fleet import Member, Role
 
-from ..upstreams.raw_server import RawServer, Script, answer, make_response
-from .world import SIGNED, EdgeWorld, make_event, make_ok, make_stream, start_edge
+from ..fakes.fleet import make_runner
+from ..upstreams.raw_server import RawServer, Script, answer, cut, make_response
+from .unreachable import open_hanging_address
+from .world import (
+    SIGNED,
+    EdgeWorld,
+    make_event,
+    make_not_run,
+    make_ok,
+    make_stream,
+    start_edge,
+)
 
 PROMISES = (408, 421, 429, 503)
 
@@ -145,3 +158,72 @@
             add_peer(edge, peer)
             reply = await edge.async_call("/once/x")
         assert (reply.status, reply.headers["retry-after"]) == (status, "0.50")
+
+
+class TestEarlierAttempt:
+    """A rejection after an attempt that may have run."""
+
+    async def test_rejection_does_not_hide_it(self) -> None:
+        async with (
+            RawServer(cut()) as first,
+            RawServer(answer(make_not_run())) as second,
+            start_edge() as edge,
+        ):
+            edge.add("r1", first, "plain")
+            edge.add("r2", second, "plain")
+            edge.forwarder.plain_grant_provider.in_flight.add("r2")
+            reply = await edge.async_call("/safe/x")
+        assert first.requests
+        assert second.requests
+        assert reply.status == 502
+
+    async def test_promise_is_withheld(self) -> None:
+        """The last check before the caller, whatever decided on the promise."""
+        async with start_edge() as edge:
+
+            async def async_promise(request: Request, exchange: Exchange) -> None:
+                delivery = Delivery(exchange, 0.0, "q1")
+                delivery.history.record_sent()
+                delivery.send_response(503, ((b"Retry-After", b"1"),), b"full")
+
+            edge.options.handle = async_promise
+            reply = await edge.async_call("/once/x")
+        assert reply.status == 502
+        assert "retry-after" not in reply.headers
+
+
+class TestTimeLimit:
+    """The time limit of a route that ends before a response."""
+
+    async def test_request_at_a_runner_may_have_run(self) -> None:
+        async with RawServer(answer()) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            reply = await edge.async_call("/short/x")
+        assert len(runner.requests) == 1
+        assert reply.status == 504
+
+    async def test_request_that_was_not_sent_is_rejected(self) -> None:
+        async with open_hanging_address() as address, start_edge() as edge:
+            entry = make_runner("r1", service="plain", address=address)
+            edge.view.update_runner(entry)
+            reply = await edge.async_call("/short/x")
+        assert reply.status == 503
+
+
+class TestBrokenRejection:
+    """A rejection that isn't a whole response, or comes before it is due."""
+
+    @pytest.mark.parametrize(
+        "response",
+        [
+            make_response(503, b"full", f"{NAMED}X-Not-Executed: 1\r\n")[:-2],
+            f"HTTP/1.1 503 X\r\n{NAMED}X-Not-Executed: 1\r\n".encode(),
+            f"HTTP/1.1 103 X\r\n{NAMED}X-Not-Executed: 1\r\n\r\n".encode(),
+        ],
+        ids=["body", "head", "interim"],
+    )
+    async def test_it_promises_nothing(self, response: bytes) -> None:
+        async with RawServer(cut(response)) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            reply = await edge.async_call("/once/x")
+        assert reply.status == 502
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,6 +21,12 @@
 """New seeds in which runners send extra responses; a given one only on request too."""
 
 
+PROMISES_DIVISOR: Final = 4
+PROMISES_REMAINDER: Final = 3
+"""New seeds in which runners fail requests with statuses that promise "not run", and
+callers send requests again under their IDs; a given one only on request too."""
+
+
 def main() -> None:
     """Run soaks with the given or new random seeds; exit with 1 if one fails."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -69,6 +75,13 @@
         help="let runners send extra responses where the next ones are due; one new "
         "seed in five does so anyway",
     )
+    parser.add_argument(
+        "--promises",
+        action="store_true",
+        help='let runners fail requests with statuses that promise "not run", and '
+        "callers send requests again under their IDs; one new seed in four does so "
+        "anyway",
+    )
     parser.add_argument("--folder", type=Path, help="folder for the logs")
     options = parser.parse_args()
     seeds = options.seed or [
@@ -93,6 +106,10 @@
                 options.extras
                 or (not options.seed and seed % EXTRAS_DIVISOR == EXTRAS_REMAINDER)
             ),
+            lambda seed: (
+                options.promises
+                or (not options.seed and seed % PROMISES_DIVISOR == PROMISES_REMAINDER)
+            ),
         )
     )
     failed = [each.seed for each in results if each.violations]
@@ -112,6 +129,7 @@
     versions: Callable[[int], bool] = lambda seed: False,
     misbehaving: bool | None = None,
     extras: Callable[[int], bool] = lambda seed: False,
+    promises: Callable[[int], bool] = lambda seed: False,
 ) -> list[Result]:
     """Run one soak for each seed, at most `at_once` at a time."""
     slots = asyncio.Semaphore(at_once)
@@ -131,6 +149,7 @@
                 versions(seed),
                 misbehaving,
                 extras(seed),
+                promises(seed),
             )
             print_result(result)
             return result
@@ -143,6 +162,7 @@
     verdict = "FAILED" if result.violations else "held"
     flag = " --versions" if result.has_versions else ""
     flag += " --extras" if result.has_extras else ""
+    flag += " --promises" if result.has_promises else ""
     print(
         f"seed {result.seed}{flag}: {verdict}, "
         f"{result.served} of {result.calls} served; "
@@ -151,6 +171,7 @@
         f"{result.restores} restores of the store; "
         f"{result.pours} endless responses; "
         f"{result.extras} extra responses; "
+        f"{result.own_failures} false failures, {result.kept_ids} kept ids; "
         f"{result.went_on} of {result.resumed} resumed streams went on; "
         f"{', '.join(result.faults)}",
         flush=True,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,8 +9,8 @@
 import aiohttp
 from attrs import define, field
 
-from .records import RETRY_STATUSES, Call, Kind, Records
-from .runners import CRASH_MARK, EVENT_COUNT
+from .records import RETRY_STATUSES, Call, Kind, Records, make_record_id
+from .runners import CRASH_MARK, EVENT_COUNT, TRY_FIELD
 
 DEADLINE_S = 3.0
 GIVE_UP_SHARE = 0.03
@@ -46,6 +46,9 @@
     popular_models: list[str]
     """Models that most requests use; a fault of the soak changes them."""
 
+    keeps_ids: bool = False
+    """Whether it sends a request again under its ID."""
+
     _addresses: list[str] = field(factory=list, init=False)
     _addresses_valid_until: float = field(default=0.0, init=False)
     _avoided_edges: set[str] = field(factory=set, init=False)
@@ -62,7 +65,7 @@
                 await asyncio.sleep(self.random.uniform(0.01, 0.1))
 
     async def _async_send(self, session: aiohttp.ClientSession, edge: str) -> None:
-        """Send a request, and resend it under new ids where that is safe."""
+        """Send a request, and resend it where that is safe."""
         kind = self.random.choice(CHOICES)
         call = await self.async_call(session, edge, kind)
         for _ in range(RETRIES):
@@ -97,9 +100,14 @@
             original: Earlier call with the same content; None for a new request.
             shared_part: ID of a part of its prompt that other requests share.
         """
-        request_id = f"{next(_request_numbers):08x}"
+        sent_id, tries = f"{next(_request_numbers):08x}", 0
+        if original is not None and self.keeps_ids:
+            sent_id, tries = original.sent_id, original.tries + 1
+        request_id = make_record_id(sent_id, tries)
         call = Call(
             request_id=request_id,
+            sent_id=sent_id,
+            tries=tries,
             kind=kind,
             edge=edge,
             sent_at=time.monotonic(),
@@ -137,7 +145,8 @@
             body = CRASH_MARK + call.crashing.encode()
         headers = {
             "Host": HOST,
-            "X-Request-Id": call.request_id,
+            "X-Request-Id": call.sent_id,
+            TRY_FIELD: str(call.tries),
             "Authorization": f"Bearer {call.key}",
             # The edge must replace it by the customer that the key belongs to.
             "X-Tenant": "somebody else",
@@ -238,10 +247,10 @@
 def find_response_fault(call: Call, text: str) -> str:
     """Return the fault of a successful response; empty if there is none."""
     if call.kind in (Kind.SAFE, Kind.ONCE):
-        expected_body = f"{call.request_id} 50"
+        expected_body = f"{call.sent_id} 50"
         return "" if text == expected_body else f"unexpected body {text!r}"
     expected = "".join(
-        f"id: {number}\ndata: {call.request_id} {number}\n\n"
+        f"id: {number}\ndata: {call.sent_id} {number}\n\n"
         for number in range(1, EVENT_COUNT + 1)
     )
     if len(set(EVENT_VERSION.findall(text))) > 1:
--- a/tests/soak/extras.py
+++ b/tests/soak/extras.py
@@ -12,9 +12,6 @@
 CONTROL_PREFIX = "/v1/"
 """Beginning of the paths of calls without a request ID."""
 
-COPY_SHARE = 0.5
-"""Share of the extra responses to requests that are copies; others name no request."""
-
 LATE_REJECTION = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 """A rejection that belongs to no request."""
 
@@ -27,6 +24,9 @@
     share: float = field(default=0.0, init=False)
     """Share of the responses on kept connections that an extra one precedes."""
 
+    copy_share: float = field(default=0.5, init=False)
+    """Share of the extra responses to requests that are copies; others name none."""
+
     count: int = field(default=0, init=False)
     """Extra responses sent since `take_count`."""
 
@@ -65,7 +65,7 @@
         is_control = request.path.startswith(CONTROL_PREFIX)
         if not isinstance(response, web.Response):
             return LATE_REJECTION
-        if is_control or self.random.random() < COPY_SHARE:
+        if is_control or self.random.random() < self.copy_share:
             return encode(response)
         return LATE_REJECTION
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -416,6 +416,32 @@
     _end(span)
 
 
+async def async_fail_falsely_periodically(
+    world: World, random: Random, stopping: asyncio.Event
+) -> None:
+    """Let runners fail requests with statuses that promise "not run" for periods.
+
+    Once `stopping` is set, at most one more period starts; returns when all have ended.
+    """
+    running: set[asyncio.Task[None]] = set()
+    while not stopping.is_set():
+        await asyncio.sleep(random.uniform(0.1, 1.0))
+        runner = random.choice(world.runners)
+        running.add(world.start_task(_async_fail_falsely(world, runner, random)))
+    await asyncio.gather(*running, return_exceptions=True)
+
+
+async def _async_fail_falsely(
+    world: World, runner: RunnerStandIn, random: Random
+) -> None:
+    """Let a runner fail some requests with statuses that promise "not run"."""
+    span = world.records.begin("runners fail falsely")
+    runner.own_failure_share = random.uniform(0.05, 0.4)
+    await asyncio.sleep(random.uniform(1.0, 3.0))
+    runner.own_failure_share = 0.0
+    _end(span)
+
+
 async def _async_pour(world: World, runner: RunnerStandIn, random: Random) -> None:
     """Let a runner answer some requests with bytes without end."""
     span = world.records.begin("runners pour")
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -2,6 +2,7 @@
 
 import time
 from bisect import bisect_left
+from collections import Counter
 from enum import Enum
 from random import Random
 
@@ -93,9 +94,17 @@
     """One request of a caller, and its result."""
 
     request_id: str
+    """Its ID, with the number of the try if the caller has sent this ID before."""
+
     kind: Kind
     edge: str
     sent_at: float
+    sent_id: str = ""
+    """Its ID as it was sent."""
+
+    tries: int = 0
+    """How often the caller has sent this ID before."""
+
     version: int | None = None
     """Version of the configuration that added its route; None for the first routes."""
 
@@ -151,6 +160,16 @@
     """Whether a request caused it, which doesn't excuse sending the request again."""
 
 
+def make_record_id(sent_id: str, tries: int) -> str:
+    """Return the ID under which a request is recorded.
+
+    Args:
+        sent_id: Its ID as it was sent.
+        tries: How often the caller has sent this ID before.
+    """
+    return f"{sent_id}.{tries}" if tries else sent_id
+
+
 @define(eq=False)
 class Records:
     """All observations from outside the system."""
@@ -177,6 +196,10 @@
     extras: int = field(default=0, init=False)
     """Number of responses that runners sent beside the due ones."""
 
+    own_failures: int = field(default=0, init=False)
+    """Requests that runners ran and then failed with a status that promises the
+    opposite."""
+
     pours: list[str] = field(factory=list, init=False)
     """IDs of the requests that runners answered with bytes without end."""
 
@@ -300,6 +323,7 @@
         violations = list(self.violations)
         for call in self.calls.values():
             violations += self._check_call(call)
+        violations += self._check_tries()
         violations += self._check_versions()
         for service in self.arrivals:
             violations += self.check_retries(service)
@@ -397,6 +421,25 @@
             violations.append(f"lost: {name} at {call.edge} got no complete response")
         return violations
 
+    def _check_tries(self) -> list[str]:
+        """Check that a request runs once at most over all tries under one ID.
+
+        Callers send it again only after a promise that it has not run.
+        """
+        runs: Counter[str] = Counter()
+        for call in self.calls.values():
+            if call.kind.runs_once and call.sent_id:
+                runs[call.sent_id] += bool(self.runs.get(call.request_id))
+        return [
+            f"twice: {sent_id} ran in {count} tries"
+            for sent_id, count in runs.items()
+            if count > 1
+        ]
+
+    def count_kept_ids(self) -> int:
+        """Return the number of requests that were sent again under their ID."""
+        return sum(call.tries > 0 for call in self.calls.values())
+
     def _check_versions(self) -> list[str]:
         """Check that a version is applied in time, and never reverts in a process."""
         violations = []
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -16,7 +16,7 @@
 from ..upstreams.pouring import POURS, UNFRAMED
 from .copies import Copier, LiveRun
 from .extras import ExtraResponses
-from .records import Records, Run
+from .records import Records, Run, make_record_id
 from .signals import Leaving, LimitPeriod
 from .store import StoreStandIn
 from .streams import Segment
@@ -43,6 +43,15 @@
 PAUSE_S = 1.3
 """Pause of a preempted stream, below the two seconds after which callers leave."""
 
+UNNAMED_SHARE = 0.3
+"""Share of these failures that don't name their request."""
+
+TRY_FIELD = "X-Try"
+"""Header field with the number of times that the caller has sent the ID before."""
+
+OWN_FAILURES = (408, 429, 503)
+"""Statuses with which a runner fails a request, though they promise "not run"."""
+
 POUR_BLOCK_BYTES = 65_536
 POUR_POLL_S = 0.005
 
@@ -94,6 +103,10 @@
     pour_share: float = field(default=0.0, init=False)
     """Share of the requests that it answers with bytes without end."""
 
+    own_failure_share: float = field(default=0.0, init=False)
+    """Share of the requests that it runs, and then fails with a status that promises
+    the opposite."""
+
     runs_on: bool = field(default=False, init=False)
     """Whether it goes on with the stream of a client that has disconnected."""
 
@@ -296,8 +309,10 @@
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers.get("X-Request-Id", "")
-        sender = self._find_sender(request, request_id)
-        self.records.record_arrival(self.service, self.runner_id, request_id, sender)
+        tries = int(request.headers.get(TRY_FIELD) or 0)
+        record_id = make_record_id(request_id, tries)
+        sender = self._find_sender(request, record_id)
+        self.records.record_arrival(self.service, self.runner_id, record_id, sender)
         if self.random.random() < self.reject_share:
             return self._reject(request_id, 503, sender)
         if self.pour_share and self.random.random() < self.pour_share:
@@ -317,7 +332,7 @@
                 return self._reject(request_id)
         signature = f"{self.runner_id}.{request_id}.{next(_unique_numbers)}"
         if self.models is not None and "Kv-From" in request.headers:
-            return await self._async_stream(request, request_id, signature)
+            return await self._async_stream(request, record_id, signature)
         crashing_part = find_crashing_part(request)
         run = Run(
             runner_id=self.runner_id,
@@ -329,13 +344,24 @@
             if body.startswith(CRASH_MARK)
             else crashing_part,
         )
-        self.records.record_run(request_id, run)
+        self.records.record_run(record_id, run)
         if run.crashing:
             return await self._async_crash_on_request(request, run)
+        if self.own_failure_share and self.random.random() < self.own_failure_share:
+            return await self._async_fail(request_id, signature)
         if self.models is None:
             headers = self._make_headers(request_id, signature)
             return await self._async_respond(request, headers, body)
-        return await self._async_stream(request, request_id, signature)
+        return await self._async_stream(request, record_id, signature)
+
+    async def _async_fail(self, request_id: str, signature: str) -> web.Response:
+        """Fail a request that was run, with a status that promises the opposite."""
+        await asyncio.sleep(WORK_S)
+        self.records.own_failures += 1
+        headers = self._make_headers(request_id, signature)
+        if self.random.random() < UNNAMED_SHARE:
+            del headers["X-Request-Id"]
+        return web.Response(status=self.random.choice(OWN_FAILURES), headers=headers)
 
     def _make_headers(self, request_id: str, signature: str) -> dict[str, str]:
         """Return the headers of a successful response."""
@@ -391,15 +417,16 @@
         return web.Response(text=text, headers=headers)
 
     async def _async_stream(
-        self, request: web.Request, request_id: str, signature: str
+        self, request: web.Request, record_id: str, signature: str
     ) -> web.StreamResponse:
         """Generate a stream, of a new run or of one that is continued."""
+        request_id = request.headers.get("X-Request-Id", "")
         run = self.copier.begin(request, signature)
         if run is None:
             return self._reject(request_id, 503)
         is_continued = run.signature != signature
         segment = Segment(self.runner_id, run.signature, is_continued)
-        self.records.streams.begin(request_id, segment)
+        self.records.streams.begin(record_id, segment)
         response = web.StreamResponse(
             headers=self._make_headers(request_id, run.signature)
         )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
     FAULTS,
     PLANNED,
     async_cut_edges_periodically,
+    async_fail_falsely_periodically,
     async_misbehave_periodically,
     async_reject_periodically,
     async_restore_periodically,
@@ -109,6 +110,16 @@
     extras: int = 0
     """Number of extra responses."""
 
+    has_promises: bool = False
+    """Whether runners failed requests with statuses that promise "not run", and callers
+    kept the IDs of their requests."""
+
+    own_failures: int = 0
+    """Requests that runners failed so."""
+
+    kept_ids: int = 0
+    """Requests that callers sent again under their IDs."""
+
     restores: int = 0
     """Number of times that the store came back from a copy."""
 
@@ -165,6 +176,7 @@
     versions: bool = False,
     misbehaving: bool | None = None,
     extras: bool = False,
+    promises: bool = False,
 ) -> Result:
     """Run one soak.
 
@@ -182,17 +194,22 @@
         misbehaving: Whether runners leave unannounced, run on or send bytes without
             end; None: derived from the seed.
         extras: Whether runners send extra responses.
+        promises: Whether runners fail requests with statuses that promise "not run",
+            and callers send requests again under their IDs.
     """
-    result = Result(seed, has_versions=versions, has_extras=extras)
+    result = Result(
+        seed, has_versions=versions, has_extras=extras, has_promises=promises
+    )
     if crashing is None:
         crashing = 2 if seed % CRASHING_DIVISOR == CRASHING_REMAINDER else 0
     async with Launcher(folder) as launcher:
-        world = World(seed, launcher, edges=edges)
+        world = World(seed, launcher, edges=edges, keeps_ids=promises)
         if versions:
             world = World(
                 seed,
                 launcher,
                 edges=edges,
+                keeps_ids=promises,
                 engines=ENGINES_OF_VERSIONS,
                 software_versions=VERSIONS,
             )
@@ -224,6 +241,8 @@
             periods.start(world, async_misbehave_periodically)
         if extras:
             periods.start(world, async_send_extras_periodically)
+        if promises:
+            periods.start(world, async_fail_falsely_periodically)
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result, periods)
@@ -234,6 +253,8 @@
     result.restores = world.records.restores
     result.pours = len(world.records.pours)
     result.extras = world.records.extras
+    result.own_failures = world.records.own_failures
+    result.kept_ids = world.records.count_kept_ids()
     result.crashes = sum(len(each) for each in world.records.crashes.values())
     result.wrongly_blocked = world.records.count_wrongly_blocked()
     result.violations += world.records.check()
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -2,7 +2,7 @@
 
 import time
 
-from .records import RETRY_WINDOW_S, Call, Kind, Records, Run
+from .records import RETRY_WINDOW_S, Call, Kind, Records, Run, make_record_id
 
 
 def make_call(records: Records, kind: Kind = Kind.ONCE, **fields: object) -> Call:
@@ -50,6 +50,23 @@
             "rejected: non_idempotent q ran though status 503 was returned"
         ]
 
+    def test_request_that_runs_in_two_tries_under_one_id(self) -> None:
+        records = Records()
+        for tries in (0, 1):
+            record_id = make_record_id("q", tries)
+            records.calls[record_id] = Call(
+                request_id=record_id,
+                kind=Kind.ONCE,
+                edge="e",
+                sent_at=time.monotonic(),
+                sent_id="q",
+                tries=tries,
+            )
+            run = Run(runner_id="i-1", at=time.monotonic(), signature="s")
+            records.record_run(record_id, run)
+        assert records.check() == ["twice: q ran in 2 tries"]
+        assert records.count_kept_ids() == 1
+
     def test_response_of_another_request(self) -> None:
         records = Records()
         make_call(records, Kind.STREAM, status=200, whole=True, signature="other")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,9 @@
 EXTRAS_SEED = 10
 """A seed with all faults."""
 
+PROMISES_SEED = 7
+"""A seed with all faults."""
+
 RESTORED_SEED = 17_798_720
 """A seed that failed once: a host that had read a restored store rejected keys for good
 that the store had lost together with their configuration."""
@@ -66,3 +69,9 @@
         result = await async_soak(EXTRAS_SEED, tmp_path, FAULT_S, extras=True)
         assert result.violations == []
         assert result.extras > 0
+
+    async def test_guarantees_hold_beside_false_promises(self, tmp_path: Path) -> None:
+        result = await async_soak(PROMISES_SEED, tmp_path, FAULT_S, promises=True)
+        assert result.violations == []
+        assert result.own_failures > 0
+        assert result.kept_ids > 0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -107,6 +107,9 @@
     engine_models: tuple[str, ...] = ()
     """Models that each runner with an engine holds; empty for others at each."""
 
+    keeps_ids: bool = False
+    """Whether callers send a request again under its ID."""
+
     random: Random = field(init=False)
     records: Records = field(factory=Records, init=False)
     store: StoreStandIn = field(init=False)
@@ -330,6 +333,7 @@
             ],
             models=MODELS,
             popular_models=self.popular_models,
+            keeps_ids=self.keeps_ids,
         )
 
     async def _async_add_node(self, name: str, program: str) -> None:
