Evict no adapter that a request ranking before waits for

Cause: the least recently used adapter was evicted whoever waited for it, and one that was just loaded for a waiting request has not been used yet. Class: a resource that is reserved for nobody between its preparation and its use.

Fix: an adapter that a request may use at this runner is evicted only for one that ranks before that request, so that loads follow the order of the queue.

--- a/mangoway/policy/scheduling/adapters.py
+++ b/mangoway/policy/scheduling/adapters.py
@@ -6,7 +6,7 @@
 
 from .events import SendOrder
 from .orders import can_order, create_order
-from .requests import WaitingRequest
+from .requests import Rank, WaitingRequest
 from .runners import RunnerState
 from .state import SchedulingState
 
@@ -81,6 +81,7 @@
         and adapter not in each.models[model].unloading
     ]
     holders.sort(key=lambda each: _get_holder_rank(each, model, now))
+    first = min(each.rank for each in waiting)
     for runner in holders:
         if runner.engine is None:
             continue
@@ -94,7 +95,7 @@
                 waiting=len(waiting),
                 now=now,
             )
-        victim = _find_victim(runner)
+        victim = _find_victim(state, runner, first, now)
         if victim is not None:
             return create_order(
                 runner,
@@ -116,16 +117,33 @@
     )
 
 
-def _find_victim(runner: RunnerState) -> tuple[str, str] | None:
+def _find_victim(
+    state: SchedulingState, runner: RunnerState, rank: Rank, now: float
+) -> tuple[str, str] | None:
     """Return the least recently used adapter that isn't in use.
 
-    The unload of one that an unfinished run may use would wait for that run.
+    The unload of one that an unfinished run may use would wait for that run. One that
+    requests may use at this runner is evicted only for a request that ranks before
+    them: otherwise adapters would evict each other before a request has used them.
+
+    Args:
+        state: State of the fleet.
+        runner: The runner.
+        rank: Rank of the first request that waits for the adapter to load.
+        now: Time in seconds.
     """
+    queue = state.get_queue(runner.entry.service)
     oldest: tuple[bool, float, str, str] | None = None
     for model, loaded in runner.models.items():
         for adapter in loaded.adapters:
             if runner.is_in_use(model, adapter):
                 continue
+            wanting = queue.get_artifacts(model).get(adapter, ())
+            if any(
+                each.rank <= rank and state.allows(each.grant_request, runner, now)
+                for each in wanting
+            ):
+                continue
             may_wait = runner.unfinished.may_use(model, adapter)
             used_at = loaded.used_at.get(adapter, 0.0)
             if oldest is None or (may_wait, used_at) < oldest[:2]:
