--- a/tests/edge/test_request_log.py
+++ b/tests/edge/test_request_log.py
@@ -12,7 +12,7 @@
 from mangoway.observability.event_log import LogLevel, start_log
 
 from ..upstreams.raw_server import RawServer, answer, make_response
-from .world import make_not_run, make_ok, start_edge
+from .world import SIGNED, make_not_run, make_ok, start_edge
 
 
 @pytest.fixture
@@ -98,3 +98,18 @@
             await edge.async_call("/once/x")
         (served,) = find_lines(log, 250)
         assert served["status"] == 404
+
+
+class TestFailedRequest:
+    """Lines of a request that its runner ran, and failed with a status like 503."""
+
+    async def test_runner_s_promise_is_no_fault_of_this_process(
+        self, log: io.StringIO
+    ) -> None:
+        failure = make_response(503, b"failed", f"X-Request-Id: q1\r\n{SIGNED}")
+        async with RawServer(answer(failure)) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            await edge.async_call("/once/x")
+        (failed,) = find_lines(log, 252)
+        assert failed["status"] == 502
+        assert find_lines(log, 265) == find_lines(log, 267) == []
