--- a/tests/edge/test_promises.py
+++ b/tests/edge/test_promises.py
@@ -227,3 +227,15 @@
             edge.add("r1", runner, "plain")
             reply = await edge.async_call("/once/x")
         assert reply.status == 502
+
+
+class TestMalformedRequest:
+    """A request that its runner rejects as malformed, and states not to have run."""
+
+    async def test_it_is_returned_and_not_sent_again(self) -> None:
+        response = make_response(400, b"bad", f"{NAMED}X-Not-Executed: 1\r\n")
+        async with RawServer(answer(response)) as runner, start_edge() as edge:
+            edge.add("r1", runner, "plain")
+            reply = await edge.async_call("/safe/x")
+        assert (reply.status, reply.body) == (400, b"bad")
+        assert len(runner.requests) == 1
