--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -80,6 +80,20 @@
     """Whether the connection was closed by the runner, which may have crashed."""
 
 
+def is_not_run(head: ResponseHead) -> bool:
+    """Return whether a runner states that it rejected a request without running it."""
+    return head.find(names.NOT_EXECUTED) is not None
+
+
+def is_runner_rejection(head: ResponseHead) -> bool:
+    """Return whether a runner has not run a request that it may get again.
+
+    A status alone proves nothing. A malformed request fails anywhere, so that its
+    response is delivered.
+    """
+    return is_not_run(head) and head.status != STATUS_BAD_REQUEST
+
+
 @define(eq=False)
 class Attempt:
     """Sends a request to a runner or a peer and forwards its response."""
@@ -108,10 +122,8 @@
     on_head: Callable[[ResponseHead], None]
     """Called with the head of the runner's response, whatever its status."""
 
-    is_rejection: Callable[[ResponseHead], bool] = field(
-        default=lambda head: is_not_run(head) and head.status != STATUS_BAD_REQUEST
-    )
-    """Returns whether a response states that the upstream has not run the request."""
+    is_rejection: Callable[[ResponseHead], bool] = is_runner_rejection
+    """Returns whether a response proves that the upstream has not run the request."""
 
     is_id_echoed: bool = True
     """Whether the upstream names the request's ID in each response to it."""
@@ -341,11 +353,6 @@
     return any(head.find(name) is not None for name in names)
 
 
-def is_not_run(head: ResponseHead) -> bool:
-    """Return whether a runner states that it rejected a request without running it."""
-    return head.find(names.NOT_EXECUTED) is not None
-
-
 def is_success(status: int) -> bool:
     """Return whether a status is that of a successful response."""
     return 200 <= status < 300
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -499,7 +499,7 @@
     def _decide(self, result: AttemptResult) -> RetryDecision:
         failed = FailedAttempt(
             verdict=result.verdict,
-            ran_before=self.delivery.history.may_have_run,
+            may_have_run=self.delivery.history.may_have_run,
             runners_tried=len(self._finder.tried_runner_ids),
             was_sent=result.was_sent,
             time_left_s=self._deadline - self._clock(),
--- a/mangoway/policy/edge/retries.py
+++ b/mangoway/policy/edge/retries.py
@@ -44,10 +44,10 @@
     """A failed attempt, with the history of its request."""
 
     verdict: Verdict
-    """Whether this attempt may have run."""
+    """Whether the request ran in this attempt."""
 
-    ran_before: bool
-    """Whether an earlier attempt of the request may have run."""
+    may_have_run: bool
+    """Whether the request may have run, in this attempt or an earlier one."""
 
     runners_tried: int
     """Number of runners that the request was sent to, including this one."""
@@ -66,8 +66,7 @@
     A request that may have run is retried only on an idempotent route; one that
     certainly has not run is retried on any route.
     """
-    may_have_run = failed.ran_before or failed.verdict is not Verdict.NOT_RUN
-    allowed = not may_have_run or route.idempotent
+    allowed = not failed.may_have_run or route.idempotent
     # The number of runners isn't limited after an attempt that has not run: the request
     # may be sent again to the same runner.
     attempts_left = (
@@ -76,4 +75,4 @@
     in_time = failed.time_left_s > MIN_RETRY_TIME_S
     if allowed and attempts_left and in_time and (budget_left or not failed.was_sent):
         return RetryDecision.RETRY
-    return RetryDecision.FAIL if may_have_run else RetryDecision.REJECT
+    return RetryDecision.FAIL if failed.may_have_run else RetryDecision.REJECT
--- a/tests/policy/edge/test_retries.py
+++ b/tests/policy/edge/test_retries.py
@@ -15,7 +15,7 @@
 def make_failed_attempt(verdict: Verdict, **changes: object) -> FailedAttempt:
     fields = {
         "verdict": verdict,
-        "ran_before": False,
+        "may_have_run": verdict is not Verdict.NOT_RUN,
         "runners_tried": 1,
         "was_sent": True,
         "time_left_s": 2.0,
@@ -44,7 +44,7 @@
         )
 
     def test_earlier_attempt_counts(self) -> None:
-        failed = make_failed_attempt(Verdict.NOT_RUN, ran_before=True)
+        failed = make_failed_attempt(Verdict.NOT_RUN, may_have_run=True)
         assert (
             decide_retry(NON_IDEMPOTENT_ROUTE, failed, budget_left=True)
             is RetryDecision.FAIL
