--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from aiohttp import web
@@ -125,6 +126,13 @@
 
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # asyncio reports a handler that is cancelled as an error.
+        with suppress(asyncio.CancelledError):
+            await self._async_relay(reader, writer)
+
+    async def _async_relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._accepted += 1
         host, _, port = self.target.rpartition(":")
