--- a/tests/edge/test_promises.py
+++ b/tests/edge/test_promises.py
@@ -7,11 +7,10 @@
 from mangoway.edge.delivery import Delivery
 from mangoway.http1.messages import Request
 from mangoway.http1.server import Exchange
-from mangoway.models.fleet import Member, Role
 
 from ..fakes.fleet import make_runner
 from ..upstreams.raw_server import RawServer, Script, answer, cut, make_response
-from .unreachable import open_hanging_address
+from .unreachable import make_peer, open_hanging_address
 from .world import (
     SIGNED,
     EdgeWorld,
@@ -32,15 +31,7 @@
 
 def add_peer(edge: EdgeWorld, server: RawServer) -> None:
     """Add an edge to the fleet that sends nothing to runners itself."""
-    member = Member(
-        role=Role.EDGE,
-        host="h2",
-        incarnation="e2",
-        data_centre="dc1",
-        peer_address=server.address,
-        caller_address=server.address,
-    )
-    edge.view.members["edges/e2"] = member
+    edge.view.update_member("members/edge/e2", make_peer("e2", server.address))
 
 
 def reject_again(*response: bytes) -> tuple[Script, list[str]]:
--- a/tests/edge/test_request_log.py
+++ b/tests/edge/test_request_log.py
@@ -12,6 +12,7 @@
 from mangoway.observability.event_log import LogLevel, start_log
 
 from ..upstreams.raw_server import RawServer, answer, make_response
+from .unreachable import make_peer
 from .world import SIGNED, make_not_run, make_ok, start_edge
 
 
@@ -116,3 +117,24 @@
         assert failed["status"] == 502
         for number in (250, 265, 267):
             assert find_lines(log, number) == []
+
+    async def test_rejection_of_a_peer_is_no_promise_after_an_attempt(
+        self, log: io.StringIO
+    ) -> None:
+        async def run(request: bytes, writer: asyncio.StreamWriter) -> None:
+            edge.forwarder.connector.reach.lost_at = 0.0
+            writer.close()
+
+        rejection = make_response(503, b"full")
+        async with (
+            RawServer(run) as runner,
+            RawServer(answer(rejection)) as peer,
+            start_edge() as edge,
+        ):
+            edge.add("r1", runner, "plain")
+            edge.view.update_member("members/edge/e2", make_peer("e2", peer.address))
+            reply = await edge.async_call("/safe/x")
+        assert (len(runner.requests), len(peer.requests)) == (1, 1)
+        (failed,) = find_lines(log, 252)
+        assert failed["status"] == reply.status == 502
+        assert find_lines(log, 251) == find_lines(log, 267) == []
--- a/tests/edge/unreachable.py
+++ b/tests/edge/unreachable.py
@@ -71,13 +71,18 @@
 
 def make_member(name: str, edge: EdgeWorld, data_centre: str = "dc1") -> Member:
     """Return the announcement of an edge."""
+    return make_peer(name, f"127.0.0.1:{edge.port}", data_centre)
+
+
+def make_peer(name: str, caller_address: str, data_centre: str = "dc1") -> Member:
+    """Return the announcement of an edge at an address for callers."""
     return Member(
         host=name,
         role=Role.EDGE,
         data_centre=data_centre,
         incarnation=name,
         peer_address="",
-        caller_address=f"127.0.0.1:{edge.port}",
+        caller_address=caller_address,
     )
 
 
