--- a/tests/edge/test_promises.py
+++ b/tests/edge/test_promises.py
@@ -7,8 +7,9 @@
 from mangoway.edge.delivery import Delivery
 from mangoway.http1.messages import Request
 from mangoway.http1.server import Exchange
+from mangoway.models.routing import RouteKind
 
-from ..fakes.fleet import make_runner
+from ..fakes.fleet import make_route, make_runner
 from ..upstreams.raw_server import RawServer, Script, answer, cut, make_response
 from .unreachable import make_peer, open_hanging_address
 from .world import (
@@ -81,15 +82,26 @@
     @pytest.mark.parametrize("status", PROMISES)
     async def test_request_does_not_run_again(self, status: int) -> None:
         response = make_response(status, b"failed", NAMED + SIGNED)
+        await self.async_check_single_run(answer(response))
+
+    async def test_request_without_a_response_does_not_run_again(self) -> None:
+        await self.async_check_single_run(cut())
+
+    async def async_check_single_run(self, script: Script) -> None:
+        """Check that a request runs once though its route allows several attempts."""
+        route = make_route(
+            RouteKind.NON_IDEMPOTENT, service="plain", prefix="/many/", max_attempts=3
+        )
         async with (
-            RawServer(answer(response)) as first,
-            RawServer(answer(make_ok())) as second,
-            start_edge() as edge,
+            RawServer(script) as first,
+            RawServer(script) as second,
+            start_edge(routes=(route,)) as edge,
         ):
             edge.add("r1", first, "plain")
             edge.add("r2", second, "plain")
-            await edge.async_call("/once/x")
+            reply = await edge.async_call("/many/x")
         assert len(first.requests) + len(second.requests) == 1
+        assert reply.status == 502
 
     async def test_other_failure_is_returned_unchanged(self) -> None:
         response = make_response(500, b"failed", NAMED + SIGNED)
