--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -26,7 +26,7 @@
 from ..edge.signal_tracker import SignalTracker
 from ..edge.startup import StartupCheck
 from ..edge.stream_origins import StreamOrigins
-from ..http1.client import ConnectionPool
+from ..http1.connection_pool import ConnectionPool
 from ..http1.server import ServerOptions, async_listen
 from ..models.crash import RequestIdentity
 from ..models.fleet import Role
--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -11,9 +11,9 @@
     ConnectFailedError,
     Connection,
     ConnectionLostError,
-    ConnectionPool,
     ExchangeFailedError,
 )
+from ..http1.connection_pool import ConnectionPool
 from ..http1.const import BODY_GRACE_S
 from ..http1.messages import Headers, Request, ResponseHead
 from ..http1.response_memory import MemoryShortError
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from ..coordination.view import FleetView
-from ..http1.client import ConnectionPool
+from ..http1.connection_pool import ConnectionPool
 from ..http1.messages import Request
 from ..http1.server import Exchange
 from ..models.crash import RequestIdentity
--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -14,9 +14,9 @@
 from ..http1.client import (
     Connection,
     ConnectionLostError,
-    ConnectionPool,
     async_connect,
 )
+from ..http1.connection_pool import ConnectionPool
 from ..http1.messages import Headers, Request, ResponseHead, drop_headers
 from ..models.fleet import Member
 from ..models.routing import Route
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -6,7 +6,8 @@
 
 from attrs import define, evolve, field
 
-from ..http1.client import ConnectionLostError, ConnectionPool
+from ..http1.client import ConnectionLostError
+from ..http1.connection_pool import ConnectionPool
 from ..http1.messages import Request, ResponseHead
 from ..http1.server import CallerGoneError
 from ..models.routing import Route, RouteKind, ServiceProfile
--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -12,9 +12,9 @@
 from ..http1.client import (
     ConnectFailedError,
     Connection,
-    ConnectionPool,
     async_connect,
 )
+from ..http1.connection_pool import ConnectionPool
 from ..http1.const import CONNECT_TIMEOUT_S
 from ..models.runner import RunnerEntry
 from ..observability import fleet_events as log
--- a/mangoway/http1/json_client.py
+++ b/mangoway/http1/json_client.py
@@ -12,10 +12,10 @@
     BodyLimits,
     ConnectFailedError,
     Connection,
-    ConnectionPool,
     ExchangeFailedError,
     async_connect,
 )
+from .connection_pool import ConnectionPool
 from .const import MAX_REPLY_BYTES
 from .messages import Headers, Request, ResponseHead
 
--- a/tests/edge/test_crash_detector.py
+++ b/tests/edge/test_crash_detector.py
@@ -14,7 +14,7 @@
 )
 from mangoway.edge.runner_connector import RunnerConnector
 from mangoway.edge.runner_ends import RunnerEnds
-from mangoway.http1.client import ConnectionPool
+from mangoway.http1.connection_pool import ConnectionPool
 from mangoway.models.crash import RequestIdentity
 from mangoway.observability.metrics import Metrics
 from mangoway.util.tasks import Tasks
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -21,7 +21,7 @@
 from mangoway.edge.runner_connector import RunnerConnector
 from mangoway.edge.signal_tracker import SignalTracker
 from mangoway.edge.stream_origins import StreamOrigins
-from mangoway.http1.client import ConnectionPool
+from mangoway.http1.connection_pool import ConnectionPool
 from mangoway.http1.server import ServerOptions, async_listen
 from mangoway.models.routing import CallerLimits, Route, RouteKind
 from mangoway.models.runner import RunnerEntry
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -10,11 +10,10 @@
     BodyLimits,
     ConnectFailedError,
     Connection,
-    ConnectionPool,
     ExchangeFailedError,
-    IdleReuseLimit,
     async_connect,
 )
+from mangoway.http1.connection_pool import ConnectionPool, IdleReuseLimit
 from mangoway.http1.const import MAX_NAMED_REQUESTS, MAX_REUSE_IDLE_S, PARTS_PER_TURN
 from mangoway.http1.json_client import CallFailedError, JsonClient
 from mangoway.http1.messages import Request
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,9 +7,10 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
+from typing import Any
 
 from .cuts import OpenConnections
 from .records import Span
@@ -392,15 +393,33 @@
 async def async_send_extras_periodically(
     world: World, random: Random, stopping: asyncio.Event
 ) -> None:
-    """Let runners send extra responses for periods.
+    """Let runners send extra responses for periods, until `stopping` is set."""
+    await _async_disturb_runners(world, random, stopping, 0.6, _async_send_extras)
+
+
+async def async_fail_falsely_periodically(
+    world: World, random: Random, stopping: asyncio.Event
+) -> None:
+    """Let runners fail requests with statuses that promise "not run" for periods."""
+    await _async_disturb_runners(world, random, stopping, 1.0, _async_fail_falsely)
+
+
+async def _async_disturb_runners(
+    world: World,
+    random: Random,
+    stopping: asyncio.Event,
+    max_pause_s: float,
+    disturb: Callable[[World, RunnerStandIn, Random], Coroutine[Any, Any, None]],
+) -> None:
+    """Disturb one runner after the other, some at the same time.
 
     Once `stopping` is set, at most one more period starts; returns when all have ended.
     """
     running: set[asyncio.Task[None]] = set()
     while not stopping.is_set():
-        await asyncio.sleep(random.uniform(0.1, 0.6))
+        await asyncio.sleep(random.uniform(0.1, max_pause_s))
         runner = random.choice(world.runners)
-        running.add(world.start_task(_async_send_extras(world, runner, random)))
+        running.add(world.start_task(disturb(world, runner, random)))
     await asyncio.gather(*running, return_exceptions=True)
 
 
@@ -416,21 +435,6 @@
     _end(span)
 
 
-async def async_fail_falsely_periodically(
-    world: World, random: Random, stopping: asyncio.Event
-) -> None:
-    """Let runners fail requests with statuses that promise "not run" for periods.
-
-    Once `stopping` is set, at most one more period starts; returns when all have ended.
-    """
-    running: set[asyncio.Task[None]] = set()
-    while not stopping.is_set():
-        await asyncio.sleep(random.uniform(0.1, 1.0))
-        runner = random.choice(world.runners)
-        running.add(world.start_task(_async_fail_falsely(world, runner, random)))
-    await asyncio.gather(*running, return_exceptions=True)
-
-
 async def _async_fail_falsely(
     world: World, runner: RunnerStandIn, random: Random
 ) -> None:
