--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -4,7 +4,6 @@
 import errno
 import re
 import socket
-from array import array
 from collections.abc import AsyncIterator, Awaitable, Callable
 from math import inf
 from typing import Any, Final
@@ -38,6 +37,8 @@
 UNREACHABLE_ERRORS: Final = (errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 
+DIGEST_BYTES: Final = 8
+
 SilenceHandler = Callable[[], Awaitable[bool]]
 
 
@@ -137,7 +138,7 @@
         self.requests = 0
         """Requests sent on this connection."""
 
-        self._sent_ids = array("q")
+        self._sent_ids = bytearray()
         """Digests of the IDs of requests that were sent on this connection."""
 
     async def async_send(self, request: Request, request_id: str = "") -> None:
@@ -154,7 +155,7 @@
         self.skipped = 0
         self.requests += 1
         if request_id:
-            self._sent_ids.append(hash(request_id))
+            self._sent_ids += _digest(request_id)
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
@@ -267,7 +268,7 @@
 
         A late response to it could not be told from that to another one with the ID.
         """
-        return bool(request_id) and hash(request_id) in self._sent_ids
+        return bool(request_id) and _digest(request_id) in self._sent_ids
 
     def prepare_reuse(self, now: float) -> bool:
         """Return whether another request may be sent on this connection."""
@@ -275,7 +276,7 @@
         clean = not rest and not closed and not self._reader.at_eof()
         if not clean or self._closes_after or self._writer.is_closing():
             return False
-        if len(self._sent_ids) >= MAX_NAMED_REQUESTS:
+        if len(self._sent_ids) >= MAX_NAMED_REQUESTS * DIGEST_BYTES:
             return False
         try:
             self._http.start_next_cycle()
@@ -454,3 +455,8 @@
     if sock is not None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, NAGLE_OFF)
     return Connection(reader, writer, now)
+
+
+def _digest(request_id: str) -> bytes:
+    """Return a digest of a request's ID, which differs between processes."""
+    return hash(request_id).to_bytes(DIGEST_BYTES, "little", signed=True)
--- a/mangoway/http1/connection_pool.py
+++ b/mangoway/http1/connection_pool.py
@@ -69,8 +69,9 @@
                 ID is not returned.
         """
         idle = self._idle.get(address, [])
-        usable = [each for each in reversed(idle) if not each.has_sent(request_id)]
-        for connection in usable:
+        for connection in tuple(reversed(idle)):
+            if connection.has_sent(request_id):
+                continue
             idle_s = now - connection.idle_since
             if not retryable and idle_s > self.idle_limit.compute_s(now):
                 return None
