--- a/tests/edge/test_request_log.py
+++ b/tests/edge/test_request_log.py
@@ -87,6 +87,7 @@
             )
         (rejected,) = find_lines(log, 266)
         assert rejected["status"] == reply.status == 400
+        assert rejected["request_id"] == "q1"
 
 
 class TestServedRequest:
