Wait longer than recent resets took before a connection counts as one to a runner

Cause: an edge that is cut off from the runners took a connection that stayed open for 50 ms for one to a runner.

Change: a connection of a check must stay open for twice as long as the slowest recent connection that ended without data, up to a second. Data on a new connection ends it.

--- a/mangoway/edge/runner_connector.py
+++ b/mangoway/edge/runner_connector.py
@@ -30,10 +30,6 @@
 CHECK_TIMEOUT_S: Final = 0.3
 """Timeout of the connections of a check."""
 
-KEPT_OPEN_S: Final = 0.05
-"""Time for which a connection of a check must stay open. Something on the way that
-accepts connections to runners which it can't reach resets them at once."""
-
 CHECKED_RUNNERS: Final = 3
 """Runners that one check connects to at once."""
 
@@ -103,8 +99,9 @@
             raise
         finally:
             slow.cancel()
+        opened_at = self.clock()
         connection.on_result = lambda reached: self._handle_result(
-            runner, started_at, reached
+            runner, started_at, opened_at, reached
         )
         return connection
 
@@ -193,11 +190,13 @@
             connection = await self._async_connect(runner, CHECK_TIMEOUT_S)
         except ConnectFailedError:
             return
+        opened_at = self.clock()
+        kept_open_s = self.reach.get_kept_open_s(opened_at)
         try:
-            if await connection.async_is_kept_open(KEPT_OPEN_S):
+            if await connection.async_is_kept_open(kept_open_s):
                 self._record_reached(runner)
             else:
-                self._record_failure(runner, started_at)
+                self._record_reset(runner, started_at, opened_at)
         finally:
             connection.close()
 
@@ -233,18 +232,24 @@
             self._opening.discard(timeout)
 
     def _handle_result(
-        self, runner: RunnerEntry, started_at: float, reached: bool
+        self, runner: RunnerEntry, started_at: float, opened_at: float, reached: bool
     ) -> None:
-        """Handle the first data on a new connection, or its end without any.
-
-        An open connection proves nothing, as something on the way may accept it.
-        """
+        """Handle the first data on a new connection, or its end without any."""
         if reached:
+            self.reach.record_data()
             self._record_reached(runner)
         else:
-            self._record_failure(runner, started_at)
+            self._record_reset(runner, started_at, opened_at)
             self.start_check(started_at)
 
+    def _record_reset(
+        self, runner: RunnerEntry, started_at: float, opened_at: float
+    ) -> None:
+        """Record a connection that was opened, and ended without data."""
+        now = self.clock()
+        self.reach.record_reset(now - opened_at, now)
+        self._record_failure(runner, started_at)
+
     def _record_reached(self, runner: RunnerEntry) -> None:
         lost_s = self.reach.record_reached(runner.runner_id, self.clock())
         self.metrics.unreachable_runners.set(level=0)
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -63,6 +63,22 @@
 """Time for which a runner counts as down after it failed while another was reached:
 the entry of a crashed runner stays for some heartbeats."""
 
+MIN_KEPT_OPEN_S: Final = 0.05
+"""Minimum time for which a connection of a check must stay open. Something on the way
+that accepts connections to runners which it can't reach mostly resets them at once."""
+
+MAX_KEPT_OPEN_S: Final = 1.0
+"""Maximum of that time. Connections that end later without data are mostly those of
+runners that crash, and callers are served through peers meanwhile."""
+
+KEPT_OPEN_RATIO: Final = 2.0
+"""That time in relation to the slowest recent reset of a connection without data. The
+next reset may be slower."""
+
+RESET_MEMORY_S: Final = 5.0
+"""Time without resets after which the slowest one is forgotten. A check of a host that
+is cut off takes less than two seconds."""
+
 RECENTLY_REACHED_S: Final = 0.25
 """Time after an opened connection to any runner in which a failure needs no check of
 the others. Busy edges open several connections a second."""
--- a/mangoway/policy/edge/reach.py
+++ b/mangoway/policy/edge/reach.py
@@ -4,11 +4,23 @@
 several runners fail, and none to any other runner succeeds meanwhile, the fault is
 probably on this host's side. A runner that fails while another is reached is down, and
 says nothing about this host until it is reached again.
+
+An open connection proves little, since something on the way may accept it and reset it
+later. It counts once it has stayed open for longer than recent connections did that
+were reset, and at once if it brings data.
 """
 
 from attrs import define, field
 
-from .const import DOWN_S, MIN_UNREACHABLE_RUNNERS, RECENTLY_REACHED_S
+from .const import (
+    DOWN_S,
+    KEPT_OPEN_RATIO,
+    MAX_KEPT_OPEN_S,
+    MIN_KEPT_OPEN_S,
+    MIN_UNREACHABLE_RUNNERS,
+    RECENTLY_REACHED_S,
+    RESET_MEMORY_S,
+)
 
 
 @define(eq=False)
@@ -28,6 +40,13 @@
     _down_until: dict[str, float] = field(factory=dict, init=False)
     """Runners that failed while others were reached, and until when that counts."""
 
+    _slowest_reset_s: float = field(default=0.0, init=False)
+    """Longest time for which a connection was open before its reset without data, in a
+    series of such resets."""
+
+    _slowest_reset_until: float = field(default=float("-inf"), init=False)
+    """When that time doesn't count any more."""
+
     @property
     def is_lost(self) -> bool:
         """Return whether this host has probably lost its connections to all runners."""
@@ -66,6 +85,31 @@
         """
         return not self.was_reached_since(min(started_at, now - RECENTLY_REACHED_S))
 
+    def get_kept_open_s(self, now: float) -> float:
+        """Return the seconds for which a connection must stay open to count."""
+        if now >= self._slowest_reset_until:
+            return MIN_KEPT_OPEN_S
+        kept_open_s = KEPT_OPEN_RATIO * self._slowest_reset_s
+        return min(MAX_KEPT_OPEN_S, max(MIN_KEPT_OPEN_S, kept_open_s))
+
+    def record_reset(self, open_s: float, now: float) -> None:
+        """Record that a connection ended without data.
+
+        Args:
+            open_s: Seconds for which it was open.
+            now: Time in seconds.
+        """
+        if open_s >= MAX_KEPT_OPEN_S:
+            return
+        if now >= self._slowest_reset_until:
+            self._slowest_reset_s = 0.0
+        self._slowest_reset_s = max(self._slowest_reset_s, open_s)
+        self._slowest_reset_until = now + RESET_MEMORY_S
+
+    def record_data(self) -> None:
+        """Record data on a new connection, so that earlier resets are the runners'."""
+        self._slowest_reset_until = float("-inf")
+
     def record_reached(self, runner_id: str, now: float) -> float | None:
         """Record that a runner was reached.
 
--- a/tests/edge/test_unreachable_runners.py
+++ b/tests/edge/test_unreachable_runners.py
@@ -20,6 +20,7 @@
     add_runners,
     introduce,
     open_hanging_address,
+    open_resetting_address,
     reserve_refusing_address,
 )
 from .world import EdgeWorld, make_event, make_ok, make_stream, start_edge
@@ -27,6 +28,15 @@
 DETECTION_S = 3.0
 """Time from the begin of a cut after which callers are served again."""
 
+RESET_DELAY_S = 0.1
+"""Time after which connections are reset: more than a check waits for at first."""
+
+PAUSE_S = 0.05
+"""Time between two requests while connections are reset late."""
+
+MAX_FAILED = 6
+"""Requests that may fail before and after false signs that runners are reached."""
+
 RESPONSES = {
     "/safe/x": [make_ok()],
     "/once/x": [make_ok()],
@@ -56,6 +66,10 @@
     async with AsyncExitStack() as stack:
         if kind == "hanging":
             unreachable = await stack.enter_async_context(open_hanging_address())
+        elif kind == "reset late":
+            unreachable = await stack.enter_async_context(
+                open_resetting_address(RESET_DELAY_S)
+            )
         else:
             unreachable = stack.enter_context(reserve_refusing_address())
         runner = RawServer(answer(*RESPONSES[path]))
@@ -117,3 +131,19 @@
             reply = await fleet.cut_off.async_call(path)
         assert (reply.status, reply.complete) == (200, True)
         assert len(fleet.runner.requests) == 1
+
+
+@pytest.mark.parametrize("path", list(RESPONSES))
+class TestLateResets:
+    """Something on the way accepts connections and resets them a little later."""
+
+    async def test_requests_are_served_through_a_peer(self, path: str) -> None:
+        async with start_fleet(path, "reset late") as fleet:
+            loop = asyncio.get_running_loop()
+            calls, began = [], loop.time()
+            while loop.time() < began + 2 * DETECTION_S:
+                calls.append(asyncio.create_task(fleet.cut_off.async_call(path)))
+                await asyncio.sleep(PAUSE_S)
+            replies = await asyncio.gather(*calls)
+        failed = [each.status for each in replies if each.status != 200]
+        assert len(failed) <= MAX_FAILED, failed
--- a/tests/edge/unreachable.py
+++ b/tests/edge/unreachable.py
@@ -38,6 +38,18 @@
             each.close()
 
 
+@asynccontextmanager
+async def open_resetting_address(delay_s: float) -> AsyncIterator[str]:
+    """Yield an address at which connections are accepted, and reset after a delay."""
+
+    def reset(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        asyncio.get_running_loop().call_later(delay_s, writer.transport.abort)
+
+    async with await asyncio.start_server(reset, "127.0.0.1", 0) as server:
+        host, port = server.sockets[0].getsockname()
+        yield f"{host}:{port}"
+
+
 @asynccontextmanager
 async def stop_accepting(server: RawServer) -> AsyncIterator[None]:
     """Let a server neither accept nor refuse new connections, and keep its open ones.
--- a/tests/policy/edge/test_reach.py
+++ b/tests/policy/edge/test_reach.py
@@ -1,6 +1,13 @@
 """Tests of the judgement whether a host has lost its connections to all runners."""
 
-from mangoway.policy.edge.const import DOWN_S
+import pytest
+
+from mangoway.policy.edge.const import (
+    DOWN_S,
+    MAX_KEPT_OPEN_S,
+    MIN_KEPT_OPEN_S,
+    RESET_MEMORY_S,
+)
 from mangoway.policy.edge.reach import RunnerReach
 
 
@@ -80,3 +87,38 @@
         reach.record_failure("r1", 0.9, 1.0, 9)
         reach.record_reached("r2", 1.1)
         assert reach.is_witness("r1", 1.1 + DOWN_S)
+
+
+class TestKeptOpen:
+    """How long a connection must stay open to show that a runner is reached."""
+
+    @pytest.mark.parametrize(
+        ("open_s", "expected"),
+        [(0.0, MIN_KEPT_OPEN_S), (0.1, 0.2), (0.8, MAX_KEPT_OPEN_S)],
+    )
+    def test_it_is_longer_than_a_reset_took(
+        self, open_s: float, expected: float
+    ) -> None:
+        reach = RunnerReach()
+        reach.record_reset(open_s, 1.0)
+        assert reach.get_kept_open_s(1.1) == expected
+
+    def test_slowest_reset_counts_until_none_follows(self) -> None:
+        reach = RunnerReach()
+        reach.record_reset(0.2, 1.0)
+        reach.record_reset(0.1, 2.0)
+        assert reach.get_kept_open_s(1.9 + RESET_MEMORY_S) == 0.4
+        assert reach.get_kept_open_s(2.0 + RESET_MEMORY_S) == MIN_KEPT_OPEN_S
+        reach.record_reset(0.1, 2.0 + RESET_MEMORY_S)
+        assert reach.get_kept_open_s(2.1 + RESET_MEMORY_S) == 0.2
+
+    def test_late_end_is_not_one_of_the_way(self) -> None:
+        reach = RunnerReach()
+        reach.record_reset(MAX_KEPT_OPEN_S, 1.0)
+        assert reach.get_kept_open_s(1.1) == MIN_KEPT_OPEN_S
+
+    def test_data_shows_that_resets_were_the_runners(self) -> None:
+        reach = RunnerReach()
+        reach.record_reset(0.2, 1.0)
+        reach.record_data()
+        assert reach.get_kept_open_s(1.1) == MIN_KEPT_OPEN_S
