Judge keys after a restore by the reading before it until the operator may have repeated a write

Cause: after the store came back from a copy, the age of the knowledge about keys counted from before the restore for 2.2 s, the time in which runners and hosts write again. The operator may take 5 s, as the rest of the code expects (REWRITE_S): a key that was taken away in a write that no host had read ran for up to 5.6 s instead of 5 s.

Change: LostWrites holds one such period; the mirror has one for runners and hosts (2.2 s) and one for the operator (5 s), by which keys are judged. A second restore within the period extends it, so that a series counts from before the first.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -17,7 +17,8 @@
 from ..util.clock import read_boot_clock
 from ..util.ticks import async_sleep_to_tick
 from .interfaces import Feed, Follower, Receiver
-from .restore_tracker import RestoreTracker
+from .lost_writes import LostWrites
+from .restore_tracker import REWRITE_S, RestoreTracker
 from .store import (
     Change,
     Changes,
@@ -82,8 +83,8 @@
 back from a copy, the largest fleet would exceed its rates."""
 
 LOST_WRITES_S: Final = 2.2
-"""Time after a restore for which acknowledged writes may still be missing. Runners and
-the operator write what was lost again within about two seconds."""
+"""Time after a restore for which acknowledged writes of runners and of this system may
+still be missing. They write what was lost again within about two seconds."""
 
 FEED_CHECK_S: Final = 0.1
 """Time between two checks of whether the leader still relays the store."""
@@ -120,12 +121,14 @@
     restores: RestoreTracker = field(init=False)
     """What this process knows and a restored store lacks."""
 
-    _certain_at: float = field(default=-1e9, init=False)
-    """`known_at` before the store came back from a copy, the first time of several."""
-
-    _uncertain_until: float = field(default=-1e9, init=False)
-    """Time until which the restored store may lack acknowledged writes."""
+    _lost_writes: LostWrites = field(
+        factory=lambda: LostWrites(LOST_WRITES_S), init=False
+    )
+    """Writes of runners and of this system."""
 
+    _lost_operator_writes: LostWrites = field(
+        factory=lambda: LostWrites(REWRITE_S), init=False
+    )
     _relayed_at: float = field(default=-1e9, init=False)
     """When another process last relayed the state of the store."""
 
@@ -183,15 +186,20 @@
         return self.boot_clock() - self.known_at
 
     def measure_certain_age(self) -> float:
-        """Return for how many seconds an acknowledged write may be unknown here.
+        """Return for how many seconds a write of runners or hosts may be unknown here.
 
         It is the age of the state, unless the store came back from a copy just now:
         what was written since the last reading before may be lost until it is written
         again.
         """
-        if self.clock() < self._uncertain_until:
-            return self.boot_clock() - self._certain_at
-        return self.measure_age()
+        return self._measure_age_with(self._lost_writes)
+
+    def measure_operator_age(self) -> float:
+        """Return for how many seconds a write of the operator may be unknown here."""
+        return self._measure_age_with(self._lost_operator_writes)
+
+    def _measure_age_with(self, lost: LostWrites) -> float:
+        return self.boot_clock() - lost.find_certain_at(self.known_at, self.clock())
 
     def advance_known_at(self, at: float) -> None:
         """Record that all writes acknowledged before a time are mirrored.
@@ -226,7 +234,8 @@
             self.restores.record_removed(known_items.keys() - self.items.keys())
             self._deliver_snapshot(snapshot)
         else:
-            self._record_uncertainty()
+            for lost in (self._lost_writes, self._lost_operator_writes):
+                lost.record_restore(self.known_at, self.clock())
             self.restores.record_restore(known_items, self.items)
             self.receiver.record_restore()
             self._deliver_snapshot(snapshot)
@@ -234,12 +243,6 @@
         self._relay_snapshot(snapshot)
         self.on_synced()
 
-    def _record_uncertainty(self) -> None:
-        now = self.clock()
-        if now >= self._uncertain_until:
-            self._certain_at = self.known_at
-        self._uncertain_until = now + LOST_WRITES_S
-
     def apply_retained(self, items: tuple[Item, ...]) -> None:
         """Apply items that another process knows to be newer than the restored ones."""
         newer = (
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -157,7 +157,7 @@
         )
         self.admission = Admission(
             view=self.process.view,
-            measure_age=self.process.mirror.measure_certain_age,
+            measure_age=self.process.mirror.measure_operator_age,
             revoke_s=settings.revoke_ms / MS_PER_S if settings.revoke_closed else None,
             may_lack_writes=self.process.mirror.restores.may_lack_writes,
         )
--- a/tests/coordination/test_mirror_age.py
+++ b/tests/coordination/test_mirror_age.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mangoway.coordination.mirror import LOST_WRITES_S, Mirror
+from mangoway.coordination.restore_tracker import REWRITE_S
 
 from ..fakes.coordination_store import FakeCoordinationStore, loop_clock
 from ..fakes.polling import async_wait_until
@@ -108,6 +109,23 @@
         assert mirror.measure_certain_age() < 1.0
         task.cancel()
 
+    async def test_operator_may_repeat_writes_later_than_runners(self) -> None:
+        store, clock = FakeCoordinationStore(), ShiftedClock()
+        store.put("k", b"1")
+        mirror = make_mirror(store, clock)
+        task = asyncio.create_task(mirror.async_run())
+        await asyncio.sleep(0.5)
+        copy, began_at = store.copy(), clock()
+        await asyncio.sleep(0.5)
+        store.restore(copy)
+        await async_wait_until(lambda: mirror.era == 1)
+        await asyncio.sleep(REWRITE_S - 0.5)
+        assert mirror.measure_certain_age() < 1.0
+        assert mirror.measure_operator_age() > clock() - began_at - 0.5
+        await asyncio.sleep(1.0)
+        assert mirror.measure_operator_age() < 1.0
+        task.cancel()
+
     async def test_second_restore_extends_the_first(self) -> None:
         """The writes may be lost again before any host has read them."""
         store, clock = FakeCoordinationStore(), ShiftedClock()
