Break responses without a length whose runner doesn't prove to go on

A response without a length or chunks ends with its connection. The kernel of a killed process closes its connections with FIN, as at a complete end, and the edge finished the caller's response in both cases, though it knew the end to be uncertain.

Such an end is now held back until the runner proves to go on: a new connection is accepted and stays open, sooner after the end than another process could have started, or a request that was sent after the end is answered, or the process names the runner's ID. The kernel states when the connection ended, so that a pause of the edge or a slow caller doesn't let a restarted process pass for the runner. Everything else is a lost connection: streams are resumed and safe requests sent again for a credit as before, others fail. Event 268 and mangoway_edge_uncertain_ends_total say what was found.

Responses with a length or chunks open no connection.

The check after a short response for the crash filter is this one now, which spares its connection.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -23,6 +23,7 @@
 from ..observability.event_log import log_event
 from ..platform import headers as names
 from ..platform.requests import list_response_headers
+from ..policy.edge.response_end import ResponseEnd
 from .const import MAX_BUFFERED_BODY_BYTES, MAX_STREAM_BYTES
 from .delivery import Delivery, StreamBrokenError
 from .event_reader import EventReader
@@ -75,8 +76,8 @@
     rejection: BufferedResponse | None = None
     """The response that states that the request has not run, if there is one."""
 
-    has_certain_end: bool = True
-    """Whether the end of a complete response differs from that of a broken one."""
+    end: ResponseEnd = ResponseEnd.FRAMED
+    """What is known about the end of a complete response."""
 
     connection_lost: bool = False
     """Whether the connection was closed by the runner, which may have crashed."""
@@ -134,6 +135,11 @@
     """Returns whether the runner may have been told to stop the stream. Without a
     length, a stopped stream looks like a complete one."""
 
+    judge_end: Callable[[float | None], Awaitable[ResponseEnd]] | None = None
+    """Judges a response that ended with its connection; None if the upstream has no
+    such responses, so that the connection was lost. The argument is the time in seconds
+    since then, None if it is unknown."""
+
     _connection: Connection | None = field(default=None, init=False)
 
     async def async_run(self) -> AttemptResult:
@@ -186,7 +192,11 @@
         if self.kind is RouteKind.STREAMING and is_success(head.status):
             return await self._async_forward_stream(connection, head)
         body = await self._async_read_body(connection)
-        return self._evaluate_response(head, body)
+        end = ResponseEnd.FRAMED
+        if not self.is_rejection(head):
+            # A rejection has no content that could be cut off.
+            end = await self._async_judge_end(connection, head)
+        return self._evaluate_response(head, body, end)
 
     async def _async_send(self, connection: Connection) -> ResponseHead:
         """Send the request and read the head of its response."""
@@ -254,6 +264,7 @@
             raise error("the stream ended within an event")
         if not has_length and self.was_stopped and await self.was_stopped():
             raise ConnectionLostError("the stream was stopped")
+        end = await self._async_judge_end(connection, head)
         self.delivery.start(head, headers)
         self.delivery.finish()
         return AttemptResult(
@@ -261,7 +272,7 @@
             delivered=True,
             status=head.status,
             succeeded=True,
-            has_certain_end=has_length,
+            end=end,
         )
 
     async def _async_read_body(self, connection: Connection) -> bytes:
@@ -274,7 +285,9 @@
         holding.set_body_bytes(0)
         return bytes(body)
 
-    def _evaluate_response(self, head: ResponseHead, body: bytes) -> AttemptResult:
+    def _evaluate_response(
+        self, head: ResponseHead, body: bytes, end: ResponseEnd
+    ) -> AttemptResult:
         status = head.status
         response = BufferedResponse(
             head=head, headers=list_response_headers(head.headers), body=body
@@ -304,9 +317,26 @@
             delivered=True,
             status=status,
             succeeded=not is_not_run(head),
-            has_certain_end=self._has_certain_end(head),
+            end=end,
         )
 
+    async def _async_judge_end(
+        self, connection: Connection, head: ResponseHead
+    ) -> ResponseEnd:
+        """Return what is known about the end of a response that was read to it.
+
+        Raises:
+            ConnectionLostError: If the response may have been cut off.
+        """
+        if self._has_certain_end(head):
+            return ResponseEnd.FRAMED
+        end = ResponseEnd.UNKNOWN
+        if self.judge_end is not None:
+            end = await self.judge_end(connection.measure_since_packet_s())
+        if not end.is_complete:
+            raise ConnectionLostError(f"the response may be cut off: {end.value}")
+        return end
+
     def _has_certain_end(self, head: ResponseHead) -> bool:
         """Return whether the end of a response differs from a lost connection."""
         if self.request.method == b"HEAD" or head.status in BODYLESS_STATUSES:
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -36,6 +36,7 @@
 from .relay import PeerRelay, take_relay_mark
 from .request_handler import RequestHandler
 from .request_log import RequestLog
+from .response_ends import ResponseEnds
 from .responses import STATUS_NO_ROUTE, STATUS_NOT_RUN, make_response
 from .retry_budgets import RetryBudgets
 from .runner_connector import RunnerConnector
@@ -105,11 +106,19 @@
 
     request_numbers: "count[int]" = field(factory=count, init=False)
     runner_ends: RunnerEnds = field(init=False)
+    response_ends: ResponseEnds = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.runner_ends = RunnerEnds(
             self.view, self.crash_detector, self.connector, self.start_task
         )
+        self.response_ends = ResponseEnds(
+            view=self.view,
+            runner_ends=self.runner_ends,
+            metrics=self.metrics,
+            clock=asyncio.get_running_loop().time,
+            start_task=self.start_task,
+        )
 
     async def async_handle(self, request: Request, exchange: Exchange) -> None:
         """Handle a request; cancelled when its caller disconnects."""
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -24,6 +24,7 @@
     RETRY_AFTER_OUTAGE_S,
 )
 from ..policy.edge.origin_search import FoundOrigin
+from ..policy.edge.response_end import ResponseEnd
 from ..policy.edge.retries import FailedAttempt, RetryCause, RetryDecision, decide_retry
 from ..policy.scheduling.events import EndKind, Reject
 from .admission import Admission, Caller, Rejection
@@ -52,6 +53,7 @@
 from .identity import identify_stream
 from .relay import PeerRelay, RelayMark, RequestRelay
 from .request_log import RequestLog
+from .response_ends import ClosedResponse, ResponseEnds
 from .responses import (
     STATUS_FAILED,
     STATUS_NOT_RUN,
@@ -71,6 +73,7 @@
     pool: ConnectionPool
     connector: RunnerConnector
     relay: PeerRelay
+    response_ends: ResponseEnds
     stream_origins: StreamOrigins
 
 
@@ -333,8 +336,19 @@
             was_stopped=None
             if continuation is None
             else continuation.async_was_stopped,
+            judge_end=lambda ago_s: self._async_judge_end(runner, sent_at, ago_s),
         )
 
+    async def _async_judge_end(
+        self, runner: RunnerEntry, sent_at: float, ago_s: float | None
+    ) -> ResponseEnd:
+        """Return whether a response that ended with its connection is complete."""
+        since = sent_at if ago_s is None else max(sent_at, self._clock() - ago_s)
+        response = ClosedResponse(
+            request_id=self.fields.request_id, events=self.delivery.events, since=since
+        )
+        return await self.context.response_ends.async_judge(runner, response)
+
     async def _async_check_crash(self, runner: RunnerEntry) -> None:
         """Start a check whether the runner has crashed.
 
@@ -357,23 +371,14 @@
             await self.context.crash_detector.async_settle(runner)
 
     def _record_success(self, runner: RunnerEntry, result: AttemptResult) -> None:
-        """Record that the request was served, unless its runner may have crashed."""
-        first_at = self._first_event_at
-        has_run_on = first_at is not None and self._clock() - first_at >= EARLY_RUN_S
-        if result.has_certain_end or has_run_on:
-            self.context.crash_filter.record_success(self.log.identity)
-        else:
-            self.context.start_task(self._async_verify_success(runner))
-
-    async def _async_verify_success(self, runner: RunnerEntry) -> None:
-        """Record a success if the runner goes on.
+        """Record that the request was served, unless its runner may have crashed.
 
-        A short response that ends with its connection looks the same if it crashed.
+        A runner that is not listed and goes on may still be about to end.
         """
-        await self._async_check_crash(runner)
-        await self.context.crash_detector.async_settle(runner)
-        is_listed = self.context.view.is_listed(runner)
-        if is_listed and not self.context.crash_detector.has_crashed(runner):
+        first_at = self._first_event_at
+        has_run_on = first_at is not None and self._clock() - first_at >= EARLY_RUN_S
+        is_framed = result.end is ResponseEnd.FRAMED
+        if is_framed or has_run_on or self.context.view.is_listed(runner):
             self.context.crash_filter.record_success(self.log.identity)
 
     def _recheck_admission(self) -> Rejection | None:
@@ -451,6 +456,7 @@
     def _handle_head(
         self, runner: RunnerEntry, head: ResponseHead, sent_at: float
     ) -> None:
+        self.context.response_ends.record_answer(runner, sent_at, head.status)
         signals = decode_signals(head.headers, head.status)
         self._may_end_limit = signals.is_limit_known and signals.limit is None
         if self._may_end_limit:
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -57,8 +57,6 @@
             result: The result of the attempt whose response it was.
         """
         delivery, status = self.delivery, result.status
-        if not result.has_certain_end:
-            self.metrics.stream_faults.add(self._route_name, "closed")
         first_s = (delivery.first_at or self.clock()) - delivery.arrived_at
         self._count("served", status)
         name = self._route_name
@@ -80,7 +78,7 @@
                 seconds=self._measure_seconds(),
                 longest_gap_s=round(delivery.longest_gap_s, 4),
                 events=delivery.events,
-                end="framed" if result.has_certain_end else "closed",
+                end=result.end.value,
                 duplicates=delivery.duplicates,
                 gaps=delivery.gaps,
                 objective_s=self.route.objective_s if self.route else 0.0,
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -4,6 +4,7 @@
 import errno
 import re
 import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from math import inf
 from typing import Any, Final
@@ -37,6 +38,14 @@
 UNREACHABLE_ERRORS: Final = (errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 
+TCP_INFO_BYTES: Final = 60
+LAST_ACK_RECEIVED_OFFSET: Final = 56
+"""Position of `tcpi_last_ack_recv`, in milliseconds, in Linux' `struct tcp_info`. All
+packets acknowledge something, that with the end of the connection as well."""
+
+PACKET_TIME_ERROR_S: Final = 0.01
+"""Largest error of that time, which counts the kernel's ticks of 1 to 10 ms."""
+
 DIGEST_BYTES: Final = 8
 
 SilenceHandler = Callable[[], Awaitable[bool]]
@@ -298,6 +307,21 @@
         address = self._writer.get_extra_info("sockname")
         return int(address[1]) if address else 0
 
+    def measure_since_packet_s(self) -> float | None:
+        """Return the seconds since the last packet of the upstream; None if unknown.
+
+        Once the connection has ended, that is the packet with its end: the kernel notes
+        the time also of one that this process reads late.
+        """
+        sock = self._writer.get_extra_info("socket")
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+            since_ms: int = struct.unpack_from("=I", info, LAST_ACK_RECEIVED_OFFSET)[0]
+        except (AttributeError, OSError, struct.error):
+            # The system offers no such figures.
+            return None
+        return since_ms / 1000 + PACKET_TIME_ERROR_S
+
     def count_unread(self) -> int:
         """Return the bytes that were received and not read yet."""
         buffered: Any = getattr(self._reader, "_buffer", b"")
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -96,7 +96,8 @@
     events: int
     end: str
     """How the end of the response was told from a lost connection: `framed` if the
-    runner's response had a length or chunks, `closed` if its connection ended it."""
+    runner's response had a length or chunks, `goes_on` if its connection ended it and
+    the runner goes on."""
 
     duplicates: int
     """Events dropped because the caller had them already."""
@@ -331,6 +332,28 @@
 # 3xx: runners.
 
 
+@numbered(268, LogLevel.WARNING)
+class UncertainEndBroken:
+    """A response that ended with its connection is taken for cut off.
+
+    It had neither a length nor chunks, and its runner doesn't prove to go on.
+    """
+
+    request_id: str
+    life: str
+    """Incarnation of the runner."""
+
+    found: str
+    """`ended` (its process), `replaced` (by another process at its address) or
+    `unknown`."""
+
+    events: int
+    """Events of the stream that the caller has."""
+
+    judged_s: float
+    """Time for which the end was held back."""
+
+
 @numbered(350, LogLevel.INFO)
 class RunnerSeen:
     """A runner was found or has restarted, or its draining state changed."""
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -304,10 +304,15 @@
         self.stream_faults = self._counter(
             "mangoway_edge_stream_faults_total",
             "What an edge found wrong with the responses of runners, by route: events "
-            "that the caller had already (duplicate), that are missing (gap), and "
-            "served responses that ended with their connection (closed).",
+            "that the caller had already (duplicate), and that are missing (gap).",
             ("route", "fault"),
         )
+        self.uncertain_ends = self._counter(
+            "mangoway_edge_uncertain_ends_total",
+            "Responses of runners that ended with their connections, by service and "
+            "what was found (goes_on: complete; ended, replaced, unknown: broken).",
+            ("service", "found"),
+        )
         self.service_versions = self._gauge(
             "mangoway_edge_service_versions",
             "Software versions that the runners of a service have had recently.",
--- a/mangoway/platform/headers.py
+++ b/mangoway/platform/headers.py
@@ -30,6 +30,9 @@
 """Remaining time in milliseconds, not a point in time."""
 
 EXPECTED_INSTANCE: Final = b"x-expect-instance"
+INSTANCE: Final = b"x-instance-id"
+"""ID of the runner that answers a health check."""
+
 PRIORITY: Final = b"x-request-priority"
 MODEL: Final = b"x-model"
 """`model` or `model/adapter`."""
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -122,3 +122,9 @@
 
 RETRY_AFTER_ORIGIN_S: Final = 0.3
 """Retry-after time of a stream whose origin was not found, as peers did not answer."""
+
+MIN_RESTART_S: Final = 0.1
+"""Least time from the end of a runner's process until another one accepts connections
+at its address. A process that is killed is noticed, started again and has to listen; an
+interpreter alone starts in some 20 to 100 ms. A connection that is accepted sooner was
+accepted by the process that was there before."""
--- a/tests/edge/test_request_log.py
+++ b/tests/edge/test_request_log.py
@@ -109,7 +109,7 @@
         assert served["status"] == 404
 
     @pytest.mark.parametrize(
-        ("framing", "end"), [("Content-Length: 5\r\n", "framed"), ("", "closed")]
+        ("framing", "end"), [("Content-Length: 5\r\n", "framed"), ("", "goes_on")]
     )
     async def test_line_tells_an_end_from_a_closed_connection(
         self, framing: str, end: str, log: io.StringIO
@@ -119,8 +119,8 @@
         async with RawServer(script) as runner, start_edge() as edge:
             edge.add("r1", runner, "plain")
             await edge.async_call("/once/x")
-            counts = edge.forwarder.metrics.stream_faults
-            assert counts.get("route-once", "closed") == (end == "closed")
+            counts = edge.forwarder.metrics.uncertain_ends
+            assert counts.get("plain", "goes_on") == (end == "goes_on")
         (served,) = find_lines(log, 250)
         assert served["end"] == end
 
