--- a/tests/services/test_client.py
+++ b/tests/services/test_client.py
@@ -40,6 +40,25 @@
             status=status, content_type="text/x", body=b"[1]"
         )
 
+    async def test_cut_body_without_a_length_is_not_whole(self) -> None:
+        with pytest.raises(MangowayError) as raised:
+            await call(cut(b"HTTP/1.1 200 OK\r\n\r\n[1, 2"))
+        assert raised.value.failure.verdict is Verdict.MAY_HAVE_RUN
+
+    @pytest.mark.parametrize(
+        "response",
+        [
+            b"HTTP/1.1 204 No Content\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        ],
+        ids=["no_content", "chunks", "length"],
+    )
+    async def test_empty_body_with_a_certain_end_is_whole(
+        self, response: bytes
+    ) -> None:
+        assert (await call(cut(response))).body == b""
+
     async def test_request_contains_the_call_and_the_attempt(self) -> None:
         async with (
             RawServer(answer(make_response(200))) as server,
