Fail responses of plain services that have neither a length nor chunks

A gateway passed the part of such a body that had arrived on with status 200: the connection of a killed process ends like that of a whole response. The gateway knows no way to prove that the process goes on, so that the call may have run and its response counts as failed. The protocol of plain services now asks for a length or chunks, which the common servers send.

--- a/mangoway/services/client.py
+++ b/mangoway/services/client.py
@@ -1,8 +1,11 @@
 """HTTP client of plain services."""
 
+import aiohttp
+
 from ..models.errors import ErrorCode, MangowayError
 from ..models.verdict import Verdict
 from ..upstreams.const import (
+    BODYLESS_STATUSES,
     BUSY_STATUSES,
     HEADER_REQUEST_ID,
     HEADER_VERDICT,
@@ -52,6 +55,7 @@
             not_run = response.headers.get(HEADER_VERDICT) == VERDICT_NOT_RUN
             if not_run or response.status in BUSY_STATUSES:
                 raise make_status_error(response)
+            _check_framing(response)
             _check_request_id(response.headers.get(HEADER_REQUEST_ID), attempt)
             return ServiceResponse(
                 status=response.status,
@@ -62,6 +66,22 @@
             )
 
 
+def _check_framing(response: aiohttp.ClientResponse) -> None:
+    """Check that the end of a response differs from a lost connection.
+
+    A body without a length or chunks ends with its connection, as does the connection
+    of a process that is killed.
+    """
+    framing = ("Content-Length", "Transfer-Encoding")
+    has_end = any(each in response.headers for each in framing)
+    if not has_end and response.status not in BODYLESS_STATUSES:
+        raise MangowayError(
+            ErrorCode.UPSTREAM_FAILED,
+            "the response has neither a length nor chunks, so that it may be cut off",
+            Verdict.MAY_HAVE_RUN,
+        )
+
+
 def _check_request_id(echoed: str | None, attempt: ServiceAttempt) -> None:
     if echoed is not None and echoed != attempt.id:
         raise MangowayError(
--- a/mangoway/upstreams/const.py
+++ b/mangoway/upstreams/const.py
@@ -25,3 +25,6 @@
 STATUS_OK: Final = 200
 BUSY_STATUSES: Final = frozenset({429, 503})
 """Statuses by which an upstream reports that it is busy."""
+
+BODYLESS_STATUSES: Final = frozenset({204, 304})
+"""Statuses of responses that end with their head."""
