Test streams that callers resume after all edges have restarted

Runners of a second version join and those of the first one leave. Then all edges are killed at once, also without schedulers or together with them, or are stopped one after the other. Callers resume the streams that they had left after eight events.

--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -38,6 +38,12 @@
 _request_numbers = count(1)
 
 
+def _make_set_event() -> asyncio.Event:
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
 @define(eq=False)
 class CallerStream:
     """A stream over all requests of its caller."""
@@ -82,6 +88,13 @@
     """Whether requests for the rest name the request that brought the first event; if
     not, they name one that nobody has sent."""
 
+    resumes: asyncio.Event = field(factory=_make_set_event)
+    """Set once callers may resume their streams."""
+
+    patience_s: float = 0.0
+    """Time for which callers send further requests for the rest if none brings
+    events."""
+
     stopped: bool = field(default=False, init=False)
     """Whether no further streams are started."""
 
@@ -111,8 +124,13 @@
         if not stream.versions:
             return
         named = origin if self.names_origin else _make_request_id()
-        for _ in range(MAX_RESUMPTIONS):
-            if stream.is_whole:
+        await self.resumes.wait()
+        until = time.monotonic() + self.patience_s
+        for number in count():
+            is_over = number >= MAX_RESUMPTIONS and (
+                stream.went_on or time.monotonic() > until
+            )
+            if stream.is_whole or is_over:
                 return
             stream.resumed = True
             received, address = len(stream.versions), self._choose_edge(address)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -107,6 +107,7 @@
     engine_models: tuple[str, ...] = ()
     """Models that each runner with an engine holds; empty for others at each."""
 
+    route_timeout_s: float = ROUTE_TIMEOUT_S
     keeps_ids: bool = False
     """Whether callers send a request again under its ID."""
 
@@ -153,9 +154,9 @@
         for number in range(self.edges):
             await self._async_add_node(f"edge-{number}", "edge")
             if (number + 1) % EDGES_STARTED_AT_ONCE == 0:
-                await self._async_wait_ready()
+                await self.async_wait_ready()
         self.start_task(self._async_send_heartbeats())
-        await self._async_wait_ready()
+        await self.async_wait_ready()
         for number in range(self.callers):
             caller = self.make_caller(number)
             self.start_task(caller.async_run())
@@ -238,8 +239,13 @@
             self._added_versions.append(self.version)
         document = {
             "version": self.version,
-            "routes": [_make_route(kind) for kind in Kind]
-            + [_make_added_route(version) for version in self._added_versions],
+            "routes": [
+                {**each, "timeout_ms": int(self.route_timeout_s * 1000)}
+                for each in (
+                    *(_make_route(kind) for kind in Kind),
+                    *(_make_added_route(each) for each in self._added_versions),
+                )
+            ],
             "services": [_make_engine_service(), _make_plain_service()],
             "limits": {},
             "tenants": self.records.customers.make_document(),
@@ -371,7 +377,8 @@
         self.nodes.append(node)
         self.start_task(self.async_start_node(node))
 
-    async def _async_wait_ready(self) -> None:
+    async def async_wait_ready(self) -> None:
+        """Wait until all edges are ready."""
         end = time.monotonic() + START_TIMEOUT_S
         async with aiohttp.ClientSession() as session:
             for node in self.nodes:
@@ -413,7 +420,6 @@
         "host": HOST,
         "prefix": {Kind.ONCE: "/once/"}.get(kind, f"/{kind.value}/"),
         "kind": "streaming" if stream else kind.value,
-        "timeout_ms": int(ROUTE_TIMEOUT_S * 1000),
         "target_latency_ms": 300,
         # Streams that can't be resumed are the most urgent, so that they are protected.
         "priority": 1 if kind is Kind.STREAM else 0,
