Log what the origin of a resumed stream is known from

Event 259 says what the version of the first event rests on: a record of this host or of a peer, or whose history shows that there is one version only. Event 260 lists the versions that may have begun the stream. A metric counts the bases of streams that callers resume.

--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -175,7 +175,7 @@
         if isinstance(found, FoundOrigin):
             return found
         if not self.connector.reach.is_lost:
-            request_log.log_unknown_origin(services[0], found.unanswered)
+            request_log.log_unknown_origin(services[0], found)
             rejection = LATE_ORIGIN if found.unanswered else UNKNOWN_ORIGIN
             _reject(request_log.delivery, request_log, rejection)
         return None
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -61,7 +61,7 @@
 from .runner_connector import RunnerConnector
 from .runner_ends import EndEvidence, log_end
 from .runner_finder import RunnerFinder
-from .stream_origins import OWN_RECORD, StreamOrigins
+from .stream_origins import StreamOrigins
 
 
 class HandlerContext(ContinuationContext, Protocol):
@@ -292,8 +292,7 @@
             self.context.plain_grant_provider.in_flight.remove(runner.runner_id)
 
     def _log_resumed(self, runner: RunnerEntry) -> None:
-        told_by = OWN_RECORD if self.resumed is None else self.resumed.told_by
-        self.log.log_resumed(runner, self._finder.constraint.origin, told_by)
+        self.log.log_resumed(runner, self._finder.constraint.origin, self.resumed)
 
     def _make_attempt(self, runner: RunnerEntry, run: ContinuedRun | None) -> Attempt:
         continuation, sent_at = self._continuation, self._sent_at
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -14,9 +14,11 @@
 from ..observability.metrics import Metrics
 from ..platform import headers as names
 from ..platform.requests import RequestFields
+from ..policy.edge.origin_search import FoundOrigin, OriginBasis, UnknownOrigin
 from ..policy.edge.retries import RetryCause, RetryDecision
 from .attempt import AttemptResult
 from .delivery import Delivery
+from .stream_origins import OWN_RECORD
 
 
 @define(eq=False)
@@ -171,14 +173,17 @@
         )
 
     def log_resumed(
-        self, runner: RunnerEntry, origin: StreamOrigin | None, told_by: str
+        self,
+        runner: RunnerEntry,
+        origin: StreamOrigin | None,
+        found: FoundOrigin | None,
     ) -> None:
         """Log that a stream goes on at a runner, if its caller has a part of it.
 
         Args:
             runner: The runner that receives the request.
             origin: What wrote the first event of the stream; None if it is unknown.
-            told_by: Who stated the origin, as in `FoundOrigin`.
+            found: What was found for a caller's request for the rest; None for others.
         """
         by_caller = bool(self.fields.last_event_id)
         if not (self.delivery.events or by_caller):
@@ -190,6 +195,8 @@
         self.metrics.resumed_streams.add(
             runner.service, resumed_by, match if origin_version else "unknown"
         )
+        if by_caller and found is not None:
+            self.metrics.found_origins.add(runner.service, found.basis.value)
         log_event(
             log.StreamResumed(
                 request_id=self.fields.request_id,
@@ -198,23 +205,25 @@
                 runner_id=runner.runner_id,
                 origin_version=origin_version,
                 version=version,
-                told_by=told_by,
+                told_by=OWN_RECORD if found is None else found.told_by,
+                basis=OriginBasis.OWN_RECORD if found is None else found.basis,
             )
         )
 
-    def log_unknown_origin(self, service: str, unanswered: int) -> None:
+    def log_unknown_origin(self, service: str, unknown: UnknownOrigin) -> None:
         """Log that a stream is not resumed, since its origin is unknown.
 
         Args:
             service: Service of the request.
-            unanswered: Edges that were asked for the origin and have not answered.
+            unknown: What is known of the origin.
         """
         self.metrics.unknown_origins.add(service)
         log_event(
             log.StreamOriginUnknown(
                 request_id=self.fields.request_id,
                 origin_id=self.fields.resumes,
-                unanswered=unanswered,
+                unanswered=unknown.unanswered,
+                versions=tuple(" ".join(each) for each in unknown.versions),
             )
         )
 
--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -29,6 +29,7 @@
 from ..policy.edge.origin_search import (
     FoundOrigin,
     OriginAnswer,
+    OriginBasis,
     OriginSearch,
     UnknownOrigin,
 )
@@ -136,7 +137,9 @@
         """
         own = self._answer(digest, services)
         if own.origin is not None:
-            return FoundOrigin(origin=own.origin, told_by=OWN_RECORD)
+            return FoundOrigin(
+                origin=own.origin, told_by=OWN_RECORD, basis=OriginBasis.OWN_RECORD
+            )
         agreed = self._get_agreed(services)
         if agreed is not None and len(own.evidence.versions) <= 1:
             return agreed
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -250,6 +250,9 @@
     """Who has a record of the first event: "own", or the address of another edge. Empty
     if only one version could have written it."""
 
+    basis: str
+    """What this rests on: a record, or whose knowledge that there is one version."""
+
 
 @numbered(260, LogLevel.WARNING)
 class StreamOriginUnknown:
@@ -262,6 +265,10 @@
     unanswered: int
     """Edges that were asked and have not answered."""
 
+    versions: tuple[str, ...]
+    """Known versions that may have begun it, each after its service. If there is one,
+    no evidence shows that there was no other."""
+
 
 @numbered(265, LogLevel.INFO, limited_by="kind")
 class AttemptNotRun:
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -312,6 +312,12 @@
             "version that began them, by service.",
             ("service",),
         )
+        self.found_origins = self._counter(
+            "mangoway_edge_found_origins_total",
+            "Streams whose callers resumed them and that an edge sent on, by service "
+            "and what the version that began them is known from.",
+            ("service", "basis"),
+        )
         self.origin_bytes = self._counter(
             "mangoway_edge_origin_bytes_total",
             "Bytes of the records of streams that an edge sent to others.",
--- a/mangoway/policy/edge/origin_search.py
+++ b/mangoway/policy/edge/origin_search.py
@@ -1,6 +1,7 @@
 """Decides what is known about the origin of a stream that a caller resumes."""
 
 from collections.abc import Iterable
+from enum import StrEnum
 
 from attrs import define, field, frozen
 
@@ -8,6 +9,19 @@
 from .software_versions import ServiceVersion, VersionEvidence
 
 
+class OriginBasis(StrEnum):
+    """What a decision on the origin of a stream rests on."""
+
+    OWN_RECORD = "own record"
+    PEER_RECORD = "record of a peer"
+    OWN_HISTORY = "own history"
+    """This host has seen all versions within the life of a stream: there was one."""
+
+    PEER_HISTORY = "history of a peer"
+    AGREEMENT = "agreement"
+    """No host that answered knows of another version."""
+
+
 @frozen(kw_only=True)
 class OriginAnswer:
     """What a peer knows about a stream."""
@@ -27,6 +41,8 @@
     """Who has a record: "own" or the address of a peer; empty if there is only one
     version."""
 
+    basis: OriginBasis
+
 
 @frozen(kw_only=True)
 class UnknownOrigin:
@@ -35,6 +51,9 @@
     unanswered: int
     """Peers that have not answered, and may have a record."""
 
+    versions: tuple[ServiceVersion, ...]
+    """All known versions that may have begun it."""
+
 
 @define(eq=False)
 class OriginSearch:
@@ -76,7 +95,9 @@
         self._versions |= answer.evidence.versions
         self._is_certain |= answer.evidence.is_certain
         if answer.origin is not None:
-            self._found = FoundOrigin(origin=answer.origin, told_by=peer)
+            self._found = FoundOrigin(
+                origin=answer.origin, told_by=peer, basis=OriginBasis.PEER_RECORD
+            )
 
     def get_result(self) -> FoundOrigin | UnknownOrigin | None:
         """Return the result; None if an answer may still change it."""
@@ -94,11 +115,21 @@
         is_trusted = self._is_certain or self.is_current or self._answered > 0
         if len(self._versions) == 1 and (is_trusted or has_asked_nobody):
             return self._get_only_origin()
-        return UnknownOrigin(unanswered=len(self._unanswered))
+        return self._make_unknown()
+
+    def _make_unknown(self) -> UnknownOrigin:
+        return UnknownOrigin(
+            unanswered=len(self._unanswered), versions=tuple(sorted(self._versions))
+        )
 
     def _get_only_origin(self) -> FoundOrigin | UnknownOrigin:
         if not self._versions:
-            return UnknownOrigin(unanswered=len(self._unanswered))
+            return self._make_unknown()
         [(service, version)] = self._versions
         origin = StreamOrigin(service=service, software_version=version, runner_id="")
-        return FoundOrigin(origin=origin, told_by="")
+        return FoundOrigin(origin=origin, told_by="", basis=self._get_basis())
+
+    def _get_basis(self) -> OriginBasis:
+        if self.own.is_certain:
+            return OriginBasis.OWN_HISTORY
+        return OriginBasis.PEER_HISTORY if self._is_certain else OriginBasis.AGREEMENT
--- a/tests/policy/edge/test_origin_search.py
+++ b/tests/policy/edge/test_origin_search.py
@@ -6,6 +6,7 @@
 from mangoway.policy.edge.origin_search import (
     FoundOrigin,
     OriginAnswer,
+    OriginBasis,
     OriginSearch,
     UnknownOrigin,
 )
@@ -41,24 +42,31 @@
     return search.get_result()
 
 
-ONLY_V1 = FoundOrigin(origin=V1, told_by="")
+def make_only(basis: OriginBasis) -> FoundOrigin:
+    return FoundOrigin(origin=V1, told_by="", basis=basis)
+
+
+def make_unknown(*versions: str, unanswered: int = 0) -> UnknownOrigin:
+    known = tuple(("llm", each) for each in versions)
+    return UnknownOrigin(unanswered=unanswered, versions=known)
 
 
 class TestOneVersion:
     """Streams that only one version can have begun."""
 
     def test_certain_host_asks_nobody(self) -> None:
-        assert make_search("v1", peers="ab").get_result() == ONLY_V1
+        result = make_search("v1", peers="ab").get_result()
+        assert result == make_only(OriginBasis.OWN_HISTORY)
 
     def test_one_certain_peer_is_enough(self) -> None:
         search = make_search("v1", is_certain=False, peers="ab")
         assert search.get_result() is None
         assert answer(search, "b", "v1", is_certain=False) is None
-        assert answer(search, "a", "v1") == ONLY_V1
+        assert answer(search, "a", "v1") == make_only(OriginBasis.PEER_HISTORY)
 
     def test_host_that_has_just_started_takes_the_version_of_its_peers(self) -> None:
         search = make_search(is_certain=False, peers="a")
-        assert answer(search, "a", "v1") == ONLY_V1
+        assert answer(search, "a", "v1") == make_only(OriginBasis.PEER_HISTORY)
 
     @pytest.mark.parametrize(
         ("is_current", "answered", "is_found"),
@@ -74,7 +82,7 @@
 
     def test_host_alone_trusts_what_it_knows(self) -> None:
         search = make_search("v1", is_certain=False, is_current=False)
-        assert search.get_result() == ONLY_V1
+        assert search.get_result() == make_only(OriginBasis.AGREEMENT)
 
 
 class TestSeveralVersions:
@@ -83,26 +91,26 @@
     def test_record_is_needed(self) -> None:
         search = make_search("v1", "v2", peers="ab")
         assert answer(search, "a", "v1", "v2") is None
-        assert answer(search, "b", "v1", "v2") == UnknownOrigin(unanswered=0)
+        assert answer(search, "b", "v1", "v2") == make_unknown("v1", "v2")
 
     def test_record_of_any_peer_ends_the_search(self) -> None:
         search = make_search("v1", "v2", peers="abc")
-        expected = FoundOrigin(origin=V1, told_by="b")
+        expected = FoundOrigin(origin=V1, told_by="b", basis=OriginBasis.PEER_RECORD)
         assert answer(search, "b", "v1", "v2", origin=V1) == expected
         assert search.end() == expected
 
     def test_version_that_only_a_peer_has_seen_counts(self) -> None:
         search = make_search("v2", is_certain=False, peers="ab")
         assert answer(search, "a", "v1", "v2") is None
-        assert answer(search, "b", "v2") == UnknownOrigin(unanswered=0)
+        assert answer(search, "b", "v2") == make_unknown("v1", "v2")
 
     def test_missing_answers_are_counted(self) -> None:
         search = make_search("v1", "v2", peers="abc")
         answer(search, "a", "v1")
-        assert search.end() == UnknownOrigin(unanswered=2)
+        assert search.end() == make_unknown("v1", "v2", unanswered=2)
 
     def test_nothing_is_known_without_runners(self) -> None:
-        assert make_search().get_result() == UnknownOrigin(unanswered=0)
+        assert make_search().get_result() == make_unknown()
 
     def test_answer_that_nobody_asked_for_is_ignored(self) -> None:
         search = make_search("v1", "v2", peers="a")
