List the versions of the runners' software in the store

Only running processes knew which versions had served. An edge that had just started saw one version, its peers as well, and what none of them knew was taken for what doesn't exist.

The store now lists each version of a service that serves streams. The leading scheduler writes it as soon as it has a runner, or an edge after a while, and writes it again under a new lease while it has runners. The lease outlasts the life of a stream, so that the list covers it whichever processes have ended, and no clock of a host is involved. A version that has left isn't written again and expires. What the store loses is written again by any process that knows it. An edge whose history doesn't cover the life of a stream asks its peers, and then goes by the list; without one, or with two versions in it, it rejects what it has no record of. Answers of peers also say how long ago a version was seen, so that edges that restart one after the other don't forget it. An edge whose own history covers that time ignores the list, which lasts longer.

A caller is told to begin the stream anew. Retry-After is sent only where a peer has not answered, or the store doesn't list the only known version yet.

Tests that took agreement of hosts that have just started for a proof now let the store list the version, and new ones show that agreement alone isn't enough.

--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -1,7 +1,7 @@
 """A process's view of the fleet: configuration, runners, members and leader."""
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Container, Iterator
 from contextlib import contextmanager
 from typing import Final
 
@@ -14,6 +14,7 @@
 from ..models.streams import StreamOrigin
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..policy.edge.software_versions import MAX_VERSIONS, ServiceVersion
 from .members import ANNOUNCEMENTS_PER_S
 from .store import StoreRevision
 
@@ -73,6 +74,13 @@
     """Incarnations of announced edges that the scheduler doesn't reach. The last report
     is kept while no scheduler is heard."""
 
+    recorded_versions: dict[str, ServiceVersion] = field(factory=dict, init=False)
+    """Software versions that the store lists, by store key."""
+
+    lost_versions: set[ServiceVersion] = field(factory=set, init=False)
+    """Those whose records the store lost with an outage, or when it came back from a
+    copy, until `VersionRecorder` takes them."""
+
     leader: Leader | None = field(default=None, init=False)
     _kept_until: float = field(default=0.0, init=False)
     """Time until which removed entries are kept, since they may come back."""
@@ -289,6 +297,36 @@
         self._missing_members.discard(key)
         self.members.pop(key, None)
 
+    def update_version_record(self, key: str, version: ServiceVersion) -> None:
+        """Add the record of a software version; of too many, the first is dropped."""
+        self.recorded_versions[key] = version
+        if len(self.recorded_versions) > MAX_VERSIONS:
+            del self.recorded_versions[next(iter(self.recorded_versions))]
+
+    def remove_version_record(self, key: str, now: float) -> None:
+        """Remove the record of a software version, which has expired or was lost."""
+        version = self.recorded_versions.pop(key, None)
+        if version is not None and now < self._kept_until:
+            self.lost_versions.add(version)
+
+    def keep_only_version_records(self, present: frozenset[str], now: float) -> None:
+        """Remove the records of versions that a snapshot does not contain."""
+        for key in set(self.recorded_versions) - present:
+            self.remove_version_record(key, now)
+
+    def list_recorded_versions(self, services: Container[str]) -> set[ServiceVersion]:
+        """Return the versions of services that the store lists, or has just lost."""
+        known = {*self.recorded_versions.values(), *self.lost_versions}
+        return {each for each in known if each[0] in services}
+
+    def list_current_versions(self, services: Container[str]) -> set[ServiceVersion]:
+        """Return the versions of the current runners of services."""
+        return {
+            (each.service, each.software_version)
+            for each in self.runners.values()
+            if each.service in services
+        }
+
     def list_reachable_edges(self) -> list[Member]:
         """Return the announced edges without absent ones; all if none is left."""
         edges = [each for each in self.members.values() if each.role is Role.EDGE]
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -9,6 +9,7 @@
 
 from ..coordination.clearance_writer import ClearanceWriter
 from ..coordination.crash_reporter import CrashReporter
+from ..coordination.version_recorder import VersionRecorder
 from ..edge.admission import Admission
 from ..edge.caller_memory import make_response_memory
 from ..edge.const import MAX_IDLE_PER_RUNNER, RETRY_AFTER_STOP_S, STOPPING_REASON
@@ -40,6 +41,7 @@
 from ..policy.edge.relaying import RelayPeers
 from ..policy.edge.retry_budget import RetryLimits
 from ..policy.edge.shares import DisconnectedShare, FleetShare
+from ..policy.edge.version_records import choose_edge_delay_s
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import FleetUpdated
 from ..policy.scheduling.state import SchedulingState
@@ -112,6 +114,7 @@
     retry_budgets: RetryBudgets = field(init=False)
     signal_tracker: SignalTracker = field(init=False)
     stream_origins: StreamOrigins = field(init=False)
+    version_recorder: VersionRecorder = field(init=False)
     datagrams: PeerDatagrams = field(init=False)
     disconnected_share: DisconnectedShare = field(factory=DisconnectedShare, init=False)
     forwarder: Forwarder = field(init=False)
@@ -175,6 +178,15 @@
             clock=self.process.clock,
             measure_age=self.process.mirror.measure_certain_age,
         )
+        self.version_recorder = VersionRecorder(
+            store=self.process.store,
+            mirror=self.process.mirror,
+            view=self.process.view,
+            clock=self.process.clock,
+            prefix=OWN_PREFIX,
+            choose_delay_s=self._choose_record_delay_s,
+            history=self.stream_origins.history,
+        )
         self.datagrams = PeerDatagrams(self.stream_origins.handle_datagram)
         self.stream_origins.send = self.datagrams.send
         self.forwarder = self._make_forwarder()
@@ -189,6 +201,7 @@
         self.process.view.on_change += [
             self._handle_view_change,
             self.stream_origins.handle_view_change,
+            self.version_recorder.handle_view_change,
         ]
 
     async def async_start(self) -> None:
@@ -223,6 +236,7 @@
         await self.process.async_start(addresses)
         self.process.keep_running(self.reporter.async_run)
         self.process.keep_running(self.clearance_writer.async_run)
+        self.process.keep_running(self.version_recorder.async_run)
         self.process.keep_running(self._async_sweep)
         self.process.keep_running(self._async_update_shares)
         self.process.keep_running(self._async_log_summaries)
@@ -407,6 +421,11 @@
         members = self.process.view.members.items()
         return [key for key, each in members if each.role is Role.EDGE]
 
+    def _choose_record_delay_s(self) -> float:
+        """Return for how long this edge leaves records of versions to others."""
+        own = OWN_PREFIX + self.process.presence.member.key
+        return choose_edge_delay_s(own, self._list_edges())
+
     def _is_prober(self, shared: RequestIdentity) -> bool:
         """Return whether this edge probes a blocked property of requests."""
         own = OWN_PREFIX + self.process.presence.member.key
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -1,6 +1,7 @@
 """The process `mangoway scheduler`."""
 
 import asyncio
+from math import inf
 from random import Random
 from typing import Final
 
@@ -9,6 +10,7 @@
 from ..coordination.absence import AbsentEdges
 from ..coordination.leadership import Leadership
 from ..coordination.statement_maintainer import StatementMaintainer
+from ..coordination.version_recorder import VersionRecorder
 from ..models.fleet import Role
 from ..models.routing import RoutingTable
 from ..models.signals import LeavingReport, RunnerSignals
@@ -88,6 +90,7 @@
     server: SchedulerServer = field(init=False)
     absent: AbsentEdges = field(init=False)
     statement_maintainer: StatementMaintainer = field(init=False)
+    version_recorder: VersionRecorder = field(init=False)
     orders: OrderSender = field(init=False)
     reports: ReportReader = field(init=False)
     control: RunnerControl = field(factory=RunnerControl, init=False)
@@ -156,6 +159,14 @@
             may_write=lambda: self.leadership.fence is not None,
             prefix=OWN_PREFIX,
         )
+        self.version_recorder = VersionRecorder(
+            store=process.store,
+            mirror=process.mirror,
+            view=process.view,
+            clock=process.clock,
+            prefix=OWN_PREFIX,
+            choose_delay_s=lambda: inf if self.leadership.fence is None else 0.0,
+        )
         self.server.list_absent = self.absent.list_absent
         self.server.plain.use_metrics(process.metrics)
         self.server.transfer_log.metrics = process.metrics
@@ -166,7 +177,10 @@
         process.leader_link.on_message = self._handle_leader_message
         self.control.on_signals = self._handle_signals
         process.mirror.follower = self.server.feed
-        process.view.on_change.append(self._handle_view_change)
+        process.view.on_change += [
+            self._handle_view_change,
+            self.version_recorder.handle_view_change,
+        ]
 
     async def async_start(self) -> None:
         """Listen for edges and start the background tasks.
@@ -183,6 +197,7 @@
             self.server.async_run,
             self.absent.async_run,
             self.statement_maintainer.async_run,
+            self.version_recorder.async_run,
             self._async_track_leadership,
             self.reports.async_run,
             self._async_log_summaries,
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -57,7 +57,9 @@
 NO_VERSION_REASON: Final = "no runner has the software version that began the stream"
 """Reason for not sending a stream on that could only go on at another version."""
 
-UNKNOWN_ORIGIN_REASON: Final = "nobody knows the software version that began the stream"
+UNKNOWN_ORIGIN_REASON: Final = (
+    "nobody knows the software version that began the stream; begin the stream anew"
+)
 """Reason for not sending on a stream that may have begun at another version."""
 
 MAX_STATE_AGE_SHARE: Final = 0.7
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -176,7 +176,7 @@
             return found
         if not self.connector.reach.is_lost:
             request_log.log_unknown_origin(services[0], found)
-            rejection = LATE_ORIGIN if found.unanswered else UNKNOWN_ORIGIN
+            rejection = UNKNOWN_ORIGIN if found.is_final else LATE_ORIGIN
             _reject(request_log.delivery, request_log, rejection)
         return None
 
--- a/mangoway/edge/origin_codec.py
+++ b/mangoway/edge/origin_codec.py
@@ -8,7 +8,7 @@
 
 from ..models.streams import StreamOrigin
 from ..policy.edge.origin_search import OriginAnswer
-from ..policy.edge.software_versions import VersionEvidence
+from ..policy.edge.software_versions import ServiceVersion, VersionEvidence
 
 DIGEST_CHARACTERS: Final = 11
 MAX_DIGESTS: Final = 90
@@ -86,9 +86,16 @@
     answer = message.answer
     origin = None if answer.origin is None else _encode_origin(answer.origin)
     evidence = answer.evidence
-    return orjson.dumps(
-        [ANSWER, message.number, origin, list(evidence.versions), evidence.is_certain]
-    )
+    versions = [_encode_version(each, evidence) for each in evidence.versions]
+    return orjson.dumps([ANSWER, message.number, origin, versions, evidence.is_certain])
+
+
+def _encode_version(
+    version: ServiceVersion, evidence: VersionEvidence
+) -> tuple[str | float, ...]:
+    """Return a row; edges of the previous release read its first two fields."""
+    age_s = evidence.ages_s.get(version)
+    return version if age_s is None else (*version, round(age_s, 3))
 
 
 def decode_message(data: bytes) -> OriginMessage:
@@ -125,13 +132,27 @@
 
 def _decode_answer(fields: Any) -> AnswerMessage:
     versions = frozenset((str(each[0]), str(each[1])) for each in fields[3])
+    ages_s = {
+        (str(each[0]), str(each[1])): _decode_age(each[2])
+        for each in fields[3]
+        if len(each) > 2
+    }
     answer = OriginAnswer(
         origin=None if fields[2] is None else _decode_origin(fields[2]),
-        evidence=VersionEvidence(versions=versions, is_certain=bool(fields[4])),
+        evidence=VersionEvidence(
+            versions=versions, is_certain=bool(fields[4]), ages_s=ages_s
+        ),
     )
     return AnswerMessage(int(fields[1]), answer)
 
 
+def _decode_age(value: Any) -> float:
+    age_s = float(value)
+    if age_s < 0.0:
+        raise ValueError(f"a negative age: {age_s}")
+    return age_s
+
+
 def _encode_origin(origin: StreamOrigin) -> list[str]:
     return [origin.service, origin.software_version, origin.runner_id]
 
--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -14,7 +14,7 @@
 
 from ..coordination.view import FleetView
 from ..models.fleet import Member
-from ..models.routing import Route, RouteKind
+from ..models.routing import Route
 from ..models.streams import StreamOrigin
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
@@ -24,7 +24,6 @@
     ORIGIN_QUERY_INTERVAL_S,
     ORIGIN_QUERY_TIMEOUT_S,
     RECORDS_INTERVAL_S,
-    RETENTION_TIMEOUTS,
 )
 from ..policy.edge.origin_search import (
     FoundOrigin,
@@ -33,8 +32,13 @@
     OriginSearch,
     UnknownOrigin,
 )
-from ..policy.edge.software_versions import VersionEvidence, VersionHistory
+from ..policy.edge.software_versions import (
+    ServiceVersion,
+    VersionEvidence,
+    VersionHistory,
+)
 from ..policy.edge.stream_records import StreamRecords, choose_holders
+from ..policy.edge.version_records import get_retention_s
 from .origin_codec import (
     AnswerMessage,
     DatagramError,
@@ -46,9 +50,6 @@
     encode_records,
 )
 
-DEFAULT_RETENTION_S: Final = 60.0
-"""Time for which records are kept while no configuration states timeouts."""
-
 OWN_RECORD: Final = "own"
 """Who stated an origin of which this host has a record."""
 
@@ -65,6 +66,16 @@
 being seen: the entry of a runner outlasts its last heartbeat by three of them."""
 
 
+@define(eq=False)
+class RunningSearch:
+    """A search that waits for answers."""
+
+    search: OriginSearch
+    asked_at: float
+    result: "asyncio.Future[None]"
+    """Done once the result is certain."""
+
+
 @define(eq=False, kw_only=True)
 class StreamOrigins:
     """The origins of streams, as an edge and its peers know them."""
@@ -96,9 +107,7 @@
 
     _holders: tuple[Member, ...] = field(default=(), init=False)
     _flush: asyncio.TimerHandle | None = field(default=None, init=False)
-    _searches: dict[int, tuple[OriginSearch, "asyncio.Future[None]"]] = field(
-        factory=dict, init=False
-    )
+    _searches: dict[int, RunningSearch] = field(factory=dict, init=False)
     _agreements: dict[tuple[str, ...], tuple[FoundOrigin, float]] = field(
         factory=dict, init=False
     )
@@ -143,7 +152,11 @@
         agreed = self._get_agreed(services)
         if agreed is not None and len(own.evidence.versions) <= 1:
             return agreed
-        search = OriginSearch(own.evidence, is_current=self._is_current())
+        search = OriginSearch(
+            own.evidence,
+            is_current=self._is_current(),
+            backing=self._find_backing(services, own.evidence.versions),
+        )
         peers = self._list_peers()
         search.ask(each.peer_address for each in peers)
         result = search.get_result()
@@ -204,21 +217,47 @@
         """Return what this host knows about a stream."""
         if self._is_outdated:
             self._update_history()
-        since = self.clock() - self._get_retention_s()
+        now = self.clock()
+        since = now - self._get_retention_s()
+        seen = self.history.list_recent(services, since)
+        is_certain = self._is_current() and self.history.covers(since)
+        # Records outlast the life of a stream, so that a host which knows better goes
+        # by what it has seen.
+        recorded = set() if is_certain else self.view.list_recorded_versions(services)
         evidence = VersionEvidence(
-            versions=frozenset(self.history.list_recent(services, since)),
-            is_certain=self._is_current() and self.history.covers(since),
+            versions=frozenset(seen | recorded),
+            is_certain=is_certain,
+            ages_s=self.history.measure_ages(seen, now),
         )
         return OriginAnswer(origin=self.records.find(digest), evidence=evidence)
 
+    def _find_backing(
+        self, services: tuple[str, ...], versions: frozenset[ServiceVersion]
+    ) -> OriginBasis | None:
+        """Return what this host's knowledge of the versions rests on.
+
+        If the store lacks a known version, nobody has written the records of these
+        services, or only just now.
+
+        Args:
+            services: Services that may have begun a stream.
+            versions: Versions of the services that this host knows.
+        """
+        recorded = self.view.list_recorded_versions(services)
+        if recorded and versions <= recorded:
+            return OriginBasis.STORE_RECORDS
+        since = self.clock() - self._get_retention_s()
+        return OriginBasis.GAPPED_HISTORY if self.history.reaches(since) else None
+
     def _handle_answer(self, message: AnswerMessage, sender: str) -> None:
         found = self._searches.get(message.number)
         if found is None:
             return
-        search, changed = found
-        search.handle_answer(sender, message.answer)
-        if search.get_result() is not None and not changed.done():
-            changed.set_result(None)
+        found.search.handle_answer(sender, message.answer)
+        for version, age_s in message.answer.evidence.ages_s.items():
+            self.history.learn(version, found.asked_at - age_s)
+        if found.search.get_result() is not None and not found.result.done():
+            found.result.set_result(None)
 
     def _get_agreed(self, services: tuple[str, ...]) -> FoundOrigin | None:
         """Return the only version that others have agreed on just now."""
@@ -230,7 +269,8 @@
     ) -> FoundOrigin | UnknownOrigin:
         """Ask peers, the nearest first, until the result is certain or time is up."""
         answered = asyncio.get_running_loop().create_future()
-        self._searches[query.number] = search, answered
+        running = RunningSearch(search, self.clock(), answered)
+        self._searches[query.number] = running
         data = encode_query(query)
         asked = {each.peer_address for each in peers[:MAX_FIRST_PEERS]}
         try:
@@ -260,7 +300,8 @@
 
     def _update_mixed(self, since: float) -> None:
         """Update the services with several versions, and tell of their streams."""
-        counts = self.history.count_versions(since)
+        recorded = self.view.recorded_versions.values()
+        counts = self.history.count_versions(since, recorded)
         for service, number in counts.items():
             self.metrics.service_versions.set(service, level=number)
         mixed = frozenset(each for each, number in counts.items() if number > 1)
@@ -329,15 +370,4 @@
 
     def _get_retention_s(self) -> float:
         """Return the time for which a stream may be resumed after it has begun."""
-        table = self.view.table
-        if table is None:
-            return DEFAULT_RETENTION_S
-        longest_s = max(
-            (
-                each.timeout_s
-                for each in table.routes
-                if each.kind is RouteKind.STREAMING
-            ),
-            default=0.0,
-        )
-        return RETENTION_TIMEOUTS * longest_s
+        return get_retention_s(self.view.table)
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -725,3 +725,21 @@
 
     retained: tuple[str, ...]
     """Keys whose known values are newer and stay in use."""
+
+
+@numbered(763, LogLevel.INFO)
+class VersionsRecorded:
+    """This process wrote in the store which software versions the runners have."""
+
+    versions: tuple[str, ...]
+    """Each after its service."""
+
+    lease_s: float
+    """Time for which the store keeps them."""
+
+
+@numbered(764, LogLevel.WARNING)
+class VersionsNotRecorded:
+    """The runners' software versions can't be written in the store until event 763."""
+
+    reason: str
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -7,6 +7,11 @@
 from ..coordination.crashes import STATEMENT_KEYS, StatementError, decode_statement
 from ..coordination.members import LEADER_KEY, MemberError, decode_member
 from ..coordination.store import Change, Changes, Item, Snapshot
+from ..coordination.version_records import (
+    VERSION_KEYS,
+    VersionRecordError,
+    decode_version_record,
+)
 from ..coordination.view import FleetView, Leader
 from ..models.fleet import MEMBER_KEYS
 from ..observability import fleet_events as log
@@ -23,7 +28,9 @@
 
 OWN_LEADER_KEY = OWN_PREFIX + LEADER_KEY
 OWN_MEMBER_KEYS = OWN_PREFIX + MEMBER_KEYS
+OWN_VERSION_KEYS = OWN_PREFIX + VERSION_KEYS
 OWN_STATEMENT_KEYS = tuple(OWN_PREFIX + each for each in STATEMENT_KEYS)
+INVALID_VALUE_ERRORS = (DocumentError, MemberError, StatementError, VersionRecordError)
 
 
 @define(eq=False)
@@ -61,6 +68,7 @@
         )
         self.view.keep_only_runners(runners, now)
         self.view.keep_only_members(keys, now)
+        self.view.keep_only_version_records(keys, now)
         if OWN_LEADER_KEY not in keys:
             self.view.update_leader(None)
         if self._is_restoring:
@@ -103,8 +111,9 @@
     def must_be_rewritten(self, key: str) -> bool:
         """Return whether this system writes an item again that the store has lost.
 
-        These are the crash statements: announcements and the leader's key are bound to
-        leases, and all others belong to the operator and the runners.
+        These are the crash statements: announcements, the leader's key and the records
+        of versions are bound to leases, and all others belong to the operator and the
+        runners. Records of versions are written again by `VersionRecorder`.
         """
         return key.startswith(OWN_STATEMENT_KEYS)
 
@@ -150,13 +159,15 @@
             self.view.remove_member(change.key)
         elif change.key == OWN_LEADER_KEY:
             self.view.update_leader(None)
+        elif change.key.startswith(OWN_VERSION_KEYS):
+            self.view.remove_version_record(change.key, now)
         elif change.key.startswith(OWN_STATEMENT_KEYS):
             self._withdraw_statement(change.key)
 
     def _apply_item(self, item: Item, now: float) -> None:
         try:
             self._decode_and_apply(item, now)
-        except (DocumentError, MemberError, StatementError) as error:
+        except INVALID_VALUE_ERRORS as error:
             self._handle_invalid_value(item.key, str(error))
         else:
             self._failure_counts.pop(item.key, None)
@@ -187,6 +198,11 @@
                 lease_id=item.lease_id,
             )
             self.view.update_leader(leader)
+        elif item.key.startswith(OWN_VERSION_KEYS):
+            record = decode_version_record(
+                item.key.removeprefix(OWN_PREFIX), item.value
+            )
+            self.view.update_version_record(item.key, record.version)
         elif item.key.startswith(OWN_STATEMENT_KEYS):
             self._statements.add(item.key)
             key = item.key.removeprefix(OWN_PREFIX)
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -121,4 +121,5 @@
 don't answer, and callers wait for two seconds at most."""
 
 RETRY_AFTER_ORIGIN_S: Final = 0.3
-"""Retry-after time of a stream whose origin was not found, as peers did not answer."""
+"""Retry-after time of a stream whose origin was not found, as peers did not answer or
+the store doesn't list the versions yet."""
--- a/mangoway/policy/edge/origin_search.py
+++ b/mangoway/policy/edge/origin_search.py
@@ -18,8 +18,12 @@
     """This host has seen all versions within the life of a stream: there was one."""
 
     PEER_HISTORY = "history of a peer"
-    AGREEMENT = "agreement"
-    """No host that answered knows of another version."""
+    STORE_RECORDS = "records in the store"
+    """The store lists the versions within the life of a stream: there is one."""
+
+    GAPPED_HISTORY = "own history with gaps"
+    """This host follows the store for as long as a stream lives, though not always, and
+    no host that answered knows of another version."""
 
 
 @frozen(kw_only=True)
@@ -54,6 +58,14 @@
     versions: tuple[ServiceVersion, ...]
     """All known versions that may have begun it."""
 
+    @property
+    def is_final(self) -> bool:
+        """Return whether asking again soon is of no use.
+
+        If one version is known, the store will soon list all of them.
+        """
+        return not self.unanswered and len(self.versions) != 1
+
 
 @define(eq=False)
 class OriginSearch:
@@ -61,13 +73,19 @@
 
     A record states it. Without one it follows if only one version can have begun the
     stream: no host has seen another one within the life of a stream. A host that has
-    just started, or whose state is old, may have missed one, and asks others.
+    just started, or whose state is old, may have missed one, and asks others. If all
+    have just started, the records of versions in the store decide; that hosts know of
+    no other version doesn't show that there was none.
     """
 
     own: VersionEvidence
     is_current: bool
     """Whether this host's state of the runners is current."""
 
+    backing: OriginBasis | None
+    """What this host's knowledge of the versions rests on if no history covers the life
+    of a stream; None if it rests on nothing."""
+
     _unanswered: set[str] = field(factory=set, init=False)
     _answered: int = field(default=0, init=False)
     _versions: set[ServiceVersion] = field(init=False)
@@ -112,8 +130,9 @@
         if self._found is not None:
             return self._found
         has_asked_nobody = not (self._unanswered or self._answered)
-        is_trusted = self._is_certain or self.is_current or self._answered > 0
-        if len(self._versions) == 1 and (is_trusted or has_asked_nobody):
+        is_heard = self.is_current or self._answered > 0 or has_asked_nobody
+        is_backed = self.backing is not None and is_heard
+        if len(self._versions) == 1 and (self._is_certain or is_backed):
             return self._get_only_origin()
         return self._make_unknown()
 
@@ -123,13 +142,14 @@
         )
 
     def _get_only_origin(self) -> FoundOrigin | UnknownOrigin:
-        if not self._versions:
+        basis = self._get_basis()
+        if not self._versions or basis is None:
             return self._make_unknown()
         [(service, version)] = self._versions
         origin = StreamOrigin(service=service, software_version=version, runner_id="")
-        return FoundOrigin(origin=origin, told_by="", basis=self._get_basis())
+        return FoundOrigin(origin=origin, told_by="", basis=basis)
 
-    def _get_basis(self) -> OriginBasis:
+    def _get_basis(self) -> OriginBasis | None:
         if self.own.is_certain:
             return OriginBasis.OWN_HISTORY
-        return OriginBasis.PEER_HISTORY if self._is_certain else OriginBasis.AGREEMENT
+        return OriginBasis.PEER_HISTORY if self._is_certain else self.backing
--- a/tests/edge/origin_fleet.py
+++ b/tests/edge/origin_fleet.py
@@ -13,6 +13,7 @@
 from mangoway.observability.metrics import Metrics
 
 from ..fakes.fleet import make_route, make_runner, make_table
+from ..fakes.version_records import make_record_key
 
 ROUTE = make_route(timeout_s=10.0)
 RETENTION_S = 20.0
@@ -51,9 +52,12 @@
     edges: list[OriginEdge] = field(factory=list, init=False)
     by_address: dict[str, OriginEdge] = field(factory=dict, init=False)
     runners: list[str] = field(init=False)
+    listed: tuple[str, ...] = field(init=False)
+    """Versions that the store lists: those of the runners, unless a test says so."""
 
     def __attrs_post_init__(self) -> None:
         self.runners = list(self.versions)
+        self.listed = self.versions
         for number in range(self.size):
             self.add(number)
         for each in self.edges:
@@ -85,12 +89,14 @@
             view.members[f"members/{each.member.host}"] = each.member
         for version in self.runners:
             view.update_runner(make_runner(f"r-{version}", software_version=version))
+        self.list_versions(*self.listed)
         return edge
 
     def set_versions(self, *versions: str) -> None:
         """Replace the runners by one of each version."""
         removed = set(self.runners) - set(versions)
         self.runners = list(versions)
+        self.list_versions(*versions)
         for edge in self.edges:
             view = edge.origins.view
             for version in removed:
@@ -99,6 +105,14 @@
                 entry = make_runner(f"r-{version}", software_version=version)
                 view.update_runner(entry)
 
+    def list_versions(self, *versions: str) -> None:
+        """Let the store list versions, and no others."""
+        self.listed = versions
+        for edge in self.edges:
+            edge.origins.view.recorded_versions = {
+                make_record_key(("llm", each)): ("llm", each) for each in versions
+            }
+
     def begin_stream(self, edge: OriginEdge, name: str, origin: StreamOrigin) -> None:
         """Let an edge record a stream."""
         edge.origins.record(identify_stream(None, name), origin, ROUTE)
--- a/tests/edge/test_origin_codec.py
+++ b/tests/edge/test_origin_codec.py
@@ -58,6 +58,28 @@
         message = AnswerMessage(3, OriginAnswer(origin=origin, evidence=evidence))
         assert decode_message(encode_answer(message)) == message
 
+    def test_answer_tells_for_how_long_a_version_was_not_seen(self) -> None:
+        evidence = VersionEvidence(
+            versions=frozenset({("llm", "v1"), ("llm", "v2")}),
+            is_certain=False,
+            ages_s={("llm", "v1"): 2.5},
+        )
+        message = AnswerMessage(3, OriginAnswer(origin=None, evidence=evidence))
+        assert decode_message(encode_answer(message)) == message
+
+    @pytest.mark.parametrize("age", [b"-1.0", b'"x"', b"null", b"[]"])
+    def test_odd_age_is_rejected(self, age: bytes) -> None:
+        data = b'["a",3,null,[["llm","v1",' + age + b"]],false]"
+        with pytest.raises(DatagramError):
+            decode_message(data)
+
+    def test_answer_of_the_previous_release_has_no_ages(self) -> None:
+        message = decode_message(b'["a",3,null,[["llm","v1"]],true]')
+        assert isinstance(message, AnswerMessage)
+        assert message.answer.evidence == VersionEvidence(
+            versions=frozenset({("llm", "v1")}), is_certain=True
+        )
+
     @pytest.mark.parametrize(
         "data",
         [b"", b"\xff", b"1", b"[]", b"{}", b'["x"]', b'["q",1]', b'["a",1,3,4,5]']
--- a/tests/edge/test_relay.py
+++ b/tests/edge/test_relay.py
@@ -14,6 +14,7 @@
 
 from ..fakes.fleet import make_runner
 from ..fakes.polling import async_wait_until
+from ..fakes.version_records import record_current_versions
 from ..upstreams.raw_server import RawServer, Script, answer, cut, make_response
 from .unreachable import (
     RUNNERS,
@@ -66,6 +67,7 @@
             introduce(edge, peer)
             add_runners(edge, refusing)
             add_runners(peer, runner.address if peer_reaches else refusing)
+            record_current_versions(peer.view)
             yield RelayingFleet(edge, peer, runner)
 
 
--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -256,6 +256,85 @@
         assert await fleet.async_find(old, "unknown") is None
 
 
+class TestCoveredHistory:
+    """Edges that have seen all versions within the life of a stream."""
+
+    async def test_record_that_outlasts_the_streams_rejects_none(self) -> None:
+        fleet = OriginFleet(6)
+        fleet.set_versions("v2")
+        fleet.list_versions("v1", "v2")
+        await fleet.async_pass(RETENTION_S + 3.0)
+        assert await fleet.async_find(fleet.edges[0], "s") == V2
+
+
+class TestRestarts:
+    """Edges that all start, so that no history covers the life of a stream."""
+
+    async def test_version_that_the_store_lists_counts(self) -> None:
+        fleet = OriginFleet(6, versions=("v2",))
+        fleet.list_versions("v1", "v2")
+        for edge in fleet.edges:
+            assert await fleet.async_find(edge, "s") is None
+
+    async def test_records_of_streams_are_sent_while_the_store_lists_two_versions(
+        self,
+    ) -> None:
+        fleet = OriginFleet(6, versions=("v2",))
+        fleet.list_versions("v1", "v2")
+        await fleet.async_pass(0.5)
+        fleet.begin_stream(fleet.edges[0], "s", V2)
+        fleet.kill(fleet.edges[0])
+        assert await fleet.async_find(fleet.edges[1], "s") == V2
+
+    async def test_only_version_is_not_taken_for_granted_without_the_store(
+        self,
+    ) -> None:
+        fleet = OriginFleet(6, versions=("v2",))
+        fleet.list_versions()
+        for edge in fleet.edges:
+            assert await fleet.async_find(edge, "s") is None
+
+    async def test_edge_that_is_alone_needs_the_store(self) -> None:
+        fleet = OriginFleet(1, versions=("v2",))
+        fleet.list_versions()
+        assert await fleet.async_find(fleet.edges[0], "s") is None
+        fleet.list_versions("v2")
+        assert await fleet.async_find(fleet.edges[0], "s") == V2
+
+    async def test_old_state_of_the_store_is_enough_for_one_version(self) -> None:
+        fleet = OriginFleet(6, versions=("v1",))
+        for each in fleet.edges:
+            each.age_s = 10.0
+        assert await fleet.async_find(fleet.edges[0], "s") == V1
+
+    async def test_old_version_is_known_after_edges_restart_in_turn(self) -> None:
+        fleet = OriginFleet(4)
+        await fleet.async_pass(RETENTION_S + 1.0)
+        fleet.set_versions("v2")
+        for number, edge in enumerate(list(fleet.edges)):
+            fleet.kill(edge, is_known=True)
+            fleet.edges.remove(edge)
+            started = fleet.add(10 + number)
+            await fleet.async_pass(0.5)
+            assert await fleet.async_find(started, "s") is None
+            await fleet.async_pass(0.5)
+        for edge in fleet.edges:
+            assert await fleet.async_find(edge, "s") is None
+
+    async def test_edges_do_not_keep_a_version_by_telling_each_other(self) -> None:
+        fleet = OriginFleet(4)
+        await fleet.async_pass(RETENTION_S + 1.0)
+        fleet.set_versions("v2")
+        for number in range(4):
+            fleet.add(10 + number)
+        for _ in range(int(RETENTION_S) + 1):
+            for edge in fleet.edges:
+                await fleet.async_find(edge, "s")
+            await fleet.async_pass(1.0)
+        for edge in fleet.edges:
+            assert await fleet.async_find(edge, "s") == V2
+
+
 class TestCost:
     """What the records cost while all streams are of a service with two versions."""
 
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -12,6 +12,7 @@
 from mangoway.models.streams import StreamOrigin
 
 from ..fakes.fleet import make_route
+from ..fakes.version_records import record_current_versions
 from ..upstreams.raw_server import RawServer, Script, answer, cut
 from .second_attempts import add_load
 from .unreachable import (
@@ -218,10 +219,34 @@
     async def test_stream_of_unknown_version_goes_on_if_there_is_only_one(self) -> None:
         async with RawServer(REST) as runner, start_edge() as edge:
             edge.add("r1", runner, "llm", "v1")
+            record_current_versions(edge.view)
             reply = await edge.async_call("/stream/x", headers=RESUMED)
         assert (reply.body, reply.complete) == (make_event(2), True)
         assert b"\r\nResumes: q0\r\n" in runner.requests[0]
 
+    async def test_stream_may_be_sent_again_until_the_store_lists_the_versions(
+        self,
+    ) -> None:
+        async with RawServer(REST) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm", "v1")
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert reply.status == 503
+        assert "retry-after" in reply.headers
+        assert runner.requests == []
+
+    async def test_stream_of_two_listed_versions_is_to_begin_anew(self) -> None:
+        async with RawServer(REST) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm", "v1")
+            record_current_versions(edge.view)
+            edge.view.remove_runner("r1", 0.0)
+            edge.add("r2", runner, "llm", "v2")
+            edge.view.update_version_record("v2", ("llm", "v2"))
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert reply.status == 503
+        assert "retry-after" not in reply.headers
+        assert b"begin the stream anew" in reply.body
+        assert runner.requests == []
+
     async def test_new_stream_is_not_searched_for(self) -> None:
         async with (
             RawServer(answer(*make_stream(make_event(1)))) as first,
