--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -184,8 +184,8 @@
         if isinstance(found, FoundOrigin):
             return found
         if not self.connector.reach.is_lost:
-            request_log.log_unknown_origin(services[0], found.unanswered)
-            rejection = LATE_ORIGIN if found.unanswered else UNKNOWN_ORIGIN
+            request_log.log_unknown_origin(services[0], found)
+            rejection = UNKNOWN_ORIGIN if found.is_final else LATE_ORIGIN
             _reject(request_log.delivery, request_log, rejection)
         return None
 
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -265,6 +265,9 @@
     """Who has a record of the first event: "own", or the address of another edge. Empty
     if only one version could have written it."""
 
+    basis: str
+    """What this rests on: a record, or whose knowledge that there is one version."""
+
 
 @numbered(260, LogLevel.WARNING)
 class StreamOriginUnknown:
@@ -277,6 +280,10 @@
     unanswered: int
     """Edges that were asked and have not answered."""
 
+    versions: tuple[str, ...]
+    """Known versions that may have begun it, each after its service. If there is one,
+    no evidence shows that there was no other."""
+
 
 @numbered(265, LogLevel.INFO, limited_by="kind")
 class AttemptNotRun:
@@ -755,3 +762,21 @@
 
     retained: tuple[str, ...]
     """Keys whose known values are newer and stay in use."""
+
+
+@numbered(763, LogLevel.INFO)
+class VersionsRecorded:
+    """This process wrote in the store which software versions the runners have."""
+
+    versions: tuple[str, ...]
+    """Each after its service."""
+
+    lease_s: float
+    """Time for which the store keeps them."""
+
+
+@numbered(764, LogLevel.WARNING)
+class VersionsNotRecorded:
+    """The runners' software versions can't be written in the store until event 763."""
+
+    reason: str
--- a/mangoway/policy/edge/origin_search.py
+++ b/mangoway/policy/edge/origin_search.py
@@ -1,6 +1,7 @@
 """Decides what is known about the origin of a stream that a caller resumes."""
 
 from collections.abc import Iterable
+from enum import StrEnum
 
 from attrs import define, field, frozen
 
@@ -8,6 +9,23 @@
 from .software_versions import ServiceVersion, VersionEvidence
 
 
+class OriginBasis(StrEnum):
+    """What a decision on the origin of a stream rests on."""
+
+    OWN_RECORD = "own record"
+    PEER_RECORD = "record of a peer"
+    OWN_HISTORY = "own history"
+    """This host has seen all versions within the life of a stream: there was one."""
+
+    PEER_HISTORY = "history of a peer"
+    STORE_RECORDS = "records in the store"
+    """The store lists the versions within the life of a stream: there is one."""
+
+    GAPPED_HISTORY = "own history with gaps"
+    """This host follows the store for as long as a stream lives, though not always, and
+    no host that answered knows of another version."""
+
+
 @frozen(kw_only=True)
 class OriginAnswer:
     """What a peer knows about a stream."""
@@ -27,6 +45,8 @@
     """Who has a record: "own" or the address of a peer; empty if there is only one
     version."""
 
+    basis: OriginBasis
+
 
 @frozen(kw_only=True)
 class UnknownOrigin:
@@ -35,6 +55,17 @@
     unanswered: int
     """Peers that have not answered, and may have a record."""
 
+    versions: tuple[ServiceVersion, ...]
+    """All known versions that may have begun it."""
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether asking again soon is of no use.
+
+        If one version is known, the store will soon list all of them.
+        """
+        return not self.unanswered and len(self.versions) != 1
+
 
 @define(eq=False)
 class OriginSearch:
@@ -42,13 +73,19 @@
 
     A record states it. Without one it follows if only one version can have begun the
     stream: no host has seen another one within the life of a stream. A host that has
-    just started, or whose state is old, may have missed one, and asks others.
+    just started, or whose state is old, may have missed one, and asks others. If all
+    have just started, the records of versions in the store decide; that hosts know of
+    no other version doesn't show that there was none.
     """
 
     own: VersionEvidence
     is_current: bool
     """Whether this host's state of the runners is current."""
 
+    backing: OriginBasis | None
+    """What this host's knowledge of the versions rests on if no history covers the life
+    of a stream; None if it rests on nothing."""
+
     _unanswered: set[str] = field(factory=set, init=False)
     _answered: int = field(default=0, init=False)
     _versions: set[ServiceVersion] = field(init=False)
@@ -76,7 +113,9 @@
         self._versions |= answer.evidence.versions
         self._is_certain |= answer.evidence.is_certain
         if answer.origin is not None:
-            self._found = FoundOrigin(origin=answer.origin, told_by=peer)
+            self._found = FoundOrigin(
+                origin=answer.origin, told_by=peer, basis=OriginBasis.PEER_RECORD
+            )
 
     def get_result(self) -> FoundOrigin | UnknownOrigin | None:
         """Return the result; None if an answer may still change it."""
@@ -91,14 +130,26 @@
         if self._found is not None:
             return self._found
         has_asked_nobody = not (self._unanswered or self._answered)
-        is_trusted = self._is_certain or self.is_current or self._answered > 0
-        if len(self._versions) == 1 and (is_trusted or has_asked_nobody):
+        is_heard = self.is_current or self._answered > 0 or has_asked_nobody
+        is_backed = self.backing is not None and is_heard
+        if len(self._versions) == 1 and (self._is_certain or is_backed):
             return self._get_only_origin()
-        return UnknownOrigin(unanswered=len(self._unanswered))
+        return self._make_unknown()
+
+    def _make_unknown(self) -> UnknownOrigin:
+        return UnknownOrigin(
+            unanswered=len(self._unanswered), versions=tuple(sorted(self._versions))
+        )
 
     def _get_only_origin(self) -> FoundOrigin | UnknownOrigin:
-        if not self._versions:
-            return UnknownOrigin(unanswered=len(self._unanswered))
+        basis = self._get_basis()
+        if not self._versions or basis is None:
+            return self._make_unknown()
         [(service, version)] = self._versions
         origin = StreamOrigin(service=service, software_version=version, runner_id="")
-        return FoundOrigin(origin=origin, told_by="")
+        return FoundOrigin(origin=origin, told_by="", basis=basis)
+
+    def _get_basis(self) -> OriginBasis | None:
+        if self.own.is_certain:
+            return OriginBasis.OWN_HISTORY
+        return OriginBasis.PEER_HISTORY if self._is_certain else self.backing
