Pass each event of a resumed stream on once, whatever its id

Callers got events twice where a runner ignored Last-Event-Id and its ids are not numbers or some are missing; a stream without any id began anew in its middle. Where the next runner counted from one again, or had made other events, its events were dropped as known ones, so that pieces of two runs were joined or the stream ended as complete before its last piece.

An event that has the place of one that the caller has is dropped only if it has the same content; otherwise the attempt is broken off, and events 250 and 252 count it as a conflict. Events without numbers are told apart by their id, or by how many follow the last id. A stream whose events have no ids, or one id for several, is not sent on. What a caller has by its own Last-Event-Id counts as well: such events are dropped, and a gap to them is 502. Digests take four bytes an event.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -249,15 +249,17 @@
     ) -> AttemptResult:
         now = asyncio.get_running_loop().time
         reader = EventReader(connection)
+        self.delivery.order.begin_attempt()
         headers = list_response_headers(head.headers)
         is_first_event_reported = False
         async for data in connection.async_iterate_body(STREAM_LIMITS):
             async for event in reader.async_iterate(data):
-                self.delivery.start(head, headers)
                 if not is_first_event_reported:
                     is_first_event_reported = True
                     self.on_first_event()
-                await self.delivery.async_forward_event(event, now())
+                if self.delivery.is_new(event):
+                    self.delivery.start(head, headers)
+                    await self.delivery.async_forward_event(event, now())
         has_length = self._has_certain_end(head)
         if reader.has_rest:
             error = ExchangeFailedError if has_length else ConnectionLostError
--- a/mangoway/edge/delivery.py
+++ b/mangoway/edge/delivery.py
@@ -8,6 +8,7 @@
 from ..http1.server import Exchange
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..policy.edge.event_order import EventOrder, Placement
 from ..policy.edge.run_history import RunHistory
 from .event_times import EventTimes
 from .responses import PROMISES, STATUS_FAILED, make_response
@@ -19,8 +20,8 @@
 class StreamBrokenError(Exception):
     """A stream can't continue.
 
-    Either an event is missing, or a runner responded without a stream although the
-    caller has already received part of one.
+    An event is missing or belongs to another run, or a runner responded without a
+    stream although the caller has already received part of one.
     """
 
 
@@ -38,6 +39,10 @@
     gaps: int = field(default=0, init=False)
     """Attempts that were broken off since an event was missing."""
 
+    conflicts: int = field(default=0, init=False)
+    """Attempts that were broken off since an event belongs to another run."""
+
+    order: EventOrder = field(factory=EventOrder, init=False)
     last_event_id: str | None = field(default=None, init=False)
     first_at: float | None = field(default=None, init=False)
     longest_gap_s: float = field(default=0.0, init=False)
@@ -49,38 +54,51 @@
     """The attempts to serve the request."""
 
     _last_at: float = field(default=0.0, init=False)
-    _last_number: int | None = field(default=None, init=False)
 
     @property
     def started(self) -> bool:
         """Return whether the head of the response was sent to the caller."""
         return self.exchange.started
 
+    @property
+    def may_go_on(self) -> bool:
+        """Return whether another runner can send what the caller has not received."""
+        return self.events == 0 or self.order.is_resumable
+
     def start(self, head: ResponseHead, headers: Headers) -> None:
         """Send the head, unless the head of an earlier runner was sent."""
         if not self.started:
             self.exchange.start(head.status, head.reason, headers)
 
-    async def async_forward_event(self, event: StreamEvent, now: float) -> bool:
-        """Forward an event unless the caller has it; return whether it was sent.
+    def is_new(self, event: StreamEvent) -> bool:
+        """Return whether the caller lacks an event, which it gets next.
+
+        Raises:
+            StreamBrokenError: If an event before it is missing, or the caller has
+                another event in its place.
+        """
+        placement = self.order.place(event.event_id, event.number, event.data)
+        if placement is Placement.GAP:
+            self.gaps += 1
+            raise StreamBrokenError(
+                f"an event is missing: {event.event_id} follows {self.last_event_id}"
+            )
+        if placement is Placement.CONFLICT:
+            self.conflicts += 1
+            raise StreamBrokenError(
+                f"another run: the caller has another event than {event.event_id}"
+            )
+        self.duplicates += placement is Placement.DUPLICATE
+        return placement is Placement.NEW
+
+    async def async_forward_event(self, event: StreamEvent, now: float) -> None:
+        """Forward an event.
 
         Raises:
-            StreamBrokenError: If an event before it is missing.
             CallerGoneError: If the caller has disconnected.
         """
-        number = event.number
-        if number is not None and self._last_number is not None:
-            if number <= self._last_number:
-                self.duplicates += 1
-                return False
-            if number > self._last_number + 1:
-                self.gaps += 1
-                raise StreamBrokenError(
-                    f"an event is missing: {number} follows {self._last_number}"
-                )
-        self._record_event(event, number, now)
+        self._record_event(event, now)
         await self.exchange.async_write(event.data)
-        return True
 
     def finish(self) -> None:
         """Mark the response as complete."""
@@ -98,7 +116,7 @@
         self.exchange.answer(status, headers, body)
         self.finished = True
 
-    def _record_event(self, event: StreamEvent, number: int | None, now: float) -> None:
+    def _record_event(self, event: StreamEvent, now: float) -> None:
         if self.first_at is None:
             self.first_at = now
         else:
@@ -109,5 +127,3 @@
         self.events += 1
         if event.event_id is not None:
             self.last_event_id = event.event_id
-        if number is not None:
-            self._last_number = number
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -23,6 +23,7 @@
     RETRY_AFTER_BUDGET_S,
     RETRY_AFTER_OUTAGE_S,
 )
+from ..policy.edge.event_order import EventOrder
 from ..policy.edge.origin_search import FoundOrigin
 from ..policy.edge.response_end import ResponseEnd
 from ..policy.edge.retries import FailedAttempt, RetryCause, RetryDecision, decide_retry
@@ -63,6 +64,7 @@
 from .runner_connector import RunnerConnector
 from .runner_ends import EndEvidence, log_end
 from .runner_finder import RunnerFinder
+from .sse import parse_number
 from .stream_origins import OWN_RECORD, StreamOrigins
 
 
@@ -145,6 +147,9 @@
             deadline=self._deadline,
             is_counted=self.relay_mark is RelayMark.COUNTED,
         )
+        last_number = parse_number(self.fields.last_event_id)
+        if self.route.resumable and last_number is not None:
+            self.delivery.order = EventOrder(last_number)
         if self.resumed is not None:
             self._finder.constraint.origin = self.resumed.origin
         self._response = FinalResponse(
@@ -401,7 +406,7 @@
         """
         ends, continuation = self.context.runner_ends, self._continuation
         self._raise_if_ended(runner, ends.find_known(runner))
-        if not self.route.idempotent:
+        if not (self.route.idempotent and self.delivery.may_go_on):
             self._raise_if_ended(runner, await ends.async_wait(runner))
         is_listed = self.context.view.is_listed(runner)
         if not is_listed and continuation is not None and continuation.has_backup:
@@ -510,6 +515,7 @@
             runners_tried=len(self._finder.tried_runner_ids),
             was_sent=result.was_sent,
             time_left_s=self._deadline - self._clock(),
+            may_go_on=self.delivery.may_go_on,
         )
         decision = decide_retry(self.route, failed, budget_left=True)
         needs_credit = decision is RetryDecision.RETRY and result.was_sent
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -81,6 +81,7 @@
                 end=result.end.value,
                 duplicates=delivery.duplicates,
                 gaps=delivery.gaps,
+                conflicts=delivery.conflicts,
                 objective_s=self.route.objective_s if self.route else 0.0,
                 gap_objective_s=self.route.gap_objective_s if self.route else 0.0,
             )
@@ -127,6 +128,7 @@
                 events=self.delivery.events,
                 duplicates=self.delivery.duplicates,
                 gaps=self.delivery.gaps,
+                conflicts=self.delivery.conflicts,
                 seconds=self._measure_seconds(),
             )
         )
@@ -225,7 +227,12 @@
 
     def _count(self, outcome: str, status: int) -> None:
         self.metrics.edge_requests.add(self._route_name, outcome, str(status))
-        faults = {"duplicate": self.delivery.duplicates, "gap": self.delivery.gaps}
+        delivery = self.delivery
+        faults = {
+            "duplicate": delivery.duplicates,
+            "gap": delivery.gaps,
+            "conflict": delivery.conflicts,
+        }
         for fault, amount in faults.items():
             if amount:
                 self.metrics.stream_faults.add(self._route_name, fault, amount=amount)
--- a/mangoway/edge/sse.py
+++ b/mangoway/edge/sse.py
@@ -22,8 +22,13 @@
     @property
     def number(self) -> int | None:
         """Return the id as a number; None if it isn't a number."""
-        text = self.event_id or ""
-        return int(text) if ID_NUMBER.fullmatch(text) else None
+        return parse_number(self.event_id)
+
+
+def parse_number(event_id: str | None) -> int | None:
+    """Return the id of an event as a number; None if it isn't a number."""
+    text = event_id or ""
+    return int(text) if ID_NUMBER.fullmatch(text) else None
 
 
 class EventSplitter:
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -105,6 +105,10 @@
     gaps: int
     """Attempts at a stream that were broken off since an event was missing."""
 
+    conflicts: int
+    """Attempts at a stream that were broken off since an event belongs to another run,
+    or has an id that the caller has with another content."""
+
     objective_s: float
     """Latency objective: time to the first event of a stream, or to the complete
     response otherwise. A longer time counts as late."""
@@ -151,9 +155,10 @@
     attempts: int
     events: int
     duplicates: int
-    """As in `RequestServed`; so is the next field."""
+    """As in `RequestServed`; so are the next two fields."""
 
     gaps: int
+    conflicts: int
     seconds: float
 
 
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -304,7 +304,8 @@
         self.stream_faults = self._counter(
             "mangoway_edge_stream_faults_total",
             "What an edge found wrong with the responses of runners, by route: events "
-            "that the caller had already (duplicate), and that are missing (gap).",
+            "that the caller had already (duplicate), that are missing (gap), or that "
+            "differ from the caller's in their place (conflict).",
             ("route", "fault"),
         )
         self.uncertain_ends = self._counter(
--- a/mangoway/policy/edge/retries.py
+++ b/mangoway/policy/edge/retries.py
@@ -56,6 +56,8 @@
     """Whether any bytes of the request were sent in this attempt."""
 
     time_left_s: float
+    may_go_on: bool = True
+    """Whether another attempt can send what the caller has not received."""
 
 
 def decide_retry(
@@ -66,7 +68,7 @@
     A request that may have run is retried only on an idempotent route; one that
     certainly has not run is retried on any route.
     """
-    allowed = not failed.may_have_run or route.idempotent
+    allowed = failed.may_go_on and (not failed.may_have_run or route.idempotent)
     # The number of runners isn't limited after an attempt that has not run: the request
     # may be sent again to the same runner.
     attempts_left = (
