--- a/tests/edge/test_peer_datagrams.py
+++ b/tests/edge/test_peer_datagrams.py
@@ -7,6 +7,7 @@
 
 from mangoway.edge.peer_datagrams import PeerDatagrams
 
+from ..fakes.addresses import UNUSABLE_ADDRESSES
 from ..fakes.polling import async_wait_until
 
 
@@ -59,3 +60,16 @@
         with pytest.raises(OSError, match="in use"):
             await second.async_listen(address)
         first.close()
+
+    async def test_unusable_address_of_a_peer_is_ignored(self) -> None:
+        """Such an address closed the socket, so that no peer was heard any more."""
+        received: list[bytes] = []
+        own = PeerDatagrams(lambda data, address: received.append(data))
+        own_address = f"127.0.0.1:{find_free_port()}"
+        await own.async_listen(own_address)
+        for address in UNUSABLE_ADDRESSES:
+            own.send(b"lost", address)
+        await asyncio.sleep(0.05)
+        own.send(b"found", own_address)
+        await async_wait_until(lambda: received == [b"found"])
+        own.close()
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -18,6 +18,7 @@
 from mangoway.http1.json_client import CallFailedError, JsonClient
 from mangoway.http1.messages import Request
 
+from ..fakes.addresses import UNUSABLE_ADDRESSES
 from ..upstreams.pouring import Pour
 from ..upstreams.raw_server import RawServer, Script, answer, make_response
 
@@ -333,3 +334,24 @@
                     server.address, "GET", "/v1/report", timeout_s=60.0
                 )
             await pour.closed.wait()
+
+
+class TestUnusableAddress:
+    """Addresses at which nothing can listen, for example from an odd entry.
+
+    An error of another type ended the handler of the request that met it.
+    """
+
+    async def test_connecting_fails(self) -> None:
+        for address in UNUSABLE_ADDRESSES:
+            with pytest.raises(ConnectFailedError) as raised:
+                await async_connect(address, now())
+            assert not raised.value.refused
+            assert not raised.value.timed_out
+
+    async def test_call_is_not_sent(self) -> None:
+        client = JsonClient()
+        for address in UNUSABLE_ADDRESSES:
+            with pytest.raises(CallFailedError) as raised:
+                await client.async_call(address, "GET", "/v1/report", timeout_s=1.0)
+            assert not raised.value.sent
--- a/tests/key_value/test_etcd.py
+++ b/tests/key_value/test_etcd.py
@@ -12,6 +12,7 @@
 from mangoway.models.verdict import Verdict
 from tests.stand_ins.key_value import KeyValueStandIn
 
+from ..fakes.addresses import UNUSABLE_ADDRESSES
 from .conftest import MakeStore
 
 RANK = CallRank.SAFETY
@@ -203,3 +204,15 @@
         assert caught.value.failure.verdict is Verdict.NOT_RUN
         assert stand_in.calls["range"] == 2
         await store.async_get("/a", CallRank.SAFETY)
+
+
+class TestUnusableAddress:
+    """Endpoints at which nothing can listen."""
+
+    async def test_read_has_not_run(self, make_store: MakeStore) -> None:
+        """An error of another type ended the task that used the store."""
+        for address in UNUSABLE_ADDRESSES:
+            with pytest.raises(MangowayError) as raised:
+                await make_store(address).async_get("/a", RANK)
+            assert raised.value.code is ErrorCode.PLATFORM_UNAVAILABLE
+            assert raised.value.failure.verdict is Verdict.NOT_RUN
--- a/tests/peers/test_client.py
+++ b/tests/peers/test_client.py
@@ -22,6 +22,7 @@
 )
 from mangoway.peers.server import PeerReceivers
 
+from ..fakes.addresses import UNUSABLE_ADDRESSES
 from .conftest import Relay
 
 REQUEST = ForwardedRequest(
@@ -216,3 +217,20 @@
         async with asyncio.timeout(5):
             await forwarded.closed.wait()
         clients.close()
+
+
+class TestUnusableAddress:
+    """Addresses at which nothing can listen, for example from an odd host list."""
+
+    async def test_call_has_not_run(self) -> None:
+        """An error of another type ended the task that called the peer."""
+        for address in UNUSABLE_ADDRESSES:
+            client = PeerClient(address)
+            with pytest.raises(MangowayError) as raised:
+                await client.async_exchange(pb.Heartbeat(session=1))
+            client.close()
+            assert raised.value.code is ErrorCode.PEER_UNREACHABLE
+            assert raised.value.failure.verdict is Verdict.NOT_RUN
+            with pytest.raises(MangowayError) as raised:
+                await _async_collect(address)
+            assert raised.value.failure.verdict is Verdict.NOT_RUN
--- a/tests/scheduling/test_client.py
+++ b/tests/scheduling/test_client.py
@@ -31,6 +31,7 @@
 from mangoway.scheduling.server import SchedulerServer
 from mangoway.util.listener import open_listener
 
+from ..fakes.addresses import UNUSABLE_ADDRESSES
 from ..fakes.coordination_store import FakeCoordinationStore
 from ..fakes.fleet import make_grant_request, make_runner, make_table
 from ..fakes.polling import async_wait_until
@@ -194,6 +195,24 @@
             assert isinstance(await receive(waiting), Reject)
 
 
+class TestUnusableAddress:
+    """The leader's key names an address at which nothing can listen."""
+
+    async def test_edge_follows_the_next_leader(self) -> None:
+        """The error ended the task that keeps the link, so that the edge had none."""
+        scheduler, edge = Scheduler(), Edge()
+        try:
+            for fence, address in enumerate(UNUSABLE_ADDRESSES, 1):
+                edge.follow(address, fence)
+                await asyncio.sleep(2 * CHECK_S)
+            edge.follow(await scheduler.async_start(), len(UNUSABLE_ADDRESSES) + 1)
+            await edge.async_wait_leading()
+        finally:
+            edge.task.cancel()
+            edge.link.close()
+            scheduler.stop()
+
+
 LIMIT_REPORT = LimitReport(
     runner_id="r1", started_ms=0, limit=0.5, request_age_s=0.02, response_age_s=0.0
 )
--- a/tests/upstreams/test_exchange.py
+++ b/tests/upstreams/test_exchange.py
@@ -8,6 +8,7 @@
 from mangoway.models.verdict import Verdict
 from mangoway.upstreams.exchange import ExchangeRequest, async_exchange
 
+from ..fakes.addresses import UNUSABLE_ADDRESSES
 from .raw_server import RawServer, Script, answer, cut, make_response
 
 
@@ -99,3 +100,15 @@
                 await async_send(server.address, send_before=now - 0.001)
             assert raised.value.failure.verdict is Verdict.NOT_RUN
             assert server.requests == []
+
+
+class TestUnusableAddress:
+    """Addresses at which nothing can listen, for example from an odd host list."""
+
+    async def test_exchange_has_not_run(self) -> None:
+        """An error of another type ended the task that made the exchange."""
+        for address in UNUSABLE_ADDRESSES:
+            with pytest.raises(MangowayError) as raised:
+                await async_send(address)
+            assert raised.value.code is ErrorCode.UPSTREAM_FAILED
+            assert raised.value.failure.verdict is Verdict.NOT_RUN
--- a/tests/upstreams/test_session.py
+++ b/tests/upstreams/test_session.py
@@ -9,6 +9,7 @@
 from mangoway.models.verdict import Verdict
 from mangoway.upstreams.session import UpstreamCall, UpstreamSession
 
+from ..fakes.addresses import UNUSABLE_ADDRESSES
 from .raw_server import RawServer, answer, cut, make_response
 
 OK = make_response(200, b"{}")
@@ -36,6 +37,13 @@
         assert error.code is ErrorCode.UPSTREAM_FAILED
         assert error.failure.verdict is Verdict.NOT_RUN
 
+    async def test_unusable_address_did_not_run(self) -> None:
+        """An error of another type ended the task that made the attempt."""
+        for address in UNUSABLE_ADDRESSES:
+            error = await async_expect_error(address)
+            assert error.code is ErrorCode.UPSTREAM_FAILED
+            assert error.failure.verdict is Verdict.NOT_RUN
+
     async def test_connect_that_hangs_did_not_run(self) -> None:
         with socket.socket() as full:
             full.bind(("127.0.0.1", 0))
