Take connect errors of any type for a failed connect

For a NUL, an empty or a long label, asyncio.open_connection raises ValueError or UnicodeError, and for a port out of range OverflowError. async_connect turned only OSError into ConnectFailedError, so that the error ended the handler of the request, or the task that read a report. The types are now listed once, in util/address.py. The Host field of a call and a header field that can't be encoded fail in the same way.

--- a/mangoway/host_list/parser.py
+++ b/mangoway/host_list/parser.py
@@ -9,7 +9,7 @@
 from ..models.identifiers import DataCentreId, HostId, ServiceName, UpstreamId
 from ..models.member import ProcessRole
 from ..models.upstream import UpstreamAddress, UpstreamKind
-from ..settings.parsers import parse_address
+from ..util.address import parse_address
 from .const import (
     LABEL_DATA_CENTRE,
     LABEL_HOST,
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -11,7 +11,7 @@
 import h11
 from attrs import frozen
 
-from ..util.address import split_address
+from ..util.address import CONNECT_ERRORS, split_address
 from .const import (
     BODY_GRACE_S,
     CONNECT_TIMEOUT_S,
@@ -149,13 +149,24 @@
             request_id: ID that its response names; empty without one.
 
         Raises:
-            ExchangeFailedError: If the connection fails.
+            ExchangeFailedError: If the connection fails, or the request can't be
+                encoded.
         """
         self._closes_after = True
         self.skipped = 0
         self.requests += 1
         if request_id:
             self._sent_ids += _digest(request_id)
+        try:
+            parts = self._encode(request)
+        except h11.LocalProtocolError as error:
+            raise ExchangeFailedError(f"cannot encode the request: {error}") from error
+        try:
+            self._writer.write(b"".join(parts))
+        except (OSError, RuntimeError) as error:
+            raise ConnectionLostError(f"cannot send the request: {error}") from error
+
+    def _encode(self, request: Request) -> list[bytes]:
         head = h11.Request(
             method=request.method, target=request.target, headers=list(request.headers)
         )
@@ -163,10 +174,7 @@
         if request.body:
             parts.append(self._http.send(h11.Data(data=request.body)) or b"")
         parts.append(self._http.send(h11.EndOfMessage()) or b"")
-        try:
-            self._writer.write(b"".join(parts))
-        except (OSError, RuntimeError) as error:
-            raise ConnectionLostError(f"cannot send the request: {error}") from error
+        return parts
 
     async def async_read_head(self) -> ResponseHead:
         """Read the head of the next response; interim responses are skipped.
@@ -438,22 +446,22 @@
     Raises:
         ConnectFailedError: If the connection fails or times out.
     """
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(
                 host, port, limit=MAX_READ_AHEAD_BYTES
             )
-    except (OSError, TimeoutError) as error:
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, NAGLE_OFF)
+    except CONNECT_ERRORS as error:
         raise ConnectFailedError(
             f"cannot connect to {address}: {error!r}",
             refused=isinstance(error, ConnectionRefusedError),
             timed_out=isinstance(error, TimeoutError)
-            or error.errno in UNREACHABLE_ERRORS,
+            or getattr(error, "errno", None) in UNREACHABLE_ERRORS,
         ) from error
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, NAGLE_OFF)
     return Connection(reader, writer, now)
 
 
--- a/mangoway/http1/json_client.py
+++ b/mangoway/http1/json_client.py
@@ -83,7 +83,10 @@
         Raises:
             CallFailedError: If no valid response is received.
         """
-        request = _make_request(address, method, path, query, body, headers)
+        try:
+            request = _make_request(address, method, path, query, body, headers)
+        except UnicodeError as error:
+            raise CallFailedError(str(error), sent=False) from error
         is_single_use = self.expects_extras and method != "GET"
         connection: Connection | None = None
         try:
--- a/mangoway/settings/fleet.py
+++ b/mangoway/settings/fleet.py
@@ -5,10 +5,10 @@
 from attrs import frozen
 
 from ..observability.event_log import LogLevel
+from ..util.address import parse_address
 from .options import setting
 from .parsers import (
     float_between,
-    parse_address,
     parse_flag,
     parse_level,
     parse_name,
--- a/mangoway/settings/parsers.py
+++ b/mangoway/settings/parsers.py
@@ -8,8 +8,8 @@
 from urllib.parse import urlsplit
 
 from ..observability.event_log import LogLevel
+from ..util.address import parse_address
 
-MAX_PORT: Final = 65535
 NAME_PATTERN: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 TRUE_WORDS: Final = ("1", "true", "yes", "on")
 FALSE_WORDS: Final = ("0", "false", "no", "off")
@@ -25,23 +25,6 @@
     return text
 
 
-def parse_address(text: str) -> str:
-    """Parse `ip:port` (IPv6 as `[ip]:port`) and return it in canonical form."""
-    host, found, port = text.rpartition(":")
-    if not found:
-        raise ValueError("expected IP number and port, such as 10.0.0.1:80 or [::1]:80")
-    bare = host.removeprefix("[").removesuffix("]")
-    try:
-        ip = ipaddress.ip_address(bare)
-    except ValueError:
-        raise ValueError("expected an IP number before the port") from None
-    if not port.isascii() or not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
-        raise ValueError(f"expected a port from 1 to {MAX_PORT}")
-    if ip.version == 6:
-        return f"[{ip}]:{int(port)}"
-    return f"{ip}:{int(port)}"
-
-
 def parse_addresses(text: str) -> tuple[str, ...]:
     """Parse a comma-separated list of addresses."""
     return tuple(parse_address(part.strip()) for part in text.split(","))
--- a/mangoway/settings/process.py
+++ b/mangoway/settings/process.py
@@ -6,12 +6,12 @@
 
 from ..models.identifiers import CellId, DataCentreId, HostId
 from ..observability.event_log import LogLevel
+from ..util.address import parse_address
 from .errors import SettingError
 from .options import setting
 from .parsers import (
     float_between,
     int_between,
-    parse_address,
     parse_addresses,
     parse_flag,
     parse_level,
--- a/tests/edge/test_unusable_addresses.py
+++ b/tests/edge/test_unusable_addresses.py
@@ -35,8 +35,8 @@
                 for service in ("plain", "llm"):
                     edge.add(f"usable-{service}", runner, service)
                 replies = [await edge.async_call(path) for _ in range(4)]
-            statuses[address] = {(each.status, each.complete) for each in replies}
-        assert statuses == dict.fromkeys(UNUSABLE_ADDRESSES, {(200, True)})
+            statuses[address] = tuple(each.status for each in replies if each.complete)
+        assert statuses == dict.fromkeys(UNUSABLE_ADDRESSES, (200,) * 4)
 
     async def test_request_is_rejected_without_a_usable_runner(self, path: str) -> None:
         """Neither the runners nor the peer can be connected to."""
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -5,6 +5,7 @@
 import struct
 
 import pytest
+from attrs import evolve
 
 from mangoway.http1.client import (
     BodyLimits,
@@ -355,3 +356,18 @@
             with pytest.raises(CallFailedError) as raised:
                 await client.async_call(address, "GET", "/v1/report", timeout_s=1.0)
             assert not raised.value.sent
+
+
+class TestUnusableRequest:
+    """Requests with text of another process that no header field can carry."""
+
+    async def test_sending_fails(self) -> None:
+        """An error of another type ended the handler of the request."""
+        async with RawServer(answer()) as server:
+            for value in (b"a\r\nX-Hold: 1", b"a\0", b"a "):
+                connection = await connect(server)
+                request = evolve(REQUEST, headers=((b"Host", b"u"), (b"X-A", value)))
+                with pytest.raises(ExchangeFailedError):
+                    await connection.async_send(request)
+                connection.close()
+            assert server.requests == []
--- a/tests/soak/test_odd_entries.py
+++ b/tests/soak/test_odd_entries.py
@@ -1,7 +1,7 @@
-"""Entries that another writer left among those of the runners, with the real programs.
+"""Odd entries of other writers among those of the runners, with the real programs.
 
-The failure: an address that can't be connected to ended the handler of each request that
-was sent to it, and its caller lost the connection without a response.
+The failure: an address that can't be connected to ended the handler of each request
+that was sent to it, and its caller lost the connection without a response.
 """
 
 import asyncio
