Send no datagram to an address that can't be used

An edge that sent one datagram to a member with an odd address heard no peer any more: the event loop closes the socket for errors other than OSError (seen: 'Fatal write error on datagram transport'). A name was looked up without other tasks running. The address is parsed first, and such a member gets no datagram, as one that doesn't listen.

--- a/mangoway/edge/peer_datagrams.py
+++ b/mangoway/edge/peer_datagrams.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from ..util.address import split_address
+from ..util.address import parse_address, split_address
 
 
 @define(eq=False)
@@ -41,9 +41,17 @@
         """Ignore that a peer does not listen; its answer will be missed."""
 
     def send(self, data: bytes, address: str) -> None:
-        """Send a datagram, unless the socket is closed."""
+        """Send a datagram, unless the socket is closed or the address unusable.
+
+        The event loop would close the socket at an address that it can't encode, and
+        look up a name without other tasks running.
+        """
+        try:
+            target = split_address(parse_address(address))
+        except ValueError:
+            return
         if self._transport is not None:
-            self._transport.sendto(data, split_address(address))
+            self._transport.sendto(data, target)
 
     def close(self) -> None:
         """Close the socket."""
