Keep the link to the scheduler after an odd leader's address

An address that can't be connected to ended the task that keeps the link, so that the edge followed no later leader until its restart. It now counts as an address at which nothing listens.

--- a/mangoway/scheduling/leader_link.py
+++ b/mangoway/scheduling/leader_link.py
@@ -13,7 +13,7 @@
 from ..models.fleet import Role
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
-from ..util.address import split_address
+from ..util.address import CONNECT_ERRORS, split_address
 from ..util.ticks import async_sleep_to_tick
 from .connection_backoff import ConnectionBackoff
 from .link import Link
@@ -259,16 +259,16 @@
 
     async def _async_connect(self, address: str) -> None:
         loop = asyncio.get_running_loop()
-        host, port = split_address(address)
         link = Link(self.hello.edge, self._handle_message, self._handle_connection_lost)
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(self._backoff.get_connect_timeout()):
                 await loop.create_connection(lambda: link, host, port)
         except TimeoutError:
             # The connection is retried soon. Its loss has been logged already.
             self._backoff.record_failure()
             return
-        except OSError:
+        except CONNECT_ERRORS:
             # Nothing listens there, for example during a start, so the backoff does
             # not grow.
             return
