Accept only usable entries of runners

Entries were accepted whose values can't be used: host names, port 0, port digits that aren't ASCII, line breaks in an address or a name, an ID that no header field can carry, 2^64-1 slots, a start in the far future, a negative version, names of 1 MB. The errors came up where the values were used, and the error text of an invalid entry was as long as the entry.

The readers in fields.py take a range for each number and a length for each text and list, read_name accepts only what a header field can carry, and read_address what can be connected to (the platform's network has IP addresses only, without name lookups). Such an entry is logged as DocumentUnreadable (755), and its runner isn't used, as before for entries of another shape.

--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes documents that the operator and the runners write to the store."""
 
+import reprlib
 from collections.abc import Mapping
 from typing import Any, Final
 
@@ -19,8 +20,11 @@
 from ..models.runner import ResidentModel, RunnerEntry
 from .fields import (
     DocumentError,
+    check_name,
+    read_address,
     read_integer,
     read_list,
+    read_name,
     read_number,
     read_object,
     read_text,
@@ -32,7 +36,19 @@
 """Prefix of this system's keys; the platform reserves the two prefixes above."""
 
 MS_PER_S: Final = 1000.0
-MAX_PORT: Final = 65_535
+MAX_SLOTS: Final = 65_536
+"""Most requests that a runner processes at once. Plain runners are chosen by their load
+per slot, so that a large number would attract most requests."""
+
+MAX_STARTED_MS: Final = 4_102_444_800_000
+"""Latest start of an incarnation: the year 2100. Entries of earlier incarnations are
+ignored, so that a later time would hide the runner for good."""
+
+MAX_REMAINING_MS: Final = 366 * 86_400_000
+MAX_MODELS: Final = 1024
+MAX_ADAPTERS: Final = 4096
+"""Most models at a runner, and most adapters of one model there."""
+
 TOKEN_UNIT: Final = "token_stream"
 READY: Final = "ready"
 DRAINING: Final = "draining"
@@ -72,13 +88,13 @@
     """
     try:
         fields = read_object(orjson.loads(document), "the entry")
-        remaining_ms = read_number(fields, "remaining_ms")
+        remaining_ms = read_number(fields, "remaining_ms", maximum=MAX_REMAINING_MS)
         return RunnerEntry(
-            runner_id=key.removeprefix(RUNNER_PREFIX),
-            service=read_text(fields, "service"),
-            address=_read_address(fields),
-            data_centre=read_text(fields, "zone"),
-            slots=_read_slots(fields),
+            runner_id=check_name(key.removeprefix(RUNNER_PREFIX), "the ID"),
+            service=read_name(fields, "service"),
+            address=read_address(fields, "address"),
+            data_centre=read_name(fields, "zone"),
+            slots=read_integer(fields, "slots", minimum=1, maximum=MAX_SLOTS),
             draining=_read_draining(fields),
             seconds_left=None if remaining_ms is None else remaining_ms / MS_PER_S,
             models=decode_models(fields.get("models")),
@@ -88,12 +104,12 @@
         # `seq` is ignored: here it counts heartbeats of the runner, whereas in its
         # report it counts orders.
     except (DocumentError, *DECODE_ERRORS) as error:
-        raise DocumentError(f"invalid entry {key}: {error}") from error
+        raise DocumentError(f"invalid entry {key!r}: {error}") from error
 
 
 def read_started_ms(fields: Mapping[str, Any]) -> int:
     """Return the start of a runner's incarnation in Unix ms; 0 if it is missing."""
-    return read_integer(fields, "born", 0)
+    return read_integer(fields, "born", 0, maximum=MAX_STARTED_MS)
 
 
 def decode_models(value: Any) -> tuple[ResidentModel, ...]:
@@ -102,14 +118,15 @@
     Raises:
         DocumentError: If the list is invalid.
     """
-    return tuple(_decode_resident(each) for each in read_list(value, "models"))
+    rows = read_list(value, "models", MAX_MODELS)
+    return tuple(_decode_resident(each) for each in rows)
 
 
 def _decode_resident(value: Any) -> ResidentModel:
     fields = read_object(value, "a model")
-    adapters = read_list(fields.get("adapters"), "adapters")
+    adapters = read_list(fields.get("adapters"), "adapters", MAX_ADAPTERS)
     return ResidentModel(
-        name=read_text(fields, "name"),
+        name=read_name(fields, "name"),
         version=read_integer(fields, "version", 0),
         adapters=frozenset(_decode_adapter_name(each) for each in adapters),
     )
@@ -117,36 +134,25 @@
 
 def _decode_adapter_name(value: Any) -> str:
     """Return the name of an adapter, given as text or object, without its version."""
-    name = read_text(value if isinstance(value, dict) else {"name": value}, "name")
+    name = check_name(value.get("name") if isinstance(value, dict) else value, "name")
     return name.partition("@")[0]
 
 
-def _read_address(fields: Mapping[str, Any]) -> str:
-    address = read_text(fields, "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal() or int(port) > MAX_PORT:
-        raise DocumentError(f"address is not host:port: {address!r}")
-    return address
-
-
 def _read_software_version(fields: Mapping[str, Any]) -> str:
     """Return the version of a runner's software; empty if it can't be read."""
     version = fields.get("version")
     is_readable = isinstance(version, str | int) and not isinstance(version, bool)
-    return str(version) if is_readable else ""
-
-
-def _read_slots(fields: Mapping[str, Any]) -> int:
-    slots = read_integer(fields, "slots")
-    if slots < 1:
-        raise DocumentError(f"number of slots is not positive: {slots}")
-    return slots
+    if not is_readable or version == "":
+        return ""
+    return check_name(str(version), "version")
 
 
 def _read_draining(fields: Mapping[str, Any]) -> bool:
     state = fields.get("state")
     if state not in (READY, DRAINING):
-        raise DocumentError(f"state is neither ready nor draining: {state!r}")
+        raise DocumentError(
+            f"state is neither ready nor draining: {reprlib.repr(state)}"
+        )
     return bool(state == DRAINING)
 
 
--- a/mangoway/platform/fields.py
+++ b/mangoway/platform/fields.py
@@ -1,7 +1,28 @@
-"""Type-checked access to the fields of decoded documents."""
+"""Type-checked access to the fields of decoded documents.
 
+Other processes write them, so that a value is accepted only if it can be used: numbers
+in a range, bounded texts and lists. Messages of errors are bounded too, since each
+process logs them.
+"""
+
+import math
+import reprlib
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
+
+from ..util.address import parse_address
+
+MAX_NAME_CHARACTERS: Final = 256
+"""Longest name. Keys of the store, which hold the IDs of runners, have 200 bytes."""
+
+MAX_TEXT_CHARACTERS: Final = 4096
+"""Longest other text, for example a path."""
+
+MAX_EXACT: Final = 2**53 - 1
+"""Largest whole number that JSON readers and floats keep exactly."""
+
+MAX_ENTRIES: Final = 10_000
+"""Largest list: more than the runners of a fleet or the models of a service."""
 
 
 class DocumentError(Exception):
@@ -19,33 +40,91 @@
     return value
 
 
-def read_list(value: Any, description: str) -> list[Any]:
+def read_list(value: Any, description: str, max_length: int = MAX_ENTRIES) -> list[Any]:
     """Return a value that must be a list; an empty list if it is None.
 
     Raises:
-        DocumentError: If it is not a list.
+        DocumentError: If it is not a list, or too long.
     """
     if value is None:
         return []
     if not isinstance(value, list):
         raise DocumentError(f"{description} is not a list")
+    if len(value) > max_length:
+        raise DocumentError(f"{description} has {len(value)} entries")
     return value
 
 
 def read_text(fields: Mapping[str, Any], name: str) -> str:
-    """Return a field that must be a non-empty string.
+    """Return a field that must be a non-empty string of bounded length.
 
     Raises:
-        DocumentError: If it is missing, empty or of another type.
+        DocumentError: If it is missing, empty, too long or of another type.
+    """
+    return check_text(fields.get(name), name)
+
+
+def check_text(
+    value: Any, description: str, max_length: int = MAX_TEXT_CHARACTERS
+) -> str:
+    """Return a value that must be a non-empty string of bounded length.
+
+    Raises:
+        DocumentError: If it is not.
     """
-    value = fields.get(name)
     if not isinstance(value, str) or not value:
-        raise DocumentError(f"{name} is not a non-empty string: {value!r}")
+        raise DocumentError(
+            f"{description} is not a non-empty string: {reprlib.repr(value)}"
+        )
+    if len(value) > max_length:
+        raise DocumentError(f"{description} has {len(value)} characters")
     return value
 
 
+def read_name(fields: Mapping[str, Any], name: str) -> str:
+    """Return a field that must be a name.
+
+    Raises:
+        DocumentError: If it is not.
+    """
+    return check_name(fields.get(name), name)
+
+
+def check_name(value: Any, description: str) -> str:
+    """Return a value that must be a name, which any header field can carry.
+
+    Raises:
+        DocumentError: If it is not a non-empty string, is too long, begins or ends with
+            a space, or contains a character that can't be printed.
+    """
+    text = check_text(value, description, MAX_NAME_CHARACTERS)
+    if not text.isprintable() or text != text.strip():
+        raise DocumentError(f"{description} is not a name: {reprlib.repr(text)}")
+    return text
+
+
+def read_address(fields: Mapping[str, Any], name: str) -> str:
+    """Return a field that must be `ip:port`, in canonical form.
+
+    Raises:
+        DocumentError: If nothing can listen there.
+    """
+    text = read_text(fields, name)
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise DocumentError(
+            f"{name} is not an address: {reprlib.repr(text)}: {error}"
+        ) from error
+
+
 def read_integer(
-    fields: Mapping[str, Any], name: str, default: int | None = None
+    fields: Mapping[str, Any],
+    name: str,
+    default: int | None = None,
+    *,
+    minimum: int = 0,
+    maximum: int = MAX_EXACT,
 ) -> int:
     """Return a field that must be an integer.
 
@@ -53,25 +132,43 @@
         fields: The document.
         name: Name of the field.
         default: Value used if the field is missing; None if it is required.
+        minimum: Least valid value.
+        maximum: Largest valid value.
 
     Raises:
-        DocumentError: If it is missing or of another type.
+        DocumentError: If it is missing, of another type or out of range.
     """
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int):
-        raise DocumentError(f"{name} is not an integer: {value!r}")
+        raise DocumentError(f"{name} is not an integer: {reprlib.repr(value)}")
+    if not minimum <= value <= maximum:
+        raise DocumentError(f"{name} is not from {minimum} to {maximum}: {value}")
     return value
 
 
-def read_number(fields: Mapping[str, Any], name: str) -> float | None:
+def read_number(
+    fields: Mapping[str, Any],
+    name: str,
+    *,
+    minimum: float = 0.0,
+    maximum: float = MAX_EXACT,
+) -> float | None:
     """Return a field that must be a number; None if it is missing.
 
+    Args:
+        fields: The document.
+        name: Name of the field.
+        minimum: Least valid value.
+        maximum: Largest valid value.
+
     Raises:
-        DocumentError: If it is of another type.
+        DocumentError: If it is of another type, out of range or not finite.
     """
     value = fields.get(name)
     if value is None:
         return None
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise DocumentError(f"{name} is not a number: {value!r}")
+        raise DocumentError(f"{name} is not a number: {reprlib.repr(value)}")
+    if not math.isfinite(value) or not minimum <= value <= maximum:
+        raise DocumentError(f"{name} is not from {minimum:g} to {maximum:g}: {value}")
     return float(value)
--- a/tests/soak/test_odd_entries.py
+++ b/tests/soak/test_odd_entries.py
@@ -83,10 +83,17 @@
                 # A change after the odd entries reaches all edges in time.
                 world.write_configuration()
                 await world.async_probe_configuration()
-                running = len(world.list_nodes("edge") + world.list_nodes("scheduler"))
+                nodes = world.list_nodes("edge") + world.list_nodes("scheduler")
+                processes = [each.process for each in nodes if each.process]
             finally:
                 await world.async_stop()
         lost = [each.request_id for each in calls if each.was_disconnected]
         assert (len(lost), world.records.check()) == (0, [])
         assert len(calls) >= MIN_CALLS
-        assert running == EDGES + 1
+        assert len(processes) == EDGES + 1
+        # Each process says that it doesn't use the entries, and why.
+        for process in processes:
+            lines = process.log.read_text().splitlines()
+            unreadable = [each for each in lines if "DocumentUnreadable" in each]
+            for service in ("plain", "llm"):
+                assert any(f"servers/odd-{service}" in each for each in unreadable)
