Check the types and addresses of members and of the leader

Announcements and the leader's key were decoded without a look at their types: a host that is a list, an address that is a number or one that nothing can listen on was accepted, and raised TypeError or a connect error where it was used. They are now read like the entries of runners.

Two fakes of tests announced host names as addresses, which the settings of the processes don't allow; they announce IP addresses now.

--- a/mangoway/coordination/members.py
+++ b/mangoway/coordination/members.py
@@ -1,12 +1,13 @@
 """Encoding of the members that processes announce in the store."""
 
-from typing import Final
+from collections.abc import Mapping
+from typing import Any, Final
 
 import orjson
 from attrs import asdict
-from attrs import fields as attrs_fields
 
 from ..models.fleet import Member, Role
+from ..platform.fields import DocumentError, read_address, read_name, read_object
 
 LEADER_KEY: Final = "scheduler"
 """Key that the leading scheduler holds, without the prefix of the system's keys."""
@@ -33,8 +34,18 @@
         MemberError: If it can't be decoded.
     """
     try:
-        fields = orjson.loads(value)
-        known = {each.name: fields[each.name] for each in attrs_fields(Member)}
-        return Member(**{**known, "role": Role(fields["role"])})
-    except (LookupError, TypeError, ValueError) as error:
-        raise MemberError(f"cannot decode member: {error!r}") from error
+        fields = read_object(orjson.loads(value), "the member")
+        return Member(
+            host=read_name(fields, "host"),
+            role=Role(read_name(fields, "role")),
+            data_centre=read_name(fields, "data_centre"),
+            incarnation=read_name(fields, "incarnation"),
+            peer_address=_read_optional_address(fields, "peer_address"),
+            caller_address=_read_optional_address(fields, "caller_address"),
+        )
+    except (DocumentError, ValueError) as error:
+        raise MemberError(f"cannot decode member: {error}") from error
+
+
+def _read_optional_address(fields: Mapping[str, Any], name: str) -> str:
+    return "" if fields.get(name) == "" else read_address(fields, name)
--- a/tests/coordination/test_view_restore.py
+++ b/tests/coordination/test_view_restore.py
@@ -58,7 +58,7 @@
         data_centre="dc1",
         incarnation=f"inc-{host}",
         peer_address="",
-        caller_address=f"{host}:1",
+        caller_address=f"10.0.0.{ord(host[-1])}:1",
     )
 
 
--- a/tests/fakes/process.py
+++ b/tests/fakes/process.py
@@ -37,8 +37,8 @@
             role=role,
             data_centre="dc1",
             incarnation=f"inc-{host}-{incarnation}",
-            peer_address=f"{host}:2" if role is Role.SCHEDULER else "",
-            caller_address=f"{host}:1",
+            peer_address=f"10.0.0.{ord(host[-1])}:2" if role is Role.SCHEDULER else "",
+            caller_address=f"10.0.0.{ord(host[-1])}:1",
         )
         self.key = OWN_PREFIX + member.key
         self.presence = Presence(self.client, member, OWN_PREFIX, clock=clock)
