Check the types of crash statements

Statements were accepted with incarnations that are no texts, with rows that are texts and with marks of any type, and texts of any length. They are read with the typed readers now; their error is short.

--- a/mangoway/coordination/crashes.py
+++ b/mangoway/coordination/crashes.py
@@ -17,6 +17,13 @@
 from attrs import frozen
 
 from ..models.crash import Charge, Clearance, RequestIdentity, RunStage
+from ..platform.fields import (
+    DocumentError,
+    check_integer,
+    check_name,
+    read_list,
+    read_object,
+)
 from ..policy.crashes.tracker import CrashTracker
 
 CRASH_KEYS: Final = "crashes/"
@@ -24,6 +31,9 @@
 BLOCK_KEYS: Final = "held/"
 STATEMENT_KEYS: Final = (CRASH_KEYS, CLEARANCE_KEYS, BLOCK_KEYS)
 
+MAX_CHARGE_FIELDS: Final = 16
+"""More than the fields of a charge; later versions may append some."""
+
 
 class StatementError(Exception):
     """A crash statement can't be decoded."""
@@ -122,24 +132,31 @@
     try:
         document = orjson.loads(value)
         if key.startswith(CLEARANCE_KEYS):
-            identity = _decode_identity(key.removeprefix(CLEARANCE_KEYS))
-            incarnations = frozenset(str(each) for each in document)
+            request = check_name(key.removeprefix(CLEARANCE_KEYS), "a request")
+            identity = _decode_identity(request)
+            incarnations = frozenset(
+                check_name(each, "an incarnation")
+                for each in read_list(document, "the clearance")
+            )
             return ClearanceStatement(
                 clearance=Clearance(identity=identity, incarnations=incarnations)
             )
         if key.startswith(BLOCK_KEYS):
             charges = tuple(
                 _decode_charge(row, incarnation)
-                for incarnation, rows in document.items()
-                for row in rows
+                for incarnation, rows in read_object(document, "the block").items()
+                for row in read_list(rows, "the charges")
             )
-            content = key.removeprefix(BLOCK_KEYS)
+            content = check_name(key.removeprefix(BLOCK_KEYS), "the content")
             return BlockStatement(content=content, charges=charges)
         incarnation, edge = key.removeprefix(CRASH_KEYS).split("/")
-        charges = tuple(_decode_charge(row, incarnation) for row in document)
+        charges = tuple(
+            _decode_charge(row, incarnation)
+            for row in read_list(document, "the charges")
+        )
         return CrashStatement(incarnation=incarnation, edge=edge, charges=charges)
-    except (AttributeError, LookupError, TypeError, ValueError) as error:
-        raise StatementError(f"cannot decode statement {key}: {error!r}") from error
+    except (DocumentError, LookupError, ValueError) as error:
+        raise StatementError(f"cannot decode statement {key!r}: {error}") from error
 
 
 def _encode_charges(charges: Iterable[Charge]) -> list[list[Any]]:
@@ -155,11 +172,12 @@
 
 
 def _decode_charge(row: Any, incarnation: str) -> Charge:
+    fields = read_list(row, "a charge", MAX_CHARGE_FIELDS)
     return Charge(
-        _decode_identity(row[0]),
-        incarnation,
-        RunStage(row[1]),
-        variant_only=bool(row[2]),
+        _decode_identity(check_name(fields[0], "a request")),
+        check_name(incarnation, "an incarnation"),
+        RunStage(check_integer(fields[1], "a stage")),
+        variant_only=bool(check_integer(fields[2], "a mark", maximum=1)),
     )
 
 
--- a/mangoway/platform/fields.py
+++ b/mangoway/platform/fields.py
@@ -139,10 +139,23 @@
         DocumentError: If it is missing, of another type or out of range.
     """
     value = fields.get(name, default)
+    return check_integer(value, name, minimum=minimum, maximum=maximum)
+
+
+def check_integer(
+    value: Any, description: str, *, minimum: int = 0, maximum: int = MAX_EXACT
+) -> int:
+    """Return a value that must be an integer in a range.
+
+    Raises:
+        DocumentError: If it is not.
+    """
     if isinstance(value, bool) or not isinstance(value, int):
-        raise DocumentError(f"{name} is not an integer: {reprlib.repr(value)}")
+        raise DocumentError(f"{description} is not an integer: {reprlib.repr(value)}")
     if not minimum <= value <= maximum:
-        raise DocumentError(f"{name} is not from {minimum} to {maximum}: {value}")
+        raise DocumentError(
+            f"{description} is not from {minimum} to {maximum}: {value}"
+        )
     return value
 
 
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -151,10 +151,14 @@
         rows: list[Any] = [
             "c.v",
             {"c.v": 1},
-            [["c.v", "reading", "x"]],
-            [["c.v", "reading", [0]]],
-            [["c.v", "reading"]],
-            [[LONG + ".v", "reading", 0]],
+            [["c.v", 1, "x"]],
+            [["c.v", 1, [0]]],
+            [["c.v", 1, 2]],
+            [["c.v", "1", 0]],
+            [["c.v", 9, 0]],
+            [["c.v", 1]],
+            [[5, 1, 0]],
+            [[LONG + ".v", 1, 0]],
         ]
         values = [("crashes/i-1@0/e1", each) for each in rows]
         values += [("held/c", {"i-1@0": each}) for each in rows]
@@ -163,6 +167,8 @@
         def decode(value: tuple[str, Any]) -> object:
             return decode_statement(value[0], orjson.dumps(value[1]))
 
+        usable = [["c.v", 1, 0]]
+        assert len(list_accepted(decode, [("crashes/i-1@0/e1", usable)])) == 1
         assert list_accepted(decode, values) == []
 
 
