Check the types and ranges of reports of runners

A report was accepted with counts that are texts, negative or beyond 64 bits, and with names that aren't texts or of any length. They are read with the typed readers now, and such a report counts as none.

--- a/mangoway/platform/fields.py
+++ b/mangoway/platform/fields.py
@@ -185,3 +185,22 @@
     if not math.isfinite(value) or not minimum <= value <= maximum:
         raise DocumentError(f"{name} is not from {minimum:g} to {maximum:g}: {value}")
     return float(value)
+
+
+def read_count(fields: Mapping[str, Any], name: str, default: int | None = None) -> int:
+    """Return a field that must be a non-negative number, without its fraction.
+
+    Args:
+        fields: The document.
+        name: Name of the field.
+        default: Value used if the field is missing; None if it is required.
+
+    Raises:
+        DocumentError: If it is missing, of another type or out of range.
+    """
+    value = read_number(fields, name)
+    if value is None:
+        if default is None:
+            raise DocumentError(f"{name} is missing")
+        return default
+    return int(value)
--- a/mangoway/platform/runners.py
+++ b/mangoway/platform/runners.py
@@ -1,6 +1,6 @@
 """Client of the control API of runners: reports and orders."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Any, Final
 
@@ -11,7 +11,16 @@
 from ..models.signals import RunnerSignals
 from . import headers as names
 from .documents import DECODE_ERRORS, decode_models, read_started_ms
-from .fields import DocumentError, read_integer, read_list, read_object
+from .fields import (
+    MAX_NAME_CHARACTERS,
+    DocumentError,
+    check_name,
+    check_text,
+    read_count,
+    read_integer,
+    read_list,
+    read_object,
+)
 from .signals import decode_signals
 
 REPORT_TIMEOUT_S: Final = 0.5
@@ -151,19 +160,17 @@
             models=decode_models(fields["models"]),
             # Entries of `pending` have the form model/adapter@version.
             pending_adapters=frozenset(
-                str(each).partition("@")[0]
+                check_name(each, "pending").partition("@")[0]
                 for each in read_list(fields.get("pending"), "pending")
             ),
             busy=bool(fields["busy"]),
             order_count=read_integer(fields, "seq"),
-            queued=int(fields["queued"]),
-            active=int(fields["active"]),
-            kv_used_tokens=int(fields["kv_used"]),
-            kv_capacity_tokens=int(fields["kv_total"]),
-            in_host_memory=frozenset(
-                read_list(available.get("in_memory"), "in_memory")
-            ),
-            on_disk=frozenset(read_list(available.get("on_disk"), "on_disk")),
+            queued=read_count(fields, "queued"),
+            active=read_count(fields, "active"),
+            kv_used_tokens=read_count(fields, "kv_used"),
+            kv_capacity_tokens=read_count(fields, "kv_total"),
+            in_host_memory=_read_names(available, "in_memory"),
+            on_disk=_read_names(available, "on_disk"),
             started_ms=read_started_ms(fields),
             run_ids=_decode_run_ids(fields.get("runs")),
         )
@@ -171,8 +178,16 @@
         raise DocumentError(f"invalid report: {error!r}") from error
 
 
+def _read_names(fields: Mapping[str, Any], name: str) -> frozenset[str]:
+    """Return a list of names; empty if it is missing."""
+    return frozenset(
+        check_name(each, name) for each in read_list(fields.get(name), name)
+    )
+
+
 def _decode_run_ids(value: Any) -> frozenset[str] | None:
     """Return the request IDs of the rows of a report's runs."""
     if value is None:
         return None
-    return frozenset(str(row[0]) for row in read_list(value, "runs"))
+    rows = (read_list(each, "a run") for each in read_list(value, "runs"))
+    return frozenset(check_text(row[0], "a run", MAX_NAME_CHARACTERS) for row in rows)
