Check the types of datagrams about origins

A text passed for a question, names that aren't texts became texts, and a number beyond the range of integers raised OverflowError instead of DatagramError. The typed readers are used now.

--- a/mangoway/edge/origin_codec.py
+++ b/mangoway/edge/origin_codec.py
@@ -1,5 +1,6 @@
 """Datagrams with which edges tell and ask each other about the origins of streams."""
 
+import reprlib
 from collections.abc import Iterable
 from typing import Any, Final
 
@@ -7,6 +8,13 @@
 from attrs import frozen
 
 from ..models.streams import StreamOrigin
+from ..platform.fields import (
+    DocumentError,
+    check_integer,
+    check_name,
+    check_text,
+    read_list,
+)
 from ..policy.edge.origin_search import OriginAnswer
 from ..policy.edge.software_versions import VersionEvidence
 
@@ -18,7 +26,10 @@
 QUERY: Final = "q"
 ANSWER: Final = "a"
 
-DECODE_ERRORS: Final = (orjson.JSONDecodeError, LookupError, TypeError, ValueError)
+MAX_ROWS: Final = 1000
+"""More rows than fit a datagram."""
+
+DECODE_ERRORS: Final = (orjson.JSONDecodeError, LookupError, DocumentError)
 
 
 class DatagramError(Exception):
@@ -98,24 +109,29 @@
         DatagramError: If it can't be decoded.
     """
     try:
-        fields = orjson.loads(data)
+        fields = read_list(orjson.loads(data), "the datagram", MAX_ROWS)
         if fields[0] == RECORDS:
-            return RecordsMessage(rows=tuple(map(_decode_row, fields[1])))
+            rows = read_list(fields[1], "the records", MAX_ROWS)
+            return RecordsMessage(rows=tuple(map(_decode_row, rows)))
         if fields[0] == QUERY:
             return QueryMessage(
-                number=int(fields[1]),
-                digest=str(fields[2]),
-                services=tuple(map(str, fields[3])),
+                number=check_integer(fields[1], "the number"),
+                digest=check_name(fields[2], "the digest"),
+                services=tuple(
+                    check_name(each, "a service")
+                    for each in read_list(fields[3], "the services", MAX_ROWS)
+                ),
             )
         if fields[0] == ANSWER:
             return _decode_answer(fields)
     except DECODE_ERRORS as error:
         raise DatagramError(f"cannot decode datagram: {error!r}") from error
-    raise DatagramError(f"unknown kind of datagram: {fields[0]!r}")
+    raise DatagramError(f"unknown kind of datagram: {reprlib.repr(fields[0])}")
 
 
 def _decode_row(row: Any) -> tuple[StreamOrigin, tuple[str, ...]]:
-    text = str(row[3])
+    row = read_list(row, "a record")
+    text = check_text(row[3], "the digests")
     digests = tuple(
         text[begin : begin + DIGEST_CHARACTERS]
         for begin in range(0, len(text), DIGEST_CHARACTERS)
@@ -124,12 +140,18 @@
 
 
 def _decode_answer(fields: Any) -> AnswerMessage:
-    versions = frozenset((str(each[0]), str(each[1])) for each in fields[3])
+    versions = frozenset(
+        (check_name(row[0], "a service"), _read_optional_name(row[1]))
+        for row in (
+            read_list(each, "a version")
+            for each in read_list(fields[3], "the versions", MAX_ROWS)
+        )
+    )
     answer = OriginAnswer(
         origin=None if fields[2] is None else _decode_origin(fields[2]),
         evidence=VersionEvidence(versions=versions, is_certain=bool(fields[4])),
     )
-    return AnswerMessage(int(fields[1]), answer)
+    return AnswerMessage(check_integer(fields[1], "the number"), answer)
 
 
 def _encode_origin(origin: StreamOrigin) -> list[str]:
@@ -137,6 +159,13 @@
 
 
 def _decode_origin(row: Any) -> StreamOrigin:
+    row = read_list(row, "an origin")
     return StreamOrigin(
-        service=str(row[0]), software_version=str(row[1]), runner_id=str(row[2])
+        service=check_name(row[0], "a service"),
+        software_version=_read_optional_name(row[1]),
+        runner_id=_read_optional_name(row[2]),
     )
+
+
+def _read_optional_name(value: Any) -> str:
+    return "" if value == "" else check_name(value, "a name")
