Ignore a configuration with numbers that can't be used

Numbers were converted with int() and float(): texts such as 'nan', negative timeouts, sizes and weights, and numbers beyond any range were accepted. They are read with the typed readers now; such a configuration is logged and ignored, and the last one stays. Names of customers must fit the header field that carries them. Numbers may still be written with a fraction, and a host or prefix may be empty.

--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -21,7 +21,9 @@
 from .fields import (
     DocumentError,
     check_name,
+    check_text,
     read_address,
+    read_count,
     read_integer,
     read_list,
     read_name,
@@ -49,6 +51,15 @@
 MAX_ADAPTERS: Final = 4096
 """Most models at a runner, and most adapters of one model there."""
 
+MAX_TIMEOUT_MS: Final = 7 * 86_400_000
+"""Longest timeout of a configuration: a week."""
+
+MAX_AMOUNT: Final = 1e15
+"""Largest size, rate or weight: sums and products of some of them stay finite."""
+
+MAX_PRIORITY: Final = 1_000_000
+MAX_ATTEMPTS: Final = 1000
+
 TOKEN_UNIT: Final = "token_stream"
 READY: Final = "ready"
 DRAINING: Final = "draining"
@@ -66,15 +77,20 @@
     try:
         fields = read_object(orjson.loads(document), "the configuration")
         return RoutingTable(
-            version=int(fields["version"]),
-            routes=tuple(_decode_route(each) for each in fields["routes"]),
+            version=read_count(fields, "version"),
+            routes=tuple(
+                _decode_route(each) for each in read_list(fields["routes"], "routes")
+            ),
             services={
-                each["name"]: _decode_service(each) for each in fields["services"]
+                each.name: each
+                for each in map(
+                    _decode_service, read_list(fields["services"], "services")
+                )
             },
             limits=_decode_limits(fields.get("limits") or {}),
             customers=_decode_customers(fields.get("tenants")),
         )
-    except DECODE_ERRORS as error:
+    except (DocumentError, *DECODE_ERRORS) as error:
         raise DocumentError(f"invalid configuration: {error!r}") from error
 
 
@@ -158,31 +174,68 @@
 
 def _decode_route(value: Any) -> Route:
     fields = read_object(value, "a route")
-    split = fields.get("traffic_split")
-    if split:
-        shares = tuple(
-            TrafficShare(service=str(each["service"]), weight=float(each["weight"]))
-            for each in split
-        )
-    else:
-        shares = (TrafficShare(service=str(fields["service"]), weight=1.0),)
+    split = read_list(fields.get("traffic_split"), "the split")
+    shares = tuple(_decode_share(each) for each in split) or (
+        TrafficShare(service=read_text(fields, "service"), weight=1.0),
+    )
+    timeout_ms = _read_positive(fields, "timeout_ms", MAX_TIMEOUT_MS)
     return Route(
-        name=str(fields["name"]),
-        host=str(fields["host"]),
-        prefix=str(fields["prefix"]),
-        kind=RouteKind(fields["kind"]),
-        timeout_s=float(fields["timeout_ms"]) / MS_PER_S,
-        objective_s=float(fields.get("target_latency_ms") or fields["timeout_ms"])
+        name=read_text(fields, "name"),
+        host=_read_optional_text(fields, "host"),
+        prefix=_read_optional_text(fields, "prefix"),
+        kind=RouteKind(read_text(fields, "kind")),
+        timeout_s=timeout_ms / MS_PER_S,
+        objective_s=_read_positive(
+            fields, "target_latency_ms", MAX_TIMEOUT_MS, timeout_ms
+        )
         / MS_PER_S,
-        priority=int(fields.get("priority") or 0),
+        priority=_read_priority(fields) or 0,
         shares=shares,
-        max_attempts=max(1, int(fields.get("max_attempts") or 1)),
+        max_attempts=max(1, _read_limited_count(fields, "max_attempts", MAX_ATTEMPTS)),
         resumable=bool(fields.get("resumable")),
-        gap_objective_s=float(fields.get("gap_target_ms") or 0) / MS_PER_S,
+        gap_objective_s=(
+            read_number(fields, "gap_target_ms", maximum=MAX_TIMEOUT_MS) or 0
+        )
+        / MS_PER_S,
         public=bool(fields.get("public")),
     )
 
 
+def _decode_share(value: Any) -> TrafficShare:
+    fields = read_object(value, "a share")
+    weight = read_number(fields, "weight", maximum=MAX_AMOUNT)
+    if weight is None:
+        raise DocumentError("a share has no weight")
+    return TrafficShare(service=read_text(fields, "service"), weight=weight)
+
+
+def _read_optional_text(fields: Mapping[str, Any], name: str) -> str:
+    """Return a text that may be empty."""
+    return "" if fields.get(name) == "" else read_text(fields, name)
+
+
+def _read_positive(
+    fields: Mapping[str, Any], name: str, maximum: float, default: float | None = None
+) -> float:
+    """Return a positive number; the default if it is missing or 0."""
+    value = read_number(fields, name, maximum=maximum) or default
+    if value is None:
+        raise DocumentError(f"{name} is missing")
+    return value
+
+
+def _read_priority(fields: Mapping[str, Any]) -> int | None:
+    priority = read_number(
+        fields, "priority", minimum=-MAX_PRIORITY, maximum=MAX_PRIORITY
+    )
+    return None if priority is None else int(priority)
+
+
+def _read_limited_count(fields: Mapping[str, Any], name: str, maximum: int) -> int:
+    """Return a count; 0 if it is missing."""
+    return int(read_number(fields, name, maximum=maximum) or 0)
+
+
 def _decode_customers(value: Any) -> CustomerRegistry | None:
     """Return the customers; None if there are none, so that no keys are required."""
     if not value:
@@ -196,21 +249,22 @@
 
 
 def _decode_customer(fields: Mapping[str, Any]) -> Customer:
-    priority = fields.get("priority")
     return Customer(
-        name=read_text(fields, "name"),
-        priority=None if priority is None else int(priority),
+        # A header field carries it to runners.
+        name=read_name(fields, "name"),
+        priority=_read_priority(fields),
         quota=_decode_quota(fields),
         counts_tokens=fields.get("unit") == TOKEN_UNIT,
-        plain_tokens=int(fields.get("plain_tokens") or 0),
+        plain_tokens=read_count(fields, "plain_tokens", 0),
     )
 
 
 def _decode_quota(fields: Mapping[str, Any]) -> Quota | None:
-    rate = read_number(fields, "rate_per_s") or 0.0
-    if rate <= 0:
+    rate = read_number(fields, "rate_per_s", minimum=-MAX_AMOUNT, maximum=MAX_AMOUNT)
+    if rate is None or rate <= 0:
         return None
-    return Quota(rate_per_s=rate, burst=read_number(fields, "burst") or 0.0)
+    burst = read_number(fields, "burst", maximum=MAX_AMOUNT) or 0.0
+    return Quota(rate_per_s=rate, burst=burst)
 
 
 def _read_key(value: Any) -> str:
@@ -224,9 +278,9 @@
     fields = read_object(value, "a service")
     engine = fields.get("engine")
     return ServiceProfile(
-        name=str(fields["name"]),
-        health_path=str(fields.get("health_path") or "/health"),
-        max_connections=int(fields.get("max_conns") or 0),
+        name=read_text(fields, "name"),
+        health_path=check_text(fields.get("health_path") or "/health", "health_path"),
+        max_connections=read_count(fields, "max_conns", 0),
         engine=None if engine is None else _decode_engine(engine),
     )
 
@@ -234,47 +288,67 @@
 def _decode_engine(value: Any) -> EngineProfile:
     fields = read_object(value, "an engine")
     return EngineProfile(
-        slots=int(fields["slots"]),
-        kv_capacity_tokens=int(fields["kv_capacity"]),
-        weights_mb=float(fields["weights_mb"]),
-        adapter_slots=int(fields.get("adapter_slots") or 0),
-        loads_per_s=float(fields.get("loads_per_s") or 0),
-        models={each["name"]: _decode_model(each) for each in fields["models"]},
-        disk_mb=float(fields.get("disk_mb") or 0),
+        slots=read_count(fields, "slots"),
+        kv_capacity_tokens=read_count(fields, "kv_capacity"),
+        weights_mb=_read_amount(fields, "weights_mb"),
+        adapter_slots=read_count(fields, "adapter_slots", 0),
+        loads_per_s=_read_amount(fields, "loads_per_s", 0.0),
+        models={
+            each.name: each
+            for each in map(_decode_model, read_list(fields["models"], "the models"))
+        },
+        disk_mb=_read_amount(fields, "disk_mb", 0.0),
         moves=bool(fields.get("moves")),
         backups=bool(fields.get("backups")),
-        handle_s=float(fields.get("handle_s") or 0),
-        kv_token_bytes=int(fields.get("kv_token_bytes") or 0),
-        tokens_per_event=int(fields.get("stride") or 0),
+        handle_s=_read_amount(fields, "handle_s", 0.0),
+        kv_token_bytes=read_count(fields, "kv_token_bytes", 0),
+        tokens_per_event=read_count(fields, "stride", 0),
     )
 
 
 def _decode_model(value: Any) -> ModelProfile:
     fields = read_object(value, "a model")
-    load_s = float(fields["load_s"])
+    load_s = _read_amount(fields, "load_s")
     return ModelProfile(
-        name=str(fields["name"]),
-        weights_mb=float(fields["weights_mb"]),
+        name=read_text(fields, "name"),
+        weights_mb=_read_amount(fields, "weights_mb"),
         load_s=load_s,
-        memory_load_s=float(fields.get("warm_s") or load_s),
-        disk_load_s=float(fields.get("disk_s") or load_s),
-        adapters=int(fields.get("adapters") or 0),
-        adapter_mb=float(fields.get("adapter_mb") or 0),
+        memory_load_s=_read_amount(fields, "warm_s", 0.0) or load_s,
+        disk_load_s=_read_amount(fields, "disk_s", 0.0) or load_s,
+        adapters=read_count(fields, "adapters", 0),
+        adapter_mb=_read_amount(fields, "adapter_mb", 0.0),
     )
 
 
+def _read_amount(
+    fields: Mapping[str, Any], name: str, default: float | None = None
+) -> float:
+    value = read_number(fields, name, maximum=MAX_AMOUNT)
+    if value is None:
+        value = default
+    if value is None:
+        raise DocumentError(f"{name} is missing")
+    return value
+
+
 def _decode_limits(value: Any) -> CallerLimits:
     fields = read_object(value, "the limits")
     defaults = CallerLimits()
     return CallerLimits(
-        max_header_bytes=int(
-            fields.get("max_header_bytes") or defaults.max_header_bytes
+        max_header_bytes=read_count(fields, "max_header_bytes", 0)
+        or defaults.max_header_bytes,
+        max_body_bytes=read_count(fields, "max_body_bytes", 0)
+        or defaults.max_body_bytes,
+        header_timeout_s=_read_timeout(
+            fields, "header_timeout_ms", defaults.header_timeout_s
+        ),
+        idle_timeout_s=_read_timeout(
+            fields, "idle_timeout_ms", defaults.idle_timeout_s
         ),
-        max_body_bytes=int(fields.get("max_body_bytes") or defaults.max_body_bytes),
-        header_timeout_s=float(fields["header_timeout_ms"]) / MS_PER_S
-        if fields.get("header_timeout_ms")
-        else defaults.header_timeout_s,
-        idle_timeout_s=float(fields["idle_timeout_ms"]) / MS_PER_S
-        if fields.get("idle_timeout_ms")
-        else defaults.idle_timeout_s,
     )
+
+
+def _read_timeout(fields: Mapping[str, Any], name: str, default_s: float) -> float:
+    """Return a timeout in seconds; the default if it is missing or 0."""
+    value = read_number(fields, name, maximum=MAX_TIMEOUT_MS)
+    return value / MS_PER_S if value else default_s
--- a/mangoway/platform/fields.py
+++ b/mangoway/platform/fields.py
@@ -21,8 +21,8 @@
 MAX_EXACT: Final = 2**53 - 1
 """Largest whole number that JSON readers and floats keep exactly."""
 
-MAX_ENTRIES: Final = 10_000
-"""Largest list: more than the runners of a fleet or the models of a service."""
+MAX_ENTRIES: Final = 1_000_000
+"""Largest list, for example of customers; values of the store are smaller."""
 
 
 class DocumentError(Exception):
