Check the types of messages on links

A message with a value of another type was accepted, and raised TypeError where it was used, or AttributeError from the decoder itself. The types of each decoded message are compared with the annotations of its class; a wrong one is a CodecError, which closes the link. A compressed frame may expand to 256 MB at most.

--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -37,6 +37,7 @@
 )
 from . import plain_codec  # noqa: F401  # Registers its messages.
 from .codec_registry import DECODERS, ENCODERS, decodes, encodes
+from .message_types import has_valid_types
 from .messages import (
     ClockRequest,
     ClockResponse,
@@ -64,6 +65,19 @@
 """Largest frame. All keys of a store with 12,000 runners take about 10 MB; a message
 about a request takes a few hundred bytes."""
 
+MAX_PAYLOAD_BYTES: Final = 1 << 28
+"""Largest payload of a compressed frame. A payload that is compressed to a tenth fills
+a frame at 160 MB; a few kilobytes could otherwise expand to all memory."""
+
+DECODE_ERRORS: Final = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    zlib.error,
+)
+"""Errors of decoding values of unexpected types."""
 
 STREAMING: Final = 1
 RESUMABLE: Final = 2
@@ -97,10 +111,23 @@
     try:
         body = payload[1:]
         if payload[:1] == COMPRESSED:
-            body = zlib.decompress(body)
-        return [DECODERS[each[0]](each, edge) for each in orjson.loads(body)]
-    except (KeyError, IndexError, TypeError, ValueError, zlib.error) as error:
-        raise CodecError(f"invalid frame: {error!r}") from error
+            body = _decompress(body)
+        messages = [DECODERS[each[0]](each, edge) for each in orjson.loads(body)]
+    except DECODE_ERRORS as error:
+        raise CodecError(f"invalid frame: {error!r:.200}") from error
+    for message in messages:
+        if not has_valid_types(message):
+            kind = type(message).__name__
+            raise CodecError(f"invalid frame: a value of {kind} has another type")
+    return messages
+
+
+def _decompress(body: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    payload = decompressor.decompress(body, MAX_PAYLOAD_BYTES)
+    if not decompressor.eof:
+        raise ValueError("the compressed payload is truncated or too large")
+    return payload
 
 
 class FrameReader:
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -1,5 +1,7 @@
 """Tests of the messages between edges and the scheduler."""
 
+import zlib
+
 import pytest
 from attrs import evolve
 from hypothesis import given
@@ -26,6 +28,7 @@
     TransferStream,
 )
 from mangoway.scheduling.codec import (
+    MAX_PAYLOAD_BYTES,
     MIN_COMPRESSED_BYTES,
     CodecError,
     FrameReader,
@@ -132,6 +135,21 @@
     return decode_payload(payload, "e1")
 
 
+class TestOddFrames:
+    """Frames that a process of the system doesn't send."""
+
+    def test_payload_that_expands_to_much_raises_error(self) -> None:
+        """A few hundred kilobytes would expand to more than a process may use."""
+        payload = b"[" + b" " * (MAX_PAYLOAD_BYTES + 1) + b"]"
+        with pytest.raises(CodecError, match="too large"):
+            decode_payload(b"\1" + zlib.compress(payload), "e1")
+
+    def test_truncated_compressed_payload_raises_error(self) -> None:
+        payload = zlib.compress(b'["first","q1"]')[:-5]
+        with pytest.raises(CodecError):
+            decode_payload(b"\1" + payload, "e1")
+
+
 class TestMessages:
     """Messages that are encoded and decoded again."""
 
