Don't accept revoked keys after a start just after a restore

Callers saw: requests with a revoked key were served later than 5 s after its removal, if the store came back from a copy without that write and all edges were killed within the next seconds. Processes that were running count the age of their state from before the restore; one that starts didn't know that there had just been one, and took its first watch for complete.

A process that starts with a restored store now waits for the 5 s in which the operator repeats writes, unless the store holds a mark that they were repeated in this era. The leader writes that mark once after each restore, the first edge where there is no scheduler. Nothing changes where the store was never restored. A store that was restored before this release has its mark 5 s after the first new leader started; new edges that start before wait for 5 s.

--- a/mangoway/coordination/lost_writes.py
+++ b/mangoway/coordination/lost_writes.py
@@ -30,6 +30,10 @@
             self._certain_at = known_at
         self._uncertain_until = now + self.repeated_s
 
+    def record_repeated(self) -> None:
+        """Record that all writes were repeated since the last restore."""
+        self._uncertain_until = float("-inf")
+
     def find_certain_at(self, known_at: float, now: float) -> float:
         """Return the time on the boot clock up to which all writes are known.
 
--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -100,6 +100,9 @@
     on_synced: Callable[[], None] = lambda: None
     """Called after each snapshot or batch of changes has been applied."""
 
+    complete_era_key: str = ""
+    """Key of the mark that lost writes were repeated since the last restore."""
+
     feed: Feed | None = None
     follower: Follower | None = None
     boot_clock: Callable[[], float] = read_boot_clock
@@ -173,6 +176,14 @@
         """Return the era of the mirrored state; 0 before the first snapshot."""
         return 0 if self.revision is None else self.revision.era
 
+    def is_era_complete(self) -> bool:
+        """Return whether lost writes are known to be repeated since the last restore.
+
+        A process that starts does not know otherwise how long ago that was.
+        """
+        mark = self.items.get(self.complete_era_key)
+        return mark is not None and mark.value == str(self.era).encode()
+
     def learn_era(self, era: int) -> None:
         """Learn of an era from another process; earlier eras are outdated from now.
 
@@ -228,8 +239,9 @@
         self.items = {item.key: item for item in snapshot.items}
         self.revision = snapshot.revision
         self.learn_era(snapshot.revision.era)
-        if is_first and self.era > 0:
+        if is_first and self.era > 0 and not self.is_era_complete():
             self.restores.record_start()
+            self._lost_operator_writes.record_restore(self.known_at, self.clock())
         if is_first or self.era == known_era:
             self.restores.record_removed(known_items.keys() - self.items.keys())
             self._deliver_snapshot(snapshot)
@@ -315,6 +327,9 @@
         for change in new:
             self._store_change(change)
         self.revision = max(known, changes.revision)
+        if self.is_era_complete():
+            self.restores.record_complete()
+            self._lost_operator_writes.record_repeated()
         effective = self._select_effective(new)
         self.receiver.apply_changes(Changes(changes=new, revision=changes.revision))
         if self.follower is not None and new:
--- a/mangoway/coordination/restore_tracker.py
+++ b/mangoway/coordination/restore_tracker.py
@@ -67,6 +67,10 @@
         """Record the first reading of a store that was restored at any time before."""
         self._restored_at = self.clock()
 
+    def record_complete(self) -> None:
+        """Record that lost writes were repeated since the last restore."""
+        self._restored_at = -math.inf
+
     def record_restore(
         self, known_items: dict[str, Item], items: dict[str, Item]
     ) -> None:
--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -9,6 +9,7 @@
 
 from ..coordination.clearance_writer import ClearanceWriter
 from ..coordination.crash_reporter import CrashReporter
+from ..coordination.era_marker import EraMarker
 from ..edge.admission import Admission
 from ..edge.caller_memory import make_response_memory
 from ..edge.const import MAX_IDLE_PER_RUNNER, RETRY_AFTER_STOP_S, STOPPING_REASON
@@ -107,6 +108,7 @@
     client: SchedulerClient = field(init=False)
     reporter: CrashReporter = field(init=False)
     clearance_writer: ClearanceWriter = field(init=False)
+    era_marker: EraMarker = field(init=False)
     admission: Admission = field(init=False)
     startup: StartupCheck = field(init=False)
     retry_budgets: RetryBudgets = field(init=False)
@@ -155,6 +157,11 @@
         self.clearance_writer = ClearanceWriter(
             self.reporter, self.process.mirror, self.process.crashes, OWN_PREFIX
         )
+        self.era_marker = EraMarker(
+            store=self.process.store,
+            mirror=self.process.mirror,
+            may_write=self._is_first_without_scheduler,
+        )
         self.admission = Admission(
             view=self.process.view,
             measure_age=self.process.mirror.measure_operator_age,
@@ -223,6 +230,7 @@
         await self.process.async_start(addresses)
         self.process.keep_running(self.reporter.async_run)
         self.process.keep_running(self.clearance_writer.async_run)
+        self.process.keep_running(self.era_marker.async_run)
         self.process.keep_running(self._async_sweep)
         self.process.keep_running(self._async_update_shares)
         self.process.keep_running(self._async_log_summaries)
@@ -407,6 +415,14 @@
         members = self.process.view.members.items()
         return [key for key, each in members if each.role is Role.EDGE]
 
+    def _is_first_without_scheduler(self) -> bool:
+        """Return whether this edge does what a leader would do if there were one."""
+        members = self.process.view.members.values()
+        if any(each.role is Role.SCHEDULER for each in members):
+            return False
+        own = OWN_PREFIX + self.process.presence.member.key
+        return own == min(self._list_edges(), default="")
+
     def _is_prober(self, shared: RequestIdentity) -> bool:
         """Return whether this edge probes a blocked property of requests."""
         own = OWN_PREFIX + self.process.presence.member.key
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from ..coordination.crashes import StatementError, decode_statement
+from ..coordination.era_marker import COMPLETE_ERA_KEY
 from ..coordination.mirror import Mirror
 from ..coordination.presence import EDGE_RENEW_S, RENEW_S, Presence
 from ..coordination.store import NO_REVISION
@@ -110,6 +111,7 @@
             seeds=self._list_seeds(),
         )
         self.mirror.feed = self.leader_link
+        self.mirror.complete_era_key = OWN_PREFIX + COMPLETE_ERA_KEY
         self.leader_link.on_statement = self.handle_statement
         self.tasks = Tasks(_log_task_failure)
 
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from ..coordination.absence import AbsentEdges
+from ..coordination.era_marker import EraMarker
 from ..coordination.leadership import Leadership
 from ..coordination.statement_maintainer import StatementMaintainer
 from ..models.fleet import Role
@@ -88,6 +89,7 @@
     server: SchedulerServer = field(init=False)
     absent: AbsentEdges = field(init=False)
     statement_maintainer: StatementMaintainer = field(init=False)
+    era_marker: EraMarker = field(init=False)
     orders: OrderSender = field(init=False)
     reports: ReportReader = field(init=False)
     control: RunnerControl = field(factory=RunnerControl, init=False)
@@ -156,6 +158,11 @@
             may_write=lambda: self.leadership.fence is not None,
             prefix=OWN_PREFIX,
         )
+        self.era_marker = EraMarker(
+            store=process.store,
+            mirror=process.mirror,
+            may_write=lambda: self.leadership.fence is not None,
+        )
         self.server.list_absent = self.absent.list_absent
         self.server.plain.use_metrics(process.metrics)
         self.server.transfer_log.metrics = process.metrics
@@ -183,6 +190,7 @@
             self.server.async_run,
             self.absent.async_run,
             self.statement_maintainer.async_run,
+            self.era_marker.async_run,
             self._async_track_leadership,
             self.reports.async_run,
             self._async_log_summaries,
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -718,3 +718,11 @@
 
     retained: tuple[str, ...]
     """Keys whose known values are newer and stay in use."""
+
+
+@numbered(763, LogLevel.INFO)
+class EraUnmarked:
+    """The mark that lost writes were repeated was not written; this is retried."""
+
+    era: int
+    reason: str
