Let no third leader within a window load models from the weight store

Users saw nothing yet; found by looking for knowledge that all processes lose at once. How many loads a leader has started is known to its process only. A new leader takes part of the rate in its first window, since the previous one may have used the whole of it, but so did the next one and the one after.

Each leader now writes a key with the same call that takes the leader's key, and removes it once it has led for 5.5 s. A leader that found the key orders no loads from the weight store in its first window. Cost: one call to the store a term, and up to 5 s without loads from the store after the second change of leader in 5.5 s; loads from memory or disk go on. Weighed: dividing what is left among such leaders, one load for 1.8 a second.

--- a/mangoway/coordination/leadership.py
+++ b/mangoway/coordination/leadership.py
@@ -1,6 +1,7 @@
 """Leader election: acquires and holds the scheduler's key in the store."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -9,11 +10,12 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..util.clock import read_boot_clock
-from .members import LEADER_KEY, encode_member
+from .members import LEADER_KEY, SHORT_TERM_KEY, encode_member
 from .presence import Presence
 from .store import (
     NO_REVISION,
     CoordinationStore,
+    Item,
     LeaseEndedError,
     Precondition,
     StoreUnavailableError,
@@ -29,6 +31,14 @@
 """Time between two checks of whether the key is free; a check needs no store call."""
 
 
+SHORT_TERM_S: Final = 5.5
+"""Time for which a leader must have led for the loads of its predecessors not to count
+any more: the window of the weight store, and a margin for the delay of orders."""
+
+REMOVAL_RETRY_S: Final = 1.0
+"""Time between two attempts to remove the key of a short term."""
+
+
 @define(eq=False)
 class Leadership:
     """Holder of the scheduler's key, bound to the lease of the process's presence.
@@ -53,6 +63,9 @@
     two holders never interleave."""
 
     runners_check_fences: bool = False
+    find_item: Callable[[str], Item | None] = lambda key: None
+    """Returns an item of the mirrored state of the store by its key."""
+
     has_edges: Callable[[], bool] = lambda: True
     """Whether edges already request grants from this process."""
 
@@ -67,6 +80,13 @@
     _orders_allowed_from: float = field(default=0.0, init=False)
     _rejected_fence: int = field(default=0, init=False)
     _stopped: bool = field(default=False, init=False)
+    _term_began_at: float = field(default=-math.inf, init=False)
+    _after_short_term: bool = field(default=False, init=False)
+    """Whether the previous leader of the key to be acquired had a short term."""
+
+    _remove_from: float = field(default=0.0, init=False)
+    """Time from which the removal of the key of a short term may be attempted."""
+
     _was_held: bool = field(default=False, init=False)
     """Whether any process has held the key since this process started."""
 
@@ -77,6 +97,8 @@
             self._update_free_since()
             if self._can_acquire() and not self._should_yield():
                 await self._async_acquire()
+            if self._is_term_long_enough():
+                await self._async_end_short_term()
             await asyncio.sleep(CHECK_S)
 
     @property
@@ -106,6 +128,16 @@
         is_delay_over = self.clock() >= self._orders_allowed_from
         return fence is not None and is_delay_over and fence > self._rejected_fence
 
+    @property
+    def may_load_from_store(self) -> bool:
+        """Return whether loads from the weight store may be ordered.
+
+        The weight store tolerates the first loads of one new leader beside those of the
+        previous one, but not of several that follow one another within its window.
+        """
+        is_term_short = self.clock() < self._term_began_at + SHORT_TERM_S
+        return not (is_term_short and self._after_short_term)
+
     def handle_fence_rejected(self, fence: int) -> None:
         """Stop using a fence number after a runner has seen a higher one."""
         self._rejected_fence = max(self._rejected_fence, fence)
@@ -149,6 +181,7 @@
     def _start_term(self, fence: int) -> None:
         """Start a term; the previous holder may send orders until the delay is over."""
         self._last_fence = fence
+        self._term_began_at = self.clock()
         self._orders_allowed_from = self.clock() + self.order_delay_s
         log_event(log.LeadershipTaken(fence=fence, orders_after_s=self.order_delay_s))
 
@@ -194,8 +227,21 @@
         precondition = Precondition(
             key=key, revision=NO_REVISION if leader is None else leader.revision
         )
+        short_term_key = self.prefix + SHORT_TERM_KEY
+        short_term = self.find_item(short_term_key)
+        self._after_short_term = short_term is not None
+        # The precondition holds only if the mirrored state of this key is current.
+        short_term_precondition = Precondition(
+            key=short_term_key,
+            revision=NO_REVISION if short_term is None else short_term.revision,
+        )
+        short_term_write = Write(
+            key=short_term_key, value=self.presence.member.incarnation.encode()
+        )
         try:
-            result = await self.store.async_commit((precondition,), (write,))
+            result = await self.store.async_commit(
+                (precondition, short_term_precondition), (write, short_term_write)
+            )
             if not result.committed:
                 log_event(
                     log.LeadershipMissed(reason="another process has acquired the key")
@@ -205,3 +251,24 @@
         except StoreUnavailableError as error:
             # The write may still have taken effect; in that case the view will show it.
             log_event(log.LeadershipMissed(reason=str(error)))
+
+    def _is_term_long_enough(self) -> bool:
+        """Return whether the key of this leader's short term has to be removed."""
+        now = self.clock()
+        if self.fence is None or now < self._term_began_at + SHORT_TERM_S:
+            return False
+        is_written = self.find_item(self.prefix + SHORT_TERM_KEY) is not None
+        return is_written and now >= self._remove_from
+
+    async def _async_end_short_term(self) -> None:
+        key = self.prefix + SHORT_TERM_KEY
+        item = self.find_item(key)
+        if item is None:
+            return
+        self._remove_from = self.clock() + REMOVAL_RETRY_S
+        precondition = Precondition(key=key, revision=item.revision)
+        try:
+            await self.store.async_commit((precondition,), (), (key,))
+        except StoreUnavailableError as error:
+            # A short term that is not marked as over only delays the next leader.
+            log_event(log.ShortTermKept(reason=str(error)))
--- a/mangoway/coordination/members.py
+++ b/mangoway/coordination/members.py
@@ -11,6 +11,10 @@
 LEADER_KEY: Final = "scheduler"
 """Key that the leading scheduler holds, without the prefix of the system's keys."""
 
+SHORT_TERM_KEY: Final = "short-term"
+"""Key that exists until the latest leader has led for a whole window of the weight
+store, without the prefix of the system's keys."""
+
 ANNOUNCEMENTS_PER_S: Final = 100.0
 """Rate at which all processes together rewrite keys that were lost when the store came
 back from a copy. Each takes two writing calls, and the stores of small fleets allow 400
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -123,6 +123,7 @@
             ),
             runners_check_fences=settings.runners_check_fences,
             has_edges=lambda: self.server.edge_count > 0,
+            find_item=lambda key: process.mirror.items.get(key),
         )
         self.server = SchedulerServer(
             core=self._make_core(),
@@ -324,7 +325,12 @@
             # Without connected edges the demand is unknown: another scheduler may
             # already lead.
             allowed = self.leadership.may_order and self.server.edge_count > 0
-            self.server.handle(OrdersAllowed(allowed=allowed))
+            self.server.handle(
+                OrdersAllowed(
+                    allowed=allowed,
+                    may_load_from_store=self.leadership.may_load_from_store,
+                )
+            )
             if granting != self._was_granting:
                 self._was_granting = granting
                 self._granting_changed_at = self.process.clock()
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -726,3 +726,10 @@
 
     era: int
     reason: str
+
+
+@numbered(764, LogLevel.INFO)
+class ShortTermKept:
+    """The key of this leader's first seconds was not removed; this is retried."""
+
+    reason: str
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -498,7 +498,7 @@
     core: SchedulingCore, event: OrdersAllowed, now: float
 ) -> list[Action]:
     if event.allowed and not core.state.orders_allowed:
-        core.state.start_ordering(now)
+        core.state.start_ordering(now, may_load=event.may_load_from_store)
     core.state.orders_allowed = event.allowed
     return []
 
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -207,6 +207,8 @@
     """Change of whether this process may send orders."""
 
     allowed: bool
+    may_load_from_store: bool = True
+    """Whether these may be loads from the weight store in its first window."""
 
 
 class OrderOutcome(Enum):
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -117,6 +117,9 @@
     wakeups: WakeupSchedule = field(factory=WakeupSchedule, init=False)
     orders_allowed: bool = field(default=False, init=False)
     ordering_since: float = field(default=-math.inf, init=False)
+    may_load_first: bool = field(default=True, init=False)
+    """Whether loads from the weight store are allowed in the window from then on."""
+
     _by_service: dict[str, dict[str, RunnerState]] = field(factory=dict, init=False)
     _copies: dict[str, CopyIndex] = field(factory=dict, init=False)
     _entries: dict[str, RunnerEntry] = field(factory=dict, init=False)
@@ -166,14 +169,19 @@
         loads = self.store_loads.get(service)
         if loads is None:
             loads = self.store_loads[service] = StoreLoadLimiter()
-            loads.start(self.ordering_since)
+            loads.start(self.ordering_since, may_load=self.may_load_first)
         return loads
 
-    def start_ordering(self, now: float) -> None:
-        """Record that this process sends orders from now on."""
-        self.ordering_since = now
+    def start_ordering(self, now: float, *, may_load: bool = True) -> None:
+        """Record that this process sends orders from now on.
+
+        Args:
+            now: Time in seconds.
+            may_load: Whether loads from the weight store are allowed at first.
+        """
+        self.ordering_since, self.may_load_first = now, may_load
         for loads in self.store_loads.values():
-            loads.start(now)
+            loads.start(now, may_load=may_load)
 
     def get_engine(self, service: str) -> EngineProfile | None:
         """Return the engine profile of a service; None for plain services."""
--- a/mangoway/policy/scheduling/store_loads.py
+++ b/mangoway/policy/scheduling/store_loads.py
@@ -24,15 +24,24 @@
     _first_until: float = field(default=-math.inf, init=False)
     """End of the first window in which this process sends orders."""
 
+    _may_load_first: bool = field(default=True, init=False)
+    """Whether loads are allowed in that window."""
+
     _rare: dict[str, float] = field(factory=dict, init=False)
     """Runners that fetch a rare model, with the expected end."""
 
-    def start(self, now: float) -> None:
+    def start(self, now: float, *, may_load: bool = True) -> None:
         """Record that this process sends orders from now on.
 
         Another process may have sent some before.
+
+        Args:
+            now: Time in seconds.
+            may_load: Whether loads are allowed in the first window; they are not if
+                several processes have sent orders shortly before.
         """
         self._first_until = now + STORE_WINDOW_S
+        self._may_load_first = may_load
 
     def record_load(self, now: float, ends_at: float) -> None:
         """Record a load that starts now."""
@@ -53,6 +62,8 @@
             self._started.popleft()
         allowed = engine.loads_per_s * STORE_WINDOW_S * STORE_LOAD_SHARE
         if now < self._first_until:
+            if not self._may_load_first:
+                return False
             # The previous scheduler may have started as many as are allowed.
             allowed = max(STORE_FIRST_LOADS, allowed * STORE_FIRST_SHARE)
         if len(self._started) + 1 > max(1.0, allowed):
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -97,6 +97,7 @@
             order_delay_s=ORDER_DELAY_S,
             runners_check_fences=checks_fences,
             clock=lambda: clock() + self.clock_offset,
+            find_item=lambda key: mirror.items.get(key),
         )
         mirror = Mirror(store, Receiver(view), clock)
         loop = asyncio.get_running_loop()
--- a/tests/coordination/test_restarted_schedulers.py
+++ b/tests/coordination/test_restarted_schedulers.py
@@ -9,6 +9,7 @@
 import pytest
 from attrs import evolve
 
+from mangoway.coordination.leadership import SHORT_TERM_S
 from mangoway.policy.scheduling.const import STORE_WINDOW_S
 from mangoway.policy.scheduling.store_loads import StoreLoadLimiter
 
@@ -74,7 +75,8 @@
 
 def start_loads(candidate: Candidate) -> StoreLoadLimiter:
     limiter = StoreLoadLimiter()
-    limiter.start(asyncio.get_running_loop().time())
+    may_load = candidate.leadership.may_load_from_store
+    limiter.start(asyncio.get_running_loop().time(), may_load=may_load)
     return limiter
 
 
@@ -123,3 +125,31 @@
             assert len(fleet.loads) > before
             await asyncio.sleep(12.0)
             one.kill()
+
+    async def test_leader_after_a_short_term_may_load_after_a_window(self) -> None:
+        fleet = Fleet()
+        one = fleet.start("a")
+        await fleet.async_lead(one, seconds=0.3)
+        one.kill()
+        two = fleet.start("a")
+        await fleet.async_lead(two, seconds=0.3)
+        assert not two.leadership.may_load_from_store
+        await asyncio.sleep(SHORT_TERM_S)
+        assert two.leadership.may_load_from_store
+        two.kill()
+
+    async def test_scheduler_with_an_outdated_state_takes_no_term_for_long(
+        self,
+    ) -> None:
+        fleet = Fleet()
+        one = fleet.start("a")
+        await fleet.async_lead(one, seconds=0.3)
+        one.kill()
+        two = fleet.start("a")
+        find_item, two.leadership.find_item = two.leadership.find_item, lambda key: None
+        await asyncio.sleep(ELECTION_S)
+        assert two.leadership.fence is None
+        two.leadership.find_item = find_item
+        await fleet.async_lead(two, seconds=0.3)
+        assert not two.leadership.may_load_from_store
+        two.kill()
--- a/tests/fakes/process.py
+++ b/tests/fakes/process.py
@@ -57,6 +57,7 @@
             order_delay_s=ORDER_DELAY_S,
             runners_check_fences=True,
             clock=clock,
+            find_item=lambda key: self.mirror.items.get(key),
         )
         loop = asyncio.get_running_loop()
         self.tasks = [
--- a/tests/policy/scheduling/test_store_loads.py
+++ b/tests/policy/scheduling/test_store_loads.py
@@ -1,8 +1,14 @@
 """Tests that loads keep to the weight store's rate."""
 
+from random import Random
+
+import pytest
 from attrs import evolve
 
 from mangoway.models.routing import EngineProfile
+from mangoway.policy.scheduling.core import SchedulingCore
+from mangoway.policy.scheduling.events import OrdersAllowed
+from mangoway.policy.scheduling.state import SchedulingState
 from mangoway.policy.scheduling.store_loads import StoreLoadLimiter
 
 from ...fakes.fleet import make_engine, make_model
@@ -50,6 +56,29 @@
         assert count_loads(loads, engine, 5.1) == 8
 
 
+class TestFirstWindow:
+    """A scheduler that must not load in its first window of orders."""
+
+    def test_it_loads_nothing_until_the_window_is_over(self) -> None:
+        engine = evolve(make_engine(["a"], load_s=5.4), loads_per_s=1.8)
+        loads = StoreLoadLimiter()
+        loads.start(0.0, may_load=False)
+        assert count_loads(loads, engine, 4.9) == 0
+        assert count_loads(loads, engine, 5.1) == 8
+
+    @pytest.mark.parametrize("may_load", [False, True])
+    def test_core_applies_it_to_services_that_are_first_used_later(
+        self, *, may_load: bool
+    ) -> None:
+        core = SchedulingCore(SchedulingState(random=Random(1)))
+        engine = evolve(make_engine(["a"], load_s=5.4), loads_per_s=1.8)
+        before = core.state.get_store_loads("early")
+        core.handle(OrdersAllowed(allowed=True, may_load_from_store=may_load), 1.0)
+        after = core.state.get_store_loads("late")
+        assert before.can_start(engine, 1.5) == may_load
+        assert after.can_start(engine, 1.5) == may_load
+
+
 def count_loads(loads: StoreLoadLimiter, engine: EngineProfile, now: float) -> int:
     """Return how many loads may start at one moment."""
     started = 0
--- a/tests/soak/test_restarted_fleet.py
+++ b/tests/soak/test_restarted_fleet.py
@@ -13,8 +13,10 @@
 from attrs import evolve
 
 from mangoway.coordination.restore_tracker import REWRITE_S
+from mangoway.policy.scheduling.const import STORE_WINDOW_S
 
 from ..stand_ins.launcher import Launcher
+from . import world as world_module
 from .customers import REVOKE_S
 from .records import RETRY_WINDOW_S, Kind
 from .store import StoreFault
@@ -49,6 +51,11 @@
 NODE_STARTED = 150
 """Number of the event that a process logs when it has started."""
 
+LOADS_PER_S = 0.5
+
+PLACEMENT_ORDERED = 453
+"""Number of the event that a scheduler logs for each order."""
+
 ROLES = (("edge",), ("edge", "scheduler"))
 
 
@@ -77,6 +84,19 @@
     )
 
 
+def list_loads(logs: Path) -> list[float]:
+    """Return when schedulers ordered models to be loaded, in order."""
+    lines = [line for path in logs.glob("scheduler-*") for line in path.open()]
+    events = [orjson.loads(line) for line in lines if line.endswith("}\n")]
+    return sorted(
+        float(each["timestamp"])
+        for each in events
+        if each.get("event") == PLACEMENT_ORDERED
+        and each["load"]
+        and not each["adapter"]
+    )
+
+
 async def async_is_ready(session: aiohttp.ClientSession, node: Node) -> bool:
     try:
         async with session.get(f"http://{node.ready_address}/v1/ready") as response:
@@ -166,6 +186,43 @@
         assert max(waits) < REWRITE_S / 2
 
 
+@pytest.mark.process
+class TestLoads:
+    """Loads from the weight store, over all leaders."""
+
+    async def test_no_window_has_more_loads_when_all_schedulers_restart_twice(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        make_service = world_module._make_engine_service
+        service = make_service()
+        service["engine"]["loads_per_s"] = LOADS_PER_S
+        monkeypatch.setattr(world_module, "_make_engine_service", lambda: service)
+        async with Launcher(tmp_path) as launcher:
+            world = World(SEED, launcher, engines=8, engine_models=("m0",))
+            await world.async_start()
+            try:
+                kills: list[float] = []
+                for count in (1, 3):
+                    async with asyncio.timeout(STARTED_S):
+                        while len(list_loads(tmp_path)) < count:  # noqa: ASYNC110
+                            await asyncio.sleep(0.05)
+                    kill_all(world, ("scheduler",))
+                    kills.append(time.time())
+                    await asyncio.sleep(KILLED_S)
+                await asyncio.sleep(2 * STORE_WINDOW_S)
+            finally:
+                await world.async_stop()
+        loads = list_loads(tmp_path)
+        most = max(
+            sum(1 for at in loads if begin <= at < begin + STORE_WINDOW_S)
+            for begin in loads
+        )
+        assert len(loads) > 2
+        next_leader_at = min(at for at in loads if at > kills[0])
+        assert next_leader_at - kills[0] > STORE_WINDOW_S
+        assert most <= LOADS_PER_S * STORE_WINDOW_S * 1.1 + 3
+
+
 @pytest.mark.process
 class TestRetries:
     """The retry budget of each service, over all edges before and after a restart."""
