--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from ..coordination.absence import AbsentEdges
+from ..coordination.era_marker import EraMarker
 from ..coordination.leadership import Leadership
 from ..coordination.statement_maintainer import StatementMaintainer
 from ..coordination.version_recorder import VersionRecorder
@@ -91,6 +92,7 @@
     absent: AbsentEdges = field(init=False)
     statement_maintainer: StatementMaintainer = field(init=False)
     version_recorder: VersionRecorder = field(init=False)
+    era_marker: EraMarker = field(init=False)
     orders: OrderSender = field(init=False)
     reports: ReportReader = field(init=False)
     control: RunnerControl = field(factory=RunnerControl, init=False)
@@ -124,6 +126,7 @@
             ),
             runners_check_fences=settings.runners_check_fences,
             has_edges=lambda: self.server.edge_count > 0,
+            find_item=lambda key: process.mirror.items.get(key),
         )
         self.server = SchedulerServer(
             core=self._make_core(),
@@ -167,6 +170,11 @@
             prefix=OWN_PREFIX,
             choose_delay_s=lambda: inf if self.leadership.fence is None else 0.0,
         )
+        self.era_marker = EraMarker(
+            store=process.store,
+            mirror=process.mirror,
+            may_write=lambda: self.leadership.fence is not None,
+        )
         self.server.list_absent = self.absent.list_absent
         self.server.plain.use_metrics(process.metrics)
         self.server.transfer_log.metrics = process.metrics
@@ -198,6 +206,7 @@
             self.absent.async_run,
             self.statement_maintainer.async_run,
             self.version_recorder.async_run,
+            self.era_marker.async_run,
             self._async_track_leadership,
             self.reports.async_run,
             self._async_log_summaries,
@@ -331,7 +340,12 @@
             # Without connected edges the demand is unknown: another scheduler may
             # already lead.
             allowed = self.leadership.may_order and self.server.edge_count > 0
-            self.server.handle(OrdersAllowed(allowed=allowed))
+            self.server.handle(
+                OrdersAllowed(
+                    allowed=allowed,
+                    may_load_from_store=self.leadership.may_load_from_store,
+                )
+            )
             if granting != self._was_granting:
                 self._was_granting = granting
                 self._granting_changed_at = self.process.clock()
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -785,3 +785,18 @@
     """The runners' software versions can't be written in the store until event 763."""
 
     reason: str
+
+
+@numbered(765, LogLevel.INFO)
+class EraUnmarked:
+    """The mark that lost writes were repeated was not written; this is retried."""
+
+    era: int
+    reason: str
+
+
+@numbered(766, LogLevel.INFO)
+class ShortTermKept:
+    """The key of this leader's first seconds was not removed; this is retried."""
+
+    reason: str
