Tell the four ways apart in which a soak's stream is out of order

Events now name their run. Each response, and the tries of a caller that resumes, are judged for missing events, repeated ones, joined runs or versions, and an early end that looks complete; violations and results name and count them apart, beside the number of streams judged.

What was a violation still is: the text of a whole response has to be that of its events, and the order decides whether they are the right ones. Two streams that callers join from two versions stay allowed, as before.

Three disturbances are new, each an option that new seeds draw; seeds that are given stay as they were: unframed responses whose runners are killed in the middle and close their connections (--broken-endings; other broken connections end with a reset there, which an abort of asyncio doesn't send), all edges killed or stopped, also behind a release of runners (--power-cuts), and event ids that don't rise by one (--odd-ids).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 from random import SystemRandom
 from typing import Final
 
+from .order import EventIds
 from .soak import FAULT_S, Result, async_soak
 from .world import EDGES
 
@@ -27,6 +28,24 @@
 callers send requests again under their IDs; a given one only on request too."""
 
 
+BROKEN_ENDINGS_DIVISOR: Final = 5
+BROKEN_ENDINGS_REMAINDER: Final = 3
+"""New seeds in which runners send responses without a length or chunks and are killed
+in the middle of some; a given one only on request too."""
+
+
+POWER_CUTS_DIVISOR: Final = 6
+POWER_CUTS_REMAINDER: Final = 1
+"""New seeds in which all edges are killed at once, or stopped one after the other; a
+given one only on request too."""
+
+
+ODD_IDS_DIVISOR: Final = 7
+ODD_IDS_REMAINDER: Final = 2
+"""New seeds in which IDs of events don't rise by one; a given one only on request
+too."""
+
+
 def main() -> None:
     """Run soaks with the given or new random seeds; exit with 1 if one fails."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -82,6 +101,23 @@
         "callers send requests again under their IDs; one new seed in four does so "
         "anyway",
     )
+    parser.add_argument(
+        "--broken-endings",
+        action="store_true",
+        help="let runners send responses without a length or chunks, and kill some in "
+        "the middle of them; one new seed in five does so anyway",
+    )
+    parser.add_argument(
+        "--power-cuts",
+        action="store_true",
+        help="kill all edges at once, or stop one after the other, also behind a "
+        "release of runners; one new seed in six does so anyway",
+    )
+    parser.add_argument(
+        "--odd-ids",
+        action="store_true",
+        help="let IDs of events not rise by one; one new seed in seven does so anyway",
+    )
     parser.add_argument("--folder", type=Path, help="folder for the logs")
     options = parser.parse_args()
     seeds = options.seed or [
@@ -110,6 +146,24 @@
                 options.promises
                 or (not options.seed and seed % PROMISES_DIVISOR == PROMISES_REMAINDER)
             ),
+            lambda seed: (
+                options.broken_endings
+                or (
+                    not options.seed
+                    and seed % BROKEN_ENDINGS_DIVISOR == BROKEN_ENDINGS_REMAINDER
+                )
+            ),
+            lambda seed: (
+                options.power_cuts
+                or (
+                    not options.seed
+                    and seed % POWER_CUTS_DIVISOR == POWER_CUTS_REMAINDER
+                )
+            ),
+            lambda seed: (
+                options.odd_ids
+                or (not options.seed and seed % ODD_IDS_DIVISOR == ODD_IDS_REMAINDER)
+            ),
         )
     )
     failed = [each.seed for each in results if each.violations]
@@ -130,6 +184,9 @@
     misbehaving: bool | None = None,
     extras: Callable[[int], bool] = lambda seed: False,
     promises: Callable[[int], bool] = lambda seed: False,
+    broken_endings: Callable[[int], bool] = lambda seed: False,
+    power_cuts: Callable[[int], bool] = lambda seed: False,
+    odd_ids: Callable[[int], bool] = lambda seed: False,
 ) -> list[Result]:
     """Run one soak for each seed, at most `at_once` at a time."""
     slots = asyncio.Semaphore(at_once)
@@ -150,6 +207,9 @@
                 misbehaving,
                 extras(seed),
                 promises(seed),
+                broken_endings(seed),
+                power_cuts(seed),
+                odd_ids(seed),
             )
             print_result(result)
             return result
@@ -163,6 +223,10 @@
     flag = " --versions" if result.has_versions else ""
     flag += " --extras" if result.has_extras else ""
     flag += " --promises" if result.has_promises else ""
+    flag += " --broken-endings" if result.has_broken_endings else ""
+    flag += " --power-cuts" if result.has_power_cuts else ""
+    flag += "" if result.event_ids is EventIds.RISING else " --odd-ids"
+    disorders = ", ".join(f"{count} {name}" for name, count in result.disorders.items())
     print(
         f"seed {result.seed}{flag}: {verdict}, "
         f"{result.served} of {result.calls} served; "
@@ -172,7 +236,11 @@
         f"{result.pours} endless responses; "
         f"{result.extras} extra responses; "
         f"{result.own_failures} false failures, {result.kept_ids} kept ids; "
+        f"{result.unframed} unframed responses, {result.cut_unframed} cut; "
+        f"{result.power_cuts} power cuts, {result.rolling_stops} rolling stops; "
+        f"{result.event_ids.value} event ids; "
         f"{result.went_on} of {result.resumed} resumed streams went on; "
+        f"order of {result.judged} streams: {disorders}; "
         f"{', '.join(result.faults)}",
         flush=True,
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,16 +1,16 @@
 """Callers that resolve addresses, reuse connections and check responses."""
 
 import asyncio
-import re
 import time
 from itertools import count
 from random import Random
 
 import aiohttp
-from attrs import define, field
+from attrs import define, evolve, field
 
+from .order import EVENT_COUNT, EventIds, encode_event, parse_events
 from .records import RETRY_STATUSES, Call, Kind, Records, make_record_id
-from .runners import CRASH_MARK, EVENT_COUNT, TRY_FIELD
+from .runners import CRASH_MARK, TRY_FIELD
 
 DEADLINE_S = 3.0
 GIVE_UP_SHARE = 0.03
@@ -29,7 +29,6 @@
     Kind.FIXED_STREAM: "/fixed/x",
 }
 CHOICES = (Kind.SAFE, Kind.ONCE, Kind.ONCE, Kind.STREAM, Kind.STREAM, Kind.FIXED_STREAM)
-EVENT_VERSION = re.compile(r" v\d+(?=\n)")
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 _request_numbers = count(1)
@@ -49,6 +48,9 @@
     keeps_ids: bool = False
     """Whether it sends a request again under its ID."""
 
+    event_ids: EventIds = EventIds.RISING
+    """IDs that the events of streams must have."""
+
     _addresses: list[str] = field(factory=list, init=False)
     _addresses_valid_until: float = field(default=0.0, init=False)
     _avoided_edges: set[str] = field(factory=set, init=False)
@@ -159,12 +161,12 @@
             call.status = response.status
             call.signature = response.headers.get("X-Response-Signature", "")
             self._record_signals(call, response)
-            answer = await response.read()
+            answer = await _async_read(call, response)
         if call.status == 200:
             call.whole = True
-            call.mixed = find_response_fault(call, answer.decode())
+            call.mixed = find_response_fault(call, answer, self.event_ids)
         elif call.status in RETRY_STATUSES:
-            call.reason = answer.decode()
+            call.reason = answer
             retry_after_s = float(response.headers.get("Retry-After") or 0)
             await asyncio.sleep(min(retry_after_s, DEADLINE_S / 3))
 
@@ -244,16 +246,40 @@
                 await asyncio.sleep(self.random.uniform(0.1, 0.4))
 
 
-def find_response_fault(call: Call, text: str) -> str:
-    """Return the fault of a successful response; empty if there is none."""
-    if call.kind in (Kind.SAFE, Kind.ONCE):
+async def _async_read(call: Call, response: aiohttp.ClientResponse) -> str:
+    """Read a response, and record its events, also if it breaks off."""
+    data = b""
+    try:
+        async for part in response.content.iter_any():
+            data += part
+        call.has_ended = call.status == 200
+    finally:
+        if call.kind.is_stream and call.status == 200:
+            call.events, _ = parse_events(data.decode(errors="replace"))
+    return data.decode()
+
+
+def find_response_fault(
+    call: Call, text: str, event_ids: EventIds = EventIds.RISING
+) -> str:
+    """Return the fault of a successful response; empty if there is none.
+
+    The order of a stream's events is judged apart from it.
+
+    Args:
+        call: The request.
+        text: The body of the response.
+        event_ids: IDs that the events of a stream must have.
+    """
+    if not call.kind.is_stream:
         expected_body = f"{call.sent_id} 50"
         return "" if text == expected_body else f"unexpected body {text!r}"
+    events, rest = parse_events(text)
     expected = "".join(
-        f"id: {number}\ndata: {call.sent_id} {number}\n\n"
-        for number in range(1, EVENT_COUNT + 1)
+        encode_event(call.sent_id, evolve(each, event_id=event_ids.make(each.number)))
+        for each in events
     )
-    if len(set(EVENT_VERSION.findall(text))) > 1:
-        return f"events of several software versions {text!r}"
-    text = EVENT_VERSION.sub("", text)
-    return "" if text == expected else f"unexpected events {text!r}"
+    is_expected = not rest and text == expected
+    if is_expected and all(each.number <= EVENT_COUNT for each in events):
+        return ""
+    return f"unexpected events {text!r}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,15 +17,21 @@
 from .runners import RunnerStandIn
 from .signals import DRAIN_S, LIMIT_SLACK, LIMIT_WINDOW_S
 from .store import StoreCopy, StoreFault
-from .world import MODELS, Node, World
+from .world import MODELS, RUNNER_RESTART_S, Node, World
 
 REJECTING_SHARE = 0.6
 """Share of the periods in which runners reject requests rather than fail them."""
 
+KILLED_SHARE = 0.4
+"""Share of the runners with unframed responses that are killed."""
+
 MAX_COPIES = 12
 COPY_INTERVAL_S = 0.5
 """Copies of the store that are kept, and the time between two of them."""
 
+CLOSE_S = 0.1
+"""Time in which the bytes that a killed runner had sent reach their receivers."""
+
 START_S = 3.0
 """Time in which a process starts on a busy host."""
 
@@ -56,9 +62,9 @@
         span = world.records.begin(f"kill {node.name}")
         node.stopping = True
         node.process.kill()
-        with _disturb(world, node, ended=True):
+        with disturb_node(world, node, ended=True):
             await asyncio.sleep(1.0)
-        _end(span)
+        end_span(span)
 
 
 @fault
@@ -70,7 +76,7 @@
             node.stopping = True
             node.process.kill()
     await asyncio.sleep(1.0)
-    _end(span)
+    end_span(span)
 
 
 @fault
@@ -82,10 +88,10 @@
     span = world.records.begin(f"freeze {node.name}")
     process = node.process
     process.pause()
-    with _disturb(world, node):
+    with disturb_node(world, node):
         await asyncio.sleep(world.random.uniform(0.3, 3.0))
     process.resume()
-    _end(span)
+    end_span(span)
 
 
 @plan
@@ -94,12 +100,18 @@
     node = _choose_node(world)
     if node is None or node.process is None or len(world.list_nodes("edge")) < 2:
         return
+    await async_stop_node(world, node)
+
+
+async def async_stop_node(world: World, node: Node) -> None:
+    """Stop a node's process by SIGTERM, and check how it ends."""
+    assert node.process is not None
     span = world.records.begin(f"stop {node.name}", planned=True)
     node.stopping = True
     process = node.process
     process.terminate()
     # A process that another fault paused meanwhile ends once it is resumed.
-    with _disturb(world, node):
+    with disturb_node(world, node):
         code = await process.async_wait(20.0)
     world.records.signals.remove_edge(node.caller_address)
     # A process that is still starting handles no signals yet, and has no requests.
@@ -110,7 +122,7 @@
             f"exit: {node.name} stopped with exit code {code}, not 0"
         )
     await asyncio.sleep(1.0)
-    _end(span)
+    end_span(span)
 
 
 @fault
@@ -122,7 +134,7 @@
     world.store.fault = kind
     await asyncio.sleep(world.random.uniform(0.5, 4.0))
     world.store.fault = StoreFault.NONE
-    _end(span)
+    end_span(span)
 
 
 @plan
@@ -148,10 +160,10 @@
     else:
         relay.switches.drop_to_target = how != "from_target"
         relay.switches.drop_from_target = how != "to_target"
-    with _disturb(world, node, cut=True):
+    with disturb_node(world, node, cut=True):
         await asyncio.sleep(world.random.uniform(0.5, 4.0))
     relay.heal()
-    _end(span)
+    end_span(span)
 
 
 @fault
@@ -165,7 +177,7 @@
     span = world.records.begin("mute connections")
     world.random.choice(relays).mute()
     await asyncio.sleep(1.0)
-    _end(span)
+    end_span(span)
 
 
 @fault
@@ -182,7 +194,7 @@
         runner.relay.switches.drop_from_target = True
     await asyncio.sleep(world.random.uniform(0.3, 2.0))
     runner.relay.heal()
-    _end(span)
+    end_span(span)
 
 
 @fault
@@ -200,7 +212,7 @@
     models: dict[str, set[str]] | None = None if runner.models is None else {}
     await world.async_add_runner(runner.service, models)
     await asyncio.sleep(1.0)
-    _end(span)
+    end_span(span)
 
 
 @plan
@@ -221,7 +233,7 @@
     runner.fail_share = 0.3
     await asyncio.sleep(world.random.uniform(0.5, 3.0))
     runner.fail_share = 0.0
-    _end(span)
+    end_span(span)
 
 
 async def async_reject_periodically(
@@ -242,7 +254,7 @@
         await asyncio.sleep(random.uniform(0.5, 3.0))
         for runner in world.runners:
             runner.reject_share = runner.fail_share = 0.0
-        _end(span)
+        end_span(span)
 
 
 async def async_cut_edges_periodically(
@@ -266,7 +278,7 @@
         world.cuts.begin(pids, relays, random.choice(list(OpenConnections)))
         await asyncio.sleep(random.uniform(0.5, 4.0))
         world.cuts.end()
-        _end(span)
+        end_span(span)
 
 
 async def async_restore_periodically(
@@ -286,7 +298,7 @@
         span = world.records.begin("restore of the store")
         for _ in range(random.choice((1, 1, 1, 2))):
             await _async_restore(world, random, random.choice(copies))
-        _end(span)
+        end_span(span)
 
 
 async def _async_restore(world: World, random: Random, copy: StoreCopy) -> None:
@@ -335,7 +347,7 @@
     runner.reject_share, runner.cooldown_s = 0.9, random.uniform(0.6, 3.0)
     await asyncio.sleep(random.uniform(1.0, 5.0))
     runner.reject_share = runner.cooldown_s = 0.0
-    _end(span)
+    end_span(span)
 
 
 async def _async_leave(world: World, runner: RunnerStandIn, random: Random) -> None:
@@ -404,6 +416,13 @@
     await _async_disturb_runners(world, random, stopping, 1.0, _async_fail_falsely)
 
 
+async def async_break_endings_periodically(
+    world: World, random: Random, stopping: asyncio.Event
+) -> None:
+    """Let runners send unframed responses, and kill some, until `stopping` is set."""
+    await _async_disturb_runners(world, random, stopping, 1.0, _async_break_endings)
+
+
 async def _async_disturb_runners(
     world: World,
     random: Random,
@@ -432,7 +451,7 @@
     await asyncio.sleep(random.uniform(1.0, 4.0))
     runner.extras.share = 0.0
     world.records.extras += runner.extras.take_count()
-    _end(span)
+    end_span(span)
 
 
 async def _async_fail_falsely(
@@ -443,7 +462,27 @@
     runner.own_failure_share = random.uniform(0.05, 0.4)
     await asyncio.sleep(random.uniform(1.0, 3.0))
     runner.own_failure_share = 0.0
-    _end(span)
+    end_span(span)
+
+
+async def _async_break_endings(
+    world: World, runner: RunnerStandIn, random: Random
+) -> None:
+    """Let a runner send unframed responses; some are killed in the middle of them.
+
+    The only runner of a service isn't killed.
+    """
+    runner.unframed_share = random.uniform(0.3, 1.0)
+    await asyncio.sleep(random.uniform(1.0, 4.0))
+    is_only_one = len(_list_runner_ids(world, runner.service)) < 2
+    if random.random() < KILLED_SHARE and runner in world.runners and not is_only_one:
+        span = world.records.begin(f"kill {runner.runner_id}")
+        runner.kill()
+        await asyncio.sleep(CLOSE_S)
+        world.crash_runner(runner)
+        await asyncio.sleep(RUNNER_RESTART_S)
+        end_span(span)
+    runner.unframed_share = 0.0
 
 
 async def _async_pour(world: World, runner: RunnerStandIn, random: Random) -> None:
@@ -452,7 +491,7 @@
     runner.pour_share = random.uniform(0.05, 0.5)
     await asyncio.sleep(random.uniform(1.0, 4.0))
     runner.pour_share = 0.0
-    _end(span)
+    end_span(span)
 
 
 @plan
@@ -482,11 +521,11 @@
     await async_take_key_away(world)
     with ExitStack() as stack:
         for node in nodes:
-            stack.enter_context(_disturb(world, node, cut=True))
+            stack.enter_context(disturb_node(world, node, cut=True))
         await asyncio.sleep(world.random.uniform(4.0, 7.0))
     for node in nodes:
         node.store_relay.heal()
-    _end(span)
+    end_span(span)
 
 
 @plan
@@ -506,7 +545,7 @@
 
 
 @contextmanager
-def _disturb(
+def disturb_node(
     world: World, node: Node, *, ended: bool = False, cut: bool = False
 ) -> Iterator[None]:
     """Record that a node is disturbed while the context lasts.
@@ -529,5 +568,6 @@
             signals.remove_edge(node.caller_address)
 
 
-def _end(span: Span) -> None:
+def end_span(span: Span) -> None:
+    """Record the end of a fault."""
     span.ended = time.monotonic()
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -10,6 +10,7 @@
 
 from .copies import Copies
 from .customers import Customers
+from .order import Event, OrderReport, Response
 from .signals import SignalRecords
 from .streams import StreamRecords
 
@@ -64,7 +65,12 @@
     @property
     def service(self) -> str:
         """Return the service that the route goes to."""
-        return "llm" if self in (Kind.STREAM, Kind.FIXED_STREAM) else "plain"
+        return "llm" if self.is_stream else "plain"
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the response is a stream."""
+        return self in (Kind.STREAM, Kind.FIXED_STREAM)
 
     @property
     def runs_once(self) -> bool:
@@ -133,6 +139,18 @@
     whole: bool = False
     """Whether it succeeded with a complete response."""
 
+    events: tuple[Event, ...] = ()
+    """Complete events of the response, also of one that broke off."""
+
+    resumes: str = ""
+    """ID of the first request of the stream if this one is for its rest."""
+
+    after: int = 0
+    """Number of the event after which that rest begins."""
+
+    has_ended: bool = False
+    """Whether the response ended as if complete."""
+
     mixed: str = ""
     """Content of the response that doesn't belong to the request; empty if none."""
 
@@ -203,6 +221,18 @@
     pours: list[str] = field(factory=list, init=False)
     """IDs of the requests that runners answered with bytes without end."""
 
+    unframed: int = field(default=0, init=False)
+    """Responses of runners that have no length and end with their connections."""
+
+    cut_unframed: int = field(default=0, init=False)
+    """Those of them whose connections were closed before their ends."""
+
+    power_cuts: int = field(default=0, init=False)
+    """Number of times that all edges were killed at once."""
+
+    rolling_stops: int = field(default=0, init=False)
+    """Number of times that all edges were stopped one after the other."""
+
     fence_rejections: list[float] = field(factory=list, init=False)
     """Times at which runners rejected orders with a fence number that was too low."""
 
@@ -318,9 +348,15 @@
         }
         return len(blocked)
 
-    def check(self) -> list[str]:
-        """Return the violated guarantees."""
-        violations = list(self.violations)
+    def check(self, joined_allowed: int = 0) -> list[str]:
+        """Return the violated guarantees.
+
+        Args:
+            joined_allowed: Streams that callers may have joined from two software
+                versions by resuming them.
+        """
+        violations = self.judge_order().list_violations(joined_allowed)
+        violations += self.violations
         for call in self.calls.values():
             violations += self._check_call(call)
         violations += self._check_tries()
@@ -341,6 +377,32 @@
         violations += [f"unasked: {each} ran but no caller sent it" for each in unknown]
         return violations
 
+    def judge_order(self) -> OrderReport:
+        """Judge the order of all streams that brought events or ended well.
+
+        A stream consists of its first response and of those that brought its rest.
+        """
+        streams: dict[str, list[Call]] = {}
+        for call in self.calls.values():
+            if call.kind.is_stream and (call.events or call.has_ended):
+                first_id = call.resumes or call.request_id
+                streams.setdefault(first_id, []).append(call)
+        starts = self.streams.find_starts()
+        report = OrderReport()
+        for first_id, calls in streams.items():
+            responses = [
+                Response(
+                    events=each.events,
+                    after=each.after,
+                    has_ended=each.has_ended,
+                    may_resume=not each.kind.runs_once,
+                )
+                for each in calls
+            ]
+            name = f"{calls[0].kind.value} {first_id}"
+            report.add(name, responses, starts)
+        return report
+
     def list_retries(self, service: str) -> list[float]:
         """Return the times of the arrivals after the first one of each request.
 
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import count
 from random import Random
 from typing import Any
@@ -12,16 +13,17 @@
 from aiohttp import web
 from attrs import define, field
 
-from ..stand_ins.relay import Relay
+from ..stand_ins.relay import Relay, reset
 from ..upstreams.pouring import POURS, UNFRAMED
 from .copies import Copier, LiveRun
+from .endings import UnframedResponse
 from .extras import ExtraResponses
+from .order import EVENT_COUNT, Event, EventIds, encode_event
 from .records import Records, Run, make_record_id
 from .signals import Leaving, LimitPeriod
 from .store import StoreStandIn
-from .streams import Segment
+from .streams import Segment, get_run_number
 
-EVENT_COUNT = 12
 EVENT_INTERVAL_S = 0.04
 WORK_S = 0.03
 LOAD_S = 0.3
@@ -107,6 +109,15 @@
     """Share of the requests that it runs, and then fails with a status that promises
     the opposite."""
 
+    unframed_share: float = field(default=0.0, init=False)
+    """Share of the responses that have no length and end with their connections."""
+
+    resets: bool = field(default=False, init=False)
+    """Whether connections that it aborts or that are cut end with a reset."""
+
+    event_ids: EventIds = field(default=EventIds.RISING, init=False)
+    """IDs of the events of its streams."""
+
     runs_on: bool = field(default=False, init=False)
     """Whether it goes on with the stream of a client that has disconnected."""
 
@@ -150,6 +161,7 @@
         await self._site.setup()
         await web.TCPSite(self._site, "127.0.0.1", 0).start()
         self.relay = Relay("{}:{}".format(*self._site.addresses[0][:2]))
+        self.relay.resets = self.resets
         await self.relay.async_start()
         self.copier.address = self.relay.relay_address
         if self.models is not None:
@@ -171,6 +183,14 @@
         if self._site is not None:
             await self._site.cleanup()
 
+    def kill(self) -> None:
+        """Stop listening and close all connections, within responses too.
+
+        The kernel does so for a killed process that has read all that it received.
+        """
+        if self.relay is not None:
+            self.relay.close()
+
     async def async_drain(self) -> None:
         """Announce that the runner leaves, serve for some more time, and stop."""
         self.draining = True
@@ -412,10 +432,30 @@
     ) -> web.Response:
         await asyncio.sleep(WORK_S * self.random.uniform(0.5, 4))
         if self.random.random() < self.fail_share:
-            _abort(request)
+            self._abort(request)
         text = f"{headers['X-Request-Id']} {len(body)}"
+        if self._is_unframed():
+            await self._async_respond_unframed(request, headers, text.encode())
         return web.Response(text=text, headers=headers)
 
+    def _is_unframed(self) -> bool:
+        """Decide whether a response is unframed."""
+        return bool(self.unframed_share) and self.random.random() < self.unframed_share
+
+    async def _async_respond_unframed(
+        self, request: web.Request, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Write an unframed response in two parts, and close the connection."""
+        response = UnframedResponse(request, headers)
+        self.records.unframed += 1
+        with suppress(ConnectionResetError):
+            await response.prepare(request)
+            await response.write(body[: len(body) // 2])
+            await asyncio.sleep(WORK_S)
+            await response.write(body[len(body) // 2 :])
+            await response.write_eof()
+        self.records.cut_unframed += response.is_cut
+
     async def _async_stream(
         self, request: web.Request, record_id: str, signature: str
     ) -> web.StreamResponse:
@@ -425,11 +465,16 @@
         if run is None:
             return self._reject(request_id, 503)
         is_continued = run.signature != signature
-        segment = Segment(self.runner_id, run.signature, is_continued)
+        after = self._find_last_event(request)
+        segment = Segment(self.runner_id, run.signature, is_continued, after=after)
         self.records.streams.begin(record_id, segment)
-        response = web.StreamResponse(
-            headers=self._make_headers(request_id, run.signature)
-        )
+        headers = self._make_headers(request_id, run.signature)
+        response: web.StreamResponse | UnframedResponse
+        if self._is_unframed():
+            response = UnframedResponse(request, headers)
+            self.records.unframed += 1
+        else:
+            response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         self._active += 1
         model, _, adapter = request.headers.get("X-Model", "").partition("/")
@@ -446,8 +491,15 @@
             self._end_use(model, adapter)
             segment.ended = time.monotonic()
             self.copier.end(run, well=is_whole)
+        if isinstance(response, UnframedResponse):
+            self.records.cut_unframed += response.is_cut
+            return web.Response()
         return response
 
+    def _find_last_event(self, request: web.Request) -> int:
+        """Return the number of the event after which a request wants the stream."""
+        return self.event_ids.find(request.headers.get("Last-Event-Id", ""))
+
     def _end_use(self, model: str, adapter: str) -> None:
         """Count the end of a run, and carry out an unload that waits for it."""
         self._uses[model, adapter] -= 1
@@ -475,23 +527,33 @@
         return web.Response()
 
     async def _async_write_events(
-        self, request: web.Request, response: web.StreamResponse, run: LiveRun
+        self,
+        request: web.Request,
+        response: web.StreamResponse | UnframedResponse,
+        run: LiveRun,
     ) -> bool:
         """Write the events of a run; return whether it has reached its end."""
-        first_event = int(request.headers.get("Last-Event-Id") or 0) + 1
+        first_event = self._find_last_event(request) + 1
         is_cut = self.random.random() < self.fail_share
         cut_at = EVENT_COUNT // 2 if is_cut else EVENT_COUNT + 1
         for number in range(first_event, EVENT_COUNT + 1):
             is_preempted = self.pauses and number == EVENT_COUNT // 2
             interval_s = PAUSE_S if is_preempted else EVENT_INTERVAL_S
             if await run.async_is_stopped_within(interval_s):
-                _abort(request)
+                self._abort(request)
                 return False
-            text = f"{run.request_id} {number} {self.software_version}".rstrip()
-            event = f"id: {number}\ndata: {text}\n\n".encode()
+            event = encode_event(
+                run.request_id,
+                Event(
+                    number,
+                    run=get_run_number(run.signature),
+                    version=self.software_version,
+                    event_id=self.event_ids.make(number),
+                ),
+            ).encode()
             if number >= cut_at:
                 await response.write(event[: len(event) // 2])
-                _abort(request)
+                self._abort(request)
                 return False
             self.copier.record_event(run, number)
             try:
@@ -502,15 +564,16 @@
         await response.write_eof()
         return True
 
+    def _abort(self, request: web.Request) -> None:
+        """Abort the connection of a request unless its client has disconnected."""
+        if request.transport is not None and self.resets:
+            reset(request.transport)
+        elif request.transport is not None:
+            request.transport.abort()
+
 
 def find_crashing_part(request: web.Request) -> str:
     """Return the shared part of a prompt that crashes runners; empty if none does."""
     parts = request.headers.get("X-Prompt-Prefix", "").split(",")[:-1]
     part_ids = [each.partition(":")[0] for each in parts]
     return next((each for each in part_ids if each.startswith(CRASHING_PART)), "")
-
-
-def _abort(request: web.Request) -> None:
-    """Abort the connection of a request unless its client has disconnected."""
-    if request.transport is not None:
-        request.transport.abort()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 from .faults import (
     FAULTS,
     PLANNED,
+    async_break_endings_periodically,
     async_cut_edges_periodically,
     async_fail_falsely_periodically,
     async_misbehave_periodically,
@@ -21,11 +22,12 @@
     async_send_extras_periodically,
     async_signal_periodically,
 )
+from .order import EventIds
+from .power_cuts import PATIENCE_S, async_cut_power_periodically
 from .records import Kind, Records
 from .stream_callers import (
     MIXED_ALLOWED,
     StreamCaller,
-    count_mixed,
     find_shortfall,
 )
 from .world import EDGES, World
@@ -82,6 +84,7 @@
 unannounced, run on or send bytes without end."""
 
 
+ODD_IDS: Final = (EventIds.SPARSE, EventIds.TEXT, EventIds.PARTIAL)
 VERSIONS: Final = ("v1", "v2")
 ENGINES_OF_VERSIONS: Final = 6
 LEFT_AFTER_EVENTS: Final = 8
@@ -126,6 +129,28 @@
     pours: int = 0
     """Requests that runners answered with bytes without end."""
 
+    has_broken_endings: bool = False
+    """Whether runners sent unframed responses, and were killed in the middle of
+    some."""
+
+    unframed: int = 0
+    """Number of unframed responses."""
+
+    cut_unframed: int = 0
+    """Those of them that the end of their runner, or of their edge, cut."""
+
+    has_power_cuts: bool = False
+    """Whether all edges were killed at once, or stopped one after the other."""
+
+    power_cuts: int = 0
+    rolling_stops: int = 0
+    event_ids: EventIds = EventIds.RISING
+    judged: int = 0
+    """Streams whose order was judged."""
+
+    disorders: dict[str, int] = field(factory=dict)
+    """Streams out of order, by what was wrong."""
+
     resumed: int = 0
     """Streams that callers resumed at another edge."""
 
@@ -177,6 +202,9 @@
     misbehaving: bool | None = None,
     extras: bool = False,
     promises: bool = False,
+    broken_endings: bool = False,
+    power_cuts: bool = False,
+    odd_ids: bool = False,
 ) -> Result:
     """Run one soak.
 
@@ -196,26 +224,51 @@
         extras: Whether runners send extra responses.
         promises: Whether runners fail requests with statuses that promise "not run",
             and callers send requests again under their IDs.
+        broken_endings: Whether runners send responses without a length or chunks, and
+            are killed in the middle of some.
+        power_cuts: Whether all edges are killed at once, or stopped one after the
+            other; runners have two software versions then.
+        odd_ids: Whether IDs of events don't rise by one.
     """
+    versions = versions or power_cuts
+    event_ids = ODD_IDS[seed % len(ODD_IDS)] if odd_ids else EventIds.RISING
     result = Result(
-        seed, has_versions=versions, has_extras=extras, has_promises=promises
+        seed,
+        has_versions=versions,
+        has_extras=extras,
+        has_promises=promises,
+        has_broken_endings=broken_endings,
+        has_power_cuts=power_cuts,
+        event_ids=event_ids,
     )
     if crashing is None:
         crashing = 2 if seed % CRASHING_DIVISOR == CRASHING_REMAINDER else 0
     async with Launcher(folder) as launcher:
-        world = World(seed, launcher, edges=edges, keeps_ids=promises)
+        world = World(
+            seed,
+            launcher,
+            edges=edges,
+            keeps_ids=promises,
+            event_ids=event_ids,
+            resets=broken_endings,
+        )
         if versions:
             world = World(
                 seed,
                 launcher,
                 edges=edges,
                 keeps_ids=promises,
+                event_ids=event_ids,
+                resets=broken_endings,
                 engines=ENGINES_OF_VERSIONS,
                 software_versions=VERSIONS,
             )
         await world.async_start()
         stream_caller = StreamCaller(
-            world=world, random=Random(seed), leave_after=LEFT_AFTER_EVENTS
+            world=world,
+            random=Random(seed),
+            leave_after=LEFT_AFTER_EVENTS,
+            patience_s=PATIENCE_S if power_cuts else 0.0,
         )
         if versions:
             world.start_task(stream_caller.async_run())
@@ -243,6 +296,10 @@
             periods.start(world, async_send_extras_periodically)
         if promises:
             periods.start(world, async_fail_falsely_periodically)
+        if broken_endings:
+            periods.start(world, async_break_endings_periodically)
+        if power_cuts:
+            periods.start(world, async_cut_power_periodically)
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result, periods)
@@ -257,23 +314,26 @@
     result.kept_ids = world.records.count_kept_ids()
     result.crashes = sum(len(each) for each in world.records.crashes.values())
     result.wrongly_blocked = world.records.count_wrongly_blocked()
-    result.violations += world.records.check()
+    result.unframed = world.records.unframed
+    result.cut_unframed = world.records.cut_unframed
+    result.power_cuts = world.records.power_cuts
+    result.rolling_stops = world.records.rolling_stops
+    report = world.records.judge_order()
+    result.judged, result.disorders = report.judged, report.count()
+    result.violations += world.records.check(MIXED_ALLOWED)
     _judge_streams(stream_caller, result)
     result.violations += world.records.customers.find_in_logs(folder)
     return result
 
 
 def _judge_streams(caller: StreamCaller, result: Result) -> None:
-    """Check the streams that callers resumed.
+    """Check how many streams that callers resumed went on.
 
-    How many go on is checked beside planned work only, where no edge is disturbed.
+    This is checked beside planned work only, where no edge is disturbed.
     """
     result.resumed = sum(each.resumed for each in caller.streams)
     result.went_on = sum(each.went_on for each in caller.streams)
-    mixed = count_mixed(caller.streams)
-    if mixed > MIXED_ALLOWED:
-        result.violations.append(f"order: {mixed} streams hold events of two versions")
-    if result.seed % PLANNED_DIVISOR == 0:
+    if result.seed % PLANNED_DIVISOR == 0 and not result.has_power_cuts:
         shortfall = find_shortfall(caller.streams)
         if shortfall:
             result.violations.append(f"resumed: {shortfall}")
--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -1,7 +1,6 @@
 """Callers that resume streams at other edges, and what their streams consist of."""
 
 import asyncio
-import re
 import time
 from itertools import count
 from random import Random
@@ -10,8 +9,8 @@
 from attrs import define, field
 
 from .callers import CONNECT_ERRORS, HOST
+from .order import EVENT_COUNT, parse_events
 from .records import Call, Kind
-from .runners import EVENT_COUNT
 from .world import World
 
 STREAM_PAUSE_S = 0.07
@@ -33,7 +32,6 @@
 DEADLINE_S = 3.0
 MAX_RETRY_WAIT_S = 1.0
 TRIES_TO_BEGIN = 3
-EVENT = re.compile(rb"id: (\d+)\ndata: \w+ \d+ ?(\S*)\n\n")
 
 _request_numbers = count(1)
 
@@ -48,6 +46,9 @@
     versions: dict[int, str] = field(factory=dict, init=False)
     """Software version that wrote each received event, by the event's number."""
 
+    last_event_id: str = field(default="", init=False)
+    """ID of the last received event that has one."""
+
     calls: list[Call] = field(factory=list, init=False)
     """All requests for it."""
 
@@ -82,6 +83,10 @@
     """Whether requests for the rest name the request that brought the first event; if
     not, they name one that nobody has sent."""
 
+    patience_s: float = 0.0
+    """Time for which callers send further requests for the rest if none brings
+    events."""
+
     stopped: bool = field(default=False, init=False)
     """Whether no further streams are started."""
 
@@ -111,13 +116,17 @@
         if not stream.versions:
             return
         named = origin if self.names_origin else _make_request_id()
-        for _ in range(MAX_RESUMPTIONS):
-            if stream.is_whole:
+        until = time.monotonic() + self.patience_s
+        for number in count():
+            is_over = number >= MAX_RESUMPTIONS and (
+                stream.went_on or time.monotonic() > until
+            )
+            if stream.is_whole or is_over:
                 return
             stream.resumed = True
             received, address = len(stream.versions), self._choose_edge(address)
             headers = self._make_headers(_make_request_id(), model)
-            headers |= {"Last-Event-Id": str(received), "Resumes": named}
+            headers |= {"Last-Event-Id": stream.last_event_id, "Resumes": named}
             await self._async_send(session, stream, address, headers, EVENT_COUNT + 1)
             stream.went_on |= len(stream.versions) > received
 
@@ -154,6 +163,8 @@
             sent_at=time.monotonic(),
             key=headers["Authorization"].removeprefix("Bearer "),
             model=headers["X-Model"],
+            resumes=next((each.request_id for each in stream.calls if each.events), ""),
+            after=self.world.event_ids.find(headers.get("Last-Event-Id", "")),
         )
         self.world.records.calls[call.request_id] = call
         stream.calls.append(call)
@@ -168,7 +179,7 @@
                 call.status = response.status
                 call.signature = response.headers.get("X-Response-Signature", "")
                 if call.status == 200:
-                    await _async_read_events(response, stream, leave_after)
+                    await _async_read_events(response, stream, call, leave_after)
                     call.whole = True
                     wait_s = 0.0
                 else:
@@ -204,17 +215,22 @@
 
 
 async def _async_read_events(
-    response: aiohttp.ClientResponse, stream: CallerStream, leave_after: int
+    response: aiohttp.ClientResponse,
+    stream: CallerStream,
+    call: Call,
+    leave_after: int,
 ) -> None:
     data = b""
     async for part in response.content.iter_any():
         data += part
-        for match in EVENT.finditer(data):
-            stream.versions[int(match[1])] = match[2].decode()
-            if len(stream.versions) >= leave_after:
-                response.close()
-                return
-        data = data[data.rfind(b"\n\n") + 2 :] if b"\n\n" in data else data
+        call.events, _ = parse_events(data.decode(errors="replace"))
+        for each in call.events:
+            stream.versions[each.number] = each.version
+            stream.last_event_id = each.event_id or stream.last_event_id
+        if len(stream.versions) >= leave_after:
+            response.close()
+            return
+    call.has_ended = True
 
 
 def _make_request_id() -> str:
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -22,6 +22,9 @@
     is_continued: bool
     """Whether the run had begun at another runner."""
 
+    after: int = field(default=0, kw_only=True)
+    """Number of the event after which the runner generates events."""
+
     began: float = field(factory=time.monotonic)
     ended: float | None = None
 
@@ -43,6 +46,14 @@
         segments = (each for rows in self.segments.values() for each in rows)
         return sum(each.is_continued for each in segments)
 
+    def find_starts(self) -> dict[str, set[int]]:
+        """Return the events after which each run began or went on, by its number."""
+        starts: dict[str, set[int]] = {}
+        for segments in self.segments.values():
+            for each in segments:
+                starts.setdefault(get_run_number(each.signature), set()).add(each.after)
+        return starts
+
     def check(self, leaving: dict[str, float]) -> list[str]:
         """Return the violated guarantees.
 
@@ -59,6 +70,11 @@
         return violations
 
 
+def get_run_number(signature: str) -> str:
+    """Return the number of a run, which its events name."""
+    return signature.rpartition(".")[2]
+
+
 def _check_overlap(request_id: str, later: Segment, before: list[Segment]) -> list[str]:
     """Check that a run no longer was in progress where it had been."""
     return [
--- a/tests/soak/test_extra_responses.py
+++ b/tests/soak/test_extra_responses.py
@@ -19,7 +19,16 @@
 MIN_EXTRAS = 10
 """Extra responses without which a play proves nothing."""
 
-CHECKED = ("limit", "mixed", "twice", "rejected", "unasked", "overlap", "joined")
+CHECKED = (
+    "limit",
+    "mixed",
+    "twice",
+    "rejected",
+    "unasked",
+    "overlap",
+    "joined",
+    "order",
+)
 """Guarantees that a wrong response may break."""
 
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -20,7 +20,7 @@
 MOVE_PERIOD_S = 1.0
 """Period after which demand moves to other models, which are then loaded."""
 
-CHECKED = ("rejected", "twice", "mixed", "unasked")
+CHECKED = ("rejected", "twice", "mixed", "order", "unasked")
 
 
 async def async_play(world: World, start: Callable[[RunnerStandIn], None]) -> list[str]:
--- a/tests/soak/test_stream_transfers.py
+++ b/tests/soak/test_stream_transfers.py
@@ -33,7 +33,7 @@
 EXTRA_SHARE = 0.3
 """Share of the responses on kept connections that an extra one precedes."""
 
-CHECKED = ("mixed", "twice", "rejected", "overlap", "joined", "drain")
+CHECKED = ("mixed", "order", "twice", "rejected", "overlap", "joined", "drain")
 """Guarantees that this test checks; its callers have no valid keys."""
 
 
--- a/tests/soak/test_stream_versions.py
+++ b/tests/soak/test_stream_versions.py
@@ -13,7 +13,7 @@
 from attrs import define
 
 from ..stand_ins.launcher import Launcher
-from .runners import EVENT_COUNT
+from .order import EVENT_COUNT
 from .stream_callers import (
     MIN_RESUMED,
     MIXED_ALLOWED,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,6 +17,7 @@
 from .copies import HANDLE_S
 from .customers import Customers
 from .cuts import RunnerCuts, find_process
+from .order import EventIds
 from .records import (
     APPLY_S,
     RETRY_RATIO,
@@ -110,6 +111,13 @@
     keeps_ids: bool = False
     """Whether callers send a request again under its ID."""
 
+    event_ids: EventIds = EventIds.RISING
+    """IDs of the events of streams."""
+
+    resets: bool = False
+    """Whether broken connections of runners end with a reset. Unframed responses need
+    that, because they are complete if their connections are closed."""
+
     random: Random = field(init=False)
     records: Records = field(factory=Records, init=False)
     store: StoreStandIn = field(init=False)
@@ -202,6 +210,8 @@
             service, data_centre, self.store, self.records, self.random, models
         )
         runner.software_version = software_version
+        runner.event_ids = self.event_ids
+        runner.resets = self.resets
         runner.on_crash = self.crash_runner
         runner.find_sender = self._find_sender
         await runner.async_start()
@@ -334,6 +344,7 @@
             models=MODELS,
             popular_models=self.popular_models,
             keeps_ids=self.keeps_ids,
+            event_ids=self.event_ids,
         )
 
     async def _async_add_node(self, name: str, program: str) -> None:
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -2,6 +2,8 @@
 
 import argparse
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -12,6 +14,8 @@
 from .serving import StandIn, run_stand_in
 
 CHUNK_BYTES = 65536
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a closed socket sends a reset."""
 
 
 @define
@@ -31,6 +35,14 @@
     """Whether data from the target is dropped."""
 
 
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Close a connection with a reset, also if nothing is left to be read or sent."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None and not transport.is_closing():
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
+
+
 class Relay(StandIn):
     """Forwards connections to one target; `address` is for control."""
 
@@ -40,6 +52,11 @@
         super().__init__(RelaySwitches())
         self.target = target
         self.relay_address = ""
+        self.resets = False
+        """Whether cut connections end with a reset, as a network breaks them, and those
+        that one end reset do so at the other. If not, they may end like complete
+        ones."""
+
         self.refuses: Callable[[asyncio.StreamWriter], bool] = lambda client: False
         """Returns whether to close a new connection at once, given its client's end."""
 
@@ -88,7 +105,17 @@
     def cut(self) -> None:
         """Close every open connection at both ends."""
         for writer in tuple(self._open):
-            writer.transport.abort()
+            if self.resets:
+                reset(writer.transport)
+            else:
+                writer.transport.abort()
+
+    def close(self) -> None:
+        """Stop listening, and close every open connection once its data is sent."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._open):
+            writer.close()
 
     def heal(self) -> None:
         """End all failures, and close all connections if some may have lost data.
@@ -179,7 +206,8 @@
                 writer.write(data)
                 await writer.drain()
         except ConnectionError:
-            pass
+            if self.resets:
+                reset(writer.transport)
         if writer not in self._muted:
             writer.close()
 
