--- a/tests/soak/power_cuts.py
+++ b/tests/soak/power_cuts.py
@@ -25,6 +25,10 @@
 PATIENCE_S: Final = 6.0
 """Time for which callers try to resume a stream, longer than edges take to start."""
 
+MAX_PAUSE_S: Final = 2.0
+"""Longest time for which callers wait before that, so that many streams are broken
+when the edges end."""
+
 
 async def async_cut_power_periodically(
     world: World, random: Random, stopping: asyncio.Event
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
     async_signal_periodically,
 )
 from .order import EventIds
-from .power_cuts import PATIENCE_S, async_cut_power_periodically
+from .power_cuts import MAX_PAUSE_S, PATIENCE_S, async_cut_power_periodically
 from .records import Kind, Records
 from .stream_callers import (
     MIXED_ALLOWED,
@@ -269,6 +269,7 @@
             random=Random(seed),
             leave_after=LEFT_AFTER_EVENTS,
             patience_s=PATIENCE_S if power_cuts else 0.0,
+            max_pause_s=MAX_PAUSE_S if power_cuts else 0.0,
         )
         if versions:
             world.start_task(stream_caller.async_run())
--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -87,6 +87,9 @@
     """Time for which callers send further requests for the rest if none brings
     events."""
 
+    max_pause_s: float = 0.0
+    """Longest time between the break of a stream and the first request for the rest."""
+
     stopped: bool = field(default=False, init=False)
     """Whether no further streams are started."""
 
@@ -116,6 +119,8 @@
         if not stream.versions:
             return
         named = origin if self.names_origin else _make_request_id()
+        if self.max_pause_s:
+            await asyncio.sleep(self.random.uniform(0.0, self.max_pause_s))
         until = time.monotonic() + self.patience_s
         for number in count():
             is_over = number >= MAX_RESUMPTIONS and (
