--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -85,6 +85,8 @@
 
 
 ODD_IDS: Final = (EventIds.SPARSE, EventIds.TEXT, EventIds.PARTIAL)
+"""IDs of events in soaks with odd ones, by the seed's remainder."""
+
 VERSIONS: Final = ("v1", "v2")
 ENGINES_OF_VERSIONS: Final = 6
 LEFT_AFTER_EVENTS: Final = 8
@@ -143,8 +145,14 @@
     """Whether all edges were killed at once, or stopped one after the other."""
 
     power_cuts: int = 0
+    """Number of times that all edges were killed at once."""
+
     rolling_stops: int = 0
+    """Number of times that all edges were stopped one after the other."""
+
     event_ids: EventIds = EventIds.RISING
+    """IDs of the events of streams."""
+
     judged: int = 0
     """Streams whose order was judged."""
 
