Find the edge that sent a request to a runner by its connection in every soak

By its logs, edge-2 had relayed request to edge-0, which the runner rejected with the cooldown: edge-0 logs the attempt and the rest (254 and 360 at 47.04 s), edge-2 only the peer's 503 (258). The soak took the cooldown for one of edge-2, which then sent nine requests from 47.53 to 49.23 s. It looked connections up only if edges had been cut off, but edges relay requests also when their runners don't listen.

--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -51,8 +51,6 @@
     """Processes that are cut off from all runners; new connections are reset."""
 
     cut_pids: set[int] = field(factory=set, init=False)
-    was_used: bool = field(default=False, init=False)
-    """Whether any process was cut off, so that edges may have relayed requests."""
 
     def refuses(self, client: asyncio.StreamWriter) -> bool:
         """Return whether a relay refuses a new connection."""
@@ -62,7 +60,7 @@
         self, pids: set[int], relays: list[Relay], open_connections: OpenConnections
     ) -> None:
         """Cut processes off from the runners behind some relays."""
-        self.cut_pids, self.was_used = pids, True
+        self.cut_pids = pids
         if open_connections is OpenConnections.LIVE:
             return
         for relay in relays:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 from itertools import cycle
 from random import Random
 from typing import Any, Final
+from weakref import WeakKeyDictionary
 
 import aiohttp
 import orjson
@@ -137,6 +138,11 @@
     _next_versions: Iterator[str] = field(init=False)
     """Versions of the runners with engines that are started, without end."""
 
+    _senders: "WeakKeyDictionary[asyncio.StreamWriter, str]" = field(
+        factory=WeakKeyDictionary, init=False
+    )
+    """Edges by their connections to runners."""
+
     _tasks: set[asyncio.Task[Any]] = field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -272,19 +278,21 @@
                 )
 
     def _find_sender(self, client: asyncio.StreamWriter) -> str | None:
-        """Return the edge that opened a connection, if edges may have relayed requests.
+        """Return the edge that opened a connection; None if it has ended.
 
-        Otherwise it is the one to which the caller sent the request.
+        It isn't the one to which the caller sent the request if that relayed it.
         """
-        if not self.cuts.was_used:
-            return None
+        if client in self._senders:
+            return self._senders[client]
         edges = {
             node.process.child.pid: node.caller_address
             for node in self.nodes
             if node.caller_address and node.process is not None
         }
         pid = find_process(client, edges)
-        return None if pid is None else edges[pid]
+        if pid is not None:
+            self._senders[client] = edges[pid]
+        return self._senders.get(client)
 
     def crash_runner(self, runner: RunnerStandIn) -> None:
         """Crash a runner, and restart it under another id."""
