--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -1,7 +1,6 @@
 """Callers that resume streams at other edges, and what their streams consist of."""
 
 import asyncio
-import re
 import time
 from itertools import count
 from random import Random
@@ -10,8 +9,8 @@
 from attrs import define, field
 
 from .callers import CONNECT_ERRORS, HOST
+from .order import EVENT_COUNT, parse_events
 from .records import Call, Kind
-from .runners import EVENT_COUNT
 from .world import World
 
 STREAM_PAUSE_S = 0.07
@@ -33,7 +32,6 @@
 DEADLINE_S = 3.0
 MAX_RETRY_WAIT_S = 1.0
 TRIES_TO_BEGIN = 3
-EVENT = re.compile(rb"id: (\d+)\ndata: \w+ \d+ ?(\S*)\n\n")
 
 _request_numbers = count(1)
 
@@ -54,6 +52,9 @@
     versions: dict[int, str] = field(factory=dict, init=False)
     """Software version that wrote each received event, by the event's number."""
 
+    last_event_id: str = field(default="", init=False)
+    """ID of the last received event that has one."""
+
     calls: list[Call] = field(factory=list, init=False)
     """All requests for it."""
 
@@ -95,6 +96,9 @@
     """Time for which callers send further requests for the rest if none brings
     events."""
 
+    max_pause_s: float = 0.0
+    """Longest time between the break of a stream and the first request for the rest."""
+
     stopped: bool = field(default=False, init=False)
     """Whether no further streams are started."""
 
@@ -125,6 +129,8 @@
             return
         named = origin if self.names_origin else _make_request_id()
         await self.resumes.wait()
+        if self.max_pause_s:
+            await asyncio.sleep(self.random.uniform(0.0, self.max_pause_s))
         until = time.monotonic() + self.patience_s
         for number in count():
             is_over = number >= MAX_RESUMPTIONS and (
@@ -135,7 +141,7 @@
             stream.resumed = True
             received, address = len(stream.versions), self._choose_edge(address)
             headers = self._make_headers(_make_request_id(), model)
-            headers |= {"Last-Event-Id": str(received), "Resumes": named}
+            headers |= {"Last-Event-Id": stream.last_event_id, "Resumes": named}
             await self._async_send(session, stream, address, headers, EVENT_COUNT + 1)
             stream.went_on |= len(stream.versions) > received
 
@@ -172,6 +178,8 @@
             sent_at=time.monotonic(),
             key=headers["Authorization"].removeprefix("Bearer "),
             model=headers["X-Model"],
+            resumes=next((each.request_id for each in stream.calls if each.events), ""),
+            after=self.world.event_ids.find(headers.get("Last-Event-Id", "")),
         )
         self.world.records.calls[call.request_id] = call
         stream.calls.append(call)
@@ -186,7 +194,7 @@
                 call.status = response.status
                 call.signature = response.headers.get("X-Response-Signature", "")
                 if call.status == 200:
-                    await _async_read_events(response, stream, leave_after)
+                    await _async_read_events(response, stream, call, leave_after)
                     call.whole = True
                     wait_s = 0.0
                 else:
@@ -222,17 +230,22 @@
 
 
 async def _async_read_events(
-    response: aiohttp.ClientResponse, stream: CallerStream, leave_after: int
+    response: aiohttp.ClientResponse,
+    stream: CallerStream,
+    call: Call,
+    leave_after: int,
 ) -> None:
     data = b""
     async for part in response.content.iter_any():
         data += part
-        for match in EVENT.finditer(data):
-            stream.versions[int(match[1])] = match[2].decode()
-            if len(stream.versions) >= leave_after:
-                response.close()
-                return
-        data = data[data.rfind(b"\n\n") + 2 :] if b"\n\n" in data else data
+        call.events, _ = parse_events(data.decode(errors="replace"))
+        for each in call.events:
+            stream.versions[each.number] = each.version
+            stream.last_event_id = each.event_id or stream.last_event_id
+        if len(stream.versions) >= leave_after:
+            response.close()
+            return
+    call.has_ended = True
 
 
 def _make_request_id() -> str:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 from itertools import cycle
 from random import Random
 from typing import Any, Final
+from weakref import WeakKeyDictionary
 
 import aiohttp
 import orjson
@@ -17,6 +18,7 @@
 from .copies import HANDLE_S
 from .customers import Customers
 from .cuts import RunnerCuts, find_process
+from .order import EventIds
 from .records import (
     APPLY_S,
     RETRY_RATIO,
@@ -111,6 +113,13 @@
     keeps_ids: bool = False
     """Whether callers send a request again under its ID."""
 
+    event_ids: EventIds = EventIds.RISING
+    """IDs of the events of streams."""
+
+    resets: bool = False
+    """Whether broken connections of runners end with a reset. Unframed responses need
+    that, because they are complete if their connections are closed."""
+
     random: Random = field(init=False)
     records: Records = field(factory=Records, init=False)
     store: StoreStandIn = field(init=False)
@@ -130,6 +139,11 @@
     _next_versions: Iterator[str] = field(init=False)
     """Versions of the runners with engines that are started, without end."""
 
+    _senders: "WeakKeyDictionary[asyncio.StreamWriter, str]" = field(
+        factory=WeakKeyDictionary, init=False
+    )
+    """Edges by their connections to runners."""
+
     _tasks: set[asyncio.Task[Any]] = field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -203,6 +217,8 @@
             service, data_centre, self.store, self.records, self.random, models
         )
         runner.software_version = software_version
+        runner.event_ids = self.event_ids
+        runner.resets = self.resets
         runner.on_crash = self.crash_runner
         runner.find_sender = self._find_sender
         await runner.async_start()
@@ -268,19 +284,21 @@
                 )
 
     def _find_sender(self, client: asyncio.StreamWriter) -> str | None:
-        """Return the edge that opened a connection, if edges may have relayed requests.
+        """Return the edge that opened a connection; None if it has ended.
 
-        Otherwise it is the one to which the caller sent the request.
+        It isn't the one to which the caller sent the request if that relayed it.
         """
-        if not self.cuts.was_used:
-            return None
+        if client in self._senders:
+            return self._senders[client]
         edges = {
             node.process.child.pid: node.caller_address
             for node in self.nodes
             if node.caller_address and node.process is not None
         }
         pid = find_process(client, edges)
-        return None if pid is None else edges[pid]
+        if pid is not None:
+            self._senders[client] = edges[pid]
+        return self._senders.get(client)
 
     def crash_runner(self, runner: RunnerStandIn) -> None:
         """Crash a runner, and restart it under another id."""
@@ -340,6 +358,7 @@
             models=MODELS,
             popular_models=self.popular_models,
             keeps_ids=self.keeps_ids,
+            event_ids=self.event_ids,
         )
 
     async def _async_add_node(self, name: str, program: str) -> None:
