Treat odd responses of the store as an outage

A response with status 200 without the published form, for example an event that is no object or a body without items, raised AttributeError, TypeError or KeyError. Only the store's own errors are handled, so that the task that follows the store ended and the process followed nothing any more. The typed readers are used now, and such a response counts as none.

The new test failed before the change (TypeError), and passes with it.

--- a/mangoway/platform/store.py
+++ b/mangoway/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store; implements `CoordinationStore`."""
 
 import base64
-import binascii
 import re
 from typing import Any, Final
 
@@ -27,6 +26,15 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
+from .fields import (
+    DocumentError,
+    check_integer,
+    check_text,
+    read_integer,
+    read_list,
+    read_object,
+    read_text,
+)
 from .headers import STORE_ERA
 
 MAX_STORE_REPLY_BYTES: Final = 32 << 20
@@ -41,6 +49,10 @@
 """Delay of a watch response after which the store counts as unavailable: more than
 twice the response time of a slow store."""
 
+MAX_VALUE: Final = MAX_STORE_REPLY_BYTES
+"""Longest encoded value; the size of a response limits it anyway."""
+
+MAX_LEASE_ID: Final = 2**63 - 1
 MS_PER_S: Final = 1000
 MAX_ERA: Final = 8191
 """Highest valid era. Fence numbers combine it with the revision number, and JSON
@@ -91,7 +103,8 @@
                 revision = self._read_revision(reply, "current_rev")
             if revision.era != self.era:
                 raise OutdatedResponseError(revision.era, self.era)
-            items += [_decode_item(each, self.era) for each in reply.body["items"]]
+            rows = _read_rows(reply, "items")
+            items += [_decode_item(each, self.era) for each in rows]
             if not reply.body.get("more_pages") or not items:
                 return Snapshot(items=tuple(items), revision=revision)
             after = items[-1].key
@@ -115,7 +128,7 @@
         _require_ok(reply)
         return Changes(
             changes=tuple(
-                _decode_change(each, self.era) for each in reply.body["events"]
+                _decode_change(each, self.era) for each in _read_rows(reply, "events")
             ),
             revision=self._read_revision(reply, "current_rev"),
         )
@@ -264,10 +277,23 @@
     return {"key": write.key, "value": value, "lease": write.lease_id}
 
 
+def _read_rows(reply: JsonReply, name: str) -> list[Any]:
+    try:
+        fields = read_object(reply.body, "the response")
+        if name not in fields:
+            raise DocumentError(f"{name} is missing")
+        return read_list(fields[name], name)
+    except DocumentError as error:
+        raise StoreUnavailableError(
+            f"the store sent an invalid response: {error}"
+        ) from error
+
+
 def _decode_revision(fields: Any, name: str, era: int) -> StoreRevision:
     try:
-        return StoreRevision(era, int(fields[name]))
-    except (KeyError, TypeError, ValueError) as error:
+        number = read_integer(read_object(fields, "the response"), name)
+        return StoreRevision(era, number)
+    except DocumentError as error:
         raise StoreUnavailableError(
             f"the store sent an invalid revision: {error!r}"
         ) from error
@@ -275,21 +301,31 @@
 
 def _decode_item(fields: Any, era: int) -> Item:
     try:
+        fields = read_object(fields, "the item")
         return Item(
-            key=str(fields["key"]),
-            value=base64.b64decode(fields["value"]),
-            revision=StoreRevision(era, int(fields["revision"])),
-            lease_id=int(fields.get("lease") or 0),
+            key=read_text(fields, "key"),
+            value=base64.b64decode(check_text(fields["value"], "value", MAX_VALUE))
+            if fields["value"] != ""
+            else b"",
+            revision=StoreRevision(era, read_integer(fields, "revision")),
+            lease_id=check_integer(
+                fields.get("lease") or 0, "lease", maximum=MAX_LEASE_ID
+            ),
         )
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    except (DocumentError, KeyError, ValueError) as error:
         raise StoreUnavailableError(
             f"the store sent an invalid item: {error!r}"
         ) from error
 
 
 def _decode_change(fields: Any, era: int) -> Change:
-    if fields.get("removed"):
+    if isinstance(fields, dict) and fields.get("removed"):
         revision = _decode_revision(fields, "revision", era)
-        return Change(key=str(fields["key"]), revision=revision, item=None)
+        try:
+            return Change(key=read_text(fields, "key"), revision=revision, item=None)
+        except DocumentError as error:
+            raise StoreUnavailableError(
+                f"the store sent an invalid change: {error}"
+            ) from error
     item = _decode_item(fields, era)
     return Change(key=item.key, revision=item.revision, item=item)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -70,6 +70,37 @@
             decode(*values)
 
 
+class TestOddResponses:
+    """Responses of status 200 that don't have the published form.
+
+    An error of another type ended the task that follows the store, for good.
+    """
+
+    async def test_reading_fails_as_in_an_outage(self) -> None:
+        items = ["5", "[5]", "[null]", '["x"]', '[{"key":"k"}]', '{"a":1}']
+        items += ['[{"key":"k","value":5,"revision":1}]']
+        items += ['[{"key":5,"value":"","revision":1}]']
+        items += ['[{"key":"k","value":"","revision":1e300}]']
+        items += ['[{"key":"k","value":"","revision":1,"lease":[1]}]']
+        bodies = ["", "5", "[]", '"x"', "null", "{}", '{"current_rev":1}']
+        bodies += [
+            f'{{"current_rev":1,"items":{each},"events":{each}}}' for each in items
+        ]
+        bodies += ['{"current_rev":1e300,"items":[],"events":[]}']
+        accepted = []
+        for body in bodies:
+            async with RawServer(answer(make_response(200, body.encode()))) as server:
+                store = PlatformStore(server.address, Metrics())
+                for call in (store.async_list(""), store.async_watch("", at(1), 0.1)):
+                    try:
+                        await call
+                    except StoreUnavailableError:
+                        continue
+                    accepted.append(body)
+                store.close()
+        assert accepted == []
+
+
 class TestEras:
     """Responses of a store that came back from a copy."""
 
