Test a long stream without a length whose runner answers no health check

If the time of its end were not known, its runner would have to name its ID, which a full one does late, and the whole stream would be taken for cut off.

--- a/tests/edge/test_uncertain_ends.py
+++ b/tests/edge/test_uncertain_ends.py
@@ -148,6 +148,21 @@
             assert len(runner.requests) == 1
             assert count_found(edge, "llm") == {"goes_on": 1}
 
+    async def test_long_stream_is_complete_although_its_runner_is_full(self) -> None:
+        """The kernel says that it has ended just now, so that nobody has to answer."""
+
+        async def pause_and_end(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.writelines([HEAD, PART])
+            await asyncio.sleep(2 * MIN_RESTART_S)
+            writer.writelines(EVENTS[3:])
+            writer.close()
+
+        async with RawServer(pause_and_end, answer()) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm")
+            reply = await edge.async_call("/fixed/x")
+            assert (reply.body, reply.complete) == (WHOLE, True)
+            assert len(runner.requests) == 1
+
     async def test_whole_response_is_complete(self) -> None:
         async with RawServer(end_well(HEAD, BODY)) as runner, start_edge() as edge:
             edge.add("r1", runner, "plain")
