--- a/tests/edge/test_event_ids.py
+++ b/tests/edge/test_event_ids.py
@@ -1,5 +1,7 @@
 """Tests of streams whose event ids are odd, and that go on at another runner."""
 
+import asyncio
+
 import pytest
 
 from ..upstreams.raw_server import RawServer, answer, cut
@@ -80,6 +82,26 @@
         assert (reply.body, reply.complete) == (b"".join(first), False)
         assert other.requests == []
 
+    async def test_silent_stream_without_ids_stays_at_its_runner(self) -> None:
+        first, second = list_events(("", "1"), ("", "2"))
+        head, *chunks = make_stream(first, second)
+
+        async def pause(_: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.writelines([head, chunks[0]])
+            await asyncio.sleep(1.3)
+            writer.writelines(chunks[1:])
+
+        async with (
+            RawServer(pause) as runner,
+            RawServer(answer(*make_stream(first, second))) as other,
+            start_edge() as edge,
+        ):
+            edge.add("r1", runner, "llm")
+            edge.add("r2", other, "llm")
+            reply = await edge.async_call("/stream/x")
+            assert (reply.body, reply.complete) == (first + second, True)
+            assert other.requests == []
+
     async def test_event_without_id_after_the_last_id_is_not_passed_on_twice(
         self,
     ) -> None:
