Ask a runner for its ID where the time of a response's end is uncertain

A caller that read slowly got a stream that was cut off by a kill as a complete one: the rest and the end of a long response wait in the kernel of the dead runner while its caller doesn't read, so that the end is seen long after the process has ended, and another process listens by then. Found in review, with streams of 3.2 and 5.6 MB: goes_on where replaced was due. The end of a response of more than 32 KiB now counts as old as the request, so that the process at the address must name itself.

MIN_RESTART_S is 30 ms instead of 100: a bare interpreter listened 38 to 59 ms after a kill in the review.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -23,6 +23,7 @@
 from ..observability.event_log import log_event
 from ..platform import headers as names
 from ..platform.requests import list_response_headers
+from ..policy.edge.const import MAX_UNHELD_BYTES
 from ..policy.edge.response_end import ResponseEnd
 from .const import MAX_BUFFERED_BODY_BYTES, MAX_STREAM_BYTES
 from .delivery import Delivery, StreamBrokenError
@@ -195,7 +196,7 @@
         end = ResponseEnd.FRAMED
         if not self.is_rejection(head):
             # A rejection has no content that could be cut off.
-            end = await self._async_judge_end(connection, head)
+            end = await self._async_judge_end(connection, head, len(body))
         return self._evaluate_response(head, body, end)
 
     async def _async_send(self, connection: Connection) -> ResponseHead:
@@ -252,7 +253,9 @@
         self.delivery.order.begin_attempt()
         headers = list_response_headers(head.headers)
         is_first_event_reported = False
+        size = 0
         async for data in connection.async_iterate_body(STREAM_LIMITS):
+            size += len(data)
             async for event in reader.async_iterate(data):
                 if not is_first_event_reported:
                     is_first_event_reported = True
@@ -266,7 +269,7 @@
             raise error("the stream ended within an event")
         if not has_length and self.was_stopped and await self.was_stopped():
             raise ConnectionLostError("the stream was stopped")
-        end = await self._async_judge_end(connection, head)
+        end = await self._async_judge_end(connection, head, size)
         self.delivery.start(head, headers)
         self.delivery.finish()
         return AttemptResult(
@@ -323,10 +326,15 @@
         )
 
     async def _async_judge_end(
-        self, connection: Connection, head: ResponseHead
+        self, connection: Connection, head: ResponseHead, size: int
     ) -> ResponseEnd:
         """Return what is known about the end of a response that was read to it.
 
+        Args:
+            connection: The connection that it ended with.
+            head: Its head.
+            size: Bytes of its body.
+
         Raises:
             ConnectionLostError: If the response may have been cut off.
         """
@@ -334,7 +342,9 @@
             return ResponseEnd.FRAMED
         end = ResponseEnd.UNKNOWN
         if self.judge_end is not None:
-            end = await self.judge_end(connection.measure_since_packet_s())
+            was_held = size > MAX_UNHELD_BYTES
+            since_s = None if was_held else connection.measure_since_packet_s()
+            end = await self.judge_end(since_s)
         if not end.is_complete:
             raise ConnectionLostError(f"the response may be cut off: {end.value}")
         return end
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -124,8 +124,12 @@
 """Retry-after time of a stream whose origin was not found, as peers did not answer or
 the store doesn't list the versions yet."""
 
-MIN_RESTART_S: Final = 0.1
+MIN_RESTART_S: Final = 0.03
 """Least time from the end of a runner's process until another one accepts connections
-at its address. A process that is killed is noticed, started again and has to listen; an
-interpreter alone starts in some 20 to 100 ms. A connection that is accepted sooner was
-accepted by the process that was there before."""
+at its address. A bare interpreter that is started at once listens after 38 to 59 ms. A
+connection that is accepted sooner was accepted by the process that was there before."""
+
+MAX_UNHELD_BYTES: Final = 32_768
+"""Size of a response whose end the kernel of its runner can always send at once. The
+rest of a longer one, and its end, may wait there while its caller reads slowly, also
+after the process has ended."""
