Keep a runner whose announced time is over

An entry with a negative remaining_ms was rejected since numbers are checked for their range, so that a runner that leaves would have vanished from the fleet while it still serves.

--- a/mangoway/platform/documents.py
+++ b/mangoway/platform/documents.py
@@ -104,7 +104,12 @@
     """
     try:
         fields = read_object(orjson.loads(document), "the entry")
-        remaining_ms = read_number(fields, "remaining_ms", maximum=MAX_REMAINING_MS)
+        remaining_ms = read_number(
+            fields,
+            "remaining_ms",
+            minimum=-MAX_REMAINING_MS,
+            maximum=MAX_REMAINING_MS,
+        )
         return RunnerEntry(
             runner_id=check_name(key.removeprefix(RUNNER_PREFIX), "the ID"),
             service=read_name(fields, "service"),
@@ -112,7 +117,10 @@
             data_centre=read_name(fields, "zone"),
             slots=read_integer(fields, "slots", minimum=1, maximum=MAX_SLOTS),
             draining=_read_draining(fields),
-            seconds_left=None if remaining_ms is None else remaining_ms / MS_PER_S,
+            # A runner whose time is over may still state by how much.
+            seconds_left=None
+            if remaining_ms is None
+            else max(0.0, remaining_ms / MS_PER_S),
             models=decode_models(fields.get("models")),
             started_ms=read_started_ms(fields),
             software_version=_read_software_version(fields),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -154,6 +154,11 @@
         other = decode_runner("servers/i-1", orjson.dumps({**ENTRY, "seq": 5}))
         assert one == other
 
+    def test_draining_runner_whose_time_is_over_has_none_left(self) -> None:
+        document = {**ENTRY, "state": "draining", "remaining_ms": -40}
+        entry = decode_runner("servers/i-1", orjson.dumps(document))
+        assert entry.seconds_left == 0.0
+
     def test_remaining_time_of_draining_runner_is_decoded(self) -> None:
         document = {**ENTRY, "state": "draining", "remaining_ms": 1500}
         entry = decode_runner("servers/i-1", orjson.dumps(document))
