--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -9,12 +9,14 @@
 from mangoway.edge.identity import identify_stream
 from mangoway.models.streams import StreamOrigin
 from mangoway.policy.edge.const import ORIGIN_QUERY_TIMEOUT_S, RECORDS_INTERVAL_S
+from mangoway.policy.edge.origin_search import FoundOrigin
 from mangoway.policy.edge.stream_records import (
     MAX_RECORDS,
     StreamRecords,
     choose_holders,
 )
 
+from ..fakes.fleet import make_runner
 from .origin_fleet import (
     RETENTION_S,
     V1,
@@ -344,6 +346,23 @@
             assert await fleet.async_find(edge, "s") == V2
 
 
+class TestMovedRoutes:
+    """Streams of a route that a configuration moves to another service."""
+
+    async def test_stream_does_not_go_on_at_the_new_service(self) -> None:
+        """Only the current services of the route are asked for."""
+        fleet = OriginFleet(2, versions=("v1",))
+        other = make_runner("o-v1", service="other", software_version="v1")
+        for edge in fleet.edges:
+            edge.origins.view.update_runner(other)
+        await fleet.async_pass(2 * RETENTION_S)
+        fleet.begin_stream(fleet.edges[0], "s", V1)
+        await fleet.async_pass(2 * RECORDS_INTERVAL_S)
+        digest = identify_stream(None, "s")
+        found = await fleet.edges[1].origins.async_find(digest, ("other",))
+        assert not isinstance(found, FoundOrigin) or found.origin == V1
+
+
 class TestCost:
     """What the records cost while all streams are of a service with two versions."""
 
