Keep a stream off the service that its route was moved to

A configuration that moves a route from one service to another while a stream is in progress let its caller, having lost its edge, resume it at the new service, whose runners have a single version: the next edge looked for the origin among the current services of the route only, and its own history was certain of one version. No restart or release of runners is needed.

Edges keep the services that each route for streams had within the life of a stream. They look for an origin among all of them, and tell their holders of streams at such services; a stream of a moved route goes on nowhere if its service isn't the route's any more. The test and two new ones turn red without the three guards. Left: an edge that starts after the move and finds no record.

--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -178,7 +178,7 @@
             The origin; None if it is unknown. The request is then rejected, unless this
             host reaches no runner, so that a peer handles the request.
         """
-        services = tuple(each.service for each in route.shares)
+        services = self.stream_origins.list_services(route)
         digest = identify_stream(caller.name, request_log.fields.origin_id)
         found = await self.stream_origins.async_find(digest, services)
         if isinstance(found, FoundOrigin):
--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -32,6 +32,7 @@
     OriginSearch,
     UnknownOrigin,
 )
+from ..policy.edge.route_services import RouteServices
 from ..policy.edge.software_versions import (
     VersionEvidence,
     VersionHistory,
@@ -95,6 +96,7 @@
 
     records: StreamRecords = field(factory=StreamRecords, init=False)
     history: VersionHistory = field(factory=VersionHistory, init=False)
+    route_services: RouteServices = field(factory=RouteServices, init=False)
     _is_outdated: bool = field(default=True, init=False)
     """Whether the history lacks the latest change of the runners."""
 
@@ -102,7 +104,8 @@
     """Own streams of which the holders have not been told yet."""
 
     _mixed: frozenset[str] = field(default=frozenset(), init=False)
-    """Services whose runners have had several versions recently."""
+    """Services whose runners have had several versions recently, and those of routes
+    that have had several services."""
 
     _holders: tuple[Member, ...] = field(default=(), init=False)
     _flush: asyncio.TimerHandle | None = field(default=None, init=False)
@@ -127,9 +130,16 @@
             route: Route of the stream.
         """
         self.records.add(digest, origin, self.clock(), is_own=True)
-        if route.resumable and (origin.service in self._mixed or len(route.shares) > 1):
+        if not route.resumable:
+            return
+        if origin.service in self._mixed or len(self.list_services(route)) > 1:
             self._post(digest, origin)
 
+    def list_services(self, route: Route) -> tuple[str, ...]:
+        """Return the services that may have begun a stream of a route."""
+        since = self.clock() - self._get_retention_s()
+        return self.route_services.list_recent(route, since)
+
     def end(self, digest: str) -> None:
         """Tell no peer of a stream that its caller has received completely."""
         self._pending.pop(digest, None)
@@ -202,6 +212,7 @@
         past = now - self._get_retention_s()
         self.records.forget(past)
         self.history.forget(past)
+        self.route_services.forget(past)
         self._update_mixed(past)
         if self._mixed:
             self._update_holders()
@@ -283,11 +294,13 @@
     def _update_history(self) -> None:
         self._is_outdated = False
         if self.view.table is not None:
+            now = self.clock()
             self.history.update(
                 self.view.runners.values(),
-                self.clock(),
+                now,
                 is_gapless=self.measure_age() <= MAX_GAP_S,
             )
+            self.route_services.update(self.view.table.routes, now)
 
     def _update_mixed(self, since: float) -> None:
         """Update the services with several versions, and tell of their streams."""
@@ -296,6 +309,7 @@
         for service, number in counts.items():
             self.metrics.service_versions.set(service, level=number)
         mixed = frozenset(each for each, number in counts.items() if number > 1)
+        mixed |= self.route_services.list_moved()
         begun, self._mixed = mixed - self._mixed, mixed
         for digest in self.records.iterate_own(begun):
             self._post_known(digest)
--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 
 from mangoway.edge.identity import identify_stream
+from mangoway.models.routing import Route, TrafficShare
 from mangoway.models.streams import StreamOrigin
 from mangoway.policy.edge.const import ORIGIN_QUERY_TIMEOUT_S, RECORDS_INTERVAL_S
 from mangoway.policy.edge.origin_search import FoundOrigin
@@ -16,9 +17,10 @@
     choose_holders,
 )
 
-from ..fakes.fleet import make_runner
+from ..fakes.fleet import make_runner, make_table
 from .origin_fleet import (
     RETENTION_S,
+    ROUTE,
     V1,
     V2,
     OriginFleet,
@@ -349,8 +351,8 @@
 class TestMovedRoutes:
     """Streams of a route that a configuration moves to another service."""
 
-    async def test_stream_does_not_go_on_at_the_new_service(self) -> None:
-        """Only the current services of the route are asked for."""
+    async def async_move(self) -> tuple[OriginFleet, Route]:
+        """Begin a stream at one service, and move its route to another one."""
         fleet = OriginFleet(2, versions=("v1",))
         other = make_runner("o-v1", service="other", software_version="v1")
         for edge in fleet.edges:
@@ -358,9 +360,33 @@
         await fleet.async_pass(2 * RETENTION_S)
         fleet.begin_stream(fleet.edges[0], "s", V1)
         await fleet.async_pass(2 * RECORDS_INTERVAL_S)
+        shares = (TrafficShare(service="other", weight=1.0),)
+        moved = evolve(ROUTE, shares=shares)
+        for edge in fleet.edges:
+            edge.origins.view.apply_table(make_table(version=2, routes=(moved,)))
+            edge.origins.update()
+        await fleet.async_pass(2 * RECORDS_INTERVAL_S)
+        return fleet, moved
+
+    async def test_stream_does_not_go_on_at_the_new_service(self) -> None:
+        """Only the current services of the route were asked for."""
+        fleet, moved = await self.async_move()
+        fleet.kill(fleet.edges[0])
+        origins = fleet.edges[1].origins
         digest = identify_stream(None, "s")
-        found = await fleet.edges[1].origins.async_find(digest, ("other",))
-        assert not isinstance(found, FoundOrigin) or found.origin == V1
+        found = await origins.async_find(digest, origins.list_services(moved))
+        assert isinstance(found, FoundOrigin)
+        assert found.origin == V1
+
+    async def test_earlier_service_counts_no_longer_than_a_stream_lives(self) -> None:
+        fleet, moved = await self.async_move()
+        await fleet.async_pass(RETENTION_S + 1.0)
+        origins = fleet.edges[1].origins
+        assert origins.list_services(moved) == ("other",)
+        assert origins.route_services.list_moved() == frozenset()
+        found = await origins.async_find("unknown", ("other",))
+        assert isinstance(found, FoundOrigin)
+        assert found.origin.service == "other"
 
 
 class TestCost:
--- a/tests/edge/test_stream_versions.py
+++ b/tests/edge/test_stream_versions.py
@@ -197,6 +197,24 @@
         assert "retry-after" in reply.headers
         assert runner.requests == []
 
+    async def test_stream_of_a_moved_route_is_not_sent_to_the_new_service(self) -> None:
+        async with RawServer(REST) as runner, start_edge() as edge:
+            edge.add("r1", runner, "llm", "v1")
+            edge.add("r2", runner, "plain", "v1")
+            record_current_versions(edge.view)
+            edge.forwarder.stream_origins.update()
+            assert edge.view.table is not None
+            shares = (TrafficShare(service="plain", weight=1.0),)
+            routes = tuple(
+                evolve(each, shares=shares) if each.prefix == "/stream/" else each
+                for each in edge.view.table.routes
+            )
+            edge.view.apply_table(evolve(edge.view.table, version=9, routes=routes))
+            edge.forwarder.stream_origins.update()
+            reply = await edge.async_call("/stream/x", headers=RESUMED)
+        assert reply.status == 503
+        assert runner.requests == []
+
     async def test_stream_whose_version_has_left_is_rejected(self) -> None:
         async with RawServer(REST) as runner, start_edge() as edge:
             edge.add("r1", runner, "llm", "v2")
