--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -353,8 +353,8 @@
         """Return whether the end of a response differs from a lost connection."""
         if self.request.method == b"HEAD" or head.status in BODYLESS_STATUSES:
             return True
-        names = (b"transfer-encoding", b"content-length")
-        return any(head.find(name) is not None for name in names)
+        framing = (b"transfer-encoding", b"content-length")
+        return any(head.find(name) is not None for name in framing)
 
     def _log_not_run(self, reason: str, head: ResponseHead | None = None) -> None:
         """Log that the request has not run in this attempt.
--- a/mangoway/edge/origin_codec.py
+++ b/mangoway/edge/origin_codec.py
@@ -108,7 +108,7 @@
 def _encode_version(
     version: ServiceVersion, evidence: VersionEvidence
 ) -> tuple[str | float, ...]:
-    """Return a row; edges of the previous release read its first two fields."""
+    """Return a row; edges that know no ages read its first two fields."""
     age_s = evidence.ages_s.get(version)
     return version if age_s is None else (*version, round(age_s, 3))
 
