Let the store list the versions in the tests of odd event ids

The tests and the list of versions were written side by side: an edge that starts alone, with no list, rejects a resumed stream. Three tests of callers that resume failed since both were joined.

--- a/tests/edge/test_event_ids.py
+++ b/tests/edge/test_event_ids.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ..fakes.version_records import record_current_versions
 from ..upstreams.raw_server import RawServer, answer, cut
 from .world import EdgeWorld, Reply, make_event, make_stream, start_edge
 
@@ -204,6 +205,7 @@
         start_edge() as edge,
     ):
         edge.add("r1", runner, "llm")
+        record_current_versions(edge.view)
         return await edge.async_call(
             "/stream/x", headers=f"Last-Event-Id: {last_event_id}\r\n"
         )
