--- a/tests/soak/test_uncertain_ends.py
+++ b/tests/soak/test_uncertain_ends.py
@@ -134,8 +134,8 @@
     lines = [
         orjson.loads(line)
         for path in folder.glob("edge-*.log")
-        for line in path.read_bytes().splitlines()
-        if line.startswith(b"{")
+        for line in path.read_bytes().splitlines(keepends=True)
+        if line.startswith(b"{") and line.endswith(b"}\n")
     ]
     return [each["found"] for each in lines if each.get("event") == BROKEN_EVENT]
 
