--- a/mangoway/policy/edge/response_end.py
+++ b/mangoway/policy/edge/response_end.py
@@ -67,8 +67,8 @@
 def judge_probe(probe: EndProbe) -> ResponseEnd | None:
     """Return what a probe shows about the end of a response; None for nothing.
 
-    A refusal counts although this host may have lost its reach: it takes one that is
-    unlikely, beside an end that came as a closed connection.
+    A refusal counts as the end of the process although a host that is cut off from all
+    runners is refused as well: a cut rarely begins with an orderly end of a connection.
     """
     if probe.probed is Probed.REFUSED:
         return ResponseEnd.ENDED
