Restore quotas from the share of the edges that have counted all along

Customers got more than their quota when schedulers were killed with some of the edges: a new scheduler took what the remaining edges reported for the spending of all, and restored the burst that had been spent at edges whose record was lost. A standby that had run for 10 s started customers without a report with a whole burst as well, though it had counted nothing.

Reports of spending now state for how long the edge has counted and the most edges that it has seen in 10 s, and are sent without spending too. A scheduler restores balances as before if all edges have counted for 10 s. Otherwise a balance at the start of its grants is that of the share of the edges that have, between zero and half of the fleet's slack, and refills at the rate. The bound by the slack is for customers that use few edges, for whom a share of the edges says little. An edge that has yet to report counts as known for SCHEDULER_STARTUP_S. The period without knowledge starts when a process starts to grant, not when it was started. A report of an earlier release states no time and counts as one of a new edge; a scheduler of an earlier release ignores the new fields.

--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from ..customers.coverage import EdgeReport
 from ..limits.cooldowns import CooldownReport
 from ..limits.tracker import LimitReport
 from . import transfers
@@ -406,7 +407,10 @@
 def _handle_spending(
     core: SchedulingCore, event: SpendingReported, now: float
 ) -> list[Action]:
-    core.state.quotas.add_reported_spending(event.rows, now)
+    report = EdgeReport(counted_s=event.counted_s, edges=event.edges)
+    core.state.quotas.add_reported_spending(
+        event.rows, now, edge=event.edge, report=report
+    )
     return []
 
 
@@ -451,6 +455,7 @@
     core: SchedulingCore, event: EdgeDisconnected, now: float
 ) -> list[Action]:
     state = core.state
+    state.quotas.forget_edge(event.edge, now)
     state.cooldowns.remove_edge(event.edge)
     for queue in state.queues.values():
         queue.remove_edge(event.edge)
