Keep a silent stream's runner until the other one has accepted

Callers lost streams in their middle although the runner would have gone on. The edge closed the connection to a runner that was silent for 0.75 s as soon as another runner was found.

Once the caller has events of a stream, the attempt at the silent runner is now suspended: its connection and its grant are kept while the request is sent to the other runner. If the other runner proves that it has not run the request, the first stream is read on; nothing is sent, so that it takes no credit. At most one run is delivered, since nothing is read from the kept connection while the other attempt is under way. The search goes on at the next silence; with `max_attempts` used up it may ask runners again that rejected the request, as retries did before. Requests without an event still free their runner at once, and streams that are being transferred are not kept.

A decision not to leave without a credit for a further attempt was weighed: it would leave streams at runners that stay silent, and is not needed, since leaving risks nothing while the first connection is open.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -12,6 +12,7 @@
     Connection,
     ConnectionLostError,
     ExchangeFailedError,
+    UpstreamSilentError,
 )
 from ..http1.connection_pool import ConnectionPool
 from ..http1.const import BODY_GRACE_S
@@ -83,6 +84,22 @@
     connection_lost: bool = False
     """Whether the connection was closed by the runner, which may have crashed."""
 
+    is_suspended: bool = False
+    """Whether the connection to a silent runner is kept, so that the attempt can be
+    resumed."""
+
+
+@define(eq=False)
+class StreamReading:
+    """How far the stream of a response was read."""
+
+    head: ResponseHead
+    reader: EventReader
+    size: int = 0
+    """Bytes of its body that were read."""
+
+    is_first_event_reported: bool = False
+
 
 def is_not_run(head: ResponseHead) -> bool:
     """Return whether a runner states that it rejected a request without running it."""
@@ -136,12 +153,18 @@
     """Returns whether the runner may have been told to stop the stream. Without a
     length, a stopped stream looks like a complete one."""
 
+    may_suspend: Callable[[], bool] | None = None
+    """Returns whether to keep the connection when another runner is found while a
+    stream is silent; None if it is always closed."""
+
     judge_end: Callable[[float | None], Awaitable[ResponseEnd]] | None = None
     """Judges a response that ended with its connection; None if the upstream has no
     such responses, so that the connection was lost. The argument is the time in seconds
     since then, None if it is unknown."""
 
     _connection: Connection | None = field(default=None, init=False)
+    _stream: StreamReading | None = field(default=None, init=False)
+    """The stream of the response once its head was read."""
 
     async def async_run(self) -> AttemptResult:
         """Run the attempt.
@@ -157,26 +180,56 @@
                 verdict=Verdict.NOT_RUN, was_sent=False, reason=str(error)
             )
         self._connection = connection
-        history = self.delivery.history
-        history.record_sent()
-        result = await self._async_use(connection)
-        history.record_verdict(result.verdict, self.upstream_id)
-        return result
+        self.delivery.history.record_sent()
+        return await self._async_use(connection, self._async_exchange(connection))
+
+    async def async_resume(self) -> AttemptResult:
+        """Read on after the attempt was suspended.
+
+        Raises:
+            CallerGoneError: If the caller disconnects.
+        """
+        connection, stream = self._connection, self._stream
+        assert connection is not None
+        assert stream is not None
+        self.delivery.exchange.holding.count_unread = connection.count_unread
+        exchange = self._async_read_stream(connection, stream)
+        return await self._async_use(connection, exchange)
+
+    def discard(self) -> None:
+        """Close the connection of a suspended attempt, which won't be resumed."""
+        self.close()
+        self._record(Verdict.MAY_HAVE_RUN)
 
-    async def _async_use(self, connection: Connection) -> AttemptResult:
-        complete = False
+    async def _async_use(
+        self, connection: Connection, exchange: Awaitable[AttemptResult]
+    ) -> AttemptResult:
+        complete = is_suspended = False
         try:
-            result = await self._async_exchange(connection)
+            result = await exchange
             complete = True
-            return result
         except (ExchangeFailedError, StreamBrokenError, MemoryShortError) as error:
-            return AttemptResult(
+            is_suspended = self._is_suspended_by(error)
+            result = AttemptResult(
                 verdict=Verdict.MAY_HAVE_RUN,
                 reason=str(error),
                 connection_lost=isinstance(error, ConnectionLostError),
+                is_suspended=is_suspended,
             )
         finally:
-            self._release(connection, complete)
+            self._release(connection, complete, is_kept=is_suspended)
+        if not is_suspended:
+            self._record(result.verdict)
+        return result
+
+    def _is_suspended_by(self, error: Exception) -> bool:
+        """Return whether the attempt can be resumed after an error."""
+        if not isinstance(error, UpstreamSilentError) or self._stream is None:
+            return False
+        return self.may_suspend is not None and self.may_suspend()
+
+    def _record(self, verdict: Verdict) -> None:
+        self.delivery.history.record_verdict(verdict, self.upstream_id)
 
     def close(self) -> None:
         """Close the connection, which ends the attempt as a lost connection."""
@@ -191,7 +244,9 @@
         self.on_head(head)
         self._check_head(head)
         if self.kind is RouteKind.STREAMING and is_success(head.status):
-            return await self._async_forward_stream(connection, head)
+            self._stream = stream = StreamReading(head, EventReader(connection))
+            self.delivery.order.begin_attempt()
+            return await self._async_read_stream(connection, stream)
         body = await self._async_read_body(connection)
         end = ResponseEnd.FRAMED
         if not self.is_rejection(head):
@@ -245,20 +300,17 @@
         if head.find(b"content-encoding") is not None:
             raise ExchangeFailedError("successful response with a content encoding")
 
-    async def _async_forward_stream(
-        self, connection: Connection, head: ResponseHead
+    async def _async_read_stream(
+        self, connection: Connection, stream: StreamReading
     ) -> AttemptResult:
         now = asyncio.get_running_loop().time
-        reader = EventReader(connection)
-        self.delivery.order.begin_attempt()
+        head, reader = stream.head, stream.reader
         headers = list_response_headers(head.headers)
-        is_first_event_reported = False
-        size = 0
         async for data in connection.async_iterate_body(STREAM_LIMITS):
-            size += len(data)
+            stream.size += len(data)
             async for event in reader.async_iterate(data):
-                if not is_first_event_reported:
-                    is_first_event_reported = True
+                if not stream.is_first_event_reported:
+                    stream.is_first_event_reported = True
                     self.on_first_event()
                 if self.delivery.is_new(event):
                     self.delivery.start(head, headers)
@@ -269,7 +321,7 @@
             raise error("the stream ended within an event")
         if not has_length and self.was_stopped and await self.was_stopped():
             raise ConnectionLostError("the stream was stopped")
-        end = await self._async_judge_end(connection, head, size)
+        end = await self._async_judge_end(connection, head, stream.size)
         self.delivery.start(head, headers)
         self.delivery.finish()
         return AttemptResult(
@@ -380,10 +432,14 @@
             )
         )
 
-    def _release(self, connection: Connection, complete: bool) -> None:
+    def _release(
+        self, connection: Connection, complete: bool, *, is_kept: bool
+    ) -> None:
         holding = self.delivery.exchange.holding
         holding.count_unread = None
         holding.set_body_bytes(0)
+        if is_kept:
+            return
         if complete:
             now = asyncio.get_running_loop().time()
             self.pool.release(self.address, connection, now)
--- a/mangoway/edge/const.py
+++ b/mangoway/edge/const.py
@@ -54,6 +54,9 @@
 RETRY_BUDGET_SPENT_REASON: Final = "the retry budget is spent"
 """Reason for rejecting a request that needs a retry for which no credit is left."""
 
+CLOSED_RUNNER_REASON: Final = "the runner takes no more"
+"""Reason for rejecting a request whose granted runner leaves or has a cooldown."""
+
 NO_VERSION_REASON: Final = "no runner has the software version that began the stream"
 """Reason for not sending a stream on that could only go on at another version."""
 
--- a/mangoway/edge/continuation.py
+++ b/mangoway/edge/continuation.py
@@ -113,6 +113,11 @@
         """Return whether a transfer is stopping the run at its runner."""
         return self._transfer is not None and self._transfer.plan.is_stopping
 
+    @property
+    def has_transfer(self) -> bool:
+        """Return whether a transfer of the stream is in progress."""
+        return self._transfer is not None
+
     @property
     def has_backup(self) -> bool:
         """Return whether a backup was named to the runner of the current run."""
@@ -145,6 +150,14 @@
         if grant_id is not None:
             self.context.grant_provider.accept_transfers(grant_id, self._handle_order)
 
+    def resume_attempt(self, runner: RunnerEntry, attempt: Attempt) -> None:
+        """Record that an attempt goes on that was suspended.
+
+        The other runner may have been told another backup, so that it has none.
+        """
+        self._backup = None
+        self.begin_attempt(runner, attempt)
+
     def handle_response(self) -> None:
         """Record that the run that was sent on has begun to respond."""
         run, self._unreported_run = self._unreported_run, None
--- a/mangoway/edge/finder_context.py
+++ b/mangoway/edge/finder_context.py
@@ -44,3 +44,14 @@
     runner: RunnerEntry
     backup_runner_id: str = ""
     """Runner that the grant names as the backup; empty for none."""
+
+
+@frozen
+class KeptGrant:
+    """The grant of a silent runner whose connection is kept."""
+
+    grant_id: str | None
+    """Request id of the grant; None for a plain service."""
+
+    is_continued: bool
+    """Whether its run began at another runner."""
--- /dev/null
+++ b/mangoway/edge/kept_stream.py
@@ -0,0 +1,32 @@
+"""A stream at a silent runner whose connection is kept while another one is tried."""
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import define, field
+
+from ..models.runner import RunnerEntry
+from ..policy.edge.const import MAX_KEPT_SILENT_S
+from .attempt import Attempt
+
+
+@define(eq=False, kw_only=True)
+class KeptStream:
+    """A suspended attempt, and what its handler needs to resume it."""
+
+    runner: RunnerEntry
+    attempt: Attempt
+    sent_at: float
+    first_event_at: float | None
+    _timer: asyncio.TimerHandle | None = field(default=None, init=False)
+
+    def start_timer(self, on_expired: Callable[[], None]) -> None:
+        """Start the time after which the stream must not be resumed any more."""
+        self.stop_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(MAX_KEPT_SILENT_S, on_expired)
+
+    def stop_timer(self) -> None:
+        """Stop the timer, since the stream is resumed or was given up."""
+        if self._timer is not None:
+            self._timer.cancel()
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -1,12 +1,12 @@
 """Handling of one request: attempts, retries, rejections and failures."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 from attrs import define, evolve, field
 
-from ..http1.client import ConnectionLostError
+from ..http1.client import Connection, ConnectionLostError
 from ..http1.connection_pool import ConnectionPool
 from ..http1.messages import Request, ResponseHead
 from ..http1.server import CallerGoneError
@@ -52,6 +52,7 @@
 from .delivery import Delivery
 from .final_response import FinalResponse
 from .identity import identify_stream
+from .kept_stream import KeptStream
 from .relay import PeerRelay, RelayMark, RequestRelay
 from .request_log import RequestLog
 from .response_ends import ClosedResponse, ResponseEnds
@@ -105,6 +106,9 @@
     _continuation: StreamContinuation | None = field(default=None, init=False)
     """How the stream continues elsewhere; None if it does not."""
 
+    _kept: KeptStream | None = field(default=None, init=False)
+    """Stream at a silent runner while the request is sent to another one."""
+
     _relay: RequestRelay = field(init=False)
     _unreachable_attempts: int = field(default=0, init=False)
     """Attempts that failed to connect."""
@@ -190,6 +194,7 @@
         finally:
             if self._continuation is not None:
                 self._continuation.close()
+            self._discard_kept()
             self._finder.release_grant(EndKind.FAILED)
             self._finder.release_reserved()
             if self.delivery.finished and self._stream_digest:
@@ -202,37 +207,52 @@
             return
         self._finder.count_request()
         while True:
-            if not self._finder.constraint.is_satisfiable:
+            if self._kept is None and not self._finder.constraint.is_satisfiable:
                 self._response.reject(NO_VERSION_REASON, None)
                 return
             found = await self._finder.async_find()
-            if isinstance(found, Reject):
+            if self._kept is not None and isinstance(found, Reject):
+                decision: RetryDecision | None = RetryDecision.RETURN
+            elif isinstance(found, Reject):
                 status = STATUS_OVER_QUOTA if found.over_quota else STATUS_NOT_RUN
                 self._response.reject(found.reason, found.retry_after_s, status)
                 return
-            rejection = self._recheck_admission()
-            if rejection is not None:
-                self._finder.release_grant(EndKind.LEFT)
-                self._response.reject(
-                    rejection.reason, rejection.retry_after_s, rejection.status
-                )
+            else:
+                rejection = self._recheck_admission()
+                if rejection is not None:
+                    self._finder.release_grant(EndKind.LEFT)
+                    self._response.reject(
+                        rejection.reason, rejection.retry_after_s, rejection.status
+                    )
+                    return
+                result = await self._async_attempt(found)
+                decision = self._handle_result(found, result)
+            while decision is RetryDecision.RETURN and self._kept is not None:
+                kept = self._kept
+                result = await self._async_return(kept)
+                decision = self._handle_result(kept.runner, result)
+            if decision is None:
                 return
-            result = await self._async_attempt(found)
-            if result.delivered:
-                if result.succeeded:
-                    self._record_success(self._runner or found, result)
-                self.log.log_served((self._runner or found).runner_id, result)
+            if self._kept is None and self._must_relay():
+                await self._async_relay()
                 return
-            self._retry_cause = self._get_retry_cause(result)
-            decision = self._decide(result)
-            self.log.log_failed_attempt(found, result, decision)
-            if decision is RetryDecision.RETRY:
-                if self._must_relay():
-                    await self._async_relay()
-                    return
-                continue
-            self._give_up(result, decision)
-            return
+
+    def _handle_result(
+        self, runner: RunnerEntry, result: AttemptResult
+    ) -> RetryDecision | None:
+        """Return what follows an attempt; None if the response has ended."""
+        if result.delivered:
+            if result.succeeded:
+                self._record_success(self._runner or runner, result)
+            self.log.log_served((self._runner or runner).runner_id, result)
+            return None
+        self._retry_cause = self._get_retry_cause(result)
+        decision = self._decide(result)
+        self.log.log_failed_attempt(runner, result, decision)
+        if decision in (RetryDecision.RETRY, RetryDecision.RETURN):
+            return decision
+        self._give_up(result, decision)
+        return None
 
     def _must_relay(self) -> bool:
         """Return whether no runner can be reached from this host for the request."""
@@ -266,15 +286,50 @@
             self.log.log_retry(runner, self._retry_cause)
         self._finder.retry_payment.begin_attempt()
         result = await self._async_send(runner)
+        return await self._async_end_attempt(runner, result)
+
+    async def _async_return(self, kept: KeptStream) -> AttemptResult:
+        """Read on at the silent runner that was kept, since no other one accepted."""
+        kept.stop_timer()
+        self._kept, self._runner, self._sent_at = None, kept.runner, kept.sent_at
+        self._response.runner_id = kept.runner.runner_id
+        self._first_event_at = kept.first_event_at
+        self._finder.resume_attempt(kept.runner.runner_id)
+        if self._continuation is not None:
+            self._continuation.resume_attempt(kept.runner, kept.attempt)
+        result = await self._async_read(
+            kept.runner, kept.attempt, kept.attempt.async_resume()
+        )
+        return await self._async_end_attempt(kept.runner, result)
+
+    async def _async_end_attempt(
+        self, runner: RunnerEntry, result: AttemptResult
+    ) -> AttemptResult:
+        """Continue the stream of an attempt that ended, or record its result."""
         if self._continuation is not None:
             runner, result = await self._continuation.async_follow(runner, result)
         elif result.connection_lost:
             await self._async_check_crash(runner)
         self._runner = runner
         self._response.runner_id = runner.runner_id
+        if result.is_suspended:
+            self._finder.keep_attempt(runner.runner_id)
+            return result
+        if result.verdict is not Verdict.NOT_RUN:
+            self._discard_kept()
         self._record_result(runner, result)
         return result
 
+    def _discard_kept(self) -> None:
+        """Close the connection to the silent runner that was kept."""
+        kept, self._kept = self._kept, None
+        if kept is None:
+            return
+        kept.stop_timer()
+        kept.attempt.discard()
+        self._finder.release_kept()
+        self.context.metrics.edge_attempts.add(EndKind.FAILED.value)
+
     async def _async_send_on(self, run: ContinuedRun) -> AttemptResult:
         """Send the request to a runner that continues its run."""
         self.log.log_retry(run.runner, RetryCause.CONTINUED)
@@ -289,15 +344,33 @@
         attempt = self._make_attempt(runner, run)
         if self._continuation is not None:
             self._continuation.begin_attempt(runner, attempt)
-        self.context.plain_grant_provider.in_flight.add(runner.runner_id)
         self._first_event_at = None
         self._log_resumed(runner)
         self._finder.measure_events()
         self.context.signal_tracker.record_sent(runner)
+        return await self._async_read(runner, attempt, attempt.async_run())
+
+    async def _async_read(
+        self,
+        runner: RunnerEntry,
+        attempt: Attempt,
+        exchange: Coroutine[Any, Any, AttemptResult],
+    ) -> AttemptResult:
+        """Wait for the end of an attempt, and keep it if it is suspended."""
+        in_flight = self.context.plain_grant_provider.in_flight
+        in_flight.add(runner.runner_id)
         try:
-            return await attempt.async_run()
+            result = await exchange
         finally:
-            self.context.plain_grant_provider.in_flight.remove(runner.runner_id)
+            in_flight.remove(runner.runner_id)
+        if result.is_suspended:
+            self._kept = KeptStream(
+                runner=runner,
+                attempt=attempt,
+                sent_at=self._sent_at,
+                first_event_at=self._first_event_at,
+            )
+        return result
 
     def _log_resumed(self, runner: RunnerEntry) -> None:
         self.log.log_resumed(runner, self._finder.constraint.origin, self.resumed)
@@ -326,10 +399,8 @@
             # A connection that closes without a response doesn't prove that the request
             # has not run. If that must not be retried, an idle connection is used only
             # if it was in use just before.
-            async_open=lambda: self.context.connector.async_open(
-                runner,
-                request_id=self.fields.request_id,
-                retryable=self.route.idempotent and run is None,
+            async_open=lambda: self._async_open(
+                runner, retryable=self.route.idempotent and run is None
             ),
             silence_s=self._get_max_silence(),
             on_silence=lambda: self._async_handle_silence(runner),
@@ -340,9 +411,25 @@
             was_stopped=None
             if continuation is None
             else continuation.async_was_stopped,
+            may_suspend=self._may_suspend,
             judge_end=lambda ago_s: self._async_judge_end(runner, sent_at, ago_s),
         )
 
+    async def _async_open(self, runner: RunnerEntry, *, retryable: bool) -> Connection:
+        connection = await self.context.connector.async_open(
+            runner, request_id=self.fields.request_id, retryable=retryable
+        )
+        if self._kept is not None:
+            self._kept.start_timer(self._discard_kept)
+        return connection
+
+    def _may_suspend(self) -> bool:
+        """Return whether the connection to a silent runner is kept for now."""
+        finder, continuation = self._finder, self._continuation
+        if continuation is not None and continuation.has_transfer:
+            return False
+        return finder.has_reserved and finder.keeps_silent_runner
+
     async def _async_judge_end(
         self, runner: RunnerEntry, sent_at: float, ago_s: float | None
     ) -> ResponseEnd:
@@ -471,6 +558,8 @@
             sent_at,
             is_full=head.status == STATUS_NOT_RUN and is_not_run(head),
         )
+        if is_success(head.status):
+            self._discard_kept()
         if self._continuation is not None and is_success(head.status):
             self._continuation.handle_response()
 
@@ -515,6 +604,7 @@
             was_sent=result.was_sent,
             time_left_s=self._deadline - self._clock(),
             may_go_on=self.delivery.may_go_on,
+            is_runner_kept=self._kept is not None,
         )
         decision = decide_retry(self.route, failed, budget_left=True)
         needs_credit = decision is RetryDecision.RETRY and result.was_sent
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -15,11 +15,13 @@
 from ..policy.crashes.const import RETRY_AFTER_BLOCK_S
 from ..policy.customers.const import OVER_QUOTA
 from ..policy.edge.const import MIN_RETRY_TIME_S, RETRY_AFTER_OUTAGE_S
+from ..policy.edge.silence import find_excluded, keeps_silent_runner
 from ..policy.scheduling.events import EndKind, GrantRequest, Reject
 from ..scheduling.grant_provider import GrantResponse
 from .admission import Caller
 from .const import (
     ALTERNATIVE_TIMEOUT_S,
+    CLOSED_RUNNER_REASON,
     CRASHING_REQUEST_REASON,
     DRAIN_MARGIN_S,
     MAX_GRANT_REQUESTS,
@@ -27,7 +29,7 @@
 )
 from .delivery import Delivery
 from .event_times import EventTimes
-from .finder_context import FinderContext, ReservedGrant
+from .finder_context import FinderContext, KeptGrant, ReservedGrant
 from .origin_constraint import OriginConstraint
 from .plain_grant import PlainGrant
 from .request_log import RequestLog
@@ -81,6 +83,9 @@
     """Amount that the request has consumed of its customer's quota."""
 
     _reserved: ReservedGrant | None = field(default=None, init=False)
+    _kept: KeptGrant | None = field(default=None, init=False)
+    """Grant of the silent runner whose connection is kept."""
+
     _clock: Callable[[], float] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -103,6 +108,11 @@
         """Return whether a runner was found while the previous one was silent."""
         return self._reserved is not None
 
+    @property
+    def keeps_silent_runner(self) -> bool:
+        """Return whether a silent runner is kept until another one has accepted."""
+        return keeps_silent_runner(self.route, self.service, self.delivery.events)
+
     @property
     def grant_id(self) -> str | None:
         """Return the request id of the pending or received grant."""
@@ -173,9 +183,12 @@
         Args:
             current_runner_id: The silent runner; None if there is none.
         """
-        excluded = {*self.tried_runner_ids}
+        tried = {*self.tried_runner_ids}
         if current_runner_id:
-            excluded.add(current_runner_id)
+            tried.add(current_runner_id)
+        excluded = tried
+        if self.keeps_silent_runner:
+            excluded = find_excluded(tried, self._rejecting, self.route.max_attempts)
         if not self.try_acquire_retry(excluded):
             return False
         found = False
@@ -249,6 +262,30 @@
         else:
             self._failed.append(runner_id)
 
+    def keep_attempt(self, runner_id: str) -> None:
+        """Record that the connection to a silent runner is kept, with its grant."""
+        self.retry_payment.settle_attempt(was_sent=True)
+        self._kept = KeptGrant(self._grant_id, self._is_continued)
+        if not self._is_continued:
+            self.tried_runner_ids.add(runner_id)
+        self._failed.append(runner_id)
+        self._grant_id, self._is_continued = None, False
+
+    def resume_attempt(self, runner_id: str) -> None:
+        """Record that the stream goes on at the silent runner that was kept."""
+        self.release_reserved()
+        kept, self._kept = self._kept, None
+        assert kept is not None
+        self._grant_id, self._is_continued = kept.grant_id, kept.is_continued
+        self._backup_runner_id = ""
+        self._failed.remove(runner_id)
+
+    def release_kept(self) -> None:
+        """Release the grant of the silent runner, whose connection is closed."""
+        kept, self._kept = self._kept, None
+        if kept is not None and kept.grant_id is not None:
+            self.context.grant_provider.end_request(kept.grant_id, EndKind.FAILED)
+
     def release_grant(self, kind: EndKind) -> None:
         """Release the pending or received grant."""
         self._plain_grant.end(EndKind.LEFT)
@@ -307,6 +344,8 @@
             if self._accepts_requests(reserved.runner):
                 return reserved.runner
             self.release_grant(EndKind.LEFT)
+        if self._kept is not None:
+            return self._make_rejection(CLOSED_RUNNER_REASON, RETRY_AFTER_OUTAGE_S)
         if self.service.engine is None:
             return self._consume_quota() or await self._async_find_first_plain()
         for _ in range(MAX_GRANT_REQUESTS):
@@ -320,7 +359,7 @@
             self.release_grant(EndKind.LEFT)
             if entry is None or not self.constraint.fits(entry):
                 self._failed.append(response.runner_id)
-        return self._make_rejection("the runner takes no more", RETRY_AFTER_OUTAGE_S)
+        return self._make_rejection(CLOSED_RUNNER_REASON, RETRY_AFTER_OUTAGE_S)
 
     async def _async_request_next_grant(self) -> GrantResponse:
         """Request a grant and store its request id."""
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -69,6 +69,13 @@
     """The exchange failed after bytes were sent; the request may have run."""
 
 
+class UpstreamSilentError(ExchangeFailedError):
+    """The upstream is silent, and the handler of silences gave it up.
+
+    The connection is still usable: reading may go on where it stopped.
+    """
+
+
 class ConnectionLostError(ExchangeFailedError):
     """The upstream closed or reset the connection before the end of its response."""
 
@@ -123,6 +130,9 @@
         data can arrive any more.
         """
 
+        self._unread = b""
+        """Data that arrived just as the exchange was aborted."""
+
         self.on_result: Callable[[bool], None] | None = None
         """Called once: with True at the first data from the upstream, or with False if
         the connection ends without any."""
@@ -333,7 +343,7 @@
     def count_unread(self) -> int:
         """Return the bytes that were received and not read yet."""
         buffered: Any = getattr(self._reader, "_buffer", b"")
-        return len(buffered)
+        return len(buffered) + len(self._unread)
 
     async def async_is_kept_open(self, timeout_s: float) -> bool:
         """Return whether the upstream leaves a new connection open for some time."""
@@ -404,6 +414,9 @@
             on_result(has_data)
 
     async def _async_read(self) -> bytes:
+        if self._unread:
+            data, self._unread = self._unread, b""
+            return data
         if self.silence_s is None or self.on_silence is None:
             return await self._reader.read(READ_BYTES)
         try:
@@ -421,7 +434,8 @@
         try:
             while not read.done():
                 if await _async_call_until(read, on_silence):
-                    raise ExchangeFailedError(
+                    await self._async_stop_reading(read)
+                    raise UpstreamSilentError(
                         f"no data from the upstream for {silences * silence_s:g} s"
                     )
                 await asyncio.wait({read}, timeout=silence_s)
@@ -430,6 +444,13 @@
         finally:
             read.cancel()
 
+    async def _async_stop_reading(self, read: "asyncio.Future[bytes]") -> None:
+        """End a read so that another one can follow, without losing data."""
+        read.cancel()
+        await asyncio.wait({read})
+        if not read.cancelled() and read.exception() is None:
+            self._unread = read.result()
+
     def _update_keep_alive(self, head: ResponseHead) -> None:
         connection = (head.find(b"connection") or "").lower()
         self._closes_after = "close" in connection
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -175,7 +175,7 @@
 
 @numbered(254, LogLevel.INFO, limited_by="kind")
 class AttemptFailed:
-    """An attempt at a runner failed; `decision` says whether a retry follows."""
+    """An attempt at a runner failed; `decision` says what follows."""
 
     request_id: str
     identity: str
--- a/mangoway/policy/edge/const.py
+++ b/mangoway/policy/edge/const.py
@@ -26,6 +26,11 @@
 """Minimum time before the deadline for another attempt: a plain call takes some 20 to
 90 ms."""
 
+MAX_KEPT_SILENT_S: Final = 0.3
+"""Time for which the connection to a silent runner is kept after its stream was sent to
+another one. Runners reject requests within milliseconds. A run that goes on elsewhere
+must have ended where it was after 0.4 s."""
+
 FAILURES_TO_AVOID: Final = 3
 """Consecutive failures after which a runner is avoided. At an error rate of 14%, which
 some calls have regardless of the runner, three in a row occur once in 360 calls."""
--- a/mangoway/policy/edge/retries.py
+++ b/mangoway/policy/edge/retries.py
@@ -19,6 +19,9 @@
     FAIL = "fail"
     """Respond that the request may have run."""
 
+    RETURN = "return"
+    """Read on at the silent runner that was kept."""
+
 
 class RetryCause(Enum):
     """Why a request is sent to a runner again."""
@@ -59,6 +62,10 @@
     may_go_on: bool = True
     """Whether another attempt can send what the caller has not received."""
 
+    is_runner_kept: bool = False
+    """Whether the connection to a silent runner is kept: the one of this attempt, or an
+    earlier one if the request has not run in this attempt."""
+
 
 def decide_retry(
     route: Route, failed: FailedAttempt, *, budget_left: bool
@@ -66,15 +73,24 @@
     """Return whether to retry, reject or fail a request after a failed attempt.
 
     A request that may have run is retried only on an idempotent route; one that
-    certainly has not run is retried on any route.
+    certainly has not run is retried on any route. If another runner rejected the stream
+    of a silent one, that is read on first: it may have gone on, and further runners are
+    searched for meanwhile.
     """
+    if failed.is_runner_kept and failed.verdict is Verdict.NOT_RUN:
+        return RetryDecision.RETURN
     allowed = failed.may_go_on and (not failed.may_have_run or route.idempotent)
     # The number of runners isn't limited after an attempt that has not run: the request
-    # may be sent again to the same runner.
+    # may be sent again to the same runner. The search for an alternative to a silent
+    # runner has applied the limit.
     attempts_left = (
-        failed.runners_tried < route.max_attempts or failed.verdict is Verdict.NOT_RUN
+        failed.runners_tried < route.max_attempts
+        or failed.verdict is Verdict.NOT_RUN
+        or failed.is_runner_kept
     )
     in_time = failed.time_left_s > MIN_RETRY_TIME_S
     if allowed and attempts_left and in_time and (budget_left or not failed.was_sent):
         return RetryDecision.RETRY
+    if failed.is_runner_kept:
+        return RetryDecision.RETURN
     return RetryDecision.FAIL if failed.may_have_run else RetryDecision.REJECT
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -12,6 +12,7 @@
     ConnectFailedError,
     Connection,
     ExchangeFailedError,
+    UpstreamSilentError,
     async_connect,
 )
 from mangoway.http1.connection_pool import ConnectionPool, IdleReuseLimit
@@ -283,6 +284,43 @@
             assert await read_whole(connection) == (200, b"late")
             await cancelled.wait()
 
+    async def test_data_that_arrives_with_the_abort_is_read_later(self) -> None:
+        """A stream that goes on at the silent upstream would miss it."""
+        calls: list[int] = []
+
+        async with RawServer(script()) as server:
+            connection = await connect(server)
+
+            async def handle() -> bool:
+                calls.append(1)
+                connection._reader.feed_data(make_response(200, b"late"))
+                return True
+
+            connection.silence_s, connection.on_silence = 0.02, handle
+            await connection.async_send(REQUEST)
+            with pytest.raises(UpstreamSilentError):
+                await connection.async_read_head()
+            head = await connection.async_read_head()
+            body = b"".join(
+                [each async for each in connection.async_iterate_body(LIMITS)]
+            )
+            connection.close()
+        assert (head.status, body, len(calls)) == (200, b"late", 1)
+
+    async def test_data_after_the_abort_is_read_later(self) -> None:
+        async def handle() -> bool:
+            return True
+
+        async with RawServer(script()) as server:
+            connection = await connect(server)
+            connection.silence_s, connection.on_silence = 0.02, handle
+            await connection.async_send(REQUEST)
+            with pytest.raises(UpstreamSilentError):
+                await connection.async_read_head()
+            connection._reader.feed_data(make_response(200, b"late"))
+            assert (await connection.async_read_head()).status == 200
+            connection.close()
+
 
 class TestLimits:
     """Tests of responses beyond the limits of a body."""
--- a/tests/policy/edge/test_retries.py
+++ b/tests/policy/edge/test_retries.py
@@ -77,3 +77,34 @@
         assert (
             decide_retry(SAFE_ROUTE, failed, budget_left=True) is RetryDecision.REJECT
         )
+
+
+class TestKeptRunner:
+    """Attempts beside a silent runner whose connection is kept."""
+
+    def test_rejected_request_returns_though_it_could_be_retried(self) -> None:
+        failed = make_failed_attempt(
+            Verdict.NOT_RUN, may_have_run=True, is_runner_kept=True
+        )
+        decision = decide_retry(SAFE_ROUTE, failed, budget_left=True)
+        assert decision is RetryDecision.RETURN
+
+    def test_silent_runner_is_left_for_the_last_allowed_one(self) -> None:
+        """The search for another runner has applied the limit."""
+        failed = make_failed_attempt(
+            Verdict.MAY_HAVE_RUN, runners_tried=2, is_runner_kept=True
+        )
+        decision = decide_retry(SAFE_ROUTE, failed, budget_left=True)
+        assert decision is RetryDecision.RETRY
+
+    @pytest.mark.parametrize(
+        ("budget_left", "time_left_s"), [(False, 2.0), (True, 0.01)]
+    )
+    def test_silent_runner_is_not_left_without_another_attempt(
+        self, budget_left: bool, time_left_s: float
+    ) -> None:
+        failed = make_failed_attempt(
+            Verdict.MAY_HAVE_RUN, time_left_s=time_left_s, is_runner_kept=True
+        )
+        decision = decide_retry(SAFE_ROUTE, failed, budget_left=budget_left)
+        assert decision is RetryDecision.RETURN
