--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from ..http1.client import (
     BodyLimits,
@@ -16,7 +16,7 @@
 )
 from ..http1.connection_pool import ConnectionPool
 from ..http1.const import BODY_GRACE_S
-from ..http1.messages import Headers, Request, ResponseHead
+from ..http1.messages import Request, ResponseHead
 from ..http1.response_memory import MemoryShortError
 from ..models.routing import RouteKind
 from ..models.verdict import Verdict
@@ -26,9 +26,10 @@
 from ..platform.requests import list_response_headers
 from ..policy.edge.const import MAX_UNHELD_BYTES
 from ..policy.edge.response_end import ResponseEnd
+from .attempt_result import AttemptResult, BufferedResponse
 from .const import MAX_BUFFERED_BODY_BYTES, MAX_STREAM_BYTES
 from .delivery import Delivery, StreamBrokenError
-from .event_reader import EventReader
+from .event_reader import EventReader, StreamReading
 from .responses import PROMISES
 
 STATUS_BAD_REQUEST = 400
@@ -43,64 +44,6 @@
 STREAM_LIMITS: Final = BodyLimits(max_bytes=MAX_STREAM_BYTES)
 
 
-@frozen(kw_only=True)
-class BufferedResponse:
-    """A response that was read completely."""
-
-    head: ResponseHead
-    headers: Headers
-    body: bytes
-
-
-@frozen(kw_only=True)
-class AttemptResult:
-    """The result of an attempt."""
-
-    verdict: Verdict
-    delivered: bool = False
-    """Whether the caller has received the complete response."""
-
-    status: int = 0
-    """Status of the response that was delivered."""
-
-    succeeded: bool = False
-    """Whether the runner ran the request to a complete response, without a crash."""
-
-    was_sent: bool = True
-    reason: str = ""
-    is_model_missing: bool = False
-    """Whether the runner lacks the model, or isn't the runner that was addressed."""
-
-    error: BufferedResponse | None = None
-    """The error response of the runner, if it sent one after it may have run the
-    request."""
-
-    rejection: BufferedResponse | None = None
-    """The response that states that the request has not run, if there is one."""
-
-    end: ResponseEnd = ResponseEnd.FRAMED
-    """What is known about the end of a complete response."""
-
-    connection_lost: bool = False
-    """Whether the connection was closed by the runner, which may have crashed."""
-
-    is_suspended: bool = False
-    """Whether the connection to a silent runner is kept, so that the attempt can be
-    resumed."""
-
-
-@define(eq=False)
-class StreamReading:
-    """How far the stream of a response was read."""
-
-    head: ResponseHead
-    reader: EventReader
-    size: int = 0
-    """Bytes of its body that were read."""
-
-    is_first_event_reported: bool = False
-
-
 def is_not_run(head: ResponseHead) -> bool:
     """Return whether a runner states that it rejected a request without running it."""
     return head.find(names.NOT_EXECUTED) is not None
--- a/mangoway/edge/continuation.py
+++ b/mangoway/edge/continuation.py
@@ -18,7 +18,8 @@
 from ..policy.edge.const import MIN_RETRY_TIME_S
 from ..policy.edge.continuation import CONTINUES, TransferStep
 from ..policy.scheduling.events import TransferStream
-from .attempt import Attempt, AttemptResult
+from .attempt import Attempt
+from .attempt_result import AttemptResult
 from .delivery import Delivery
 from .finder_context import FinderContext
 from .retry_payment import RetryPayment
--- a/mangoway/edge/event_reader.py
+++ b/mangoway/edge/event_reader.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from ..http1.client import Connection, ExchangeFailedError
+from ..http1.messages import ResponseHead
 from .const import EVENTS_PER_TURN, MAX_EVENT_BYTES, MAX_EVENT_S, MAX_STREAM_EVENTS
 from .sse import EventSplitter, StreamEvent
 
@@ -52,3 +53,15 @@
             raise ExchangeFailedError("an event is too large")
         if waited_s - self._incomplete_since > MAX_EVENT_S:
             raise ExchangeFailedError(f"an event takes over {MAX_EVENT_S:g} s")
+
+
+@define(eq=False)
+class StreamReading:
+    """How far the stream of a response was read."""
+
+    head: ResponseHead
+    reader: EventReader
+    size: int = 0
+    """Bytes of its body that were read."""
+
+    is_first_event_reported: bool = False
--- a/mangoway/edge/final_response.py
+++ b/mangoway/edge/final_response.py
@@ -4,7 +4,8 @@
 
 from ..platform.signals import parse_decimal
 from ..policy.edge.const import RETRY_AFTER_UNREACHABLE_S
-from .attempt import BufferedResponse, deliver_buffered
+from .attempt import deliver_buffered
+from .attempt_result import BufferedResponse
 from .const import UNREACHABLE_REASON
 from .delivery import Delivery
 from .relay import make_unreachable_headers
--- a/mangoway/edge/relay.py
+++ b/mangoway/edge/relay.py
@@ -28,7 +28,8 @@
 from ..policy.edge.const import MAX_RELAY_PEERS
 from ..policy.edge.relaying import RelayPeers
 from .address_probe import ProbeResult, async_probe
-from .attempt import Attempt, AttemptResult
+from .attempt import Attempt
+from .attempt_result import AttemptResult
 from .const import MAX_IDLE_PER_PEER, PEER_SILENCE_S
 from .delivery import Delivery
 from .responses import PROMISES
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -31,10 +31,10 @@
 from .admission import Admission, Caller, Rejection
 from .attempt import (
     Attempt,
-    AttemptResult,
     is_not_run,
     is_success,
 )
+from .attempt_result import AttemptResult
 from .const import (
     MAX_SILENCE_S,
     MIN_SILENCE_S,
--- a/mangoway/edge/request_log.py
+++ b/mangoway/edge/request_log.py
@@ -16,7 +16,7 @@
 from ..platform.requests import RequestFields
 from ..policy.edge.origin_search import FoundOrigin, OriginBasis, UnknownOrigin
 from ..policy.edge.retries import RetryCause, RetryDecision
-from .attempt import AttemptResult
+from .attempt_result import AttemptResult
 from .delivery import Delivery
 from .stream_origins import OWN_RECORD
 
