Search only new bytes for the end of an event

Callers of other runners waited while a runner's stream held an event that came in tiny parts and never ended: each part copied all bytes before it and searched them again, so that the time grew with the square of the event. The turn of one connection, 32 parts, is meant to take under a millisecond; it took up to 13 ms, and each request needs several turns.

A double newline that ends in the new bytes begins at the last old byte at the earliest, so that nothing else needs another search. test_large_event_in_tiny_parts_takes_little_processor_time failed before with 13.3 s where 0.5 s are allowed. With the search from the first byte it fails too; without the last old byte the three cases of test_end_in_single_bytes_is_found do.

--- a/mangoway/edge/sse.py
+++ b/mangoway/edge/sse.py
@@ -35,18 +35,27 @@
     """Collects bytes until events are complete."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
-    def rest(self) -> bytes:
+    def rest(self) -> bytearray:
         """Return the bytes of an incomplete event."""
         return self._rest
 
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
-        """Return the events that these bytes complete, each parsed when it is read."""
-        joined = (self._rest + data) if self._rest else data
-        parts = joined.split(EVENT_END)
-        self._rest = parts.pop()
+        """Return the events that these bytes complete, each parsed when it is read.
+
+        A faulty runner may send a large event in tiny parts, so only new bytes are
+        searched for its end.
+        """
+        if self._rest:
+            searched = len(self._rest) - len(EVENT_END) + 1
+            self._rest += data
+            if self._rest.find(EVENT_END, searched) < 0:
+                return iter(())
+            data = bytes(self._rest)
+        parts = data.split(EVENT_END)
+        self._rest = bytearray(parts.pop())
         return (StreamEvent(part + EVENT_END, _find_id(part)) for part in parts)
 
 
--- a/tests/edge/test_sse.py
+++ b/tests/edge/test_sse.py
@@ -1,10 +1,17 @@
 """Tests of splitting a stream into events."""
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from mangoway.edge.const import MAX_EVENT_BYTES
 from mangoway.edge.sse import EventSplitter, StreamEvent
+from mangoway.http1.const import MAX_BODY_PARTS, PARTS_PER_TURN
+
+MAX_TURN_S = 0.001
+"""Processor time of one turn of a connection, as stated beside `PARTS_PER_TURN`."""
 
 
 class TestEventSplitter:
@@ -42,3 +49,22 @@
             start = end
         assert received == data
         assert splitter.rest == b""
+
+    @pytest.mark.parametrize("end", [b"\n\n", b"\n\n\n", b"\n\n\n\n"])
+    def test_end_in_single_bytes_is_found(self, end: bytes) -> None:
+        data = b"id: 1\ndata: a" + end + b"id: 2\n\n"
+        splitter = EventSplitter()
+        parts = [data[at : at + 1] for at in range(len(data))]
+        events = [each for part in parts for each in splitter.feed(part)]
+        assert events == list(EventSplitter().feed(data))
+
+    def test_large_event_in_tiny_parts_takes_little_processor_time(self) -> None:
+        """Each part cost a search of all before it, which held up other callers."""
+        splitter = EventSplitter()
+        part = b"w" * (MAX_EVENT_BYTES // MAX_BODY_PARTS)
+        began = time.thread_time()
+        for _ in range(MAX_BODY_PARTS):
+            assert not list(splitter.feed(part))
+        used_s = time.thread_time() - began
+        assert len(splitter.rest) == MAX_EVENT_BYTES
+        assert used_s < MAX_BODY_PARTS / PARTS_PER_TURN * MAX_TURN_S
