Find the id of an event without taking all its lines apart

All other callers of an edge waited while it read a large event of short lines: the event was split into its lines, and each was looked at, without a turn for other tasks.

The cases of the first line with an id hold before and after.

--- a/mangoway/edge/sse.py
+++ b/mangoway/edge/sse.py
@@ -7,7 +7,9 @@
 from attrs import frozen
 
 EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+ID_FIELD = b"\nid:"
+"""Beginning of the line with the id, with the end of the line before it."""
+
 ID_NUMBER: Final = re.compile("[0-9]{1,18}")
 """Numbers within 64 bits; other digits or thousands of them can't be converted."""
 
@@ -60,7 +62,5 @@
 
 
 def _find_id(event: bytes) -> str | None:
-    for line in event.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            return line[len(ID_FIELD) :].strip().decode("latin-1")
-    return None
+    _, field, rest = (b"\n" + event).partition(ID_FIELD)
+    return rest.partition(b"\n")[0].strip().decode("latin-1") if field else None
--- a/tests/edge/test_sse.py
+++ b/tests/edge/test_sse.py
@@ -1,6 +1,8 @@
 """Tests of splitting a stream into events."""
 
+import sys
 import time
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -14,6 +16,22 @@
 """Processor time of one turn of a connection, as stated beside `PARTS_PER_TURN`."""
 
 
+def count_calls(data: bytes) -> int:
+    """Return the number of calls that it takes to read the events of some bytes."""
+    calls = 0
+
+    def count(_frame: Any, what: str, _argument: Any) -> None:
+        nonlocal calls
+        calls += what in ("call", "c_call")
+
+    sys.setprofile(count)
+    try:
+        list(EventSplitter().feed(data))
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
 class TestEventSplitter:
     """Events from bytes that are split at any position."""
 
@@ -27,6 +45,26 @@
         [event] = EventSplitter().feed(b"event: x\nid:7\ndata: a\n\n")
         assert event.number == 7
 
+    @pytest.mark.parametrize(
+        ("event", "event_id"),
+        [
+            (b"id:\n\n", ""),
+            (b"data: id: 1\nid:  2\t\r\n\n", "2"),
+            (b"\nid: 3\nid: 4\n\n", "3"),
+            (b"ID: 5\n id: 6\n\n", None),
+            (b"data: a\rid: 7\n\n", None),
+        ],
+    )
+    def test_id_is_that_of_the_first_line_with_one(
+        self, event: bytes, event_id: str | None
+    ) -> None:
+        [each] = EventSplitter().feed(event)
+        assert each.event_id == event_id
+
+    def test_calls_for_an_event_do_not_grow_with_its_lines(self) -> None:
+        """An event of short lines held up all other tasks while its id was searched."""
+        assert count_calls(b"x\n" * 10_000 + b"\n") == count_calls(b"x\n\n")
+
     def test_event_without_a_number_has_none(self) -> None:
         one, two = EventSplitter().feed(b"data: a\n\nid: x\n\n")
         assert one.number is None
