End the processes that tests start when the test process ends

A run of tests that was killed left its processes running: edges, schedulers and stand-ins went on calling the addresses that they had been given, and the kernel gives such a port to a server of a later run.

Launched processes run through tests.stand_ins.child, which has the kernel kill them when their parent ends (PR_SET_PDEATHSIG, also while they are paused), and ends at once if the parent was gone before that. There is no further process, no preexec_fn and nothing in the package. The signal is bound to the thread that started the process, so that the launcher rejects other threads than the main one. The processes inherit the locks of the claimed blocks of ports, so that no other run gets a block before the last process that knows its ports has ended.

--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import tempfile
+import threading
 from contextlib import suppress
 from pathlib import Path
 from random import SystemRandom
@@ -31,7 +32,8 @@
 """Folder with a file for each block, which the process that claimed the block locks."""
 
 _locks: list[TextIO] = []
-"""Files of the claimed blocks; they stay locked until this process ends."""
+"""Files of the claimed blocks. They stay locked until this process and all that it
+started have ended, since those listen on these ports and connect to them."""
 
 _unused_ports: list[int] = []
 
@@ -71,6 +73,19 @@
     raise RuntimeError("other test processes have claimed all ports")
 
 
+def make_command(module: str, *flags: str) -> tuple[str, ...]:
+    """Return the command of a process that runs a module and ends with this process.
+
+    Raises:
+        RuntimeError: If not called in the main thread.
+    """
+    # The kernel kills the process at the end of the thread that started it.
+    if threading.current_thread() is not threading.main_thread():
+        raise RuntimeError("processes can be started in the main thread only")
+    starter = "tests.stand_ins.child"
+    return (sys.executable, "-m", starter, str(os.getpid()), module, *flags)
+
+
 @define(eq=False)
 class Process:
     """A process that a launcher started."""
@@ -154,14 +169,12 @@
         log = self.folder / f"{name}.log"
         with log.open("ab") as errors:
             child = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                module,
-                *flags,
+                *make_command(module, *flags),
                 cwd=ROOT,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=asyncio.subprocess.PIPE if reads_output else errors,
                 stderr=errors,
+                pass_fds=[lock.fileno() for lock in _locks],
             )
         process = Process(name, child, log, flags)
         self.processes.append(process)
