Read the end of a checked connection that came while the loop was busy

Callers of a busy edge that is cut off from all runners got further 502s: the edge took its runners for reached again, and sent requests to them.

A check opens connections and sees whether they stay open for some time. If the event loop stood still meanwhile, the end of that time and the reset were due in the same turn. The loss of a connection reaches the reader a turn after its event, so that the timeout cancelled the read first, and the connection counted as kept open. Now the check gives the loop four turns to read what has arrived before it judges.

--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -30,6 +30,7 @@
     MIN_BODY_BYTES_PER_S,
     PARTS_PER_TURN,
     READ_BYTES,
+    READ_TURNS,
 )
 from .messages import Request, ResponseHead
 
@@ -347,13 +348,17 @@
 
     async def async_is_kept_open(self, timeout_s: float) -> bool:
         """Return whether the upstream leaves a new connection open for some time."""
+        read = asyncio.ensure_future(self._reader.read(READ_BYTES))
         try:
-            async with asyncio.timeout(timeout_s):
-                return bool(await self._reader.read(READ_BYTES))
-        except TimeoutError:
-            return True
+            await asyncio.wait({read}, timeout=timeout_s)
+            # A busy loop may end the wait before it reads an end that came in time.
+            for _ in range(READ_TURNS):
+                await asyncio.sleep(0)
+            return not read.done() or bool(await read)
         except OSError:
             return False
+        finally:
+            read.cancel()
 
     def close(self) -> None:
         """Close the connection at once, which also ends the request at the upstream."""
--- a/mangoway/http1/const.py
+++ b/mangoway/http1/const.py
@@ -90,3 +90,8 @@
 PARTS_PER_TURN: Final = 32
 """Parts that one connection parses before the other tasks of the event loop run, which
 takes under a millisecond."""
+
+READ_TURNS: Final = 4
+"""Turns of the event loop after which the end of a connection that has arrived is read:
+the event of its socket, the loss of the connection and the end of the read take one
+each, and the task that waits for them may run first in each."""
