--- a/tests/policy/customers/test_restart_order.py
+++ b/tests/policy/customers/test_restart_order.py
@@ -164,6 +164,23 @@
             assert fleet.find_max_in_window() <= fleet.allowed
 
 
+class TestOverdrafts:
+    """Edges that lose their scheduler twice within a window."""
+
+    def test_second_loss_grants_no_second_overdraft(self) -> None:
+        """Each loss allowed an overdraft beside the rate that was granted between."""
+        fleet = RestartedFleet(Random(2), HOSTS, has_overdrafts=True)
+        fleet.used_hosts = (0,)
+        fleet.run(BURST_REFILL_S, 0.0)
+        fleet.run(3.0, HIGH_DEMAND)
+        for _ in range(2):
+            fleet.kill_scheduler(
+                grants_again_after_s=1.5, to_standby=True, spread_s=0.5
+            )
+            fleet.run(3.0, HIGH_DEMAND)
+        assert fleet.find_max_in_window() <= fleet.allowed
+
+
 class TestUsualDemand:
     """A customer that stays below its quota."""
 
