Revert "Restore quotas from the share of the edges that have counted all along"

A customer under its limit must be refused nothing, and a restart must give no second burst; this trades one for the other.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -469,7 +469,6 @@
         while True:
             edges = self._list_edges()
             self.disconnected_share.update(own, edges)
-            self.client.fleet_size.record(len(edges), process.clock())
             self.retry_budgets.share.update(
                 edges,
                 known_at=self.process.mirror.known_at,
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -329,9 +329,6 @@
 
     def _handle_edge_connection(self, incarnation: str, connected: bool) -> None:
         if connected:
-            # A standby may grant as soon as an edge connects, which reports its
-            # spending then.
-            self._update_granting()
             self.absent.record_reconnected(incarnation)
         else:
             self.absent.record_disconnected(incarnation)
@@ -339,7 +336,7 @@
     async def _async_track_leadership(self) -> None:
         """Update the core and the edges when this process starts or stops granting."""
         while True:
-            self._update_granting()
+            granting = self._is_granting()
             # Without connected edges the demand is unknown: another scheduler may
             # already lead.
             allowed = self.leadership.may_order and self.server.edge_count > 0
@@ -349,20 +346,13 @@
                     may_load_from_store=self.leadership.may_load_from_store,
                 )
             )
+            if granting != self._was_granting:
+                self._was_granting = granting
+                self._granting_changed_at = self.process.clock()
+                self.server.send_heartbeats()
             self.server.core.state.quotas.share = self._measure_share()
             await async_sleep_to_tick(LEAD_CHECK_PERIOD_S)
 
-    def _update_granting(self) -> None:
-        """Tell the core and the edges if this process starts or stops granting."""
-        granting, now = self._is_granting(), self.process.clock()
-        if granting == self._was_granting:
-            return
-        self._was_granting = granting
-        self._granting_changed_at = now
-        if granting:
-            self.server.core.state.quotas.restart(self.server.edges, now)
-        self.server.send_heartbeats()
-
     async def _async_log_summaries(self) -> None:
         """Log summaries of quotas and placement periodically while granting."""
         reporter = ShareReporter(self.process.metrics)
--- a/mangoway/policy/customers/const.py
+++ b/mangoway/policy/customers/const.py
@@ -26,10 +26,5 @@
 were connected, since they connect one after the other. The previous scheduler, if it is
 still active, adds less than one burst."""
 
-UNREPORTED_SLACK_SHARE: Final = 0.5
-"""Share of the fleet's slack up to which a scheduler restores a balance before it
-knows the spending at all edges. A customer may have spent its burst at an edge that was
-killed, and would get it again. `SLACK_SHARE` and disconnected hosts need the rest."""
-
 OVER_QUOTA: Final = "the customer's quota is spent"
 """Reason of the rejection of a request whose customer is over quota."""
--- a/mangoway/policy/customers/quota.py
+++ b/mangoway/policy/customers/quota.py
@@ -9,23 +9,13 @@
 """
 
 from collections.abc import Iterable
-from typing import Final
 
 from attrs import define, field
 
 from ...models.customer import Customer, CustomerRegistry, Quota
-from .const import (
-    OVERDRAFT_S,
-    SLACK_SHARE,
-    SPENDING_RETENTION_S,
-    UNREPORTED_SLACK_SHARE,
-)
-from .coverage import EdgeReport, SpendingCoverage
+from .const import OVERDRAFT_S, SLACK_SHARE, SPENDING_RETENTION_S
 from .spending import SpendingEntry, SpendingHistory
 
-NO_COVERAGE: Final = EdgeReport(counted_s=0.0, edges=0)
-"""What a report states that comes from an edge of an earlier release."""
-
 
 @define(eq=False)
 class Account:
@@ -53,8 +43,8 @@
     """Amount that the whole fleet may temporarily grant beyond a quota."""
 
     starts_full: bool = True
-    """Whether accounts start full without reports of earlier spending. A scheduler that
-    starts to grant may replace one that was granting until then, and must not grant a
+    """Whether accounts start full without a report of earlier spending. A scheduler
+    that starts may replace one that was granting until then, and must not grant a
     second burst."""
 
     share: float = 1.0
@@ -69,22 +59,16 @@
 
     spending: SpendingHistory = field(factory=SpendingHistory, init=False)
     _accounts: dict[str, Account] = field(factory=dict, init=False)
-    _coverage: SpendingCoverage = field(factory=SpendingCoverage, init=False)
+    _started_at: float | None = field(default=None, init=False)
+    """When this tracker was first used."""
+
+    _reported: set[str] = field(factory=set, init=False)
+    """Customers whose earlier spending was reported by hosts."""
 
     def begin(self, now: float) -> None:
         """Set the time from which accounts are refilled."""
-        if self._coverage.granting_since is None:
-            self._coverage.granting_since = now
-
-    def restart(self, connected: Iterable[str], now: float) -> None:
-        """Start to grant, after another process may have granted until now.
-
-        Args:
-            connected: Incarnations of the connected edges.
-            now: Time in seconds.
-        """
-        self._coverage.restart(connected, now)
-        self._accounts.clear()
+        if self._started_at is None:
+            self._started_at = now
 
     def allow_overdraft(self, exhausted: Iterable[str], now: float) -> None:
         """Allow overdrafts for `OVERDRAFT_S` after the scheduler was lost.
@@ -110,7 +94,7 @@
         if quota is None:
             return 0.0
         account = self._fill(name, quota, now)
-        missing = min(amount, self._get_capacity(quota, self.share)) - account.balance
+        missing = min(amount, self._get_capacity(quota)) - account.balance
         if missing > 0 and not self._allows_overdraft(name, now):
             return missing / quota.rate_per_s
         account.balance -= amount
@@ -125,36 +109,16 @@
         self.spending.add(name, amount, now)
 
     def add_reported_spending(
-        self,
-        entries: Iterable[SpendingEntry],
-        now: float,
-        *,
-        edge: str = "",
-        report: EdgeReport = NO_COVERAGE,
+        self, entries: Iterable[SpendingEntry], now: float
     ) -> None:
-        """Add spending that an edge reports from before it used this process.
-
-        Args:
-            entries: The edge's recent spending.
-            now: Time in seconds.
-            edge: Incarnation of the edge.
-            report: What the edge states about its report.
-        """
-        customers = set()
+        """Add spending that a host reports from before it used this process."""
         for each in entries:
             self.spending.add(each.customer, each.amount, now - each.age_s)
-            customers.add(each.customer)
-        # The coverage concerns customers without an entry as well: they have spent
-        # nothing at that edge.
-        is_changed = self._coverage.record(edge, report, now)
-        for name, account in self._accounts.items():
-            if is_changed or name in customers:
+            self._reported.add(each.customer)
+            account = self._accounts.get(each.customer)
+            if account is not None:
                 account.is_complete = False
 
-    def forget_edge(self, edge: str, now: float) -> None:
-        """Forget an edge that disconnected, if its report no longer matters."""
-        self._coverage.forget(edge, now)
-
     def list_exhausted(self, now: float) -> list[tuple[str, float]]:
         """Return the customers with an exhausted quota.
 
@@ -203,67 +167,30 @@
         customer = None if self.registry is None else self.registry.find_by_name(name)
         return None if customer is None else customer.quota
 
-    def _get_capacity(self, quota: Quota, share: float) -> float:
-        """Return the maximum balance of an account with a share of a quota."""
-        return (quota.burst + SLACK_SHARE * self.slack) * share
+    def _get_capacity(self, quota: Quota) -> float:
+        """Return the maximum balance of an account."""
+        return (quota.burst + SLACK_SHARE * self.slack) * self.share
 
     def _fill(self, name: str, quota: Quota, now: float) -> Account:
-        self.begin(now)
         account = self._accounts.get(name)
         if account is None or not account.is_complete:
             account = self._accounts[name] = self._create_account(name, quota, now)
-        capacity = self._get_capacity(quota, self.share)
-        account.fill(quota.rate_per_s * self.share, capacity, now)
+        account.fill(quota.rate_per_s * self.share, self._get_capacity(quota), now)
         return account
 
     def _create_account(self, name: str, quota: Quota, now: float) -> Account:
         """Return a new account with a balance computed from recent spending."""
-        account = self._replay_spending(name, quota, now)
-        if self.starts_full or self._coverage.is_complete(now):
-            return account
-        limited = self._replay_from_start(name, quota, now)
-        account.balance = min(account.balance, limited.balance)
-        return account
-
-    def _replay_spending(self, name: str, quota: Quota, now: float) -> Account:
-        """Return an account that was full before the known spending."""
-        capacity = self._get_capacity(quota, self.share)
-        account = Account(capacity, now - SPENDING_RETENTION_S)
-        slots = self.spending.list_slots(name, now)
-        self._replay(account, slots, quota, self.share, now)
-        return account
-
-    def _replay_from_start(self, name: str, quota: Quota, now: float) -> Account:
-        """Return an account that was limited when this process started to grant.
-
-        It had what the edges whose spending is known had left of their share of the
-        quota; the rest counts as spent. A slot that ends later counts as spent later.
-        """
-        since = self._coverage.granting_since
-        started_at = now if since is None else since
-        slots = self.spending.list_slots(name, now)
-        earlier = [each for each in slots if each[0] <= started_at]
-        known_share = min(self.share, self._coverage.measure(now))
-        capacity = self._get_capacity(quota, known_share)
-        account = Account(capacity, now - SPENDING_RETENTION_S)
-        self._replay(account, earlier, quota, known_share, started_at)
-        max_restored = UNREPORTED_SLACK_SHARE * self.slack * self.share
-        account.balance = max(0.0, min(account.balance, max_restored))
-        self._replay(account, slots[len(earlier) :], quota, self.share, now)
-        return account
-
-    def _replay(
-        self,
-        account: Account,
-        slots: Iterable[tuple[float, float]],
-        quota: Quota,
-        share: float,
-        until: float,
-    ) -> None:
-        """Subtract the amounts of slots from an account with a share of a quota."""
-        rate_per_s = quota.rate_per_s * share
-        capacity = self._get_capacity(quota, share)
-        for at, amount in slots:
+        self.begin(now)
+        started_at = now if self._started_at is None else self._started_at
+        since = now - SPENDING_RETENTION_S
+        rate_per_s, capacity = quota.rate_per_s * self.share, self._get_capacity(quota)
+        is_spending_known = (
+            self.starts_full or name in self._reported or started_at <= since
+        )
+        account = (
+            Account(capacity, since) if is_spending_known else Account(0.0, started_at)
+        )
+        for at, amount in self.spending.list_slots(name, now):
             account.fill(rate_per_s, capacity, at)
             account.balance -= amount
-        account.fill(rate_per_s, capacity, until)
+        return account
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -5,7 +5,6 @@
 
 from attrs import define, field
 
-from ..customers.coverage import EdgeReport
 from ..limits.cooldowns import CooldownReport
 from ..limits.tracker import LimitReport
 from . import transfers
@@ -407,10 +406,7 @@
 def _handle_spending(
     core: SchedulingCore, event: SpendingReported, now: float
 ) -> list[Action]:
-    report = EdgeReport(counted_s=event.counted_s, edges=event.edges)
-    core.state.quotas.add_reported_spending(
-        event.rows, now, edge=event.edge, report=report
-    )
+    core.state.quotas.add_reported_spending(event.rows, now)
     return []
 
 
@@ -455,7 +451,6 @@
     core: SchedulingCore, event: EdgeDisconnected, now: float
 ) -> list[Action]:
     state = core.state
-    state.quotas.forget_edge(event.edge, now)
     state.cooldowns.remove_edge(event.edge)
     for queue in state.queues.values():
         queue.remove_edge(event.edge)
--- a/mangoway/policy/scheduling/events.py
+++ b/mangoway/policy/scheduling/events.py
@@ -162,15 +162,6 @@
     """Spending of an edge's customers before this process granted its requests."""
 
     rows: tuple[SpendingEntry, ...]
-    edge: str = ""
-    """Incarnation of the edge."""
-
-    counted_s: float = 0.0
-    """Seconds for which the edge has counted. An edge of an earlier release doesn't
-    state it and counts as one that has just started."""
-
-    edges: int = 0
-    """Most edges that it has seen at once while it keeps spending; 0 if unknown."""
 
 
 @frozen(kw_only=True)
--- a/mangoway/scheduling/client.py
+++ b/mangoway/scheduling/client.py
@@ -11,7 +11,6 @@
 from ..models.signals import LeavingReport
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
-from ..policy.customers.fleet_size import FleetSize
 from ..policy.customers.spending import SpendingHistory
 from ..policy.limits.cooldowns import CooldownReport
 from ..policy.limits.tracker import LimitReport
@@ -63,10 +62,6 @@
     spending: SpendingHistory = field(factory=SpendingHistory, init=False)
     """Recent spending of customers at this edge, whoever granted it."""
 
-    fleet_size: FleetSize = field(factory=FleetSize, init=False)
-    _counting_since: float = field(init=False)
-    """Time from which `spending` is complete."""
-
     on_limit: Callable[[LimitReport], None] = field(
         default=lambda report: None, init=False
     )
@@ -101,7 +96,6 @@
     """Timer that runs while requests wait for another scheduler."""
 
     def __attrs_post_init__(self) -> None:
-        self._counting_since = self.local.clock()
         self.leader.on_message = self._handle_message
         self.leader.on_leading = self._handle_leading
         self.leader.on_lost = self._handle_link_lost
@@ -275,15 +269,6 @@
     def _record_spending(self, customer: str, amount: float) -> None:
         self.spending.add(customer, amount, asyncio.get_running_loop().time())
 
-    def _make_spending_report(self) -> SpendingReported:
-        """Return the report of this edge's spending, also if there is none."""
-        return SpendingReported(
-            rows=tuple(self.spending.list_all(asyncio.get_running_loop().time())),
-            edge=self.incarnation,
-            counted_s=self.local.clock() - self._counting_since,
-            edges=self.fleet_size.measure(),
-        )
-
     def _find_link(self) -> Link | None:
         """Return the link to the granting scheduler; None if there is none."""
         link = self.leader.link
@@ -355,7 +340,9 @@
     def _handle_leading(self, link: Link) -> None:
         """Send this edge's state and waiting requests to a scheduler that now leads."""
         self._granting_link = link
-        link.send(self._make_spending_report())
+        rows = tuple(self.spending.list_all(asyncio.get_running_loop().time()))
+        if rows:
+            link.send(SpendingReported(rows=rows))
         for leaving in self.list_leaving():
             link.send(leaving)
         for report in self.list_limits():
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -423,17 +423,12 @@
         [each.customer, round(each.age_s, 3), round(each.amount, 1)]
         for each in message.rows
     ]
-    return ["spending", rows, round(message.counted_s, 3), message.edges]
+    return ["spending", rows]
 
 
 @decodes("spending")
 def _decode_spending(fields: list[Any], edge: str) -> Message:
-    return SpendingReported(
-        rows=tuple(SpendingEntry(*row) for row in fields[1]),
-        edge=edge,
-        counted_s=fields[2] if len(fields) > 2 else 0.0,
-        edges=fields[3] if len(fields) > 3 else 0,
-    )
+    return SpendingReported(rows=tuple(SpendingEntry(*row) for row in fields[1]))
 
 
 @encodes(Grant)
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from attrs import define, evolve, field
+from attrs import define, field
 
 from ..coordination.mirror import Mirror
 from ..models.signals import LeavingReport
@@ -144,11 +144,6 @@
             self.transfer_log.update_levels(self.core.state)
             await async_sleep_to_tick(TICK_S)
 
-    @property
-    def edges(self) -> frozenset[str]:
-        """Return the incarnations of the connected edges."""
-        return frozenset(self._edges)
-
     @property
     def edge_count(self) -> int:
         """Return the number of connected edges."""
@@ -248,8 +243,9 @@
         if lost_at is None:
             return message
         lost_s = self.clock() - lost_at
-        rows = tuple(each for each in message.rows if each.age_s < lost_s)
-        return evolve(message, rows=rows)
+        return SpendingReported(
+            rows=tuple(each for each in message.rows if each.age_s < lost_s)
+        )
 
     def _record_edge_lost(self, edge: str) -> None:
         """Record when an edge was lost, for as long as its spending matters.
