Give servers that other processes call ports of the claimed blocks

Tests on a busy host failed with requests that they had not sent: a runner behind a peer got a kv-keep, and the second of two runners got 14 requests.

The store relays and runners of a soak, and the stand-ins that the launcher starts, listened on ports that the kernel chose. After their end, it gives such a port to a server of any other test, while processes that were told the address may go on calling it. Only schedulers and edges send kv-keep, to the store relay of their soak, which ends after them or with its process: so the caller was left by a killed run. The 14 requests weren't printed; a call of that test can't send them, since its route allows two attempts and the first response of that runner is complete.

Now these servers listen on claimed ports, which no other test gets. The relay's argument is the address that is relayed, as for the store stand-in. The tests of second attempts compare the requests, so that a failure prints them.

--- a/tests/edge/second_attempts.py
+++ b/tests/edge/second_attempts.py
@@ -39,10 +39,10 @@
         edge.forwarder.plain_grant_provider.in_flight.add(runner_id)
 
 
-async def async_count_second_attempts(
+async def async_list_second_attempts(
     service: str, path: str, first: Script, prepare: Callable[[EdgeWorld], None]
-) -> int:
-    """Return how often the second runner, r2, receives a request.
+) -> list[bytes]:
+    """Return the requests that the second runner, r2, receives.
 
     Args:
         service: The service of both runners.
@@ -62,4 +62,4 @@
         prepare(edge)
         await edge.async_call(path)
         assert len(server.requests) >= 1
-        return len(second.requests)
+        return second.requests
--- a/tests/edge/test_cooldowns.py
+++ b/tests/edge/test_cooldowns.py
@@ -11,7 +11,7 @@
 from .second_attempts import (
     SECOND_ATTEMPTS,
     add_load,
-    async_count_second_attempts,
+    async_list_second_attempts,
     fail_late,
 )
 from .world import EdgeWorld, make_not_run, make_ok, start_edge
@@ -96,7 +96,7 @@
         def prepare(edge: EdgeWorld) -> None:
             start_cooldown(edge, "r2")
 
-        assert await async_count_second_attempts(service, path, first, prepare) == 0
+        assert await async_list_second_attempts(service, path, first, prepare) == []
 
     async def test_grant_for_a_runner_in_a_cooldown_is_not_used(self) -> None:
         """The scheduler may receive the signal later than this edge."""
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -12,7 +12,7 @@
 from .second_attempts import (
     SECOND_ATTEMPTS,
     add_load,
-    async_count_second_attempts,
+    async_list_second_attempts,
     fail_late,
 )
 from .world import EdgeWorld, make_event, make_ok, make_stream, start_edge
@@ -97,7 +97,7 @@
         def prepare(edge: EdgeWorld) -> None:
             report_leaving(edge, "r2")
 
-        assert await async_count_second_attempts(service, path, first, prepare) == 0
+        assert await async_list_second_attempts(service, path, first, prepare) == []
 
     async def test_grant_for_a_leaving_runner_is_requested_again(self) -> None:
         """The scheduler may receive the signal later than this edge."""
--- a/tests/edge/test_limits.py
+++ b/tests/edge/test_limits.py
@@ -14,7 +14,7 @@
     REJECTS,
     SECOND_ATTEMPTS,
     add_load,
-    async_count_second_attempts,
+    async_list_second_attempts,
 )
 from .world import EdgeWorld, make_ok, start_edge
 
@@ -81,7 +81,7 @@
         def prepare(edge: EdgeWorld) -> None:
             limit_runner(edge, "r2", 0.4)
 
-        assert await async_count_second_attempts(service, path, first, prepare) == 0
+        assert await async_list_second_attempts(service, path, first, prepare) == []
 
     @pytest.mark.parametrize("first", [FAILS, REJECTS])
     async def test_permit_allows_a_retry(self, first: Script) -> None:
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from attrs import define, field
 
+from ..stand_ins.launcher import find_free_address
 from ..stand_ins.relay import Relay, reset
 from ..upstreams.pouring import POURS, UNFRAMED
 from .copies import Copier, LiveRun
@@ -162,7 +163,7 @@
         await web.TCPSite(self._site, "127.0.0.1", 0).start()
         self.relay = Relay("{}:{}".format(*self._site.addresses[0][:2]))
         self.relay.resets = self.resets
-        await self.relay.async_start()
+        await self.relay.async_start(find_free_address())
         self.copier.address = self.relay.relay_address
         if self.models is not None:
             self.records.copies.runners.add(self.copier.address)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -363,7 +363,7 @@
 
     async def _async_add_node(self, name: str, program: str) -> None:
         relay = Relay(self.store.address)
-        await relay.async_start()
+        await relay.async_start(find_free_address())
         flags = [
             *("--host", name, "--data-centre", f"dc-{len(self.nodes) % 2 + 1}"),
             *("--store", relay.relay_address, "--grace-s", str(GRACE_S)),
--- a/tests/stand_ins/fleet.py
+++ b/tests/stand_ins/fleet.py
@@ -126,7 +126,7 @@
         await engine.async_wait()
         number = self.engines.index(engine)
         self.engines[number] = await self.launcher.async_start_stand_in(
-            engine.name, "engine", f"--listen={engine.address}", *engine.flags
+            engine.name, "engine", *engine.flags
         )
 
     async def async_switch(self, process: Process, **switches: Any) -> None:
--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -185,9 +185,14 @@
     ) -> Process:
         """Start a stand-in, and read its addresses from the line that it prints.
 
+        It listens on a claimed port, so that processes which go on calling it after its
+        end reach no server of another test. Its flags have the address.
+
         Raises:
             RuntimeError: If it ends without printing them.
         """
+        if "--listen" not in flags:
+            flags = (*flags, "--listen", find_free_address())
         process = await self.async_start(
             name, f"tests.stand_ins.{module}", *flags, reads_output=True
         )
--- a/tests/stand_ins/relay.py
+++ b/tests/stand_ins/relay.py
@@ -89,11 +89,15 @@
         }
 
     async def async_start(self, listen: str = "127.0.0.1:0") -> str:
-        """Listen for connections to relay, and for control."""
-        self._server = await asyncio.start_server(self._async_accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.relay_address = f"{host}:{port}"
-        return await super().async_start(listen)
+        """Listen for connections to relay, and at another port for control.
+
+        Returns:
+            The address for control.
+        """
+        host, _, port = listen.rpartition(":")
+        self._server = await asyncio.start_server(self._async_accept, host, int(port))
+        self.relay_address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+        return await super().async_start()
 
     async def async_stop(self) -> None:
         """Close every connection and stop."""
--- a/tests/stand_ins/test_launcher.py
+++ b/tests/stand_ins/test_launcher.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from .launcher import BLOCK_PORTS, LOCKS, ROOT, Launcher, find_free_address
+from .launcher import BLOCK_PORTS, LOCKS, PORTS, ROOT, Launcher, find_free_address
 
 PRINT_ADDRESS = (
     "from tests.stand_ins.launcher import find_free_address; print(find_free_address())"
@@ -98,6 +98,34 @@
                 fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
 
 
+@pytest.mark.process
+class TestStandIns:
+    """Addresses of started stand-ins."""
+
+    async def test_ports_of_ended_stand_ins_go_to_no_other_test(
+        self, tmp_path: Path
+    ) -> None:
+        """The kernel gave them to servers of other tests, which got the calls."""
+        async with Launcher(tmp_path) as own:
+            first = await own.async_start_stand_in("hosts", "host_list")
+            relay = await own.async_start_stand_in(
+                "relay", "relay", f"--target={first.address}"
+            )
+            for each in (first, relay):
+                assert find_block(each.address) * BLOCK_PORTS in PORTS
+
+    async def test_address_of_the_caller_is_kept(self, tmp_path: Path) -> None:
+        address = find_free_address()
+        async with Launcher(tmp_path) as own:
+            for name in ("first", "again"):
+                process = await own.async_start_stand_in(
+                    name, "host_list", "--listen", address
+                )
+                assert process.address == address
+                process.kill()
+                await process.async_wait()
+
+
 @pytest.mark.process
 class TestEnd:
     """Started processes after the end of the one that started them."""
