--- a/mangoway/engines/stream.py
+++ b/mangoway/engines/stream.py
@@ -21,7 +21,7 @@
     def __init__(self, attempt_id: AttemptId, resume_from: int) -> None:
         self._attempt_id = attempt_id
         self._offset = resume_from
-        self._incomplete = b""
+        self._incomplete = bytearray()
         self.done = False
         """Whether the end mark of the stream was received."""
 
@@ -33,7 +33,7 @@
         """
         if b"\r" in data:
             data = data.replace(b"\r", b"")
-        *events, self._incomplete = (self._incomplete + data).split(EVENT_END)
+        events = self._split(data)
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise make_malformed_error(
                 f"an event is larger than {MAX_EVENT_BYTES} bytes"
@@ -45,6 +45,20 @@
                 chunks.append(chunk)
         return chunks
 
+    def _split(self, data: bytes) -> list[bytes]:
+        """Return the events that these bytes complete.
+
+        A faulty engine may send a large event in tiny parts, so only new bytes are
+        searched for its end.
+        """
+        searched = max(0, len(self._incomplete) - len(EVENT_END) + 1)
+        self._incomplete += data
+        if self._incomplete.find(EVENT_END, searched) < 0:
+            return []
+        *events, rest = bytes(self._incomplete).split(EVENT_END)
+        self._incomplete = bytearray(rest)
+        return events
+
     def _decode(self, event: bytes) -> CompletionChunk | None:
         payload = _read_payload(event)
         if payload is None or self.done:
--- a/tests/engines/test_stream.py
+++ b/tests/engines/test_stream.py
@@ -1,15 +1,23 @@
 """Tests of the decoder of completion streams."""
 
+import time
+
 import orjson
 import pytest
 
+from mangoway.engines.const import MAX_EVENT_BYTES
 from mangoway.engines.messages import CompletionChunk
 from mangoway.engines.stream import StreamDecoder
+from mangoway.http1.const import PARTS_PER_TURN
 from mangoway.models.errors import MangowayError
 from mangoway.models.identifiers import AttemptId
 from mangoway.models.verdict import Verdict
 
 ATTEMPT = AttemptId("a-1")
+PART_BYTES = 64
+MAX_PART_S = 0.001 / PARTS_PER_TURN
+"""Processor time of a part, as stated beside `PARTS_PER_TURN`."""
+
 DONE = b"data: [DONE]\n\n"
 
 
@@ -36,6 +44,25 @@
             assert chunks == expected
             assert decoder.done
 
+    def test_event_in_single_bytes_is_found(self) -> None:
+        stream = make_event("a", 1) + b"\n" + make_event("b", 2)
+        decoder = StreamDecoder(ATTEMPT, 0)
+        chunks = [
+            each
+            for at in range(len(stream))
+            for each in decoder.feed(stream[at : at + 1])
+        ]
+        assert chunks == [CompletionChunk("a", 1), CompletionChunk("b", 2)]
+
+    def test_large_event_in_tiny_parts_takes_little_processor_time(self) -> None:
+        """Each part cost a search of all before it, which held up other callers."""
+        decoder = StreamDecoder(ATTEMPT, 0)
+        began = time.thread_time()
+        for _ in range(MAX_EVENT_BYTES // PART_BYTES):
+            assert decoder.feed(b"w" * PART_BYTES) == []
+        used_s = time.thread_time() - began
+        assert used_s < MAX_EVENT_BYTES / PART_BYTES * MAX_PART_S
+
     def test_carriage_returns_and_comments_are_ignored(self) -> None:
         decoder = StreamDecoder(ATTEMPT, 0)
         event = b": ping\r\n\r\nevent: x\r\n" + make_event("a", 1)
