Give the caller of an endless response the time that the test allows

test_connection_is_closed[many_events] states 30 s until the edge has closed its connection, while the test's caller gave up after 8 s. The caller now has the same 30 s.

--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -46,7 +46,7 @@
     ):
         edge.add("r1", faulty, service)
         pour.on_request = lambda: edge.add("r2", other, service)
-        call = asyncio.create_task(edge.async_call(path))
+        call = asyncio.create_task(edge.async_call(path, timeout_s=MAX_WAIT_S))
         async with asyncio.timeout(MAX_WAIT_S):
             await pour.closed.wait()
             reply = await call
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -234,12 +234,13 @@
         headers: str = "",
         method: str = "POST",
         request_id: str = "q1",
+        timeout_s: float = 8.0,
     ) -> Reply:
         """Send a request and read its complete response."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(make_call(path, body, headers, method, request_id))
         data = bytearray()
-        async with asyncio.timeout(8):
+        async with asyncio.timeout(timeout_s):
             try:
                 while part := await reader.read(65536):
                     data += part
