Let the soak's runners answer checks of their health without a run

After a response without a length, an edge asks the process at the runner's address with a check of its health which runner it is. The soak's runners had no handler for that, so that plain ones recorded a run. They now answer with their ID, as the protocol says, or reject checks for other runners. test_check_is_no_run failed before.

--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -157,6 +157,7 @@
         self.copier.add_routes(app)
         app.router.add_get("/v1/report", self._async_report)
         app.router.add_post("/v1/order", self._async_order)
+        app.router.add_get("/health", self._async_report_health)
         app.router.add_route("*", "/{path:.*}", self._async_serve)
         self._site = web.AppRunner(app, shutdown_timeout=0.1)
         await self._site.setup()
@@ -235,6 +236,11 @@
             for name, adapters in (self.models or {}).items()
         ]
 
+    async def _async_report_health(self, request: web.Request) -> web.Response:
+        if request.headers.get("X-Expect-Instance", self.runner_id) != self.runner_id:
+            return self._reject(request.headers.get("X-Request-Id", ""))
+        return web.Response(headers={"X-Instance-Id": self.runner_id})
+
     async def _async_report(self, request: web.Request) -> web.Response:
         return web.json_response(
             {
--- a/tests/soak/test_endings.py
+++ b/tests/soak/test_endings.py
@@ -21,11 +21,13 @@
 
 
 @asynccontextmanager
-async def start_runner() -> AsyncIterator[RunnerStandIn]:
+async def start_runner(*, is_plain: bool = False) -> AsyncIterator[RunnerStandIn]:
     """Start a runner all of whose responses are unframed."""
     random = Random(1)
     store = StoreStandIn(random)
-    runner = RunnerStandIn("llm", "dc-1", store, Records(), random, {MODEL: set()})
+    service = "plain" if is_plain else "llm"
+    models: dict[str, set[str]] | None = None if is_plain else {MODEL: set()}
+    runner = RunnerStandIn(service, "dc-1", store, Records(), random, models)
     runner.resets = True
     runner.unframed_share = 1.0
     await runner.async_start()
@@ -99,3 +101,27 @@
             reader, _writer = await async_send(runner)
             with pytest.raises(ConnectionResetError):
                 await reader.read(-1)
+
+
+class TestHealth:
+    """Checks of a runner's health, with which edges ask which runner answers."""
+
+    async def async_check(self, runner: RunnerStandIn, expected: str) -> bytes:
+        """Return the head of the response to a check for a runner."""
+        reader, writer = await async_connect(runner)
+        writer.write(
+            f"GET /health HTTP/1.1\r\nHost: h\r\nX-Expect-Instance: {expected}\r\n"
+            "Connection: close\r\n\r\n".encode()
+        )
+        return (await reader.read(-1)).partition(b"\r\n\r\n")[0]
+
+    async def test_check_is_no_run(self) -> None:
+        """The soak reported a request that ran though no caller had sent it."""
+        async with start_runner(is_plain=True) as runner:
+            head = await self.async_check(runner, runner.runner_id)
+            assert f"X-Instance-Id: {runner.runner_id}".encode() in head
+            assert runner.records.runs == {}
+
+    async def test_check_of_another_runner_is_rejected(self) -> None:
+        async with start_runner(is_plain=True) as runner:
+            assert b" 421 " in await self.async_check(runner, "other")
