Ask a runner again that only rejected a stream when its silent runner breaks

Callers lost streams although retry credits were left. A runner went silent after an event, the other one rejected the request (503), and the connection to the first one broke after the stream had returned to it. Both had been tried by then, which is max_attempts, so that the decision was to fail.

max_attempts counts runners, so that one that only rejected the request may get it again once the caller has events; this takes a credit as any retry. A runner that rejected the request first and accepted it later no longer counts as rejecting. It was searched as an alternative to itself when it went silent, and got the request again beside its own run.

--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -602,6 +602,7 @@
             may_have_run=self.delivery.history.may_have_run,
             runners_tried=len(self._finder.tried_runner_ids),
             was_sent=result.was_sent,
+            may_repeat_rejected=self._finder.may_repeat_rejected,
             time_left_s=self._deadline - self._clock(),
             may_go_on=self.delivery.may_go_on,
             is_runner_kept=self._kept is not None,
--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -113,6 +113,11 @@
         """Return whether a silent runner is kept until another one has accepted."""
         return keeps_silent_runner(self.route, self.service, self.delivery.events)
 
+    @property
+    def may_repeat_rejected(self) -> bool:
+        """Return whether a begun stream may go on at a runner that only rejected it."""
+        return self.keeps_silent_runner and bool(self._list_only_rejecting(None))
+
     @property
     def grant_id(self) -> str | None:
         """Return the request id of the pending or received grant."""
@@ -188,7 +193,8 @@
             tried.add(current_runner_id)
         excluded = tried
         if self.keeps_silent_runner:
-            excluded = find_excluded(tried, self._rejecting, self.route.max_attempts)
+            rejecting = self._list_only_rejecting(current_runner_id)
+            excluded = find_excluded(tried, rejecting, self.route.max_attempts)
         if not self.try_acquire_retry(excluded):
             return False
         found = False
@@ -199,6 +205,14 @@
                 self.retry_payment.refund()
         return found
 
+    def _list_only_rejecting(self, current_runner_id: str | None) -> set[str]:
+        """Return the runners that rejected the request in each of their attempts.
+
+        Args:
+            current_runner_id: Runner whose attempt is under way; None if there is none.
+        """
+        return self._rejecting - {*self._failed, current_runner_id}
+
     def try_acquire_retry(self, tried_runner_ids: set[str]) -> bool:
         """Acquire a credit for another attempt; return whether one may be made.
 
--- a/mangoway/policy/edge/retries.py
+++ b/mangoway/policy/edge/retries.py
@@ -59,6 +59,9 @@
     """Whether any bytes of the request were sent in this attempt."""
 
     time_left_s: float
+    may_repeat_rejected: bool = False
+    """Whether the request may be sent again to runners that only rejected it."""
+
     may_go_on: bool = True
     """Whether another attempt can send what the caller has not received."""
 
@@ -73,9 +76,10 @@
     """Return whether to retry, reject or fail a request after a failed attempt.
 
     A request that may have run is retried only on an idempotent route; one that
-    certainly has not run is retried on any route. If another runner rejected the stream
-    of a silent one, that is read on first: it may have gone on, and further runners are
-    searched for meanwhile.
+    certainly has not run is retried on any route. The largest number of attempts counts
+    runners, so that those that only rejected the request may get it again. If another
+    runner rejected the stream of a silent one, that is read on first: it may have gone
+    on, and further runners are searched for meanwhile.
     """
     if failed.is_runner_kept and failed.verdict is Verdict.NOT_RUN:
         return RetryDecision.RETURN
@@ -85,6 +89,7 @@
     # runner has applied the limit.
     attempts_left = (
         failed.runners_tried < route.max_attempts
+        or failed.may_repeat_rejected
         or failed.verdict is Verdict.NOT_RUN
         or failed.is_runner_kept
     )
--- a/tests/edge/test_kept_streams.py
+++ b/tests/edge/test_kept_streams.py
@@ -69,6 +69,13 @@
     return run
 
 
+async def break_off(_: bytes, writer: asyncio.StreamWriter) -> None:
+    """Write an event, pause, and close the connection."""
+    writer.writelines([HEAD, FIRST])
+    await asyncio.sleep(PAUSE_S)
+    writer.close()
+
+
 async def async_call(edge: EdgeWorld, paused: RawServer, other: RawServer) -> Reply:
     """Call with a runner that pauses, and another one."""
     edge.add("r1", paused, "llm")
@@ -204,11 +211,6 @@
         assert edge.forwarder.retry_budgets.get("llm").repeats == 2
 
     async def test_break_after_the_return_is_handled_as_any_other(self) -> None:
-        async def break_off(_: bytes, writer: asyncio.StreamWriter) -> None:
-            writer.writelines([HEAD, FIRST])
-            await asyncio.sleep(PAUSE_S)
-            writer.close()
-
         async with (
             RawServer(break_off) as paused,
             RawServer(answer(make_not_run())) as other,
@@ -218,6 +220,67 @@
         assert (reply.body, reply.complete) == (make_event(1), False)
         assert edge.grant_provider.end_kinds == [EndKind.NOT_RUN, EndKind.FAILED]
 
+    async def test_break_after_the_return_goes_on_at_the_runner_that_rejected(
+        self,
+    ) -> None:
+        """Such a stream was broken off, as all allowed runners had been tried."""
+        async with (
+            RawServer(break_off) as paused,
+            RawServer(answer(make_not_run()), RESUMES) as other,
+            start_edge() as edge,
+        ):
+            reply = await async_call(edge, paused, other)
+        assert (reply.body, reply.complete) == (WHOLE, True)
+        assert (len(paused.requests), len(other.requests)) == (1, 2)
+
+    async def test_runner_that_rejected_and_broke_later_is_not_searched_again(
+        self,
+    ) -> None:
+        """The stream would wait for a runner that it may not use."""
+        async with (
+            RawServer(STAYS_SILENT) as paused,
+            RawServer(answer(make_not_run()), cut(HEAD)) as other,
+            start_edge() as edge,
+        ):
+            reply = await async_call(edge, paused, other)
+        assert (reply.body, reply.complete) == (make_event(1), False)
+        assert len(edge.grant_provider.grant_requests) == 3
+
+    async def test_request_without_an_event_is_not_repeated_at_a_rejecting_runner(
+        self,
+    ) -> None:
+        """Its failure has a status, so that the caller can decide."""
+
+        async def reject(_: bytes, writer: asyncio.StreamWriter) -> None:
+            edge.grant_provider.runner_ids.reverse()
+            writer.write(make_not_run())
+
+        async with (
+            RawServer(reject, RESUMES) as rejecting,
+            RawServer(cut(HEAD)) as other,
+            start_edge() as edge,
+        ):
+            reply = await async_call(edge, rejecting, other)
+        assert reply.status == 502
+        assert (len(rejecting.requests), len(other.requests)) == (1, 1)
+
+    async def test_silent_runner_that_rejected_before_is_no_alternative_to_itself(
+        self,
+    ) -> None:
+        """It would get the request again beside its own run."""
+        async with (
+            RawServer(STAYS_SILENT) as paused,
+            RawServer(
+                answer(make_not_run()),
+                pause(END, parts=(HEAD, SECOND)),
+                answer(*make_stream()),
+            ) as other,
+            start_edge() as edge,
+        ):
+            reply = await async_call(edge, paused, other)
+        assert (reply.body, reply.complete) == (WHOLE, True)
+        assert (len(paused.requests), len(other.requests)) == (1, 2)
+
 
 class TestAcceptedAlternative:
     """Streams that go on at another runner."""
--- a/tests/policy/edge/test_retries.py
+++ b/tests/policy/edge/test_retries.py
@@ -58,6 +58,13 @@
         failed = make_failed_attempt(Verdict.MAY_HAVE_RUN, runners_tried=2)
         assert decide_retry(SAFE_ROUTE, failed, budget_left=True) is RetryDecision.FAIL
 
+    def test_runner_that_only_rejected_may_get_the_request_again(self) -> None:
+        failed = make_failed_attempt(
+            Verdict.MAY_HAVE_RUN, runners_tried=2, may_repeat_rejected=True
+        )
+        assert decide_retry(SAFE_ROUTE, failed, budget_left=True) is RetryDecision.RETRY
+        assert decide_retry(SAFE_ROUTE, failed, budget_left=False) is RetryDecision.FAIL
+
     def test_exhausted_budget_rejects_request_not_run(self) -> None:
         failed = make_failed_attempt(Verdict.NOT_RUN)
         assert (
