Keep the limit of a runner that a silent runner's stream could not reach

The edge ended the limit of a runner, and told the scheduler so, although the runner had sent nothing. The head of a silent runner's stream named no limit. Its attempt was suspended without recording a result, so that the note of the head was applied to the next attempt, which failed to connect to the other runner. After a rejection there, the silent runner's own note was lost.

The note is now kept with the suspended stream, and each request that is sent begins without one.

The regression test failed before with no limit where 5 requests per second are; with either guard taken out it fails too.

--- a/mangoway/edge/kept_stream.py
+++ b/mangoway/edge/kept_stream.py
@@ -18,6 +18,9 @@
     attempt: Attempt
     sent_at: float
     first_event_at: float | None
+    may_end_limit: bool
+    """Whether the head of its response has no limit."""
+
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
 
     def start_timer(self, on_expired: Callable[[], None]) -> None:
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -294,6 +294,7 @@
         self._kept, self._runner, self._sent_at = None, kept.runner, kept.sent_at
         self._response.runner_id = kept.runner.runner_id
         self._first_event_at = kept.first_event_at
+        self._may_end_limit = kept.may_end_limit
         self._finder.resume_attempt(kept.runner.runner_id)
         if self._continuation is not None:
             self._continuation.resume_attempt(kept.runner, kept.attempt)
@@ -345,6 +346,7 @@
         if self._continuation is not None:
             self._continuation.begin_attempt(runner, attempt)
         self._first_event_at = None
+        self._may_end_limit = False
         self._log_resumed(runner)
         self._finder.measure_events()
         self.context.signal_tracker.record_sent(runner)
@@ -369,6 +371,7 @@
                 attempt=attempt,
                 sent_at=self._sent_at,
                 first_event_at=self._first_event_at,
+                may_end_limit=self._may_end_limit,
             )
         return result
 
--- a/tests/edge/test_kept_streams.py
+++ b/tests/edge/test_kept_streams.py
@@ -6,7 +6,7 @@
 
 from mangoway.edge.crash_filter import CrashFilter
 from mangoway.edge.request_log import RequestLog
-from mangoway.models.signals import LeavingReport
+from mangoway.models.signals import LeavingReport, RunnerSignals
 from mangoway.policy.edge.const import MAX_KEPT_SILENT_S, SAVED_SHARE
 from mangoway.policy.edge.retry_budget import RetryLimits
 from mangoway.policy.scheduling.events import EndKind
@@ -368,6 +368,28 @@
         assert (reply.body, reply.complete) == (make_event(1), False)
 
 
+class TestLimits:
+    """Limits of runners beside a silent runner whose response names none."""
+
+    async def test_limit_of_an_unreachable_alternative_is_kept(self) -> None:
+        """The silent runner's head was taken for one of the other runner."""
+        async with RawServer(pause(SECOND, END)) as paused, start_edge() as edge:
+            async with RawServer() as gone:
+                edge.add("r2", gone, "llm")
+            edge.add("r1", paused, "llm")
+            edge.grant_provider.runner_ids.reverse()
+            tracker = edge.forwarder.signal_tracker
+            now = asyncio.get_running_loop().time()
+            for runner in edge.view.list_runners("llm"):
+                tracker.handle_signals(runner, RunnerSignals(limit=5.0), now)
+            reply = await edge.async_call("/stream/x")
+            limits = tracker.limits
+            assert (reply.body, reply.complete) == (WHOLE, True)
+            assert limits.get_limit("r2", started_ms=0) == 5.0
+            # The whole response of the silent runner ends its own limit.
+            assert limits.get_limit("r1", started_ms=0) is None
+
+
 class TestRelease:
     """Connections of silent runners that are not kept."""
 
