Ask a rejecting runner again for a silent stream if there is no further one

Callers of a stream whose runner hung waited until its deadline. With max_attempts 3 and two runners, the second one was asked once: after its rejection it stayed excluded from the search as long as further runners were allowed, though none existed.

Runners without the request are still searched first. If none is found, a second search under the same retry credit leaves out only the runners that did not reject the request.

The regression test failed before with one event of two. The test of find_excluded now checks list_searches, which replaces it, with the same cases.

--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -15,7 +15,7 @@
 from ..policy.crashes.const import RETRY_AFTER_BLOCK_S
 from ..policy.customers.const import OVER_QUOTA
 from ..policy.edge.const import MIN_RETRY_TIME_S, RETRY_AFTER_OUTAGE_S
-from ..policy.edge.silence import find_excluded, keeps_silent_runner
+from ..policy.edge.silence import keeps_silent_runner, list_searches
 from ..policy.scheduling.events import EndKind, GrantRequest, Reject
 from ..scheduling.grant_provider import GrantResponse
 from .admission import Caller
@@ -191,15 +191,18 @@
         tried = {*self.tried_runner_ids}
         if current_runner_id:
             tried.add(current_runner_id)
-        excluded = tried
+        searches = [tried]
         if self.keeps_silent_runner:
             rejecting = self._list_only_rejecting(current_runner_id)
-            excluded = find_excluded(tried, rejecting, self.route.max_attempts)
-        if not self.try_acquire_retry(excluded):
+            searches = list_searches(tried, rejecting, self.route.max_attempts)
+        if not self.try_acquire_retry(searches[0]):
             return False
         found = False
         try:
-            found = await self._async_search_alternative([*self._failed, *excluded])
+            for excluded in searches:
+                found = await self._async_search_alternative([*self._failed, *excluded])
+                if found:
+                    break
         finally:
             if not found:
                 self.retry_payment.refund()
--- a/mangoway/policy/edge/silence.py
+++ b/mangoway/policy/edge/silence.py
@@ -22,19 +22,21 @@
     return is_stream and events > 0
 
 
-def find_excluded(
+def list_searches(
     tried: Set[str], rejecting: Iterable[str], max_attempts: int
-) -> set[str]:
-    """Return the runners that are not searched for a silent one's request.
+) -> list[set[str]]:
+    """Return the runners that each search for a silent one's request excludes.
 
-    If the request was sent to as many runners as its route allows, it may be sent again
-    to those that rejected it, which can have room by now.
+    Runners without the request are searched first, if it may be sent to a further one.
+    If there is none, it may be sent again to those that rejected it, which can have
+    room by now.
 
     Args:
         tried: Runners that the request was sent to, including the silent one.
         rejecting: Runners that rejected the request without running it.
         max_attempts: Largest number of runners that the request is sent to.
     """
-    if len(tried) < max_attempts:
-        return set(tried)
-    return set(tried) - set(rejecting)
+    not_rejecting = set(tried) - set(rejecting)
+    if len(tried) >= max_attempts or not_rejecting == tried:
+        return [not_rejecting]
+    return [set(tried), not_rejecting]
--- a/tests/edge/test_kept_streams.py
+++ b/tests/edge/test_kept_streams.py
@@ -11,6 +11,7 @@
 from mangoway.policy.edge.retry_budget import RetryLimits
 from mangoway.policy.scheduling.events import EndKind
 
+from ..fakes.fleet import make_route
 from ..fakes.polling import async_wait_until
 from ..upstreams.raw_server import RawServer, Script, answer, cut
 from .continuation_world import start_world
@@ -210,6 +211,21 @@
             await asyncio.wait_for(paused.lost.wait(), 0.5)
         assert edge.forwarder.retry_budgets.get("llm").repeats == 2
 
+    async def test_rejecting_runner_is_asked_again_if_there_is_no_further_one(
+        self,
+    ) -> None:
+        """The stream waited until its deadline if further attempts were allowed."""
+        routes = (make_route(prefix="/stream/", max_attempts=3),)
+        async with (
+            RawServer(STAYS_SILENT) as paused,
+            RawServer(answer(make_not_run()), RESUMES) as other,
+            start_edge(routes) as edge,
+        ):
+            async with asyncio.timeout(8):
+                reply = await async_call(edge, paused, other)
+        assert (reply.body, reply.complete) == (WHOLE, True)
+        assert (len(paused.requests), len(other.requests)) == (1, 2)
+
     async def test_break_after_the_return_is_handled_as_any_other(self) -> None:
         async with (
             RawServer(break_off) as paused,
--- a/tests/policy/edge/test_silence.py
+++ b/tests/policy/edge/test_silence.py
@@ -3,7 +3,7 @@
 import pytest
 
 from mangoway.models.routing import RouteKind, ServiceProfile
-from mangoway.policy.edge.silence import find_excluded, keeps_silent_runner
+from mangoway.policy.edge.silence import keeps_silent_runner, list_searches
 
 from ...fakes.fleet import make_engine, make_route
 
@@ -33,14 +33,19 @@
         assert not keeps_silent_runner(make_route(kind), service, events)
 
 
-class TestFindExcluded:
+class TestListSearches:
     """Runners that are not searched for a silent one's request."""
 
-    def test_each_runner_gets_the_request_once_within_the_limit(self) -> None:
-        assert find_excluded({"i-1", "i-2"}, {"i-2"}, 3) == {"i-1", "i-2"}
+    def test_rejecting_runner_gets_it_again_only_after_the_others(self) -> None:
+        searches = list_searches({"i-1", "i-2"}, {"i-2"}, 3)
+        assert searches == [{"i-1", "i-2"}, {"i-1"}]
 
     def test_rejecting_runner_gets_it_again_at_the_limit(self) -> None:
-        assert find_excluded({"i-1", "i-2"}, {"i-2"}, 2) == {"i-1"}
+        assert list_searches({"i-1", "i-2"}, {"i-2"}, 2) == [{"i-1"}]
 
-    def test_runner_that_did_not_get_it_is_none_of_the_tried(self) -> None:
-        assert find_excluded({"i-1", "i-2"}, {"i-3"}, 2) == {"i-1", "i-2"}
+    @pytest.mark.parametrize("max_attempts", [2, 3])
+    def test_runner_that_did_not_get_it_is_none_of_the_tried(
+        self, max_attempts: int
+    ) -> None:
+        searches = list_searches({"i-1", "i-2"}, {"i-3"}, max_attempts)
+        assert searches == [{"i-1", "i-2"}]
