Let a second connection extend no kept stream

The time now counts from the first connection. test_second_connection_extends_no_overlap fails with the timer started again.

--- a/mangoway/edge/kept_stream.py
+++ b/mangoway/edge/kept_stream.py
@@ -24,8 +24,13 @@
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
 
     def start_timer(self, on_expired: Callable[[], None]) -> None:
-        """Start the time after which the stream must not be resumed any more."""
-        self.stop_timer()
+        """Start the time after which the stream must not be resumed any more.
+
+        A further start doesn't extend it: the other runner may have run the request
+        since the first one.
+        """
+        if self._timer is not None:
+            return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(MAX_KEPT_SILENT_S, on_expired)
 
