Test that the search for a silent runner's alternative ends at a further one

Without the end of the loop, a second search asked for another grant (two requests reached the runner that had rejected, and none the further one). No test was red without it.

--- a/tests/edge/test_kept_streams.py
+++ b/tests/edge/test_kept_streams.py
@@ -226,6 +226,23 @@
         assert (reply.body, reply.complete) == (WHOLE, True)
         assert (len(paused.requests), len(other.requests)) == (1, 2)
 
+    async def test_search_ends_at_a_further_runner(self) -> None:
+        """A second grant would be requested, and the first one not released."""
+        routes = (make_route(prefix="/stream/", max_attempts=4),)
+        async with (
+            RawServer(STAYS_SILENT) as paused,
+            RawServer(answer(make_not_run()), RESUMES) as rejecting,
+            RawServer(RESUMES) as further,
+            start_edge(routes) as edge,
+        ):
+            edge.add("r1", paused, "llm")
+            edge.add("r2", rejecting, "llm")
+            edge.add("r3", further, "llm")
+            reply = await edge.async_call("/stream/x")
+        assert (reply.body, reply.complete) == (WHOLE, True)
+        assert (len(rejecting.requests), len(further.requests)) == (1, 1)
+        assert len(edge.grant_provider.grant_requests) == 3
+
     async def test_break_after_the_return_is_handled_as_any_other(self) -> None:
         async with (
             RawServer(break_off) as paused,
