--- a/tests/policy/customers/test_restart_order.py
+++ b/tests/policy/customers/test_restart_order.py
@@ -51,11 +51,12 @@
             fleet.run(10.0, USUAL_DEMAND)
             assert fleet.rejected == 0
 
-    def test_restarts_in_turn_reject_nothing(self) -> None:
+    @pytest.mark.parametrize("share", [0.55, 0.8])
+    def test_restarts_in_turn_reject_nothing(self, share: float) -> None:
         """A scheduler that restored only part of a burst rejected such a customer."""
         for seed in range(10):
             fleet = RestartedFleet(Random(seed), HOSTS, has_overdrafts=True)
-            fleet.run(12.0, USUAL_DEMAND)
+            fleet.run(12.0, share * RATE)
             fleet.rejected = 0
             for host in range(HOSTS):
                 fleet.kill_edges([host], return_after_s=1.0)
@@ -63,5 +64,5 @@
                     fleet.kill_scheduler(
                         grants_again_after_s=0.2, to_standby=True, spread_s=0.5
                     )
-                fleet.run(1.5, USUAL_DEMAND)
+                fleet.run(1.5, share * RATE)
             assert fleet.rejected == 0
