--- a/tests/stand_ins/launcher.py
+++ b/tests/stand_ins/launcher.py
@@ -4,6 +4,7 @@
 import fcntl
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -142,6 +143,8 @@
     """Folder for the processes' logs: their standard error, and often their output."""
 
     processes: list[Process] = field(factory=list)
+    max_descriptors: int | None = field(default=None, kw_only=True)
+    """Descriptors that each process may open; None for as many as this one."""
 
     async def __aenter__(self) -> Self:
         return self
@@ -175,11 +178,18 @@
                 stdout=asyncio.subprocess.PIPE if reads_output else errors,
                 stderr=errors,
                 pass_fds=[lock.fileno() for lock in _locks],
+                preexec_fn=self._limit_descriptors,
             )
         process = Process(name, child, log, flags)
         self.processes.append(process)
         return process
 
+    def _limit_descriptors(self) -> None:
+        """Limit the descriptors of the process that was forked."""
+        if self.max_descriptors is not None:
+            limits = (self.max_descriptors, self.max_descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     async def async_start_stand_in(
         self, name: str, module: str, *flags: str
     ) -> Process:
