Bound what a caller's connection keeps of requests that are sent ahead

Callers saw an edge end for lack of memory while some clients sent many requests without waiting for the responses, on every path of every listener, whether they read or not.

Cause: CallerConnection gave all received bytes to h11, whose buffer has no bound for complete requests. Its own count began at 0 with each request, and each response resumed reading, so that a request of 60 bytes let another read of up to 256 KiB in.

Now received bytes wait in RequestParser, which gives h11 16 KiB at a time and only when it needs them; a read takes 64 KiB, and reading is paused while more than 64 KiB wait. A connection parses 32 parts in a turn of the event loop, so that bodies in chunks of one byte no longer keep the loop from other callers. Why it holds: what h11 has and what waits are both counted by bytes that were received and not by requests.

Unit tests turn red without the pause, the parts, the turns and the resumption. Event 482 and mangoway_edge_paused_connections_total name such clients.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -17,6 +17,7 @@
 from ..edge.crash_detector import CrashDetector
 from ..edge.crash_filter import CrashFilter
 from ..edge.forwarder import Forwarder
+from ..edge.listener_log import ListenerLog
 from ..edge.pages import DirectoryPage, ReadyPage
 from ..edge.peer_datagrams import PeerDatagrams
 from ..edge.plain_grant_provider import PlainGrantProvider
@@ -204,6 +205,7 @@
             on_error=_log_error,
             on_rejected=log_unread,
             memory=make_response_memory(self.process.metrics),
+            on_read_ahead=self._make_listener_log("callers").record_sent_ahead,
         )
         self.process.view.on_change += [
             self._handle_view_change,
@@ -221,12 +223,16 @@
         self._started_at = self.process.clock()
         directory = DirectoryPage(self.process.view, self._random)
         ready = ReadyPage(lambda: self.is_ready)
-        for address, handle in (
-            (settings.directory_listen, directory.async_handle),
-            (settings.ready_listen, ready.async_handle),
+        for name, address, handle in (
+            ("directory", settings.directory_listen, directory.async_handle),
+            ("ready", settings.ready_listen, ready.async_handle),
         ):
             options = ServerOptions(
-                handle, CallerLimits, make_error_response, _log_error
+                handle,
+                CallerLimits,
+                make_error_response,
+                _log_error,
+                on_read_ahead=self._make_listener_log(name).record_sent_ahead,
             )
             self.pages.append(options)
             self._servers.append(await async_listen(options, open_address(address)))
@@ -292,6 +298,9 @@
                 self.callers.close_idle()
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
 
+    def _make_listener_log(self, listener: str) -> ListenerLog:
+        return ListenerLog(listener, self.process.metrics)
+
     def _make_client(self) -> SchedulerClient:
         state = SchedulingState(
             random=self._random,
--- a/mangoway/http1/const.py
+++ b/mangoway/http1/const.py
@@ -10,7 +10,7 @@
 default limit for callers."""
 
 MAX_PIPELINED_BYTES: Final = 65_536
-"""Bytes of pipelined requests above which reading is paused during a response."""
+"""Bytes of pipelined requests above which a connection of a caller is not read."""
 
 MAX_WRITE_BUFFER_BYTES: Final = 262_144
 """Unsent bytes of a response above which its writer waits for the caller."""
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -16,8 +16,11 @@
     MAX_PIPELINED_BYTES,
     MAX_UNSENT_KERNEL_BYTES,
     MAX_WRITE_BUFFER_BYTES,
+    PARTS_PER_TURN,
+    READ_BYTES,
 )
 from .messages import Headers, Request
+from .request_parser import RequestParser
 from .request_problems import MEMORY_SHORT, find_problem
 from .response_memory import CallerHolding, ResponseMemory, count_in_kernel
 
@@ -55,10 +58,18 @@
     """Called with the status, reason and head (if it was read) of a request that is
     rejected before it was read completely."""
 
+    on_read_ahead: Callable[[int, str], None] = lambda size, peer: None
+    """Called when reading from a caller is paused for the first time, with the bytes
+    that it has sent ahead and its address."""
+
     closing: bool = False
     """Whether responses close the connection, so that callers open a new one."""
 
     connections: "set[CallerConnection]" = field(factory=set, init=False)
+    receive_buffer: memoryview = field(
+        factory=lambda: memoryview(bytearray(READ_BYTES)), init=False
+    )
+    """Buffer for the bytes of one read, which are copied before the next one."""
 
     @property
     def busy(self) -> int:
@@ -127,15 +138,18 @@
         self._connection.abort()
 
 
-class CallerConnection(asyncio.Protocol):
-    """Connection of a caller; pipelined requests are handled one at a time."""
+class CallerConnection(asyncio.BufferedProtocol):
+    """Connection of a caller; pipelined requests are handled one at a time.
+
+    At most `MAX_PIPELINED_BYTES` and those of one read are kept beyond the current
+    request: reading is paused until they have been parsed.
+    """
 
     def __init__(self, options: ServerOptions) -> None:
         self._options = options
         self._limits = options.limits()
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
-        )
+        self._parser = RequestParser(self._limits.max_header_bytes)
+        self._http = self._parser.http
         self._loop = asyncio.get_running_loop()
         self._head: h11.Request | None = None
         self._body = bytearray()
@@ -147,7 +161,12 @@
         self.holding: CallerHolding
         self._lost = False
         self._close_after = False
-        self._pending_bytes = 0
+        self._rejected = False
+        self._will_parse = False
+        """Whether parsing goes on in the next turn of the event loop."""
+
+        self._was_paused = False
+        """Whether reading was ever paused."""
 
     @property
     def busy(self) -> bool:
@@ -172,17 +191,20 @@
         self._options.connections.add(self)
         self._start_timer(self._limits.idle_timeout_s, self._handle_idle_timeout)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse bytes of the caller; buffer them while a request is handled."""
-        self._http.receive_data(data)
-        if self._task is not None or not self._writable.is_set():
-            self._pending_bytes += len(data)
-            if self._pending_bytes > MAX_PIPELINED_BYTES:
-                self._transport.pause_reading()
-            return
-        if self._head is None:
-            self._start_timer(self._limits.header_timeout_s, self._handle_head_timeout)
-        self._read_events()
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return self._options.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse bytes of the caller; keep them while a request is handled."""
+        self._parser.receive(self._options.receive_buffer[:nbytes])
+        if self._task is None and self._writable.is_set() and not self._will_parse:
+            if self._head is None:
+                self._start_timer(
+                    self._limits.header_timeout_s, self._handle_head_timeout
+                )
+            self._read_events()
+        self._control_reading()
 
     def eof_received(self) -> bool:
         """Treat the end of the caller's stream as a disconnect."""
@@ -253,10 +275,27 @@
             self._transport.write(data)
             self.holding.record_written(len(data))
 
+    def _control_reading(self) -> None:
+        """Pause reading while enough bytes wait to be parsed."""
+        if self._transport.is_closing():
+            return
+        if self._parser.unparsed_bytes <= MAX_PIPELINED_BYTES:
+            self._transport.resume_reading()
+            return
+        self._transport.pause_reading()
+        if not self._was_paused:
+            self._was_paused = True
+            self._options.on_read_ahead(self._parser.unparsed_bytes, self._peer)
+
     def _read_events(self) -> None:
-        while self._task is None and not self._lost:
+        """Parse the current request, a few parts in each turn of the event loop."""
+        if self._will_parse:
+            return
+        for _ in range(PARTS_PER_TURN):
+            if not self._may_parse():
+                return
             try:
-                event: Any = self._http.next_event()
+                event = self._parser.read_event()
             except h11.RemoteProtocolError as error:
                 self._reject(error.error_status_hint, str(error))
                 return
@@ -266,6 +305,22 @@
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return
             self._handle_event(event)
+        self._will_parse = True
+        self._loop.call_soon(self._read_on)
+
+    def _read_on(self) -> None:
+        self._will_parse = False
+        self._read_events()
+        self._control_reading()
+
+    def _may_parse(self) -> bool:
+        return self._task is None and not self._lost and not self._rejected
+
+    @property
+    def _peer(self) -> str:
+        """Return the address of the caller."""
+        host, port = (self._transport.get_extra_info("peername") or ("", 0))[:2]
+        return f"{host}:{port}"
 
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
@@ -302,7 +357,6 @@
             body=bytes(self._body),
         )
         self._body = bytearray()
-        self._pending_bytes = 0
         exchange = Exchange(self)
         task = self._loop.create_task(self._async_handle(request, exchange))
         self._task = task
@@ -343,9 +397,9 @@
     def _await_request(self) -> None:
         """Read the next request once the caller has read most of the last response."""
         self._limits = self._options.limits()
-        self._transport.resume_reading()
         self._start_timer(self._limits.idle_timeout_s, self._handle_idle_timeout)
         self._read_events()
+        self._control_reading()
 
     def _reject(self, status: int, reason: str) -> None:
         """Reject a request that was not read to its end, and close the connection.
@@ -354,6 +408,7 @@
         would begin.
         """
         self._stop_timer()
+        self._rejected = True
         if self._options.on_rejected is not None:
             self._options.on_rejected(status, reason, self._head)
         self._head = None
--- a/mangoway/observability/memory_events.py
+++ b/mangoway/observability/memory_events.py
@@ -24,3 +24,16 @@
     """A host holds so many bytes for its callers that it rejects new requests."""
 
     total_bytes: int
+
+
+@numbered(482, LogLevel.WARNING)
+class CallerSentAhead:
+    """Reading from a client was paused, since it sent many requests ahead."""
+
+    listener: str
+    """`callers`, `directory` or `ready`."""
+
+    peer: str
+    """Address of the client."""
+
+    unparsed_bytes: int
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -369,6 +369,12 @@
             "Responses that an edge broke off since they were not read, by cause.",
             ("cause",),
         )
+        self.edge_paused_connections = self._counter(
+            "mangoway_edge_paused_connections_total",
+            "Connections that sent so many requests ahead that reading was paused, by"
+            " listener.",
+            ("listener",),
+        )
         self.edge_queue_seconds = self._histogram(
             "mangoway_edge_queue_seconds",
             "Time that served requests waited for a runner.",
--- /dev/null
+++ b/tests/edge/test_listener_log.py
@@ -0,0 +1,26 @@
+"""Tests of the events and metrics about clients of a listener."""
+
+import pytest
+
+from mangoway.edge import listener_log
+from mangoway.edge.listener_log import ListenerLog
+from mangoway.observability import memory_events
+from mangoway.observability.metrics import Metrics
+
+
+class TestListenerLog:
+    """Tests that operators learn which clients exceed what."""
+
+    def test_requests_sent_ahead_are_counted_and_logged(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        events: list[object] = []
+        monkeypatch.setattr(listener_log, "log_event", events.append)
+        metrics = Metrics()
+        ListenerLog("ready", metrics).record_sent_ahead(70_000, "10.0.0.1:5000")
+        assert events == [
+            memory_events.CallerSentAhead(
+                listener="ready", peer="10.0.0.1:5000", unparsed_bytes=70_000
+            )
+        ]
+        assert metrics.edge_paused_connections.get("ready") == 1
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -7,7 +7,12 @@
 import pytest
 
 from mangoway.edge.responses import make_error_response
-from mangoway.http1.const import MAX_WRITE_BUFFER_BYTES
+from mangoway.http1.const import (
+    MAX_PIPELINED_BYTES,
+    MAX_WRITE_BUFFER_BYTES,
+    PARTS_PER_TURN,
+    READ_BYTES,
+)
 from mangoway.http1.messages import Request
 from mangoway.http1.server import Exchange, ServerOptions, async_listen
 from mangoway.models.routing import CallerLimits
@@ -302,6 +307,75 @@
             assert len(server.requests) == 60
 
 
+class TestSentAhead:
+    """Tests of requests that are sent before earlier ones are answered."""
+
+    SENT_BYTES = 8 << 20
+
+    async def test_answered_requests_let_no_more_in(self) -> None:
+        """Each answer let another read in, so that a fast sender filled the memory."""
+        async with serve() as (server, reader, writer):
+            one = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+            writer.write(one * (self.SENT_BYTES // len(one)))
+            received = asyncio.create_task(async_drain(reader))
+            most = 0
+            async with asyncio.timeout(20):
+                while len(server.requests) < 3000:
+                    [connection] = server.options.connections
+                    most = max(most, connection._parser.unparsed_bytes)
+                    await asyncio.sleep(0)
+            assert 0 < most <= MAX_PIPELINED_BYTES + READ_BYTES
+            received.cancel()
+
+    async def test_pause_is_reported_once(self) -> None:
+        async with serve() as (server, reader, writer):
+            reports: list[tuple[int, str]] = []
+            server.options.on_read_ahead = lambda *each: reports.append(each)
+            one = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+            writer.write(one * (1 + 4 * READ_BYTES // len(one)))
+            received = asyncio.create_task(async_drain(reader))
+            await async_wait_until(lambda: len(server.requests) > 4000)
+            received.cancel()
+            [(size, peer)] = reports
+            assert size > MAX_PIPELINED_BYTES
+            port = writer.get_extra_info("sockname")[1]
+            assert peer == f"127.0.0.1:{port}"
+
+    async def test_paused_connection_carries_all_requests(self) -> None:
+        async with serve() as (server, reader, writer):
+            body = bytes(range(256)) * 40
+            one = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+            for number in range(60):
+                writer.write(one % (number, len(body)) + body)
+            received = asyncio.create_task(async_drain(reader))
+            await async_wait_until(lambda: len(server.requests) == 60)
+            received.cancel()
+        assert [each.path for each in server.requests] == [
+            f"/{number}" for number in range(60)
+        ]
+        assert {each.body for each in server.requests} == {body}
+
+    async def test_other_tasks_run_between_parts_of_a_body(self) -> None:
+        """A body in chunks of one byte kept an edge from its other callers."""
+        async with serve() as (server, _, writer):
+            chunks = 1250 * PARTS_PER_TURN
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + b"1\r\nx\r\n" * chunks + b"0\r\n\r\n")
+            turns = 0
+            async with asyncio.timeout(20):
+                while not server.requests:
+                    turns += 1
+                    await asyncio.sleep(0)
+            assert server.requests[0].body == b"x" * chunks
+            assert turns >= chunks / PARTS_PER_TURN
+
+
+async def async_drain(reader: asyncio.StreamReader) -> None:
+    """Read responses until cancelled."""
+    while await reader.read(READ_BYTES):
+        pass
+
+
 class TestUndelivered:
     """Responses that callers have yet to read."""
 
