Bound unfinished requests of all listeners of an edge together

Callers saw an edge use 300 MB while clients began bodies at its three listeners and never ended them, and 214 MB while 400 of them sent heads of many short fields.

Cause: the listeners for the directory and for readiness had a memory limit of their own each, as large as the whole process has, and took bodies of 4 MiB. What a connection held of requests that were not complete counted by their bodies alone: parsed fields take up to eighty times their size, and bytes that wait for the parser did not count.

Now all listeners of an edge share one limit. Unfinished requests (heads, bodies, bytes sent ahead) have a limit of 24 MiB within it, above which the largest are rejected with 503; they have not run. They don't make memory short for others, so that small requests are served while a few connections hold large ones. Pages take bodies of up to 4 KiB and are answered also while memory is short.

Event 483, mangoway_edge_dropped_inputs_total.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -79,6 +79,9 @@
 STOP_MARGIN_S: Final = 0.6
 """Time before the end of the grace period at which remaining requests are aborted."""
 
+PAGE_LIMITS: Final = CallerLimits(max_body_bytes=4096)
+"""Limits of requests for the directory and for readiness, which need no body."""
+
 MS_PER_S: Final = 1000.0
 STOP_CHECK_PERIOD_S: Final = 0.05
 
@@ -229,9 +232,11 @@
         ):
             options = ServerOptions(
                 handle,
-                CallerLimits,
+                lambda: PAGE_LIMITS,
                 make_error_response,
                 _log_error,
+                memory=self.callers.memory,
+                responds_when_short=True,
                 on_read_ahead=self._make_listener_log(name).record_sent_ahead,
             )
             self.pages.append(options)
--- a/mangoway/edge/caller_memory.py
+++ b/mangoway/edge/caller_memory.py
@@ -28,9 +28,14 @@
             )
         )
 
+    def record_drop(size: int, total: int) -> None:
+        metrics.edge_dropped_inputs.add()
+        log_event(log.UnfinishedRequestsDropped(dropped_bytes=size, total_bytes=total))
+
     return ResponseMemory(
         limits=limits or MemoryLimits(),
         on_break=record_break,
+        on_drop=record_drop,
         on_change=lambda total: metrics.edge_held_bytes.set(level=total),
         on_short=lambda total: log_event(log.CallerMemoryShort(total_bytes=total)),
     )
--- a/mangoway/http1/request_parser.py
+++ b/mangoway/http1/request_parser.py
@@ -27,10 +27,19 @@
         """Return the number of received bytes that h11 has not been given."""
         return len(self._unparsed)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of received bytes that no event has contained."""
+        return len(self._unparsed) + len(self.http.trailing_data[0])
+
     def receive(self, data: bytes | memoryview) -> None:
         """Append received bytes."""
         self._unparsed += data
 
+    def clear(self) -> None:
+        """Drop the bytes that h11 has not been given."""
+        self._unparsed.clear()
+
     def read_event(self) -> Any:
         """Return the next event of h11; `NEED_DATA` if it needs further bytes.
 
--- a/mangoway/http1/request_problems.py
+++ b/mangoway/http1/request_problems.py
@@ -9,6 +9,15 @@
 """Bytes of a header line besides name and value: colon, space and line end."""
 
 
+FIELD_MEMORY_BYTES: Final = 256
+"""Memory of a parsed header field beyond its name and value: its tuples and strings, as
+it was sent and in lower case."""
+
+UNCOUNTED_HEAD_BYTES: Final = 4096
+"""Memory of a head that doesn't count. Ordinary heads need less, so that their requests
+are counted by their bodies alone."""
+
+
 @frozen(kw_only=True)
 class RequestProblem:
     """Status and reason with which a request is rejected before its body is read."""
@@ -46,3 +55,11 @@
     if b"upgrade" in names or head.method == b"CONNECT":
         return RequestProblem(status=501, reason="protocol upgrades are not supported")
     return None
+
+
+def measure_head(head: h11.Request) -> int:
+    """Return the memory of a parsed head in bytes beyond that of an ordinary one."""
+    size = len(head.headers) * FIELD_MEMORY_BYTES + sum(
+        len(name) + len(value) for name, value in head.headers
+    )
+    return max(0, size - UNCOUNTED_HEAD_BYTES)
--- a/mangoway/http1/response_memory.py
+++ b/mangoway/http1/response_memory.py
@@ -53,8 +53,14 @@
     abort: Callable[[], None]
     """Resets the connection."""
 
+    drop_input: Callable[[], None] = lambda: None
+    """Drops the requests that no handler has yet."""
+
     request_bytes: int = 0
-    """Body of the request that is read or handled."""
+    """The request that is handled."""
+
+    input_bytes: int = 0
+    """Requests that no handler has yet."""
 
     body_bytes: int = 0
     """Part of a response that is buffered as a whole."""
@@ -73,10 +79,10 @@
         if self.holding.held_bytes or self.transport.get_write_buffer_size():
             self.memory.update(self)
 
-    def set_request_bytes(self, size: int) -> None:
-        """Set the size of the body of the current request."""
-        if size != self.request_bytes:
-            self.request_bytes = size
+    def set_request_bytes(self, handled: int, received: int) -> None:
+        """Set the size of the request that is handled, and of those to come."""
+        if handled != self.request_bytes or received != self.input_bytes:
+            self.request_bytes, self.input_bytes = handled, received
             self.memory.update(self)
 
     def set_body_bytes(self, size: int) -> None:
@@ -132,7 +138,7 @@
         """Release what was held for a request and its runner."""
         self.count_unread = None
         self.set_body_bytes(0)
-        self.set_request_bytes(0)
+        self.set_request_bytes(0, self.input_bytes)
 
     def close(self) -> None:
         """Release all bytes of a closed connection."""
@@ -150,7 +156,14 @@
         in_kernel = count_in_kernel(self.transport) if unsent else 0
         self.memory.ledger.update(
             self.holding,
-            held=unsent + unread + self.request_bytes + self.body_bytes,
+            held=(
+                unsent
+                + unread
+                + self.request_bytes
+                + self.input_bytes
+                + self.body_bytes
+            ),
+            received=self.input_bytes,
             unsent=unsent,
             taken=self._written - unsent - in_kernel,
             now=self.memory.now(),
@@ -166,6 +179,9 @@
 
     limits: MemoryLimits = field(factory=MemoryLimits)
     on_break: Callable[[BrokenResponse], None] = lambda broken: None
+    on_drop: Callable[[int, int], None] = lambda size, total: None
+    """Called with the size of the requests that a connection drops, and the sum."""
+
     on_change: Callable[[int], None] = lambda total: None
     """Called with the sum of held bytes when it was measured."""
 
@@ -212,10 +228,6 @@
             self._refresh()
         return self.ledger.is_short()
 
-    def is_exceeded(self) -> bool:
-        """Return whether the sum is above the limit that must be kept."""
-        return self.is_short() and self.ledger.is_exceeded()
-
     def _refresh(self) -> None:
         self._refreshed_at = self.now()
         for caller in tuple(self._callers.values()):
@@ -230,6 +242,11 @@
     def _break_excess(self) -> None:
         for holding in self.ledger.list_excess(self.now()):
             self._break_off(holding, BreakCause.MEMORY)
+        for holding in self.ledger.list_large_inputs():
+            caller = self._callers.get(holding)
+            if caller is not None:
+                self.on_drop(holding.input_bytes, self.ledger.total)
+                caller.drop_input()
 
     def _break_off(self, holding: Holding, cause: BreakCause) -> None:
         caller = self._callers.get(holding)
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -21,7 +21,7 @@
 )
 from .messages import Headers, Request
 from .request_parser import RequestParser
-from .request_problems import MEMORY_SHORT, find_problem
+from .request_problems import MEMORY_SHORT, find_problem, measure_head
 from .response_memory import CallerHolding, ResponseMemory, count_in_kernel
 
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
@@ -52,7 +52,11 @@
     """Called with the error of a handler that failed unexpectedly."""
 
     memory: ResponseMemory = field(factory=ResponseMemory)
-    """Bounds the bytes that are held for all connections."""
+    """Bounds the bytes that are held for all connections, also of other listeners."""
+
+    responds_when_short: bool = False
+    """Whether requests are handled while memory is short, as their responses are
+    small."""
 
     on_rejected: "Callable[[int, str, h11.Request | None], None] | None" = None
     """Called with the status, reason and head (if it was read) of a request that is
@@ -152,6 +156,12 @@
         self._http = self._parser.http
         self._loop = asyncio.get_running_loop()
         self._head: h11.Request | None = None
+        self._head_bytes = 0
+        """Memory of the head that counts."""
+
+        self._handled_bytes = 0
+        """Memory of the request that is handled."""
+
         self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -187,7 +197,9 @@
             high=MAX_WRITE_BUFFER_BYTES, low=LOW_WRITE_BUFFER_BYTES
         )
         _limit_kernel_buffer(transport)
-        self.holding = CallerHolding(self._options.memory, transport, self.abort)
+        self.holding = CallerHolding(
+            self._options.memory, transport, self.abort, self._drop_input
+        )
         self._options.connections.add(self)
         self._start_timer(self._limits.idle_timeout_s, self._handle_idle_timeout)
 
@@ -197,6 +209,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes of the caller; keep them while a request is handled."""
+        if self._rejected:
+            return
         self._parser.receive(self._options.receive_buffer[:nbytes])
         if self._task is None and self._writable.is_set() and not self._will_parse:
             if self._head is None:
@@ -204,6 +218,7 @@
                     self._limits.header_timeout_s, self._handle_head_timeout
                 )
             self._read_events()
+        self._count_bytes()
         self._control_reading()
 
     def eof_received(self) -> bool:
@@ -311,8 +326,27 @@
     def _read_on(self) -> None:
         self._will_parse = False
         self._read_events()
+        self._count_bytes()
         self._control_reading()
 
+    def _count_bytes(self) -> None:
+        """Report what is held for the requests; this may drop those not handled yet."""
+        if self._lost or self._rejected:
+            return
+        received = self._parser.held_bytes
+        if self._task is None and self._head is not None:
+            received += self._head_bytes + len(self._body)
+        self.holding.set_request_bytes(self._handled_bytes, received)
+
+    def _drop_input(self) -> None:
+        """Drop the requests that no handler has, and close the connection."""
+        if self._task is None:
+            self._reject(MEMORY_SHORT.status, MEMORY_SHORT.reason)
+            return
+        self._rejected = self._close_after = True
+        self._parser.clear()
+        self.holding.set_request_bytes(self._handled_bytes, 0)
+
     def _may_parse(self) -> bool:
         return self._task is None and not self._lost and not self._rejected
 
@@ -326,17 +360,15 @@
         if isinstance(event, h11.Request):
             self._head = event
             self._body = bytearray()
+            self._head_bytes = measure_head(event)
             problem = find_problem(event, self._limits.max_header_bytes)
-            if problem is None and self._options.memory.is_short():
-                problem = MEMORY_SHORT
+            if problem is None and not self._options.responds_when_short:
+                problem = MEMORY_SHORT if self._options.memory.is_short() else None
             if problem is not None:
                 self._reject(problem.status, problem.reason)
         elif isinstance(event, h11.Data):
             self._body += event.data
-            self.holding.set_request_bytes(len(self._body))
-            if self._options.memory.is_exceeded():
-                self._reject(MEMORY_SHORT.status, MEMORY_SHORT.reason)
-            elif len(self._body) > self._limits.max_body_bytes:
+            if len(self._body) > self._limits.max_body_bytes:
                 self._reject(413, "the body is too large")
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
@@ -356,6 +388,7 @@
             headers=tuple(head.headers.raw_items()),
             body=bytes(self._body),
         )
+        self._handled_bytes = self._head_bytes + len(self._body)
         self._body = bytearray()
         exchange = Exchange(self)
         task = self._loop.create_task(self._async_handle(request, exchange))
@@ -378,6 +411,7 @@
     def _end_exchange(self) -> None:
         self._task = None
         self._head = None
+        self._handled_bytes = 0
         self.holding.end_exchange()
         if self._lost:
             return
@@ -399,6 +433,7 @@
         self._limits = self._options.limits()
         self._start_timer(self._limits.idle_timeout_s, self._handle_idle_timeout)
         self._read_events()
+        self._count_bytes()
         self._control_reading()
 
     def _reject(self, status: int, reason: str) -> None:
@@ -412,7 +447,7 @@
         if self._options.on_rejected is not None:
             self._options.on_rejected(status, reason, self._head)
         self._head = None
-        self.holding.set_request_bytes(0)
+        self.holding.set_request_bytes(0, 0)
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers, body = self._options.reject(status, reason)
             self._close_after = True
--- a/mangoway/observability/memory_events.py
+++ b/mangoway/observability/memory_events.py
@@ -37,3 +37,12 @@
     """Address of the client."""
 
     unparsed_bytes: int
+
+
+@numbered(483, LogLevel.WARNING)
+class UnfinishedRequestsDropped:
+    """A host held too many bytes, and dropped the unfinished requests of a client."""
+
+    dropped_bytes: int
+    total_bytes: int
+    """Bytes that the host held for all clients."""
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -369,6 +369,11 @@
             "Responses that an edge broke off since they were not read, by cause.",
             ("cause",),
         )
+        self.edge_dropped_inputs = self._counter(
+            "mangoway_edge_dropped_inputs_total",
+            "Connections whose unfinished requests were dropped, since an edge held too"
+            " many bytes.",
+        )
         self.edge_paused_connections = self._counter(
             "mangoway_edge_paused_connections_total",
             "Connections that sent so many requests ahead that reading was paused, by"
--- a/mangoway/policy/edge/response_memory.py
+++ b/mangoway/policy/edge/response_memory.py
@@ -20,6 +20,10 @@
 The distance to `READ_ON_BYTES` holds what arrives until all connections to runners are
 paused, and the largest response that is buffered as a whole."""
 
+MAX_INPUT_BYTES: Final = 24 << 20
+"""Sum of the bytes of requests that no handler has yet, above which the largest of them
+are rejected: six of the largest bodies at once."""
+
 RETRY_AFTER_MEMORY_S: Final = 1.0
 """Retry-after time of a request that is rejected for lack of memory: the responses that
 hold it are read or broken off within some seconds, and another host may have room."""
@@ -42,6 +46,7 @@
 
     read_on_bytes: int = READ_ON_BYTES
     max_bytes: int = MAX_HELD_BYTES
+    input_bytes: int = MAX_INPUT_BYTES
     unread_s: float = UNREAD_LIMIT_S
 
 
@@ -52,6 +57,9 @@
     held_bytes: int = 0
     """Bytes of requests and responses that count in the sum."""
 
+    input_bytes: int = 0
+    """Bytes of these that belong to requests which no handler has yet."""
+
     unsent_bytes: int = 0
     """Bytes of these that wait for the caller to read."""
 
@@ -78,11 +86,21 @@
 
     limits: MemoryLimits = MemoryLimits()
     total: int = field(default=0, init=False)
+    input_total: int = field(default=0, init=False)
+    """Part of the sum that belongs to requests which no handler has yet."""
+
     holdings: dict[Holding, None] = field(factory=dict, init=False)
     """Holdings with at least one byte, in the order in which they began."""
 
     def update(
-        self, holding: Holding, *, held: int, unsent: int, taken: int, now: float
+        self,
+        holding: Holding,
+        *,
+        held: int,
+        unsent: int,
+        taken: int,
+        now: float,
+        received: int = 0,
     ) -> None:
         """Record the current bytes of a holding.
 
@@ -92,12 +110,14 @@
             unsent: Bytes that wait for the caller to read.
             taken: Bytes that the caller has received.
             now: Time in seconds.
+            received: Bytes of requests that no handler has yet.
         """
         if taken > holding.taken_bytes or not holding.unsent_bytes:
             holding.taken_at = now
         holding.taken_bytes, holding.unsent_bytes = taken, unsent
         self.total += held - holding.held_bytes
-        holding.held_bytes = held
+        self.input_total += received - holding.input_bytes
+        holding.held_bytes, holding.input_bytes = held, received
         if held:
             self.holdings[holding] = None
         else:
@@ -106,16 +126,27 @@
     def remove(self, holding: Holding) -> None:
         """Remove a holding whose connection is closed."""
         self.total -= holding.held_bytes
-        holding.held_bytes = holding.unsent_bytes = 0
+        self.input_total -= holding.input_bytes
+        holding.held_bytes = holding.unsent_bytes = holding.input_bytes = 0
         self.holdings.pop(holding, None)
 
     def is_short(self) -> bool:
-        """Return whether the sum is above the limit for reading on."""
-        return self.total > self.limits.read_on_bytes
+        """Return whether the sum is above the limit for reading on.
+
+        Requests that no handler has yet don't count, since they have a limit of their
+        own: callers that never finish theirs let no others be rejected.
+        """
+        return self.total - self.input_total > self.limits.read_on_bytes
 
     def is_exceeded(self) -> bool:
-        """Return whether responses must be broken off."""
-        return self.total > self.limits.max_bytes
+        """Return whether responses must be broken off, or requests rejected."""
+        return self._measure_excess() > 0
+
+    def _measure_excess(self) -> int:
+        return max(
+            self.total - self.limits.max_bytes,
+            self.input_total - self.limits.input_bytes,
+        )
 
     def may_read(self, holding: Holding) -> bool:
         """Return whether the host reads on from the runner of a response.
@@ -162,6 +193,24 @@
             excess -= each.held_bytes
         return chosen
 
+    def list_large_inputs(self) -> list[Holding]:
+        """Return those whose unfinished requests are rejected, the largest first.
+
+        Small requests are served while a few connections send large ones.
+        """
+        excess = self._measure_excess()
+        chosen: list[Holding] = []
+        if excess <= 0:
+            return chosen
+        unfinished = [each for each in self.holdings if each.input_bytes]
+        unfinished.sort(key=lambda each: each.input_bytes, reverse=True)
+        for each in unfinished:
+            if excess <= 0:
+                break
+            chosen.append(each)
+            excess -= each.input_bytes
+        return chosen
+
 
 def _has_blocked(holding: Holding, seconds: float, now: float) -> bool:
     return holding.blocked_at is not None and now - holding.blocked_at >= seconds
--- a/tests/edge/test_caller_memory.py
+++ b/tests/edge/test_caller_memory.py
@@ -26,12 +26,15 @@
             )
         )
         memory.on_short(40)
+        memory.on_drop(20, 45)
         memory.on_change(50)
         assert events == [
             memory_events.ResponseBrokenOff(
                 cause="memory", held_bytes=10, unread_s=2.5, total_bytes=30
             ),
             memory_events.CallerMemoryShort(total_bytes=40),
+            memory_events.UnfinishedRequestsDropped(dropped_bytes=20, total_bytes=45),
         ]
         assert metrics.edge_broken_responses.get("memory") == 1
         assert metrics.edge_held_bytes.get() == 50
+        assert metrics.edge_dropped_inputs.get() == 1
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -290,6 +290,78 @@
         assert server.requests == []
         await async_wait_until(lambda: server.options.memory.ledger.total == 0)
 
+    async def test_largest_unfinished_request_is_rejected(self) -> None:
+        """Bodies that never ended kept an edge from accepting other requests."""
+        async with serve() as (server, reader, writer):
+            server.options.memory.ledger.limits = MemoryLimits(input_bytes=20_000)
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+            writer.write(head % 16_000 + bytes(15_000))
+            await async_wait_until(lambda: server.options.memory.ledger.total > 14_000)
+            port = writer.get_extra_info("peername")[1]
+            second = await asyncio.open_connection("127.0.0.1", port)
+            second[1].write(head % 8_000 + bytes(7_000))
+            async with asyncio.timeout(5):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After" in answer
+            assert b"200" in await exchange(*second, bytes(1_000))
+            second[1].close()
+        assert [len(each.body) for each in server.requests] == [8_000]
+        await async_wait_until(lambda: server.options.memory.ledger.total == 0)
+
+    async def test_unfinished_requests_let_no_other_be_rejected(self) -> None:
+        async with serve() as (server, _, writer):
+            server.options.memory.ledger.limits = MemoryLimits(read_on_bytes=1000)
+            head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+            writer.write(head % 16_000 + bytes(15_000))
+            await async_wait_until(lambda: server.options.memory.ledger.total > 14_000)
+            port = writer.get_extra_info("peername")[1]
+            second = await asyncio.open_connection("127.0.0.1", port)
+            assert b"200" in await exchange(*second, head % 2 + b"ab")
+            second[1].close()
+
+    async def test_parsed_fields_count(self) -> None:
+        """Short fields take some eighty times their size once they are parsed."""
+        async with serve() as (server, _, writer):
+            fields = b"ab:\r\n" * 2000
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\n" + fields)
+            writer.write(b"Content-Length: 1\r\n\r\n")
+            memory = server.options.memory
+            await async_wait_until(lambda: memory.ledger.input_total > 500_000)
+            server.release.clear()
+            writer.write(b"x")
+            await async_wait_until(lambda: len(server.requests) == 1)
+            assert memory.ledger.input_total == 0
+            assert memory.ledger.total > 500_000
+            server.release.set()
+            await async_wait_until(lambda: memory.ledger.total == 0)
+
+    async def test_requests_sent_ahead_are_dropped_after_the_response(self) -> None:
+        async with serve() as (server, reader, writer):
+            server.release.clear()
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n" * 1000)
+            await async_wait_until(lambda: server.options.memory.ledger.total > 20_000)
+            server.options.memory.ledger.limits = MemoryLimits(input_bytes=10_000)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            memory = server.options.memory
+            await async_wait_until(lambda: memory.ledger.input_total == 0)
+            server.release.set()
+            async with asyncio.timeout(5):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert answer.count(b"HTTP/1.1") == 1
+            assert b"Connection: close" in answer
+        assert len(server.requests) == 1
+
+    async def test_small_responses_are_given_while_memory_is_short(self) -> None:
+        """An edge with slow callers was not ready for the platform."""
+        async with serve() as (server, reader, writer):
+            server.options.responds_when_short = True
+            server.options.memory.ledger.total = 1 << 40
+            data = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            assert b"200" in await exchange(reader, writer, data)
+            server.options.memory.ledger.total = 0
+
     async def test_pipelined_requests_wait_until_answers_are_read(self) -> None:
         """Guards against answers that add up for a caller that does not read."""
         async with serve() as (server, reader, writer):
--- a/tests/policy/edge/test_response_memory.py
+++ b/tests/policy/edge/test_response_memory.py
@@ -100,3 +100,41 @@
             ledger.remove(each)
         assert ledger.total <= LIMITS.max_bytes
         assert not chosen or ledger.total + last_bytes > LIMITS.max_bytes
+
+
+class TestInputs:
+    """Tests which unfinished requests are rejected."""
+
+    def receive(self, ledger: MemoryLedger, size: int) -> Holding:
+        holding = Holding()
+        ledger.update(holding, held=size, received=size, unsent=0, taken=0, now=0.0)
+        return holding
+
+    def test_the_largest_are_rejected_until_the_limit_is_kept(self) -> None:
+        ledger = MemoryLedger(MemoryLimits(input_bytes=1000))
+        small, large, middle = (self.receive(ledger, each) for each in (50, 900, 300))
+        assert ledger.is_exceeded()
+        assert ledger.list_large_inputs() == [large]
+        ledger.remove(large)
+        assert ledger.list_large_inputs() == []
+        assert ledger.input_total == 350
+        assert list(ledger.holdings) == [small, middle]
+
+    def test_unfinished_requests_do_not_make_memory_short(self) -> None:
+        ledger = MemoryLedger(MemoryLimits(read_on_bytes=100, max_bytes=2000))
+        self.receive(ledger, 900)
+        assert not ledger.is_short()
+
+    def test_they_make_room_for_responses(self) -> None:
+        ledger = MemoryLedger(MemoryLimits(max_bytes=1000))
+        request = self.receive(ledger, 500)
+        ledger.update(Holding(), held=600, unsent=0, taken=0, now=0.0)
+        assert ledger.list_excess(0.0) == []
+        assert ledger.list_large_inputs() == [request]
+
+    def test_handled_request_counts_no_more_as_unfinished(self) -> None:
+        ledger = MemoryLedger(MemoryLimits(input_bytes=100))
+        holding = self.receive(ledger, 500)
+        ledger.update(holding, held=500, received=0, unsent=0, taken=0, now=0.0)
+        assert (ledger.total, ledger.input_total) == (500, 0)
+        assert ledger.list_large_inputs() == []
