Time a request from its first byte

A client that sent a head byte by byte kept its connection, and a part of the memory and the descriptors of an edge, for as long as it wanted.

Cause: the timeout of a request was started anew by each read that did not end its head. Bytes that were left from an earlier request did not start it at all.

Clients within the limits send each in that time anyway.

Evidence: a head whose drops come within the timeout gets 408; the two cases ran into their own timeout of ten seconds before.

--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -172,6 +172,9 @@
         self._lost = False
         self._close_after = False
         self._rejected = False
+        self._has_begun = False
+        """Whether bytes of a request arrived that no handler has yet."""
+
         self._will_parse = False
         """Whether parsing goes on in the next turn of the event loop."""
 
@@ -213,13 +216,8 @@
             return
         self._parser.receive(self._options.receive_buffer[:nbytes])
         if self._task is None and self._writable.is_set() and not self._will_parse:
-            if self._head is None:
-                self._start_timer(
-                    self._limits.header_timeout_s, self._handle_head_timeout
-                )
             self._read_events()
-        self._count_bytes()
-        self._control_reading()
+        self._handle_parsed()
 
     def eof_received(self) -> bool:
         """Treat the end of the caller's stream as a disconnect."""
@@ -326,9 +324,21 @@
     def _read_on(self) -> None:
         self._will_parse = False
         self._read_events()
+        self._handle_parsed()
+
+    def _handle_parsed(self) -> None:
+        self._limit_time()
         self._count_bytes()
         self._control_reading()
 
+    def _limit_time(self) -> None:
+        """Start the timeout of a request at its first byte."""
+        if self._has_begun or not self._may_parse() or not self._writable.is_set():
+            return
+        if self._head is not None or self._parser.held_bytes:
+            self._has_begun = True
+            self._start_timer(self._limits.header_timeout_s, self._handle_head_timeout)
+
     def _count_bytes(self) -> None:
         """Report what is held for the requests; this may drop those not handled yet."""
         if self._lost or self._rejected:
@@ -382,6 +392,7 @@
         head = self._head
         assert head is not None
         self._stop_timer()
+        self._has_begun = False
         request = Request(
             method=bytes(head.method),
             target=bytes(head.target),
@@ -433,8 +444,7 @@
         self._limits = self._options.limits()
         self._start_timer(self._limits.idle_timeout_s, self._handle_idle_timeout)
         self._read_events()
-        self._count_bytes()
-        self._control_reading()
+        self._handle_parsed()
 
     def _reject(self, status: int, reason: str) -> None:
         """Reject a request that was not read to its end, and close the connection.
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 
@@ -186,6 +186,21 @@
             assert answer.startswith(b"HTTP/1.1 408")
         assert server.requests == []
 
+    @pytest.mark.parametrize("earlier", [b"", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"])
+    async def test_head_that_comes_in_drops_times_out(self, earlier: bytes) -> None:
+        """Each drop started the time anew, so that a head never had to end."""
+        limits = CallerLimits(header_timeout_s=0.3)
+        async with serve(limits) as (server, reader, writer):
+            writer.write(earlier + b"GET / HTTP/1.1\r\nHost: h\r\nX: ")
+            answer = b""
+            async with asyncio.timeout(10):
+                while not answer.count(b"HTTP/1.1 408"):
+                    writer.write(b"x")
+                    with suppress(TimeoutError):
+                        async with asyncio.timeout(0.05):
+                            answer += await reader.read(65536)
+        assert len(server.requests) == (1 if earlier else 0)
+
     async def test_idle_connection_is_closed(self) -> None:
         async with serve(CallerLimits(idle_timeout_s=0.1)) as (_, reader, _writer):
             async with asyncio.timeout(5):
