Reset connections whose clients leave a complete response unread

Clients that asked for large responses and read nothing kept their connections, the unsent bytes and a descriptor each for as long as they stayed, unless memory became short.

Cause: a connection waits for its write buffer before it starts the idle timeout, and one that is closed is only gone once its buffer is empty. Neither wait had an end.

Now such a connection is reset when its client has read nothing for the idle timeout. A client that goes on reading gets its response, however slowly.

Event 484, mangoway_edge_reset_connections_total.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -208,8 +208,8 @@
             on_error=_log_error,
             on_rejected=log_unread,
             memory=make_response_memory(self.process.metrics),
-            on_read_ahead=self._make_listener_log("callers").record_sent_ahead,
         )
+        self._make_listener_log("callers").add_to(self.callers)
         self.process.view.on_change += [
             self._handle_view_change,
             self.stream_origins.handle_view_change,
@@ -237,8 +237,8 @@
                 _log_error,
                 memory=self.callers.memory,
                 responds_when_short=True,
-                on_read_ahead=self._make_listener_log(name).record_sent_ahead,
             )
+            self._make_listener_log(name).add_to(options)
             self.pages.append(options)
             self._servers.append(await async_listen(options, open_address(address)))
         await self.datagrams.async_listen(
--- a/mangoway/edge/listener_log.py
+++ b/mangoway/edge/listener_log.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from ..http1.server import ServerOptions
 from ..observability import memory_events as log
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
@@ -16,6 +17,11 @@
 
     metrics: Metrics
 
+    def add_to(self, options: ServerOptions) -> None:
+        """Record what happens at a listener with these options."""
+        options.on_read_ahead = self.record_sent_ahead
+        options.on_unread = self.record_unread
+
     def record_sent_ahead(self, size: int, peer: str) -> None:
         """Record that reading from a client was paused.
 
@@ -27,3 +33,17 @@
         log_event(
             log.CallerSentAhead(listener=self.listener, peer=peer, unparsed_bytes=size)
         )
+
+    def record_unread(self, unread_s: float, peer: str) -> None:
+        """Record that a connection was reset, as its client didn't read a response.
+
+        Args:
+            unread_s: Seconds for which it has read nothing.
+            peer: Its address.
+        """
+        self.metrics.edge_reset_connections.add(self.listener)
+        log_event(
+            log.UnreadConnectionReset(
+                listener=self.listener, peer=peer, unread_s=round(unread_s, 3)
+            )
+        )
--- a/mangoway/http1/response_memory.py
+++ b/mangoway/http1/response_memory.py
@@ -130,6 +130,11 @@
         except TimeoutError:
             raise MemoryShortError("this host holds too many bytes") from None
 
+    def measure_unread_s(self) -> float:
+        """Return the seconds for which the caller has read nothing of a response."""
+        self.measure()
+        return self.holding.measure_unread_s(self.memory.now())
+
     def wake(self) -> None:
         """Let the writer of the response check again whether it may go on."""
         self._wake.set()
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -66,6 +66,10 @@
     """Called when reading from a caller is paused for the first time, with the bytes
     that it has sent ahead and its address."""
 
+    on_unread: Callable[[float, str], None] = lambda seconds, peer: None
+    """Called when a connection is reset since its caller did not read a complete
+    response, with the time for which it has read nothing and its address."""
+
     closing: bool = False
     """Whether responses close the connection, so that callers open a new one."""
 
@@ -247,7 +251,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if not self.busy:
-            self._transport.close()
+            self._close()
 
     def abort(self) -> None:
         """Reset the connection so that a partly sent response cannot look complete."""
@@ -429,15 +433,17 @@
         if self._http.our_state is not h11.DONE or self._close_after:
             # After an incomplete response, which must not look complete, the connection
             # was already reset by abort().
-            self._transport.close()
+            self._close()
             return
         try:
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
-            self._transport.close()
+            self._close()
             return
         if self._writable.is_set():
             self._await_request()
+        else:
+            self._limit_delivery()
 
     def _await_request(self) -> None:
         """Read the next request once the caller has read most of the last response."""
@@ -462,13 +468,29 @@
             headers, body = self._options.reject(status, reason)
             self._close_after = True
             Exchange(self).answer(status, headers, body)
-        self._transport.close()
+        self._close()
 
     def _handle_head_timeout(self) -> None:
         self._reject(408, "timeout while receiving the request")
 
     def _handle_idle_timeout(self) -> None:
+        self._close()
+
+    def _close(self) -> None:
+        """Close the connection once the caller has read the rest of its response."""
         self._transport.close()
+        if self._transport.get_write_buffer_size():
+            self._limit_delivery()
+
+    def _limit_delivery(self) -> None:
+        """Reset the connection once the caller reads nothing for the idle timeout."""
+        unread_s = self.holding.measure_unread_s()
+        limit_s = self._limits.idle_timeout_s
+        if unread_s < limit_s:
+            self._start_timer(limit_s - unread_s, self._limit_delivery)
+        else:
+            self._options.on_unread(unread_s, self._peer)
+            self.abort()
 
     def _start_timer(self, seconds: float, call: Callable[[], None]) -> None:
         self._stop_timer()
--- a/mangoway/observability/memory_events.py
+++ b/mangoway/observability/memory_events.py
@@ -46,3 +46,14 @@
     dropped_bytes: int
     total_bytes: int
     """Bytes that the host held for all clients."""
+
+
+@numbered(484, LogLevel.WARNING)
+class UnreadConnectionReset:
+    """A connection was reset, since its client did not read a complete response."""
+
+    listener: str
+    """`callers`, `directory` or `ready`."""
+
+    peer: str
+    unread_s: float
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -374,6 +374,12 @@
             "Connections whose unfinished requests were dropped, since an edge held too"
             " many bytes.",
         )
+        self.edge_reset_connections = self._counter(
+            "mangoway_edge_reset_connections_total",
+            "Connections that were reset since their clients did not read a complete"
+            " response, by listener.",
+            ("listener",),
+        )
         self.edge_paused_connections = self._counter(
             "mangoway_edge_paused_connections_total",
             "Connections that sent so many requests ahead that reading was paused, by"
--- a/tests/edge/test_listener_log.py
+++ b/tests/edge/test_listener_log.py
@@ -24,3 +24,17 @@
             )
         ]
         assert metrics.edge_paused_connections.get("ready") == 1
+
+    def test_unread_connections_are_counted_and_logged(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        events: list[object] = []
+        monkeypatch.setattr(listener_log, "log_event", events.append)
+        metrics = Metrics()
+        ListenerLog("callers", metrics).record_unread(15.0004, "10.0.0.1:5000")
+        assert events == [
+            memory_events.UnreadConnectionReset(
+                listener="callers", peer="10.0.0.1:5000", unread_s=15.0
+            )
+        ]
+        assert metrics.edge_reset_connections.get("callers") == 1
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -394,6 +394,38 @@
             assert len(server.requests) == 60
 
 
+class TestDelivery:
+    """Tests of complete responses that their callers don't read."""
+
+    @pytest.mark.parametrize("kept", [True, False])
+    async def test_connection_is_reset_after_the_idle_timeout(self, kept: bool) -> None:
+        """A response that nobody read kept its connection open for good."""
+        async with serve(CallerLimits(idle_timeout_s=0.3)) as (server, _, writer):
+            server.options.closing = not kept
+            server.answer_bytes = 32 * MAX_WRITE_BUFFER_BYTES
+            times: list[float] = []
+            server.options.on_unread = lambda seconds, _: times.append(seconds)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            await async_wait_until(lambda: len(server.requests) == 1)
+            await async_wait_until(lambda: not server.options.connections)
+            assert len(times) == 1
+            assert times[0] >= 0.3
+            assert server.options.memory.ledger.total == 0
+
+    @pytest.mark.parametrize("kept", [True, False])
+    async def test_slow_reader_receives_everything(self, kept: bool) -> None:
+        async with serve(CallerLimits(idle_timeout_s=0.4)) as (server, reader, writer):
+            server.options.closing = not kept
+            server.answer_bytes = 32 * MAX_WRITE_BUFFER_BYTES
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            received = 0
+            while received < server.answer_bytes:
+                received += len(await reader.read(server.answer_bytes // 16))
+                await asyncio.sleep(0.05)
+            assert received == server.answer_bytes
+
+
 class TestSentAhead:
     """Tests of requests that are sent before earlier ones are answered."""
 
