Bound the connections of each listener of an edge

Callers waited for seconds, and an edge had no descriptor left for runners, the store and its peers, while clients kept connections open that sent nothing, the begin of a head, or nothing after a response; at the listeners for readiness and for the directory as well.

Cause: nothing bounded the number of connections, so that clients of any listener could take all descriptors of the process until its timeouts closed them.

One whose request is handled is never closed; if there is none but those, the new one is closed.

Event 485, mangoway_edge_connections and mangoway_edge_displaced_connections_total.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -37,6 +37,7 @@
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
+from ..policy.connections import ConnectionTable
 from ..policy.crashes.probing import choose_prober
 from ..policy.customers.quota import QuotaTracker
 from ..policy.edge.const import MEMBERS_POLL_S, SHARE_HORIZON_WINDOWS
@@ -126,6 +127,7 @@
     forwarder: Forwarder = field(init=False)
     callers: ServerOptions = field(init=False)
     pages: list[ServerOptions] = field(factory=list, init=False)
+    listener_logs: list[ListenerLog] = field(factory=list, init=False)
     _random: Random = field(factory=Random, init=False)
     _servers: list[asyncio.AbstractServer] = field(factory=list, init=False)
     _started_at: float = field(default=0.0, init=False)
@@ -208,6 +210,7 @@
             on_error=_log_error,
             on_rejected=log_unread,
             memory=make_response_memory(self.process.metrics),
+            table=ConnectionTable(self.process.connection_limits.callers),
         )
         self._make_listener_log("callers").add_to(self.callers)
         self.process.view.on_change += [
@@ -226,9 +229,15 @@
         self._started_at = self.process.clock()
         directory = DirectoryPage(self.process.view, self._random)
         ready = ReadyPage(lambda: self.is_ready)
-        for name, address, handle in (
-            ("directory", settings.directory_listen, directory.async_handle),
-            ("ready", settings.ready_listen, ready.async_handle),
+        limits = self.process.connection_limits
+        for name, address, handle, limit in (
+            (
+                "directory",
+                settings.directory_listen,
+                directory.async_handle,
+                limits.directory,
+            ),
+            ("ready", settings.ready_listen, ready.async_handle, limits.ready),
         ):
             options = ServerOptions(
                 handle,
@@ -237,6 +246,7 @@
                 _log_error,
                 memory=self.callers.memory,
                 responds_when_short=True,
+                table=ConnectionTable(limit),
             )
             self._make_listener_log(name).add_to(options)
             self.pages.append(options)
@@ -304,7 +314,9 @@
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
 
     def _make_listener_log(self, listener: str) -> ListenerLog:
-        return ListenerLog(listener, self.process.metrics)
+        log = ListenerLog(listener, self.process.metrics)
+        self.listener_logs.append(log)
+        return log
 
     def _make_client(self) -> SchedulerClient:
         state = SchedulingState(
@@ -474,6 +486,8 @@
             self.forwarder.plain_grant_provider.forget_removed_runners()
             self.signal_tracker.keep_only(set(self.process.view.runners))
             self.stream_origins.update()
+            for each in self.listener_logs:
+                each.update_levels()
 
     async def _async_update_shares(self) -> None:
         """Update this edge's shares of fleet-wide limits from the announced edges."""
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -22,6 +22,7 @@
 from ..platform.documents import OWN_PREFIX
 from ..platform.receiver import StoreReceiver
 from ..platform.store import PlatformStore
+from ..policy.connections import ConnectionLimits, choose_limits
 from ..policy.crashes.tracker import CrashTracker
 from ..policy.scheduling.features import Features
 from ..scheduling.leader_link import LeaderLink
@@ -29,6 +30,7 @@
 from ..settings.fleet import FleetSettings
 from ..util.address import split_address
 from ..util.clock import read_boot_clock
+from ..util.descriptors import read_max_descriptors
 from ..util.listener import open_listener
 from ..util.signals import StopSignals
 from ..util.tasks import Tasks
@@ -76,9 +78,13 @@
     mirror: Mirror = field(init=False)
     leader_link: LeaderLink = field(init=False)
     tasks: Tasks = field(init=False)
+    connection_limits: ConnectionLimits = field(init=False)
     _metrics_server: MetricsServer | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.connection_limits = choose_limits(
+            self.settings.max_descriptors or read_max_descriptors()
+        )
         self.store = PlatformStore(self.settings.store, self.metrics)
         member = Member(
             host=self.settings.host,
--- a/mangoway/edge/listener_log.py
+++ b/mangoway/edge/listener_log.py
@@ -1,6 +1,6 @@
 """Events and metrics of what the clients of a listener exceed."""
 
-from attrs import define
+from attrs import define, field
 
 from ..http1.server import ServerOptions
 from ..observability import memory_events as log
@@ -17,8 +17,12 @@
 
     metrics: Metrics
 
+    _options: ServerOptions | None = field(default=None, init=False)
+
     def add_to(self, options: ServerOptions) -> None:
         """Record what happens at a listener with these options."""
+        self._options = options
+        options.on_full = self.record_full
         options.on_read_ahead = self.record_sent_ahead
         options.on_unread = self.record_unread
 
@@ -47,3 +51,24 @@
                 listener=self.listener, peer=peer, unread_s=round(unread_s, 3)
             )
         )
+
+    def record_full(self, state: str, peer: str) -> None:
+        """Record that a connection was closed to make room for a new one.
+
+        Args:
+            state: What it waited for.
+            peer: Address of its client.
+        """
+        self.metrics.edge_displaced_connections.add(self.listener, state)
+        limit = self._options.table.limit if self._options is not None else 0
+        log_event(
+            log.ConnectionDisplaced(
+                listener=self.listener, limit=limit, state=state, peer=peer
+            )
+        )
+
+    def update_levels(self) -> None:
+        """Set the number of open connections."""
+        if self._options is not None:
+            count = len(self._options.connections)
+            self.metrics.edge_connections.set(self.listener, level=count)
--- a/mangoway/http1/request_problems.py
+++ b/mangoway/http1/request_problems.py
@@ -30,6 +30,10 @@
     status=503, reason="this host holds too many bytes for other callers"
 )
 
+TOO_MANY: Final = RequestProblem(
+    status=503, reason="this host has too many connections"
+)
+
 
 def find_problem(head: h11.Request, max_bytes: int) -> RequestProblem | None:
     """Return the status and reason if a request is rejected for its head, or None.
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -10,7 +10,8 @@
 from attrs import define, field
 
 from ..models.routing import CallerLimits
-from ..util.listener import BACKLOG
+from ..policy.connections import MAX_CALLERS, ConnectionState, ConnectionTable
+from ..util.listener import async_serve
 from .const import (
     LOW_WRITE_BUFFER_BYTES,
     MAX_PIPELINED_BYTES,
@@ -21,7 +22,7 @@
 )
 from .messages import Headers, Request
 from .request_parser import RequestParser
-from .request_problems import MEMORY_SHORT, find_problem, measure_head
+from .request_problems import MEMORY_SHORT, TOO_MANY, find_problem, measure_head
 from .response_memory import CallerHolding, ResponseMemory, count_in_kernel
 
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
@@ -73,12 +74,24 @@
     closing: bool = False
     """Whether responses close the connection, so that callers open a new one."""
 
+    on_full: Callable[[str, str], None] = lambda state, peer: None
+    """Called when a connection is closed to make room for a new one, with its state and
+    the address of its caller."""
+
+    table: "ConnectionTable[CallerConnection]" = field(
+        factory=lambda: ConnectionTable(MAX_CALLERS)
+    )
+    """Bounds the number of connections."""
+
     connections: "set[CallerConnection]" = field(factory=set, init=False)
     receive_buffer: memoryview = field(
         factory=lambda: memoryview(bytearray(READ_BYTES)), init=False
     )
     """Buffer for the bytes of one read, which are copied before the next one."""
 
+    def __attrs_post_init__(self) -> None:
+        self.table.may_cut = lambda connection: connection.is_stalled
+
     @property
     def busy(self) -> int:
         """Return the number of requests in progress."""
@@ -209,6 +222,9 @@
         )
         self._options.connections.add(self)
         self._start_timer(self._limits.idle_timeout_s, self._handle_idle_timeout)
+        closed = self._options.table.add(self)
+        if closed is not None:
+            closed[0].make_room(closed[1])
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
@@ -231,6 +247,7 @@
         """Cancel the handler of a caller that disconnected."""
         self._lost = True
         self._options.connections.discard(self)
+        self._options.table.remove(self)
         self._writable.set()
         self.holding.close()
         self._stop_timer()
@@ -248,6 +265,26 @@
         if self._task is None and not self._transport.is_closing():
             self._await_request()
 
+    def make_room(self, state: ConnectionState) -> None:
+        """Close the connection, since another one needs its place.
+
+        A request that was not received completely has not run, and is rejected so.
+        """
+        self._options.on_full(state.value, self._peer)
+        if state is ConnectionState.RECEIVING:
+            self._reject(TOO_MANY.status, TOO_MANY.reason)
+        if self._transport.get_write_buffer_size():
+            self.abort()
+        else:
+            self._transport.close()
+
+    @property
+    def is_stalled(self) -> bool:
+        """Return whether the caller has read nothing of a response for some seconds."""
+        unread_s = self.holding.measure_unread_s()
+        unsent = self._transport.get_write_buffer_size()
+        return not unsent or unread_s >= self._options.memory.limits.unread_s
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if not self.busy:
@@ -292,6 +329,9 @@
             self._transport.write(data)
             self.holding.record_written(len(data))
 
+    def _set_state(self, state: ConnectionState) -> None:
+        self._options.table.update_state(self, state)
+
     def _control_reading(self) -> None:
         """Pause reading while enough bytes wait to be parsed."""
         if self._transport.is_closing():
@@ -341,6 +381,7 @@
             return
         if self._head is not None or self._parser.held_bytes:
             self._has_begun = True
+            self._set_state(ConnectionState.RECEIVING)
             self._start_timer(self._limits.header_timeout_s, self._handle_head_timeout)
 
     def _count_bytes(self) -> None:
@@ -397,6 +438,7 @@
         assert head is not None
         self._stop_timer()
         self._has_begun = False
+        self._set_state(ConnectionState.BUSY)
         request = Request(
             method=bytes(head.method),
             target=bytes(head.target),
@@ -443,12 +485,15 @@
         if self._writable.is_set():
             self._await_request()
         else:
+            self._set_state(ConnectionState.UNREAD)
             self._limit_delivery()
 
     def _await_request(self) -> None:
         """Read the next request once the caller has read most of the last response."""
         self._limits = self._options.limits()
         self._start_timer(self._limits.idle_timeout_s, self._handle_idle_timeout)
+        unsent = self._transport.get_write_buffer_size()
+        self._set_state(ConnectionState.UNREAD if unsent else ConnectionState.IDLE)
         self._read_events()
         self._handle_parsed()
 
@@ -512,7 +557,4 @@
 
 async def async_listen(options: ServerOptions, listener: Any) -> asyncio.AbstractServer:
     """Serve callers on a listening socket."""
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        lambda: CallerConnection(options), sock=listener, backlog=BACKLOG
-    )
+    return await async_serve(listener, lambda: CallerConnection(options))
--- a/mangoway/observability/memory_events.py
+++ b/mangoway/observability/memory_events.py
@@ -57,3 +57,20 @@
 
     peer: str
     unread_s: float
+
+
+@numbered(485, LogLevel.WARNING, limited_by="listener")
+class ConnectionDisplaced:
+    """A listener had its most connections, and closed one for a new one."""
+
+    listener: str
+    """`callers`, `directory` or `ready`."""
+
+    limit: int
+    state: str
+    """What the closed connection waited for: `new` (its first byte; also a new one that
+    found no room), `idle` (another request), `receiving` (the rest of a request) or
+    `unread` (that its client reads)."""
+
+    peer: str
+    """Address of the client whose connection was closed."""
--- a/mangoway/settings/fleet.py
+++ b/mangoway/settings/fleet.py
@@ -9,6 +9,7 @@
 from .options import setting
 from .parsers import (
     float_between,
+    int_between,
     parse_flag,
     parse_level,
     parse_name,
@@ -63,6 +64,12 @@
         "Milliseconds for which a runner serves after its leaving is known.",
         DEFAULT_DRAIN_MS,
     )
+    max_descriptors: int | None = setting(
+        parse_optional(int_between(64, 10_000_000), None),
+        "Descriptors that this process may open, from which the limits of its clients' "
+        "connections follow; the limit that the process started with if not given.",
+        None,
+    )
     fair_shares: bool = setting(
         parse_flag,
         "Whether customers of equal priority share the runners of a service fairly.",
--- a/tests/edge/test_listener_log.py
+++ b/tests/edge/test_listener_log.py
@@ -7,6 +7,8 @@
 from mangoway.observability import memory_events
 from mangoway.observability.metrics import Metrics
 
+from ..http1.test_server import Server
+
 
 class TestListenerLog:
     """Tests that operators learn which clients exceed what."""
@@ -38,3 +40,23 @@
             )
         ]
         assert metrics.edge_reset_connections.get("callers") == 1
+
+    async def test_displaced_connections_are_counted_and_logged(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        events: list[object] = []
+        monkeypatch.setattr(listener_log, "log_event", events.append)
+        metrics = Metrics()
+        options = Server().options
+        options.table.limit = 7
+        log = ListenerLog("directory", metrics)
+        log.add_to(options)
+        options.on_full("idle", "10.0.0.1:5000")
+        log.update_levels()
+        assert events == [
+            memory_events.ConnectionDisplaced(
+                listener="directory", limit=7, state="idle", peer="10.0.0.1:5000"
+            )
+        ]
+        assert metrics.edge_displaced_connections.get("directory", "idle") == 1
+        assert metrics.edge_connections.get("directory") == 0
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -394,6 +394,81 @@
             assert len(server.requests) == 60
 
 
+class TestManyConnections:
+    """Tests of listeners that have as many connections as they keep."""
+
+    async def async_open(
+        self, server: Server, writer: asyncio.StreamWriter
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection, and wait until it is known."""
+        port = writer.get_extra_info("peername")[1]
+        made = await asyncio.open_connection("127.0.0.1", port)
+        await asyncio.sleep(0.05)
+        return made
+
+    async def test_idle_connection_makes_room(self) -> None:
+        """Silent connections took all descriptors of an edge."""
+        async with serve() as (server, reader, writer):
+            states: list[str] = []
+            server.options.on_full = lambda state, peer: states.append(state)
+            data = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            assert b"200" in await exchange(reader, writer, data)
+            server.options.table.limit = 1
+            second = await self.async_open(server, writer)
+            async with asyncio.timeout(5):
+                assert await reader.read() == b""
+            assert states == ["idle"]
+            assert b"200" in await exchange(*second, data)
+            second[1].close()
+
+    async def test_unfinished_request_is_rejected_as_not_run(self) -> None:
+        async with serve() as (server, reader, writer):
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab")
+            await asyncio.sleep(0.05)
+            server.options.table.limit = 1
+            second = await self.async_open(server, writer)
+            async with asyncio.timeout(5):
+                answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After" in answer
+            second[1].close()
+        assert server.requests == []
+
+    async def test_request_in_progress_is_kept(self) -> None:
+        async with serve() as (server, reader, writer):
+            server.release.clear()
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await async_wait_until(lambda: len(server.requests) == 1)
+            server.options.table.limit = 1
+            second = await self.async_open(server, writer)
+            async with asyncio.timeout(5):
+                assert await second[0].read() == b""
+            server.release.set()
+            async with asyncio.timeout(5):
+                assert b"200" in await reader.read(65536)
+            second[1].close()
+
+    async def test_response_that_is_not_read_makes_room(self) -> None:
+        async with serve() as (server, _, writer):
+            limits = MemoryLimits(unread_s=0.2)
+            server.options.memory.ledger.limits = server.options.memory.limits = limits
+            server.answer_bytes = 32 * MAX_WRITE_BUFFER_BYTES
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await async_wait_until(lambda: server.options.undelivered == 1)
+            server.options.table.limit = 1
+            second = await self.async_open(server, writer)
+            async with asyncio.timeout(5):
+                assert await second[0].read() == b""
+            [connection] = server.options.connections
+            await async_wait_until(lambda: connection.is_stalled)
+            third = await self.async_open(server, writer)
+            server.answer_bytes = 0
+            data = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            assert b"200" in await exchange(*third, data)
+            for each in (second, third):
+                each[1].close()
+
+
 class TestDelivery:
     """Tests of complete responses that their callers don't read."""
 
