Bound the connections for metrics, and give up responses that are not read

A process with a listener for metrics had no descriptor left, and kept responses for as long as clients stayed that asked for metrics and did not read them.

Cause: each connection had five seconds, but their number had no bound, and a connection that was closed with unsent bytes waited for its client to read them.

The metrics of connections lose 'edge' in their names, since schedulers and controllers have them too.

--- a/mangoway/daemons/controller.py
+++ b/mangoway/daemons/controller.py
@@ -9,6 +9,7 @@
 from ..key_value.registry import make_key_value_store
 from ..models.member import ProcessRole
 from ..observability import events as log
+from ..observability.connection_log import ConnectionLog
 from ..observability.event_log import log_event, start_log
 from ..observability.library_log import capture_library_logs
 from ..observability.metrics import Metrics
@@ -56,7 +57,10 @@
     metrics = Metrics()
     store = make_key_value_store(settings, metrics)
     node = ControllerNode(settings, store, metrics)
-    metrics_server = MetricsServer(node.gauges.render)
+    metrics_server = MetricsServer(
+        node.gauges.render,
+        on_displaced=ConnectionLog("metrics", metrics).record_displaced,
+    )
     try:
         await _async_start(node, metrics_server)
         freeze_startup_objects()
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -16,6 +16,7 @@
 from ..coordination.view import FleetView
 from ..models.fleet import Member, Role
 from ..observability import fleet_events as log
+from ..observability.connection_log import ConnectionLog
 from ..observability.event_log import log_event, start_log
 from ..observability.library_log import capture_library_logs
 from ..observability.metrics import Metrics
@@ -133,7 +134,11 @@
     async def async_start(self, addresses: tuple[str, ...]) -> None:
         """Start following the store and serving metrics."""
         if self.settings.metrics_listen is not None:
-            self._metrics_server = MetricsServer(self.metrics.render)
+            self._metrics_server = MetricsServer(
+                self.metrics.render,
+                max_connections=self.connection_limits.metrics,
+                on_displaced=ConnectionLog("metrics", self.metrics).record_displaced,
+            )
             await self._metrics_server.async_start(
                 *split_address(self.settings.metrics_listen)
             )
--- a/mangoway/edge/listener_log.py
+++ b/mangoway/edge/listener_log.py
@@ -4,6 +4,7 @@
 
 from ..http1.server import ServerOptions
 from ..observability import memory_events as log
+from ..observability.connection_log import ConnectionLog
 from ..observability.event_log import log_event
 from ..observability.metrics import Metrics
 
@@ -22,7 +23,10 @@
     def add_to(self, options: ServerOptions) -> None:
         """Record what happens at a listener with these options."""
         self._options = options
-        options.on_full = self.record_full
+        displaced = ConnectionLog(self.listener, self.metrics)
+        options.on_full = lambda state, peer: displaced.record_displaced(
+            options.table.limit, state, peer
+        )
         options.on_read_ahead = self.record_sent_ahead
         options.on_unread = self.record_unread
 
@@ -52,23 +56,8 @@
             )
         )
 
-    def record_full(self, state: str, peer: str) -> None:
-        """Record that a connection was closed to make room for a new one.
-
-        Args:
-            state: What it waited for.
-            peer: Address of its client.
-        """
-        self.metrics.edge_displaced_connections.add(self.listener, state)
-        limit = self._options.table.limit if self._options is not None else 0
-        log_event(
-            log.ConnectionDisplaced(
-                listener=self.listener, limit=limit, state=state, peer=peer
-            )
-        )
-
     def update_levels(self) -> None:
         """Set the number of open connections."""
         if self._options is not None:
             count = len(self._options.connections)
-            self.metrics.edge_connections.set(self.listener, level=count)
+            self.metrics.connections.set(self.listener, level=count)
--- a/mangoway/observability/memory_events.py
+++ b/mangoway/observability/memory_events.py
@@ -64,7 +64,7 @@
     """A listener had its most connections, and closed one for a new one."""
 
     listener: str
-    """`callers`, `directory` or `ready`."""
+    """`callers`, `directory`, `ready`, `metrics` or `peers`."""
 
     limit: int
     state: str
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -380,13 +380,13 @@
             " response, by listener.",
             ("listener",),
         )
-        self.edge_connections = self._gauge(
-            "mangoway_edge_connections",
+        self.connections = self._gauge(
+            "mangoway_connections",
             "Open connections of clients, by listener.",
             ("listener",),
         )
-        self.edge_displaced_connections = self._counter(
-            "mangoway_edge_displaced_connections_total",
+        self.displaced_connections = self._counter(
+            "mangoway_displaced_connections_total",
             "Connections that were closed to make room for new ones, by listener and by"
             " what they waited for.",
             ("listener", "state"),
--- a/tests/crowds/conftest.py
+++ b/tests/crowds/conftest.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+pytest.register_assert_rewrite("tests.crowds.host")
+
 FOLDER = Path(__file__).parent
 
 
--- a/tests/edge/test_listener_log.py
+++ b/tests/edge/test_listener_log.py
@@ -4,7 +4,7 @@
 
 from mangoway.edge import listener_log
 from mangoway.edge.listener_log import ListenerLog
-from mangoway.observability import memory_events
+from mangoway.observability import connection_log, memory_events
 from mangoway.observability.metrics import Metrics
 
 from ..http1.test_server import Server
@@ -45,7 +45,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         events: list[object] = []
-        monkeypatch.setattr(listener_log, "log_event", events.append)
+        monkeypatch.setattr(connection_log, "log_event", events.append)
         metrics = Metrics()
         options = Server().options
         options.table.limit = 7
@@ -58,5 +58,5 @@
                 listener="directory", limit=7, state="idle", peer="10.0.0.1:5000"
             )
         ]
-        assert metrics.edge_displaced_connections.get("directory", "idle") == 1
-        assert metrics.edge_connections.get("directory") == 0
+        assert metrics.displaced_connections.get("directory", "idle") == 1
+        assert metrics.connections.get("directory") == 0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -80,6 +80,12 @@
     directory_address: str = ""
     """Address that returns the edges' addresses; empty for a scheduler."""
 
+    peer_address: str = ""
+    """Address for edges and other schedulers; empty for an edge."""
+
+    metrics_address: str = ""
+    """Address that serves metrics; empty if there is none."""
+
     process: Process | None = None
     restarts: bool = True
     """Whether it is restarted when it ends."""
@@ -120,6 +126,9 @@
     """Whether broken connections of runners end with a reset. Unframed responses need
     that, because they are complete if their connections are closed."""
 
+    serves_metrics: bool = False
+    """Whether the processes serve metrics."""
+
     random: Random = field(init=False)
     records: Records = field(factory=Records, init=False)
     store: StoreStandIn = field(init=False)
@@ -390,8 +399,12 @@
             ]
             flags += ["--retry-window-s", str(RETRY_WINDOW_S)]
         else:
-            flags += ["--peer-listen", find_free_address()]
+            node.peer_address = find_free_address()
+            flags += ["--peer-listen", node.peer_address]
             flags += ["--runners-check-fences", "true"]
+        if self.serves_metrics:
+            node.metrics_address = find_free_address()
+            flags += ["--metrics-listen", node.metrics_address]
         node.flags = tuple(flags)
         self.nodes.append(node)
         self.start_task(self.async_start_node(node))
