Bound what links make a scheduler hold before and after their hello

A scheduler ended for lack of memory or descriptors when something that is no edge connected to its listener: a frame of 200 KB took 200 MB, frames of 16 MiB were kept until they were complete, and silent connections stayed open for good.

Neither links nor their bytes were counted together.

Followers get half of the descriptors, and more of them are rejected.

--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -16,6 +16,7 @@
 from ..models.routing import RoutingTable
 from ..models.signals import LeavingReport, RunnerSignals
 from ..observability import fleet_events as log
+from ..observability.connection_log import ConnectionLog
 from ..observability.event_log import log_event
 from ..platform.documents import OWN_PREFIX
 from ..platform.runners import RunnerControl
@@ -31,6 +32,7 @@
 from ..policy.scheduling.protection import find_transferring
 from ..policy.scheduling.runners import FinishedUnload
 from ..policy.scheduling.state import SchedulingState
+from ..scheduling.link_limits import LinkLimits
 from ..scheduling.messages import Message
 from ..scheduling.server import SchedulerServer
 from ..settings.fleet import SchedulerSettings
@@ -135,6 +137,11 @@
             send_order=lambda order: self.orders.send(order),
             mirror=process.mirror,
             get_retention_s=lambda: process.view.get_retention_s(process.clock()),
+            link_limits=LinkLimits(
+                max_unnamed=process.connection_limits.unnamed_links,
+                max_followers=process.connection_limits.followers,
+                on_displaced=ConnectionLog("peers", process.metrics).record_displaced,
+            ),
         )
         self.orders = OrderSender(
             process, self.leadership, self.control, self.server.handle
--- a/mangoway/policy/connections.py
+++ b/mangoway/policy/connections.py
@@ -22,6 +22,13 @@
 MAX_DIRECTORY: Final = 512
 MAX_READY: Final = 128
 MAX_METRICS: Final = 32
+UNNAMED_SHARE: Final = 0.1
+FOLLOWERS_SHARE: Final = 0.5
+"""Shares of a scheduler's descriptors for links whose other ends have yet to say who
+they are, and for those of edges and standby schedulers."""
+
+MAX_UNNAMED_LINKS: Final = 256
+MAX_FOLLOWERS: Final = 16_384
 MIN_CONNECTIONS: Final = 4
 """Connections that each listener keeps at least."""
 
@@ -58,6 +65,8 @@
     directory: int
     ready: int
     metrics: int
+    unnamed_links: int
+    followers: int
 
 
 def choose_limits(descriptors: int) -> ConnectionLimits:
@@ -71,6 +80,8 @@
         directory=choose(DIRECTORY_SHARE, MAX_DIRECTORY),
         ready=choose(READY_SHARE, MAX_READY),
         metrics=choose(METRICS_SHARE, MAX_METRICS),
+        unnamed_links=choose(UNNAMED_SHARE, MAX_UNNAMED_LINKS),
+        followers=choose(FOLLOWERS_SHARE, MAX_FOLLOWERS),
     )
 
 
--- a/mangoway/scheduling/codec.py
+++ b/mangoway/scheduling/codec.py
@@ -97,12 +97,15 @@
     return LENGTH.pack(len(packed) + 1) + COMPRESSED + packed
 
 
-def decode_payload(payload: bytes, edge: str) -> list[Message]:
+def decode_payload(
+    payload: bytes, edge: str, max_bytes: int = MAX_PAYLOAD_BYTES
+) -> list[Message]:
     """Decode the payload of a frame.
 
     Args:
         payload: The bytes after the length.
         edge: Incarnation of the edge at one end of the link.
+        max_bytes: Largest size of the payload after decompression.
 
     Raises:
         CodecError: If the payload is invalid.
@@ -110,7 +113,7 @@
     try:
         body = payload[1:]
         if payload[:1] == COMPRESSED:
-            body = _decompress(body)
+            body = _decompress(body, max_bytes)
         messages = [DECODERS[each[0]](each, edge) for each in orjson.loads(body)]
     except DECODE_ERRORS as error:
         raise CodecError(f"invalid frame: {error!r:.200}") from error
@@ -121,9 +124,9 @@
     return messages
 
 
-def _decompress(body: bytes) -> bytes:
+def _decompress(body: bytes, max_bytes: int) -> bytes:
     decompressor = zlib.decompressobj()
-    payload = decompressor.decompress(body, MAX_PAYLOAD_BYTES)
+    payload = decompressor.decompress(body, max_bytes)
     if not decompressor.eof:
         raise ValueError("the compressed payload is truncated or too large")
     return payload
@@ -132,26 +135,51 @@
 class FrameReader:
     """Splits received bytes into the payloads of frames."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self.max_frame_bytes = max_frame_bytes
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes that no payload has contained."""
+        return len(self._buffer)
+
+    def receive(self, data: bytes) -> None:
+        """Append received bytes."""
+        self._buffer += data
+
+    def clear(self) -> None:
+        """Drop the bytes of an incomplete frame."""
+        self._buffer.clear()
+
+    def read_payload(self) -> bytes | None:
+        """Return the payload of the next frame; None until it is complete.
+
+        Raises:
+            CodecError: If the frame is too large.
+        """
+        if len(self._buffer) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self._buffer)
+        if length > self.max_frame_bytes:
+            raise CodecError(f"frame of {length} bytes is too large")
+        end = LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        payload = bytes(self._buffer[LENGTH.size : end])
+        del self._buffer[:end]
+        return payload
+
     def feed(self, data: bytes) -> list[bytes]:
         """Return the payloads that these bytes complete.
 
         Raises:
             CodecError: If a frame is too large.
         """
-        self._buffer += data
+        self.receive(data)
         payloads = []
-        while len(self._buffer) >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(self._buffer)
-            if length > MAX_FRAME_BYTES:
-                raise CodecError(f"frame of {length} bytes is too large")
-            end = LENGTH.size + length
-            if len(self._buffer) < end:
-                break
-            payloads.append(bytes(self._buffer[LENGTH.size : end]))
-            del self._buffer[:end]
+        while (payload := self.read_payload()) is not None:
+            payloads.append(payload)
         return payloads
 
 
--- a/mangoway/scheduling/link.py
+++ b/mangoway/scheduling/link.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from typing import Final
 
-from .codec import CodecError, FrameReader, decode_payload, encode_frame
+from .codec import (
+    MAX_PAYLOAD_BYTES,
+    CodecError,
+    FrameReader,
+    decode_payload,
+    encode_frame,
+)
 from .messages import Message
 
 MAX_UNSENT_BYTES: Final = 1 << 20
@@ -27,6 +33,7 @@
         self._on_message = on_message
         self._on_lost = on_lost
         self._frame_reader = FrameReader()
+        self._max_payload_bytes = MAX_PAYLOAD_BYTES
         self._loop = asyncio.get_running_loop()
         self._outgoing: list[Message] = []
         self._transport: asyncio.Transport | None = None
@@ -39,6 +46,26 @@
         """Return whether messages can be sent."""
         return self._transport is not None and not self._closed
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the bytes of a frame that is not complete."""
+        return self._frame_reader.buffered_bytes
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the other end has yet to read."""
+        if self._transport is None or self._closed:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def peer(self) -> str:
+        """Return the address of the other end."""
+        if self._transport is None:
+            return ""
+        host, port = (self._transport.get_extra_info("peername") or ("", 0))[:2]
+        return f"{host}:{port}"
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
         assert isinstance(transport, asyncio.Transport)
@@ -47,9 +74,14 @@
     def data_received(self, data: bytes) -> None:
         """Decode received bytes and handle their messages."""
         self.last_received_at = self._loop.time()
+        self._frame_reader.receive(data)
         try:
-            for payload in self._frame_reader.feed(data):
-                for message in decode_payload(payload, self.edge):
+            while not self._closed:
+                payload = self._frame_reader.read_payload()
+                if payload is None:
+                    return
+                messages = decode_payload(payload, self.edge, self._max_payload_bytes)
+                for message in messages:
                     self._on_message(self, message)
         except CodecError as error:
             self.close(str(error))
--- /dev/null
+++ b/mangoway/scheduling/link_limits.py
@@ -0,0 +1,90 @@
+"""Bounds what the links of a scheduler make it hold, all together."""
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from attrs import define, field
+
+from ..policy.connections import (
+    MAX_FOLLOWERS,
+    MAX_UNNAMED_LINKS,
+    ConnectionState,
+    ConnectionTable,
+)
+from .follower_link import FollowerLink
+
+MAX_BUFFERED_BYTES: Final = 16 << 20
+"""Sum of the bytes of incomplete frames, above which the link with most is closed."""
+
+MAX_UNSENT_TOTAL_BYTES: Final = 32 << 20
+"""Sum of the bytes that other ends have yet to read, above which the link with most is
+closed. A snapshot of the largest fleet is sent to one follower in each turn."""
+
+
+@define(eq=False)
+class LinkLimits:
+    """Counts the links of a scheduler, and closes those beyond its limits."""
+
+    max_unnamed: int = MAX_UNNAMED_LINKS
+    max_followers: int = MAX_FOLLOWERS
+    on_displaced: Callable[[int, str, str], None] = lambda limit, state, peer: None
+    """Called with the limit, the state and the address of a link that was closed since
+    there were too many."""
+
+    _unnamed: ConnectionTable[FollowerLink] = field(init=False)
+    """Links whose other ends have not said who they are."""
+
+    _followers: ConnectionTable[FollowerLink] = field(init=False)
+    _buffered: dict[FollowerLink, int] = field(factory=dict, init=False)
+    _buffered_total: int = field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._unnamed = ConnectionTable(self.max_unnamed)
+        self._followers = ConnectionTable(self.max_followers)
+
+    def add(self, link: FollowerLink) -> None:
+        """Add a new link; the oldest one without a hello makes room."""
+        closed = self._unnamed.add(link)
+        if closed is not None:
+            self._close(closed[0], self._unnamed.limit, ConnectionState.NEW)
+
+    def accept(self, link: FollowerLink) -> bool:
+        """Count a link as that of a follower; return whether there is room."""
+        self._unnamed.remove(link)
+        if self._followers.add(link) is not None:
+            self._close(link, self._followers.limit, ConnectionState.BUSY)
+            return False
+        self._followers.set_state(link, ConnectionState.BUSY)
+        return True
+
+    def remove(self, link: FollowerLink) -> None:
+        """Forget a link that is lost."""
+        self._unnamed.remove(link)
+        self._followers.remove(link)
+        self._buffered_total -= self._buffered.pop(link, 0)
+
+    def record_buffered(self, link: FollowerLink) -> None:
+        """Record the bytes of a link's incomplete frame, and keep to their sum."""
+        size = link.buffered_bytes
+        self._buffered_total += size - self._buffered.pop(link, 0)
+        if size:
+            self._buffered[link] = size
+        while self._buffered_total > MAX_BUFFERED_BYTES:
+            largest = max(self._buffered, key=self._buffered.__getitem__)
+            # Closing it removes it here.
+            largest.close("the frames of all links have too many bytes")
+            self.remove(largest)
+
+    def check_unsent(self, links: Iterable[FollowerLink]) -> None:
+        """Close the links with most unsent bytes until their sum keeps to its limit."""
+        sizes = {each: each.unsent_bytes for each in links}
+        total = sum(sizes.values())
+        for link in sorted(sizes, key=sizes.__getitem__, reverse=True):
+            if total <= MAX_UNSENT_TOTAL_BYTES:
+                return
+            total -= sizes[link]
+            link.close("other ends have too many bytes to read")
+
+    def _close(self, link: FollowerLink, limit: int, state: ConnectionState) -> None:
+        self.on_displaced(limit, state.value, link.peer)
+        link.close("there are too many links")
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -32,10 +32,12 @@
     Tick,
     TransferStream,
 )
-from ..util.listener import BACKLOG
+from ..util.listener import async_serve
 from ..util.ticks import async_sleep_to_tick
 from .codec import encode_frame
+from .follower_link import FollowerLink
 from .link import Link
+from .link_limits import LinkLimits
 from .messages import (
     ClockRequest,
     ClockResponse,
@@ -106,6 +108,7 @@
     _lost_at: dict[str, float] = field(factory=dict, init=False)
     """When the link to each recently connected edge was lost."""
 
+    link_limits: LinkLimits = field(factory=LinkLimits)
     feed: StoreFeed = field(init=False)
     plain: PlainGrantServer = field(init=False)
     """Grants for plain services that are short of room."""
@@ -125,11 +128,14 @@
 
     async def async_start(self, listener: Any) -> None:
         """Listen for edges."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Link("", self._handle_message, self._handle_connection_lost),
-            sock=listener,
-            backlog=BACKLOG,
+        self._server = await async_serve(listener, self._make_link)
+
+    def _make_link(self) -> FollowerLink:
+        return FollowerLink(
+            self._handle_message,
+            self._handle_connection_lost,
+            self.link_limits.add,
+            self.link_limits.record_buffered,
         )
 
     async def async_run(self) -> None:
@@ -139,11 +145,18 @@
             now = self.clock()
             if now >= next_heartbeat_at:
                 self.send_heartbeats()
+                self._check_unsent()
                 next_heartbeat_at = now + self._choose_period()
             self.handle(Tick())
             self.transfer_log.update_levels(self.core.state)
             await async_sleep_to_tick(TICK_S)
 
+    def _check_unsent(self) -> None:
+        links = (each for each in self._links.values())
+        self.link_limits.check_unsent(
+            each for each in links if isinstance(each, FollowerLink)
+        )
+
     @property
     def edge_count(self) -> int:
         """Return the number of connected edges."""
@@ -313,6 +326,9 @@
                 other.send_frame(frame)
 
     def _handle_hello(self, link: Link, hello: Hello) -> None:
+        if isinstance(link, FollowerLink) and not self.link_limits.accept(link):
+            return
+        self._check_unsent()
         previous = self._links.pop(hello.edge, None)
         if previous is not None:
             self.feed.remove(previous)
@@ -362,6 +378,8 @@
         return min(MAX_HEARTBEAT_S, max(HEARTBEAT_S, wanted_s))
 
     def _handle_connection_lost(self, link: Link, reason: str) -> None:
+        if isinstance(link, FollowerLink):
+            self.link_limits.remove(link)
         if link.edge and self._links.get(link.edge) is link:
             del self._links[link.edge]
             self.feed.remove(link)
--- a/tests/daemons/test_metrics_server.py
+++ b/tests/daemons/test_metrics_server.py
@@ -47,6 +47,21 @@
         writer.close()
         server.stop()
 
+    async def test_slow_reader_receives_everything(self) -> None:
+        server = MetricsServer(lambda: bytes(8 << 20))
+        await server.async_start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+        async with asyncio.timeout(10):
+            await reader.readuntil(b"\r\n\r\n")
+            received = 0
+            while part := await reader.read(1 << 20):
+                received += len(part)
+                await asyncio.sleep(0.005)
+        assert received == 8 << 20
+        writer.close()
+        server.stop()
+
     async def test_oldest_connection_makes_room(self) -> None:
         displaced: list[tuple[int, str, str]] = []
         server = MetricsServer(
