Bound what a gateway keeps of requests that are sent ahead or unfinished

Callers saw a gateway use 610 to 650 MB while 16 clients sent requests without waiting for the responses, 427 MB while 300 began bodies and never ended them, and all of its descriptors while clients kept silent connections.

Cause: uvicorn parses all requests of a read at once, keeps each as an object of some KB, and reads on after each response; bodies and connections had no bound for all together.

Now a connection is given 1 KiB at a time outside of bodies, and nothing while its request is handled; it isn't read while 64 KiB wait.

--- a/mangoway/callers/application.py
+++ b/mangoway/callers/application.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 import orjson
-from attrs import frozen
+from attrs import field, frozen
 from blacksheep import Application, Content, Response, StreamedContent
 from blacksheep.messages import Request
 from blacksheep.server.routing import Router
@@ -31,6 +31,7 @@
     PATH_STATUS,
 )
 from .gate import Exchange, Gate, make_internal_failure
+from .input_budget import InputBudget
 from .messages import IncomingRequest, OutgoingResponse
 from .problems import make_problem
 
@@ -72,6 +73,7 @@
     view: GatewayView
     max_body_bytes: int
     body_timeout_s: float = BODY_TIMEOUT_S
+    input_budget: InputBudget = field(factory=InputBudget)
 
 
 def make_application(parts: ApplicationParts) -> Application:
@@ -185,7 +187,10 @@
         gate = self._parts.gate
         try:
             body = await async_read_body(
-                request, self._parts.max_body_bytes, self._parts.body_timeout_s
+                request,
+                self._parts.max_body_bytes,
+                self._parts.body_timeout_s,
+                self._parts.input_budget,
             )
         except MangowayError as error:
             request_id = gate.reject(_make_incoming(request, b""), error.failure)
--- a/mangoway/callers/const.py
+++ b/mangoway/callers/const.py
@@ -49,6 +49,16 @@
 UNREAD_TIMEOUT_S: Final = 60.0
 """Time after which a connection with a full write buffer is aborted."""
 
+MAX_SENT_AHEAD_BYTES: Final = 65_536
+"""Unparsed bytes of a connection above which it is not read."""
+
+HEAD_PART_BYTES: Final = 1024
+"""Bytes that are parsed at once outside of bodies. All requests in them are kept until
+they are answered, some thousand bytes each."""
+
+BODY_PART_BYTES: Final = 16_384
+"""Bytes that are parsed at once within a body."""
+
 DEADLINE_MAX_S: Final = 7 * 86_400.0
 """Longest deadline that a caller may request."""
 
--- a/mangoway/callers/server.py
+++ b/mangoway/callers/server.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 from collections.abc import Iterator
+from functools import partial
+from typing import Any
 
 import uvicorn
 from blacksheep import Application
 
-from ..util.listener import open_listener
-from .connection import CallerConnection
+from ..util.listener import ACCEPTED_PER_TURN, BACKLOG, open_listener
+from .connection import CallerConnection, ConnectionLimits
 
 KEEP_ALIVE_S = 30
 """Time after which an idle connection is closed."""
@@ -20,11 +22,14 @@
 class CallerServer:
     """Serves an application on the running loop; the daemon handles signals."""
 
-    def __init__(self, app: Application) -> None:
+    def __init__(
+        self, app: Application, limits: ConnectionLimits | None = None
+    ) -> None:
+        protocol: Any = partial(CallerConnection, limits=limits or ConnectionLimits())
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http=CallerConnection,
+            http=protocol,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -32,6 +37,7 @@
             server_header=False,
             date_header=False,
             timeout_keep_alive=KEEP_ALIVE_S,
+            backlog=ACCEPTED_PER_TURN,
         )
         self._app = app
         self._server = _Server(config)
@@ -60,6 +66,8 @@
                 self._serving.result()
                 raise RuntimeError("the server for callers stopped during startup")
             await asyncio.sleep(START_POLL_S)
+        # The server has lowered the number of connections that wait to be accepted.
+        listener.listen(BACKLOG)
 
     async def async_stop(self, force: bool = False) -> None:
         """Stop listening; wait for open responses unless `force` is set."""
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from ..callers.application import ApplicationParts, make_application
+from ..callers.connection import ConnectionLimits
 from ..callers.gate import Gate
 from ..callers.server import CallerServer
 from ..engines.client import EngineClient
@@ -23,6 +24,7 @@
     UpstreamAddress,
     UpstreamKind,
 )
+from ..observability.connection_log import ConnectionLog
 from ..observability.event_log import log_event
 from ..observability.events import ReportFailed, TaskFailed
 from ..observability.journal import Journal
@@ -34,6 +36,7 @@
 from ..peers.forwarding import Forwarder
 from ..peers.reports import ReportTracker
 from ..peers.server import PeerReceivers, PeerServer
+from ..policy.connections import ConnectionTable, choose_limits
 from ..policy.dispatch.actions import ReportDemand
 from ..policy.dispatch.core import DispatchCore
 from ..policy.dispatch.events import (
@@ -48,6 +51,7 @@
 from ..services.client import ServiceClient
 from ..upstreams.session import UpstreamSession
 from ..util.address import split_address
+from ..util.descriptors import read_max_descriptors
 from ..util.loop_watch import async_watch_loop
 from ..util.rendezvous import is_chosen
 from ..util.tasks import Tasks
@@ -141,14 +145,20 @@
             ),
         )
         self.poller = EnginePoller(reader=self.engines, listener=self, tasks=self.tasks)
+        limits = ConnectionLimits(
+            table=ConnectionTable(choose_limits(read_max_descriptors()).callers),
+            on_displaced=ConnectionLog("callers", self.metrics).record_displaced,
+        )
         self.server = CallerServer(
             make_application(
                 ApplicationParts(
                     gate=self.gate,
                     view=self.view,
                     max_body_bytes=settings.max_body_bytes,
+                    input_budget=limits.budget,
                 )
-            )
+            ),
+            limits,
         )
         self._upstream_log = UpstreamLog()
         self._live_gateways: frozenset[IncarnationId] | None = None
--- a/tests/callers/test_body.py
+++ b/tests/callers/test_body.py
@@ -7,6 +7,7 @@
 from blacksheep.messages import Request
 
 from mangoway.callers.body import async_read_body
+from mangoway.callers.input_budget import InputBudget
 from mangoway.models.errors import ErrorCode, MangowayError
 
 
@@ -59,3 +60,24 @@
             make_request(make_part(b"a"), {"type": "http.disconnect"})
         )
         assert error.code is ErrorCode.CANCELLED
+
+
+class TestBudget:
+    """Bodies of many callers at once."""
+
+    async def test_body_without_room_is_rejected(self) -> None:
+        """Bodies that never ended filled the memory of a gateway."""
+        budget = InputBudget(max_bytes=10)
+        blocked = asyncio.create_task(
+            async_read_body(make_request(make_part(b"x" * 8), None), 20, 5.0, budget)
+        )
+        await asyncio.sleep(0)
+        with pytest.raises(MangowayError) as caught:
+            await async_read_body(make_request(make_part(b"abc")), 20, 5.0, budget)
+        assert caught.value.code is ErrorCode.OVERLOADED
+        assert budget.used_bytes == 8
+        small = make_request(make_part(b"ab", more=False))
+        assert await async_read_body(small, 20, 5.0, budget) == b"ab"
+        blocked.cancel()
+        await asyncio.gather(blocked, return_exceptions=True)
+        assert budget.used_bytes == 0
