Bound what other processes' connections make a gateway or controller hold

A gateway and a controller used 275 and 248 MB while four calls sent messages that they stated to have 4 GiB, and all of their descriptors while silent connections stayed open.

Cause: grpclib keeps a message until it is complete, whatever its length, and grants its sender room for more as it arrives; its server has no bound for connections, and answers pings and settings without waiting for their reader.

Both kinds of processes share the server, so that it is mended once.

--- a/mangoway/daemons/controller_node.py
+++ b/mangoway/daemons/controller_node.py
@@ -21,7 +21,7 @@
 from ..peers.directory import Directory
 from ..peers.network import PeerNetwork
 from ..peers.reports import ReportTracker
-from ..peers.server import PeerReceivers, PeerServer
+from ..peers.server import PeerReceivers, PeerServer, make_peer_limits
 from ..policy.membership.core import MembershipCore
 from ..policy.membership.events import ListedHost
 from ..policy.placement.core import PlacementCore
@@ -77,7 +77,8 @@
             on_lost=self.placement.async_stop_planning,
         )
         self.network = self._make_network()
-        self.server = PeerServer(self._make_receivers())
+        limits = make_peer_limits(self.metrics)
+        self.server = PeerServer(self._make_receivers(), limits)
 
     async def async_start(self) -> None:
         """Listen for peers, follow the configuration and request the lease.
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -35,7 +35,7 @@
 from ..peers.directory import Directory
 from ..peers.forwarding import Forwarder
 from ..peers.reports import ReportTracker
-from ..peers.server import PeerReceivers, PeerServer
+from ..peers.server import PeerReceivers, PeerServer, make_peer_limits
 from ..policy.connections import ConnectionTable, choose_limits
 from ..policy.dispatch.actions import ReportDemand
 from ..policy.dispatch.core import DispatchCore
@@ -130,7 +130,7 @@
             forwards=ForwardedRequests(self.gate),
             keys=HandOverReceiver(records=self.dispatcher.records, send=self._send),
         )
-        self.peer_server = PeerServer(self.receivers)
+        self.peer_server = PeerServer(self.receivers, make_peer_limits(self.metrics))
         self.view = GatewaySelfView(
             dispatcher=self.dispatcher,
             core=self.core,
--- a/mangoway/peers/server.py
+++ b/mangoway/peers/server.py
@@ -8,15 +8,20 @@
 from attrs import define, field
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
 from ..models.errors import MangowayError
-from ..util.listener import open_listener
+from ..observability.connection_log import ConnectionLog
+from ..observability.metrics import Metrics
+from ..policy.connections import ConnectionTable, choose_limits
+from ..util.descriptors import read_max_descriptors
+from ..util.listener import ACCEPTED_PER_TURN, BACKLOG, open_listener
 from . import peers_pb2 as pb
 from .const import HAND_OVER_LIMIT_BYTES, PING_PERIOD_S
 from .forward_codec import decode_request, encode_failure, encode_frame
 from .messages import ForwardedFrame, ForwardedRequest
 from .peers_grpc import PeersBase
+from .protocol import LimitedServer, PeerLimits
 
 RequestT = TypeVar("RequestT")
 ReplyT = TypeVar("ReplyT")
@@ -111,15 +116,24 @@
     status: StatusReader | None = None
 
 
+def make_peer_limits(metrics: Metrics) -> PeerLimits:
+    """Return the limits of a process by its descriptors, which log what they close."""
+    return PeerLimits(
+        table=ConnectionTable(choose_limits(read_max_descriptors()).peers),
+        on_displaced=ConnectionLog("peers", metrics).record_displaced,
+    )
+
+
 @define(eq=False)
 class PeerServer:
     """Listens for other processes until it is stopped."""
 
     receivers: PeerReceivers
+    limits: PeerLimits = field(factory=PeerLimits)
     port: int = field(default=0, init=False)
     """Listening port; 0 before the start."""
 
-    _server: Server | None = field(default=None, init=False)
+    _server: LimitedServer | None = field(default=None, init=False)
 
     async def async_start(self, host: str, port: int) -> None:
         """Listen on an address.
@@ -129,8 +143,10 @@
         """
         listener = open_listener(host, port)
         self.port = listener.getsockname()[1]
-        self._server = Server([PeerService(self.receivers)])
-        await self._server.start(sock=listener)
+        self._server = LimitedServer([PeerService(self.receivers)], self.limits)
+        await self._server.start(sock=listener, backlog=ACCEPTED_PER_TURN)
+        # The server has lowered the number of connections that wait to be accepted.
+        listener.listen(BACKLOG)
 
     async def async_stop(self) -> None:
         """Stop listening and cancel open calls."""
--- a/mangoway/policy/connections.py
+++ b/mangoway/policy/connections.py
@@ -15,6 +15,10 @@
 READY_SHARE: Final = 0.03
 METRICS_SHARE: Final = 0.01
 
+PEERS_SHARE: Final = 0.3
+"""Share of the descriptors of a gateway or controller for other processes."""
+
+MAX_PEERS: Final = 8192
 MAX_CALLERS: Final = 2048
 """Connections of callers beyond which memory, not descriptors, is the limit. Each takes
 some 10 KB without a request."""
@@ -67,6 +71,7 @@
     metrics: int
     unnamed_links: int
     followers: int
+    peers: int
 
 
 def choose_limits(descriptors: int) -> ConnectionLimits:
@@ -82,6 +87,7 @@
         metrics=choose(METRICS_SHARE, MAX_METRICS),
         unnamed_links=choose(UNNAMED_SHARE, MAX_UNNAMED_LINKS),
         followers=choose(FOLLOWERS_SHARE, MAX_FOLLOWERS),
+        peers=choose(PEERS_SHARE, MAX_PEERS),
     )
 
 
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -35,8 +35,8 @@
         await fleet.async_start_platform()
         await fleet.async_start_engines(1, ENGINE_MEMORY_MB)
         await fleet.async_start_services(1)
-        await fleet.async_start_controller()
         launcher.max_descriptors = max_descriptors
+        await fleet.async_start_controller()
         gateway = await fleet.async_start_gateway()
         await fleet.async_list_hosts()
         await fleet.async_wait_started()
