Count the bytes that the kernel holds for connections that are not read

An edge that pauses a connection leaves up to some MB of it in the kernel, which count for the memory of its host, and of which its limit knew nothing.

Evidence: a test that turns red without the count.

--- a/mangoway/http1/response_memory.py
+++ b/mangoway/http1/response_memory.py
@@ -15,6 +15,7 @@
     MemoryLedger,
     MemoryLimits,
 )
+from .const import MAX_PIPELINED_BYTES
 
 POLL_PERIOD_S: Final = 0.1
 """Interval between two measurements while bytes are held. A transport reports neither
@@ -153,22 +154,22 @@
         self._wake.set()
 
     def measure(self) -> None:
-        """Record the current number of bytes."""
+        """Record the current number of bytes.
+
+        The kernel holds many bytes of a connection only while it is not read.
+        """
         if self.is_closed:
             return
+        received = self.input_bytes
+        if received > MAX_PIPELINED_BYTES:
+            received += count_received(self.transport)
         unsent = self.transport.get_write_buffer_size()
         unread = 0 if self.count_unread is None else self.count_unread()
         in_kernel = count_in_kernel(self.transport) if unsent else 0
         self.memory.ledger.update(
             self.holding,
-            held=(
-                unsent
-                + unread
-                + self.request_bytes
-                + self.input_bytes
-                + self.body_bytes
-            ),
-            received=self.input_bytes,
+            held=(unsent + unread + self.request_bytes + received + self.body_bytes),
+            received=received,
             unsent=unsent,
             taken=self._written - unsent - in_kernel,
             now=self.memory.now(),
@@ -288,9 +289,18 @@
 
 def count_in_kernel(transport: asyncio.Transport) -> int:
     """Return the bytes that the kernel holds since the caller has not received them."""
+    return _count(transport, termios.TIOCOUTQ)
+
+
+def count_received(transport: asyncio.Transport) -> int:
+    """Return the bytes that the kernel holds since this process has not read them."""
+    return _count(transport, termios.FIONREAD)
+
+
+def _count(transport: asyncio.Transport, request: int) -> int:
     sock: Any = transport.get_extra_info("socket")
     try:
-        result = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(COUNT.size))
+        result = fcntl.ioctl(sock.fileno(), request, bytes(COUNT.size))
     except (AttributeError, OSError, ValueError):
         # The socket is closed.
         return 0
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -400,6 +400,7 @@
             return
         self._rejected = self._close_after = True
         self._parser.clear()
+        self._transport.resume_reading()
         self.holding.set_request_bytes(self._handled_bytes, 0)
 
     def _may_parse(self) -> bool:
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -368,6 +368,23 @@
             assert b"Connection: close" in answer
         assert len(server.requests) == 1
 
+    async def test_bytes_in_the_kernel_count_while_they_are_not_read(self) -> None:
+        """They take memory of the host as well."""
+        async with serve() as (server, _, writer):
+            server.release.clear()
+            memory = server.options.memory
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n" * 20_000)
+            await async_wait_until(lambda: len(server.requests) == 1)
+            [connection] = server.options.connections
+            parser = connection._parser
+            await async_wait_until(
+                lambda: memory.ledger.total > parser.unparsed_bytes + 20_000 > 80_000
+            )
+            kept = parser.unparsed_bytes
+            memory.ledger.limits = MemoryLimits(input_bytes=kept + 20_000)
+            await async_wait_until(lambda: memory.ledger.input_total == 0)
+            assert parser.unparsed_bytes == 0
+
     async def test_small_responses_are_given_while_memory_is_short(self) -> None:
         """An edge with slow callers was not ready for the platform."""
         async with serve() as (server, reader, writer):
