Drop datagrams between edges while their socket is full

Each question of a datagram is answered at once, and asyncio keeps what its socket doesn't take without a bound, so that questions without end on a slow link fill the memory.

Now datagrams are dropped from 256 KiB of unsent bytes on; any may be lost anyway. Found by reading; a unit test shows the drop.

--- a/mangoway/edge/peer_datagrams.py
+++ b/mangoway/edge/peer_datagrams.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 from attrs import define, field
 
 from ..util.address import parse_address, split_address
 
+MAX_UNSENT_BYTES: Final = 262_144
+"""Unsent bytes above which datagrams are dropped; any datagram may be lost."""
+
 
 @define(eq=False)
 class PeerDatagrams(asyncio.DatagramProtocol):
@@ -16,7 +19,8 @@
     handle: Callable[[bytes, str], None]
     """Called with each datagram and the address of its sender."""
 
-    _transport: asyncio.DatagramTransport | None = field(default=None, init=False)
+    _transport: Any = field(default=None, init=False)
+    """The socket's transport; None unless it is open."""
 
     async def async_listen(self, address: str) -> None:
         """Listen on an address.
@@ -41,7 +45,7 @@
         """Ignore that a peer does not listen; its answer will be missed."""
 
     def send(self, data: bytes, address: str) -> None:
-        """Send a datagram, unless the socket is closed or the address unusable.
+        """Send a datagram unless the socket is closed or full or the address unusable.
 
         The event loop would close the socket at an address that it can't encode, and
         look up a name without other tasks running.
@@ -50,8 +54,11 @@
             target = split_address(parse_address(address))
         except ValueError:
             return
-        if self._transport is not None:
-            self._transport.sendto(data, target)
+        transport = self._transport
+        if transport is None:
+            return
+        if transport.get_write_buffer_size() < MAX_UNSENT_BYTES:
+            transport.sendto(data, target)
 
     def close(self) -> None:
         """Close the socket."""
--- a/tests/crowds/test_edge.py
+++ b/tests/crowds/test_edge.py
@@ -1,8 +1,13 @@
 """Crowds at the listeners of an edge."""
 
 import asyncio
+import itertools
+import socket
+import time
+from contextlib import suppress
 from pathlib import Path
 
+import orjson
 import pytest
 
 from ..soak.callers import PATHS
@@ -157,3 +162,25 @@
     @pytest.mark.parametrize("listener", ["caller", "ready", "directory"])
     async def test_unfinished_heads(self, tmp_path: Path, listener: str) -> None:
         await self.async_play(tmp_path, listener, b"GET / HTTP/1.1\r\nHost: h\r\n")
+
+
+class TestDatagrams:
+    """Datagrams of no edge of the fleet."""
+
+    async def test_records_without_end(self, tmp_path: Path) -> None:
+        async with start_host(tmp_path) as host, watch(host.process) as watched:
+            address, _, port = host.node.caller_address.rpartition(":")
+            end = time.monotonic() + SENDING_S
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                sender.connect((address, int(port)))
+                for number in itertools.count():
+                    if time.monotonic() > end:
+                        break
+                    names = [
+                        f"{number:08}{each:03}".ljust(200, "x") for each in range(80)
+                    ]
+                    rows = [[name, name, name, "d" * 11] for name in names]
+                    with suppress(OSError):
+                        sender.send(orjson.dumps(["r", rows]))
+                    await asyncio.sleep(0)
+            await host.async_check(watched)
--- a/tests/edge/test_peer_datagrams.py
+++ b/tests/edge/test_peer_datagrams.py
@@ -45,6 +45,24 @@
         await async_wait_until(lambda: received == [b"found"])
         own.close()
 
+    async def test_datagrams_are_dropped_while_the_socket_is_full(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Answers to questions without end were kept while the link was slow."""
+        received: list[bytes] = []
+        own = PeerDatagrams(lambda data, address: received.append(data))
+        address = f"127.0.0.1:{find_free_port()}"
+        await own.async_listen(address)
+        transport = own._transport
+        assert transport is not None
+        monkeypatch.setattr(transport, "get_write_buffer_size", lambda: 1 << 20)
+        own.send(b"dropped", address)
+        monkeypatch.undo()
+        own.send(b"sent", address)
+        await async_wait_until(lambda: bool(received))
+        assert received == [b"sent"]
+        own.close()
+
     async def test_nothing_is_sent_when_closed(self) -> None:
         closed = PeerDatagrams(lambda data, address: None)
         closed.send(b"early", "127.0.0.1:9")
