--- a/mangoway/scheduling/follower_link.py
+++ b/mangoway/scheduling/follower_link.py
@@ -19,7 +19,7 @@
 """Largest frame of a follower. The longest ones list its requests in progress for a new
 scheduler, some 400 bytes each before compression."""
 
-MAX_FOLLOWER_PAYLOAD_BYTES: Final = 1 << 22
+MAX_FOLLOWER_PAYLOAD_BYTES: Final = 1 << 21
 
 
 class FollowerLink(Link):
