Drop the unfinished requests of many connections without recursion

Where an edge dropped what some hundred connections had sent ahead while their requests were handled, each drop counted the sum again and began the next one, up to the limit of recursion, and the connection that was being read was closed with an error.

Now a drop that is under way begins no other; its list covers all that exceeds the limit.

Evidence: a test with 300 connections, red without the guard.

--- a/mangoway/http1/request_problems.py
+++ b/mangoway/http1/request_problems.py
@@ -8,7 +8,6 @@
 LINE_OVERHEAD_BYTES: Final = 4
 """Bytes of a header line besides name and value: colon, space and line end."""
 
-
 FIELD_MEMORY_BYTES: Final = 256
 """Memory of a parsed header field beyond its name and value: its tuples and strings, as
 it was sent and in lower case."""
--- a/mangoway/http1/response_memory.py
+++ b/mangoway/http1/response_memory.py
@@ -168,7 +168,7 @@
         in_kernel = count_in_kernel(self.transport) if unsent else 0
         self.memory.ledger.update(
             self.holding,
-            held=(unsent + unread + self.request_bytes + received + self.body_bytes),
+            held=unsent + unread + self.request_bytes + received + self.body_bytes,
             received=received,
             unsent=unsent,
             taken=self._written - unsent - in_kernel,
@@ -199,6 +199,8 @@
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
     _refreshed_at: float = field(default=-1e9, init=False)
     _was_short: bool = field(default=False, init=False)
+    _is_breaking: bool = field(default=False, init=False)
+    """Whether connections are being broken off, which updates others in turn."""
 
     def __attrs_post_init__(self) -> None:
         self.ledger = MemoryLedger(self.limits)
@@ -246,6 +248,15 @@
         self._was_short = is_short
 
     def _break_excess(self) -> None:
+        if self._is_breaking:
+            return
+        self._is_breaking = True
+        try:
+            self._break_off_largest()
+        finally:
+            self._is_breaking = False
+
+    def _break_off_largest(self) -> None:
         for holding in self.ledger.list_excess(self.now()):
             self._break_off(holding, BreakCause.MEMORY)
         for holding in self.ledger.list_large_inputs():
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -385,6 +385,31 @@
             await async_wait_until(lambda: memory.ledger.input_total == 0)
             assert parser.unparsed_bytes == 0
 
+    async def test_many_are_dropped_at_once(self) -> None:
+        """Each drop began the next one, up to the limit of recursion."""
+        count = 300
+        async with serve() as (server, _, writer):
+            port = writer.get_extra_info("peername")[1]
+            memory = server.options.memory
+            server.release.clear()
+            one = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123456789"
+            clients = [
+                await asyncio.open_connection("127.0.0.1", port) for _ in range(count)
+            ]
+            for each in clients:
+                each[1].write(one * 100)
+            size = 99 * len(one)
+            await async_wait_until(lambda: memory.ledger.input_total == count * size)
+            failures: list[object] = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: failures.append(context))
+            memory.ledger.limits = MemoryLimits(input_bytes=size)
+            clients[0][1].write(b"x")
+            await async_wait_until(lambda: memory.ledger.input_total <= size)
+            assert failures == []
+            for each in clients:
+                each[1].close()
+
     async def test_small_responses_are_given_while_memory_is_short(self) -> None:
         """An edge with slow callers was not ready for the platform."""
         async with serve() as (server, reader, writer):
