Count unread bytes of followers every 32 hellos

Counting them with each hello would grow with the square of the followers when all of them connect to a new scheduler. A test also shows that a hello that expands closes its link.

--- a/mangoway/scheduling/link_limits.py
+++ b/mangoway/scheduling/link_limits.py
@@ -21,6 +21,11 @@
 closed. A snapshot of the largest fleet is sent to one follower in each turn."""
 
 
+HELLOS_PER_CHECK: Final = 32
+"""Hellos after which unsent bytes are counted again. Each may send a snapshot, and
+hundreds of followers may connect between two heartbeats."""
+
+
 @define(eq=False)
 class LinkLimits:
     """Counts the links of a scheduler, and closes those beyond its limits."""
@@ -37,6 +42,7 @@
     _followers: ConnectionTable[FollowerLink] = field(init=False)
     _buffered: dict[FollowerLink, int] = field(factory=dict, init=False)
     _buffered_total: int = field(default=0, init=False)
+    _hellos: int = field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._unnamed = ConnectionTable(self.max_unnamed)
@@ -55,8 +61,14 @@
             self._close(link, self._followers.limit, ConnectionState.BUSY)
             return False
         self._followers.set_state(link, ConnectionState.BUSY)
+        self._hellos += 1
         return True
 
+    @property
+    def is_check_due(self) -> bool:
+        """Return whether unsent bytes should be counted after this hello."""
+        return self._hellos % HELLOS_PER_CHECK == 0
+
     def remove(self, link: FollowerLink) -> None:
         """Forget a link that is lost."""
         self._unnamed.remove(link)
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -152,7 +152,7 @@
             await async_sleep_to_tick(TICK_S)
 
     def _check_unsent(self) -> None:
-        links = (each for each in self._links.values())
+        links = self._links.values()
         self.link_limits.check_unsent(
             each for each in links if isinstance(each, FollowerLink)
         )
@@ -328,7 +328,8 @@
     def _handle_hello(self, link: Link, hello: Hello) -> None:
         if isinstance(link, FollowerLink) and not self.link_limits.accept(link):
             return
-        self._check_unsent()
+        if self.link_limits.is_check_due:
+            self._check_unsent()
         previous = self._links.pop(hello.edge, None)
         if previous is not None:
             self.feed.remove(previous)
--- a/tests/scheduling/test_link_limits.py
+++ b/tests/scheduling/test_link_limits.py
@@ -1,6 +1,7 @@
 """Tests of what ends of links can make a scheduler hold, over loopback."""
 
 import asyncio
+import zlib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -147,6 +148,31 @@
             assert not await async_is_closed(first)
             assert listener.server.edge_count == 1
 
+    async def test_unsent_bytes_are_counted_every_few_hellos(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Counting them for each would grow with the square of the followers."""
+        monkeypatch.setattr(link_limits, "HELLOS_PER_CHECK", 3)
+        async with listen() as listener:
+            checks: list[int] = []
+            limits = listener.server.link_limits
+            monkeypatch.setattr(
+                type(limits), "check_unsent", lambda _, links: checks.append(1)
+            )
+            for number in range(7):
+                await listener.async_open(make_hello(f"e{number}"))
+            assert len(checks) == 2
+
+    async def test_expanding_hello_closes_the_link(self) -> None:
+        """A frame of 200 KB took 200 MB before its sender had said who it is."""
+        async with listen() as listener:
+            reader, writer = await listener.async_open()
+            body = b"[" + b" " * follower_link.MAX_HELLO_PAYLOAD_BYTES + b"]"
+            packed = zlib.compress(body)
+            assert len(packed) < follower_link.MAX_HELLO_BYTES
+            writer.write(LENGTH.pack(len(packed) + 1) + b"\x01" + packed)
+            assert await async_is_closed(reader)
+
     async def test_largest_unfinished_frame_is_closed(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
