Name the other end of a connection in one place

Five listeners wrote the address of a client alike. What connections of a gateway's listener share is ListenerState now, since ConnectionLimits are numbers elsewhere.

--- a/mangoway/callers/connection.py
+++ b/mangoway/callers/connection.py
@@ -9,6 +9,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ..policy.connections import MAX_CALLERS, ConnectionState, ConnectionTable
+from ..util.address import get_peer_address
 from .const import (
     BODY_PART_BYTES,
     HEAD_PART_BYTES,
@@ -20,8 +21,8 @@
 
 
 @define(eq=False)
-class ConnectionLimits:
-    """What all connections of a listener keep to together."""
+class ListenerState:
+    """State that all connections of a listener share."""
 
     budget: InputBudget = field(factory=InputBudget)
     table: "ConnectionTable[CallerConnection]" = field(
@@ -45,10 +46,10 @@
     _unread_timer: asyncio.TimerHandle | None = None
 
     def __init__(
-        self, *args: Any, limits: ConnectionLimits | None = None, **kwargs: Any
+        self, *args: Any, shared: ListenerState | None = None, **kwargs: Any
     ) -> None:
         super().__init__(*args, **kwargs)
-        self._limits = limits or ConnectionLimits()
+        self._shared = shared or ListenerState()
         self._unparsed = bytearray()
         self._will_parse = False
         """Whether parsing goes on in the next turn of the event loop."""
@@ -58,21 +59,21 @@
         super().connection_made(transport)
         self.flow = _ParserFlow(transport, self._parse_soon)
         self._start_headers_timer()
-        closed = self._limits.table.add(self)
+        closed = self._shared.table.add(self)
         if closed is not None:
             closed[0]._make_room(closed[1])
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers."""
         super().connection_lost(exc)
-        self._limits.table.remove(self)
+        self._shared.table.remove(self)
         self._drop_unparsed(len(self._unparsed))
         self._stop_headers_timer()
         self._stop_unread_timer()
 
     def data_received(self, data: bytes) -> None:
         """Keep bytes until they are parsed."""
-        if not self._limits.budget.try_add(len(data)):
+        if not self._shared.budget.try_add(len(data)):
             self._abort("too many bytes of all callers wait to be parsed")
             return
         self._unparsed += data
@@ -144,7 +145,7 @@
 
     def _drop_unparsed(self, size: int) -> None:
         del self._unparsed[:size]
-        self._limits.budget.release(size)
+        self._shared.budget.release(size)
 
     def _control_reading(self) -> None:
         """Read on unless the caller has sent too much ahead."""
@@ -160,13 +161,12 @@
             state = ConnectionState.IDLE
         else:
             state = ConnectionState.BUSY
-        self._limits.table.update_state(self, state)
+        self._shared.table.update_state(self, state)
 
     def _make_room(self, state: ConnectionState) -> None:
         """Close the connection, since another one needs its place."""
-        host, port = self.client or ("", 0)
-        limit = self._limits.table.limit
-        self._limits.on_displaced(limit, state.value, f"{host}:{port}")
+        peer = get_peer_address(self.transport)
+        self._shared.on_displaced(self._shared.table.limit, state.value, peer)
         self.transport.close()
 
     def _start_headers_timer(self) -> None:
--- a/mangoway/callers/server.py
+++ b/mangoway/callers/server.py
@@ -10,7 +10,7 @@
 from blacksheep import Application
 
 from ..util.listener import ACCEPTED_PER_TURN, BACKLOG, open_listener
-from .connection import CallerConnection, ConnectionLimits
+from .connection import CallerConnection, ListenerState
 
 KEEP_ALIVE_S = 30
 """Time after which an idle connection is closed."""
@@ -22,10 +22,8 @@
 class CallerServer:
     """Serves an application on the running loop; the daemon handles signals."""
 
-    def __init__(
-        self, app: Application, limits: ConnectionLimits | None = None
-    ) -> None:
-        protocol: Any = partial(CallerConnection, limits=limits or ConnectionLimits())
+    def __init__(self, app: Application, shared: ListenerState | None = None) -> None:
+        protocol: Any = partial(CallerConnection, shared=shared or ListenerState())
         config = uvicorn.Config(
             app,
             loop="asyncio",
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from ..callers.application import ApplicationParts, make_application
-from ..callers.connection import ConnectionLimits
+from ..callers.connection import ListenerState
 from ..callers.gate import Gate
 from ..callers.server import CallerServer
 from ..engines.client import EngineClient
@@ -145,7 +145,7 @@
             ),
         )
         self.poller = EnginePoller(reader=self.engines, listener=self, tasks=self.tasks)
-        limits = ConnectionLimits(
+        shared = ListenerState(
             table=ConnectionTable(choose_limits(read_max_descriptors()).callers),
             on_displaced=ConnectionLog("callers", self.metrics).record_displaced,
         )
@@ -155,10 +155,10 @@
                     gate=self.gate,
                     view=self.view,
                     max_body_bytes=settings.max_body_bytes,
-                    input_budget=limits.budget,
+                    input_budget=shared.budget,
                 )
             ),
-            limits,
+            shared,
         )
         self._upstream_log = UpstreamLog()
         self._live_gateways: frozenset[IncarnationId] | None = None
--- a/mangoway/daemons/metrics_server.py
+++ b/mangoway/daemons/metrics_server.py
@@ -8,6 +8,7 @@
 
 from ..observability.metrics import CONTENT_TYPE
 from ..policy.connections import MAX_METRICS, ConnectionTable
+from ..util.address import get_peer_address
 from ..util.listener import ACCEPTED_PER_TURN, BACKLOG, open_listener
 
 PATH_METRICS = b"/metrics"
@@ -88,8 +89,8 @@
         if closed is None:
             return
         transport = closed[0].transport
-        host, port = (transport.get_extra_info("peername") or ("", 0))[:2]
-        self.on_displaced(self._table.limit, closed[1].value, f"{host}:{port}")
+        peer = get_peer_address(transport)
+        self.on_displaced(self._table.limit, closed[1].value, peer)
         transport.abort()
 
     def _make_response(self, request: h11.Request) -> Iterable[h11.Event]:
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -11,6 +11,7 @@
 
 from ..models.routing import CallerLimits
 from ..policy.connections import MAX_CALLERS, ConnectionState, ConnectionTable
+from ..util.address import get_peer_address
 from ..util.listener import async_serve
 from .const import (
     LOW_WRITE_BUFFER_BYTES,
@@ -409,8 +410,7 @@
     @property
     def _peer(self) -> str:
         """Return the address of the caller."""
-        host, port = (self._transport.get_extra_info("peername") or ("", 0))[:2]
-        return f"{host}:{port}"
+        return get_peer_address(self._transport)
 
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
--- a/mangoway/peers/protocol.py
+++ b/mangoway/peers/protocol.py
@@ -9,6 +9,7 @@
 from grpclib.server import Server
 
 from ..policy.connections import MAX_PEERS, ConnectionState, ConnectionTable
+from ..util.address import get_peer_address
 
 if TYPE_CHECKING:
     from grpclib._typing import IServable
@@ -103,9 +104,8 @@
 
     def make_room(self, state: ConnectionState) -> None:
         """Close the connection, since another one needs its place."""
-        host, port = (self._transport.get_extra_info("peername") or ("", 0))[:2]
-        limit = self.limits.table.limit
-        self.limits.on_displaced(limit, state.value, f"{host}:{port}")
+        peer = get_peer_address(self._transport)
+        self.limits.on_displaced(self.limits.table.limit, state.value, peer)
         self._transport.abort()
 
 
--- a/mangoway/scheduling/link.py
+++ b/mangoway/scheduling/link.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from ..util.address import get_peer_address
 from .codec import (
     MAX_PAYLOAD_BYTES,
     CodecError,
@@ -61,10 +62,7 @@
     @property
     def peer(self) -> str:
         """Return the address of the other end."""
-        if self._transport is None:
-            return ""
-        host, port = (self._transport.get_extra_info("peername") or ("", 0))[:2]
-        return f"{host}:{port}"
+        return "" if self._transport is None else get_peer_address(self._transport)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
--- a/mangoway/util/address.py
+++ b/mangoway/util/address.py
@@ -1,5 +1,6 @@
 """Addresses of the form `ip:port`."""
 
+import asyncio
 import re
 from ipaddress import IPv6Address, ip_address
 from typing import Final
@@ -26,6 +27,12 @@
     return host.strip("[]"), int(port)
 
 
+def get_peer_address(transport: asyncio.BaseTransport) -> str:
+    """Return the address of the other end of a connection; empty if it is unknown."""
+    name = transport.get_extra_info("peername")
+    return f"{name[0]}:{name[1]}" if name else ""
+
+
 def parse_address(text: str) -> str:
     """Parse `ip:port` (IPv6 as `[ip]:port`) and return it in canonical form.
 
--- a/tests/callers/test_connection.py
+++ b/tests/callers/test_connection.py
@@ -94,9 +94,9 @@
                 assert len(made.pipeline) <= HEAD_PART_BYTES // len(REQUEST)
                 most = MAX_SENT_AHEAD_BYTES + ASYNCIO_READ_BYTES
                 assert len(made._unparsed) <= most
-                assert made._limits.budget.used_bytes == len(made._unparsed)
+                assert made._shared.budget.used_bytes == len(made._unparsed)
         writer.close()
-        budget = made._limits.budget
+        budget = made._shared.budget
         await async_wait_until(lambda: budget.used_bytes == 0)
 
     async def test_all_are_answered_in_order(self, server: CallerServer) -> None:
@@ -136,10 +136,10 @@
         await asyncio.sleep(0.05)
         [made] = server._server.server_state.connections
         assert isinstance(made, CallerConnection)
-        made._limits.budget.max_bytes = 1000
+        made._shared.budget.max_bytes = 1000
         writer.write(REQUEST * 100)
         await read_end(reader)
-        await async_wait_until(lambda: made._limits.budget.used_bytes == 0)
+        await async_wait_until(lambda: made._shared.budget.used_bytes == 0)
         writer.close()
 
 
@@ -153,8 +153,8 @@
         [made] = server._server.server_state.connections
         assert isinstance(made, CallerConnection)
         displaced: list[tuple[int, str, str]] = []
-        made._limits.on_displaced = lambda *each: displaced.append(each)
-        made._limits.table.limit = 1
+        made._shared.on_displaced = lambda *each: displaced.append(each)
+        made._shared.table.limit = 1
         second = await asyncio.open_connection("127.0.0.1", server.port)
         async with asyncio.timeout(WAIT_S):
             assert await first[0].read() == b""
@@ -173,7 +173,7 @@
         await asyncio.sleep(0.05)
         [made] = server._server.server_state.connections
         assert isinstance(made, CallerConnection)
-        made._limits.table.limit = 1
+        made._shared.table.limit = 1
         second = await asyncio.open_connection("127.0.0.1", server.port)
         async with asyncio.timeout(WAIT_S):
             assert await second[0].read() == b""
