--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -30,7 +30,8 @@
 from ..edge.startup import StartupCheck
 from ..edge.stream_origins import StreamOrigins
 from ..http1.connection_pool import ConnectionPool
-from ..http1.server import ServerOptions, async_listen
+from ..http1.server import async_listen
+from ..http1.server_options import ServerOptions
 from ..models.crash import RequestIdentity
 from ..models.fleet import Role
 from ..models.routing import CallerLimits
--- a/mangoway/edge/delivery.py
+++ b/mangoway/edge/delivery.py
@@ -4,8 +4,8 @@
 
 from attrs import define, field
 
+from ..http1.exchange import Exchange
 from ..http1.messages import Headers, ResponseHead
-from ..http1.server import Exchange
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
 from ..policy.edge.event_order import EventOrder, Placement
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -10,8 +10,8 @@
 
 from ..coordination.view import FleetView
 from ..http1.connection_pool import ConnectionPool
+from ..http1.exchange import Exchange
 from ..http1.messages import Request
-from ..http1.server import Exchange
 from ..models.crash import RequestIdentity
 from ..models.routing import Route, RouteKind, ServiceProfile, TrafficShare
 from ..observability.metrics import Metrics
--- a/mangoway/edge/listener_log.py
+++ b/mangoway/edge/listener_log.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from ..http1.server import ServerOptions
+from ..http1.server_options import ServerOptions
 from ..observability import memory_events as log
 from ..observability.connection_log import ConnectionLog
 from ..observability.event_log import log_event
--- a/mangoway/edge/pages.py
+++ b/mangoway/edge/pages.py
@@ -6,8 +6,8 @@
 from attrs import define
 
 from ..coordination.view import FleetView
+from ..http1.exchange import Exchange
 from ..http1.messages import Request
-from ..http1.server import Exchange
 from ..platform.pages import PATH_READY, decode_address_request, encode_addresses
 from ..policy.edge.gateways import choose_gateways
 from .const import DIRECTORY_TTL_S
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -8,8 +8,8 @@
 
 from ..http1.client import Connection, ConnectionLostError
 from ..http1.connection_pool import ConnectionPool
+from ..http1.exchange import CallerGoneError
 from ..http1.messages import Request, ResponseHead
-from ..http1.server import CallerGoneError
 from ..models.routing import Route, RouteKind, ServiceProfile
 from ..models.runner import RunnerEntry
 from ..models.signals import NO_SIGNALS
--- a/mangoway/http1/server.py
+++ b/mangoway/http1/server.py
@@ -3,14 +3,12 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any, Final
 
 import h11
-from attrs import define, field
 
-from ..models.routing import CallerLimits
-from ..policy.connections import MAX_CALLERS, ConnectionState, ConnectionTable
+from ..policy.connections import ConnectionState
 from ..util.address import get_peer_address
 from ..util.listener import async_serve
 from .const import (
@@ -19,12 +17,13 @@
     MAX_UNSENT_KERNEL_BYTES,
     MAX_WRITE_BUFFER_BYTES,
     PARTS_PER_TURN,
-    READ_BYTES,
 )
+from .exchange import CallerGoneError, Exchange
 from .messages import Headers, Request
 from .request_parser import RequestParser
 from .request_problems import MEMORY_SHORT, TOO_MANY, find_problem, measure_head
-from .response_memory import CallerHolding, ResponseMemory, count_in_kernel
+from .response_memory import CallerHolding, count_in_kernel
+from .server_options import ServerOptions
 
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """Zero linger time: closing drops unsent data and resets the connection."""
@@ -32,134 +31,6 @@
 CLOSE: Final = (b"Connection", b"close")
 
 
-class CallerGoneError(Exception):
-    """The caller closed the connection before the response was complete."""
-
-
-@define(eq=False)
-class ServerOptions:
-    """Options and state shared by all connections of a listener."""
-
-    handle: "Callable[[Request, Exchange], Awaitable[None]]"
-    """Handles a request; it is cancelled when the caller disconnects."""
-
-    limits: Callable[[], CallerLimits]
-    """Returns the current limits."""
-
-    reject: Callable[[int, str], tuple[Headers, bytes]]
-    """Returns the fields and body of a response from the status and reason with which a
-    request is rejected."""
-
-    on_error: Callable[[BaseException], None]
-    """Called with the error of a handler that failed unexpectedly."""
-
-    memory: ResponseMemory = field(factory=ResponseMemory)
-    """Bounds the bytes that are held for all connections, also of other listeners."""
-
-    responds_when_short: bool = False
-    """Whether requests are handled while memory is short, as their responses are
-    small."""
-
-    on_rejected: "Callable[[int, str, h11.Request | None], None] | None" = None
-    """Called with the status, reason and head (if it was read) of a request that is
-    rejected before it was read completely."""
-
-    on_read_ahead: Callable[[int, str], None] = lambda size, peer: None
-    """Called when reading from a caller is paused for the first time, with the bytes
-    that it has sent ahead and its address."""
-
-    on_unread: Callable[[float, str], None] = lambda seconds, peer: None
-    """Called when a connection is reset since its caller did not read a complete
-    response, with the time for which it has read nothing and its address."""
-
-    closing: bool = False
-    """Whether responses close the connection, so that callers open a new one."""
-
-    on_full: Callable[[str, str], None] = lambda state, peer: None
-    """Called when a connection is closed to make room for a new one, with its state and
-    the address of its caller."""
-
-    table: "ConnectionTable[CallerConnection]" = field(
-        factory=lambda: ConnectionTable(MAX_CALLERS)
-    )
-    """Bounds the number of connections."""
-
-    connections: "set[CallerConnection]" = field(factory=set, init=False)
-    receive_buffer: memoryview = field(
-        factory=lambda: memoryview(bytearray(READ_BYTES)), init=False
-    )
-    """Buffer for the bytes of one read, which are copied before the next one."""
-
-    def __attrs_post_init__(self) -> None:
-        self.table.may_cut = lambda connection: connection.is_stalled
-
-    @property
-    def busy(self) -> int:
-        """Return the number of requests in progress."""
-        return sum(each.busy for each in self.connections)
-
-    @property
-    def undelivered(self) -> int:
-        """Return the number of connections with bytes that callers have yet to read."""
-        return sum(each.has_undelivered for each in self.connections)
-
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
-        for each in tuple(self.connections):
-            each.close_if_idle()
-
-    def abort(self) -> None:
-        """Close all connections at once."""
-        for each in tuple(self.connections):
-            each.abort()
-
-
-class Exchange:
-    """Response to one request."""
-
-    def __init__(self, connection: "CallerConnection") -> None:
-        self._connection = connection
-        self.started = False
-        """Whether the head of the response was written."""
-
-    @property
-    def holding(self) -> CallerHolding:
-        """Return the bytes that are held for the caller's connection."""
-        return self._connection.holding
-
-    def start(
-        self, status: int, reason: bytes, headers: Headers, *, close: bool = False
-    ) -> None:
-        """Write the head of the response."""
-        self.started = True
-        self._connection.write_head(status, reason, headers, close=close)
-
-    async def async_write(self, data: bytes) -> None:
-        """Write a part of the body; wait while the caller does not read.
-
-        Raises:
-            CallerGoneError: If the connection is lost.
-        """
-        await self._connection.async_write_body(data)
-
-    def finish(self) -> None:
-        """Write the end of the response."""
-        self._connection.finish_response()
-
-    def answer(
-        self, status: int, headers: Headers, body: bytes, *, close: bool = False
-    ) -> None:
-        """Write a complete response."""
-        sized = (*headers, (b"Content-Length", b"%d" % len(body)))
-        self.start(status, b"", sized, close=close)
-        self._connection.write_part(body)
-        self.finish()
-
-    def abort(self) -> None:
-        """Reset the connection so that the response cannot look complete."""
-        self._connection.abort()
-
-
 class CallerConnection(asyncio.BufferedProtocol):
     """Connection of a caller; pipelined requests are handled one at a time.
 
--- a/tests/edge/test_promises.py
+++ b/tests/edge/test_promises.py
@@ -5,8 +5,8 @@
 import pytest
 
 from mangoway.edge.delivery import Delivery
+from mangoway.http1.exchange import Exchange
 from mangoway.http1.messages import Request
-from mangoway.http1.server import Exchange
 from mangoway.models.routing import RouteKind
 
 from ..fakes.fleet import make_route, make_runner
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -22,7 +22,8 @@
 from mangoway.edge.signal_tracker import SignalTracker
 from mangoway.edge.stream_origins import StreamOrigins
 from mangoway.http1.connection_pool import ConnectionPool
-from mangoway.http1.server import ServerOptions, async_listen
+from mangoway.http1.server import async_listen
+from mangoway.http1.server_options import ServerOptions
 from mangoway.models.routing import CallerLimits, Route, RouteKind
 from mangoway.models.runner import RunnerEntry
 from mangoway.observability.metrics import Metrics
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -13,8 +13,10 @@
     PARTS_PER_TURN,
     READ_BYTES,
 )
+from mangoway.http1.exchange import Exchange
 from mangoway.http1.messages import Request
-from mangoway.http1.server import Exchange, ServerOptions, async_listen
+from mangoway.http1.server import async_listen
+from mangoway.http1.server_options import ServerOptions
 from mangoway.models.routing import CallerLimits
 from mangoway.policy.edge.response_memory import MemoryLimits
 from mangoway.util.listener import open_listener
