Log and count connections that are closed for what they send

A link without a hello, the largest of all unfinished frames or messages, and a caller that sends too much ahead at a gateway were closed without a word to the operator: event 486 and mangoway_rejected_connections_total name them.

--- a/mangoway/callers/connection.py
+++ b/mangoway/callers/connection.py
@@ -32,6 +32,10 @@
     """Called with the limit, the state and the address of a connection that was closed
     to make room for a new one."""
 
+    on_rejected: Callable[[str, str], None] = lambda reason, peer: None
+    """Called with the reason and the address of a connection that was closed for what
+    its caller sent ahead."""
+
 
 class CallerConnection(HttpToolsProtocol):
     """Connection that is aborted on incomplete headers or an unread response.
@@ -74,7 +78,9 @@
     def data_received(self, data: bytes) -> None:
         """Keep bytes until they are parsed."""
         if not self._shared.budget.try_add(len(data)):
-            self._abort("too many bytes of all callers wait to be parsed")
+            reason = "too many bytes of all callers wait to be parsed"
+            self._shared.on_rejected(reason, get_peer_address(self.transport))
+            self._abort(reason)
             return
         self._unparsed += data
         self._parse()
--- a/mangoway/daemons/gateway_node.py
+++ b/mangoway/daemons/gateway_node.py
@@ -145,9 +145,11 @@
             ),
         )
         self.poller = EnginePoller(reader=self.engines, listener=self, tasks=self.tasks)
+        callers_log = ConnectionLog("callers", self.metrics)
         shared = ListenerState(
             table=ConnectionTable(choose_limits(read_max_descriptors()).callers),
-            on_displaced=ConnectionLog("callers", self.metrics).record_displaced,
+            on_displaced=callers_log.record_displaced,
+            on_rejected=callers_log.record_rejected,
         )
         self.server = CallerServer(
             make_application(
--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -116,6 +116,7 @@
             settings, Role.SCHEDULER, peer_address=settings.peer_listen
         )
         process = self.process
+        peers_log = ConnectionLog("peers", process.metrics)
         self.leadership = Leadership(
             store=process.store,
             view=process.view,
@@ -140,7 +141,8 @@
             link_limits=LinkLimits(
                 max_unnamed=process.connection_limits.unnamed_links,
                 max_followers=process.connection_limits.followers,
-                on_displaced=ConnectionLog("peers", process.metrics).record_displaced,
+                on_displaced=peers_log.record_displaced,
+                on_rejected=peers_log.record_rejected,
             ),
         )
         self.orders = OrderSender(
--- a/mangoway/observability/connection_log.py
+++ b/mangoway/observability/connection_log.py
@@ -1,4 +1,4 @@
-"""Events and metrics of connections that make room for others."""
+"""Events and metrics of connections that are closed for their limits."""
 
 from attrs import define
 
@@ -9,7 +9,7 @@
 
 @define(eq=False)
 class ConnectionLog:
-    """Logs and counts the connections that one listener closes for new ones."""
+    """Logs and counts the connections that one listener closes for its limits."""
 
     listener: str
     """Name of the listener in events and metrics."""
@@ -30,3 +30,15 @@
                 listener=self.listener, limit=limit, state=state, peer=peer
             )
         )
+
+    def record_rejected(self, reason: str, peer: str) -> None:
+        """Record that a connection was closed for what its other end did.
+
+        Args:
+            reason: What it did.
+            peer: Its address.
+        """
+        self.metrics.rejected_connections.add(self.listener)
+        log_event(
+            log.ConnectionRejected(listener=self.listener, reason=reason, peer=peer)
+        )
--- a/mangoway/observability/memory_events.py
+++ b/mangoway/observability/memory_events.py
@@ -74,3 +74,15 @@
 
     peer: str
     """Address of the client whose connection was closed."""
+
+
+@numbered(486, LogLevel.WARNING, limited_by="listener")
+class ConnectionRejected:
+    """A connection was closed for what its other end sent or did not read."""
+
+    listener: str
+    """`callers` (of a gateway) or `peers`."""
+
+    reason: str
+    peer: str
+    """Address of the other end."""
--- a/mangoway/observability/metrics.py
+++ b/mangoway/observability/metrics.py
@@ -391,6 +391,12 @@
             " what they waited for.",
             ("listener", "state"),
         )
+        self.rejected_connections = self._counter(
+            "mangoway_rejected_connections_total",
+            "Connections that were closed for what their other ends sent or did not"
+            " read, by listener.",
+            ("listener",),
+        )
         self.edge_paused_connections = self._counter(
             "mangoway_edge_paused_connections_total",
             "Connections that sent so many requests ahead that reading was paused, by"
--- a/mangoway/peers/protocol.py
+++ b/mangoway/peers/protocol.py
@@ -30,6 +30,10 @@
     """Called with the limit, the state and the address of a connection that was closed
     to make room for a new one."""
 
+    on_rejected: Callable[[str, str], None] = lambda reason, peer: None
+    """Called with the reason and the address of a connection that was closed for what
+    its other end sent."""
+
     max_buffered_bytes: int = MAX_BUFFERED_BYTES
     _buffered: "dict[PeerProtocol, int]" = field(factory=dict, init=False)
     _total: int = field(default=0, init=False)
@@ -99,6 +103,7 @@
 
     def abort(self, reason: str) -> None:
         """Close the connection and cancel its calls."""
+        self.limits.on_rejected(reason, get_peer_address(self._transport))
         self.processor.close(reason)
         self._transport.abort()
 
--- a/mangoway/peers/server.py
+++ b/mangoway/peers/server.py
@@ -118,9 +118,11 @@
 
 def make_peer_limits(metrics: Metrics) -> PeerLimits:
     """Return the limits of a process by its descriptors, which log what they close."""
+    connection_log = ConnectionLog("peers", metrics)
     return PeerLimits(
         table=ConnectionTable(choose_limits(read_max_descriptors()).peers),
-        on_displaced=ConnectionLog("peers", metrics).record_displaced,
+        on_displaced=connection_log.record_displaced,
+        on_rejected=connection_log.record_rejected,
     )
 
 
--- a/mangoway/scheduling/follower_link.py
+++ b/mangoway/scheduling/follower_link.py
@@ -31,11 +31,13 @@
         on_lost: Callable[[Link, str], None],
         on_made: "Callable[[FollowerLink], None]",
         on_buffered: "Callable[[FollowerLink], None]",
+        on_rejected: Callable[[str, str], None] = lambda reason, peer: None,
     ) -> None:
         super().__init__("", self._check_message, on_lost)
         self._handle_message = on_message
         self._on_made = on_made
         self._on_buffered = on_buffered
+        self._on_rejected = on_rejected
         self._timer: asyncio.TimerHandle | None = None
         self._frame_reader.max_frame_bytes = MAX_HELLO_BYTES
         self._max_payload_bytes = MAX_HELLO_PAYLOAD_BYTES
@@ -54,6 +56,12 @@
         if not self._closed:
             self._on_buffered(self)
 
+    def close(self, reason: str) -> None:
+        """Close the connection at once; report it if the other end is unknown."""
+        if not self.edge and not self._closed:
+            self._on_rejected(reason, self.peer)
+        super().close(reason)
+
     def _check_message(self, link: Link, message: Message) -> None:
         """Handle a message unless it is a second hello or comes before the first."""
         if self._closed:
--- a/mangoway/scheduling/link_limits.py
+++ b/mangoway/scheduling/link_limits.py
@@ -36,6 +36,10 @@
     """Called with the limit, the state and the address of a link that was closed since
     there were too many."""
 
+    on_rejected: Callable[[str, str], None] = lambda reason, peer: None
+    """Called with the reason and the address of a link that was closed for what its
+    other end sent or did not read."""
+
     _unnamed: ConnectionTable[FollowerLink] = field(init=False)
     """Links whose other ends have not said who they are."""
 
@@ -84,7 +88,7 @@
         while self._buffered_total > MAX_BUFFERED_BYTES:
             largest = max(self._buffered, key=self._buffered.__getitem__)
             # Closing it removes it here.
-            largest.close("the frames of all links have too many bytes")
+            self._reject(largest, "the frames of all links have too many bytes")
             self.remove(largest)
 
     def check_unsent(self, links: Iterable[FollowerLink]) -> None:
@@ -95,7 +99,13 @@
             if total <= MAX_UNSENT_TOTAL_BYTES:
                 return
             total -= sizes[link]
-            link.close("other ends have too many bytes to read")
+            self._reject(link, "other ends have too many bytes to read")
+
+    def _reject(self, link: FollowerLink, reason: str) -> None:
+        if link.edge:
+            # A link without a name reports this itself.
+            self.on_rejected(reason, link.peer)
+        link.close(reason)
 
     def _close(self, link: FollowerLink, limit: int, state: ConnectionState) -> None:
         self.on_displaced(limit, state.value, link.peer)
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -136,6 +136,7 @@
             self._handle_connection_lost,
             self.link_limits.add,
             self.link_limits.record_buffered,
+            self.link_limits.on_rejected,
         )
 
     async def async_run(self) -> None:
--- a/tests/callers/test_connection.py
+++ b/tests/callers/test_connection.py
@@ -137,8 +137,11 @@
         [made] = server._server.server_state.connections
         assert isinstance(made, CallerConnection)
         made._shared.budget.max_bytes = 1000
+        rejected: list[str] = []
+        made._shared.on_rejected = lambda reason, peer: rejected.append(reason)
         writer.write(REQUEST * 100)
         await read_end(reader)
+        assert len(rejected) == 1
         await async_wait_until(lambda: made._shared.budget.used_bytes == 0)
         writer.close()
 
--- a/tests/peers/test_protocol.py
+++ b/tests/peers/test_protocol.py
@@ -121,11 +121,14 @@
     ) -> None:
         """A message was kept until it was complete, whatever its length."""
         server.limits.max_buffered_bytes = 50_000
+        rejected: list[str] = []
+        server.limits.on_rejected = lambda reason, peer: rejected.append(reason)
         small, large = await async_connect(server), await async_connect(server)
         small.begin_message(20_000)
         large.begin_message(40_000)
         assert await large.async_is_closed()
         assert not await small.async_is_closed()
+        assert rejected == ["too many bytes of incomplete messages"]
         small.writer.close()
         await async_wait_until(lambda: server.limits._total == 0)
 
