--- a/mangoway/util/address.py
+++ b/mangoway/util/address.py
@@ -1,9 +1,12 @@
 """Addresses of the form `ip:port`."""
 
-import asyncio
 import re
 from ipaddress import IPv6Address, ip_address
-from typing import Final
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    # Not at runtime: a controller keeps asyncio from loading TLS before its import.
+    import asyncio
 
 MAX_PORT: Final = 65_535
 PORT: Final = re.compile("[0-9]{1,5}")
@@ -27,7 +30,7 @@
     return host.strip("[]"), int(port)
 
 
-def get_peer_address(transport: asyncio.BaseTransport) -> str:
+def get_peer_address(transport: "asyncio.BaseTransport") -> str:
     """Return the address of the other end of a connection; empty if it is unknown."""
     name = transport.get_extra_info("peername")
     return f"{name[0]}:{name[1]}" if name else ""
