--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -430,6 +430,9 @@
         self.slots = 64
         self.beats = True
         self.born = int(time.time() * 1000)
+        self.fields: dict[str, Any] = {}
+        """Further fields of its status reports."""
+
         self._seq = 0
         self._task: asyncio.Task[None] | None = None
 
@@ -456,6 +459,7 @@
             "cold_left_ms": 0,
             "seq": self._seq,
             "born": self.born,
+            **self.fields,
         }
         self.store.write(f"servers/{self.runner_id}", json.dumps(entry).encode())
 
@@ -495,6 +499,121 @@
         return encode_response(200, names, body)
 
 
+class Engine(Runner):
+    """A model runner: it takes orders, and answers with a stream of events."""
+
+    def __init__(
+        self,
+        store: Store,
+        service: str,
+        runner_id: str,
+        on_run: Callable[[str, HttpRequest], None],
+        models: list[str],
+        load_s: float = 5.0,
+        events: int = 10,
+        gap_s: float = 0.02,
+        zone: str = "hall-a",
+    ) -> None:
+        super().__init__(store, service, runner_id, on_run, zone=zone)
+        self.models = list(models)
+        self.load_s, self.events, self.gap_s = load_s, events, gap_s
+        self.loaded_at = 0.0
+        self.loading = ""
+        self.orders = 0
+        self.fence = 0
+        self.uses: dict[str, int] = {}
+        self.on_disk = list(models)
+
+    def report(self) -> None:
+        """Write one status report, with the models that it holds."""
+        self._finish()
+        self.fields = {"phase": "colocated", "models": self._list_models()}
+        super().report()
+
+    def _finish(self) -> None:
+        if self.loading and time.monotonic() >= self.loaded_at:
+            self.models.append(self.loading)
+            self.on_disk.append(self.loading)
+            self.loading = ""
+
+    def _list_models(self) -> list[dict[str, Any]]:
+        return [{"name": each, "version": 1, "adapters": []} for each in self.models]
+
+    async def async_answer(
+        self, request: HttpRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a report or an order, or run a request."""
+        self._finish()
+        if request.path == "/v1/report":
+            writer.write(encode_json(self._make_report()))
+        elif request.path == "/v1/order":
+            writer.write(encode_json({}, self._order(request)))
+        else:
+            await super().async_answer(request, writer)
+
+    def _make_report(self) -> dict[str, Any]:
+        return {
+            "phase": "colocated",
+            "models": self._list_models(),
+            "busy": bool(self.loading),
+            "seq": self.orders,
+            "queued": 0,
+            "active": sum(self.uses.values()),
+            "kv_used": 0,
+            "kv_total": 158_254,
+            "handles": 0,
+            "available": {"in_memory": [], "on_disk": self.on_disk},
+            "born": self.born,
+        }
+
+    def _order(self, request: HttpRequest) -> int:
+        """Carry out an order, and return the status of the answer."""
+        order = json.loads(request.body)
+        if request.find("x-expect-instance", self.runner_id) != self.runner_id:
+            return 421
+        if order["fence"] < self.fence:
+            return 412
+        self.fence = order["fence"]
+        if self.loading or order.get("precondition", self.orders) != self.orders:
+            return 409
+        self.orders += 1
+        if order["operation"] == "model_load":
+            self.loading = order["model"]
+            is_local = self.loading in self.on_disk
+            self.loaded_at = time.monotonic() + (1.0 if is_local else self.load_s)
+        elif order["model"] in self.models:
+            self.models.remove(order["model"])
+        return 202
+
+    async def async_run(
+        self, request: HttpRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer with a stream of events, unless the model isn't here."""
+        request_id, model = request.find("x-request-id"), request.find("x-model")
+        if model not in self.models:
+            names = {"X-Not-Executed": "1", "X-Request-Id": request_id}
+            writer.write(encode_response(421, names))
+            return
+        self.uses[model] = self.uses.get(model, 0) + 1
+        try:
+            writer.write(
+                (
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                    f"X-Request-Id: {request_id}\r\nX-Weight-Versions: 1\r\n"
+                    f"X-Response-Signature: {self.runner_id}.{request_id}\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n"
+                ).encode()
+            )
+            for number in range(1, self.events + 1):
+                await asyncio.sleep(self.gap_s)
+                event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.uses[model] -= 1
+
+
 class Answer:
     """What a client got: a status, or 0 if the channel ended before a whole answer."""
 
@@ -502,6 +621,16 @@
         self.status, self.headers, self.body = status, headers, body
 
 
+async def async_read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """Read a body in chunks to its end."""
+    data = b""
+    while True:
+        size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+        data += (await reader.readexactly(size + 2))[:-2]
+        if not size:
+            return data
+
+
 async def async_call(
     address: str,
     method: str,
@@ -527,10 +656,13 @@
                 return Answer(0, {}, b"")
             first, pairs = message
             names = {name.lower(): value for name, value in pairs}
-            length = int(names.get("content-length", "0"))
-            data = await reader.readexactly(length)
+            if names.get("transfer-encoding") == "chunked":
+                data = await async_read_chunks(reader)
+            else:
+                length = int(names.get("content-length", "0"))
+                data = await reader.readexactly(length)
             return Answer(int(first.split(" ")[1]), names, data)
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return Answer(0, {}, b"")
     finally:
         if writer is not None:
@@ -651,8 +783,39 @@
     }
 
 
+def make_engine(
+    models: list[str], load_s: float = 5.0, **fields: Any
+) -> dict[str, Any]:
+    """Return the `engine` of a service whose runners hold three models."""
+    return {
+        "slots": 64,
+        "kv_capacity": 158_254,
+        "kv_token_bytes": 163_840,
+        "weights_mb": 220_000.0,
+        "adapter_slots": 8,
+        "loads_per_s": 1.8,
+        "stride": 6,
+        "models": [
+            {
+                "name": name,
+                "weights_mb": 72_700.0,
+                "load_s": load_s,
+                "disk_s": 1.0,
+                "adapters": 0,
+                "adapter_mb": 12.0,
+            }
+            for name in models
+        ],
+        **fields,
+    }
+
+
 def make_config(
-    version: int, routes: list[dict[str, Any]], services: list[str], **limits: int
+    version: int,
+    routes: list[dict[str, Any]],
+    services: list[str],
+    engines: dict[str, dict[str, Any]] | None = None,
+    **limits: int,
 ) -> bytes:
     """Return a config of the operator."""
     bounds = {
@@ -673,6 +836,9 @@
                     "max_conns": 360,
                     "protocol": "h1",
                     "tls": False,
+                    **(
+                        {"engine": engines[name]} if engines and name in engines else {}
+                    ),
                 }
                 for name in services
             ],
