--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -9,6 +9,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -30,6 +31,7 @@
 """Interval of the runners' status reports, `heartbeat_ms` of the small sites."""
 
 PAGE_ITEMS: Final = 500
+STARTING_S: Final = 0.3
 HISTORY_S: Final = 20.0
 """`history_s` of the small sites."""
 
@@ -901,12 +903,17 @@
         """Kill the processes that this world started."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # A process that was being started is known by then.
+        await asyncio.sleep(STARTING_S)
         programs = [p for each in self.machines for p in (each.edge, each.scheduler)]
         for program in programs:
             program.send(signal.SIGKILL)
         for program in programs:
             if program.child is not None:
                 await program.child.wait()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def async_is_ready(machine: Machine) -> bool:
