Log where an unexpected error was raised

Event 156 held the error alone: KeyError('stock-green') of a scheduler does not tell which index lacks the key, and hypotheses about the cause could only be told apart by reading. It now has `location`, the module, line and function of the innermost call in the package.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -37,6 +37,7 @@
 from ..models.routing import CallerLimits
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..observability.failures import log_failure
 from ..platform.documents import OWN_PREFIX
 from ..policy.connections import ConnectionTable
 from ..policy.crashes.probing import choose_prober
@@ -208,7 +209,7 @@
             handle=self.forwarder.async_handle,
             limits=self._get_limits,
             reject=make_error_response,
-            on_error=_log_error,
+            on_error=log_failure,
             on_rejected=log_unread,
             memory=make_response_memory(self.process.metrics),
             table=ConnectionTable(self.process.connection_limits.callers),
@@ -244,7 +245,7 @@
                 handle,
                 lambda: PAGE_LIMITS,
                 make_error_response,
-                _log_error,
+                log_failure,
                 memory=self.callers.memory,
                 responds_when_short=True,
                 table=ConnectionTable(limit),
@@ -510,7 +511,3 @@
         while True:
             await async_sleep_to_tick(SUMMARY_PERIOD_S)
             self.retry_budgets.log_summary()
-
-
-def _log_error(error: BaseException) -> None:
-    log_event(log.HandlerFailed(error=repr(error)))
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -18,6 +18,7 @@
 from ..observability import fleet_events as log
 from ..observability.connection_log import ConnectionLog
 from ..observability.event_log import log_event, start_log
+from ..observability.failures import log_failure
 from ..observability.library_log import capture_library_logs
 from ..observability.metrics import Metrics
 from ..platform.documents import OWN_PREFIX
@@ -120,7 +121,7 @@
         self.mirror.feed = self.leader_link
         self.mirror.complete_era_key = OWN_PREFIX + COMPLETE_ERA_KEY
         self.leader_link.on_statement = self.handle_statement
-        self.tasks = Tasks(_log_task_failure)
+        self.tasks = Tasks(log_failure)
 
     def _list_seeds(self) -> tuple[str, ...]:
         """Return the schedulers to connect to at startup, without this process."""
@@ -158,7 +159,7 @@
         try:
             decode_statement(message.key, message.value).apply_to(self.crashes)
         except StatementError as error:
-            log_event(log.HandlerFailed(error=repr(error)))
+            log_failure(error)
 
     def keep_running(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a background task until the process stops; restart it if it fails."""
@@ -180,7 +181,7 @@
                 await run()
                 return
             except Exception as error:
-                _log_task_failure(error)
+                log_failure(error)
             await asyncio.sleep(RESTART_DELAY_S)
 
     async def _async_expire(self) -> None:
@@ -239,7 +240,3 @@
         OSError: If the address can't be listened on.
     """
     return open_listener(*split_address(address))
-
-
-def _log_task_failure(error: BaseException) -> None:
-    log_event(log.HandlerFailed(error=repr(error)))
--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -16,8 +16,7 @@
 from ..models.fleet import Member
 from ..models.routing import Route
 from ..models.streams import StreamOrigin
-from ..observability import fleet_events as log
-from ..observability.event_log import log_event
+from ..observability.failures import log_failure
 from ..observability.metrics import Metrics
 from ..policy.edge.const import (
     MAX_FIRST_PEERS,
@@ -195,7 +194,7 @@
         try:
             message = decode_message(data)
         except DatagramError as error:
-            log_event(log.HandlerFailed(error=repr(error)))
+            log_failure(error)
             return
         if isinstance(message, RecordsMessage):
             self._store(message)
--- a/mangoway/observability/fleet_events.py
+++ b/mangoway/observability/fleet_events.py
@@ -60,6 +60,8 @@
     """A request, a message or a background task failed with an unexpected error."""
 
     error: str
+    location: str
+    """Module, line and function that raised it; empty if outside this package."""
 
 
 @numbered(157, LogLevel.WARNING)
