List a runner under its new service when its entry changes it

Callers saw: after another writer's entry had changed its service and was removed, the leading scheduler failed at each such removal (event 156, KeyError('stock-green')) and its update of the fleet ended there.

Cause: an entry that kept its start was only replaced in the runner's state. The runner stayed listed under its former service, so that its removal looked under the new one, and requests of the former service were still granted to it, which no configuration allows (ROUTE).

A changed service now starts the runner's state anew, like a restart, also for runners that leave. All indexes of a service hold its runners only.

--- a/mangoway/policy/scheduling/leaving.py
+++ b/mangoway/policy/scheduling/leaving.py
@@ -67,9 +67,9 @@
         return self._runners.get(runner_id)
 
     def find(self, entry: RunnerEntry) -> LeavingRunner | None:
-        """Return the leaving runner of an entry, unless it is of an earlier start."""
+        """Return the leaving runner of an entry, if it is of this service and start."""
         known = self._runners.get(entry.runner_id)
-        if known is None:
+        if known is None or known.runner.entry.service != entry.service:
             return None
         started_ms = known.runner.entry.started_ms
         return None if is_later_incarnation(entry.started_ms, started_ms) else known
--- a/mangoway/policy/scheduling/leaving_updates.py
+++ b/mangoway/policy/scheduling/leaving_updates.py
@@ -41,9 +41,7 @@
 def restore_requests(state: "SchedulingState", earlier: RunnerState) -> None:
     """Move the requests of a runner that stays after all to its new state."""
     runner = state.runners.get(earlier.runner_id)
-    if runner is None or is_later_incarnation(
-        runner.entry.started_ms, earlier.entry.started_ms
-    ):
+    if runner is None or not _is_same_runner(runner.entry, earlier.entry):
         return
     runner.reservations, runner.backups = earlier.reservations, earlier.backups
     for key, running in earlier.running.items():
@@ -55,8 +53,15 @@
     runner = state.runners.get(entry.runner_id)
     if runner is not None:
         state.remove_runner(entry.runner_id)
-        if not is_later_incarnation(entry.started_ms, runner.entry.started_ms):
+        if _is_same_runner(entry, runner.entry):
             return runner
     engine = state.get_engine(entry.service)
     capacity = 0 if engine is None else engine.kv_capacity_tokens
     return RunnerState(entry, engine, PrefixCache(capacity))
+
+
+def _is_same_runner(entry: RunnerEntry, earlier: RunnerEntry) -> bool:
+    """Return whether an entry is of the same service and incarnation as an earlier."""
+    if entry.service != earlier.service:
+        return False
+    return not is_later_incarnation(entry.started_ms, earlier.started_ms)
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -386,7 +386,8 @@
         known = self.find_incarnation(entry.runner_id, entry.started_ms)
         if known is None and entry.runner_id in self.runners:
             return
-        if known is None:
+        if known is None or known.entry.service != entry.service:
+            # The indexes of a service hold its runners only.
             known = self._start_incarnation(entry)
         known.update_entry(entry, now)
 
