Send no request to a runner whose entry names another service by now

A related path of the runners that change their service: an edge that has the new entry sent a request to the runner that a scheduler with the old entry granted, so that a service ran it to which its route does not lead (ROUTE). The runner has the expected id, so it does not reject it.

Before the change both new tests failed: the runner of `plain` got the request of `llm`. The finder's check of each runner now compares the service as well, and asks for another grant.

--- a/mangoway/edge/runner_finder.py
+++ b/mangoway/edge/runner_finder.py
@@ -374,7 +374,7 @@
                 return entry
             # This host has newer information about the runner than the grant provider.
             self.release_grant(EndKind.LEFT)
-            if entry is None or not self.constraint.fits(entry):
+            if entry is None or not self._fits(entry):
                 self._failed.append(response.runner_id)
         return self._make_rejection(CLOSED_RUNNER_REASON, RETRY_AFTER_OUTAGE_S)
 
@@ -450,10 +450,17 @@
 
     def _accepts_requests(self, runner: RunnerEntry) -> bool:
         """Return whether a runner may receive the request from this edge."""
-        if not self.context.view.is_open(runner) or not self.constraint.fits(runner):
+        if not self.context.view.is_open(runner) or not self._fits(runner):
             return False
         return self.context.signal_tracker.measure_cooldown(runner) == 0
 
+    def _fits(self, runner: RunnerEntry) -> bool:
+        """Return whether a runner's service and software may run the request.
+
+        Its entry may name another service than the grant provider knows.
+        """
+        return runner.service == self.service.name and self.constraint.fits(runner)
+
     def _is_limited(self, runner: RunnerEntry) -> bool:
         limits = self.context.signal_tracker.limits
         return limits.get_limit(runner.runner_id, runner.started_ms) is not None
--- a/tests/edge/test_forwarder.py
+++ b/tests/edge/test_forwarder.py
@@ -7,6 +7,7 @@
 from mangoway.http1.const import MAX_REUSE_IDLE_S
 from mangoway.policy.scheduling.events import EndKind
 
+from ..fakes.fleet import make_runner
 from ..upstreams.raw_server import RawServer, answer, cut, make_response
 from .world import (
     SIGNED,
@@ -227,6 +228,24 @@
         assert reply.status == 503
         assert runner.requests == []
 
+    @pytest.mark.parametrize("path", ["/fixed/x", "/stream/x"])
+    async def test_runner_that_changed_its_service_receives_nothing(
+        self, path: str
+    ) -> None:
+        """A scheduler that has yet to learn of the change still grants the runner."""
+        async with (
+            RawServer(answer(*make_stream(make_event(1)))) as runner,
+            RawServer(answer(*make_stream(make_event(1)))) as other,
+            start_edge() as edge,
+        ):
+            edge.add("r1", runner, "llm")
+            edge.add("r2", other, "llm")
+            moved = make_runner("r1", service="plain", address=runner.address)
+            edge.view.update_runner(moved)
+            reply = await edge.async_call(path)
+        assert (len(runner.requests), len(other.requests)) == (0, 1)
+        assert reply.status == 200
+
     async def test_timeout_of_the_route_ends_the_wait(self) -> None:
         async with RawServer(answer()) as runner, start_edge() as edge:
             edge.add("r1", runner, "plain")
