Relay the store's changes before this process applies them

Cause: the mirror raised its revision, let the receiver apply the batch, and relayed it to the followers after that. An error in a listener of the view, of any cause, ended it in between. The task was started again from the new revision, so that what the batch held reached no follower, while heartbeats stated that the relayed state was fresh. At a follower the same error closed the link, with the same loss.

State is now relayed first.

--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -244,15 +244,15 @@
             self._lost_operator_writes.record_restore(self.known_at, self.clock())
         if is_first or self.era == known_era:
             self.restores.record_removed(known_items.keys() - self.items.keys())
-            self._deliver_snapshot(snapshot)
         else:
             for lost in (self._lost_writes, self._lost_operator_writes):
                 lost.record_restore(self.known_at, self.clock())
             self.restores.record_restore(known_items, self.items)
             self.receiver.record_restore()
-            self._deliver_snapshot(snapshot)
             self._log_restore(known_items)
+        # Relayed first: an error in this process must not keep state from followers.
         self._relay_snapshot(snapshot)
+        self._deliver_snapshot(snapshot)
         self.on_synced()
 
     def apply_retained(self, items: tuple[Item, ...]) -> None:
@@ -331,11 +331,11 @@
             self.restores.record_complete()
             self._lost_operator_writes.record_repeated()
         effective = self._select_effective(new)
-        self.receiver.apply_changes(Changes(changes=new, revision=changes.revision))
         if self.follower is not None and new:
             # Runners write their entries every second, mostly unchanged.
             relayed = Changes(changes=effective, revision=changes.revision)
             self.follower.relay_changes(relayed)
+        self.receiver.apply_changes(Changes(changes=new, revision=changes.revision))
         self.on_synced()
 
     def _select_effective(self, changes: tuple[Change, ...]) -> tuple[Change, ...]:
--- a/mangoway/coordination/view.py
+++ b/mangoway/coordination/view.py
@@ -14,6 +14,7 @@
 from ..models.streams import StreamOrigin
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..observability.failures import log_failure
 from ..policy.edge.software_versions import MAX_VERSIONS, ServiceVersion
 from .members import ANNOUNCEMENTS_PER_S
 from .store import StoreRevision
@@ -106,6 +107,9 @@
     _has_unnotified_change: bool = field(default=False, init=False)
     """Whether there was a change since listeners were last notified."""
 
+    _failed_listeners: dict[Callable[[], None], None] = field(factory=dict, init=False)
+    """Listeners that failed when they were last notified."""
+
     @contextmanager
     def defer_notifications(self) -> Iterator[None]:
         """Notify listeners once at the end of the block, not after each change.
@@ -124,6 +128,11 @@
             if self._has_unnotified_change:
                 self._notify()
 
+    def repeat_failed_notifications(self) -> None:
+        """Notify the listeners again that failed at the last change."""
+        for callback in tuple(self._failed_listeners):
+            self._notify_listener(callback)
+
     def record_outage_end(
         self, now: float, retention_s: float = OUTAGE_RETENTION_S
     ) -> None:
@@ -412,7 +421,16 @@
         if self._is_deferring:
             return
         for callback in self.on_change:
+            self._notify_listener(callback)
+
+    def _notify_listener(self, callback: Callable[[], None]) -> None:
+        """Notify a listener, whose errors must not affect others or the batch."""
+        self._failed_listeners.pop(callback, None)
+        try:
             callback()
+        except Exception as error:
+            self._failed_listeners[callback] = None
+            log_failure(error)
 
 
 def _has_state_changed(known: RunnerEntry, entry: RunnerEntry) -> bool:
--- a/mangoway/daemons/fleet_process.py
+++ b/mangoway/daemons/fleet_process.py
@@ -185,7 +185,7 @@
             await asyncio.sleep(RESTART_DELAY_S)
 
     async def _async_expire(self) -> None:
-        """Remove vanished runners when they expire, and log pauses of the process."""
+        """Expire vanished entries, repeat failed notifications and log pauses."""
         while True:
             slept_from = read_boot_clock()
             await async_sleep_to_tick(EXPIRE_PERIOD_S)
@@ -195,6 +195,7 @@
             self.metrics.store_age.set(level=round(self.mirror.measure_age(), 1))
             self.view.expire_missing(self.clock())
             self.view.expire_missing_members(self.clock())
+            self.view.repeat_failed_notifications()
 
     def is_announced(self) -> bool:
         """Return whether the store shows this incarnation of the process."""
--- a/mangoway/platform/receiver.py
+++ b/mangoway/platform/receiver.py
@@ -16,6 +16,7 @@
 from ..models.fleet import MEMBER_KEYS
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..observability.failures import log_failure
 from ..policy.crashes.tracker import CrashTracker
 from .documents import (
     CONFIGURATION_KEY,
@@ -95,7 +96,8 @@
             return True
         try:
             entry = decode_runner(change.key, change.item.value)
-        except DocumentError:
+        except Exception:
+            # The same error is logged when the change is applied.
             return True
         return not self.view.contains_entry(entry)
 
@@ -169,6 +171,10 @@
             self._decode_and_apply(item, now)
         except INVALID_VALUE_ERRORS as error:
             self._handle_invalid_value(item.key, str(error))
+        except Exception as error:
+            # The other items of the batch are not read again.
+            log_failure(error)
+            self._handle_invalid_value(item.key, repr(error))
         else:
             self._failure_counts.pop(item.key, None)
 
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -45,6 +45,16 @@
         self.outages += 1
 
 
+class FailingReceiver(Recorder):
+    """A receiver that fails whenever it is to apply something."""
+
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        raise KeyError("a")
+
+    def apply_changes(self, changes: Changes) -> None:
+        raise KeyError("a")
+
+
 class StubFeed:
     """A feed whose freshness the test sets."""
 
@@ -267,3 +277,34 @@
         await asyncio.sleep(0.1)
         task.cancel()
         assert recorder.values == {"a": b"2"}
+
+
+class TestFailingReceivers:
+    """A process whose receiver fails relays the state of the store all the same.
+
+    Its followers depend on it alone: they never saw a configuration whose batch of
+    changes it had failed to apply.
+    """
+
+    async def test_snapshot_is_relayed(self) -> None:
+        recorder = Recorder()
+        leader = Mirror(FakeCoordinationStore(), FailingReceiver(), loop_clock())
+        follower = Mirror(FakeCoordinationStore(), recorder, loop_clock())
+        leader.follower = MirrorRelay(follower)
+        item = Item(key="a", value=b"1", revision=at(1))
+        with pytest.raises(KeyError):
+            leader.apply_snapshot(Snapshot(items=(item,), revision=at(1)))
+        assert recorder.values == {"a": b"1"}
+
+    async def test_changes_are_relayed(self) -> None:
+        recorder = Recorder()
+        leader = Mirror(FakeCoordinationStore(), Recorder(), loop_clock())
+        follower = Mirror(FakeCoordinationStore(), recorder, loop_clock())
+        leader.follower = MirrorRelay(follower)
+        leader.apply_snapshot(Snapshot(items=(), revision=at(1)))
+        leader.receiver = FailingReceiver()
+        item = Item(key="a", value=b"1", revision=at(2))
+        change = Change(key="a", revision=at(2), item=item)
+        with pytest.raises(KeyError):
+            leader.apply_changes(Changes(changes=(change,), revision=at(2)))
+        assert recorder.values == {"a": b"1"}
--- a/tests/coordination/test_view.py
+++ b/tests/coordination/test_view.py
@@ -3,7 +3,7 @@
 import orjson
 import pytest
 
-from mangoway.coordination.store import Item, Snapshot
+from mangoway.coordination.store import Change, Changes, Item, Snapshot
 from mangoway.coordination.view import OUTAGE_RETENTION_S, FleetView
 from mangoway.models.signals import LeavingReport
 from mangoway.platform.receiver import StoreReceiver
@@ -203,3 +203,61 @@
             view.update_version_record(f"k{number}", ("llm", f"v{number}"))
         assert len(view.recorded_versions) == MAX_VERSIONS
         assert "k0" not in view.recorded_versions
+
+
+class TestFailingListeners:
+    """A listener that fails keeps no change from others, and gets it again.
+
+    An error in one listener ended the batch of the store's changes, the rest of which
+    no other listener ever received.
+    """
+
+    def test_other_listeners_are_notified(self) -> None:
+        view, notified = FleetView(), []
+
+        def fail() -> None:
+            raise KeyError("service")
+
+        view.on_change += [fail, lambda: notified.append(view.table)]
+        view.apply_table(make_table(version=3))
+        assert notified == [view.table]
+
+    def test_failed_listener_is_notified_again(self) -> None:
+        view, errors, notified = FleetView(), [KeyError("service")], []
+
+        def fail_once() -> None:
+            if errors:
+                raise errors.pop()
+            notified.append(view.table)
+
+        view.on_change.append(fail_once)
+        view.apply_table(make_table(version=3))
+        assert notified == []
+        view.repeat_failed_notifications()
+        view.repeat_failed_notifications()
+        assert notified == [view.table]
+
+    def test_later_changes_of_a_batch_are_applied(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def fail(key: str, value: bytes) -> None:
+            raise RuntimeError(key)
+
+        monkeypatch.setattr("mangoway.platform.receiver.decode_runner", fail)
+        view = FleetView()
+        view.update_runner(make_runner("r1"))
+        receiver = StoreReceiver(view, lambda: 0.0)
+        document = {"version": 4, "routes": [], "services": [], "limits": {}}
+        values = {"servers/r1": b"{}", "op/config": orjson.dumps(document)}
+        changes = tuple(
+            Change(
+                key=key,
+                revision=at(2),
+                item=Item(key=key, value=value, revision=at(2)),
+            )
+            for key, value in values.items()
+        )
+        assert all(receiver.has_effect(each) for each in changes)
+        receiver.apply_changes(Changes(changes=changes, revision=at(2)))
+        assert view.table is not None
+        assert view.runners == {}
