Judge outages of the store by what each process has seen

Cause: 1.5 s without a response count as an outage of the store, after which removed entries are kept for 2.2 s, since runners can't renew theirs meanwhile. A cut of the leader's own path looks the same to the leader. It sent the rest of that time with each message, and its followers applied it although the store had responded to them all the while.

A follower now ignores the report if the store has responded to it since 1.5 s before the reported end and it has itself seen no such gap. A related path: a process counted an outage from its first own call that failed, though the leader had relayed the store since, for a minute in the test. Both are judged by the last response to this process or to the one that it follows.

--- a/mangoway/coordination/interfaces.py
+++ b/mangoway/coordination/interfaces.py
@@ -49,6 +49,10 @@
         """Return whether the other process has relayed recent state."""
         ...
 
+    def measure_age(self) -> float:
+        """Return the seconds since the store last responded to the other process."""
+        ...
+
 
 class Follower(Protocol):
     """Relay of the mirrored state to other processes."""
--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -30,6 +30,7 @@
     StoreRevision,
     StoreUnavailableError,
 )
+from .view import OUTAGE_RETENTION_S
 
 LEADER_WATCH_S: Final = 0.3
 """Time for which a watch of the leader waits for changes. All other processes depend on
@@ -132,8 +133,11 @@
     _lost_operator_writes: LostWrites = field(
         factory=lambda: LostWrites(REWRITE_S), init=False
     )
-    _relayed_at: float = field(default=-1e9, init=False)
-    """When another process last relayed the state of the store."""
+    _available_at: float = field(default=-1e9, init=False)
+    """When the store last responded to this process or to the one that it follows."""
+
+    _outage_ended_at: float = field(default=-1e9, init=False)
+    """When such a response last came after a time in which entries may have expired."""
 
     _backoff: Backoff = field(
         factory=lambda: Backoff(FIRST_RETRY_S, MAX_RETRY_S), init=False
@@ -153,8 +157,8 @@
         """Follow the store until cancelled."""
         while True:
             self._deliver(self.restores.release(self.items))
-            if self._can_follow_feed():
-                self._relayed_at = self.clock()
+            if self.feed is not None and self._can_follow(self.feed):
+                self._record_available(self.clock() - self.feed.measure_age())
                 await async_sleep_to_tick(FEED_CHECK_S)
                 continue
             try:
@@ -255,6 +259,21 @@
         self._deliver_snapshot(snapshot)
         self.on_synced()
 
+    def record_relayed_outage(self, retention_s: float) -> None:
+        """Record that the process that relays the store found the end of an outage.
+
+        That process may only have lost its own path to the store. If the store has
+        responded to this process meanwhile, no entry expired.
+
+        Args:
+            retention_s: Seconds from now for which it keeps removed entries.
+        """
+        earliest = self.clock() + retention_s - OUTAGE_RETENTION_S - OUTAGE_S
+        has_seen_store = self.responded_at >= earliest
+        if has_seen_store and self._outage_ended_at < earliest:
+            return
+        self.receiver.record_outage_end(retention_s)
+
     def apply_retained(self, items: tuple[Item, ...]) -> None:
         """Apply items that another process knows to be newer than the restored ones."""
         newer = (
@@ -400,7 +419,7 @@
         if exact:
             self.advance_known_at(requested_at)
 
-    def _can_follow_feed(self) -> bool:
+    def _can_follow(self, feed: Feed) -> bool:
         """Return whether the state that another process relays is good enough."""
         if not self._is_outdated():
             self._outdated_since = None
@@ -408,7 +427,7 @@
             self._outdated_since = self.clock()
         elif self.clock() > self._outdated_since + NEW_ERA_WAIT_S:
             return False
-        return self.feed is not None and self.feed.is_fresh()
+        return feed.is_fresh()
 
     def _is_outdated(self) -> bool:
         """Return whether a later era than that of the mirrored state is known."""
@@ -444,8 +463,20 @@
                     revision=0 if self.revision is None else self.revision.number
                 )
             )
-        last = max(self.responded_at, self._relayed_at)
-        if since is not None and now - min(since, last) > OUTAGE_S:
+        ends_outage = self._record_available(now)
+        if since is not None and ends_outage:
             self.receiver.record_outage_end()
         self.responded_at = now
         self._backoff.reset()
+
+    def _record_available(self, at: float) -> bool:
+        """Record a response of the store to this process or to the one it follows.
+
+        Returns:
+            Whether entries may have expired in the time without a response before it.
+        """
+        ends_outage = at - self._available_at > OUTAGE_S
+        if ends_outage:
+            self._outage_ended_at = self.clock()
+        self._available_at = max(self._available_at, at)
+        return ends_outage
--- a/mangoway/scheduling/leader_link.py
+++ b/mangoway/scheduling/leader_link.py
@@ -1,6 +1,7 @@
 """The link to the leading scheduler, which relays the state of the store."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Final
@@ -165,8 +166,13 @@
             return False
         if self.mirror is not None and not self.has_current_state:
             return False
-        age_s = self._store_age_s + self.clock() - link.last_received_at
-        return age_s < MAX_STORE_AGE_S + self._period_s
+        return self.measure_age() < MAX_STORE_AGE_S + self._period_s
+
+    def measure_age(self) -> float:
+        """Return the seconds since the store last responded to the other end."""
+        if self.link is None:
+            return math.inf
+        return self._store_age_s + self.clock() - self.link.last_received_at
 
     async def _async_update_connection(self) -> None:
         leader = self.view.leader
@@ -337,7 +343,7 @@
         if self.mirror is None:
             return
         if message.retention_s > 0:
-            self.mirror.receiver.record_outage_end(message.retention_s)
+            self.mirror.record_relayed_outage(message.retention_s)
         if isinstance(message, StoreSnapshot):
             self.mirror.apply_partial_snapshot(
                 message.keys, message.items, message.revision
--- a/tests/coordination/test_mirror.py
+++ b/tests/coordination/test_mirror.py
@@ -64,6 +64,9 @@
     def is_fresh(self) -> bool:
         return self.fresh
 
+    def measure_age(self) -> float:
+        return 0.0
+
 
 class MirrorRelay:
     """Relays the state of one mirror to another, as a link does."""
@@ -210,6 +213,39 @@
         assert recorder.values == {"a": b"1", "c": b"3"}
 
 
+class TestRelayedOutages:
+    """Outages that the followed process reports, which may only have been its own."""
+
+    async def test_late_response_does_not_refute_the_outage(self) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        feed = StubFeed(True)
+        mirror = Mirror(store, recorder, loop_clock(), feed=feed)
+        mirror.apply_snapshot(await store.async_list(""))
+        task = start(mirror)
+        await asyncio.sleep(5.0)
+        feed.fresh, store.watch_delay_s = False, 2.5
+        await asyncio.sleep(2.7)
+        mirror.record_relayed_outage(2.0)
+        task.cancel()
+        assert recorder.outages == 1
+
+    async def test_response_in_the_meantime_refutes_the_outage(self) -> None:
+        store, recorder = FakeCoordinationStore(), Recorder()
+        feed = StubFeed(True)
+        mirror = Mirror(store, recorder, loop_clock(), feed=feed)
+        mirror.apply_snapshot(await store.async_list(""))
+        task = start(mirror)
+        await asyncio.sleep(5.0)
+        feed.fresh = False
+        await asyncio.sleep(2.7)
+        feed.fresh = True
+        for retention_s in (2.2, 1.2, 0.2):
+            mirror.record_relayed_outage(retention_s)
+            await asyncio.sleep(1.0)
+        task.cancel()
+        assert recorder.outages == 0
+
+
 class TestRelay:
     """Relayed changes, and the rate of watches without a leader."""
 
--- a/tests/fakes/coordination_store.py
+++ b/tests/fakes/coordination_store.py
@@ -61,6 +61,9 @@
         self.silent_watches = False
         """Whether watches get no response, and fail some time after their wait."""
 
+        self.watch_delay_s = 0.0
+        """Time for which each watch gets no response, whatever has changed."""
+
         self.stale_list = False
         """Whether lists that may be stale are empty."""
 
@@ -151,6 +154,7 @@
         self, prefix: str, revision: StoreRevision, wait_s: float
     ) -> Changes:
         await self._async_begin("watch")
+        await asyncio.sleep(self.watch_delay_s)
         if not self.discarded_revision <= revision.number <= self.revision:
             raise HistoryLostError(revision)
         end = self._now() + wait_s
--- a/tests/fakes/process.py
+++ b/tests/fakes/process.py
@@ -86,9 +86,12 @@
 
     def __init__(self) -> None:
         self.followers: list[Mirror] = []
+        self.scheduler: FakeProcess | None = None
+        self.max_age_s = MAX_FEED_AGE_S
 
     def connect(self, scheduler: FakeProcess, follower: FakeProcess) -> None:
         """Add a follower, and send it the state of the scheduler."""
+        self.scheduler = scheduler
         self.followers.append(follower.mirror)
         follower.mirror.feed = FakeFeed(scheduler, follower, self)
         scheduler.mirror.learn_era(follower.mirror.era)
@@ -111,14 +114,21 @@
 
     def relay_changes(self, changes: Changes) -> None:
         for each in self.followers:
+            self._relay_retention(each)
             each.apply_changes(changes)
 
     def relay_retained(self, items: tuple[Item, ...]) -> None:
         for each in self.followers:
             each.apply_retained(items)
 
-    @staticmethod
-    def _send_snapshot(mirror: Mirror, snapshot: Snapshot) -> None:
+    def _relay_retention(self, mirror: Mirror) -> None:
+        assert self.scheduler is not None
+        retention_s = self.scheduler.view.get_retention_s(mirror.clock())
+        if retention_s > 0:
+            mirror.record_relayed_outage(retention_s)
+
+    def _send_snapshot(self, mirror: Mirror, snapshot: Snapshot) -> None:
+        self._relay_retention(mirror)
         keys = tuple(each.key for each in snapshot.items)
         mirror.apply_partial_snapshot(keys, snapshot.items, snapshot.revision)
 
@@ -140,4 +150,8 @@
         if mirror.era < self.follower.mirror.era:
             return False
         self.follower.mirror.advance_known_at(mirror.known_at)
-        return mirror.clock() - mirror.responded_at < MAX_FEED_AGE_S
+        return self.measure_age() < self.relay.max_age_s
+
+    def measure_age(self) -> float:
+        mirror = self.scheduler.mirror
+        return mirror.clock() - mirror.responded_at
