Reject requests at once whose model or service is no longer offered

Callers whose requests waited for a model when a configuration retired it, or its whole service, waited until shortly before their deadline: the forecast took a model without a profile for one that can be loaded at once. Three new tests failed before (no rejection 0.2 s after the configuration, with 30 s of patience). A runner that still holds the model serves them as before.

--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -40,7 +40,7 @@
     Tick,
     TransferFailed,
 )
-from .forecast import QueueForecast
+from .forecast import NOT_OFFERED_REASON, QueueForecast
 from .loads import estimate_load_s
 from .orders import apply_outcome
 from .output_lengths import TOO_LARGE_REASON, is_too_large
@@ -275,11 +275,7 @@
         record_demand(state, event, now)
     engine = state.get_engine(event.service)
     if engine is not None and event.model not in engine.models:
-        return [
-            make_rejection(
-                event, UNKNOWN_MODEL_RETRY_AFTER_S, "the model is not offered"
-            )
-        ]
+        return [make_rejection(event, UNKNOWN_MODEL_RETRY_AFTER_S, NOT_OFFERED_REASON)]
     waiting = make_waiting(state, event, now)
     if is_too_large(waiting.memory, engine):
         return [make_rejection(event, MAX_RETRY_AFTER_S, TOO_LARGE_REASON)]
--- a/mangoway/policy/scheduling/forecast.py
+++ b/mangoway/policy/scheduling/forecast.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from typing import Final
 
 from attrs import define, field
 
@@ -22,6 +23,8 @@
 from .runners import RunnerState
 from .state import SchedulingState
 
+NOT_OFFERED_REASON: Final = "the model is not offered"
+
 FreeHeap = list[tuple[float, str]]
 """Heap of the times at which runners could start requests for an artifact. A time may
 be too early, as other requests were assigned to the runner meanwhile."""
@@ -62,7 +65,10 @@
         for waiting in self.state.get_queue(self.service).list_sorted():
             found = self._estimate_start(waiting)
             if found is None:
-                rejections.append(self._reject(waiting, self.now, "no runner is there"))
+                model = waiting.grant_request.model
+                is_offered = self.state.offers(self.service, model)
+                reason = "no runner is there" if is_offered else NOT_OFFERED_REASON
+                rejections.append(self._reject(waiting, self.now, reason))
                 continue
             starts_at, runner_id = found
             if starts_at > _get_latest_start(waiting):
@@ -76,7 +82,7 @@
         return rejections
 
     def _estimate_start(self, waiting: WaitingRequest) -> tuple[float, str] | None:
-        """Return when and where a request would start; None without usable runners.
+        """Return when and where a request would start; None if no runner can serve it.
 
         The runner is empty if a model load has to end first.
         """
@@ -97,7 +103,7 @@
             heapq.heapreplace(heap, (free_at, runner_id))
         if not self._runners:
             return None
-        return self._estimate_load_end(grant_request), ""
+        return self._estimate_load_end(grant_request)
 
     def _estimate_restricted_start(
         self, grant_request: GrantRequest
@@ -121,7 +127,7 @@
         if grant_request.software_version:
             # Models are not loaded for the runners of one version.
             return None
-        return self._estimate_load_end(grant_request), ""
+        return self._estimate_load_end(grant_request)
 
     def _measure_cooldown(
         self, grant_request: GrantRequest, runner_id: str, at: float
@@ -132,9 +138,17 @@
         )
         return max(0.0, self.now + cooldown_s - at)
 
-    def _estimate_load_end(self, grant_request: GrantRequest) -> float:
+    def _estimate_load_end(
+        self, grant_request: GrantRequest
+    ) -> tuple[float, str] | None:
+        """Return when a request would start at a runner that loads its model first.
+
+        None if the configuration no longer offers the model or the service.
+        """
+        if not self.state.offers(self.service, grant_request.model):
+            return None
         earliest = min(self._free_at.values())
-        return max(self._ready.get(grant_request.model), earliest)
+        return max(self._ready.get(grant_request.model), earliest), ""
 
     def _get_heap(self, grant_request: GrantRequest) -> FreeHeap:
         key = (grant_request.model, grant_request.adapter)
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -193,6 +193,16 @@
         engine = self.get_engine(service)
         return None if engine is None else engine.models.get(model)
 
+    def offers(self, service: str, model: str) -> bool:
+        """Return whether the configuration offers a service, and the model on it.
+
+        A service without an engine offers all models.
+        """
+        profile = None if self.table is None else self.table.services.get(service)
+        if profile is None:
+            return False
+        return profile.engine is None or model in profile.engine.models
+
     def defers_placement(self, service: str) -> bool:
         """Return whether the placement defers the patient requests of a service."""
         return defers_placement(
--- /dev/null
+++ b/tests/policy/scheduling/test_retired_models.py
@@ -0,0 +1,91 @@
+"""Tests that models which a configuration no longer offers make room for others.
+
+Their copies stay at the runners, and their demand is remembered for a while. A plan that
+looked for their profiles failed, and with it each later plan: nothing was loaded any
+more. One that takes a copy of unknown size for a full runner never loads there either.
+"""
+
+import pytest
+from attrs import evolve
+
+from mangoway.policy.scheduling.const import MIN_RETRY_AFTER_S
+
+from ...fakes.fleet import make_grant_request, make_table
+from .world import World
+
+POPULAR_RATE = 10.0
+"""Requests per second for the popular model, before it is retired."""
+
+PATIENCE_S = 6.0
+DISK_MB = 430_000.0
+"""Room for six models on the disk of a runner."""
+
+RUNNERS = 4
+
+
+def make_world(*held: list[str], models: str = "abcdefg") -> World:
+    """Return a world in which the model `a` was requested often until just now."""
+    world = World(models=list(models), runner_models=list(held))
+    world.run(0.5)
+    for number in range(int(4 * POPULAR_RATE)):
+        at = 1.0 + number / POPULAR_RATE
+        world.add_request(make_grant_request(f"a{number}"), at=at)
+    world.run(5.5)
+    return world
+
+
+def retire(world: World, *models: str) -> None:
+    """Apply a configuration that offers some models no more."""
+    service = world.table.services["llm"]
+    assert service.engine is not None
+    profiles = service.engine.models.items()
+    offered = {name: each for name, each in profiles if name not in models}
+    engine = evolve(service.engine, models=offered)
+    services = {**world.table.services, "llm": evolve(service, engine=engine)}
+    world.table = evolve(world.table, version=2, services=services)
+    world.update_fleet()
+
+
+class TestWaitingRequests:
+    """Requests that wait for a model while a configuration retires it."""
+
+    @pytest.mark.parametrize("restricted", [False, True])
+    def test_request_without_a_holder_is_rejected_at_once(
+        self, restricted: bool
+    ) -> None:
+        world = make_world(["a", "b", "c"])
+        world.runners["r0"].busy_until = 100.0
+        request = make_grant_request("q1", "d", patience_s=30.0)
+        excluded = ("r9",) if restricted else ()
+        world.add_request(evolve(request, excluded=excluded), at=6.0)
+        world.run(6.2)
+        assert world.outcomes["q1"].rejected_at is None
+        retire(world, "d")
+        world.run(6.4)
+        outcome = world.outcomes["q1"]
+        assert outcome.rejected_at is not None
+        assert outcome.rejection is not None
+        assert outcome.rejection.retry_after_s >= MIN_RETRY_AFTER_S
+
+    def test_request_of_a_dropped_service_is_rejected_at_once(self) -> None:
+        world = make_world(["a", "b", "c"])
+        world.runners["r0"].busy_until = 100.0
+        world.add_request(make_grant_request("q1", "d", patience_s=30.0), at=6.0)
+        world.run(6.2)
+        table = make_table(2)
+        del table.services["llm"]
+        world.table = table
+        world.update_fleet()
+        world.run(6.4)
+        assert world.outcomes["q1"].rejected_at is not None
+
+    def test_request_is_served_by_a_runner_that_still_holds_it(self) -> None:
+        world = make_world(["a", "b", "c"])
+        for number in range(80):
+            request = make_grant_request(f"q{number}", patience_s=30.0)
+            world.add_request(request, at=6.0)
+        world.run(6.01)
+        retire(world, "a")
+        world.run(20.0)
+        served = [world.outcomes[f"q{number}"].first_at for number in range(80)]
+        assert all(served)
