Evict copies of retired models, whose size is unknown

Before the change three new tests failed, with a scheduler that had just started (so that no demand was remembered and no error came first): the waiting request got no first event within its 6 or 20 s.

The unload of such a copy now counts for as much as the copy itself, and copies of retired models go first among those without a loss. Prefetches evict them as well.

--- a/mangoway/policy/scheduling/load_candidates.py
+++ b/mangoway/policy/scheduling/load_candidates.py
@@ -152,7 +152,7 @@
             for name in runner.models
             if self._can_unload(runner, name)
         ]
-        victims.sort(key=lambda each: each.loss)
+        victims.sort(key=lambda each: (each.loss, each.model in self.engine.models))
         idle = tuple(each for each in victims if not each.drain_s)
         return RunnerCapacity(
             wait_s=wait_s,
@@ -163,8 +163,10 @@
         )
 
     def _get_weights(self, name: str) -> float:
+        """Return what the unload of a model adds to the free memory."""
         model = self.engine.models.get(name)
-        return 0.0 if model is None else model.weights_mb
+        # `measure_free_mb` subtracts as much for a model of unknown size.
+        return self.engine.weights_mb if model is None else model.weights_mb
 
     def _make_victim(self, runner: RunnerState, name: str) -> Victim:
         drain_s = (
--- a/mangoway/policy/scheduling/prefetching.py
+++ b/mangoway/policy/scheduling/prefetching.py
@@ -148,10 +148,12 @@
             model = self.engine.models.get(name)
             # A model with several copies keeps all of them: it was placed as a popular
             # one.
-            if model is None or self._loaded_copies[name] > 1:
+            if model is not None and self._loaded_copies[name] > 1:
                 continue
-            value = self._estimate_value(model)
-            fits = free_mb + model.weights_mb >= wanted.weights_mb
+            value = 0.0 if model is None else self._estimate_value(model)
+            # `measure_free_mb` subtracts as much for a model of unknown size.
+            freed_mb = self.engine.weights_mb if model is None else model.weights_mb
+            fits = free_mb + freed_mb >= wanted.weights_mb
             if fits and (best is None or value < best[0]):
                 best = (value, name)
         return best
--- a/tests/policy/scheduling/test_retired_models.py
+++ b/tests/policy/scheduling/test_retired_models.py
@@ -46,6 +46,55 @@
     world.update_fleet()
 
 
+class TestRetiredModels:
+    """Loads of other models after a popular one was retired."""
+
+    def test_new_scheduler_that_never_knew_its_size_evicts_it(self) -> None:
+        world = make_world(*[["a", "b", "c"]] * RUNNERS)
+        retire(world, "a")
+        world.replace_core()
+        world.run(7.0)
+        world.add_request(
+            make_grant_request("q1", "d", patience_s=PATIENCE_S), at=world.now
+        )
+        world.run(12.0)
+        assert world.outcomes["q1"].first_at is not None
+        assert not any(each.overfilled for each in world.runners.values())
+
+    def test_several_retired_models_make_room_together(self) -> None:
+        world = make_world(["a", "b", "c"])
+        retire(world, "a", "b", "c")
+        world.replace_core()
+        world.run(7.0)
+        for number, model in enumerate("def"):
+            request = make_grant_request(f"q{number}", model, patience_s=20.0)
+            world.add_request(request, at=world.now)
+        world.run(25.0)
+        served = [world.outcomes[f"q{number}"].first_at for number in range(3)]
+        assert all(served)
+        assert not any(each.overfilled for each in world.runners.values())
+
+    def test_copy_in_use_makes_no_room(self) -> None:
+        world = make_world(["a", "b", "c"])
+        world.stream_s["long"] = 20.0
+        world.add_request(make_grant_request("long"), at=world.now)
+        world.run(world.now + 0.5)
+        retire(world, "a")
+        world.add_request(make_grant_request("q1", "d"), at=world.now)
+        world.run(world.now + 3.0)
+        assert "a" not in {each.model for each in world.orders if not each.load}
+        assert not any(each.overfilled for each in world.runners.values())
+
+    def test_idle_runner_prefetches_in_its_place(self) -> None:
+        world = World(
+            models=list("abcd"), runner_models=[["b", "c", "a"]], disk_mb=DISK_MB
+        )
+        retire(world, "a")
+        world.run(20.0)
+        assert {each.model for each in world.orders if not each.load} == {"a"}
+        assert "d" in world.runners["r0"].on_disk
+
+
 class TestWaitingRequests:
     """Requests that wait for a model while a configuration retires it."""
 
