Expect no demand for models that are no longer offered

Cause: the copies of the retired model stay at the runners and its demand is remembered. The planner valued such a copy, when it looked for one to evict, by the load time of the model, which the configuration no longer has. The KeyError ended each plan, and with it the tick, for over a minute or for as long as any caller asked for the model.

Evidence: two new tests fail at `get_load_s` in `estimate_loss` before the change. A state machine of the core, which retires models of which runners hold copies, finds it within its seeded examples.

A model that is not offered has neither expected requests nor prefill load, so that its copies are worth nothing and are evicted first.

--- a/mangoway/policy/scheduling/copy_valuation.py
+++ b/mangoway/policy/scheduling/copy_valuation.py
@@ -128,7 +128,7 @@
         return min(desired, len(self.runners))
 
     def get_load_s(self, model: str) -> float:
-        """Return the time of a load from the fastest source at any runner."""
+        """Return the time of a load of an offered model from its fastest source."""
         profile = self.engine.models[model]
         if self._index.in_host_memory.get(model):
             return profile.memory_load_s
@@ -137,7 +137,13 @@
         return profile.load_s
 
     def get_request_rate(self, model: str) -> float:
-        """Return the requests per second that are expected at the end of a load."""
+        """Return the requests per second that are expected at the end of a load.
+
+        None are expected for a model that the configuration no longer offers, whatever
+        demand is remembered.
+        """
+        if model not in self.engine.models:
+            return 0.0
         cached = self._request_rates.get(model)
         if cached is None:
             demand, horizon_s = self.state.demand, self._get_horizon_s(model)
@@ -147,6 +153,8 @@
 
     def get_prefill_load(self, model: str) -> float:
         """Return the prefill seconds per second expected at the end of a load."""
+        if model not in self.engine.models:
+            return 0.0
         cached = self._prefill_loads.get(model)
         if cached is None:
             demand, horizon_s = self.state.demand, self._get_horizon_s(model)
--- a/tests/policy/scheduling/test_fleet_machine.py
+++ b/tests/policy/scheduling/test_fleet_machine.py
@@ -128,6 +128,19 @@
         self.table = make_offer(self.version, models or {"a"}, services)
         self.update_fleet()
 
+    @rule(retired=st.sampled_from(MODELS), wanted=st.sampled_from(MODELS))
+    def retire_popular_model(self, retired: str, wanted: str) -> None:
+        """Let demand move from a model to another one while it is retired."""
+        for name in RUNNERS:
+            report = make_report(make_residents((retired,)), self.number)
+            self.handle(Report(runner_id=name, report=report, requested_at=self.now))
+        for _ in range(MANY_REQUESTS):
+            self.now += 0.1
+            self.request(retired, "llm", many=False)
+        self.change_table(set(MODELS) - {retired}, set(SERVICES))
+        self.request(wanted, "llm", many=True)
+        self.wait(0.5)
+
     @rule(name=names, models=some_models, on_disk=some_models, busy=st.booleans())
     def report(
         self, name: str, models: set[str], on_disk: set[str], busy: bool
--- a/tests/policy/scheduling/test_retired_models.py
+++ b/tests/policy/scheduling/test_retired_models.py
@@ -49,6 +49,18 @@
 class TestRetiredModels:
     """Loads of other models after a popular one was retired."""
 
+    def test_others_are_loaded_in_its_place(self) -> None:
+        world = make_world(*[["b", "c", "a"]] * RUNNERS)
+        retire(world, "a")
+        for number, model in enumerate("defg"):
+            request = make_grant_request(f"q{number}", model, patience_s=12.0)
+            world.add_request(request, at=6.0)
+        world.run(16.0)
+        served = [world.outcomes[f"q{number}"].first_at for number in range(4)]
+        assert all(served)
+        assert {each.model for each in world.orders if not each.load} == {"a"}
+        assert not any(each.overfilled for each in world.runners.values())
+
     def test_new_scheduler_that_never_knew_its_size_evicts_it(self) -> None:
         world = make_world(*[["a", "b", "c"]] * RUNNERS)
         retire(world, "a")
@@ -94,6 +106,19 @@
         assert {each.model for each in world.orders if not each.load} == {"a"}
         assert "d" in world.runners["r0"].on_disk
 
+    def test_remembered_demand_keeps_no_copy(self) -> None:
+        """Callers may ask for it for long; their requests are rejected."""
+        world = make_world(*[["a", "b", "c"]] * RUNNERS)
+        retire(world, "a")
+        for number in range(40):
+            request = make_grant_request(f"late{number}")
+            world.add_request(request, at=6.0 + number / POPULAR_RATE)
+        world.add_request(make_grant_request("q1", "d", patience_s=PATIENCE_S), at=8.0)
+        world.run(14.0)
+        assert world.outcomes["q1"].first_at is not None
+        late = [world.outcomes[f"late{number}"] for number in range(40)]
+        assert all(each.rejected_at == each.requested_at for each in late)
+
 
 class TestWaitingRequests:
     """Requests that wait for a model while a configuration retires it."""
