--- a/mangoway/daemons/scheduler.py
+++ b/mangoway/daemons/scheduler.py
@@ -18,6 +18,7 @@
 from ..observability import fleet_events as log
 from ..observability.connection_log import ConnectionLog
 from ..observability.event_log import log_event
+from ..observability.failures import log_failure
 from ..platform.documents import OWN_PREFIX
 from ..platform.runners import RunnerControl
 from ..policy.customers.const import SCHEDULER_STARTUP_S
@@ -256,7 +257,9 @@
             random=Random(), quotas=quotas, features=make_features(settings)
         )
         state.limits.get_share = lambda runner_id: quotas.share
-        return SchedulingCore(state, _log_health, _log_unload)
+        return SchedulingCore(
+            state, _log_health, _log_unload, on_plan_failed=log_failure
+        )
 
     def _handle_view_change(self) -> None:
         view = self.process.view
--- a/mangoway/policy/scheduling/core.py
+++ b/mangoway/policy/scheduling/core.py
@@ -106,6 +106,9 @@
     )
     """Called with a runner and an unload that waited for runs there."""
 
+    on_plan_failed: Callable[[Exception], None] | None = None
+    """Called with the error of a plan that failed; without it, the error is raised."""
+
     _planned_at: dict[str, float] = field(factory=dict, init=False)
     """Time of the last plan of each service's models."""
 
@@ -194,14 +197,24 @@
         return self.plan(service, now)
 
     def plan(self, service: str, now: float) -> list[Action]:
-        """Return the orders for the models of a service."""
+        """Return the orders for the models of a service.
+
+        An error costs the orders of this plan, not the grants of the same event or the
+        plans of other services.
+        """
         self._planned_at[service] = now
         engine = self.state.get_engine(service)
         if engine is None or not self.state.orders_allowed:
             return []
-        orders = PlacementPlanner(self.state, service, engine, now).plan()
-        if not orders:
-            orders = PrefetchPlanner(self.state, service, engine, now).plan()
+        try:
+            orders = PlacementPlanner(self.state, service, engine, now).plan()
+            if not orders:
+                orders = PrefetchPlanner(self.state, service, engine, now).plan()
+        except Exception as error:
+            if self.on_plan_failed is None:
+                raise
+            self.on_plan_failed(error)
+            return []
         return list(orders)
 
     def describe(self, service: str, now: float) -> tuple[list[str], list[str]]:
--- a/mangoway/scheduling/link.py
+++ b/mangoway/scheduling/link.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from ..observability.failures import log_failure
 from ..util.address import get_peer_address
 from .codec import (
     MAX_PAYLOAD_BYTES,
@@ -80,7 +81,7 @@
                     return
                 messages = decode_payload(payload, self.edge, self._max_payload_bytes)
                 for message in messages:
-                    self._on_message(self, message)
+                    self._handle(message)
         except CodecError as error:
             self.close(str(error))
 
@@ -109,6 +110,13 @@
             self._transport.abort()
         self._handle_connection_lost(reason)
 
+    def _handle(self, message: Message) -> None:
+        """Handle a message; an error must not close the link for all others."""
+        try:
+            self._on_message(self, message)
+        except Exception as error:
+            log_failure(error)
+
     def _flush(self) -> None:
         messages, self._outgoing = self._outgoing, []
         if messages:
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -10,6 +10,7 @@
 from ..models.signals import LeavingReport
 from ..observability import fleet_events as log
 from ..observability.event_log import log_event
+from ..observability.failures import log_failure
 from ..policy.customers.const import SPENDING_RETENTION_S
 from ..policy.limits.tracker import LimitReport, strip_recent_requests
 from ..policy.plain.core import PlainCore
@@ -26,6 +27,9 @@
     EndKind,
     Event,
     FleetUpdated,
+    GrantRequest,
+    PermitRequest,
+    Reject,
     RequestEnded,
     SendOrder,
     SpendingReported,
@@ -61,6 +65,10 @@
 TICK_S: Final = 0.05
 """Time between two ticks of the core, which check its queues and the placement."""
 
+FAILED_RETRY_AFTER_S: Final = 0.5
+FAILED_REASON: Final = "the scheduler could not handle the request"
+"""Rejection of a request whose handling raised an unexpected error."""
+
 
 @define(eq=False)
 class SchedulerServer:
@@ -148,7 +156,11 @@
                 self.send_heartbeats()
                 self._check_unsent()
                 next_heartbeat_at = now + self._choose_period()
-            self.handle(Tick())
+            try:
+                self.handle(Tick())
+            except Exception as error:
+                # Without heartbeats, all followers would leave this scheduler.
+                log_failure(error)
             self.transfer_log.update_levels(self.core.state)
             await async_sleep_to_tick(TICK_S)
 
@@ -224,6 +236,28 @@
                 )
 
     def _handle_message(self, link: Link, message: Message) -> None:
+        try:
+            self._dispatch_message(link, message)
+        except Exception:
+            if isinstance(message, GrantRequest | PermitRequest):
+                self._reject_failed(link, message)
+            raise
+
+    def _reject_failed(self, link: Link, request: GrantRequest | PermitRequest) -> None:
+        """Reject a request whose handling failed, and withdraw it from the core."""
+        edge, request_id = request.edge, request.request_id
+        link.send(
+            Reject(
+                edge=edge,
+                request_id=request_id,
+                retry_after_s=FAILED_RETRY_AFTER_S,
+                reason=FAILED_REASON,
+            )
+        )
+        left = RequestEnded(edge=edge, request_id=request_id, kind=EndKind.LEFT)
+        self.core.handle(left, self.clock())
+
+    def _dispatch_message(self, link: Link, message: Message) -> None:
         if isinstance(message, Hello):
             self._handle_hello(link, message)
         elif isinstance(message, RelayedStatement):
--- a/tests/policy/scheduling/test_retired_models.py
+++ b/tests/policy/scheduling/test_retired_models.py
@@ -1,8 +1,8 @@
 """Tests that models which a configuration no longer offers make room for others.
 
-Their copies stay at the runners, and their demand is remembered for a while. A plan that
-looked for their profiles failed, and with it each later plan: nothing was loaded any
-more. One that takes a copy of unknown size for a full runner never loads there either.
+Their copies stay at the runners, and their demand is remembered for a while. A plan
+that looked for their profiles failed, and with it each later plan: nothing was loaded
+any more. A copy of unknown size that never makes room keeps its runner from any load.
 """
 
 import pytest
