--- a/mangoway/scheduling/client.py
+++ b/mangoway/scheduling/client.py
@@ -14,7 +14,7 @@
 from ..policy.customers.spending import SpendingHistory
 from ..policy.limits.cooldowns import CooldownReport
 from ..policy.limits.tracker import LimitReport
-from ..policy.plain.events import PlainGrantQueued, PlainShortage
+from ..policy.plain.events import CHOOSE_LOCALLY, PlainGrantQueued, PlainShortage
 from ..policy.scheduling.events import (
     EndKind,
     FirstEventSeen,
@@ -323,10 +323,22 @@
             permit = self._permits.get(message.request_id)
             if permit is not None:
                 permit.set_result(message)
+            elif isinstance(message, Grant) and message.runner_id == CHOOSE_LOCALLY:
+                self._grant_returned(message.request_id)
             else:
                 # If the request no longer waits, its end has been sent already.
                 self._pending.resolve(message)
 
+    def _grant_returned(self, request_id: str) -> None:
+        """Grant a request locally that the scheduler could not handle."""
+        tracked = self._requests.get(request_id)
+        if tracked is None or tracked.future.done():
+            return
+        log_event(log.LocalChoiceBegan(reason="the scheduler failed at a request"))
+        self._pending.remove(request_id)
+        tracked.link = None
+        self.local.request_grant(tracked.grant_request, tracked.future)
+
     def _handle_transfer(self, order: TransferStream) -> None:
         """Pass an order to the request that it concerns, if that takes one."""
         # A scheduler may order before its next heartbeat states that it does.
--- a/mangoway/scheduling/server.py
+++ b/mangoway/scheduling/server.py
@@ -15,6 +15,7 @@
 from ..policy.limits.tracker import LimitReport, strip_recent_requests
 from ..policy.plain.core import PlainCore
 from ..policy.plain.events import (
+    CHOOSE_LOCALLY,
     PlainGrantEnded,
     PlainGrantRequest,
     PlainShortage,
@@ -27,9 +28,8 @@
     EndKind,
     Event,
     FleetUpdated,
+    Grant,
     GrantRequest,
-    PermitRequest,
-    Reject,
     RequestEnded,
     SendOrder,
     SpendingReported,
@@ -65,10 +65,6 @@
 TICK_S: Final = 0.05
 """Time between two ticks of the core, which check its queues and the placement."""
 
-FAILED_RETRY_AFTER_S: Final = 0.5
-FAILED_REASON: Final = "the scheduler could not handle the request"
-"""Rejection of a request whose handling raised an unexpected error."""
-
 
 @define(eq=False)
 class SchedulerServer:
@@ -239,21 +235,14 @@
         try:
             self._dispatch_message(link, message)
         except Exception:
-            if isinstance(message, GrantRequest | PermitRequest):
-                self._reject_failed(link, message)
+            if isinstance(message, GrantRequest):
+                self._leave_to_edge(link, message)
             raise
 
-    def _reject_failed(self, link: Link, request: GrantRequest | PermitRequest) -> None:
-        """Reject a request whose handling failed, and withdraw it from the core."""
+    def _leave_to_edge(self, link: Link, request: GrantRequest) -> None:
+        """Withdraw a request whose handling failed; its edge grants it itself."""
         edge, request_id = request.edge, request.request_id
-        link.send(
-            Reject(
-                edge=edge,
-                request_id=request_id,
-                retry_after_s=FAILED_RETRY_AFTER_S,
-                reason=FAILED_REASON,
-            )
-        )
+        link.send(Grant(edge=edge, request_id=request_id, runner_id=CHOOSE_LOCALLY))
         left = RequestEnded(edge=edge, request_id=request_id, kind=EndKind.LEFT)
         self.core.handle(left, self.clock())
 
