Use the engine of the current configuration at known runners

A runner that had registered before a configuration named its service got no adapters and no memory limit for as long as it ran; changed slots and memory held for new runners only. Three new tests failed before: an adapter that a request waits for was not ordered, and slots and prefix capacity stayed the old ones, also at a runner that leaves. What a configuration decides is now derived in one place, once for each new one. The state machine checks it too, and draws other changed facts of entries.

--- a/mangoway/policy/scheduling/leaving.py
+++ b/mangoway/policy/scheduling/leaving.py
@@ -83,6 +83,10 @@
         dropped = [each for each in self._runners if each not in present]
         return [self._runners.pop(each).runner for each in dropped]
 
+    def list_runners(self) -> list[RunnerState]:
+        """Return the states of the runners."""
+        return [each.runner for each in self._runners.values()]
+
     def list_by_end(self) -> list[LeavingRunner]:
         """Return the runners in order of the time that they have left."""
         return sorted(self._runners.values(), key=lambda each: each.gone_at)
--- a/mangoway/policy/scheduling/runners.py
+++ b/mangoway/policy/scheduling/runners.py
@@ -191,6 +191,13 @@
         is_unloading = any(each.unloading for each in self.models.values())
         return is_unloading or bool(self.unfinished.runs)
 
+    def use_engine(self, engine: EngineProfile | None) -> None:
+        """Use the engine profile of a new configuration; None for plain services."""
+        self.engine = engine
+        self.prefixes.capacity_tokens = (
+            0 if engine is None else engine.kv_capacity_tokens
+        )
+
     def use_pace(self, *, enabled: bool) -> None:
         """Start to learn the pace of this incarnation, or forget it."""
         self.pace = RunnerPace() if enabled else None
--- a/mangoway/policy/scheduling/state.py
+++ b/mangoway/policy/scheduling/state.py
@@ -330,13 +330,7 @@
             leaving: Runners that accept no more requests but still run some.
         """
         if table is not self.table:
-            self.transferring = find_transferring(table, self.features)
-            self.backing_up = find_backing_up(table, self.features)
-            self.protecting |= bool(self.transferring or self.backing_up)
-            self._update_paces(table)
-        self.table = table
-        self.quotas.registry = table.customers
-        self._update_shares(table)
+            self._apply_table(table)
         present = {entry.runner_id for entry in entries}
         returned = update_leaving(self, leaving, now)
         for runner_id in [each for each in self.runners if each not in present]:
@@ -352,6 +346,18 @@
         for earlier in returned:
             restore_requests(self, earlier)
 
+    def _apply_table(self, table: RoutingTable) -> None:
+        """Apply a new configuration to what was derived from the previous one."""
+        self.table = table
+        self.transferring = find_transferring(table, self.features)
+        self.backing_up = find_backing_up(table, self.features)
+        self.protecting |= bool(self.transferring or self.backing_up)
+        for runner in [*self.runners.values(), *self.leaving.list_runners()]:
+            runner.use_engine(self.get_engine(runner.entry.service))
+        self._update_paces(table)
+        self.quotas.registry = table.customers
+        self._update_shares(table)
+
     def _update_paces(self, table: RoutingTable) -> None:
         """Update which services use paces, from a new configuration."""
         known, self.paces = self.paces, {}
--- a/tests/policy/scheduling/test_fleet_machine.py
+++ b/tests/policy/scheduling/test_fleet_machine.py
@@ -107,6 +107,19 @@
         self.entries[name] = evolve(entry, service=service, draining=draining)
         self.update_fleet()
 
+    @rule(name=names, slots=st.integers(1, 64), version=st.sampled_from(["", "v2"]))
+    def change_facts(self, name: str, slots: int, version: str) -> None:
+        """Change what an entry may state anew without a restart."""
+        entry = self.entries.get(name) or make_runner(name, started_ms=1)
+        self.entries[name] = evolve(
+            entry,
+            slots=slots,
+            software_version=version,
+            address=f"127.0.0.1:{slots}",
+            data_centre=f"dc{slots % 3}",
+        )
+        self.update_fleet()
+
     @rule(name=names, models=some_models, known=st.booleans())
     def restart_runner(self, name: str, models: set[str], known: bool) -> None:
         entry = self.entries.get(name) or make_runner(name, started_ms=1)
@@ -210,6 +223,12 @@
         assert listed == expected
         assert state.runners.keys() == expected.keys()
 
+    @invariant()
+    def each_runner_has_the_engine_of_its_service(self) -> None:
+        state = self.core.state
+        for runner in [*state.runners.values(), *state.leaving.list_runners()]:
+            assert runner.engine is state.get_engine(runner.entry.service)
+
     @invariant()
     def each_copy_is_indexed_under_its_service(self) -> None:
         state = self.core.state
--- a/tests/policy/scheduling/test_relabelled_runners.py
+++ b/tests/policy/scheduling/test_relabelled_runners.py
@@ -1,9 +1,11 @@
-"""Tests that the entry of a runner may name another service than before."""
+"""Tests that entries and configurations may change what is known of a runner."""
 
 from random import Random
 
+import pytest
 from attrs import evolve
 
+from mangoway.models.routing import RoutingTable
 from mangoway.models.runner import RunnerEntry
 from mangoway.policy.scheduling.core import SchedulingCore
 from mangoway.policy.scheduling.events import (
@@ -12,11 +14,19 @@
     Grant,
     GrantRequest,
     OrdersAllowed,
+    ReportReceived,
     RequestEnded,
+    SendOrder,
 )
 from mangoway.policy.scheduling.state import SchedulingState
 
-from ...fakes.fleet import make_grant_request, make_runner, make_table
+from ...fakes.fleet import (
+    make_grant_request,
+    make_report,
+    make_residents,
+    make_runner,
+    make_table,
+)
 from .moving import protect
 
 TABLE = protect(make_table())
@@ -29,9 +39,9 @@
         self.core = SchedulingCore(SchedulingState(Random(1)))
         self.core.handle(OrdersAllowed(allowed=True), 0.0)
 
-    def update(self, *entries: RunnerEntry) -> None:
+    def update(self, *entries: RunnerEntry, table: RoutingTable = TABLE) -> None:
         event = FleetUpdated(
-            table=TABLE,
+            table=table,
             runners=tuple(each for each in entries if not each.draining),
             leaving=tuple(each for each in entries if each.draining),
         )
@@ -95,3 +105,43 @@
             )
         fleet.update(make_runner("r0", ("a",)), make_runner("r1", ("a",)))
         assert fleet.list_ids("llm") == ["r0", "r1"]
+
+
+class TestEngines:
+    """Runners whose service gets another engine profile while they run.
+
+    A runner kept the profile of the time at which it was first seen. One that was seen
+    before its service was configured got no adapters and had no memory limit.
+    """
+
+    def test_runner_seen_before_its_service_gets_adapters(self) -> None:
+        fleet = Fleet()
+        early = evolve(TABLE, services={"plain": TABLE.services["plain"]})
+        runner = make_runner("r0", ("a",))
+        fleet.update(runner, table=early)
+        fleet.update(runner, table=evolve(TABLE, version=2))
+        report = make_report(make_residents(("a",)), 0)
+        fleet.core.handle(
+            ReportReceived(runner_id="r0", report=report, requested_at=1.0), 1.0
+        )
+        request = make_grant_request("q1", adapter="x1")
+        orders = fleet.core.handle(request, 1.1)
+        assert [each.adapter for each in orders if isinstance(each, SendOrder)] == [
+            "x1"
+        ]
+
+    @pytest.mark.parametrize("is_leaving", [False, True])
+    def test_new_limits_hold_at_runners_that_are_known(self, is_leaving: bool) -> None:
+        fleet = Fleet()
+        runner = make_runner("r0", ("a",), draining=is_leaving)
+        fleet.update(make_runner("r0", ("a",)))
+        fleet.update(runner)
+        profile = TABLE.services["llm"]
+        assert profile.engine is not None
+        engine = evolve(profile.engine, slots=2, kv_capacity_tokens=5_000)
+        services = {**TABLE.services, "llm": evolve(profile, engine=engine)}
+        fleet.update(runner, table=evolve(TABLE, version=2, services=services))
+        known = fleet.core.state.find_runner("r0")
+        assert known is not None
+        assert known.engine is engine
+        assert known.prefixes.capacity_tokens == 5_000
