Take a response with an invalid status for a broken one

Here the edge made 502 of 000, but passed 600, 700 and 999 on, and took HTTP/0.9, 2.0 and 9.9 for HTTP/1.1; the product's own gateway passed 000, 099, 101, 600 and 999 of plain services on.

HTTP/1.1 has no status beyond 599 (RFC 9110, section 15), so that such a line is none.

One check for each client now makes it a broken response: the request may have run, so that it gets 502, and one that may run twice goes to another runner, whatever else the response states. Fetches of the gateway took redirects for success; they count 2xx alone now.

--- a/mangoway/edge/attempt.py
+++ b/mangoway/edge/attempt.py
@@ -26,6 +26,7 @@
 from ..platform.requests import list_response_headers
 from ..policy.edge.const import MAX_UNHELD_BYTES
 from ..policy.edge.response_end import ResponseEnd
+from ..util.statuses import is_success
 from .attempt_result import AttemptResult, BufferedResponse
 from .const import MAX_BUFFERED_BODY_BYTES, MAX_STREAM_BYTES
 from .delivery import Delivery, StreamBrokenError
@@ -396,8 +397,3 @@
         each for each in response.headers if each[0].lower() != b"content-length"
     )
     delivery.send_response(response.head.status, headers, response.body)
-
-
-def is_success(status: int) -> bool:
-    """Return whether a status is that of a successful response."""
-    return 200 <= status < 300
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -28,12 +28,9 @@
 from ..policy.edge.response_end import ResponseEnd
 from ..policy.edge.retries import FailedAttempt, RetryCause, RetryDecision, decide_retry
 from ..policy.scheduling.events import EndKind, Reject
+from ..util.statuses import is_success
 from .admission import Admission, Caller, Rejection
-from .attempt import (
-    Attempt,
-    is_not_run,
-    is_success,
-)
+from .attempt import Attempt, is_not_run
 from .attempt_result import AttemptResult
 from .const import (
     MAX_SILENCE_S,
--- a/mangoway/engines/client.py
+++ b/mangoway/engines/client.py
@@ -8,6 +8,7 @@
 from ..models.order import Order
 from ..models.upstream import EngineDescription, EngineReport
 from ..upstreams.session import UpstreamCall, UpstreamSession, make_status_error
+from ..util.statuses import is_success
 from .codec import (
     decode_description,
     decode_order_answer,
@@ -94,7 +95,7 @@
         )
         decoder = StreamDecoder(attempt.id, attempt.resume_from)
         async with self._session.async_open(call) as response:
-            if not response.ok:
+            if not is_success(response.status):
                 raise make_status_error(response)
             async for data in response.content.iter_any():
                 chunks = decoder.feed(data)
--- a/mangoway/http1/client.py
+++ b/mangoway/http1/client.py
@@ -13,6 +13,7 @@
 from attrs import frozen
 
 from ..util.address import CONNECT_ERRORS, split_address
+from ..util.statuses import is_final
 from .const import (
     BODY_GRACE_S,
     CONNECT_TIMEOUT_S,
@@ -35,6 +36,7 @@
 from .messages import Request, ResponseHead
 
 KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*(\d+)")
+HTTP_1: Final = b"1."
 NAGLE_OFF: Final = 1
 UNREACHABLE_ERRORS: Final = (errno.EHOSTUNREACH, errno.ENETUNREACH)
 
@@ -211,6 +213,7 @@
                     raise ExchangeFailedError("too many interim responses")
                 continue
             if isinstance(event, h11.Response):
+                _check_status_line(event)
                 head = ResponseHead(
                     status=event.status_code,
                     reason=bytes(event.reason),
@@ -515,6 +518,18 @@
     return Connection(reader, writer, now)
 
 
+def _check_status_line(response: h11.Response) -> None:
+    """Check what the parser accepts beyond HTTP/1.
+
+    Raises:
+        ExchangeFailedError: If the version or the status is invalid.
+    """
+    version, status = response.http_version, response.status_code
+    if not version.startswith(HTTP_1) or not is_final(status):
+        line = f"HTTP/{version.decode('latin-1')} {status}"
+        raise ExchangeFailedError(f"malformed response: {line}")
+
+
 def _digest(request_id: str) -> bytes:
     """Return a digest of a request's ID, which differs between processes."""
     return hash(request_id).to_bytes(DIGEST_BYTES, "little", signed=True)
--- a/mangoway/upstreams/session.py
+++ b/mangoway/upstreams/session.py
@@ -12,6 +12,7 @@
 from ..models.errors import ErrorCode, MangowayError
 from ..models.verdict import Verdict
 from ..util.address import parse_address
+from ..util.statuses import is_final, is_success
 from .const import (
     BUSY_STATUSES,
     CONNECT_TIMEOUT_S,
@@ -119,6 +120,7 @@
                 allow_redirects=False,
                 read_bufsize=READ_BUFFER_BYTES,
             ) as response:
+                _check_status(response, call.address)
                 if call.streamed:
                     watch = SilenceWatch(response, call.silence_s)
                 yield response
@@ -143,7 +145,7 @@
             MangowayError: As `async_open`, or if the status is not successful.
         """
         async with self.async_open(call) as response:
-            if not response.ok:
+            if not is_success(response.status):
                 raise make_status_error(response)
             return await async_read_body(response)
 
@@ -230,6 +232,20 @@
         return None
 
 
+def _check_status(response: aiohttp.ClientResponse, address: str) -> None:
+    """Check what the parser accepts beyond HTTP.
+
+    Raises:
+        MangowayError: UPSTREAM_FAILED if the status is invalid.
+    """
+    if not is_final(response.status):
+        raise MangowayError(
+            ErrorCode.UPSTREAM_FAILED,
+            f"{address}: responded with the invalid status {response.status}",
+            Verdict.MAY_HAVE_RUN,
+        )
+
+
 def _make_silence_error(call: UpstreamCall) -> MangowayError:
     return MangowayError(
         ErrorCode.UPSTREAM_SILENT,
--- a/tests/services/test_client.py
+++ b/tests/services/test_client.py
@@ -40,6 +40,14 @@
             status=status, content_type="text/x", body=b"[1]"
         )
 
+    @pytest.mark.parametrize("status", ["000", "099", "101", "600", "999"])
+    async def test_invalid_status_is_no_response(self, status: str) -> None:
+        """A caller would get it as the response of the service."""
+        response = f"HTTP/1.1 {status} X\r\nContent-Length: 3\r\n\r\n[1]".encode()
+        with pytest.raises(MangowayError) as raised:
+            await call(cut(response))
+        assert raised.value.failure.verdict is Verdict.MAY_HAVE_RUN
+
     async def test_cut_body_without_a_length_is_not_whole(self) -> None:
         with pytest.raises(MangowayError) as raised:
             await call(cut(b"HTTP/1.1 200 OK\r\n\r\n[1, 2"))
