Take no call that an edge which stops would cut off

With the real programs, calls of 4.5 s of work that came 3.05 s after the signal were run and cut off, and calls that came earlier and ran for longer got no answer either.

A call that comes from 2.8 s after the signal on is taken only if its time limit, by its route and its caller, ends in time; others get 503 at once, as not run, with a short Retry-After. Streams are rejected from then on as before (3.0 s, which left no room for a signal that is noticed late). 0.2 s before the end, requests whose responses have not begun get 504, or 503 if they surely have not run, in place of a closed connection.

Before the change four of five new cases with the real programs failed; one shows that late calls which end in time are still served.

--- a/mangoway/daemons/edge.py
+++ b/mangoway/daemons/edge.py
@@ -1,7 +1,6 @@
 """The process `mangoway edge`."""
 
 import asyncio
-from math import inf
 from random import Random
 from typing import Final
 
@@ -46,6 +45,7 @@
 from ..policy.edge.relaying import RelayPeers
 from ..policy.edge.retry_budget import RetryLimits
 from ..policy.edge.shares import DisconnectedShare, FleetShare
+from ..policy.edge.stopping import StopSchedule
 from ..policy.edge.version_records import choose_edge_delay_s
 from ..policy.scheduling.core import SchedulingCore
 from ..policy.scheduling.events import FleetUpdated
@@ -75,10 +75,6 @@
 """Time for which a stopping edge still accepts requests: callers keep an address for up
 to three times the 1 s that the directory states."""
 
-STOP_ACCEPT_STREAMS_S: Final = 3.0
-"""Time for which it accepts streams, which may outlast the rest of the grace period.
-Callers that come later have kept an address for longest."""
-
 STOP_MARGIN_S: Final = 0.6
 """Time before the end of the grace period at which remaining requests are aborted."""
 
@@ -134,9 +130,6 @@
     _servers: list[asyncio.AbstractServer] = field(factory=list, init=False)
     _started_at: float = field(default=0.0, init=False)
     _stopping: bool = field(default=False, init=False)
-    _streams_until: float = field(default=inf, init=False)
-    """Time until which streams are accepted."""
-
     _ready_logged: bool = field(default=False, init=False)
     _fleet_changed: bool = field(default=False, init=False)
     """Whether the local grant provider has yet to receive the current fleet."""
@@ -283,12 +276,14 @@
         """Leave the directory, finish open requests and stop in the grace period."""
         began_at = self.process.clock()
         self._stopping = True
-        self._streams_until = began_at + STOP_ACCEPT_STREAMS_S
+        finish_by = began_at + self.settings.grace_s - STOP_MARGIN_S
+        self.forwarder.stop_schedule = StopSchedule(
+            began_at=began_at, finish_by=finish_by
+        )
         self.callers.closing = True
         log_event(log.NodeStopping(signal=signal, in_progress=self.callers.busy))
         self.process.tasks.async_start(self.process.presence.async_leave())
-        finish_by = began_at + self.settings.grace_s - STOP_MARGIN_S
-        await self._async_finish(began_at + STOP_ACCEPT_S, finish_by)
+        await self._async_finish(began_at + STOP_ACCEPT_S, self.forwarder.stop_schedule)
         unfinished = self.callers.busy
         for server in self._servers:
             server.close()
@@ -301,12 +296,14 @@
         seconds = round(self.process.clock() - began_at, 3)
         log_event(log.NodeStopped(in_progress=unfinished, after_s=seconds))
 
-    async def _async_finish(self, accept_until: float, finish_by: float) -> None:
-        while (now := self.process.clock()) < finish_by:
+    async def _async_finish(self, accept_until: float, schedule: StopSchedule) -> None:
+        while (now := self.process.clock()) < schedule.finish_by:
             is_idle = not self.callers.busy and not self.callers.undelivered
             if now >= accept_until and is_idle:
                 return
-            if now >= finish_by - REJECT_BEFORE_END_S:
+            if now >= schedule.answer_at:
+                self.forwarder.end_unanswered()
+            if now >= schedule.finish_by - REJECT_BEFORE_END_S:
                 self.client.reject_waiting(STOPPING_REASON, RETRY_AFTER_STOP_S)
             if now >= accept_until:
                 # No callers are expected any more; requests already being read are
@@ -411,7 +408,6 @@
             uses_backups=self.settings.stream_backups,
             drain_s=self.settings.drain_ms / MS_PER_S,
             may_use_configuration=self.startup.is_done,
-            accepts_streams=lambda: process.clock() < self._streams_until,
         )
 
     def _send_statement(self, key: str, value: bytes) -> bool:
--- a/mangoway/edge/forwarder.py
+++ b/mangoway/edge/forwarder.py
@@ -19,6 +19,7 @@
 from ..platform.transfers import RunnerTransfers
 from ..policy.edge.const import RETRY_AFTER_ORIGIN_S, RETRY_AFTER_START_S
 from ..policy.edge.origin_search import FoundOrigin
+from ..policy.edge.stopping import StopSchedule
 from ..scheduling.grant_provider import GrantProvider
 from .admission import Admission, Caller, Rejection
 from .const import (
@@ -101,8 +102,11 @@
     may_use_configuration: Callable[[], bool] = lambda: True
     """Returns whether the configuration is known to be recent enough."""
 
-    accepts_streams: Callable[[], bool] = lambda: True
-    """Returns whether a new stream can end before this host stops."""
+    stop_schedule: StopSchedule | None = field(default=None, init=False)
+    """Times of this host's planned stop; None before it."""
+
+    _handlers: "set[RequestHandler]" = field(factory=set, init=False)
+    """Handlers of the requests in progress."""
 
     request_numbers: "count[int]" = field(factory=count, init=False)
     runner_ends: RunnerEnds = field(init=False)
@@ -140,7 +144,7 @@
             rejection = UNCERTAIN_ROUTE if is_uncertain else NO_ROUTE
             _reject(delivery, request_log, rejection)
             return
-        if route.kind is RouteKind.STREAMING and not self.accepts_streams():
+        if not self._accepts(route, fields, now):
             _reject(delivery, request_log, STOPPING)
             return
         caller = self.admission.check(request, route)
@@ -167,7 +171,26 @@
             relay_mark=relay_mark,
             resumed=found,
         )
-        await handler.async_run()
+        self._handlers.add(handler)
+        try:
+            await handler.async_run()
+        finally:
+            self._handlers.discard(handler)
+
+    def end_unanswered(self) -> None:
+        """Answer the requests in progress whose responses have not begun.
+
+        This host stops now, and would cut them off otherwise.
+        """
+        for handler in tuple(self._handlers):
+            handler.end_unanswered()
+
+    def _accepts(self, route: Route, fields: RequestFields, now: float) -> bool:
+        """Return whether a request can end before this host stops, if it does."""
+        if self.stop_schedule is None:
+            return True
+        time_limit_s = route.limit_time(fields.time_left_s)
+        return self.stop_schedule.accepts(route.kind, time_limit_s, now)
 
     async def _async_find_origin(
         self, request_log: RequestLog, route: Route, caller: Caller
--- a/mangoway/edge/request_handler.py
+++ b/mangoway/edge/request_handler.py
@@ -36,8 +36,10 @@
     MAX_SILENCE_S,
     MIN_SILENCE_S,
     NO_VERSION_REASON,
+    RETRY_AFTER_STOP_S,
     RETRY_BUDGET_SPENT_REASON,
     SILENCE_OBJECTIVES,
+    STOPPING_REASON,
 )
 from .continuation import (
     CRASH,
@@ -127,15 +129,19 @@
     _stream_digest: str = field(default="", init=False)
     """Digest of the stream once its origin is recorded."""
 
+    _timeout: asyncio.Timeout | None = field(default=None, init=False)
+    """Time limit of the request while it is in progress."""
+
+    _is_stopped: bool = field(default=False, init=False)
+    """Whether the request ends since this host stops."""
+
     _response: FinalResponse = field(init=False)
     _clock: Callable[[], float] = field(init=False)
     _deadline: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._clock = asyncio.get_running_loop().time
-        time_limit_s = self.route.timeout_s
-        if self.fields.time_left_s is not None:
-            time_limit_s = min(time_limit_s, self.fields.time_left_s)
+        time_limit_s = self.route.limit_time(self.fields.time_left_s)
         self._deadline = self.delivery.arrived_at + time_limit_s
         self._finder = RunnerFinder(
             context=self.context,
@@ -179,7 +185,7 @@
     async def async_run(self) -> None:
         """Serve the request, or respond with the reason why it can't be served."""
         try:
-            async with asyncio.timeout_at(self._deadline):
+            async with asyncio.timeout_at(self._deadline) as self._timeout:
                 await self._async_try_runners()
         except TimeoutError:
             self._finder.release_grant(EndKind.LEFT)
@@ -198,6 +204,14 @@
                 self.context.stream_origins.end(self._stream_digest)
             self.context.crash_filter.probes.end(self.log.identity)
 
+    def end_unanswered(self) -> None:
+        """Respond now if the response has not begun, since this host stops."""
+        timeout = self._timeout
+        if timeout is None or timeout.expired() or self.delivery.started:
+            return
+        self._is_stopped = True
+        timeout.reschedule(self._clock())
+
     async def _async_try_runners(self) -> None:
         if self._must_relay():
             await self._async_relay()
@@ -632,9 +646,12 @@
 
     def _handle_timeout(self) -> None:
         if self._response.must_fail:
-            self._response.fail(
-                STATUS_TIMEOUT, "no response within the timeout of the route"
-            )
+            reason = "no response within the timeout of the route"
+            if self._is_stopped:
+                reason = STOPPING_REASON
+            self._response.fail(STATUS_TIMEOUT, reason)
+        elif self._is_stopped:
+            self._response.reject(STOPPING_REASON, RETRY_AFTER_STOP_S)
         else:
             self._response.reject(
                 "no runner had capacity in time", RETRY_AFTER_OUTAGE_S
--- a/mangoway/models/routing.py
+++ b/mangoway/models/routing.py
@@ -75,6 +75,16 @@
             PATIENCE_PER_GAP_OBJECTIVE * self.gap_objective_s,
         )
 
+    def limit_time(self, time_left_s: float | None) -> float:
+        """Return the seconds that a request may take.
+
+        Args:
+            time_left_s: Seconds for which its caller waits; None if it doesn't say.
+        """
+        if time_left_s is None:
+            return self.timeout_s
+        return min(self.timeout_s, time_left_s)
+
     @property
     def idempotent(self) -> bool:
         """Return whether a request may be executed more than once."""
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -122,6 +122,9 @@
     runs_on: bool = field(default=False, init=False)
     """Whether it goes on with the stream of a client that has disconnected."""
 
+    work_s: float = field(default=0.0, init=False)
+    """Duration of its calls; 0 for short ones of different lengths."""
+
     pauses: bool = field(default=False, init=False)
     """Whether it preempts its streams once, in their middle."""
 
@@ -437,7 +440,7 @@
     async def _async_respond(
         self, request: web.Request, headers: dict[str, str], body: bytes
     ) -> web.Response:
-        await asyncio.sleep(WORK_S * self.random.uniform(0.5, 4))
+        await asyncio.sleep(self.work_s or WORK_S * self.random.uniform(0.5, 4))
         if self.random.random() < self.fail_share:
             self._abort(request)
         text = f"{headers['X-Request-Id']} {len(body)}"
--- a/tests/soak/test_stopping_edges.py
+++ b/tests/soak/test_stopping_edges.py
@@ -13,7 +13,7 @@
 from ..stand_ins.launcher import Launcher
 from .callers import HOST, PATHS
 from .records import Kind
-from .world import Node, World
+from .world import ROUTE_TIMEOUT_S, Node, World
 
 SEED = 71
 SETTLE_S = 2.0
@@ -25,11 +25,24 @@
 """Time after the signal from which streams have no excuse for being cut off."""
 
 
+LONG_S = 9.0
+"""Time limit of routes whose calls may outlast the grace period."""
+
+SHORT_S = 1.5
+"""Time limit of routes whose calls always end within it."""
+
+CALLS = 6
+
+
 @asynccontextmanager
-async def start_world(tmp_path: Path) -> AsyncIterator[tuple[World, Node]]:
+async def start_world(
+    tmp_path: Path, route_timeout_s: float = ROUTE_TIMEOUT_S
+) -> AsyncIterator[tuple[World, Node]]:
     """Start a world without callers, and yield it with the edge that is stopped."""
     async with Launcher(tmp_path) as launcher:
-        world = World(SEED, launcher, edges=1, callers=0)
+        world = World(
+            SEED, launcher, edges=1, callers=0, route_timeout_s=route_timeout_s
+        )
         await world.async_start()
         [node] = world.list_nodes("edge")
         node.restarts = False
@@ -48,15 +61,20 @@
 
 
 async def async_call(
-    world: World, node: Node, number: int, pause_s: float = 0
+    world: World,
+    node: Node,
+    number: int,
+    pause_s: float = 0,
+    kind: Kind = Kind.FIXED_STREAM,
 ) -> bytes:
-    """Send a stream's request, and return all bytes of the response.
+    """Send a request, a stream's by default, and return all bytes of the response.
 
     Args:
         world: The world.
         node: The edge.
         number: Number of the request.
         pause_s: Pause after each read of a slow caller; 0 for a fast one.
+        kind: Kind of the request.
     """
     sock = socket.socket()
     if pause_s:
@@ -67,9 +85,10 @@
     reader, writer = await asyncio.open_connection(sock=sock, limit=RECEIVE_BYTES)
     key = world.records.customers.get_first_key()
     writer.write(
-        f"POST {PATHS[Kind.FIXED_STREAM]} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"POST {PATHS[kind]} HTTP/1.1\r\nHost: {HOST}\r\n"
         f"X-Request-Id: s{number}\r\nAuthorization: Bearer {key}\r\nX-Model: m0\r\n"
-        "X-Token-Usage: 100,50\r\nContent-Length: 0\r\n\r\n".encode()
+        "X-Token-Usage: 100,50\r\nConnection: close\r\n"
+        "Content-Length: 0\r\n\r\n".encode()
     )
     data = b""
     try:
@@ -123,3 +142,56 @@
                 assert each.startswith(b"HTTP/1.1 503")
                 assert b"retry-after" in each.lower()
         assert world.records.runs == {}
+
+
+@pytest.mark.process
+class TestLongCalls:
+    """Calls whose work may outlast the grace period of the edge that took them.
+
+    They were passed on to a runner, and cut off without an answer at its end.
+    """
+
+    @pytest.mark.parametrize("kind", [Kind.ONCE, Kind.SAFE])
+    async def test_late_ones_are_rejected_at_once_as_not_run(
+        self, tmp_path: Path, kind: Kind
+    ) -> None:
+        async with start_world(tmp_path, LONG_S) as (world, node):
+            for each in world.runners:
+                each.work_s = 4.5
+            stop(node)
+            stopped_at = time.monotonic()
+            await asyncio.sleep(LATE_S)
+            responses = await asyncio.gather(
+                *(async_call(world, node, n, kind=kind) for n in range(CALLS))
+            )
+            assert time.monotonic() - stopped_at < LATE_S + 1.0
+            for each in responses:
+                assert each.startswith(b"HTTP/1.1 503")
+                assert b"retry-after" in each.lower()
+        assert world.records.runs == {}
+
+    async def test_late_ones_that_end_in_time_are_served(self, tmp_path: Path) -> None:
+        async with start_world(tmp_path, SHORT_S) as (world, node):
+            stop(node)
+            await asyncio.sleep(LATE_S)
+            responses = await asyncio.gather(
+                *(async_call(world, node, n, kind=Kind.ONCE) for n in range(CALLS))
+            )
+        assert [each[:12] for each in responses] == [b"HTTP/1.1 200"] * CALLS
+
+    @pytest.mark.parametrize("kind", [Kind.ONCE, Kind.SAFE])
+    async def test_early_ones_get_an_answer_at_the_end(
+        self, tmp_path: Path, kind: Kind
+    ) -> None:
+        async with start_world(tmp_path, LONG_S) as (world, node):
+            for each in world.runners:
+                each.work_s = 2 * LONG_S
+            stop(node)
+            await asyncio.sleep(1.0)
+            responses = await asyncio.gather(
+                *(async_call(world, node, n, kind=kind) for n in range(CALLS))
+            )
+            assert node.process is not None
+            assert await node.process.child.wait() == 0
+        # It may have run, so that the answer must not state the opposite.
+        assert [each[:12] for each in responses] == [b"HTTP/1.1 504"] * CALLS
