Judge the version of a resumed stream by state that covers its arrival

Runners of a new version that had joined since had begun streams through other edges; the edge knew one version, asked nobody, and sent the stream on at a runner of the old one. A just started edge believed the first peer that answered, which may be as far behind, and an agreement of others counted for a second.

Without a record, an edge now waits until its state covers the arrival of the request, some tenths of a second (1 s at most). One whose state does not get there asks all others and does not count its own history, and an answer without a record decides only together with all others. An earlier agreement counts if the own state covers the arrival, or if the state of all was old.

Each of five guards taken out turns a test red. Not shown with real programs: the window is 1.5 s. Cost: a stream resumed in a fleet with one version goes on later by the age of the relayed state.

--- a/mangoway/edge/stream_origins.py
+++ b/mangoway/edge/stream_origins.py
@@ -10,7 +10,7 @@
 from itertools import count
 from typing import Final
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 from ..coordination.view import FleetView
 from ..models.fleet import Member
@@ -60,6 +60,13 @@
 """Time in seconds for which hosts that agreed on the only version aren't asked again.
 While the store is away, they would be asked for each stream that is resumed."""
 
+COVER_TIMEOUT_S: Final = 1.0
+"""Longest wait for this host's state to cover the arrival of a request, in seconds.
+Callers wait for two seconds at most."""
+
+COVER_CHECK_S: Final = 0.03
+"""Time in seconds between two checks of whether it does."""
+
 MAX_GAP_S: Final = 3.0
 """Age of a host's state, in seconds, from which runners may have come and gone without
 being seen: the entry of a runner outlasts its last heartbeat by three of them."""
@@ -75,6 +82,18 @@
     """Done once the result is certain."""
 
 
+@frozen
+class Agreement:
+    """The only version that other hosts knew when they were asked."""
+
+    found: FoundOrigin
+    until: float
+    """Time until which it counts."""
+
+    has_current: bool
+    """Whether the state of any of them was current."""
+
+
 @define(eq=False, kw_only=True)
 class StreamOrigins:
     """The origins of streams, as an edge and its peers know them."""
@@ -109,10 +128,8 @@
     _holders: tuple[Member, ...] = field(default=(), init=False)
     _flush: asyncio.TimerHandle | None = field(default=None, init=False)
     _searches: dict[int, RunningSearch] = field(factory=dict, init=False)
-    _agreements: dict[tuple[str, ...], tuple[FoundOrigin, float]] = field(
-        factory=dict, init=False
-    )
-    """The only versions that others agreed on, and until when, by services."""
+    _agreements: dict[tuple[str, ...], Agreement] = field(factory=dict, init=False)
+    """The only versions that others agreed on, by services."""
 
     _numbers: "count[int]" = field(factory=count, init=False)
 
@@ -152,17 +169,26 @@
             digest: Digest of the stream.
             services: Services that may have begun it.
         """
+        arrived_at = self.clock()
         own = self._answer(digest, services)
+        if own.origin is None and len(own.evidence.versions) <= 1:
+            await self._async_wait_covered(arrived_at)
+            own = self._answer(digest, services)
         if own.origin is not None:
             return FoundOrigin(
                 origin=own.origin, told_by=OWN_RECORD, basis=OriginBasis.OWN_RECORD
             )
-        agreed = self._get_agreed(services)
+        is_covered = self._covers(arrived_at)
+        agreed = self._get_agreed(services, is_covered=is_covered)
         if agreed is not None and len(own.evidence.versions) <= 1:
             return agreed
+        evidence = own.evidence
+        if not is_covered:
+            # Runners of another version may have joined since, and begun the stream.
+            evidence = evolve(evidence, is_certain=False)
         search = OriginSearch(
-            own.evidence,
-            is_current=self._is_current(),
+            evidence,
+            is_current=is_covered,
             backing=self._find_backing(services),
         )
         peers = self._list_peers()
@@ -181,9 +207,27 @@
             if result.told_by:
                 self.records.add(digest, result.origin, now, is_own=False)
             else:
-                self._agreements[services] = result, now + AGREEMENT_S
+                self._agreements[services] = Agreement(
+                    result, now + AGREEMENT_S, has_current=search.has_certain_peer
+                )
         return result
 
+    def _covers(self, at: float) -> bool:
+        """Return whether this host's state has all that was written before a time."""
+        return self.measure_age() <= self.clock() - at
+
+    async def _async_wait_covered(self, at: float) -> None:
+        """Wait until this host's state covers a time, unless it is out of step.
+
+        State that is relayed is some tenths of a second old. A stream that is resumed
+        may have begun since at a runner that this host has yet to learn of.
+        """
+        give_up_at = at + COVER_TIMEOUT_S
+        while not self._covers(at) and self._is_current():
+            if self.clock() >= give_up_at:
+                return
+            await asyncio.sleep(COVER_CHECK_S)
+
     def handle_datagram(self, data: bytes, sender: str) -> None:
         """Handle a datagram of a peer.
 
@@ -260,10 +304,20 @@
         if found.search.get_result() is not None and not found.result.done():
             found.result.set_result(None)
 
-    def _get_agreed(self, services: tuple[str, ...]) -> FoundOrigin | None:
-        """Return the only version that others have agreed on just now."""
-        agreed, until = self._agreements.get(services, (None, 0.0))
-        return agreed if self.clock() < until else None
+    def _get_agreed(
+        self, services: tuple[str, ...], *, is_covered: bool
+    ) -> FoundOrigin | None:
+        """Return the only version that others have agreed on just now.
+
+        Unless this host knows what has been written since, the others must be as far
+        behind: one that is not may have begun streams of another version meanwhile.
+        """
+        agreement = self._agreements.get(services)
+        if agreement is None or self.clock() >= agreement.until:
+            return None
+        if agreement.has_current and not is_covered:
+            return None
+        return agreement.found
 
     async def _async_search(
         self, search: OriginSearch, peers: list[Member], query: QueryMessage
--- a/mangoway/policy/edge/origin_search.py
+++ b/mangoway/policy/edge/origin_search.py
@@ -89,12 +89,13 @@
     _unanswered: set[str] = field(factory=set, init=False)
     _answered: int = field(default=0, init=False)
     _versions: set[ServiceVersion] = field(init=False)
-    _is_certain: bool = field(init=False)
+    has_certain_peer: bool = field(default=False, init=False)
+    """Whether a peer with current state has seen all versions."""
+
     _found: FoundOrigin | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._versions = set(self.own.versions)
-        self._is_certain = self.own.is_certain
 
     def ask(self, peers: Iterable[str]) -> None:
         """Record the peers that are asked, by address."""
@@ -111,20 +112,28 @@
         self._unanswered.remove(peer)
         self._answered += 1
         self._versions |= answer.evidence.versions
-        self._is_certain |= answer.evidence.is_certain
+        self.has_certain_peer |= answer.evidence.is_certain
         if answer.origin is not None:
             self._found = FoundOrigin(
                 origin=answer.origin, told_by=peer, basis=OriginBasis.PEER_RECORD
             )
 
     def get_result(self) -> FoundOrigin | UnknownOrigin | None:
-        """Return the result; None if an answer may still change it."""
+        """Return the result; None if an answer may still change it.
+
+        The state of a peer may be as old as this host's, so that the answer of one
+        doesn't decide: another one may know of the stream, or of a newer version.
+        """
         if self._found is not None:
             return self._found
-        if len(self._versions) <= 1 and self._is_certain:
+        if len(self._versions) <= 1 and self.own.is_certain:
             return self._get_only_origin()
         return None if self._unanswered else self.end()
 
+    @property
+    def _is_certain(self) -> bool:
+        return self.own.is_certain or self.has_certain_peer
+
     def end(self) -> FoundOrigin | UnknownOrigin:
         """Return the result without any further answers."""
         if self._found is not None:
--- a/tests/edge/origin_fleet.py
+++ b/tests/edge/origin_fleet.py
@@ -33,10 +33,21 @@
     origins: StreamOrigins
     is_running: bool = True
     age_s: float = 0.0
+    """Age of its state of the store, which is relayed all the while."""
+
+    known_at: float | None = None
+    """Time up to which it knows the store; None unless it learns nothing more."""
+
+    delay_s: float = 0.0
+    """Time for which its datagrams are on their way beyond the usual."""
+
     sent_bytes: int = 0
     received_bytes: int = 0
     datagrams: int = 0
 
+    def measure_age(self) -> float:
+        return self.age_s if self.known_at is None else get_time() - self.known_at
+
 
 @define(eq=False)
 class OriginFleet:
@@ -79,7 +90,7 @@
                 clock=get_time,
             ),
         )
-        edge.origins.measure_age = lambda: edge.age_s
+        edge.origins.measure_age = edge.measure_age
         edge.origins.send = lambda data, address: self._send(edge, data, address)
         view.on_change.append(edge.origins.handle_view_change)
         self.edges.append(edge)
@@ -153,7 +164,7 @@
             loop = asyncio.get_running_loop()
             receiver = self.by_address[address]
             loop.call_later(
-                NETWORK_DELAY_S,
+                NETWORK_DELAY_S + sender.delay_s,
                 self._deliver,
                 receiver,
                 data,
--- a/tests/edge/test_stream_origins.py
+++ b/tests/edge/test_stream_origins.py
@@ -23,6 +23,7 @@
     ROUTE,
     V1,
     V2,
+    OriginEdge,
     OriginFleet,
     get_time,
     make_member,
@@ -180,6 +181,17 @@
         assert await fleet.async_find(fleet.edges[0], "three") == V1
         assert fleet.edges[0].datagrams > asked
 
+    async def test_others_are_not_asked_for_each_stream_without_the_store(self) -> None:
+        """The state of all is old then, and no runner can join unnoticed by one."""
+        fleet = OriginFleet(6, versions=("v1",))
+        await fleet.async_pass(RETENTION_S + 1.0)
+        for each in fleet.edges:
+            each.age_s = 10.0
+        assert await fleet.async_find(fleet.edges[0], "one") == V1
+        asked = fleet.edges[0].datagrams
+        assert await fleet.async_find(fleet.edges[0], "two") == V1
+        assert fleet.edges[0].datagrams == asked
+
     async def test_second_version_ends_an_agreement(self) -> None:
         fleet = OriginFleet(6, versions=("v1",))
         assert await fleet.async_find(fleet.edges[0], "one") == V1
@@ -260,6 +272,97 @@
         assert await fleet.async_find(old, "unknown") is None
 
 
+class TestOutOfStep:
+    """An edge whose state is about a second old, so that it still counts as current.
+
+    Runners of a new version had joined meanwhile. Streams that had begun there through
+    other edges went on at a runner of the only version that this edge knew.
+    """
+
+    @staticmethod
+    async def make_fleet(age_s: float) -> tuple[OriginFleet, OriginEdge]:
+        """Return a fleet with two versions, and an edge that lacks the second one."""
+        fleet = OriginFleet(6, versions=("v1",))
+        await fleet.async_pass(RETENTION_S + 1.0)
+        late = fleet.edges.pop()
+        fleet.set_versions("v1", "v2")
+        fleet.edges.append(late)
+        late.known_at = get_time() - age_s
+        return fleet, late
+
+    @pytest.mark.parametrize("age_s", [0.4, 1.0, 1.4])
+    async def test_stream_of_the_new_version_is_found(self, age_s: float) -> None:
+        fleet, late = await self.make_fleet(age_s)
+        fleet.begin_stream(fleet.edges[0], "s", V2)
+        assert await fleet.async_find(late, "s") == V2
+
+    @pytest.mark.parametrize("age_s", [0.4, 1.0, 1.4])
+    async def test_stream_of_a_lost_edge_is_not_taken_for_an_old_one(
+        self, age_s: float
+    ) -> None:
+        fleet, late = await self.make_fleet(age_s)
+        fleet.begin_stream(fleet.edges[0], "s", V2)
+        await asyncio.sleep(0.1)
+        fleet.kill(fleet.edges[0])
+        # The holders are told once the edge has noticed the second version.
+        assert await fleet.async_find(late, "s") in (V2, None)
+        assert await fleet.async_find(late, "unknown") is None
+
+    async def test_edge_that_is_cut_off_from_all_finds_none(self) -> None:
+        fleet, late = await self.make_fleet(1.0)
+        fleet.loss = 1.0
+        assert await fleet.async_find(late, "s") is None
+
+    async def test_earlier_agreement_does_not_count(self) -> None:
+        fleet, late = await self.make_fleet(0.4)
+        for each in fleet.edges:
+            each.origins.view.remove_runner("r-v2", get_time())
+            each.origins.history.forget(get_time() + 1.0)
+            each.origins.update()
+        fleet.list_versions("v1")
+        assert await fleet.async_find(late, "unknown") == V1
+        others = [each for each in fleet.edges if each is not late]
+        for each in others:
+            entry = make_runner("r-v2", software_version="v2")
+            each.origins.view.update_runner(entry)
+        fleet.begin_stream(others[0], "s", V2)
+        assert await fleet.async_find(late, "s") == V2
+
+    async def test_state_that_catches_up_is_waited_for(self) -> None:
+        """Relayed state is some tenths of a second old at all times."""
+        fleet = OriginFleet(6, versions=("v1",))
+        await fleet.async_pass(RETENTION_S + 1.0)
+        edge = fleet.edges[0]
+        edge.age_s = 0.4
+        began_at = get_time()
+        assert await fleet.async_find(edge, "unknown") == V1
+        assert 0.4 <= get_time() - began_at < 0.5
+        assert edge.datagrams == 0
+
+    async def test_version_that_appears_meanwhile_counts(self) -> None:
+        fleet = OriginFleet(6, versions=("v1",))
+        await fleet.async_pass(RETENTION_S + 1.0)
+        edge = fleet.edges[0]
+        edge.age_s = 0.4
+        finding = asyncio.create_task(fleet.async_find(edge, "unknown"))
+        await asyncio.sleep(0.2)
+        fleet.set_versions("v1", "v2")
+        assert await finding is None
+
+    async def test_first_answer_of_another_late_edge_does_not_decide(self) -> None:
+        fleet, late = await self.make_fleet(5.0)
+        nearest = fleet.edges[1]
+        nearest.origins.view.remove_runner("r-v2", get_time())
+        nearest.origins.history.forget(get_time() + 1.0)
+        nearest.origins.update()
+        fleet.list_versions("v1")
+        for each in fleet.edges:
+            if each is not nearest:
+                each.delay_s = 0.05
+        fleet.begin_stream(fleet.edges[0], "s", V2)
+        assert await fleet.async_find(late, "s") == V2
+
+
 class TestCoveredHistory:
     """Edges that have seen all versions within the life of a stream."""
 
