Let the soak change entries and models, and cut off the leader alone

Nothing in the soak let an entry change its service, retired a model that runners hold, cut only the leader's way to the store beside runners that leave, or made calls long.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,6 +40,11 @@
 given one only on request too."""
 
 
+CHANGING_DIVISOR: Final = 5
+CHANGING_REMAINDER: Final = 2
+"""New seeds in which entries, models, the leader's path and lengths of calls change; a
+given one only on request."""
+
 ODD_IDS_DIVISOR: Final = 7
 ODD_IDS_REMAINDER: Final = 2
 """New seeds in which IDs of events don't rise by one; a given one only on request
@@ -118,6 +123,12 @@
         action="store_true",
         help="let IDs of events not rise by one; one new seed in seven does so anyway",
     )
+    parser.add_argument(
+        "--changing",
+        action="store_true",
+        help="let entries change their services, retire models, cut off the leader "
+        "alone, and let calls take long; one new seed in five does so anyway",
+    )
     parser.add_argument("--folder", type=Path, help="folder for the logs")
     options = parser.parse_args()
     seeds = options.seed or [
@@ -164,6 +175,10 @@
                 options.odd_ids
                 or (not options.seed and seed % ODD_IDS_DIVISOR == ODD_IDS_REMAINDER)
             ),
+            lambda seed: (
+                options.changing
+                or (not options.seed and seed % CHANGING_DIVISOR == CHANGING_REMAINDER)
+            ),
         )
     )
     failed = [each.seed for each in results if each.violations]
@@ -187,6 +202,7 @@
     broken_endings: Callable[[int], bool] = lambda seed: False,
     power_cuts: Callable[[int], bool] = lambda seed: False,
     odd_ids: Callable[[int], bool] = lambda seed: False,
+    changing: Callable[[int], bool] = lambda seed: False,
 ) -> list[Result]:
     """Run one soak for each seed, at most `at_once` at a time."""
     slots = asyncio.Semaphore(at_once)
@@ -210,6 +226,7 @@
                 broken_endings(seed),
                 power_cuts(seed),
                 odd_ids(seed),
+                changing(seed),
             )
             print_result(result)
             return result
@@ -225,6 +242,7 @@
     flag += " --promises" if result.has_promises else ""
     flag += " --broken-endings" if result.has_broken_endings else ""
     flag += " --power-cuts" if result.has_power_cuts else ""
+    flag += " --changing" if result.has_changes else ""
     flag += "" if result.event_ids is EventIds.RISING else " --odd-ids"
     disorders = ", ".join(f"{count} {name}" for name, count in result.disorders.items())
     print(
@@ -238,6 +256,7 @@
         f"{result.own_failures} false failures, {result.kept_ids} kept ids; "
         f"{result.unframed} unframed responses, {result.cut_unframed} cut; "
         f"{result.power_cuts} power cuts, {result.rolling_stops} rolling stops; "
+        f"{result.changes} changes; "
         f"{result.event_ids.value} event ids; "
         f"{result.went_on} of {result.resumed} resumed streams went on; "
         f"order of {result.judged} streams: {disorders}; "
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -208,6 +208,10 @@
     accepted: dict[int, float] = field(factory=dict, init=False)
     """Time at which the store accepted a version of the configuration."""
 
+    changes: int = field(default=0, init=False)
+    """Periods with changed entries or configurations, a leader without the store, or
+    long calls."""
+
     restores: int = field(default=0, init=False)
     """Number of times that the store came back from a copy."""
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from ..stand_ins.launcher import Launcher
+from .changes import async_change_periodically
 from .faults import (
     FAULTS,
     PLANNED,
@@ -150,6 +151,13 @@
     rolling_stops: int = 0
     """Number of times that all edges were stopped one after the other."""
 
+    has_changes: bool = False
+    """Whether entries and models changed, the leader lost the store, and calls were
+    long."""
+
+    changes: int = 0
+    """Number of periods with one of these."""
+
     event_ids: EventIds = EventIds.RISING
     """IDs of the events of streams."""
 
@@ -213,6 +221,7 @@
     broken_endings: bool = False,
     power_cuts: bool = False,
     odd_ids: bool = False,
+    changing: bool = False,
 ) -> Result:
     """Run one soak.
 
@@ -237,6 +246,8 @@
         power_cuts: Whether all edges are killed at once, or stopped one after the
             other; runners have two software versions then.
         odd_ids: Whether IDs of events don't rise by one.
+        changing: Whether entries change their services, models are retired, the leader
+            alone loses the store, and calls take long.
     """
     versions = versions or power_cuts
     event_ids = ODD_IDS[seed % len(ODD_IDS)] if odd_ids else EventIds.RISING
@@ -247,6 +258,7 @@
         has_promises=promises,
         has_broken_endings=broken_endings,
         has_power_cuts=power_cuts,
+        has_changes=changing,
         event_ids=event_ids,
     )
     if crashing is None:
@@ -309,6 +321,8 @@
             periods.start(world, async_break_endings_periodically)
         if power_cuts:
             periods.start(world, async_cut_power_periodically)
+        if changing:
+            periods.start(world, async_change_periodically)
         try:
             await _async_disturb(world, result, fault_s)
             await _async_recover(world.records, result, periods)
@@ -326,6 +340,7 @@
     result.unframed = world.records.unframed
     result.cut_unframed = world.records.cut_unframed
     result.power_cuts = world.records.power_cuts
+    result.changes = world.records.changes
     result.rolling_stops = world.records.rolling_stops
     report = world.records.judge_order()
     result.judged, result.disorders = report.judged, report.count()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,6 +29,9 @@
 PROMISES_SEED = 7
 """A seed with all faults."""
 
+CHANGES_SEED = 12
+"""A seed with planned work only, beside the changes."""
+
 RESTORED_SEED = 17_798_720
 """A seed that failed once: a host that had read a restored store rejected keys for good
 that the store had lost together with their configuration."""
@@ -75,3 +78,8 @@
         assert result.violations == []
         assert result.own_failures > 0
         assert result.kept_ids > 0
+
+    async def test_guarantees_hold_beside_changes(self, tmp_path: Path) -> None:
+        result = await async_soak(CHANGES_SEED, tmp_path, FAULT_S, changing=True)
+        assert result.violations == []
+        assert result.changes > 0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -136,6 +136,9 @@
     runners: list[RunnerStandIn] = field(factory=list, init=False)
     cuts: RunnerCuts = field(factory=RunnerCuts, init=False)
     popular_models: list[str] = field(factory=lambda: MODELS[:2], init=False)
+    retired: set[str] = field(factory=set, init=False)
+    """Models that the next configurations don't offer."""
+
     version: int = field(default=0, init=False)
     """Newest version of the configuration."""
 
@@ -271,7 +274,7 @@
                     *(_make_added_route(each) for each in self._added_versions),
                 )
             ],
-            "services": [_make_engine_service(), _make_plain_service()],
+            "services": [_make_engine_service(self.retired), _make_plain_service()],
             "limits": {},
             "tenants": self.records.customers.make_document(),
         }
@@ -474,7 +477,7 @@
     return {"name": "plain", "health_path": "/health", "max_conns": 100}
 
 
-def _make_engine_service() -> dict[str, Any]:
+def _make_engine_service(retired: set[str]) -> dict[str, Any]:
     engine = {
         "slots": 16,
         "kv_capacity": 100_000,
@@ -497,6 +500,7 @@
                 "adapter_mb": 50.0,
             }
             for name in MODELS
+            if name not in retired
         ],
     }
     return {**_make_plain_service(), "name": "llm", "engine": engine}
