--- a/mangoway/coordination/mirror.py
+++ b/mangoway/coordination/mirror.py
@@ -254,7 +254,7 @@
             self.restores.record_restore(known_items, self.items)
             self.receiver.record_restore()
             self._log_restore(known_items)
-        # Relayed first: an error in this process must not keep state from followers.
+        # Followers get it first, so that an error in this process costs them nothing.
         self._relay_snapshot(snapshot)
         self._deliver_snapshot(snapshot)
         self.on_synced()
@@ -351,7 +351,8 @@
             self._lost_operator_writes.record_repeated()
         effective = self._select_effective(new)
         if self.follower is not None and new:
-            # Runners write their entries every second, mostly unchanged.
+            # Runners write their entries every second, mostly unchanged. Followers get
+            # the others first, as they get snapshots.
             relayed = Changes(changes=effective, revision=changes.revision)
             self.follower.relay_changes(relayed)
         self.receiver.apply_changes(Changes(changes=new, revision=changes.revision))
