--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -221,6 +221,9 @@
     leaving = world.random.choice(world.runners)
     models: dict[str, set[str]] | None = None if leaving.models is None else {}
     await world.async_add_runner(leaving.service, models)
+    if leaving not in world.runners:
+        # Another fault removed it meanwhile.
+        return
     world.runners.remove(leaving)
     world.start_task(leaving.async_drain())
 
