--- a/tests/soak/test_restarted_fleet.py
+++ b/tests/soak/test_restarted_fleet.py
@@ -194,9 +194,11 @@
         self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         make_service = world_module._make_engine_service
-        service = make_service()
+        service = make_service(set())
         service["engine"]["loads_per_s"] = LOADS_PER_S
-        monkeypatch.setattr(world_module, "_make_engine_service", lambda: service)
+        monkeypatch.setattr(
+            world_module, "_make_engine_service", lambda retired: service
+        )
         async with Launcher(tmp_path) as launcher:
             world = World(SEED, launcher, engines=8, engine_models=("m0",))
             await world.async_start()
